Add HTTP edges and the emulated endpoints

tiny_http takes any accept error as the end of its loop, so the listener is opened anew after one; time bounds are set on the listening socket, from which accepted sockets inherit them. The engine is a pure model that the emulator drives in real time.

--- a/crates/core/src/placement/tests.rs
+++ b/crates/core/src/placement/tests.rs
@@ -6,6 +6,7 @@
 use crate::{
     config::{Config, EndpointTarget, key_digest},
     error::ErrorKind,
+    units::Instant,
 };
 
 fn config(endpoints: usize, slots: u64, kv_tokens: u64) -> Config {
--- /dev/null
+++ b/crates/http/src/lib.rs
@@ -0,0 +1,16 @@
+//! HTTP edges shared by the trayswitch programs: a listener that survives accept
+//! errors, bounded bodies, JSON answers, and server-sent events in both directions.
+
+mod body;
+mod event_reader;
+mod event_writer;
+mod listener;
+#[cfg(test)]
+mod tests;
+
+pub use self::{
+    body::{BodyError, header, read_body, respond, respond_json},
+    event_reader::{Event, EventError, EventReader},
+    event_writer::{EventWriter, OutgoingEvent},
+    listener::{HttpServer, SocketBounds},
+};
--- /dev/null
+++ b/crates/lab/src/emulate/faults.rs
@@ -0,0 +1,125 @@
+//! Faults that can be switched on in an emulated endpoint.
+
+use std::{
+    process,
+    sync::{Mutex, MutexGuard},
+    thread,
+    time::{Duration, Instant},
+};
+
+use serde::{Deserialize, Serialize};
+
+/// One fault, as posted to `/emulator/faults`.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(tag = "fault", rename_all = "snake_case")]
+pub(crate) enum Fault {
+    /// No progress and no bytes for this long.
+    Freeze {
+        /// Length in milliseconds.
+        ms: u64,
+    },
+    /// Every stream and answer now open or among the next `count` is cut without a proper end.
+    Cut {
+        /// Number of connections to cut.
+        count: u64,
+    },
+    /// The next `count` requests run, but their answers are never sent.
+    DropAnswer {
+        /// Number of requests.
+        count: u64,
+    },
+    /// The next `count` requests are refused before they run.
+    Refuse {
+        /// Number of requests.
+        count: u64,
+    },
+    /// All generations are forgotten.
+    Forget,
+    /// Leaving: what runs goes on, new requests are refused.
+    Leave,
+    /// Back from leaving.
+    Return,
+    /// The process ends at once.
+    Die,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    frozen_until: Option<Instant>,
+    cuts: u64,
+    drops: u64,
+    refusals: u64,
+    leaving: bool,
+    forget: bool,
+}
+
+/// The faults in force.
+#[derive(Debug, Default)]
+pub(crate) struct Faults {
+    state: Mutex<State>,
+}
+
+impl Faults {
+    /// Switches a fault on.
+    pub(crate) fn set(&self, fault: Fault) {
+        let mut state = self.state();
+        match fault {
+            Fault::Freeze { ms } => {
+                state.frozen_until = Some(Instant::now() + Duration::from_millis(ms));
+            }
+            Fault::Cut { count } => state.cuts = count,
+            Fault::DropAnswer { count } => state.drops = count,
+            Fault::Refuse { count } => state.refusals = count,
+            Fault::Forget => state.forget = true,
+            Fault::Leave => state.leaving = true,
+            Fault::Return => state.leaving = false,
+            Fault::Die => process::exit(9),
+        }
+    }
+
+    /// Waits while frozen.
+    pub(crate) fn wait_while_frozen(&self) {
+        loop {
+            let until = self.state().frozen_until;
+            let Some(left) = until.and_then(|at| at.checked_duration_since(Instant::now())) else {
+                return;
+            };
+            thread::sleep(left);
+        }
+    }
+
+    /// Whether the endpoint is leaving.
+    pub(crate) fn leaving(&self) -> bool {
+        self.state().leaving
+    }
+
+    /// Whether this connection is to be cut; counts it.
+    pub(crate) fn take_cut(&self) -> bool {
+        take(&mut self.state().cuts)
+    }
+
+    /// Whether this answer is to be dropped; counts it.
+    pub(crate) fn take_drop(&self) -> bool {
+        take(&mut self.state().drops)
+    }
+
+    /// Whether this request is to be refused; counts it.
+    pub(crate) fn take_refusal(&self) -> bool {
+        take(&mut self.state().refusals)
+    }
+
+    /// Whether all generations are to be forgotten, once.
+    pub(crate) fn take_forget(&self) -> bool {
+        std::mem::take(&mut self.state().forget)
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no fault handler panics")
+    }
+}
+
+fn take(count: &mut u64) -> bool {
+    let some = 0 < *count;
+    *count = count.saturating_sub(1);
+    some
+}
