--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,6 +4,7 @@
 //! what must be done. Clocks, sockets, files and threads live in the daemon,
 //! except for [`storage`], which owns the synced files of a control replica.
 
+pub mod agreement;
 pub mod config;
 pub mod delivery;
 
--- /dev/null
+++ b/crates/trayswitchd/src/endpoint/mod.rs
@@ -0,0 +1,137 @@
+//! Adapters to endpoints: model engines and plain services.
+
+mod engine;
+mod service;
+#[cfg(test)]
+mod tests;
+mod whole;
+
+use std::{fmt, net::SocketAddr, time::Duration};
+
+use trayswitch_core::delivery::{Frame, GenerationId};
+
+pub(crate) use self::{engine::HttpEngine, service::HttpService, whole::WholeAnswer};
+
+/// Why an endpoint did not do what it was asked.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum EndpointError {
+    /// No byte of the request can have reached the endpoint.
+    NotSent(String),
+    /// The endpoint said that it refused before running.
+    RefusedNotRun {
+        /// Whether it refused because it is leaving.
+        leaving: bool,
+    },
+    /// The endpoint no longer has the generation.
+    Gone,
+    /// The connection was lost or stalled; the request may have run.
+    Lost(String),
+    /// The endpoint broke its protocol.
+    Malformed(String),
+}
+
+impl fmt::Display for EndpointError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            EndpointError::NotSent(problem) => write!(f, "could not connect: {problem}"),
+            EndpointError::RefusedNotRun { leaving: true } => f.write_str("leaving"),
+            EndpointError::RefusedNotRun { leaving: false } => f.write_str("refused before running"),
+            EndpointError::Gone => f.write_str("the generation is gone"),
+            EndpointError::Lost(problem) => write!(f, "connection lost: {problem}"),
+            EndpointError::Malformed(problem) => write!(f, "protocol broken: {problem}"),
+        }
+    }
+}
+
+impl EndpointError {
+    /// Whether the request certainly did not run.
+    pub(crate) fn is_not_run(&self) -> bool {
+        matches!(self, EndpointError::NotSent(_) | EndpointError::RefusedNotRun { .. })
+    }
+}
+
+/// A load report as an endpoint gives it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Deserialize)]
+pub(crate) struct Load {
+    /// Requests running.
+    pub(crate) running: u64,
+    /// Requests waiting inside the endpoint.
+    #[serde(default)]
+    pub(crate) waiting: u64,
+    /// Memory in use, in tokens.
+    #[serde(default)]
+    pub(crate) kv_used: u64,
+    /// Age of these figures.
+    #[serde(default)]
+    pub(crate) age_ms: u64,
+    /// Whether the endpoint is leaving.
+    #[serde(default)]
+    pub(crate) leaving: bool,
+}
+
+/// A generation to start.
+pub(crate) struct StartGeneration<'a> {
+    /// Names the request in the endpoint's own records.
+    pub(crate) request_id: &'a str,
+    /// The caller's body, an object; it is passed on with the engine's own fields set.
+    pub(crate) body: &'a serde_json::Map<String, serde_json::Value>,
+    /// A lower number yields last.
+    pub(crate) priority: u64,
+}
+
+/// Frames of one generation, read one by one.
+pub(crate) trait Frames: Send {
+    /// The generation that the endpoint named in its answer.
+    fn generation(&self) -> &GenerationId;
+
+    /// Blocks for the next frame; an error ends the link.
+    fn next(&mut self) -> Result<Frame, EndpointError>;
+}
+
+/// A model engine.
+pub(crate) trait Engine: Send + Sync {
+    /// Starts a generation.
+    fn start(
+        &self,
+        address: SocketAddr,
+        req: &StartGeneration<'_>,
+    ) -> Result<Box<dyn Frames>, EndpointError>;
+
+    /// Goes on with a generation after a position.
+    fn resume(
+        &self,
+        address: SocketAddr,
+        generation: &GenerationId,
+        after: u64,
+    ) -> Result<Box<dyn Frames>, EndpointError>;
+
+    /// Cancels a generation; a failure is of no consequence to the caller.
+    fn cancel(&self, address: SocketAddr, generation: &GenerationId);
+
+    /// Asks for the load.
+    fn load(&self, address: SocketAddr) -> Result<Load, EndpointError>;
+}
+
+/// A call of a plain service.
+pub(crate) struct ServiceCall<'a> {
+    /// Names the request in the endpoint's own records.
+    pub(crate) request_id: &'a str,
+    /// Name of the call.
+    pub(crate) call: &'a str,
+    /// Media type of the body.
+    pub(crate) content_type: &'a str,
+    /// The caller's body.
+    pub(crate) body: &'a [u8],
+    /// Time allowed.
+    pub(crate) timeout: Duration,
+}
+
+/// A plain service.
+pub(crate) trait Service: Send + Sync {
+    /// Makes one attempt; never repeats it.
+    fn call(
+        &self,
+        address: SocketAddr,
+        call: &ServiceCall<'_>,
+    ) -> Result<WholeAnswer, EndpointError>;
+}
