--- a/crates/core/src/agreement/replica.rs
+++ b/crates/core/src/agreement/replica.rs
@@ -395,8 +395,7 @@
 
     fn pre_campaign(&mut self, now: Instant) {
         self.leader = None;
-        let vote =
-            PreVote { last_index: self.log.last_index(), last_term: self.log.last_term() };
+        let vote = PreVote { last_index: self.log.last_index(), last_term: self.log.last_term() };
         let term = self.hard_state.term + 1;
         self.state = State::PreCandidate(BTreeSet::from([self.id]));
         for voter in self.other_voters() {
@@ -411,11 +410,8 @@
         self.set_hard_state(HardState { term, voted_for: Some(self.id) });
         self.state = State::Candidate(BTreeSet::new());
         self.reset_election(now);
-        let vote = Vote {
-            last_index: self.log.last_index(),
-            last_term: self.log.last_term(),
-            hand_over,
-        };
+        let vote =
+            Vote { last_index: self.log.last_index(), last_term: self.log.last_term(), hand_over };
         for voter in self.other_voters() {
             self.send_after_persist(voter, Body::Vote(vote));
         }
@@ -626,8 +622,14 @@
     }
 
     fn refresh_peers(&mut self, now: Instant) {
-        let members: Vec<ReplicaId> =
-            self.log.membership().members.iter().map(|m| m.id).filter(|id| *id != self.id).collect();
+        let members: Vec<ReplicaId> = self
+            .log
+            .membership()
+            .members
+            .iter()
+            .map(|m| m.id)
+            .filter(|id| *id != self.id)
+            .collect();
         let next = self.log.last_index();
         let State::Leader(leadership) = &mut self.state else { return };
         leadership.peers.retain(|id, _| members.contains(id));
@@ -706,8 +708,8 @@
             }
             Some(Outcome::Rejected(hint)) => {
                 progress.next = (hint + 1).max(progress.matched + 1);
-                let snapshot_on_its_way = now < progress.snapshot_until
-                    && self.log.term_at(progress.next - 1).is_none();
+                let snapshot_on_its_way =
+                    now < progress.snapshot_until && self.log.term_at(progress.next - 1).is_none();
                 if !snapshot_on_its_way {
                     self.send_entries(from, true, now);
                 }
--- a/crates/core/src/agreement/tests.rs
+++ b/crates/core/src/agreement/tests.rs
@@ -69,11 +69,8 @@
             reads: BTreeMap::new(),
             confirmed_reads: 0,
         };
-        let member = |(i, id): (usize, &u64)| Member {
-            id: *id,
-            vm: format!("vm-{id}"),
-            voter: i < voters,
-        };
+        let member =
+            |(i, id): (usize, &u64)| Member { id: *id, vm: format!("vm-{id}"), voter: i < voters };
         let members = ids.iter().enumerate().map(member).collect();
         for id in ids {
             let host = Host {
--- a/crates/core/src/config/document.rs
+++ b/crates/core/src/config/document.rs
@@ -100,7 +100,8 @@
             problem,
         };
         // Values are taken as they stand, so that what was written is what is read.
-        let option = ParseOption { enabled_quote: false, enabled_escape: false, ..ParseOption::default() };
+        let option =
+            ParseOption { enabled_quote: false, enabled_escape: false, ..ParseOption::default() };
         let ini = Ini::load_from_str_opt(text, option)
             .map_err(|e| Faults(vec![fault("", "", format!("not a valid INI file: {e}"))]))?;
         let mut faults = Vec::new();
@@ -144,7 +145,8 @@
             }
         }
         let mut buf = Vec::new();
-        ini.write_to_policy(&mut buf, EscapePolicy::Nothing).expect("writing to memory does not fail");
+        ini.write_to_policy(&mut buf, EscapePolicy::Nothing)
+            .expect("writing to memory does not fail");
         String::from_utf8(buf).expect("INI text is UTF-8")
     }
 
--- a/crates/core/src/config/schema.rs
+++ b/crates/core/src/config/schema.rs
@@ -217,12 +217,7 @@
     fn deployment(&mut self) -> Deployment {
         let Some(section) = self.document.sections.get(DEPLOYMENT) else {
             self.fault(DEPLOYMENT, "", "this section is required");
-            return Deployment {
-                name: String::new(),
-                version: 0,
-                stall_weight: 1,
-                gap_weight: 1,
-            };
+            return Deployment { name: String::new(), version: 0, stall_weight: 1, gap_weight: 1 };
         };
         let mut r = SectionReader::new(self.file, DEPLOYMENT, section, &mut self.faults);
         let deployment = Deployment {
@@ -286,7 +281,13 @@
         }
         for (name, spec) in &config.endpoints {
             let section = format!("endpoint {name}");
-            self.reference(config.halls.contains_key(&spec.hall), &section, "hall", "hall", &spec.hall);
+            self.reference(
+                config.halls.contains_key(&spec.hall),
+                &section,
+                "hall",
+                "hall",
+                &spec.hall,
+            );
             let (known, family) = match &spec.target {
                 EndpointTarget::Model(model) => (config.models.contains_key(model), "model"),
                 EndpointTarget::Service(service) => {
@@ -340,7 +341,8 @@
     };
     let hex = spec.key_sha256.bytes().all(|b| matches!(b, b'0'..=b'9' | b'a'..=b'f'));
     if !spec.key_sha256.is_empty() && (spec.key_sha256.len() != KEY_HEX_DIGITS || !hex) {
-        let expected = "expected 64 lower-case hexadecimal digits; `trayswitch config key` makes them";
+        let expected =
+            "expected 64 lower-case hexadecimal digits; `trayswitch config key` makes them";
         r.fault("key_sha256", expected);
     }
     spec
--- a/crates/core/src/config/tests.rs
+++ b/crates/core/src/config/tests.rs
@@ -72,7 +72,8 @@
 // No backslash: the library reads one at the end of a line as a continuation,
 // so that no parsed document can hold it.
 fn documents() -> impl Strategy<Value = Document> {
-    let section = proptest::collection::btree_map("[a-z_]{1,6}", "[a-zA-Z0-9 .:;#=\"/-]{0,12}", 0..4);
+    let section =
+        proptest::collection::btree_map("[a-z_]{1,6}", "[a-zA-Z0-9 .:;#=\"/-]{0,12}", 0..4);
     proptest::collection::btree_map("[a-z]{1,5} [a-z0-9-]{1,5}", section, 0..6).prop_map(
         |mut sections| {
             for section in sections.values_mut() {
--- a/crates/core/src/delivery/mod.rs
+++ b/crates/core/src/delivery/mod.rs
@@ -136,6 +136,12 @@
         self.next_attempt()
     }
 
+    /// Forgets what was collected, for a caller that has been shown none of it.
+    pub fn discard(&mut self) {
+        self.delivered = 0;
+        self.generation = None;
+    }
+
     /// Number of tokens that the caller has.
     pub fn delivered(&self) -> u64 {
         self.delivered
--- a/crates/core/src/error.rs
+++ b/crates/core/src/error.rs
@@ -104,6 +104,17 @@
         ErrorKind::BadAnswer,
     ];
 
+    /// The number that stands for this kind between daemons.
+    pub fn number(self) -> u32 {
+        let at = ErrorKind::ALL.iter().position(|kind| *kind == self);
+        at.expect("the list holds all kinds") as u32
+    }
+
+    /// The kind of this number, if there is one.
+    pub fn from_number(number: u32) -> Option<ErrorKind> {
+        ErrorKind::ALL.get(number as usize).copied()
+    }
+
     /// The table from kind to answer.
     pub fn answer(self) -> Answer {
         use Outcome::{CutOff, NotRun, Refused, Unknown};
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -14,7 +14,7 @@
 pub mod placement;
 pub mod state;
 pub mod storage;
-pub mod units;
-pub mod wire;
 #[cfg(test)]
 mod testing;
+pub mod units;
+pub mod wire;
--- a/crates/core/src/node/control.rs
+++ b/crates/core/src/node/control.rs
@@ -188,8 +188,7 @@
     pub(crate) fn link_up(&mut self, vm: &VmName, out: &mut Outbox) {
         self.links.insert(vm.clone());
         if self.listed.contains(vm) {
-            let info =
-                ReplicaInfo { replica: self.replica.id(), empty: self.replica.is_empty() };
+            let info = ReplicaInfo { replica: self.replica.id(), empty: self.replica.is_empty() };
             out.send(vm, Body::ReplicaInfo(info));
         }
     }
@@ -324,7 +323,8 @@
     fn answer_poll(&mut self, read: ConfirmedRead, now: Instant, out: &mut Outbox) {
         let Some((vm, poll)) = self.polls.remove(&read.token) else { return };
         let version = self.state.version();
-        let update = (poll.version < version).then(|| self.updates.since(poll.version, &self.state));
+        let update =
+            (poll.version < version).then(|| self.updates.since(poll.version, &self.state));
         let reply = PollReply {
             nonce: poll.nonce,
             version,
@@ -358,9 +358,10 @@
     /// Proposes the next submitted file; only one is on its way at a time, since each is a
     /// delta on the one before.
     fn next_submission(&mut self, clocks: Clocks, out: &mut Outbox) {
-        let busy = self.proposed.values().any(|proposed| proposed.submit.is_some());
-        while !busy {
-            let Some((asker, submit)) = self.submissions.pop_front() else { return };
+        if self.proposed.values().any(|proposed| proposed.submit.is_some()) {
+            return;
+        }
+        while let Some((asker, submit)) = self.submissions.pop_front() {
             match self.judge(&submit) {
                 Ok(command) => {
                     let kind = command::Kind::Config(command);
@@ -617,7 +618,8 @@
     // Members.
 
     fn keep_members(&mut self, clocks: Clocks, _out: &mut Outbox) {
-        if let Some(founders) = members::founders(&self.vm, &self.listed, &self.replica, &self.peers)
+        if let Some(founders) =
+            members::founders(&self.vm, &self.listed, &self.replica, &self.peers)
         {
             self.replica.bootstrap(founders, clocks.wall);
             return;
--- a/crates/core/src/node/dispatcher.rs
+++ b/crates/core/src/node/dispatcher.rs
@@ -12,10 +12,8 @@
 use super::{ByVm, Outbox, VmName, load_report};
 use crate::{
     config::{Config, EndpointTarget},
-    error::{ErrorKind, RequestError},
-    placement::{
-        Action, ForecastPolicy, PrefixHash, Request, Scheduler, SchedulerLimits, Ticket,
-    },
+    error::RequestError,
+    placement::{Action, ForecastPolicy, PrefixHash, Request, Scheduler, SchedulerLimits, Ticket},
     units::Instant,
     wire::{Admit, Body, GiveUp, Grant, Health, HealthNews, Progress, Report, Watch},
 };
@@ -152,7 +150,8 @@
     ) {
         let load = load_report(&report, now);
         self.scheduler.endpoint_report(&report.endpoint, load);
-        let news = |news: HealthNews| Health { endpoint: report.endpoint.clone(), news: news.into() };
+        let news =
+            |news: HealthNews| Health { endpoint: report.endpoint.clone(), news: news.into() };
         let noticed = self.leaving.get(report.endpoint.as_str()).copied();
         match (report.leaving, noticed) {
             (true, _) => self.health(from, news(HealthNews::Leaving), daemons, now, out),
@@ -238,7 +237,7 @@
 fn give_up(ticket: Ticket, error: RequestError) -> GiveUp {
     GiveUp {
         number: ticket.number,
-        no_endpoint: error.kind == ErrorKind::NoEndpoint,
+        kind: error.kind.number(),
         retry_after_ms: error.retry_after().unwrap_or_default().as_millis() as u64,
         message: error.message,
     }
--- a/crates/core/src/node/keeper.rs
+++ b/crates/core/src/node/keeper.rs
@@ -243,10 +243,9 @@
     }
 
     fn version_hash(&self) -> VersionHash {
-        self.in_force.as_ref().map_or(VersionHash::default(), |f| VersionHash {
-            version: f.version,
-            hash: f.hash,
-        })
+        self.in_force
+            .as_ref()
+            .map_or(VersionHash::default(), |f| VersionHash { version: f.version, hash: f.hash })
     }
 
     fn judge_freshness(&mut self, now: Instant, out: &mut Outbox) {
@@ -272,7 +271,8 @@
         if let Some(hint) = self.hint.take().filter(reachable) {
             return Some(hint);
         }
-        let reachable: Vec<VmName> = self.replicas.iter().filter(|vm| reachable(vm)).cloned().collect();
+        let reachable: Vec<VmName> =
+            self.replicas.iter().filter(|vm| reachable(vm)).cloned().collect();
         self.next_replica = self.next_replica.wrapping_add(1);
         let count = reachable.len();
         reachable.into_iter().nth(self.next_replica.checked_rem(count)?)
--- a/crates/core/src/node/members.rs
+++ b/crates/core/src/node/members.rs
@@ -26,11 +26,8 @@
         return None;
     }
     let member = |name: &VmName| {
-        let id = if name == vm {
-            replica.id()
-        } else {
-            peers.get(name).filter(|peer| peer.empty)?.id
-        };
+        let id =
+            if name == vm { replica.id() } else { peers.get(name).filter(|peer| peer.empty)?.id };
         Some(Member { id, vm: name.to_string(), voter: true })
     };
     let members = listed.iter().map(member).collect::<Option<Vec<Member>>>()?;
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -474,5 +474,4 @@
     pub(crate) hash: ContentHash,
 }
 
-
 type ByVm<T> = BTreeMap<VmName, T>;
--- a/crates/core/src/node/operations.rs
+++ b/crates/core/src/node/operations.rs
@@ -182,9 +182,7 @@
     match reply.status() {
         ClaimStatus::Granted => ClaimResult::Granted,
         ClaimStatus::InProgress => ClaimResult::InProgress,
-        ClaimStatus::Stored => {
-            reply.answer.map_or(ClaimResult::Unknown, ClaimResult::Stored)
-        }
+        ClaimStatus::Stored => reply.answer.map_or(ClaimResult::Unknown, ClaimResult::Stored),
         ClaimStatus::Unknown => ClaimResult::Unknown,
         ClaimStatus::KeyReused => ClaimResult::KeyReused,
         ClaimStatus::KeyExpired => ClaimResult::KeyExpired,
--- a/crates/core/src/node/placing.rs
+++ b/crates/core/src/node/placing.rs
@@ -10,9 +10,7 @@
     time::Duration,
 };
 
-use super::{
-    Answer, CallId, Outbox, Placement, VmName, keeper::SchedulerAt, load_report,
-};
+use super::{Answer, CallId, Outbox, Placement, VmName, keeper::SchedulerAt, load_report};
 use crate::{
     config::{Config, EndpointTarget},
     error::{ErrorKind, RequestError},
@@ -125,8 +123,7 @@
         if self.waiting.remove(&call).is_none() {
             return;
         }
-        let kind =
-            if give_up.no_endpoint { ErrorKind::NoEndpoint } else { ErrorKind::Overloaded };
+        let kind = ErrorKind::from_number(give_up.kind).unwrap_or(ErrorKind::Overloaded);
         let mut error = RequestError::new(kind, give_up.message);
         error.retry_after = Some(Duration::from_millis(give_up.retry_after_ms));
         out.answer(call, Answer::Placed(Err(error)));
@@ -201,12 +198,7 @@
         }
     }
 
-    pub(crate) fn tick(
-        &mut self,
-        scheduler: Option<&SchedulerAt>,
-        now: Instant,
-        out: &mut Outbox,
-    ) {
+    pub(crate) fn tick(&mut self, scheduler: Option<&SchedulerAt>, now: Instant, out: &mut Outbox) {
         let daemons = scheduler.map_or(self.share_of, |s| s.daemons);
         if daemons != self.share_of {
             self.share_of = daemons;
--- a/crates/core/src/node/tests.rs
+++ b/crates/core/src/node/tests.rs
@@ -300,11 +300,7 @@
         let other = self.pick();
         match self.random(12) {
             0 => self.crash(&vm),
-            1..=3 => {
-                if self.hosts[&vm].node.is_none() {
-                    self.start(&vm);
-                }
-            }
+            1..=3 if self.hosts[&vm].node.is_none() => self.start(&vm),
             4 => self.disconnect(&vm, &other),
             5..=6 => self.connect(&vm, &other),
             7 => {
--- a/crates/core/src/placement/endpoint.rs
+++ b/crates/core/src/placement/endpoint.rs
@@ -52,7 +52,12 @@
 
 impl Share {
     /// The forecast for a stream with `prompt + so_far` tokens in memory.
-    pub(crate) fn forecast(survival: &Survival, prompt: u64, so_far: u64, max_tokens: u64) -> Share {
+    pub(crate) fn forecast(
+        survival: &Survival,
+        prompt: u64,
+        so_far: u64,
+        max_tokens: u64,
+    ) -> Share {
         let mut share = Share { used: (prompt + so_far) as f64, ..Share::default() };
         for (i, ahead) in HORIZONS.iter().copied().enumerate() {
             if max_tokens <= so_far + ahead {
--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -82,4 +82,3 @@
         error: RequestError,
     },
 }
-
--- a/crates/core/src/placement/policy.rs
+++ b/crates/core/src/placement/policy.rs
@@ -14,12 +14,17 @@
 }
 
 /// Chooses where a request runs.
-pub trait Policy {
+pub trait Policy: Send {
     /// Name in reports.
     fn name(&self) -> &'static str;
 
     /// Index of the chosen candidate, or `None` to let the request wait.
-    fn choose(&mut self, req: &Request, candidates: &[Candidate<'_>], now: Instant) -> Option<usize>;
+    fn choose(
+        &mut self,
+        req: &Request,
+        candidates: &[Candidate<'_>],
+        now: Instant,
+    ) -> Option<usize>;
 }
 
 fn has_slot(candidate: &Candidate<'_>) -> bool {
@@ -123,7 +128,12 @@
         "forecast"
     }
 
-    fn choose(&mut self, req: &Request, candidates: &[Candidate<'_>], now: Instant) -> Option<usize> {
+    fn choose(
+        &mut self,
+        req: &Request,
+        candidates: &[Candidate<'_>],
+        now: Instant,
+    ) -> Option<usize> {
         let fits = |c: &Candidate<'_>| {
             let memory = c.endpoint.spec.kv_tokens == 0 || self.fullness(c) <= 1.0;
             // An empty endpoint takes even what the forecast finds too large.
--- a/crates/core/src/placement/queue.rs
+++ b/crates/core/src/placement/queue.rs
@@ -16,11 +16,17 @@
 }
 
 /// Tokens served to a workspace, divided by its share.
-#[derive(Debug, Clone, Copy, PartialEq, PartialOrd, Default)]
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
 struct Service(f64);
 
 impl Eq for Service {}
 
+impl PartialOrd for Service {
+    fn partial_cmp(&self, other: &Service) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
 impl Ord for Service {
     fn cmp(&self, other: &Service) -> std::cmp::Ordering {
         self.0.total_cmp(&other.0)
@@ -113,12 +119,15 @@
         let aged = |rank: u64, w: &Waiting| {
             rank as f64 - now.since(w.arrived).as_secs_f64() / ageing.as_secs_f64()
         };
-        heads
-            .min_by(|a, b| aged(a.0, a.1).total_cmp(&aged(b.0, b.1)))
-            .map(|(_, waiting)| waiting)
+        heads.min_by(|a, b| aged(a.0, a.1).total_cmp(&aged(b.0, b.1))).map(|(_, waiting)| waiting)
     }
 
-    pub(crate) fn remove(&mut self, rank: u64, workspace: &Arc<str>, ticket: Ticket) -> Option<Waiting> {
+    pub(crate) fn remove(
+        &mut self,
+        rank: u64,
+        workspace: &Arc<str>,
+        ticket: Ticket,
+    ) -> Option<Waiting> {
         let waiting = self.tiers.get_mut(&rank)?.remove(workspace, ticket)?;
         self.len -= 1;
         Some(waiting)
--- a/crates/core/src/placement/tests.rs
+++ b/crates/core/src/placement/tests.rs
@@ -63,7 +63,8 @@
     let mut scheduler = scheduler(1, 1, 100_000);
     scheduler.arrive(request(0, "big", 2), START).unwrap();
     assert_that!(started(&scheduler.decide(START)), elements_are![eq(&0)]);
-    for (number, workspace, rank) in [(1, "big", 2), (2, "big", 2), (3, "small", 2), (4, "vip", 1)] {
+    for (number, workspace, rank) in [(1, "big", 2), (2, "big", 2), (3, "small", 2), (4, "vip", 1)]
+    {
         scheduler.arrive(request(number, workspace, rank), START).unwrap();
     }
     let mut order = Vec::new();
--- a/crates/core/src/storage/mod.rs
+++ b/crates/core/src/storage/mod.rs
@@ -174,8 +174,7 @@
     }
 
     fn mark_synced(&mut self) -> Result<(), StorageError> {
-        let mark =
-            SyncedMark { generation: self.current.generation, length: self.log_length };
+        let mark = SyncedMark { generation: self.current.generation, length: self.log_length };
         let bytes = encode_record(&mark.encode_to_vec());
         self.folder.overwrite(SYNCED, &bytes).map_err(io_error("write"))
     }
--- a/crates/core/src/storage/tests.rs
+++ b/crates/core/src/storage/tests.rs
@@ -160,7 +160,11 @@
     let length = storage.log_length() as usize;
     for at in 0..length {
         folder.flip("log-0", at);
-        expect_that!(open(&folder).err(), some(matches_pattern!(StorageError::Corrupt(_))), "byte {at}");
+        expect_that!(
+            open(&folder).err(),
+            some(matches_pattern!(StorageError::Corrupt(_))),
+            "byte {at}"
+        );
         folder.flip("log-0", at);
     }
 
--- a/crates/core/src/wire/mod.rs
+++ b/crates/core/src/wire/mod.rs
@@ -332,9 +332,9 @@
     /// Number of the request.
     #[prost(uint64, tag = "1")]
     pub number: u64,
-    /// Whether no endpoint is live; otherwise the queue is too long.
-    #[prost(bool, tag = "2")]
-    pub no_endpoint: bool,
+    /// Place of the kind in [`crate::error::ErrorKind::ALL`].
+    #[prost(uint32, tag = "2")]
+    pub kind: u32,
     /// For the caller.
     #[prost(string, tag = "3")]
     pub message: String,
--- a/crates/http/src/listener.rs
+++ b/crates/http/src/listener.rs
@@ -51,8 +51,7 @@
         bounds: SocketBounds,
         handle: Arc<dyn Fn(Request) + Send + Sync>,
     ) -> io::Result<HttpServer> {
-        let socket =
-            Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
+        let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
         socket.set_reuse_address(true)?;
         socket.set_tcp_nodelay(true)?;
         socket.set_read_timeout(Some(bounds.read))?;
--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -10,6 +10,49 @@
         .subcommand_required(true)
         .arg_required_else_help(true)
         .subcommand(emulate())
+        .subcommand(ask())
+        .subcommand(load())
+        .subcommand(fault())
+}
+
+fn ask() -> Command {
+    Command::new("ask")
+        .about("Ask a daemon for one generation and print it token by token")
+        .arg(text("callers", "Callers' address of a daemon", Some("127.0.0.1:8080")))
+        .arg(text("key", "Workspace key", None))
+        .arg(text("model", "Model", None))
+        .arg(Arg::new("prompt").required(true).help("The prompt"))
+}
+
+fn load() -> Command {
+    Command::new("load")
+        .about("Make load and check what callers saw against what the endpoints ran")
+        .arg(text("callers", "Callers' addresses of the daemons, separated by commas", None))
+        .arg(text("key", "Workspace key", None))
+        .arg(text("model", "Model", Some("")))
+        .arg(text("call", "Call that may not be repeated, as SERVICE/CALL", Some("")))
+        .arg(text("emulators", "Emulated endpoints whose journals are compared", Some("")))
+        .arg(number("streams", "Number of generations", "0"))
+        .arg(number("length", "Tokens of each generation; 0 lets the endpoint draw it", "0"))
+        .arg(number("prompt", "Characters of each prompt", "200"))
+        .arg(number("calls", "Number of calls", "0"))
+        .arg(number("concurrency", "Requests at once", "50"))
+        .arg(number("seed", "Seed", "1"))
+}
+
+fn fault() -> Command {
+    Command::new("fault")
+        .about("Switch a fault on in an emulated endpoint")
+        .arg(text("endpoint", "Address of the emulated endpoint", None))
+        .arg(Arg::new("fault").required(true).help("JSON, for example {\"fault\":\"leave\"}"))
+}
+
+fn text(name: &'static str, help: &'static str, default: Option<&'static str>) -> Arg {
+    let arg = Arg::new(name).long(name).help(help).value_name("TEXT");
+    match default {
+        Some(default) => arg.default_value(default),
+        None => arg.required(true),
+    }
 }
 
 fn emulate() -> Command {
--- a/crates/lab/src/emulate/mod.rs
+++ b/crates/lab/src/emulate/mod.rs
@@ -32,7 +32,10 @@
 }
 
 /// Binds an endpoint; requests to `/emulator/` steer it.
-pub(crate) fn bind(address: SocketAddr, endpoint: Arc<dyn Endpoint>) -> std::io::Result<HttpServer> {
+pub(crate) fn bind(
+    address: SocketAddr,
+    endpoint: Arc<dyn Endpoint>,
+) -> std::io::Result<HttpServer> {
     let handle = move |req: Request| {
         let endpoint = endpoint.clone();
         thread::spawn(move || match req.url() {
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -3,20 +3,22 @@
 mod cli;
 mod emulate;
 mod engine;
+mod load;
 mod options;
 
 use std::{
+    io::{self, Write},
     net::{Ipv4Addr, SocketAddr},
     process::ExitCode,
     sync::Arc,
     thread,
 };
 
-use eyre::Result;
+use eyre::{Result, bail};
 
 use crate::{
     emulate::{Endpoint, engine::EngineEmulator, service::ServiceEmulator},
-    options::{EmulateOptions, Options},
+    options::{AskOptions, EmulateOptions, Options},
 };
 
 fn main() -> ExitCode {
@@ -34,6 +36,39 @@
     let matches = cli::command().get_matches();
     match Options::from_matches(&matches)? {
         Options::Emulate(options) => run_emulators(&options),
+        Options::Ask(options) => ask(&options),
+        Options::Load(options) => {
+            let report = load::run(&options);
+            println!("{}", serde_json::to_string_pretty(&report)?);
+            match report.violations() {
+                0 => Ok(()),
+                n => bail!("{n} promises were broken"),
+            }
+        }
+        Options::Fault { endpoint, fault } => {
+            let url = format!("http://{endpoint}/emulator/faults");
+            match ureq::post(&url).send_string(&fault) {
+                Ok(_) => Ok(()),
+                // An endpoint that was told to die gives no answer.
+                Err(ureq::Error::Transport(_)) if fault.contains("die") => Ok(()),
+                Err(e) => bail!("{endpoint} did not take the fault: {e}"),
+            }
+        }
+    }
+}
+
+fn ask(options: &AskOptions) -> Result<()> {
+    let mut out = io::stdout().lock();
+    let seen = load::ask(options.callers, &options.key, &options.model, &options.prompt, &mut out);
+    writeln!(out)?;
+    match (seen.count, seen.outcome, seen.status) {
+        (Some(count), _, _) => {
+            writeln!(out, "({count} tokens)")?;
+            Ok(())
+        }
+        (None, Some(outcome), _) => bail!("the daemon answered: {outcome}"),
+        (None, None, Some(status)) => bail!("the answer broke off, status {status}"),
+        (None, None, None) => bail!("no answer from {}", options.callers),
     }
 }
 
--- /dev/null
+++ b/crates/trayswitch/src/options.rs
@@ -0,0 +1,93 @@
+//! Checked options of `trayswitch`.
+
+use std::{fs, net::SocketAddr, path::PathBuf};
+
+use clap::ArgMatches;
+use clap_complete::Shell;
+
+use crate::error::Error;
+
+/// What to do.
+pub(crate) enum Action {
+    /// Check a file.
+    Check(PathBuf),
+    /// Submit a file.
+    Submit {
+        /// The file.
+        file: PathBuf,
+        /// Wait until it is in force everywhere.
+        wait: bool,
+    },
+    /// Print the configuration in force.
+    Show,
+    /// Compare a file with the configuration in force.
+    Diff(PathBuf),
+    /// Hash a workspace key.
+    Key,
+    /// Show one daemon.
+    Status,
+    /// Show the endpoints.
+    Endpoints,
+    /// Show the workspaces.
+    Workspaces,
+    /// Show the control replicas.
+    Control,
+    /// Print completions.
+    Completions(Shell),
+}
+
+/// How to reach a daemon.
+pub(crate) struct Server {
+    /// Operators' address.
+    pub(crate) address: SocketAddr,
+    /// The operator key.
+    pub(crate) key: String,
+}
+
+/// Everything that was asked on the command line.
+pub(crate) struct Options {
+    /// What to do.
+    pub(crate) action: Action,
+    /// Print JSON.
+    pub(crate) json: bool,
+    address: String,
+    key_file: Option<PathBuf>,
+}
+
+impl Options {
+    /// Takes the matches of [`crate::cli::command`].
+    pub(crate) fn from_matches(matches: &ArgMatches) -> Options {
+        Options {
+            action: action(matches),
+            json: matches.get_flag("json"),
+            address: matches.get_one::<String>("operators").cloned().unwrap_or_default(),
+            key_file: matches.get_one::<String>("key-file").map(PathBuf::from),
+        }
+    }
+
+    /// The daemon to ask, for actions that need one.
+    pub(crate) fn server(&self) -> Result<Server, Error> {
+        let address = self.address.parse().map_err(|_| Error::Address(self.address.clone()))?;
+        let path = self.key_file.as_ref().ok_or(Error::NoKeyFile)?;
+        let key = fs::read_to_string(path).map_err(|e| Error::Read(path.clone(), e))?;
+        Ok(Server { address, key: key.trim().to_owned() })
+    }
+}
+
+fn action(matches: &ArgMatches) -> Action {
+    let file = |m: &ArgMatches| PathBuf::from(m.get_one::<String>("file").expect("required"));
+    match matches.subcommand().expect("clap requires a command") {
+        ("config", m) => match m.subcommand().expect("clap requires a command") {
+            ("check", m) => Action::Check(file(m)),
+            ("submit", m) => Action::Submit { file: file(m), wait: m.get_flag("wait") },
+            ("diff", m) => Action::Diff(file(m)),
+            ("key", _) => Action::Key,
+            _ => Action::Show,
+        },
+        ("endpoints", _) => Action::Endpoints,
+        ("workspaces", _) => Action::Workspaces,
+        ("control", _) => Action::Control,
+        ("completions", m) => Action::Completions(*m.get_one::<Shell>("shell").expect("required")),
+        _ => Action::Status,
+    }
+}
--- /dev/null
+++ b/crates/trayswitchd/src/callers/chat.rs
@@ -0,0 +1,150 @@
+//! `POST /v1/chat/completions`: one generation for one caller.
+
+use serde_json::{Map, Value};
+use sha2::{Digest, Sha256};
+use tiny_http::Request;
+use trayswitch_core::{
+    config::{Config, EndpointTarget},
+    error::{ErrorKind, RequestError},
+    placement::{self, PrefixHash, Ticket},
+};
+use trayswitch_http::header;
+
+use super::{
+    answer,
+    context::{Admitted, Callers},
+    run::GenerationRun,
+    sink::{Labels, Sink, StreamSink, WholeSink},
+};
+
+const CHARS_PER_TOKEN: usize = 4;
+/// Characters at the start of a prompt whose hash names its prefix.
+const PREFIX_CHARS: usize = 256;
+const DEFAULT_MAX_TOKENS: u64 = 32_768;
+
+/// A checked request for a generation.
+pub(super) struct ChatRequest {
+    pub(super) workspace: String,
+    pub(super) kind: String,
+    pub(super) model: String,
+    pub(super) body: Map<String, Value>,
+    pub(super) stream: bool,
+    pub(super) place: placement::Request,
+}
+
+/// Serves one request.
+pub(super) fn serve(callers: &Callers, mut req: Request) {
+    let chat = match read(callers, &mut req) {
+        Ok(chat) => chat,
+        Err(e) => return answer::error(req, &e),
+    };
+    let labels = Labels { request_id: callers.request_id(), model: chat.model.clone() };
+    let request_id = labels.request_id.clone();
+    let sink: Box<dyn Sink> = if chat.stream {
+        Box::new(StreamSink::new(req, labels))
+    } else {
+        Box::new(WholeSink::new(req, labels))
+    };
+    GenerationRun::new(callers, chat, request_id).serve(sink);
+}
+
+fn read(callers: &Callers, req: &mut Request) -> Result<ChatRequest, RequestError> {
+    let admitted = callers.admit(req)?;
+    let kind = header(req, "X-Kind").map(str::to_owned);
+    let body = callers.body(req)?;
+    check(&admitted, &body, kind)
+}
+
+/// Checks a body against the configuration.
+pub(super) fn check(
+    admitted: &Admitted,
+    body: &[u8],
+    kind: Option<String>,
+) -> Result<ChatRequest, RequestError> {
+    let config = &admitted.in_force.config;
+    let body: Map<String, Value> = serde_json::from_slice(body)
+        .map_err(|e| bad(format!("the body is not a JSON object: {e}")))?;
+    let model = match body.get("model") {
+        Some(Value::String(model)) => model.clone(),
+        _ => return Err(bad("\"model\" must be a text")),
+    };
+    let Some(default_kind) = config.models.get(&model) else {
+        let message = format!("there is no model \"{model}\"");
+        return Err(RequestError::new(ErrorKind::NotFound, message));
+    };
+    let prompt = prompt(&body)?;
+    let stream = match body.get("stream") {
+        None | Some(Value::Null) => false,
+        Some(Value::Bool(stream)) => *stream,
+        Some(_) => return Err(bad("\"stream\" must be true or false")),
+    };
+    let max_tokens = match body.get("max_tokens") {
+        None | Some(Value::Null) => DEFAULT_MAX_TOKENS,
+        Some(n) => match n.as_u64() {
+            Some(n) if 0 < n => n,
+            _ => return Err(bad("\"max_tokens\" must be a whole number above zero")),
+        },
+    };
+    let kind = kind.unwrap_or_else(|| default_kind.clone());
+    let mut place =
+        place(config, &admitted.workspace, &kind, EndpointTarget::Model(model.clone()))?;
+    place.prompt_tokens = (prompt.len() / CHARS_PER_TOKEN + 1) as u64;
+    place.prefix = prefix(&prompt);
+    place.max_tokens = max_tokens;
+    let workspace = admitted.workspace.clone();
+    Ok(ChatRequest { workspace, kind, model, body, stream, place })
+}
+
+/// What the scheduler needs to know, without the prompt's part.
+pub(super) fn place(
+    config: &Config,
+    workspace: &str,
+    kind: &str,
+    target: EndpointTarget,
+) -> Result<placement::Request, RequestError> {
+    let Some(kind_spec) = config.kinds.get(kind) else {
+        return Err(bad(format!("there is no kind \"{kind}\"; see X-Kind")));
+    };
+    let spec = &config.workspaces[workspace];
+    Ok(placement::Request {
+        ticket: Ticket { entry: 0, number: 0 },
+        workspace: workspace.into(),
+        rank: config.tiers[&spec.tier].rank,
+        share: spec.share,
+        kind: kind.into(),
+        target,
+        prompt_tokens: 0,
+        prefix: PrefixHash::default(),
+        max_tokens: 0,
+        max_wait: kind_spec.max_wait,
+        avoid: None,
+    })
+}
+
+fn prompt(body: &Map<String, Value>) -> Result<String, RequestError> {
+    let Some(Value::Array(messages)) = body.get("messages") else {
+        return Err(bad("\"messages\" must be a list"));
+    };
+    if messages.is_empty() {
+        return Err(bad("\"messages\" must not be empty"));
+    }
+    let mut prompt = String::new();
+    for message in messages {
+        match message.get("content") {
+            Some(Value::String(text)) => prompt.push_str(text),
+            _ => return Err(bad("each message must have a text \"content\"")),
+        }
+    }
+    Ok(prompt)
+}
+
+fn prefix(prompt: &str) -> PrefixHash {
+    let start: String = prompt.chars().take(PREFIX_CHARS).collect();
+    let digest = Sha256::digest(start.as_bytes());
+    let bytes: [u8; 8] = digest[..8].try_into().expect("eight of 32 bytes");
+    PrefixHash(u64::from_be_bytes(bytes))
+}
+
+fn bad(message: impl Into<String>) -> RequestError {
+    RequestError::new(ErrorKind::BadRequest, message)
+}
--- /dev/null
+++ b/crates/trayswitchd/src/callers/context.rs
@@ -0,0 +1,174 @@
+//! What the threads of all requests share.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use eyre::Result;
+use tiny_http::Request;
+use trayswitch_core::{
+    error::{ErrorKind, Outcome, RequestError},
+    node::{Answer, CallId, InForce, Input, Placement, Question},
+    placement,
+    wire::HealthNews,
+};
+use trayswitch_http::{BodyError, header, read_body};
+
+use crate::{
+    endpoint::{EndpointError, Engine, HttpEngine, HttpService, Service},
+    node::{NodeHandle, random},
+    settings::Settings,
+    telemetry::{EventId, Histograms, Measure, Metrics},
+};
+
+/// Longer than any queue lets a request wait; the node always answers earlier.
+const PLACE_LIMIT: Duration = Duration::from_secs(3_600);
+
+/// Shared by all request threads.
+pub(crate) struct Callers {
+    settings: Settings,
+    node: NodeHandle,
+    engine: Box<dyn Engine>,
+    service: Box<dyn Service>,
+    histograms: Histograms,
+    metrics: Metrics,
+    /// Makes request ids unique over restarts.
+    run: u64,
+    requests: AtomicU64,
+}
+
+/// A request whose caller is known.
+pub(super) struct Admitted {
+    pub(super) in_force: Arc<InForce>,
+    pub(super) workspace: String,
+}
+
+impl Callers {
+    /// Everything that requests need.
+    pub(crate) fn new(settings: Settings, node: NodeHandle) -> Result<Callers> {
+        let metrics = Metrics::open(settings.statsd)?;
+        Ok(Callers {
+            engine: Box::new(HttpEngine::new(settings.timing.idle)),
+            service: Box::new(HttpService::new()),
+            settings,
+            node,
+            histograms: Histograms::default(),
+            metrics,
+            run: random()?,
+            requests: AtomicU64::new(0),
+        })
+    }
+
+    pub(crate) fn settings(&self) -> &Settings {
+        &self.settings
+    }
+
+    pub(crate) fn node(&self) -> &NodeHandle {
+        &self.node
+    }
+
+    pub(crate) fn engine(&self) -> &dyn Engine {
+        &*self.engine
+    }
+
+    pub(super) fn service(&self) -> &dyn Service {
+        &*self.service
+    }
+
+    pub(crate) fn histograms(&self) -> &Histograms {
+        &self.histograms
+    }
+
+    pub(super) fn metrics(&self) -> &Metrics {
+        &self.metrics
+    }
+
+    /// A name for a request in logs and in the endpoints' records.
+    pub(super) fn request_id(&self) -> String {
+        let number = self.requests.fetch_add(1, Ordering::Relaxed);
+        format!("{}-{:08x}-{number}", self.settings.vm, self.run as u32)
+    }
+
+    /// Finds out who asks, and whether this daemon may serve.
+    pub(super) fn admit(&self, req: &Request) -> Result<Admitted, RequestError> {
+        let view = self.node.view();
+        if view.draining() {
+            return Err(not_ready("this daemon is stopping"));
+        }
+        let in_force = view.in_force().filter(|_| view.fresh());
+        let Some(in_force) = in_force else {
+            return Err(not_ready("this daemon has no configuration that is known to be current"));
+        };
+        let key = header(req, "Authorization").and_then(|value| value.strip_prefix("Bearer "));
+        let Some(key) = key else {
+            let message = "send the workspace key as \"Authorization: Bearer KEY\"";
+            return Err(RequestError::new(ErrorKind::Unauthorized, message));
+        };
+        let Some(workspace) = in_force.config.workspace_of_key(key.trim()) else {
+            let message = "no workspace has this key";
+            return Err(RequestError::new(ErrorKind::Unauthorized, message));
+        };
+        let workspace = workspace.to_owned();
+        Ok(Admitted { in_force, workspace })
+    }
+
+    /// Reads the body within the limit.
+    pub(super) fn body(&self, req: &mut Request) -> Result<Vec<u8>, RequestError> {
+        let limit = self.settings.max_body;
+        read_body(req, limit).map_err(|e| match e {
+            BodyError::TooLarge => {
+                let message = format!("the body is larger than {limit} bytes");
+                RequestError::new(ErrorKind::TooLarge, message)
+            }
+            BodyError::Io(e) => {
+                RequestError::new(ErrorKind::BadRequest, format!("the body ended early: {e}"))
+            }
+        })
+    }
+
+    /// Waits for a place.
+    pub(super) fn place(
+        &self,
+        call: CallId,
+        req: placement::Request,
+    ) -> Result<Placement, RequestError> {
+        match self.node.ask_as(call, Question::Place(req), PLACE_LIMIT) {
+            Ok(Answer::Placed(placed)) => placed,
+            Ok(_) | Err(_) => Err(not_ready("the daemon's scheduler did not answer")),
+        }
+    }
+
+    /// Tells the node about a failure that a request has met.
+    pub(super) fn report(&self, endpoint: &Arc<str>, error: &EndpointError) {
+        let news = match error {
+            EndpointError::RefusedNotRun { leaving: true } => {
+                log::info!("{} {endpoint} is leaving", EventId::EndpointLeaving);
+                HealthNews::Leaving
+            }
+            // Alive, only full or without this one generation.
+            EndpointError::RefusedNotRun { leaving: false } | EndpointError::Gone => return,
+            error => {
+                log::warn!("{} {endpoint}: {error}", EventId::EndpointFailed);
+                HealthNews::Failed
+            }
+        };
+        self.metrics.count("endpoint_failures");
+        self.node.input(Input::Health(endpoint.clone(), news));
+    }
+
+    /// Records how a request ended.
+    pub(super) fn ended(&self, workspace: &str, kind: &str, outcome: Outcome, total: Duration) {
+        let name = outcome.name();
+        self.histograms.count(workspace, kind, name);
+        self.histograms.record(workspace, kind, Measure::Total, total);
+        self.metrics.ended(kind, name, total);
+    }
+}
+
+fn not_ready(message: &str) -> RequestError {
+    RequestError::new(ErrorKind::NotReady, message)
+}
--- /dev/null
+++ b/crates/trayswitchd/src/callers/tests.rs
@@ -0,0 +1,1 @@
+//! Tests of the callers side.
--- a/crates/trayswitchd/src/endpoint/engine.rs
+++ b/crates/trayswitchd/src/endpoint/engine.rs
@@ -53,9 +53,8 @@
 impl HttpEngine {
     /// An adapter whose streams end in an error after `idle` without a byte.
     pub(crate) fn new(idle: Duration) -> HttpEngine {
-        let builder = || {
-            AgentBuilder::new().timeout_connect(CONNECT).redirects(0).max_idle_connections(0)
-        };
+        let builder =
+            || AgentBuilder::new().timeout_connect(CONNECT).redirects(0).max_idle_connections(0);
         HttpEngine {
             streams: builder().timeout_read(idle).timeout_write(idle).build(),
             asks: builder().timeout(ASK).build(),
--- a/crates/trayswitchd/src/endpoint/mod.rs
+++ b/crates/trayswitchd/src/endpoint/mod.rs
@@ -4,6 +4,7 @@
 mod service;
 #[cfg(test)]
 mod tests;
+pub(crate) mod watcher;
 mod whole;
 
 use std::{fmt, net::SocketAddr, time::Duration};
@@ -35,7 +36,9 @@
         match self {
             EndpointError::NotSent(problem) => write!(f, "could not connect: {problem}"),
             EndpointError::RefusedNotRun { leaving: true } => f.write_str("leaving"),
-            EndpointError::RefusedNotRun { leaving: false } => f.write_str("refused before running"),
+            EndpointError::RefusedNotRun { leaving: false } => {
+                f.write_str("refused before running")
+            }
             EndpointError::Gone => f.write_str("the generation is gone"),
             EndpointError::Lost(problem) => write!(f, "connection lost: {problem}"),
             EndpointError::Malformed(problem) => write!(f, "protocol broken: {problem}"),
--- a/crates/trayswitchd/src/endpoint/tests.rs
+++ b/crates/trayswitchd/src/endpoint/tests.rs
@@ -62,8 +62,7 @@
 
 #[gtest]
 fn a_chunked_answer_without_its_last_chunk_is_not_whole() {
-    let address =
-        answering(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n");
+    let address = answering(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n");
 
     expect_that!(call(address), err(matches_pattern!(EndpointError::Lost(_))));
 }
@@ -88,11 +87,8 @@
 
 #[gtest]
 fn a_broken_chunk_is_malformed_and_a_good_one_is_a_frame() {
-    let event = |id: &str, data: &str| Event {
-        id: id.into(),
-        name: "message".into(),
-        data: data.into(),
-    };
+    let event =
+        |id: &str, data: &str| Event { id: id.into(), name: "message".into(), data: data.into() };
     let token = r#"{"id":"g","choices":[{"delta":{"content":"a"},"finish_reason":null}]}"#;
 
     expect_that!(
@@ -100,6 +96,9 @@
         ok(matches_pattern!(Frame::Token { position: eq(&3), .. }))
     );
     for (id, data) in [("", token), ("x", token), ("1", "{"), ("1", r#"{"id":"g","choices":[]}"#)] {
-        expect_that!(engine::frame(&event(id, data)), err(matches_pattern!(EndpointError::Malformed(_))));
+        expect_that!(
+            engine::frame(&event(id, data)),
+            err(matches_pattern!(EndpointError::Malformed(_)))
+        );
     }
 }
--- a/crates/trayswitchd/src/node/actor.rs
+++ b/crates/trayswitchd/src/node/actor.rs
@@ -3,34 +3,153 @@
 use std::{
     collections::HashMap,
     sync::{Arc, mpsc},
-    time::{Duration, Instant as Clock},
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
-use stakker::{CX, FixedTimerKey, timer_max};
+use stakker::{CX, MinTimerKey, timer_min};
 use trayswitch_core::{
-    config::{Config, Document, EndpointTarget},
-    error::RequestError,
-    placement::{Action, ForecastPolicy, Health, Scheduler, SchedulerLimits, Ticket},
-    units::Instant,
+    agreement::Persist,
+    node::{Answer, CallId, Clocks, InForce, Input, Node, Output, VmName},
+    units::{self, UnixMillis},
+    wire::Body,
 };
 
-use super::{Accepted, EndpointStatus, Grant, InForce, Input, SubmitError, View};
-use crate::telemetry::EventId;
+use super::{Event, View};
+use crate::{link::LinkHandle, telemetry::EventId};
 
-/// Owns the scheduler and the accepted configuration.
-pub(crate) struct NodeActor {
+/// Writes for the writer's thread.
+pub(super) type Writes = mpsc::Sender<(u64, Persist)>;
+
+/// Owns the core.
+pub(super) struct NodeActor {
+    node: Node,
+    start: Instant,
     view: Arc<View>,
-    start: Clock,
-    scheduler: Scheduler,
-    admissions: HashMap<Ticket, mpsc::Sender<Result<Grant, RequestError>>>,
+    writes: Option<Writes>,
+    links: HashMap<VmName, LinkHandle>,
+    calls: HashMap<CallId, mpsc::Sender<Answer>>,
+    timer: MinTimerKey,
 }
 
 impl NodeActor {
-    /// Creates the actor and starts its tick.
-    pub(crate) fn init(cx: CX![], view: Arc<View>) -> Option<Self> {
-        let scheduler = Scheduler::new(SchedulerLimits::default(), Box::new(ForecastPolicy::default()));
-        let node = NodeActor { view, start: cx.now(), scheduler, admissions: HashMap::new() };
-        node.arm(cx);
-        Some(node)
+    /// An actor that counts time from `start`.
+    pub(super) fn new(
+        node: Node,
+        start: Instant,
+        view: Arc<View>,
+        writes: Option<Writes>,
+    ) -> NodeActor {
+        NodeActor {
+            node,
+            start,
+            view,
+            writes,
+            links: HashMap::new(),
+            calls: HashMap::new(),
+            timer: MinTimerKey::default(),
+        }
+    }
+
+    /// Called by stakker when the actor starts.
+    pub(super) fn init(cx: CX![], actor: NodeActor) -> Option<Self> {
+        let mut actor = actor;
+        actor.handle(Input::Tick);
+        actor.arm(cx);
+        Some(actor)
+    }
+
+    /// Takes an event.
+    pub(super) fn event(&mut self, cx: CX![], event: Event) {
+        match event {
+            Event::Input(input) => self.handle(input),
+            Event::Ask(call, question, tx) => {
+                self.calls.insert(call, tx);
+                self.handle(Input::Ask(call, question));
+            }
+            Event::LinkUp(vm, link) => {
+                // A second link means that the peer has given up the first.
+                if self.links.insert(vm.clone(), link).is_some() {
+                    self.handle(Input::LinkDown(vm.clone()));
+                }
+                self.handle(Input::LinkUp(vm));
+            }
+            Event::LinkDown(vm, id) => {
+                if self.links.get(&vm).is_some_and(|link| link.id() == id) {
+                    self.links.remove(&vm);
+                    self.handle(Input::LinkDown(vm));
+                }
+            }
+            Event::Message(vm, id, body) => {
+                if self.links.get(&vm).is_some_and(|link| link.id() == id) {
+                    self.handle(Input::Message(vm, body));
+                }
+            }
+        }
+        self.arm(cx);
+    }
+
+    fn tick(&mut self, cx: CX![]) {
+        self.handle(Input::Tick);
+        self.arm(cx);
+    }
+
+    fn arm(&mut self, cx: CX![]) {
+        const SHORTEST: Duration = Duration::from_millis(1);
+        let next = self.start + Duration::from_micros(self.node.next_tick().0);
+        let at = next.max(Instant::now() + SHORTEST);
+        timer_min!(&mut self.timer, at, [cx], tick());
+    }
+
+    fn handle(&mut self, input: Input) {
+        let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let clocks = Clocks {
+            now: units::Instant(self.start.elapsed().as_micros() as u64),
+            wall: UnixMillis(wall.as_millis() as u64),
+        };
+        for output in self.node.handle(input, clocks) {
+            self.carry_out(output);
+        }
+    }
+
+    fn carry_out(&mut self, output: Output) {
+        match output {
+            Output::Send(vm, body) => self.send(&vm, body),
+            Output::Persist(number, persist) => {
+                if let Some(writes) = &self.writes {
+                    // The writer ends only with the process.
+                    let _ = writes.send((number, persist));
+                }
+            }
+            Output::Answer(call, answer) => {
+                if let Some(tx) = self.calls.remove(&call) {
+                    // An asker that stopped waiting has said so itself.
+                    let _ = tx.send(answer);
+                }
+            }
+            Output::InForce(in_force) => self.in_force(in_force),
+            Output::Fresh(fresh) => self.fresh(fresh),
+            Output::Watch(endpoints) => self.view.set_watched(endpoints),
+        }
+    }
+
+    fn send(&mut self, vm: &VmName, body: Body) {
+        if let Some(link) = self.links.get(vm) {
+            link.send(body);
+        }
+    }
+
+    fn in_force(&self, in_force: Arc<InForce>) {
+        let (version, hash) = (in_force.version, in_force.hash);
+        log::info!("{} version {version} is in force, hash {hash}", EventId::ConfigInForce);
+        self.view.publish(in_force);
+    }
+
+    fn fresh(&self, fresh: bool) {
+        self.view.set_fresh(fresh);
+        if fresh {
+            log::info!("{} the configuration is confirmed", EventId::ConfigFresh);
+        } else {
+            log::warn!("{} the configuration may be out of date", EventId::ConfigStale);
+        }
     }
 }
--- a/crates/trayswitchd/src/node/mod.rs
+++ b/crates/trayswitchd/src/node/mod.rs
@@ -1,10 +1,11 @@
-//! The daemon's own thread: a stakker actor that owns all decisions.
+//! The daemon's own thread: a stakker actor around the pure [`trayswitch_core::node::Node`].
 //!
-//! Other threads send it [`Input`]s through a [`NodeHandle`] and read the
+//! Other threads send it [`Event`]s through a [`NodeHandle`] and read the
 //! configuration in force from a shared [`View`].
 
 mod actor;
 mod view;
+mod writer;
 
 use std::{
     sync::{Arc, mpsc},
@@ -15,167 +16,125 @@
 use eyre::{Result, eyre};
 use stakker::{Stakker, actor, call, ret_nop};
 use trayswitch_core::{
-    config::Faults,
-    error::RequestError,
-    placement::{LoadReport, Request, Ticket},
+    node::{Answer, CallId, Input, Node, NodeOptions, Question, VmName},
+    units,
+    wire::Body,
 };
 
 use self::actor::NodeActor;
-pub(crate) use self::view::{InForce, View};
-
-/// Where a request was placed.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub(crate) struct Grant {
-    /// Name of the endpoint.
-    pub(crate) endpoint: Arc<str>,
-    /// Priority for the engine.
-    pub(crate) priority: u64,
-}
-
-/// Why a submitted file was not accepted.
-#[derive(Debug, Clone)]
-pub(crate) enum SubmitError {
-    /// The file is at fault.
-    Faults(Faults),
-    /// Another file holds this version, or a later one is in force.
-    Conflict(String),
-}
-
-/// What a submission came to.
-#[derive(Debug, Clone)]
-pub(crate) struct Accepted {
-    /// The version that is accepted.
-    pub(crate) version: u64,
-    /// Content hash in hexadecimal.
-    pub(crate) hash: String,
-    /// Whether the same file had been accepted before.
-    pub(crate) repeated: bool,
-}
-
-/// State of one endpoint as the scheduler sees it.
-#[derive(Debug, Clone, serde::Serialize)]
-pub(crate) struct EndpointStatus {
-    pub(crate) name: String,
-    pub(crate) hall: String,
-    pub(crate) target: String,
-    pub(crate) health: &'static str,
-    pub(crate) running: u64,
-    pub(crate) slots: u64,
-    pub(crate) kv_used: u64,
-    pub(crate) kv_tokens: u64,
-}
+pub(crate) use self::view::View;
+use crate::{
+    link::{LinkHandle, LinkId},
+    settings::Settings,
+};
 
-/// Something that happened, for the node to act on.
-pub(crate) enum Input {
-    /// A request asks for a place; the answer goes to `reply`.
-    Admit {
-        /// The request.
-        req: Request,
-        /// Receives the grant or the error.
-        reply: mpsc::Sender<Result<Grant, RequestError>>,
-    },
-    /// A running request has produced this many tokens.
-    Progress {
-        /// The request.
-        ticket: Ticket,
-        /// Tokens so far.
-        tokens: u64,
-    },
-    /// A placed request ended.
-    Finish {
-        /// The request.
-        ticket: Ticket,
-        /// Tokens produced.
-        tokens: u64,
-        /// Whether it ended with its whole answer.
-        whole: bool,
-    },
-    /// An endpoint failed to serve.
-    EndpointFailed(Arc<str>),
-    /// An endpoint is leaving, or has come back.
-    EndpointLeaving {
-        /// The endpoint.
-        endpoint: Arc<str>,
-        /// Whether it is leaving.
-        leaving: bool,
-    },
-    /// An endpoint reported its load; the report is `age` old.
-    Report {
-        /// The endpoint.
-        endpoint: Arc<str>,
-        /// The report; its time is filled in by the node.
-        report: LoadReport,
-        /// How long ago it was true.
-        age: Duration,
-    },
-    /// An operator submitted a file.
-    Submit {
-        /// Name of the file, for messages.
-        file: String,
-        /// Its text.
-        text: String,
-        /// Receives the outcome.
-        reply: mpsc::Sender<Result<Accepted, SubmitError>>,
-    },
-    /// An operator asks for the state of the endpoints.
-    Endpoints(mpsc::Sender<Vec<EndpointStatus>>),
+/// Something that another thread tells the node.
+pub(crate) enum Event {
+    /// An input of the core.
+    Input(Input),
+    /// A question, and where its answer goes.
+    Ask(CallId, Question, mpsc::Sender<Answer>),
+    /// A link to another daemon is up.
+    LinkUp(VmName, LinkHandle),
+    /// A link is down.
+    LinkDown(VmName, LinkId),
+    /// A message came over a link.
+    Message(VmName, LinkId, Body),
 }
 
-/// Sends inputs to the node; cheap to clone.
+/// Sends events to the node; cheap to clone.
 #[derive(Clone)]
 pub(crate) struct NodeHandle {
-    tx: mpsc::Sender<Input>,
+    tx: mpsc::Sender<Event>,
     view: Arc<View>,
 }
 
 impl NodeHandle {
-    /// Starts the node's thread.
-    pub(crate) fn spawn() -> Result<NodeHandle> {
+    /// Starts the node's thread, on a control replica with the state in its data folder.
+    pub(crate) fn spawn(settings: &Settings) -> Result<NodeHandle> {
         let (tx, rx) = mpsc::channel();
         let view = Arc::new(View::default());
-        let shared = view.clone();
-        thread::Builder::new().name("node".into()).spawn(move || run(&rx, shared))?;
-        Ok(NodeHandle { tx, view })
+        let handle = NodeHandle { tx, view: view.clone() };
+        let options = options(settings)?;
+        let start = Instant::now();
+        let (node, writer) = match &settings.data {
+            Some(path) => {
+                let opened = writer::open(path, random()?)?;
+                let now = units::Instant(0);
+                let node = Node::replica(&options, opened.replica, opened.restored, now);
+                (node, Some(writer::spawn(opened.storage, handle.clone())?))
+            }
+            None => (Node::entry(&options, units::Instant(0)), None),
+        };
+        let run = move || run(&rx, NodeActor::new(node, start, view, writer));
+        thread::Builder::new().name("node".into()).spawn(run)?;
+        Ok(handle)
     }
 
     /// What other threads may read directly.
-    pub(crate) fn view(&self) -> &View {
+    pub(crate) fn view(&self) -> &Arc<View> {
         &self.view
     }
 
-    /// Sends an input that needs no answer.
-    pub(crate) fn send(&self, input: Input) {
+    /// Sends an event.
+    pub(crate) fn send(&self, event: Event) {
         // The node's thread ends only with the process.
-        let _ = self.tx.send(input);
+        let _ = self.tx.send(event);
     }
 
-    /// Sends an input and waits for its answer.
-    pub(crate) fn ask<T>(
+    /// Sends an input of the core.
+    pub(crate) fn input(&self, input: Input) {
+        self.send(Event::Input(input));
+    }
+
+    /// Asks and waits for the answer.
+    pub(crate) fn ask(&self, question: Question, limit: Duration) -> Result<Answer> {
+        self.ask_as(self.view.next_call(), question, limit)
+    }
+
+    /// Asks under a known id and waits for the answer.
+    pub(crate) fn ask_as(
         &self,
+        call: CallId,
+        question: Question,
         limit: Duration,
-        input: impl FnOnce(mpsc::Sender<T>) -> Input,
-    ) -> Result<T> {
+    ) -> Result<Answer> {
         let (tx, rx) = mpsc::channel();
-        self.send(input(tx));
+        self.send(Event::Ask(call, question, tx));
         rx.recv_timeout(limit).map_err(|_| eyre!("the daemon did not answer in time"))
     }
 }
 
-fn run(rx: &mpsc::Receiver<Input>, view: Arc<View>) {
-    const LONGEST_SLEEP: Duration = Duration::from_secs(1);
+/// A random number.
+pub(crate) fn random() -> Result<u64> {
+    getrandom::u64().map_err(|e| eyre!("no random numbers: {e}"))
+}
+
+fn options(settings: &Settings) -> Result<NodeOptions> {
+    Ok(NodeOptions {
+        vm: settings.vm.as_str().into(),
+        replicas: settings.replicas.iter().map(|r| r.vm.as_str().into()).collect(),
+        timing: settings.timing.node(),
+        seed: random()?,
+    })
+}
+
+fn run(rx: &mpsc::Receiver<Event>, actor: NodeActor) {
+    const LONGEST_SLEEP: Duration = Duration::from_millis(500);
     let mut stakker = Stakker::new(Instant::now());
     let s = &mut stakker;
-    let node = actor!(s, NodeActor::init(view), ret_nop!());
+    let node = actor!(s, NodeActor::init(actor), ret_nop!());
     loop {
         s.run(Instant::now(), false);
         let wait = s.next_wait_max(Instant::now(), LONGEST_SLEEP, false);
         match rx.recv_timeout(wait) {
-            Ok(input) => call!([node], input(input)),
+            Ok(event) => call!([node], event(event)),
             Err(mpsc::RecvTimeoutError::Timeout) => {}
             Err(mpsc::RecvTimeoutError::Disconnected) => return,
         }
-        while let Ok(input) = rx.try_recv() {
-            call!([node], input(input));
+        // All that has come meanwhile shares one run, and so one write.
+        while let Ok(event) = rx.try_recv() {
+            call!([node], event(event));
         }
     }
 }
--- a/crates/trayswitchd/src/node/view.rs
+++ b/crates/trayswitchd/src/node/view.rs
@@ -2,32 +2,29 @@
 
 use std::sync::{
     Arc, RwLock,
-    atomic::{AtomicBool, AtomicUsize, Ordering},
+    atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
 };
 
-use trayswitch_core::config::{Config, ContentHash, Document};
-
-/// The configuration in force.
-#[derive(Debug)]
-pub(crate) struct InForce {
-    /// The checked configuration.
-    pub(crate) config: Config,
-    /// The document that it was read from.
-    pub(crate) document: Document,
-    /// Content hash of the document.
-    pub(crate) hash: ContentHash,
-}
+use trayswitch_core::node::{CallId, InForce};
 
 /// State shared with request threads.
 #[derive(Default)]
 pub(crate) struct View {
     in_force: RwLock<Option<Arc<InForce>>>,
+    watched: RwLock<Vec<String>>,
+    fresh: AtomicBool,
     stopping: AtomicBool,
     draining: AtomicBool,
     requests: AtomicUsize,
+    calls: AtomicU64,
 }
 
 impl View {
+    /// A new id for a question.
+    pub(crate) fn next_call(&self) -> CallId {
+        CallId(self.calls.fetch_add(1, Ordering::Relaxed) + 1)
+    }
+
     /// The configuration in force, if any.
     pub(crate) fn in_force(&self) -> Option<Arc<InForce>> {
         self.in_force.read().expect("no reader panics").clone()
@@ -38,9 +35,29 @@
         *self.in_force.write().expect("no reader panics") = Some(in_force);
     }
 
+    /// Endpoints that this daemon asks for their load.
+    pub(crate) fn watched(&self) -> Vec<String> {
+        self.watched.read().expect("no reader panics").clone()
+    }
+
+    /// Sets the endpoints that this daemon asks for their load.
+    pub(crate) fn set_watched(&self, endpoints: Vec<String>) {
+        *self.watched.write().expect("no reader panics") = endpoints;
+    }
+
+    /// Whether the configuration is confirmed to be current.
+    pub(crate) fn fresh(&self) -> bool {
+        self.fresh.load(Ordering::Relaxed)
+    }
+
+    /// Sets whether the configuration is confirmed to be current.
+    pub(crate) fn set_fresh(&self, fresh: bool) {
+        self.fresh.store(fresh, Ordering::Relaxed);
+    }
+
     /// Whether the balancer should send callers here.
     pub(crate) fn ready(&self) -> bool {
-        !self.stopping.load(Ordering::Relaxed) && self.in_force().is_some()
+        !self.stopping() && self.fresh() && self.in_force().is_some()
     }
 
     /// Begins a planned stop: unready, but still serving.
@@ -48,12 +65,17 @@
         self.stopping.store(true, Ordering::Relaxed);
     }
 
+    /// Whether a planned stop has begun.
+    pub(crate) fn stopping(&self) -> bool {
+        self.stopping.load(Ordering::Relaxed)
+    }
+
     /// Goes on with a planned stop: new requests are refused.
     pub(crate) fn begin_drain(&self) {
         self.draining.store(true, Ordering::Relaxed);
     }
 
-    /// Whether new requests are refused.
+    /// Whether new requests are refused because of a planned stop.
     pub(crate) fn draining(&self) -> bool {
         self.draining.load(Ordering::Relaxed)
     }
--- /dev/null
+++ b/crates/trayswitchd/src/operators/reports.rs
@@ -0,0 +1,83 @@
+//! What operators are shown.
+
+use std::time::Duration;
+
+use serde::Serialize;
+use trayswitch_core::{
+    node::{Answer, ControlStatus, EndpointStatus, Question},
+    units::Hex,
+};
+
+use crate::{callers::Callers, telemetry::ClassReport};
+
+const LIMIT: Duration = Duration::from_secs(2);
+
+/// State of one daemon.
+#[derive(Debug, Serialize)]
+pub(super) struct Status {
+    vm: String,
+    hall: String,
+    ready: bool,
+    fresh: bool,
+    stopping: bool,
+    version: u64,
+    hash: String,
+    requests: usize,
+    control: ControlStatus,
+    classes: Vec<ClassReport>,
+}
+
+/// A workspace as configured.
+#[derive(Debug, Serialize)]
+pub(super) struct WorkspaceReport {
+    name: String,
+    tier: String,
+    share: u64,
+    max_running: u64,
+    max_waiting: u64,
+}
+
+pub(super) fn status(callers: &Callers) -> Status {
+    let view = callers.node().view();
+    let in_force = view.in_force();
+    let control = match callers.node().ask(Question::Control, LIMIT) {
+        Ok(Answer::Control(control)) => control,
+        _ => ControlStatus::default(),
+    };
+    Status {
+        vm: callers.settings().vm.clone(),
+        hall: callers.settings().hall.clone(),
+        ready: view.ready(),
+        fresh: view.fresh(),
+        stopping: view.stopping(),
+        version: in_force.as_ref().map_or(0, |f| f.version),
+        hash: in_force.map(|f| f.hash.to_string()).unwrap_or_default(),
+        requests: view.requests(),
+        control,
+        classes: callers.histograms().report(),
+    }
+}
+
+pub(super) fn endpoints(callers: &Callers) -> Vec<EndpointStatus> {
+    match callers.node().ask(Question::Endpoints, LIMIT) {
+        Ok(Answer::Endpoints(endpoints)) => endpoints,
+        _ => Vec::new(),
+    }
+}
+
+pub(super) fn workspaces(callers: &Callers) -> Vec<WorkspaceReport> {
+    let Some(in_force) = callers.node().view().in_force() else { return Vec::new() };
+    let report =
+        |(name, spec): (&String, &trayswitch_core::config::WorkspaceSpec)| WorkspaceReport {
+            name: name.clone(),
+            tier: spec.tier.clone(),
+            share: spec.share,
+            max_running: spec.max_running,
+            max_waiting: spec.max_waiting,
+        };
+    in_force.config.workspaces.iter().map(report).collect()
+}
+
+pub(super) fn hex(bytes: &[u8]) -> String {
+    Hex(bytes).to_string()
+}
--- a/crates/trayswitchd/src/settings.rs
+++ b/crates/trayswitchd/src/settings.rs
@@ -8,7 +8,11 @@
 };
 
 use eyre::{Result, WrapErr, bail};
-use trayswitch_core::config::{Document, Fault, Faults, Section, SectionReader};
+use trayswitch_core::{
+    agreement,
+    config::{Document, Fault, Faults, Section, SectionReader},
+    node::NodeTiming,
+};
 
 const NO_SECTION: &Section = &Section::new();
 
@@ -49,6 +53,14 @@
     pub(crate) drain_limit: Duration,
 }
 
+impl Timing {
+    /// The bounds that the node keeps.
+    pub(crate) fn node(&self) -> NodeTiming {
+        let agreement = agreement::Timing { heartbeat: self.heartbeat, election: self.election };
+        NodeTiming { agreement, poll: self.poll, stale_after: self.stale_after }
+    }
+}
+
 /// All settings of one VM.
 #[derive(Clone)]
 pub(crate) struct Settings {
--- a/crates/trayswitchd/src/telemetry/events.rs
+++ b/crates/trayswitchd/src/telemetry/events.rs
@@ -26,9 +26,12 @@
     ConfigInForce = 201, "A configuration came into force on this daemon.";
     ConfigStale = 202, "The daemon can no longer confirm that its configuration is current.";
     ConfigFresh = 203, "The daemon has confirmed again that its configuration is current.";
+    StorageFailed = 204, "The data folder can no longer be used; the daemon ends.";
+    PeerRefused = 205, "A link with another daemon was refused.";
     EndpointFailed = 301, "An endpoint failed to serve a request.";
     EndpointLeaving = 302, "An endpoint said that it is leaving.";
     StreamResumed = 303, "A stream was resumed at its endpoint.";
+    OutcomeUnstored = 306, "An outcome was answered before it was stored; storing goes on.";
     RequestFailed = 304, "A request did not end in its whole answer.";
     FrameDropped = 305, "A frame of a generation was ignored.";
 }
--- a/crates/trayswitchd/src/telemetry/histograms.rs
+++ b/crates/trayswitchd/src/telemetry/histograms.rs
@@ -104,7 +104,9 @@
                 Measure::Total => &mut class.total,
             };
             for value in values {
-                histogram.saturating_record((value.as_micros() as u64).min(LONGEST_US));
+                // Not `saturating_record`: that one never lets the histogram grow.
+                let recorded = histogram.record((value.as_micros() as u64).min(LONGEST_US));
+                debug_assert!(recorded.is_ok(), "the histogram grows by itself");
             }
         });
     }
--- a/crates/trayswitchd/src/telemetry/metrics.rs
+++ b/crates/trayswitchd/src/telemetry/metrics.rs
@@ -5,7 +5,9 @@
     time::Duration,
 };
 
-use cadence::{Counted, MetricSink, NopMetricSink, QueuingMetricSink, StatsdClient, Timed, UdpMetricSink};
+use cadence::{
+    Counted, MetricSink, NopMetricSink, QueuingMetricSink, StatsdClient, Timed, UdpMetricSink,
+};
 use eyre::Result;
 
 const PREFIX: &str = "trayswitch";
@@ -32,7 +34,12 @@
     /// Counts the end of a request.
     pub(crate) fn ended(&self, kind: &str, outcome: &str, total: Duration) {
         // Metrics are best effort: a lost one must not disturb a request.
-        let _ = self.client.count_with_tags("requests", 1).with_tag("kind", kind).with_tag("outcome", outcome).try_send();
+        let _ = self
+            .client
+            .count_with_tags("requests", 1)
+            .with_tag("kind", kind)
+            .with_tag("outcome", outcome)
+            .try_send();
         let _ = self.client.time_with_tags("total", total).with_tag("kind", kind).try_send();
     }
 
@@ -42,6 +49,8 @@
     }
 }
 
-fn queued(sink: impl MetricSink + Send + Sync + std::panic::RefUnwindSafe + 'static) -> StatsdClient {
+fn queued(
+    sink: impl MetricSink + Send + Sync + std::panic::RefUnwindSafe + 'static,
+) -> StatsdClient {
     StatsdClient::from_sink(PREFIX, QueuingMetricSink::from(sink))
 }
--- a/crates/trayswitchd/src/telemetry/tests.rs
+++ b/crates/trayswitchd/src/telemetry/tests.rs
@@ -24,3 +24,13 @@
 
     expect_that!(histograms.report().len(), le(513));
 }
+
+#[gtest]
+fn a_long_time_is_recorded_as_long() {
+    let histograms = Histograms::default();
+    histograms.record("w", "chat", Measure::Total, Duration::from_secs(90));
+
+    let report = serde_json::to_value(histograms.report()).unwrap();
+
+    expect_that!(report[0]["total_ms"]["max"].as_f64().unwrap(), ge(89_000.0));
+}
