--- a/crates/trayswitchd/src/endpoint/tests.rs
+++ b/crates/trayswitchd/src/endpoint/tests.rs
@@ -2,7 +2,7 @@
 
 use std::{
     io::{Read, Write},
-    net::{SocketAddr, TcpListener},
+    net::{Shutdown, SocketAddr, TcpListener},
     thread,
     time::Duration,
 };
@@ -19,9 +19,16 @@
     let address = listener.local_addr().unwrap();
     thread::spawn(move || {
         let (mut socket, _) = listener.accept().unwrap();
-        let mut buf = [0; 4096];
-        let _ = socket.read(&mut buf);
+        // The whole request is read first: closing with bytes unread would reset the
+        // connection and could take the answer with it.
+        let mut request = Vec::new();
+        let mut byte = [0];
+        while !request.ends_with(b"\r\n\r\n{}") && socket.read(&mut byte).is_ok_and(|n| n == 1) {
+            request.push(byte[0]);
+        }
         let _ = socket.write_all(bytes);
+        let _ = socket.shutdown(Shutdown::Write);
+        let _ = socket.read(&mut byte);
     });
     address
 }
