--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -58,6 +58,7 @@
 fn emulate() -> Command {
     Command::new("emulate")
         .about("Run emulated engines and plain services on loopback")
+        .arg(text("ip", "Address that the endpoints take", Some("127.0.0.1")))
         .arg(number("engines", "Number of engines", "0"))
         .arg(number("services", "Number of plain services", "0"))
         .arg(number("port", "First port; each endpoint takes the next", "9101"))
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -8,7 +8,7 @@
 
 use std::{
     io::{self, Write},
-    net::{Ipv4Addr, SocketAddr},
+    net::SocketAddr,
     process::ExitCode,
     sync::Arc,
     thread,
@@ -83,7 +83,7 @@
         } else {
             Arc::new(ServiceEmulator::new(options.delay))
         };
-        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, port));
+        let address = SocketAddr::new(options.ip, port);
         let server = emulate::bind(address, endpoint)?;
         log::info!("emulating {name} on {}", server.address());
         servers.push(server);
--- a/crates/lab/src/options.rs
+++ b/crates/lab/src/options.rs
@@ -1,6 +1,9 @@
 //! Checked options of `trayswitch-lab`.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    net::{IpAddr, SocketAddr},
+    time::Duration,
+};
 
 use clap::ArgMatches;
 use eyre::{Result, WrapErr, bail};
@@ -34,6 +37,7 @@
 
 /// Which endpoints to emulate.
 pub(crate) struct EmulateOptions {
+    pub(crate) ip: IpAddr,
     pub(crate) engines: u16,
     pub(crate) services: u16,
     pub(crate) first_port: u16,
@@ -79,7 +83,10 @@
         step_base: Duration::from_micros(number(m, "step-us")),
         ..EngineSpec::default()
     };
+    let ip = text(m, "ip");
+    let ip = ip.parse().wrap_err_with(|| format!("\"{ip}\" is no IP number"))?;
     Ok(EmulateOptions {
+        ip,
         engines: engines as u16,
         services: services as u16,
         first_port: first_port as u16,
