Free connections that tiny_http's pool has stranded

Cause: the pool counts a thread as idle until it has woken up; in a burst a connection is queued behind a thread that is already taken and waits until another connection closes. Seen as engines that timed out and were taken for dead. Excluded: the emulator's lock, the step loop, the backlog. Change: short connections to the own address, every 10 ms while requests come, make the pool start a thread that takes what is queued.

--- a/crates/http/src/listener.rs
+++ b/crates/http/src/listener.rs
@@ -5,7 +5,7 @@
     net::{SocketAddr, TcpListener, TcpStream},
     sync::{
         Arc,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     thread,
     time::Duration,
@@ -31,17 +31,28 @@
 
 const BACKLOG: i32 = 1024;
 const REOPEN_PAUSE: Duration = Duration::from_millis(50);
+/// Interval of pulses while requests come.
+const FAST_PULSE: Duration = Duration::from_millis(10);
+/// Interval of pulses while none come.
+const SLOW_PULSE: Duration = Duration::from_millis(250);
 
 /// A running HTTP server; each request is handed to the handler.
 ///
 /// The bounds are set on the listening socket, from which accepted sockets
-/// inherit them. That makes `accept` itself time out, so a connection to the
-/// own address is made now and then, and the accept loop is opened anew after
-/// an error (out of file descriptors, for example), which `tiny_http` takes as
-/// the end.
+/// inherit them. That makes `accept` itself time out when no connection comes;
+/// short connections to the own address prevent it. The accept loop is opened
+/// anew after an error (out of file descriptors, for example), which `tiny_http`
+/// takes as the end.
 pub struct HttpServer {
     address: SocketAddr,
-    closed: Arc<AtomicBool>,
+    activity: Arc<Activity>,
+}
+
+#[derive(Default)]
+struct Activity {
+    closed: AtomicBool,
+    /// Requests since the last pulse.
+    requests: AtomicUsize,
 }
 
 impl HttpServer {
@@ -60,10 +71,12 @@
         socket.listen(BACKLOG)?;
         let listener = TcpListener::from(socket);
         let address = listener.local_addr()?;
-        let closed = Arc::new(AtomicBool::new(false));
-        serve(listener, closed.clone(), handle)?;
-        keep_awake(address, bounds.read / 3, closed.clone());
-        Ok(HttpServer { address, closed })
+        let activity = Arc::new(Activity::default());
+        serve(listener, activity.clone(), handle)?;
+        let pulsed = activity.clone();
+        let run = move || pulse(address, bounds.read / 3, &pulsed);
+        thread::Builder::new().name("pulse".into()).spawn(run)?;
+        Ok(HttpServer { address, activity })
     }
 
     /// The bound address.
@@ -73,13 +86,13 @@
 
     /// Stops opening the listener anew; the process is about to exit.
     pub fn close(&self) {
-        self.closed.store(true, Ordering::Relaxed);
+        self.activity.closed.store(true, Ordering::Relaxed);
     }
 }
 
 fn serve(
     listener: TcpListener,
-    closed: Arc<AtomicBool>,
+    activity: Arc<Activity>,
     handle: Arc<dyn Fn(Request) + Send + Sync>,
 ) -> io::Result<()> {
     let server = Server::from_listener(listener.try_clone()?, None).map_err(io::Error::other)?;
@@ -87,16 +100,19 @@
     let work = move || {
         loop {
             match server.recv() {
-                Ok(req) => handle(req),
+                Ok(req) => {
+                    activity.requests.fetch_add(1, Ordering::Relaxed);
+                    handle(req);
+                }
                 Err(e) => {
                     log::debug!("accept loop ended: {e}");
                     let Some(listener) = listener.take() else { continue };
-                    if closed.load(Ordering::Relaxed) {
+                    if activity.closed.load(Ordering::Relaxed) {
                         return;
                     }
                     thread::sleep(REOPEN_PAUSE);
                     // Requests of connections already open still arrive here.
-                    if let Err(e) = serve(listener, closed.clone(), handle.clone()) {
+                    if let Err(e) = serve(listener, activity.clone(), handle.clone()) {
                         log::error!("cannot open the listener anew: {e}");
                         return;
                     }
@@ -108,15 +124,23 @@
     Ok(())
 }
 
-fn keep_awake(address: SocketAddr, every: Duration, closed: Arc<AtomicBool>) {
+/// Connects to the own address and leaves at once, again and again.
+///
+/// `tiny_http` counts a pool thread as idle until it has woken up. In a burst a
+/// connection can so be queued for a thread that is already taken, and it would
+/// wait until some other connection closes. Each short connection makes the pool
+/// start a thread that takes what is queued.
+fn pulse(address: SocketAddr, slowest: Duration, activity: &Activity) {
     let mut target = address;
     if target.ip().is_unspecified() {
         target.set_ip(std::net::Ipv4Addr::LOCALHOST.into());
     }
-    thread::spawn(move || {
-        while !closed.load(Ordering::Relaxed) {
-            thread::sleep(every);
-            let _ = TcpStream::connect_timeout(&target, every);
+    while !activity.closed.load(Ordering::Relaxed) {
+        let busy = activity.requests.swap(0, Ordering::Relaxed) != 0;
+        thread::sleep(if busy { FAST_PULSE } else { slowest.min(SLOW_PULSE) });
+        if let Ok(socket) = TcpStream::connect_timeout(&target, slowest) {
+            // Closing with a reset leaves no socket behind in TIME_WAIT.
+            let _ = Socket::from(socket).set_linger(Some(Duration::ZERO));
         }
-    });
+    }
 }
--- a/crates/http/src/tests.rs
+++ b/crates/http/src/tests.rs
@@ -1,6 +1,12 @@
 //! Tests of the event reader.
 
-use std::io::{self, Cursor, Read};
+use std::{
+    io::{self, Cursor, Read, Write},
+    net::TcpStream,
+    sync::Arc,
+    thread,
+    time::Duration,
+};
 
 use googletest::prelude::*;
 use proptest::{prelude::*, test_runner::RngSeed};
@@ -77,3 +83,35 @@
         read(&bytes);
     }
 }
+
+/// Sends one request on a connection that stays open, and returns whether it was answered.
+fn request(mut socket: &TcpStream) -> bool {
+    socket.write_all(b"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n").unwrap();
+    let mut buf = [0; 64];
+    socket.read(&mut buf).is_ok_and(|n| buf[..n].starts_with(b"HTTP/1.1 200"))
+}
+
+#[gtest]
+fn a_burst_is_answered_though_earlier_connections_stay_open() {
+    const BURSTS: usize = 200;
+    const BURST: usize = 24;
+    let handle = |req| drop(respond_json(req, 200, &[], &1));
+    let address = "127.0.0.1:0".parse().unwrap();
+    let server = HttpServer::bind(address, SocketBounds::default(), Arc::new(handle)).unwrap();
+    let mut answered = 0;
+    for _ in 0..BURSTS {
+        let connect = |_| {
+            let socket = TcpStream::connect(server.address()).unwrap();
+            socket.set_read_timeout(Some(Duration::from_secs(4))).unwrap();
+            socket
+        };
+        let sockets: Vec<TcpStream> = (0..BURST).map(connect).collect();
+        answered += thread::scope(|scope| {
+            let ask = |socket| scope.spawn(move || request(socket));
+            let asked: Vec<_> = sockets.iter().map(ask).collect();
+            asked.into_iter().map(|t| t.join().unwrap()).filter(|ok| *ok).count()
+        });
+    }
+
+    expect_that!(answered, eq(BURSTS * BURST));
+}
