Call the group repaired only when it is

Cause: a replica counted as sound while it had answered within 3 s, so for 3 s after a disk was lost the leader said that the next loss was survivable; a real-process test believed it, lost a second VM and waited for ever. Change: sound means linked with this very incarnation, answering within an election time, and holding the log. Test failed before, passes after.

--- a/crates/core/src/node/control.rs
+++ b/crates/core/src/node/control.rs
@@ -134,6 +134,7 @@
     daemons: ByVm<Daemon>,
     updates: Updates,
     dispatcher: Option<Dispatcher>,
+    election: Duration,
     log_bytes: usize,
     snapshot_bytes: usize,
     next_housekeeping: Instant,
@@ -165,6 +166,7 @@
             daemons: ByVm::new(),
             updates: Updates::default(),
             dispatcher: None,
+            election: timing.election,
             log_bytes: 0,
             snapshot_bytes: 0,
             next_housekeeping: now,
@@ -634,11 +636,13 @@
         }
     }
 
+    /// Whether a replica, and not only its VM, is linked, answers and has the log.
     fn is_sound(&self, id: ReplicaId, now: Instant) -> bool {
         const SLACK: u64 = 64;
         id == self.replica.id()
-            || (self.replica.is_caught_up(id, SLACK)
-                && self.replica.heard_within(id, DAEMON_LIFE, now))
+            || (self.peers.values().any(|peer| peer.id == id)
+                && self.replica.is_caught_up(id, SLACK)
+                && self.replica.heard_within(id, self.election, now))
     }
 
     fn vm_of(&self, id: ReplicaId) -> Option<VmName> {
--- a/crates/core/src/node/tests.rs
+++ b/crates/core/src/node/tests.rs
@@ -430,6 +430,8 @@
     let host = net.hosts.get_mut("vm-2").unwrap();
     host.disk = Disk::default();
     host.incarnation = 1;
+    net.step(false);
+    expect_that!(net.control(&net.leader().unwrap()).survives_next_loss, eq(false));
 
     net.calm(300);
 
