Add experiments in virtual time; judge waits by rank

Cause: the expected wait counted the whole queue, so the top tier was turned away behind work that is served after it.

--- a/crates/core/src/placement/queue.rs
+++ b/crates/core/src/placement/queue.rs
@@ -42,6 +42,7 @@
 
 #[derive(Debug, Default)]
 struct Tier {
+    len: usize,
     order: BTreeSet<Place>,
     waiting: HashMap<Arc<str>, VecDeque<Waiting>>,
     served: HashMap<Arc<str>, Service>,
@@ -65,6 +66,7 @@
             self.order.insert(Place { service: *service, workspace });
         }
         line.push_back(waiting);
+        self.len += 1;
     }
 
     fn head(&self) -> Option<&Waiting> {
@@ -76,6 +78,7 @@
         let line = self.waiting.get_mut(workspace)?;
         let at = line.iter().position(|w| w.req.ticket == ticket)?;
         let waiting = line.remove(at);
+        self.len -= 1;
         if line.is_empty() {
             self.waiting.remove(workspace);
             let place = self.place(workspace);
@@ -107,6 +110,11 @@
         self.len
     }
 
+    /// Requests that are served before a new one of this rank.
+    pub(crate) fn ahead_of(&self, rank: u64) -> usize {
+        self.tiers.range(..=rank).map(|(_, tier)| tier.len).sum()
+    }
+
     pub(crate) fn push(&mut self, req: Request, arrived: Instant) {
         self.len += 1;
         self.tiers.entry(req.rank).or_default().push(Waiting { req, arrived });
--- a/crates/core/src/placement/scheduler.rs
+++ b/crates/core/src/placement/scheduler.rs
@@ -59,6 +59,13 @@
     last_start: Option<Instant>,
 }
 
+impl Target {
+    /// Time until a new request of this rank would start.
+    fn expected_wait(&self, rank: u64) -> Duration {
+        Duration::from_secs_f64(self.start_gap * self.queue.ahead_of(rank) as f64)
+    }
+}
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct Expiry {
     at: Instant,
@@ -154,7 +161,7 @@
         if !live {
             return Err(no_endpoint(&req.target));
         }
-        let wait = Duration::from_secs_f64(target.start_gap * target.queue.len() as f64);
+        let wait = target.expected_wait(req.rank);
         if self.limits.max_waiting <= target.queue.len() || req.max_wait < wait {
             return Err(overloaded("the queue is too long for this kind of request", wait));
         }
@@ -288,7 +295,10 @@
             if now < expiry.at {
                 break;
             }
-            let wait = self.queued.get(&expiry.ticket).map(|q| self.expected_wait(&q.target));
+            let wait = self.queued.get(&expiry.ticket).map(|q| {
+                let target = self.targets.get(&q.target);
+                target.map_or(Duration::ZERO, |target| target.expected_wait(q.rank))
+            });
             self.cancel(expiry.ticket, now);
             let error = overloaded("no endpoint became free in time", wait.unwrap_or_default());
             actions.push(Action::GiveUp { ticket: expiry.ticket, error });
@@ -296,11 +306,6 @@
         actions
     }
 
-    fn expected_wait(&self, target: &EndpointTarget) -> Duration {
-        let Some(target) = self.targets.get(target) else { return Duration::ZERO };
-        Duration::from_secs_f64(target.start_gap * target.queue.len() as f64)
-    }
-
     fn start_next(&mut self, target: &EndpointTarget, now: Instant) -> Option<Action> {
         let state = self.targets.get_mut(target)?;
         let req = &state.queue.head(now, self.limits.ageing)?.req;
--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -13,6 +13,35 @@
         .subcommand(ask())
         .subcommand(load())
         .subcommand(fault())
+        .subcommand(experiment())
+        .subcommand(
+            Command::new("decisions").about("Time scheduling decisions at several sizes").arg(
+                text(
+                    "sizes",
+                    "Endpoints of one model, separated by commas",
+                    Some("10,30,150,600,1800"),
+                ),
+            ),
+        )
+}
+
+fn experiment() -> Command {
+    Command::new("experiment")
+        .about("Compare policies on the same arrivals against emulated engines in virtual time")
+        .arg(text("mix", "magnolia or abay", Some("magnolia")))
+        .arg(number("engines", "Number of engines", "10"))
+        .arg(text("loads", "Loads in percent of capacity, separated by commas", Some("70,95,120")))
+        .arg(number("first-seed", "First seed; tune below 1000, report from 1000 on", "1000"))
+        .arg(number("seeds", "Number of seeds", "20"))
+        .arg(number("seconds", "Virtual time of each run", "300"))
+        .arg(text(
+            "policies",
+            "Policies, separated by commas",
+            Some("forecast,round-robin,least-outstanding,first-fit"),
+        ))
+        .arg(text("trouble", "none, engine-death or old-load", Some("none")))
+        .arg(text("plot", "SVG file to draw", Some("")))
+        .arg(Arg::new("json").long("json").action(clap::ArgAction::SetTrue).help("Print JSON"))
 }
 
 fn ask() -> Command {
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -3,6 +3,7 @@
 mod cli;
 mod emulate;
 mod engine;
+mod experiment;
 mod load;
 mod options;
 
@@ -45,6 +46,21 @@
                 n => bail!("{n} promises were broken"),
             }
         }
+        Options::Experiment { options, json } => {
+            let report = experiment::run(&options)?;
+            if json {
+                println!("{}", serde_json::to_string_pretty(&report)?);
+            } else {
+                print!("{}", report.table());
+            }
+            Ok(())
+        }
+        Options::Decisions(sizes) => {
+            for cost in experiment::decision_costs(&sizes) {
+                println!("{}", serde_json::to_string(&cost)?);
+            }
+            Ok(())
+        }
         Options::Fault { endpoint, fault } => {
             let url = format!("http://{endpoint}/emulator/faults");
             match ureq::post(&url).send_string(&fault) {
--- a/crates/lab/src/options.rs
+++ b/crates/lab/src/options.rs
@@ -2,13 +2,19 @@
 
 use std::{
     net::{IpAddr, SocketAddr},
+    path::PathBuf,
+    str::FromStr,
     time::Duration,
 };
 
 use clap::ArgMatches;
-use eyre::{Result, WrapErr, bail};
+use eyre::{Result, WrapErr, bail, eyre};
 
-use crate::{engine::EngineSpec, load::LoadOptions};
+use crate::{
+    engine::EngineSpec,
+    experiment::{ExperimentOptions, Mix, Trouble},
+    load::LoadOptions,
+};
 
 /// What to run.
 pub(crate) enum Options {
@@ -18,6 +24,15 @@
     Ask(AskOptions),
     /// Load with a check.
     Load(LoadOptions),
+    /// An experiment.
+    Experiment {
+        /// What to compare.
+        options: ExperimentOptions,
+        /// Print JSON.
+        json: bool,
+    },
+    /// Costs of decisions at these sizes.
+    Decisions(Vec<usize>),
     /// A fault to switch on.
     Fault {
         /// The emulated endpoint.
@@ -58,6 +73,11 @@
                 prompt: text(m, "prompt"),
             })),
             Some(("load", m)) => Ok(Options::Load(load(m)?)),
+            Some(("experiment", m)) => {
+                let json = m.get_flag("json");
+                Ok(Options::Experiment { options: experiment(m)?, json })
+            }
+            Some(("decisions", m)) => Ok(Options::Decisions(numbers(&text(m, "sizes"))?)),
             Some(("fault", m)) => Ok(Options::Fault {
                 endpoint: address(&text(m, "endpoint"))?,
                 fault: text(m, "fault"),
@@ -123,6 +143,37 @@
     Ok(options)
 }
 
+fn experiment(m: &ArgMatches) -> Result<ExperimentOptions> {
+    let mix = match text(m, "mix").as_str() {
+        "magnolia" => Mix::Magnolia,
+        "abay" => Mix::Abay,
+        other => bail!("--mix {other}: expected magnolia or abay"),
+    };
+    let trouble = match text(m, "trouble").as_str() {
+        "none" => Trouble::None,
+        "engine-death" => Trouble::EngineDeath,
+        "old-load" => Trouble::OldLoad,
+        other => bail!("--trouble {other}: expected none, engine-death or old-load"),
+    };
+    let options = ExperimentOptions {
+        mix,
+        engines: number(m, "engines").max(1) as usize,
+        loads: numbers(&text(m, "loads"))?,
+        first_seed: number(m, "first-seed"),
+        seeds: number(m, "seeds").max(1),
+        length: Duration::from_secs(number(m, "seconds").max(1)),
+        policies: text(m, "policies").split(',').map(str::to_owned).collect(),
+        trouble,
+        plot: Some(text(m, "plot")).filter(|path| !path.is_empty()).map(PathBuf::from),
+    };
+    Ok(options)
+}
+
+fn numbers<T: FromStr>(list: &str) -> Result<Vec<T>> {
+    let parse = |item: &str| item.trim().parse().map_err(|_| eyre!("\"{item}\" is no number"));
+    list.split(',').map(parse).collect()
+}
+
 fn text(m: &ArgMatches, name: &str) -> String {
     m.get_one::<String>(name).cloned().unwrap_or_default()
 }
