Widen the forecast's margin and let the first rank go before it

Cause: at one standard deviation engines still overflowed; a wider margin alone kept top-tier requests waiting behind it, and turned some away on a rough estimate of their wait. Change: margin 1 -> 2.5; the first rank may exceed the forecast by 0.25; a request is turned away at once only when its wait is twice too long.

--- a/crates/core/src/placement/policy.rs
+++ b/crates/core/src/placement/policy.rs
@@ -99,17 +99,36 @@
     pub margin: f64,
     /// Value of a cached prefix, in parts of the prompt's memory.
     pub prefix_value: f64,
-    /// Part of the slots kept for load that the reports do not show yet.
+    /// Weight of the number of requests against that of memory.
     pub load_value: f64,
+    /// Part of the memory that each rank after the first leaves free for those before it.
+    pub reserve: f64,
+    /// Part of its memory by which an endpoint may be forecast too full for the first rank.
+    pub first_rank_excess: f64,
 }
 
 impl Default for ForecastPolicy {
     fn default() -> ForecastPolicy {
-        ForecastPolicy { margin: 1.0, prefix_value: 2.0, load_value: 0.3 }
+        ForecastPolicy {
+            margin: 2.5,
+            prefix_value: 2.0,
+            load_value: 0.3,
+            reserve: 0.0,
+            first_rank_excess: 0.25,
+        }
     }
 }
 
 impl ForecastPolicy {
+    /// Part of the memory that a request of this rank may fill.
+    fn limit(&self, rank: u64) -> f64 {
+        const MOST_RANKS: u64 = 4;
+        match rank {
+            0 | 1 => 1.0 + self.first_rank_excess,
+            rank => 1.0 - self.reserve * (rank - 1).min(MOST_RANKS) as f64,
+        }
+    }
+
     /// The fullest that the endpoint is forecast to be, in parts of its memory.
     fn fullness(&self, c: &Candidate<'_>) -> f64 {
         let total = &c.endpoint.total;
@@ -134,8 +153,9 @@
         candidates: &[Candidate<'_>],
         now: Instant,
     ) -> Option<usize> {
+        let limit = self.limit(req.rank);
         let fits = |c: &Candidate<'_>| {
-            let memory = c.endpoint.spec.kv_tokens == 0 || self.fullness(c) <= 1.0;
+            let memory = c.endpoint.spec.kv_tokens == 0 || self.fullness(c) <= limit;
             // An empty endpoint takes even what the forecast finds too large.
             has_slot(c) && (memory || c.endpoint.running == 0)
         };
--- a/crates/core/src/placement/scheduler.rs
+++ b/crates/core/src/placement/scheduler.rs
@@ -19,6 +19,10 @@
     units::Instant,
 };
 
+/// A request is turned away at once when its expected wait is this many times too long; the
+/// expectation is too rough to turn away on less.
+const HOPELESS: u32 = 2;
+
 /// Bounds of a scheduler.
 #[derive(Debug, Clone, Copy)]
 pub struct SchedulerLimits {
@@ -162,7 +166,7 @@
             return Err(no_endpoint(&req.target));
         }
         let wait = target.expected_wait(req.rank);
-        if self.limits.max_waiting <= target.queue.len() || req.max_wait < wait {
+        if self.limits.max_waiting <= target.queue.len() || req.max_wait * HOPELESS < wait {
             return Err(overloaded("the queue is too long for this kind of request", wait));
         }
         let expiry = Expiry { at: now.after(req.max_wait), ticket: req.ticket };
--- a/crates/lab/src/experiment/compare.rs
+++ b/crates/lab/src/experiment/compare.rs
@@ -63,10 +63,12 @@
 pub(crate) fn policy(name: &str) -> Result<Box<dyn Policy>> {
     if let Some(numbers) = name.strip_prefix("forecast:") {
         let numbers: Vec<f64> = numbers.split(':').filter_map(|n| n.parse().ok()).collect();
-        let [margin, prefix_value, load_value] = numbers[..] else {
-            bail!("{name}: expected forecast:MARGIN:PREFIX_VALUE:LOAD_VALUE");
+        let [margin, prefix_value, load_value, reserve, first_rank_excess] = numbers[..] else {
+            bail!("{name}: expected forecast:MARGIN:PREFIX_VALUE:LOAD_VALUE:RESERVE:EXCESS");
         };
-        return Ok(Box::new(ForecastPolicy { margin, prefix_value, load_value }));
+        let policy =
+            ForecastPolicy { margin, prefix_value, load_value, reserve, first_rank_excess };
+        return Ok(Box::new(policy));
     }
     Ok(match name {
         "forecast" => Box::new(ForecastPolicy::default()),
