Let better tiers go before a head that waits for room

Cause: an aged request of a lower tier became head, did not fit, and chats behind it waited out their 3 s.

--- a/crates/core/src/placement/queue.rs
+++ b/crates/core/src/placement/queue.rs
@@ -3,6 +3,7 @@
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
     sync::Arc,
+    time::Duration,
 };
 
 use super::{Request, Ticket};
@@ -120,14 +121,15 @@
         self.tiers.entry(req.rank).or_default().push(Waiting { req, arrived });
     }
 
-    /// The request to serve next. A tier's head gains one rank for each
-    /// `ageing` that it has waited, so that no tier starves.
-    pub(crate) fn head(&self, now: Instant, ageing: std::time::Duration) -> Option<&Waiting> {
-        let heads = self.tiers.iter().filter_map(|(rank, tier)| Some((*rank, tier.head()?)));
-        let aged = |rank: u64, w: &Waiting| {
-            rank as f64 - now.since(w.arrived).as_secs_f64() / ageing.as_secs_f64()
+    /// The first request of each tier, the next to serve first. A tier's head gains one rank
+    /// for each `ageing` that it has waited, so that no tier starves.
+    pub(crate) fn heads(&self, now: Instant, ageing: Duration) -> Vec<&Waiting> {
+        let aged = |w: &Waiting| {
+            w.req.rank as f64 - now.since(w.arrived).as_secs_f64() / ageing.as_secs_f64()
         };
-        heads.min_by(|a, b| aged(a.0, a.1).total_cmp(&aged(b.0, b.1))).map(|(_, waiting)| waiting)
+        let mut heads: Vec<&Waiting> = self.tiers.values().filter_map(Tier::head).collect();
+        heads.sort_by(|a, b| aged(a).total_cmp(&aged(b)));
+        heads
     }
 
     pub(crate) fn remove(
--- a/crates/core/src/placement/scheduler.rs
+++ b/crates/core/src/placement/scheduler.rs
@@ -64,6 +64,16 @@
 }
 
 impl Target {
+    /// Learns how fast places come free. Only between starts out of a queue does the gap tell.
+    fn note_start(&mut self, now: Instant) {
+        const SMOOTHING: f64 = 0.05;
+        if let Some(last) = self.last_start {
+            let gap = now.since(last).as_secs_f64();
+            self.start_gap += SMOOTHING * (gap - self.start_gap);
+        }
+        self.last_start = (0 < self.queue.len()).then_some(now);
+    }
+
     /// Time until a new request of this rank would start.
     fn expected_wait(&self, rank: u64) -> Duration {
         Duration::from_secs_f64(self.start_gap * self.queue.ahead_of(rank) as f64)
@@ -76,6 +86,14 @@
     ticket: Ticket,
 }
 
+/// A request and the endpoint chosen for it.
+struct Chosen {
+    rank: u64,
+    workspace: Arc<str>,
+    ticket: Ticket,
+    endpoint: Arc<str>,
+}
+
 #[derive(Debug)]
 struct Queued {
     target: EndpointTarget,
@@ -311,30 +329,11 @@
     }
 
     fn start_next(&mut self, target: &EndpointTarget, now: Instant) -> Option<Action> {
+        let Chosen { rank, workspace, ticket, endpoint } = self.choose_next(target, now)?;
         let state = self.targets.get_mut(target)?;
-        let req = &state.queue.head(now, self.limits.ageing)?.req;
-        let survival = self.forecast.survival(&req.workspace, &req.kind);
-        let share = Share::forecast(survival, req.prompt_tokens, 0, req.max_tokens);
-        let live = state.endpoints.iter().map(|name| &self.endpoints[name]);
-        let mut candidates: Vec<Candidate<'_>> = live
-            .filter(|endpoint| endpoint.takes_work(now))
-            .map(|endpoint| Candidate { endpoint, share: &share })
-            .collect();
-        if let (Some(avoid), true) = (&req.avoid, 1 < candidates.len()) {
-            candidates.retain(|c| c.endpoint.name != *avoid);
-        }
-        let chosen = self.policy.choose(req, &candidates, now)?;
-        let endpoint = candidates[chosen].endpoint.name.clone();
-        let (rank, workspace, ticket) = (req.rank, req.workspace.clone(), req.ticket);
         state.queue.chosen(rank, &workspace);
         let waiting = state.queue.remove(rank, &workspace, ticket)?;
-        // Only between starts from a queue does the gap tell how fast places come free.
-        if let Some(last) = state.last_start {
-            const SMOOTHING: f64 = 0.05;
-            let gap = now.since(last).as_secs_f64();
-            state.start_gap += SMOOTHING * (gap - state.start_gap);
-        }
-        state.last_start = (0 < state.queue.len()).then_some(now);
+        state.note_start(now);
         if let Some(queued) = self.queued.remove(&ticket) {
             self.expiries.remove(&queued.expiry);
         }
@@ -342,6 +341,39 @@
         Some(Action::Start { ticket, endpoint, priority: rank })
     }
 
+    /// The next request that can be placed. While the head of a tier waits for room, only
+    /// better tiers may go before it.
+    fn choose_next(&mut self, target: &EndpointTarget, now: Instant) -> Option<Chosen> {
+        let state = self.targets.get(target)?;
+        let mut blocked = u64::MAX;
+        for waiting in state.queue.heads(now, self.limits.ageing) {
+            let req = &waiting.req;
+            if blocked <= req.rank {
+                continue;
+            }
+            let survival = self.forecast.survival(&req.workspace, &req.kind);
+            let share = Share::forecast(survival, req.prompt_tokens, 0, req.max_tokens);
+            let live = state.endpoints.iter().map(|name| &self.endpoints[name]);
+            let mut candidates: Vec<Candidate<'_>> = live
+                .filter(|endpoint| endpoint.takes_work(now))
+                .map(|endpoint| Candidate { endpoint, share: &share })
+                .collect();
+            if let (Some(avoid), true) = (&req.avoid, 1 < candidates.len()) {
+                candidates.retain(|c| c.endpoint.name != *avoid);
+            }
+            if let Some(at) = self.policy.choose(req, &candidates, now) {
+                return Some(Chosen {
+                    rank: req.rank,
+                    workspace: req.workspace.clone(),
+                    ticket: req.ticket,
+                    endpoint: candidates[at].endpoint.name.clone(),
+                });
+            }
+            blocked = req.rank;
+        }
+        None
+    }
+
     fn place(&mut self, req: Request, endpoint: &Arc<str>, now: Instant) {
         let Some(state) = self.endpoints.get_mut(endpoint) else { return };
         let survival = self.forecast.survival(&req.workspace, &req.kind);
