--- a/crates/core/src/placement/scheduler.rs
+++ b/crates/core/src/placement/scheduler.rs
@@ -7,7 +7,7 @@
 };
 
 use super::{
-    Action, Request, Ticket,
+    Action, PrefixHash, Request, Ticket,
     endpoint::{EndpointState, Health, LoadReport, Share},
     forecast::LengthForecast,
     policy::{Candidate, Policy},
@@ -23,6 +23,10 @@
 /// expectation is too rough to turn away on less.
 const HOPELESS: u32 = 2;
 
+/// Of more endpoints than this, a decision looks at a sample.
+const SAMPLE: usize = 32;
+const MAX_PREFIXES: usize = 50_000;
+
 /// Bounds of a scheduler.
 #[derive(Debug, Clone, Copy)]
 pub struct SchedulerLimits {
@@ -58,12 +62,32 @@
 struct Target {
     queue: Queue,
     endpoints: Vec<Arc<str>>,
+    /// The endpoint that a prompt's start was last sent to.
+    prefix_at: HashMap<PrefixHash, Arc<str>>,
     /// Smoothed time between starts, in seconds; zero while unknown.
     start_gap: f64,
     last_start: Option<Instant>,
 }
 
 impl Target {
+    /// Endpoints to choose from: all of a few; of many, an even sample whose offset moves on,
+    /// and the one that may have the prefix. So the cost of a decision stays flat.
+    fn sample(&self, number: usize, prefix: PrefixHash) -> impl Iterator<Item = &Arc<str>> {
+        let count = self.endpoints.len();
+        let step = count.div_ceil(SAMPLE).max(1);
+        let with_prefix = self.prefix_at.get(&prefix).filter(|_| 1 < step);
+        let sampled = self.endpoints.iter().skip(number % step).step_by(step);
+        sampled.chain(with_prefix)
+    }
+
+    /// Notes where a prompt's start will be cached.
+    fn note_prefix(&mut self, prefix: PrefixHash, endpoint: &Arc<str>) {
+        if MAX_PREFIXES <= self.prefix_at.len() {
+            self.prefix_at.clear();
+        }
+        self.prefix_at.insert(prefix, endpoint.clone());
+    }
+
     /// Learns how fast places come free. Only between starts out of a queue does the gap tell.
     fn note_start(&mut self, now: Instant) {
         const SMOOTHING: f64 = 0.05;
@@ -112,6 +136,8 @@
     queued: HashMap<Ticket, Queued>,
     expiries: BTreeSet<Expiry>,
     placed: HashMap<Ticket, Placed>,
+    /// Number of samples of endpoints taken.
+    samples: usize,
 }
 
 impl Scheduler {
@@ -126,6 +152,7 @@
             queued: HashMap::new(),
             expiries: BTreeSet::new(),
             placed: HashMap::new(),
+            samples: 0,
         }
     }
 
@@ -353,8 +380,10 @@
             }
             let survival = self.forecast.survival(&req.workspace, &req.kind);
             let share = Share::forecast(survival, req.prompt_tokens, 0, req.max_tokens);
-            let live = state.endpoints.iter().map(|name| &self.endpoints[name]);
-            let mut candidates: Vec<Candidate<'_>> = live
+            self.samples = self.samples.wrapping_add(1);
+            let mut candidates: Vec<Candidate<'_>> = state
+                .sample(self.samples, req.prefix)
+                .filter_map(|name| self.endpoints.get(name))
                 .filter(|endpoint| endpoint.takes_work(now))
                 .map(|endpoint| Candidate { endpoint, share: &share })
                 .collect();
@@ -375,6 +404,9 @@
     }
 
     fn place(&mut self, req: Request, endpoint: &Arc<str>, now: Instant) {
+        if let Some(target) = self.targets.get_mut(&req.target) {
+            target.note_prefix(req.prefix, endpoint);
+        }
         let Some(state) = self.endpoints.get_mut(endpoint) else { return };
         let survival = self.forecast.survival(&req.workspace, &req.kind);
         let share = Share::forecast(survival, req.prompt_tokens, 0, req.max_tokens);
