Keep workspaces within their limits and retries within a budget

A workspace at its running limit is held out of the queue's order, so it holds no other up; at its waiting limit it is told so at once.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod delivery;
 
 pub mod error;
+pub mod limits;
 pub mod node;
 pub mod once;
 pub mod placement;
--- a/crates/core/src/node/dispatcher.rs
+++ b/crates/core/src/node/dispatcher.rs
@@ -254,6 +254,8 @@
         workspace: admit.workspace.into(),
         rank: admit.rank,
         share: admit.share.max(1),
+        max_running: admit.max_running,
+        max_waiting: admit.max_waiting,
         kind: admit.kind.into(),
         target,
         prompt_tokens: admit.prompt_tokens,
--- a/crates/core/src/node/placing.rs
+++ b/crates/core/src/node/placing.rs
@@ -347,6 +347,8 @@
         avoid: req.avoid.as_deref().map(str::to_owned),
         rank: req.rank,
         share: req.share,
+        max_running: req.max_running,
+        max_waiting: req.max_waiting,
         running_at: None,
         tokens: 0,
     }
--- a/crates/core/src/node/tests.rs
+++ b/crates/core/src/node/tests.rs
@@ -75,6 +75,8 @@
         workspace: "w".into(),
         rank: 1,
         share: 1,
+        max_running: 1_000_000,
+        max_waiting: 1_000_000,
         kind: "chat".into(),
         target: EndpointTarget::Model("m".into()),
         prompt_tokens: 10,
--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -46,6 +46,10 @@
     pub rank: u64,
     /// Fair share of the workspace within its tier.
     pub share: u64,
+    /// Most requests of the workspace that run at once.
+    pub max_running: u64,
+    /// Most requests of the workspace that wait at once.
+    pub max_waiting: u64,
     /// Kind of request; lengths are learned by kind and workspace.
     pub kind: Arc<str>,
     /// The model or service asked for.
--- a/crates/core/src/placement/queue.rs
+++ b/crates/core/src/placement/queue.rs
@@ -1,7 +1,7 @@
 //! Waiting requests: tiers first, then fairness between workspaces.
 
 use std::{
-    collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
+    collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque},
     sync::Arc,
     time::Duration,
 };
@@ -47,6 +47,8 @@
     order: BTreeSet<Place>,
     waiting: HashMap<Arc<str>, VecDeque<Waiting>>,
     served: HashMap<Arc<str>, Service>,
+    /// Workspaces that run as much as they may; their requests wait out of order.
+    held: HashSet<Arc<str>>,
     /// The most that a first-in-line workspace had been served when it was chosen.
     floor: Service,
 }
@@ -64,12 +66,27 @@
         let line = self.waiting.entry(workspace.clone()).or_default();
         if line.is_empty() {
             *service = (*service).max(self.floor);
-            self.order.insert(Place { service: *service, workspace });
+            if !self.held.contains(&workspace) {
+                self.order.insert(Place { service: *service, workspace });
+            }
         }
         line.push_back(waiting);
         self.len += 1;
     }
 
+    fn hold(&mut self, workspace: &Arc<str>, hold: bool) {
+        if !hold {
+            let held = self.held.remove(workspace);
+            if held && self.waiting.contains_key(workspace) {
+                let place = self.place(workspace);
+                self.order.insert(place);
+            }
+        } else if self.held.insert(workspace.clone()) {
+            let place = self.place(workspace);
+            self.order.remove(&place);
+        }
+    }
+
     fn head(&self) -> Option<&Waiting> {
         let first = self.order.first()?;
         self.waiting.get(&first.workspace)?.front()
@@ -151,6 +168,15 @@
         }
     }
 
+    /// Holds a workspace's requests back, or lets them take part again.
+    pub(crate) fn hold(&mut self, rank: u64, workspace: &Arc<str>, hold: bool) {
+        if hold {
+            self.tiers.entry(rank).or_default().hold(workspace, true);
+        } else if let Some(tier) = self.tiers.get_mut(&rank) {
+            tier.hold(workspace, false);
+        }
+    }
+
     /// Charges tokens served to a workspace.
     pub(crate) fn charge(&mut self, rank: u64, workspace: &Arc<str>, share: u64, tokens: u64) {
         let tier = self.tiers.entry(rank).or_default();
--- a/crates/core/src/placement/scheduler.rs
+++ b/crates/core/src/placement/scheduler.rs
@@ -110,6 +110,13 @@
     ticket: Ticket,
 }
 
+/// Requests of one workspace.
+#[derive(Debug, Clone, Copy, Default)]
+struct Count {
+    running: u64,
+    waiting: u64,
+}
+
 /// A request and the endpoint chosen for it.
 struct Chosen {
     rank: u64,
@@ -136,6 +143,7 @@
     queued: HashMap<Ticket, Queued>,
     expiries: BTreeSet<Expiry>,
     placed: HashMap<Ticket, Placed>,
+    counts: HashMap<Arc<str>, Count>,
     /// Number of samples of endpoints taken.
     samples: usize,
 }
@@ -152,6 +160,7 @@
             queued: HashMap::new(),
             expiries: BTreeSet::new(),
             placed: HashMap::new(),
+            counts: HashMap::new(),
             samples: 0,
         }
     }
@@ -177,8 +186,14 @@
         }
         self.endpoints = kept;
         // Requests at an endpoint that is gone or moved are no longer accounted for.
-        let endpoints = &self.endpoints;
-        self.placed.retain(|_, p| endpoints.get(&p.endpoint).is_some_and(|e| 0 < e.running));
+        let gone = |p: &Placed| self.endpoints.get(&p.endpoint).is_none_or(|e| e.running == 0);
+        let tickets: Vec<Ticket> =
+            self.placed.iter().filter(|(_, p)| gone(p)).map(|(ticket, _)| *ticket).collect();
+        for ticket in tickets {
+            if let Some(placed) = self.placed.remove(&ticket) {
+                self.count_running(&placed.req, -1);
+            }
+        }
     }
 
     /// The endpoint of this name.
@@ -203,6 +218,11 @@
 
     /// Takes a new request; it waits until [`Scheduler::decide`] places it.
     pub fn arrive(&mut self, req: Request, now: Instant) -> Result<(), RequestError> {
+        let waiting = self.counts.get(&req.workspace).map_or(0, |count| count.waiting);
+        if req.max_waiting <= waiting {
+            let message = "the workspace has as many requests waiting as it may";
+            return Err(RequestError::new(ErrorKind::WorkspaceLimit, message));
+        }
         let Some(target) = self.targets.get_mut(&req.target) else {
             return Err(no_endpoint(&req.target));
         };
@@ -222,6 +242,7 @@
             workspace: req.workspace.clone(),
             expiry,
         };
+        self.counts.entry(req.workspace.clone()).or_default().waiting += 1;
         self.queued.insert(req.ticket, queued);
         target.queue.push(req, now);
         Ok(())
@@ -282,6 +303,7 @@
     pub fn finish(&mut self, ticket: Ticket, tokens: u64, whole: bool, now: Instant) {
         self.progress(ticket, tokens);
         let Some(placed) = self.placed.remove(&ticket) else { return };
+        self.count_running(&placed.req, -1);
         if let Some(endpoint) = self.endpoints.get_mut(&placed.endpoint) {
             endpoint.release(&placed.share, now);
             if whole {
@@ -296,7 +318,7 @@
     /// Forgets a waiting or running request whose caller has left.
     pub fn cancel(&mut self, ticket: Ticket, now: Instant) {
         if let Some(queued) = self.queued.remove(&ticket) {
-            self.expiries.remove(&queued.expiry);
+            self.no_longer_waits(&queued);
             if let Some(target) = self.targets.get_mut(&queued.target) {
                 target.queue.remove(queued.rank, &queued.workspace, ticket);
             }
@@ -362,7 +384,7 @@
         let waiting = state.queue.remove(rank, &workspace, ticket)?;
         state.note_start(now);
         if let Some(queued) = self.queued.remove(&ticket) {
-            self.expiries.remove(&queued.expiry);
+            self.no_longer_waits(&queued);
         }
         self.place(waiting.req, &endpoint, now);
         Some(Action::Start { ticket, endpoint, priority: rank })
@@ -403,6 +425,32 @@
         None
     }
 
+    fn no_longer_waits(&mut self, queued: &Queued) {
+        self.expiries.remove(&queued.expiry);
+        if let Some(count) = self.counts.get_mut(&queued.workspace) {
+            count.waiting -= 1;
+        }
+        self.forget_idle(&queued.workspace);
+    }
+
+    /// Counts a request as running or no longer so, and holds its workspace back at the limit.
+    fn count_running(&mut self, req: &Request, change: i64) {
+        let count = self.counts.entry(req.workspace.clone()).or_default();
+        count.running = count.running.saturating_add_signed(change);
+        let hold = req.max_running <= count.running;
+        for target in self.targets.values_mut() {
+            target.queue.hold(req.rank, &req.workspace, hold);
+        }
+        self.forget_idle(&req.workspace);
+    }
+
+    fn forget_idle(&mut self, workspace: &Arc<str>) {
+        let idle = |count: &Count| count.running == 0 && count.waiting == 0;
+        if self.counts.get(workspace).is_some_and(idle) {
+            self.counts.remove(workspace);
+        }
+    }
+
     fn place(&mut self, req: Request, endpoint: &Arc<str>, now: Instant) {
         if let Some(target) = self.targets.get_mut(&req.target) {
             target.note_prefix(req.prefix, endpoint);
@@ -412,6 +460,7 @@
         let share = Share::forecast(survival, req.prompt_tokens, 0, req.max_tokens);
         state.grant(&share, now);
         state.note_prefix(req.prefix, now);
+        self.count_running(&req, 1);
         let placed = Placed { endpoint: endpoint.clone(), share, tokens: 0, req };
         self.placed.insert(placed.req.ticket, placed);
     }
--- a/crates/core/src/placement/tests.rs
+++ b/crates/core/src/placement/tests.rs
@@ -38,6 +38,8 @@
         workspace: workspace.into(),
         rank,
         share: 1,
+        max_running: 1_000_000,
+        max_waiting: 1_000_000,
         kind: "chat".into(),
         target: EndpointTarget::Model("m".into()),
         prompt_tokens: 10,
@@ -159,3 +161,23 @@
 
     expect_that!(scheduler.arrive(request(4, "w", 1), later), ok(anything()));
 }
+
+#[gtest]
+fn a_workspace_runs_and_waits_within_its_limits_and_holds_no_other_up() {
+    let mut scheduler = scheduler(1, 100, 1_000_000);
+    let limited = |number| Request { max_running: 2, max_waiting: 2, ..request(number, "w", 1) };
+    for number in 0..2 {
+        scheduler.arrive(limited(number), START).unwrap();
+        scheduler.decide(START);
+    }
+    for number in 2..4 {
+        scheduler.arrive(limited(number), START).unwrap();
+    }
+    let refused = scheduler.arrive(limited(4), START).unwrap_err();
+    scheduler.arrive(request(5, "other", 1), START).unwrap();
+
+    expect_that!(refused.kind, eq(ErrorKind::WorkspaceLimit));
+    expect_that!(started(&scheduler.decide(START)), elements_are![eq(&5)]);
+    scheduler.finish(Ticket { entry: 1, number: 0 }, 5, true, START);
+    expect_that!(started(&scheduler.decide(START)), elements_are![eq(&2)]);
+}
--- a/crates/core/src/wire/mod.rs
+++ b/crates/core/src/wire/mod.rs
@@ -304,6 +304,12 @@
     /// Share within the tier.
     #[prost(uint64, tag = "12")]
     pub share: u64,
+    /// Most requests of the workspace that run at once.
+    #[prost(uint64, tag = "15")]
+    pub max_running: u64,
+    /// Most requests of the workspace that wait at once.
+    #[prost(uint64, tag = "16")]
+    pub max_waiting: u64,
     /// Where it already runs, when told to a new scheduler.
     #[prost(string, optional, tag = "13")]
     pub running_at: Option<String>,
--- a/crates/lab/src/experiment/cost.rs
+++ b/crates/lab/src/experiment/cost.rs
@@ -59,6 +59,8 @@
         workspace: format!("w{}", number % 18_000).into(),
         rank: 1,
         share: 1,
+        max_running: 1_000_000,
+        max_waiting: 1_000_000,
         kind: "chat".into(),
         target: EndpointTarget::Model("m".into()),
         prompt_tokens: 300,
--- a/crates/lab/src/experiment/sim.rs
+++ b/crates/lab/src/experiment/sim.rs
@@ -180,6 +180,8 @@
             workspace: format!("w{}", arrival.workspace).into(),
             rank: kind.rank,
             share: 1,
+            max_running: 1_000_000,
+            max_waiting: 1_000_000,
             kind: kind.name.into(),
             target: EndpointTarget::Model(MODEL.into()),
             prompt_tokens: arrival.prompt,
--- a/crates/trayswitchd/src/callers/chat.rs
+++ b/crates/trayswitchd/src/callers/chat.rs
@@ -111,6 +111,8 @@
         workspace: workspace.into(),
         rank: config.tiers[&spec.tier].rank,
         share: spec.share,
+        max_running: spec.max_running,
+        max_waiting: spec.max_waiting,
         kind: kind.into(),
         target,
         prompt_tokens: 0,
--- a/crates/trayswitchd/src/callers/context.rs
+++ b/crates/trayswitchd/src/callers/context.rs
@@ -1,8 +1,9 @@
 //! What the threads of all requests share.
 
 use std::{
+    collections::HashMap,
     sync::{
-        Arc,
+        Arc, Mutex,
         atomic::{AtomicU64, Ordering},
     },
     time::Duration,
@@ -12,6 +13,7 @@
 use tiny_http::Request;
 use trayswitch_core::{
     error::{ErrorKind, Outcome, RequestError},
+    limits::RetryBudget,
     node::{Answer, CallId, InForce, Input, Placement, Question},
     placement,
     wire::HealthNews,
@@ -36,6 +38,7 @@
     service: Box<dyn Service>,
     histograms: Histograms,
     metrics: Metrics,
+    budgets: Mutex<HashMap<String, RetryBudget>>,
     /// Makes request ids unique over restarts.
     run: u64,
     requests: AtomicU64,
@@ -58,6 +61,7 @@
             node,
             histograms: Histograms::default(),
             metrics,
+            budgets: Mutex::default(),
             run: random()?,
             requests: AtomicU64::new(0),
         })
@@ -113,9 +117,24 @@
             return Err(RequestError::new(ErrorKind::Unauthorized, message));
         };
         let workspace = workspace.to_owned();
+        self.budget(&workspace, RetryBudget::on_request);
         Ok(Admitted { in_force, workspace })
     }
 
+    /// Whether the workspace may retry once more.
+    pub(super) fn may_retry(&self, workspace: &str) -> bool {
+        let may = self.budget(workspace, RetryBudget::take_retry);
+        if !may {
+            self.metrics.count("retries_denied");
+        }
+        may
+    }
+
+    fn budget<T>(&self, workspace: &str, change: impl FnOnce(&mut RetryBudget) -> T) -> T {
+        let mut budgets = self.budgets.lock().expect("no request thread panics here");
+        change(budgets.entry(workspace.to_owned()).or_default())
+    }
+
     /// Reads the body within the limit.
     pub(super) fn body(&self, req: &mut Request) -> Result<Vec<u8>, RequestError> {
         let limit = self.settings.max_body;
--- a/crates/trayswitchd/src/callers/run.rs
+++ b/crates/trayswitchd/src/callers/run.rs
@@ -259,7 +259,9 @@
         if 0 < self.delivery.delivered() && sink.restart() {
             self.delivery.discard();
         }
+        let may_retry = self.callers.may_retry(&self.chat.workspace);
         match self.delivery.on_lost(false) {
+            NextStep::RunAfresh if !may_retry => Err(self.denied(lost)),
             NextStep::RunAfresh => {
                 self.chat.place.avoid = Some(place.endpoint.clone());
                 thread::sleep(jitter(FIRST_PAUSE));
@@ -276,6 +278,13 @@
         }
     }
 
+    /// The error when the workspace has used up its retries.
+    fn denied(&self, lost: &EndpointError) -> RequestError {
+        let kind =
+            if self.may_have_run { ErrorKind::OutcomeUnknown } else { ErrorKind::EndpointRefused };
+        RequestError::new(kind, format!("too many retries in this workspace; the last: {lost}"))
+    }
+
     /// Frees the engine's memory; the caller does not wait for it.
     fn cancel(&self, address: SocketAddr) {
         if let Some(generation) = self.delivery.generation() {
