--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -95,6 +95,8 @@
         .arg(number("kv-tokens", "Memory of an engine, in tokens", "40000"))
         .arg(number("slots", "Most streams in an engine's batch", "64"))
         .arg(number("step-us", "Time of an empty engine step, in microseconds", "15000"))
+        .arg(number("stream-us", "Time that each stream adds to a step, in microseconds", "250"))
+        .arg(number("prefill-us", "Time that each prompt token adds to a step, in microseconds", "50"))
         .arg(number("delay-ms", "Time that each call of a plain service takes", "2"))
 }
 
--- a/crates/lab/src/options.rs
+++ b/crates/lab/src/options.rs
@@ -101,6 +101,8 @@
         slots: number(m, "slots") as usize,
         kv_tokens: number(m, "kv-tokens"),
         step_base: Duration::from_micros(number(m, "step-us")),
+        step_per_stream: Duration::from_micros(number(m, "stream-us")),
+        step_per_prefill: Duration::from_micros(number(m, "prefill-us")),
         ..EngineSpec::default()
     };
     let ip = text(m, "ip");
