--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -13,6 +13,7 @@
         .subcommand(ask())
         .subcommand(load())
         .subcommand(fault())
+        .subcommand(changes())
         .subcommand(experiment())
         .subcommand(
             Command::new("decisions").about("Time scheduling decisions at several sizes").arg(
@@ -69,6 +70,16 @@
         .arg(number("seed", "Seed", "1"))
 }
 
+fn changes() -> Command {
+    Command::new("changes")
+        .about("Submit configurations and time them until they are in force everywhere")
+        .arg(text("operators", "Operators' addresses, the control replicas' first", None))
+        .arg(text("key-file", "File with the operator key", None))
+        .arg(text("file", "A valid configuration; its version is replaced", None))
+        .arg(number("count", "Number of changes", "100"))
+        .arg(number("pause-ms", "Pause between changes", "0"))
+}
+
 fn fault() -> Command {
     Command::new("fault")
         .about("Switch a fault on in an emulated endpoint")
@@ -96,7 +107,11 @@
         .arg(number("slots", "Most streams in an engine's batch", "64"))
         .arg(number("step-us", "Time of an empty engine step, in microseconds", "15000"))
         .arg(number("stream-us", "Time that each stream adds to a step, in microseconds", "250"))
-        .arg(number("prefill-us", "Time that each prompt token adds to a step, in microseconds", "50"))
+        .arg(number(
+            "prefill-us",
+            "Time that each prompt token adds to a step, in microseconds",
+            "50",
+        ))
         .arg(number("delay-ms", "Time that each call of a plain service takes", "2"))
 }
 
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,5 +1,6 @@
 //! `trayswitch-lab`: emulated endpoints, load and measurements for trayswitch.
 
+mod changes;
 mod cli;
 mod emulate;
 mod engine;
@@ -46,6 +47,10 @@
                 n => bail!("{n} promises were broken"),
             }
         }
+        Options::Changes(options) => {
+            println!("{}", serde_json::to_string(&changes::run(&options)?)?);
+            Ok(())
+        }
         Options::Experiment { options, json } => {
             let report = experiment::run(&options)?;
             if json {
--- a/crates/lab/src/options.rs
+++ b/crates/lab/src/options.rs
@@ -11,6 +11,7 @@
 use eyre::{Result, WrapErr, bail, eyre};
 
 use crate::{
+    changes::ChangeOptions,
     engine::EngineSpec,
     experiment::{ExperimentOptions, Mix, Trouble},
     load::LoadOptions,
@@ -24,6 +25,8 @@
     Ask(AskOptions),
     /// Load with a check.
     Load(LoadOptions),
+    /// Configuration changes.
+    Changes(ChangeOptions),
     /// An experiment.
     Experiment {
         /// What to compare.
@@ -73,6 +76,13 @@
                 prompt: text(m, "prompt"),
             })),
             Some(("load", m)) => Ok(Options::Load(load(m)?)),
+            Some(("changes", m)) => Ok(Options::Changes(ChangeOptions {
+                operators: addresses(&text(m, "operators"))?,
+                key_file: PathBuf::from(text(m, "key-file")),
+                file: PathBuf::from(text(m, "file")),
+                count: number(m, "count"),
+                pause: Duration::from_millis(number(m, "pause-ms")),
+            })),
             Some(("experiment", m)) => {
                 let json = m.get_flag("json");
                 Ok(Options::Experiment { options: experiment(m)?, json })
--- a/crates/trayswitchd/src/link/mod.rs
+++ b/crates/trayswitchd/src/link/mod.rs
@@ -28,6 +28,23 @@
 /// Messages that may wait for a slow peer.
 const MAX_QUEUE: usize = 16 * 1024;
 
+static SENT: AtomicU64 = AtomicU64::new(0);
+static RECEIVED: AtomicU64 = AtomicU64::new(0);
+
+/// Bytes that this daemon has exchanged with other daemons.
+#[derive(Debug, Clone, Copy, serde::Serialize)]
+pub(crate) struct Traffic {
+    /// Bytes sent.
+    sent: u64,
+    /// Bytes received.
+    received: u64,
+}
+
+/// Bytes exchanged since the start.
+pub(crate) fn traffic() -> Traffic {
+    Traffic { sent: SENT.load(Ordering::Relaxed), received: RECEIVED.load(Ordering::Relaxed) }
+}
+
 /// Tells links to the same VM apart.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct LinkId(u64);
--- a/crates/trayswitchd/src/link/stream.rs
+++ b/crates/trayswitchd/src/link/stream.rs
@@ -3,7 +3,10 @@
 use std::{
     io::{self, Read, Write},
     net::{Shutdown, TcpStream},
-    sync::mpsc::{self, RecvTimeoutError},
+    sync::{
+        atomic::Ordering,
+        mpsc::{self, RecvTimeoutError},
+    },
     thread,
     time::Duration,
 };
@@ -17,7 +20,7 @@
     wire::{Envelope, FrameCodec, Handshake, Hello, Proof},
 };
 
-use super::{KEEP_ALIVE, LinkHandle, LinkId, MAX_QUEUE, SILENCE};
+use super::{KEEP_ALIVE, LinkHandle, LinkId, MAX_QUEUE, RECEIVED, SENT, SILENCE};
 use crate::node::{Event, NodeHandle};
 
 const HANDSHAKE: Duration = Duration::from_secs(3);
@@ -92,6 +95,7 @@
             let _ = socket.shutdown(Shutdown::Both);
             return Ok(());
         }
+        RECEIVED.fetch_add(n as u64, Ordering::Relaxed);
         buf.extend_from_slice(&chunk[..n]);
         while let Some(envelope) = codec.decode(&mut buf)? {
             if let Some(body) = envelope.body {
@@ -119,6 +123,7 @@
             }
         }
         socket.write_all(&buf)?;
+        SENT.fetch_add(buf.len() as u64, Ordering::Relaxed);
         buf.clear();
     }
 }
--- a/crates/trayswitchd/src/operators/reports.rs
+++ b/crates/trayswitchd/src/operators/reports.rs
@@ -8,7 +8,11 @@
     units::Hex,
 };
 
-use crate::{callers::Callers, telemetry::ClassReport};
+use crate::{
+    callers::Callers,
+    link::{self, Traffic},
+    telemetry::ClassReport,
+};
 
 const LIMIT: Duration = Duration::from_secs(2);
 
@@ -23,6 +27,7 @@
     version: u64,
     hash: String,
     requests: usize,
+    traffic: Traffic,
     control: ControlStatus,
     classes: Vec<ClassReport>,
 }
@@ -53,6 +58,7 @@
         version: in_force.as_ref().map_or(0, |f| f.version),
         hash: in_force.map(|f| f.hash.to_string()).unwrap_or_default(),
         requests: view.requests(),
+        traffic: link::traffic(),
         control,
         classes: callers.histograms().report(),
     }
--- a/scripts/site.sh
+++ b/scripts/site.sh
@@ -45,6 +45,7 @@
     printf '[tier gold]\nrank = 1\n[kind chat]\nmax_wait = 60s\n[kind confirmation]\nmax_wait = 20s\n'
     printf '[model tutor-llm]\nkind = chat\n[service booking-desk]\n'
     printf '[call booking-desk/confirm]\nkind = confirmation\nrepeatable = no\ntimeout = 5s\n'
+    printf '[call booking-desk/slots]\nkind = confirmation\nrepeatable = yes\ntimeout = 5s\n'
     printf '[workspace bench]\ntier = gold\nkey_sha256 = %s\nmax_running = 100000\nmax_waiting = 100000\n' "$digest"
     for i in $(seq "$2"); do
       printf '[endpoint engine-%s]\nhall = hall-atl\naddress = %s.250:%s\nmodel = tutor-llm\nslots = 2000\nkv_tokens = 4000000\n' \
