Let a link's queue take memory only for what waits

The standard library's bounded channel takes room for all 16,384 messages at once. Change: an unbounded channel and a count, with the same limit.

--- a/crates/trayswitchd/src/link/mod.rs
+++ b/crates/trayswitchd/src/link/mod.rs
@@ -11,7 +11,8 @@
 
 use std::{
     sync::{
-        atomic::{AtomicU64, Ordering},
+        Arc,
+        atomic::{AtomicU64, AtomicUsize, Ordering},
         mpsc,
     },
     time::Duration,
@@ -60,7 +61,9 @@
 #[derive(Clone)]
 pub(crate) struct LinkHandle {
     id: LinkId,
-    tx: mpsc::SyncSender<Envelope>,
+    tx: mpsc::Sender<Envelope>,
+    /// Messages that wait. A bounded channel would take its whole memory at once.
+    queued: Arc<AtomicUsize>,
 }
 
 impl LinkHandle {
@@ -72,6 +75,10 @@
     /// Queues a message. When the queue is full the message is lost, as it would be on a
     /// broken link; the peer's silence then ends the link.
     pub(crate) fn send(&self, body: Body) {
-        let _ = self.tx.try_send(Envelope { body: Some(body) });
+        if MAX_QUEUE <= self.queued.fetch_add(1, Ordering::Relaxed) {
+            self.queued.fetch_sub(1, Ordering::Relaxed);
+            return;
+        }
+        let _ = self.tx.send(Envelope { body: Some(body) });
     }
 }
--- a/crates/trayswitchd/src/link/stream.rs
+++ b/crates/trayswitchd/src/link/stream.rs
@@ -4,7 +4,8 @@
     io::{self, Read, Write},
     net::{Shutdown, TcpStream},
     sync::{
-        atomic::Ordering,
+        Arc,
+        atomic::{AtomicUsize, Ordering},
         mpsc::{self, RecvTimeoutError},
     },
     thread,
@@ -20,7 +21,7 @@
     wire::{Envelope, FrameCodec, Handshake, Hello, Proof},
 };
 
-use super::{KEEP_ALIVE, LinkHandle, LinkId, MAX_QUEUE, RECEIVED, SENT, SILENCE};
+use super::{KEEP_ALIVE, LinkHandle, LinkId, RECEIVED, SENT, SILENCE};
 use crate::node::{Event, NodeHandle};
 
 const HANDSHAKE: Duration = Duration::from_secs(3);
@@ -71,15 +72,17 @@
     socket.set_read_timeout(Some(SILENCE))?;
     socket.set_write_timeout(Some(SILENCE))?;
     let id = LinkId::next();
-    let (tx, rx) = mpsc::sync_channel(MAX_QUEUE);
+    let (tx, rx) = mpsc::channel();
+    let queued = Arc::new(AtomicUsize::new(0));
+    let taken = queued.clone();
     let mut sending = socket.try_clone()?;
     let write = move || {
         // The reading thread reports the end.
-        let _ = write_all(&mut sending, &rx);
+        let _ = write_all(&mut sending, &rx, &taken);
         let _ = sending.shutdown(Shutdown::Both);
     };
     thread::Builder::new().name("link-out".into()).stack_size(STACK).spawn(write)?;
-    node.send(Event::LinkUp(vm.clone(), LinkHandle { id, tx }));
+    node.send(Event::LinkUp(vm.clone(), LinkHandle { id, tx, queued }));
     let ended = read_all(socket, vm, id, node);
     node.send(Event::LinkDown(vm.clone(), id));
     ended
@@ -105,18 +108,26 @@
     }
 }
 
-fn write_all(socket: &mut TcpStream, rx: &mpsc::Receiver<Envelope>) -> Result<()> {
+fn write_all(
+    socket: &mut TcpStream,
+    rx: &mpsc::Receiver<Envelope>,
+    queued: &AtomicUsize,
+) -> Result<()> {
     let mut codec = FrameCodec::default();
     let mut buf = BytesMut::new();
     loop {
         let first = match rx.recv_timeout(KEEP_ALIVE) {
-            Ok(envelope) => envelope,
+            Ok(envelope) => {
+                queued.fetch_sub(1, Ordering::Relaxed);
+                envelope
+            }
             Err(RecvTimeoutError::Timeout) => Envelope::default(),
             Err(RecvTimeoutError::Disconnected) => return Ok(()),
         };
         codec.encode(&first, &mut buf)?;
         // What has queued up meanwhile shares one write.
         while let Ok(envelope) = rx.try_recv() {
+            queued.fetch_sub(1, Ordering::Relaxed);
             codec.encode(&envelope, &mut buf)?;
             if READ <= buf.len() {
                 break;
