Tell kinds apart within a tier; let small requests exceed the forecast

Cause: in the product the rank was the workspace's tier alone, so a chat of a workspace waited behind its own summaries and engines pushed aside whichever came last; the experiment had told kinds apart by rank. Change: rank = tier, then kind weight; the excess over the forecast goes to requests that are small by forecast, not to the first rank.

--- a/crates/core/src/agreement/tests.rs
+++ b/crates/core/src/agreement/tests.rs
@@ -428,3 +428,143 @@
         prop_assert!(net.settle(), "no progress after the faults ended");
     }
 }
+
+/// A replica of a group of three whose log ends with entries of these terms.
+fn with_log(id: ReplicaId, terms: &[u64]) -> Replica {
+    let members = (1..=3).map(|id| Member { id, vm: format!("vm-{id}"), voter: true }).collect();
+    let mut entries: Vec<Entry> = terms
+        .iter()
+        .enumerate()
+        .map(|(i, term)| Entry { term: *term, index: i as u64 + 1, at_ms: 0, payload: None })
+        .collect();
+    entries[0].payload = Some(Payload::Members(Membership { members }));
+    let hard_state = HardState { term: *terms.last().unwrap(), voted_for: None };
+    let restored = Restored { hard_state, snapshot: None, entries };
+    Replica::new(id, TIMING, 7, restored, Instant(0))
+}
+
+const LATER: Instant = Instant(10_000_000);
+
+fn receive(replica: &mut Replica, from: ReplicaId, term: u64, body: message_body::Body) -> Ready {
+    let message = Message { from, to: replica.id(), term, body: Some(body) };
+    replica.receive(message, LATER);
+    replica.take_ready()
+}
+
+fn vote(last_term: u64, last_index: u64) -> message_body::Body {
+    message_body::Body::Vote(Vote { last_index, last_term, hand_over: false })
+}
+
+fn votes_granted(outgoing: &[Outgoing]) -> usize {
+    let granted = |o: &&Outgoing| {
+        let body = &o.message.body;
+        matches!(body, Some(message_body::Body::VoteReply(VoteReply { granted: true })))
+    };
+    outgoing.iter().filter(granted).count()
+}
+
+#[gtest]
+fn a_vote_is_given_once_in_a_term_and_only_after_it_is_synced() {
+    let mut replica = with_log(2, &[1]);
+    replica.take_ready();
+
+    let first = receive(&mut replica, 1, 5, vote(1, 1));
+    let second = receive(&mut replica, 3, 5, vote(1, 1));
+
+    expect_that!(votes_granted(&first.messages), eq(0));
+    expect_that!(votes_granted(&first.messages_after_persist), eq(1));
+    expect_that!(first.persist.hard_state.unwrap().voted_for, some(eq(1)));
+    expect_that!(votes_granted(&second.messages_after_persist), eq(0));
+}
+
+#[gtest]
+fn a_candidate_with_a_less_complete_log_gets_no_vote() {
+    let mut replica = with_log(2, &[1, 1, 3]);
+    replica.take_ready();
+
+    for (last_term, last_index) in [(3, 2), (2, 9), (1, 3)] {
+        let ready = receive(&mut replica, 1, 5, vote(last_term, last_index));
+        expect_that!(votes_granted(&ready.messages_after_persist), eq(0));
+    }
+    let ready = receive(&mut replica, 1, 5, vote(3, 3));
+    expect_that!(votes_granted(&ready.messages_after_persist), eq(1));
+}
+
+/// Makes a replica the leader of the next term by the votes of another.
+fn elect(replica: &mut Replica) -> Ready {
+    replica.tick(LATER);
+    let term = replica.term();
+    let granted = PreVoteReply { asked_term: term + 1, granted: true };
+    let ready = receive(replica, 3, term, message_body::Body::PreVoteReply(granted));
+    replica.persisted(ready.synced, LATER);
+    let term = replica.term();
+    receive(replica, 3, term, message_body::Body::VoteReply(VoteReply { granted: true }))
+}
+
+#[gtest]
+fn a_candidates_own_vote_counts_only_once_it_is_synced() {
+    let mut replica = with_log(2, &[1]);
+    replica.take_ready();
+    replica.tick(LATER);
+    let granted = PreVoteReply { asked_term: 2, granted: true };
+    receive(&mut replica, 3, 1, message_body::Body::PreVoteReply(granted));
+
+    let vote = VoteReply { granted: true };
+    receive(&mut replica, 3, 2, message_body::Body::VoteReply(vote));
+
+    expect_that!(replica.role(), eq(Role::Candidate));
+}
+
+#[gtest]
+fn an_entry_of_an_older_term_is_not_committed_by_counting() {
+    let mut replica = with_log(2, &[1, 2]);
+    replica.take_ready();
+    let opened = elect(&mut replica);
+    assert_that!(replica.role(), eq(Role::Leader));
+    replica.persisted(Synced { last_term: 2, last_index: 2, ..opened.synced }, LATER);
+    let term = replica.term();
+    let matched = |index| {
+        let outcome = Some(append_reply::Outcome::Matched(index));
+        message_body::Body::AppendReply(AppendReply { round: 0, outcome })
+    };
+
+    receive(&mut replica, 3, term, matched(2));
+    expect_that!(replica.commit(), eq(0));
+    replica.persisted(opened.synced, LATER);
+    receive(&mut replica, 3, term, matched(3));
+    expect_that!(replica.commit(), eq(3));
+}
+
+#[gtest]
+fn a_follower_commits_no_further_than_it_agrees_with_the_leader() {
+    let mut replica = with_log(2, &[1, 2, 2]);
+    replica.take_ready();
+    let append = Append { prev_index: 1, prev_term: 1, entries: vec![], commit: 3, round: 1 };
+
+    receive(&mut replica, 1, 4, message_body::Body::Append(append));
+
+    expect_that!(replica.commit(), eq(1));
+}
+
+#[gtest]
+fn members_change_one_voter_at_a_time_and_only_when_the_last_change_is_settled() {
+    let mut replica = with_log(2, &[1]);
+    replica.take_ready();
+    elect(&mut replica);
+    let change = |voters: &[u64]| {
+        let member = |id: &u64| Member { id: *id, vm: format!("vm-{id}"), voter: true };
+        Payload::Members(Membership { members: voters.iter().map(member).collect() })
+    };
+    let busy = Err(ProposeError::MembershipBusy);
+
+    expect_that!(replica.propose(change(&[2, 3]), UnixMillis(0), LATER), eq(busy));
+    let ready = replica.take_ready();
+    replica.persisted(ready.synced, LATER);
+    let outcome = Some(append_reply::Outcome::Matched(2));
+    let reply = message_body::Body::AppendReply(AppendReply { round: 0, outcome });
+    let term = replica.term();
+    receive(&mut replica, 3, term, reply);
+    expect_that!(replica.propose(change(&[2]), UnixMillis(0), LATER), eq(busy));
+    expect_that!(replica.propose(change(&[2, 3]), UnixMillis(0), LATER), ok(anything()));
+    expect_that!(replica.propose(change(&[2]), UnixMillis(0), LATER), eq(busy));
+}
--- a/crates/core/src/error/mod.rs
+++ b/crates/core/src/error/mod.rs
@@ -176,3 +176,6 @@
 }
 
 impl std::error::Error for RequestError {}
+
+#[cfg(test)]
+mod tests;
--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -22,6 +22,16 @@
     scheduler::{Placed, Scheduler, SchedulerLimits},
 };
 
+/// Ranks that one tier takes up; kinds of request are told apart within them.
+pub const RANKS_PER_TIER: u64 = 100;
+
+/// The rank of a request: first by its tier, then by the weight of its kind, so that within a
+/// tier a long summary yields to chats. The difference between kinds is small against the
+/// ageing of waiting requests, and no kind starves.
+pub fn rank(tier_rank: u64, kind_weight: u64) -> u64 {
+    tier_rank * RANKS_PER_TIER + RANKS_PER_TIER - kind_weight.min(RANKS_PER_TIER)
+}
+
 /// Names one request at the scheduler; unique per entry daemon incarnation.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Ticket {
@@ -42,7 +52,7 @@
     pub ticket: Ticket,
     /// Who asks.
     pub workspace: Arc<str>,
-    /// Rank of the workspace's tier; a lower rank is served first.
+    /// Place in the order of service; a lower rank is served first. See [`rank`].
     pub rank: u64,
     /// Fair share of the workspace within its tier.
     pub share: u64,
--- a/crates/core/src/placement/policy.rs
+++ b/crates/core/src/placement/policy.rs
@@ -27,6 +27,9 @@
     ) -> Option<usize>;
 }
 
+/// A request is small when it is forecast to fill no more than this part of the memory.
+const SMALL: f64 = 0.025;
+
 fn has_slot(candidate: &Candidate<'_>) -> bool {
     candidate.endpoint.load() < candidate.endpoint.spec.slots
 }
@@ -101,32 +104,23 @@
     pub prefix_value: f64,
     /// Weight of the number of requests against that of memory.
     pub load_value: f64,
-    /// Part of the memory that each rank after the first leaves free for those before it.
-    pub reserve: f64,
-    /// Part of its memory by which an endpoint may be forecast too full for the first rank.
-    pub first_rank_excess: f64,
+    /// Part of its memory by which an endpoint may be forecast too full for a small request,
+    /// which does little harm if the forecast comes true.
+    pub small_excess: f64,
 }
 
 impl Default for ForecastPolicy {
     fn default() -> ForecastPolicy {
-        ForecastPolicy {
-            margin: 2.5,
-            prefix_value: 2.0,
-            load_value: 0.3,
-            reserve: 0.0,
-            first_rank_excess: 0.25,
-        }
+        ForecastPolicy { margin: 2.5, prefix_value: 2.0, load_value: 0.3, small_excess: 0.25 }
     }
 }
 
 impl ForecastPolicy {
-    /// Part of the memory that a request of this rank may fill.
-    fn limit(&self, rank: u64) -> f64 {
-        const MOST_RANKS: u64 = 4;
-        match rank {
-            0 | 1 => 1.0 + self.first_rank_excess,
-            rank => 1.0 - self.reserve * (rank - 1).min(MOST_RANKS) as f64,
-        }
+    /// Part of the memory that a request may fill.
+    fn limit(&self, c: &Candidate<'_>) -> f64 {
+        let most = c.share.mean.iter().copied().fold(c.share.used, f64::max);
+        let small = most <= SMALL * c.endpoint.spec.kv_tokens as f64;
+        if small { 1.0 + self.small_excess } else { 1.0 }
     }
 
     /// The fullest that the endpoint is forecast to be, in parts of its memory.
@@ -153,9 +147,8 @@
         candidates: &[Candidate<'_>],
         now: Instant,
     ) -> Option<usize> {
-        let limit = self.limit(req.rank);
         let fits = |c: &Candidate<'_>| {
-            let memory = c.endpoint.spec.kv_tokens == 0 || self.fullness(c) <= limit;
+            let memory = c.endpoint.spec.kv_tokens == 0 || self.fullness(c) <= self.limit(c);
             // An empty endpoint takes even what the forecast finds too large.
             has_slot(c) && (memory || c.endpoint.running == 0)
         };
--- a/crates/core/src/placement/queue.rs
+++ b/crates/core/src/placement/queue.rs
@@ -6,7 +6,7 @@
     time::Duration,
 };
 
-use super::{Request, Ticket};
+use super::{RANKS_PER_TIER, Request, Ticket};
 use crate::units::Instant;
 
 /// A waiting request.
@@ -138,11 +138,12 @@
         self.tiers.entry(req.rank).or_default().push(Waiting { req, arrived });
     }
 
-    /// The first request of each tier, the next to serve first. A tier's head gains one rank
-    /// for each `ageing` that it has waited, so that no tier starves.
+    /// The first request of each rank, the next to serve first. A head gains a whole tier for
+    /// each `ageing` that it has waited, so that no rank starves.
     pub(crate) fn heads(&self, now: Instant, ageing: Duration) -> Vec<&Waiting> {
         let aged = |w: &Waiting| {
-            w.req.rank as f64 - now.since(w.arrived).as_secs_f64() / ageing.as_secs_f64()
+            let tiers = now.since(w.arrived).as_secs_f64() / ageing.as_secs_f64();
+            w.req.rank as f64 - tiers * RANKS_PER_TIER as f64
         };
         let mut heads: Vec<&Waiting> = self.tiers.values().filter_map(Tier::head).collect();
         heads.sort_by(|a, b| aged(a).total_cmp(&aged(b)));
--- a/crates/core/src/placement/scheduler.rs
+++ b/crates/core/src/placement/scheduler.rs
@@ -32,7 +32,7 @@
 pub struct SchedulerLimits {
     /// Most requests waiting for one target.
     pub max_waiting: usize,
-    /// Time after which a waiting request gains one tier rank.
+    /// Time after which a waiting request has gained a whole tier.
     pub ageing: Duration,
 }
 
@@ -390,8 +390,8 @@
         Some(Action::Start { ticket, endpoint, priority: rank })
     }
 
-    /// The next request that can be placed. While the head of a tier waits for room, only
-    /// better tiers may go before it.
+    /// The next request that can be placed. While the head of a rank waits for room, only
+    /// better ranks may go before it.
     fn choose_next(&mut self, target: &EndpointTarget, now: Instant) -> Option<Chosen> {
         let state = self.targets.get(target)?;
         let mut blocked = u64::MAX;
--- a/crates/lab/src/experiment/sim.rs
+++ b/crates/lab/src/experiment/sim.rs
@@ -9,7 +9,7 @@
 use trayswitch_core::{
     config::{Config, EndpointTarget, key_digest},
     placement::{
-        Action, LoadReport, Policy, PrefixHash, Request, Scheduler, SchedulerLimits, Ticket,
+        Action, LoadReport, Policy, PrefixHash, Request, Scheduler, SchedulerLimits, Ticket, rank,
     },
     units::Instant,
 };
@@ -178,7 +178,7 @@
         let req = Request {
             ticket: ticket(i),
             workspace: format!("w{}", arrival.workspace).into(),
-            rank: kind.rank,
+            rank: rank(kind.rank, kind.weight as u64),
             share: 1,
             max_running: 1_000_000,
             max_waiting: 1_000_000,
--- a/crates/trayswitchd/src/callers/chat.rs
+++ b/crates/trayswitchd/src/callers/chat.rs
@@ -109,7 +109,7 @@
     Ok(placement::Request {
         ticket: Ticket { entry: 0, number: 0 },
         workspace: workspace.into(),
-        rank: config.tiers[&spec.tier].rank,
+        rank: placement::rank(config.tiers[&spec.tier].rank, kind_spec.weight),
         share: spec.share,
         max_running: spec.max_running,
         max_waiting: spec.max_waiting,
