Tell the caller when a shown generation is lost

Cause: the sink took its stream out to see whether anything was sent, and did not put an open one back, so the error event went nowhere and the caller saw a broken connection. Test first: 10 of 10 streams connection_lost; after: 10 of 10 cut_off with code generation_lost and a time to come back.

--- a/crates/trayswitchd/src/callers/sink.rs
+++ b/crates/trayswitchd/src/callers/sink.rs
@@ -98,9 +98,10 @@
     }
 
     fn fail(mut self: Box<Self>, error: &RequestError, delivered: u64) {
-        if let Stream::Waiting(req) = std::mem::replace(&mut self.stream, Stream::Broken) {
-            return answer::error(req, error);
-        }
+        self.stream = match std::mem::replace(&mut self.stream, Stream::Broken) {
+            Stream::Waiting(req) => return answer::error(req, error),
+            open => open,
+        };
         let mut body = answer::error_body(error);
         body["error"]["delivered_tokens"] = json!(delivered);
         answer::sent(self.send(None, Some("error"), &body.to_string()));
--- a/crates/trayswitchd/tests/faults.rs
+++ b/crates/trayswitchd/tests/faults.rs
@@ -116,3 +116,27 @@
     expect_that!(violations(&report).len(), eq(0), "{report}");
     expect_that!(answered(&report, "chats"), eq(40), "{report}");
 }
+
+#[gtest]
+fn a_generation_that_is_gone_ends_in_an_explicit_error_after_its_tokens() {
+    let site = Site::start(Size {
+        daemons: 1,
+        replicas: 1,
+        engines: 1,
+        step_us: 20_000,
+        ..Size::default()
+    });
+    let load =
+        site.start_load(&[1], &["--streams", "10", "--concurrency", "10", "--length", "400"]);
+    site.wait("all streams have tokens", |site| {
+        site.status(1).is_some_and(|s| s["classes"][0]["first_token_ms"]["count"] == 10)
+    });
+    site.fault("engine-1", "{\"fault\":\"forget\"}");
+
+    let report = report(load);
+
+    expect_that!(report["chats"], eq(&json!({ "cut_off": 10 })), "{report}");
+    expect_that!(report["codes"], eq(&json!({ "generation_lost": 10 })), "{report}");
+    expect_that!(report["retry_after"], eq(&json!(10)), "{report}");
+    expect_that!(violations(&report).len(), eq(0), "{report}");
+}
