--- a/scripts/bench-slopes.sh
+++ b/scripts/bench-slopes.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Slopes for docs/CAPACITY.md: what the leader and an entry spend by number of daemons, and
-# what a daemon holds by number of workspaces. Usage: bench-slopes.sh daemons|workspaces|requests
+# what a daemon holds by number of workspaces. Usage: bench-slopes.sh daemons|workspaces|requests|claims
 set -euo pipefail
 cd "$(dirname "$0")/.."
 source scripts/site.sh
@@ -56,6 +56,22 @@
       restart_site
     done
     ;;
+  claims)
+    site_start 7 3 1 2 0 --delay-ms 0 2> /dev/null
+    total=0
+    for n in 5000 5000 10000 20000; do
+      "$bin/trayswitch-lab" load --callers "$host.4:8080,$host.5:8080,$host.6:8080,$host.7:8080" \
+        --key "$caller_key" --call booking-desk/confirm --calls $n --concurrency 64 --seed $((n + total)) > /dev/null || true
+      total=$((total + n))
+      echo "claims $total: replica $(rss_mb "$pid_1") MB, folder $(du -sm "$site_dir/data-1" | cut -f1) MB"
+    done
+    kill -9 "$pid_1"
+    wait "$pid_1" 2> /dev/null || true
+    site_daemon 1
+    began=$(date +%s%N)
+    until cli 1 status 2> /dev/null | grep -q "current yes"; do sleep 0.02; done
+    echo "restart with $total claims: ready after $((($(date +%s%N) - began) / 1000000)) ms"
+    ;;
   requests)
     site_start 7 3 4 2 0 --delay-ms 0 --step-us 2000 --stream-us 0 --prefill-us 0 2> /dev/null
     sleep 2
