--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -84,7 +84,9 @@
     Command::new("fault")
         .about("Switch a fault on in an emulated endpoint")
         .arg(text("endpoint", "Address of the emulated endpoint", None))
-        .arg(Arg::new("fault").required(true).help("JSON, for example {\"fault\":\"leave\"}"))
+        .arg(Arg::new("fault").required(true).help(
+            "JSON, for example {\"fault\":\"leave\"}; `turned-away` prints what came after that",
+        ))
 }
 
 fn text(name: &'static str, help: &'static str, default: Option<&'static str>) -> Arg {
--- a/crates/lab/src/emulate/engine.rs
+++ b/crates/lab/src/emulate/engine.rs
@@ -279,8 +279,11 @@
         match (req.method().clone(), url.as_str()) {
             (Method::Get, "/v1/load") => answer(respond_json(req, 200, &[], &inner.load())),
             (Method::Post, "/v1/chat/completions") => {
-                if inner.faults.leaving() || inner.faults.take_refusal() {
-                    return refuse(req, inner.faults.leaving());
+                if inner.faults.turn_away() {
+                    return refuse(req, true);
+                }
+                if inner.faults.take_refusal() {
+                    return refuse(req, false);
                 }
                 let request_id = header(&req, "X-Request-Id").unwrap_or_default().to_owned();
                 let Some((req, chat)) = read_json::<ChatRequest>(req) else { return };
--- a/crates/lab/src/emulate/faults.rs
+++ b/crates/lab/src/emulate/faults.rs
@@ -49,10 +49,20 @@
     cuts: u64,
     drops: u64,
     refusals: u64,
-    leaving: bool,
+    left_at: Option<Instant>,
+    turned_away: TurnedAway,
     forget: bool,
 }
 
+/// New work that came to an endpoint after it began to leave.
+#[derive(Debug, Clone, Copy, Default, Serialize)]
+pub(crate) struct TurnedAway {
+    /// Number of requests.
+    count: u64,
+    /// When the last came, in milliseconds after the endpoint began to leave.
+    last_ms: u64,
+}
+
 /// The faults in force.
 #[derive(Debug, Default)]
 pub(crate) struct Faults {
@@ -71,8 +81,11 @@
             Fault::DropAnswer { count } => state.drops = count,
             Fault::Refuse { count } => state.refusals = count,
             Fault::Forget => state.forget = true,
-            Fault::Leave => state.leaving = true,
-            Fault::Return => state.leaving = false,
+            Fault::Leave => {
+                state.left_at = Some(Instant::now());
+                state.turned_away = TurnedAway::default();
+            }
+            Fault::Return => state.left_at = None,
             Fault::Die => process::exit(9),
         }
     }
@@ -90,7 +103,21 @@
 
     /// Whether the endpoint is leaving.
     pub(crate) fn leaving(&self) -> bool {
-        self.state().leaving
+        self.state().left_at.is_some()
+    }
+
+    /// Whether the endpoint is leaving and a new request is to be turned away; notes it.
+    pub(crate) fn turn_away(&self) -> bool {
+        let mut state = self.state();
+        let Some(left_at) = state.left_at else { return false };
+        state.turned_away.count += 1;
+        state.turned_away.last_ms = left_at.elapsed().as_millis() as u64;
+        true
+    }
+
+    /// New work that came since the endpoint began to leave.
+    pub(crate) fn turned_away(&self) -> TurnedAway {
+        self.state().turned_away
     }
 
     /// Whether this connection is to be cut; counts it.
--- a/crates/lab/src/emulate/mod.rs
+++ b/crates/lab/src/emulate/mod.rs
@@ -40,6 +40,9 @@
         let endpoint = endpoint.clone();
         thread::spawn(move || match req.url() {
             "/emulator/faults" => set_fault(req, &*endpoint),
+            "/emulator/turned-away" => {
+                answer(respond_json(req, 200, &[], &endpoint.faults().turned_away()));
+            }
             "/emulator/journal" => answer(respond_json(req, 200, &[], &endpoint.journal().runs())),
             _ => endpoint.serve(req),
         });
--- a/crates/lab/src/emulate/service.rs
+++ b/crates/lab/src/emulate/service.rs
@@ -31,9 +31,11 @@
             let load = json!({ "running": 0, "waiting": 0, "kv_used": 0, "leaving": self.faults.leaving() });
             return answer(respond_json(req, 200, &[], &load));
         }
-        if self.faults.leaving() || self.faults.take_refusal() {
-            let leaving = self.faults.leaving();
-            return refuse(req, leaving);
+        if self.faults.turn_away() {
+            return refuse(req, true);
+        }
+        if self.faults.take_refusal() {
+            return refuse(req, false);
         }
         let Ok(body) = read_body(&mut req, MAX_BODY) else { return };
         let body = String::from_utf8_lossy(&body).into_owned();
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -66,6 +66,11 @@
             }
             Ok(())
         }
+        Options::Fault { endpoint, fault } if fault == "turned-away" => {
+            let url = format!("http://{endpoint}/emulator/turned-away");
+            println!("{}", ureq::get(&url).call()?.into_string()?);
+            Ok(())
+        }
         Options::Fault { endpoint, fault } => {
             let url = format!("http://{endpoint}/emulator/faults");
             match ureq::post(&url).send_string(&fault) {
