--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -62,6 +62,12 @@
         .arg(text("model", "Model", Some("")))
         .arg(text("call", "Call that may not be repeated, as SERVICE/CALL", Some("")))
         .arg(text("emulators", "Emulated endpoints whose journals are compared", Some("")))
+        .arg(
+            Arg::new("balance")
+                .long("balance")
+                .action(clap::ArgAction::SetTrue)
+                .help("Send only to daemons that say that they are ready, as a balancer does"),
+        )
         .arg(number("streams", "Number of generations", "0"))
         .arg(number("length", "Tokens of each generation; 0 lets the endpoint draw it", "0"))
         .arg(number("prompt", "Characters of each prompt", "200"))
--- a/crates/lab/src/load/call.rs
+++ b/crates/lab/src/load/call.rs
@@ -65,7 +65,7 @@
     key: &str,
     body: &str,
 ) -> CallEnd {
-    let address = daemon(options, number, attempt);
+    let address = daemon(agent, options, number, attempt);
     let call = options.call.as_deref().unwrap_or_default();
     let result = agent
         .post(&format!("http://{address}/v1/services/{call}"))
--- a/crates/lab/src/load/chat.rs
+++ b/crates/lab/src/load/chat.rs
@@ -51,7 +51,7 @@
         body["emulated_length"] = json!(length);
     }
     let mut seen = ChatSeen { number, ..ChatSeen::default() };
-    follow(agent, daemon(options, number, 0), &options.key, &body, &mut seen, &mut |_| {});
+    follow(agent, daemon(agent, options, number, 0), &options.key, &body, &mut seen, &mut |_| {});
     seen
 }
 
--- a/crates/lab/src/load/mod.rs
+++ b/crates/lab/src/load/mod.rs
@@ -47,6 +47,8 @@
     pub(crate) calls: u64,
     /// Requests at once.
     pub(crate) concurrency: u64,
+    /// Whether to send only to daemons that say that they are ready.
+    pub(crate) balance: bool,
     /// Emulated endpoints whose journals are compared.
     pub(crate) emulators: Vec<SocketAddr>,
     /// Seed of what is random.
@@ -109,8 +111,21 @@
         .build()
 }
 
-/// The daemon for a request, or for a later attempt at it.
-fn daemon(options: &LoadOptions, number: u64, attempt: u64) -> SocketAddr {
-    let at = (number + attempt) as usize % options.callers.len();
-    options.callers[at]
+/// The daemon for a request, or for a later attempt at it. With `balance`, the next one that
+/// says that it is ready, as a balancer would choose.
+fn daemon(agent: &Agent, options: &LoadOptions, number: u64, attempt: u64) -> SocketAddr {
+    const TRIES: usize = 1_000;
+    const PAUSE: Duration = Duration::from_millis(20);
+    let first = (number + attempt) as usize;
+    let at = |i: usize| options.callers[i % options.callers.len()];
+    if !options.balance {
+        return at(first);
+    }
+    for i in first..first + TRIES {
+        if agent.get(&format!("http://{}/ready", at(i))).call().is_ok() {
+            return at(i);
+        }
+        thread::sleep(PAUSE);
+    }
+    at(first)
 }
--- a/crates/lab/src/options.rs
+++ b/crates/lab/src/options.rs
@@ -140,6 +140,7 @@
         call,
         calls: number(m, "calls"),
         concurrency: number(m, "concurrency").max(1),
+        balance: m.get_flag("balance"),
         emulators: addresses(&text(m, "emulators"))?,
         seed: number(m, "seed"),
     };
--- a/crates/trayswitchd/tests/faults.rs
+++ b/crates/trayswitchd/tests/faults.rs
@@ -140,3 +140,36 @@
     expect_that!(report["retry_after"], eq(&json!(10)), "{report}");
     expect_that!(violations(&report).len(), eq(0), "{report}");
 }
+
+#[gtest]
+fn stopping_and_starting_every_daemon_in_turn_cuts_off_nothing() {
+    let mut site = Site::start(Size { daemons: 4, step_us: 4_000, ..Size::default() });
+    let load = site.start_load(
+        &[1, 2, 3, 4],
+        &[
+            "--balance",
+            "--streams",
+            "700",
+            "--calls",
+            "700",
+            "--concurrency",
+            "30",
+            "--length",
+            "60",
+        ],
+    );
+    wait_for_load(&site);
+    for i in 1..=4 {
+        let name = format!("vm-{i}");
+        site.signal(&name, "TERM");
+        expect_that!(site.wait_for_end(&name), eq(true), "{name}");
+        site.start_daemon(i);
+        site.wait("it is ready again", |site| site.ready(i));
+    }
+
+    let report = report(load);
+
+    expect_that!(violations(&report).len(), eq(0), "{report}");
+    expect_that!(answered(&report, "chats"), eq(700), "{report}");
+    expect_that!(answered(&report, "calls"), eq(700), "{report}");
+}
