--- a/crates/core/src/agreement/mod.rs
+++ b/crates/core/src/agreement/mod.rs
@@ -60,6 +60,21 @@
     pub fn is_empty(&self) -> bool {
         self.snapshot.is_none() && self.hard_state.is_none() && self.entries.is_empty()
     }
+
+    /// Adds later writes behind these.
+    pub fn extend(&mut self, later: Persist) {
+        if later.snapshot.is_some() {
+            *self = later;
+            return;
+        }
+        if later.hard_state.is_some() {
+            self.hard_state = later.hard_state;
+        }
+        if let Some(first) = later.entries.first() {
+            self.entries.retain(|entry| entry.index < first.index);
+        }
+        self.entries.extend(later.entries);
+    }
 }
 
 /// A message and the replica that it goes to.
--- /dev/null
+++ b/crates/core/src/agreement/replica/election.rs
@@ -0,0 +1,150 @@
+//! Elections: who may lead, and who votes for whom.
+
+use std::{collections::BTreeSet, time::Duration};
+
+use super::{
+    super::message::{
+        AppendReply, Entry, HardState, Noop, Payload, PreVote, PreVoteReply, ReplicaId, Vote,
+        VoteReply, append_reply::Outcome, message_body::Body,
+    },
+    Leadership, Replica, State,
+};
+use crate::units::Instant;
+
+impl Replica {
+    pub(super) fn hears_leader(&self, now: Instant) -> bool {
+        match self.state {
+            State::Leader(_) => true,
+            _ => now.since(self.heard_leader) < self.timing.election,
+        }
+    }
+
+    pub(super) fn pre_campaign(&mut self, now: Instant) {
+        self.leader = None;
+        let vote = PreVote { last_index: self.log.last_index(), last_term: self.log.last_term() };
+        let term = self.hard_state.term + 1;
+        self.state = State::PreCandidate(BTreeSet::from([self.id]));
+        for voter in self.other_voters() {
+            self.send_in_term(voter, term, Body::PreVote(vote));
+        }
+        self.count_votes(now);
+    }
+
+    pub(super) fn campaign(&mut self, hand_over: bool, now: Instant) {
+        let term = self.hard_state.term + 1;
+        self.leader = None;
+        self.set_hard_state(HardState { term, voted_for: Some(self.id) });
+        self.state = State::Candidate(BTreeSet::new());
+        self.reset_election(now);
+        let vote =
+            Vote { last_index: self.log.last_index(), last_term: self.log.last_term(), hand_over };
+        for voter in self.other_voters() {
+            self.send_after_persist(voter, Body::Vote(vote));
+        }
+    }
+
+    pub(super) fn on_pre_vote(&mut self, from: ReplicaId, term: u64, vote: PreVote, now: Instant) {
+        let granted = self.hard_state.term < term
+            && !self.hears_leader(now)
+            && self.log.is_covered_by(vote.last_term, vote.last_index);
+        let reply = PreVoteReply { asked_term: term, granted };
+        self.send(from, Body::PreVoteReply(reply));
+    }
+
+    pub(super) fn on_pre_vote_reply(&mut self, from: ReplicaId, reply: PreVoteReply, now: Instant) {
+        let asked = self.hard_state.term + 1;
+        if let State::PreCandidate(votes) = &mut self.state
+            && reply.granted
+            && reply.asked_term == asked
+        {
+            votes.insert(from);
+            self.count_votes(now);
+        }
+    }
+
+    pub(super) fn on_vote(&mut self, from: ReplicaId, vote: Vote, now: Instant) {
+        let free = self.hard_state.voted_for.is_none_or(|voted| voted == from);
+        let follows = matches!(self.state, State::Follower);
+        let covered = self.log.is_covered_by(vote.last_term, vote.last_index);
+        let granted = free && follows && self.leader.is_none() && covered;
+        if granted {
+            self.set_hard_state(HardState { voted_for: Some(from), ..self.hard_state });
+            self.reset_election(now);
+        }
+        self.send_after_persist(from, Body::VoteReply(VoteReply { granted }));
+    }
+
+    pub(super) fn on_vote_reply(&mut self, from: ReplicaId, reply: VoteReply, now: Instant) {
+        if let State::Candidate(votes) = &mut self.state
+            && reply.granted
+        {
+            votes.insert(from);
+            self.count_votes(now);
+        }
+    }
+
+    pub(super) fn count_votes(&mut self, now: Instant) {
+        let (votes, pre) = match &self.state {
+            State::PreCandidate(votes) => (votes, true),
+            State::Candidate(votes) => (votes, false),
+            State::Follower | State::Leader(_) => return,
+        };
+        let membership = self.log.membership();
+        let count = membership.voters().filter(|id| votes.contains(id)).count();
+        if count < membership.quorum() {
+            return;
+        }
+        if pre { self.campaign(false, now) } else { self.lead(now) }
+    }
+
+    pub(super) fn lead(&mut self, now: Instant) {
+        self.leader = Some(self.id);
+        let index = self.log.last_index() + 1;
+        self.state = State::Leader(Leadership {
+            opened_at: index,
+            next_heartbeat: now.after(self.timing.heartbeat),
+            ..Leadership::default()
+        });
+        let term = self.hard_state.term;
+        let at_ms = self.log.last_at_ms();
+        self.append(Entry { term, index, at_ms, payload: Some(Payload::Noop(Noop {})) });
+        self.refresh_peers(now);
+        self.start_round(now);
+    }
+
+    pub(super) fn become_follower(&mut self, term: u64, leader: Option<ReplicaId>, now: Instant) {
+        if self.hard_state.term < term {
+            self.set_hard_state(HardState { term, voted_for: None });
+            self.leader = None;
+        }
+        if let State::Leader(leadership) = &mut self.state {
+            let reads = std::mem::take(&mut leadership.reads);
+            self.ready.failed_reads.extend(reads.iter().map(|read| read.token));
+            self.leader = None;
+        }
+        if leader.is_some() {
+            self.leader = leader;
+        }
+        self.state = State::Follower;
+        self.reset_election(now);
+    }
+
+    pub(super) fn reset_election(&mut self, now: Instant) {
+        // splitmix64
+        self.rng = self.rng.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let mut z = self.rng;
+        z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        let election = self.timing.election.as_micros() as u64;
+        let spread = (z ^ (z >> 31)) % election.max(1);
+        self.election_due = now.after(Duration::from_micros(election + spread));
+    }
+
+    /// A sender of an old term learns of the newer one, so that it steps down.
+    pub(super) fn answer_old_term(&mut self, from: ReplicaId, body: &Body) {
+        if matches!(body, Body::Append(_) | Body::Snapshot(_)) {
+            let outcome = Some(Outcome::Rejected(self.log.last_index()));
+            self.send_after_persist(from, Body::AppendReply(AppendReply { round: 0, outcome }));
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/agreement/replica/mod.rs
@@ -0,0 +1,415 @@
+//! One replica of the log: its state, and what it takes and hands out.
+
+mod election;
+mod follower;
+mod leader;
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+use super::{
+    Outgoing, Ready, Restored, Synced, Timing,
+    log::Log,
+    message::{
+        Entry, HardState, Membership, Message, Payload, ReplicaId, Snapshot, TimeoutNow,
+        message_body::Body,
+    },
+    progress::Progress,
+};
+use crate::units::{Instant, UnixMillis};
+
+/// What a replica is at the moment.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Role {
+    /// It follows, or looks for, a leader.
+    Follower,
+    /// It asks whether it could win an election.
+    PreCandidate,
+    /// It asks for votes.
+    Candidate,
+    /// It leads.
+    Leader,
+}
+
+/// Why a proposal was not taken.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ProposeError {
+    /// Another replica leads, if known.
+    NotLeader(Option<ReplicaId>),
+    /// Leadership is being handed over.
+    HandingOver,
+    /// An earlier membership change is not yet committed, or this changes more than one voter.
+    MembershipBusy,
+}
+
+#[derive(Debug)]
+struct PendingRead {
+    token: u64,
+    round: u64,
+    index: u64,
+}
+
+#[derive(Debug)]
+struct HandOver {
+    to: ReplicaId,
+    until: Instant,
+}
+
+#[derive(Debug, Default)]
+struct Leadership {
+    peers: BTreeMap<ReplicaId, Progress>,
+    /// Last index that this replica itself has synced.
+    synced: u64,
+    /// Index of the entry that opened the term.
+    opened_at: u64,
+    round: u64,
+    reads: Vec<PendingRead>,
+    hand_over: Option<HandOver>,
+    next_heartbeat: Instant,
+}
+
+#[derive(Debug)]
+enum State {
+    Follower,
+    PreCandidate(BTreeSet<ReplicaId>),
+    Candidate(BTreeSet<ReplicaId>),
+    Leader(Leadership),
+}
+
+/// One replica.
+#[derive(Debug)]
+pub struct Replica {
+    id: ReplicaId,
+    timing: Timing,
+    hard_state: HardState,
+    log: Log,
+    snapshot: Option<Snapshot>,
+    commit: u64,
+    /// Last index handed out in [`Ready::committed`].
+    handed_out: u64,
+    leader: Option<ReplicaId>,
+    /// When a leader was last heard; votes are refused for some time after.
+    heard_leader: Instant,
+    election_due: Instant,
+    state: State,
+    rng: u64,
+    ready: Ready,
+}
+
+impl Replica {
+    /// A replica that starts from what its disk holds. `seed` spreads election times.
+    pub fn new(
+        id: ReplicaId,
+        timing: Timing,
+        seed: u64,
+        restored: Restored,
+        now: Instant,
+    ) -> Replica {
+        let base = restored.snapshot.as_ref().map_or(0, |s| s.index);
+        let mut replica = Replica {
+            id,
+            timing,
+            hard_state: restored.hard_state,
+            log: Log::restore(restored.snapshot.as_ref(), restored.entries),
+            commit: base,
+            handed_out: base,
+            leader: None,
+            // It may have heard a leader just before it stopped.
+            heard_leader: now,
+            election_due: now,
+            state: State::Follower,
+            rng: seed ^ id,
+            ready: Ready::default(),
+            snapshot: None,
+        };
+        replica.ready.install = restored.snapshot.clone();
+        replica.snapshot = restored.snapshot;
+        replica.reset_election(now);
+        replica
+    }
+
+    /// Writes the first entry of a new group, on one replica only.
+    pub fn bootstrap(&mut self, membership: Membership, wall: UnixMillis) {
+        assert!(self.is_empty(), "only an empty replica can found a group");
+        self.set_hard_state(HardState { term: 1, voted_for: None });
+        let payload = Some(Payload::Members(membership));
+        self.append(Entry { term: 1, index: 1, at_ms: wall.0, payload });
+        self.election_due = Instant::default();
+    }
+
+    /// Whether it has neither log nor snapshot.
+    pub fn is_empty(&self) -> bool {
+        self.log.last_index() == 0
+    }
+
+    /// Its id.
+    pub fn id(&self) -> ReplicaId {
+        self.id
+    }
+
+    /// Its role.
+    pub fn role(&self) -> Role {
+        match self.state {
+            State::Follower => Role::Follower,
+            State::PreCandidate(_) => Role::PreCandidate,
+            State::Candidate(_) => Role::Candidate,
+            State::Leader(_) => Role::Leader,
+        }
+    }
+
+    /// Its term.
+    pub fn term(&self) -> u64 {
+        self.hard_state.term
+    }
+
+    /// The leader that it follows, itself included.
+    pub fn leader(&self) -> Option<ReplicaId> {
+        self.leader
+    }
+
+    /// Index up to which entries are committed.
+    pub fn commit(&self) -> u64 {
+        self.commit
+    }
+
+    /// Its log.
+    pub fn log(&self) -> &Log {
+        &self.log
+    }
+
+    /// The latest membership, committed or not.
+    pub fn membership(&self) -> &Membership {
+        self.log.membership()
+    }
+
+    /// Whether the latest membership is committed.
+    pub fn membership_settled(&self) -> bool {
+        self.log.membership_index() <= self.commit
+    }
+
+    /// For a leader: whether a replica has synced all but the last `slack` entries.
+    pub fn is_caught_up(&self, id: ReplicaId, slack: u64) -> bool {
+        let State::Leader(leadership) = &self.state else { return false };
+        let matched = leadership.peers.get(&id).map_or(0, |p| p.matched);
+        self.log.last_index() <= matched + slack
+    }
+
+    /// For a leader: whether a replica answered within this time.
+    pub fn heard_within(&self, id: ReplicaId, time: Duration, now: Instant) -> bool {
+        let State::Leader(leadership) = &self.state else { return false };
+        id == self.id || leadership.peers.get(&id).is_some_and(|p| now.since(p.heard) < time)
+    }
+
+    /// Whether it leads and has committed an entry of its own term.
+    pub fn is_established(&self) -> bool {
+        matches!(&self.state, State::Leader(l) if l.opened_at <= self.commit)
+    }
+
+    /// The next time at which [`Replica::tick`] has something to do.
+    pub fn next_tick(&self) -> Instant {
+        match &self.state {
+            State::Leader(leadership) => leadership.next_heartbeat,
+            _ => self.election_due,
+        }
+    }
+
+    /// Lets time pass.
+    pub fn tick(&mut self, now: Instant) {
+        if matches!(self.state, State::Leader(_)) {
+            self.tick_leader(now);
+        } else if self.election_due <= now {
+            self.reset_election(now);
+            if self.membership().is_voter(self.id) {
+                self.pre_campaign(now);
+            }
+        }
+    }
+
+    /// Appends a payload to the log; it counts once it is in [`Ready::committed`].
+    pub fn propose(
+        &mut self,
+        payload: Payload,
+        wall: UnixMillis,
+        now: Instant,
+    ) -> Result<u64, ProposeError> {
+        let State::Leader(leadership) = &self.state else {
+            return Err(ProposeError::NotLeader(self.leader));
+        };
+        if leadership.hand_over.is_some() {
+            return Err(ProposeError::HandingOver);
+        }
+        if let Payload::Members(membership) = &payload {
+            let settled = self.membership_settled() && self.is_established();
+            if !settled || 1 < self.membership().voters_changed(membership) {
+                return Err(ProposeError::MembershipBusy);
+            }
+        }
+        let index = self.log.last_index() + 1;
+        let at_ms = wall.0.max(self.log.last_at_ms());
+        let term = self.hard_state.term;
+        self.append(Entry { term, index, at_ms, payload: Some(payload) });
+        self.refresh_peers(now);
+        self.send_to_all(now);
+        Ok(index)
+    }
+
+    /// Asks for a confirmation that this replica leads now. The token comes back
+    /// in [`Ready::reads`] or [`Ready::failed_reads`].
+    pub fn read(&mut self, token: u64, now: Instant) {
+        if !self.is_established() {
+            self.ready.failed_reads.push(token);
+            return;
+        }
+        let index = self.commit;
+        let State::Leader(leadership) = &mut self.state else { return };
+        let in_flight = !leadership.reads.is_empty();
+        // A round already on its way started before this read and proves nothing for it.
+        let round = leadership.round + 1;
+        leadership.reads.push(PendingRead { token, round, index });
+        if !in_flight {
+            self.start_round(now);
+        }
+        self.confirm_reads(now);
+    }
+
+    /// Hands leadership to another voter; the current one steps down when that one starts
+    /// its election. Given up after an election time.
+    pub fn hand_over(&mut self, now: Instant) {
+        let membership = self.membership().clone();
+        let until = now.after(self.timing.election * 2);
+        let State::Leader(leadership) = &mut self.state else { return };
+        let voters = membership.voters().filter(|id| *id != self.id);
+        let best = voters.max_by_key(|id| leadership.peers.get(id).map_or(0, |p| p.matched));
+        let Some(to) = best else { return };
+        leadership.hand_over = Some(HandOver { to, until });
+        self.advance_hand_over();
+    }
+
+    /// Notes that the writes of a [`Ready`] and of all before it are synced.
+    pub fn persisted(&mut self, synced: Synced, now: Instant) {
+        let term = self.hard_state.term;
+        if let State::Candidate(votes) = &mut self.state
+            && synced.term == term
+        {
+            // Its own vote counts only now: a crash must not give it away twice.
+            votes.insert(self.id);
+            return self.count_votes(now);
+        }
+        if self.log.term_at(synced.last_index) != Some(synced.last_term) {
+            return;
+        }
+        if let State::Leader(leadership) = &mut self.state {
+            leadership.synced = leadership.synced.max(synced.last_index);
+            self.advance_commit(now);
+        }
+    }
+
+    /// Forgets the log up to an applied index that this snapshot covers, and hands the
+    /// snapshot out to be written.
+    pub fn compact(&mut self, index: u64, data: bytes::Bytes) {
+        let Some(term) = self.log.term_at(index) else { return };
+        if self.handed_out < index || index <= self.log.base_index() {
+            return;
+        }
+        let at_ms = self.log.get(index).map_or(0, |entry| entry.at_ms);
+        let membership = self.log.membership_at(index).clone();
+        self.log.compact(index);
+        let snapshot = Snapshot { index, term, at_ms, membership, data };
+        self.snapshot = Some(snapshot.clone());
+        self.ready.persist.snapshot = Some(snapshot);
+        // The writer replaces its whole log, so the entries after the snapshot follow again.
+        self.ready.persist.entries = self.log.from(index + 1, usize::MAX);
+        self.ready.persist.hard_state = Some(self.hard_state);
+    }
+
+    /// Takes a message. One that is meant for another incarnation is ignored.
+    pub fn receive(&mut self, message: Message, now: Instant) {
+        let Message { from, to, term, body: Some(body) } = message else { return };
+        if to != self.id {
+            return;
+        }
+        if let Body::PreVote(vote) = body {
+            return self.on_pre_vote(from, term, vote, now);
+        }
+        if let Body::PreVoteReply(reply) = body
+            && term <= self.hard_state.term
+        {
+            // The voter has not moved to the term that was asked for.
+            return self.on_pre_vote_reply(from, reply, now);
+        }
+        if let Body::Vote(vote) = &body {
+            // A replica that hears its leader does not let an election disturb it.
+            if !vote.hand_over && self.hears_leader(now) && self.hard_state.term < term {
+                return;
+            }
+        }
+        if self.hard_state.term < term {
+            let leads = matches!(body, Body::Append(_) | Body::Snapshot(_));
+            self.become_follower(term, leads.then_some(from), now);
+        }
+        if term < self.hard_state.term {
+            return self.answer_old_term(from, &body);
+        }
+        match body {
+            Body::PreVote(_) | Body::PreVoteReply(_) => {}
+            Body::Vote(vote) => self.on_vote(from, vote, now),
+            Body::VoteReply(reply) => self.on_vote_reply(from, reply, now),
+            Body::Append(append) => self.on_append(from, append, now),
+            Body::AppendReply(reply) => self.on_append_reply(from, reply, now),
+            Body::Snapshot(snapshot) => self.on_snapshot(from, snapshot, now),
+            Body::TimeoutNow(TimeoutNow {}) => {
+                if self.membership().is_voter(self.id) {
+                    self.campaign(true, now);
+                }
+            }
+        }
+    }
+
+    /// Hands out the work that has come up.
+    pub fn take_ready(&mut self) -> Ready {
+        while self.handed_out < self.commit {
+            let Some(entry) = self.log.get(self.handed_out + 1) else { break };
+            self.ready.committed.push(entry.clone());
+            self.handed_out += 1;
+        }
+        self.ready.synced = Synced {
+            term: self.hard_state.term,
+            last_term: self.log.last_term(),
+            last_index: self.log.last_index(),
+        };
+        std::mem::take(&mut self.ready)
+    }
+
+    fn append(&mut self, entry: Entry) {
+        let entries = &mut self.ready.persist.entries;
+        // An entry replaced before it was handed out is not written at all.
+        entries.retain(|other| other.index < entry.index);
+        entries.push(entry.clone());
+        self.log.append(entry);
+    }
+
+    fn set_hard_state(&mut self, hard_state: HardState) {
+        self.hard_state = hard_state;
+        self.ready.persist.hard_state = Some(hard_state);
+    }
+
+    fn other_voters(&self) -> Vec<ReplicaId> {
+        self.membership().voters().filter(|id| *id != self.id).collect()
+    }
+
+    fn send(&mut self, to: ReplicaId, body: Body) {
+        self.send_in_term(to, self.hard_state.term, body);
+    }
+
+    fn send_in_term(&mut self, to: ReplicaId, term: u64, body: Body) {
+        let message = Message { from: self.id, to, term, body: Some(body) };
+        self.ready.messages.push(Outgoing { to, message });
+    }
+
+    fn send_after_persist(&mut self, to: ReplicaId, body: Body) {
+        let message = Message { from: self.id, to, term: self.hard_state.term, body: Some(body) };
+        self.ready.messages_after_persist.push(Outgoing { to, message });
+    }
+}
--- /dev/null
+++ b/crates/core/src/node/control/answers.rs
@@ -0,0 +1,167 @@
+//! Answers to daemons: polls, and operations on the replicated state.
+
+use bytes::Bytes;
+
+use super::{Asker, Control, Daemon, Proposed};
+use crate::{
+    agreement::ConfirmedRead,
+    config::ContentHash,
+    node::{Clocks, Outbox, VmName},
+    once::ClaimResult,
+    state::{Command, ConfigChange, ConfigResult, command},
+    units::Instant,
+    wire::{
+        AcceptedVersion, Body, ClaimReply, ClaimStatus, NotLeader, Operation, OperationKind,
+        OperationReply, OperationResult, Poll, PollReply, Submit,
+    },
+};
+
+impl Control {
+    pub(super) fn poll(&mut self, from: &VmName, poll: Poll, clocks: Clocks, out: &mut Outbox) {
+        if !self.leads() {
+            return self.not_leader(from, None, out);
+        }
+        let daemon = Daemon { version: poll.version, heard: clocks.now };
+        self.daemons.insert(from.clone(), daemon);
+        self.next_read += 1;
+        self.polls.insert(self.next_read, (from.clone(), poll));
+        self.replica.read(self.next_read, clocks.now);
+        self.pump(clocks, out);
+    }
+
+    pub(super) fn answer_poll(&mut self, read: ConfirmedRead, now: Instant, out: &mut Outbox) {
+        let Some((vm, poll)) = self.polls.remove(&read.token) else { return };
+        let version = self.state.version();
+        let update =
+            (poll.version < version).then(|| self.updates.since(poll.version, &self.state));
+        let reply = PollReply {
+            nonce: poll.nonce,
+            version,
+            hash: Bytes::copy_from_slice(&self.state.hash().0),
+            update,
+            term: self.replica.term(),
+            daemons: self.live_daemons(now).len() as u64,
+        };
+        out.send(&vm, Body::PollReply(reply));
+    }
+
+    pub(super) fn operation(
+        &mut self,
+        from: &VmName,
+        operation: Operation,
+        clocks: Clocks,
+        out: &mut Outbox,
+    ) {
+        let asker = Asker { vm: from.clone(), operation: operation.id };
+        if !self.leads() {
+            return self.not_leader(from, Some(operation.id), out);
+        }
+        let kind = match operation.kind {
+            Some(OperationKind::Submit(submit)) => {
+                self.submissions.push_back((asker, submit));
+                self.next_submission(clocks, out);
+                return self.pump(clocks, out);
+            }
+            Some(OperationKind::Claim(claim)) => command::Kind::Claim(claim),
+            Some(OperationKind::Settle(settle)) => command::Kind::Settle(settle),
+            None => return,
+        };
+        self.propose(asker, kind, None, clocks, out);
+        self.pump(clocks, out);
+    }
+
+    /// Proposes the next submitted file; only one is on its way at a time, since each is a
+    /// delta on the one before.
+    pub(super) fn next_submission(&mut self, clocks: Clocks, out: &mut Outbox) {
+        if self.proposed.values().any(|proposed| proposed.submit.is_some()) {
+            return;
+        }
+        while let Some((asker, submit)) = self.submissions.pop_front() {
+            match self.judge(&submit) {
+                Ok(command) => {
+                    let kind = command::Kind::Config(command);
+                    return self.propose(asker, kind, Some(submit), clocks, out);
+                }
+                Err(result) => reply(&asker, result, out),
+            }
+        }
+    }
+
+    /// The command for a submitted file, or the answer if none is needed.
+    pub(super) fn judge(&self, submit: &Submit) -> Result<ConfigChange, OperationResult> {
+        let command = &submit.command;
+        let hash = ContentHash::from_slice(&command.hash).unwrap_or_default();
+        match self.state.judge(command.version, hash) {
+            ConfigResult::Accepted if command.base == self.state.version() => Ok(command.clone()),
+            ConfigResult::Accepted => Err(OperationResult::Rebase(self.state.version())),
+            result => Err(self.config_result(submit, result)),
+        }
+    }
+
+    pub(super) fn config_result(&self, submit: &Submit, result: ConfigResult) -> OperationResult {
+        let Submit { file, command } = submit;
+        let version = command.version;
+        match result {
+            ConfigResult::Accepted | ConfigResult::Repeated => {
+                let repeated = result == ConfigResult::Repeated;
+                OperationResult::Accepted(AcceptedVersion {
+                    version,
+                    hash: command.hash.clone(),
+                    repeated,
+                    current: self.state.version(),
+                })
+            }
+            ConfigResult::OtherContent { winner } => OperationResult::RefusedFile(format!(
+                "{file}: [deployment] version: version {version} was already accepted with other \
+                 content (hash {winner}); fetch it with `trayswitch config show` and submit a \
+                 higher version"
+            )),
+            ConfigResult::TooLow { current } => OperationResult::RefusedFile(format!(
+                "{file}: [deployment] version: {version} is lower than the accepted version \
+                 {current}; submit a higher one"
+            )),
+            ConfigResult::Rebase => OperationResult::Rebase(self.state.version()),
+        }
+    }
+
+    pub(super) fn propose(
+        &mut self,
+        asker: Asker,
+        kind: command::Kind,
+        submit: Option<Submit>,
+        clocks: Clocks,
+        out: &mut Outbox,
+    ) {
+        let payload = Command::payload(kind);
+        match self.replica.propose(payload, clocks.wall, clocks.now) {
+            Ok(index) => {
+                let term = self.replica.term();
+                self.proposed.insert(index, Proposed { term, asker, submit });
+            }
+            Err(_) => self.not_leader(&asker.vm.clone(), Some(asker.operation), out),
+        }
+    }
+
+    pub(super) fn not_leader(&self, to: &VmName, operation: Option<u64>, out: &mut Outbox) {
+        let leader = self.replica.leader().filter(|id| *id != self.replica.id());
+        let leader = leader.and_then(|id| self.vm_of(id)).map(|vm| vm.to_string());
+        out.send(to, Body::NotLeader(NotLeader { leader, operation }));
+    }
+}
+
+pub(super) fn reply(asker: &Asker, result: OperationResult, out: &mut Outbox) {
+    let reply = OperationReply { id: asker.operation, result: Some(result) };
+    out.send(&asker.vm, Body::OperationReply(reply));
+}
+
+pub(super) fn claim_reply(result: ClaimResult) -> ClaimReply {
+    let (status, answer) = match result {
+        ClaimResult::Granted => (ClaimStatus::Granted, None),
+        ClaimResult::InProgress => (ClaimStatus::InProgress, None),
+        ClaimResult::Stored(answer) => (ClaimStatus::Stored, Some(answer)),
+        ClaimResult::Unknown => (ClaimStatus::Unknown, None),
+        ClaimResult::KeyReused => (ClaimStatus::KeyReused, None),
+        ClaimResult::KeyExpired => (ClaimStatus::KeyExpired, None),
+    };
+    ClaimReply { status: status.into(), answer }
+}
--- /dev/null
+++ b/crates/core/src/node/control/mod.rs
@@ -0,0 +1,246 @@
+//! A control replica: agreement, the replicated state, and the leader's answers to daemons.
+
+mod answers;
+mod ready;
+mod status;
+
+use std::{
+    collections::{BTreeMap, BTreeSet, VecDeque},
+    time::Duration,
+};
+
+use super::{
+    ByVm, Clocks, NodeOptions, Outbox, VmName,
+    dispatcher::Dispatcher,
+    members::{self, Peer},
+    updates::Updates,
+};
+use crate::{
+    agreement::{Outgoing, Payload, Persist, Replica, ReplicaId, Restored, Role, Synced},
+    config::Config,
+    placement::Scheduler,
+    state::State,
+    units::Instant,
+    wire::{Body, Poll, ReplicaInfo, Submit},
+};
+
+pub use self::status::{ControlStatus, DaemonStatus, ReplicaStatus};
+
+/// A daemon that has not polled for this long is not counted as live.
+const DAEMON_LIFE: Duration = Duration::from_secs(3);
+const HOUSEKEEPING: Duration = Duration::from_millis(250);
+
+#[derive(Debug, Clone)]
+struct Asker {
+    vm: VmName,
+    operation: u64,
+}
+
+#[derive(Debug)]
+struct Proposed {
+    term: u64,
+    asker: Asker,
+    /// Set for a configuration.
+    submit: Option<Submit>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Daemon {
+    version: u64,
+    heard: Instant,
+}
+
+/// Writes, and what waits for them.
+#[derive(Debug, Default)]
+struct Batch {
+    persist: Persist,
+    after: Vec<Outgoing>,
+    synced: Synced,
+}
+
+/// A control replica.
+pub(crate) struct Control {
+    vm: VmName,
+    listed: Vec<VmName>,
+    replica: Replica,
+    state: State,
+    /// Only the leader needs it.
+    config: Option<Config>,
+    peers: ByVm<Peer>,
+    links: BTreeSet<VmName>,
+    writing: Option<Batch>,
+    queued: Option<Batch>,
+    written: u64,
+    proposed: BTreeMap<u64, Proposed>,
+    submissions: VecDeque<(Asker, Submit)>,
+    polls: BTreeMap<u64, (VmName, Poll)>,
+    next_read: u64,
+    daemons: ByVm<Daemon>,
+    updates: Updates,
+    dispatcher: Option<Dispatcher>,
+    election: Duration,
+    log_bytes: usize,
+    snapshot_bytes: usize,
+    next_housekeeping: Instant,
+}
+
+impl Control {
+    pub(crate) fn new(
+        options: &NodeOptions,
+        id: ReplicaId,
+        restored: Restored,
+        now: Instant,
+    ) -> Control {
+        let timing = options.timing.agreement;
+        Control {
+            vm: options.vm.clone(),
+            listed: options.replicas.clone(),
+            replica: Replica::new(id, timing, options.seed, restored, now),
+            state: State::default(),
+            config: None,
+            peers: ByVm::new(),
+            links: BTreeSet::new(),
+            writing: None,
+            queued: None,
+            written: 0,
+            proposed: BTreeMap::new(),
+            submissions: VecDeque::new(),
+            polls: BTreeMap::new(),
+            next_read: 0,
+            daemons: ByVm::new(),
+            updates: Updates::default(),
+            dispatcher: None,
+            election: timing.election,
+            log_bytes: 0,
+            snapshot_bytes: 0,
+            next_housekeeping: now,
+        }
+    }
+
+    pub(crate) fn leads(&self) -> bool {
+        self.dispatcher.is_some()
+    }
+
+    pub(crate) fn dispatcher(&self) -> Option<&Scheduler> {
+        self.dispatcher.as_ref().map(Dispatcher::scheduler)
+    }
+
+    pub(crate) fn next_tick(&self) -> Instant {
+        let next = self.replica.next_tick().min(self.next_housekeeping);
+        let dispatcher = self.dispatcher.as_ref().and_then(Dispatcher::next_tick);
+        dispatcher.map_or(next, |at| at.min(next))
+    }
+
+    pub(crate) fn link_up(&mut self, vm: &VmName, out: &mut Outbox) {
+        self.links.insert(vm.clone());
+        if self.listed.contains(vm) {
+            let info = ReplicaInfo { replica: self.replica.id(), empty: self.replica.is_empty() };
+            out.send(vm, Body::ReplicaInfo(info));
+        }
+    }
+
+    pub(crate) fn link_down(&mut self, vm: &VmName, clocks: Clocks, out: &mut Outbox) {
+        self.links.remove(vm);
+        self.peers.remove(vm);
+        if let Some(dispatcher) = &mut self.dispatcher {
+            dispatcher.forget(vm, clocks.now, out);
+        }
+    }
+
+    pub(crate) fn tick(&mut self, clocks: Clocks, out: &mut Outbox) {
+        self.replica.tick(clocks.now);
+        self.pump(clocks, out);
+        let live = self.live_daemons(clocks.now);
+        if let Some(dispatcher) = &mut self.dispatcher {
+            dispatcher.tick(&live, clocks.now, out);
+        }
+        if self.next_housekeeping <= clocks.now {
+            self.next_housekeeping = clocks.now.after(HOUSEKEEPING);
+            self.keep_members(clocks);
+            self.pump(clocks, out);
+        }
+    }
+
+    /// Hands leadership over before a planned stop.
+    pub(crate) fn stop(&mut self, clocks: Clocks, out: &mut Outbox) {
+        self.replica.hand_over(clocks.now);
+        self.pump(clocks, out);
+    }
+
+    pub(crate) fn persisted(&mut self, number: u64, clocks: Clocks, out: &mut Outbox) {
+        if number != self.written {
+            return;
+        }
+        let Some(batch) = self.writing.take() else { return };
+        self.release(batch, clocks.now, out);
+        self.pump(clocks, out);
+    }
+
+    pub(crate) fn message(&mut self, from: &VmName, body: Body, clocks: Clocks, out: &mut Outbox) {
+        match body {
+            Body::Agreement(message) => {
+                self.replica.receive(message, clocks.now);
+                self.pump(clocks, out);
+            }
+            Body::ReplicaInfo(info) => {
+                self.peers.insert(from.clone(), Peer { id: info.replica, empty: info.empty });
+                self.keep_members(clocks);
+                self.pump(clocks, out);
+            }
+            Body::Poll(poll) => self.poll(from, poll, clocks, out),
+            Body::Operation(operation) => self.operation(from, operation, clocks, out),
+            Body::Admit(admit) => match &mut self.dispatcher {
+                Some(dispatcher) => dispatcher.admit(from, admit, clocks.now, out),
+                None => self.not_leader(from, None, out),
+            },
+            Body::Progress(progress) => {
+                if let Some(dispatcher) = &mut self.dispatcher {
+                    dispatcher.progress(from, progress, clocks.now, out);
+                }
+            }
+            Body::Health(health) => {
+                let live = self.live_daemons(clocks.now);
+                if let Some(dispatcher) = &mut self.dispatcher {
+                    dispatcher.health(from, health, &live, clocks.now, out);
+                }
+            }
+            Body::Report(report) => {
+                let live = self.live_daemons(clocks.now);
+                if let Some(dispatcher) = &mut self.dispatcher {
+                    dispatcher.report(from, report, &live, clocks.now, out);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn keep_members(&mut self, clocks: Clocks) {
+        if let Some(founders) =
+            members::founders(&self.vm, &self.listed, &self.replica, &self.peers)
+        {
+            self.replica.bootstrap(founders, clocks.wall);
+            return;
+        }
+        if self.replica.role() != Role::Leader || !self.replica.membership_settled() {
+            return;
+        }
+        if let Some(membership) = members::repair(&self.listed, &self.replica, &self.peers) {
+            // A change that is refused now is tried again at the next housekeeping.
+            let payload = Payload::Members(membership);
+            let _ = self.replica.propose(payload, clocks.wall, clocks.now);
+        }
+    }
+
+    fn vm_of(&self, id: ReplicaId) -> Option<VmName> {
+        if id == self.replica.id() {
+            return Some(self.vm.clone());
+        }
+        let peer = self.peers.iter().find(|(_, peer)| peer.id == id).map(|(vm, _)| vm.clone());
+        peer.or_else(|| self.replica.membership().member(id).map(|m| m.vm.as_str().into()))
+    }
+
+    fn live_daemons(&self, now: Instant) -> BTreeSet<VmName> {
+        let live = |daemon: &Daemon| now.since(daemon.heard) < DAEMON_LIFE;
+        self.daemons.iter().filter(|(_, d)| live(d)).map(|(vm, _)| vm.clone()).collect()
+    }
+}
--- a/crates/core/src/node/keeper.rs
+++ b/crates/core/src/node/keeper.rs
@@ -13,9 +13,9 @@
 use super::{ByVm, NodeOptions, NodeTiming, Outbox, Output, VersionHash, VmName};
 use crate::{
     config::{Config, ContentHash, Document},
-    state::EncodedDelta,
+    state::{ConfigChange, EncodedDelta},
     units::Instant,
-    wire::{Body, ConfigUpdate, Poll, PollReply},
+    wire::{Body, Poll, PollReply},
 };
 
 /// A poll that is not answered in this many intervals goes to another replica.
@@ -207,7 +207,7 @@
     pub(crate) fn update(
         &mut self,
         from: &VmName,
-        update: ConfigUpdate,
+        update: ConfigChange,
         now: Instant,
         out: &mut Outbox,
     ) {
@@ -222,7 +222,7 @@
         self.poll(from.clone(), now, out);
     }
 
-    fn apply(&mut self, update: ConfigUpdate) -> bool {
+    fn apply(&mut self, update: ConfigChange) -> bool {
         let current = self.version_hash();
         if update.version <= current.version {
             return false;
--- a/crates/core/src/node/tests.rs
+++ b/crates/core/src/node/tests.rs
@@ -11,7 +11,7 @@
 use crate::{
     config::{Document, EndpointTarget, key_digest},
     placement::{PrefixHash, Ticket},
-    state::ConfigCommand,
+    state::ConfigChange,
     testing::Disk,
 };
 
@@ -253,7 +253,7 @@
         let in_force = self.hosts[vm].node.as_ref().and_then(Node::in_force);
         let nothing = Document::default();
         let (base_version, base) = in_force.map_or((0, &nothing), |f| (f.version, &f.document));
-        let command = ConfigCommand::new(version, base_version, base, &document);
+        let command = ConfigChange::new(version, base_version, base, &document);
         let submit = Submit { file: "f.ini".into(), command };
         self.ask(vm, Question::Submit(submit));
     }
--- a/crates/core/src/state/mod.rs
+++ b/crates/core/src/state/mod.rs
@@ -99,9 +99,10 @@
     }
 }
 
-/// Proposes a configuration as a delta on an accepted one.
+/// A configuration as a delta on an accepted one: what a file proposes, what the log holds,
+/// and what daemons are sent.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
-pub struct ConfigCommand {
+pub struct ConfigChange {
     /// The version that the file makes.
     #[prost(uint64, tag = "1")]
     pub version: u64,
@@ -126,14 +127,14 @@
 
 /// Parts of [`Command`].
 pub mod command {
-    use super::{Claim, ConfigCommand, Settle};
+    use super::{Claim, ConfigChange, Settle};
 
     /// What a command does.
     #[derive(Clone, PartialEq, Eq, prost::Oneof)]
     pub enum Kind {
         /// Proposes a configuration.
         #[prost(message, tag = "1")]
-        Config(ConfigCommand),
+        Config(ConfigChange),
         /// Claims a call.
         #[prost(message, tag = "2")]
         Claim(Claim),
@@ -143,10 +144,10 @@
     }
 }
 
-impl ConfigCommand {
-    /// The command that turns `base`, accepted as `base_version`, into `document`.
+impl ConfigChange {
+    /// The change that turns `base`, accepted as `base_version`, into `document`.
     pub fn new(version: u64, base_version: u64, base: &Document, document: &Document) -> Self {
-        ConfigCommand {
+        ConfigChange {
             version,
             base: base_version,
             hash: Bytes::copy_from_slice(&document.content_hash().0),
@@ -307,7 +308,7 @@
         })
     }
 
-    fn apply_config(&mut self, config: ConfigCommand) -> ConfigResult {
+    fn apply_config(&mut self, config: ConfigChange) -> ConfigResult {
         let hash = ContentHash::from_slice(&config.hash).unwrap_or_default();
         let result = self.judge(config.version, hash);
         if result != ConfigResult::Accepted {
--- a/crates/core/src/state/tests.rs
+++ b/crates/core/src/state/tests.rs
@@ -13,8 +13,8 @@
     Entry { term: 1, index, at_ms: index, payload: Some(Command::payload(kind)) }
 }
 
-fn propose(state: &State, version: u64, text: &str) -> ConfigCommand {
-    ConfigCommand::new(version, state.version(), state.document(), &document(text))
+fn propose(state: &State, version: u64, text: &str) -> ConfigChange {
+    ConfigChange::new(version, state.version(), state.document(), &document(text))
 }
 
 fn submit(state: &mut State, version: u64, text: &str) -> ConfigResult {
--- a/crates/core/src/wire/mod.rs
+++ b/crates/core/src/wire/mod.rs
@@ -10,7 +10,7 @@
 use crate::{
     agreement,
     once::{Claim, Settle, StoredAnswer},
-    state::ConfigCommand,
+    state::ConfigChange,
 };
 
 pub use self::{
@@ -46,7 +46,7 @@
     NotLeader(NotLeader),
     /// The leader sends a newly accepted configuration without being asked.
     #[prost(message, tag = "6")]
-    Update(ConfigUpdate),
+    Update(ConfigChange),
     /// A daemon asks the leader to change the replicated state.
     #[prost(message, tag = "7")]
     Operation(Operation),
@@ -101,23 +101,6 @@
     pub hash: Bytes,
 }
 
-/// A configuration, as a delta.
-#[derive(Clone, PartialEq, Eq, prost::Message)]
-pub struct ConfigUpdate {
-    /// The version that the delta applies to; zero for the empty document.
-    #[prost(uint64, tag = "1")]
-    pub base: u64,
-    /// The version that it makes.
-    #[prost(uint64, tag = "2")]
-    pub version: u64,
-    /// Content hash of the result.
-    #[prost(bytes = "bytes", tag = "3")]
-    pub hash: Bytes,
-    /// The delta, an encoded [`crate::state::EncodedDelta`].
-    #[prost(bytes = "bytes", tag = "4")]
-    pub delta: Bytes,
-}
-
 /// See [`Body::PollReply`].
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct PollReply {
@@ -132,7 +115,7 @@
     pub hash: Bytes,
     /// What the daemon lacks.
     #[prost(message, optional, tag = "4")]
-    pub update: Option<ConfigUpdate>,
+    pub update: Option<ConfigChange>,
     /// Term of the leader; changes when the scheduler does.
     #[prost(uint64, tag = "5")]
     pub term: u64,
@@ -160,7 +143,7 @@
     pub file: String,
     /// What the file changes, relative to the configuration in force at that daemon.
     #[prost(message, required, tag = "2")]
-    pub command: ConfigCommand,
+    pub command: ConfigChange,
 }
 
 /// See [`Body::Operation`].
--- a/crates/trayswitchd/src/operators/submit.rs
+++ b/crates/trayswitchd/src/operators/submit.rs
@@ -9,7 +9,7 @@
 use trayswitch_core::{
     config::{Config, Document, Faults},
     node::{Answer, Question, SubmitError},
-    state::ConfigCommand,
+    state::ConfigChange,
     wire::{AcceptedVersion, Submit},
 };
 
@@ -44,9 +44,9 @@
 }
 
 /// What the file changes in the configuration in force here.
-fn command(node: &NodeHandle, version: u64, document: &Document) -> ConfigCommand {
+fn command(node: &NodeHandle, version: u64, document: &Document) -> ConfigChange {
     match node.view().in_force() {
-        Some(f) => ConfigCommand::new(version, f.version, &f.document, document),
-        None => ConfigCommand::new(version, 0, &Document::default(), document),
+        Some(f) => ConfigChange::new(version, f.version, &f.document, document),
+        None => ConfigChange::new(version, 0, &Document::default(), document),
     }
 }
