Test the command line; never show the content of a key file

Found by its test: a key file with several lines ended up in an error message. Key files are now checked, by the daemon too, and never shown. The daemon ends when the node's thread does.

--- a/crates/trayswitch/src/error.rs
+++ b/crates/trayswitch/src/error.rs
@@ -11,6 +11,8 @@
     Address(String),
     /// A daemon is needed and no key was given.
     NoKeyFile,
+    /// A key file does not hold a key; its content is not shown.
+    BadKey(PathBuf),
     /// A file cannot be read.
     Read(PathBuf, io::Error),
     /// The file has faults.
@@ -38,7 +40,7 @@
     /// The exit code, as the help lists them.
     pub(crate) fn exit_code(&self) -> ExitCode {
         match self {
-            Error::Address(_) | Error::NoKeyFile => ExitCode::from(2),
+            Error::Address(_) | Error::NoKeyFile | Error::BadKey(_) => ExitCode::from(2),
             Error::Faults(_) | Error::Refused(_) => ExitCode::from(3),
             Error::NoAnswer(_) => ExitCode::from(4),
             _ => ExitCode::FAILURE,
@@ -56,6 +58,11 @@
                 )
             }
             Error::NoKeyFile => f.write_str("give the operator key with --key-file FILE"),
+            Error::BadKey(path) => write!(
+                f,
+                "{} does not hold an operator key: expected one line of printable characters",
+                path.display()
+            ),
             Error::Read(path, e) => write!(f, "cannot read {}: {e}", path.display()),
             Error::Faults(faults) => write!(f, "{faults}"),
             Error::Refused(problem) | Error::Failed(problem) => f.write_str(problem),
--- a/crates/trayswitch/src/options.rs
+++ b/crates/trayswitch/src/options.rs
@@ -70,7 +70,11 @@
         let address = self.address.parse().map_err(|_| Error::Address(self.address.clone()))?;
         let path = self.key_file.as_ref().ok_or(Error::NoKeyFile)?;
         let key = fs::read_to_string(path).map_err(|e| Error::Read(path.clone(), e))?;
-        Ok(Server { address, key: key.trim().to_owned() })
+        let key = key.trim().to_owned();
+        if key.is_empty() || !key.chars().all(|c| c.is_ascii_graphic()) {
+            return Err(Error::BadKey(path.clone()));
+        }
+        Ok(Server { address, key })
     }
 }
 
--- /dev/null
+++ b/crates/trayswitch/tests/cli.rs
@@ -0,0 +1,131 @@
+//! The command line as its users meet it.
+
+use std::{
+    io::Write,
+    path::PathBuf,
+    process::{Command, Output, Stdio},
+};
+
+use googletest::prelude::*;
+
+/// Builds one call of the command.
+struct Call {
+    command: Command,
+    input: &'static str,
+}
+
+impl Call {
+    fn new(args: &[&str]) -> Call {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_trayswitch"));
+        command.args(args).stdin(Stdio::piped()).stdout(Stdio::piped()).stderr(Stdio::piped());
+        Call { command, input: "" }
+    }
+
+    fn args(mut self, args: &[&str]) -> Call {
+        self.command.args(args);
+        self
+    }
+
+    fn input(mut self, input: &'static str) -> Call {
+        self.input = input;
+        self
+    }
+
+    fn run(mut self) -> Output {
+        let mut child = self.command.spawn().unwrap();
+        child.stdin.take().unwrap().write_all(self.input.as_bytes()).unwrap();
+        child.wait_with_output().unwrap()
+    }
+}
+
+fn example(name: &str) -> String {
+    let root = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../../examples");
+    root.join(name).display().to_string()
+}
+
+fn stdout(output: &Output) -> String {
+    String::from_utf8_lossy(&output.stdout).into_owned()
+}
+
+fn stderr(output: &Output) -> String {
+    String::from_utf8_lossy(&output.stderr).into_owned()
+}
+
+#[gtest]
+fn the_users_deployments_are_sound() {
+    for name in ["magnolia/site.ini", "abay/site.ini", "demo/site.ini"] {
+        let output = Call::new(&["config", "check", &example(name)]).run();
+
+        expect_that!(output.status.code(), some(eq(0)), "{}", stderr(&output));
+        expect_that!(stdout(&output), contains_substring("is sound"));
+    }
+}
+
+#[gtest]
+fn a_file_that_is_no_configuration_is_refused_with_all_its_faults() {
+    let output = Call::new(&["config", "check", &example("demo/vm-1.ini")]).run();
+
+    expect_that!(output.status.code(), some(eq(3)));
+    expect_that!(stderr(&output), contains_substring("[deployment]: this section is required"));
+    expect_that!(stderr(&output), contains_substring("[vm]: unknown section"));
+}
+
+#[gtest]
+fn a_missing_file_is_named() {
+    let output = Call::new(&["config", "check", "nowhere.ini"]).run();
+
+    expect_that!(output.status.code(), some(eq(1)));
+    expect_that!(stderr(&output), contains_substring("cannot read nowhere.ini"));
+}
+
+#[gtest]
+fn a_key_is_hashed_as_files_carry_it() {
+    let output = Call::new(&["config", "key"]).input("demo-caller-key\n").run();
+
+    let digest = trayswitch_core::config::key_digest("demo-caller-key");
+    expect_that!(stdout(&output).trim(), eq(digest.as_str()));
+}
+
+#[gtest]
+fn asking_a_daemon_needs_a_key_file_and_says_so() {
+    let output = Call::new(&["status"]).run();
+
+    expect_that!(output.status.code(), some(eq(2)));
+    expect_that!(stderr(&output), contains_substring("--key-file"));
+}
+
+#[gtest]
+fn a_daemon_that_cannot_be_reached_is_told_from_a_lost_answer() {
+    // The listener is dropped at once, so that nothing listens there.
+    let address = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let key = std::env::temp_dir().join(format!("trayswitch-key-{}", std::process::id()));
+    std::fs::write(&key, "operator-key-of-the-test").unwrap();
+    let address = address.to_string();
+
+    let output = Call::new(&["status", "--operators", &address])
+        .args(&["--key-file", &key.display().to_string()])
+        .run();
+
+    std::fs::remove_file(&key).unwrap();
+
+    expect_that!(output.status.code(), some(eq(1)));
+    expect_that!(stderr(&output), contains_substring("cannot reach"));
+}
+
+#[gtest]
+fn completions_are_printed() {
+    let output = Call::new(&["completions", "bash"]).run();
+
+    expect_that!(stdout(&output), contains_substring("_trayswitch"));
+}
+
+#[gtest]
+fn a_file_that_is_no_key_is_not_shown() {
+    let file = example("demo/site.ini");
+
+    let output = Call::new(&["status", "--key-file", &file]).run();
+
+    expect_that!(output.status.code(), some(eq(2)));
+    expect_that!(stderr(&output), contains_substring("does not hold an operator key"));
+    expect_that!(stderr(&output), not(contains_substring("deployment")));
+}
--- a/crates/trayswitchd/src/node/mod.rs
+++ b/crates/trayswitchd/src/node/mod.rs
@@ -8,6 +8,7 @@
 mod writer;
 
 use std::{
+    process,
     sync::{Arc, mpsc},
     thread,
     time::{Duration, Instant},
@@ -26,6 +27,7 @@
 use crate::{
     link::{LinkHandle, LinkId},
     settings::Settings,
+    telemetry::EventId,
 };
 
 /// Something that another thread tells the node.
@@ -66,7 +68,10 @@
             }
             None => (Node::entry(&options, units::Instant(0)), None),
         };
-        let run = move || run(&rx, NodeActor::new(node, start, view, writer));
+        let run = move || {
+            let _guard = EndsProcess;
+            run(&rx, NodeActor::new(node, start, view, writer));
+        };
         thread::Builder::new().name("node".into()).spawn(run)?;
         Ok(handle)
     }
@@ -105,6 +110,16 @@
     }
 }
 
+/// Ends the process when the node's thread ends: without it a daemon would only seem to live.
+struct EndsProcess;
+
+impl Drop for EndsProcess {
+    fn drop(&mut self) {
+        log::error!("{} the node's thread ended", EventId::NodeEnded);
+        process::exit(1);
+    }
+}
+
 /// A random number.
 pub(crate) fn random() -> Result<u64> {
     getrandom::u64().map_err(|e| eyre!("no random numbers: {e}"))
--- a/crates/trayswitchd/src/settings.rs
+++ b/crates/trayswitchd/src/settings.rs
@@ -218,6 +218,7 @@
 
 fn keys(file: &str, document: &Document, faults: &mut Vec<Fault>) -> Option<Keys> {
     const SHORTEST: usize = 16;
+    let is_key = |key: &str| SHORTEST <= key.len() && key.chars().all(|c| c.is_ascii_graphic());
     let mut r = section(file, document, "keys", faults);
     let mut read = |key: &'static str| {
         let path = r.text(key);
@@ -225,9 +226,10 @@
             return None;
         }
         match fs::read_to_string(&path) {
-            Ok(text) if SHORTEST <= text.trim().len() => Some(text.trim().to_owned()),
+            Ok(text) if is_key(text.trim()) => Some(text.trim().to_owned()),
             Ok(_) => {
-                r.fault(key, format!("{path} holds fewer than {SHORTEST} characters"));
+                let expected = format!("one line of at least {SHORTEST} printable characters");
+                r.fault(key, format!("{path} holds no key: expected {expected}"));
                 None
             }
             Err(e) => {
--- a/crates/trayswitchd/src/telemetry/events.rs
+++ b/crates/trayswitchd/src/telemetry/events.rs
@@ -28,6 +28,7 @@
     ConfigFresh = 203, "The daemon has confirmed again that its configuration is current.";
     StorageFailed = 204, "The data folder can no longer be used; the daemon ends.";
     PeerRefused = 205, "A link with another daemon was refused.";
+    NodeEnded = 206, "The thread that decides has ended; the daemon ends.";
     EndpointFailed = 301, "An endpoint failed to serve a request.";
     EndpointLeaving = 302, "An endpoint said that it is leaving.";
     StreamResumed = 303, "A stream was resumed at its endpoint.";
