--- a/crates/lab/src/experiment/sim.rs
+++ b/crates/lab/src/experiment/sim.rs
@@ -139,12 +139,8 @@
         if self.options.trouble == Trouble::EngineDeath {
             self.at(self.options.length.as_micros() as u64 / 2, Event::Die(0));
         }
-        // After the last arrival, what runs may end, within reason.
-        let end = self.options.length.as_micros() as u64 + 120_000_000;
+        // After the last arrival, all that runs goes on to its end.
         while let Some(Reverse((at, _, event))) = self.heap.pop() {
-            if end < at {
-                return;
-            }
             self.now = at;
             self.handle(event);
         }
