Take a request that is told twice once; tell a returning scheduler all that runs

Found by reading: a daemon that loses and finds the same leader tells its waiting requests again; they were queued twice, and the count of the workspace's waiting requests never came back to zero. Test first: refused at a limit of 1 and started twice; after: counted once. Requests placed in fallback after the scheduler is back are now told to it. Also: run.rs reads in smaller steps; nothing public that is not used.

--- a/crates/core/src/node/placing.rs
+++ b/crates/core/src/node/placing.rs
@@ -38,6 +38,16 @@
     tokens: u64,
 }
 
+impl Running {
+    /// Tells a scheduler that this request already runs.
+    fn admit(&self, call: CallId, now: Instant) -> Admit {
+        let mut admit = admit(call, &self.req, now, now);
+        admit.running_at = Some(self.endpoint.to_string());
+        admit.tokens = self.tokens;
+        admit
+    }
+}
+
 /// Requests of this daemon that wait for a place or have one.
 pub(crate) struct Placing {
     local: Scheduler,
@@ -228,10 +238,7 @@
         self.scheduler = scheduler.map(|s| s.vm.clone());
         let Some(scheduler) = &self.scheduler else { return };
         for (call, running) in &self.running {
-            let mut admit = admit(*call, &running.req, now, now);
-            admit.running_at = Some(running.endpoint.to_string());
-            admit.tokens = running.tokens;
-            out.send(scheduler, Body::Admit(admit));
+            out.send(scheduler, Body::Admit(running.admit(*call, now)));
         }
         for (call, waiting) in self.waiting.iter().filter(|(_, w)| w.remote) {
             let admit = admit(*call, &waiting.req, waiting.deadline, now);
@@ -273,6 +280,10 @@
                     let Some(waiting) = self.waiting.remove(&call) else { continue };
                     let running =
                         Running { req: waiting.req, endpoint: endpoint.clone(), tokens: 0 };
+                    if let Some(scheduler) = &self.scheduler {
+                        // It waited here since the scheduler was silent; now that one hears of it.
+                        out.send(scheduler, Body::Admit(running.admit(call, now)));
+                    }
                     self.running.insert(call, running);
                     let placement = Placement { endpoint, priority };
                     out.answer(call, Answer::Placed(Ok(placement)));
--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -19,7 +19,7 @@
     endpoint::{EndpointState, Health, LoadReport},
     forecast::{HORIZONS, LengthForecast, Survival},
     policy::{Candidate, FirstFit, ForecastPolicy, LeastOutstanding, Policy, RoundRobin},
-    scheduler::{Placed, Scheduler, SchedulerLimits},
+    scheduler::{Scheduler, SchedulerLimits},
 };
 
 /// Ranks that one tier takes up; kinds of request are told apart within them.
--- a/crates/core/src/placement/scheduler.rs
+++ b/crates/core/src/placement/scheduler.rs
@@ -44,20 +44,13 @@
 
 /// A request that was granted an endpoint and has not finished.
 #[derive(Debug)]
-pub struct Placed {
+struct Placed {
     req: Request,
     endpoint: Arc<str>,
     share: Share,
     tokens: u64,
 }
 
-impl Placed {
-    /// Where it runs.
-    pub fn endpoint(&self) -> &Arc<str> {
-        &self.endpoint
-    }
-}
-
 #[derive(Debug, Default)]
 struct Target {
     queue: Queue,
@@ -216,8 +209,12 @@
         self.placed.len()
     }
 
-    /// Takes a new request; it waits until [`Scheduler::decide`] places it.
+    /// Takes a new request; it waits until [`Scheduler::decide`] places it. One that is known
+    /// is not taken again: a daemon tells what waits whenever it finds the scheduler anew.
     pub fn arrive(&mut self, req: Request, now: Instant) -> Result<(), RequestError> {
+        if self.queued.contains_key(&req.ticket) || self.placed.contains_key(&req.ticket) {
+            return Ok(());
+        }
         let waiting = self.counts.get(&req.workspace).map_or(0, |count| count.waiting);
         if req.max_waiting <= waiting {
             let message = "the workspace has as many requests waiting as it may";
--- a/crates/core/src/placement/tests.rs
+++ b/crates/core/src/placement/tests.rs
@@ -181,3 +181,20 @@
     scheduler.finish(Ticket { entry: 1, number: 0 }, 5, true, START);
     expect_that!(started(&scheduler.decide(START)), elements_are![eq(&2)]);
 }
+
+#[gtest]
+fn a_request_that_is_told_twice_is_counted_once() {
+    let mut scheduler = scheduler(1, 1, 100_000);
+    for number in [0, 0, 1, 1] {
+        let limited = Request { max_waiting: 1, ..request(number, "w", 1) };
+        expect_that!(scheduler.arrive(limited, START), ok(anything()), "{number}");
+        scheduler.decide(START);
+    }
+
+    expect_that!(scheduler.running(), eq(1));
+    expect_that!(scheduler.waiting(), eq(1));
+    scheduler.finish(Ticket { entry: 1, number: 0 }, 5, true, START);
+    expect_that!(started(&scheduler.decide(START)), elements_are![eq(&1)]);
+    scheduler.finish(Ticket { entry: 1, number: 1 }, 5, true, START);
+    expect_that!(started(&scheduler.decide(START)).len(), eq(0));
+}
--- a/crates/trayswitchd/src/callers/run.rs
+++ b/crates/trayswitchd/src/callers/run.rs
@@ -37,6 +37,12 @@
     priority: u64,
 }
 
+/// The connection on which an attempt's frames come.
+struct Link {
+    attempt: AttemptId,
+    frames: Box<dyn Frames>,
+}
+
 /// How reading an attempt ended.
 enum End {
     Finished { reason: String },
@@ -106,18 +112,17 @@
         loop {
             let place = self.place()?;
             let end = self.attempt(&place, sink);
-            let whole = matches!(end, Ok(End::Finished { .. }));
+            let whole = matches!(end, End::Finished { .. });
             let tokens = self.delivery.delivered();
             self.callers.node().input(Input::Finished { call: place.call, tokens, whole });
             match end {
-                Ok(End::Finished { reason }) => return Ok(Some(reason)),
-                Ok(End::CallerLeft) => {
+                End::Finished { reason } => return Ok(Some(reason)),
+                End::CallerLeft => {
                     self.cancel(place.address);
                     return Ok(None);
                 }
                 // The attempt is over; `next` says whether another may start.
-                Ok(End::Lost(error)) => self.next(&place, &error, sink)?,
-                Err(error) => return Err(error),
+                End::Lost(error) => self.next(&place, &error, sink)?,
             }
         }
     }
@@ -137,72 +142,73 @@
     }
 
     /// Runs the request at one endpoint, with as many resumes as that takes.
-    fn attempt(&mut self, place: &Place, sink: &mut dyn Sink) -> Result<End, RequestError> {
+    fn attempt(&mut self, place: &Place, sink: &mut dyn Sink) -> End {
         let attempt = self.delivery.start();
         let start = StartGeneration {
             request_id: &self.request_id,
             body: &self.chat.body,
             priority: place.priority,
         };
-        let mut frames = match self.callers.engine().start(place.address, &start) {
-            Ok(frames) => frames,
-            Err(error) => return Ok(End::Lost(error)),
+        let mut link = match self.callers.engine().start(place.address, &start) {
+            Ok(frames) => Link { attempt, frames },
+            Err(error) => return End::Lost(error),
         };
         self.may_have_run = true;
-        let mut attempt = attempt;
         let mut pause = FIRST_PAUSE;
         loop {
-            let known = self.delivery.on_started(attempt, frames.generation());
-            let end = if known {
-                let before = self.delivery.delivered();
-                let end = self.read(place, attempt, &mut *frames, sink);
-                if before < self.delivery.delivered() {
-                    pause = FIRST_PAUSE;
-                }
-                end
-            } else {
-                End::Lost(EndpointError::Gone)
-            };
-            let mut lost = match end {
+            let before = self.delivery.delivered();
+            let lost = match self.read(place, &mut link, sink) {
                 End::Lost(error) => error,
-                end => return Ok(end),
+                end => return end,
             };
-            // Resumes until frames flow again or there is no hope.
-            frames = loop {
-                let lives = lost != EndpointError::Gone;
-                let NextStep::Resume { generation, after } = self.delivery.on_lost(lives) else {
-                    return Ok(End::Lost(lost));
-                };
-                log::info!(
-                    "{} {} after token {after} at {}: {lost}",
-                    EventId::StreamResumed,
-                    self.request_id,
-                    place.endpoint
-                );
-                attempt = self.delivery.resume();
-                thread::sleep(jitter(pause));
-                pause = (pause * 2).min(LONGEST_PAUSE);
-                match self.callers.engine().resume(place.address, &generation, after) {
-                    Ok(frames) => break frames,
-                    Err(error) => lost = error,
-                }
+            if before < self.delivery.delivered() {
+                pause = FIRST_PAUSE;
+            }
+            link = match self.resume(place, lost, &mut pause) {
+                Ok(link) => link,
+                Err(lost) => return End::Lost(lost),
             };
         }
     }
 
-    fn read(
+    /// Resumes until frames flow again, or returns the error after which there is no hope.
+    fn resume(
         &mut self,
         place: &Place,
-        attempt: AttemptId,
-        frames: &mut dyn Frames,
-        sink: &mut dyn Sink,
-    ) -> End {
+        mut lost: EndpointError,
+        pause: &mut Duration,
+    ) -> Result<Link, EndpointError> {
+        loop {
+            let lives = lost != EndpointError::Gone;
+            let NextStep::Resume { generation, after } = self.delivery.on_lost(lives) else {
+                return Err(lost);
+            };
+            log::info!(
+                "{} {} after token {after} at {}: {lost}",
+                EventId::StreamResumed,
+                self.request_id,
+                place.endpoint
+            );
+            let attempt = self.delivery.resume();
+            thread::sleep(jitter(*pause));
+            *pause = (*pause * 2).min(LONGEST_PAUSE);
+            match self.callers.engine().resume(place.address, &generation, after) {
+                Ok(frames) => return Ok(Link { attempt, frames }),
+                Err(error) => lost = error,
+            }
+        }
+    }
+
+    fn read(&mut self, place: &Place, link: &mut Link, sink: &mut dyn Sink) -> End {
+        if !self.delivery.on_started(link.attempt, link.frames.generation()) {
+            return End::Lost(EndpointError::Gone);
+        }
         loop {
-            let frame = match frames.next() {
+            let frame = match link.frames.next() {
                 Ok(frame) => frame,
                 Err(error) => return End::Lost(error),
             };
-            match self.delivery.on_frame(attempt, frame) {
+            match self.delivery.on_frame(link.attempt, frame) {
                 Verdict::Deliver(text) => {
                     if sink.token(self.delivery.delivered(), &text).is_err() {
                         return End::CallerLeft;
