--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -21,7 +21,12 @@
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
-use self::{control::Control, keeper::Keeper, operations::Operations, placing::Placing};
+use self::{
+    control::Control,
+    keeper::Keeper,
+    operations::{Operations, SETTLE_LIMIT, SUBMIT_LIMIT},
+    placing::Placing,
+};
 use crate::{
     agreement::{self, Persist, Restored},
     config::ContentHash,
@@ -29,7 +34,7 @@
     once::{Claim, ClaimResult, Settle},
     placement::{LoadReport, Request},
     units::{Instant, UnixMillis},
-    wire::{AcceptedVersion, Body, HealthNews, Report, Submit},
+    wire::{AcceptedVersion, Body, HealthNews, OperationKind, Report, Submit},
 };
 
 pub use self::{
@@ -362,13 +367,16 @@
                 self.placing.place(call, req, scheduler, clocks.now, out);
             }
             Question::Submit(submit) => {
-                self.operations.submit(call, submit, leader, clocks.now, out);
+                let kind = OperationKind::Submit(submit);
+                self.operations.ask(call, kind, SUBMIT_LIMIT, leader, clocks.now, out);
             }
             Question::Claim { claim, limit } => {
-                self.operations.claim(call, claim, limit, leader, clocks.now, out);
+                let kind = OperationKind::Claim(claim);
+                self.operations.ask(call, kind, limit, leader, clocks.now, out);
             }
             Question::Settle(settle) => {
-                self.operations.settle(call, settle, leader, clocks.now, out);
+                let kind = OperationKind::Settle(settle);
+                self.operations.ask(call, kind, SETTLE_LIMIT, leader, clocks.now, out);
             }
             Question::Endpoints => {
                 let dispatcher = self.control.as_ref().and_then(Control::dispatcher);
--- a/crates/core/src/node/operations.rs
+++ b/crates/core/src/node/operations.rs
@@ -8,14 +8,15 @@
     units::Instant,
     wire::{
         Body, ClaimReply, ClaimStatus, Operation, OperationKind, OperationReply, OperationResult,
-        Submit,
     },
 };
 
 /// An operation that was not answered in this time is sent again.
 const RESEND: Duration = Duration::from_millis(700);
-const SUBMIT_LIMIT: Duration = Duration::from_secs(10);
-const SETTLE_LIMIT: Duration = Duration::from_secs(120);
+/// Time allowed for a submission.
+pub(crate) const SUBMIT_LIMIT: Duration = Duration::from_secs(10);
+/// Time allowed for storing how a call ended.
+pub(crate) const SETTLE_LIMIT: Duration = Duration::from_secs(120);
 /// How long a claim that was given up is still released in the background.
 const RELEASE_LIMIT: Duration = Duration::from_secs(120);
 
@@ -42,43 +43,19 @@
 }
 
 impl Operations {
-    pub(crate) fn submit(
+    /// Carries an operation to the leader and answers `call`, within this time.
+    pub(crate) fn ask(
         &mut self,
         call: CallId,
-        submit: Submit,
-        leader: Option<&VmName>,
-        now: Instant,
-        out: &mut Outbox,
-    ) {
-        let kind = OperationKind::Submit(submit);
-        self.add(kind, Some(call), now.after(SUBMIT_LIMIT), leader, now, out);
-    }
-
-    pub(crate) fn claim(
-        &mut self,
-        call: CallId,
-        claim: Claim,
+        kind: OperationKind,
         limit: Duration,
         leader: Option<&VmName>,
         now: Instant,
         out: &mut Outbox,
     ) {
-        let kind = OperationKind::Claim(claim);
         self.add(kind, Some(call), now.after(limit), leader, now, out);
     }
 
-    pub(crate) fn settle(
-        &mut self,
-        call: CallId,
-        settle: Settle,
-        leader: Option<&VmName>,
-        now: Instant,
-        out: &mut Outbox,
-    ) {
-        let kind = OperationKind::Settle(settle);
-        self.add(kind, Some(call), now.after(SETTLE_LIMIT), leader, now, out);
-    }
-
     pub(crate) fn tick(&mut self, leader: Option<&VmName>, now: Instant, out: &mut Outbox) {
         self.expire(leader, now, out);
         self.send_due(leader, now, out);
