--- a/crates/lab/src/experiment/plot.rs
+++ b/crates/lab/src/experiment/plot.rs
@@ -5,7 +5,7 @@
 use eyre::{Result, eyre};
 use plotters::{
     backend::SVGBackend,
-    chart::ChartBuilder,
+    chart::{ChartBuilder, SeriesLabelPosition},
     drawing::IntoDrawingArea,
     prelude::{IntoLogRange, LineSeries, Palette, Palette99, PathElement},
     style::{Color, WHITE},
@@ -32,17 +32,20 @@
     title: &str,
     value: impl Fn(&Row) -> f64,
 ) -> Result<()> {
-    const LEAST: f64 = 0.01;
+    // On a scale of powers, zero has no place.
+    const SMALLEST: f64 = 0.01;
     let loads = || report.rows.iter().map(|row| row.load as f64);
     let low = loads().fold(f64::INFINITY, f64::min) - 1.0;
     let high = loads().fold(0.0, f64::max) + 1.0;
-    let most = report.rows.iter().map(&value).fold(LEAST * 10.0, f64::max) * 1.5;
+    let values = || report.rows.iter().map(|row| value(row).max(SMALLEST));
+    let least = values().fold(f64::INFINITY, f64::min) / 10.0;
+    let most = values().fold(SMALLEST, f64::max) * 2.0;
     let mut chart = ChartBuilder::on(area)
         .caption(title, ("sans-serif", 18))
         .margin(10)
         .x_label_area_size(30)
         .y_label_area_size(60)
-        .build_cartesian_2d(low..high, (LEAST..most).log_scale())?;
+        .build_cartesian_2d(low..high, (least..most).log_scale())?;
     chart.configure_mesh().x_desc("load, % of capacity").draw()?;
     let mut names: Vec<&str> = report.rows.iter().map(|row| row.policy.as_str()).collect();
     names.dedup();
@@ -51,7 +54,7 @@
     for (i, name) in names.into_iter().enumerate() {
         let rows = report.rows.iter().filter(|row| row.policy == name);
         let points: Vec<(f64, f64)> =
-            rows.map(|row| (row.load as f64, value(row).max(LEAST))).collect();
+            rows.map(|row| (row.load as f64, value(row).max(SMALLEST))).collect();
         let color = Palette99::pick(i).to_rgba();
         chart
             .draw_series(LineSeries::new(points, color.stroke_width(2)))
@@ -61,6 +64,7 @@
     }
     chart
         .configure_series_labels()
+        .position(SeriesLabelPosition::MiddleRight)
         .border_style(plotters::style::BLACK)
         .background_style(WHITE)
         .draw()?;
