Hold a workspace at its running limit over all ranks

Cause: the hold was kept by rank, and since ranks tell kinds apart a workspace could exceed its limit through another kind, and a kind held at the limit stayed held until one of its own requests ended. Found by reading. Change: the queue, not each rank, keeps who is held. Test first: one request started beyond the limit, then none after a place came free; after: none beyond, and both kinds go on.

--- a/crates/core/src/placement/queue.rs
+++ b/crates/core/src/placement/queue.rs
@@ -47,8 +47,6 @@
     order: BTreeSet<Place>,
     waiting: HashMap<Arc<str>, VecDeque<Waiting>>,
     served: HashMap<Arc<str>, Service>,
-    /// Workspaces that run as much as they may; their requests wait out of order.
-    held: HashSet<Arc<str>>,
     /// The most that a first-in-line workspace had been served when it was chosen.
     floor: Service,
 }
@@ -59,14 +57,14 @@
         Place { service, workspace: workspace.clone() }
     }
 
-    fn push(&mut self, waiting: Waiting) {
+    fn push(&mut self, waiting: Waiting, held: bool) {
         let workspace = waiting.req.workspace.clone();
         // A workspace that was idle does not save up service.
         let service = self.served.entry(workspace.clone()).or_insert(self.floor);
         let line = self.waiting.entry(workspace.clone()).or_default();
         if line.is_empty() {
             *service = (*service).max(self.floor);
-            if !self.held.contains(&workspace) {
+            if !held {
                 self.order.insert(Place { service: *service, workspace });
             }
         }
@@ -75,15 +73,11 @@
     }
 
     fn hold(&mut self, workspace: &Arc<str>, hold: bool) {
-        if !hold {
-            let held = self.held.remove(workspace);
-            if held && self.waiting.contains_key(workspace) {
-                let place = self.place(workspace);
-                self.order.insert(place);
-            }
-        } else if self.held.insert(workspace.clone()) {
-            let place = self.place(workspace);
+        let place = self.place(workspace);
+        if hold {
             self.order.remove(&place);
+        } else if self.waiting.contains_key(workspace) {
+            self.order.insert(place);
         }
     }
 
@@ -120,6 +114,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Queue {
     tiers: BTreeMap<u64, Tier>,
+    /// Workspaces that run as much as they may; their requests wait out of order.
+    held: HashSet<Arc<str>>,
     len: usize,
 }
 
@@ -135,7 +131,8 @@
 
     pub(crate) fn push(&mut self, req: Request, arrived: Instant) {
         self.len += 1;
-        self.tiers.entry(req.rank).or_default().push(Waiting { req, arrived });
+        let held = self.held.contains(&req.workspace);
+        self.tiers.entry(req.rank).or_default().push(Waiting { req, arrived }, held);
     }
 
     /// The first request of each rank, the next to serve first. A head gains a whole tier for
@@ -169,12 +166,15 @@
         }
     }
 
-    /// Holds a workspace's requests back, or lets them take part again.
-    pub(crate) fn hold(&mut self, rank: u64, workspace: &Arc<str>, hold: bool) {
-        if hold {
-            self.tiers.entry(rank).or_default().hold(workspace, true);
-        } else if let Some(tier) = self.tiers.get_mut(&rank) {
-            tier.hold(workspace, false);
+    /// Holds a workspace's requests of all ranks back, or lets them take part again.
+    pub(crate) fn hold(&mut self, workspace: &Arc<str>, hold: bool) {
+        let changed =
+            if hold { self.held.insert(workspace.clone()) } else { self.held.remove(workspace) };
+        if !changed {
+            return;
+        }
+        for tier in self.tiers.values_mut() {
+            tier.hold(workspace, hold);
         }
     }
 
--- a/crates/core/src/placement/scheduler.rs
+++ b/crates/core/src/placement/scheduler.rs
@@ -436,7 +436,7 @@
         count.running = count.running.saturating_add_signed(change);
         let hold = req.max_running <= count.running;
         for target in self.targets.values_mut() {
-            target.queue.hold(req.rank, &req.workspace, hold);
+            target.queue.hold(&req.workspace, hold);
         }
         self.forget_idle(&req.workspace);
     }
--- a/crates/core/src/placement/tests.rs
+++ b/crates/core/src/placement/tests.rs
@@ -198,3 +198,22 @@
     scheduler.finish(Ticket { entry: 1, number: 1 }, 5, true, START);
     expect_that!(started(&scheduler.decide(START)).len(), eq(0));
 }
+
+#[gtest]
+fn a_workspaces_limit_holds_over_all_ranks_and_ends_in_all_of_them() {
+    let mut scheduler = scheduler(1, 100, 1_000_000);
+    let limited = |number, rank| Request { max_running: 2, ..request(number, "w", rank) };
+    for (number, rank) in [(0, 1), (1, 2)] {
+        scheduler.arrive(limited(number, rank), START).unwrap();
+        scheduler.decide(START);
+    }
+    for (number, rank) in [(2, 1), (3, 2)] {
+        scheduler.arrive(limited(number, rank), START).unwrap();
+    }
+
+    expect_that!(started(&scheduler.decide(START)).len(), eq(0));
+    scheduler.finish(Ticket { entry: 1, number: 0 }, 5, true, START);
+    expect_that!(started(&scheduler.decide(START)), elements_are![eq(&2)]);
+    scheduler.finish(Ticket { entry: 1, number: 2 }, 5, true, START);
+    expect_that!(started(&scheduler.decide(START)), elements_are![eq(&3)]);
+}
