Write once what stood twice; drop what nothing reads

The address of a placement is looked up in one place for generations and calls; the two schedules share one generator (the same choices as before); a control replica's set of links was kept and never read; a map without values is a set; functions used in one file are private to it.

--- a/crates/core/src/agreement/tests.rs
+++ b/crates/core/src/agreement/tests.rs
@@ -10,7 +10,7 @@
 
 use super::*;
 use crate::{
-    testing::Disk,
+    testing::{Choices, Disk},
     units::{Instant, UnixMillis},
 };
 
@@ -44,7 +44,7 @@
     hosts: BTreeMap<ReplicaId, Host>,
     messages: Vec<Message>,
     now: u64,
-    rng: u64,
+    choices: Choices,
     /// Every entry ever handed out as committed, by index.
     committed: BTreeMap<u64, Entry>,
     leaders: BTreeMap<u64, ReplicaId>,
@@ -61,7 +61,7 @@
             hosts: BTreeMap::new(),
             messages: Vec::new(),
             now: 1,
-            rng: seed | 1,
+            choices: Choices::new(seed),
             committed: BTreeMap::new(),
             leaders: BTreeMap::new(),
             cut: Vec::new(),
@@ -93,10 +93,7 @@
     }
 
     fn random(&mut self, below: u64) -> u64 {
-        self.rng ^= self.rng << 13;
-        self.rng ^= self.rng >> 7;
-        self.rng ^= self.rng << 17;
-        self.rng % below
+        self.choices.below(below)
     }
 
     fn pick(&mut self) -> ReplicaId {
@@ -110,7 +107,7 @@
 
     fn start(&mut self, id: ReplicaId) {
         let now = self.time(id);
-        let seed = self.rng;
+        let seed = self.choices.seed();
         let host = self.hosts.get_mut(&id).unwrap();
         let restored = host.disk.restored.clone();
         host.applied.clear();
--- a/crates/core/src/node/control/answers.rs
+++ b/crates/core/src/node/control/answers.rs
@@ -88,7 +88,7 @@
     }
 
     /// The command for a submitted file, or the answer if none is needed.
-    pub(super) fn judge(&self, submit: &Submit) -> Result<ConfigChange, OperationResult> {
+    fn judge(&self, submit: &Submit) -> Result<ConfigChange, OperationResult> {
         let command = &submit.command;
         let hash = ContentHash::from_slice(&command.hash).unwrap_or_default();
         match self.state.judge(command.version, hash) {
@@ -124,7 +124,7 @@
         }
     }
 
-    pub(super) fn propose(
+    fn propose(
         &mut self,
         asker: Asker,
         kind: command::Kind,
--- a/crates/core/src/node/control/mod.rs
+++ b/crates/core/src/node/control/mod.rs
@@ -67,7 +67,6 @@
     /// Only the leader needs it.
     config: Option<Config>,
     peers: ByVm<Peer>,
-    links: BTreeSet<VmName>,
     writing: Option<Batch>,
     queued: Option<Batch>,
     written: u64,
@@ -99,7 +98,6 @@
             state: State::default(),
             config: None,
             peers: ByVm::new(),
-            links: BTreeSet::new(),
             writing: None,
             queued: None,
             written: 0,
@@ -132,7 +130,6 @@
     }
 
     pub(crate) fn link_up(&mut self, vm: &VmName, out: &mut Outbox) {
-        self.links.insert(vm.clone());
         if self.listed.contains(vm) {
             let info = ReplicaInfo { replica: self.replica.id(), empty: self.replica.is_empty() };
             out.send(vm, Body::ReplicaInfo(info));
@@ -140,7 +137,6 @@
     }
 
     pub(crate) fn link_down(&mut self, vm: &VmName, clocks: Clocks, out: &mut Outbox) {
-        self.links.remove(vm);
         self.peers.remove(vm);
         if let Some(dispatcher) = &mut self.dispatcher {
             dispatcher.forget(vm, clocks.now, out);
--- a/crates/core/src/node/control/ready.rs
+++ b/crates/core/src/node/control/ready.rs
@@ -35,7 +35,7 @@
         }
     }
 
-    pub(super) fn take(&mut self, ready: Ready, clocks: Clocks, out: &mut Outbox) {
+    fn take(&mut self, ready: Ready, clocks: Clocks, out: &mut Outbox) {
         self.send_all(ready.messages, out);
         self.queue(ready.persist, ready.messages_after_persist, ready.synced);
         if let Some(snapshot) = ready.install {
@@ -56,7 +56,7 @@
         self.compact_if_due();
     }
 
-    pub(super) fn queue(&mut self, persist: Persist, after: Vec<Outgoing>, synced: Synced) {
+    fn queue(&mut self, persist: Persist, after: Vec<Outgoing>, synced: Synced) {
         if persist.is_empty() && after.is_empty() {
             return;
         }
@@ -68,7 +68,7 @@
 
     /// Starts the next write, unless one is on its way; all that queues up meanwhile shares
     /// the next sync.
-    pub(super) fn write_next(&mut self, now: Instant, out: &mut Outbox) {
+    fn write_next(&mut self, now: Instant, out: &mut Outbox) {
         while self.writing.is_none() {
             let Some(mut batch) = self.queued.take() else { return };
             if batch.persist.is_empty() {
@@ -86,7 +86,7 @@
         self.replica.persisted(batch.synced, now);
     }
 
-    pub(super) fn send_all(&self, messages: Vec<Outgoing>, out: &mut Outbox) {
+    fn send_all(&self, messages: Vec<Outgoing>, out: &mut Outbox) {
         for Outgoing { to, message } in messages {
             if let Some(vm) = self.vm_of(to) {
                 out.send(&vm, Body::Agreement(message));
@@ -94,7 +94,7 @@
         }
     }
 
-    pub(super) fn install(&mut self, snapshot: &Snapshot) {
+    fn install(&mut self, snapshot: &Snapshot) {
         self.snapshot_bytes = snapshot.data.len();
         self.log_bytes = 0;
         // A snapshot that passed its checksum and cannot be read was written by a newer release.
@@ -102,7 +102,7 @@
         self.state = state.expect("a snapshot of a newer release: update this daemon");
     }
 
-    pub(super) fn apply(&mut self, entry: Entry, clocks: Clocks, out: &mut Outbox) {
+    fn apply(&mut self, entry: Entry, clocks: Clocks, out: &mut Outbox) {
         self.log_bytes += match &entry.payload {
             Some(Payload::Command(bytes)) => bytes.len() + 32,
             _ => 64,
@@ -126,7 +126,7 @@
     }
 
     /// An accepted configuration goes to every daemon at once.
-    pub(super) fn accepted(&mut self, entry: &Entry, out: &mut Outbox) {
+    fn accepted(&mut self, entry: &Entry, out: &mut Outbox) {
         let Some(Payload::Command(bytes)) = &entry.payload else { return };
         let command = <Command as prost::Message>::decode(bytes.clone());
         let Ok(Command { kind: Some(command::Kind::Config(change)) }) = command else { return };
@@ -141,7 +141,7 @@
     }
 
     /// Brings an accepted configuration into the scheduler.
-    pub(super) fn update_config(&mut self, change: &ConfigChange) {
+    fn update_config(&mut self, change: &ConfigChange) {
         let delta = EncodedDelta::read(change.delta.clone()).unwrap_or_default();
         let document = self.state.document();
         let config = match &self.config {
@@ -157,7 +157,7 @@
         self.config = Some(config);
     }
 
-    pub(super) fn judge_leadership(&mut self, now: Instant, out: &mut Outbox) {
+    fn judge_leadership(&mut self, now: Instant, out: &mut Outbox) {
         let leads = self.replica.is_established();
         if leads == self.dispatcher.is_some() {
             return;
@@ -179,7 +179,7 @@
         }
     }
 
-    pub(super) fn compact_if_due(&mut self) {
+    fn compact_if_due(&mut self) {
         if self.log_bytes < self.snapshot_bytes + COMPACT_BYTES {
             return;
         }
--- a/crates/core/src/node/keeper.rs
+++ b/crates/core/src/node/keeper.rs
@@ -6,11 +6,11 @@
 //! configuration takes its first one only from such an answer, so a restart
 //! cannot bring an older one back.
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 
-use super::{ByVm, NodeOptions, NodeTiming, Outbox, Output, VersionHash, VmName};
+use super::{NodeOptions, NodeTiming, Outbox, Output, VersionHash, VmName};
 use crate::{
     config::{Config, ContentHash, Document},
     state::{ConfigChange, EncodedDelta},
@@ -61,7 +61,7 @@
     timing: NodeTiming,
     in_force: Option<Arc<InForce>>,
     changed: bool,
-    links: ByVm<()>,
+    links: BTreeSet<VmName>,
     leader: Option<SchedulerAt>,
     leader_changed: bool,
     /// A hint of who leads, from a replica that does not.
@@ -85,7 +85,7 @@
             timing: options.timing,
             in_force: None,
             changed: false,
-            links: ByVm::new(),
+            links: BTreeSet::new(),
             leader: None,
             leader_changed: false,
             hint: None,
@@ -134,7 +134,7 @@
     }
 
     pub(crate) fn link_up(&mut self, vm: &VmName, now: Instant, out: &mut Outbox) {
-        self.links.insert(vm.clone(), ());
+        self.links.insert(vm.clone());
         if self.leader.is_none() && self.replicas.contains(vm) {
             self.poll(vm.clone(), now, out);
         }
@@ -277,7 +277,7 @@
         if let Some(leader) = self.leader() {
             return Some(leader.clone());
         }
-        let reachable = |vm: &VmName| *vm == self.vm || self.links.contains_key(vm);
+        let reachable = |vm: &VmName| *vm == self.vm || self.links.contains(vm);
         if let Some(hint) = self.hint.take().filter(reachable) {
             return Some(hint);
         }
--- a/crates/core/src/node/tests.rs
+++ b/crates/core/src/node/tests.rs
@@ -12,7 +12,7 @@
     config::{Document, EndpointTarget, key_digest},
     placement::{PrefixHash, Ticket},
     state::ConfigChange,
-    testing::Disk,
+    testing::{Choices, Disk},
 };
 
 const REPLICAS: [&str; 3] = ["vm-1", "vm-2", "vm-3"];
@@ -53,7 +53,7 @@
     hosts: BTreeMap<VmName, Host>,
     links: BTreeMap<Link, VecDeque<Body>>,
     now: u64,
-    rng: u64,
+    choices: Choices,
     next_call: u64,
     claims: BTreeMap<CallId, (u8, u64)>,
     cut: BTreeSet<VmName>,
@@ -94,7 +94,7 @@
             hosts: BTreeMap::new(),
             links: BTreeMap::new(),
             now: 1_000_000,
-            rng: seed | 1,
+            choices: Choices::new(seed),
             next_call: 0,
             claims: BTreeMap::new(),
             cut: BTreeSet::new(),
@@ -117,10 +117,7 @@
     }
 
     fn random(&mut self, below: u64) -> u64 {
-        self.rng ^= self.rng << 13;
-        self.rng ^= self.rng >> 7;
-        self.rng ^= self.rng << 17;
-        self.rng % below
+        self.choices.below(below)
     }
 
     fn pick(&mut self) -> VmName {
--- a/crates/core/src/testing.rs
+++ b/crates/core/src/testing.rs
@@ -34,3 +34,26 @@
         }
     }
 }
+
+/// The random choices of a schedule, by xorshift from its seed.
+pub(crate) struct Choices(u64);
+
+impl Choices {
+    /// Choices from a seed.
+    pub(crate) fn new(seed: u64) -> Choices {
+        Choices(seed | 1)
+    }
+
+    /// A number below `below`.
+    pub(crate) fn below(&mut self, below: u64) -> u64 {
+        self.0 ^= self.0 << 13;
+        self.0 ^= self.0 >> 7;
+        self.0 ^= self.0 << 17;
+        self.0 % below
+    }
+
+    /// A seed for something else, from where the choices stand.
+    pub(crate) fn seed(&self) -> u64 {
+        self.0
+    }
+}
--- a/crates/trayswitchd/src/callers/call.rs
+++ b/crates/trayswitchd/src/callers/call.rs
@@ -253,10 +253,7 @@
 ) -> Result<Attempted, RequestError> {
     let call = callers.node().view().next_call();
     let placement = callers.place(call, place)?;
-    let in_force = callers.node().view().in_force();
-    let address = in_force
-        .and_then(|f| f.config.endpoints.get(&*placement.endpoint).map(|spec| spec.address));
-    let result = match address {
+    let result = match callers.address(&placement.endpoint) {
         Some(address) => callers.service().call(
             address,
             &ServiceCall {
--- a/crates/trayswitchd/src/callers/context.rs
+++ b/crates/trayswitchd/src/callers/context.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::HashMap,
+    net::SocketAddr,
     sync::{
         Arc, Mutex,
         atomic::{AtomicU64, Ordering},
@@ -161,6 +162,12 @@
         }
     }
 
+    /// Address of an endpoint, unless it was just removed.
+    pub(super) fn address(&self, endpoint: &str) -> Option<SocketAddr> {
+        let in_force = self.node.view().in_force()?;
+        in_force.config.endpoints.get(endpoint).map(|spec| spec.address)
+    }
+
     /// Tells the node about a failure that a request has met.
     pub(super) fn report(&self, endpoint: &Arc<str>, error: &EndpointError) {
         let news = match error {
--- a/crates/trayswitchd/src/callers/run.rs
+++ b/crates/trayswitchd/src/callers/run.rs
@@ -130,10 +130,7 @@
     fn place(&mut self) -> Result<Place, RequestError> {
         let call = self.callers.node().view().next_call();
         let placement = self.callers.place(call, self.chat.place.clone())?;
-        let in_force = self.callers.node().view().in_force();
-        let address = in_force
-            .and_then(|f| f.config.endpoints.get(&*placement.endpoint).map(|spec| spec.address));
-        let Some(address) = address else {
+        let Some(address) = self.callers.address(&placement.endpoint) else {
             self.callers.node().input(Input::Finished { call, tokens: 0, whole: false });
             let message = "the endpoint was just removed";
             return Err(RequestError::new(ErrorKind::NoEndpoint, message));
