--- a/crates/core/src/config/mod.rs
+++ b/crates/core/src/config/mod.rs
@@ -2,15 +2,19 @@
 
 mod document;
 mod reader;
+mod route;
 mod schema;
+mod service;
 #[cfg(test)]
 mod tests;
 
 pub use self::{
     document::{ContentHash, Delta, Document, Fault, Faults, HashedSection, Section, SectionName},
-    reader::SectionReader,
+    reader::{SOURCE, SectionReader},
+    route::{NamedRoute, RouteKind, RouteSpec, RouteTable, RouteTarget},
     schema::{
-        CallSpec, Config, DEPLOYMENT, Deployment, EndpointSpec, EndpointTarget, Endpoints,
-        KindSpec, ServiceSpec, TierSpec, WorkspaceSpec, key_digest,
+        CallSpec, CallerLimits, Config, DEPLOYMENT, Deployment, EndpointSpec, EndpointTarget,
+        Endpoints, KindSpec, LAYOUT, LIMITS, TierSpec, WorkspaceSpec, key_digest,
     },
+    service::{EngineSpec, ServiceSpec},
 };
--- a/crates/core/src/config/reader.rs
+++ b/crates/core/src/config/reader.rs
@@ -5,6 +5,9 @@
 use super::document::{Fault, Section};
 use crate::units::parse_duration;
 
+/// Key under which an adapter keeps the text that a section was translated from.
+pub const SOURCE: &str = "source";
+
 /// Reads the keys of one section and remembers which were asked for.
 pub struct SectionReader<'a> {
     file: &'a str,
@@ -22,7 +25,8 @@
         section: &'a Section,
         faults: &'a mut Vec<Fault>,
     ) -> SectionReader<'a> {
-        SectionReader { file, name, section, known: BTreeSet::new(), faults }
+        // Any section may keep what it was translated from, to be read back as it was sent.
+        SectionReader { file, name, section, known: BTreeSet::from([SOURCE]), faults }
     }
 
     /// Records a fault at `key`.
@@ -89,7 +93,7 @@
             .map(String::as_str)
             .filter(|key| !self.known.contains(key))
             .collect();
-        let known = self.known.iter().copied().collect::<Vec<_>>().join(", ");
+        let known = self.known.iter().copied().filter(|key| *key != SOURCE).collect::<Vec<_>>().join(", ");
         for key in unknown {
             self.fault(key, format!("unknown key; this section knows {known}"));
         }
--- a/crates/core/src/config/schema.rs
+++ b/crates/core/src/config/schema.rs
@@ -7,17 +7,29 @@
 use super::{
     document::{Delta, Document, Fault, Faults},
     reader::SectionReader,
+    route::{self, RouteTable},
+    service::{self, ServiceSpec},
 };
 use crate::units::Hex;
 
 /// Name of the section that every file must have.
 pub const DEPLOYMENT: &str = "deployment";
 
+/// Name of the section that bounds what callers may send.
+pub const LIMITS: &str = "limits";
+
+/// Name of the section in which an adapter keeps the layout of a file of another form.
+pub const LAYOUT: &str = "layout";
+
 const WORKSPACE: &str = "workspace ";
 const MAX_WEIGHT: u64 = 1_000;
 const MAX_COUNT: u64 = 1_000_000;
 const MAX_TOKENS: u64 = 1_000_000_000;
 const KEY_HEX_DIGITS: usize = 64;
+const DEFAULT_MAX_HEADER: u64 = 16 * 1024;
+const DEFAULT_MAX_BODY: u64 = 1024 * 1024;
+const DEFAULT_HEADER_TIMEOUT: Duration = Duration::from_secs(5);
+const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 const DEFAULT_MAX_RUNNING: u64 = 64;
 const DEFAULT_MAX_WAITING: u64 = 256;
 const DEFAULT_SLOTS: u64 = 64;
@@ -58,8 +70,8 @@
 pub struct WorkspaceSpec {
     /// Name of its tier.
     pub tier: String,
-    /// SHA-256 of its key, in hexadecimal.
-    pub key_sha256: String,
+    /// SHA-256 of each of its keys, in hexadecimal.
+    pub keys_sha256: Vec<String>,
     /// Fair share relative to others in the tier.
     pub share: u64,
     /// Most requests running at once.
@@ -68,13 +80,6 @@
     pub max_waiting: u64,
 }
 
-/// A plain service.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct ServiceSpec {
-    /// Its calls by name.
-    pub calls: BTreeMap<String, CallSpec>,
-}
-
 /// One call of a plain service.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct CallSpec {
@@ -119,6 +124,32 @@
     pub kv_tokens: u64,
     /// Whether it refuses orders that carry an old fence.
     pub checks_fence: bool,
+    /// Whether a generation that runs here can be moved to another endpoint.
+    pub moves: bool,
+}
+
+/// What callers may send, and how long they may take.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CallerLimits {
+    /// Largest head of a request, in bytes.
+    pub max_header: u64,
+    /// Largest body of a request, in bytes.
+    pub max_body: u64,
+    /// Longest time from the first byte of a head to its last.
+    pub header_timeout: Duration,
+    /// Longest rest of a connection between two requests.
+    pub idle_timeout: Duration,
+}
+
+impl Default for CallerLimits {
+    fn default() -> CallerLimits {
+        CallerLimits {
+            max_header: DEFAULT_MAX_HEADER,
+            max_body: DEFAULT_MAX_BODY,
+            header_timeout: DEFAULT_HEADER_TIMEOUT,
+            idle_timeout: DEFAULT_IDLE_TIMEOUT,
+        }
+    }
 }
 
 /// Endpoints by name.
@@ -143,6 +174,10 @@
     pub services: BTreeMap<String, ServiceSpec>,
     /// Endpoints by name.
     pub endpoints: Endpoints,
+    /// Routes by host and path.
+    pub routes: RouteTable,
+    /// What callers may send.
+    pub limits: CallerLimits,
     workspaces_by_key: BTreeMap<Arc<str>, Arc<str>>,
 }
 
@@ -177,7 +212,9 @@
         config.deployment = check.deployment();
         for name in names().filter_map(|name| name.strip_prefix(WORKSPACE)) {
             if let Some(old) = config.workspaces.remove(name) {
-                config.workspaces_by_key.remove(old.key_sha256.as_str());
+                for key in &old.keys_sha256 {
+                    config.workspaces_by_key.remove(key.as_str());
+                }
             }
         }
         for (full_name, section) in &delta.changed {
@@ -225,9 +262,12 @@
             models: self.each("model", |r| r.text("kind")),
             services: BTreeMap::new(),
             endpoints: BTreeMap::new(),
+            routes: RouteTable::default(),
+            limits: self.limits(),
             workspaces_by_key: BTreeMap::new(),
         };
         self.services(&mut config);
+        self.routes(&mut config);
         let endpoints = self.each("endpoint", endpoint);
         config.endpoints =
             endpoints.into_iter().filter_map(|(name, spec)| Some((name, spec?))).collect();
@@ -237,19 +277,20 @@
     }
 
     fn unknown_sections(&mut self) {
-        const KNOWN: [&str; 8] =
-            ["hall", "tier", "kind", "workspace", "model", "service", "call", "endpoint"];
+        const KNOWN: [&str; 9] =
+            ["hall", "tier", "kind", "workspace", "model", "service", "call", "route", "endpoint"];
+        const SINGLE: [&str; 3] = [DEPLOYMENT, LIMITS, LAYOUT];
         for name in self.document.sections().keys() {
             let known = match name.split_once(' ') {
                 Some((family, _)) => KNOWN.contains(&family),
-                None => &**name == DEPLOYMENT,
+                None => SINGLE.contains(&&**name),
             };
             if !known {
                 let families = KNOWN.join(" NAME], [");
                 self.fault(
                     name,
                     "",
-                    format!("unknown section; expected [{DEPLOYMENT}], [{families} NAME]"),
+                    format!("unknown section; expected [{DEPLOYMENT}], [{LIMITS}], [{families} NAME]"),
                 );
             }
         }
@@ -291,7 +332,7 @@
     }
 
     fn services(&mut self, config: &mut Config) {
-        config.services = self.each("service", |_| ServiceSpec { calls: BTreeMap::new() });
+        config.services = self.each("service", service::read);
         for (name, spec) in self.each("call", call) {
             let section = format!("call {name}");
             let Some((service, call)) = name.split_once('/') else {
@@ -306,6 +347,37 @@
         }
     }
 
+    fn limits(&mut self) -> CallerLimits {
+        let Some(section) = self.document.section(LIMITS) else { return CallerLimits::default() };
+        let mut r = SectionReader::new(self.file, LIMITS, section, &mut self.faults);
+        let limits = CallerLimits {
+            max_header: r.number("max_header", Some(DEFAULT_MAX_HEADER), 256, 1 << 24),
+            max_body: r.number("max_body", Some(DEFAULT_MAX_BODY), 0, 1 << 32),
+            header_timeout: r.duration("header_timeout", Some(DEFAULT_HEADER_TIMEOUT)),
+            idle_timeout: r.duration("idle_timeout", Some(DEFAULT_IDLE_TIMEOUT)),
+        };
+        r.finish();
+        limits
+    }
+
+    fn routes(&mut self, config: &mut Config) {
+        for (name, spec) in self.each("route", route::read) {
+            let section = format!("route {name}");
+            let Some(spec) = spec else { continue };
+            for target in &spec.targets {
+                let known = config.services.contains_key(&target.service);
+                self.reference(known, &section, "services", "service", &target.service);
+            }
+            if let Some(tier) = &spec.tier {
+                self.reference(config.tiers.contains_key(tier), &section, "tier", "tier", tier);
+            }
+            if let Err(other) = config.routes.insert(&name, spec) {
+                let problem = format!("[route {other}] has the same host and path_prefix");
+                self.fault(&section, "path_prefix", problem);
+            }
+        }
+    }
+
     fn references(&mut self, config: &Config) {
         for (name, spec) in &config.workspaces {
             self.workspace(config, name, spec);
@@ -364,10 +436,12 @@
         name: &str,
         spec: &WorkspaceSpec,
     ) {
-        let other = by_key.insert(spec.key_sha256.as_str().into(), name.into());
-        if let Some(other) = other {
-            let section = format!("workspace {name}");
-            self.fault(&section, "key_sha256", format!("[workspace {other}] has the same key"));
+        for key in &spec.keys_sha256 {
+            let other = by_key.insert(key.as_str().into(), name.into());
+            if let Some(other) = other {
+                let section = format!("workspace {name}");
+                self.fault(&section, "key_sha256", format!("[workspace {other}] has the same key"));
+            }
         }
     }
 
@@ -389,20 +463,29 @@
 }
 
 fn workspace(r: &mut SectionReader<'_>) -> WorkspaceSpec {
-    let spec = WorkspaceSpec {
-        tier: r.text("tier"),
-        key_sha256: r.text("key_sha256"),
+    let tier = r.text("tier");
+    // A workspace may have lost all of its keys.
+    let keys = r.raw("key_sha256").unwrap_or_else(|| {
+        r.fault("key_sha256", "this key is required");
+        ""
+    });
+    let keys_sha256: Vec<String> =
+        keys.split(',').map(str::trim).filter(|key| !key.is_empty()).map(str::to_owned).collect();
+    let is_digest = |key: &String| {
+        key.len() == KEY_HEX_DIGITS && key.bytes().all(|b| matches!(b, b'0'..=b'9' | b'a'..=b'f'))
+    };
+    if !keys_sha256.iter().all(is_digest) {
+        let expected = "expected 64 lower-case hexadecimal digits for each key, separated by \
+                        commas; `trayswitch config key` makes them";
+        r.fault("key_sha256", expected);
+    }
+    WorkspaceSpec {
+        tier,
+        keys_sha256,
         share: r.number("share", Some(1), 1, MAX_WEIGHT),
         max_running: r.number("max_running", Some(DEFAULT_MAX_RUNNING), 1, MAX_COUNT),
         max_waiting: r.number("max_waiting", Some(DEFAULT_MAX_WAITING), 0, MAX_COUNT),
-    };
-    let hex = spec.key_sha256.bytes().all(|b| matches!(b, b'0'..=b'9' | b'a'..=b'f'));
-    if !spec.key_sha256.is_empty() && (spec.key_sha256.len() != KEY_HEX_DIGITS || !hex) {
-        let expected =
-            "expected 64 lower-case hexadecimal digits; `trayswitch config key` makes them";
-        r.fault("key_sha256", expected);
     }
-    spec
 }
 
 fn call(r: &mut SectionReader<'_>) -> CallSpec {
@@ -430,5 +513,5 @@
             return None;
         }
     };
-    Some(EndpointSpec { hall, address: address?, target, slots, kv_tokens, checks_fence })
+    Some(EndpointSpec { hall, address: address?, target, slots, kv_tokens, checks_fence, moves: false })
 }
--- /dev/null
+++ b/crates/core/src/config/service.rs
@@ -0,0 +1,57 @@
+//! Services: plain ones with named calls, and groups of model engines.
+
+use std::collections::BTreeMap;
+
+use super::{reader::SectionReader, schema::CallSpec};
+
+const MAX_COUNT: u64 = 1_000_000;
+const MAX_TOKENS: u64 = 1_000_000_000;
+const DEFAULT_MAX_CONNECTIONS: u64 = 256;
+/// Bytes of a token in an engine's memory, where a file does not say: a 32 B model in 8 bits.
+const DEFAULT_TOKEN_BYTES: u64 = 131_072;
+
+/// A service.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ServiceSpec {
+    /// Its calls by name.
+    pub calls: BTreeMap<String, CallSpec>,
+    /// Most connections that one of its endpoints takes from all callers together.
+    pub max_connections: u64,
+    /// Path at which its endpoints tell whether they are well.
+    pub health_path: Option<String>,
+    /// What its endpoints can do if they are model engines.
+    pub engine: Option<EngineSpec>,
+}
+
+/// The engines of a service.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EngineSpec {
+    /// Most requests that run at once.
+    pub slots: u64,
+    /// Memory for streams, in tokens.
+    pub kv_tokens: u64,
+    /// Bytes of one token in memory, for the time that a copy takes.
+    pub token_bytes: u64,
+    /// Bandwidth for copies between engines, in Mbit/s.
+    pub link_mbps: u64,
+    /// Whether a running generation can be moved to another engine.
+    pub moves: bool,
+    /// Whether an engine can keep a copy of a generation that runs at another.
+    pub backups: bool,
+}
+
+/// Reads a service.
+pub(super) fn read(r: &mut SectionReader<'_>) -> ServiceSpec {
+    let max_connections =
+        r.number("max_connections", Some(DEFAULT_MAX_CONNECTIONS), 1, MAX_COUNT);
+    let health_path = r.raw("health_path").map(str::to_owned);
+    let engine = r.raw("kv_tokens").is_some().then(|| EngineSpec {
+        slots: r.number("slots", None, 1, MAX_COUNT),
+        kv_tokens: r.number("kv_tokens", None, 1, MAX_TOKENS),
+        token_bytes: r.number("token_bytes", Some(DEFAULT_TOKEN_BYTES), 1, 1 << 32),
+        link_mbps: r.number("link_mbps", Some(10_000), 1, 1 << 32),
+        moves: r.flag("moves", Some(false)),
+        backups: r.flag("backups", Some(false)),
+    });
+    ServiceSpec { calls: BTreeMap::new(), max_connections, health_path, engine }
+}
--- a/crates/trayswitchd/src/telemetry/events.rs
+++ b/crates/core/src/events.rs
@@ -6,14 +6,18 @@
     ($($name:ident = $number:literal, $meaning:literal;)*) => {
         /// A numbered log event.
         #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-        pub(crate) enum EventId {
+        pub enum EventId {
             $(#[doc = $meaning] $name = $number,)*
         }
 
-        #[cfg(test)]
         impl EventId {
+            /// The event's number in the catalogue.
+            pub fn number(self) -> u32 {
+                self as u32
+            }
+
             /// All events with their meanings.
-            pub(crate) const ALL: &[(EventId, &str)] = &[$((EventId::$name, $meaning),)*];
+            pub const ALL: &[(EventId, &str)] = &[$((EventId::$name, $meaning),)*];
         }
     };
 }
@@ -23,16 +27,30 @@
     StopBegun = 102, "A planned stop began.";
     StopEnded = 103, "A planned stop ended with nothing left running.";
     StopForced = 104, "A planned stop reached its time limit with requests still running.";
+    SettingsReloaded = 105, "The settings file was read again.";
+    MetricsFailed = 106, "Metrics cannot be served.";
+    LinesDropped = 107, "Log lines were dropped: the reader of the output did not keep up, or there were too many.";
     ConfigInForce = 201, "A configuration came into force on this daemon.";
     ConfigStale = 202, "The daemon can no longer confirm that its configuration is current.";
     ConfigFresh = 203, "The daemon has confirmed again that its configuration is current.";
     StorageFailed = 204, "The data folder can no longer be used; the daemon ends.";
     PeerRefused = 205, "A link with another daemon was refused.";
     NodeEnded = 206, "The thread that decides has ended; the daemon ends.";
+    StorageOpened = 207, "The data folder was opened.";
+    LinkUp = 208, "A link with another daemon is up.";
+    LinkDown = 209, "The last link with another daemon is down.";
+    LinkFull = 210, "A message was dropped because the peer does not take what is sent.";
+    ConfigAnswered = 211, "An operator's order was answered.";
+    LeaderChanged = 212, "Another control VM leads, or none is known.";
     EndpointFailed = 301, "An endpoint failed to serve a request.";
     EndpointLeaving = 302, "An endpoint said that it is leaving.";
     StreamResumed = 303, "A stream was resumed at its endpoint.";
     OutcomeUnstored = 306, "An outcome was answered before it was stored; storing goes on.";
+    EndpointNews = 307, "An endpoint registered itself, changed its state or ended.";
+    RequestEnded = 310, "A request has ended.";
+    AttemptEnded = 311, "An attempt at an endpoint has ended.";
+    MoveEnded = 312, "A running generation was moved, or could not be.";
+    CallerRefused = 313, "A connection or request of a caller was refused before it was routed.";
     RequestFailed = 304, "A request did not end in its whole answer.";
     FrameDropped = 305, "A frame of a generation was ignored.";
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,12 +7,13 @@
 pub mod agreement;
 pub mod config;
 pub mod delivery;
-
 pub mod error;
+pub mod events;
 pub mod limits;
 pub mod node;
 pub mod once;
 pub mod placement;
+pub mod registry;
 pub mod state;
 pub mod storage;
 #[cfg(test)]
--- a/crates/core/src/node/control/answers.rs
+++ b/crates/core/src/node/control/answers.rs
@@ -99,9 +99,17 @@
     }
 
     pub(super) fn config_result(&self, submit: &Submit, result: ConfigResult) -> OperationResult {
-        let Submit { file, command } = submit;
+        let Submit { file, command, or_newer } = submit;
         let version = command.version;
         match result {
+            ConfigResult::OtherContent { .. } | ConfigResult::TooLow { .. } if *or_newer => {
+                OperationResult::Accepted(AcceptedVersion {
+                    version,
+                    hash: Bytes::copy_from_slice(&self.state.hash().0),
+                    repeated: true,
+                    current: self.state.version(),
+                })
+            }
             ConfigResult::Accepted | ConfigResult::Repeated => {
                 let repeated = result == ConfigResult::Repeated;
                 OperationResult::Accepted(AcceptedVersion {
--- a/crates/core/src/node/control/mod.rs
+++ b/crates/core/src/node/control/mod.rs
@@ -12,6 +12,7 @@
 use super::{
     ByVm, Clocks, NodeOptions, Outbox, VmName,
     dispatcher::Dispatcher,
+    engines::Engines,
     members::{self, Peer},
     updates::Updates,
 };
@@ -61,7 +62,10 @@
 /// A control replica.
 pub(crate) struct Control {
     vm: VmName,
-    listed: Vec<VmName>,
+    /// The VMs that found the group, the one that writes its first entry first; none where
+    /// this VM came later.
+    founders: Vec<VmName>,
+    max_voters: usize,
     replica: Replica,
     state: State,
     /// Only the leader needs it.
@@ -77,6 +81,8 @@
     daemons: ByVm<Daemon>,
     updates: Updates,
     dispatcher: Option<Dispatcher>,
+    /// Engines that registered themselves.
+    engines: Engines,
     election: Duration,
     log_bytes: usize,
     snapshot_bytes: usize,
@@ -93,7 +99,8 @@
         let timing = options.timing.agreement;
         Control {
             vm: options.vm.clone(),
-            listed: options.replicas.clone(),
+            founders: options.founders.clone(),
+            max_voters: options.max_voters,
             replica: Replica::new(id, timing, options.seed, restored, now),
             state: State::default(),
             config: None,
@@ -108,6 +115,7 @@
             daemons: ByVm::new(),
             updates: Updates::default(),
             dispatcher: None,
+            engines: Engines::default(),
             election: timing.election,
             log_bytes: 0,
             snapshot_bytes: 0,
@@ -130,10 +138,8 @@
     }
 
     pub(crate) fn link_up(&mut self, vm: &VmName, out: &mut Outbox) {
-        if self.listed.contains(vm) {
-            let info = ReplicaInfo { replica: self.replica.id(), empty: self.replica.is_empty() };
-            out.send(vm, Body::ReplicaInfo(info));
-        }
+        let info = ReplicaInfo { replica: self.replica.id(), empty: self.replica.is_empty() };
+        out.send(vm, Body::ReplicaInfo(info));
     }
 
     pub(crate) fn link_down(&mut self, vm: &VmName, clocks: Clocks, out: &mut Outbox) {
@@ -200,6 +206,11 @@
                     dispatcher.health(from, health, &live, clocks.now, out);
                 }
             }
+            Body::Moved(moved) => {
+                if let Some(dispatcher) = &mut self.dispatcher {
+                    dispatcher.moved(from, &moved, clocks.now, out);
+                }
+            }
             Body::Report(report) => {
                 let live = self.live_daemons(clocks.now);
                 if let Some(dispatcher) = &mut self.dispatcher {
@@ -212,7 +223,7 @@
 
     fn keep_members(&mut self, clocks: Clocks) {
         if let Some(founders) =
-            members::founders(&self.vm, &self.listed, &self.replica, &self.peers)
+            members::founders(&self.vm, &self.founders, &self.replica, &self.peers)
         {
             self.replica.bootstrap(founders, clocks.wall);
             return;
@@ -220,13 +231,31 @@
         if self.replica.role() != Role::Leader || !self.replica.membership_settled() {
             return;
         }
-        if let Some(membership) = members::repair(&self.listed, &self.replica, &self.peers) {
+        let now = clocks.now;
+        let repair = members::repair(&self.vm, &self.replica, &self.peers, self.max_voters, now);
+        if let Some(membership) = repair {
             // A change that is refused now is tried again at the next housekeeping.
             let payload = Payload::Members(membership);
             let _ = self.replica.propose(payload, clocks.wall, clocks.now);
         }
     }
 
+    /// Takes the engines that registered themselves.
+    pub(crate) fn set_engines(&mut self, engines: Engines, now: Instant, out: &mut Outbox) {
+        self.engines = engines;
+        self.configure_dispatcher();
+        if let Some(dispatcher) = &mut self.dispatcher {
+            dispatcher.decide(now, out);
+        }
+    }
+
+    fn configure_dispatcher(&mut self) {
+        let listed = self.config.as_ref().map(|config| &config.endpoints);
+        if let Some(dispatcher) = &mut self.dispatcher {
+            dispatcher.configure(&self.engines.with(listed), &self.engines.closed);
+        }
+    }
+
     fn vm_of(&self, id: ReplicaId) -> Option<VmName> {
         if id == self.replica.id() {
             return Some(self.vm.clone());
--- a/crates/core/src/node/control/ready.rs
+++ b/crates/core/src/node/control/ready.rs
@@ -151,10 +151,10 @@
         let Ok(config) = config else { return };
         let endpoints_changed =
             self.config.as_ref().is_none_or(|old| old.endpoints != config.endpoints);
-        if let (Some(dispatcher), true) = (&mut self.dispatcher, endpoints_changed) {
-            dispatcher.configure(&config.endpoints);
-        }
         self.config = Some(config);
+        if endpoints_changed {
+            self.configure_dispatcher();
+        }
     }
 
     fn judge_leadership(&mut self, now: Instant, out: &mut Outbox) {
@@ -164,8 +164,8 @@
         }
         if leads {
             self.config = Config::check(ACCEPTED, self.state.document()).ok();
-            let endpoints = self.config.as_ref().map(|config| config.endpoints.clone());
-            self.dispatcher = Some(Dispatcher::new(&endpoints.unwrap_or_default(), now));
+            self.dispatcher = Some(Dispatcher::new(now));
+            self.configure_dispatcher();
             return;
         }
         self.dispatcher = None;
--- /dev/null
+++ b/crates/core/src/node/directory.rs
@@ -0,0 +1,131 @@
+//! Which control VMs there are, learned from the VMs that the settings name and from each other.
+//!
+//! A control VM tells all daemons that it is linked to which control VMs it is linked to. So a
+//! daemon that knows one control VM soon knows all, and follows when they are replaced.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+use super::{Outbox, Output, VmName};
+use crate::{
+    units::Instant,
+    wire::{Body, Directory as DirectoryMessage},
+};
+
+/// How often a control VM tells what it knows: a new control VM is found this fast.
+const TELL: Duration = Duration::from_millis(1_000);
+/// A control VM that nobody has named for this long is forgotten. Longer than a VM takes to
+/// come back, so that a restarted one is dialed at once.
+const FORGET_AFTER: Duration = Duration::from_secs(30);
+
+/// The control VMs that this daemon knows.
+pub(crate) struct Directory {
+    vm: VmName,
+    is_control: bool,
+    /// VMs that the settings name; they are always dialed.
+    seeds: Vec<VmName>,
+    named: BTreeMap<VmName, Instant>,
+    links: BTreeSet<VmName>,
+    known: Vec<VmName>,
+    next_tell: Instant,
+}
+
+impl Directory {
+    pub(crate) fn new(
+        vm: &VmName,
+        seeds: &[VmName],
+        is_control: bool,
+        now: Instant,
+    ) -> Directory {
+        let mut directory = Directory {
+            vm: vm.clone(),
+            is_control,
+            seeds: seeds.to_vec(),
+            named: BTreeMap::new(),
+            links: BTreeSet::new(),
+            known: Vec::new(),
+            next_tell: now,
+        };
+        directory.known = directory.list(now);
+        directory
+    }
+
+    /// All control VMs, this one included where it is one.
+    pub(crate) fn known(&self) -> &[VmName] {
+        &self.known
+    }
+
+    pub(crate) fn next_tick(&self) -> Instant {
+        self.next_tell
+    }
+
+    pub(crate) fn link_up(&mut self, vm: &VmName, out: &mut Outbox) {
+        self.links.insert(vm.clone());
+        if self.is_control {
+            out.send(vm, Body::Directory(self.message()));
+        }
+    }
+
+    pub(crate) fn link_down(&mut self, vm: &VmName) {
+        self.links.remove(vm);
+    }
+
+    /// Takes the seeds of changed settings.
+    pub(crate) fn set_seeds(&mut self, seeds: Vec<VmName>, now: Instant, out: &mut Outbox) {
+        self.seeds = seeds;
+        self.refresh(now, out);
+    }
+
+    /// Takes what a control VM tells.
+    pub(crate) fn told(
+        &mut self,
+        from: &VmName,
+        message: DirectoryMessage,
+        now: Instant,
+        out: &mut Outbox,
+    ) {
+        let vms = message.vms.into_iter().map(VmName::from).chain([from.clone()]);
+        for vm in vms {
+            self.named.insert(vm, now);
+        }
+        self.refresh(now, out);
+    }
+
+    pub(crate) fn tick(&mut self, now: Instant, out: &mut Outbox) {
+        if now < self.next_tell {
+            return;
+        }
+        self.next_tell = now.after(TELL);
+        self.named.retain(|_, at| now.since(*at) < FORGET_AFTER);
+        self.refresh(now, out);
+        if self.is_control {
+            for vm in &self.links {
+                out.send(vm, Body::Directory(self.message()));
+            }
+        }
+    }
+
+    /// This VM and the control VMs that it is linked to.
+    fn message(&self) -> DirectoryMessage {
+        let linked = self.known.iter().filter(|vm| self.links.contains(*vm) || **vm == self.vm);
+        DirectoryMessage { vms: linked.map(|vm| vm.to_string()).collect() }
+    }
+
+    fn refresh(&mut self, now: Instant, out: &mut Outbox) {
+        let known = self.list(now);
+        if known != self.known {
+            self.known.clone_from(&known);
+            out.push(Output::Dial(known));
+        }
+    }
+
+    fn list(&self, now: Instant) -> Vec<VmName> {
+        let fresh = self.named.iter().filter(|(_, at)| now.since(**at) < FORGET_AFTER);
+        let own = self.is_control.then_some(&self.vm);
+        let all: BTreeSet<&VmName> =
+            fresh.map(|(vm, _)| vm).chain(&self.seeds).chain(own).collect();
+        all.into_iter().cloned().collect()
+    }
+}
--- a/crates/core/src/node/dispatcher.rs
+++ b/crates/core/src/node/dispatcher.rs
@@ -13,9 +13,9 @@
 use crate::{
     config::{EndpointTarget, Endpoints},
     error::RequestError,
-    placement::{Action, ForecastPolicy, PrefixHash, Request, Scheduler, SchedulerLimits, Ticket},
+    placement::{Action, ForecastPolicy, PrefixHash, Request, Relocation, Scheduler, SchedulerLimits, Ticket},
     units::Instant,
-    wire::{Admit, Body, GiveUp, Grant, Health, HealthNews, Progress, Report, Watch},
+    wire::{Admit, Body, GiveUp, Grant, Health, HealthNews, Move, Moved, Progress, Report, Watch},
 };
 
 /// Time in which a new leader only listens.
@@ -33,9 +33,9 @@
 }
 
 impl Dispatcher {
-    pub(crate) fn new(endpoints: &Endpoints, now: Instant) -> Dispatcher {
+    pub(crate) fn new(now: Instant) -> Dispatcher {
         let policy = Box::new(ForecastPolicy::default());
-        let mut dispatcher = Dispatcher {
+        Dispatcher {
             scheduler: Scheduler::new(SchedulerLimits::default(), policy),
             open_at: now.after(LISTEN),
             numbers: ByVm::new(),
@@ -43,25 +43,34 @@
             leaving: BTreeMap::new(),
             endpoints: Vec::new(),
             watches: ByVm::new(),
-        };
-        dispatcher.configure(endpoints);
-        dispatcher
+        }
     }
 
     pub(crate) fn scheduler(&self) -> &Scheduler {
         &self.scheduler
     }
 
-    pub(crate) fn configure(&mut self, endpoints: &Endpoints) {
+    /// Takes the endpoints, and which of them must get no new work.
+    pub(crate) fn configure(&mut self, endpoints: &Endpoints, closed: &BTreeSet<Arc<str>>) {
         self.scheduler.configure(endpoints);
         self.endpoints = endpoints.keys().cloned().collect();
+        for endpoint in endpoints.keys() {
+            self.scheduler.endpoint_leaving(endpoint, closed.contains(endpoint.as_str()));
+        }
         for endpoint in self.leaving.keys() {
             self.scheduler.endpoint_leaving(endpoint, true);
         }
     }
 
     pub(crate) fn next_tick(&self) -> Option<Instant> {
-        self.scheduler.next_expiry().map(|at| at.max(self.open_at))
+        self.scheduler.next_decision().map(|at| at.max(self.open_at))
+    }
+
+    /// Takes what became of a move.
+    pub(crate) fn moved(&mut self, from: &VmName, moved: &Moved, now: Instant, out: &mut Outbox) {
+        let ticket = Ticket { entry: self.number(from), number: moved.number };
+        self.scheduler.moved(ticket, &moved.at, moved.done, now);
+        self.decide(now, out);
     }
 
     pub(crate) fn admit(&mut self, from: &VmName, admit: Admit, now: Instant, out: &mut Outbox) {
@@ -168,10 +177,16 @@
         self.assign_watches(daemons, out);
     }
 
-    fn decide(&mut self, now: Instant, out: &mut Outbox) {
+    /// Grants, gives up and moves what can be now.
+    pub(crate) fn decide(&mut self, now: Instant, out: &mut Outbox) {
         if now < self.open_at {
             return;
         }
+        for Relocation { ticket, from, to } in self.scheduler.evacuate(now) {
+            let Some(vm) = self.names.get(&ticket.entry) else { continue };
+            let (from, to) = (from.to_string(), to.to_string());
+            out.send(vm, Body::Move(Move { number: ticket.number, from, to }));
+        }
         for action in self.scheduler.decide(now) {
             match action {
                 Action::Start { ticket, endpoint, priority } => {
--- a/crates/core/src/node/keeper.rs
+++ b/crates/core/src/node/keeper.rs
@@ -10,7 +10,7 @@
 
 use bytes::Bytes;
 
-use super::{NodeOptions, NodeTiming, Outbox, Output, VersionHash, VmName};
+use super::{Answer, CallId, NodeOptions, NodeTiming, Outbox, Output, VersionHash, VmName};
 use crate::{
     config::{Config, ContentHash, Document},
     state::{ConfigChange, EncodedDelta},
@@ -54,10 +54,20 @@
     at: Instant,
 }
 
+/// A question that waits for a confirmation of a time after it came.
+#[derive(Debug, Clone, Copy)]
+struct PendingRead {
+    call: CallId,
+    asked: Instant,
+    deadline: Instant,
+}
+
 /// Keeps the configuration in force.
 pub(crate) struct Keeper {
     vm: VmName,
     replicas: Vec<VmName>,
+    /// Questions for the newest configuration.
+    reads: Vec<PendingRead>,
     timing: NodeTiming,
     in_force: Option<Arc<InForce>>,
     changed: bool,
@@ -75,13 +85,15 @@
     /// The configuration was current at this time; zero means never confirmed.
     confirmed: Option<Instant>,
     fresh: bool,
+    told_confirmed: Option<Instant>,
 }
 
 impl Keeper {
     pub(crate) fn new(options: &NodeOptions, now: Instant) -> Keeper {
         Keeper {
             vm: options.vm.clone(),
-            replicas: options.replicas.clone(),
+            replicas: options.seeds.clone(),
+            reads: Vec::new(),
             timing: options.timing,
             in_force: None,
             changed: false,
@@ -96,6 +108,7 @@
             last_reply: now,
             confirmed: None,
             fresh: false,
+            told_confirmed: None,
         }
     }
 
@@ -133,6 +146,45 @@
         self.next_poll
     }
 
+    /// Takes the control VMs that are known now.
+    pub(crate) fn set_replicas(&mut self, replicas: &[VmName]) {
+        if self.replicas != replicas {
+            self.replicas = replicas.to_vec();
+        }
+    }
+
+    /// Answers with the configuration in force once a poll that was sent after now confirms
+    /// that it is the newest.
+    pub(crate) fn read(
+        &mut self,
+        call: CallId,
+        deadline: Instant,
+        now: Instant,
+        out: &mut Outbox,
+    ) {
+        self.reads.push(PendingRead { call, asked: now, deadline });
+        self.next_poll = self.next_poll.min(deadline);
+        if let Some(target) = self.poll_target() {
+            self.poll(target, now, out);
+        }
+    }
+
+    fn answer_reads(&mut self, now: Instant, out: &mut Outbox) {
+        let confirmed = self.confirmed;
+        let in_force = self.in_force.clone();
+        self.reads.retain(|read| {
+            if confirmed.is_some_and(|at| read.asked <= at) {
+                out.answer(read.call, Answer::Newest(in_force.clone()));
+                return false;
+            }
+            let waits = now < read.deadline;
+            if !waits {
+                out.answer(read.call, Answer::Newest(None));
+            }
+            waits
+        });
+    }
+
     pub(crate) fn link_up(&mut self, vm: &VmName, now: Instant, out: &mut Outbox) {
         self.links.insert(vm.clone());
         if self.leader.is_none() && self.replicas.contains(vm) {
@@ -149,10 +201,12 @@
 
     pub(crate) fn tick(&mut self, now: Instant, out: &mut Outbox) {
         self.judge_freshness(now, out);
+        self.answer_reads(now, out);
         if now < self.next_poll {
             return;
         }
-        self.next_poll = now.after(self.timing.poll);
+        let deadlines = self.reads.iter().map(|read| read.deadline);
+        self.next_poll = deadlines.chain([now.after(self.timing.poll)]).min().unwrap_or(now);
         let silent = now.since(self.last_reply);
         if self.timing.poll * PATIENCE < silent {
             self.set_leader(None);
@@ -199,6 +253,7 @@
         if self.version_hash() == current && 0 < current.version {
             self.confirmed = Some(self.confirmed.map_or(sent, |at| at.max(sent)));
         }
+        self.answer_reads(now, out);
         self.judge_freshness(now, out);
     }
 
@@ -261,9 +316,11 @@
     fn judge_freshness(&mut self, now: Instant, out: &mut Outbox) {
         let age = self.confirmed.map(|at| now.since(at));
         let fresh = age.is_some_and(|age| age < self.timing.stale_after);
-        if fresh != self.fresh {
+        if self.confirmed != self.told_confirmed || fresh != self.fresh {
             self.fresh = fresh;
-            out.push(Output::Fresh(fresh));
+            self.told_confirmed = self.confirmed;
+            let daemons = self.leader.as_ref().map_or(0, |leader| leader.daemons);
+            out.push(Output::Fresh { fresh, confirmed: self.confirmed, daemons });
         }
     }
 
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -10,7 +10,9 @@
 //! - [`dispatcher`] is the scheduler that the leader runs for all daemons.
 
 mod control;
+mod directory;
 mod dispatcher;
+mod engines;
 mod keeper;
 mod members;
 mod operations;
@@ -19,10 +21,16 @@
 mod tests;
 mod updates;
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
 
 use self::{
     control::Control,
+    directory::Directory,
+    engines::Engines,
     keeper::Keeper,
     operations::{Operations, SETTLE_LIMIT, SUBMIT_LIMIT},
     placing::Placing,
@@ -33,8 +41,12 @@
     error::RequestError,
     once::{Claim, ClaimResult, Settle},
     placement::{LoadReport, Request},
+    registry::Registry,
     units::{Instant, UnixMillis},
-    wire::{AcceptedVersion, Body, HealthNews, OperationKind, Report, Submit},
+    wire::{
+        AcceptedVersion, Body, EndpointNews, EndpointRecord, HealthNews, OperationKind,
+        Report, Submit,
+    },
 };
 
 pub use self::{
@@ -87,8 +99,15 @@
 pub struct NodeOptions {
     /// Name of its VM.
     pub vm: VmName,
-    /// Names of the VMs with control replicas, the founder first.
-    pub replicas: Vec<VmName>,
+    /// Names of control VMs through which the others are found.
+    pub seeds: Vec<VmName>,
+    /// Names of the control VMs that found the group, the one that writes its first entry
+    /// first. Empty on a VM that came later, which founds nothing.
+    pub founders: Vec<VmName>,
+    /// Most control replicas that vote.
+    pub max_voters: usize,
+    /// How often endpoints that register themselves send a heartbeat.
+    pub endpoint_heartbeat: Duration,
     /// Time bounds.
     pub timing: NodeTiming,
     /// Random number of this run of the daemon.
@@ -111,6 +130,11 @@
     },
     /// End a claim; the answer tells when it is stored.
     Settle(Settle),
+    /// The newest accepted configuration, confirmed after the question came.
+    Read {
+        /// Time allowed.
+        limit: Duration,
+    },
     /// The state of the endpoints as this node's scheduler sees them.
     Endpoints,
     /// The state of the control replicas as this node sees them.
@@ -169,6 +193,8 @@
     Claimed(Option<ClaimResult>),
     /// To [`Question::Settle`]; false when it could not be stored in time.
     Settled(bool),
+    /// To [`Question::Read`]; `None` when it could not be confirmed in time.
+    Newest(Option<Arc<InForce>>),
     /// To [`Question::Endpoints`].
     Endpoints(Vec<EndpointStatus>),
     /// To [`Question::Control`].
@@ -207,6 +233,21 @@
     Health(Arc<str>, HealthNews),
     /// This daemon asked an endpoint for its load.
     Load(Report),
+    /// An endpoint registered itself or sent a heartbeat.
+    Heartbeat(EndpointRecord),
+    /// An endpoint said that it will end.
+    Farewell(Arc<str>),
+    /// What became of a move.
+    Moved {
+        /// The request.
+        call: CallId,
+        /// Where it runs now.
+        at: Arc<str>,
+        /// Whether that is where it was to go.
+        done: bool,
+    },
+    /// The settings name other control VMs.
+    Seeds(Vec<VmName>),
     /// A planned stop: hand over what can be handed over.
     Stop,
 }
@@ -222,10 +263,30 @@
     Answer(CallId, Answer),
     /// A configuration has come into force.
     InForce(Arc<InForce>),
-    /// Whether the configuration is confirmed to be current.
-    Fresh(bool),
+    /// Whether the configuration is confirmed to be current, and when it last was.
+    Fresh {
+        /// Whether that is recent enough.
+        fresh: bool,
+        /// When it last was; nothing before the first time.
+        confirmed: Option<Instant>,
+        /// Number of daemons that the leader hears.
+        daemons: u64,
+    },
     /// Ask these endpoints for their load from now on.
     Watch(Vec<String>),
+    /// Keep links to these control VMs.
+    Dial(Vec<VmName>),
+    /// The endpoints that registered themselves have changed.
+    Registered(Vec<EndpointRecord>),
+    /// Move a running request to another endpoint, then tell with [`Input::Moved`].
+    Move {
+        /// The request.
+        call: CallId,
+        /// Where it runs.
+        from: Arc<str>,
+        /// Where it is to go on.
+        to: Arc<str>,
+    },
 }
 
 /// One daemon.
@@ -236,6 +297,12 @@
     operations: Operations,
     placing: Placing,
     control: Option<Control>,
+    directory: Directory,
+    registry: Registry,
+    /// Daemons that are linked.
+    links: BTreeSet<VmName>,
+    /// Revision of the registry that was last handed out.
+    handed_out: u64,
 }
 
 /// Outputs that have come up, and messages to this node itself.
@@ -268,6 +335,10 @@
             operations: Operations::default(),
             placing: Placing::new(),
             control: None,
+            directory: Directory::new(&options.vm, &options.seeds, false, now),
+            registry: Registry::new(options.endpoint_heartbeat),
+            links: BTreeSet::new(),
+            handed_out: 0,
         }
     }
 
@@ -280,6 +351,8 @@
     ) -> Node {
         let mut node = Node::entry(options, now);
         node.control = Some(Control::new(options, id, restored, now));
+        node.directory = Directory::new(&options.vm, &options.seeds, true, now);
+        node.keeper.set_replicas(node.directory.known());
         node
     }
 
@@ -303,6 +376,7 @@
     /// When [`Input::Tick`] is next needed.
     pub fn next_tick(&self) -> Instant {
         let mut next = self.keeper.next_tick().min(self.placing.next_tick());
+        next = next.min(self.directory.next_tick());
         if let Some(control) = &self.control {
             next = next.min(control.next_tick());
         }
@@ -320,12 +394,26 @@
                 let leader = self.keeper.leader();
                 self.operations.tick(leader, clocks.now, out);
                 self.placing.tick(self.keeper.scheduler(clocks.now), clocks.now, out);
+                self.directory.tick(clocks.now, out);
+                self.registry.expire(clocks.now);
+                if self.leads() {
+                    let records = self.registry.find_silent(clocks.now);
+                    if !records.is_empty() {
+                        self.tell_all(EndpointNews { records });
+                    }
+                }
             }
             Input::LinkUp(vm) => {
                 if let Some(control) = &mut self.control {
                     control.link_up(&vm, out);
                 }
                 self.keeper.link_up(&vm, clocks.now, out);
+                self.directory.link_up(&vm, out);
+                if self.control.is_some() {
+                    let records = self.registry.records().cloned().collect();
+                    out.send(&vm, Body::EndpointNews(EndpointNews { records }));
+                }
+                self.links.insert(vm);
             }
             Input::LinkDown(vm) => {
                 if let Some(control) = &mut self.control {
@@ -333,6 +421,8 @@
                 }
                 self.keeper.link_down(&vm);
                 self.operations.link_down(&vm);
+                self.directory.link_down(&vm);
+                self.links.remove(&vm);
             }
             Input::Message(from, body) => self.message(&from, body, clocks),
             Input::Persisted(number) => {
@@ -349,6 +439,16 @@
             Input::Health(endpoint, news) => {
                 self.placing.health(&endpoint, news, clocks.now, true, out);
             }
+            Input::Heartbeat(record) => self.heartbeat(record, clocks.now),
+            Input::Farewell(id) => {
+                if let Some(record) = self.registry.leave(&id, clocks.now) {
+                    self.tell_all(EndpointNews { records: vec![record] });
+                }
+            }
+            Input::Moved { call, at, done } => {
+                self.placing.moved(call, &at, done, clocks.now, out);
+            }
+            Input::Seeds(seeds) => self.directory.set_seeds(seeds, clocks.now, out),
             Input::Load(report) => self.placing.load(report, clocks.now, out),
             Input::Stop => {
                 if let Some(control) = &mut self.control {
@@ -378,6 +478,9 @@
                 let kind = OperationKind::Settle(settle);
                 self.operations.ask(call, kind, SETTLE_LIMIT, leader, clocks.now, out);
             }
+            Question::Read { limit } => {
+                self.keeper.read(call, clocks.now.after(limit), clocks.now, out);
+            }
             Question::Endpoints => {
                 let dispatcher = self.control.as_ref().and_then(Control::dispatcher);
                 let scheduler = dispatcher.unwrap_or(self.placing.local());
@@ -405,6 +508,9 @@
             Body::OperationReply(reply) => self.operations.reply(reply, out),
             Body::Grant(grant) => self.placing.granted(from, grant, clocks.now, out),
             Body::GiveUp(give_up) => self.placing.given_up(give_up, out),
+            Body::Directory(message) => self.directory.told(from, message, clocks.now, out),
+            Body::EndpointNews(news) => self.endpoint_news(news, clocks.now),
+            Body::Move(order) => self.placing.order(&order, out),
             Body::Watch(watch) => out.push(Output::Watch(watch.endpoints)),
             Body::Health(health) if !leads || *from == self.vm => {
                 let (endpoint, news) = (health.endpoint.as_str().into(), health.news());
@@ -425,11 +531,62 @@
         self.control.as_ref().is_some_and(Control::leads)
     }
 
+    /// A heartbeat goes to the other control VMs, and what is new in it to every daemon.
+    fn heartbeat(&mut self, record: EndpointRecord, now: Instant) {
+        let Some(new) = self.registry.take(record.clone(), now) else {
+            let news = EndpointNews { records: vec![record] };
+            let control = self.directory.known().iter().filter(|vm| self.links.contains(*vm));
+            for vm in control {
+                self.outputs.send(vm, Body::EndpointNews(news.clone()));
+            }
+            return;
+        };
+        self.tell_all(EndpointNews { records: vec![new] });
+    }
+
+    /// What is new here goes on, so that it also reaches daemons which the sender does not.
+    fn endpoint_news(&mut self, news: EndpointNews, now: Instant) {
+        let new: Vec<EndpointRecord> = news
+            .records
+            .into_iter()
+            .filter_map(|record| self.registry.take(record, now))
+            .collect();
+        if self.control.is_some() && !new.is_empty() {
+            self.tell_all(EndpointNews { records: new });
+        }
+    }
+
+    fn tell_all(&mut self, news: EndpointNews) {
+        for vm in &self.links {
+            self.outputs.send(vm, Body::EndpointNews(news.clone()));
+        }
+    }
+
+    /// Brings the endpoints that registered themselves to the schedulers.
+    fn hand_out_endpoints(&mut self, now: Instant) {
+        let Some(in_force) = self.keeper.in_force() else { return };
+        let engines = Engines::new(&self.registry, &in_force.config);
+        self.placing.configure(&in_force.config, &engines);
+        if let Some(control) = &mut self.control {
+            control.set_engines(engines, now, &mut self.outputs);
+        }
+    }
+
     /// Delivers messages to this node itself and tells the parts of news from each other.
     fn settle(&mut self, clocks: Clocks) {
         loop {
-            if let Some(in_force) = self.keeper.take_changed() {
-                self.placing.configure(&in_force.config);
+            self.keeper.set_replicas(self.directory.known());
+            let in_force = self.keeper.take_changed();
+            let registered = self.handed_out != self.registry.revision();
+            if registered {
+                self.handed_out = self.registry.revision();
+                let records = self.registry.records().cloned().collect();
+                self.outputs.push(Output::Registered(records));
+            }
+            if in_force.is_some() || registered {
+                self.hand_out_endpoints(clocks.now);
+            }
+            if let Some(in_force) = in_force {
                 self.outputs.push(Output::InForce(in_force));
             }
             if let Some(leader) = self.keeper.take_leader_change() {
--- a/crates/core/src/node/placing.rs
+++ b/crates/core/src/node/placing.rs
@@ -10,13 +10,16 @@
     time::Duration,
 };
 
-use super::{Answer, CallId, Outbox, Placement, VmName, keeper::SchedulerAt, load_report};
+use super::{
+    Answer, CallId, Outbox, Output, Placement, VmName, engines::Engines, keeper::SchedulerAt,
+    load_report,
+};
 use crate::{
     config::{Config, EndpointTarget, Endpoints},
     error::{ErrorKind, RequestError},
-    placement::{Action, ForecastPolicy, Request, Scheduler, SchedulerLimits, Ticket},
+    placement::{Action, ForecastPolicy, Relocation, Request, Scheduler, SchedulerLimits, Ticket},
     units::Instant,
-    wire::{Admit, Body, GiveUp, Grant, Health, HealthNews, Progress, Report, Tokens},
+    wire::{Admit, Body, GiveUp, Grant, Health, HealthNews, Move, Moved, Progress, Report, Tokens},
 };
 
 /// Interval at which token counts are passed on.
@@ -81,16 +84,51 @@
         &self.local
     }
 
-    pub(crate) fn configure(&mut self, config: &Config) {
-        if self.endpoints != config.endpoints {
-            self.endpoints = config.endpoints.clone();
+    /// Takes the endpoints that a configuration lists and those that registered themselves.
+    pub(crate) fn configure(&mut self, config: &Config, engines: &Engines) {
+        let endpoints = engines.with(Some(&config.endpoints));
+        if self.endpoints != endpoints {
+            self.endpoints = endpoints;
             self.reconfigure();
         }
+        for name in engines.known.keys() {
+            self.local.endpoint_leaving(name, engines.closed.contains(name.as_str()));
+        }
+    }
+
+    /// Passes an order to move on to the request, if it still runs where the scheduler thinks.
+    pub(crate) fn order(&self, order: &Move, out: &mut Outbox) {
+        let call = CallId(order.number);
+        let runs_there = self.running.get(&call).is_some_and(|r| *r.endpoint == *order.from);
+        if runs_there {
+            let (from, to) = (order.from.as_str().into(), order.to.as_str().into());
+            out.push(Output::Move { call, from, to });
+        }
+    }
+
+    /// Takes what became of a move.
+    pub(crate) fn moved(
+        &mut self,
+        call: CallId,
+        at: &Arc<str>,
+        done: bool,
+        now: Instant,
+        out: &mut Outbox,
+    ) {
+        let Some(running) = self.running.get_mut(&call) else { return };
+        running.endpoint = at.clone();
+        self.local.moved(ticket(call), at, done, now);
+        if let Some(scheduler) = &self.scheduler {
+            let moved = Moved { number: call.0, at: at.to_string(), done };
+            out.send(scheduler, Body::Moved(moved));
+        }
+        self.decide_locally(now, out);
     }
 
     pub(crate) fn next_tick(&self) -> Instant {
         let deadlines = self.waiting.values().map(|w| w.deadline);
-        deadlines.chain([self.next_report]).min().unwrap_or(self.next_report)
+        let local = self.local.next_decision().filter(|_| self.scheduler.is_none());
+        deadlines.chain([self.next_report]).chain(local).min().unwrap_or(self.next_report)
     }
 
     pub(crate) fn place(
@@ -273,6 +311,11 @@
     }
 
     fn decide_locally(&mut self, now: Instant, out: &mut Outbox) {
+        if self.scheduler.is_none() {
+            for Relocation { ticket, from, to } in self.local.evacuate(now) {
+                out.push(Output::Move { call: CallId(ticket.number), from, to });
+            }
+        }
         for action in self.local.decide(now) {
             match action {
                 Action::Start { ticket, endpoint, priority } => {
--- a/crates/core/src/node/tests.rs
+++ b/crates/core/src/node/tests.rs
@@ -129,7 +129,10 @@
         let seed = self.random(1 << 40);
         let options = NodeOptions {
             vm: vm.clone(),
-            replicas: REPLICAS.map(VmName::from).to_vec(),
+            seeds: REPLICAS.map(VmName::from).to_vec(),
+            founders: REPLICAS.map(VmName::from).to_vec(),
+            max_voters: REPLICAS.len(),
+            endpoint_heartbeat: Duration::from_secs(1),
             timing: NodeTiming::default(),
             seed,
         };
@@ -214,7 +217,11 @@
                 *highest = in_force.version;
             }
             Output::Answer(call, answer) => self.answered(call, answer),
-            Output::Fresh(_) | Output::Watch(_) => {}
+            Output::Fresh { .. }
+            | Output::Watch(_)
+            | Output::Dial(_)
+            | Output::Registered(_)
+            | Output::Move { .. } => {}
         }
     }
 
@@ -251,7 +258,7 @@
         let nothing = Document::default();
         let (base_version, base) = in_force.map_or((0, &nothing), |f| (f.version, &f.document));
         let command = ConfigChange::new(version, base_version, base, &document);
-        let submit = Submit { file: "f.ini".into(), command };
+        let submit = Submit { file: "f.ini".into(), command, or_newer: false };
         self.ask(vm, Question::Submit(submit));
     }
 
--- a/crates/core/src/placement/endpoint.rs
+++ b/crates/core/src/placement/endpoint.rs
@@ -15,6 +15,8 @@
 /// A cached prefix is believed for this long.
 const PREFIX_LIFE: Duration = Duration::from_secs(60);
 const MAX_PREFIXES: usize = 512;
+/// Prompt tokens that an engine reads in a millisecond, by the users' sheets.
+const PROMPT_TOKENS_PER_MS: u64 = 14;
 const MAX_CHANGES: usize = 256;
 
 /// Whether an endpoint may get new work.
@@ -101,6 +103,8 @@
     since_report: VecDeque<Change>,
     prefixes: HashMap<PrefixHash, Instant>,
     failures: u32,
+    /// When it will have read the prompts that were granted to it, by reckoning.
+    reads_until: Instant,
 }
 
 impl EndpointState {
@@ -116,6 +120,7 @@
             since_report: VecDeque::new(),
             prefixes: HashMap::new(),
             failures: 0,
+            reads_until: Instant::default(),
         }
     }
 
@@ -205,6 +210,17 @@
         }
     }
 
+    /// Time that it still needs to read the prompts granted so far.
+    pub(crate) fn reading(&self, now: Instant) -> Duration {
+        self.reads_until.since(now)
+    }
+
+    /// Notes that a prompt of this length must be read.
+    pub(crate) fn note_prompt(&mut self, tokens: u64, now: Instant) {
+        let time = Duration::from_micros(tokens * 1_000 / PROMPT_TOKENS_PER_MS);
+        self.reads_until = self.reads_until.max(now).after(time);
+    }
+
     pub(crate) fn grant(&mut self, share: &Share, now: Instant) {
         self.running += 1;
         self.note(Change { at: now, delta: 1 });
--- /dev/null
+++ b/crates/core/src/placement/evacuation.rs
@@ -0,0 +1,188 @@
+//! Moves running generations away from endpoints that are leaving.
+//!
+//! One planner serves all daemons. Copies from one endpoint queue up on its link, so it moves
+//! one generation at a time, the dearest first, and each endpoint takes one at a time. A
+//! generation leaves its endpoint only after its copy has arrived; that is the daemon's part.
+
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+use super::{
+    Scheduler, Ticket,
+    endpoint::{EndpointState, Health},
+    policy::Candidate,
+    scheduler::Placed,
+};
+use crate::units::Instant;
+
+/// A move that was not answered for this long is given up: a copy takes up to half a second,
+/// and an endpoint that leaves is gone two seconds after it said so.
+const LONGEST_MOVE: Duration = Duration::from_millis(1_500);
+/// A generation is not asked to move more often than this.
+const MAX_TRIES: u32 = 20;
+/// A generation that failed to move is left alone for this long.
+const PAUSE: Duration = Duration::from_millis(60);
+/// How often the planner looks again while anything waits to be moved.
+const LOOK: Duration = Duration::from_millis(20);
+/// One with no more tokens than this to come ends before its copy would arrive.
+const FEW_TOKENS: u64 = 32;
+/// Tokens out weigh this much against tokens of the prompt when the users count the worth of
+/// a generation.
+const WEIGHT_OF_OUTPUT: u64 = 10;
+
+/// A running generation that is to go on elsewhere.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Relocation {
+    /// The generation.
+    pub ticket: Ticket,
+    /// Where it runs.
+    pub from: Arc<str>,
+    /// Where it is to go on.
+    pub to: Arc<str>,
+}
+
+#[derive(Debug)]
+struct Move {
+    from: Arc<str>,
+    to: Arc<str>,
+    until: Instant,
+}
+
+#[derive(Debug, Clone, Copy, Default)]
+struct Tries {
+    count: u32,
+    not_before: Instant,
+}
+
+/// Moves on their way and moves that failed.
+#[derive(Debug, Default)]
+pub(super) struct Evacuation {
+    moves: HashMap<Ticket, Move>,
+    tries: HashMap<Ticket, Tries>,
+    next_look: Instant,
+}
+
+impl Evacuation {
+    /// Forgets a generation that has ended.
+    pub(super) fn forget(&mut self, ticket: Ticket) {
+        self.moves.remove(&ticket);
+        self.tries.remove(&ticket);
+    }
+
+    fn is_busy(&self, endpoint: &Arc<str>) -> bool {
+        self.moves.values().any(|m| m.from == *endpoint || m.to == *endpoint)
+    }
+
+    fn may_move(&self, ticket: &Ticket, now: Instant) -> bool {
+        let tries = self.tries.get(ticket).copied().unwrap_or_default();
+        !self.moves.contains_key(ticket) && tries.count < MAX_TRIES && tries.not_before <= now
+    }
+}
+
+impl Scheduler {
+    /// The moves to begin now.
+    pub fn evacuate(&mut self, now: Instant) -> Vec<Relocation> {
+        self.evacuation.next_look = now.after(LOOK);
+        self.give_up_moves(now);
+        let sources: Vec<Arc<str>> = self
+            .endpoints
+            .values()
+            .filter(|state| must_empty(state) && !self.evacuation.is_busy(&state.name))
+            .map(|state| state.name.clone())
+            .collect();
+        sources.iter().filter_map(|source| self.move_next(source, now)).collect()
+    }
+
+    /// When [`Scheduler::evacuate`] must be called again even without other input.
+    pub(super) fn next_evacuation(&self) -> Option<Instant> {
+        let waiting = self.endpoints.values().any(must_empty);
+        waiting.then_some(self.evacuation.next_look)
+    }
+
+    /// Notes where a generation runs after a move, which may have failed.
+    pub fn moved(&mut self, ticket: Ticket, at: &str, done: bool, now: Instant) {
+        let at: Arc<str> = at.into();
+        self.evacuation.moves.remove(&ticket);
+        if !self.placed.contains_key(&ticket) {
+            return;
+        }
+        self.relocate(ticket, &at, now);
+        if done {
+            self.evacuation.tries.remove(&ticket);
+            return;
+        }
+        let tries = self.evacuation.tries.entry(ticket).or_default();
+        tries.count += 1;
+        tries.not_before = now.after(PAUSE);
+    }
+
+    fn give_up_moves(&mut self, now: Instant) {
+        let overdue: Vec<Ticket> = self
+            .evacuation
+            .moves
+            .iter()
+            .filter(|(_, m)| m.until <= now)
+            .map(|(ticket, _)| *ticket)
+            .collect();
+        for ticket in overdue {
+            if let Some(Move { from, .. }) = self.evacuation.moves.remove(&ticket) {
+                self.relocate(ticket, &from, now);
+                self.evacuation.tries.entry(ticket).or_default().count += 1;
+            }
+        }
+    }
+
+    fn move_next(&mut self, source: &Arc<str>, now: Instant) -> Option<Relocation> {
+        let worth = |placed: &Placed| {
+            placed.req.prompt_tokens + WEIGHT_OF_OUTPUT * placed.req.max_tokens.max(placed.tokens)
+        };
+        let goes_on = |placed: &Placed| placed.tokens + FEW_TOKENS < placed.req.max_tokens;
+        let (ticket, placed) = self
+            .placed
+            .iter()
+            .filter(|(ticket, placed)| {
+                placed.endpoint == *source
+                    && goes_on(placed)
+                    && self.evacuation.may_move(ticket, now)
+            })
+            .max_by_key(|(ticket, placed)| (worth(placed), **ticket))?;
+        let ticket = *ticket;
+        let share = self.share_of(placed);
+        let req = placed.req.clone();
+        let hall = self.endpoints.get(source).map(|state| state.spec.hall.clone());
+        let mut open: Vec<&EndpointState> = self
+            .endpoints
+            .values()
+            .filter(|state| {
+                state.spec.target == req.target
+                    && state.takes_work(now)
+                    && !self.evacuation.is_busy(&state.name)
+            })
+            .collect();
+        // Equal endpoints are told apart by name, so that a run can be repeated.
+        open.sort_by(|a, b| a.name.cmp(&b.name));
+        let candidates: Vec<Candidate<'_>> =
+            open.iter().map(|endpoint| Candidate { endpoint, share: &share }).collect();
+        // A copy to another data hall takes twice as long, so one nearby is taken if it has room.
+        let near: Vec<Candidate<'_>> = candidates
+            .iter()
+            .filter(|c| Some(&c.endpoint.spec.hall) == hall.as_ref())
+            .map(|c| Candidate { endpoint: c.endpoint, share: c.share })
+            .collect();
+        let policy = &mut self.policy;
+        let chosen = match policy.choose(&req, &near, now) {
+            Some(at) => near[at].endpoint.name.clone(),
+            None => {
+                let at = policy.choose(&req, &candidates, now)?;
+                candidates[at].endpoint.name.clone()
+            }
+        };
+        self.relocate(ticket, &chosen, now);
+        let until = now.after(LONGEST_MOVE);
+        self.evacuation.moves.insert(ticket, Move { from: source.clone(), to: chosen.clone(), until });
+        Some(Relocation { ticket, from: source.clone(), to: chosen })
+    }
+}
+
+fn must_empty(state: &EndpointState) -> bool {
+    state.health == Health::Leaving && state.spec.moves && 0 < state.running
+}
--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -4,6 +4,7 @@
 //! targets. It is soft state: it can be rebuilt from what daemons report.
 
 mod endpoint;
+mod evacuation;
 mod forecast;
 mod policy;
 mod queue;
@@ -17,6 +18,7 @@
 
 pub use self::{
     endpoint::{EndpointState, Health, LoadReport},
+    evacuation::Relocation,
     forecast::{HORIZONS, LengthForecast, Survival},
     policy::{Candidate, FirstFit, ForecastPolicy, LeastOutstanding, Policy, RoundRobin},
     scheduler::{Scheduler, SchedulerLimits},
--- a/crates/core/src/placement/policy.rs
+++ b/crates/core/src/placement/policy.rs
@@ -27,6 +27,10 @@
     ) -> Option<usize>;
 }
 
+/// Cost of a second of prompts that an endpoint still has to read, in parts of its memory:
+/// all that runs there is held up by them, so they are spread first.
+const READING_VALUE: f64 = 1.0;
+
 /// A request is small when it is forecast to fill no more than this part of the memory.
 const SMALL: f64 = 0.025;
 
@@ -160,7 +164,8 @@
             let kv = c.endpoint.spec.kv_tokens as f64;
             let cached = c.endpoint.has_prefix(req.prefix, now);
             let saved = if cached { req.prompt_tokens as f64 / kv } else { 0.0 };
-            self.fullness(c) + self.load_value * load - self.prefix_value * saved
+            let reading = READING_VALUE * c.endpoint.reading(now).as_secs_f64();
+            self.fullness(c) + self.load_value * load + reading - self.prefix_value * saved
         };
         least(candidates, fits, cost)
     }
--- a/crates/core/src/placement/scheduler.rs
+++ b/crates/core/src/placement/scheduler.rs
@@ -9,6 +9,7 @@
 use super::{
     Action, PrefixHash, Request, Ticket,
     endpoint::{EndpointState, Health, LoadReport, Share},
+    evacuation::Evacuation,
     forecast::LengthForecast,
     policy::{Candidate, Policy},
     queue::Queue,
@@ -44,11 +45,11 @@
 
 /// A request that was granted an endpoint and has not finished.
 #[derive(Debug)]
-struct Placed {
-    req: Request,
-    endpoint: Arc<str>,
+pub(super) struct Placed {
+    pub(super) req: Request,
+    pub(super) endpoint: Arc<str>,
     share: Share,
-    tokens: u64,
+    pub(super) tokens: u64,
 }
 
 #[derive(Debug, Default)]
@@ -129,13 +130,14 @@
 /// Queue, endpoints and running streams of the targets of one scheduler.
 pub struct Scheduler {
     limits: SchedulerLimits,
-    policy: Box<dyn Policy>,
+    pub(super) policy: Box<dyn Policy>,
     forecast: LengthForecast,
     targets: HashMap<EndpointTarget, Target>,
-    endpoints: HashMap<Arc<str>, EndpointState>,
+    pub(super) endpoints: HashMap<Arc<str>, EndpointState>,
     queued: HashMap<Ticket, Queued>,
     expiries: BTreeSet<Expiry>,
-    placed: HashMap<Ticket, Placed>,
+    pub(super) placed: HashMap<Ticket, Placed>,
+    pub(super) evacuation: Evacuation,
     counts: HashMap<Arc<str>, Count>,
     /// Number of samples of endpoints taken.
     samples: usize,
@@ -153,6 +155,7 @@
             queued: HashMap::new(),
             expiries: BTreeSet::new(),
             placed: HashMap::new(),
+            evacuation: Evacuation::default(),
             counts: HashMap::new(),
             samples: 0,
         }
@@ -277,6 +280,12 @@
         self.expiries.first().map(|expiry| expiry.at)
     }
 
+    /// When [`Scheduler::decide`] and [`Scheduler::evacuate`] must be called even without
+    /// other input.
+    pub fn next_decision(&self) -> Option<Instant> {
+        self.next_expiry().into_iter().chain(self.next_evacuation()).min()
+    }
+
     /// Notes the number of tokens that a running stream has produced.
     pub fn progress(&mut self, ticket: Ticket, tokens: u64) {
         let Some(placed) = self.placed.get_mut(&ticket) else { return };
@@ -300,6 +309,7 @@
     pub fn finish(&mut self, ticket: Ticket, tokens: u64, whole: bool, now: Instant) {
         self.progress(ticket, tokens);
         let Some(placed) = self.placed.remove(&ticket) else { return };
+        self.evacuation.forget(ticket);
         self.count_running(&placed.req, -1);
         if let Some(endpoint) = self.endpoints.get_mut(&placed.endpoint) {
             endpoint.release(&placed.share, now);
@@ -422,6 +432,26 @@
         None
     }
 
+    /// Accounts for a running request at another endpoint from now on.
+    pub(super) fn relocate(&mut self, ticket: Ticket, to: &Arc<str>, now: Instant) {
+        let Some(placed) = self.placed.get_mut(&ticket) else { return };
+        if placed.endpoint == *to {
+            return;
+        }
+        if let Some(from) = self.endpoints.get_mut(&placed.endpoint) {
+            from.release(&placed.share, now);
+        }
+        placed.endpoint = to.clone();
+        if let Some(state) = self.endpoints.get_mut(to) {
+            state.grant(&placed.share, now);
+        }
+    }
+
+    /// The forecast of a running request's memory.
+    pub(super) fn share_of(&self, placed: &Placed) -> Share {
+        placed.share
+    }
+
     fn no_longer_waits(&mut self, queued: &Queued) {
         self.expiries.remove(&queued.expiry);
         if let Some(count) = self.counts.get_mut(&queued.workspace) {
@@ -456,6 +486,7 @@
         let survival = self.forecast.survival(&req.workspace, &req.kind);
         let share = Share::forecast(survival, req.prompt_tokens, 0, req.max_tokens);
         state.grant(&share, now);
+        state.note_prompt(req.prompt_tokens, now);
         state.note_prefix(req.prefix, now);
         self.count_running(&req, 1);
         let placed = Placed { endpoint: endpoint.clone(), share, tokens: 0, req };
--- /dev/null
+++ b/crates/core/src/registry/mod.rs
@@ -0,0 +1,240 @@
+//! Endpoints that register themselves by heartbeats, as one daemon knows them.
+//!
+//! Every control VM takes heartbeats and passes on what is new to all daemons that it is
+//! linked to, so no leader is needed. Records of one run of an endpoint are ordered by the
+//! number of the heartbeat; leaving is never taken back.
+
+#[cfg(test)]
+mod tests;
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
+
+use crate::{
+    config::{Config, EndpointSpec, EndpointTarget, Endpoints},
+    units::Instant,
+    wire::EndpointRecord,
+};
+
+/// An endpoint that said it is leaving is forgotten after this long: it serves on for its
+/// notice and, at times, many seconds more, and its generations are moved by its name.
+const KEEP_LEAVING: Duration = Duration::from_secs(60);
+/// A silent endpoint is forgotten after this long.
+const KEEP_SILENT: Duration = Duration::from_secs(60);
+/// Names of endpoints that were forgotten, kept against heartbeats that come very late.
+const MAX_FORGOTTEN: usize = 4_096;
+/// Heartbeats that may be missed before an endpoint counts as silent.
+const MISSED_HEARTBEATS: u32 = 4;
+
+#[derive(Debug, Clone)]
+struct Known {
+    record: EndpointRecord,
+    address: SocketAddr,
+    /// When a heartbeat or news of it last came.
+    heard: Instant,
+    /// When it began to leave, as known here.
+    leaving_since: Option<Instant>,
+    /// When its heartbeats were found to have stopped.
+    silent_since: Option<Instant>,
+}
+
+impl Known {
+    fn new(record: EndpointRecord, address: SocketAddr, now: Instant) -> Known {
+        let leaving_since = record.leaving.then_some(now);
+        let silent_since = record.silent.then_some(now);
+        Known { record, address, heard: now, leaving_since, silent_since }
+    }
+
+    fn note_state(&mut self, now: Instant) {
+        if self.record.leaving {
+            self.leaving_since.get_or_insert(now);
+        }
+        match self.record.silent {
+            true => drop(self.silent_since.get_or_insert(now)),
+            false => self.silent_since = None,
+        }
+    }
+}
+
+/// The endpoints that one daemon knows.
+#[derive(Debug)]
+pub struct Registry {
+    heartbeat: Duration,
+    known: BTreeMap<Arc<str>, Known>,
+    forgotten: BTreeSet<Arc<str>>,
+    /// Counts the changes, so that readers see when to look again.
+    revision: u64,
+}
+
+impl Registry {
+    /// A registry of endpoints that send a heartbeat about this often.
+    pub fn new(heartbeat: Duration) -> Registry {
+        Registry { heartbeat, known: BTreeMap::new(), forgotten: BTreeSet::new(), revision: 0 }
+    }
+
+    /// Counts the changes so far.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Takes a heartbeat or news of it. Returns the record to pass on if it says anything new.
+    pub fn take(&mut self, record: EndpointRecord, now: Instant) -> Option<EndpointRecord> {
+        if record.address.is_empty() {
+            return self.leave(&record.id, now);
+        }
+        let id: Arc<str> = record.id.as_str().into();
+        let address: SocketAddr = record.address.parse().ok()?;
+        if self.forgotten.contains(&id) {
+            return None;
+        }
+        let Some(known) = self.known.get_mut(&id) else {
+            self.forget_others_at(address, &id);
+            self.known
+                .insert(id, Known::new(record.clone(), address, now));
+            self.revision += 1;
+            return Some(record);
+        };
+        let newer = known.record.sequence < record.sequence;
+        if newer && !record.silent {
+            known.heard = now;
+        }
+        let mut merged = if newer { record.clone() } else { known.record.clone() };
+        // It may have begun to leave by a message without a number.
+        merged.leaving = known.record.leaving || record.leaving;
+        merged.silent = if known.record.sequence <= record.sequence {
+            record.silent
+        } else {
+            known.record.silent
+        };
+        let same = EndpointRecord {
+            sequence: known.record.sequence,
+            cold_ms: known.record.cold_ms,
+            ..merged.clone()
+        } == known.record;
+        known.record = merged;
+        known.address = address;
+        if same {
+            return None;
+        }
+        known.note_state(now);
+        self.revision += 1;
+        Some(known.record.clone())
+    }
+
+    /// Notes that an endpoint said it will end. Returns the record to pass on if that is new;
+    /// for an endpoint that is not known here it holds only the name.
+    pub fn leave(&mut self, id: &str, now: Instant) -> Option<EndpointRecord> {
+        let Some(known) = self.known.get_mut(id) else {
+            let new = self.forgotten.insert(id.into());
+            let record = EndpointRecord { id: id.into(), leaving: true, ..Default::default() };
+            return new.then_some(record);
+        };
+        if known.record.leaving {
+            return None;
+        }
+        known.record.leaving = true;
+        known.note_state(now);
+        self.revision += 1;
+        Some(known.record.clone())
+    }
+
+    /// Whether an endpoint of this name is known here.
+    pub fn knows(&self, id: &str) -> bool {
+        self.known.contains_key(id)
+    }
+
+    /// Forgets endpoints that are long gone.
+    pub fn expire(&mut self, now: Instant) {
+        let over = |since: Option<Instant>, keep| since.is_some_and(|at| keep <= now.since(at));
+        let left: Vec<Arc<str>> = self
+            .known
+            .iter()
+            .filter(|(_, known)| over(known.leaving_since, KEEP_LEAVING))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in left {
+            self.forget(&id);
+        }
+        let before = self.known.len();
+        // One whose heartbeats come again later is welcome.
+        self.known.retain(|_, known| !over(known.silent_since, KEEP_SILENT));
+        if self.known.len() < before {
+            self.revision += 1;
+        }
+    }
+
+    /// Finds the endpoints whose heartbeats have stopped since the last call. Only control
+    /// VMs hear every heartbeat.
+    pub fn find_silent(&mut self, now: Instant) -> Vec<EndpointRecord> {
+        let limit = self.heartbeat * MISSED_HEARTBEATS;
+        // While nobody is heard the fault is more likely here than at every endpoint.
+        let anybody = self.known.values().any(|known| now.since(known.heard) < limit);
+        let mut silent = Vec::new();
+        for known in self.known.values_mut() {
+            if anybody && !known.record.silent && limit <= now.since(known.heard) {
+                known.record.silent = true;
+                known.note_state(now);
+                self.revision += 1;
+                silent.push(known.record.clone());
+            }
+        }
+        silent
+    }
+
+    /// All records.
+    pub fn records(&self) -> impl Iterator<Item = &EndpointRecord> {
+        self.known.values().map(|known| &known.record)
+    }
+
+    /// The model engines as the scheduler sees them.
+    pub fn engines(&self, config: &Config) -> Endpoints {
+        let mut endpoints = Endpoints::new();
+        for (id, known) in &self.known {
+            let service = config.services.get(&known.record.service);
+            let Some(engine) = service.and_then(|service| service.engine.as_ref()) else { continue };
+            let spec = EndpointSpec {
+                hall: known.record.hall.clone(),
+                address: known.address,
+                target: EndpointTarget::Model(known.record.service.clone()),
+                slots: known.record.slots.min(engine.slots),
+                kv_tokens: engine.kv_tokens,
+                checks_fence: false,
+                moves: engine.moves,
+            };
+            endpoints.insert(id.to_string(), spec);
+        }
+        endpoints
+    }
+
+    /// Names of the endpoints that must get no new work, because they leave or are silent.
+    pub fn closed(&self) -> impl Iterator<Item = &Arc<str>> {
+        let closed = |known: &Known| known.record.leaving || known.record.silent;
+        self.known.iter().filter(move |(_, known)| closed(known)).map(|(id, _)| id)
+    }
+
+    /// An address belongs to the run of an endpoint that claimed it last.
+    fn forget_others_at(&mut self, address: SocketAddr, id: &Arc<str>) {
+        let others: Vec<Arc<str>> = self
+            .known
+            .iter()
+            .filter(|(other, known)| known.address == address && *other != id)
+            .map(|(other, _)| other.clone())
+            .collect();
+        for other in others {
+            self.forget(&other);
+        }
+    }
+
+    fn forget(&mut self, id: &Arc<str>) {
+        self.known.remove(id);
+        if MAX_FORGOTTEN <= self.forgotten.len() {
+            self.forgotten.clear();
+        }
+        self.forgotten.insert(id.clone());
+        self.revision += 1;
+    }
+}
--- /dev/null
+++ b/crates/core/src/registry/tests.rs
@@ -0,0 +1,131 @@
+use std::time::Duration;
+
+use googletest::prelude::*;
+use proptest::prelude::*;
+
+use super::Registry;
+use crate::{testing::fixed_seed, units::Instant, wire::EndpointRecord};
+
+const HEARTBEAT: Duration = Duration::from_millis(1_200);
+
+fn record(id: &str, sequence: u64, leaving: bool) -> EndpointRecord {
+    EndpointRecord {
+        id: id.into(),
+        service: "s".into(),
+        address: "10.0.0.1:80".into(),
+        hall: "h".into(),
+        slots: 4,
+        sequence,
+        leaving,
+        silent: false,
+        cold_ms: 0,
+    }
+}
+
+fn seconds(s: u64) -> Instant {
+    Instant(s * 1_000_000)
+}
+
+#[gtest]
+fn a_late_heartbeat_does_not_bring_a_leaving_endpoint_back() {
+    let mut registry = Registry::new(HEARTBEAT);
+    registry.take(record("a", 1, false), seconds(0));
+    registry.take(record("a", 3, true), seconds(1));
+
+    let news = registry.take(record("a", 2, false), seconds(2));
+
+    expect_that!(news, none());
+    expect_that!(registry.closed().count(), eq(1));
+}
+
+#[gtest]
+fn a_heartbeat_after_the_farewell_does_not_bring_the_endpoint_back() {
+    let mut registry = Registry::new(HEARTBEAT);
+    registry.take(record("a", 1, false), seconds(0));
+    let farewell = registry.leave("a", seconds(1));
+    let again = registry.leave("a", seconds(1));
+
+    registry.take(record("a", 2, false), seconds(2));
+
+    expect_that!(farewell, some(anything()));
+    expect_that!(again, none());
+    expect_that!(registry.closed().count(), eq(1));
+}
+
+#[gtest]
+fn an_address_belongs_to_the_run_that_claimed_it_last() {
+    let mut registry = Registry::new(HEARTBEAT);
+    registry.take(record("a", 9, false), seconds(0));
+
+    registry.take(record("b", 1, false), seconds(5));
+    registry.take(record("a", 10, false), seconds(6));
+
+    let ids: Vec<&str> = registry.records().map(|r| r.id.as_str()).collect();
+    expect_that!(ids, elements_are![eq(&"b")]);
+}
+
+#[gtest]
+fn only_what_is_new_is_passed_on() {
+    let mut registry = Registry::new(HEARTBEAT);
+
+    let first = registry.take(record("a", 1, false), seconds(0));
+    let second = registry.take(record("a", 2, false), seconds(1));
+    let leaving = registry.take(record("a", 3, true), seconds(2));
+
+    expect_that!(first, some(anything()));
+    expect_that!(second, none());
+    expect_that!(leaving, some(field!(EndpointRecord.leaving, eq(true))));
+}
+
+#[gtest]
+fn silence_closes_an_endpoint_and_a_heartbeat_opens_it_again() {
+    let mut registry = Registry::new(HEARTBEAT);
+    registry.take(record("a", 1, false), seconds(0));
+    let other = EndpointRecord { address: "10.0.0.2:80".into(), ..record("b", 1, false) };
+    registry.take(EndpointRecord { sequence: 8, ..other }, seconds(9));
+
+    let silent = registry.find_silent(seconds(9));
+    let closed = registry.closed().count();
+    let back = registry.take(record("a", 2, false), seconds(10));
+
+    expect_that!(silent.len(), eq(1));
+    expect_that!(closed, eq(1));
+    expect_that!(back, some(field!(EndpointRecord.silent, eq(false))));
+    expect_that!(registry.closed().count(), eq(0));
+}
+
+#[gtest]
+fn while_nobody_is_heard_no_endpoint_is_closed() {
+    let mut registry = Registry::new(HEARTBEAT);
+    registry.take(record("a", 1, false), seconds(0));
+
+    let silent = registry.find_silent(seconds(30));
+
+    expect_that!(silent.len(), eq(0));
+}
+
+proptest! {
+    #![proptest_config(fixed_seed(500))]
+
+    /// Two daemons that get the same heartbeats in any order agree on who takes work.
+    #[test]
+    fn order_of_arrival_does_not_matter(
+        mut beats in proptest::collection::vec((1u64..20, any::<bool>()), 1..12),
+        rotate in 0usize..12,
+    ) {
+        beats.sort();
+        beats.dedup_by_key(|beat| beat.0);
+        let mut one = Registry::new(HEARTBEAT);
+        let mut two = Registry::new(HEARTBEAT);
+        for (sequence, leaving) in &beats {
+            one.take(record("a", *sequence, *leaving), seconds(1));
+        }
+        let at = rotate % beats.len();
+        beats.rotate_left(at);
+        beats.reverse();
+        for (sequence, leaving) in &beats {
+            two.take(record("a", *sequence, *leaving), seconds(1));
+        }
+        prop_assert_eq!(one.closed().count(), two.closed().count());
+    }
+}
--- a/crates/core/src/storage/mod.rs
+++ b/crates/core/src/storage/mod.rs
@@ -15,8 +15,8 @@
 use prost::Message;
 
 pub use self::folder::{DiskFolder, Folder};
-use self::record::{LogRecord, Scan, encode_record, log_record, scan};
-use crate::agreement::{Persist, ReplicaId, Restored, Snapshot};
+use self::record::{LogBatch, LogRecord, Scan, encode_record, log_record, scan};
+use crate::agreement::{Entry, Persist, ReplicaId, Restored, Snapshot};
 
 const CURRENT: &str = "current";
 const CURRENT_NEW: &str = "current.new";
@@ -124,7 +124,7 @@
         if let Some(snapshot) = &persist.snapshot {
             return self.write_generation(snapshot, persist);
         }
-        let bytes = encode_records(persist);
+        let bytes = encode_batch(persist);
         if bytes.is_empty() {
             return Ok(());
         }
@@ -153,7 +153,7 @@
         let bytes = encode_record(&snapshot.encode_to_vec());
         let name = snapshot_name(new.generation);
         self.folder.write_synced(&name, &bytes).map_err(io_error("write the snapshot"))?;
-        let records = encode_records(persist);
+        let records = encode_batch(persist);
         let name = log_name(new.generation);
         self.folder.write_synced(&name, &records).map_err(io_error("write the log"))?;
         self.switch_to(new)?;
@@ -192,19 +192,13 @@
     format!("log-{generation}")
 }
 
-fn encode_records(persist: &Persist) -> Vec<u8> {
-    let mut bytes = Vec::new();
-    let mut add = |record: log_record::Kind| {
-        let record = LogRecord { kind: Some(record) };
-        bytes.extend(encode_record(&record.encode_to_vec()));
-    };
-    if let Some(hard_state) = persist.hard_state {
-        add(log_record::Kind::HardState(hard_state));
+fn encode_batch(persist: &Persist) -> Vec<u8> {
+    if persist.hard_state.is_none() && persist.entries.is_empty() {
+        return Vec::new();
     }
-    for entry in &persist.entries {
-        add(log_record::Kind::Entry(entry.clone()));
-    }
-    bytes
+    let batch = LogBatch { hard_state: persist.hard_state, entries: persist.entries.clone() };
+    let record = LogRecord { kind: Some(log_record::Kind::Batch(batch)) };
+    encode_record(&record.encode_to_vec())
 }
 
 fn decode_one<T: Message + Default>(bytes: &[u8], name: &str) -> Result<T, StorageError> {
@@ -225,13 +219,21 @@
     for record in scanned.records {
         match record.kind {
             Some(log_record::Kind::HardState(hard_state)) => restored.hard_state = hard_state,
-            Some(log_record::Kind::Entry(entry)) => {
-                let keep = restored.entries.partition_point(|e| e.index < entry.index);
-                restored.entries.truncate(keep);
-                restored.entries.push(entry);
+            Some(log_record::Kind::Entry(entry)) => restore_entry(&mut restored, entry),
+            Some(log_record::Kind::Batch(batch)) => {
+                restored.hard_state = batch.hard_state.unwrap_or(restored.hard_state);
+                for entry in batch.entries {
+                    restore_entry(&mut restored, entry);
+                }
             }
             None => {}
         }
     }
     restored
 }
+
+fn restore_entry(restored: &mut Restored, entry: Entry) {
+    let keep = restored.entries.partition_point(|e| e.index < entry.index);
+    restored.entries.truncate(keep);
+    restored.entries.push(entry);
+}
--- a/crates/core/src/storage/record.rs
+++ b/crates/core/src/storage/record.rs
@@ -12,13 +12,25 @@
 #[derive(Clone, PartialEq, prost::Message)]
 pub(crate) struct LogRecord {
     /// What it holds.
-    #[prost(oneof = "log_record::Kind", tags = "1, 2")]
+    #[prost(oneof = "log_record::Kind", tags = "1, 2, 3")]
     pub(crate) kind: Option<log_record::Kind>,
 }
 
+/// All that one write holds. It is one record, since a power failure may keep any part of a
+/// write that was not synced: of several records a later one could last without an earlier.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(crate) struct LogBatch {
+    /// Term and vote, if they changed.
+    #[prost(message, optional, tag = "1")]
+    pub(crate) hard_state: Option<HardState>,
+    /// Entries.
+    #[prost(message, repeated, tag = "2")]
+    pub(crate) entries: Vec<Entry>,
+}
+
 /// Parts of [`LogRecord`].
 pub(crate) mod log_record {
-    use super::{Entry, HardState};
+    use super::{Entry, HardState, LogBatch};
 
     /// What a record holds.
     #[derive(Clone, PartialEq, prost::Oneof)]
@@ -29,6 +41,9 @@
         /// An entry.
         #[prost(message, tag = "2")]
         Entry(Entry),
+        /// All that one write holds.
+        #[prost(message, tag = "3")]
+        Batch(LogBatch),
     }
 }
 
--- a/crates/core/src/wire/mod.rs
+++ b/crates/core/src/wire/mod.rs
@@ -19,15 +19,15 @@
 };
 
 /// A message between two daemons.
-#[derive(Clone, PartialEq, Eq, prost::Message)]
+#[derive(Clone, PartialEq, prost::Message)]
 pub struct Envelope {
     /// What it says.
-    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15")]
+    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19")]
     pub body: Option<Body>,
 }
 
 /// What an [`Envelope`] says.
-#[derive(Clone, PartialEq, Eq, prost::Oneof)]
+#[derive(Clone, PartialEq, prost::Oneof)]
 pub enum Body {
     /// Between control replicas.
     #[prost(message, tag = "1")]
@@ -74,6 +74,94 @@
     /// A daemon passes on an endpoint's load.
     #[prost(message, tag = "15")]
     Report(Report),
+    /// A control VM tells which control VMs it knows.
+    #[prost(message, tag = "16")]
+    Directory(Directory),
+    /// News of endpoints that registered themselves.
+    #[prost(message, tag = "17")]
+    EndpointNews(EndpointNews),
+    /// The scheduler asks a daemon to move a generation to another endpoint.
+    #[prost(message, tag = "18")]
+    Move(Move),
+    /// The daemon tells what became of a move.
+    #[prost(message, tag = "19")]
+    Moved(Moved),
+}
+
+/// See [`Body::Directory`].
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct Directory {
+    /// Names of control VMs that were heard lately.
+    #[prost(string, repeated, tag = "1")]
+    pub vms: Vec<String>,
+}
+
+/// See [`Body::EndpointNews`].
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct EndpointNews {
+    /// The endpoints.
+    #[prost(message, repeated, tag = "1")]
+    pub records: Vec<EndpointRecord>,
+}
+
+/// What an endpoint said of itself when it registered.
+#[derive(Clone, PartialEq, Eq, Hash, prost::Message)]
+pub struct EndpointRecord {
+    /// Name of this run of the endpoint; another run has another.
+    #[prost(string, tag = "1")]
+    pub id: String,
+    /// The service that it belongs to.
+    #[prost(string, tag = "2")]
+    pub service: String,
+    /// Where it listens, as IP:PORT.
+    #[prost(string, tag = "3")]
+    pub address: String,
+    /// Its data hall.
+    #[prost(string, tag = "4")]
+    pub hall: String,
+    /// Most requests that it runs at once.
+    #[prost(uint64, tag = "5")]
+    pub slots: u64,
+    /// Number of the heartbeat; a higher one is newer.
+    #[prost(uint64, tag = "6")]
+    pub sequence: u64,
+    /// Whether it has said that it will end.
+    #[prost(bool, tag = "7")]
+    pub leaving: bool,
+    /// Whether its heartbeats have stopped.
+    #[prost(bool, tag = "8")]
+    pub silent: bool,
+    /// For how much longer it is slow after its start, in milliseconds.
+    #[prost(uint64, tag = "9")]
+    pub cold_ms: u64,
+}
+
+/// See [`Body::Move`].
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct Move {
+    /// Number of the request.
+    #[prost(uint64, tag = "1")]
+    pub number: u64,
+    /// Where it runs.
+    #[prost(string, tag = "2")]
+    pub from: String,
+    /// Where it is to go on.
+    #[prost(string, tag = "3")]
+    pub to: String,
+}
+
+/// See [`Body::Moved`].
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct Moved {
+    /// Number of the request.
+    #[prost(uint64, tag = "1")]
+    pub number: u64,
+    /// Where it runs now.
+    #[prost(string, tag = "2")]
+    pub at: String,
+    /// Whether that is where it was to go.
+    #[prost(bool, tag = "3")]
+    pub done: bool,
 }
 
 /// See [`Body::ReplicaInfo`].
@@ -144,6 +232,10 @@
     /// What the file changes, relative to the configuration in force at that daemon.
     #[prost(message, required, tag = "2")]
     pub command: ConfigChange,
+    /// Whether the operator asks only that this version or a newer one is in force, so that a
+    /// file which comes too late is confirmed instead of refused.
+    #[prost(bool, tag = "3")]
+    pub or_newer: bool,
 }
 
 /// See [`Body::Operation`].
--- /dev/null
+++ b/crates/server/src/edge/connection.rs
@@ -0,0 +1,157 @@
+//! What a connection is doing, so that each of its rests has a bound of its own.
+
+use std::{
+    cell::Cell,
+    io,
+    pin::Pin,
+    rc::Rc,
+    task::{Context, Poll},
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use http_body::{Body as HttpBody, Frame, SizeHint};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+use super::{AnswerError, Body, Bounds};
+
+/// What a connection is doing.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Phase {
+    /// It waits for the first byte of a request.
+    Idle(Instant),
+    /// A head is on its way.
+    Head(Instant),
+    /// A request is being answered.
+    Busy,
+}
+
+/// Shared by the parts of one connection.
+#[derive(Debug, Clone)]
+pub(super) struct Activity(Rc<Cell<Phase>>);
+
+impl Activity {
+    pub(super) fn new() -> Activity {
+        Activity(Rc::new(Cell::new(Phase::Idle(Instant::now()))))
+    }
+
+    pub(super) fn begin(&self) {
+        self.0.set(Phase::Busy);
+    }
+
+    fn end(&self) {
+        self.0.set(Phase::Idle(Instant::now()));
+    }
+
+    fn bytes_came(&self) {
+        if let Phase::Idle(_) = self.0.get() {
+            self.0.set(Phase::Head(Instant::now()));
+        }
+    }
+
+    pub(super) fn phase(&self) -> Phase {
+        self.0.get()
+    }
+
+    /// Returns once the connection has rested for too long.
+    pub(super) async fn overdue(&self, bounds: impl Fn() -> Bounds) -> Phase {
+        /// How often a busy connection is looked at.
+        const LOOK: Duration = Duration::from_secs(1);
+        loop {
+            let phase = self.phase();
+            let until = match phase {
+                Phase::Idle(since) => since + bounds().idle_timeout,
+                Phase::Head(since) => since + bounds().header_timeout,
+                Phase::Busy => Instant::now() + LOOK,
+            };
+            tokio::time::sleep_until(until.into()).await;
+            if phase != Phase::Busy && phase == self.phase() {
+                return phase;
+            }
+        }
+    }
+}
+
+/// A socket that notes when bytes come.
+pub(super) struct WatchedSocket {
+    pub(super) socket: TcpStream,
+    pub(super) activity: Activity,
+}
+
+impl AsyncRead for WatchedSocket {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        let polled = Pin::new(&mut self.socket).poll_read(cx, buf);
+        if before < buf.filled().len() {
+            self.activity.bytes_came();
+        }
+        polled
+    }
+}
+
+impl AsyncWrite for WatchedSocket {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.socket).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.socket).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.socket).poll_shutdown(cx)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.socket).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.socket.is_write_vectored()
+    }
+}
+
+/// The body of an answer; the connection rests again once it is dropped.
+pub(super) struct TrackedBody {
+    pub(super) body: Body,
+    pub(super) activity: Activity,
+}
+
+impl Drop for TrackedBody {
+    fn drop(&mut self) {
+        self.activity.end();
+    }
+}
+
+impl HttpBody for TrackedBody {
+    type Data = Bytes;
+    type Error = AnswerError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, AnswerError>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- /dev/null
+++ b/crates/server/src/edge/listener.rs
@@ -0,0 +1,144 @@
+//! Accepts connections and serves HTTP/1.1 on them.
+
+use std::{
+    cell::Cell,
+    convert::Infallible,
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+
+use eyre::{Result, WrapErr};
+use hyper::{server::conn::http1, service::service_fn};
+use hyper_util::rt::TokioIo;
+use tokio::{net::TcpStream, sync::watch};
+
+use super::{
+    Handler,
+    connection::{Activity, Phase, TrackedBody, WatchedSocket},
+};
+use crate::{telemetry::EventId, upstream::socket};
+
+/// Pause after a failed accept, for example while there are no free descriptors.
+const PAUSE: Duration = Duration::from_millis(20);
+/// The HTTP library's smallest buffer.
+const MIN_BUFFER: usize = 8 * 1024;
+
+/// A listening server.
+pub struct Server {
+    address: SocketAddr,
+    closing: watch::Sender<bool>,
+    open: Rc<Cell<usize>>,
+}
+
+impl Server {
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Closes connections that rest, and each of the others after its answer.
+    pub fn close(&self) {
+        // Without a connection there is nobody to tell.
+        let _ = self.closing.send(true);
+    }
+
+    /// Connections that are open.
+    pub fn open(&self) -> usize {
+        self.open.get()
+    }
+}
+
+/// Listens and answers with `handler`.
+pub fn bind(address: SocketAddr, handler: Rc<dyn Handler>) -> Result<Server> {
+    let listener =
+        socket::listen(address).wrap_err_with(|| format!("cannot listen on {address}"))?;
+    let address = listener.local_addr()?;
+    let (closing, closed) = watch::channel(false);
+    let open = Rc::new(Cell::new(0));
+    let count = open.clone();
+    tokio::task::spawn_local(async move {
+        loop {
+            match listener.accept().await {
+                Ok((socket, _)) => {
+                    let guard = Counted::new(&count);
+                    let serve = serve(socket, handler.clone(), closed.clone(), guard);
+                    tokio::task::spawn_local(serve);
+                }
+                Err(e) => {
+                    log::warn!(event = EventId::CallerRefused.number(); "cannot accept: {e}");
+                    tokio::time::sleep(PAUSE).await;
+                }
+            }
+        }
+    });
+    Ok(Server { address, closing, open })
+}
+
+/// Counts a connection as open while it lives.
+struct Counted(Rc<Cell<usize>>);
+
+impl Counted {
+    fn new(count: &Rc<Cell<usize>>) -> Counted {
+        count.set(count.get() + 1);
+        Counted(count.clone())
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+async fn serve(
+    socket: TcpStream,
+    handler: Rc<dyn Handler>,
+    mut closing: watch::Receiver<bool>,
+    _open: Counted,
+) {
+    if let Err(e) = socket::tune(&socket) {
+        log::debug!("a connection ended before it began: {e}");
+        return;
+    }
+    let activity = Activity::new();
+    let io = TokioIo::new(WatchedSocket { socket, activity: activity.clone() });
+    let answer = service_fn(|req| {
+        activity.begin();
+        let (handler, activity) = (handler.clone(), activity.clone());
+        async move {
+            let answer = handler.handle(req).await;
+            Ok::<_, Infallible>(answer.map(|body| TrackedBody { body, activity }))
+        }
+    });
+    let max_header = handler.bounds().max_header.max(MIN_BUFFER);
+    let connection = http1::Builder::new()
+        .half_close(false)
+        .header_read_timeout(None)
+        .max_buf_size(max_header)
+        .serve_connection(io, answer);
+    let mut connection = std::pin::pin!(connection);
+    let mut told = false;
+    loop {
+        tokio::select! {
+            ended = connection.as_mut() => {
+                if let Err(e) = ended {
+                    log::debug!("a connection ended: {e}");
+                }
+                return;
+            }
+            phase = activity.overdue(|| handler.bounds()), if !told => {
+                if let Phase::Head(_) = phase {
+                    log::info!(event = EventId::CallerRefused.number(); "a head took too long");
+                    return;
+                }
+                told = true;
+                connection.as_mut().graceful_shutdown();
+            }
+            _ = closing.wait_for(|closing| *closing), if !told => {
+                told = true;
+                connection.as_mut().graceful_shutdown();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/server/src/edge/mod.rs
@@ -0,0 +1,38 @@
+//! Takes HTTP connections and bounds what a caller may do to them.
+
+mod body;
+mod connection;
+mod listener;
+
+use std::{pin::Pin, rc::Rc, time::Duration};
+
+use http::{Request, Response};
+use hyper::body::Incoming;
+
+pub use self::{
+    body::{AnswerError, Body, ReadError, empty, full, read_whole, streamed},
+    listener::{Server, bind},
+};
+
+/// A future on the daemon's one thread.
+pub type LocalFuture<'a, T> = Pin<Box<dyn Future<Output = T> + 'a>>;
+
+/// Answers requests.
+pub trait Handler {
+    /// Answers one request. Dropped when the caller leaves.
+    fn handle(self: Rc<Self>, req: Request<Incoming>) -> LocalFuture<'static, Response<Body>>;
+
+    /// Bounds for connections, as they are now.
+    fn bounds(&self) -> Bounds;
+}
+
+/// What a caller may do to a connection.
+#[derive(Debug, Clone, Copy)]
+pub struct Bounds {
+    /// Largest head of a request, in bytes.
+    pub max_header: usize,
+    /// Longest time from the first byte of a head to its last.
+    pub header_timeout: Duration,
+    /// Longest rest between two requests.
+    pub idle_timeout: Duration,
+}
--- /dev/null
+++ b/crates/server/src/relay/admission.rs
@@ -0,0 +1,136 @@
+//! Finds out who asks for what, and whether this daemon may serve it.
+
+use std::time::Instant;
+
+use http::{header, request};
+use hyper::body::Incoming;
+use trayswitch_core::error::{ErrorKind, RequestError};
+
+use super::{
+    Relay,
+    job::{Job, rank_of},
+};
+use crate::edge::{ReadError, read_whole};
+
+/// A request that was refused before it was routed.
+pub(super) struct Refused {
+    pub(super) id: String,
+    pub(super) error: RequestError,
+}
+
+impl Relay {
+    /// Reads a request and finds its route and workspace.
+    pub(super) async fn admit(
+        &self,
+        head: request::Parts,
+        body: Incoming,
+    ) -> Result<Job, Refused> {
+        let arrived = Instant::now();
+        let refused = |id: &str, error| Refused { id: id.to_owned(), error };
+        check_framing(&head).map_err(|e| refused("", e))?;
+        let caller = self.protocol.caller_request(&head).map_err(|e| refused("", e))?;
+        let id = caller.id.clone();
+        let limits = self.node.view().in_force().map(|f| f.config.limits.clone());
+        let limits = limits.unwrap_or_default();
+        // Read first, so that the caller is answered on a connection that is at rest.
+        let body = read_whole(body, limits.max_body as usize, limits.idle_timeout)
+            .await
+            .map_err(|e| refused(&id, read_error(&e)))?;
+        let Some(config) = self.node.view().in_force().filter(|_| self.is_current()) else {
+            let message = "this daemon has no configuration that is known to be current";
+            return Err(refused(&id, RequestError::new(ErrorKind::NotReady, message)));
+        };
+        let path = head.uri.path();
+        let Some(route) = config.config.routes.find(&caller.host, path).cloned() else {
+            let message = format!("no route leads from {}{path}", caller.host);
+            return Err(refused(&id, RequestError::new(ErrorKind::NotFound, message)));
+        };
+        let needs_key = !route.spec.public && !config.config.workspaces.is_empty();
+        let workspace = match caller.key.as_deref() {
+            Some(key) => config.config.workspace_of_key(key).map(Into::into),
+            None => None,
+        };
+        if needs_key && workspace.is_none() {
+            let message = "no workspace has this key";
+            return Err(refused(&id, RequestError::new(ErrorKind::Unauthorized, message)));
+        }
+        let spec = workspace.as_ref().and_then(|name| config.config.workspaces.get(name));
+        let tier = spec.map(|spec| spec.tier.as_str()).or(route.spec.tier.as_deref());
+        let rank = rank_of(&config.config, tier);
+        let service = route.spec.pick(fastrand::u64(..)).to_owned();
+        let limit = caller.time_left.unwrap_or(route.spec.timeout).min(route.spec.timeout);
+        let deadline = arrived + limit;
+        Ok(Job {
+            head,
+            body,
+            caller,
+            config,
+            route,
+            service,
+            workspace,
+            rank,
+            arrived,
+            deadline,
+            counted: None,
+        })
+    }
+
+    /// Whether the configuration in force was confirmed recently enough to run requests by
+    /// it. Looked at anew before each attempt: the VM may have been suspended meanwhile.
+    fn is_current(&self) -> bool {
+        let confirmed = self.node.view().confirmed();
+        confirmed.is_some_and(|at| self.node.now().since(at) < self.options.max_config_age)
+    }
+
+    /// Whether a request may still be sent to an endpoint.
+    pub(super) fn check_may_run(&self, job: &Job) -> Result<(), RequestError> {
+        let config = self.node.view().in_force().filter(|_| self.is_current());
+        let Some(config) = config else {
+            let message = "no control VM has confirmed the configuration lately";
+            return Err(RequestError::new(ErrorKind::NotReady, message));
+        };
+        let Some(key) = job.caller.key.as_deref().filter(|_| job.workspace.is_some()) else {
+            return Ok(());
+        };
+        if config.config.workspace_of_key(key) != job.workspace.as_deref() {
+            let message = "the key was taken away while the request waited";
+            return Err(RequestError::new(ErrorKind::Unauthorized, message));
+        }
+        Ok(())
+    }
+}
+
+/// Refuses heads that two readers could take for different requests.
+fn check_framing(head: &request::Parts) -> Result<(), RequestError> {
+    let bad = |message: &str| Err(RequestError::new(ErrorKind::BadRequest, message));
+    let lengths = head.headers.get_all(header::CONTENT_LENGTH).iter().count();
+    let encodings: Vec<_> = head.headers.get_all(header::TRANSFER_ENCODING).iter().collect();
+    if 0 < lengths && !encodings.is_empty() {
+        return bad("give Content-Length or Transfer-Encoding, not both");
+    }
+    if 1 < lengths {
+        return bad("Content-Length is given twice");
+    }
+    let chunked = |value: &http::HeaderValue| value.as_bytes().eq_ignore_ascii_case(b"chunked");
+    if 1 < encodings.len() || !encodings.iter().all(|value| chunked(value)) {
+        return bad("Transfer-Encoding must be chunked, once");
+    }
+    if head.headers.get_all(header::HOST).iter().count() != 1 {
+        return bad("give one Host");
+    }
+    Ok(())
+}
+
+fn read_error(error: &ReadError) -> RequestError {
+    match error {
+        ReadError::TooLarge => {
+            RequestError::new(ErrorKind::TooLarge, "the body is larger than the limit")
+        }
+        ReadError::TooSlow => {
+            RequestError::new(ErrorKind::BadRequest, "the body took too long to come")
+        }
+        ReadError::Broken(problem) => {
+            RequestError::new(ErrorKind::BadRequest, format!("the body broke off: {problem}"))
+        }
+    }
+}
--- /dev/null
+++ b/crates/server/src/relay/call.rs
@@ -0,0 +1,238 @@
+//! Plain calls: the least loaded endpoint, and another where that is allowed.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use futures_util::{StreamExt, stream::FuturesUnordered};
+use http::{Response, response};
+use trayswitch_core::error::{ErrorKind, RequestError};
+
+use super::{
+    Answer, Job, Relay, Turned,
+    job::GoOn,
+    loads::Verdict,
+};
+use crate::{
+    edge::{self, Body, LocalFuture},
+    runtime::Endpoint,
+    telemetry::EventId,
+    upstream::{SendError, exchange},
+};
+
+/// A connection inside a region comes up within a few ms; one that takes longer has lost a
+/// packet or leads nowhere.
+pub(super) const CONNECT_LIMIT: Duration = Duration::from_millis(150);
+/// Largest answer that is held until it is whole.
+const MAX_ANSWER: usize = 16 * 1024 * 1024;
+/// Endpoints that may turn one request away before its caller is told so.
+const MAX_TURNED: u32 = 3;
+/// A call that may be repeated and has not been answered in this part of its target time is
+/// sent to a second endpoint as well.
+const SECOND_AFTER: f64 = 0.5;
+
+/// How an attempt ended.
+enum End {
+    /// The endpoint's whole answer.
+    Answer { head: response::Parts, body: Bytes, success: bool },
+    /// The request certainly did not run there.
+    NotRun(String),
+    /// It may have run.
+    Unknown(String),
+}
+
+/// Serves one call.
+pub(super) async fn serve(relay: &Relay, job: Job) -> Response<Body> {
+    let mut call = Call::new(relay, &job);
+    match call.run().await {
+        Ok((head, body)) => {
+            let cause = if head.status.is_success() { "answered" } else { "endpoint_failed" };
+            job.ended(&relay.metrics, cause, head.status.as_str());
+            let mut answer = Response::new(edge::full(body));
+            *answer.status_mut() = head.status;
+            *answer.headers_mut() = relay.protocol.answer_headers(&head);
+            answer
+        }
+        Err(error) => relay.fail(&job, &error),
+    }
+}
+
+struct Call<'a> {
+    relay: &'a Relay,
+    job: &'a Job,
+    running: FuturesUnordered<LocalFuture<'a, End>>,
+    tried: Vec<Arc<str>>,
+    /// Attempts that may have run or still may.
+    starts: u32,
+    turned: u32,
+    /// A whole answer of an endpoint that failed, for when nothing better comes.
+    failure: Option<(response::Parts, Bytes)>,
+    /// What is told when no answer came.
+    problem: String,
+}
+
+impl<'a> Call<'a> {
+    fn new(relay: &'a Relay, job: &'a Job) -> Call<'a> {
+        Call {
+            relay,
+            job,
+            running: FuturesUnordered::new(),
+            tried: Vec::new(),
+            starts: 0,
+            turned: 0,
+            failure: None,
+            problem: String::new(),
+        }
+    }
+
+    async fn run(&mut self) -> Result<(response::Parts, Bytes), RequestError> {
+        self.start()?;
+        let deadline = tokio::time::sleep_until(self.job.deadline.into());
+        let mut deadline = std::pin::pin!(deadline);
+        let target = self.job.route.spec.target_latency;
+        let second = tokio::time::sleep(target.mul_f64(SECOND_AFTER));
+        let mut second = std::pin::pin!(second);
+        let mut hedged = !self.is_repeatable();
+        loop {
+            tokio::select! {
+                Some(end) = self.running.next() => {
+                    if let Some(answer) = self.take(end)? {
+                        return Ok(answer);
+                    }
+                }
+                () = second.as_mut(), if !hedged => {
+                    hedged = true;
+                    self.start_another();
+                }
+                () = deadline.as_mut() => return Err(self.over("the time is over")),
+            }
+        }
+    }
+
+    fn is_repeatable(&self) -> bool {
+        self.job.route.spec.kind.is_repeatable()
+    }
+
+    /// Takes the end of an attempt; returns the final answer if it is one.
+    fn take(&mut self, end: End) -> Result<Option<(response::Parts, Bytes)>, RequestError> {
+        match end {
+            End::Answer { head, body, success: true } => return Ok(Some((head, body))),
+            End::Answer { head, body, success: false } => {
+                if !self.is_repeatable() {
+                    return Ok(Some((head, body)));
+                }
+                self.failure = Some((head, body));
+                self.start_another();
+            }
+            End::NotRun(problem) => {
+                self.starts -= 1;
+                self.turned += 1;
+                self.problem = problem;
+                if self.turned < MAX_TURNED {
+                    self.start_another();
+                }
+            }
+            End::Unknown(problem) => {
+                self.problem = problem;
+                if self.is_repeatable() {
+                    self.start_another();
+                }
+            }
+        }
+        if !self.running.is_empty() {
+            return Ok(None);
+        }
+        match self.failure.take() {
+            Some(answer) => Ok(Some(answer)),
+            None => Err(self.over(&self.problem)),
+        }
+    }
+
+    /// The error when no answer will come.
+    fn over(&self, problem: &str) -> RequestError {
+        if self.starts == 0 {
+            return RequestError::new(ErrorKind::EndpointRefused, problem);
+        }
+        RequestError::new(ErrorKind::OutcomeUnknown, problem)
+    }
+
+    /// Starts another attempt if the route, the budget and the endpoints allow it.
+    fn start_another(&mut self) {
+        if self.job.route.spec.max_attempts <= self.starts || self.job.time_left().is_zero() {
+            return;
+        }
+        if self.relay.check_may_run(self.job).is_err() {
+            return;
+        }
+        if self.choose().is_some_and(|endpoint| !self.tried.contains(&endpoint.id))
+            && self.relay.may_repeat(&self.job.service)
+            && let Err(e) = self.start()
+        {
+            self.problem = e.message;
+        }
+    }
+
+    fn choose(&self) -> Option<Endpoint> {
+        let endpoints = self.relay.node.view().open_endpoints(&self.job.service);
+        self.relay.loads.choose(&endpoints, &self.tried, &self.relay.hall)
+    }
+
+    fn start(&mut self) -> Result<(), RequestError> {
+        self.relay.check_may_run(self.job)?;
+        let Some(endpoint) = self.choose() else {
+            let message = format!("no live endpoint serves {}", self.job.service);
+            return Err(RequestError::new(ErrorKind::NoEndpoint, message));
+        };
+        self.tried.push(endpoint.id.clone());
+        self.starts += 1;
+        self.running.push(Box::pin(attempt(self.relay, self.job, endpoint)));
+        Ok(())
+    }
+}
+
+/// Makes one attempt at an endpoint.
+async fn attempt(relay: &Relay, job: &Job, endpoint: Endpoint) -> End {
+    let began = Instant::now();
+    let running = relay.loads.begin(&endpoint.id);
+    let protocol = &*relay.protocol;
+    let req = job.request(protocol, &endpoint.id, endpoint.address, &GoOn::default());
+    let opened = exchange(endpoint.address, req, CONNECT_LIMIT.min(job.time_left())).await;
+    let (end, verdict) = match opened {
+        Err(SendError::NotSent(problem)) => (End::NotRun(problem), Verdict::Dead),
+        Err(SendError::Lost(problem)) => (End::Unknown(problem), Verdict::Dead),
+        Ok(open) => match protocol.judge(&job.caller.id, &open.head) {
+            Answer::Turned(Turned::Full) => {
+                (End::NotRun("the endpoint is full".into()), Verdict::Failed)
+            }
+            Answer::Turned(Turned::Other) => {
+                (End::NotRun("another endpoint has the address".into()), Verdict::Dead)
+            }
+            Answer::Foreign(problem) => (End::Unknown(problem.into()), Verdict::Failed),
+            Answer::Ran { success } => match open.body.collect(MAX_ANSWER).await {
+                Ok(body) => {
+                    let verdict = if success { Verdict::Good } else { Verdict::Failed };
+                    (End::Answer { head: open.head, body, success }, verdict)
+                }
+                Err(problem) => (End::Unknown(problem), Verdict::Failed),
+            },
+        },
+    };
+    drop(running);
+    relay.loads.note(&endpoint.id, verdict);
+    let (name, detail) = match &end {
+        End::Answer { head, success: true, .. } => ("answered", head.status.to_string()),
+        End::Answer { head, .. } => ("failed", head.status.to_string()),
+        End::NotRun(problem) => ("not_run", problem.clone()),
+        End::Unknown(problem) => ("unknown", problem.clone()),
+    };
+    relay.metrics.attempt(&job.service, name);
+    log::info!(
+        event = EventId::AttemptEnded.number(), id = job.caller.id.as_str(),
+        endpoint = &*endpoint.id, end = name, detail = detail.as_str(),
+        took_ms = began.elapsed().as_millis() as u64;
+        "an attempt ended"
+    );
+    end
+}
--- /dev/null
+++ b/crates/server/src/relay/generation.rs
@@ -0,0 +1,209 @@
+//! Starts a generation: places it, sends it and waits for its first event.
+
+use std::{rc::Rc, sync::Arc, time::Instant};
+
+use http::{Response, response};
+use tokio::{sync::mpsc, time::timeout};
+use trayswitch_core::{
+    error::{ErrorKind, RequestError},
+    node::Input,
+    wire::HealthNews,
+};
+
+use super::{
+    Answer, Job, Relay, Turned,
+    call::CONNECT_LIMIT,
+    job::GoOn,
+    stream::{Pump, Source, Step},
+};
+use crate::{
+    edge::{self, Body},
+    runtime::Placed,
+    telemetry::EventId,
+    upstream::{Event, SendError, exchange},
+};
+
+/// Events that may wait for a slow caller.
+const MAX_EVENTS: usize = 64;
+/// Endpoints that may turn one generation away before its caller is told so.
+const MAX_TURNED: u32 = 3;
+
+/// An attempt that brought an answer.
+pub(super) enum Opened {
+    /// The stream, with its first event unless it ended without any.
+    Stream { head: response::Parts, source: Source, first: Option<Event> },
+    /// The endpoint failed; this is its whole answer.
+    Failed { head: response::Parts, body: bytes::Bytes },
+}
+
+/// Why an attempt brought none.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) enum Lost {
+    /// The request certainly did not run there.
+    NotRun(String),
+    /// It may have run.
+    Unknown(String),
+}
+
+/// Serves one generation.
+pub(super) async fn serve(relay: Rc<Relay>, job: Job) -> Response<Body> {
+    match start(&relay, &job).await {
+        Ok((placed, Opened::Stream { head, source, first })) => {
+            let (tx, rx) = mpsc::channel(MAX_EVENTS);
+            let mut answer = Response::new(edge::streamed(rx));
+            *answer.status_mut() = head.status;
+            *answer.headers_mut() = relay.protocol.answer_headers(&head);
+            let pump = Pump::new(relay, job, placed, source, tx);
+            tokio::task::spawn_local(pump.run(first));
+            answer
+        }
+        Ok((_, Opened::Failed { head, body })) => {
+            job.ended(&relay.metrics, "endpoint_failed", head.status.as_str());
+            let mut answer = Response::new(edge::full(body));
+            *answer.status_mut() = head.status;
+            *answer.headers_mut() = relay.protocol.answer_headers(&head);
+            answer
+        }
+        Err(error) => relay.fail(&job, &error),
+    }
+}
+
+async fn start(relay: &Relay, job: &Job) -> Result<(Placed, Opened), RequestError> {
+    let spec = &job.route.spec;
+    let mut avoid: Option<Arc<str>> = None;
+    let mut starts = 0;
+    let mut turned = 0;
+    loop {
+        let placing = relay.node.place(job.place_request(avoid.take()));
+        let placed = timeout(job.time_left(), placing).await;
+        let placed = placed.map_err(|_| over(starts, "the time is over"))?;
+        let placed = placed.map_err(|e| if starts == 0 { e } else { over(starts, &e.message) })?;
+        relay.check_may_run(job)?;
+        let go_on = GoOn { after: job.caller.after, memory: None };
+        let opened = open(relay, job, &placed, &go_on);
+        let opened = timeout(job.time_left(), opened).await;
+        let opened = opened.map_err(|_| over(starts + 1, "the time is over"))?;
+        let endpoint = placed.endpoint().clone();
+        let problem = match opened {
+            Ok(Opened::Failed { .. }) if spec.kind.is_repeatable() && starts + 1 < spec.max_attempts => {
+                starts += 1;
+                "the endpoint failed".to_owned()
+            }
+            Ok(opened) => return Ok((placed, opened)),
+            Err(Lost::NotRun(problem)) => {
+                turned += 1;
+                if MAX_TURNED <= turned {
+                    return Err(over(starts, &problem));
+                }
+                problem
+            }
+            Err(Lost::Unknown(problem)) => {
+                starts += 1;
+                if !spec.kind.is_repeatable() || spec.max_attempts <= starts {
+                    return Err(over(starts, &problem));
+                }
+                problem
+            }
+        };
+        if !relay.may_repeat(&job.service) {
+            return Err(over(starts, &format!("no more repeats are allowed now: {problem}")));
+        }
+        avoid = Some(endpoint);
+    }
+}
+
+/// The error when no answer will come.
+fn over(starts: u32, problem: &str) -> RequestError {
+    let kind = if starts == 0 { ErrorKind::EndpointRefused } else { ErrorKind::OutcomeUnknown };
+    RequestError::new(kind, problem)
+}
+
+/// Sends a generation to its place and waits for the first event.
+pub(super) async fn open(
+    relay: &Relay,
+    job: &Job,
+    placed: &Placed,
+    go_on: &GoOn,
+) -> Result<Opened, Lost> {
+    open_at(relay, job, placed.endpoint(), go_on).await
+}
+
+/// Sends a generation to an endpoint and waits for the first event.
+pub(super) async fn open_at(
+    relay: &Relay,
+    job: &Job,
+    endpoint: &Arc<str>,
+    go_on: &GoOn,
+) -> Result<Opened, Lost> {
+    let began = Instant::now();
+    let opened = send(relay, job, endpoint, go_on).await;
+    let (name, detail) = match &opened {
+        Ok(Opened::Stream { first, .. }) => {
+            ("streams", first.as_ref().and_then(|e| e.id).map_or_else(String::new, |id| format!("from event {id}")))
+        }
+        Ok(Opened::Failed { head, .. }) => ("failed", head.status.to_string()),
+        Err(Lost::NotRun(problem)) => ("not_run", problem.clone()),
+        Err(Lost::Unknown(problem)) => ("unknown", problem.clone()),
+    };
+    relay.metrics.attempt(&job.service, name);
+    log::info!(
+        event = EventId::AttemptEnded.number(), id = job.caller.id.as_str(),
+        endpoint = &**endpoint, end = name, detail = detail.as_str(),
+        after = go_on.after.unwrap_or(0), took_ms = began.elapsed().as_millis() as u64;
+        "an attempt ended"
+    );
+    opened
+}
+
+async fn send(
+    relay: &Relay,
+    job: &Job,
+    endpoint: &Arc<str>,
+    go_on: &GoOn,
+) -> Result<Opened, Lost> {
+    let Some(known) = relay.node.view().endpoint(endpoint) else {
+        return Err(Lost::NotRun("the endpoint has just ended".into()));
+    };
+    let failed = || {
+        let news = Input::Health(endpoint.clone(), HealthNews::Failed);
+        relay.node.input(news);
+    };
+    let req = job.request(&*relay.protocol, endpoint, known.address, go_on);
+    let open = match exchange(known.address, req, CONNECT_LIMIT).await {
+        Ok(open) => open,
+        Err(SendError::NotSent(problem)) => {
+            failed();
+            return Err(Lost::NotRun(problem));
+        }
+        Err(SendError::Lost(problem)) => {
+            failed();
+            return Err(Lost::Unknown(problem));
+        }
+    };
+    match relay.protocol.judge(&job.caller.id, &open.head) {
+        Answer::Turned(Turned::Full) => return Err(Lost::NotRun("the endpoint is full".into())),
+        Answer::Turned(Turned::Other) => {
+            failed();
+            return Err(Lost::NotRun("another endpoint has the address".into()));
+        }
+        Answer::Foreign(problem) => return Err(Lost::Unknown(problem.into())),
+        Answer::Ran { success: true } => {}
+        Answer::Ran { success: false } => {
+            /// Largest answer of an endpoint that failed.
+            const MAX_FAILURE: usize = 1024 * 1024;
+            let body = open.body.collect(MAX_FAILURE).await.map_err(Lost::Unknown)?;
+            return Ok(Opened::Failed { head: open.head, body });
+        }
+    }
+    let mut source = Source::new(open.body);
+    match source.next().await {
+        Step::Event(event) => {
+            Ok(Opened::Stream { head: open.head, source, first: Some(event) })
+        }
+        Step::Ended => Ok(Opened::Stream { head: open.head, source, first: None }),
+        Step::Lost(problem) => {
+            failed();
+            Err(Lost::Unknown(problem))
+        }
+    }
+}
--- /dev/null
+++ b/crates/server/src/relay/job.rs
@@ -0,0 +1,147 @@
+//! One admitted request.
+
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use http::{Request, request};
+use http_body_util::Full;
+use trayswitch_core::{
+    config::{EndpointTarget, NamedRoute},
+    node::InForce,
+    placement::{self, PrefixHash, Ticket},
+};
+
+use super::{Attempt, CallerRequest, InProgress, MemoryAt, Protocol};
+use crate::telemetry::{EventId, Metrics};
+
+/// Rank of requests whose tier is not known: after all others.
+const LAST_RANK: u64 = 100;
+/// Most urgent and least urgent priority that engines tell apart.
+const LEAST_URGENT: u64 = 9;
+/// A request waits for a place for this part of its target time; a caller that is told so
+/// early can still be served in time by coming again.
+const WAIT_PART: u32 = 4;
+/// Left of that part for the answer's way back.
+const WAY_BACK: Duration = Duration::from_millis(20);
+
+/// An admitted request.
+pub(crate) struct Job {
+    pub(super) head: request::Parts,
+    pub(super) body: Bytes,
+    pub(super) caller: CallerRequest,
+    pub(super) config: Arc<InForce>,
+    pub(super) route: NamedRoute,
+    /// The service that it goes to.
+    pub(super) service: String,
+    pub(super) workspace: Option<Arc<str>>,
+    /// Rank of its tier, 1 first.
+    pub(super) rank: u64,
+    pub(super) arrived: Instant,
+    /// When the final answer is due.
+    pub(super) deadline: Instant,
+    pub(super) counted: Option<InProgress>,
+}
+
+/// How an attempt goes on with a generation.
+#[derive(Debug, Clone, Default)]
+pub(super) struct GoOn {
+    /// The last event that the caller has.
+    pub(super) after: Option<u64>,
+    /// Where the generation's memory lies.
+    pub(super) memory: Option<MemoryAt>,
+}
+
+impl Job {
+    /// Time until the final answer is due.
+    pub(super) fn time_left(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+
+    /// The caller's own bound on an attempt: what is left of the time that it waits.
+    fn caller_time_left(&self) -> Duration {
+        let limit = self.caller.time_left.unwrap_or(self.route.spec.timeout);
+        limit.min(self.route.spec.timeout).saturating_sub(self.arrived.elapsed())
+    }
+
+    /// Urgency for an engine, 0 first.
+    pub(super) fn priority(&self) -> u64 {
+        self.rank.saturating_sub(1).min(LEAST_URGENT)
+    }
+
+    /// The request to an endpoint.
+    pub(super) fn request(
+        &self,
+        protocol: &dyn Protocol,
+        endpoint: &str,
+        address: SocketAddr,
+        go_on: &GoOn,
+    ) -> Request<Full<Bytes>> {
+        let attempt = Attempt {
+            endpoint,
+            time_left: self.caller_time_left(),
+            workspace: self.workspace.as_deref(),
+            priority: self.route.spec.kind.is_generation().then(|| self.priority()),
+            after: go_on.after.or(self.caller.after),
+            memory: go_on.memory.as_ref(),
+            backup: None,
+        };
+        let mut req = Request::new(Full::new(self.body.clone()));
+        *req.method_mut() = self.head.method.clone();
+        *req.uri_mut() = self.head.uri.clone();
+        *req.headers_mut() = protocol.attempt_headers(&self.head, &attempt);
+        if !req.headers().contains_key(http::header::HOST)
+            && let Ok(host) = http::HeaderValue::from_str(&address.to_string())
+        {
+            req.headers_mut().insert(http::header::HOST, host);
+        }
+        req
+    }
+
+    /// What the scheduler needs to know.
+    pub(super) fn place_request(&self, avoid: Option<Arc<str>>) -> placement::Request {
+        let prompt = self.caller.prompt.clone().unwrap_or_default();
+        let unlimited = u64::MAX / 2;
+        let spec = &self.route.spec;
+        let workspace = self.workspace.as_ref();
+        let workspace = workspace.and_then(|name| self.config.config.workspaces.get(name));
+        let patience = (spec.target_latency / WAIT_PART).saturating_sub(WAY_BACK);
+        placement::Request {
+            ticket: Ticket { entry: 0, number: 0 },
+            workspace: self.workspace.clone().unwrap_or_else(|| "-".into()),
+            rank: placement::rank(self.rank, 1),
+            share: workspace.map_or(1, |w| w.share),
+            max_running: workspace.map_or(unlimited, |w| w.max_running),
+            max_waiting: workspace.map_or(unlimited, |w| w.max_waiting),
+            kind: self.route.name.clone(),
+            target: EndpointTarget::Model(self.service.clone()),
+            prompt_tokens: prompt.tokens,
+            prefix: PrefixHash(prompt.shared_prefix),
+            max_tokens: prompt.max_output.max(1),
+            max_wait: patience.saturating_sub(self.arrived.elapsed()).min(self.time_left()),
+            avoid,
+        }
+    }
+
+    /// Writes the line and counts at the request's end.
+    pub(super) fn ended(&self, metrics: &Metrics, cause: &str, detail: &str) {
+        let took = self.arrived.elapsed();
+        let workspace = self.workspace.as_deref().unwrap_or("-");
+        metrics.request(workspace, &self.route.name, cause, took);
+        log::info!(
+            event = EventId::RequestEnded.number(), id = self.caller.id.as_str(),
+            cause = cause, detail = detail, route = &*self.route.name,
+            service = self.service.as_str(), workspace = workspace,
+            config = self.config.version, took_ms = took.as_millis() as u64;
+            "a request ended"
+        );
+    }
+}
+
+/// The rank of a tier by its name; the last where there is none.
+pub(super) fn rank_of(config: &trayswitch_core::config::Config, tier: Option<&str>) -> u64 {
+    tier.and_then(|tier| config.tiers.get(tier)).map_or(LAST_RANK, |tier| tier.rank)
+}
--- /dev/null
+++ b/crates/server/src/relay/loads.rs
@@ -0,0 +1,118 @@
+//! What this entry knows of plain endpoints from its own requests, and the choice by it.
+
+use std::{
+    cell::RefCell,
+    collections::HashMap,
+    rc::Rc,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use crate::runtime::Endpoint;
+
+/// An endpoint that failed is left alone for this long, doubled after each failure in a row.
+const FIRST_PAUSE: Duration = Duration::from_millis(300);
+/// Longest of these pauses: shorter than the outages that the users play.
+const LONGEST_PAUSE: Duration = Duration::from_millis(2_400);
+/// Weight of the newest request in the part that failed.
+const SMOOTHING: f64 = 0.15;
+/// How many running requests an endpoint that always fails counts for.
+const FAILURE_WEIGHT: f64 = 12.0;
+/// Failures below this part are taken for the requests' own.
+const USUAL_FAILURES: f64 = 0.3;
+/// A running request in another data hall counts for this much less than one nearby.
+const FAR: f64 = 0.4;
+
+#[derive(Debug, Clone, Default)]
+struct Load {
+    running: u32,
+    failed: f64,
+    failures: u32,
+    closed_until: Option<Instant>,
+}
+
+/// How a request at an endpoint ended, as far as it tells of the endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Verdict {
+    /// It answered.
+    Good,
+    /// It answered with a failure of its own.
+    Failed,
+    /// It could not be reached, or did not answer.
+    Dead,
+}
+
+/// Loads of endpoints by name.
+#[derive(Debug, Default, Clone)]
+pub(super) struct Loads(Rc<RefCell<HashMap<Arc<str>, Load>>>);
+
+/// Counts a request as running while it lives.
+pub(super) struct Running {
+    loads: Loads,
+    id: Arc<str>,
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        if let Some(load) = self.loads.0.borrow_mut().get_mut(&self.id) {
+            load.running -= 1;
+        }
+    }
+}
+
+impl Loads {
+    /// The least loaded endpoint, other than those in `avoid` if there is another.
+    pub(super) fn choose(
+        &self,
+        endpoints: &[Endpoint],
+        avoid: &[Arc<str>],
+        hall: &str,
+    ) -> Option<Endpoint> {
+        let loads = self.0.borrow();
+        let now = Instant::now();
+        let cost = |endpoint: &Endpoint| {
+            let load = loads.get(&endpoint.id).cloned().unwrap_or_default();
+            let closed = load.closed_until.is_some_and(|until| now < until);
+            let failing = (load.failed - USUAL_FAILURES).max(0.0) / (1.0 - USUAL_FAILURES);
+            let far = if *endpoint.hall == *hall { 0.0 } else { FAR };
+            let avoided = avoid.contains(&endpoint.id);
+            let rank = f64::from(u8::from(avoided)) * 2_000.0 + f64::from(u8::from(closed)) * 1_000.0;
+            rank + f64::from(load.running) + FAILURE_WEIGHT * failing + far + 0.1 * fastrand::f64()
+        };
+        let costs = endpoints.iter().map(|endpoint| (cost(endpoint), endpoint));
+        let (_, best) = costs.min_by(|a, b| a.0.total_cmp(&b.0))?;
+        Some(best.clone())
+    }
+
+    /// Counts a request as running at an endpoint.
+    pub(super) fn begin(&self, id: &Arc<str>) -> Running {
+        /// Endpoints that are remembered; those that run nothing go first.
+        const MAX_LOADS: usize = 4_096;
+        let mut loads = self.0.borrow_mut();
+        if MAX_LOADS <= loads.len() {
+            loads.retain(|_, load| 0 < load.running);
+        }
+        loads.entry(id.clone()).or_default().running += 1;
+        Running { loads: self.clone(), id: id.clone() }
+    }
+
+    /// Notes how a request ended.
+    pub(super) fn note(&self, id: &Arc<str>, verdict: Verdict) {
+        let mut loads = self.0.borrow_mut();
+        let load = loads.entry(id.clone()).or_default();
+        let failed = if verdict == Verdict::Good { 0.0 } else { 1.0 };
+        load.failed += SMOOTHING * (failed - load.failed);
+        match verdict {
+            Verdict::Good => {
+                load.failures = 0;
+                load.closed_until = None;
+            }
+            Verdict::Failed => {}
+            Verdict::Dead => {
+                let pause = FIRST_PAUSE * 2u32.pow(load.failures.min(4));
+                load.failures += 1;
+                load.closed_until = Some(Instant::now() + pause.min(LONGEST_PAUSE));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/server/src/relay/mod.rs
@@ -0,0 +1,149 @@
+//! Carries a request from its caller to an endpoint and the answer back.
+//!
+//! [`Relay`] takes a request, finds its route and workspace, and hands it to one of two ways:
+//! [`call`] for plain calls, [`generation`] for streams of events. What is spoken on either
+//! side is decoded and encoded by a [`Protocol`].
+
+mod admission;
+mod budget;
+mod call;
+mod generation;
+mod job;
+mod loads;
+mod moves;
+mod protocol;
+mod stream;
+#[cfg(test)]
+mod tests;
+
+use std::{cell::RefCell, collections::HashMap, rc::Rc, sync::Arc, time::Duration};
+
+use http::{Request, Response};
+use hyper::body::Incoming;
+use trayswitch_core::error::RequestError;
+
+pub use self::protocol::{
+    Answer, Attempt, CallerRequest, Copied, CopyOrder, MemoryAt, Prompt, Protocol, Turned,
+};
+use self::{budget::RepeatBudget, job::Job, loads::Loads};
+use crate::{
+    edge::{self, Body, Bounds, Handler, LocalFuture},
+    runtime::NodeHandle,
+    telemetry::{EventId, Metrics},
+};
+
+/// Bounds that the operators set for all entries.
+#[derive(Debug, Clone, Copy)]
+pub struct RelayOptions {
+    /// The configuration must have been confirmed within this time for a request to run.
+    pub max_config_age: Duration,
+    /// Repeats that all entries together may send, as a part of the requests.
+    pub repeat_ratio: f64,
+    /// Repeats that all entries together may send beside that in a window.
+    pub repeat_slack: f64,
+    /// The window in which requests and repeats are counted.
+    pub repeat_window: Duration,
+}
+
+/// Serves callers.
+pub struct Relay {
+    node: NodeHandle,
+    protocol: Box<dyn Protocol>,
+    hall: Arc<str>,
+    options: RelayOptions,
+    loads: Loads,
+    budgets: RefCell<HashMap<String, RepeatBudget>>,
+    metrics: Rc<Metrics>,
+}
+
+impl Relay {
+    /// A relay for the entry of a data hall.
+    pub fn new(
+        node: NodeHandle,
+        protocol: Box<dyn Protocol>,
+        hall: Arc<str>,
+        options: RelayOptions,
+        metrics: Rc<Metrics>,
+    ) -> Relay {
+        Relay {
+            node,
+            protocol,
+            hall,
+            options,
+            loads: Loads::default(),
+            budgets: RefCell::default(),
+            metrics,
+        }
+    }
+
+    /// Whether a repeat for this service may be sent now; counts it if so.
+    fn may_repeat(&self, service: &str) -> bool {
+        let (now, daemons) = (self.node.now(), self.node.view().daemons());
+        let mut budgets = self.budgets.borrow_mut();
+        let budget = budgets.entry(service.to_owned()).or_default();
+        budget.take(&self.options, daemons, now)
+    }
+
+    fn note_request(&self, service: &str) {
+        let now = self.node.now();
+        let mut budgets = self.budgets.borrow_mut();
+        budgets.entry(service.to_owned()).or_default().note_request(&self.options, now);
+    }
+
+    async fn serve(self: Rc<Self>, req: Request<Incoming>) -> Response<Body> {
+        let (head, body) = req.into_parts();
+        let mut job = match self.admit(head, body).await {
+            Ok(job) => job,
+            Err(refused) => return self.refuse(&refused.id, &refused.error),
+        };
+        self.metrics.config_version(job.config.version);
+        self.note_request(&job.service);
+        self.metrics.in_progress(1);
+        job.counted = Some(InProgress(self.metrics.clone()));
+        if job.route.spec.kind.is_generation() {
+            generation::serve(self, job).await
+        } else {
+            call::serve(&self, job).await
+        }
+    }
+
+    /// The answer to a request that ends in an error, without an endpoint's answer.
+    fn refuse(&self, id: &str, error: &RequestError) -> Response<Body> {
+        log::info!(
+            event = EventId::CallerRefused.number(), id = id, cause = error.kind.answer().code;
+            "refused before routing: {}", error.message
+        );
+        self.protocol.error(id, error).map(edge::full)
+    }
+
+    /// Ends a job with an error.
+    fn fail(&self, job: &Job, error: &RequestError) -> Response<Body> {
+        job.ended(&self.metrics, error.kind.answer().code, &error.message);
+        self.protocol.error(&job.caller.id, error).map(edge::full)
+    }
+}
+
+/// Counts a request as in progress while it lives.
+pub(crate) struct InProgress(Rc<Metrics>);
+
+impl Drop for InProgress {
+    fn drop(&mut self) {
+        self.0.in_progress(-1);
+    }
+}
+
+impl Handler for Relay {
+    fn handle(self: Rc<Self>, req: Request<Incoming>) -> LocalFuture<'static, Response<Body>> {
+        Box::pin(self.serve(req))
+    }
+
+    fn bounds(&self) -> Bounds {
+        let limits =
+            self.node.view().in_force().map(|f| f.config.limits.clone()).unwrap_or_default();
+        Bounds {
+            max_header: limits.max_header as usize,
+            header_timeout: limits.header_timeout,
+            idle_timeout: limits.idle_timeout,
+        }
+    }
+}
--- /dev/null
+++ b/crates/server/src/relay/protocol.rs
@@ -0,0 +1,150 @@
+//! What the relay needs of the words that callers and endpoints speak.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use http::{HeaderMap, Request, Response, request, response};
+use http_body_util::Full;
+use trayswitch_core::error::RequestError;
+
+/// What a caller asks for, decoded from its request.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct CallerRequest {
+    /// The caller's own name for this request; endpoints repeat it.
+    pub id: String,
+    /// Host that the caller named, in lower case and without a port.
+    pub host: String,
+    /// The workspace key.
+    pub key: Option<String>,
+    /// How long the caller waits.
+    pub time_left: Option<Duration>,
+    /// The prompt of a generation.
+    pub prompt: Option<Prompt>,
+    /// The last event that the caller has of an answer that broke off.
+    pub after: Option<u64>,
+}
+
+/// The prompt of a generation.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Prompt {
+    /// Tokens of the prompt.
+    pub tokens: u64,
+    /// Most tokens that the answer may have.
+    pub max_output: u64,
+    /// Tokens that the caller expects; right at the median, often far off.
+    pub likely_output: Option<u64>,
+    /// Hash of the part that other prompts share.
+    pub shared_prefix: u64,
+}
+
+/// One attempt at an endpoint.
+#[derive(Debug, Clone)]
+pub struct Attempt<'a> {
+    /// Name of the endpoint's run; any other must refuse.
+    pub endpoint: &'a str,
+    /// Time that the caller still waits.
+    pub time_left: Duration,
+    /// The workspace.
+    pub workspace: Option<&'a str>,
+    /// Urgency for an engine, 0 first.
+    pub priority: Option<u64>,
+    /// The last event that the caller has, when a generation goes on.
+    pub after: Option<u64>,
+    /// Where the memory of a generation lies that goes on.
+    pub memory: Option<&'a MemoryAt>,
+    /// An engine that is to keep a copy of the memory as it grows.
+    pub backup: Option<SocketAddr>,
+}
+
+/// A copy of a generation's memory.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct MemoryAt {
+    /// The engine that it was copied from.
+    pub source: SocketAddr,
+    /// The copy's name.
+    pub handle: String,
+}
+
+/// How an endpoint answered, by the head of its answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Answer {
+    /// It says that the request has not run there.
+    Turned(Turned),
+    /// The request ran; this is its answer, whatever its status.
+    Ran {
+        /// Whether it ended well.
+        success: bool,
+    },
+    /// These bytes are not the answer to this request.
+    Foreign(&'static str),
+}
+
+/// Why an endpoint turned a request away.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Turned {
+    /// It has no room, or the time is over.
+    Full,
+    /// Another run of an endpoint, or another version, has its address.
+    Other,
+}
+
+/// An order to copy the memory of a running generation.
+#[derive(Debug, Clone)]
+pub struct CopyOrder<'a> {
+    /// The caller's name for the request.
+    pub id: &'a str,
+    /// The engine that receives the copy.
+    pub to: SocketAddr,
+    /// Whether the generation stops first, so that the copy is final.
+    pub last: bool,
+}
+
+/// What an engine answered to a [`CopyOrder`].
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Copied {
+    /// The copy is complete.
+    Done {
+        /// Its name.
+        handle: String,
+        /// Events produced so far.
+        made: u64,
+    },
+    /// The generation does not run there (any more).
+    NoSuchRun,
+    /// Another copy of it is on its way.
+    Busy,
+    /// There is no room or no path; a generation that stopped keeps its memory under the name.
+    Refused {
+        /// Its name.
+        handle: Option<String>,
+    },
+    /// The answer makes no sense.
+    Malformed,
+}
+
+/// Decodes and encodes what callers and endpoints speak.
+pub trait Protocol {
+    /// Decodes a caller's request.
+    fn caller_request(&self, head: &request::Parts) -> Result<CallerRequest, RequestError>;
+
+    /// Headers of the request to an endpoint.
+    fn attempt_headers(&self, head: &request::Parts, attempt: &Attempt<'_>) -> HeaderMap;
+
+    /// Judges an endpoint's answer to the request of this id.
+    fn judge(&self, id: &str, head: &response::Parts) -> Answer;
+
+    /// Headers of an endpoint's answer that are passed on to the caller.
+    fn answer_headers(&self, head: &response::Parts) -> HeaderMap;
+
+    /// The answer to a request that ends in an error.
+    fn error(&self, id: &str, error: &RequestError) -> Response<Bytes>;
+
+    /// Asks an engine to copy a generation's memory.
+    fn copy_request(&self, order: &CopyOrder<'_>) -> Request<Full<Bytes>>;
+
+    /// Reads the answer to that.
+    fn read_copied(&self, head: &response::Parts, body: &[u8]) -> Copied;
+
+    /// Asks an engine to free a copy that is not used.
+    fn free_copy_request(&self, handle: &str) -> Request<Full<Bytes>>;
+}
--- /dev/null
+++ b/crates/server/src/relay/stream.rs
@@ -0,0 +1,369 @@
+//! Carries the events of a running generation to its caller, across endpoints.
+
+use std::{
+    future::pending,
+    rc::Rc,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use tokio::{
+    sync::mpsc,
+    time::{sleep_until, timeout},
+};
+
+use super::{
+    Job, MemoryAt, Relay,
+    generation::{Opened, open, open_at},
+    job::GoOn,
+    moves::{Move, MoveEnd},
+};
+use crate::{
+    edge::AnswerError,
+    runtime::{MoveOrder, Placed},
+    telemetry::EventId,
+    upstream::{AnswerBody, Event, EventSplitter},
+};
+
+/// The node is told of progress after this many events: it forecasts memory by it.
+const PROGRESS_EVENTS: u64 = 8;
+/// Tokens that an event holds where the engine does not say, by the users' sheets.
+const TOKENS_PER_EVENT: u64 = 4;
+/// After a generation has stopped, what it made before is on the connection already.
+const DRAIN_LIMIT: Duration = Duration::from_millis(100);
+
+/// What comes next on a stream.
+pub(super) enum Step {
+    /// An event.
+    Event(Event),
+    /// The stream ended as it should.
+    Ended,
+    /// It broke off.
+    Lost(String),
+}
+
+/// Events on the connection to one endpoint.
+pub(super) struct Source {
+    body: AnswerBody,
+    splitter: EventSplitter,
+}
+
+impl Source {
+    pub(super) fn new(body: AnswerBody) -> Source {
+        Source { body, splitter: EventSplitter::default() }
+    }
+
+    /// The next step. Nothing is lost when the future is dropped.
+    pub(super) async fn next(&mut self) -> Step {
+        loop {
+            if let Some(event) = self.splitter.next_event() {
+                return Step::Event(event);
+            }
+            match self.body.next().await {
+                Some(Ok(bytes)) => {
+                    if let Err(problem) = self.splitter.push(&bytes) {
+                        return Step::Lost(problem);
+                    }
+                }
+                Some(Err(problem)) => return Step::Lost(problem),
+                None if self.splitter.has_rest() => {
+                    return Step::Lost("the stream ended in the middle of an event".into());
+                }
+                None => return Step::Ended,
+            }
+        }
+    }
+}
+
+/// How a generation ended.
+enum Cause {
+    Answered,
+    CallerLeft,
+    Lost(String),
+    TimeOver,
+}
+
+/// Carries one generation.
+pub(super) struct Pump {
+    relay: Rc<Relay>,
+    job: Rc<Job>,
+    placed: Placed,
+    source: Source,
+    tx: mpsc::Sender<Result<Bytes, AnswerError>>,
+    orders: mpsc::UnboundedReceiver<MoveOrder>,
+    /// A move on its way.
+    moving: Option<Move>,
+    /// The last event that the caller has.
+    last: Option<u64>,
+    events: u64,
+    starts: u32,
+}
+
+impl Pump {
+    pub(super) fn new(
+        relay: Rc<Relay>,
+        job: Job,
+        placed: Placed,
+        source: Source,
+        tx: mpsc::Sender<Result<Bytes, AnswerError>>,
+    ) -> Pump {
+        let orders = placed.orders();
+        let last = job.caller.after;
+        Pump {
+            relay,
+            job: Rc::new(job),
+            placed,
+            source,
+            tx,
+            orders,
+            moving: None,
+            last,
+            events: 0,
+            starts: 1,
+        }
+    }
+
+    /// Carries the generation to its end.
+    pub(super) async fn run(mut self, first: Option<Event>) {
+        let route = self.job.route.name.clone();
+        self.relay.metrics.first_event(&route, self.job.arrived.elapsed());
+        let cause = match first {
+            Some(event) => match self.deliver(event).await {
+                Ok(()) => self.carry().await,
+                Err(cause) => cause,
+            },
+            None => Cause::Answered,
+        };
+        let (name, detail) = match cause {
+            Cause::Answered => {
+                self.placed.finish(self.tokens());
+                ("answered", String::new())
+            }
+            Cause::CallerLeft => ("caller_left", String::new()),
+            Cause::Lost(problem) => ("generation_lost", problem),
+            Cause::TimeOver => ("time_over", String::new()),
+        };
+        if matches!(name, "generation_lost" | "time_over") {
+            // The answer must not look complete. A caller that has left needs no telling.
+            let _ = self.tx.send(Err(AnswerError(name.to_owned()))).await;
+        }
+        let detail = format!("{} events {detail}", self.events);
+        self.job.ended(&self.relay.metrics, name, detail.trim());
+    }
+
+    async fn carry(&mut self) -> Cause {
+        loop {
+            let deadline = sleep_until(self.job.deadline.into());
+            tokio::select! {
+                biased;
+                () = self.tx.closed() => return Cause::CallerLeft,
+                step = self.source.next() => match step {
+                    Step::Event(event) => {
+                        if let Err(cause) = self.deliver(event).await {
+                            return cause;
+                        }
+                    }
+                    Step::Ended if self.is_stopped() => {
+                        if let Err(cause) = self.follow_move(true).await {
+                            return cause;
+                        }
+                    }
+                    Step::Ended => return Cause::Answered,
+                    Step::Lost(_) if self.is_stopped() => {
+                        if let Err(cause) = self.follow_move(false).await {
+                            return cause;
+                        }
+                    }
+                    Step::Lost(problem) => {
+                        if let Err(cause) = self.start_again(problem).await {
+                            return cause;
+                        }
+                    }
+                },
+                Some(order) = self.orders.recv(), if self.moving.is_none() => self.begin(&order),
+                end = next_end(&mut self.moving) => {
+                    if let Err(cause) = self.take_move(end).await {
+                        return cause;
+                    }
+                }
+                () = deadline => return Cause::TimeOver,
+            }
+        }
+    }
+
+    /// Passes an event on, unless the caller has it.
+    async fn deliver(&mut self, event: Event) -> Result<(), Cause> {
+        if let Some(id) = event.id {
+            if self.last.is_some_and(|last| id <= last) {
+                log::debug!(event = EventId::FrameDropped.number(); "event {id} came again");
+                return Ok(());
+            }
+            if self.last.is_some_and(|last| last + 1 < id) {
+                return Err(Cause::Lost(format!("event {id} came after {:?}", self.last)));
+            }
+            self.last = Some(id);
+        }
+        self.events += 1;
+        if self.tx.send(Ok(event.bytes)).await.is_err() {
+            return Err(Cause::CallerLeft);
+        }
+        if self.events == 1 || self.events.is_multiple_of(PROGRESS_EVENTS) {
+            self.placed.progress(self.tokens());
+        }
+        Ok(())
+    }
+
+    fn tokens(&self) -> u64 {
+        self.events * TOKENS_PER_EVENT
+    }
+
+    /// Whether the generation may have been stopped by a move.
+    fn is_stopped(&self) -> bool {
+        self.moving.as_ref().is_some_and(Move::is_stopping)
+    }
+
+    fn begin(&mut self, order: &MoveOrder) {
+        let view = self.relay.node.view();
+        let (from, to) = (view.endpoint(&order.from), view.endpoint(&order.to));
+        let (Some(from), Some(to)) = (from, to) else {
+            let at = self.placed.endpoint().clone();
+            return self.placed.moved(&at, false);
+        };
+        self.moving = Some(Move::begin(self.relay.clone(), self.job.clone(), from, to));
+    }
+
+    /// The stream closed while the generation was being stopped: the move says what it means.
+    async fn follow_move(&mut self, ended: bool) -> Result<(), Cause> {
+        let end = next_end(&mut self.moving);
+        let end = timeout(self.job.time_left(), end).await.map_err(|_| Cause::TimeOver)?;
+        if matches!(end, MoveEnd::NoSuchRun) && ended {
+            return Err(Cause::Answered);
+        }
+        if let MoveEnd::Stopped { .. } = end {
+            return self.take_move(end).await;
+        }
+        self.take_move(end).await?;
+        let problem = "the endpoint closed the stream during a move".to_owned();
+        self.start_again(problem).await
+    }
+
+    async fn take_move(&mut self, end: MoveEnd) -> Result<(), Cause> {
+        let Some(moving) = self.moving.take() else { return Ok(()) };
+        let from = self.placed.endpoint().clone();
+        let took = moving.began.elapsed().as_millis() as u64;
+        let mut end_name = end.name();
+        let result = match end {
+            MoveEnd::Stopped { memory, to } => {
+                let stopped = Instant::now();
+                self.drain().await?;
+                let went_on = self.go_on(&memory, &from, &to).await;
+                end_name = if went_on.is_ok() { "moved" } else { "lost" };
+                log::info!(
+                    event = EventId::MoveEnded.number(), id = self.job.caller.id.as_str(),
+                    from = &*from, to = &*to, end = end_name, took_ms = took,
+                    pause_ms = stopped.elapsed().as_millis() as u64, last = self.last.unwrap_or(0);
+                    "a generation was moved"
+                );
+                went_on
+            }
+            MoveEnd::NoSuchRun | MoveEnd::Failed(_) => {
+                log::info!(
+                    event = EventId::MoveEnded.number(), id = self.job.caller.id.as_str(),
+                    from = &*from, end = end_name, detail = end.detail(), took_ms = took;
+                    "a generation was not moved"
+                );
+                self.placed.moved(&from, false);
+                Ok(())
+            }
+        };
+        self.relay.metrics.moved(end_name);
+        result
+    }
+
+    /// Passes on what the stopped generation made before.
+    async fn drain(&mut self) -> Result<(), Cause> {
+        let until = Instant::now() + DRAIN_LIMIT;
+        loop {
+            let left = until.saturating_duration_since(Instant::now());
+            match timeout(left, self.source.next()).await {
+                Ok(Step::Event(event)) => self.deliver(event).await?,
+                Ok(Step::Ended | Step::Lost(_)) | Err(_) => return Ok(()),
+            }
+        }
+    }
+
+    /// Goes on at the endpoint that has the copy, or else at the one that stopped.
+    async fn go_on(
+        &mut self,
+        memory: &MemoryAt,
+        from: &Arc<str>,
+        to: &Arc<str>,
+    ) -> Result<(), Cause> {
+        let go_on = GoOn { after: self.last, memory: Some(memory.clone()) };
+        let mut problem = String::new();
+        for endpoint in [to, from] {
+            let opened = open_at(&self.relay, &self.job, endpoint, &go_on);
+            let opened = timeout(self.job.time_left(), opened).await;
+            match opened.map_err(|_| Cause::TimeOver)? {
+                Ok(Opened::Stream { source, first, .. }) => {
+                    self.source = source;
+                    self.placed.moved(endpoint, endpoint == to);
+                    return match first {
+                        Some(event) => self.deliver(event).await,
+                        None => Err(Cause::Answered),
+                    };
+                }
+                Ok(Opened::Failed { head, .. }) => problem = head.status.to_string(),
+                Err(lost) => problem = format!("{lost:?}"),
+            }
+        }
+        Err(Cause::Lost(format!("the copy could not be used: {problem}")))
+    }
+
+    /// Runs what may be run again from the last event on, at another endpoint.
+    async fn start_again(&mut self, problem: String) -> Result<(), Cause> {
+        let spec = &self.job.route.spec;
+        let repeatable = spec.kind.is_repeatable() && self.starts < spec.max_attempts;
+        if !repeatable || self.relay.check_may_run(&self.job).is_err() {
+            return Err(Cause::Lost(problem));
+        }
+        if !self.relay.may_repeat(&self.job.service) {
+            return Err(Cause::Lost(format!("{problem}; no more repeats are allowed now")));
+        }
+        self.starts += 1;
+        let left = self.placed.endpoint().clone();
+        let placing = self.relay.node.place(self.job.place_request(Some(left)));
+        let placed = timeout(self.job.time_left(), placing).await.map_err(|_| Cause::TimeOver)?;
+        self.placed = placed.map_err(|e| Cause::Lost(format!("{problem}; {}", e.message)))?;
+        self.orders = self.placed.orders();
+        self.moving = None;
+        let go_on = GoOn { after: self.last, memory: None };
+        let opened = open(&self.relay, &self.job, &self.placed, &go_on);
+        let opened = timeout(self.job.time_left(), opened).await.map_err(|_| Cause::TimeOver)?;
+        log::info!(
+            event = EventId::StreamResumed.number(), id = self.job.caller.id.as_str(),
+            after = self.last.unwrap_or(0), endpoint = &**self.placed.endpoint();
+            "a generation goes on at another endpoint: {problem}"
+        );
+        match opened {
+            Ok(Opened::Stream { source, first, .. }) => {
+                self.source = source;
+                match first {
+                    Some(event) => self.deliver(event).await,
+                    None => Err(Cause::Answered),
+                }
+            }
+            Ok(Opened::Failed { head, .. }) => Err(Cause::Lost(head.status.to_string())),
+            Err(lost) => Err(Cause::Lost(format!("{problem}; {lost:?}"))),
+        }
+    }
+}
+
+/// The end of the move on its way; never without one.
+async fn next_end(moving: &mut Option<Move>) -> MoveEnd {
+    match moving {
+        Some(moving) => moving.end().await,
+        None => pending().await,
+    }
+}
--- /dev/null
+++ b/crates/server/src/runtime/mod.rs
@@ -0,0 +1,395 @@
+//! Drives the pure node: feeds it inputs and carries out what it decides.
+
+mod links;
+mod view;
+mod writer;
+
+use std::{
+    cell::RefCell,
+    collections::HashMap,
+    net::SocketAddr,
+    path::PathBuf,
+    rc::Rc,
+    sync::Arc,
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+};
+
+use eyre::{Result, WrapErr, eyre};
+use tokio::sync::{Notify, mpsc, oneshot};
+use trayswitch_core::{
+    config::{Config, Document},
+    error::{ErrorKind, RequestError},
+    node::{
+        Answer, CallId, Clocks, InForce, Input, Node, NodeOptions, Output, Placement, Question,
+        SubmitError, VmName,
+    },
+    placement::Request,
+    state::ConfigChange,
+    units::{self, UnixMillis},
+    wire::{AcceptedVersion, Body, Submit},
+};
+
+use self::links::Links;
+pub use self::{
+    links::PeerPort,
+    view::{Endpoint, View},
+};
+use crate::telemetry::EventId;
+
+/// Longest sleep of the timer, against a lost wake-up.
+const LONGEST_SLEEP: Duration = Duration::from_millis(250);
+/// Pause before a change is compared again with the configuration that came between.
+const REBASE_PAUSE: Duration = Duration::from_millis(3);
+/// A placement is answered within its own time in the queue; this only bounds a fault.
+const PLACE_LIMIT: Duration = Duration::from_secs(600);
+
+/// How a daemon is to run.
+pub struct RuntimeOptions {
+    /// Who this daemon is.
+    pub node: NodeOptions,
+    /// Folder of the control replica, where this daemon is one.
+    pub data: Option<PathBuf>,
+    /// Where other daemons link to this one; only control VMs are dialed.
+    pub listen: Option<SocketAddr>,
+    /// How the address of a control VM follows from its name.
+    pub peers: PeerPort,
+    /// The key that daemons prove to each other.
+    pub peer_key: Vec<u8>,
+}
+
+/// An order to move a running request.
+#[derive(Debug, Clone)]
+pub struct MoveOrder {
+    /// Where it runs.
+    pub from: Arc<str>,
+    /// Where it is to go on.
+    pub to: Arc<str>,
+}
+
+struct Shared {
+    node: RefCell<Node>,
+    start: Instant,
+    view: View,
+    links: Links,
+    calls: RefCell<HashMap<CallId, oneshot::Sender<Answer>>>,
+    moves: RefCell<HashMap<CallId, mpsc::UnboundedSender<MoveOrder>>>,
+    writes: Option<writer::Writes>,
+    wake: Notify,
+}
+
+/// Speaks to the node; cheap to clone.
+#[derive(Clone)]
+pub struct NodeHandle(Rc<Shared>);
+
+impl NodeHandle {
+    /// Starts the node on the current thread's local tasks.
+    pub fn spawn(options: RuntimeOptions) -> Result<NodeHandle> {
+        let start = Instant::now();
+        let now = units::Instant(0);
+        let (node, writes, written) = match &options.data {
+            Some(path) => {
+                let id = getrandom::u64().map_err(|e| eyre!("no random numbers: {e}"))?;
+                let opened = writer::open(path, id)?;
+                log::info!(
+                    event = EventId::StorageOpened.number(), replica = opened.replica,
+                    entries = opened.restored.entries.len(),
+                    snapshot = opened.restored.snapshot.is_some(),
+                    term = opened.restored.hard_state.term;
+                    "the data folder is open"
+                );
+                let node = Node::replica(&options.node, opened.replica, opened.restored, now);
+                let (writes, written) = writer::spawn(opened.storage)?;
+                (node, Some(writes), Some(written))
+            }
+            None => (Node::entry(&options.node, now), None, None),
+        };
+        let links = Links::new(options.node.vm.clone(), options.peer_key, options.peers);
+        let handle = NodeHandle(Rc::new(Shared {
+            node: RefCell::new(node),
+            start,
+            view: View::default(),
+            links,
+            calls: RefCell::default(),
+            moves: RefCell::default(),
+            writes,
+            wake: Notify::new(),
+        }));
+        if let Some(address) = options.listen {
+            links::accept(address, handle.clone())
+                .wrap_err_with(|| format!("cannot take links on {address}"))?;
+        }
+        links::dial(&handle, &options.node.seeds);
+        if let Some(written) = written {
+            tokio::task::spawn_local(handle.clone().take_written(written));
+        }
+        tokio::task::spawn_local(handle.clone().keep_time());
+        Ok(handle)
+    }
+
+    /// What requests may read directly.
+    pub fn view(&self) -> &View {
+        &self.0.view
+    }
+
+    /// Time since the daemon's start, as the node counts it.
+    pub fn now(&self) -> units::Instant {
+        units::Instant(self.0.start.elapsed().as_micros() as u64)
+    }
+
+    /// Gives the node an input and carries out what it decides.
+    pub fn input(&self, input: Input) {
+        let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let clocks = Clocks { now: self.now(), wall: UnixMillis(wall.as_millis() as u64) };
+        let outputs = self.0.node.borrow_mut().handle(input, clocks);
+        for output in outputs {
+            self.carry_out(output);
+        }
+        self.0.wake.notify_one();
+    }
+
+    /// Places a request; the guard frees the place when it is dropped.
+    pub async fn place(&self, req: Request) -> Result<Placed, RequestError> {
+        let call = self.0.view.next_call();
+        let placed = Placed::new(self.clone(), call);
+        match self.ask(call, Question::Place(req), PLACE_LIMIT).await {
+            Some(Answer::Placed(Ok(placement))) => Ok(placed.at(placement)),
+            Some(Answer::Placed(Err(error))) => Err(error),
+            _ => Err(RequestError::new(ErrorKind::NotReady, "the daemon is ending")),
+        }
+    }
+
+    /// Submits a checked document as a version and waits for the outcome. A file that comes
+    /// too late is confirmed, not refused, if `or_newer` is set.
+    pub async fn submit(
+        &self,
+        file: &str,
+        document: &Document,
+        or_newer: bool,
+        limit: Duration,
+    ) -> Result<AcceptedVersion, SubmitError> {
+        let Ok(config) = Config::check(file, document) else {
+            return Err(SubmitError::Refused("the document was not checked".into()));
+        };
+        let version = config.deployment.version;
+        let began = Instant::now();
+        loop {
+            let left = limit.saturating_sub(began.elapsed());
+            let command = match self.0.view.in_force() {
+                Some(f) => ConfigChange::new(version, f.version, &f.document, document),
+                None => ConfigChange::new(version, 0, &Document::default(), document),
+            };
+            let submit = Submit { file: file.to_owned(), command, or_newer };
+            let call = self.0.view.next_call();
+            match self.ask(call, Question::Submit(submit), left).await {
+                Some(Answer::Submitted(Err(SubmitError::Rebase(_)))) if !left.is_zero() => {
+                    // The version accepted meanwhile is about to come into force here too.
+                    tokio::time::sleep(REBASE_PAUSE).await;
+                }
+                Some(Answer::Submitted(result)) => return result,
+                _ => return Err(SubmitError::NoAnswer),
+            }
+        }
+    }
+
+    /// The newest accepted configuration, if that can be confirmed in time.
+    pub async fn newest(&self, limit: Duration) -> Option<Arc<InForce>> {
+        let call = self.0.view.next_call();
+        // The node keeps the limit itself; a little more lets its answer come.
+        match self.ask(call, Question::Read { limit }, limit * 2).await {
+            Some(Answer::Newest(newest)) => newest,
+            _ => None,
+        }
+    }
+
+    /// Asks the node and waits for its answer.
+    pub async fn ask(&self, call: CallId, question: Question, limit: Duration) -> Option<Answer> {
+        let (tx, rx) = oneshot::channel();
+        self.0.calls.borrow_mut().insert(call, tx);
+        let forget = ForgetCall { node: self, call };
+        self.input(Input::Ask(call, question));
+        let answer = tokio::time::timeout(limit, rx).await.ok()?.ok();
+        drop(forget);
+        answer
+    }
+
+    /// Begins a planned stop of the node.
+    pub fn stop(&self) {
+        self.input(Input::Stop);
+    }
+
+    fn carry_out(&self, output: Output) {
+        match output {
+            Output::Send(vm, body) => self.0.links.send(&vm, body),
+            Output::Persist(number, persist) => {
+                if let Some(writes) = &self.0.writes {
+                    // The writer ends only with the process.
+                    let _ = writes.send((number, persist));
+                }
+            }
+            Output::Answer(call, answer) => {
+                if let Some(tx) = self.0.calls.borrow_mut().remove(&call) {
+                    // An asker that stopped waiting has said so itself.
+                    let _ = tx.send(answer);
+                }
+            }
+            Output::InForce(in_force) => self.in_force(in_force),
+            Output::Fresh { fresh, confirmed, daemons } => {
+                self.fresh(fresh, confirmed);
+                self.0.view.set_daemons(daemons);
+            }
+            Output::Watch(endpoints) => self.0.view.set_watched(endpoints),
+            Output::Dial(vms) => links::dial(self, &vms),
+            Output::Registered(records) => self.0.view.set_endpoints(records),
+            Output::Move { call, from, to } => self.order_move(call, from, to),
+        }
+    }
+
+    fn in_force(&self, in_force: Arc<InForce>) {
+        log::info!(
+            event = EventId::ConfigInForce.number(), config = in_force.version,
+            hash = in_force.hash.to_string().as_str(), routes = in_force.config.routes.len();
+            "a configuration came into force"
+        );
+        self.0.view.publish(in_force);
+    }
+
+    fn fresh(&self, fresh: bool, confirmed: Option<units::Instant>) {
+        let was_fresh = self.0.view.set_confirmed(fresh, confirmed);
+        if fresh && !was_fresh {
+            log::info!(event = EventId::ConfigFresh.number(); "the configuration is confirmed");
+        }
+        if !fresh && was_fresh {
+            log::warn!(
+                event = EventId::ConfigStale.number();
+                "the configuration may be out of date: no control VM confirms it"
+            );
+        }
+    }
+
+    fn order_move(&self, call: CallId, from: Arc<str>, to: Arc<str>) {
+        let orders = self.0.moves.borrow();
+        let order = MoveOrder { from: from.clone(), to };
+        let taken = orders.get(&call).is_some_and(|tx| tx.send(order).is_ok());
+        drop(orders);
+        if !taken {
+            // The request is between two endpoints or has ended; the node hears of that too.
+            let node = self.clone();
+            tokio::task::spawn_local(async move {
+                node.input(Input::Moved { call, at: from, done: false });
+            });
+        }
+    }
+
+    async fn take_written(self, mut written: mpsc::UnboundedReceiver<u64>) {
+        while let Some(number) = written.recv().await {
+            self.input(Input::Persisted(number));
+        }
+    }
+
+    async fn keep_time(self) {
+        loop {
+            let next = Duration::from_micros(self.0.node.borrow().next_tick().0);
+            let wait = next.saturating_sub(self.0.start.elapsed()).min(LONGEST_SLEEP);
+            if wait.is_zero() {
+                self.input(Input::Tick);
+                tokio::time::sleep(Duration::from_millis(1)).await;
+                continue;
+            }
+            tokio::select! {
+                () = tokio::time::sleep(wait) => self.input(Input::Tick),
+                () = self.0.wake.notified() => {}
+            }
+        }
+    }
+}
+
+/// Forgets a question whose asker no longer waits.
+struct ForgetCall<'a> {
+    node: &'a NodeHandle,
+    call: CallId,
+}
+
+impl Drop for ForgetCall<'_> {
+    fn drop(&mut self) {
+        self.node.0.calls.borrow_mut().remove(&self.call);
+    }
+}
+
+/// A place at an endpoint. Dropping it tells the node that the request has ended.
+pub struct Placed {
+    node: NodeHandle,
+    call: CallId,
+    placement: Option<Placement>,
+    tokens: u64,
+    whole: bool,
+}
+
+impl Placed {
+    fn new(node: NodeHandle, call: CallId) -> Placed {
+        Placed { node, call, placement: None, tokens: 0, whole: false }
+    }
+
+    fn at(mut self, placement: Placement) -> Placed {
+        self.placement = Some(placement);
+        self
+    }
+
+    /// Name of the endpoint.
+    pub fn endpoint(&self) -> &Arc<str> {
+        &self.placement.as_ref().expect("only a granted place is handed out").endpoint
+    }
+
+    /// Priority for the engine.
+    pub fn priority(&self) -> u64 {
+        self.placement.as_ref().map_or(0, |placement| placement.priority)
+    }
+
+    /// Tells how many tokens the request has produced.
+    pub fn progress(&mut self, tokens: u64) {
+        self.tokens = tokens;
+        self.node.input(Input::Progress(self.call, tokens));
+    }
+
+    /// Notes that the request ended with its whole answer.
+    pub fn finish(&mut self, tokens: u64) {
+        self.tokens = tokens;
+        self.whole = true;
+    }
+
+    /// Orders to move this request from now on.
+    pub fn orders(&self) -> mpsc::UnboundedReceiver<MoveOrder> {
+        let (tx, rx) = mpsc::unbounded_channel();
+        self.node.0.moves.borrow_mut().insert(self.call, tx);
+        rx
+    }
+
+    /// Tells what became of an order to move.
+    pub fn moved(&mut self, at: &Arc<str>, done: bool) {
+        if let Some(placement) = &mut self.placement {
+            placement.endpoint = at.clone();
+        }
+        self.node.input(Input::Moved { call: self.call, at: at.clone(), done });
+    }
+}
+
+impl Drop for Placed {
+    fn drop(&mut self) {
+        self.node.0.moves.borrow_mut().remove(&self.call);
+        let (call, tokens, whole) = (self.call, self.tokens, self.whole);
+        match &self.placement {
+            Some(_) => self.node.input(Input::Finished { call, tokens, whole }),
+            None => self.node.input(Input::Cancelled(call)),
+        }
+    }
+}
+
+/// Sends on links and takes what comes over them.
+impl NodeHandle {
+    fn links(&self) -> &Links {
+        &self.0.links
+    }
+
+    fn message(&self, vm: &VmName, body: Body) {
+        self.input(Input::Message(vm.clone(), body));
+    }
+}
--- /dev/null
+++ b/crates/server/src/runtime/view.rs
@@ -0,0 +1,142 @@
+//! What requests read of the node without asking it.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
+    sync::Arc,
+};
+
+use trayswitch_core::{
+    node::{CallId, InForce},
+    units::Instant,
+    wire::EndpointRecord,
+};
+
+/// An endpoint that registered itself.
+#[derive(Debug, Clone)]
+pub struct Endpoint {
+    /// Name of its run.
+    pub id: Arc<str>,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its data hall.
+    pub hall: Arc<str>,
+    /// Whether it may get new work.
+    pub open: bool,
+}
+
+/// State shared with requests.
+#[derive(Default)]
+pub struct View {
+    in_force: RefCell<Option<Arc<InForce>>>,
+    endpoints: RefCell<HashMap<Arc<str>, Endpoint>>,
+    by_service: RefCell<BTreeMap<String, Vec<Arc<str>>>>,
+    watched: RefCell<Vec<String>>,
+    confirmed: Cell<Option<Instant>>,
+    fresh: Cell<bool>,
+    stopping: Cell<bool>,
+    daemons: Cell<u64>,
+    calls: Cell<u64>,
+}
+
+impl View {
+    /// The configuration in force, if any.
+    pub fn in_force(&self) -> Option<Arc<InForce>> {
+        self.in_force.borrow().clone()
+    }
+
+    /// When the configuration in force was last known to be current.
+    pub fn confirmed(&self) -> Option<Instant> {
+        self.confirmed.get()
+    }
+
+    /// Whether that was recent enough when the node last looked.
+    pub fn fresh(&self) -> bool {
+        self.fresh.get()
+    }
+
+    /// The endpoint of this name.
+    pub fn endpoint(&self, id: &str) -> Option<Endpoint> {
+        self.endpoints.borrow().get(id).cloned()
+    }
+
+    /// The endpoints of a service that may get new work.
+    pub fn open_endpoints(&self, service: &str) -> Vec<Endpoint> {
+        let endpoints = self.endpoints.borrow();
+        let by_service = self.by_service.borrow();
+        let ids = by_service.get(service).map_or(&[][..], Vec::as_slice);
+        ids.iter().filter_map(|id| endpoints.get(id)).filter(|e| e.open).cloned().collect()
+    }
+
+    /// The engines that this daemon asks for their load.
+    pub fn watched(&self) -> Vec<String> {
+        self.watched.borrow().clone()
+    }
+
+    /// Whether callers should be sent here.
+    pub fn ready(&self) -> bool {
+        !self.stopping.get() && self.fresh.get() && self.in_force.borrow().is_some()
+    }
+
+    /// Begins a planned stop: unready, but still serving.
+    pub fn begin_stop(&self) {
+        self.stopping.set(true);
+    }
+
+    /// Whether a planned stop has begun.
+    pub fn stopping(&self) -> bool {
+        self.stopping.get()
+    }
+
+    /// Number of daemons that the leader hears; zero while not known.
+    pub fn daemons(&self) -> u64 {
+        self.daemons.get()
+    }
+
+    /// A new id for a question. They start at a random number, so that the leader does not
+    /// take a request of a restarted daemon for one of the daemon before.
+    pub(super) fn next_call(&self) -> CallId {
+        let last = match self.calls.get() {
+            0 => fastrand::u64(1..1 << 60),
+            last => last,
+        };
+        self.calls.set(last + 1);
+        CallId(last + 1)
+    }
+
+    pub(super) fn set_daemons(&self, daemons: u64) {
+        if 0 < daemons {
+            self.daemons.set(daemons);
+        }
+    }
+
+    pub(super) fn publish(&self, in_force: Arc<InForce>) {
+        *self.in_force.borrow_mut() = Some(in_force);
+    }
+
+    /// Sets what is known of the configuration's age; returns whether it was fresh before.
+    pub(super) fn set_confirmed(&self, fresh: bool, confirmed: Option<Instant>) -> bool {
+        self.confirmed.set(confirmed);
+        self.fresh.replace(fresh)
+    }
+
+    pub(super) fn set_watched(&self, endpoints: Vec<String>) {
+        *self.watched.borrow_mut() = endpoints;
+    }
+
+    pub(super) fn set_endpoints(&self, records: Vec<EndpointRecord>) {
+        let mut endpoints = HashMap::new();
+        let mut by_service: BTreeMap<String, Vec<Arc<str>>> = BTreeMap::new();
+        for record in records {
+            let Ok(address) = record.address.parse() else { continue };
+            let id: Arc<str> = record.id.as_str().into();
+            by_service.entry(record.service).or_default().push(id.clone());
+            let open = !record.leaving && !record.silent;
+            let hall = record.hall.as_str().into();
+            endpoints.insert(id.clone(), Endpoint { id, address, hall, open });
+        }
+        *self.endpoints.borrow_mut() = endpoints;
+        *self.by_service.borrow_mut() = by_service;
+    }
+}
--- /dev/null
+++ b/crates/server/src/runtime/writer.rs
@@ -0,0 +1,54 @@
+//! The thread that writes and syncs the data folder.
+
+use std::{path::Path, process, sync::mpsc, thread};
+
+use eyre::{Result, WrapErr};
+use trayswitch_core::{
+    agreement::{Persist, ReplicaId, Restored},
+    storage::{DiskFolder, Storage},
+};
+
+use crate::telemetry::EventId;
+
+/// Writes for the thread.
+pub(super) type Writes = mpsc::Sender<(u64, Persist)>;
+/// Numbers of the writes that are synced.
+pub(super) type Written = tokio::sync::mpsc::UnboundedReceiver<u64>;
+
+/// An opened data folder.
+pub(super) struct Opened {
+    pub(super) storage: Storage,
+    pub(super) replica: ReplicaId,
+    pub(super) restored: Restored,
+}
+
+/// Opens the data folder; an empty one becomes that of replica `new_id`.
+pub(super) fn open(path: &Path, new_id: ReplicaId) -> Result<Opened> {
+    let context = || format!("cannot open the data folder {}", path.display());
+    let folder = DiskFolder::open(path).wrap_err_with(context)?;
+    let (storage, restored) = Storage::open(Box::new(folder), new_id).wrap_err_with(context)?;
+    Ok(Opened { replica: storage.replica(), storage, restored })
+}
+
+/// Starts the thread.
+pub(super) fn spawn(mut storage: Storage) -> Result<(Writes, Written)> {
+    let (tx, rx) = mpsc::channel::<(u64, Persist)>();
+    let (synced_tx, synced_rx) = tokio::sync::mpsc::unbounded_channel();
+    let write = move || {
+        for (number, persist) in rx {
+            if let Err(e) = storage.write(&persist) {
+                // What is on disk is not known any more; going on could break a promise.
+                log::error!(
+                    event = EventId::StorageFailed.number(), error = e.to_string().as_str();
+                    "the data folder cannot be written; the daemon ends"
+                );
+                process::exit(1);
+            }
+            if synced_tx.send(number).is_err() {
+                return;
+            }
+        }
+    };
+    thread::Builder::new().name("storage".into()).spawn(write)?;
+    Ok((tx, synced_rx))
+}
--- /dev/null
+++ b/crates/server/src/telemetry/metrics.rs
@@ -0,0 +1,113 @@
+//! Counters, gauges and latency histograms in the common text form.
+
+use std::time::Duration;
+
+use eyre::Result;
+use prometheus::{
+    HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+};
+
+/// Upper bounds of latency in seconds: finer around the users' targets of 0.1 to 1.8 s.
+const LATENCY_BOUNDS: [f64; 14] =
+    [0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 1.5, 2.0, 5.0, 10.0, 40.0];
+
+/// What a daemon counts. docs/METRICS.md is the catalogue.
+pub struct Metrics {
+    registry: Registry,
+    requests: IntCounterVec,
+    attempts: IntCounterVec,
+    moves: IntCounterVec,
+    latency: HistogramVec,
+    first_event: HistogramVec,
+    config_version: IntGauge,
+    in_progress: IntGauge,
+}
+
+impl Metrics {
+    /// Metrics that stand at zero.
+    pub fn new() -> Result<Metrics> {
+        let registry = Registry::new();
+        let counter = |name: &str, help: &str, labels: &[&str]| -> Result<IntCounterVec> {
+            let counter = IntCounterVec::new(Opts::new(name, help), labels)?;
+            registry.register(Box::new(counter.clone()))?;
+            Ok(counter)
+        };
+        let histogram = |name: &str, help: &str, labels: &[&str]| -> Result<HistogramVec> {
+            let opts = HistogramOpts::new(name, help).buckets(LATENCY_BOUNDS.to_vec());
+            let histogram = HistogramVec::new(opts, labels)?;
+            registry.register(Box::new(histogram.clone()))?;
+            Ok(histogram)
+        };
+        let gauge = |name: &str, help: &str| -> Result<IntGauge> {
+            let gauge = IntGauge::new(name, help)?;
+            registry.register(Box::new(gauge.clone()))?;
+            Ok(gauge)
+        };
+        Ok(Metrics {
+            requests: counter(
+                "trayswitch_requests_total",
+                "Requests that ended, by workspace, kind and cause of the end",
+                &["workspace", "kind", "cause"],
+            )?,
+            attempts: counter(
+                "trayswitch_attempts_total",
+                "Attempts at endpoints, by service and how they ended",
+                &["service", "end"],
+            )?,
+            moves: counter(
+                "trayswitch_moves_total",
+                "Moves of running generations, by how they ended",
+                &["end"],
+            )?,
+            latency: histogram(
+                "trayswitch_request_seconds",
+                "Time to the end of the answer, by kind",
+                &["kind"],
+            )?,
+            first_event: histogram(
+                "trayswitch_first_event_seconds",
+                "Time to the first event of a generation, by kind",
+                &["kind"],
+            )?,
+            config_version: gauge("trayswitch_config_version", "Configuration in force")?,
+            in_progress: gauge("trayswitch_requests_in_progress", "Requests in progress")?,
+            registry,
+        })
+    }
+
+    /// Counts a request that ended.
+    pub fn request(&self, workspace: &str, kind: &str, cause: &str, took: Duration) {
+        self.requests.with_label_values(&[workspace, kind, cause]).inc();
+        self.latency.with_label_values(&[kind]).observe(took.as_secs_f64());
+    }
+
+    /// Counts an attempt at an endpoint.
+    pub fn attempt(&self, service: &str, end: &str) {
+        self.attempts.with_label_values(&[service, end]).inc();
+    }
+
+    /// Counts a move.
+    pub fn moved(&self, end: &str) {
+        self.moves.with_label_values(&[end]).inc();
+    }
+
+    /// Notes the time to a generation's first event.
+    pub fn first_event(&self, kind: &str, took: Duration) {
+        self.first_event.with_label_values(&[kind]).observe(took.as_secs_f64());
+    }
+
+    /// Notes the version in force.
+    pub fn config_version(&self, version: u64) {
+        self.config_version.set(version as i64);
+    }
+
+    /// Notes that a request began or ended.
+    pub fn in_progress(&self, change: i64) {
+        self.in_progress.add(change);
+    }
+
+    /// All metrics as text.
+    pub fn text(&self) -> Result<String> {
+        Ok(TextEncoder::new().encode_to_string(&self.registry.gather())?)
+    }
+}
--- /dev/null
+++ b/crates/server/src/telemetry/mod.rs
@@ -0,0 +1,8 @@
+//! Log lines and metrics.
+
+mod lines;
+mod metrics;
+
+pub use trayswitch_core::events::EventId;
+
+pub use self::{lines::init, metrics::Metrics};
--- /dev/null
+++ b/crates/server/src/upstream/exchange.rs
@@ -0,0 +1,118 @@
+//! One request on a connection of its own, and its answer.
+//!
+//! A connection is used once. A pooled one may carry a surplus answer of the request before,
+//! may be closed by its idle bound just when it is used, and then leaves open whether a call
+//! that must not be repeated has run; a new one costs a round trip (docs/PLATFORM.md has the
+//! figures).
+
+use std::{fmt, net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use http::{Request, response};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{body::Incoming, client::conn::http1};
+use hyper_util::rt::TokioIo;
+use tokio::{task::JoinHandle, time::timeout};
+
+use super::socket;
+
+/// Why there is no answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum SendError {
+    /// No byte of the request was sent.
+    NotSent(String),
+    /// The request, or a part of it, was sent; the endpoint may run it.
+    Lost(String),
+}
+
+impl fmt::Display for SendError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            SendError::NotSent(problem) => write!(f, "not sent: {problem}"),
+            SendError::Lost(problem) => write!(f, "lost: {problem}"),
+        }
+    }
+}
+
+/// The head of an answer, and its body on the way.
+pub struct OpenAnswer {
+    /// Status and headers.
+    pub head: response::Parts,
+    /// The body.
+    pub body: AnswerBody,
+}
+
+/// The body of an answer. Dropping it closes the connection.
+pub struct AnswerBody {
+    incoming: Incoming,
+    _connection: Connection,
+}
+
+/// The task of a connection; closes it when dropped.
+struct Connection(JoinHandle<()>);
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+impl AnswerBody {
+    /// The next bytes; `None` after the whole body. An error means that it was cut short.
+    pub async fn next(&mut self) -> Option<Result<Bytes, String>> {
+        loop {
+            match self.incoming.frame().await? {
+                Ok(frame) => {
+                    if let Ok(data) = frame.into_data() {
+                        return Some(Ok(data));
+                    }
+                }
+                Err(e) => return Some(Err(describe(&e))),
+            }
+        }
+    }
+
+    /// The whole body, if it is no larger than `limit`.
+    pub async fn collect(self, limit: usize) -> Result<Bytes, String> {
+        let AnswerBody { incoming, _connection } = self;
+        match Limited::new(incoming, limit).collect().await {
+            Ok(body) => Ok(body.to_bytes()),
+            Err(e) => Err(e.to_string()),
+        }
+    }
+}
+
+/// Sends a request and waits for the head of the answer. The caller bounds the time; dropping
+/// the future closes the connection.
+pub async fn exchange(
+    address: SocketAddr,
+    req: Request<Full<Bytes>>,
+    connect_limit: Duration,
+) -> Result<OpenAnswer, SendError> {
+    let not_sent = |problem: String| SendError::NotSent(problem);
+    let socket = match timeout(connect_limit, socket::connect(address)).await {
+        Ok(Ok(socket)) => socket,
+        Ok(Err(e)) => return Err(not_sent(e.to_string())),
+        Err(_) => return Err(not_sent(format!("no connection within {connect_limit:?}"))),
+    };
+    let handshake = http1::Builder::new().handshake(TokioIo::new(socket)).await;
+    let (mut sender, connection) = handshake.map_err(|e| not_sent(describe(&e)))?;
+    let run = async move {
+        if let Err(e) = connection.await {
+            log::debug!("a connection to {address} ended: {}", describe(&e));
+        }
+    };
+    let connection = Connection(tokio::task::spawn_local(run));
+    sender.ready().await.map_err(|e| not_sent(describe(&e)))?;
+    let answer = sender.send_request(req).await.map_err(|e| SendError::Lost(describe(&e)))?;
+    let (head, incoming) = answer.into_parts();
+    Ok(OpenAnswer { head, body: AnswerBody { incoming, _connection: connection } })
+}
+
+/// An error with its cause: hyper's own text names only the step that failed.
+fn describe(error: &dyn std::error::Error) -> String {
+    match error.source() {
+        Some(cause) => format!("{error}: {cause}"),
+        None => error.to_string(),
+    }
+}
--- /dev/null
+++ b/crates/server/src/upstream/mod.rs
@@ -0,0 +1,10 @@
+//! Reaches endpoints: sockets, one exchange of request and answer, and streams of events.
+
+mod events;
+mod exchange;
+pub(crate) mod socket;
+
+pub use self::{
+    events::{Event, EventSplitter},
+    exchange::{AnswerBody, OpenAnswer, SendError, exchange},
+};
--- /dev/null
+++ b/crates/server/src/upstream/socket.rs
@@ -0,0 +1,44 @@
+//! TCP sockets that notice when the other side has gone silently.
+
+use std::{io, net::SocketAddr, time::Duration};
+
+use socket2::{SockRef, TcpKeepalive};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+
+/// Bytes that were not acknowledged for this long end a connection: many round trips inside a
+/// region, and two retransmissions on a link that loses packets.
+const UNACKNOWLEDGED: Duration = Duration::from_millis(1_500);
+/// An idle connection is probed after this time, and then this often.
+const PROBE: Duration = Duration::from_secs(1);
+/// Unanswered probes after which a connection ends.
+const PROBES: u32 = 3;
+/// New connections that may wait to be taken; a full queue delays callers by seconds.
+const BACKLOG: u32 = 1_024;
+
+/// Sets what every connection between VMs needs.
+pub(crate) fn tune(socket: &TcpStream) -> io::Result<()> {
+    socket.set_nodelay(true)?;
+    let socket = SockRef::from(socket);
+    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED))?;
+    let keepalive =
+        TcpKeepalive::new().with_time(PROBE).with_interval(PROBE).with_retries(PROBES);
+    socket.set_tcp_keepalive(&keepalive)
+}
+
+/// Connects and tunes.
+pub(crate) async fn connect(address: SocketAddr) -> io::Result<TcpStream> {
+    let socket = TcpStream::connect(address).await?;
+    tune(&socket)?;
+    Ok(socket)
+}
+
+/// Listens with a long queue.
+pub(crate) fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
--- a/crates/trayswitchd/src/node/actor.rs
+++ b/crates/trayswitchd/src/node/actor.rs
@@ -127,8 +127,11 @@
                 }
             }
             Output::InForce(in_force) => self.in_force(in_force),
-            Output::Fresh(fresh) => self.fresh(fresh),
+            Output::Fresh { fresh, .. } => self.fresh(fresh),
             Output::Watch(endpoints) => self.view.set_watched(endpoints),
+            // This daemon's control VMs are listed in its settings, its endpoints in the
+            // configuration; it has no edge at which endpoints register themselves.
+            Output::Dial(_) | Output::Registered(_) | Output::Move { .. } => {}
         }
     }
 
@@ -145,6 +148,9 @@
     }
 
     fn fresh(&self, fresh: bool) {
+        if self.view.fresh() == fresh {
+            return;
+        }
         self.view.set_fresh(fresh);
         if fresh {
             log::info!("{} the configuration is confirmed", EventId::ConfigFresh);
--- a/crates/trayswitchd/src/node/mod.rs
+++ b/crates/trayswitchd/src/node/mod.rs
@@ -30,6 +30,10 @@
     telemetry::EventId,
 };
 
+/// Endpoints that register themselves are expected to send a heartbeat this often. None do at
+/// this program's edges yet.
+const ENDPOINT_HEARTBEAT: Duration = Duration::from_secs(1);
+
 /// Something that another thread tells the node.
 pub(crate) enum Event {
     /// An input of the core.
@@ -126,9 +130,13 @@
 }
 
 fn options(settings: &Settings) -> Result<NodeOptions> {
+    let replicas: Vec<VmName> = settings.replicas.iter().map(|r| r.vm.as_str().into()).collect();
     Ok(NodeOptions {
         vm: settings.vm.as_str().into(),
-        replicas: settings.replicas.iter().map(|r| r.vm.as_str().into()).collect(),
+        founders: replicas.clone(),
+        max_voters: replicas.len(),
+        seeds: replicas,
+        endpoint_heartbeat: ENDPOINT_HEARTBEAT,
         timing: settings.timing.node(),
         seed: random()?,
     })
--- a/crates/trayswitchd/src/operators/submit.rs
+++ b/crates/trayswitchd/src/operators/submit.rs
@@ -29,6 +29,7 @@
     let began = Instant::now();
     loop {
         let question = Question::Submit(Submit {
+            or_newer: false,
             file: file.to_owned(),
             command: command(node, version, &document),
         });
--- a/crates/trayswitchd/src/telemetry/mod.rs
+++ b/crates/trayswitchd/src/telemetry/mod.rs
@@ -1,13 +1,13 @@
 //! Logs, metrics and histograms.
 
-mod events;
 mod histograms;
 mod metrics;
 #[cfg(test)]
 mod tests;
 
+pub(crate) use trayswitch_core::events::EventId;
+
 pub(crate) use self::{
-    events::EventId,
     histograms::{ClassReport, Histograms, Measure},
     metrics::Metrics,
 };
