Let an entry tell the leader what a parted control VM heard of an endpoint

Ruled out: refused copies (only later ones were), a busy link. Change: an entry passes on news that is new to it and did not come from the leader.

--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -12,6 +12,8 @@
 mod control;
 mod directory;
 mod dispatcher;
+#[cfg(test)]
+mod endpoint_tests;
 mod engines;
 mod keeper;
 mod members;
@@ -509,7 +511,7 @@
             Body::Grant(grant) => self.placing.granted(from, grant, clocks.now, out),
             Body::GiveUp(give_up) => self.placing.given_up(give_up, out),
             Body::Directory(message) => self.directory.told(from, message, clocks.now, out),
-            Body::EndpointNews(news) => self.endpoint_news(news, clocks.now),
+            Body::EndpointNews(news) => self.endpoint_news(from, news, clocks.now),
             Body::Move(order) => self.placing.order(&order, out),
             Body::Watch(watch) => out.push(Output::Watch(watch.endpoints)),
             Body::Health(health) if !leads || *from == self.vm => {
@@ -544,15 +546,24 @@
         self.tell_all(EndpointNews { records: vec![new] });
     }
 
-    /// What is new here goes on, so that it also reaches daemons which the sender does not.
-    fn endpoint_news(&mut self, news: EndpointNews, now: Instant) {
+    /// What is new here goes on, so that it also reaches daemons which the sender does not: a
+    /// control VM tells all, and an entry, which may be linked to control VMs that are parted
+    /// from each other, tells the leader.
+    fn endpoint_news(&mut self, from: &VmName, news: EndpointNews, now: Instant) {
         let new: Vec<EndpointRecord> = news
             .records
             .into_iter()
             .filter_map(|record| self.registry.take(record, now))
             .collect();
-        if self.control.is_some() && !new.is_empty() {
-            self.tell_all(EndpointNews { records: new });
+        if new.is_empty() {
+            return;
+        }
+        let news = EndpointNews { records: new };
+        if self.control.is_some() {
+            return self.tell_all(news);
+        }
+        if let Some(leader) = self.keeper.leader().filter(|leader| *leader != from) {
+            self.outputs.send(leader, Body::EndpointNews(news));
         }
     }
 
