Refuse chats and new connections when a daemon stops

Ruled out: readiness (it was unready at once), kept connections (both cut ones were new). Change: after the balancer has had time to move on the listener closes; a chat that comes after the signal is sent elsewhere at once, since it would be cut off by the daemon's end. Tests: edge::tests, also relay and upstream property tests.

--- a/crates/server/src/edge/listener.rs
+++ b/crates/server/src/edge/listener.rs
@@ -37,7 +37,7 @@
         self.address
     }
 
-    /// Closes connections that rest, and each of the others after its answer.
+    /// Takes no more connections; closes those that rest, and each other after its answer.
     pub fn close(&self) {
         // Without a connection there is nobody to tell.
         let _ = self.closing.send(true);
@@ -57,9 +57,15 @@
     let (closing, closed) = watch::channel(false);
     let open = Rc::new(Cell::new(0));
     let count = open.clone();
+    let mut closes = closed.clone();
     tokio::task::spawn_local(async move {
         loop {
-            match listener.accept().await {
+            let accepted = tokio::select! {
+                accepted = listener.accept() => accepted,
+                // New connections are refused from here on, so that callers go elsewhere.
+                _ = closes.wait_for(|closing| *closing) => return,
+            };
+            match accepted {
                 Ok((socket, _)) => {
                     let guard = Counted::new(&count);
                     let serve = serve(socket, handler.clone(), closed.clone(), guard);
--- a/crates/server/src/edge/mod.rs
+++ b/crates/server/src/edge/mod.rs
@@ -3,6 +3,8 @@
 mod body;
 mod connection;
 mod listener;
+#[cfg(test)]
+mod tests;
 
 use std::{pin::Pin, rc::Rc, time::Duration};
 
--- /dev/null
+++ b/crates/server/src/edge/tests.rs
@@ -0,0 +1,97 @@
+//! Tests of the listener with real sockets.
+
+use std::{rc::Rc, time::Duration};
+
+use googletest::prelude::*;
+use http::{Request, Response};
+use hyper::body::Incoming;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    task::LocalSet,
+};
+
+use super::{Body, Bounds, Handler, LocalFuture, Server, bind, full};
+
+/// Answers everything with one word.
+struct Word;
+
+impl Handler for Word {
+    fn handle(self: Rc<Self>, _: Request<Incoming>) -> LocalFuture<'static, Response<Body>> {
+        Box::pin(async { Response::new(full("word")) })
+    }
+
+    fn bounds(&self) -> Bounds {
+        Bounds {
+            max_header: 16 * 1024,
+            header_timeout: Duration::from_secs(60),
+            idle_timeout: Duration::from_secs(60),
+        }
+    }
+}
+
+fn on_local_tasks<T>(test: impl Future<Output = T>) -> T {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    LocalSet::new().block_on(&runtime, test)
+}
+
+fn server() -> Server {
+    bind("127.0.0.1:0".parse().unwrap(), Rc::new(Word)).unwrap()
+}
+
+/// Sends text on a new connection and returns all that comes until the server closes it.
+async fn say(server: &Server, text: &str) -> String {
+    let mut socket = TcpStream::connect(server.address()).await.unwrap();
+    socket.write_all(text.as_bytes()).await.unwrap();
+    let mut answer = Vec::new();
+    socket.read_to_end(&mut answer).await.unwrap();
+    String::from_utf8(answer).unwrap()
+}
+
+#[gtest]
+fn a_closed_server_takes_no_connection() {
+    let outcome = on_local_tasks(async {
+        let server = server();
+        let before = say(&server, "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n").await;
+        server.close();
+        // The accepting task takes the order at its next turn.
+        while TcpStream::connect(server.address()).await.is_ok() {
+            tokio::task::yield_now().await;
+        }
+        before
+    });
+
+    expect_that!(outcome, contains_substring("word"));
+}
+
+#[gtest]
+fn a_server_that_closes_ends_connections_that_rest() {
+    let answer = on_local_tasks(async {
+        let server = server();
+        let mut socket = TcpStream::connect(server.address()).await.unwrap();
+        socket.write_all(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n").await.unwrap();
+        let mut first = [0; 12];
+        socket.read_exact(&mut first).await.unwrap();
+        server.close();
+        let mut rest = Vec::new();
+        socket.read_to_end(&mut rest).await.unwrap();
+        String::from_utf8([first.to_vec(), rest].concat()).unwrap()
+    });
+
+    expect_that!(answer, contains_substring("word"));
+}
+
+#[gtest]
+fn bytes_that_are_no_request_get_a_clear_answer_and_the_end() {
+    let answer = on_local_tasks(async { say(&server(), "WHAT IS THIS\r\n\r\n").await });
+
+    expect_that!(answer, starts_with("HTTP/1.1 400"));
+}
+
+#[gtest]
+fn a_head_that_is_too_large_is_refused() {
+    let head = format!("GET / HTTP/1.1\r\nHost: h\r\nX: {}\r\n\r\n", "a".repeat(64 * 1024));
+    let answer = on_local_tasks(async { say(&server(), &head).await });
+
+    expect_that!(answer, starts_with("HTTP/1.1 431"));
+}
--- a/crates/server/src/relay/admission.rs
+++ b/crates/server/src/relay/admission.rs
@@ -1,10 +1,13 @@
 //! Finds out who asks for what, and whether this daemon may serve it.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use http::{header, request};
 use hyper::body::Incoming;
-use trayswitch_core::error::{ErrorKind, RequestError};
+use trayswitch_core::{
+    config::RouteKind,
+    error::{ErrorKind, RequestError},
+};
 
 use super::{
     Relay,
@@ -12,6 +15,9 @@
 };
 use crate::edge::{ReadError, read_whole};
 
+/// A caller that is sent elsewhere may come back at once: retries reach other daemons.
+const ELSEWHERE: Duration = Duration::from_millis(10);
+
 /// A request that was refused before it was routed.
 pub(super) struct Refused {
     pub(super) id: String,
@@ -45,6 +51,13 @@
             let message = format!("no route leads from {}{path}", caller.host);
             return Err(refused(&id, RequestError::new(ErrorKind::NotFound, message)));
         };
+        if self.node.view().stopping() && route.spec.kind == RouteKind::Generation {
+            // It would be cut off when the daemon ends; another daemon can carry it whole.
+            let message = "this daemon is stopping";
+            let mut error = RequestError::new(ErrorKind::NotReady, message);
+            error.retry_after = Some(ELSEWHERE);
+            return Err(refused(&id, error));
+        }
         let needs_key = !route.spec.public && !config.config.workspaces.is_empty();
         let workspace = match caller.key.as_deref() {
             Some(key) => config.config.workspace_of_key(key).map(Into::into),
--- a/crates/server/src/upstream/mod.rs
+++ b/crates/server/src/upstream/mod.rs
@@ -3,6 +3,8 @@
 mod events;
 mod exchange;
 pub(crate) mod socket;
+#[cfg(test)]
+mod tests;
 
 pub use self::{
     events::{Event, EventSplitter},
--- /dev/null
+++ b/crates/server/src/upstream/tests.rs
@@ -0,0 +1,64 @@
+//! Tests of the splitting of streams into events.
+
+use googletest::prelude::*;
+use proptest::prelude::*;
+
+use super::EventSplitter;
+
+fn config() -> ProptestConfig {
+    ProptestConfig {
+        cases: 300,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(0x7261_7973),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+/// Splits a text that comes in pieces that end at these places.
+fn split(text: &str, cuts: &[usize]) -> (Vec<(Option<u64>, String)>, bool) {
+    let mut splitter = EventSplitter::default();
+    let mut events = Vec::new();
+    let mut from = 0;
+    let mut cuts: Vec<usize> = cuts.iter().map(|cut| cut % (text.len() + 1)).collect();
+    cuts.sort_unstable();
+    for cut in cuts.into_iter().chain([text.len()]) {
+        splitter.push(&text.as_bytes()[from..cut]).unwrap();
+        from = cut;
+        while let Some(event) = splitter.next_event() {
+            events.push((event.id, String::from_utf8(event.bytes.to_vec()).unwrap()));
+        }
+    }
+    (events, splitter.has_rest())
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    /// However the bytes are cut, the same events come, and their bytes are the stream's.
+    #[test]
+    fn cuts_do_not_matter(
+        ids in proptest::collection::vec(0u64..1_000, 1..8),
+        crlf in any::<bool>(),
+        cuts in proptest::collection::vec(0usize..4_000, 0..12),
+    ) {
+        let end = if crlf { "\r\n" } else { "\n" };
+        let event = |id: &u64| format!("id: {id}{end}data: some text{end}{end}");
+        let text: String = ids.iter().map(event).collect();
+
+        let (events, rest) = split(&text, &cuts);
+
+        prop_assert!(!rest);
+        let found: Vec<u64> = events.iter().filter_map(|(id, _)| *id).collect();
+        prop_assert_eq!(found, ids);
+        let whole: String = events.into_iter().map(|(_, bytes)| bytes).collect();
+        prop_assert_eq!(whole, text);
+    }
+}
+
+#[gtest]
+fn an_event_that_was_cut_is_kept_back() {
+    let (events, rest) = split("id: 1\ndata: a\n\nid: 2\ndata: b", &[]);
+
+    expect_that!(events.len(), eq(1));
+    expect_that!(rest, eq(true));
+}
