Keep silent endpoints open where all of their service are silent

Ruled out: the endpoints (they answered), the entries' links. Change: a silent endpoint is closed only while another of its service is heard. Test: registry::tests::endpoints_stay_open_when_all_of_their_service_are_silent.

--- a/crates/core/src/config/reader.rs
+++ b/crates/core/src/config/reader.rs
@@ -93,7 +93,8 @@
             .map(String::as_str)
             .filter(|key| !self.known.contains(key))
             .collect();
-        let known = self.known.iter().copied().filter(|key| *key != SOURCE).collect::<Vec<_>>().join(", ");
+        let known =
+            self.known.iter().copied().filter(|key| *key != SOURCE).collect::<Vec<_>>().join(", ");
         for key in unknown {
             self.fault(key, format!("unknown key; this section knows {known}"));
         }
--- a/crates/core/src/config/schema.rs
+++ b/crates/core/src/config/schema.rs
@@ -290,7 +290,9 @@
                 self.fault(
                     name,
                     "",
-                    format!("unknown section; expected [{DEPLOYMENT}], [{LIMITS}], [{families} NAME]"),
+                    format!(
+                        "unknown section; expected [{DEPLOYMENT}], [{LIMITS}], [{families} NAME]"
+                    ),
                 );
             }
         }
@@ -513,5 +515,13 @@
             return None;
         }
     };
-    Some(EndpointSpec { hall, address: address?, target, slots, kv_tokens, checks_fence, moves: false })
+    Some(EndpointSpec {
+        hall,
+        address: address?,
+        target,
+        slots,
+        kv_tokens,
+        checks_fence,
+        moves: false,
+    })
 }
--- a/crates/core/src/config/service.rs
+++ b/crates/core/src/config/service.rs
@@ -42,8 +42,7 @@
 
 /// Reads a service.
 pub(super) fn read(r: &mut SectionReader<'_>) -> ServiceSpec {
-    let max_connections =
-        r.number("max_connections", Some(DEFAULT_MAX_CONNECTIONS), 1, MAX_COUNT);
+    let max_connections = r.number("max_connections", Some(DEFAULT_MAX_CONNECTIONS), 1, MAX_COUNT);
     let health_path = r.raw("health_path").map(str::to_owned);
     let engine = r.raw("kv_tokens").is_some().then(|| EngineSpec {
         slots: r.number("slots", None, 1, MAX_COUNT),
--- a/crates/core/src/node/directory.rs
+++ b/crates/core/src/node/directory.rs
@@ -33,12 +33,7 @@
 }
 
 impl Directory {
-    pub(crate) fn new(
-        vm: &VmName,
-        seeds: &[VmName],
-        is_control: bool,
-        now: Instant,
-    ) -> Directory {
+    pub(crate) fn new(vm: &VmName, seeds: &[VmName], is_control: bool, now: Instant) -> Directory {
         let mut directory = Directory {
             vm: vm.clone(),
             is_control,
--- a/crates/core/src/node/dispatcher.rs
+++ b/crates/core/src/node/dispatcher.rs
@@ -13,7 +13,9 @@
 use crate::{
     config::{EndpointTarget, Endpoints},
     error::RequestError,
-    placement::{Action, ForecastPolicy, PrefixHash, Request, Relocation, Scheduler, SchedulerLimits, Ticket},
+    placement::{
+        Action, ForecastPolicy, PrefixHash, Relocation, Request, Scheduler, SchedulerLimits, Ticket,
+    },
     units::Instant,
     wire::{Admit, Body, GiveUp, Grant, Health, HealthNews, Move, Moved, Progress, Report, Watch},
 };
--- a/crates/core/src/node/endpoint_tests.rs
+++ b/crates/core/src/node/endpoint_tests.rs
@@ -55,9 +55,8 @@
 }
 
 fn told(outputs: &[Output], to: &VmName) -> usize {
-    let is_news = |output: &&Output| {
-        matches!(output, Output::Send(vm, Body::EndpointNews(_)) if vm == to)
-    };
+    let is_news =
+        |output: &&Output| matches!(output, Output::Send(vm, Body::EndpointNews(_)) if vm == to);
     outputs.iter().filter(is_news).count()
 }
 
--- a/crates/core/src/node/keeper.rs
+++ b/crates/core/src/node/keeper.rs
@@ -155,13 +155,7 @@
 
     /// Answers with the configuration in force once a poll that was sent after now confirms
     /// that it is the newest.
-    pub(crate) fn read(
-        &mut self,
-        call: CallId,
-        deadline: Instant,
-        now: Instant,
-        out: &mut Outbox,
-    ) {
+    pub(crate) fn read(&mut self, call: CallId, deadline: Instant, now: Instant, out: &mut Outbox) {
         self.reads.push(PendingRead { call, asked: now, deadline });
         self.next_poll = self.next_poll.min(deadline);
         if let Some(target) = self.poll_target() {
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -43,11 +43,11 @@
     error::RequestError,
     once::{Claim, ClaimResult, Settle},
     placement::{LoadReport, Request},
-    registry::Registry,
+    registry::{Registered, Registry},
     units::{Instant, UnixMillis},
     wire::{
-        AcceptedVersion, Body, EndpointNews, EndpointRecord, HealthNews, OperationKind,
-        Report, Submit,
+        AcceptedVersion, Body, EndpointNews, EndpointRecord, HealthNews, OperationKind, Report,
+        Submit,
     },
 };
 
@@ -279,7 +279,7 @@
     /// Keep links to these control VMs.
     Dial(Vec<VmName>),
     /// The endpoints that registered themselves have changed.
-    Registered(Vec<EndpointRecord>),
+    Registered(Vec<Registered>),
     /// Move a running request to another endpoint, then tell with [`Input::Moved`].
     Move {
         /// The request.
@@ -550,11 +550,8 @@
     /// control VM tells all, and an entry, which may be linked to control VMs that are parted
     /// from each other, tells the leader.
     fn endpoint_news(&mut self, from: &VmName, news: EndpointNews, now: Instant) {
-        let new: Vec<EndpointRecord> = news
-            .records
-            .into_iter()
-            .filter_map(|record| self.registry.take(record, now))
-            .collect();
+        let new: Vec<EndpointRecord> =
+            news.records.into_iter().filter_map(|record| self.registry.take(record, now)).collect();
         if new.is_empty() {
             return;
         }
@@ -591,8 +588,7 @@
             let registered = self.handed_out != self.registry.revision();
             if registered {
                 self.handed_out = self.registry.revision();
-                let records = self.registry.records().cloned().collect();
-                self.outputs.push(Output::Registered(records));
+                self.outputs.push(Output::Registered(self.registry.endpoints()));
             }
             if in_force.is_some() || registered {
                 self.hand_out_endpoints(clocks.now);
--- a/crates/core/src/placement/evacuation.rs
+++ b/crates/core/src/placement/evacuation.rs
@@ -178,7 +178,9 @@
         };
         self.relocate(ticket, &chosen, now);
         let until = now.after(LONGEST_MOVE);
-        self.evacuation.moves.insert(ticket, Move { from: source.clone(), to: chosen.clone(), until });
+        self.evacuation
+            .moves
+            .insert(ticket, Move { from: source.clone(), to: chosen.clone(), until });
         Some(Relocation { ticket, from: source.clone(), to: chosen })
     }
 }
--- a/crates/core/src/registry/mod.rs
+++ b/crates/core/src/registry/mod.rs
@@ -42,6 +42,21 @@
     silent_since: Option<Instant>,
 }
 
+/// An endpoint that registered itself, as requests see it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Registered {
+    /// Name of its run.
+    pub id: Arc<str>,
+    /// The service that it belongs to.
+    pub service: Arc<str>,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its data hall.
+    pub hall: Arc<str>,
+    /// Whether it may get new work.
+    pub open: bool,
+}
+
 impl Known {
     fn new(record: EndpointRecord, address: SocketAddr, now: Instant) -> Known {
         let leaving_since = record.leaving.then_some(now);
@@ -93,8 +108,7 @@
         }
         let Some(known) = self.known.get_mut(&id) else {
             self.forget_others_at(address, &id);
-            self.known
-                .insert(id, Known::new(record.clone(), address, now));
+            self.known.insert(id, Known::new(record.clone(), address, now));
             self.revision += 1;
             return Some(record);
         };
@@ -195,7 +209,9 @@
         let mut endpoints = Endpoints::new();
         for (id, known) in &self.known {
             let service = config.services.get(&known.record.service);
-            let Some(engine) = service.and_then(|service| service.engine.as_ref()) else { continue };
+            let Some(engine) = service.and_then(|service| service.engine.as_ref()) else {
+                continue;
+            };
             let spec = EndpointSpec {
                 hall: known.record.hall.clone(),
                 address: known.address,
@@ -210,10 +226,33 @@
         endpoints
     }
 
-    /// Names of the endpoints that must get no new work, because they leave or are silent.
+    /// Names of the endpoints that must get no new work: those that leave, and those that are
+    /// silent while another of their service is heard. Where all are silent it is more likely
+    /// that their heartbeats do not arrive than that all have failed at once.
     pub fn closed(&self) -> impl Iterator<Item = &Arc<str>> {
-        let closed = |known: &Known| known.record.leaving || known.record.silent;
-        self.known.iter().filter(move |(_, known)| closed(known)).map(|(id, _)| id)
+        let heard: BTreeSet<&str> = self
+            .known
+            .values()
+            .filter(|known| !known.record.leaving && !known.record.silent)
+            .map(|known| known.record.service.as_str())
+            .collect();
+        let closed = move |record: &EndpointRecord| {
+            record.leaving || record.silent && heard.contains(record.service.as_str())
+        };
+        self.known.iter().filter(move |(_, known)| closed(&known.record)).map(|(id, _)| id)
+    }
+
+    /// All endpoints, and whether each may get new work.
+    pub fn endpoints(&self) -> Vec<Registered> {
+        let closed: BTreeSet<&Arc<str>> = self.closed().collect();
+        let registered = |(id, known): (&Arc<str>, &Known)| Registered {
+            id: id.clone(),
+            service: known.record.service.as_str().into(),
+            address: known.address,
+            hall: known.record.hall.as_str().into(),
+            open: !closed.contains(id),
+        };
+        self.known.iter().map(registered).collect()
     }
 
     /// An address belongs to the run of an endpoint that claimed it last.
--- a/crates/core/src/registry/tests.rs
+++ b/crates/core/src/registry/tests.rs
@@ -159,5 +159,24 @@
 
     expect_that!(passed, lt(50));
     let closed: Vec<usize> = vms.iter().map(|vm| vm.closed().count()).collect();
-    expect_that!(closed, each(eq(&1)));
+    expect_that!(closed, each(eq(&0)));
+    expect_that!(vms.iter().all(|vm| vm.records().all(|r| r.silent)), eq(true));
+}
+
+#[gtest]
+fn endpoints_stay_open_when_all_of_their_service_are_silent() {
+    let mut registry = Registry::new(HEARTBEAT);
+    let other = |id: &str, silent| EndpointRecord {
+        address: format!("10.0.0.{}:80", id.len() + 1),
+        silent,
+        ..record(id, 1, false)
+    };
+    registry.take(other("a", true), seconds(0));
+    registry.take(other("bb", true), seconds(0));
+    let all_silent = registry.closed().count();
+
+    registry.take(other("ccc", false), seconds(0));
+
+    expect_that!(all_silent, eq(0));
+    expect_that!(registry.closed().count(), eq(2));
 }
--- a/crates/core/src/wire/mod.rs
+++ b/crates/core/src/wire/mod.rs
@@ -22,7 +22,10 @@
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Envelope {
     /// What it says.
-    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19")]
+    #[prost(
+        oneof = "Body",
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19"
+    )]
     pub body: Option<Body>,
 }
 
--- a/crates/server/src/edge/listener.rs
+++ b/crates/server/src/edge/listener.rs
@@ -1,12 +1,6 @@
 //! Accepts connections and serves HTTP/1.1 on them.
 
-use std::{
-    cell::Cell,
-    convert::Infallible,
-    net::SocketAddr,
-    rc::Rc,
-    time::Duration,
-};
+use std::{cell::Cell, convert::Infallible, net::SocketAddr, rc::Rc, time::Duration};
 
 use eyre::{Result, WrapErr};
 use hyper::{server::conn::http1, service::service_fn};
--- a/crates/server/src/relay/admission.rs
+++ b/crates/server/src/relay/admission.rs
@@ -26,11 +26,7 @@
 
 impl Relay {
     /// Reads a request and finds its route and workspace.
-    pub(super) async fn admit(
-        &self,
-        head: request::Parts,
-        body: Incoming,
-    ) -> Result<Job, Refused> {
+    pub(super) async fn admit(&self, head: request::Parts, body: Incoming) -> Result<Job, Refused> {
         let arrived = Instant::now();
         let refused = |id: &str, error| Refused { id: id.to_owned(), error };
         check_framing(&head).map_err(|e| refused("", e))?;
--- a/crates/server/src/relay/call.rs
+++ b/crates/server/src/relay/call.rs
@@ -8,16 +8,14 @@
 use bytes::Bytes;
 use futures_util::{StreamExt, stream::FuturesUnordered};
 use http::{Response, response};
-use trayswitch_core::error::{ErrorKind, RequestError};
-
-use super::{
-    Answer, Job, Relay, Turned,
-    job::GoOn,
-    loads::Verdict,
+use trayswitch_core::{
+    error::{ErrorKind, RequestError},
+    registry::Registered,
 };
+
+use super::{Answer, Job, Relay, Turned, job::GoOn, loads::Verdict};
 use crate::{
     edge::{self, Body, LocalFuture},
-    runtime::Endpoint,
     telemetry::EventId,
     upstream::{SendError, exchange},
 };
@@ -174,7 +172,7 @@
         }
     }
 
-    fn choose(&self) -> Option<Endpoint> {
+    fn choose(&self) -> Option<Registered> {
         let endpoints = self.relay.node.view().open_endpoints(&self.job.service);
         self.relay.loads.choose(&endpoints, &self.tried, &self.relay.hall)
     }
@@ -193,7 +191,7 @@
 }
 
 /// Makes one attempt at an endpoint.
-async fn attempt(relay: &Relay, job: &Job, endpoint: Endpoint) -> End {
+async fn attempt(relay: &Relay, job: &Job, endpoint: Registered) -> End {
     let began = Instant::now();
     let running = relay.loads.begin(&endpoint.id);
     let protocol = &*relay.protocol;
--- a/crates/server/src/relay/generation.rs
+++ b/crates/server/src/relay/generation.rs
@@ -85,7 +85,9 @@
         let opened = opened.map_err(|_| over(starts + 1, "the time is over"))?;
         let endpoint = placed.endpoint().clone();
         let problem = match opened {
-            Ok(Opened::Failed { .. }) if spec.kind.is_repeatable() && starts + 1 < spec.max_attempts => {
+            Ok(Opened::Failed { .. })
+                if spec.kind.is_repeatable() && starts + 1 < spec.max_attempts =>
+            {
                 starts += 1;
                 "the endpoint failed".to_owned()
             }
@@ -138,9 +140,13 @@
     let began = Instant::now();
     let opened = send(relay, job, endpoint, go_on).await;
     let (name, detail) = match &opened {
-        Ok(Opened::Stream { first, .. }) => {
-            ("streams", first.as_ref().and_then(|e| e.id).map_or_else(String::new, |id| format!("from event {id}")))
-        }
+        Ok(Opened::Stream { first, .. }) => (
+            "streams",
+            first
+                .as_ref()
+                .and_then(|e| e.id)
+                .map_or_else(String::new, |id| format!("from event {id}")),
+        ),
         Ok(Opened::Failed { head, .. }) => ("failed", head.status.to_string()),
         Err(Lost::NotRun(problem)) => ("not_run", problem.clone()),
         Err(Lost::Unknown(problem)) => ("unknown", problem.clone()),
@@ -155,12 +161,7 @@
     opened
 }
 
-async fn send(
-    relay: &Relay,
-    job: &Job,
-    endpoint: &Arc<str>,
-    go_on: &GoOn,
-) -> Result<Opened, Lost> {
+async fn send(relay: &Relay, job: &Job, endpoint: &Arc<str>, go_on: &GoOn) -> Result<Opened, Lost> {
     let Some(known) = relay.node.view().endpoint(endpoint) else {
         return Err(Lost::NotRun("the endpoint has just ended".into()));
     };
@@ -197,9 +198,7 @@
     }
     let mut source = Source::new(open.body);
     match source.next().await {
-        Step::Event(event) => {
-            Ok(Opened::Stream { head: open.head, source, first: Some(event) })
-        }
+        Step::Event(event) => Ok(Opened::Stream { head: open.head, source, first: Some(event) }),
         Step::Ended => Ok(Opened::Stream { head: open.head, source, first: None }),
         Step::Lost(problem) => {
             failed();
--- a/crates/server/src/relay/loads.rs
+++ b/crates/server/src/relay/loads.rs
@@ -8,7 +8,7 @@
     time::{Duration, Instant},
 };
 
-use crate::runtime::Endpoint;
+use trayswitch_core::registry::Registered;
 
 /// An endpoint that failed is left alone for this long, doubled after each failure in a row.
 const FIRST_PAUSE: Duration = Duration::from_millis(300);
@@ -64,19 +64,20 @@
     /// The least loaded endpoint, other than those in `avoid` if there is another.
     pub(super) fn choose(
         &self,
-        endpoints: &[Endpoint],
+        endpoints: &[Registered],
         avoid: &[Arc<str>],
         hall: &str,
-    ) -> Option<Endpoint> {
+    ) -> Option<Registered> {
         let loads = self.0.borrow();
         let now = Instant::now();
-        let cost = |endpoint: &Endpoint| {
+        let cost = |endpoint: &Registered| {
             let load = loads.get(&endpoint.id).cloned().unwrap_or_default();
             let closed = load.closed_until.is_some_and(|until| now < until);
             let failing = (load.failed - USUAL_FAILURES).max(0.0) / (1.0 - USUAL_FAILURES);
             let far = if *endpoint.hall == *hall { 0.0 } else { FAR };
             let avoided = avoid.contains(&endpoint.id);
-            let rank = f64::from(u8::from(avoided)) * 2_000.0 + f64::from(u8::from(closed)) * 1_000.0;
+            let rank =
+                f64::from(u8::from(avoided)) * 2_000.0 + f64::from(u8::from(closed)) * 1_000.0;
             rank + f64::from(load.running) + FAILURE_WEIGHT * failing + far + 0.1 * fastrand::f64()
         };
         let costs = endpoints.iter().map(|endpoint| (cost(endpoint), endpoint));
--- a/crates/server/src/relay/moves.rs
+++ b/crates/server/src/relay/moves.rs
@@ -13,11 +13,11 @@
 };
 
 use tokio::time::timeout;
+use trayswitch_core::registry::Registered;
 
 use super::{Copied, CopyOrder, Job, MemoryAt, Relay, call::CONNECT_LIMIT};
 use crate::{
     edge::LocalFuture,
-    runtime::Endpoint,
     upstream::{SendError, exchange},
 };
 
@@ -67,7 +67,7 @@
 }
 
 impl Move {
-    pub(super) fn begin(relay: Rc<Relay>, job: Rc<Job>, from: Endpoint, to: Endpoint) -> Move {
+    pub(super) fn begin(relay: Rc<Relay>, job: Rc<Job>, from: Registered, to: Registered) -> Move {
         let stopping = Rc::new(Cell::new(false));
         let future = Box::pin(run(relay, job, from, to, stopping.clone()));
         Move { began: Instant::now(), stopping, future }
@@ -86,8 +86,8 @@
 async fn run(
     relay: Rc<Relay>,
     job: Rc<Job>,
-    from: Endpoint,
-    to: Endpoint,
+    from: Registered,
+    to: Registered,
     stopping: Rc<Cell<bool>>,
 ) -> MoveEnd {
     let order = |last| CopyOrder { id: &job.caller.id, to: to.address, last };
--- a/crates/server/src/runtime/mod.rs
+++ b/crates/server/src/runtime/mod.rs
@@ -30,10 +30,7 @@
 };
 
 use self::links::Links;
-pub use self::{
-    links::PeerPort,
-    view::{Endpoint, View},
-};
+pub use self::{links::PeerPort, view::View};
 use crate::telemetry::EventId;
 
 /// Longest sleep of the timer, against a lost wake-up.
@@ -239,7 +236,7 @@
             }
             Output::Watch(endpoints) => self.0.view.set_watched(endpoints),
             Output::Dial(vms) => links::dial(self, &vms),
-            Output::Registered(records) => self.0.view.set_endpoints(records),
+            Output::Registered(endpoints) => self.0.view.set_endpoints(endpoints),
             Output::Move { call, from, to } => self.order_move(call, from, to),
         }
     }
--- a/crates/server/src/runtime/view.rs
+++ b/crates/server/src/runtime/view.rs
@@ -3,35 +3,21 @@
 use std::{
     cell::{Cell, RefCell},
     collections::{BTreeMap, HashMap},
-    net::SocketAddr,
     sync::Arc,
 };
 
 use trayswitch_core::{
     node::{CallId, InForce},
+    registry::Registered,
     units::Instant,
-    wire::EndpointRecord,
 };
 
-/// An endpoint that registered itself.
-#[derive(Debug, Clone)]
-pub struct Endpoint {
-    /// Name of its run.
-    pub id: Arc<str>,
-    /// Where it listens.
-    pub address: SocketAddr,
-    /// Its data hall.
-    pub hall: Arc<str>,
-    /// Whether it may get new work.
-    pub open: bool,
-}
-
 /// State shared with requests.
 #[derive(Default)]
 pub struct View {
     in_force: RefCell<Option<Arc<InForce>>>,
-    endpoints: RefCell<HashMap<Arc<str>, Endpoint>>,
-    by_service: RefCell<BTreeMap<String, Vec<Arc<str>>>>,
+    endpoints: RefCell<HashMap<Arc<str>, Registered>>,
+    by_service: RefCell<BTreeMap<Arc<str>, Vec<Arc<str>>>>,
     watched: RefCell<Vec<String>>,
     confirmed: Cell<Option<Instant>>,
     fresh: Cell<bool>,
@@ -57,12 +43,12 @@
     }
 
     /// The endpoint of this name.
-    pub fn endpoint(&self, id: &str) -> Option<Endpoint> {
+    pub fn endpoint(&self, id: &str) -> Option<Registered> {
         self.endpoints.borrow().get(id).cloned()
     }
 
     /// The endpoints of a service that may get new work.
-    pub fn open_endpoints(&self, service: &str) -> Vec<Endpoint> {
+    pub fn open_endpoints(&self, service: &str) -> Vec<Registered> {
         let endpoints = self.endpoints.borrow();
         let by_service = self.by_service.borrow();
         let ids = by_service.get(service).map_or(&[][..], Vec::as_slice);
@@ -125,18 +111,13 @@
         *self.watched.borrow_mut() = endpoints;
     }
 
-    pub(super) fn set_endpoints(&self, records: Vec<EndpointRecord>) {
-        let mut endpoints = HashMap::new();
-        let mut by_service: BTreeMap<String, Vec<Arc<str>>> = BTreeMap::new();
-        for record in records {
-            let Ok(address) = record.address.parse() else { continue };
-            let id: Arc<str> = record.id.as_str().into();
-            by_service.entry(record.service).or_default().push(id.clone());
-            let open = !record.leaving && !record.silent;
-            let hall = record.hall.as_str().into();
-            endpoints.insert(id.clone(), Endpoint { id, address, hall, open });
+    pub(super) fn set_endpoints(&self, registered: Vec<Registered>) {
+        let mut by_service: BTreeMap<Arc<str>, Vec<Arc<str>>> = BTreeMap::new();
+        for endpoint in &registered {
+            by_service.entry(endpoint.service.clone()).or_default().push(endpoint.id.clone());
         }
-        *self.endpoints.borrow_mut() = endpoints;
+        let endpoints = registered.into_iter().map(|endpoint| (endpoint.id.clone(), endpoint));
+        *self.endpoints.borrow_mut() = endpoints.collect();
         *self.by_service.borrow_mut() = by_service;
     }
 }
--- a/crates/server/src/upstream/socket.rs
+++ b/crates/server/src/upstream/socket.rs
@@ -20,8 +20,7 @@
     socket.set_nodelay(true)?;
     let socket = SockRef::from(socket);
     socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED))?;
-    let keepalive =
-        TcpKeepalive::new().with_time(PROBE).with_interval(PROBE).with_retries(PROBES);
+    let keepalive = TcpKeepalive::new().with_time(PROBE).with_interval(PROBE).with_retries(PROBES);
     socket.set_tcp_keepalive(&keepalive)
 }
 
