Let a replica that has just started look for a leader at once

Cause: after all processes were killed the group had a leader 0.72 s after the restart: replicas waited a whole election time, and refused pre-votes for as long, for a leader that was gone. Ruled out: links (up within 10 ms), disks (opened at once).

--- a/crates/core/src/agreement/replica/election.rs
+++ b/crates/core/src/agreement/replica/election.rs
@@ -15,7 +15,7 @@
     pub(super) fn hears_leader(&self, now: Instant) -> bool {
         match self.state {
             State::Leader(_) => true,
-            _ => now.since(self.heard_leader) < self.timing.election,
+            _ => self.heard_leader.is_some_and(|at| now.since(at) < self.timing.election),
         }
     }
 
@@ -130,14 +130,27 @@
     }
 
     pub(super) fn reset_election(&mut self, now: Instant) {
+        let election = self.timing.election;
+        let spread = self.random_below(election);
+        self.election_due = now.after(election + spread);
+    }
+
+    /// A replica that has just started looks for a leader sooner: one that lives is heard
+    /// within a heartbeat, and after a failure of all there is none to wait for.
+    pub(super) fn hasten_election(&mut self, now: Instant) {
+        let heartbeat = self.timing.heartbeat;
+        let spread = self.random_below(heartbeat * 2);
+        self.election_due = now.after(heartbeat + spread);
+    }
+
+    fn random_below(&mut self, below: Duration) -> Duration {
         // splitmix64
         self.rng = self.rng.wrapping_add(0x9e37_79b9_7f4a_7c15);
         let mut z = self.rng;
         z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
         z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-        let election = self.timing.election.as_micros() as u64;
-        let spread = (z ^ (z >> 31)) % election.max(1);
-        self.election_due = now.after(Duration::from_micros(election + spread));
+        let below = below.as_micros() as u64;
+        Duration::from_micros((z ^ (z >> 31)) % below.max(1))
     }
 
     /// A sender of an old term learns of the newer one, so that it steps down.
--- a/crates/core/src/agreement/replica/follower.rs
+++ b/crates/core/src/agreement/replica/follower.rs
@@ -14,7 +14,7 @@
             self.become_follower(self.hard_state.term, Some(leader), now);
         }
         self.leader = Some(leader);
-        self.heard_leader = now;
+        self.heard_leader = Some(now);
         self.reset_election(now);
     }
 
--- a/crates/core/src/agreement/replica/mod.rs
+++ b/crates/core/src/agreement/replica/mod.rs
@@ -91,7 +91,7 @@
     handed_out: u64,
     leader: Option<ReplicaId>,
     /// When a leader was last heard; votes are refused for some time after.
-    heard_leader: Instant,
+    heard_leader: Option<Instant>,
     election_due: Instant,
     state: State,
     rng: u64,
@@ -116,8 +116,9 @@
             commit: base,
             handed_out: base,
             leader: None,
-            // It may have heard a leader just before it stopped.
-            heard_leader: now,
+            // What it heard before it stopped holds nothing up: no read relies on a lease, and a
+            // leader that lives is heard by others, which refuse the pre-vote.
+            heard_leader: None,
             election_due: now,
             state: State::Follower,
             rng: seed ^ id,
@@ -127,6 +128,9 @@
         replica.ready.install = restored.snapshot.clone();
         replica.snapshot = restored.snapshot;
         replica.reset_election(now);
+        if !replica.is_empty() {
+            replica.hasten_election(now);
+        }
         replica
     }
 
