--- /dev/null
+++ b/crates/core/src/node/members_tests.rs
@@ -0,0 +1,145 @@
+//! Who founds the group, and how its members change.
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+
+use super::{
+    ByVm, VmName,
+    members::{Peer, founders, repair},
+};
+use crate::{
+    agreement::{Member, Membership, Replica, ReplicaId, Restored, Synced, Timing},
+    units::{Instant, UnixMillis},
+};
+
+const TIMING: Timing =
+    Timing { heartbeat: Duration::from_millis(75), election: Duration::from_millis(400) };
+
+fn vm(n: u64) -> VmName {
+    format!("10.0.0.{n}").into()
+}
+
+fn empty_replica(id: ReplicaId) -> Replica {
+    Replica::new(id, TIMING, id, Restored::default(), Instant(0))
+}
+
+fn peers(entries: &[(u64, ReplicaId, bool)]) -> ByVm<Peer> {
+    entries.iter().map(|(n, id, empty)| (vm(*n), Peer { id: *id, empty: *empty })).collect()
+}
+
+/// The only voter of a group, leading, with these other members.
+fn leader(members: &[(u64, ReplicaId, bool)]) -> Replica {
+    let member = |(n, id, voter): &(u64, ReplicaId, bool)| Member {
+        id: *id,
+        vm: vm(*n).to_string(),
+        voter: *voter,
+    };
+    let mut replica = empty_replica(1);
+    let first = Membership { members: vec![member(&(1, 1, true))] };
+    replica.bootstrap(first, UnixMillis(0));
+    let now = Instant(1_000_000);
+    replica.tick(now);
+    sync(&mut replica, now);
+    for count in 1..=members.len() {
+        let mut all = vec![member(&(1, 1, true))];
+        all.extend(members[..count].iter().map(member).map(|m| Member { voter: false, ..m }));
+        let payload = crate::agreement::Payload::Members(Membership { members: all });
+        replica.propose(payload, UnixMillis(0), now).unwrap();
+        sync(&mut replica, now);
+    }
+    replica
+}
+
+/// Writes and syncs until nothing is left to write.
+fn sync(replica: &mut Replica, now: Instant) {
+    loop {
+        let ready = replica.take_ready();
+        if ready.persist.is_empty() {
+            return;
+        }
+        replica.persisted(Synced { ..ready.synced }, now);
+    }
+}
+
+#[gtest]
+fn the_first_seed_founds_once_all_seeds_are_empty_and_linked() {
+    let seeds = [vm(1), vm(2), vm(3)];
+    let all = peers(&[(2, 2, true), (3, 3, true)]);
+
+    let founded = founders(&vm(1), &seeds, &empty_replica(1), &all).unwrap();
+
+    expect_that!(founded.voters().count(), eq(3));
+}
+
+#[gtest]
+fn nobody_founds_while_a_seed_is_missing_or_has_a_log() {
+    let seeds = [vm(1), vm(2), vm(3)];
+    let missing = peers(&[(2, 2, true)]);
+    let wiped = peers(&[(2, 2, true), (3, 3, false)]);
+    let all = peers(&[(2, 2, true), (3, 3, true)]);
+
+    expect_that!(founders(&vm(1), &seeds, &empty_replica(1), &missing), none());
+    expect_that!(founders(&vm(1), &seeds, &empty_replica(1), &wiped), none());
+    expect_that!(founders(&vm(2), &seeds, &empty_replica(2), &all), none());
+}
+
+#[gtest]
+fn a_vm_that_came_later_founds_nothing() {
+    let all = peers(&[(2, 2, true), (3, 3, true)]);
+
+    expect_that!(founders(&vm(1), &[], &empty_replica(1), &all), none());
+}
+
+#[gtest]
+fn a_new_control_vm_learns_first() {
+    let replica = leader(&[]);
+
+    let next = repair(&vm(1), &replica, &peers(&[(2, 2, true)]), 5, Instant(1_000_000)).unwrap();
+
+    expect_that!(next.is_voter(2), eq(false));
+    expect_that!(next.member(2), some(anything()));
+}
+
+#[gtest]
+fn a_learner_that_has_caught_up_votes() {
+    let replica = leader(&[(2, 2, false)]);
+    let linked = peers(&[(2, 2, true)]);
+
+    // The log is shorter than what a learner may lack.
+    let next = repair(&vm(1), &replica, &linked, 5, Instant(1_000_000)).unwrap();
+
+    expect_that!(next.is_voter(2), eq(true));
+}
+
+#[gtest]
+fn a_wiped_vm_gives_up_its_old_place_before_it_votes_again() {
+    let replica = leader(&[(2, 2, true), (2, 22, false)]);
+    let linked = peers(&[(2, 22, true)]);
+
+    let next = repair(&vm(1), &replica, &linked, 5, Instant(1_000_000)).unwrap();
+
+    expect_that!(next.member(2), none());
+    expect_that!(next.is_voter(22), eq(false));
+}
+
+#[gtest]
+fn with_enough_voters_a_learner_stands_by() {
+    let replica = leader(&[(2, 2, false)]);
+    let linked = peers(&[(2, 2, true)]);
+
+    let next = repair(&vm(1), &replica, &linked, 1, Instant(1_000_000));
+
+    expect_that!(next, none());
+}
+
+#[gtest]
+fn a_learner_that_is_gone_is_dropped() {
+    let replica = leader(&[(2, 2, false)]);
+
+    let soon = repair(&vm(1), &replica, &peers(&[]), 5, Instant(2_000_000));
+    let later = repair(&vm(1), &replica, &peers(&[]), 5, Instant(60_000_000));
+
+    expect_that!(soon, none());
+    expect_that!(later, some(field!(Membership.members, len(eq(1)))));
+}
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -17,6 +17,8 @@
 mod engines;
 mod keeper;
 mod members;
+#[cfg(test)]
+mod members_tests;
 mod operations;
 mod placing;
 #[cfg(test)]
--- /dev/null
+++ b/crates/core/src/placement/evacuation_tests.rs
@@ -0,0 +1,215 @@
+//! Properties of the planner that moves generations off endpoints that are leaving.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
+
+use googletest::prelude::*;
+use proptest::prelude::*;
+
+use super::{
+    Action, ForecastPolicy, PrefixHash, Relocation, Request, Scheduler, SchedulerLimits, Ticket,
+};
+use crate::{
+    config::{EndpointSpec, EndpointTarget, Endpoints},
+    testing::fixed_seed,
+    units::Instant,
+};
+
+fn ms(ms: u64) -> Instant {
+    Instant(ms * 1_000)
+}
+
+fn engines(halls: &[&str], kv_tokens: u64) -> Endpoints {
+    let spec = |(i, hall): (usize, &&str)| {
+        let spec = EndpointSpec {
+            hall: (*hall).to_owned(),
+            address: format!("10.0.0.{}:80", i + 1).parse().unwrap(),
+            target: EndpointTarget::Model("m".into()),
+            slots: 48,
+            kv_tokens,
+            checks_fence: false,
+            moves: true,
+        };
+        (format!("e{i}"), spec)
+    };
+    halls.iter().enumerate().map(spec).collect()
+}
+
+fn request(number: u64, prompt_tokens: u64, max_tokens: u64) -> Request {
+    Request {
+        ticket: Ticket { entry: 1, number },
+        workspace: "w".into(),
+        rank: 1,
+        share: 1,
+        max_running: 1_000,
+        max_waiting: 1_000,
+        kind: "chat".into(),
+        target: EndpointTarget::Model("m".into()),
+        prompt_tokens,
+        prefix: PrefixHash(number),
+        max_tokens,
+        max_wait: Duration::from_secs(1),
+        avoid: None,
+    }
+}
+
+fn scheduler(halls: &[&str], kv_tokens: u64) -> Scheduler {
+    let policy = Box::new(ForecastPolicy::default());
+    let mut scheduler = Scheduler::new(SchedulerLimits::default(), policy);
+    scheduler.configure(&engines(halls, kv_tokens));
+    scheduler
+}
+
+/// A scheduler with generations that run at the first endpoint, of these sizes.
+fn with_runs(halls: &[&str], prompts: &[u64]) -> Scheduler {
+    let mut scheduler = scheduler(halls, 34_000);
+    for (number, prompt) in prompts.iter().enumerate() {
+        scheduler.adopt(request(number as u64, *prompt, 2_000), "e0", 8, ms(1));
+    }
+    scheduler
+}
+
+#[gtest]
+fn nothing_moves_while_nobody_leaves() {
+    let mut scheduler = with_runs(&["a", "a"], &[3_000, 2_000]);
+
+    expect_that!(scheduler.evacuate(ms(2)), len(eq(0)));
+}
+
+#[gtest]
+fn one_moves_at_a_time_and_the_dearest_first() {
+    let mut scheduler = with_runs(&["a", "a", "a"], &[1_000, 5_000, 3_000]);
+    scheduler.endpoint_leaving("e0", true);
+
+    let first = scheduler.evacuate(ms(2));
+    let meanwhile = scheduler.evacuate(ms(3));
+    scheduler.moved(first[0].ticket, &first[0].to, true, ms(200));
+    let second = scheduler.evacuate(ms(200));
+
+    expect_that!(first.len(), eq(1));
+    expect_that!(first[0].ticket.number, eq(1));
+    expect_that!(meanwhile, len(eq(0)));
+    expect_that!(second[0].ticket.number, eq(2));
+}
+
+#[gtest]
+fn a_move_that_failed_is_tried_again_after_a_pause() {
+    let mut scheduler = with_runs(&["a", "a"], &[3_000]);
+    scheduler.endpoint_leaving("e0", true);
+
+    let first = scheduler.evacuate(ms(2));
+    scheduler.moved(first[0].ticket, "e0", false, ms(5));
+    let at_once = scheduler.evacuate(ms(6));
+    let later = scheduler.evacuate(ms(500));
+
+    expect_that!(at_once, len(eq(0)));
+    expect_that!(later.len(), eq(1));
+}
+
+#[gtest]
+fn a_move_that_is_never_answered_does_not_block_the_others() {
+    let mut scheduler = with_runs(&["a", "a"], &[3_000, 2_000]);
+    scheduler.endpoint_leaving("e0", true);
+    scheduler.evacuate(ms(2));
+
+    let later = scheduler.evacuate(ms(5_000));
+
+    expect_that!(later.len(), eq(1));
+}
+
+#[gtest]
+fn a_generation_that_is_nearly_done_stays() {
+    let mut scheduler = scheduler(&["a", "a"], 34_000);
+    scheduler.adopt(request(1, 3_000, 100), "e0", 90, ms(1));
+    scheduler.endpoint_leaving("e0", true);
+
+    expect_that!(scheduler.evacuate(ms(2)), len(eq(0)));
+}
+
+#[gtest]
+fn a_place_nearby_is_taken_while_it_has_room() {
+    let mut scheduler = with_runs(&["a", "b", "a"], &[3_000]);
+    scheduler.endpoint_leaving("e0", true);
+
+    let moves = scheduler.evacuate(ms(2));
+
+    expect_that!(&*moves[0].to, eq("e2"));
+}
+
+#[gtest]
+fn nothing_is_moved_to_an_endpoint_that_leaves_too() {
+    let mut scheduler = with_runs(&["a", "a"], &[3_000]);
+    scheduler.endpoint_leaving("e0", true);
+    scheduler.endpoint_leaving("e1", true);
+
+    expect_that!(scheduler.evacuate(ms(2)), len(eq(0)));
+}
+
+proptest! {
+    #![proptest_config(fixed_seed(300))]
+
+    /// Whatever happens, an endpoint sends one copy and receives one at a time, nothing goes
+    /// to an endpoint that leaves, and all that is placed is accounted for once.
+    #[test]
+    fn moves_keep_their_bounds(
+        steps in proptest::collection::vec((0u8..6, 0u64..8, any::<bool>()), 1..120),
+    ) {
+        let mut scheduler = scheduler(&["a", "a", "b", "b"], 34_000);
+        let mut at: BTreeMap<Ticket, Arc<str>> = BTreeMap::new();
+        let mut moving: BTreeMap<Ticket, Relocation> = BTreeMap::new();
+        let mut leaving: BTreeSet<String> = BTreeSet::new();
+        let (mut now, mut number) = (1_000, 0);
+        for (step, pick, flag) in steps {
+            now += 10;
+            match step {
+                0 | 1 => {
+                    number += 1;
+                    let req = request(number, 500 + pick * 700, 1_000);
+                    let _ = scheduler.arrive(req, ms(now));
+                }
+                2 => {
+                    let name = format!("e{}", pick % 4);
+                    scheduler.endpoint_leaving(&name, flag);
+                    if flag { leaving.insert(name); } else { leaving.remove(&name); }
+                }
+                3 => {
+                    let ticket = at.keys().nth(pick as usize % at.len().max(1)).copied();
+                    if let Some(ticket) = ticket {
+                        scheduler.finish(ticket, 500, flag, ms(now));
+                        at.remove(&ticket);
+                        moving.remove(&ticket);
+                    }
+                }
+                _ => {
+                    if let Some((ticket, relocation)) = moving.pop_first() {
+                        let end = if flag { &relocation.to } else { &relocation.from };
+                        scheduler.moved(ticket, end, flag, ms(now));
+                        at.insert(ticket, end.clone());
+                    }
+                }
+            }
+            for action in scheduler.decide(ms(now)) {
+                if let Action::Start { ticket, endpoint, .. } = action {
+                    prop_assert!(!leaving.contains(&*endpoint));
+                    at.insert(ticket, endpoint);
+                }
+            }
+            for relocation in scheduler.evacuate(ms(now)) {
+                prop_assert!(leaving.contains(&*relocation.from));
+                prop_assert!(!leaving.contains(&*relocation.to));
+                prop_assert_eq!(at.get(&relocation.ticket), Some(&relocation.from));
+                let used: Vec<&Arc<str>> =
+                    moving.values().flat_map(|m| [&m.from, &m.to]).collect();
+                prop_assert!(!used.contains(&&relocation.from));
+                prop_assert!(!used.contains(&&relocation.to));
+                moving.insert(relocation.ticket, relocation);
+            }
+            prop_assert_eq!(scheduler.running(), at.len());
+            let granted: u64 = scheduler.endpoints().values().map(|e| e.running()).sum();
+            prop_assert_eq!(granted, at.len() as u64);
+        }
+    }
+}
--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -5,6 +5,8 @@
 
 mod endpoint;
 mod evacuation;
+#[cfg(test)]
+mod evacuation_tests;
 mod forecast;
 mod policy;
 mod queue;
--- a/crates/core/src/storage/tests.rs
+++ b/crates/core/src/storage/tests.rs
@@ -46,6 +46,16 @@
         }
     }
 
+    /// A machine crash of which the unsynced tail survives, but for its first bytes.
+    fn lose_first_bytes_of_tail(&self, name: &str, count: usize) {
+        let mut files = self.0.lock().unwrap();
+        files.budget = None;
+        let (bytes, synced) = files.files.get_mut(name).unwrap();
+        let end = (*synced + count).min(bytes.len());
+        bytes[*synced..end].fill(0);
+        *synced = bytes.len();
+    }
+
     fn flip(&self, name: &str, at: usize) {
         let mut files = self.0.lock().unwrap();
         files.files.get_mut(name).unwrap().0[at] ^= 0x10;
@@ -152,6 +162,20 @@
     expect_that!(restored.entries.len(), all![ge(3), le(6)]);
 }
 
+#[gtest]
+fn a_write_of_which_only_a_later_part_lasted_is_a_torn_tail() {
+    let folder = MemoryFolder::default();
+    let (mut storage, _) = open(&folder).unwrap();
+    storage.write(&entries(1..=3, 1)).unwrap();
+    folder.0.lock().unwrap().budget = Some(1);
+    storage.write(&entries(4..=6, 1)).unwrap_err();
+    folder.lose_first_bytes_of_tail("log-0", 12);
+
+    let (_, restored) = open(&folder).unwrap();
+
+    expect_that!(restored.entries.len(), eq(3));
+}
+
 #[gtest]
 fn a_flipped_byte_in_synced_records_is_never_taken_for_a_torn_tail() {
     let folder = MemoryFolder::default();
