Wait while the disk is full instead of ending

Ruled out: stalled and slow disks (no ends there). Change: a refused write is taken back and tried again; only a failed sync is fatal. The replica answers for nothing meanwhile, the group goes on with the others.

--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -42,6 +42,7 @@
     LinkFull = 210, "A message was dropped because the peer does not take what is sent.";
     ConfigAnswered = 211, "An operator's order was answered.";
     LeaderChanged = 212, "Another control VM leads, or none is known.";
+    StorageFull = 213, "The disk of the data folder is full, or has room again.";
     EndpointFailed = 301, "An endpoint failed to serve a request.";
     EndpointLeaving = 302, "An endpoint said that it is leaving.";
     StreamResumed = 303, "A stream was resumed at its endpoint.";
--- a/crates/core/src/registry/tests.rs
+++ b/crates/core/src/registry/tests.rs
@@ -150,7 +150,8 @@
 #[gtest]
 fn news_dies_out_also_when_control_vms_disagree_about_silence() {
     let mut vms: Vec<Registry> = (0..4).map(|_| Registry::new(HEARTBEAT)).collect();
-    let known = |at: usize| EndpointRecord { silent: at % 2 == 0, ..record("a", 7, false) };
+    let known =
+        |at: usize| EndpointRecord { silent: at.is_multiple_of(2), ..record("a", 7, false) };
     for (at, vm) in vms.iter_mut().enumerate() {
         vm.take(known(at), seconds(0));
     }
--- a/crates/core/src/storage/mod.rs
+++ b/crates/core/src/storage/mod.rs
@@ -22,9 +22,12 @@
 const CURRENT_NEW: &str = "current.new";
 const SYNCED: &str = "synced";
 
-/// Why the data folder cannot be used. Each is fatal to the daemon.
+/// Why the data folder cannot be used. Each but a full disk is fatal to the daemon.
 #[derive(Debug)]
 pub enum StorageError {
+    /// The disk is full. Nothing was written that counts; the write may be tried again after
+    /// [`Storage::rewind`].
+    Full,
     /// Reading, writing or syncing failed; a failed sync is never tried again.
     Io(&'static str, io::Error),
     /// Synced data has changed or is gone.
@@ -34,6 +37,7 @@
 impl fmt::Display for StorageError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
+            StorageError::Full => f.write_str("the disk of the data folder is full"),
             StorageError::Io(what, e) => write!(f, "cannot {what} in the data folder: {e}"),
             StorageError::Corrupt(problem) => write!(
                 f,
@@ -129,12 +133,18 @@
             return Ok(());
         }
         let log = log_name(self.current.generation);
-        self.folder.append(&log, &bytes).map_err(io_error("append to the log"))?;
+        self.folder.append(&log, &bytes).map_err(write_error("append to the log"))?;
         self.folder.sync(&log).map_err(io_error("sync the log"))?;
         self.log_length += bytes.len() as u64;
         self.mark_synced()
     }
 
+    /// Takes back what a write left behind that failed because the disk was full.
+    pub fn rewind(&mut self) -> Result<(), StorageError> {
+        let log = log_name(self.current.generation);
+        self.folder.truncate(&log, self.log_length).map_err(write_error("truncate the log"))
+    }
+
     fn create(folder: Box<dyn Folder>, id: ReplicaId) -> Result<(Storage, Restored), StorageError> {
         let current = Current { replica: id, generation: 0 };
         let mut storage = Storage { folder, current, log_length: 0 };
@@ -152,10 +162,10 @@
         let new = Current { generation: old + 1, ..self.current };
         let bytes = encode_record(&snapshot.encode_to_vec());
         let name = snapshot_name(new.generation);
-        self.folder.write_synced(&name, &bytes).map_err(io_error("write the snapshot"))?;
+        self.folder.write_synced(&name, &bytes).map_err(write_error("write the snapshot"))?;
         let records = encode_batch(persist);
         let name = log_name(new.generation);
-        self.folder.write_synced(&name, &records).map_err(io_error("write the log"))?;
+        self.folder.write_synced(&name, &records).map_err(write_error("write the log"))?;
         self.switch_to(new)?;
         self.log_length = records.len() as u64;
         self.mark_synced()?;
@@ -167,7 +177,7 @@
 
     fn switch_to(&mut self, current: Current) -> Result<(), StorageError> {
         let bytes = encode_record(&current.encode_to_vec());
-        self.folder.write_synced(CURRENT_NEW, &bytes).map_err(io_error("write"))?;
+        self.folder.write_synced(CURRENT_NEW, &bytes).map_err(write_error("write"))?;
         self.folder.rename_synced(CURRENT_NEW, CURRENT).map_err(io_error("rename"))?;
         self.current = current;
         Ok(())
@@ -176,7 +186,11 @@
     fn mark_synced(&mut self) -> Result<(), StorageError> {
         let mark = SyncedMark { generation: self.current.generation, length: self.log_length };
         let bytes = encode_record(&mark.encode_to_vec());
-        self.folder.overwrite(SYNCED, &bytes).map_err(io_error("write"))
+        match self.folder.overwrite(SYNCED, &bytes) {
+            // The mark is only a hint; what it tells of is synced already.
+            Err(e) if e.kind() == io::ErrorKind::StorageFull => Ok(()),
+            result => result.map_err(io_error("write")),
+        }
     }
 }
 
@@ -184,6 +198,14 @@
     move |e| StorageError::Io(what, e)
 }
 
+/// A write that a full disk refused may be tried again; a sync that failed may not.
+fn write_error(what: &'static str) -> impl Fn(io::Error) -> StorageError {
+    move |e| match e.kind() {
+        io::ErrorKind::StorageFull => StorageError::Full,
+        _ => StorageError::Io(what, e),
+    }
+}
+
 fn snapshot_name(generation: u64) -> String {
     format!("snapshot-{generation}")
 }
--- a/crates/core/src/storage/tests.rs
+++ b/crates/core/src/storage/tests.rs
@@ -29,7 +29,7 @@
         let mut files = self.0.lock().unwrap();
         if let Some(budget) = &mut files.budget {
             if *budget == 0 {
-                return Err(io::Error::other("disk full"));
+                return Err(io::ErrorKind::StorageFull.into());
             }
             *budget -= 1;
         }
@@ -176,6 +176,50 @@
     expect_that!(restored.entries.len(), eq(3));
 }
 
+#[gtest]
+fn a_write_that_a_full_disk_refused_succeeds_when_there_is_room_again() {
+    let folder = MemoryFolder::default();
+    let (mut storage, _) = open(&folder).unwrap();
+    storage.write(&entries(1..=3, 1)).unwrap();
+    folder.0.lock().unwrap().budget = Some(0);
+    let refused = storage.write(&entries(4..=6, 1));
+    folder.0.lock().unwrap().budget = None;
+
+    storage.rewind().unwrap();
+    storage.write(&entries(4..=6, 1)).unwrap();
+
+    expect_that!(refused, err(matches_pattern!(StorageError::Full)));
+    let (_, restored) = open(&folder).unwrap();
+    expect_that!(restored.entries.len(), eq(6));
+}
+
+#[gtest]
+fn a_snapshot_that_a_full_disk_refused_succeeds_later() {
+    let folder = MemoryFolder::default();
+    let (mut storage, _) = open(&folder).unwrap();
+    storage.write(&entries(1..=3, 1)).unwrap();
+    let snapshot = Snapshot {
+        index: 3,
+        term: 1,
+        at_ms: 0,
+        membership: Membership::default(),
+        data: Bytes::from_static(b"state"),
+    };
+    let persist = Persist { snapshot: Some(snapshot), ..Persist::default() };
+    for budget in 0..3 {
+        folder.0.lock().unwrap().budget = Some(budget);
+        let refused = storage.write(&persist);
+        folder.0.lock().unwrap().budget = None;
+        expect_that!(refused, err(matches_pattern!(StorageError::Full)));
+        storage.rewind().unwrap();
+    }
+
+    storage.write(&persist).unwrap();
+
+    let (_, restored) = open(&folder).unwrap();
+    expect_that!(restored.snapshot.map(|s| s.index), some(eq(3)));
+}
+
 #[gtest]
 fn a_flipped_byte_in_synced_records_is_never_taken_for_a_torn_tail() {
     let folder = MemoryFolder::default();
--- a/crates/server/src/runtime/writer.rs
+++ b/crates/server/src/runtime/writer.rs
@@ -1,15 +1,18 @@
 //! The thread that writes and syncs the data folder.
 
-use std::{path::Path, process, sync::mpsc, thread};
+use std::{path::Path, process, sync::mpsc, thread, time::Duration};
 
 use eyre::{Result, WrapErr};
 use trayswitch_core::{
     agreement::{Persist, ReplicaId, Restored},
-    storage::{DiskFolder, Storage},
+    storage::{DiskFolder, Storage, StorageError},
 };
 
 use crate::telemetry::EventId;
 
+/// Pause before a write is tried again that a full disk refused.
+const FULL_PAUSE: Duration = Duration::from_millis(200);
+
 /// Writes for the thread.
 pub(super) type Writes = mpsc::Sender<(u64, Persist)>;
 /// Numbers of the writes that are synced.
@@ -30,13 +33,38 @@
     Ok(Opened { replica: storage.replica(), storage, restored })
 }
 
+/// Writes and syncs, and waits while the disk is full: a replica that answers for nothing does
+/// no harm, and its group goes on with the others.
+fn write_patiently(storage: &mut Storage, persist: &Persist) -> Result<(), StorageError> {
+    let mut waited = false;
+    loop {
+        match storage.write(persist) {
+            Err(StorageError::Full) if !waited => {
+                log::error!(event = EventId::StorageFull.number(); "the disk is full; waiting");
+                waited = true;
+            }
+            Err(StorageError::Full) => {}
+            Ok(()) if waited => {
+                log::info!(event = EventId::StorageFull.number(); "the disk has room again");
+                return Ok(());
+            }
+            result => return result,
+        }
+        thread::sleep(FULL_PAUSE);
+        match storage.rewind() {
+            Ok(()) | Err(StorageError::Full) => {}
+            Err(e) => return Err(e),
+        }
+    }
+}
+
 /// Starts the thread.
 pub(super) fn spawn(mut storage: Storage) -> Result<(Writes, Written)> {
     let (tx, rx) = mpsc::channel::<(u64, Persist)>();
     let (synced_tx, synced_rx) = tokio::sync::mpsc::unbounded_channel();
     let write = move || {
         for (number, persist) in rx {
-            if let Err(e) = storage.write(&persist) {
+            if let Err(e) = write_patiently(&mut storage, &persist) {
                 // What is on disk is not known any more; going on could break a promise.
                 log::error!(
                     event = EventId::StorageFailed.number(), error = e.to_string().as_str();
