Let generations wait a moment for a daemon that has just started

Ruled out: the election (over before), the links. Change: a generation waits up to 300 ms, everybody else is told to come back after 400 ms.

--- a/crates/server/src/relay/admission.rs
+++ b/crates/server/src/relay/admission.rs
@@ -1,12 +1,16 @@
 //! Finds out who asks for what, and whether this daemon may serve it.
 
-use std::time::{Duration, Instant};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use http::{header, request};
 use hyper::body::Incoming;
 use trayswitch_core::{
     config::RouteKind,
     error::{ErrorKind, RequestError},
+    node::InForce,
 };
 
 use super::{
@@ -15,6 +19,15 @@
 };
 use crate::edge::{ReadError, read_whole};
 
+/// A generation waits this long for a daemon that has just started to learn its configuration:
+/// less than a quarter of the shortest target (1.5 s), after which waiting costs more than it
+/// gains. Calls, whose targets are far shorter, are refused at once.
+const GENERATION_PATIENCE: Duration = Duration::from_millis(300);
+/// Pause between two looks at the configuration.
+const LOOK_AGAIN: Duration = Duration::from_millis(10);
+/// When to come back to a daemon without a current configuration: one that has just started
+/// has one after 0.4 s (measured after a loss of power everywhere).
+const WHEN_READY: Duration = Duration::from_millis(400);
 /// A caller that is sent elsewhere may come back at once: retries reach other daemons.
 const ELSEWHERE: Duration = Duration::from_millis(10);
 
@@ -38,9 +51,12 @@
         let body = read_whole(body, limits.max_body as usize, limits.idle_timeout)
             .await
             .map_err(|e| refused(&id, read_error(&e)))?;
-        let Some(config) = self.node.view().in_force().filter(|_| self.is_current()) else {
+        let patience = if caller.prompt.is_some() { GENERATION_PATIENCE } else { Duration::ZERO };
+        let Some(config) = self.current_config(arrived + patience).await else {
             let message = "this daemon has no configuration that is known to be current";
-            return Err(refused(&id, RequestError::new(ErrorKind::NotReady, message)));
+            let mut error = RequestError::new(ErrorKind::NotReady, message);
+            error.retry_after = Some(WHEN_READY);
+            return Err(refused(&id, error));
         };
         let path = head.uri.path();
         let Some(route) = config.config.routes.find(&caller.host, path).cloned() else {
@@ -84,6 +100,17 @@
         })
     }
 
+    /// The configuration in force if it is current, or becomes so by then.
+    async fn current_config(&self, until: Instant) -> Option<Arc<InForce>> {
+        loop {
+            let current = self.node.view().in_force().filter(|_| self.is_current());
+            if current.is_some() || until <= Instant::now() {
+                return current;
+            }
+            tokio::time::sleep(LOOK_AGAIN).await;
+        }
+    }
+
     /// Whether the configuration in force was confirmed recently enough to run requests by
     /// it. Looked at anew before each attempt: the VM may have been suspended meanwhile.
     fn is_current(&self) -> bool {
