Say in each decision's line by what it was made; tell a request's story from logs

Change: lines of attempts carry the version in force, its age, the endpoint's heartbeat number and this entry's own load; lines for news of endpoints and for the leader. trayswitch explain reads the logs of several VMs.

--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -278,6 +278,13 @@
     },
     /// Ask these endpoints for their load from now on.
     Watch(Vec<String>),
+    /// Another control VM leads from now on, or none is known.
+    Leader {
+        /// Its VM.
+        vm: Option<VmName>,
+        /// Its term; zero while none is known.
+        term: u64,
+    },
     /// Keep links to these control VMs.
     Dial(Vec<VmName>),
     /// The endpoints that registered themselves have changed.
@@ -602,6 +609,8 @@
                 let now = clocks.now;
                 self.operations.leader_changed(leader.as_ref(), now, &mut self.outputs);
                 let scheduler = self.keeper.scheduler(now);
+                let term = scheduler.map_or(0, |scheduler| scheduler.term);
+                self.outputs.push(Output::Leader { vm: leader, term });
                 self.placing.scheduler_changed(scheduler, now, &mut self.outputs);
             }
             let vm = &self.vm;
--- a/crates/core/src/node/tests.rs
+++ b/crates/core/src/node/tests.rs
@@ -219,6 +219,7 @@
             Output::Answer(call, answer) => self.answered(call, answer),
             Output::Fresh { .. }
             | Output::Watch(_)
+            | Output::Leader { .. }
             | Output::Dial(_)
             | Output::Registered(_)
             | Output::Move { .. } => {}
--- a/crates/core/src/registry/mod.rs
+++ b/crates/core/src/registry/mod.rs
@@ -55,6 +55,8 @@
     pub hall: Arc<str>,
     /// Whether it may get new work.
     pub open: bool,
+    /// Number of the heartbeat that told what is new.
+    pub sequence: u64,
 }
 
 impl Known {
@@ -251,6 +253,7 @@
             address: known.address,
             hall: known.record.hall.as_str().into(),
             open: !closed.contains(id),
+            sequence: known.record.sequence,
         };
         self.known.iter().map(registered).collect()
     }
--- a/crates/server/src/relay/call.rs
+++ b/crates/server/src/relay/call.rs
@@ -193,6 +193,8 @@
 /// Makes one attempt at an endpoint.
 async fn attempt(relay: &Relay, job: &Job, endpoint: Registered) -> End {
     let began = Instant::now();
+    let inputs = relay.inputs();
+    let own_running = relay.loads.running(&endpoint.id);
     let running = relay.loads.begin(&endpoint.id);
     let protocol = &*relay.protocol;
     let req = job.request(protocol, &endpoint.id, endpoint.address, &GoOn::default());
@@ -229,6 +231,8 @@
     log::info!(
         event = EventId::AttemptEnded.number(), id = job.caller.id.as_str(),
         endpoint = &*endpoint.id, end = name, detail = detail.as_str(),
+        config = inputs.config, config_age_ms = inputs.config_age_ms,
+        sequence = endpoint.sequence, own_running = own_running,
         took_ms = began.elapsed().as_millis() as u64;
         "an attempt ended"
     );
--- a/crates/server/src/relay/generation.rs
+++ b/crates/server/src/relay/generation.rs
@@ -138,6 +138,7 @@
     go_on: &GoOn,
 ) -> Result<Opened, Lost> {
     let began = Instant::now();
+    let inputs = relay.inputs();
     let opened = send(relay, job, endpoint, go_on).await;
     let (name, detail) = match &opened {
         Ok(Opened::Stream { first, .. }) => (
@@ -155,6 +156,7 @@
     log::info!(
         event = EventId::AttemptEnded.number(), id = job.caller.id.as_str(),
         endpoint = &**endpoint, end = name, detail = detail.as_str(),
+        config = inputs.config, config_age_ms = inputs.config_age_ms,
         after = go_on.after.unwrap_or(0), took_ms = began.elapsed().as_millis() as u64;
         "an attempt ended"
     );
--- a/crates/server/src/relay/loads.rs
+++ b/crates/server/src/relay/loads.rs
@@ -97,6 +97,11 @@
         Running { loads: self.clone(), id: id.clone() }
     }
 
+    /// Requests of this entry that run at an endpoint.
+    pub(super) fn running(&self, id: &str) -> u32 {
+        self.0.borrow().get(id).map_or(0, |load| load.running)
+    }
+
     /// Notes how a request ended.
     pub(super) fn note(&self, id: &Arc<str>, verdict: Verdict) {
         let mut loads = self.0.borrow_mut();
--- a/crates/server/src/relay/mod.rs
+++ b/crates/server/src/relay/mod.rs
@@ -45,6 +45,15 @@
     pub repeat_window: Duration,
 }
 
+/// What a decision was made by.
+#[derive(Debug, Clone, Copy)]
+struct Inputs {
+    /// Version of the configuration in force.
+    config: u64,
+    /// Time since it was last known to be current.
+    config_age_ms: u64,
+}
+
 /// Serves callers.
 pub struct Relay {
     node: NodeHandle,
@@ -84,6 +93,16 @@
         budget.take(&self.options, daemons, now)
     }
 
+    /// What a decision is made by now, for its log line.
+    fn inputs(&self) -> Inputs {
+        let view = self.node.view();
+        let age = view.confirmed().map(|at| self.node.now().since(at));
+        Inputs {
+            config: view.in_force().map_or(0, |f| f.version),
+            config_age_ms: age.map_or(0, |age| age.as_millis() as u64),
+        }
+    }
+
     fn note_request(&self, service: &str) {
         let now = self.node.now();
         let mut budgets = self.budgets.borrow_mut();
--- a/crates/server/src/runtime/mod.rs
+++ b/crates/server/src/runtime/mod.rs
@@ -24,6 +24,7 @@
         SubmitError, VmName,
     },
     placement::Request,
+    registry::Registered,
     state::ConfigChange,
     units::{self, UnixMillis},
     wire::{AcceptedVersion, Body, Submit},
@@ -235,8 +236,13 @@
                 self.0.view.set_daemons(daemons);
             }
             Output::Watch(endpoints) => self.0.view.set_watched(endpoints),
+            Output::Leader { vm, term } => log::info!(
+                event = EventId::LeaderChanged.number(), peer = vm.as_deref().unwrap_or("-"),
+                term = term;
+                "the leader, as this daemon knows it"
+            ),
             Output::Dial(vms) => links::dial(self, &vms),
-            Output::Registered(endpoints) => self.0.view.set_endpoints(endpoints),
+            Output::Registered(endpoints) => self.registered(endpoints),
             Output::Move { call, from, to } => self.order_move(call, from, to),
         }
     }
@@ -250,6 +256,21 @@
         self.0.view.publish(in_force);
     }
 
+    fn registered(&self, endpoints: Vec<Registered>) {
+        for endpoint in &endpoints {
+            let known = self.0.view.endpoint(&endpoint.id);
+            if known.as_ref() != Some(endpoint) {
+                log::info!(
+                    event = EventId::EndpointNews.number(), endpoint = &*endpoint.id,
+                    service = &*endpoint.service, open = endpoint.open,
+                    sequence = endpoint.sequence;
+                    "an endpoint is new or has changed"
+                );
+            }
+        }
+        self.0.view.set_endpoints(endpoints);
+    }
+
     fn fresh(&self, fresh: bool, confirmed: Option<units::Instant>) {
         let was_fresh = self.0.view.set_confirmed(fresh, confirmed);
         if fresh && !was_fresh {
--- a/crates/trayswitch/src/cli.rs
+++ b/crates/trayswitch/src/cli.rs
@@ -48,6 +48,18 @@
                 .subcommand_required(true)
                 .subcommand(Command::new("status").about("Show the control replicas and daemons")),
         )
+        .subcommand(
+            Command::new("explain")
+                .about("Tell a request's story from the log files of several VMs")
+                .arg(Arg::new("id").value_name("ID").required(true).help("Name of the request"))
+                .arg(
+                    Arg::new("files")
+                        .value_name("FILE")
+                        .required(true)
+                        .num_args(1..)
+                        .help("Log files"),
+                ),
+        )
         .subcommand(
             Command::new("completions")
                 .about("Print completions for a shell")
--- /dev/null
+++ b/crates/trayswitch/src/command/explain/tests.rs
@@ -0,0 +1,52 @@
+use googletest::prelude::*;
+
+use super::{Line, cause, story, tell};
+
+/// Lines as two entries and a control VM wrote them.
+fn lines() -> Vec<Line> {
+    let texts = [
+        r#"{"t":1000,"level":"INFO","event":307,"vm":"front-1","endpoint":"i-1","open":true,"msg":"an endpoint is new or has changed"}"#,
+        r#"{"t":1200,"level":"INFO","event":311,"vm":"front-1","id":"r1","endpoint":"i-1","end":"streams","msg":"an attempt ended"}"#,
+        r#"{"t":1300,"level":"INFO","event":302,"vm":"core-1","endpoint":"i-1","msg":"an endpoint is leaving"}"#,
+        r#"{"t":1310,"level":"INFO","event":302,"vm":"core-1","endpoint":"i-9","msg":"an endpoint is leaving"}"#,
+        r#"17.2 front-1 {"t":1900,"level":"INFO","event":310,"vm":"front-1","id":"r1","cause":"generation_lost","detail":"9 events","msg":"a request ended"}"#,
+        r#"{"t":1950,"level":"INFO","event":310,"vm":"front-2","id":"r2","cause":"answered","msg":"a request ended"}"#,
+        "no line of a log",
+    ];
+    texts.iter().filter_map(|text| Line::parse(text)).collect()
+}
+
+#[gtest]
+fn a_story_has_the_requests_lines_and_news_of_the_endpoints_it_met() {
+    let lines = lines();
+
+    let story = story("r1", &lines);
+
+    let times: Vec<u64> = story.iter().map(|line| line.at).collect();
+    expect_that!(times, elements_are![eq(&1000), eq(&1200), eq(&1300), eq(&1900)]);
+}
+
+#[gtest]
+fn the_cause_is_that_of_the_last_line() {
+    let lines = lines();
+
+    expect_that!(cause("r1", &story("r1", &lines)), eq("generation_lost: 9 events"));
+    expect_that!(cause("r2", &story("r2", &lines)), eq("answered"));
+}
+
+#[gtest]
+fn a_line_of_the_story_tells_when_where_and_by_what() {
+    let lines = lines();
+    let story = story("r1", &lines);
+
+    let text = tell(story[1], story[0].at);
+
+    expect_that!(text, contains_substring("+200 ms"));
+    expect_that!(text, contains_substring("front-1"));
+    expect_that!(text, contains_substring("endpoint=i-1"));
+}
+
+#[gtest]
+fn a_request_that_no_line_names_has_no_story() {
+    expect_that!(story("r9", &lines()).len(), eq(0));
+}
--- a/crates/trayswitch/src/command/mod.rs
+++ b/crates/trayswitch/src/command/mod.rs
@@ -1,6 +1,7 @@
 //! What the commands do.
 
 mod config;
+mod explain;
 mod show;
 
 use std::io::{self, Write};
@@ -27,6 +28,7 @@
         Action::Endpoints => show::endpoints(&client()?, options.json, out),
         Action::Workspaces => show::workspaces(&client()?, options.json, out),
         Action::Control => show::control(&client()?, options.json, out),
+        Action::Explain { id, files } => explain::explain(id, files, options.json, out),
         Action::Completions(shell) => {
             let mut buf = Vec::new();
             generate(*shell, &mut cli::command(), "trayswitch", &mut buf);
--- a/crates/trayswitch/src/error.rs
+++ b/crates/trayswitch/src/error.rs
@@ -32,6 +32,8 @@
         /// Daemons that do not have it.
         missing: Vec<String>,
     },
+    /// No line of the files tells of the request.
+    UnknownRequest(String),
     /// Output failed.
     Output(io::Error),
 }
@@ -78,6 +80,11 @@
                 "version {version} is accepted, but not yet in force on {}",
                 missing.join(", ")
             ),
+            Error::UnknownRequest(id) => write!(
+                f,
+                "no line tells of request {id}; give the log files of all entry VMs, and look for \
+                 lines of event 107, which count what was left out"
+            ),
             Error::Output(e) => write!(f, "cannot print: {e}"),
         }
     }
--- a/crates/trayswitch/src/options.rs
+++ b/crates/trayswitch/src/options.rs
@@ -32,6 +32,13 @@
     Workspaces,
     /// Show the control replicas.
     Control,
+    /// Tell a request's story from log files.
+    Explain {
+        /// The caller's name for the request.
+        id: String,
+        /// Log files of any number of VMs.
+        files: Vec<PathBuf>,
+    },
     /// Print completions.
     Completions(Shell),
 }
@@ -88,6 +95,10 @@
             ("key", _) => Action::Key,
             _ => Action::Show,
         },
+        ("explain", m) => Action::Explain {
+            id: m.get_one::<String>("id").expect("required").clone(),
+            files: m.get_many::<String>("files").expect("required").map(PathBuf::from).collect(),
+        },
         ("endpoints", _) => Action::Endpoints,
         ("workspaces", _) => Action::Workspaces,
         ("control", _) => Action::Control,
--- a/crates/trayswitchd/src/node/actor.rs
+++ b/crates/trayswitchd/src/node/actor.rs
@@ -131,7 +131,10 @@
             Output::Watch(endpoints) => self.view.set_watched(endpoints),
             // This daemon's control VMs are listed in its settings, its endpoints in the
             // configuration; it has no edge at which endpoints register themselves.
-            Output::Dial(_) | Output::Registered(_) | Output::Move { .. } => {}
+            Output::Leader { .. }
+            | Output::Dial(_)
+            | Output::Registered(_)
+            | Output::Move { .. } => {}
         }
     }
 
