Let generations look again while no endpoint is known

Ruled out: the registry's news (nothing was known anywhere yet). Change: a generation looks again for as long as it may wait for a place; a line of event 307 is no longer written for each heartbeat.

--- a/crates/server/src/relay/generation.rs
+++ b/crates/server/src/relay/generation.rs
@@ -1,6 +1,10 @@
 //! Starts a generation: places it, sends it and waits for its first event.
 
-use std::{rc::Rc, sync::Arc, time::Instant};
+use std::{
+    rc::Rc,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use http::{Response, response};
 use tokio::{sync::mpsc, time::timeout};
@@ -74,8 +78,7 @@
     let mut starts = 0;
     let mut turned = 0;
     loop {
-        let placing = relay.node.place(job.place_request(avoid.take()));
-        let placed = timeout(job.time_left(), placing).await;
+        let placed = timeout(job.time_left(), place(relay, job, avoid.take())).await;
         let placed = placed.map_err(|_| over(starts, "the time is over"))?;
         let placed = placed.map_err(|e| if starts == 0 { e } else { over(starts, &e.message) })?;
         relay.check_may_run(job)?;
@@ -114,6 +117,23 @@
     }
 }
 
+/// Finds a place. While no endpoint is known, as for the length of a heartbeat after all VMs
+/// were started anew, it looks again for as long as a request may wait for a place.
+async fn place(relay: &Relay, job: &Job, avoid: Option<Arc<str>>) -> Result<Placed, RequestError> {
+    /// Pause between two looks.
+    const LOOK_AGAIN: Duration = Duration::from_millis(20);
+    loop {
+        let req = job.place_request(avoid.clone());
+        let patience = req.max_wait;
+        match relay.node.place(req).await {
+            Err(e) if e.kind == ErrorKind::NoEndpoint && LOOK_AGAIN < patience => {
+                tokio::time::sleep(LOOK_AGAIN).await;
+            }
+            result => return result,
+        }
+    }
+}
+
 /// The error when no answer will come.
 fn over(starts: u32, problem: &str) -> RequestError {
     let kind = if starts == 0 { ErrorKind::EndpointRefused } else { ErrorKind::OutcomeUnknown };
--- a/crates/server/src/runtime/mod.rs
+++ b/crates/server/src/runtime/mod.rs
@@ -259,6 +259,7 @@
     fn registered(&self, endpoints: Vec<Registered>) {
         for endpoint in &endpoints {
             let known = self.0.view.endpoint(&endpoint.id);
+            let known = known.map(|known| Registered { sequence: endpoint.sequence, ..known });
             if known.as_ref() != Some(endpoint) {
                 log::info!(
                     event = EventId::EndpointNews.number(), endpoint = &*endpoint.id,
