--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -6,3 +6,4 @@
 cargo clippy --workspace --all-targets --quiet -- -D warnings
 cargo build --workspace --bins --quiet
 cargo test --workspace --quiet
+./scripts/soak.sh
