--- a/crates/server/src/telemetry/lines.rs
+++ b/crates/server/src/telemetry/lines.rs
@@ -29,7 +29,7 @@
 const MAX_QUEUE: usize = 4_096;
 /// Lines of one event that are written in one second; more are counted only. A daemon at the
 /// two-year size takes about 10 requests a second, a burst ten times that.
-const LINES_PER_EVENT: u32 = 200;
+pub(super) const LINES_PER_EVENT: u32 = 200;
 
 static DROPPED: AtomicU64 = AtomicU64::new(0);
 
@@ -71,8 +71,8 @@
 }
 
 /// Hands each line to the writing thread.
-struct Queue {
-    tx: SyncSender<Vec<u8>>,
+pub(super) struct Queue {
+    pub(super) tx: SyncSender<Vec<u8>>,
 }
 
 impl Write for Queue {
@@ -92,13 +92,13 @@
 
 /// Lines written in the current second, by event.
 #[derive(Default)]
-struct Budgets {
+pub(super) struct Budgets {
     second: u64,
     used: HashMap<u64, u32>,
 }
 
 impl Budgets {
-    fn take(&mut self, event: u64, second: u64) -> bool {
+    pub(super) fn take(&mut self, event: u64, second: u64) -> bool {
         if second != self.second {
             self.second = second;
             self.used.clear();
--- a/crates/server/src/telemetry/mod.rs
+++ b/crates/server/src/telemetry/mod.rs
@@ -2,6 +2,8 @@
 
 mod lines;
 mod metrics;
+#[cfg(test)]
+mod tests;
 
 pub use trayswitch_core::events::EventId;
 
