--- /dev/null
+++ b/crates/core/src/node/messages.rs
@@ -0,0 +1,199 @@
+//! What a node is told and asked, and what it answers and wants done.
+
+use std::{sync::Arc, time::Duration};
+
+use super::{ControlStatus, EndpointStatus, InForce, VmName};
+use crate::{
+    agreement::Persist,
+    error::RequestError,
+    once::{Claim, ClaimResult, Settle},
+    placement::Request,
+    registry::Registered,
+    units::Instant,
+    wire::{AcceptedVersion, Body, EndpointRecord, HealthNews, Report, Submit},
+};
+
+/// Names a question that one of the daemon's own threads asked; the answer repeats it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct CallId(pub u64);
+
+/// A question from one of the daemon's own threads.
+#[derive(Debug, Clone)]
+pub enum Question {
+    /// Find a place for a request. Its ticket is filled in by the node.
+    Place(Request),
+    /// Submit an operator's file.
+    Submit(Submit),
+    /// Claim a call, within this time.
+    Claim {
+        /// The claim.
+        claim: Claim,
+        /// Time allowed.
+        limit: Duration,
+    },
+    /// End a claim; the answer tells when it is stored.
+    Settle(Settle),
+    /// The newest accepted configuration, confirmed after the question came.
+    Read {
+        /// Time allowed.
+        limit: Duration,
+    },
+    /// The state of the endpoints as this node's scheduler sees them.
+    Endpoints,
+    /// The state of the control replicas as this node sees them.
+    Control,
+}
+
+/// Where a request was placed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Placement {
+    /// Name of the endpoint.
+    pub endpoint: Arc<str>,
+    /// Priority for the engine.
+    pub priority: u64,
+}
+
+/// Why a submitted file was not accepted.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum SubmitError {
+    /// Another file holds its version, or a later one is accepted.
+    Refused(String),
+    /// Another version was accepted meanwhile; compare with that one and ask again.
+    Rebase(u64),
+    /// No leader answered in time; whether the file was accepted is not known.
+    NoAnswer,
+}
+
+/// The answer to a [`Question`].
+#[derive(Debug, Clone)]
+pub enum Answer {
+    /// To [`Question::Place`].
+    Placed(Result<Placement, RequestError>),
+    /// To [`Question::Submit`].
+    Submitted(Result<AcceptedVersion, SubmitError>),
+    /// To [`Question::Claim`]; `None` when no quorum answered in time.
+    Claimed(Option<ClaimResult>),
+    /// To [`Question::Settle`]; false when it could not be stored in time.
+    Settled(bool),
+    /// To [`Question::Read`]; `None` when it could not be confirmed in time.
+    Newest(Option<Arc<InForce>>),
+    /// To [`Question::Endpoints`].
+    Endpoints(Vec<EndpointStatus>),
+    /// To [`Question::Control`].
+    Control(ControlStatus),
+}
+
+/// Something that happened.
+#[derive(Debug, Clone)]
+pub enum Input {
+    /// Time has passed.
+    Tick,
+    /// A link to another daemon is up.
+    LinkUp(VmName),
+    /// The last link to another daemon is down.
+    LinkDown(VmName),
+    /// A message from another daemon.
+    Message(VmName, Body),
+    /// The writes of [`Output::Persist`] with this number are synced.
+    Persisted(u64),
+    /// A question from one of the daemon's own threads.
+    Ask(CallId, Question),
+    /// A placed request has produced this many tokens.
+    Progress(CallId, u64),
+    /// A placed request ended.
+    Finished {
+        /// The request.
+        call: CallId,
+        /// Tokens produced.
+        tokens: u64,
+        /// Whether with its whole answer.
+        whole: bool,
+    },
+    /// The asker of a placement has left.
+    Cancelled(CallId),
+    /// This daemon has news of an endpoint.
+    Health(Arc<str>, HealthNews),
+    /// This daemon asked an endpoint for its load.
+    Load(Report),
+    /// An endpoint registered itself or sent a heartbeat.
+    Heartbeat(EndpointRecord),
+    /// An endpoint said that it will end.
+    Farewell(Arc<str>),
+    /// What became of a move.
+    Moved {
+        /// The request.
+        call: CallId,
+        /// Where it runs now.
+        at: Arc<str>,
+        /// Whether that is where it was to go.
+        done: bool,
+    },
+    /// The settings name other control VMs.
+    Seeds(Vec<VmName>),
+    /// A planned stop: hand over what can be handed over.
+    Stop,
+}
+
+/// Something to be done.
+#[derive(Debug, Clone)]
+pub enum Output {
+    /// Send a message to another daemon; it may be lost.
+    Send(VmName, Body),
+    /// Write and sync, then tell with [`Input::Persisted`].
+    Persist(u64, Persist),
+    /// Answer a question.
+    Answer(CallId, Answer),
+    /// A configuration has come into force.
+    InForce(Arc<InForce>),
+    /// Whether the configuration is confirmed to be current, and when it last was.
+    Fresh {
+        /// Whether that is recent enough.
+        fresh: bool,
+        /// When it last was; nothing before the first time.
+        confirmed: Option<Instant>,
+        /// Number of daemons that the leader hears.
+        daemons: u64,
+    },
+    /// Ask these endpoints for their load from now on.
+    Watch(Vec<String>),
+    /// Another control VM leads from now on, or none is known.
+    Leader {
+        /// Its VM.
+        vm: Option<VmName>,
+        /// Its term; zero while none is known.
+        term: u64,
+    },
+    /// Keep links to these control VMs.
+    Dial(Vec<VmName>),
+    /// The endpoints that registered themselves have changed.
+    Registered(Vec<Registered>),
+    /// Move a running request to another endpoint, then tell with [`Input::Moved`].
+    Move {
+        /// The request.
+        call: CallId,
+        /// Where it runs.
+        from: Arc<str>,
+        /// Where it is to go on.
+        to: Arc<str>,
+    },
+}
+
+/// Outputs that have come up, and messages to this node itself.
+#[derive(Debug, Default)]
+pub(crate) struct Outbox {
+    pub(super) outputs: Vec<Output>,
+}
+
+impl Outbox {
+    pub(crate) fn push(&mut self, output: Output) {
+        self.outputs.push(output);
+    }
+
+    pub(crate) fn send(&mut self, to: &VmName, body: Body) {
+        self.outputs.push(Output::Send(to.clone(), body));
+    }
+
+    pub(crate) fn answer(&mut self, call: CallId, answer: Answer) {
+        self.outputs.push(Output::Answer(call, answer));
+    }
+}
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -7,18 +7,21 @@
 //! - [`operations`] carries changes of the replicated state to the leader;
 //! - [`placing`] finds places for this daemon's requests;
 //! - [`control`] runs a control replica and, on the leader, answers the daemons;
-//! - [`dispatcher`] is the scheduler that the leader runs for all daemons.
+//! - [`dispatcher`] is the scheduler that the leader runs for all daemons;
+//! - [`directory`] knows the control VMs and [`endpoints`] the endpoints that register.
 
 mod control;
 mod directory;
 mod dispatcher;
 #[cfg(test)]
 mod endpoint_tests;
+mod endpoints;
 mod engines;
 mod keeper;
 mod members;
 #[cfg(test)]
 mod members_tests;
+mod messages;
 mod operations;
 mod placing;
 #[cfg(test)]
@@ -34,37 +37,32 @@
 use self::{
     control::Control,
     directory::Directory,
+    endpoints::endpoint_statuses,
     engines::Engines,
     keeper::Keeper,
     operations::{Operations, SETTLE_LIMIT, SUBMIT_LIMIT},
     placing::Placing,
 };
 use crate::{
-    agreement::{self, Persist, Restored},
+    agreement::{self, Restored},
     config::ContentHash,
-    error::RequestError,
-    once::{Claim, ClaimResult, Settle},
-    placement::{LoadReport, Request},
-    registry::{Registered, Registry},
+    placement::LoadReport,
+    registry::Registry,
     units::{Instant, UnixMillis},
-    wire::{
-        AcceptedVersion, Body, EndpointNews, EndpointRecord, HealthNews, OperationKind, Report,
-        Submit,
-    },
+    wire::{Body, EndpointNews, OperationKind, Report},
 };
 
+pub(crate) use self::messages::Outbox;
 pub use self::{
     control::{ControlStatus, DaemonStatus, ReplicaStatus},
+    endpoints::EndpointStatus,
     keeper::InForce,
+    messages::{Answer, CallId, Input, Output, Placement, Question, SubmitError},
 };
 
 /// Name of a VM.
 pub type VmName = Arc<str>;
 
-/// Names a question that one of the daemon's own threads asked; the answer repeats it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct CallId(pub u64);
-
 /// Time bounds of a node.
 #[derive(Debug, Clone, Copy)]
 pub struct NodeTiming {
@@ -118,188 +116,6 @@
     pub seed: u64,
 }
 
-/// A question from one of the daemon's own threads.
-#[derive(Debug, Clone)]
-pub enum Question {
-    /// Find a place for a request. Its ticket is filled in by the node.
-    Place(Request),
-    /// Submit an operator's file.
-    Submit(Submit),
-    /// Claim a call, within this time.
-    Claim {
-        /// The claim.
-        claim: Claim,
-        /// Time allowed.
-        limit: Duration,
-    },
-    /// End a claim; the answer tells when it is stored.
-    Settle(Settle),
-    /// The newest accepted configuration, confirmed after the question came.
-    Read {
-        /// Time allowed.
-        limit: Duration,
-    },
-    /// The state of the endpoints as this node's scheduler sees them.
-    Endpoints,
-    /// The state of the control replicas as this node sees them.
-    Control,
-}
-
-/// Where a request was placed.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Placement {
-    /// Name of the endpoint.
-    pub endpoint: Arc<str>,
-    /// Priority for the engine.
-    pub priority: u64,
-}
-
-/// Why a submitted file was not accepted.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum SubmitError {
-    /// Another file holds its version, or a later one is accepted.
-    Refused(String),
-    /// Another version was accepted meanwhile; compare with that one and ask again.
-    Rebase(u64),
-    /// No leader answered in time; whether the file was accepted is not known.
-    NoAnswer,
-}
-
-/// State of one endpoint as a scheduler sees it.
-#[derive(Debug, Clone, serde::Serialize)]
-pub struct EndpointStatus {
-    /// Name.
-    pub name: String,
-    /// Data hall.
-    pub hall: String,
-    /// Model or service.
-    pub target: String,
-    /// `live`, `leaving` or `down`.
-    pub health: &'static str,
-    /// Requests granted.
-    pub running: u64,
-    /// Most requests at once.
-    pub slots: u64,
-    /// Memory granted, in tokens.
-    pub kv_used: u64,
-    /// Memory, in tokens.
-    pub kv_tokens: u64,
-}
-
-/// The answer to a [`Question`].
-#[derive(Debug, Clone)]
-pub enum Answer {
-    /// To [`Question::Place`].
-    Placed(Result<Placement, RequestError>),
-    /// To [`Question::Submit`].
-    Submitted(Result<AcceptedVersion, SubmitError>),
-    /// To [`Question::Claim`]; `None` when no quorum answered in time.
-    Claimed(Option<ClaimResult>),
-    /// To [`Question::Settle`]; false when it could not be stored in time.
-    Settled(bool),
-    /// To [`Question::Read`]; `None` when it could not be confirmed in time.
-    Newest(Option<Arc<InForce>>),
-    /// To [`Question::Endpoints`].
-    Endpoints(Vec<EndpointStatus>),
-    /// To [`Question::Control`].
-    Control(ControlStatus),
-}
-
-/// Something that happened.
-#[derive(Debug, Clone)]
-pub enum Input {
-    /// Time has passed.
-    Tick,
-    /// A link to another daemon is up.
-    LinkUp(VmName),
-    /// The last link to another daemon is down.
-    LinkDown(VmName),
-    /// A message from another daemon.
-    Message(VmName, Body),
-    /// The writes of [`Output::Persist`] with this number are synced.
-    Persisted(u64),
-    /// A question from one of the daemon's own threads.
-    Ask(CallId, Question),
-    /// A placed request has produced this many tokens.
-    Progress(CallId, u64),
-    /// A placed request ended.
-    Finished {
-        /// The request.
-        call: CallId,
-        /// Tokens produced.
-        tokens: u64,
-        /// Whether with its whole answer.
-        whole: bool,
-    },
-    /// The asker of a placement has left.
-    Cancelled(CallId),
-    /// This daemon has news of an endpoint.
-    Health(Arc<str>, HealthNews),
-    /// This daemon asked an endpoint for its load.
-    Load(Report),
-    /// An endpoint registered itself or sent a heartbeat.
-    Heartbeat(EndpointRecord),
-    /// An endpoint said that it will end.
-    Farewell(Arc<str>),
-    /// What became of a move.
-    Moved {
-        /// The request.
-        call: CallId,
-        /// Where it runs now.
-        at: Arc<str>,
-        /// Whether that is where it was to go.
-        done: bool,
-    },
-    /// The settings name other control VMs.
-    Seeds(Vec<VmName>),
-    /// A planned stop: hand over what can be handed over.
-    Stop,
-}
-
-/// Something to be done.
-#[derive(Debug, Clone)]
-pub enum Output {
-    /// Send a message to another daemon; it may be lost.
-    Send(VmName, Body),
-    /// Write and sync, then tell with [`Input::Persisted`].
-    Persist(u64, Persist),
-    /// Answer a question.
-    Answer(CallId, Answer),
-    /// A configuration has come into force.
-    InForce(Arc<InForce>),
-    /// Whether the configuration is confirmed to be current, and when it last was.
-    Fresh {
-        /// Whether that is recent enough.
-        fresh: bool,
-        /// When it last was; nothing before the first time.
-        confirmed: Option<Instant>,
-        /// Number of daemons that the leader hears.
-        daemons: u64,
-    },
-    /// Ask these endpoints for their load from now on.
-    Watch(Vec<String>),
-    /// Another control VM leads from now on, or none is known.
-    Leader {
-        /// Its VM.
-        vm: Option<VmName>,
-        /// Its term; zero while none is known.
-        term: u64,
-    },
-    /// Keep links to these control VMs.
-    Dial(Vec<VmName>),
-    /// The endpoints that registered themselves have changed.
-    Registered(Vec<Registered>),
-    /// Move a running request to another endpoint, then tell with [`Input::Moved`].
-    Move {
-        /// The request.
-        call: CallId,
-        /// Where it runs.
-        from: Arc<str>,
-        /// Where it is to go on.
-        to: Arc<str>,
-    },
-}
-
 /// One daemon.
 pub struct Node {
     vm: VmName,
@@ -316,26 +132,6 @@
     handed_out: u64,
 }
 
-/// Outputs that have come up, and messages to this node itself.
-#[derive(Debug, Default)]
-pub(crate) struct Outbox {
-    outputs: Vec<Output>,
-}
-
-impl Outbox {
-    pub(crate) fn push(&mut self, output: Output) {
-        self.outputs.push(output);
-    }
-
-    pub(crate) fn send(&mut self, to: &VmName, body: Body) {
-        self.outputs.push(Output::Send(to.clone(), body));
-    }
-
-    pub(crate) fn answer(&mut self, call: CallId, answer: Answer) {
-        self.outputs.push(Output::Answer(call, answer));
-    }
-}
-
 impl Node {
     /// A daemon that keeps no state of its own on disk.
     pub fn entry(options: &NodeOptions, now: Instant) -> Node {
@@ -542,53 +338,6 @@
         self.control.as_ref().is_some_and(Control::leads)
     }
 
-    /// A heartbeat goes to the other control VMs, and what is new in it to every daemon.
-    fn heartbeat(&mut self, record: EndpointRecord, now: Instant) {
-        let Some(new) = self.registry.take(record.clone(), now) else {
-            let news = EndpointNews { records: vec![record] };
-            let control = self.directory.known().iter().filter(|vm| self.links.contains(*vm));
-            for vm in control {
-                self.outputs.send(vm, Body::EndpointNews(news.clone()));
-            }
-            return;
-        };
-        self.tell_all(EndpointNews { records: vec![new] });
-    }
-
-    /// What is new here goes on, so that it also reaches daemons which the sender does not: a
-    /// control VM tells all, and an entry, which may be linked to control VMs that are parted
-    /// from each other, tells the leader.
-    fn endpoint_news(&mut self, from: &VmName, news: EndpointNews, now: Instant) {
-        let new: Vec<EndpointRecord> =
-            news.records.into_iter().filter_map(|record| self.registry.take(record, now)).collect();
-        if new.is_empty() {
-            return;
-        }
-        let news = EndpointNews { records: new };
-        if self.control.is_some() {
-            return self.tell_all(news);
-        }
-        if let Some(leader) = self.keeper.leader().filter(|leader| *leader != from) {
-            self.outputs.send(leader, Body::EndpointNews(news));
-        }
-    }
-
-    fn tell_all(&mut self, news: EndpointNews) {
-        for vm in &self.links {
-            self.outputs.send(vm, Body::EndpointNews(news.clone()));
-        }
-    }
-
-    /// Brings the endpoints that registered themselves to the schedulers.
-    fn hand_out_endpoints(&mut self, now: Instant) {
-        let Some(in_force) = self.keeper.in_force() else { return };
-        let engines = Engines::new(&self.registry, &in_force.config);
-        self.placing.configure(&in_force.config, &engines);
-        if let Some(control) = &mut self.control {
-            control.set_engines(engines, now, &mut self.outputs);
-        }
-    }
-
     /// Delivers messages to this node itself and tells the parts of news from each other.
     fn settle(&mut self, clocks: Clocks) {
         loop {
@@ -622,26 +371,6 @@
     }
 }
 
-fn endpoint_statuses(scheduler: &crate::placement::Scheduler, now: Instant) -> Vec<EndpointStatus> {
-    use crate::placement::Health;
-    let status = |(name, state): (&str, &crate::placement::EndpointState)| EndpointStatus {
-        name: name.to_owned(),
-        hall: state.spec().hall.clone(),
-        target: state.spec().target.name().to_owned(),
-        health: match state.health() {
-            Health::Live => "live",
-            Health::Leaving => "leaving",
-            Health::Down(until) if now < until => "down",
-            Health::Down(_) => "retrying",
-        },
-        running: state.running(),
-        slots: state.spec().slots,
-        kv_used: state.kv_used() as u64,
-        kv_tokens: state.spec().kv_tokens,
-    };
-    scheduler.endpoints().into_iter().map(status).collect()
-}
-
 /// A load report with the time at which it was true.
 pub(crate) fn load_report(report: &Report, now: Instant) -> LoadReport {
     LoadReport {
--- a/crates/core/src/node/tests.rs
+++ b/crates/core/src/node/tests.rs
@@ -9,10 +9,13 @@
 
 use super::*;
 use crate::{
+    agreement::Persist,
     config::{Document, EndpointTarget, key_digest},
-    placement::{PrefixHash, Ticket},
+    once::{Claim, ClaimResult},
+    placement::{PrefixHash, Request, Ticket},
     state::ConfigChange,
     testing::{Choices, Disk},
+    wire::Submit,
 };
 
 const REPLICAS: [&str; 3] = ["vm-1", "vm-2", "vm-3"];
