--- /dev/null
+++ b/crates/core/src/wire/control.rs
@@ -0,0 +1,196 @@
+//! Messages with the control replicas: who they are, polls for the configuration, and
+//! operations on the replicated state.
+
+use bytes::Bytes;
+
+use crate::{
+    once::{Claim, Settle, StoredAnswer},
+    state::ConfigChange,
+};
+
+/// See [`super::Body::ReplicaInfo`].
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct ReplicaInfo {
+    /// The replica.
+    #[prost(uint64, tag = "1")]
+    pub replica: u64,
+    /// Whether it has neither log nor snapshot.
+    #[prost(bool, tag = "2")]
+    pub empty: bool,
+}
+
+/// See [`super::Body::Directory`].
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct Directory {
+    /// Names of control VMs that were heard lately.
+    #[prost(string, repeated, tag = "1")]
+    pub vms: Vec<String>,
+}
+
+/// See [`super::Body::Poll`].
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct Poll {
+    /// Number of the poll; the answer repeats it.
+    #[prost(uint64, tag = "1")]
+    pub nonce: u64,
+    /// The version in force at the daemon; zero if none.
+    #[prost(uint64, tag = "2")]
+    pub version: u64,
+    /// Its content hash.
+    #[prost(bytes = "bytes", tag = "3")]
+    pub hash: Bytes,
+}
+
+/// See [`super::Body::PollReply`].
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct PollReply {
+    /// Number of the poll.
+    #[prost(uint64, tag = "1")]
+    pub nonce: u64,
+    /// The accepted version, confirmed by a quorum after the poll was received.
+    #[prost(uint64, tag = "2")]
+    pub version: u64,
+    /// Its content hash.
+    #[prost(bytes = "bytes", tag = "3")]
+    pub hash: Bytes,
+    /// What the daemon lacks.
+    #[prost(message, optional, tag = "4")]
+    pub update: Option<ConfigChange>,
+    /// Term of the leader; changes when the scheduler does.
+    #[prost(uint64, tag = "5")]
+    pub term: u64,
+    /// Number of daemons that the leader hears.
+    #[prost(uint64, tag = "6")]
+    pub daemons: u64,
+}
+
+/// See [`super::Body::NotLeader`].
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct NotLeader {
+    /// Name of the leader's VM, if known.
+    #[prost(string, optional, tag = "1")]
+    pub leader: Option<String>,
+    /// The operation that was not taken, if it was one.
+    #[prost(uint64, optional, tag = "2")]
+    pub operation: Option<u64>,
+}
+
+/// An operator's file, parsed and checked by the daemon that it came to.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct Submit {
+    /// Name of the file, for messages.
+    #[prost(string, tag = "1")]
+    pub file: String,
+    /// What the file changes, relative to the configuration in force at that daemon.
+    #[prost(message, required, tag = "2")]
+    pub command: ConfigChange,
+    /// Whether the operator asks only that this version or a newer one is in force, so that a
+    /// file which comes too late is confirmed instead of refused.
+    #[prost(bool, tag = "3")]
+    pub or_newer: bool,
+}
+
+/// See [`super::Body::Operation`].
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct Operation {
+    /// Number given by the daemon.
+    #[prost(uint64, tag = "1")]
+    pub id: u64,
+    /// What is asked. All are harmless when repeated.
+    #[prost(oneof = "OperationKind", tags = "2, 3, 4")]
+    pub kind: Option<OperationKind>,
+}
+
+/// What an [`Operation`] asks.
+#[derive(Clone, PartialEq, Eq, prost::Oneof)]
+pub enum OperationKind {
+    /// Submit a file.
+    #[prost(message, tag = "2")]
+    Submit(Submit),
+    /// Claim a call.
+    #[prost(message, tag = "3")]
+    Claim(Claim),
+    /// End a claim.
+    #[prost(message, tag = "4")]
+    Settle(Settle),
+}
+
+/// See [`super::Body::OperationReply`].
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct OperationReply {
+    /// Number of the operation.
+    #[prost(uint64, tag = "1")]
+    pub id: u64,
+    /// What it came to.
+    #[prost(oneof = "OperationResult", tags = "2, 3, 4, 5, 6")]
+    pub result: Option<OperationResult>,
+}
+
+/// What an [`Operation`] came to.
+#[derive(Clone, PartialEq, Eq, prost::Oneof)]
+pub enum OperationResult {
+    /// The file is accepted.
+    #[prost(message, tag = "2")]
+    Accepted(AcceptedVersion),
+    /// The file is refused.
+    #[prost(string, tag = "3")]
+    RefusedFile(String),
+    /// Another version was accepted meanwhile; the file must be compared with that one.
+    #[prost(uint64, tag = "6")]
+    Rebase(u64),
+    /// The claim.
+    #[prost(message, tag = "4")]
+    Claim(ClaimReply),
+    /// The claim has ended.
+    #[prost(message, tag = "5")]
+    Settled(Done),
+}
+
+/// An answer without content.
+#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+pub struct Done {}
+
+/// An accepted version.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct AcceptedVersion {
+    /// The version that the file made.
+    #[prost(uint64, tag = "1")]
+    pub version: u64,
+    /// Its content hash.
+    #[prost(bytes = "bytes", tag = "2")]
+    pub hash: Bytes,
+    /// Whether it had been accepted before.
+    #[prost(bool, tag = "3")]
+    pub repeated: bool,
+    /// The version now in force.
+    #[prost(uint64, tag = "4")]
+    pub current: u64,
+}
+
+/// What a claim came to.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct ClaimReply {
+    /// See [`ClaimStatus`].
+    #[prost(enumeration = "ClaimStatus", tag = "1")]
+    pub status: i32,
+    /// The stored answer, if there is one.
+    #[prost(message, optional, tag = "2")]
+    pub answer: Option<StoredAnswer>,
+}
+
+/// Mirrors [`crate::once::ClaimResult`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, prost::Enumeration)]
+pub enum ClaimStatus {
+    /// The call may run.
+    Granted = 0,
+    /// It is running.
+    InProgress = 1,
+    /// It ran.
+    Stored = 2,
+    /// It may have run.
+    Unknown = 3,
+    /// The key was used with another body.
+    KeyReused = 4,
+    /// The key is too old.
+    KeyExpired = 5,
+}
--- /dev/null
+++ b/crates/core/src/wire/endpoints.rs
@@ -0,0 +1,94 @@
+//! Messages about the endpoints: what they say of themselves, their health and their load.
+
+/// See [`super::Body::EndpointNews`].
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct EndpointNews {
+    /// The endpoints.
+    #[prost(message, repeated, tag = "1")]
+    pub records: Vec<EndpointRecord>,
+}
+
+/// What an endpoint said of itself when it registered.
+#[derive(Clone, PartialEq, Eq, Hash, prost::Message)]
+pub struct EndpointRecord {
+    /// Name of this run of the endpoint; another run has another.
+    #[prost(string, tag = "1")]
+    pub id: String,
+    /// The service that it belongs to.
+    #[prost(string, tag = "2")]
+    pub service: String,
+    /// Where it listens, as IP:PORT.
+    #[prost(string, tag = "3")]
+    pub address: String,
+    /// Its data hall.
+    #[prost(string, tag = "4")]
+    pub hall: String,
+    /// Most requests that it runs at once.
+    #[prost(uint64, tag = "5")]
+    pub slots: u64,
+    /// Number of the heartbeat; a higher one is newer.
+    #[prost(uint64, tag = "6")]
+    pub sequence: u64,
+    /// Whether it has said that it will end.
+    #[prost(bool, tag = "7")]
+    pub leaving: bool,
+    /// Whether its heartbeats have stopped.
+    #[prost(bool, tag = "8")]
+    pub silent: bool,
+    /// For how much longer it is slow after its start, in milliseconds.
+    #[prost(uint64, tag = "9")]
+    pub cold_ms: u64,
+}
+
+/// See [`super::Body::Health`].
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct Health {
+    /// The endpoint.
+    #[prost(string, tag = "1")]
+    pub endpoint: String,
+    /// What is known.
+    #[prost(enumeration = "HealthNews", tag = "2")]
+    pub news: i32,
+}
+
+/// News of an endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, prost::Enumeration)]
+pub enum HealthNews {
+    /// It failed to serve a request.
+    Failed = 0,
+    /// It said that it is leaving.
+    Leaving = 1,
+    /// It is no longer leaving.
+    Returned = 2,
+}
+
+/// See [`super::Body::Watch`].
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct Watch {
+    /// Names of the endpoints.
+    #[prost(string, repeated, tag = "1")]
+    pub endpoints: Vec<String>,
+}
+
+/// See [`super::Body::Report`].
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct Report {
+    /// The endpoint.
+    #[prost(string, tag = "1")]
+    pub endpoint: String,
+    /// Requests running.
+    #[prost(uint64, tag = "2")]
+    pub running: u64,
+    /// Requests waiting inside it.
+    #[prost(uint64, tag = "3")]
+    pub waiting: u64,
+    /// Memory in use, in tokens.
+    #[prost(uint64, tag = "4")]
+    pub kv_used: u64,
+    /// Age of the figures in milliseconds.
+    #[prost(uint64, tag = "5")]
+    pub age_ms: u64,
+    /// Whether it is leaving.
+    #[prost(bool, tag = "6")]
+    pub leaving: bool,
+}
--- a/crates/core/src/wire/tests.rs
+++ b/crates/core/src/wire/tests.rs
@@ -1,6 +1,6 @@
 //! Tests of frames and the handshake.
 
-use bytes::BytesMut;
+use bytes::{Bytes, BytesMut};
 use googletest::prelude::*;
 use proptest::prelude::*;
 use tokio_util::codec::{Decoder, Encoder};
