--- a/crates/core/src/config/mod.rs
+++ b/crates/core/src/config/mod.rs
@@ -1,20 +1,24 @@
 //! The operators' declarative file: parsing, checking, hashing and deltas.
 
+mod check;
 mod document;
+mod endpoint;
+mod limits;
 mod reader;
 mod route;
 mod schema;
 mod service;
 #[cfg(test)]
 mod tests;
+mod workspace;
 
 pub use self::{
     document::{ContentHash, Delta, Document, Fault, Faults, HashedSection, Section, SectionName},
+    endpoint::{EndpointSpec, EndpointTarget, Endpoints},
+    limits::CallerLimits,
     reader::{SOURCE, SectionReader},
     route::{NamedRoute, RouteKind, RouteSpec, RouteTable, RouteTarget},
-    schema::{
-        CallSpec, CallerLimits, Config, DEPLOYMENT, Deployment, EndpointSpec, EndpointTarget,
-        Endpoints, KindSpec, LAYOUT, LIMITS, TierSpec, WorkspaceSpec, key_digest,
-    },
-    service::{EngineSpec, ServiceSpec},
+    schema::{Config, DEPLOYMENT, Deployment, KindSpec, LAYOUT, LIMITS, TierSpec},
+    service::{CallSpec, EngineSpec, ServiceSpec},
+    workspace::{WorkspaceSpec, key_digest},
 };
--- a/crates/core/src/config/reader.rs
+++ b/crates/core/src/config/reader.rs
@@ -8,6 +8,13 @@
 /// Key under which an adapter keeps the text that a section was translated from.
 pub const SOURCE: &str = "source";
 
+/// Largest weight or share in a file.
+pub(super) const MAX_WEIGHT: u64 = 1_000;
+/// Largest number of requests or connections in a file.
+pub(super) const MAX_COUNT: u64 = 1_000_000;
+/// Largest number of tokens in an endpoint's memory in a file.
+pub(super) const MAX_TOKENS: u64 = 1_000_000_000;
+
 /// Reads the keys of one section and remembers which were asked for.
 pub struct SectionReader<'a> {
     file: &'a str,
--- a/crates/core/src/config/service.rs
+++ b/crates/core/src/config/service.rs
@@ -1,15 +1,26 @@
 //! Services: plain ones with named calls, and groups of model engines.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, time::Duration};
 
-use super::{reader::SectionReader, schema::CallSpec};
+use super::reader::{MAX_COUNT, MAX_TOKENS, SectionReader};
 
-const MAX_COUNT: u64 = 1_000_000;
-const MAX_TOKENS: u64 = 1_000_000_000;
+/// Time of one attempt, where a file does not say.
+const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
 const DEFAULT_MAX_CONNECTIONS: u64 = 256;
 /// Bytes of a token in an engine's memory, where a file does not say: a 32 B model in 8 bits.
 const DEFAULT_TOKEN_BYTES: u64 = 131_072;
 
+/// One call of a plain service.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CallSpec {
+    /// Kind of request it counts as.
+    pub kind: String,
+    /// Whether it may run more than once.
+    pub repeatable: bool,
+    /// Time allowed for one attempt.
+    pub timeout: Duration,
+}
+
 /// A service.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ServiceSpec {
@@ -54,3 +65,12 @@
     });
     ServiceSpec { calls: BTreeMap::new(), max_connections, health_path, engine }
 }
+
+/// Reads a call.
+pub(super) fn read_call(r: &mut SectionReader<'_>) -> CallSpec {
+    CallSpec {
+        kind: r.text("kind"),
+        repeatable: r.flag("repeatable", None),
+        timeout: r.duration("timeout", Some(DEFAULT_TIMEOUT)),
+    }
+}
