--- /dev/null
+++ b/crates/core/src/placement/endpoint_news.rs
@@ -0,0 +1,67 @@
+//! What a scheduler is told of endpoints.
+
+use std::{collections::HashMap, sync::Arc};
+
+use super::{
+    Ticket,
+    endpoint::{EndpointState, Health, LoadReport},
+    scheduler::{Placed, Scheduler},
+};
+use crate::{config::Endpoints, units::Instant};
+
+impl Scheduler {
+    /// Takes the endpoints of an accepted configuration; what runs goes on.
+    pub fn configure(&mut self, endpoints: &Endpoints) {
+        for target in self.targets.values_mut() {
+            target.endpoints.clear();
+        }
+        let mut kept = HashMap::new();
+        for (name, spec) in endpoints {
+            let name: Arc<str> = name.as_str().into();
+            let target = self.targets.entry(spec.target.clone()).or_default();
+            target.endpoints.push(name.clone());
+            let state = match self.endpoints.remove(&name) {
+                Some(mut state) if state.spec.address == spec.address => {
+                    state.spec = spec.clone();
+                    state
+                }
+                _ => EndpointState::new(name.clone(), spec.clone()),
+            };
+            kept.insert(name, state);
+        }
+        self.endpoints = kept;
+        // Requests at an endpoint that is gone or moved are no longer accounted for.
+        let gone = |p: &Placed| self.endpoints.get(&p.endpoint).is_none_or(|e| e.running == 0);
+        let tickets: Vec<Ticket> =
+            self.placed.iter().filter(|(_, p)| gone(p)).map(|(ticket, _)| *ticket).collect();
+        for ticket in tickets {
+            if let Some(placed) = self.placed.remove(&ticket) {
+                self.count_running(&placed.req, -1);
+            }
+        }
+    }
+
+    /// Notes that an endpoint failed to serve.
+    pub fn endpoint_failed(&mut self, name: &str, now: Instant) {
+        if let Some(endpoint) = self.endpoints.get_mut(name) {
+            endpoint.on_failure(now);
+        }
+    }
+
+    /// Notes that an endpoint is leaving, or has come back.
+    pub fn endpoint_leaving(&mut self, name: &str, leaving: bool) {
+        let Some(endpoint) = self.endpoints.get_mut(name) else { return };
+        match (leaving, endpoint.health) {
+            (true, _) => endpoint.health = Health::Leaving,
+            (false, Health::Leaving) => endpoint.health = Health::Live,
+            (false, _) => {}
+        }
+    }
+
+    /// Takes a lagged load report.
+    pub fn endpoint_report(&mut self, name: &str, report: LoadReport) {
+        if let Some(endpoint) = self.endpoints.get_mut(name) {
+            endpoint.on_report(report);
+        }
+    }
+}
--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -4,6 +4,7 @@
 //! targets. It is soft state: it can be rebuilt from what daemons report.
 
 mod endpoint;
+mod endpoint_news;
 mod evacuation;
 #[cfg(test)]
 mod evacuation_tests;
@@ -11,6 +12,7 @@
 mod policy;
 mod queue;
 mod scheduler;
+mod target;
 #[cfg(test)]
 mod tests;
 
--- a/crates/core/src/placement/scheduler.rs
+++ b/crates/core/src/placement/scheduler.rs
@@ -7,15 +7,15 @@
 };
 
 use super::{
-    Action, PrefixHash, Request, Ticket,
-    endpoint::{EndpointState, Health, LoadReport, Share},
+    Action, Request, Ticket,
+    endpoint::{EndpointState, Share},
     evacuation::Evacuation,
     forecast::LengthForecast,
     policy::{Candidate, Policy},
-    queue::Queue,
+    target::Target,
 };
 use crate::{
-    config::{EndpointTarget, Endpoints},
+    config::EndpointTarget,
     error::{ErrorKind, RequestError},
     units::Instant,
 };
@@ -24,10 +24,6 @@
 /// expectation is too rough to turn away on less.
 const HOPELESS: u32 = 2;
 
-/// Of more endpoints than this, a decision looks at a sample.
-const SAMPLE: usize = 32;
-const MAX_PREFIXES: usize = 50_000;
-
 /// Bounds of a scheduler.
 #[derive(Debug, Clone, Copy)]
 pub struct SchedulerLimits {
@@ -52,52 +48,6 @@
     pub(super) tokens: u64,
 }
 
-#[derive(Debug, Default)]
-struct Target {
-    queue: Queue,
-    endpoints: Vec<Arc<str>>,
-    /// The endpoint that a prompt's start was last sent to.
-    prefix_at: HashMap<PrefixHash, Arc<str>>,
-    /// Smoothed time between starts, in seconds; zero while unknown.
-    start_gap: f64,
-    last_start: Option<Instant>,
-}
-
-impl Target {
-    /// Endpoints to choose from: all of a few; of many, an even sample whose offset moves on,
-    /// and the one that may have the prefix. So the cost of a decision stays flat.
-    fn sample(&self, number: usize, prefix: PrefixHash) -> impl Iterator<Item = &Arc<str>> {
-        let count = self.endpoints.len();
-        let step = count.div_ceil(SAMPLE).max(1);
-        let with_prefix = self.prefix_at.get(&prefix).filter(|_| 1 < step);
-        let sampled = self.endpoints.iter().skip(number % step).step_by(step);
-        sampled.chain(with_prefix)
-    }
-
-    /// Notes where a prompt's start will be cached.
-    fn note_prefix(&mut self, prefix: PrefixHash, endpoint: &Arc<str>) {
-        if MAX_PREFIXES <= self.prefix_at.len() {
-            self.prefix_at.clear();
-        }
-        self.prefix_at.insert(prefix, endpoint.clone());
-    }
-
-    /// Learns how fast places come free. Only between starts out of a queue does the gap tell.
-    fn note_start(&mut self, now: Instant) {
-        const SMOOTHING: f64 = 0.05;
-        if let Some(last) = self.last_start {
-            let gap = now.since(last).as_secs_f64();
-            self.start_gap += SMOOTHING * (gap - self.start_gap);
-        }
-        self.last_start = (0 < self.queue.len()).then_some(now);
-    }
-
-    /// Time until a new request of this rank would start.
-    fn expected_wait(&self, rank: u64) -> Duration {
-        Duration::from_secs_f64(self.start_gap * self.queue.ahead_of(rank) as f64)
-    }
-}
-
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct Expiry {
     at: Instant,
@@ -132,7 +82,7 @@
     limits: SchedulerLimits,
     pub(super) policy: Box<dyn Policy>,
     forecast: LengthForecast,
-    targets: HashMap<EndpointTarget, Target>,
+    pub(super) targets: HashMap<EndpointTarget, Target>,
     pub(super) endpoints: HashMap<Arc<str>, EndpointState>,
     queued: HashMap<Ticket, Queued>,
     expiries: BTreeSet<Expiry>,
@@ -161,37 +111,6 @@
         }
     }
 
-    /// Takes the endpoints of an accepted configuration; what runs goes on.
-    pub fn configure(&mut self, endpoints: &Endpoints) {
-        for target in self.targets.values_mut() {
-            target.endpoints.clear();
-        }
-        let mut kept = HashMap::new();
-        for (name, spec) in endpoints {
-            let name: Arc<str> = name.as_str().into();
-            let target = self.targets.entry(spec.target.clone()).or_default();
-            target.endpoints.push(name.clone());
-            let state = match self.endpoints.remove(&name) {
-                Some(mut state) if state.spec.address == spec.address => {
-                    state.spec = spec.clone();
-                    state
-                }
-                _ => EndpointState::new(name.clone(), spec.clone()),
-            };
-            kept.insert(name, state);
-        }
-        self.endpoints = kept;
-        // Requests at an endpoint that is gone or moved are no longer accounted for.
-        let gone = |p: &Placed| self.endpoints.get(&p.endpoint).is_none_or(|e| e.running == 0);
-        let tickets: Vec<Ticket> =
-            self.placed.iter().filter(|(_, p)| gone(p)).map(|(ticket, _)| *ticket).collect();
-        for ticket in tickets {
-            if let Some(placed) = self.placed.remove(&ticket) {
-                self.count_running(&placed.req, -1);
-            }
-        }
-    }
-
     /// The endpoint of this name.
     pub fn endpoint(&self, name: &str) -> Option<&EndpointState> {
         self.endpoints.get(name)
@@ -343,30 +262,6 @@
         }
     }
 
-    /// Notes that an endpoint failed to serve.
-    pub fn endpoint_failed(&mut self, name: &str, now: Instant) {
-        if let Some(endpoint) = self.endpoints.get_mut(name) {
-            endpoint.on_failure(now);
-        }
-    }
-
-    /// Notes that an endpoint is leaving, or has come back.
-    pub fn endpoint_leaving(&mut self, name: &str, leaving: bool) {
-        let Some(endpoint) = self.endpoints.get_mut(name) else { return };
-        match (leaving, endpoint.health) {
-            (true, _) => endpoint.health = Health::Leaving,
-            (false, Health::Leaving) => endpoint.health = Health::Live,
-            (false, _) => {}
-        }
-    }
-
-    /// Takes a lagged load report.
-    pub fn endpoint_report(&mut self, name: &str, report: LoadReport) {
-        if let Some(endpoint) = self.endpoints.get_mut(name) {
-            endpoint.on_report(report);
-        }
-    }
-
     fn expire(&mut self, now: Instant) -> Vec<Action> {
         let mut actions = Vec::new();
         while let Some(expiry) = self.expiries.first().copied() {
@@ -461,7 +356,7 @@
     }
 
     /// Counts a request as running or no longer so, and holds its workspace back at the limit.
-    fn count_running(&mut self, req: &Request, change: i64) {
+    pub(super) fn count_running(&mut self, req: &Request, change: i64) {
         let count = self.counts.entry(req.workspace.clone()).or_default();
         count.running = count.running.saturating_add_signed(change);
         let hold = req.max_running <= count.running;
--- /dev/null
+++ b/crates/core/src/placement/target.rs
@@ -0,0 +1,62 @@
+//! One model or service: its queue, its endpoints and how fast places come free there.
+
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+use super::{PrefixHash, queue::Queue};
+use crate::units::Instant;
+
+/// Of more endpoints than this, a decision looks at a sample.
+const SAMPLE: usize = 32;
+/// Of more starts of prompts than this, all are forgotten, against growth without end.
+const MAX_PREFIXES: usize = 50_000;
+
+/// What waits for one model or service, and where it may go.
+#[derive(Debug, Default)]
+pub(super) struct Target {
+    pub(super) queue: Queue,
+    pub(super) endpoints: Vec<Arc<str>>,
+    /// The endpoint that a prompt's start was last sent to.
+    prefix_at: HashMap<PrefixHash, Arc<str>>,
+    /// Smoothed time between starts, in seconds; zero while unknown.
+    start_gap: f64,
+    last_start: Option<Instant>,
+}
+
+impl Target {
+    /// Endpoints to choose from: all of a few; of many, an even sample whose offset moves on,
+    /// and the one that may have the prefix. So the cost of a decision stays flat.
+    pub(super) fn sample(
+        &self,
+        number: usize,
+        prefix: PrefixHash,
+    ) -> impl Iterator<Item = &Arc<str>> {
+        let count = self.endpoints.len();
+        let step = count.div_ceil(SAMPLE).max(1);
+        let with_prefix = self.prefix_at.get(&prefix).filter(|_| 1 < step);
+        let sampled = self.endpoints.iter().skip(number % step).step_by(step);
+        sampled.chain(with_prefix)
+    }
+
+    /// Notes where a prompt's start will be cached.
+    pub(super) fn note_prefix(&mut self, prefix: PrefixHash, endpoint: &Arc<str>) {
+        if MAX_PREFIXES <= self.prefix_at.len() {
+            self.prefix_at.clear();
+        }
+        self.prefix_at.insert(prefix, endpoint.clone());
+    }
+
+    /// Learns how fast places come free. Only between starts out of a queue does the gap tell.
+    pub(super) fn note_start(&mut self, now: Instant) {
+        const SMOOTHING: f64 = 0.05;
+        if let Some(last) = self.last_start {
+            let gap = now.since(last).as_secs_f64();
+            self.start_gap += SMOOTHING * (gap - self.start_gap);
+        }
+        self.last_start = (0 < self.queue.len()).then_some(now);
+    }
+
+    /// Time until a new request of this rank would start.
+    pub(super) fn expected_wait(&self, rank: u64) -> Duration {
+        Duration::from_secs_f64(self.start_gap * self.queue.ahead_of(rank) as f64)
+    }
+}
