--- a/crates/server/src/relay/generation.rs
+++ b/crates/server/src/relay/generation.rs
@@ -18,7 +18,8 @@
     Answer, Job, Relay, Turned,
     call::CONNECT_LIMIT,
     job::GoOn,
-    stream::{Pump, Source, Step},
+    source::{Source, Step},
+    stream::Pump,
 };
 use crate::{
     edge::{self, Body},
--- a/crates/server/src/relay/mod.rs
+++ b/crates/server/src/relay/mod.rs
@@ -12,6 +12,7 @@
 mod loads;
 mod moves;
 mod protocol;
+mod source;
 mod stream;
 #[cfg(test)]
 mod tests;
--- a/crates/server/src/relay/stream.rs
+++ b/crates/server/src/relay/stream.rs
@@ -18,12 +18,13 @@
     generation::{Opened, open, open_at},
     job::GoOn,
     moves::{Move, MoveEnd},
+    source::{Source, Step},
 };
 use crate::{
     edge::AnswerError,
     runtime::{MoveOrder, Placed},
     telemetry::EventId,
-    upstream::{AnswerBody, Event, EventSplitter},
+    upstream::Event,
 };
 
 /// The node is told of progress after this many events: it forecasts memory by it.
@@ -33,49 +34,6 @@
 /// After a generation has stopped, what it made before is on the connection already.
 const DRAIN_LIMIT: Duration = Duration::from_millis(100);
 
-/// What comes next on a stream.
-pub(super) enum Step {
-    /// An event.
-    Event(Event),
-    /// The stream ended as it should.
-    Ended,
-    /// It broke off.
-    Lost(String),
-}
-
-/// Events on the connection to one endpoint.
-pub(super) struct Source {
-    body: AnswerBody,
-    splitter: EventSplitter,
-}
-
-impl Source {
-    pub(super) fn new(body: AnswerBody) -> Source {
-        Source { body, splitter: EventSplitter::default() }
-    }
-
-    /// The next step. Nothing is lost when the future is dropped.
-    pub(super) async fn next(&mut self) -> Step {
-        loop {
-            if let Some(event) = self.splitter.next_event() {
-                return Step::Event(event);
-            }
-            match self.body.next().await {
-                Some(Ok(bytes)) => {
-                    if let Err(problem) = self.splitter.push(&bytes) {
-                        return Step::Lost(problem);
-                    }
-                }
-                Some(Err(problem)) => return Step::Lost(problem),
-                None if self.splitter.has_rest() => {
-                    return Step::Lost("the stream ended in the middle of an event".into());
-                }
-                None => return Step::Ended,
-            }
-        }
-    }
-}
-
 /// How a generation ended.
 enum Cause {
     Answered,
@@ -155,43 +113,42 @@
     async fn carry(&mut self) -> Cause {
         loop {
             let deadline = sleep_until(self.job.deadline.into());
-            tokio::select! {
+            let result = tokio::select! {
                 biased;
-                () = self.tx.closed() => return Cause::CallerLeft,
-                step = self.source.next() => match step {
-                    Step::Event(event) => {
-                        if let Err(cause) = self.deliver(event).await {
-                            return cause;
-                        }
-                    }
-                    Step::Ended if self.is_stopped() => {
-                        if let Err(cause) = self.follow_move(true).await {
-                            return cause;
-                        }
-                    }
-                    Step::Ended => return Cause::Answered,
-                    Step::Lost(_) if self.is_stopped() => {
-                        if let Err(cause) = self.follow_move(false).await {
-                            return cause;
-                        }
-                    }
-                    Step::Lost(problem) => {
-                        if let Err(cause) = self.start_again(problem).await {
-                            return cause;
-                        }
-                    }
-                },
-                Some(order) = self.orders.recv(), if self.moving.is_none() => self.begin(&order),
-                end = next_end(&mut self.moving) => {
-                    if let Err(cause) = self.take_move(end).await {
-                        return cause;
-                    }
+                () = self.tx.closed() => Err(Cause::CallerLeft),
+                step = self.source.next() => self.take_step(step).await,
+                Some(order) = self.orders.recv(), if self.moving.is_none() => {
+                    self.begin(&order);
+                    Ok(())
                 }
-                () = deadline => return Cause::TimeOver,
+                end = next_end(&mut self.moving) => self.take_move(end).await,
+                () = deadline => Err(Cause::TimeOver),
+            };
+            if let Err(cause) = result {
+                return cause;
             }
         }
     }
 
+    async fn take_step(&mut self, step: Step) -> Result<(), Cause> {
+        match step {
+            Step::Event(event) => self.deliver(event).await,
+            Step::Ended if self.is_stopped() => self.follow_move(true).await,
+            Step::Ended => Err(Cause::Answered),
+            Step::Lost(_) if self.is_stopped() => self.follow_move(false).await,
+            Step::Lost(problem) => self.start_again(problem).await,
+        }
+    }
+
+    /// Goes on with the events of another connection.
+    async fn switch(&mut self, source: Source, first: Option<Event>) -> Result<(), Cause> {
+        self.source = source;
+        match first {
+            Some(event) => self.deliver(event).await,
+            None => Err(Cause::Answered),
+        }
+    }
+
     /// Passes an event on, unless the caller has it.
     async fn deliver(&mut self, event: Event) -> Result<(), Cause> {
         if let Some(id) = event.id {
@@ -307,12 +264,8 @@
             let opened = timeout(self.job.time_left(), opened).await;
             match opened.map_err(|_| Cause::TimeOver)? {
                 Ok(Opened::Stream { source, first, .. }) => {
-                    self.source = source;
                     self.placed.moved(endpoint, endpoint == to);
-                    return match first {
-                        Some(event) => self.deliver(event).await,
-                        None => Err(Cause::Answered),
-                    };
+                    return self.switch(source, first).await;
                 }
                 Ok(Opened::Failed { head, .. }) => problem = head.status.to_string(),
                 Err(lost) => problem = format!("{lost:?}"),
@@ -321,23 +274,35 @@
         Err(Cause::Lost(format!("the copy could not be used: {problem}")))
     }
 
-    /// Runs what may be run again from the last event on, at another endpoint.
-    async fn start_again(&mut self, problem: String) -> Result<(), Cause> {
+    /// Whether the generation may run again after this problem; counts the repeat if so.
+    fn take_repeat(&self, problem: &str) -> Result<(), Cause> {
         let spec = &self.job.route.spec;
         let repeatable = spec.kind.is_repeatable() && self.starts < spec.max_attempts;
         if !repeatable || self.relay.check_may_run(&self.job).is_err() {
-            return Err(Cause::Lost(problem));
+            return Err(Cause::Lost(problem.to_owned()));
         }
         if !self.relay.may_repeat(&self.job.service) {
             return Err(Cause::Lost(format!("{problem}; no more repeats are allowed now")));
         }
-        self.starts += 1;
+        Ok(())
+    }
+
+    /// Finds a place at another endpoint.
+    async fn place_again(&mut self, problem: &str) -> Result<(), Cause> {
         let left = self.placed.endpoint().clone();
         let placing = self.relay.node.place(self.job.place_request(Some(left)));
         let placed = timeout(self.job.time_left(), placing).await.map_err(|_| Cause::TimeOver)?;
         self.placed = placed.map_err(|e| Cause::Lost(format!("{problem}; {}", e.message)))?;
         self.orders = self.placed.orders();
         self.moving = None;
+        Ok(())
+    }
+
+    /// Runs what may be run again from the last event on, at another endpoint.
+    async fn start_again(&mut self, problem: String) -> Result<(), Cause> {
+        self.take_repeat(&problem)?;
+        self.starts += 1;
+        self.place_again(&problem).await?;
         let go_on = GoOn { after: self.last, memory: None };
         let opened = open(&self.relay, &self.job, &self.placed, &go_on);
         let opened = timeout(self.job.time_left(), opened).await.map_err(|_| Cause::TimeOver)?;
@@ -347,13 +312,7 @@
             "a generation goes on at another endpoint: {problem}"
         );
         match opened {
-            Ok(Opened::Stream { source, first, .. }) => {
-                self.source = source;
-                match first {
-                    Some(event) => self.deliver(event).await,
-                    None => Err(Cause::Answered),
-                }
-            }
+            Ok(Opened::Stream { source, first, .. }) => self.switch(source, first).await,
             Ok(Opened::Failed { head, .. }) => Err(Cause::Lost(head.status.to_string())),
             Err(lost) => Err(Cause::Lost(format!("{problem}; {lost:?}"))),
         }
