--- a/crates/server/src/relay/call.rs
+++ b/crates/server/src/relay/call.rs
@@ -13,7 +13,7 @@
     registry::Registered,
 };
 
-use super::{Answer, Job, Relay, Turned, job::GoOn, loads::Verdict};
+use super::{Answer, Job, MAX_TURNED, Relay, Turned, job::GoOn, loads::Verdict, no_answer};
 use crate::{
     edge::{self, Body, LocalFuture},
     telemetry::EventId,
@@ -25,8 +25,6 @@
 pub(super) const CONNECT_LIMIT: Duration = Duration::from_millis(150);
 /// Largest answer that is held until it is whole.
 const MAX_ANSWER: usize = 16 * 1024 * 1024;
-/// Endpoints that may turn one request away before its caller is told so.
-const MAX_TURNED: u32 = 3;
 /// A call that may be repeated and has not been answered in this part of its target time is
 /// sent to a second endpoint as well.
 const SECOND_AFTER: f64 = 0.5;
@@ -41,6 +39,18 @@
     Unknown(String),
 }
 
+impl End {
+    /// Its name and details for a line of the log.
+    fn describe(&self) -> (&'static str, String) {
+        match self {
+            End::Answer { head, success: true, .. } => ("answered", head.status.to_string()),
+            End::Answer { head, .. } => ("failed", head.status.to_string()),
+            End::NotRun(problem) => ("not_run", problem.clone()),
+            End::Unknown(problem) => ("unknown", problem.clone()),
+        }
+    }
+}
+
 /// Serves one call.
 pub(super) async fn serve(relay: &Relay, job: Job) -> Response<Body> {
     let mut call = Call::new(relay, &job);
@@ -48,10 +58,7 @@
         Ok((head, body)) => {
             let cause = if head.status.is_success() { "answered" } else { "endpoint_failed" };
             job.ended(&relay.metrics, cause, head.status.as_str());
-            let mut answer = Response::new(edge::full(body));
-            *answer.status_mut() = head.status;
-            *answer.headers_mut() = relay.protocol.answer_headers(&head);
-            answer
+            relay.answer(&head, edge::full(body))
         }
         Err(error) => relay.fail(&job, &error),
     }
@@ -104,7 +111,7 @@
                     hedged = true;
                     self.start_another();
                 }
-                () = deadline.as_mut() => return Err(self.over("the time is over")),
+                () = deadline.as_mut() => return Err(no_answer(self.starts, "the time is over")),
             }
         }
     }
@@ -144,18 +151,10 @@
         }
         match self.failure.take() {
             Some(answer) => Ok(Some(answer)),
-            None => Err(self.over(&self.problem)),
+            None => Err(no_answer(self.starts, &self.problem)),
         }
     }
 
-    /// The error when no answer will come.
-    fn over(&self, problem: &str) -> RequestError {
-        if self.starts == 0 {
-            return RequestError::new(ErrorKind::EndpointRefused, problem);
-        }
-        RequestError::new(ErrorKind::OutcomeUnknown, problem)
-    }
-
     /// Starts another attempt if the route, the budget and the endpoints allow it.
     fn start_another(&mut self) {
         if self.job.route.spec.max_attempts <= self.starts || self.job.time_left().is_zero() {
@@ -196,10 +195,28 @@
     let inputs = relay.inputs();
     let own_running = relay.loads.running(&endpoint.id);
     let running = relay.loads.begin(&endpoint.id);
+    let (end, verdict) = ask(relay, job, &endpoint).await;
+    drop(running);
+    relay.loads.note(&endpoint.id, verdict);
+    let (name, detail) = end.describe();
+    relay.metrics.attempt(&job.service, name);
+    log::info!(
+        event = EventId::AttemptEnded.number(), id = job.caller.id.as_str(),
+        endpoint = &*endpoint.id, end = name, detail = detail.as_str(),
+        config = inputs.config, config_age_ms = inputs.config_age_ms,
+        sequence = endpoint.sequence, own_running = own_running,
+        took_ms = began.elapsed().as_millis() as u64;
+        "an attempt ended"
+    );
+    end
+}
+
+/// Sends the request and waits for the whole answer; tells how well the endpoint did.
+async fn ask(relay: &Relay, job: &Job, endpoint: &Registered) -> (End, Verdict) {
     let protocol = &*relay.protocol;
     let req = job.request(protocol, &endpoint.id, endpoint.address, &GoOn::default());
     let opened = exchange(endpoint.address, req, CONNECT_LIMIT.min(job.time_left())).await;
-    let (end, verdict) = match opened {
+    match opened {
         Err(SendError::NotSent(problem)) => (End::NotRun(problem), Verdict::Dead),
         Err(SendError::Lost(problem)) => (End::Unknown(problem), Verdict::Dead),
         Ok(open) => match protocol.judge(&job.caller.id, &open.head) {
@@ -218,23 +235,5 @@
                 Err(problem) => (End::Unknown(problem), Verdict::Failed),
             },
         },
-    };
-    drop(running);
-    relay.loads.note(&endpoint.id, verdict);
-    let (name, detail) = match &end {
-        End::Answer { head, success: true, .. } => ("answered", head.status.to_string()),
-        End::Answer { head, .. } => ("failed", head.status.to_string()),
-        End::NotRun(problem) => ("not_run", problem.clone()),
-        End::Unknown(problem) => ("unknown", problem.clone()),
-    };
-    relay.metrics.attempt(&job.service, name);
-    log::info!(
-        event = EventId::AttemptEnded.number(), id = job.caller.id.as_str(),
-        endpoint = &*endpoint.id, end = name, detail = detail.as_str(),
-        config = inputs.config, config_age_ms = inputs.config_age_ms,
-        sequence = endpoint.sequence, own_running = own_running,
-        took_ms = began.elapsed().as_millis() as u64;
-        "an attempt ended"
-    );
-    end
+    }
 }
--- a/crates/server/src/relay/generation.rs
+++ b/crates/server/src/relay/generation.rs
@@ -15,9 +15,10 @@
 };
 
 use super::{
-    Answer, Job, Relay, Turned,
+    Answer, Job, MAX_TURNED, Relay, Turned,
     call::CONNECT_LIMIT,
     job::GoOn,
+    no_answer,
     source::{Source, Step},
     stream::Pump,
 };
@@ -30,8 +31,6 @@
 
 /// Events that may wait for a slow caller.
 const MAX_EVENTS: usize = 64;
-/// Endpoints that may turn one generation away before its caller is told so.
-const MAX_TURNED: u32 = 3;
 
 /// An attempt that brought an answer.
 pub(super) enum Opened {
@@ -55,19 +54,14 @@
     match start(&relay, &job).await {
         Ok((placed, Opened::Stream { head, source, first })) => {
             let (tx, rx) = mpsc::channel(MAX_EVENTS);
-            let mut answer = Response::new(edge::streamed(rx));
-            *answer.status_mut() = head.status;
-            *answer.headers_mut() = relay.protocol.answer_headers(&head);
+            let answer = relay.answer(&head, edge::streamed(rx));
             let pump = Pump::new(relay, job, placed, source, tx);
             tokio::task::spawn_local(pump.run(first));
             answer
         }
         Ok((_, Opened::Failed { head, body })) => {
             job.ended(&relay.metrics, "endpoint_failed", head.status.as_str());
-            let mut answer = Response::new(edge::full(body));
-            *answer.status_mut() = head.status;
-            *answer.headers_mut() = relay.protocol.answer_headers(&head);
-            answer
+            relay.answer(&head, edge::full(body))
         }
         Err(error) => relay.fail(&job, &error),
     }
@@ -80,13 +74,14 @@
     let mut turned = 0;
     loop {
         let placed = timeout(job.time_left(), place(relay, job, avoid.take())).await;
-        let placed = placed.map_err(|_| over(starts, "the time is over"))?;
-        let placed = placed.map_err(|e| if starts == 0 { e } else { over(starts, &e.message) })?;
+        let placed = placed.map_err(|_| no_answer(starts, "the time is over"))?;
+        let placed =
+            placed.map_err(|e| if starts == 0 { e } else { no_answer(starts, &e.message) })?;
         relay.check_may_run(job)?;
         let go_on = GoOn { after: job.caller.after, memory: None };
         let opened = open(relay, job, &placed, &go_on);
         let opened = timeout(job.time_left(), opened).await;
-        let opened = opened.map_err(|_| over(starts + 1, "the time is over"))?;
+        let opened = opened.map_err(|_| no_answer(starts + 1, "the time is over"))?;
         let endpoint = placed.endpoint().clone();
         let problem = match opened {
             Ok(Opened::Failed { .. })
@@ -99,20 +94,20 @@
             Err(Lost::NotRun(problem)) => {
                 turned += 1;
                 if MAX_TURNED <= turned {
-                    return Err(over(starts, &problem));
+                    return Err(no_answer(starts, &problem));
                 }
                 problem
             }
             Err(Lost::Unknown(problem)) => {
                 starts += 1;
                 if !spec.kind.is_repeatable() || spec.max_attempts <= starts {
-                    return Err(over(starts, &problem));
+                    return Err(no_answer(starts, &problem));
                 }
                 problem
             }
         };
         if !relay.may_repeat(&job.service) {
-            return Err(over(starts, &format!("no more repeats are allowed now: {problem}")));
+            return Err(no_answer(starts, &format!("no more repeats are allowed now: {problem}")));
         }
         avoid = Some(endpoint);
     }
@@ -135,12 +130,6 @@
     }
 }
 
-/// The error when no answer will come.
-fn over(starts: u32, problem: &str) -> RequestError {
-    let kind = if starts == 0 { ErrorKind::EndpointRefused } else { ErrorKind::OutcomeUnknown };
-    RequestError::new(kind, problem)
-}
-
 /// Sends a generation to its place and waits for the first event.
 pub(super) async fn open(
     relay: &Relay,
@@ -161,18 +150,7 @@
     let began = Instant::now();
     let inputs = relay.inputs();
     let opened = send(relay, job, endpoint, go_on).await;
-    let (name, detail) = match &opened {
-        Ok(Opened::Stream { first, .. }) => (
-            "streams",
-            first
-                .as_ref()
-                .and_then(|e| e.id)
-                .map_or_else(String::new, |id| format!("from event {id}")),
-        ),
-        Ok(Opened::Failed { head, .. }) => ("failed", head.status.to_string()),
-        Err(Lost::NotRun(problem)) => ("not_run", problem.clone()),
-        Err(Lost::Unknown(problem)) => ("unknown", problem.clone()),
-    };
+    let (name, detail) = describe(&opened);
     relay.metrics.attempt(&job.service, name);
     log::info!(
         event = EventId::AttemptEnded.number(), id = job.caller.id.as_str(),
@@ -184,6 +162,19 @@
     opened
 }
 
+/// Name and details of an attempt's end for a line of the log.
+fn describe(opened: &Result<Opened, Lost>) -> (&'static str, String) {
+    match opened {
+        Ok(Opened::Stream { first, .. }) => {
+            let id = first.as_ref().and_then(|event| event.id);
+            ("streams", id.map_or_else(String::new, |id| format!("from event {id}")))
+        }
+        Ok(Opened::Failed { head, .. }) => ("failed", head.status.to_string()),
+        Err(Lost::NotRun(problem)) => ("not_run", problem.clone()),
+        Err(Lost::Unknown(problem)) => ("unknown", problem.clone()),
+    }
+}
+
 async fn send(relay: &Relay, job: &Job, endpoint: &Arc<str>, go_on: &GoOn) -> Result<Opened, Lost> {
     let Some(known) = relay.node.view().endpoint(endpoint) else {
         return Err(Lost::NotRun("the endpoint has just ended".into()));
--- a/crates/server/src/relay/mod.rs
+++ b/crates/server/src/relay/mod.rs
@@ -19,9 +19,9 @@
 
 use std::{cell::RefCell, collections::HashMap, rc::Rc, sync::Arc, time::Duration};
 
-use http::{Request, Response};
+use http::{Request, Response, response};
 use hyper::body::Incoming;
-use trayswitch_core::error::RequestError;
+use trayswitch_core::error::{ErrorKind, RequestError};
 
 pub use self::protocol::{
     Answer, Attempt, CallerRequest, Copied, CopyOrder, MemoryAt, Prompt, Protocol, Turned,
@@ -33,6 +33,9 @@
     telemetry::{EventId, Metrics},
 };
 
+/// Endpoints that may turn one request away before its caller is told so.
+const MAX_TURNED: u32 = 3;
+
 /// Bounds that the operators set for all entries.
 #[derive(Debug, Clone, Copy)]
 pub struct RelayOptions {
@@ -127,6 +130,14 @@
         }
     }
 
+    /// An endpoint's answer as its caller sees it.
+    fn answer(&self, head: &response::Parts, body: Body) -> Response<Body> {
+        let mut answer = Response::new(body);
+        *answer.status_mut() = head.status;
+        *answer.headers_mut() = self.protocol.answer_headers(head);
+        answer
+    }
+
     /// The answer to a request that ends in an error, without an endpoint's answer.
     fn refuse(&self, id: &str, error: &RequestError) -> Response<Body> {
         log::info!(
@@ -143,6 +154,12 @@
     }
 }
 
+/// The error when no answer will come, after so many attempts that may have run.
+fn no_answer(starts: u32, problem: &str) -> RequestError {
+    let kind = if starts == 0 { ErrorKind::EndpointRefused } else { ErrorKind::OutcomeUnknown };
+    RequestError::new(kind, problem)
+}
+
 /// Counts a request as in progress while it lives.
 pub(crate) struct InProgress(Rc<Metrics>);
 
