--- /dev/null
+++ b/crates/core/src/node/admit.rs
@@ -0,0 +1,56 @@
+//! Requests as daemons tell the scheduler of them.
+
+use std::time::Duration;
+
+use super::CallId;
+use crate::{
+    config::EndpointTarget,
+    placement::{PrefixHash, Request, Ticket},
+    wire::Admit,
+};
+
+/// The message by which a daemon asks for a place for a request that may wait this long.
+pub(super) fn encode(call: CallId, req: &Request, max_wait: Duration) -> Admit {
+    Admit {
+        number: call.0,
+        workspace: req.workspace.to_string(),
+        kind: req.kind.to_string(),
+        target: req.target.name().to_owned(),
+        is_service: matches!(req.target, EndpointTarget::Service(_)),
+        prompt_tokens: req.prompt_tokens,
+        prefix: req.prefix.0,
+        max_tokens: req.max_tokens,
+        max_wait_ms: max_wait.as_millis() as u64,
+        avoid: req.avoid.as_deref().map(str::to_owned),
+        rank: req.rank,
+        share: req.share,
+        max_running: req.max_running,
+        max_waiting: req.max_waiting,
+        running_at: None,
+        tokens: 0,
+    }
+}
+
+/// The request that a daemon asks a place for.
+pub(super) fn decode(ticket: Ticket, admit: Admit) -> Request {
+    let target = if admit.is_service {
+        EndpointTarget::Service(admit.target)
+    } else {
+        EndpointTarget::Model(admit.target)
+    };
+    Request {
+        ticket,
+        workspace: admit.workspace.into(),
+        rank: admit.rank,
+        share: admit.share.max(1),
+        max_running: admit.max_running,
+        max_waiting: admit.max_waiting,
+        kind: admit.kind.into(),
+        target,
+        prompt_tokens: admit.prompt_tokens,
+        prefix: PrefixHash(admit.prefix),
+        max_tokens: admit.max_tokens,
+        max_wait: Duration::from_millis(admit.max_wait_ms),
+        avoid: admit.avoid.map(Into::into),
+    }
+}
--- a/crates/core/src/node/dispatcher.rs
+++ b/crates/core/src/node/dispatcher.rs
@@ -9,13 +9,11 @@
     time::Duration,
 };
 
-use super::{ByVm, Outbox, VmName, load_report};
+use super::{ByVm, Outbox, VmName, admit, load_report};
 use crate::{
-    config::{EndpointTarget, Endpoints},
+    config::Endpoints,
     error::RequestError,
-    placement::{
-        Action, ForecastPolicy, PrefixHash, Relocation, Request, Scheduler, SchedulerLimits, Ticket,
-    },
+    placement::{Action, ForecastPolicy, Relocation, Scheduler, SchedulerLimits, Ticket},
     units::Instant,
     wire::{Admit, Body, GiveUp, Grant, Health, HealthNews, Move, Moved, Progress, Report, Watch},
 };
@@ -79,7 +77,7 @@
         let ticket = Ticket { entry: self.number(from), number: admit.number };
         let running_at = admit.running_at.clone();
         let tokens = admit.tokens;
-        let req = request(ticket, admit);
+        let req = admit::decode(ticket, admit);
         if let Some(endpoint) = running_at {
             self.scheduler.adopt(req, &endpoint, tokens, now);
             return;
@@ -257,26 +255,3 @@
         message: error.message,
     }
 }
-
-fn request(ticket: Ticket, admit: Admit) -> Request {
-    let target = if admit.is_service {
-        EndpointTarget::Service(admit.target)
-    } else {
-        EndpointTarget::Model(admit.target)
-    };
-    Request {
-        ticket,
-        workspace: admit.workspace.into(),
-        rank: admit.rank,
-        share: admit.share.max(1),
-        max_running: admit.max_running,
-        max_waiting: admit.max_waiting,
-        kind: admit.kind.into(),
-        target,
-        prompt_tokens: admit.prompt_tokens,
-        prefix: PrefixHash(admit.prefix),
-        max_tokens: admit.max_tokens,
-        max_wait: Duration::from_millis(admit.max_wait_ms),
-        avoid: admit.avoid.map(Into::into),
-    }
-}
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -10,6 +10,7 @@
 //! - [`dispatcher`] is the scheduler that the leader runs for all daemons;
 //! - [`directory`] knows the control VMs and [`endpoints`] the endpoints that register.
 
+mod admit;
 mod control;
 mod directory;
 mod dispatcher;
--- a/crates/core/src/node/placing.rs
+++ b/crates/core/src/node/placing.rs
@@ -11,11 +11,11 @@
 };
 
 use super::{
-    Answer, CallId, Outbox, Output, Placement, VmName, engines::Engines, keeper::SchedulerAt,
-    load_report,
+    Answer, CallId, Outbox, Output, Placement, VmName, admit, engines::Engines,
+    keeper::SchedulerAt, load_report,
 };
 use crate::{
-    config::{Config, EndpointTarget, Endpoints},
+    config::{Config, Endpoints},
     error::{ErrorKind, RequestError},
     placement::{Action, ForecastPolicy, Relocation, Request, Scheduler, SchedulerLimits, Ticket},
     units::Instant,
@@ -34,6 +34,13 @@
     remote: bool,
 }
 
+impl Waiting {
+    /// Asks a scheduler for a place.
+    fn admit(&self, call: CallId, now: Instant) -> Admit {
+        admit::encode(call, &self.req, self.deadline.since(now).saturating_sub(GRACE))
+    }
+}
+
 #[derive(Debug)]
 struct Running {
     req: Request,
@@ -43,8 +50,8 @@
 
 impl Running {
     /// Tells a scheduler that this request already runs.
-    fn admit(&self, call: CallId, now: Instant) -> Admit {
-        let mut admit = admit(call, &self.req, now, now);
+    fn admit(&self, call: CallId) -> Admit {
+        let mut admit = admit::encode(call, &self.req, Duration::ZERO);
         admit.running_at = Some(self.endpoint.to_string());
         admit.tokens = self.tokens;
         admit
@@ -144,8 +151,9 @@
         let remote = scheduler.is_some();
         match scheduler {
             Some(scheduler) => {
-                out.send(&scheduler.vm, Body::Admit(admit(call, &req, deadline, now)));
-                self.waiting.insert(call, Waiting { req, deadline, remote });
+                let waiting = Waiting { req, deadline, remote };
+                out.send(&scheduler.vm, Body::Admit(waiting.admit(call, now)));
+                self.waiting.insert(call, waiting);
             }
             None => self.place_locally(call, req, deadline, now, out),
         }
@@ -276,11 +284,10 @@
         self.scheduler = scheduler.map(|s| s.vm.clone());
         let Some(scheduler) = &self.scheduler else { return };
         for (call, running) in &self.running {
-            out.send(scheduler, Body::Admit(running.admit(*call, now)));
+            out.send(scheduler, Body::Admit(running.admit(*call)));
         }
         for (call, waiting) in self.waiting.iter().filter(|(_, w)| w.remote) {
-            let admit = admit(*call, &waiting.req, waiting.deadline, now);
-            out.send(scheduler, Body::Admit(admit));
+            out.send(scheduler, Body::Admit(waiting.admit(*call, now)));
         }
     }
 
@@ -325,7 +332,7 @@
                         Running { req: waiting.req, endpoint: endpoint.clone(), tokens: 0 };
                     if let Some(scheduler) = &self.scheduler {
                         // It waited here since the scheduler was silent; now that one hears of it.
-                        out.send(scheduler, Body::Admit(running.admit(call, now)));
+                        out.send(scheduler, Body::Admit(running.admit(call)));
                     }
                     self.running.insert(call, running);
                     let placement = Placement { endpoint, priority };
@@ -387,24 +394,3 @@
 fn ended(call: CallId, tokens: u64) -> Progress {
     Progress { ended: vec![Tokens { number: call.0, tokens }], ..Progress::default() }
 }
-
-fn admit(call: CallId, req: &Request, deadline: Instant, now: Instant) -> Admit {
-    Admit {
-        number: call.0,
-        workspace: req.workspace.to_string(),
-        kind: req.kind.to_string(),
-        target: req.target.name().to_owned(),
-        is_service: matches!(req.target, EndpointTarget::Service(_)),
-        prompt_tokens: req.prompt_tokens,
-        prefix: req.prefix.0,
-        max_tokens: req.max_tokens,
-        max_wait_ms: deadline.since(now).saturating_sub(GRACE).as_millis() as u64,
-        avoid: req.avoid.as_deref().map(str::to_owned),
-        rank: req.rank,
-        share: req.share,
-        max_running: req.max_running,
-        max_waiting: req.max_waiting,
-        running_at: None,
-        tokens: 0,
-    }
-}
