--- a/crates/core/src/placement/evacuation.rs
+++ b/crates/core/src/placement/evacuation.rs
@@ -131,24 +131,44 @@
         }
     }
 
+    /// Begins the move of one generation away from an endpoint.
     fn move_next(&mut self, source: &Arc<str>, now: Instant) -> Option<Relocation> {
+        let ticket = self.dearest_at(source, now)?;
+        let to = self.choose_destination(ticket, source, now)?;
+        self.relocate(ticket, &to, now);
+        let until = now.after(LONGEST_MOVE);
+        self.evacuation.moves.insert(ticket, Move { from: source.clone(), to: to.clone(), until });
+        Some(Relocation { ticket, from: source.clone(), to })
+    }
+
+    /// The generation at an endpoint that is worth most and may move now.
+    fn dearest_at(&self, source: &Arc<str>, now: Instant) -> Option<Ticket> {
         let worth = |placed: &Placed| {
             placed.req.prompt_tokens + WEIGHT_OF_OUTPUT * placed.req.max_tokens.max(placed.tokens)
         };
         let goes_on = |placed: &Placed| placed.tokens + FEW_TOKENS < placed.req.max_tokens;
-        let (ticket, placed) = self
-            .placed
+        self.placed
             .iter()
             .filter(|(ticket, placed)| {
                 placed.endpoint == *source
                     && goes_on(placed)
                     && self.evacuation.may_move(ticket, now)
             })
-            .max_by_key(|(ticket, placed)| (worth(placed), **ticket))?;
-        let ticket = *ticket;
-        let share = self.share_of(placed);
-        let req = placed.req.clone();
-        let hall = self.endpoints.get(source).map(|state| state.spec.hall.clone());
+            .max_by_key(|(ticket, placed)| (worth(placed), **ticket))
+            .map(|(ticket, _)| *ticket)
+    }
+
+    /// Where a generation can go on. A copy to another data hall takes twice as long, so an
+    /// endpoint nearby is taken if it has room.
+    fn choose_destination(
+        &mut self,
+        ticket: Ticket,
+        source: &Arc<str>,
+        now: Instant,
+    ) -> Option<Arc<str>> {
+        let placed = self.placed.get(&ticket)?;
+        let (req, share) = (&placed.req, self.share_of(placed));
+        let hall = self.endpoints.get(source).map(|state| &state.spec.hall);
         let mut open: Vec<&EndpointState> = self
             .endpoints
             .values()
@@ -160,28 +180,15 @@
             .collect();
         // Equal endpoints are told apart by name, so that a run can be repeated.
         open.sort_by(|a, b| a.name.cmp(&b.name));
-        let candidates: Vec<Candidate<'_>> =
-            open.iter().map(|endpoint| Candidate { endpoint, share: &share }).collect();
-        // A copy to another data hall takes twice as long, so one nearby is taken if it has room.
-        let near: Vec<Candidate<'_>> = candidates
-            .iter()
-            .filter(|c| Some(&c.endpoint.spec.hall) == hall.as_ref())
-            .map(|c| Candidate { endpoint: c.endpoint, share: c.share })
-            .collect();
-        let policy = &mut self.policy;
-        let chosen = match policy.choose(&req, &near, now) {
-            Some(at) => near[at].endpoint.name.clone(),
-            None => {
-                let at = policy.choose(&req, &candidates, now)?;
-                candidates[at].endpoint.name.clone()
+        let near = open.iter().copied().filter(|state| Some(&state.spec.hall) == hall).collect();
+        for open in [near, open] {
+            let candidates: Vec<Candidate<'_>> =
+                open.iter().map(|endpoint| Candidate { endpoint, share: &share }).collect();
+            if let Some(at) = self.policy.choose(req, &candidates, now) {
+                return Some(open[at].name.clone());
             }
-        };
-        self.relocate(ticket, &chosen, now);
-        let until = now.after(LONGEST_MOVE);
-        self.evacuation
-            .moves
-            .insert(ticket, Move { from: source.clone(), to: chosen.clone(), until });
-        Some(Relocation { ticket, from: source.clone(), to: chosen })
+        }
+        None
     }
 }
 
