--- a/crates/server/src/relay/admission.rs
+++ b/crates/server/src/relay/admission.rs
@@ -8,7 +8,7 @@
 use http::{header, request};
 use hyper::body::Incoming;
 use trayswitch_core::{
-    config::RouteKind,
+    config::{Config, NamedRoute, RouteKind},
     error::{ErrorKind, RequestError},
     node::InForce,
 };
@@ -54,31 +54,12 @@
         let patience = if caller.prompt.is_some() { GENERATION_PATIENCE } else { Duration::ZERO };
         let Some(config) = self.current_config(arrived + patience).await else {
             let message = "this daemon has no configuration that is known to be current";
-            let mut error = RequestError::new(ErrorKind::NotReady, message);
-            error.retry_after = Some(WHEN_READY);
-            return Err(refused(&id, error));
+            return Err(refused(&id, not_ready(message, WHEN_READY)));
         };
-        let path = head.uri.path();
-        let Some(route) = config.config.routes.find(&caller.host, path).cloned() else {
-            let message = format!("no route leads from {}{path}", caller.host);
-            return Err(refused(&id, RequestError::new(ErrorKind::NotFound, message)));
-        };
-        if self.node.view().stopping() && route.spec.kind == RouteKind::Generation {
-            // It would be cut off when the daemon ends; another daemon can carry it whole.
-            let message = "this daemon is stopping";
-            let mut error = RequestError::new(ErrorKind::NotReady, message);
-            error.retry_after = Some(ELSEWHERE);
-            return Err(refused(&id, error));
-        }
-        let needs_key = !route.spec.public && !config.config.workspaces.is_empty();
-        let workspace = match caller.key.as_deref() {
-            Some(key) => config.config.workspace_of_key(key).map(Into::into),
-            None => None,
-        };
-        if needs_key && workspace.is_none() {
-            let message = "no workspace has this key";
-            return Err(refused(&id, RequestError::new(ErrorKind::Unauthorized, message)));
-        }
+        let route = self.route(&config.config, &caller.host, head.uri.path());
+        let route = route.map_err(|e| refused(&id, e))?;
+        let workspace = workspace(&config.config, &route, caller.key.as_deref());
+        let workspace = workspace.map_err(|e| refused(&id, e))?;
         let spec = workspace.as_ref().and_then(|name| config.config.workspaces.get(name));
         let tier = spec.map(|spec| spec.tier.as_str()).or(route.spec.tier.as_deref());
         let rank = rank_of(&config.config, tier);
@@ -100,6 +81,19 @@
         })
     }
 
+    /// The route of a request, if this daemon may serve it.
+    fn route(&self, config: &Config, host: &str, path: &str) -> Result<NamedRoute, RequestError> {
+        let Some(route) = config.routes.find(host, path) else {
+            let message = format!("no route leads from {host}{path}");
+            return Err(RequestError::new(ErrorKind::NotFound, message));
+        };
+        if self.node.view().stopping() && route.spec.kind == RouteKind::Generation {
+            // It would be cut off when the daemon ends; another daemon can carry it whole.
+            return Err(not_ready("this daemon is stopping", ELSEWHERE));
+        }
+        Ok(route.clone())
+    }
+
     /// The configuration in force if it is current, or becomes so by then.
     async fn current_config(&self, until: Instant) -> Option<Arc<InForce>> {
         loop {
@@ -136,6 +130,26 @@
     }
 }
 
+/// The workspace of a caller; none where the route takes callers without a key.
+fn workspace(
+    config: &Config,
+    route: &NamedRoute,
+    key: Option<&str>,
+) -> Result<Option<Arc<str>>, RequestError> {
+    let workspace = key.and_then(|key| config.workspace_of_key(key));
+    let needs_key = !route.spec.public && !config.workspaces.is_empty();
+    if needs_key && workspace.is_none() {
+        return Err(RequestError::new(ErrorKind::Unauthorized, "no workspace has this key"));
+    }
+    Ok(workspace.map(Into::into))
+}
+
+fn not_ready(message: &str, retry_after: Duration) -> RequestError {
+    let mut error = RequestError::new(ErrorKind::NotReady, message);
+    error.retry_after = Some(retry_after);
+    error
+}
+
 /// Refuses heads that two readers could take for different requests.
 fn check_framing(head: &request::Parts) -> Result<(), RequestError> {
     let bad = |message: &str| Err(RequestError::new(ErrorKind::BadRequest, message));
