--- a/crates/server/src/telemetry/lines.rs
+++ b/crates/server/src/telemetry/lines.rs
@@ -16,7 +16,7 @@
     time::{SystemTime, UNIX_EPOCH},
 };
 
-use env_logger::{Builder, Env, Target};
+use env_logger::{Builder, Env, Target, fmt::Formatter};
 use log::{
     Record,
     kv::{Key, Value, VisitSource},
@@ -31,6 +31,7 @@
 /// two-year size takes about 10 requests a second, a burst ten times that.
 const LINES_PER_EVENT: u32 = 200;
 
+/// Lines that were dropped and not yet told of.
 static DROPPED: AtomicU64 = AtomicU64::new(0);
 
 /// Starts logging for the daemon of this VM and data hall. `RUST_LOG` sets the level.
@@ -43,31 +44,47 @@
         }
     };
     thread::Builder::new().name("log".into()).spawn(write)?;
-    let budgets = Mutex::new(Budgets::default());
-    let (vm, hall) = (vm.to_owned(), hall.to_owned());
-    let format = move |buf: &mut env_logger::fmt::Formatter, record: &Record<'_>| {
+    let format = Format {
+        vm: vm.to_owned(),
+        hall: hall.to_owned(),
+        budgets: Mutex::new(Budgets::default()),
+    };
+    Builder::from_env(Env::default().default_filter_or("info"))
+        .format(move |buf, record| format.write(buf, record))
+        .target(Target::Pipe(Box::new(Queue { tx })))
+        .init();
+    Ok(())
+}
+
+/// Writes the lines of the daemon of one VM.
+struct Format {
+    vm: String,
+    hall: String,
+    budgets: Mutex<Budgets>,
+}
+
+impl Format {
+    fn write(&self, buf: &mut Formatter, record: &Record<'_>) -> io::Result<()> {
         let line = Line::read(record);
-        let second = unix_ms() / 1_000;
-        let mut budgets = budgets.lock().unwrap_or_else(PoisonError::into_inner);
-        if !budgets.take(line.event, second) {
+        if !self.take_budget(line.event) {
             DROPPED.fetch_add(1, Ordering::Relaxed);
             return Ok(());
         }
-        drop(budgets);
         let dropped = DROPPED.swap(0, Ordering::Relaxed);
         if 0 < dropped {
             let event = EventId::LinesDropped.number();
-            let line = json!({ "t": unix_ms(), "level": "WARN", "event": event, "vm": vm,
-                "hall": hall, "msg": "log lines were dropped", "count": dropped });
+            let line = json!({ "t": unix_ms(), "level": "WARN", "event": event, "vm": self.vm,
+                "hall": self.hall, "msg": "log lines were dropped", "count": dropped });
             writeln!(buf, "{line}")?;
         }
-        writeln!(buf, "{}", line.finish(&vm, &hall, record))
-    };
-    Builder::from_env(Env::default().default_filter_or("info"))
-        .format(format)
-        .target(Target::Pipe(Box::new(Queue { tx })))
-        .init();
-    Ok(())
+        writeln!(buf, "{}", line.finish(&self.vm, &self.hall, record))
+    }
+
+    fn take_budget(&self, event: u64) -> bool {
+        let second = unix_ms() / 1_000;
+        let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
+        budgets.take(event, second)
+    }
 }
 
 /// Hands each line to the writing thread.
@@ -98,6 +115,7 @@
 }
 
 impl Budgets {
+    /// Counts a line of an event; tells whether it may be written.
     fn take(&mut self, event: u64, second: u64) -> bool {
         if second != self.second {
             self.second = second;
