--- a/crates/core/src/registry/mod.rs
+++ b/crates/core/src/registry/mod.rs
@@ -66,6 +66,29 @@
         Known { record, address, heard: now, leaving_since, silent_since }
     }
 
+    /// Takes what a record says beyond what is known; tells whether that is anything.
+    fn merge(&mut self, record: EndpointRecord, address: SocketAddr, now: Instant) -> bool {
+        let known = &self.record;
+        let newer = known.sequence < record.sequence;
+        if newer && !record.silent {
+            self.heard = now;
+        }
+        let mut merged = if newer { record.clone() } else { known.clone() };
+        // It may have begun to leave by a message without a number.
+        merged.leaving = known.leaving || record.leaving;
+        // Of two that know the same heartbeat, the one that misses the next is right. Every
+        // field only ever goes one way, so that news dies out whatever order it comes in.
+        if known.sequence == record.sequence {
+            merged.silent = known.silent || record.silent;
+        }
+        let same =
+            EndpointRecord { sequence: known.sequence, cold_ms: known.cold_ms, ..merged.clone() }
+                == *known;
+        self.record = merged;
+        self.address = address;
+        !same
+    }
+
     fn note_state(&mut self, now: Instant) {
         if self.record.leaving {
             self.leaving_since.get_or_insert(now);
@@ -114,26 +137,7 @@
             self.revision += 1;
             return Some(record);
         };
-        let newer = known.record.sequence < record.sequence;
-        if newer && !record.silent {
-            known.heard = now;
-        }
-        let mut merged = if newer { record.clone() } else { known.record.clone() };
-        // It may have begun to leave by a message without a number.
-        merged.leaving = known.record.leaving || record.leaving;
-        // Of two that know the same heartbeat, the one that misses the next is right. Every
-        // field only ever goes one way, so that news dies out whatever order it comes in.
-        if known.record.sequence == record.sequence {
-            merged.silent = known.record.silent || record.silent;
-        }
-        let same = EndpointRecord {
-            sequence: known.record.sequence,
-            cold_ms: known.record.cold_ms,
-            ..merged.clone()
-        } == known.record;
-        known.record = merged;
-        known.address = address;
-        if same {
+        if !known.merge(record, address, now) {
             return None;
         }
         known.note_state(now);
@@ -158,11 +162,6 @@
         Some(known.record.clone())
     }
 
-    /// Whether an endpoint of this name is known here.
-    pub fn knows(&self, id: &str) -> bool {
-        self.known.contains_key(id)
-    }
-
     /// Forgets endpoints that are long gone.
     pub fn expire(&mut self, now: Instant) {
         let over = |since: Option<Instant>, keep| since.is_some_and(|at| keep <= now.since(at));
