--- a/crates/server/src/relay/protocol.rs
+++ b/crates/server/src/relay/protocol.rs
@@ -144,7 +144,4 @@
 
     /// Reads the answer to that.
     fn read_copied(&self, head: &response::Parts, body: &[u8]) -> Copied;
-
-    /// Asks an engine to free a copy that is not used.
-    fn free_copy_request(&self, handle: &str) -> Request<Full<Bytes>>;
 }
