--- a/crates/core/src/node/endpoints.rs
+++ b/crates/core/src/node/endpoints.rs
@@ -43,6 +43,21 @@
         self.tell_all(EndpointNews { records: vec![new] });
     }
 
+    /// An endpoint said that it will end.
+    pub(super) fn farewell(&mut self, id: &str, now: Instant) {
+        if let Some(record) = self.registry.leave(id, now) {
+            self.tell_all(EndpointNews { records: vec![record] });
+        }
+    }
+
+    /// Tells which endpoints' heartbeats have stopped.
+    pub(super) fn tell_silent(&mut self, now: Instant) {
+        let records = self.registry.find_silent(now);
+        if !records.is_empty() {
+            self.tell_all(EndpointNews { records });
+        }
+    }
+
     /// What is new here goes on, so that it also reaches daemons which the sender does not: a
     /// control VM tells all, and an entry, which may be linked to control VMs that are parted
     /// from each other, tells the leader.
@@ -61,7 +76,7 @@
         }
     }
 
-    pub(super) fn tell_all(&mut self, news: EndpointNews) {
+    fn tell_all(&mut self, news: EndpointNews) {
         for vm in &self.links {
             self.outputs.send(vm, Body::EndpointNews(news.clone()));
         }
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -194,44 +194,9 @@
     fn take(&mut self, input: Input, clocks: Clocks) {
         let out = &mut self.outputs;
         match input {
-            Input::Tick => {
-                if let Some(control) = &mut self.control {
-                    control.tick(clocks, out);
-                }
-                self.keeper.tick(clocks.now, out);
-                let leader = self.keeper.leader();
-                self.operations.tick(leader, clocks.now, out);
-                self.placing.tick(self.keeper.scheduler(clocks.now), clocks.now, out);
-                self.directory.tick(clocks.now, out);
-                self.registry.expire(clocks.now);
-                if self.leads() {
-                    let records = self.registry.find_silent(clocks.now);
-                    if !records.is_empty() {
-                        self.tell_all(EndpointNews { records });
-                    }
-                }
-            }
-            Input::LinkUp(vm) => {
-                if let Some(control) = &mut self.control {
-                    control.link_up(&vm, out);
-                }
-                self.keeper.link_up(&vm, clocks.now, out);
-                self.directory.link_up(&vm, out);
-                if self.control.is_some() {
-                    let records = self.registry.records().cloned().collect();
-                    out.send(&vm, Body::EndpointNews(EndpointNews { records }));
-                }
-                self.links.insert(vm);
-            }
-            Input::LinkDown(vm) => {
-                if let Some(control) = &mut self.control {
-                    control.link_down(&vm, clocks, out);
-                }
-                self.keeper.link_down(&vm);
-                self.operations.link_down(&vm);
-                self.directory.link_down(&vm);
-                self.links.remove(&vm);
-            }
+            Input::Tick => self.tick(clocks),
+            Input::LinkUp(vm) => self.link_up(vm, clocks),
+            Input::LinkDown(vm) => self.link_down(&vm, clocks),
             Input::Message(from, body) => self.message(&from, body, clocks),
             Input::Persisted(number) => {
                 if let Some(control) = &mut self.control {
@@ -248,11 +213,7 @@
                 self.placing.health(&endpoint, news, clocks.now, true, out);
             }
             Input::Heartbeat(record) => self.heartbeat(record, clocks.now),
-            Input::Farewell(id) => {
-                if let Some(record) = self.registry.leave(&id, clocks.now) {
-                    self.tell_all(EndpointNews { records: vec![record] });
-                }
-            }
+            Input::Farewell(id) => self.farewell(&id, clocks.now),
             Input::Moved { call, at, done } => {
                 self.placing.moved(call, &at, done, clocks.now, out);
             }
@@ -266,6 +227,46 @@
         }
     }
 
+    fn tick(&mut self, clocks: Clocks) {
+        let out = &mut self.outputs;
+        if let Some(control) = &mut self.control {
+            control.tick(clocks, out);
+        }
+        self.keeper.tick(clocks.now, out);
+        let leader = self.keeper.leader();
+        self.operations.tick(leader, clocks.now, out);
+        self.placing.tick(self.keeper.scheduler(clocks.now), clocks.now, out);
+        self.directory.tick(clocks.now, out);
+        self.registry.expire(clocks.now);
+        if self.leads() {
+            self.tell_silent(clocks.now);
+        }
+    }
+
+    fn link_up(&mut self, vm: VmName, clocks: Clocks) {
+        let out = &mut self.outputs;
+        if let Some(control) = &mut self.control {
+            control.link_up(&vm, out);
+        }
+        self.keeper.link_up(&vm, clocks.now, out);
+        self.directory.link_up(&vm, out);
+        if self.control.is_some() {
+            let records = self.registry.records().cloned().collect();
+            out.send(&vm, Body::EndpointNews(EndpointNews { records }));
+        }
+        self.links.insert(vm);
+    }
+
+    fn link_down(&mut self, vm: &VmName, clocks: Clocks) {
+        if let Some(control) = &mut self.control {
+            control.link_down(vm, clocks, &mut self.outputs);
+        }
+        self.keeper.link_down(vm);
+        self.operations.link_down(vm);
+        self.directory.link_down(vm);
+        self.links.remove(vm);
+    }
+
     fn ask(&mut self, call: CallId, question: Question, clocks: Clocks) {
         let out = &mut self.outputs;
         let leader = self.keeper.leader();
