--- a/crates/server/src/edge/listener.rs
+++ b/crates/server/src/edge/listener.rs
@@ -5,7 +5,10 @@
 use eyre::{Result, WrapErr};
 use hyper::{server::conn::http1, service::service_fn};
 use hyper_util::rt::TokioIo;
-use tokio::{net::TcpStream, sync::watch};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::watch,
+};
 
 use super::{
     Handler,
@@ -50,29 +53,35 @@
     let address = listener.local_addr()?;
     let (closing, closed) = watch::channel(false);
     let open = Rc::new(Cell::new(0));
-    let count = open.clone();
+    tokio::task::spawn_local(accept(listener, handler, closed, open.clone()));
+    Ok(Server { address, closing, open })
+}
+
+async fn accept(
+    listener: TcpListener,
+    handler: Rc<dyn Handler>,
+    closed: watch::Receiver<bool>,
+    open: Rc<Cell<usize>>,
+) {
     let mut closes = closed.clone();
-    tokio::task::spawn_local(async move {
-        loop {
-            let accepted = tokio::select! {
-                accepted = listener.accept() => accepted,
-                // New connections are refused from here on, so that callers go elsewhere.
-                _ = closes.wait_for(|closing| *closing) => return,
-            };
-            match accepted {
-                Ok((socket, _)) => {
-                    let guard = Counted::new(&count);
-                    let serve = serve(socket, handler.clone(), closed.clone(), guard);
-                    tokio::task::spawn_local(serve);
-                }
-                Err(e) => {
-                    log::warn!(event = EventId::CallerRefused.number(); "cannot accept: {e}");
-                    tokio::time::sleep(PAUSE).await;
-                }
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            // New connections are refused from here on, so that callers go elsewhere.
+            _ = closes.wait_for(|closing| *closing) => return,
+        };
+        match accepted {
+            Ok((socket, _)) => {
+                let guard = Counted::new(&open);
+                let serve = serve(socket, handler.clone(), closed.clone(), guard);
+                tokio::task::spawn_local(serve);
+            }
+            Err(e) => {
+                log::warn!(event = EventId::CallerRefused.number(); "cannot accept: {e}");
+                tokio::time::sleep(PAUSE).await;
             }
         }
-    });
-    Ok(Server { address, closing, open })
+    }
 }
 
 /// Counts a connection as open while it lives.
--- a/crates/server/src/runtime/mod.rs
+++ b/crates/server/src/runtime/mod.rs
@@ -9,7 +9,7 @@
     cell::RefCell,
     collections::HashMap,
     net::SocketAddr,
-    path::PathBuf,
+    path::{Path, PathBuf},
     rc::Rc,
     sync::Arc,
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
@@ -82,15 +82,7 @@
         let now = units::Instant(0);
         let (node, writes, written) = match &options.data {
             Some(path) => {
-                let id = getrandom::u64().map_err(|e| eyre!("no random numbers: {e}"))?;
-                let opened = writer::open(path, id)?;
-                log::info!(
-                    event = EventId::StorageOpened.number(), replica = opened.replica,
-                    entries = opened.restored.entries.len(),
-                    snapshot = opened.restored.snapshot.is_some(),
-                    term = opened.restored.hard_state.term;
-                    "the data folder is open"
-                );
+                let opened = open_data(path)?;
                 let node = Node::replica(&options.node, opened.replica, opened.restored, now);
                 let (writes, written) = writer::spawn(opened.storage)?;
                 (node, Some(writes), Some(written))
@@ -318,6 +310,20 @@
     }
 }
 
+/// Opens the data folder; an empty one becomes that of a new replica.
+fn open_data(path: &Path) -> Result<writer::Opened> {
+    let id = getrandom::u64().map_err(|e| eyre!("no random numbers: {e}"))?;
+    let opened = writer::open(path, id)?;
+    log::info!(
+        event = EventId::StorageOpened.number(), replica = opened.replica,
+        entries = opened.restored.entries.len(),
+        snapshot = opened.restored.snapshot.is_some(),
+        term = opened.restored.hard_state.term;
+        "the data folder is open"
+    );
+    Ok(opened)
+}
+
 /// Forgets a question whose asker no longer waits.
 struct ForgetCall<'a> {
     node: &'a NodeHandle,
