--- a/crates/server/src/lib.rs
+++ b/crates/server/src/lib.rs
@@ -16,4 +16,6 @@
 pub mod relay;
 pub mod runtime;
 pub mod telemetry;
+#[cfg(test)]
+mod testing;
 pub mod upstream;
--- a/crates/server/src/relay/tests.rs
+++ b/crates/server/src/relay/tests.rs
@@ -7,6 +7,7 @@
 use trayswitch_core::units::Instant;
 
 use super::{RelayOptions, budget::RepeatBudget};
+use crate::testing::fixed_seed;
 
 fn options() -> RelayOptions {
     RelayOptions {
@@ -17,17 +18,8 @@
     }
 }
 
-fn config() -> ProptestConfig {
-    ProptestConfig {
-        cases: 200,
-        rng_seed: proptest::test_runner::RngSeed::Fixed(0x7261_7973),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    }
-}
-
 proptest! {
-    #![proptest_config(config())]
+    #![proptest_config(fixed_seed(200))]
 
     /// Whatever the entries are asked for, all together stay within the operators' bound in
     /// every window.
--- a/crates/server/src/upstream/tests.rs
+++ b/crates/server/src/upstream/tests.rs
@@ -4,15 +4,7 @@
 use proptest::prelude::*;
 
 use super::EventSplitter;
-
-fn config() -> ProptestConfig {
-    ProptestConfig {
-        cases: 300,
-        rng_seed: proptest::test_runner::RngSeed::Fixed(0x7261_7973),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    }
-}
+use crate::testing::fixed_seed;
 
 /// Splits a text that comes in pieces that end at these places.
 fn split(text: &str, cuts: &[usize]) -> (Vec<(Option<u64>, String)>, bool) {
@@ -32,7 +24,7 @@
 }
 
 proptest! {
-    #![proptest_config(config())]
+    #![proptest_config(fixed_seed(300))]
 
     /// However the bytes are cut, the same events come, and their bytes are the stream's.
     #[test]
