Merge the tidying; bound the names of endpoints that have left

A farewell for a name that nobody knows was kept without bound and told to all daemons; of too many the oldest go now, one by one. Test: registry::tests::farewells_of_names_that_nobody_knows_take_bounded_memory.

--- a/crates/core/src/registry/mod.rs
+++ b/crates/core/src/registry/mod.rs
@@ -8,7 +8,7 @@
 mod tests;
 
 use std::{
-    collections::{BTreeMap, BTreeSet},
+    collections::{BTreeMap, BTreeSet, VecDeque},
     net::SocketAddr,
     sync::Arc,
     time::Duration,
@@ -66,6 +66,29 @@
         Known { record, address, heard: now, leaving_since, silent_since }
     }
 
+    /// Takes what a record says beyond what is known; tells whether that is anything.
+    fn merge(&mut self, record: EndpointRecord, address: SocketAddr, now: Instant) -> bool {
+        let known = &self.record;
+        let newer = known.sequence < record.sequence;
+        if newer && !record.silent {
+            self.heard = now;
+        }
+        let mut merged = if newer { record.clone() } else { known.clone() };
+        // It may have begun to leave by a message without a number.
+        merged.leaving = known.leaving || record.leaving;
+        // Of two that know the same heartbeat, the one that misses the next is right. Every
+        // field only ever goes one way, so that news dies out whatever order it comes in.
+        if known.sequence == record.sequence {
+            merged.silent = known.silent || record.silent;
+        }
+        let same =
+            EndpointRecord { sequence: known.sequence, cold_ms: known.cold_ms, ..merged.clone() }
+                == *known;
+        self.record = merged;
+        self.address = address;
+        !same
+    }
+
     fn note_state(&mut self, now: Instant) {
         if self.record.leaving {
             self.leaving_since.get_or_insert(now);
@@ -77,12 +100,39 @@
     }
 }
 
+/// Names of endpoints that have left, the oldest first; of too many the oldest go.
+#[derive(Debug, Default)]
+struct Forgotten {
+    order: VecDeque<Arc<str>>,
+    names: BTreeSet<Arc<str>>,
+}
+
+impl Forgotten {
+    fn contains(&self, id: &Arc<str>) -> bool {
+        self.names.contains(id)
+    }
+
+    /// Adds a name; returns whether it is new.
+    fn insert(&mut self, id: &Arc<str>) -> bool {
+        if !self.names.insert(id.clone()) {
+            return false;
+        }
+        self.order.push_back(id.clone());
+        if MAX_FORGOTTEN < self.order.len()
+            && let Some(oldest) = self.order.pop_front()
+        {
+            self.names.remove(&oldest);
+        }
+        true
+    }
+}
+
 /// The endpoints that one daemon knows.
 #[derive(Debug)]
 pub struct Registry {
     heartbeat: Duration,
     known: BTreeMap<Arc<str>, Known>,
-    forgotten: BTreeSet<Arc<str>>,
+    forgotten: Forgotten,
     /// Counts the changes, so that readers see when to look again.
     revision: u64,
 }
@@ -90,7 +140,7 @@
 impl Registry {
     /// A registry of endpoints that send a heartbeat about this often.
     pub fn new(heartbeat: Duration) -> Registry {
-        Registry { heartbeat, known: BTreeMap::new(), forgotten: BTreeSet::new(), revision: 0 }
+        Registry { heartbeat, known: BTreeMap::new(), forgotten: Forgotten::default(), revision: 0 }
     }
 
     /// Counts the changes so far.
@@ -114,26 +164,7 @@
             self.revision += 1;
             return Some(record);
         };
-        let newer = known.record.sequence < record.sequence;
-        if newer && !record.silent {
-            known.heard = now;
-        }
-        let mut merged = if newer { record.clone() } else { known.record.clone() };
-        // It may have begun to leave by a message without a number.
-        merged.leaving = known.record.leaving || record.leaving;
-        // Of two that know the same heartbeat, the one that misses the next is right. Every
-        // field only ever goes one way, so that news dies out whatever order it comes in.
-        if known.record.sequence == record.sequence {
-            merged.silent = known.record.silent || record.silent;
-        }
-        let same = EndpointRecord {
-            sequence: known.record.sequence,
-            cold_ms: known.record.cold_ms,
-            ..merged.clone()
-        } == known.record;
-        known.record = merged;
-        known.address = address;
-        if same {
+        if !known.merge(record, address, now) {
             return None;
         }
         known.note_state(now);
@@ -145,7 +176,7 @@
     /// for an endpoint that is not known here it holds only the name.
     pub fn leave(&mut self, id: &str, now: Instant) -> Option<EndpointRecord> {
         let Some(known) = self.known.get_mut(id) else {
-            let new = self.forgotten.insert(id.into());
+            let new = self.forgotten.insert(&id.into());
             let record = EndpointRecord { id: id.into(), leaving: true, ..Default::default() };
             return new.then_some(record);
         };
@@ -158,11 +189,6 @@
         Some(known.record.clone())
     }
 
-    /// Whether an endpoint of this name is known here.
-    pub fn knows(&self, id: &str) -> bool {
-        self.known.contains_key(id)
-    }
-
     /// Forgets endpoints that are long gone.
     pub fn expire(&mut self, now: Instant) {
         let over = |since: Option<Instant>, keep| since.is_some_and(|at| keep <= now.since(at));
@@ -273,10 +299,7 @@
 
     fn forget(&mut self, id: &Arc<str>) {
         self.known.remove(id);
-        if MAX_FORGOTTEN <= self.forgotten.len() {
-            self.forgotten.clear();
-        }
-        self.forgotten.insert(id.clone());
+        self.forgotten.insert(id);
         self.revision += 1;
     }
 }
--- a/crates/core/src/registry/tests.rs
+++ b/crates/core/src/registry/tests.rs
@@ -130,6 +130,22 @@
     }
 }
 
+#[gtest]
+fn farewells_of_names_that_nobody_knows_take_bounded_memory() {
+    let mut registry = Registry::new(HEARTBEAT);
+    registry.take(record("a", 1, false), seconds(0));
+    let other = EndpointRecord { address: "10.0.0.2:80".into(), ..record("b", 1, false) };
+    registry.take(EndpointRecord { address: "10.0.0.1:80".into(), ..other }, seconds(1));
+
+    for n in 0..20_000 {
+        registry.leave(&format!("made-up-{n}"), seconds(2));
+    }
+
+    expect_that!(registry.forgotten.order.len(), le(4_096));
+    expect_that!(registry.forgotten.names.len(), eq(registry.forgotten.order.len()));
+    expect_that!(registry.leave("made-up-19999", seconds(3)), none());
+}
+
 /// Passes news between control VMs, in order, until nothing new is left; returns the number of
 /// messages.
 fn pass_on(vms: &mut [Registry], first: Vec<EndpointRecord>) -> usize {
