--- a/crates/server/src/relay/generation.rs
+++ b/crates/server/src/relay/generation.rs
@@ -79,7 +79,7 @@
             placed.map_err(|e| if starts == 0 { e } else { no_answer(starts, &e.message) })?;
         relay.check_may_run(job)?;
         let go_on = GoOn { after: job.caller.after, memory: None };
-        let opened = open(relay, job, &placed, &go_on);
+        let opened = open_at(relay, job, placed.endpoint(), &go_on);
         let opened = timeout(job.time_left(), opened).await;
         let opened = opened.map_err(|_| no_answer(starts + 1, "the time is over"))?;
         let endpoint = placed.endpoint().clone();
@@ -130,16 +130,6 @@
     }
 }
 
-/// Sends a generation to its place and waits for the first event.
-pub(super) async fn open(
-    relay: &Relay,
-    job: &Job,
-    placed: &Placed,
-    go_on: &GoOn,
-) -> Result<Opened, Lost> {
-    open_at(relay, job, placed.endpoint(), go_on).await
-}
-
 /// Sends a generation to an endpoint and waits for the first event.
 pub(super) async fn open_at(
     relay: &Relay,
--- a/crates/server/src/relay/stream.rs
+++ b/crates/server/src/relay/stream.rs
@@ -15,7 +15,7 @@
 
 use super::{
     Job, MemoryAt, Relay,
-    generation::{Opened, open, open_at},
+    generation::{Opened, open_at},
     job::GoOn,
     moves::{Move, MoveEnd},
     source::{Source, Step},
@@ -304,7 +304,7 @@
         self.starts += 1;
         self.place_again(&problem).await?;
         let go_on = GoOn { after: self.last, memory: None };
-        let opened = open(&self.relay, &self.job, &self.placed, &go_on);
+        let opened = open_at(&self.relay, &self.job, self.placed.endpoint(), &go_on);
         let opened = timeout(self.job.time_left(), opened).await.map_err(|_| Cause::TimeOver)?;
         log::info!(
             event = EventId::StreamResumed.number(), id = self.job.caller.id.as_str(),
--- a/crates/server/src/runtime/mod.rs
+++ b/crates/server/src/runtime/mod.rs
@@ -223,7 +223,8 @@
                 self.fresh(fresh, confirmed);
                 self.0.view.set_daemons(daemons);
             }
-            Output::Watch(endpoints) => self.0.view.set_watched(endpoints),
+            // This daemon asks no endpoint for its load; the scheduler keeps its own account.
+            Output::Watch(_) => {}
             Output::Leader { vm, term } => log::info!(
                 event = EventId::LeaderChanged.number(), peer = vm.as_deref().unwrap_or("-"),
                 term = term;
--- a/crates/server/src/runtime/view.rs
+++ b/crates/server/src/runtime/view.rs
@@ -18,7 +18,6 @@
     in_force: RefCell<Option<Arc<InForce>>>,
     endpoints: RefCell<HashMap<Arc<str>, Registered>>,
     by_service: RefCell<BTreeMap<Arc<str>, Vec<Arc<str>>>>,
-    watched: RefCell<Vec<String>>,
     confirmed: Cell<Option<Instant>>,
     fresh: Cell<bool>,
     stopping: Cell<bool>,
@@ -55,11 +54,6 @@
         ids.iter().filter_map(|id| endpoints.get(id)).filter(|e| e.open).cloned().collect()
     }
 
-    /// The engines that this daemon asks for their load.
-    pub fn watched(&self) -> Vec<String> {
-        self.watched.borrow().clone()
-    }
-
     /// Whether callers should be sent here.
     pub fn ready(&self) -> bool {
         !self.stopping.get() && self.fresh.get() && self.in_force.borrow().is_some()
@@ -107,10 +101,6 @@
         self.fresh.replace(fresh)
     }
 
-    pub(super) fn set_watched(&self, endpoints: Vec<String>) {
-        *self.watched.borrow_mut() = endpoints;
-    }
-
     pub(super) fn set_endpoints(&self, registered: Vec<Registered>) {
         let mut by_service: BTreeMap<Arc<str>, Vec<Arc<str>>> = BTreeMap::new();
         for endpoint in &registered {
