--- a/crates/server/src/relay/tests.rs
+++ b/crates/server/src/relay/tests/budget.rs
@@ -1,4 +1,4 @@
-//! Tests of the relay's parts.
+//! The bound on repeats.
 
 use std::time::Duration;
 
@@ -6,7 +6,7 @@
 use proptest::prelude::*;
 use trayswitch_core::units::Instant;
 
-use super::{RelayOptions, budget::RepeatBudget};
+use crate::relay::{RelayOptions, budget::RepeatBudget};
 use crate::testing::fixed_seed;
 
 fn options() -> RelayOptions {
--- /dev/null
+++ b/crates/server/src/relay/tests/calls.rs
@@ -0,0 +1,138 @@
+//! Calls: whole answers, "not run" and repeats.
+
+use googletest::prelude::*;
+use tokio::join;
+
+use super::entry::{Entry, on_local_tasks, outcome, text};
+
+#[gtest]
+fn an_answer_comes_back_whole_from_the_endpoint_that_was_meant() {
+    on_local_tasks(async {
+        let entry = Entry::open().await;
+        let mut endpoint = entry.register("desk", "e1");
+
+        let (answer, meant_for) = join!(entry.ask("/once/x", "r1"), async {
+            let arrival = endpoint.arrival().await;
+            let meant_for = arrival.meant_for.clone();
+            arrival.answer(200, "done");
+            meant_for
+        });
+
+        expect_that!(meant_for, eq("e1"));
+        expect_that!(text(answer).await, ok(eq("done")));
+    });
+}
+
+#[gtest]
+fn a_call_that_was_turned_away_runs_at_another_endpoint() {
+    on_local_tasks(async {
+        let entry = Entry::open().await;
+        let (mut e1, mut e2) = (entry.register("desk", "e1"), entry.register("desk", "e2"));
+
+        let (answer, ()) = join!(entry.ask("/once/x", "r1"), async {
+            tokio::select! {
+                arrival = e1.arrival() => {
+                    arrival.turn_away("full");
+                    e2.arrival().await.answer(200, "done");
+                }
+                arrival = e2.arrival() => {
+                    arrival.turn_away("full");
+                    e1.arrival().await.answer(200, "done");
+                }
+            }
+        });
+
+        expect_that!(text(answer).await, ok(eq("done")));
+    });
+}
+
+#[gtest]
+fn a_single_call_that_may_have_run_is_not_sent_again() {
+    on_local_tasks(async {
+        let entry = Entry::open().await;
+        let (mut e1, mut e2) = (entry.register("desk", "e1"), entry.register("desk", "e2"));
+
+        let (answer, other_is_idle) = join!(entry.ask("/once/x", "r1"), async {
+            tokio::select! {
+                arrival = e1.arrival() => { arrival.break_off(); e2.is_idle() }
+                arrival = e2.arrival() => { arrival.break_off(); e1.is_idle() }
+            }
+        });
+
+        expect_that!(outcome(&answer), some(eq("outcome_unknown")));
+        expect_that!(answer.head.status.as_u16(), eq(502));
+        expect_true!(other_is_idle && e1.is_idle() && e2.is_idle());
+    });
+}
+
+#[gtest]
+fn a_crossed_answer_reaches_nobody() {
+    on_local_tasks(async {
+        let entry = Entry::open().await;
+        let mut endpoint = entry.register("desk", "e1");
+
+        let (answer, ()) = join!(entry.ask("/once/x", "r1"), async {
+            endpoint.arrival().await.answer_crossed();
+        });
+
+        expect_that!(outcome(&answer), some(eq("outcome_unknown")));
+        expect_that!(text(answer).await, ok(eq("")));
+    });
+}
+
+#[gtest]
+fn a_call_that_may_be_repeated_gets_a_second_endpoint_and_no_third() {
+    on_local_tasks(async {
+        let entry = Entry::open().await;
+        let mut endpoints = [
+            entry.register("desk", "e1"),
+            entry.register("desk", "e2"),
+            entry.register("desk", "e3"),
+        ];
+
+        let [e1, e2, e3] = &mut endpoints;
+        let (answer, ()) = join!(entry.ask("/again/x", "r1"), async {
+            for _ in 0..2 {
+                tokio::select! {
+                    arrival = e1.arrival() => arrival.answer(500, "failed"),
+                    arrival = e2.arrival() => arrival.answer(500, "failed"),
+                    arrival = e3.arrival() => arrival.answer(500, "failed"),
+                }
+            }
+        });
+
+        expect_that!(answer.head.status.as_u16(), eq(500));
+        expect_that!(text(answer).await, ok(eq("failed")));
+        expect_true!(endpoints.iter_mut().all(super::endpoint::FakeEndpoint::is_idle));
+    });
+}
+
+#[gtest]
+fn a_call_without_an_endpoint_has_not_run() {
+    on_local_tasks(async {
+        let entry = Entry::open().await;
+
+        let answer = entry.ask("/once/x", "r1").await;
+
+        expect_that!(outcome(&answer), some(eq("no_endpoint")));
+        expect_that!(answer.head.status.as_u16(), eq(503));
+    });
+}
+
+#[gtest]
+fn an_endpoint_that_leaves_gets_no_new_call() {
+    on_local_tasks(async {
+        let entry = Entry::open().await;
+        let (mut e1, mut e2) = (entry.register("desk", "e1"), entry.register("desk", "e2"));
+        entry.leaves("e1");
+
+        for _ in 0..10 {
+            let (answer, ()) = join!(entry.ask("/once/x", "r1"), async {
+                e2.arrival().await.answer(200, "done");
+            });
+            expect_that!(text(answer).await, ok(eq("done")));
+        }
+
+        expect_true!(e1.is_idle());
+    });
+}
--- /dev/null
+++ b/crates/server/src/relay/tests/endpoint.rs
@@ -0,0 +1,207 @@
+//! An endpoint that does what a test tells it.
+
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use hyper::body::Incoming;
+use tokio::sync::{mpsc, oneshot};
+
+use super::protocol::{AFTER, COPY_PATH, ENDPOINT, ID, MEMORY, NOT_RUN, header};
+use crate::edge::{self, AnswerError, Body, Bounds, Handler, LocalFuture, Server};
+
+/// One attempt that came to the endpoint and waits for its answer.
+pub(super) struct Arrival {
+    /// The request's id.
+    pub(super) id: String,
+    /// The endpoint that it was meant for.
+    pub(super) meant_for: String,
+    /// The last event that the caller has.
+    pub(super) after: Option<u64>,
+    /// Where the memory lies that it goes on from.
+    pub(super) memory: Option<String>,
+    answer: oneshot::Sender<Response<Body>>,
+}
+
+impl Arrival {
+    fn respond(self, status: StatusCode, body: Body) {
+        let res = Response::builder().status(status).header(ID, &self.id).body(body).unwrap();
+        // A caller that has left takes no answer; the test sees that by other means.
+        let _ = self.answer.send(res);
+    }
+
+    /// Answers with the whole body at once.
+    pub(super) fn answer(self, status: u16, text: &'static str) {
+        self.respond(StatusCode::from_u16(status).unwrap(), edge::full(text));
+    }
+
+    /// Says that it did not run.
+    pub(super) fn turn_away(self, why: &str) {
+        let res = Response::builder().status(503).header(ID, &self.id).header(NOT_RUN, why);
+        let _ = self.answer.send(res.body(edge::empty()).unwrap());
+    }
+
+    /// Answers with the id of another request.
+    pub(super) fn answer_crossed(self) {
+        let res = Response::builder().status(200).header(ID, "another");
+        let _ = self.answer.send(res.body(edge::full("not yours")).unwrap());
+    }
+
+    /// Breaks the connection off without an answer.
+    pub(super) fn break_off(self) {
+        drop(self.answer);
+    }
+
+    /// Begins a stream of events.
+    pub(super) fn stream(self) -> Stream {
+        let (tx, rx) = mpsc::channel(64);
+        self.respond(StatusCode::OK, edge::streamed(rx));
+        Stream { tx }
+    }
+}
+
+/// The text of an event.
+pub(super) fn event(id: u64) -> String {
+    format!("id: {id}\ndata: token {id}\n\n")
+}
+
+/// A stream of events on its way.
+pub(super) struct Stream {
+    tx: mpsc::Sender<Result<Bytes, AnswerError>>,
+}
+
+impl Stream {
+    /// Sends the events of these ids.
+    pub(super) async fn events(&self, ids: impl IntoIterator<Item = u64>) {
+        for id in ids {
+            self.bytes(event(id)).await;
+        }
+    }
+
+    /// Sends any bytes.
+    pub(super) async fn bytes(&self, bytes: impl Into<Bytes>) {
+        // The relay may have left; what it then does is what the test looks at.
+        let _ = self.tx.send(Ok(bytes.into())).await;
+    }
+
+    /// Ends as it should.
+    pub(super) fn end(self) {
+        drop(self.tx);
+    }
+
+    /// Breaks off.
+    pub(super) async fn cut(self) {
+        let _ = self.tx.send(Err(AnswerError("cut".to_owned()))).await;
+    }
+
+    /// Waits until nobody reads any more.
+    pub(super) async fn left(&self) {
+        self.tx.closed().await;
+    }
+}
+
+/// An order to copy a generation's memory that waits for its answer.
+pub(super) struct CopyAsked {
+    /// The generation.
+    pub(super) id: String,
+    /// Whether it is to stop.
+    pub(super) last: bool,
+    answer: oneshot::Sender<Response<Body>>,
+}
+
+impl CopyAsked {
+    /// Answers with a status and the name of the copy, if there is one.
+    pub(super) fn answer(self, status: u16, handle: &'static str) {
+        let res = Response::builder().status(status).body(edge::full(handle)).unwrap();
+        let _ = self.answer.send(res);
+    }
+}
+
+struct Inbox {
+    arrivals: mpsc::UnboundedSender<Arrival>,
+    copies: mpsc::UnboundedSender<CopyAsked>,
+}
+
+impl Inbox {
+    fn put(&self, req: &Request<Incoming>, answer: oneshot::Sender<Response<Body>>) {
+        let headers = req.headers();
+        let id: String = header(headers, ID).unwrap_or_default();
+        if req.uri().path().starts_with(COPY_PATH) {
+            let last = req.uri().path().ends_with("/last");
+            let _ = self.copies.send(CopyAsked { id, last, answer });
+            return;
+        }
+        let arrival = Arrival {
+            id,
+            meant_for: header(headers, ENDPOINT).unwrap_or_default(),
+            after: header(headers, AFTER),
+            memory: header(headers, MEMORY),
+            answer,
+        };
+        let _ = self.arrivals.send(arrival);
+    }
+}
+
+impl Handler for Inbox {
+    fn handle(self: Rc<Self>, req: Request<Incoming>) -> LocalFuture<'static, Response<Body>> {
+        let (tx, rx) = oneshot::channel();
+        self.put(&req, tx);
+        Box::pin(async move {
+            match rx.await {
+                Ok(res) => res,
+                Err(_) => broken_off(),
+            }
+        })
+    }
+
+    fn bounds(&self) -> Bounds {
+        Bounds {
+            max_header: 16 * 1024,
+            header_timeout: Duration::from_secs(60),
+            idle_timeout: Duration::from_secs(60),
+        }
+    }
+}
+
+/// An answer whose body fails at once, so that the connection is closed before its end.
+fn broken_off() -> Response<Body> {
+    let (tx, rx) = mpsc::channel(1);
+    let _ = tx.try_send(Err(AnswerError("broken off".to_owned())));
+    Response::new(edge::streamed(rx))
+}
+
+/// A running endpoint.
+pub(super) struct FakeEndpoint {
+    server: Server,
+    arrivals: mpsc::UnboundedReceiver<Arrival>,
+    copies: mpsc::UnboundedReceiver<CopyAsked>,
+}
+
+impl FakeEndpoint {
+    pub(super) fn open() -> FakeEndpoint {
+        let (arrivals_tx, arrivals) = mpsc::unbounded_channel();
+        let (copies_tx, copies) = mpsc::unbounded_channel();
+        let inbox = Inbox { arrivals: arrivals_tx, copies: copies_tx };
+        let server = edge::bind("127.0.0.1:0".parse().unwrap(), Rc::new(inbox)).unwrap();
+        FakeEndpoint { server, arrivals, copies }
+    }
+
+    pub(super) fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// The next attempt that comes.
+    pub(super) async fn arrival(&mut self) -> Arrival {
+        self.arrivals.recv().await.expect("the endpoint lives as long as the test")
+    }
+
+    /// The next order to copy.
+    pub(super) async fn copy(&mut self) -> CopyAsked {
+        self.copies.recv().await.expect("the endpoint lives as long as the test")
+    }
+
+    /// Whether any attempt has come that was not taken.
+    pub(super) fn is_idle(&mut self) -> bool {
+        self.arrivals.try_recv().is_err()
+    }
+}
--- /dev/null
+++ b/crates/server/src/relay/tests/entry.rs
@@ -0,0 +1,232 @@
+//! A whole entry for tests: a node that leads a group of its own, a relay and its listener.
+
+use std::{
+    path::PathBuf,
+    rc::Rc,
+    sync::atomic::{AtomicU64, Ordering},
+    time::Duration,
+};
+
+use http::Request;
+use http_body_util::Full;
+use tokio::task::LocalSet;
+use trayswitch_core::{
+    agreement::Timing,
+    config::Document,
+    node::{Input, NodeOptions, NodeTiming},
+    wire::EndpointRecord,
+};
+
+use super::{
+    endpoint::{FakeEndpoint, event},
+    protocol::{ID, OUTCOME, TestProtocol, header},
+};
+use crate::{
+    edge::{self, Server},
+    relay::{Relay, RelayOptions},
+    runtime::{NodeHandle, PeerPort, RuntimeOptions},
+    telemetry::Metrics,
+    upstream::{AnswerBody, OpenAnswer, exchange},
+};
+
+/// Targets are so long that no hedge and no give-up comes into a test by time.
+const CONFIG: &str = "
+[deployment]
+name = test
+version = 1
+[tier all]
+rank = 1
+[service desk]
+max_connections = 100
+[service engines]
+slots = 48
+kv_tokens = 34000
+moves = yes
+[route once]
+host = host
+path_prefix = /once/
+services = desk:1
+kind = single
+timeout = 600s
+target_latency = 600s
+max_attempts = 3
+public = yes
+tier = all
+[route again]
+host = host
+path_prefix = /again/
+services = desk:1
+kind = repeatable
+timeout = 600s
+target_latency = 600s
+max_attempts = 2
+public = yes
+tier = all
+[route chat]
+host = host
+path_prefix = /chat/
+services = engines:1
+kind = generation
+timeout = 600s
+target_latency = 600s
+max_attempts = 3
+public = yes
+tier = all
+[route recap]
+host = host
+path_prefix = /recap/
+services = engines:1
+kind = resumable_generation
+timeout = 600s
+target_latency = 600s
+max_attempts = 2
+public = yes
+tier = all
+";
+/// Longest wait for anything in a test; only a fault reaches it.
+const LIMIT: Duration = Duration::from_secs(60);
+/// Longest answer in a test, in bytes.
+const MAX_TEXT: usize = 1024 * 1024;
+const HALL: &str = "hall-1";
+
+/// Runs a test on the local tasks of one thread. One that waits for what never comes fails.
+pub(super) fn on_local_tasks<T>(test: impl Future<Output = T>) -> T {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    let bounded = async { tokio::time::timeout(LIMIT, test).await.expect("the test goes on") };
+    LocalSet::new().block_on(&runtime, bounded)
+}
+
+/// An entry with its configuration in force.
+pub(super) struct Entry {
+    node: NodeHandle,
+    server: Server,
+    folder: PathBuf,
+}
+
+impl Drop for Entry {
+    fn drop(&mut self) {
+        // What is left behind lies in the system's folder for such files.
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+impl Entry {
+    pub(super) async fn open() -> Entry {
+        let folder = new_folder();
+        let node = NodeHandle::spawn(runtime_options(folder.clone())).unwrap();
+        let options = RelayOptions {
+            max_config_age: LIMIT,
+            repeat_ratio: 0.2,
+            repeat_slack: 50.0,
+            repeat_window: Duration::from_secs(10),
+        };
+        let metrics = Rc::new(Metrics::new().unwrap());
+        let protocol = Box::new(TestProtocol);
+        let relay = Relay::new(node.clone(), protocol, HALL.into(), options, metrics);
+        let server = edge::bind("127.0.0.1:0".parse().unwrap(), Rc::new(relay)).unwrap();
+        let document = Document::parse("test.ini", CONFIG).unwrap();
+        node.submit("test.ini", &document, false, LIMIT).await.unwrap();
+        while node.view().in_force().is_none() || !node.view().ready() {
+            tokio::task::yield_now().await;
+        }
+        Entry { node, server, folder }
+    }
+
+    /// An endpoint of a service that has registered itself.
+    pub(super) fn register(&self, service: &str, name: &str) -> FakeEndpoint {
+        let endpoint = FakeEndpoint::open();
+        self.node.input(Input::Heartbeat(EndpointRecord {
+            id: name.to_owned(),
+            service: service.to_owned(),
+            address: endpoint.address().to_string(),
+            hall: HALL.to_owned(),
+            slots: 48,
+            sequence: 1,
+            ..EndpointRecord::default()
+        }));
+        endpoint
+    }
+
+    /// Takes an endpoint's word that it will end.
+    pub(super) fn leaves(&self, name: &str) {
+        self.node.input(Input::Farewell(name.into()));
+    }
+
+    /// Sends a request and waits for the head of its answer.
+    pub(super) async fn ask(&self, path: &str, id: &str) -> OpenAnswer {
+        let req = Request::post(path).header(http::header::HOST, "host").header(ID, id);
+        let req = req.body(Full::default()).unwrap();
+        let answer = exchange(self.server.address(), req, LIMIT);
+        tokio::time::timeout(LIMIT, answer).await.unwrap().unwrap()
+    }
+}
+
+/// The whole text of an answer, or what became of it.
+pub(super) async fn text(answer: OpenAnswer) -> Result<String, String> {
+    Reading::new(answer).rest().await
+}
+
+/// A streamed answer as its caller reads it.
+pub(super) struct Reading {
+    body: AnswerBody,
+    text: String,
+}
+
+impl Reading {
+    pub(super) fn new(answer: OpenAnswer) -> Reading {
+        Reading { body: answer.body, text: String::new() }
+    }
+
+    /// Reads until the event of this id has come.
+    pub(super) async fn read_to(&mut self, id: u64) {
+        while !self.text.contains(&event(id)) {
+            let bytes = self.body.next().await.expect("the answer goes on").unwrap();
+            self.text += std::str::from_utf8(&bytes).unwrap();
+        }
+    }
+
+    /// Reads on to the end; returns the whole text unless the answer was cut.
+    pub(super) async fn rest(mut self) -> Result<String, String> {
+        let rest = self.body.collect(MAX_TEXT).await?;
+        self.text += std::str::from_utf8(&rest).unwrap();
+        Ok(self.text)
+    }
+}
+
+/// The outcome that the entry told, where it answered itself.
+pub(super) fn outcome(answer: &OpenAnswer) -> Option<String> {
+    header(&answer.head.headers, OUTCOME)
+}
+
+fn runtime_options(folder: PathBuf) -> RuntimeOptions {
+    RuntimeOptions {
+        node: NodeOptions {
+            vm: "127.0.0.1".into(),
+            seeds: vec!["127.0.0.1".into()],
+            founders: vec!["127.0.0.1".into()],
+            max_voters: 1,
+            endpoint_heartbeat: LIMIT,
+            timing: NodeTiming {
+                agreement: Timing {
+                    heartbeat: Duration::from_millis(20),
+                    election: Duration::from_millis(100),
+                },
+                poll: Duration::from_millis(50),
+                stale_after: LIMIT,
+            },
+            seed: 1,
+        },
+        data: Some(folder),
+        listen: None,
+        peers: PeerPort(0),
+        peer_key: b"test".to_vec(),
+    }
+}
+
+fn new_folder() -> PathBuf {
+    static NEXT: AtomicU64 = AtomicU64::new(0);
+    let (pid, number) = (std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
+    let folder = std::env::temp_dir().join(format!("trayswitch-relay-{pid}-{number}"));
+    std::fs::create_dir_all(&folder).unwrap();
+    folder
+}
--- /dev/null
+++ b/crates/server/src/relay/tests/mod.rs
@@ -0,0 +1,9 @@
+//! Tests of the relay: a whole entry with endpoints that do what a test tells them.
+
+mod budget;
+mod calls;
+mod endpoint;
+mod entry;
+mod generations;
+mod moves;
+mod protocol;
--- /dev/null
+++ b/crates/server/src/relay/tests/moves.rs
@@ -0,0 +1,201 @@
+//! Generations that move off engines which leave.
+
+use googletest::prelude::*;
+use tokio::join;
+
+use super::{
+    endpoint::{CopyAsked, FakeEndpoint, Stream, event},
+    entry::{Entry, Reading, on_local_tasks},
+    protocol::memory_text,
+};
+use crate::relay::MemoryAt;
+
+/// A generation that runs at `from`; `to` is another engine.
+struct Running {
+    entry: Entry,
+    reading: Reading,
+    stream: Stream,
+    from: FakeEndpoint,
+    to: FakeEndpoint,
+}
+
+/// Starts a generation with events up to `last` while there is one engine; then comes another.
+async fn running(path: &str, last: u64) -> Running {
+    let entry = Entry::open().await;
+    let mut from = entry.register("engines", "from");
+    let (answer, stream) = join!(entry.ask(path, "r1"), async {
+        let stream = from.arrival().await.stream();
+        stream.events(1..=last).await;
+        stream
+    });
+    let mut reading = Reading::new(answer);
+    reading.read_to(last).await;
+    let to = entry.register("engines", "to");
+    Running { entry, reading, stream, from, to }
+}
+
+fn events_to(last: u64) -> String {
+    (1..=last).map(event).collect()
+}
+
+/// Answers the first copy and hands out the order for the last one.
+async fn last_copy(from: &mut FakeEndpoint) -> CopyAsked {
+    let first = from.copy().await;
+    assert!(!first.last);
+    first.answer(200, "h1");
+    from.copy().await
+}
+
+#[gtest]
+fn a_generation_goes_on_where_its_copy_lies() {
+    on_local_tasks(async {
+        let Running { entry, reading, stream, mut from, mut to } = running("/chat/", 3).await;
+        entry.leaves("from");
+
+        let (whole, (after, memory, asked)) = join!(reading.rest(), async {
+            let last = last_copy(&mut from).await;
+            let asked = (last.id.clone(), last.last);
+            stream.events([4]).await;
+            stream.end();
+            last.answer(200, "h2");
+            let arrival = to.arrival().await;
+            // Event 4 may still have been on its way when the generation went on.
+            let (after, memory) = (arrival.after.unwrap_or_default(), arrival.memory.clone());
+            let stream = arrival.stream();
+            stream.events(after + 1..=7).await;
+            stream.end();
+            (after, memory, asked)
+        });
+
+        let memory_at = MemoryAt { source: from.address(), handle: "h2".to_owned() };
+        expect_that!(asked, eq(&("r1".to_owned(), true)));
+        expect_that!(after, ge(3));
+        expect_that!(memory, some(eq(&memory_text(&memory_at))));
+        expect_that!(whole, ok(eq(&events_to(7))));
+    });
+}
+
+#[gtest]
+fn one_whose_copy_is_refused_runs_on_where_it_is() {
+    on_local_tasks(async {
+        let Running { entry, reading, stream, mut from, mut to } = running("/chat/", 3).await;
+        entry.leaves("from");
+
+        let (whole, ()) = join!(reading.rest(), async {
+            from.copy().await.answer(503, "");
+            stream.events(4..=6).await;
+            stream.end();
+        });
+
+        expect_that!(whole, ok(eq(&events_to(6))));
+        expect_true!(to.is_idle());
+    });
+}
+
+#[gtest]
+fn one_that_the_target_refuses_goes_on_at_its_source() {
+    on_local_tasks(async {
+        let Running { entry, reading, stream, mut from, mut to } = running("/chat/", 3).await;
+        entry.leaves("from");
+
+        let (whole, after) = join!(reading.rest(), async {
+            let last = last_copy(&mut from).await;
+            stream.end();
+            last.answer(200, "h2");
+            to.arrival().await.turn_away("full");
+            let arrival = from.arrival().await;
+            let after = arrival.after;
+            let stream = arrival.stream();
+            stream.events(4..=6).await;
+            stream.end();
+            after
+        });
+
+        expect_that!(after, some(eq(3)));
+        expect_that!(whole, ok(eq(&events_to(6))));
+    });
+}
+
+#[gtest]
+fn one_that_stopped_without_a_copy_goes_on_at_its_source() {
+    on_local_tasks(async {
+        let Running { entry, reading, stream, mut from, mut to } = running("/chat/", 3).await;
+        entry.leaves("from");
+
+        let (whole, memory) = join!(reading.rest(), async {
+            let last = last_copy(&mut from).await;
+            stream.end();
+            last.answer(503, "h2");
+            let arrival = from.arrival().await;
+            let memory = arrival.memory.clone();
+            let stream = arrival.stream();
+            stream.events(4..=5).await;
+            stream.end();
+            memory
+        });
+
+        let memory_at = MemoryAt { source: from.address(), handle: "h2".to_owned() };
+        expect_that!(memory, some(eq(&memory_text(&memory_at))));
+        expect_that!(whole, ok(eq(&events_to(5))));
+        expect_true!(to.is_idle());
+    });
+}
+
+#[gtest]
+fn one_that_ends_while_it_is_copied_is_whole() {
+    on_local_tasks(async {
+        let Running { entry, reading, stream, mut from, mut to } = running("/chat/", 3).await;
+        entry.leaves("from");
+
+        let (whole, ()) = join!(reading.rest(), async {
+            let last = last_copy(&mut from).await;
+            stream.events(4..=5).await;
+            stream.end();
+            last.answer(404, "");
+        });
+
+        expect_that!(whole, ok(eq(&events_to(5))));
+        expect_true!(to.is_idle());
+    });
+}
+
+#[gtest]
+fn one_that_is_lost_while_it_is_copied_does_not_look_complete() {
+    on_local_tasks(async {
+        let Running { entry, reading, stream, mut from, mut to } = running("/chat/", 3).await;
+        entry.leaves("from");
+
+        let (whole, ()) = join!(reading.rest(), async {
+            let last = last_copy(&mut from).await;
+            stream.cut().await;
+            last.answer(404, "");
+        });
+
+        expect_that!(whole, err(anything()));
+        expect_true!(to.is_idle());
+    });
+}
+
+#[gtest]
+fn the_whole_answer_comes_also_when_the_events_were_cut_in_the_middle() {
+    on_local_tasks(async {
+        let Running { entry, reading, stream, mut from, mut to } = running("/chat/", 3).await;
+        entry.leaves("from");
+
+        let (whole, after) = join!(reading.rest(), async {
+            let last = last_copy(&mut from).await;
+            stream.bytes("id: 4\ndata: tok").await;
+            stream.cut().await;
+            last.answer(200, "h2");
+            let arrival = to.arrival().await;
+            let after = arrival.after;
+            let stream = arrival.stream();
+            stream.events(4..=6).await;
+            stream.end();
+            after
+        });
+
+        expect_that!(after, some(eq(3)));
+        expect_that!(whole, ok(eq(&events_to(6))));
+    });
+}
--- /dev/null
+++ b/crates/server/src/relay/tests/protocol.rs
@@ -0,0 +1,115 @@
+//! A protocol for tests, as plain as can be: one header for each thing that is told.
+
+use std::str::FromStr;
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderValue, Request, Response, header, request, response};
+use http_body_util::Full;
+use trayswitch_core::error::RequestError;
+
+use crate::relay::{
+    Answer, Attempt, CallerRequest, Copied, CopyOrder, MemoryAt, Prompt, Protocol, Turned,
+};
+
+pub(super) const ID: &str = "x-id";
+/// The endpoint that the request is for.
+pub(super) const ENDPOINT: &str = "x-endpoint";
+/// The last event that is known.
+pub(super) const AFTER: &str = "x-after";
+/// Where the memory of a generation lies, as ADDRESS/HANDLE.
+pub(super) const MEMORY: &str = "x-memory";
+/// Why an endpoint turned a request away: `full` or `other`.
+pub(super) const NOT_RUN: &str = "x-not-run";
+/// The outcome that a caller is told where no endpoint answered.
+pub(super) const OUTCOME: &str = "x-outcome";
+/// Path of the orders to copy.
+pub(super) const COPY_PATH: &str = "/copy";
+
+const PROMPT_TOKENS: u64 = 1_000;
+const MAX_OUTPUT: u64 = 2_000;
+
+pub(super) struct TestProtocol;
+
+pub(super) fn header<T: FromStr>(headers: &HeaderMap, name: &str) -> Option<T> {
+    headers.get(name)?.to_str().ok()?.parse().ok()
+}
+
+impl Protocol for TestProtocol {
+    fn caller_request(&self, head: &request::Parts) -> Result<CallerRequest, RequestError> {
+        Ok(CallerRequest {
+            id: header(&head.headers, ID).unwrap_or_default(),
+            host: header(&head.headers, header::HOST.as_str()).unwrap_or_default(),
+            prompt: Some(Prompt {
+                tokens: PROMPT_TOKENS,
+                max_output: MAX_OUTPUT,
+                ..Prompt::default()
+            }),
+            after: header(&head.headers, AFTER),
+            ..CallerRequest::default()
+        })
+    }
+
+    fn attempt_headers(&self, head: &request::Parts, attempt: &Attempt<'_>) -> HeaderMap {
+        let mut headers = HeaderMap::new();
+        let mut set = |name: &'static str, value: String| {
+            headers.insert(name, HeaderValue::from_str(&value).unwrap());
+        };
+        set(ID, header(&head.headers, ID).unwrap_or_default());
+        set(ENDPOINT, attempt.endpoint.to_owned());
+        if let Some(after) = attempt.after {
+            set(AFTER, after.to_string());
+        }
+        if let Some(memory) = attempt.memory {
+            set(MEMORY, format!("{}/{}", memory.source, memory.handle));
+        }
+        headers
+    }
+
+    fn judge(&self, id: &str, head: &response::Parts) -> Answer {
+        if header::<String>(&head.headers, ID).as_deref() != Some(id) {
+            return Answer::Foreign("the answer is for another request");
+        }
+        match header::<String>(&head.headers, NOT_RUN).as_deref() {
+            Some("full") => Answer::Turned(Turned::Full),
+            Some(_) => Answer::Turned(Turned::Other),
+            None => Answer::Ran { success: head.status.is_success() },
+        }
+    }
+
+    fn answer_headers(&self, head: &response::Parts) -> HeaderMap {
+        head.headers.clone()
+    }
+
+    fn error(&self, _: &str, error: &RequestError) -> Response<Bytes> {
+        let answer = error.kind.answer();
+        Response::builder()
+            .status(answer.status)
+            .header(OUTCOME, answer.code)
+            .body(Bytes::new())
+            .unwrap()
+    }
+
+    fn copy_request(&self, order: &CopyOrder<'_>) -> Request<Full<Bytes>> {
+        let last = if order.last { "/last" } else { "" };
+        Request::post(format!("{COPY_PATH}{last}"))
+            .header(ID, order.id)
+            .body(Full::default())
+            .unwrap()
+    }
+
+    fn read_copied(&self, head: &response::Parts, body: &[u8]) -> Copied {
+        let handle = std::str::from_utf8(body).ok().filter(|text| !text.is_empty());
+        let handle = handle.map(str::to_owned);
+        match (head.status.as_u16(), handle) {
+            (200, Some(handle)) => Copied::Done { handle, made: 0 },
+            (404, _) => Copied::NoSuchRun,
+            (503, handle) => Copied::Refused { handle },
+            _ => Copied::Malformed,
+        }
+    }
+}
+
+/// The text of [`MEMORY`].
+pub(super) fn memory_text(memory: &MemoryAt) -> String {
+    format!("{}/{}", memory.source, memory.handle)
+}
