--- a/crates/core/src/placement/pace.rs
+++ b/crates/core/src/placement/pace.rs
@@ -69,7 +69,10 @@
         if span < SHORTEST_SPAN || tokens <= since.tokens {
             return;
         }
-        pace.note(span.as_secs_f64() / (tokens - since.tokens) as f64, now);
+        // A longer span has nothing left to be compared with.
+        if span < MEMORY {
+            pace.note(span.as_secs_f64() / (tokens - since.tokens) as f64, now);
+        }
         self.since = Some(Mark { at: now, tokens });
     }
 }
