Prove founding from seeds, lost disks, replaced VMs and confirmations on whole nodes

The schedules of whole nodes knew three replicas that never lost a disk but once. The harness now takes any site and stands in a file of its own. New: five replicas found a group from three seeds while links break, then lose one disk, two disks at once or a whole VM, three times, with storms of crashes, cuts and freezes between; nothing accepted is lost and five vote again.

Every daemon's confirmation is checked as it is given: it must cover all that operators were told before the daemon asked, also on VMs that were frozen or cut off since. Revocation rests on this.

Letting a founder found although its peers are not empty is not caught: its group never gets a vote of replicas that are in a later term, so nothing can be seen from outside.

--- /dev/null
+++ b/crates/core/src/node/tests/founding.rs
@@ -0,0 +1,161 @@
+//! A group that is founded from three seeds, grows to five, and loses disks and VMs.
+
+use googletest::prelude::*;
+use proptest::prelude::*;
+
+use super::net::{Net, Site};
+
+/// Five control replicas, of which three are named to all daemons, and two entries.
+fn large() -> Site {
+    Site::new(5, 2)
+}
+
+/// Steps after which all is repaired: a new replica has learned, its former self was removed
+/// after some seconds, and it votes.
+const REPAIRED: usize = 600;
+
+fn voters(net: &Net) -> usize {
+    let status = net.control(&net.leader().expect("somebody leads"));
+    status.replicas.iter().filter(|replica| replica.voter).count()
+}
+
+fn survives_next_loss(net: &Net) -> bool {
+    net.control(&net.leader().expect("somebody leads")).survives_next_loss
+}
+
+/// Messages that are late, daemons that are cut off or frozen, operators and callers.
+fn storm(net: &mut Net, steps: usize) {
+    for _ in 0..steps {
+        net.step(true);
+        if net.random(6) == 0 {
+            net.mishap();
+        }
+        net.traffic();
+    }
+}
+
+/// Links that break and daemons that freeze, but none that crash.
+fn unrest(net: &mut Net, steps: usize) {
+    for _ in 0..steps {
+        net.step(true);
+        let vms = net.vms();
+        let a = vms[net.random(vms.len() as u64) as usize].clone();
+        let b = vms[net.random(vms.len() as u64) as usize].clone();
+        match net.random(20) {
+            0 => net.disconnect(&a, &b),
+            1..=4 => net.connect(&a, &b),
+            5 => net.hosts.get_mut(&a).unwrap().frozen ^= true,
+            _ => {}
+        }
+    }
+}
+
+/// One disk, two disks or a whole VM is lost.
+fn lose(net: &mut Net) {
+    let replicas = net.replicas();
+    let first = net.random(replicas.len() as u64) as usize;
+    let second = (first + 1) % replicas.len();
+    match net.random(3) {
+        0 => net.wipe(&replicas[first]),
+        1 => {
+            net.wipe(&replicas[first]);
+            net.wipe(&replicas[second]);
+        }
+        _ => {
+            let new = net.replace(&replicas[first]);
+            net.start(&new);
+        }
+    }
+}
+
+#[gtest]
+fn three_seeds_found_one_group_and_the_others_join_it() {
+    let mut net = Net::new(&large(), 1);
+
+    net.calm(REPAIRED);
+
+    expect_that!(voters(&net), eq(5));
+    expect_true!(survives_next_loss(&net));
+}
+
+#[gtest]
+fn a_vm_that_comes_later_founds_nothing() {
+    let mut net = Net::new(&large(), 2);
+    net.calm(REPAIRED);
+    net.submit(&"vm-6".into(), 1, "a");
+    net.calm(20);
+    let new = net.replace(&"vm-1".into());
+    net.start(&new);
+    net.isolate(&new);
+
+    for _ in 0..REPAIRED {
+        net.step(false);
+    }
+
+    let status = net.control(&new);
+    expect_that!(status.replicas, len(eq(0)));
+    expect_that!(net.version_at(&new), eq(0));
+}
+
+#[gtest]
+fn a_founder_that_lost_its_disk_founds_nothing_whatever_its_settings_say() {
+    let mut net = Net::new(&large(), 4);
+    net.calm(REPAIRED);
+    net.submit(&"vm-6".into(), 1, "a");
+    net.calm(20);
+    net.wipe(&"vm-1".into());
+    net.hosts.get_mut("vm-1").unwrap().founder = true;
+    net.start(&"vm-1".into());
+
+    // Links come up and messages arrive before anything else can be decided.
+    let status = net.control(&"vm-1".into());
+
+    expect_that!(status.replicas, len(eq(0)));
+    net.calm(REPAIRED);
+    expect_that!(net.version_at("vm-1"), eq(1));
+    expect_that!(voters(&net), eq(5));
+}
+
+#[gtest]
+fn two_disks_lost_at_once_lose_nothing() {
+    let mut net = Net::new(&large(), 3);
+    net.calm(REPAIRED);
+    net.submit(&"vm-6".into(), 1, "a");
+    net.calm(20);
+    net.wipe(&"vm-1".into());
+    net.wipe(&"vm-2".into());
+
+    net.calm(REPAIRED);
+
+    expect_that!(net.version_at("vm-7"), eq(1));
+    expect_that!(voters(&net), eq(5));
+    expect_true!(survives_next_loss(&net));
+}
+
+proptest! {
+    #![proptest_config(crate::testing::fixed_seed(16))]
+
+    #[test]
+    fn whatever_is_lost_within_what_is_borne_nothing_accepted_is(seed in any::<u64>()) {
+        let mut net = Net::new(&large(), seed);
+        unrest(&mut net, 100);
+        net.calm(REPAIRED);
+        prop_assert_eq!(voters(&net), 5, "after founding");
+        for _ in 0..3 {
+            storm(&mut net, 120);
+            net.calm(REPAIRED);
+            prop_assert!(survives_next_loss(&net));
+            lose(&mut net);
+        }
+        storm(&mut net, 60);
+        net.calm(REPAIRED);
+
+        let accepted = net.seen.accepted;
+        prop_assert!(0 < accepted, "nothing was accepted");
+        for vm in net.vms() {
+            prop_assert!(accepted <= net.version_at(&vm), "{} is behind", vm);
+        }
+        prop_assert_eq!(voters(&net), 5, "after the losses");
+        prop_assert!(survives_next_loss(&net));
+    }
+}
--- /dev/null
+++ b/crates/core/src/node/tests/mod.rs
@@ -0,0 +1,150 @@
+//! Properties of whole nodes: five daemons, three of them control replicas.
+
+mod founding;
+mod net;
+
+use std::collections::BTreeSet;
+
+use googletest::prelude::*;
+use proptest::prelude::*;
+
+use self::net::{Net, Site, request};
+use super::*;
+
+/// Three control replicas and two entries.
+fn small() -> Site {
+    Site::new(3, 2)
+}
+
+#[gtest]
+fn an_accepted_file_is_in_force_everywhere() {
+    let mut net = Net::new(&small(), 1);
+    net.calm(100);
+
+    net.submit(&"vm-4".into(), 3, "a");
+    net.calm(20);
+
+    for vm in &net.vms() {
+        expect_that!(net.version_at(vm), eq(3), "{vm}");
+        expect_that!(net.hosts[vm].node.as_ref().unwrap().is_fresh(), eq(true), "{vm}");
+    }
+    expect_that!(net.seen.accepted, eq(3));
+}
+
+#[gtest]
+fn a_cut_off_leader_vouches_for_nothing_and_a_restarted_daemon_does_not_revert() {
+    let mut net = Net::new(&small(), 3);
+    net.calm(100);
+    net.submit(&"vm-4".into(), 1, "a");
+    net.calm(20);
+    let old = net.leader().unwrap();
+    // The old leader and one daemon are cut off together; the rest go on.
+    net.crash(&"vm-5".into());
+    net.cut = BTreeSet::from([old.clone(), "vm-5".into()]);
+    net.isolate(&old);
+    for _ in 0..100 {
+        net.step(false);
+    }
+    net.submit(&"vm-4".into(), 2, "b");
+    net.start(&"vm-5".into());
+    for _ in 0..200 {
+        net.step(false);
+    }
+
+    expect_that!(net.version_at("vm-4"), eq(2));
+    expect_that!(net.version_at("vm-5"), eq(0));
+    let node = net.hosts[&old].node.as_ref().unwrap();
+    expect_that!(node.is_fresh(), eq(false));
+    net.calm(200);
+    expect_that!(net.version_at("vm-5"), eq(2));
+}
+
+#[gtest]
+fn a_wiped_disk_is_repaired_before_the_next_loss() {
+    let mut net = Net::new(&small(), 5);
+    net.calm(100);
+    net.submit(&"vm-4".into(), 1, "a");
+    net.calm(20);
+    net.wipe(&"vm-2".into());
+    net.step(false);
+    expect_that!(net.control(&net.leader().unwrap()).survives_next_loss, eq(false));
+
+    net.calm(300);
+
+    let status = net.control(&net.leader().unwrap());
+    expect_that!(status.survives_next_loss, eq(true));
+    expect_that!(status.replicas.iter().filter(|r| r.voter).count(), eq(3));
+    // The next loss: the accepted version is still there, and another is accepted.
+    net.crash(&"vm-1".into());
+    for _ in 0..150 {
+        net.step(false);
+    }
+    net.submit(&"vm-4".into(), 2, "b");
+    for _ in 0..50 {
+        net.step(false);
+    }
+    expect_that!(net.version_at("vm-5"), eq(2));
+}
+
+#[gtest]
+fn requests_are_placed_without_any_leader_within_this_daemons_share() {
+    let mut net = Net::new(&small(), 7);
+    net.calm(100);
+    net.submit(&"vm-4".into(), 1, "a");
+    net.calm(60);
+    for vm in net.replicas() {
+        net.crash(&vm);
+    }
+    for _ in 0..100 {
+        net.step(false);
+    }
+    for _ in 0..4 {
+        net.ask(&"vm-4".into(), Question::Place(request()));
+    }
+    net.step(false);
+
+    // Four slots between five daemons are one for each.
+    expect_that!(net.seen.placed.len(), eq(1));
+}
+
+#[gtest]
+fn a_frozen_leader_does_not_hold_requests_up() {
+    let mut net = Net::new(&small(), 9);
+    net.calm(100);
+    net.submit(&"vm-4".into(), 1, "a");
+    net.calm(60);
+    let leader = net.leader().unwrap();
+    net.hosts.get_mut(&leader).unwrap().frozen = true;
+    let asker: VmName = if *leader == *"vm-4" { "vm-5".into() } else { "vm-4".into() };
+
+    net.ask(&asker, Question::Place(request()));
+    for _ in 0..100 {
+        net.step(false);
+    }
+
+    expect_that!(net.seen.placed.len(), eq(1));
+}
+
+proptest! {
+    #![proptest_config(crate::testing::fixed_seed(60))]
+
+    #[test]
+    fn configurations_never_revert_and_claims_are_granted_once(seed in any::<u64>()) {
+        let mut net = Net::new(&small(), seed);
+        net.calm(60);
+        for _ in 0..400 {
+            net.step(true);
+            if net.random(6) == 0 {
+                net.mishap();
+            }
+            net.traffic();
+        }
+        net.calm(400);
+        let last = net.seen.accepted;
+        prop_assert!(0 < last, "nothing was accepted");
+        let versions: BTreeSet<u64> = net.vms().iter().map(|vm| net.version_at(vm)).collect();
+        prop_assert_eq!(versions.len(), 1, "daemons differ");
+        prop_assert!(versions.iter().all(|version| last <= *version));
+        prop_assert!(net.hosts.values().all(|h| h.node.as_ref().unwrap().is_fresh()));
+    }
+}
--- a/crates/core/src/node/tests.rs
+++ b/crates/core/src/node/tests/net.rs
@@ -1,13 +1,11 @@
-//! Properties of whole nodes: five daemons, three of them control replicas, over links
-//! that break, with crashes, frozen processes, racing operators and lost answers.
+//! Whole nodes over links that break, with crashes, frozen processes, racing operators and
+//! lost answers; checks what the outside world sees while it runs.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use bytes::Bytes;
-use googletest::prelude::*;
-use proptest::prelude::*;
 
-use super::*;
+use crate::node::*;
 use crate::{
     agreement::Persist,
     config::{Document, EndpointTarget, key_digest},
@@ -18,9 +16,33 @@
     wire::Submit,
 };
 
-const REPLICAS: [&str; 3] = ["vm-1", "vm-2", "vm-3"];
-const DAEMONS: [&str; 5] = ["vm-1", "vm-2", "vm-3", "vm-4", "vm-5"];
 const STEP_US: u64 = 20_000;
+/// A replica on a VM whose disk was lost has another id than the one before.
+const IDS_OF_A_VM: u64 = 100;
+
+/// Which VMs there are.
+#[derive(Debug, Clone)]
+pub(super) struct Site {
+    /// Control replicas; the first three found the group.
+    pub(super) replicas: Vec<VmName>,
+    /// Daemons without a disk.
+    pub(super) entries: Vec<VmName>,
+}
+
+impl Site {
+    /// Replicas `vm-1` and so on, followed by entries.
+    pub(super) fn new(replicas: usize, entries: usize) -> Site {
+        let names = |from: usize, to: usize| (from..=to).map(|n| format!("vm-{n}").into());
+        Site {
+            replicas: names(1, replicas).collect(),
+            entries: names(replicas + 1, replicas + entries).collect(),
+        }
+    }
+
+    fn seeds(&self) -> Vec<VmName> {
+        self.replicas.iter().take(3).cloned().collect()
+    }
+}
 
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 struct Link {
@@ -28,39 +50,54 @@
     to: VmName,
 }
 
-struct Host {
-    node: Option<Node>,
+pub(super) struct Host {
+    pub(super) node: Option<Node>,
     disk: Disk,
     /// Writes that were handed out and are not synced.
     writes: VecDeque<(u64, Persist)>,
-    frozen: bool,
+    pub(super) frozen: bool,
     incarnation: u64,
+    /// Whether it runs a control replica.
+    replica: bool,
+    /// Whether it was there when the system first started.
+    pub(super) founder: bool,
+}
+
+/// A version that an operator was told is accepted.
+#[derive(Debug, Clone, Copy)]
+struct Acknowledged {
+    at: Instant,
+    version: u64,
 }
 
 /// What the outside world has seen.
 #[derive(Default)]
-struct Seen {
+pub(super) struct Seen {
     /// Hash of each version that was in force or accepted anywhere.
     hashes: BTreeMap<u64, ContentHash>,
     /// The highest version in force on each VM, over all its runs.
     in_force: BTreeMap<VmName, u64>,
     /// The highest version that any operator was told is accepted.
-    accepted: u64,
+    pub(super) accepted: u64,
+    /// When each of these was told, in the order of time.
+    acknowledged: Vec<Acknowledged>,
     /// Owners that were granted each key.
     granted: BTreeMap<u8, BTreeSet<u64>>,
-    placed: Vec<CallId>,
-    refused: usize,
+    pub(super) placed: Vec<CallId>,
+    pub(super) refused: usize,
 }
 
-struct Net {
-    hosts: BTreeMap<VmName, Host>,
+pub(super) struct Net {
+    seeds: Vec<VmName>,
+    max_voters: usize,
+    pub(super) hosts: BTreeMap<VmName, Host>,
     links: BTreeMap<Link, VecDeque<Body>>,
     now: u64,
     choices: Choices,
     next_call: u64,
     claims: BTreeMap<CallId, (u8, u64)>,
-    cut: BTreeSet<VmName>,
-    seen: Seen,
+    pub(super) cut: BTreeSet<VmName>,
+    pub(super) seen: Seen,
 }
 
 fn file(version: u64, content: &str) -> String {
@@ -73,7 +110,7 @@
     )
 }
 
-fn request() -> Request {
+pub(super) fn request() -> Request {
     Request {
         ticket: Ticket { entry: 0, number: 0 },
         workspace: "w".into(),
@@ -91,9 +128,25 @@
     }
 }
 
+impl Host {
+    fn new(replica: bool, founder: bool) -> Host {
+        Host {
+            node: None,
+            disk: Disk::default(),
+            writes: VecDeque::new(),
+            frozen: false,
+            incarnation: 0,
+            replica,
+            founder,
+        }
+    }
+}
+
 impl Net {
-    fn new(seed: u64) -> Net {
+    pub(super) fn new(site: &Site, seed: u64) -> Net {
         let mut net = Net {
+            seeds: site.seeds(),
+            max_voters: site.replicas.len(),
             hosts: BTreeMap::new(),
             links: BTreeMap::new(),
             now: 1_000_000,
@@ -103,60 +156,63 @@
             cut: BTreeSet::new(),
             seen: Seen::default(),
         };
-        for vm in DAEMONS {
-            let host = Host {
-                node: None,
-                disk: Disk::default(),
-                writes: VecDeque::new(),
-                frozen: false,
-                incarnation: 0,
-            };
-            net.hosts.insert(vm.into(), host);
+        for vm in &site.replicas {
+            net.hosts.insert(vm.clone(), Host::new(true, true));
+        }
+        for vm in &site.entries {
+            net.hosts.insert(vm.clone(), Host::new(false, true));
         }
-        for vm in DAEMONS {
-            net.start(&vm.into());
+        for vm in net.vms() {
+            net.start(&vm);
         }
         net
     }
 
-    fn random(&mut self, below: u64) -> u64 {
+    /// Names of all VMs.
+    pub(super) fn vms(&self) -> Vec<VmName> {
+        self.hosts.keys().cloned().collect()
+    }
+
+    pub(super) fn random(&mut self, below: u64) -> u64 {
         self.choices.below(below)
     }
 
     fn pick(&mut self) -> VmName {
-        DAEMONS[self.random(DAEMONS.len() as u64) as usize].into()
+        let vms = self.vms();
+        vms[self.random(vms.len() as u64) as usize].clone()
     }
 
-    fn start(&mut self, vm: &VmName) {
+    pub(super) fn start(&mut self, vm: &VmName) {
         let now = Instant(self.now);
         let seed = self.random(1 << 40);
+        let host = &self.hosts[vm];
         let options = NodeOptions {
             vm: vm.clone(),
-            seeds: REPLICAS.map(VmName::from).to_vec(),
-            founders: REPLICAS.map(VmName::from).to_vec(),
-            max_voters: REPLICAS.len(),
+            seeds: self.seeds.clone(),
+            founders: if host.founder { self.seeds.clone() } else { Vec::new() },
+            max_voters: self.max_voters,
             endpoint_heartbeat: Duration::from_secs(1),
             timing: NodeTiming::default(),
             seed,
         };
         let host = self.hosts.get_mut(vm).unwrap();
-        host.node = Some(if REPLICAS.contains(&&**vm) {
+        host.node = Some(if host.replica {
             let number: u64 = vm[3..].parse().unwrap();
-            let id = number + 10 * host.incarnation;
+            let id = number + IDS_OF_A_VM * host.incarnation;
             Node::replica(&options, id, host.disk.restored.clone(), now)
         } else {
             Node::entry(&options, now)
         });
         self.handle(vm, Input::Tick);
-        for peer in DAEMONS {
-            self.connect(vm, &peer.into());
+        for peer in self.vms() {
+            self.connect(vm, &peer);
         }
     }
 
     /// Links a pair, if both run and one of them is a control replica.
-    fn connect(&mut self, a: &VmName, b: &VmName) {
+    pub(super) fn connect(&mut self, a: &VmName, b: &VmName) {
         let runs = |vm: &VmName| self.hosts[vm].node.is_some();
-        let control = REPLICAS.contains(&&**a) || REPLICAS.contains(&&**b);
+        let control = self.hosts[a].replica || self.hosts[b].replica;
         let cut = self.cut.contains(a) != self.cut.contains(b);
         let link = Link { from: a.clone(), to: b.clone() };
         if a == b || !control || cut || !runs(a) || !runs(b) || self.links.contains_key(&link) {
@@ -168,7 +224,7 @@
         self.handle(b, Input::LinkUp(a.clone()));
     }
 
-    fn disconnect(&mut self, a: &VmName, b: &VmName) {
+    pub(super) fn disconnect(&mut self, a: &VmName, b: &VmName) {
         let known = self.links.remove(&Link { from: a.clone(), to: b.clone() }).is_some();
         self.links.remove(&Link { from: b.clone(), to: a.clone() });
         if known {
@@ -177,7 +233,40 @@
         }
     }
 
-    fn crash(&mut self, vm: &VmName) {
+    /// Breaks all links of a VM.
+    pub(super) fn isolate(&mut self, vm: &VmName) {
+        for peer in self.vms() {
+            self.disconnect(vm, &peer);
+        }
+    }
+
+    /// Takes a VM's disk away; it starts again with an empty one, knowing that the system has
+    /// started before.
+    pub(super) fn wipe(&mut self, vm: &VmName) {
+        self.crash(vm);
+        let host = self.hosts.get_mut(vm).unwrap();
+        host.disk = Disk::default();
+        host.incarnation += 1;
+        host.founder = false;
+    }
+
+    /// Takes a VM away for good; another one comes in its place.
+    pub(super) fn replace(&mut self, vm: &VmName) -> VmName {
+        self.crash(vm);
+        let host = self.hosts.remove(vm).unwrap();
+        let number = self.hosts.len() as u64 + 10 + self.next_call;
+        let new: VmName = format!("vm-{number}").into();
+        self.hosts.insert(new.clone(), Host::new(host.replica, false));
+        new
+    }
+
+    /// The control replicas.
+    pub(super) fn replicas(&self) -> Vec<VmName> {
+        let replicas = self.hosts.iter().filter(|(_, host)| host.replica);
+        replicas.map(|(vm, _)| vm.clone()).collect()
+    }
+
+    pub(super) fn crash(&mut self, vm: &VmName) {
         let writes = self.hosts[vm].writes.len() as u64;
         let written = self.random(writes + 1) as usize;
         let host = self.hosts.get_mut(vm).unwrap();
@@ -187,12 +276,10 @@
         host.node = None;
         host.writes.clear();
         host.frozen = false;
-        for peer in DAEMONS {
-            self.disconnect(vm, &peer.into());
-        }
+        self.isolate(vm);
     }
 
-    fn handle(&mut self, vm: &VmName, input: Input) {
+    pub(super) fn handle(&mut self, vm: &VmName, input: Input) {
         let clocks = Clocks { now: Instant(self.now), wall: UnixMillis(self.now / 1_000) };
         let host = self.hosts.get_mut(vm).unwrap();
         let Some(node) = &mut host.node else { return };
@@ -220,6 +307,7 @@
                 *highest = in_force.version;
             }
             Output::Answer(call, answer) => self.answered(call, answer),
+            Output::Fresh { confirmed: Some(at), .. } => self.check_confirmed(vm, at),
             Output::Fresh { .. }
             | Output::Watch(_)
             | Output::Leader { .. }
@@ -229,6 +317,15 @@
         }
     }
 
+    /// What a daemon takes for confirmed covers all that was accepted before it asked; the
+    /// daemon may have been frozen or cut off since.
+    fn check_confirmed(&self, vm: &VmName, at: Instant) {
+        let in_force = self.version_at(vm);
+        let before = self.seen.acknowledged.iter().take_while(|told| told.at < at);
+        let newest = before.map(|told| told.version).max().unwrap_or_default();
+        assert!(newest <= in_force, "{vm} has {in_force} confirmed after {newest} was accepted");
+    }
+
     fn answered(&mut self, call: CallId, answer: Answer) {
         match answer {
             Answer::Submitted(Ok(accepted)) => {
@@ -236,6 +333,8 @@
                 let known = self.seen.hashes.entry(accepted.version).or_insert(hash);
                 assert_eq!(*known, hash, "two files accepted as one version");
                 self.seen.accepted = self.seen.accepted.max(accepted.current);
+                let told = Acknowledged { at: Instant(self.now), version: accepted.current };
+                self.seen.acknowledged.push(told);
             }
             Answer::Submitted(Err(_)) => self.seen.refused += 1,
             Answer::Claimed(Some(ClaimResult::Granted)) => {
@@ -249,14 +348,14 @@
         }
     }
 
-    fn ask(&mut self, vm: &VmName, question: Question) -> CallId {
+    pub(super) fn ask(&mut self, vm: &VmName, question: Question) -> CallId {
         self.next_call += 1;
         let call = CallId(self.next_call);
         self.handle(vm, Input::Ask(call, question));
         call
     }
 
-    fn submit(&mut self, vm: &VmName, version: u64, content: &str) {
+    pub(super) fn submit(&mut self, vm: &VmName, version: u64, content: &str) {
         let document = Document::parse("f.ini", &file(version, content)).unwrap();
         let in_force = self.hosts[vm].node.as_ref().and_then(Node::in_force);
         let nothing = Document::default();
@@ -288,7 +387,7 @@
     }
 
     /// One step of time: links deliver what they hold, disks sync, nodes tick.
-    fn step(&mut self, mishaps: bool) {
+    pub(super) fn step(&mut self, mishaps: bool) {
         self.now += STEP_US;
         let links: Vec<Link> = self.links.keys().cloned().collect();
         for link in links {
@@ -300,7 +399,7 @@
                 self.handle(&link.to, Input::Message(link.from.clone(), body));
             }
         }
-        for vm in DAEMONS.map(VmName::from) {
+        for vm in self.vms() {
             if self.hosts[&vm].frozen {
                 continue;
             }
@@ -311,7 +410,7 @@
         }
     }
 
-    fn mishap(&mut self) {
+    pub(super) fn mishap(&mut self) {
         let vm = self.pick();
         let other = self.pick();
         match self.random(12) {
@@ -321,9 +420,7 @@
             5..=6 => self.connect(&vm, &other),
             7 => {
                 self.cut.insert(vm.clone());
-                for peer in DAEMONS {
-                    self.disconnect(&vm, &peer.into());
-                }
+                self.isolate(&vm);
             }
             8 => self.cut.clear(),
             9 => self.hosts.get_mut(&vm).unwrap().frozen ^= true,
@@ -332,7 +429,7 @@
         }
     }
 
-    fn traffic(&mut self) {
+    pub(super) fn traffic(&mut self) {
         let vm = self.pick();
         match self.random(4) {
             0 => {
@@ -356,17 +453,17 @@
     }
 
     /// Ends all mishaps and lets time pass.
-    fn calm(&mut self, steps: usize) {
+    pub(super) fn calm(&mut self, steps: usize) {
         self.cut.clear();
-        for vm in DAEMONS.map(VmName::from) {
+        for vm in self.vms() {
             self.hosts.get_mut(&vm).unwrap().frozen = false;
             if self.hosts[&vm].node.is_none() {
                 self.start(&vm);
             }
         }
-        for a in DAEMONS {
-            for b in DAEMONS {
-                self.connect(&a.into(), &b.into());
+        for a in self.vms() {
+            for b in self.vms() {
+                self.connect(&a, &b);
             }
         }
         for _ in 0..steps {
@@ -374,157 +471,19 @@
         }
     }
 
-    fn leader(&self) -> Option<VmName> {
+    pub(super) fn leader(&self) -> Option<VmName> {
         let leads = |node: &Node| node.control.as_ref().is_some_and(Control::leads);
         let found = self.hosts.iter().find(|(_, h)| h.node.as_ref().is_some_and(leads));
         found.map(|(vm, _)| vm.clone())
     }
 
-    fn version_at(&self, vm: &str) -> u64 {
+    pub(super) fn version_at(&self, vm: &str) -> u64 {
         let node = self.hosts[vm].node.as_ref();
         node.and_then(Node::in_force).map_or(0, |f| f.version)
     }
 
-    fn control(&self, vm: &VmName) -> ControlStatus {
+    pub(super) fn control(&self, vm: &VmName) -> ControlStatus {
         let control = self.hosts[vm].node.as_ref().and_then(|n| n.control.as_ref());
         control.unwrap().status(Instant(self.now))
     }
 }
-
-#[gtest]
-fn an_accepted_file_is_in_force_everywhere() {
-    let mut net = Net::new(1);
-    net.calm(100);
-
-    net.submit(&"vm-4".into(), 3, "a");
-    net.calm(20);
-
-    for vm in DAEMONS {
-        expect_that!(net.version_at(vm), eq(3), "{vm}");
-        expect_that!(net.hosts[vm].node.as_ref().unwrap().is_fresh(), eq(true), "{vm}");
-    }
-    expect_that!(net.seen.accepted, eq(3));
-}
-
-#[gtest]
-fn a_cut_off_leader_vouches_for_nothing_and_a_restarted_daemon_does_not_revert() {
-    let mut net = Net::new(3);
-    net.calm(100);
-    net.submit(&"vm-4".into(), 1, "a");
-    net.calm(20);
-    let old = net.leader().unwrap();
-    // The old leader and one daemon are cut off together; the rest go on.
-    net.crash(&"vm-5".into());
-    net.cut = BTreeSet::from([old.clone(), "vm-5".into()]);
-    for peer in DAEMONS {
-        net.disconnect(&old, &peer.into());
-    }
-    for _ in 0..100 {
-        net.step(false);
-    }
-    net.submit(&"vm-4".into(), 2, "b");
-    net.start(&"vm-5".into());
-    for _ in 0..200 {
-        net.step(false);
-    }
-
-    expect_that!(net.version_at("vm-4"), eq(2));
-    expect_that!(net.version_at("vm-5"), eq(0));
-    let node = net.hosts[&old].node.as_ref().unwrap();
-    expect_that!(node.is_fresh(), eq(false));
-    net.calm(200);
-    expect_that!(net.version_at("vm-5"), eq(2));
-}
-
-#[gtest]
-fn a_wiped_disk_is_repaired_before_the_next_loss() {
-    let mut net = Net::new(5);
-    net.calm(100);
-    net.submit(&"vm-4".into(), 1, "a");
-    net.calm(20);
-    net.crash(&"vm-2".into());
-    let host = net.hosts.get_mut("vm-2").unwrap();
-    host.disk = Disk::default();
-    host.incarnation = 1;
-    net.step(false);
-    expect_that!(net.control(&net.leader().unwrap()).survives_next_loss, eq(false));
-
-    net.calm(300);
-
-    let status = net.control(&net.leader().unwrap());
-    expect_that!(status.survives_next_loss, eq(true));
-    expect_that!(status.replicas.iter().filter(|r| r.voter).count(), eq(3));
-    // The next loss: the accepted version is still there, and another is accepted.
-    net.crash(&"vm-1".into());
-    for _ in 0..150 {
-        net.step(false);
-    }
-    net.submit(&"vm-4".into(), 2, "b");
-    for _ in 0..50 {
-        net.step(false);
-    }
-    expect_that!(net.version_at("vm-5"), eq(2));
-}
-
-#[gtest]
-fn requests_are_placed_without_any_leader_within_this_daemons_share() {
-    let mut net = Net::new(7);
-    net.calm(100);
-    net.submit(&"vm-4".into(), 1, "a");
-    net.calm(60);
-    for vm in REPLICAS {
-        net.crash(&vm.into());
-    }
-    for _ in 0..100 {
-        net.step(false);
-    }
-    for _ in 0..4 {
-        net.ask(&"vm-4".into(), Question::Place(request()));
-    }
-    net.step(false);
-
-    // Four slots between five daemons are one for each.
-    expect_that!(net.seen.placed.len(), eq(1));
-}
-
-#[gtest]
-fn a_frozen_leader_does_not_hold_requests_up() {
-    let mut net = Net::new(9);
-    net.calm(100);
-    net.submit(&"vm-4".into(), 1, "a");
-    net.calm(60);
-    let leader = net.leader().unwrap();
-    net.hosts.get_mut(&leader).unwrap().frozen = true;
-    let asker: VmName = if *leader == *"vm-4" { "vm-5".into() } else { "vm-4".into() };
-
-    net.ask(&asker, Question::Place(request()));
-    for _ in 0..100 {
-        net.step(false);
-    }
-
-    expect_that!(net.seen.placed.len(), eq(1));
-}
-
-proptest! {
-    #![proptest_config(crate::testing::fixed_seed(60))]
-
-    #[test]
-    fn configurations_never_revert_and_claims_are_granted_once(seed in any::<u64>()) {
-        let mut net = Net::new(seed);
-        net.calm(60);
-        for _ in 0..400 {
-            net.step(true);
-            if net.random(6) == 0 {
-                net.mishap();
-            }
-            net.traffic();
-        }
-        net.calm(400);
-        let last = net.seen.accepted;
-        prop_assert!(0 < last, "nothing was accepted");
-        let versions: BTreeSet<u64> = DAEMONS.iter().map(|vm| net.version_at(vm)).collect();
-        prop_assert_eq!(versions.len(), 1, "daemons differ");
-        prop_assert!(versions.iter().all(|version| last <= *version));
-        prop_assert!(net.hosts.values().all(|h| h.node.as_ref().unwrap().is_fresh()));
-    }
-}
