Gather news of endpoints, and hand endpoints out no faster than a daemon can

Each change of an endpoint was told by its control VM to every daemon, told again by each of the other four, told to the leader by every entry, and made every daemon copy the whole list of endpoints to its schedulers and requests; each heartbeat was a message to every control VM; the planner looked at all endpoints after every input.

Ruled out: requests (entries' bytes a second do not grow), the log (0.5 syncs a second).

Change: what an endpoint says goes at once to all daemons, and what follows within 0.1 ms for each daemon goes with the next message. What other control VMs have told is passed on together after 30 ms and more; an entry tells the leader only what the leader did not tell first. The list is handed out at once, then after 0.1 ms for each endpoint. Heartbeats are passed on each 100 ms, silent endpoints searched for each 100 ms, and the planner knows which endpoints leave.

The test that an entry tells the leader at once is replaced: it waits for the leader's own word first, and says nothing after it.

--- a/crates/core/src/node/endpoints.rs
+++ b/crates/core/src/node/endpoints.rs
@@ -1,7 +1,13 @@
 //! Endpoints at a node: passes on what they say of themselves, hands them to the schedulers
 //! and shows their state.
 
-use super::{Engines, Node, VmName};
+use super::{
+    Engines, Node, Output, VmName,
+    spread::{
+        HEARTBEATS, PAUSE_FOR_A_DAEMON, PAUSE_FOR_AN_ENDPOINT, RELAY, RELAY_FOR_A_DAEMON,
+        TELL_LEADER, TELL_LEADER_FOR_A_DAEMON, for_each,
+    },
+};
 use crate::{
     placement::{EndpointState, Health, Scheduler},
     units::Instant,
@@ -32,54 +38,96 @@
 impl Node {
     /// A heartbeat goes to the other control VMs, and what is new in it to every daemon.
     pub(super) fn heartbeat(&mut self, record: EndpointRecord, now: Instant) {
-        let Some(new) = self.registry.take(record.clone(), now) else {
-            let news = EndpointNews { records: vec![record] };
-            let control = self.directory.known().iter().filter(|vm| self.links.contains(*vm));
-            for vm in control {
-                self.outputs.send(vm, Body::EndpointNews(news.clone()));
-            }
-            return;
-        };
-        self.tell_all(EndpointNews { records: vec![new] });
+        match self.registry.take(record.clone(), now) {
+            Some(new) => self.tell_all(new, now),
+            None => self.heartbeats.add(record, now.after(HEARTBEATS)),
+        }
     }
 
     /// An endpoint said that it will end.
     pub(super) fn farewell(&mut self, id: &str, now: Instant) {
         if let Some(record) = self.registry.leave(id, now) {
-            self.tell_all(EndpointNews { records: vec![record] });
+            self.tell_all(record, now);
         }
     }
 
     /// Tells which endpoints' heartbeats have stopped.
     pub(super) fn tell_silent(&mut self, now: Instant) {
-        let records = self.registry.find_silent(now);
-        if !records.is_empty() {
-            self.tell_all(EndpointNews { records });
+        for record in self.registry.find_silent(now) {
+            self.tell_all(record, now);
         }
     }
 
     /// What is new here goes on, so that it also reaches daemons which the sender does not: a
     /// control VM tells all, and an entry, which may be linked to control VMs that are parted
-    /// from each other, tells the leader.
+    /// from each other, tells the leader what the leader does not tell it.
     pub(super) fn endpoint_news(&mut self, from: &VmName, news: EndpointNews, now: Instant) {
-        let new: Vec<EndpointRecord> =
-            news.records.into_iter().filter_map(|record| self.registry.take(record, now)).collect();
-        if new.is_empty() {
-            return;
+        let from_leader = self.keeper.leader() == Some(from);
+        for record in news.records {
+            if from_leader {
+                self.for_leader.drop_told(&record);
+            }
+            let Some(new) = self.registry.take(record, now) else { continue };
+            if self.control.is_some() {
+                let pause = RELAY + for_each(RELAY_FOR_A_DAEMON, self.links.len());
+                self.relayed.add(new, now.after(pause));
+            } else if !from_leader {
+                let daemons = self.keeper.scheduler(now).map_or(0, |s| s.daemons as usize);
+                let pause = TELL_LEADER + for_each(TELL_LEADER_FOR_A_DAEMON, daemons);
+                self.for_leader.add(new, now.after(pause));
+            }
         }
-        let news = EndpointNews { records: new };
-        if self.control.is_some() {
-            return self.tell_all(news);
+    }
+
+    fn tell_all(&mut self, record: EndpointRecord, now: Instant) {
+        let pause = for_each(PAUSE_FOR_A_DAEMON, self.links.len());
+        self.own_news.add_soon(record, pause, now);
+    }
+
+    /// Sends what was gathered and is due.
+    pub(super) fn send_news(&mut self, now: Instant) {
+        for news in [self.own_news.take_due(now), self.relayed.take_due(now)].into_iter().flatten()
+        {
+            for vm in &self.links {
+                self.outputs.send(vm, Body::EndpointNews(news.clone()));
+            }
+        }
+        if let Some(heartbeats) = self.heartbeats.take_due(now) {
+            let control = self.directory.known().iter().filter(|vm| self.links.contains(*vm));
+            for vm in control {
+                self.outputs.send(vm, Body::EndpointNews(heartbeats.clone()));
+            }
         }
-        if let Some(leader) = self.keeper.leader().filter(|leader| *leader != from) {
+        if let Some(news) = self.for_leader.take_due(now)
+            && let Some(leader) = self.keeper.leader()
+        {
             self.outputs.send(leader, Body::EndpointNews(news));
         }
     }
 
-    fn tell_all(&mut self, news: EndpointNews) {
-        for vm in &self.links {
-            self.outputs.send(vm, Body::EndpointNews(news.clone()));
+    /// When news is next due.
+    pub(super) fn next_news(&self) -> Option<Instant> {
+        let gathered = [&self.own_news, &self.relayed, &self.heartbeats, &self.for_leader];
+        let due = gathered.into_iter().filter_map(super::spread::Gathered::due).min();
+        due.into_iter().chain(self.hand_out_at).min()
+    }
+
+    /// Hands the endpoints out if they have changed; not more often than this daemon can.
+    /// Returns whether it did.
+    pub(super) fn registered(&mut self, now: Instant) -> bool {
+        if self.handed_out == self.registry.revision() {
+            return false;
+        }
+        if now < self.next_hand_out {
+            self.hand_out_at = Some(self.next_hand_out);
+            return false;
         }
+        self.handed_out = self.registry.revision();
+        self.hand_out_at = None;
+        let endpoints = self.registry.endpoints();
+        self.next_hand_out = now.after(for_each(PAUSE_FOR_AN_ENDPOINT, endpoints.len()));
+        self.outputs.push(Output::Registered(endpoints));
+        true
     }
 
     /// Brings the endpoints that registered themselves to the schedulers.
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -25,6 +25,7 @@
 mod messages;
 mod operations;
 mod placing;
+mod spread;
 #[cfg(test)]
 mod tests;
 mod updates;
@@ -43,6 +44,7 @@
     keeper::Keeper,
     operations::{Operations, SETTLE_LIMIT, SUBMIT_LIMIT},
     placing::Placing,
+    spread::Gathered,
 };
 use crate::{
     agreement::{self, Restored},
@@ -97,6 +99,10 @@
     pub wall: UnixMillis,
 }
 
+/// Interval at which the registry is searched for endpoints that are silent or long gone; both
+/// are matters of seconds.
+const SEARCH: Duration = Duration::from_millis(100);
+
 /// Who this daemon is.
 #[derive(Debug, Clone)]
 pub struct NodeOptions {
@@ -131,6 +137,20 @@
     links: BTreeSet<VmName>,
     /// Revision of the registry that was last handed out.
     handed_out: u64,
+    /// The registry is not handed out again before this.
+    next_hand_out: Instant,
+    /// When a change that waits is handed out.
+    hand_out_at: Option<Instant>,
+    /// What endpoints have said here, for every daemon.
+    own_news: Gathered,
+    /// What other control VMs have told, for every daemon.
+    relayed: Gathered,
+    /// Heartbeats that say nothing new, for the other control VMs.
+    heartbeats: Gathered,
+    /// What an entry has heard from others than the leader.
+    for_leader: Gathered,
+    /// When the registry is next searched for endpoints that are silent or long gone.
+    next_search: Instant,
 }
 
 impl Node {
@@ -147,6 +167,13 @@
             registry: Registry::new(options.endpoint_heartbeat),
             links: BTreeSet::new(),
             handed_out: 0,
+            next_hand_out: Instant::default(),
+            hand_out_at: None,
+            own_news: Gathered::default(),
+            relayed: Gathered::default(),
+            heartbeats: Gathered::default(),
+            for_leader: Gathered::default(),
+            next_search: Instant::default(),
         }
     }
 
@@ -188,7 +215,7 @@
         if let Some(control) = &self.control {
             next = next.min(control.next_tick());
         }
-        next
+        next.min(self.next_news().unwrap_or(next))
     }
 
     fn take(&mut self, input: Input, clocks: Clocks) {
@@ -237,9 +264,12 @@
         self.operations.tick(leader, clocks.now, out);
         self.placing.tick(self.keeper.scheduler(clocks.now), clocks.now, out);
         self.directory.tick(clocks.now, out);
-        self.registry.expire(clocks.now);
-        if self.leads() {
-            self.tell_silent(clocks.now);
+        if self.next_search <= clocks.now {
+            self.next_search = clocks.now.after(SEARCH);
+            self.registry.expire(clocks.now);
+            if self.leads() {
+                self.tell_silent(clocks.now);
+            }
         }
     }
 
@@ -345,11 +375,8 @@
         loop {
             self.keeper.set_replicas(self.directory.known());
             let in_force = self.keeper.take_changed();
-            let registered = self.handed_out != self.registry.revision();
-            if registered {
-                self.handed_out = self.registry.revision();
-                self.outputs.push(Output::Registered(self.registry.endpoints()));
-            }
+            self.send_news(clocks.now);
+            let registered = self.registered(clocks.now);
             if in_force.is_some() || registered {
                 self.hand_out_endpoints(clocks.now);
             }
--- a/crates/core/src/placement/endpoint_news.rs
+++ b/crates/core/src/placement/endpoint_news.rs
@@ -30,6 +30,8 @@
             kept.insert(name, state);
         }
         self.endpoints = kept;
+        let endpoints = &self.endpoints;
+        self.evacuation.leaving.retain(|name| endpoints.contains_key(name));
         // Requests at an endpoint that is gone or moved are no longer accounted for.
         let gone = |p: &Placed| self.endpoints.get(&p.endpoint).is_none_or(|e| e.running == 0);
         let tickets: Vec<Ticket> =
@@ -51,6 +53,11 @@
     /// Notes that an endpoint is leaving, or has come back.
     pub fn endpoint_leaving(&mut self, name: &str, leaving: bool) {
         let Some(endpoint) = self.endpoints.get_mut(name) else { return };
+        if leaving {
+            self.evacuation.leaving.insert(endpoint.name.clone());
+        } else {
+            self.evacuation.leaving.remove(name);
+        }
         match (leaving, endpoint.health) {
             (true, _) => endpoint.health = Health::Leaving,
             (false, Health::Leaving) => endpoint.health = Health::Live,
--- a/crates/core/src/placement/evacuation.rs
+++ b/crates/core/src/placement/evacuation.rs
@@ -4,7 +4,11 @@
 //! one generation at a time, the dearest first, and each endpoint takes one at a time. A
 //! generation leaves its endpoint only after its copy has arrived; that is the daemon's part.
 
-use std::{collections::HashMap, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeSet, HashMap},
+    sync::Arc,
+    time::Duration,
+};
 
 use super::{
     Scheduler, Ticket,
@@ -62,6 +66,8 @@
 /// Moves on their way and moves that failed.
 #[derive(Debug, Default)]
 pub(super) struct Evacuation {
+    /// The endpoints that leave: few of many, and looked at after every input.
+    pub(super) leaving: BTreeSet<Arc<str>>,
     moves: HashMap<Ticket, Move>,
     tries: HashMap<Ticket, Tries>,
     next_look: Instant,
@@ -90,9 +96,8 @@
         self.evacuation.next_look = now.after(LOOK);
         self.give_up_moves(now);
         let sources: Vec<Arc<str>> = self
-            .endpoints
-            .values()
-            .filter(|state| must_empty(state) && !self.evacuation.is_busy(&state.name))
+            .must_empty()
+            .filter(|state| !self.evacuation.is_busy(&state.name))
             .map(|state| state.name.clone())
             .collect();
         sources.iter().filter_map(|source| self.move_next(source, now)).collect()
@@ -100,10 +105,16 @@
 
     /// When [`Scheduler::evacuate`] must be called again even without other input.
     pub(super) fn next_evacuation(&self) -> Option<Instant> {
-        let waiting = self.endpoints.values().any(must_empty);
+        let waiting = self.must_empty().next().is_some();
         waiting.then_some(self.evacuation.next_look)
     }
 
+    /// Endpoints that leave and still run what can be moved.
+    fn must_empty(&self) -> impl Iterator<Item = &EndpointState> {
+        let leaving = self.evacuation.leaving.iter().filter_map(|name| self.endpoints.get(name));
+        leaving.filter(|state| must_empty(state))
+    }
+
     /// Notes where a generation runs after a move, which may have failed.
     pub fn moved(&mut self, ticket: Ticket, at: &str, done: bool, now: Instant) {
         let at: Arc<str> = at.into();
