--- a/crates/core/src/node/endpoint_tests.rs
+++ b/crates/core/src/node/endpoint_tests.rs
@@ -33,13 +33,19 @@
     let mut node = entry();
     let mut outputs = node.handle(Input::LinkUp(leader.clone()), clocks(1));
     outputs.extend(node.handle(Input::LinkUp(other.clone()), clocks(1)));
+    let reply = answer_of(leader, &outputs);
+    node.handle(Input::Message(leader.clone(), reply), clocks(2));
+    node
+}
+
+/// The leader's answer to the poll that it was sent.
+fn answer_of(leader: &VmName, outputs: &[Output]) -> Body {
     let nonce = outputs.iter().find_map(|output| match output {
         Output::Send(to, Body::Poll(poll)) if to == leader => Some(poll.nonce),
         _ => None,
     });
     let reply = PollReply { nonce: nonce.unwrap(), term: 1, daemons: 3, ..Default::default() };
-    node.handle(Input::Message(leader.clone(), Body::PollReply(reply)), clocks(2));
-    node
+    Body::PollReply(reply)
 }
 
 fn leaving() -> Body {
@@ -87,6 +93,24 @@
     expect_that!(told(&later, &leader), eq(0));
 }
 
+#[gtest]
+fn an_entry_keeps_its_news_until_a_leader_is_known() {
+    let (leader, other): (VmName, VmName) = ("10.0.0.1".into(), "10.0.0.2".into());
+    let mut node = entry();
+    node.handle(Input::LinkUp(other.clone()), clocks(1));
+    node.handle(Input::Message(other, leaving()), clocks(2));
+    let without = node.handle(Input::Tick, clocks(300));
+    let waits = node.next_tick();
+    let mut outputs = node.handle(Input::LinkUp(leader.clone()), clocks(301));
+    let reply = answer_of(&leader, &outputs);
+    outputs = node.handle(Input::Message(leader.clone(), reply), clocks(302));
+    outputs.extend(node.handle(Input::Tick, clocks(600)));
+
+    expect_that!(told(&without, &leader), eq(0));
+    expect_that!(waits, gt(Instant(300_000)));
+    expect_that!(told(&outputs, &leader), eq(1));
+}
+
 #[gtest]
 fn an_entry_does_not_tell_the_leader_its_own_news() {
     let (leader, other): (VmName, VmName) = ("10.0.0.1".into(), "10.0.0.2".into());
--- a/crates/core/src/node/endpoints.rs
+++ b/crates/core/src/node/endpoints.rs
@@ -98,9 +98,10 @@
                 self.outputs.send(vm, Body::EndpointNews(heartbeats.clone()));
             }
         }
-        if let Some(news) = self.for_leader.take_due(now)
-            && let Some(leader) = self.keeper.leader()
-        {
+        let Some(leader) = self.keeper.leader() else {
+            return self.for_leader.postpone(now.after(TELL_LEADER));
+        };
+        if let Some(news) = self.for_leader.take_due(now) {
             self.outputs.send(leader, Body::EndpointNews(news));
         }
     }
--- a/crates/core/src/node/spread.rs
+++ b/crates/core/src/node/spread.rs
@@ -59,6 +59,11 @@
         }
     }
 
+    /// Lets what waits wait until `due` at least.
+    pub(super) fn postpone(&mut self, due: Instant) {
+        self.due = self.due.map(|earlier| earlier.max(due));
+    }
+
     /// When something must be sent.
     pub(super) fn due(&self) -> Option<Instant> {
         self.due
