Count a link's silence from the last bytes that moved

Cause (suspected from the code): a link was given up when no whole frame came within 2 s. Entries of the grown sites have 10 Mbit/s; all endpoints of a fleet of 3,000 are a frame of 0.3 MB from each of five control VMs, and a whole configuration of 18,000 workspaces is 2.4 MB: such a frame may take longer, the link is dialed again and the frame sent again.

Change: reading and writing a frame may take as long as it needs while bytes move.

--- /dev/null
+++ b/crates/server/src/runtime/frames.rs
@@ -0,0 +1,58 @@
+//! Frames on a link. A frame may be megabytes long and a link slow: silence is counted from
+//! the last bytes that moved, not from the last whole frame.
+
+use std::{io, time::Duration};
+
+use bytes::BytesMut;
+use eyre::{Result, WrapErr};
+use tokio::{
+    io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt},
+    time::timeout,
+};
+use tokio_util::codec::Decoder;
+use trayswitch_core::wire::{Envelope, FrameCodec};
+
+/// Reads frames.
+pub(super) struct FrameReader<R> {
+    read: R,
+    buf: BytesMut,
+    codec: FrameCodec,
+}
+
+impl<R: AsyncRead + Unpin> FrameReader<R> {
+    /// Reads from `read`, after the bytes in `first`.
+    pub(super) fn new(read: R, first: BytesMut) -> FrameReader<R> {
+        FrameReader { read, buf: first, codec: FrameCodec::default() }
+    }
+
+    /// The next frame; `None` when the peer has closed the link. Fails when no byte came for
+    /// as long as `silence`.
+    pub(super) async fn next(&mut self, silence: Duration) -> Result<Option<Envelope>> {
+        loop {
+            if let Some(envelope) = self.codec.decode(&mut self.buf)? {
+                return Ok(Some(envelope));
+            }
+            let read = timeout(silence, self.read.read_buf(&mut self.buf)).await;
+            if read.wrap_err("the peer is silent")?? == 0 {
+                return Ok(None);
+            }
+        }
+    }
+}
+
+/// Writes all bytes. Fails when the peer takes none for as long as `silence`.
+pub(super) async fn write_all(
+    write: &mut (impl AsyncWrite + Unpin),
+    mut bytes: &[u8],
+    silence: Duration,
+) -> Result<()> {
+    while !bytes.is_empty() {
+        let written = timeout(silence, write.write(bytes)).await;
+        let written = written.wrap_err("the peer does not read")??;
+        if written == 0 {
+            return Err(io::Error::from(io::ErrorKind::WriteZero).into());
+        }
+        bytes = &bytes[written..];
+    }
+    Ok(())
+}
--- a/crates/server/src/runtime/links.rs
+++ b/crates/server/src/runtime/links.rs
@@ -23,13 +23,16 @@
     sync::mpsc,
     time::timeout,
 };
-use tokio_util::codec::{Encoder, Framed, FramedRead, LengthDelimitedCodec};
+use tokio_util::codec::{Encoder, Framed, LengthDelimitedCodec};
 use trayswitch_core::{
     node::{Input, VmName},
     wire::{Body, Envelope, FrameCodec, Handshake, Hello, Proof},
 };
 
-use super::NodeHandle;
+use super::{
+    NodeHandle,
+    frames::{self, FrameReader},
+};
 use crate::{telemetry::EventId, upstream::socket};
 
 /// A link is dropped after this silence: four empty messages.
@@ -241,8 +244,7 @@
     let Peer { vm, socket, read: first_bytes } = peer;
     let vm = &vm;
     let (read, write) = socket.into_split();
-    let mut frames = FramedRead::new(read, FrameCodec::default());
-    frames.read_buffer_mut().extend_from_slice(&first_bytes);
+    let frames = FrameReader::new(read, first_bytes);
     let (tx, rx) = mpsc::channel(MAX_QUEUE);
     let (id, first) = node.links().add(vm, tx);
     let guard = LinkGuard { vm: vm.clone(), id, node: node.clone() };
@@ -277,16 +279,17 @@
     }
 }
 
-type Frames = FramedRead<OwnedReadHalf, FrameCodec>;
-
-async fn read_all(mut frames: Frames, vm: &VmName, node: &NodeHandle) -> Result<()> {
-    loop {
-        let next = timeout(SILENCE, frames.next()).await.wrap_err("the peer is silent")?;
-        let Some(envelope) = next else { return Ok(()) };
-        if let Some(body) = envelope?.body {
+async fn read_all(
+    mut frames: FrameReader<OwnedReadHalf>,
+    vm: &VmName,
+    node: &NodeHandle,
+) -> Result<()> {
+    while let Some(envelope) = frames.next(SILENCE).await? {
+        if let Some(body) = envelope.body {
             node.message(vm, body);
         }
     }
+    Ok(())
 }
 
 async fn write_all(mut write: OwnedWriteHalf, mut rx: mpsc::Receiver<Body>) -> Result<()> {
@@ -304,7 +307,7 @@
             let Ok(body) = rx.try_recv() else { break };
             codec.encode(&Envelope { body: Some(body) }, &mut buf)?;
         }
-        timeout(SILENCE, write.write_all(&buf)).await.wrap_err("the peer does not read")??;
+        frames::write_all(&mut write, &buf, SILENCE).await?;
         buf.clear();
     }
 }
--- a/crates/server/src/runtime/mod.rs
+++ b/crates/server/src/runtime/mod.rs
@@ -1,5 +1,8 @@
 //! Drives the pure node: feeds it inputs and carries out what it decides.
 
+mod frames;
+#[cfg(test)]
+mod frames_tests;
 mod links;
 mod placed;
 mod view;
