--- /dev/null
+++ b/crates/core/src/node/tests/net/fixture.rs
@@ -0,0 +1,38 @@
+//! The file and the request that the tests use.
+
+use std::time::Duration;
+
+use crate::{
+    config::{EndpointTarget, key_digest},
+    placement::{PrefixHash, Request, Ticket},
+};
+
+/// The text of a file of this version; `content` tells files of one version apart.
+pub(super) fn file(version: u64, content: &str) -> String {
+    let digest = key_digest("k");
+    format!(
+        "[deployment]\nname = {content}\nversion = {version}\n[hall h]\nregion = r\n\
+         [tier gold]\nrank = 1\n[kind chat]\n[model m]\nkind = chat\n\
+         [workspace w]\ntier = gold\nkey_sha256 = {digest}\n\
+         [endpoint e0]\nhall = h\naddress = 127.0.0.1:9000\nmodel = m\nslots = 4\nkv_tokens = 100000\n"
+    )
+}
+
+/// A request that any endpoint of [`file`] may take.
+pub(crate) fn request() -> Request {
+    Request {
+        ticket: Ticket { entry: 0, number: 0 },
+        workspace: "w".into(),
+        rank: 1,
+        share: 1,
+        max_running: 1_000_000,
+        max_waiting: 1_000_000,
+        kind: "chat".into(),
+        target: EndpointTarget::Model("m".into()),
+        prompt_tokens: 10,
+        prefix: PrefixHash(1),
+        max_tokens: 100,
+        max_wait: Duration::from_secs(2),
+        avoid: None,
+    }
+}
--- /dev/null
+++ b/crates/core/src/node/tests/net/mishaps.rs
@@ -0,0 +1,96 @@
+//! Mishaps, what operators and callers ask meanwhile, and the calm after.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+
+use super::{Net, fixture::request};
+use crate::{
+    node::{CallId, Input, Question, VmName},
+    once::Claim,
+};
+
+impl Net {
+    /// Any VM.
+    fn pick(&mut self) -> VmName {
+        let vms = self.vms();
+        vms[self.random(vms.len() as u64) as usize].clone()
+    }
+
+    /// A mishap or the end of one, at any VM.
+    pub(crate) fn mishap(&mut self) {
+        let vm = self.pick();
+        let other = self.pick();
+        match self.random(12) {
+            0 => self.crash(&vm),
+            1..=3 if self.hosts[&vm].node.is_none() => self.start(&vm),
+            4 => self.disconnect(&vm, &other),
+            5..=6 => self.connect(&vm, &other),
+            7 => {
+                self.cut.insert(vm.clone());
+                self.isolate(&vm);
+            }
+            8 => self.cut.clear(),
+            9 => self.hosts.get_mut(&vm).unwrap().frozen ^= true,
+            10 => self.handle(&vm, Input::Stop),
+            _ => {}
+        }
+    }
+
+    /// What an operator or a caller asks of any VM.
+    pub(crate) fn traffic(&mut self) {
+        let vm = self.pick();
+        match self.random(4) {
+            0 => {
+                let version = 1 + self.random(8);
+                let content = ["a", "b"][self.random(2) as usize];
+                self.submit(&vm, version, content);
+            }
+            1 => {
+                let key = self.random(5) as u8;
+                self.claim(&vm, key);
+            }
+            2 => {
+                self.ask(&vm, Question::Place(request()));
+            }
+            _ => {
+                if let Some(call) = self.seen.placed.pop() {
+                    self.handle(&vm, Input::Finished { call, tokens: 5, whole: true });
+                }
+            }
+        }
+    }
+
+    fn claim(&mut self, vm: &VmName, key: u8) {
+        let owner = self.random(1 << 40);
+        let claim = Claim {
+            key: Bytes::copy_from_slice(&[key; 32]),
+            body: Bytes::copy_from_slice(&[1; 32]),
+            owner: Bytes::copy_from_slice(&owner.to_be_bytes()),
+            timeout_ms: 1_000,
+            made_ms: None,
+        };
+        let call = CallId(self.next_call + 1);
+        self.seen.note_claim(call, key, owner);
+        self.ask(vm, Question::Claim { claim, limit: Duration::from_secs(2) });
+    }
+
+    /// Ends all mishaps and lets time pass.
+    pub(crate) fn calm(&mut self, steps: usize) {
+        self.cut.clear();
+        for vm in self.vms() {
+            self.hosts.get_mut(&vm).unwrap().frozen = false;
+            if self.hosts[&vm].node.is_none() {
+                self.start(&vm);
+            }
+        }
+        for a in self.vms() {
+            for b in self.vms() {
+                self.connect(&a, &b);
+            }
+        }
+        for _ in 0..steps {
+            self.step(false);
+        }
+    }
+}
