--- a/crates/server/src/relay/tests/calls.rs
+++ b/crates/server/src/relay/tests/calls.rs
@@ -3,7 +3,11 @@
 use googletest::prelude::*;
 use tokio::join;
 
-use super::entry::{Entry, on_local_tasks, outcome, text};
+use super::{
+    endpoint::FakeEndpoint,
+    entry::{Entry, on_local_tasks},
+    reading::{outcome, text},
+};
 
 #[gtest]
 fn an_answer_comes_back_whole_from_the_endpoint_that_was_meant() {
@@ -103,7 +107,7 @@
 
         expect_that!(answer.head.status.as_u16(), eq(500));
         expect_that!(text(answer).await, ok(eq("failed")));
-        expect_true!(endpoints.iter_mut().all(super::endpoint::FakeEndpoint::is_idle));
+        expect_true!(endpoints.iter_mut().all(FakeEndpoint::is_idle));
     });
 }
 
--- a/crates/server/src/relay/tests/endpoint.rs
+++ b/crates/server/src/relay/tests/endpoint.rs
@@ -65,6 +65,11 @@
     format!("id: {id}\ndata: token {id}\n\n")
 }
 
+/// The text of the events from one to the last.
+pub(super) fn events_to(last: u64) -> String {
+    (1..=last).map(event).collect()
+}
+
 /// A stream of events on its way.
 pub(super) struct Stream {
     tx: mpsc::Sender<Result<Bytes, AnswerError>>,
@@ -117,6 +122,7 @@
     }
 }
 
+/// Hands all that comes to the endpoint over to the test.
 struct Inbox {
     arrivals: mpsc::UnboundedSender<Arrival>,
     copies: mpsc::UnboundedSender<CopyAsked>,
@@ -178,6 +184,7 @@
 }
 
 impl FakeEndpoint {
+    /// Starts an endpoint that leaves all that comes to the test.
     pub(super) fn open() -> FakeEndpoint {
         let (arrivals_tx, arrivals) = mpsc::unbounded_channel();
         let (copies_tx, copies) = mpsc::unbounded_channel();
@@ -186,6 +193,7 @@
         FakeEndpoint { server, arrivals, copies }
     }
 
+    /// Where it listens.
     pub(super) fn address(&self) -> SocketAddr {
         self.server.address()
     }
@@ -205,3 +213,11 @@
         self.arrivals.try_recv().is_err()
     }
 }
+
+/// The next attempt at either endpoint.
+pub(super) async fn either(e1: &mut FakeEndpoint, e2: &mut FakeEndpoint) -> Arrival {
+    tokio::select! {
+        arrival = e1.arrival() => arrival,
+        arrival = e2.arrival() => arrival,
+    }
+}
--- a/crates/server/src/relay/tests/entry.rs
+++ b/crates/server/src/relay/tests/entry.rs
@@ -18,15 +18,15 @@
 };
 
 use super::{
-    endpoint::{FakeEndpoint, event},
-    protocol::{ID, OUTCOME, TestProtocol, header},
+    endpoint::FakeEndpoint,
+    protocol::{ID, TestProtocol},
 };
 use crate::{
     edge::{self, Server},
     relay::{Relay, RelayOptions},
     runtime::{NodeHandle, PeerPort, RuntimeOptions},
     telemetry::Metrics,
-    upstream::{AnswerBody, OpenAnswer, exchange},
+    upstream::{OpenAnswer, exchange},
 };
 
 /// Targets are so long that no hedge and no give-up comes into a test by time.
@@ -85,8 +85,6 @@
 ";
 /// Longest wait for anything in a test; only a fault reaches it.
 const LIMIT: Duration = Duration::from_secs(60);
-/// Longest answer in a test, in bytes.
-const MAX_TEXT: usize = 1024 * 1024;
 const HALL: &str = "hall-1";
 
 /// Runs a test on the local tasks of one thread. One that waits for what never comes fails.
@@ -111,6 +109,7 @@
 }
 
 impl Entry {
+    /// Starts an entry and waits until it is ready.
     pub(super) async fn open() -> Entry {
         let folder = new_folder();
         let node = NodeHandle::spawn(runtime_options(folder.clone())).unwrap();
@@ -161,43 +160,6 @@
     }
 }
 
-/// The whole text of an answer, or what became of it.
-pub(super) async fn text(answer: OpenAnswer) -> Result<String, String> {
-    Reading::new(answer).rest().await
-}
-
-/// A streamed answer as its caller reads it.
-pub(super) struct Reading {
-    body: AnswerBody,
-    text: String,
-}
-
-impl Reading {
-    pub(super) fn new(answer: OpenAnswer) -> Reading {
-        Reading { body: answer.body, text: String::new() }
-    }
-
-    /// Reads until the event of this id has come.
-    pub(super) async fn read_to(&mut self, id: u64) {
-        while !self.text.contains(&event(id)) {
-            let bytes = self.body.next().await.expect("the answer goes on").unwrap();
-            self.text += std::str::from_utf8(&bytes).unwrap();
-        }
-    }
-
-    /// Reads on to the end; returns the whole text unless the answer was cut.
-    pub(super) async fn rest(mut self) -> Result<String, String> {
-        let rest = self.body.collect(MAX_TEXT).await?;
-        self.text += std::str::from_utf8(&rest).unwrap();
-        Ok(self.text)
-    }
-}
-
-/// The outcome that the entry told, where it answered itself.
-pub(super) fn outcome(answer: &OpenAnswer) -> Option<String> {
-    header(&answer.head.headers, OUTCOME)
-}
-
 fn runtime_options(folder: PathBuf) -> RuntimeOptions {
     RuntimeOptions {
         node: NodeOptions {
--- a/crates/server/src/relay/tests/generations.rs
+++ b/crates/server/src/relay/tests/generations.rs
@@ -4,15 +4,11 @@
 use tokio::join;
 
 use super::{
-    endpoint::{Arrival, FakeEndpoint, Stream, event},
-    entry::{Entry, Reading, on_local_tasks, outcome, text},
+    endpoint::{FakeEndpoint, Stream, either, events_to},
+    entry::{Entry, on_local_tasks},
+    reading::{Reading, outcome, text},
 };
 
-/// The text of the events from one to the last.
-fn events_to(last: u64) -> String {
-    (1..=last).map(event).collect()
-}
-
 /// A generation that runs at either endpoint, whose caller has its events up to `last`.
 async fn running(
     entry: &Entry,
@@ -31,14 +27,6 @@
     (reading, stream)
 }
 
-/// The next attempt at either endpoint.
-async fn either(e1: &mut FakeEndpoint, e2: &mut FakeEndpoint) -> Arrival {
-    tokio::select! {
-        arrival = e1.arrival() => arrival,
-        arrival = e2.arrival() => arrival,
-    }
-}
-
 #[gtest]
 fn a_generation_comes_whole() {
     on_local_tasks(async {
--- a/crates/server/src/relay/tests/mod.rs
+++ b/crates/server/src/relay/tests/mod.rs
@@ -7,3 +7,4 @@
 mod generations;
 mod moves;
 mod protocol;
+mod reading;
--- a/crates/server/src/relay/tests/moves.rs
+++ b/crates/server/src/relay/tests/moves.rs
@@ -4,9 +4,10 @@
 use tokio::join;
 
 use super::{
-    endpoint::{CopyAsked, FakeEndpoint, Stream, event},
-    entry::{Entry, Reading, on_local_tasks},
+    endpoint::{CopyAsked, FakeEndpoint, Stream, events_to},
+    entry::{Entry, on_local_tasks},
     protocol::memory_text,
+    reading::Reading,
 };
 use crate::relay::MemoryAt;
 
@@ -34,10 +35,6 @@
     Running { entry, reading, stream, from, to }
 }
 
-fn events_to(last: u64) -> String {
-    (1..=last).map(event).collect()
-}
-
 /// Answers the first copy and hands out the order for the last one.
 async fn last_copy(from: &mut FakeEndpoint) -> CopyAsked {
     let first = from.copy().await;
--- a/crates/server/src/relay/tests/protocol.rs
+++ b/crates/server/src/relay/tests/protocol.rs
@@ -11,6 +11,7 @@
     Answer, Attempt, CallerRequest, Copied, CopyOrder, MemoryAt, Prompt, Protocol, Turned,
 };
 
+/// The request's id, in requests and their answers.
 pub(super) const ID: &str = "x-id";
 /// The endpoint that the request is for.
 pub(super) const ENDPOINT: &str = "x-endpoint";
@@ -25,11 +26,15 @@
 /// Path of the orders to copy.
 pub(super) const COPY_PATH: &str = "/copy";
 
+/// Tokens of every prompt.
 const PROMPT_TOKENS: u64 = 1_000;
+/// Most tokens of every answer.
 const MAX_OUTPUT: u64 = 2_000;
 
+/// The protocol of tests.
 pub(super) struct TestProtocol;
 
+/// The value of a header, if it is given and can be read.
 pub(super) fn header<T: FromStr>(headers: &HeaderMap, name: &str) -> Option<T> {
     headers.get(name)?.to_str().ok()?.parse().ok()
 }
