--- a/crates/core/src/placement/evacuation_tests.rs
+++ b/crates/core/src/placement/evacuation_tests.rs
@@ -3,65 +3,16 @@
 use std::{
     collections::{BTreeMap, BTreeSet},
     sync::Arc,
-    time::Duration,
 };
 
 use googletest::prelude::*;
 use proptest::prelude::*;
 
 use super::{
-    Action, ForecastPolicy, PrefixHash, Relocation, Request, Scheduler, SchedulerLimits, Ticket,
+    Action, Relocation, Scheduler, Ticket,
+    fixture::{ms, request, scheduler},
 };
-use crate::{
-    config::{EndpointSpec, EndpointTarget, Endpoints},
-    testing::fixed_seed,
-    units::Instant,
-};
-
-fn ms(ms: u64) -> Instant {
-    Instant(ms * 1_000)
-}
-
-fn engines(halls: &[&str], kv_tokens: u64) -> Endpoints {
-    let spec = |(i, hall): (usize, &&str)| {
-        let spec = EndpointSpec {
-            hall: (*hall).to_owned(),
-            address: format!("10.0.0.{}:80", i + 1).parse().unwrap(),
-            target: EndpointTarget::Model("m".into()),
-            slots: 48,
-            kv_tokens,
-            checks_fence: false,
-            moves: true,
-        };
-        (format!("e{i}"), spec)
-    };
-    halls.iter().enumerate().map(spec).collect()
-}
-
-fn request(number: u64, prompt_tokens: u64, max_tokens: u64) -> Request {
-    Request {
-        ticket: Ticket { entry: 1, number },
-        workspace: "w".into(),
-        rank: 1,
-        share: 1,
-        max_running: 1_000,
-        max_waiting: 1_000,
-        kind: "chat".into(),
-        target: EndpointTarget::Model("m".into()),
-        prompt_tokens,
-        prefix: PrefixHash(number),
-        max_tokens,
-        max_wait: Duration::from_secs(1),
-        avoid: None,
-    }
-}
-
-fn scheduler(halls: &[&str], kv_tokens: u64) -> Scheduler {
-    let policy = Box::new(ForecastPolicy::default());
-    let mut scheduler = Scheduler::new(SchedulerLimits::default(), policy);
-    scheduler.configure(&engines(halls, kv_tokens));
-    scheduler
-}
+use crate::testing::fixed_seed;
 
 /// A scheduler with generations that run at the first endpoint, of these sizes.
 fn with_runs(halls: &[&str], prompts: &[u64]) -> Scheduler {
--- /dev/null
+++ b/crates/core/src/placement/fixture.rs
@@ -0,0 +1,58 @@
+//! Engines and requests that the tests of placement share.
+
+use std::time::Duration;
+
+use super::{ForecastPolicy, PrefixHash, Request, Scheduler, SchedulerLimits, Ticket};
+use crate::{
+    config::{EndpointSpec, EndpointTarget, Endpoints},
+    units::Instant,
+};
+
+/// The time this many milliseconds after the start.
+pub(super) fn ms(ms: u64) -> Instant {
+    Instant(ms * 1_000)
+}
+
+/// Engines `e0` and so on, one in each of these data halls.
+fn engines(halls: &[&str], kv_tokens: u64) -> Endpoints {
+    let spec = |(i, hall): (usize, &&str)| {
+        let spec = EndpointSpec {
+            hall: (*hall).to_owned(),
+            address: format!("10.0.0.{}:80", i + 1).parse().unwrap(),
+            target: EndpointTarget::Model("m".into()),
+            slots: 48,
+            kv_tokens,
+            checks_fence: false,
+            moves: true,
+        };
+        (format!("e{i}"), spec)
+    };
+    halls.iter().enumerate().map(spec).collect()
+}
+
+/// A chat with a model that every engine runs.
+pub(super) fn request(number: u64, prompt_tokens: u64, max_tokens: u64) -> Request {
+    Request {
+        ticket: Ticket { entry: 1, number },
+        workspace: "w".into(),
+        rank: 1,
+        share: 1,
+        max_running: 1_000_000,
+        max_waiting: 1_000_000,
+        kind: "chat".into(),
+        target: EndpointTarget::Model("m".into()),
+        prompt_tokens,
+        prefix: PrefixHash(number),
+        max_tokens,
+        max_wait: Duration::from_secs(1),
+        avoid: None,
+    }
+}
+
+/// A scheduler of engines in these data halls, with this much memory each.
+pub(super) fn scheduler(halls: &[&str], kv_tokens: u64) -> Scheduler {
+    let policy = Box::new(ForecastPolicy::default());
+    let mut scheduler = Scheduler::new(SchedulerLimits::default(), policy);
+    scheduler.configure(&engines(halls, kv_tokens));
+    scheduler
+}
--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -8,6 +8,8 @@
 mod evacuation;
 #[cfg(test)]
 mod evacuation_tests;
+#[cfg(test)]
+mod fixture;
 mod forecast;
 mod pace;
 #[cfg(test)]
--- a/crates/core/src/placement/pace.rs
+++ b/crates/core/src/placement/pace.rs
@@ -20,6 +20,7 @@
 pub(crate) struct Pace {
     /// In seconds; `None` until a span was measured.
     per_token: Option<f64>,
+    /// When the last span ended that was counted.
     measured: Instant,
 }
 
@@ -38,6 +39,7 @@
         }
     }
 
+    /// Counts a span in which a token took `per_token` seconds.
     fn note(&mut self, per_token: f64, now: Instant) {
         let before = self.per_token(now).unwrap_or(per_token);
         let per_token = per_token.min(before * MOST_SLOWER);
@@ -49,9 +51,11 @@
 /// Measures one stream at one endpoint.
 #[derive(Debug, Clone, Copy, Default)]
 pub(crate) struct PaceMeter {
+    /// Start of the span that is being measured.
     since: Option<Mark>,
 }
 
+/// How far a stream was at a time.
 #[derive(Debug, Clone, Copy)]
 struct Mark {
     at: Instant,
--- a/crates/core/src/placement/pace_tests.rs
+++ b/crates/core/src/placement/pace_tests.rs
@@ -1,21 +1,13 @@
 //! Tests of how fast endpoints are taken to be, and of what follows for new work.
 
-use std::time::Duration;
-
 use googletest::prelude::*;
 
 use super::{
-    Action, ForecastPolicy, PrefixHash, Request, Scheduler, SchedulerLimits, Ticket,
+    Action, Request, Scheduler, fixture,
+    fixture::{ms, scheduler},
     pace::{Pace, PaceMeter},
 };
-use crate::{
-    config::{EndpointSpec, EndpointTarget},
-    units::Instant,
-};
-
-fn ms(ms: u64) -> Instant {
-    Instant(ms * 1_000)
-}
+use crate::units::Instant;
 
 /// The pace of an endpoint after a stream had these many tokens at these times, in ms.
 fn pace_after(progress: &[(u64, u64)]) -> Pace {
@@ -27,37 +19,12 @@
 }
 
 fn request(number: u64) -> Request {
-    Request {
-        ticket: Ticket { entry: 1, number },
-        workspace: "w".into(),
-        rank: 1,
-        share: 1,
-        max_running: 1_000,
-        max_waiting: 1_000,
-        kind: "chat".into(),
-        target: EndpointTarget::Model("m".into()),
-        prompt_tokens: 1_000,
-        prefix: PrefixHash(number),
-        max_tokens: 2_000,
-        max_wait: Duration::from_secs(1),
-        avoid: None,
-    }
+    fixture::request(number, 1_000, 2_000)
 }
 
 /// Two engines with a stream each; `e0` takes 40 ms for a token and `e1` 10 ms.
 fn slow_and_fast() -> Scheduler {
-    let spec = |port: u16| EndpointSpec {
-        hall: "h".to_owned(),
-        address: format!("10.0.0.1:{port}").parse().unwrap(),
-        target: EndpointTarget::Model("m".into()),
-        slots: 48,
-        kv_tokens: 34_000,
-        checks_fence: false,
-        moves: true,
-    };
-    let policy = Box::new(ForecastPolicy::default());
-    let mut scheduler = Scheduler::new(SchedulerLimits::default(), policy);
-    scheduler.configure(&[("e0".to_owned(), spec(1)), ("e1".to_owned(), spec(2))].into());
+    let mut scheduler = scheduler(&["h", "h"], 34_000);
     scheduler.adopt(request(1), "e0", 1, ms(1_000));
     scheduler.adopt(request(2), "e1", 1, ms(1_000));
     for step in 1..=4 {
--- a/crates/core/src/placement/tests.rs
+++ b/crates/core/src/placement/tests.rs
@@ -4,7 +4,7 @@
 
 use super::*;
 use crate::{
-    config::{Config, EndpointTarget, key_digest},
+    config::{Config, key_digest},
     error::ErrorKind,
     units::Instant,
 };
@@ -34,22 +34,14 @@
 
 fn request(number: u64, workspace: &str, rank: u64) -> Request {
     Request {
-        ticket: Ticket { entry: 1, number },
         workspace: workspace.into(),
         rank,
-        share: 1,
-        max_running: 1_000_000,
-        max_waiting: 1_000_000,
-        kind: "chat".into(),
-        target: EndpointTarget::Model("m".into()),
-        prompt_tokens: 10,
-        prefix: PrefixHash(number),
-        max_tokens: 100,
         max_wait: Duration::from_secs(5),
-        avoid: None,
+        ..fixture::request(number, 10, 100)
     }
 }
 
+/// Numbers of the requests that are started, in their order.
 fn started(actions: &[Action]) -> Vec<u64> {
     let number = |action: &Action| match action {
         Action::Start { ticket, .. } => Some(ticket.number),
