--- a/crates/server/src/relay/job.rs
+++ b/crates/server/src/relay/job.rs
@@ -87,7 +87,6 @@
             priority: self.route.spec.kind.is_generation().then(|| self.priority()),
             after: go_on.after.or(self.caller.after),
             memory: go_on.memory.as_ref(),
-            backup: None,
         };
         let mut req = Request::new(Full::new(self.body.clone()));
         *req.method_mut() = self.head.method.clone();
--- a/crates/server/src/relay/protocol.rs
+++ b/crates/server/src/relay/protocol.rs
@@ -52,8 +52,6 @@
     pub after: Option<u64>,
     /// Where the memory of a generation lies that goes on.
     pub memory: Option<&'a MemoryAt>,
-    /// An engine that is to keep a copy of the memory as it grows.
-    pub backup: Option<SocketAddr>,
 }
 
 /// A copy of a generation's memory.
