--- a/crates/core/src/node/tests/founding.rs
+++ b/crates/core/src/node/tests/founding.rs
@@ -14,33 +14,22 @@
 /// after some seconds, and it votes.
 const REPAIRED: usize = 600;
 
+/// How many replicas the leader counts as voters.
 fn voters(net: &Net) -> usize {
     let status = net.control(&net.leader().expect("somebody leads"));
     status.replicas.iter().filter(|replica| replica.voter).count()
 }
 
+/// Whether the leader says that one more loss is borne.
 fn survives_next_loss(net: &Net) -> bool {
     net.control(&net.leader().expect("somebody leads")).survives_next_loss
 }
 
-/// Messages that are late, daemons that are cut off or frozen, operators and callers.
-fn storm(net: &mut Net, steps: usize) {
-    for _ in 0..steps {
-        net.step(true);
-        if net.random(6) == 0 {
-            net.mishap();
-        }
-        net.traffic();
-    }
-}
-
 /// Links that break and daemons that freeze, but none that crash.
 fn unrest(net: &mut Net, steps: usize) {
     for _ in 0..steps {
         net.step(true);
-        let vms = net.vms();
-        let a = vms[net.random(vms.len() as u64) as usize].clone();
-        let b = vms[net.random(vms.len() as u64) as usize].clone();
+        let (a, b) = (net.pick(), net.pick());
         match net.random(20) {
             0 => net.disconnect(&a, &b),
             1..=4 => net.connect(&a, &b),
@@ -88,9 +77,7 @@
     net.start(&new);
     net.isolate(&new);
 
-    for _ in 0..REPAIRED {
-        net.step(false);
-    }
+    net.wait(REPAIRED);
 
     let status = net.control(&new);
     expect_that!(status.replicas, len(eq(0)));
@@ -142,12 +129,12 @@
         net.calm(REPAIRED);
         prop_assert_eq!(voters(&net), 5, "after founding");
         for _ in 0..3 {
-            storm(&mut net, 120);
+            net.storm(120);
             net.calm(REPAIRED);
             prop_assert!(survives_next_loss(&net));
             lose(&mut net);
         }
-        storm(&mut net, 60);
+        net.storm(60);
         net.calm(REPAIRED);
 
         let accepted = net.seen.accepted;
--- a/crates/core/src/node/tests/mod.rs
+++ b/crates/core/src/node/tests/mod.rs
@@ -42,14 +42,10 @@
     net.crash(&"vm-5".into());
     net.cut = BTreeSet::from([old.clone(), "vm-5".into()]);
     net.isolate(&old);
-    for _ in 0..100 {
-        net.step(false);
-    }
+    net.wait(100);
     net.submit(&"vm-4".into(), 2, "b");
     net.start(&"vm-5".into());
-    for _ in 0..200 {
-        net.step(false);
-    }
+    net.wait(200);
 
     expect_that!(net.version_at("vm-4"), eq(2));
     expect_that!(net.version_at("vm-5"), eq(0));
@@ -76,13 +72,9 @@
     expect_that!(status.replicas.iter().filter(|r| r.voter).count(), eq(3));
     // The next loss: the accepted version is still there, and another is accepted.
     net.crash(&"vm-1".into());
-    for _ in 0..150 {
-        net.step(false);
-    }
+    net.wait(150);
     net.submit(&"vm-4".into(), 2, "b");
-    for _ in 0..50 {
-        net.step(false);
-    }
+    net.wait(50);
     expect_that!(net.version_at("vm-5"), eq(2));
 }
 
@@ -95,9 +87,7 @@
     for vm in net.replicas() {
         net.crash(&vm);
     }
-    for _ in 0..100 {
-        net.step(false);
-    }
+    net.wait(100);
     for _ in 0..4 {
         net.ask(&"vm-4".into(), Question::Place(request()));
     }
@@ -118,9 +108,7 @@
     let asker: VmName = if *leader == *"vm-4" { "vm-5".into() } else { "vm-4".into() };
 
     net.ask(&asker, Question::Place(request()));
-    for _ in 0..100 {
-        net.step(false);
-    }
+    net.wait(100);
 
     expect_that!(net.seen.placed.len(), eq(1));
 }
@@ -132,13 +120,7 @@
     fn configurations_never_revert_and_claims_are_granted_once(seed in any::<u64>()) {
         let mut net = Net::new(&small(), seed);
         net.calm(60);
-        for _ in 0..400 {
-            net.step(true);
-            if net.random(6) == 0 {
-                net.mishap();
-            }
-            net.traffic();
-        }
+        net.storm(400);
         net.calm(400);
         let last = net.seen.accepted;
         prop_assert!(0 < last, "nothing was accepted");
--- a/crates/core/src/node/tests/net/mishaps.rs
+++ b/crates/core/src/node/tests/net/mishaps.rs
@@ -12,7 +12,7 @@
 
 impl Net {
     /// Any VM.
-    fn pick(&mut self) -> VmName {
+    pub(crate) fn pick(&mut self) -> VmName {
         let vms = self.vms();
         vms[self.random(vms.len() as u64) as usize].clone()
     }
@@ -75,6 +75,17 @@
         self.ask(vm, Question::Claim { claim, limit: Duration::from_secs(2) });
     }
 
+    /// Messages that are late, daemons that are cut off or frozen, operators and callers.
+    pub(crate) fn storm(&mut self, steps: usize) {
+        for _ in 0..steps {
+            self.step(true);
+            if self.random(6) == 0 {
+                self.mishap();
+            }
+            self.traffic();
+        }
+    }
+
     /// Ends all mishaps and lets time pass.
     pub(crate) fn calm(&mut self, steps: usize) {
         self.cut.clear();
@@ -89,8 +100,6 @@
                 self.connect(&a, &b);
             }
         }
-        for _ in 0..steps {
-            self.step(false);
-        }
+        self.wait(steps);
     }
 }
--- a/crates/core/src/node/tests/net/mod.rs
+++ b/crates/core/src/node/tests/net/mod.rs
@@ -47,11 +47,14 @@
     now: u64,
     choices: Choices,
     next_call: u64,
+    /// VMs that reach only each other.
     pub(super) cut: BTreeSet<VmName>,
+    /// What the outside world has seen so far.
     pub(super) seen: Seen,
 }
 
 impl Net {
+    /// Starts the daemons of a site and links them.
     pub(super) fn new(site: &Site, seed: u64) -> Net {
         let mut net = Net {
             seeds: site.seeds(),
@@ -81,10 +84,12 @@
         self.hosts.keys().cloned().collect()
     }
 
+    /// A random number below `below`.
     pub(super) fn random(&mut self, below: u64) -> u64 {
         self.choices.below(below)
     }
 
+    /// Starts a VM's daemon from what its disk holds.
     pub(super) fn start(&mut self, vm: &VmName) {
         let now = Instant(self.now);
         let seed = self.random(1 << 40);
@@ -127,6 +132,7 @@
         self.handle(b, Input::LinkUp(a.clone()));
     }
 
+    /// Breaks the link of a pair, if there is one.
     pub(super) fn disconnect(&mut self, a: &VmName, b: &VmName) {
         let known = self.links.remove(&Link { from: a.clone(), to: b.clone() }).is_some();
         self.links.remove(&Link { from: b.clone(), to: a.clone() });
@@ -169,6 +175,7 @@
         replicas.map(|(vm, _)| vm.clone()).collect()
     }
 
+    /// Kills a daemon; of its writes under way some reach the disk.
     pub(super) fn crash(&mut self, vm: &VmName) {
         let writes = self.hosts[vm].writes.len() as u64;
         let written = self.random(writes + 1) as usize;
@@ -182,6 +189,7 @@
         self.isolate(vm);
     }
 
+    /// Hands an input to a node and carries out what it puts out.
     pub(super) fn handle(&mut self, vm: &VmName, input: Input) {
         let clocks = Clocks { now: Instant(self.now), wall: UnixMillis(self.now / 1_000) };
         let host = self.hosts.get_mut(vm).unwrap();
@@ -218,6 +226,7 @@
         }
     }
 
+    /// Asks a node; the answer is checked when it comes.
     pub(super) fn ask(&mut self, vm: &VmName, question: Question) -> CallId {
         self.next_call += 1;
         let call = CallId(self.next_call);
@@ -225,6 +234,7 @@
         call
     }
 
+    /// Submits a file of this version, made from what is in force at the VM.
     pub(super) fn submit(&mut self, vm: &VmName, version: u64, content: &str) {
         let document = Document::parse("f.ini", &file(version, content)).unwrap();
         let in_force = self.hosts[vm].node.as_ref().and_then(Node::in_force);
@@ -235,6 +245,7 @@
         self.ask(vm, Question::Submit(submit));
     }
 
+    /// Syncs the oldest write of a VM.
     fn sync(&mut self, vm: &VmName) {
         let host = self.hosts.get_mut(vm).unwrap();
         let Some((number, persist)) = host.writes.pop_front() else { return };
@@ -266,17 +277,27 @@
         }
     }
 
+    /// Lets time pass without mishaps; what is broken stays so.
+    pub(super) fn wait(&mut self, steps: usize) {
+        for _ in 0..steps {
+            self.step(false);
+        }
+    }
+
+    /// A VM whose replica takes itself for the leader.
     pub(super) fn leader(&self) -> Option<VmName> {
         let leads = |node: &Node| node.control.as_ref().is_some_and(Control::leads);
         let found = self.hosts.iter().find(|(_, h)| h.node.as_ref().is_some_and(leads));
         found.map(|(vm, _)| vm.clone())
     }
 
+    /// The version in force at a VM, or 0.
     pub(super) fn version_at(&self, vm: &str) -> u64 {
         let node = self.hosts[vm].node.as_ref();
         node.and_then(Node::in_force).map_or(0, |f| f.version)
     }
 
+    /// The state of the control group as a replica sees it.
     pub(super) fn control(&self, vm: &VmName) -> ControlStatus {
         let control = self.hosts[vm].node.as_ref().and_then(|n| n.control.as_ref());
         control.unwrap().status(Instant(self.now))
