--- a/crates/server/src/relay/stream.rs
+++ b/crates/server/src/relay/stream.rs
@@ -54,11 +54,14 @@
     moving: Option<Move>,
     /// The last event that the caller has.
     last: Option<u64>,
+    /// Events passed on so far.
     events: u64,
+    /// How many times the generation was started.
     starts: u32,
 }
 
 impl Pump {
+    /// A generation that was placed and has begun to answer.
     pub(super) fn new(
         relay: Rc<Relay>,
         job: Job,
@@ -110,6 +113,7 @@
         self.job.ended(&self.relay.metrics, name, detail.trim());
     }
 
+    /// Passes events on and follows moves until the generation ends.
     async fn carry(&mut self) -> Cause {
         loop {
             let deadline = sleep_until(self.job.deadline.into());
@@ -130,6 +134,7 @@
         }
     }
 
+    /// Does what the next step of the stream calls for.
     async fn take_step(&mut self, step: Step) -> Result<(), Cause> {
         match step {
             Step::Event(event) => self.deliver(event).await,
@@ -171,6 +176,7 @@
         Ok(())
     }
 
+    /// Tokens passed on so far, by reckoning.
     fn tokens(&self) -> u64 {
         self.events * TOKENS_PER_EVENT
     }
@@ -180,6 +186,7 @@
         self.moving.as_ref().is_some_and(Move::is_stopping)
     }
 
+    /// Begins a move, unless one of its endpoints has gone.
     fn begin(&mut self, order: &MoveOrder) {
         let view = self.relay.node.view();
         let (from, to) = (view.endpoint(&order.from), view.endpoint(&order.to));
@@ -205,39 +212,49 @@
         self.start_again(problem).await
     }
 
+    /// Does what the end of a move calls for.
     async fn take_move(&mut self, end: MoveEnd) -> Result<(), Cause> {
         let Some(moving) = self.moving.take() else { return Ok(()) };
         let from = self.placed.endpoint().clone();
-        let took = moving.began.elapsed().as_millis() as u64;
-        let mut end_name = end.name();
-        let result = match end {
-            MoveEnd::Stopped { memory, to } => {
-                let stopped = Instant::now();
-                // The links are free for the next copy while this generation starts again.
-                self.placed.moved(&to, to != from);
-                self.drain().await?;
-                let went_on = self.go_on(&memory, &from, &to).await;
-                end_name = if went_on.is_ok() { "moved" } else { "lost" };
-                log::info!(
-                    event = EventId::MoveEnded.number(), id = self.job.caller.id.as_str(),
-                    from = &*from, to = &*to, end = end_name, took_ms = took,
-                    pause_ms = stopped.elapsed().as_millis() as u64, last = self.last.unwrap_or(0);
-                    "a generation was moved"
-                );
-                went_on
-            }
+        let took = moving.began.elapsed();
+        match end {
+            MoveEnd::Stopped { memory, to } => self.finish_move(&memory, &from, &to, took).await,
             MoveEnd::NoSuchRun | MoveEnd::Failed(_) => {
                 log::info!(
                     event = EventId::MoveEnded.number(), id = self.job.caller.id.as_str(),
-                    from = &*from, end = end_name, detail = end.detail(), took_ms = took;
+                    from = &*from, end = end.name(), detail = end.detail(),
+                    took_ms = took.as_millis() as u64;
                     "a generation was not moved"
                 );
                 self.placed.moved(&from, false);
+                self.relay.metrics.moved(end.name());
                 Ok(())
             }
-        };
-        self.relay.metrics.moved(end_name);
-        result
+        }
+    }
+
+    /// Goes on elsewhere with a generation that a move has stopped.
+    async fn finish_move(
+        &mut self,
+        memory: &MemoryAt,
+        from: &Arc<str>,
+        to: &Arc<str>,
+        took: Duration,
+    ) -> Result<(), Cause> {
+        let stopped = Instant::now();
+        // The links are free for the next copy while this generation starts again.
+        self.placed.moved(to, to != from);
+        self.drain().await?;
+        let went_on = self.go_on(memory, from, to).await;
+        let end = if went_on.is_ok() { "moved" } else { "lost" };
+        log::info!(
+            event = EventId::MoveEnded.number(), id = self.job.caller.id.as_str(),
+            from = &**from, to = &**to, end = end, took_ms = took.as_millis() as u64,
+            pause_ms = stopped.elapsed().as_millis() as u64, last = self.last.unwrap_or(0);
+            "a generation was moved"
+        );
+        self.relay.metrics.moved(end);
+        went_on
     }
 
     /// Passes on what the stopped generation made before.
