--- a/crates/core/src/placement/forecast.rs
+++ b/crates/core/src/placement/forecast.rs
@@ -73,7 +73,7 @@
 
     /// Tokens that an answer with `so_far` tokens is expected to bring yet, if it ends with
     /// `most` at the latest.
-    pub fn expected_beyond(&self, so_far: u64, most: u64) -> f64 {
+    pub(crate) fn expected_beyond(&self, so_far: u64, most: u64) -> f64 {
         let here = self.at_least(so_far);
         if here <= 0.0 {
             return 0.0;
