--- a/crates/server/src/relay/call.rs
+++ b/crates/server/src/relay/call.rs
@@ -1,9 +1,6 @@
 //! Plain calls: the least loaded endpoint, and another where that is allowed.
 
-use std::{
-    sync::Arc,
-    time::{Duration, Instant},
-};
+use std::{sync::Arc, time::Instant};
 
 use bytes::Bytes;
 use futures_util::{StreamExt, stream::FuturesUnordered};
@@ -20,9 +17,6 @@
     upstream::{SendError, exchange},
 };
 
-/// A connection inside a region comes up within a few ms; one that takes longer has lost a
-/// packet or leads nowhere.
-pub(super) const CONNECT_LIMIT: Duration = Duration::from_millis(150);
 /// Largest answer that is held until it is whole.
 const MAX_ANSWER: usize = 16 * 1024 * 1024;
 /// A call that may be repeated and has not been answered in this part of its target time is
@@ -215,7 +209,8 @@
 async fn ask(relay: &Relay, job: &Job, endpoint: &Registered) -> (End, Verdict) {
     let protocol = &*relay.protocol;
     let req = job.request(protocol, &endpoint.id, endpoint.address, &GoOn::default());
-    let opened = exchange(endpoint.address, req, CONNECT_LIMIT.min(job.time_left())).await;
+    let connect_limit = relay.options.connect_limit.min(job.time_left());
+    let opened = exchange(endpoint.address, req, connect_limit).await;
     match opened {
         Err(SendError::NotSent(problem)) => (End::NotRun(problem), Verdict::Dead),
         Err(SendError::Lost(problem)) => (End::Unknown(problem), Verdict::Dead),
--- a/crates/server/src/relay/generation.rs
+++ b/crates/server/src/relay/generation.rs
@@ -16,7 +16,6 @@
 
 use super::{
     Answer, Job, MAX_TURNED, Relay, Turned,
-    call::CONNECT_LIMIT,
     job::GoOn,
     no_answer,
     source::{Source, Step},
@@ -174,7 +173,7 @@
         relay.node.input(news);
     };
     let req = job.request(&*relay.protocol, endpoint, known.address, go_on);
-    let open = match exchange(known.address, req, CONNECT_LIMIT).await {
+    let open = match exchange(known.address, req, relay.options.connect_limit).await {
         Ok(open) => open,
         Err(SendError::NotSent(problem)) => {
             failed();
--- a/crates/server/src/relay/mod.rs
+++ b/crates/server/src/relay/mod.rs
@@ -47,6 +47,10 @@
     pub repeat_slack: f64,
     /// The window in which requests and repeats are counted.
     pub repeat_window: Duration,
+    /// Longest time until a connection to an endpoint is up.
+    pub connect_limit: Duration,
+    /// Longest time for one copy of a generation's memory.
+    pub copy_limit: Duration,
 }
 
 /// What a decision was made by.
--- a/crates/server/src/relay/moves.rs
+++ b/crates/server/src/relay/moves.rs
@@ -4,25 +4,17 @@
 //! is stopped and what is new is copied as well. So the pause is short, and the generation
 //! never leaves its engine before its copy is known to be good.
 
-use std::{
-    cell::Cell,
-    net::SocketAddr,
-    rc::Rc,
-    sync::Arc,
-    time::{Duration, Instant},
-};
+use std::{cell::Cell, net::SocketAddr, rc::Rc, sync::Arc, time::Instant};
 
 use tokio::time::timeout;
 use trayswitch_core::registry::Registered;
 
-use super::{Copied, CopyOrder, Job, MemoryAt, Relay, call::CONNECT_LIMIT};
+use super::{Copied, CopyOrder, Job, MemoryAt, Relay};
 use crate::{
     edge::LocalFuture,
     upstream::{SendError, exchange},
 };
 
-/// Longest time for one copy. At 19 Gbit/s, 6,000 tokens take 0.7 s between data halls.
-const COPY_LIMIT: Duration = Duration::from_millis(1_500);
 /// Largest answer to an order.
 const MAX_ANSWER: usize = 64 * 1024;
 
@@ -119,11 +111,12 @@
 
 async fn copy(relay: &Relay, at: SocketAddr, order: &CopyOrder<'_>) -> Result<Copied, String> {
     let ask = async {
-        let open = exchange(at, relay.protocol.copy_request(order), CONNECT_LIMIT).await;
+        let open =
+            exchange(at, relay.protocol.copy_request(order), relay.options.connect_limit).await;
         let open = open.map_err(|e: SendError| e.to_string())?;
         let head = open.head;
         let body = open.body.collect(MAX_ANSWER).await?;
         Ok(relay.protocol.read_copied(&head, &body))
     };
-    timeout(COPY_LIMIT, ask).await.map_err(|_| "the copy took too long".to_owned())?
+    timeout(relay.options.copy_limit, ask).await.map_err(|_| "the copy took too long".to_owned())?
 }
--- a/crates/server/src/relay/stream.rs
+++ b/crates/server/src/relay/stream.rs
@@ -244,9 +244,15 @@
         let stopped = Instant::now();
         // The links are free for the next copy while this generation starts again.
         self.placed.moved(to, to != from);
-        self.drain().await?;
-        let went_on = self.go_on(memory, from, to).await;
-        let end = if went_on.is_ok() { "moved" } else { "lost" };
+        let went_on = match self.drain().await {
+            Ok(()) => self.go_on(memory, from, to).await,
+            Err(cause) => Err(cause),
+        };
+        let end = match went_on {
+            Ok(()) => "moved",
+            Err(Cause::CallerLeft) => "caller_left",
+            Err(_) => "lost",
+        };
         log::info!(
             event = EventId::MoveEnded.number(), id = self.job.caller.id.as_str(),
             from = &**from, to = &**to, end = end, took_ms = took.as_millis() as u64,
--- a/crates/server/src/relay/tests/budget.rs
+++ b/crates/server/src/relay/tests/budget.rs
@@ -15,6 +15,8 @@
         repeat_ratio: 0.2,
         repeat_slack: 54.0,
         repeat_window: Duration::from_secs(10),
+        connect_limit: Duration::from_secs(1),
+        copy_limit: Duration::from_secs(1),
     }
 }
 
