Derive when endpoints are next handed out; say once which engines must be emptied

Found by reading the change: the time of a hand-out that waits followed from two other fields, a method and a function of one name split one condition, and every test of a move repeated that its engine leaves. Behaviour and assertions stay as they are.

--- a/crates/core/src/node/endpoints.rs
+++ b/crates/core/src/node/endpoints.rs
@@ -4,7 +4,7 @@
 use super::{
     Engines, Node, Output, VmName,
     spread::{
-        HEARTBEATS, PAUSE_FOR_A_DAEMON, PAUSE_FOR_AN_ENDPOINT, RELAY, RELAY_FOR_A_DAEMON,
+        Gathered, HEARTBEATS, PAUSE_FOR_A_DAEMON, PAUSE_FOR_AN_ENDPOINT, RELAY, RELAY_FOR_A_DAEMON,
         TELL_LEADER, TELL_LEADER_FOR_A_DAEMON, for_each,
     },
 };
@@ -109,22 +109,22 @@
     /// When news is next due.
     pub(super) fn next_news(&self) -> Option<Instant> {
         let gathered = [&self.own_news, &self.relayed, &self.heartbeats, &self.for_leader];
-        let due = gathered.into_iter().filter_map(super::spread::Gathered::due).min();
-        due.into_iter().chain(self.hand_out_at).min()
+        let hand_out = self.must_hand_out().then_some(self.next_hand_out);
+        gathered.into_iter().filter_map(Gathered::due).chain(hand_out).min()
+    }
+
+    /// Whether the endpoints have changed since they were handed out.
+    fn must_hand_out(&self) -> bool {
+        self.handed_out != self.registry.revision()
     }
 
     /// Hands the endpoints out if they have changed; not more often than this daemon can.
     /// Returns whether it did.
-    pub(super) fn registered(&mut self, now: Instant) -> bool {
-        if self.handed_out == self.registry.revision() {
-            return false;
-        }
-        if now < self.next_hand_out {
-            self.hand_out_at = Some(self.next_hand_out);
+    pub(super) fn hand_out_if_due(&mut self, now: Instant) -> bool {
+        if !self.must_hand_out() || now < self.next_hand_out {
             return false;
         }
         self.handed_out = self.registry.revision();
-        self.hand_out_at = None;
         let endpoints = self.registry.endpoints();
         self.next_hand_out = now.after(for_each(PAUSE_FOR_AN_ENDPOINT, endpoints.len()));
         self.outputs.push(Output::Registered(endpoints));
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -139,8 +139,6 @@
     handed_out: u64,
     /// The registry is not handed out again before this.
     next_hand_out: Instant,
-    /// When a change that waits is handed out.
-    hand_out_at: Option<Instant>,
     /// What endpoints have said here, for every daemon.
     own_news: Gathered,
     /// What other control VMs have told, for every daemon.
@@ -168,7 +166,6 @@
             links: BTreeSet::new(),
             handed_out: 0,
             next_hand_out: Instant::default(),
-            hand_out_at: None,
             own_news: Gathered::default(),
             relayed: Gathered::default(),
             heartbeats: Gathered::default(),
@@ -376,7 +373,7 @@
             self.keeper.set_replicas(self.directory.known());
             let in_force = self.keeper.take_changed();
             self.send_news(clocks.now);
-            let registered = self.registered(clocks.now);
+            let registered = self.hand_out_if_due(clocks.now);
             if in_force.is_some() || registered {
                 self.hand_out_endpoints(clocks.now);
             }
--- a/crates/core/src/placement/evacuation.rs
+++ b/crates/core/src/placement/evacuation.rs
@@ -112,7 +112,10 @@
     /// Endpoints that leave and still run what can be moved.
     fn must_empty(&self) -> impl Iterator<Item = &EndpointState> {
         let leaving = self.evacuation.leaving.iter().filter_map(|name| self.endpoints.get(name));
-        leaving.filter(|state| must_empty(state))
+        // One that has come back under its name at another address no longer leaves.
+        leaving.filter(|state| {
+            state.health == Health::Leaving && state.spec.moves && 0 < state.running
+        })
     }
 
     /// Notes where a generation runs after a move, which may have failed.
@@ -218,7 +221,3 @@
         None
     }
 }
-
-fn must_empty(state: &EndpointState) -> bool {
-    state.health == Health::Leaving && state.spec.moves && 0 < state.running
-}
--- a/crates/server/src/relay/tests/moves.rs
+++ b/crates/server/src/relay/tests/moves.rs
@@ -11,16 +11,17 @@
 };
 use crate::relay::MemoryAt;
 
-/// A generation that runs at `from`; `to` is another engine.
+/// A generation that runs at `from`, which leaves; `to` is another engine.
 struct Running {
-    entry: Entry,
+    _entry: Entry,
     reading: Reading,
     stream: Stream,
     from: FakeEndpoint,
     to: FakeEndpoint,
 }
 
-/// Starts a generation with events up to `last` while there is one engine; then comes another.
+/// Starts a generation with events up to `last` while there is one engine; then comes another,
+/// and the first one leaves.
 async fn running(path: &str, last: u64) -> Running {
     let entry = Entry::open().await;
     let mut from = entry.register("engines", "from").await;
@@ -32,7 +33,8 @@
     let mut reading = Reading::new(answer);
     reading.read_to(last).await;
     let to = entry.register("engines", "to").await;
-    Running { entry, reading, stream, from, to }
+    entry.leaves("from").await;
+    Running { _entry: entry, reading, stream, from, to }
 }
 
 /// Answers the first copy and hands out the order for the last one.
@@ -46,8 +48,7 @@
 #[gtest]
 fn a_generation_goes_on_where_its_copy_lies() {
     on_local_tasks(async {
-        let Running { entry, reading, stream, mut from, mut to } = running("/chat/", 3).await;
-        entry.leaves("from").await;
+        let Running { _entry, reading, stream, mut from, mut to } = running("/chat/", 3).await;
 
         let (whole, (after, memory, asked)) = join!(reading.rest(), async {
             let last = last_copy(&mut from).await;
@@ -75,8 +76,7 @@
 #[gtest]
 fn one_whose_copy_is_refused_runs_on_where_it_is() {
     on_local_tasks(async {
-        let Running { entry, reading, stream, mut from, mut to } = running("/chat/", 3).await;
-        entry.leaves("from").await;
+        let Running { _entry, reading, stream, mut from, mut to } = running("/chat/", 3).await;
 
         let (whole, ()) = join!(reading.rest(), async {
             from.copy().await.answer(503, "");
@@ -92,8 +92,7 @@
 #[gtest]
 fn one_that_the_target_refuses_goes_on_at_its_source() {
     on_local_tasks(async {
-        let Running { entry, reading, stream, mut from, mut to } = running("/chat/", 3).await;
-        entry.leaves("from").await;
+        let Running { _entry, reading, stream, mut from, mut to } = running("/chat/", 3).await;
 
         let (whole, after) = join!(reading.rest(), async {
             let last = last_copy(&mut from).await;
@@ -116,8 +115,7 @@
 #[gtest]
 fn one_that_stopped_without_a_copy_goes_on_at_its_source() {
     on_local_tasks(async {
-        let Running { entry, reading, stream, mut from, mut to } = running("/chat/", 3).await;
-        entry.leaves("from").await;
+        let Running { _entry, reading, stream, mut from, mut to } = running("/chat/", 3).await;
 
         let (whole, memory) = join!(reading.rest(), async {
             let last = last_copy(&mut from).await;
@@ -141,8 +139,7 @@
 #[gtest]
 fn one_that_ends_while_it_is_copied_is_whole() {
     on_local_tasks(async {
-        let Running { entry, reading, stream, mut from, mut to } = running("/chat/", 3).await;
-        entry.leaves("from").await;
+        let Running { _entry, reading, stream, mut from, mut to } = running("/chat/", 3).await;
 
         let (whole, ()) = join!(reading.rest(), async {
             let last = last_copy(&mut from).await;
@@ -159,8 +156,7 @@
 #[gtest]
 fn one_that_is_lost_while_it_is_copied_does_not_look_complete() {
     on_local_tasks(async {
-        let Running { entry, reading, stream, mut from, mut to } = running("/chat/", 3).await;
-        entry.leaves("from").await;
+        let Running { _entry, reading, stream, mut from, mut to } = running("/chat/", 3).await;
 
         let (whole, ()) = join!(reading.rest(), async {
             let last = last_copy(&mut from).await;
@@ -176,8 +172,7 @@
 #[gtest]
 fn the_whole_answer_comes_also_when_the_events_were_cut_in_the_middle() {
     on_local_tasks(async {
-        let Running { entry, reading, stream, mut from, mut to } = running("/chat/", 3).await;
-        entry.leaves("from").await;
+        let Running { _entry, reading, stream, mut from, mut to } = running("/chat/", 3).await;
 
         let (whole, after) = join!(reading.rest(), async {
             let last = last_copy(&mut from).await;
