--- a/crates/core/src/placement/endpoint.rs
+++ b/crates/core/src/placement/endpoint.rs
@@ -10,16 +10,13 @@
     PrefixHash,
     forecast::{HORIZONS, Survival},
     pace::Pace,
+    reading::Reading,
 };
 use crate::{config::EndpointSpec, units::Instant};
 
 /// A cached prefix is believed for this long.
 const PREFIX_LIFE: Duration = Duration::from_secs(60);
 const MAX_PREFIXES: usize = 512;
-/// Prompt tokens that an engine reads in a millisecond while it also decodes. The users' sheets
-/// say 14 for reading alone; pieces of 112 tokens take 8 ms and share their step with 7 ms and
-/// more of decoding (measured: 3,000 tokens take 420 ms).
-const PROMPT_TOKENS_PER_MS: u64 = 7;
 const MAX_CHANGES: usize = 256;
 
 /// Whether an endpoint may get new work.
@@ -53,6 +50,8 @@
     pub(crate) variance: [f64; HORIZONS.len()],
     /// Memory in use now, in tokens.
     pub(crate) used: f64,
+    /// What the whole answer is expected to be worth, in tokens read; see [`worth`].
+    pub(crate) worth: f64,
 }
 
 impl Share {
@@ -78,6 +77,7 @@
 
     fn add(&mut self, other: &Share, sign: f64) {
         self.used += sign * other.used;
+        self.worth += sign * other.worth;
         for i in 0..HORIZONS.len() {
             self.mean[i] += sign * other.mean[i];
             self.variance[i] += sign * other.variance[i];
@@ -106,8 +106,8 @@
     since_report: VecDeque<Change>,
     prefixes: HashMap<PrefixHash, Instant>,
     failures: u32,
-    /// When it will have read the prompts that were granted to it, by reckoning.
-    reads_until: Instant,
+    /// The prompts that were granted to it.
+    pub(crate) reading: Reading,
     /// How fast it makes tokens.
     pub(crate) pace: Pace,
 }
@@ -125,7 +125,7 @@
             since_report: VecDeque::new(),
             prefixes: HashMap::new(),
             failures: 0,
-            reads_until: Instant::default(),
+            reading: Reading::default(),
             pace: Pace::default(),
         }
     }
@@ -216,17 +216,6 @@
         }
     }
 
-    /// Time that it still needs to read the prompts granted so far.
-    pub(crate) fn reading(&self, now: Instant) -> Duration {
-        self.reads_until.since(now)
-    }
-
-    /// Notes that a prompt of this length must be read.
-    pub(crate) fn note_prompt(&mut self, tokens: u64, now: Instant) {
-        let time = Duration::from_micros(tokens * 1_000 / PROMPT_TOKENS_PER_MS);
-        self.reads_until = self.reads_until.max(now).after(time);
-    }
-
     pub(crate) fn grant(&mut self, share: &Share, now: Instant) {
         self.running += 1;
         self.note(Change { at: now, delta: 1 });
--- a/crates/core/src/placement/evacuation.rs
+++ b/crates/core/src/placement/evacuation.rs
@@ -13,7 +13,7 @@
 use super::{
     Scheduler, Ticket,
     endpoint::{EndpointState, Health},
-    policy::Candidate,
+    forecast::worth,
     scheduler::Placed,
 };
 use crate::units::Instant;
@@ -29,9 +29,6 @@
 const LOOK: Duration = Duration::from_millis(20);
 /// One with no more tokens than this to come ends before its copy would arrive.
 const FEW_TOKENS: u64 = 32;
-/// Tokens out weigh this much against tokens of the prompt when the users count the worth of
-/// a generation.
-const WEIGHT_OF_OUTPUT: f64 = 10.0;
 /// Tokens that a generation makes while its endpoint still serves after a notice: 1.5 s, the
 /// shortest notice seen, at 9 ms a token. What ends within them needs no move.
 const TOKENS_OF_NOTICE: u64 = 150;
@@ -182,7 +179,7 @@
         let req = &placed.req;
         let survival = self.forecast.survival(&req.workspace, &req.kind);
         let left = survival.expected_beyond(placed.tokens, req.max_tokens);
-        let worth = req.prompt_tokens as f64 + WEIGHT_OF_OUTPUT * (placed.tokens as f64 + left);
+        let worth = worth(req.prompt_tokens, placed.tokens as f64 + left);
         let outlives = survival.chance_beyond(placed.tokens, TOKENS_OF_NOTICE);
         let copied = req.prompt_tokens + placed.tokens + TOKENS_OF_OVERHEAD;
         worth * outlives / copied as f64
@@ -197,7 +194,7 @@
         now: Instant,
     ) -> Option<Arc<str>> {
         let placed = self.placed.get(&ticket)?;
-        let (req, share) = (&placed.req, self.share_of(placed));
+        let (req, work) = (&placed.req, self.rest_of(placed));
         let hall = self.endpoints.get(source).map(|state| &state.spec.hall);
         let mut open: Vec<&EndpointState> = self
             .endpoints
@@ -210,11 +207,10 @@
             .collect();
         // Equal endpoints are told apart by name, so that a run can be repeated.
         open.sort_by(|a, b| a.name.cmp(&b.name));
-        let near = open.iter().copied().filter(|state| Some(&state.spec.hall) == hall).collect();
+        let near: Vec<&EndpointState> =
+            open.iter().copied().filter(|state| Some(&state.spec.hall) == hall).collect();
         for open in [near, open] {
-            let candidates: Vec<Candidate<'_>> =
-                open.iter().map(|endpoint| Candidate { endpoint, share: &share }).collect();
-            if let Some(at) = self.policy.choose(req, &candidates, now) {
+            if let Some(at) = self.policy.choose(&work, &open, now) {
                 return Some(open[at].name.clone());
             }
         }
--- a/crates/core/src/placement/forecast.rs
+++ b/crates/core/src/placement/forecast.rs
@@ -17,6 +17,15 @@
 /// A workspace's own lengths are used from this many on.
 const OWN_FROM: f64 = 50.0;
 
+/// Tokens out weigh this much against tokens of the prompt when the users count the worth of
+/// a generation.
+const WEIGHT_OF_OUTPUT: f64 = 10.0;
+
+/// What a generation of this size is worth, in tokens of a prompt.
+pub(crate) fn worth(prompt_tokens: u64, output: f64) -> f64 {
+    prompt_tokens as f64 + WEIGHT_OF_OUTPUT * output
+}
+
 fn bucket(tokens: u64) -> usize {
     let bucket = ((tokens.max(1) as f64).log2() * BUCKETS_PER_OCTAVE) as usize;
     bucket.min(BUCKETS - 1)
--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -16,6 +16,7 @@
 mod pace_tests;
 mod policy;
 mod queue;
+mod reading;
 mod scheduler;
 mod target;
 #[cfg(test)]
@@ -29,7 +30,7 @@
     endpoint::{EndpointState, Health, LoadReport},
     evacuation::Relocation,
     forecast::{HORIZONS, LengthForecast, Survival},
-    policy::{Candidate, FirstFit, ForecastPolicy, LeastOutstanding, Policy, RoundRobin},
+    policy::{FirstFit, ForecastPolicy, LeastOutstanding, Policy, RoundRobin, Work},
     scheduler::{Scheduler, SchedulerLimits},
 };
 
--- /dev/null
+++ b/crates/core/src/placement/policy/baselines.rs
@@ -0,0 +1,54 @@
+//! Policies to compare with.
+
+use super::{Policy, Work, has_slot, least};
+use crate::{placement::endpoint::EndpointState, units::Instant};
+
+/// The next endpoint in turn that has a free slot.
+#[derive(Debug, Default)]
+pub struct RoundRobin {
+    next: usize,
+}
+
+impl Policy for RoundRobin {
+    fn name(&self) -> &'static str {
+        "round-robin"
+    }
+
+    fn choose(&mut self, _: &Work, endpoints: &[&EndpointState], _: Instant) -> Option<usize> {
+        let n = endpoints.len();
+        let chosen = (0..n).map(|i| (self.next + i) % n).find(|i| has_slot(endpoints[*i]))?;
+        self.next = chosen + 1;
+        Some(chosen)
+    }
+}
+
+/// The endpoint with the fewest requests.
+#[derive(Debug, Default)]
+pub struct LeastOutstanding;
+
+impl Policy for LeastOutstanding {
+    fn name(&self) -> &'static str {
+        "least-outstanding"
+    }
+
+    fn choose(&mut self, _: &Work, endpoints: &[&EndpointState], _: Instant) -> Option<usize> {
+        least(endpoints, has_slot, |endpoint| endpoint.load() as f64)
+    }
+}
+
+/// The first endpoint whose memory holds the prompt now, without forecast.
+#[derive(Debug, Default)]
+pub struct FirstFit;
+
+impl Policy for FirstFit {
+    fn name(&self) -> &'static str {
+        "first-fit"
+    }
+
+    fn choose(&mut self, work: &Work, endpoints: &[&EndpointState], _: Instant) -> Option<usize> {
+        endpoints.iter().position(|endpoint| {
+            let room = endpoint.spec.kv_tokens as f64 - endpoint.kv_used();
+            has_slot(endpoint) && work.share.used <= room
+        })
+    }
+}
--- /dev/null
+++ b/crates/core/src/placement/policy/forecast.rs
@@ -0,0 +1,112 @@
+//! Placement by forecast of memory and by what a request holds up.
+
+use super::{Policy, Work, has_slot, least};
+use crate::{
+    placement::{endpoint::EndpointState, forecast::HORIZONS, reading},
+    units::Instant,
+};
+
+/// Cost of a memory that is forecast to be full, in seconds by which a generation is held up.
+const MEMORY_VALUE: f64 = 0.67;
+
+/// Cost of a first token that comes too late, in seconds by which a generation is held up.
+const LATE_VALUE: f64 = 10.0;
+
+/// Cost of an endpoint that takes twice the fastest's time for a token, in parts of its memory.
+/// A generation there lives longer, and more of them meet the end of an engine.
+const PACE_VALUE: f64 = 1.0;
+
+/// A request is small when it is forecast to fill no more than this part of the memory.
+const SMALL: f64 = 0.025;
+
+/// Seconds that a token takes while nobody's pace is known: the usual speed of the users' engines.
+const UNKNOWN_PACE: f64 = 0.008;
+
+/// Admits while the forecast of memory stays under capacity with a margin, and
+/// takes the endpoint where the least time is lost, by the request and by what runs there.
+#[derive(Debug, Clone)]
+pub struct ForecastPolicy {
+    /// Standard deviations of forecast memory kept free.
+    pub margin: f64,
+    /// Value of a cached prefix, in parts of the prompt's memory.
+    pub prefix_value: f64,
+    /// Weight of the number of requests against that of memory.
+    pub load_value: f64,
+    /// Part of its memory by which an endpoint may be forecast too full for a small request,
+    /// which does little harm if the forecast comes true.
+    pub small_excess: f64,
+}
+
+impl Default for ForecastPolicy {
+    fn default() -> ForecastPolicy {
+        ForecastPolicy { margin: 2.5, prefix_value: 2.0, load_value: 0.3, small_excess: 0.25 }
+    }
+}
+
+impl ForecastPolicy {
+    /// Part of the memory that a request may fill.
+    fn limit(&self, work: &Work, endpoint: &EndpointState) -> f64 {
+        let most = work.share.mean.iter().copied().fold(work.share.used, f64::max);
+        let small = most <= SMALL * endpoint.spec.kv_tokens as f64;
+        if small { 1.0 + self.small_excess } else { 1.0 }
+    }
+
+    /// The fullest that the endpoint is forecast to be, in parts of its memory.
+    fn fullness(&self, work: &Work, endpoint: &EndpointState) -> f64 {
+        let total = &endpoint.total;
+        let mut most = total.used + work.share.used;
+        for i in 0..HORIZONS.len() {
+            let mean = total.mean[i] + work.share.mean[i];
+            let variance = (total.variance[i] + work.share.variance[i]).max(0.0);
+            most = most.max(mean + self.margin * variance.sqrt());
+        }
+        most / endpoint.spec.kv_tokens as f64
+    }
+
+    fn fits(&self, work: &Work, endpoint: &EndpointState) -> bool {
+        let memory = endpoint.spec.kv_tokens == 0
+            || self.fullness(work, endpoint) <= self.limit(work, endpoint);
+        // An empty endpoint takes even what the forecast finds too large.
+        has_slot(endpoint) && (memory || endpoint.running == 0)
+    }
+
+    /// Seconds lost at this endpoint.
+    fn cost(
+        &self,
+        work: &Work,
+        endpoint: &EndpointState,
+        fastest: Option<f64>,
+        now: Instant,
+    ) -> f64 {
+        let load = endpoint.load() as f64 / endpoint.spec.slots as f64;
+        if endpoint.spec.kv_tokens == 0 {
+            return load;
+        }
+        let kv = endpoint.spec.kv_tokens as f64;
+        let cached = endpoint.has_prefix(work.prefix, now);
+        let saved = if cached { work.prompt_tokens as f64 / kv } else { 0.0 };
+        let slow = PACE_VALUE * endpoint.pace.slowdown(fastest, now);
+        let crowded = self.fullness(work, endpoint) + self.load_value * load + slow
+            - self.prefix_value * saved;
+        let waits = endpoint.reading.left(now).as_secs_f64();
+        let first = waits + 2.0 * reading::holds_up(work.prompt_tokens).as_secs_f64();
+        let within = work.first_within.as_secs_f64();
+        let late = LATE_VALUE * (2.0 * first / within - 1.0).clamp(0.0, 1.0).powi(2);
+        let own = work.output * fastest.unwrap_or(UNKNOWN_PACE) * endpoint.reading.part(now);
+        let others = endpoint.total.worth * reading::holds_up(work.prompt_tokens).as_secs_f64();
+        work.share.worth * (MEMORY_VALUE * crowded + waits + own + late) + others
+    }
+}
+
+impl Policy for ForecastPolicy {
+    fn name(&self) -> &'static str {
+        "forecast"
+    }
+
+    fn choose(&mut self, work: &Work, endpoints: &[&EndpointState], now: Instant) -> Option<usize> {
+        let paces = endpoints.iter().filter_map(|endpoint| endpoint.pace.per_token(now));
+        let fastest = paces.min_by(f64::total_cmp);
+        let fits = |endpoint: &EndpointState| self.fits(work, endpoint);
+        least(endpoints, fits, |endpoint| self.cost(work, endpoint, fastest, now))
+    }
+}
--- /dev/null
+++ b/crates/core/src/placement/policy/mod.rs
@@ -0,0 +1,66 @@
+//! Policies that choose an endpoint for the request at the head of the queue.
+
+mod baselines;
+mod forecast;
+
+pub use self::{
+    baselines::{FirstFit, LeastOutstanding, RoundRobin},
+    forecast::ForecastPolicy,
+};
+use super::{
+    PrefixHash, Request,
+    endpoint::{EndpointState, Share},
+    forecast::{Survival, worth},
+};
+use std::time::Duration;
+
+use crate::units::Instant;
+
+/// What a request needs of the endpoint that is to run it.
+#[derive(Debug, Clone)]
+pub struct Work {
+    /// Forecast of its memory.
+    pub(crate) share: Share,
+    /// Prompt tokens that must be read there; none where the memory is moved.
+    pub(crate) prompt_tokens: u64,
+    /// Start of the prompt.
+    pub(crate) prefix: PrefixHash,
+    /// Tokens that it is expected to make.
+    pub(crate) output: f64,
+    /// Time within which its first token should come.
+    pub(crate) first_within: Duration,
+}
+
+impl Work {
+    /// The work of a request that begins.
+    pub(crate) fn new(req: &Request, survival: &Survival) -> Work {
+        let output = survival.expected_beyond(0, req.max_tokens);
+        let mut share = Share::forecast(survival, req.prompt_tokens, 0, req.max_tokens);
+        share.worth = worth(req.prompt_tokens, output);
+        let first_within = (req.max_wait + std::time::Duration::from_millis(20)) * 4;
+        Work { share, prompt_tokens: req.prompt_tokens, prefix: req.prefix, output, first_within }
+    }
+}
+
+/// Chooses where a request runs.
+pub trait Policy: Send {
+    /// Name in reports.
+    fn name(&self) -> &'static str;
+
+    /// Index of the chosen endpoint, or `None` to let the request wait.
+    fn choose(&mut self, work: &Work, endpoints: &[&EndpointState], now: Instant) -> Option<usize>;
+}
+
+fn has_slot(endpoint: &EndpointState) -> bool {
+    endpoint.load() < endpoint.spec.slots
+}
+
+/// Index of the least key among endpoints that pass the filter.
+fn least(
+    endpoints: &[&EndpointState],
+    fits: impl Fn(&EndpointState) -> bool,
+    key: impl Fn(&EndpointState) -> f64,
+) -> Option<usize> {
+    let fitting = endpoints.iter().enumerate().filter(|(_, endpoint)| fits(endpoint));
+    fitting.min_by(|a, b| key(a.1).total_cmp(&key(b.1))).map(|(i, _)| i)
+}
--- a/crates/core/src/placement/scheduler.rs
+++ b/crates/core/src/placement/scheduler.rs
@@ -12,7 +12,7 @@
     evacuation::Evacuation,
     forecast::LengthForecast,
     pace::PaceMeter,
-    policy::{Candidate, Policy},
+    policy::{Policy, Work},
     target::Target,
 };
 use crate::{
@@ -215,7 +215,8 @@
         }
         let req = &placed.req;
         let survival = self.forecast.survival(&req.workspace, &req.kind);
-        let share = Share::forecast(survival, req.prompt_tokens, tokens, req.max_tokens);
+        let mut share = Share::forecast(survival, req.prompt_tokens, tokens, req.max_tokens);
+        share.worth = placed.share.worth;
         if let Some(endpoint) = self.endpoints.get_mut(&placed.endpoint) {
             endpoint.update(&placed.share, &share);
             placed.meter.measure(tokens, now, &mut endpoint.pace);
@@ -305,24 +306,22 @@
             if blocked <= req.rank {
                 continue;
             }
-            let survival = self.forecast.survival(&req.workspace, &req.kind);
-            let share = Share::forecast(survival, req.prompt_tokens, 0, req.max_tokens);
+            let work = Work::new(req, self.forecast.survival(&req.workspace, &req.kind));
             self.samples = self.samples.wrapping_add(1);
-            let mut candidates: Vec<Candidate<'_>> = state
+            let mut open: Vec<&EndpointState> = state
                 .sample(self.samples, req.prefix)
                 .filter_map(|name| self.endpoints.get(name))
                 .filter(|endpoint| endpoint.takes_work(now))
-                .map(|endpoint| Candidate { endpoint, share: &share })
                 .collect();
-            if let (Some(avoid), true) = (&req.avoid, 1 < candidates.len()) {
-                candidates.retain(|c| c.endpoint.name != *avoid);
+            if let (Some(avoid), true) = (&req.avoid, 1 < open.len()) {
+                open.retain(|endpoint| endpoint.name != *avoid);
             }
-            if let Some(at) = self.policy.choose(req, &candidates, now) {
+            if let Some(at) = self.policy.choose(&work, &open, now) {
                 return Some(Chosen {
                     rank: req.rank,
                     workspace: req.workspace.clone(),
                     ticket: req.ticket,
-                    endpoint: candidates[at].endpoint.name.clone(),
+                    endpoint: open[at].name.clone(),
                 });
             }
             blocked = req.rank;
@@ -346,9 +345,17 @@
         }
     }
 
-    /// The forecast of a running request's memory.
-    pub(super) fn share_of(&self, placed: &Placed) -> Share {
-        placed.share
+    /// What a running request still needs of an endpoint that goes on with it.
+    pub(super) fn rest_of(&self, placed: &Placed) -> Work {
+        let req = &placed.req;
+        let survival = self.forecast.survival(&req.workspace, &req.kind);
+        Work {
+            share: placed.share,
+            prompt_tokens: 0,
+            prefix: req.prefix,
+            output: survival.expected_beyond(placed.tokens, req.max_tokens),
+            first_within: Duration::MAX,
+        }
     }
 
     fn no_longer_waits(&mut self, queued: &Queued) {
@@ -382,10 +389,9 @@
             target.note_prefix(req.prefix, endpoint);
         }
         let Some(state) = self.endpoints.get_mut(endpoint) else { return };
-        let survival = self.forecast.survival(&req.workspace, &req.kind);
-        let share = Share::forecast(survival, req.prompt_tokens, 0, req.max_tokens);
+        let share = Work::new(&req, self.forecast.survival(&req.workspace, &req.kind)).share;
         state.grant(&share, now);
-        state.note_prompt(req.prompt_tokens, now);
+        state.reading.note(req.prompt_tokens, now);
         state.note_prefix(req.prefix, now);
         self.count_running(&req, 1);
         let meter = PaceMeter::default();
--- a/scripts/compare-days.py
+++ b/scripts/compare-days.py
@@ -6,6 +6,7 @@
                           [--jobs 6] [--why TEXT] BEFORE AFTER
 
 BEFORE and AFTER are folders with a checked-out tree each; `git worktree add DIR COMMIT` makes one.
+`--save DIR` keeps the reports of AFTER; such a folder can stand for BEFORE later.
 Processor time is not charged, so that two plays of equal code are nearly equal. Each row is a mean
 of paired differences (AFTER less BEFORE) with its 95% interval; a day with a broken rule is named.
 """
@@ -33,14 +34,17 @@
     parser.add_argument("--seeds", default="11-18", help="first and last seed")
     parser.add_argument("--jobs", type=int, default=6, help="plays at once")
     parser.add_argument("--why", default="paired comparison", help="line for the journal")
+    parser.add_argument("--save", help="folder for the reports of AFTER")
     parser.add_argument("before")
     parser.add_argument("after")
     return parser.parse_args()
 
 
 def play(opts, tree, day, seed, folder):
-    """Plays one day; returns its report, or None if there was none."""
+    """Plays one day, unless its report is there; returns the report, or None if there is none."""
     report = pathlib.Path(folder) / f"{pathlib.Path(day).stem}-{seed}.json"
+    if report.exists():
+        return json.loads(report.read_text())
     command = [opts.bench, "run", opts.site, day, "--seed", str(seed), "--no-cpu",
                "--report", str(report), "--why", opts.why]
     done = subprocess.run(command, cwd=tree, capture_output=True, text=True)
@@ -50,11 +54,16 @@
     return json.loads(report.read_text())
 
 
-def played(opts, tree, days, seeds):
-    """Reports by day and seed. The first play builds, so that the others do not build at once."""
-    subprocess.run([opts.bench, "build"], cwd=tree, check=True, capture_output=True)
-    with tempfile.TemporaryDirectory() as folder, \
+def played(opts, tree, days, seeds, save=None):
+    """Reports by day and seed. Built first, so that the plays do not build at once."""
+    has_tree = pathlib.Path(tree, "deploy").exists()
+    if has_tree:
+        subprocess.run([opts.bench, "build"], cwd=tree, check=True, capture_output=True)
+    if save:
+        pathlib.Path(save).mkdir(parents=True, exist_ok=True)
+    with tempfile.TemporaryDirectory() as scratch, \
             concurrent.futures.ThreadPoolExecutor(opts.jobs) as pool:
+        folder = (save or scratch) if has_tree else tree
         plays = {(day, seed): pool.submit(play, opts, tree, day, seed, folder)
                  for day in days for seed in seeds}
         return {key: result.result() for key, result in plays.items()}
@@ -103,7 +112,7 @@
     first, last = (int(seed) for seed in opts.seeds.split("-"))
     seeds = range(first, last + 1)
     before = played(opts, opts.before, days, seeds)
-    after = played(opts, opts.after, days, seeds)
+    after = played(opts, opts.after, days, seeds, opts.save)
     keys = [key for key in before if before[key] and after[key]]
     pairs = {key: (figures(before[key]), figures(after[key])) for key in keys}
     print(f"{len(keys)} pairs of {pathlib.Path(opts.site).stem}")
