--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -228,7 +228,7 @@
                 }
             }
             Input::Ask(call, question) => self.ask(call, question, clocks),
-            Input::Progress(call, tokens) => self.placing.progress(call, tokens, clocks.now),
+            Input::Progress(call, tokens) => self.placing.progress(call, tokens, clocks.now, out),
             Input::Finished { call, tokens, whole } => {
                 self.placing.finished(call, tokens, whole, clocks.now, out);
             }
--- a/crates/core/src/node/placing.rs
+++ b/crates/core/src/node/placing.rs
@@ -187,11 +187,23 @@
         out.answer(call, Answer::Placed(Err(error)));
     }
 
-    pub(crate) fn progress(&mut self, call: CallId, tokens: u64, now: Instant) {
+    /// Takes a token count. The first is passed on at once: the prompt has been read, and the
+    /// generation may be handed over.
+    pub(crate) fn progress(&mut self, call: CallId, tokens: u64, now: Instant, out: &mut Outbox) {
         let Some(running) = self.running.get_mut(&call) else { return };
+        let first = running.tokens == 0;
         running.tokens = tokens;
-        self.unreported.insert(call);
         self.local.progress(ticket(call), tokens, now);
+        match &self.scheduler {
+            Some(scheduler) if first => {
+                let running = vec![Tokens { number: call.0, tokens }];
+                let progress = Progress { running, ..Progress::default() };
+                out.send(scheduler, Body::Progress(progress));
+            }
+            _ => {
+                self.unreported.insert(call);
+            }
+        }
     }
 
     pub(crate) fn finished(
--- a/crates/core/src/placement/evacuation.rs
+++ b/crates/core/src/placement/evacuation.rs
@@ -77,7 +77,7 @@
         self.tries.remove(&ticket);
     }
 
-    fn is_busy(&self, endpoint: &Arc<str>) -> bool {
+    pub(super) fn is_busy(&self, endpoint: &Arc<str>) -> bool {
         self.moves.values().any(|m| m.from == *endpoint || m.to == *endpoint)
     }
 
@@ -97,12 +97,15 @@
             .filter(|state| !self.evacuation.is_busy(&state.name))
             .map(|state| state.name.clone())
             .collect();
-        sources.iter().filter_map(|source| self.move_next(source, now)).collect()
+        let mut moves: Vec<Relocation> =
+            sources.iter().filter_map(|source| self.move_next(source, now)).collect();
+        moves.extend(self.hand_over(now));
+        moves
     }
 
     /// When [`Scheduler::evacuate`] must be called again even without other input.
     pub(super) fn next_evacuation(&self) -> Option<Instant> {
-        let waiting = self.must_empty().next().is_some();
+        let waiting = self.must_empty().next().is_some() || self.handover.is_waiting();
         waiting.then_some(self.evacuation.next_look)
     }
 
@@ -152,10 +155,21 @@
     fn move_next(&mut self, source: &Arc<str>, now: Instant) -> Option<Relocation> {
         let ticket = self.dearest_at(source, now)?;
         let to = self.choose_destination(ticket, source, now)?;
-        self.relocate(ticket, &to, now);
+        self.begin_move(ticket, &to, now)
+    }
+
+    /// Begins a move.
+    pub(super) fn begin_move(
+        &mut self,
+        ticket: Ticket,
+        to: &Arc<str>,
+        now: Instant,
+    ) -> Option<Relocation> {
+        let from = self.placed.get(&ticket)?.endpoint.clone();
+        self.relocate(ticket, to, now);
         let until = now.after(LONGEST_MOVE);
-        self.evacuation.moves.insert(ticket, Move { from: source.clone(), to: to.clone(), until });
-        Some(Relocation { ticket, from: source.clone(), to })
+        self.evacuation.moves.insert(ticket, Move { from: from.clone(), to: to.clone(), until });
+        Some(Relocation { ticket, from, to: to.clone() })
     }
 
     /// The generation at an endpoint whose move saves most for the time that it takes.
--- /dev/null
+++ b/crates/core/src/placement/handover.rs
@@ -0,0 +1,115 @@
+//! Hands young generations over: an endpoint that has read a prompt and has many more to read
+//! passes the generation on to one that reads less, where it is held up less.
+//!
+//! Only the time just after the prompt was read is used: the copy is smallest then, and the
+//! gain largest. Generations at endpoints that leave go first on every link.
+
+use std::{collections::VecDeque, sync::Arc, time::Duration};
+
+use super::{
+    Scheduler, Ticket,
+    endpoint::{EndpointState, Health},
+    evacuation::Relocation,
+    pace,
+};
+use crate::units::Instant;
+
+/// What a hand-over must save to be worth its pause, its use of the links and the risk that the
+/// endpoint leaves meanwhile: seconds by which the generation is held up.
+pub(super) const HANDOVER_COST: f64 = 0.25;
+/// One that has waited this long for its links stays where it is.
+const LONGEST_WAIT: Duration = Duration::from_millis(400);
+
+/// A generation that was read and may go on elsewhere.
+#[derive(Debug, Clone, Copy)]
+struct Young {
+    ticket: Ticket,
+    until: Instant,
+}
+
+/// Generations that wait for a hand-over, the oldest first.
+#[derive(Debug, Default)]
+pub(super) struct Handover {
+    waiting: VecDeque<Young>,
+}
+
+impl Handover {
+    /// Notes that a generation has made its first token.
+    pub(super) fn begun(&mut self, ticket: Ticket, now: Instant) {
+        self.waiting.push_back(Young { ticket, until: now.after(LONGEST_WAIT) });
+    }
+
+    pub(super) fn is_waiting(&self) -> bool {
+        !self.waiting.is_empty()
+    }
+}
+
+impl Scheduler {
+    /// The hand-overs to begin now.
+    pub(super) fn hand_over(&mut self, now: Instant) -> Vec<Relocation> {
+        let mut begun = Vec::new();
+        for _ in 0..self.handover.waiting.len() {
+            let Some(young) = self.handover.waiting.pop_front() else { break };
+            match self.destination_of(young.ticket, now) {
+                Next::Stay => {}
+                Next::Wait if young.until <= now => {}
+                Next::Wait => self.handover.waiting.push_back(young),
+                Next::Go(to) => begun.extend(self.begin_move(young.ticket, &to, now)),
+            }
+        }
+        begun
+    }
+
+    /// Whether a young generation should go on elsewhere.
+    fn destination_of(&mut self, ticket: Ticket, now: Instant) -> Next {
+        let Some(placed) = self.placed.get(&ticket) else { return Next::Stay };
+        let Some(source) = self.endpoints.get(&placed.endpoint) else { return Next::Stay };
+        if source.health == Health::Leaving || !source.spec.moves {
+            return Next::Stay;
+        }
+        let work = self.rest_of(placed);
+        let Some(target) = self.targets.get(&placed.req.target) else { return Next::Stay };
+        let near: Vec<&EndpointState> = target
+            .endpoints
+            .iter()
+            .filter_map(|name| self.endpoints.get(name))
+            .filter(|state| {
+                state.spec.hall == source.spec.hall
+                    && state.name != source.name
+                    && state.takes_work(now)
+            })
+            .collect();
+        let token_time = pace::token_time(&near, now);
+        let gain = |state: &EndpointState| {
+            let held_up = source.reading.part(now) - state.reading.part(now);
+            work.output * token_time * held_up
+        };
+        let worth_it: Vec<&EndpointState> =
+            near.iter().copied().filter(|state| HANDOVER_COST < gain(state)).collect();
+        if worth_it.is_empty() {
+            return Next::Stay;
+        }
+        if self.evacuation.is_busy(&source.name) {
+            return Next::Wait;
+        }
+        let free: Vec<&EndpointState> = worth_it
+            .iter()
+            .copied()
+            .filter(|state| !self.evacuation.is_busy(&state.name))
+            .collect();
+        match self.policy.choose(&work, &free, now) {
+            Some(at) => Next::Go(free[at].name.clone()),
+            None => Next::Wait,
+        }
+    }
+}
+
+/// What becomes of a young generation.
+enum Next {
+    /// It stays where it is.
+    Stay,
+    /// The links are in use.
+    Wait,
+    /// It goes on there.
+    Go(Arc<str>),
+}
--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -11,6 +11,7 @@
 #[cfg(test)]
 mod fixture;
 mod forecast;
+mod handover;
 mod pace;
 #[cfg(test)]
 mod pace_tests;
--- a/crates/core/src/placement/pace.rs
+++ b/crates/core/src/placement/pace.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use super::endpoint::EndpointState;
 use crate::units::Instant;
 
 /// Progress is told in steps of half a second; a shorter span would measure the telling.
@@ -15,6 +16,20 @@
 /// avoided is tried again. Outlier ejection in load balancers starts from the same 30 s.
 const MEMORY: Duration = Duration::from_secs(30);
 
+/// Seconds that a token takes while nobody's pace is known: the usual speed of the users' engines.
+const USUAL: f64 = 0.008;
+
+/// Seconds for a token at the fastest of these endpoints, if any was measured lately.
+pub(crate) fn fastest(endpoints: &[&EndpointState], now: Instant) -> Option<f64> {
+    let paces = endpoints.iter().filter_map(|endpoint| endpoint.pace.per_token(now));
+    paces.min_by(f64::total_cmp)
+}
+
+/// The same, or the usual speed.
+pub(crate) fn token_time(endpoints: &[&EndpointState], now: Instant) -> f64 {
+    fastest(endpoints, now).unwrap_or(USUAL)
+}
+
 /// The time that an endpoint takes for a token of one stream, smoothed.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
 pub(crate) struct Pace {
--- a/crates/core/src/placement/policy/forecast.rs
+++ b/crates/core/src/placement/policy/forecast.rs
@@ -2,7 +2,9 @@
 
 use super::{Policy, Work, has_slot, least};
 use crate::{
-    placement::{endpoint::EndpointState, forecast::HORIZONS, reading},
+    placement::{
+        endpoint::EndpointState, forecast::HORIZONS, handover::HANDOVER_COST, pace, reading,
+    },
     units::Instant,
 };
 
@@ -19,9 +21,6 @@
 /// A request is small when it is forecast to fill no more than this part of the memory.
 const SMALL: f64 = 0.025;
 
-/// Seconds that a token takes while nobody's pace is known: the usual speed of the users' engines.
-const UNKNOWN_PACE: f64 = 0.008;
-
 /// Admits while the forecast of memory stays under capacity with a margin, and
 /// takes the endpoint where the least time is lost, by the request and by what runs there.
 #[derive(Debug, Clone)]
@@ -37,6 +36,16 @@
     pub small_excess: f64,
 }
 
+/// What the endpoints to choose from have in common.
+struct Usual {
+    /// Seconds for a token at the fastest, if known.
+    fastest: Option<f64>,
+    /// The same, or the usual speed.
+    token_time: f64,
+    /// Least part of the time that one spends on reading.
+    least_reading: f64,
+}
+
 impl Default for ForecastPolicy {
     fn default() -> ForecastPolicy {
         ForecastPolicy { margin: 2.5, prefix_value: 2.0, load_value: 0.3, small_excess: 0.25 }
@@ -71,13 +80,7 @@
     }
 
     /// Seconds lost at this endpoint.
-    fn cost(
-        &self,
-        work: &Work,
-        endpoint: &EndpointState,
-        fastest: Option<f64>,
-        now: Instant,
-    ) -> f64 {
+    fn cost(&self, work: &Work, endpoint: &EndpointState, all: &Usual, now: Instant) -> f64 {
         let load = endpoint.load() as f64 / endpoint.spec.slots as f64;
         if endpoint.spec.kv_tokens == 0 {
             return load;
@@ -85,14 +88,18 @@
         let kv = endpoint.spec.kv_tokens as f64;
         let cached = endpoint.has_prefix(work.prefix, now);
         let saved = if cached { work.prompt_tokens as f64 / kv } else { 0.0 };
-        let slow = PACE_VALUE * endpoint.pace.slowdown(fastest, now);
+        let slow = PACE_VALUE * endpoint.pace.slowdown(all.fastest, now);
         let crowded = self.fullness(work, endpoint) + self.load_value * load + slow
             - self.prefix_value * saved;
         let waits = endpoint.reading.left(now).as_secs_f64();
         let first = waits + 2.0 * reading::holds_up(work.prompt_tokens).as_secs_f64();
         let within = work.first_within.as_secs_f64();
         let late = LATE_VALUE * (2.0 * first / within - 1.0).clamp(0.0, 1.0).powi(2);
-        let own = work.output * fastest.unwrap_or(UNKNOWN_PACE) * endpoint.reading.part(now);
+        let making = work.output * all.token_time;
+        let stays = making * endpoint.reading.part(now);
+        let goes_on = HANDOVER_COST + making * all.least_reading;
+        let own =
+            if endpoint.spec.moves && 0 < work.prompt_tokens { stays.min(goes_on) } else { stays };
         let others = endpoint.total.worth * reading::holds_up(work.prompt_tokens).as_secs_f64();
         work.share.worth * (MEMORY_VALUE * crowded + waits + own + late) + others
     }
@@ -104,9 +111,13 @@
     }
 
     fn choose(&mut self, work: &Work, endpoints: &[&EndpointState], now: Instant) -> Option<usize> {
-        let paces = endpoints.iter().filter_map(|endpoint| endpoint.pace.per_token(now));
-        let fastest = paces.min_by(f64::total_cmp);
+        let least_reading = endpoints.iter().map(|endpoint| endpoint.reading.part(now));
+        let all = Usual {
+            fastest: pace::fastest(endpoints, now),
+            token_time: pace::token_time(endpoints, now),
+            least_reading: least_reading.min_by(f64::total_cmp).unwrap_or(0.0),
+        };
         let fits = |endpoint: &EndpointState| self.fits(work, endpoint);
-        least(endpoints, fits, |endpoint| self.cost(work, endpoint, fastest, now))
+        least(endpoints, fits, |endpoint| self.cost(work, endpoint, &all, now))
     }
 }
--- a/crates/core/src/placement/scheduler.rs
+++ b/crates/core/src/placement/scheduler.rs
@@ -11,6 +11,7 @@
     endpoint::{EndpointState, Share},
     evacuation::Evacuation,
     forecast::LengthForecast,
+    handover::Handover,
     pace::PaceMeter,
     policy::{Policy, Work},
     target::Target,
@@ -90,6 +91,7 @@
     expiries: BTreeSet<Expiry>,
     pub(super) placed: HashMap<Ticket, Placed>,
     pub(super) evacuation: Evacuation,
+    pub(super) handover: Handover,
     counts: HashMap<Arc<str>, Count>,
     /// Number of samples of endpoints taken.
     samples: usize,
@@ -108,6 +110,7 @@
             expiries: BTreeSet::new(),
             placed: HashMap::new(),
             evacuation: Evacuation::default(),
+            handover: Handover::default(),
             counts: HashMap::new(),
             samples: 0,
         }
@@ -213,6 +216,9 @@
         if tokens <= placed.tokens {
             return;
         }
+        if placed.tokens == 0 {
+            self.handover.begun(ticket, now);
+        }
         let req = &placed.req;
         let survival = self.forecast.survival(&req.workspace, &req.kind);
         let mut share = Share::forecast(survival, req.prompt_tokens, tokens, req.max_tokens);
