--- a/crates/core/src/placement/evacuation.rs
+++ b/crates/core/src/placement/evacuation.rs
@@ -54,10 +54,13 @@
     until: Instant,
 }
 
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Default)]
 struct Tries {
     count: u32,
     not_before: Instant,
+    /// Endpoints that took no copy of it: those with room by the forecast that refuse once
+    /// refuse again (measured: ten times in a row, until the generation was lost).
+    refused_by: Vec<Arc<str>>,
 }
 
 /// Moves on their way and moves that failed.
@@ -82,8 +85,8 @@
     }
 
     fn may_move(&self, ticket: &Ticket, now: Instant) -> bool {
-        let tries = self.tries.get(ticket).copied().unwrap_or_default();
-        !self.moves.contains_key(ticket) && tries.count < MAX_TRIES && tries.not_before <= now
+        let rested = |tries: &Tries| tries.count < MAX_TRIES && tries.not_before <= now;
+        !self.moves.contains_key(ticket) && self.tries.get(ticket).is_none_or(rested)
     }
 }
 
@@ -121,7 +124,7 @@
     /// Notes where a generation runs after a move, which may have failed.
     pub fn moved(&mut self, ticket: Ticket, at: &str, done: bool, now: Instant) {
         let at: Arc<str> = at.into();
-        self.evacuation.moves.remove(&ticket);
+        let ended = self.evacuation.moves.remove(&ticket);
         if !self.placed.contains_key(&ticket) {
             return;
         }
@@ -133,6 +136,7 @@
         let tries = self.evacuation.tries.entry(ticket).or_default();
         tries.count += 1;
         tries.not_before = now.after(PAUSE);
+        tries.refused_by.extend(ended.map(|ended| ended.to));
     }
 
     fn give_up_moves(&mut self, now: Instant) {
@@ -210,6 +214,8 @@
         let placed = self.placed.get(&ticket)?;
         let (req, work) = (&placed.req, self.rest_of(placed));
         let hall = self.endpoints.get(source).map(|state| &state.spec.hall);
+        let tries = self.evacuation.tries.get(&ticket);
+        let refused = |name| tries.is_some_and(|tries| tries.refused_by.contains(name));
         let mut open: Vec<&EndpointState> = self
             .endpoints
             .values()
@@ -217,6 +223,7 @@
                 state.spec.target == req.target
                     && state.takes_work(now)
                     && !self.evacuation.is_busy(&state.name)
+                    && !refused(&state.name)
             })
             .collect();
         // Equal endpoints are told apart by name, so that a run can be repeated.
--- a/crates/server/src/relay/moves.rs
+++ b/crates/server/src/relay/moves.rs
@@ -54,6 +54,8 @@
 /// A move on its way.
 pub(super) struct Move {
     pub(super) began: Instant,
+    /// Where it is to go on.
+    pub(super) to: Arc<str>,
     stopping: Rc<Cell<bool>>,
     future: LocalFuture<'static, MoveEnd>,
 }
@@ -61,8 +63,9 @@
 impl Move {
     pub(super) fn begin(relay: Rc<Relay>, job: Rc<Job>, from: Registered, to: Registered) -> Move {
         let stopping = Rc::new(Cell::new(false));
+        let destination = to.id.clone();
         let future = Box::pin(run(relay, job, from, to, stopping.clone()));
-        Move { began: Instant::now(), stopping, future }
+        Move { began: Instant::now(), to: destination, stopping, future }
     }
 
     /// Whether the generation was told to stop.
--- a/crates/server/src/relay/stream.rs
+++ b/crates/server/src/relay/stream.rs
@@ -222,7 +222,7 @@
             MoveEnd::NoSuchRun | MoveEnd::Failed(_) => {
                 log::info!(
                     event = EventId::MoveEnded.number(), id = self.job.caller.id.as_str(),
-                    from = &*from, end = end.name(), detail = end.detail(),
+                    from = &*from, to = &*moving.to, end = end.name(), detail = end.detail(),
                     took_ms = took.as_millis() as u64;
                     "a generation was not moved"
                 );
