--- a/crates/core/src/placement/evacuation.rs
+++ b/crates/core/src/placement/evacuation.rs
@@ -223,16 +223,21 @@
                 state.spec.target == req.target
                     && state.takes_work(now)
                     && !self.evacuation.is_busy(&state.name)
-                    && !refused(&state.name)
             })
             .collect();
         // Equal endpoints are told apart by name, so that a run can be repeated.
         open.sort_by(|a, b| a.name.cmp(&b.name));
-        let near: Vec<&EndpointState> =
-            open.iter().copied().filter(|state| Some(&state.spec.hall) == hall).collect();
-        for open in [near, open] {
-            if let Some(at) = self.policy.choose(&work, &open, now) {
-                return Some(open[at].name.clone());
+        let is_near = |state: &EndpointState| Some(&state.spec.hall) == hall;
+        // One that refused a copy of it is asked again only if no other has room.
+        for (by_near, by_refused) in [(true, false), (false, false), (true, true), (false, true)] {
+            let group: Vec<&EndpointState> = open
+                .iter()
+                .copied()
+                .filter(|state| is_near(state) || !by_near)
+                .filter(|state| refused(&state.name) == by_refused)
+                .collect();
+            if let Some(at) = self.policy.choose(&work, &group, now) {
+                return Some(group[at].name.clone());
             }
         }
         None
--- a/crates/core/src/placement/policy/forecast.rs
+++ b/crates/core/src/placement/policy/forecast.rs
@@ -14,9 +14,8 @@
 /// Cost of a first token that comes too late, in seconds by which a generation is held up.
 const LATE_VALUE: f64 = 10.0;
 
-/// Cost of an endpoint that takes twice the fastest's time for a token, in parts of its memory.
-/// A generation there lives longer, and more of them meet the end of an engine.
-const PACE_VALUE: f64 = 1.0;
+/// Beyond this part of its time spent on reading, an endpoint's slowness is all put down to it.
+const MOST_READING: f64 = 0.9;
 
 /// A request is small when it is forecast to fill no more than this part of the memory.
 const SMALL: f64 = 0.025;
@@ -88,20 +87,23 @@
         let kv = endpoint.spec.kv_tokens as f64;
         let cached = endpoint.has_prefix(work.prefix, now);
         let saved = if cached { work.prompt_tokens as f64 / kv } else { 0.0 };
-        let slow = PACE_VALUE * endpoint.pace.slowdown(all.fastest, now);
-        let crowded = self.fullness(work, endpoint) + self.load_value * load + slow
-            - self.prefix_value * saved;
+        let crowded =
+            self.fullness(work, endpoint) + self.load_value * load - self.prefix_value * saved;
         let waits = endpoint.reading.left(now).as_secs_f64();
         let first = waits + reading::reading_time(work.prompt_tokens).as_secs_f64();
         let within = work.first_within.as_secs_f64();
         let late = LATE_VALUE * (2.0 * first / within - 1.0).clamp(0.0, 1.0).powi(2);
         let making = work.output * all.token_time;
-        let stays = making * endpoint.reading.part(now);
+        let part = endpoint.reading.part(now);
+        // What the prompts that it reads do not explain.
+        let by_reading = part / (1.0 - part.min(MOST_READING));
+        let slow = making * (endpoint.pace.slowdown(all.fastest, now) - by_reading).max(0.0);
+        let stays = making * part;
         let goes_on = HANDOVER_COST + making * all.least_reading;
         let own =
             if endpoint.spec.moves && 0 < work.prompt_tokens { stays.min(goes_on) } else { stays };
         let others = endpoint.total.worth * reading::holds_up(work.prompt_tokens).as_secs_f64();
-        work.share.worth * (MEMORY_VALUE * crowded + waits + own + late) + others
+        work.share.worth * (MEMORY_VALUE * crowded + waits + own + slow + late) + others
     }
 }
 
--- a/crates/core/src/placement/scheduler.rs
+++ b/crates/core/src/placement/scheduler.rs
@@ -172,14 +172,15 @@
         Ok(())
     }
 
-    /// Takes over a request that already runs, as reported by its entry daemon.
+    /// Takes over a request that already runs, as reported by its entry daemon. Its prompt has been
+    /// read, or soon will be: nothing is held up by it any more.
     pub fn adopt(&mut self, req: Request, endpoint: &str, tokens: u64, now: Instant) {
         if self.placed.contains_key(&req.ticket) || !self.endpoints.contains_key(endpoint) {
             return;
         }
         let ticket = req.ticket;
-        self.place(req, &endpoint.into(), now);
-        self.progress(ticket, tokens, now);
+        self.run_at(req, &endpoint.into(), now);
+        self.count_tokens(ticket, tokens, now);
     }
 
     /// Decides all that can be decided now.
@@ -212,13 +213,18 @@
 
     /// Notes the number of tokens that a running stream has produced.
     pub fn progress(&mut self, ticket: Ticket, tokens: u64, now: Instant) {
+        let Some(placed) = self.placed.get(&ticket) else { return };
+        if placed.tokens == 0 && 0 < tokens {
+            self.handover.begun(ticket, now);
+        }
+        self.count_tokens(ticket, tokens, now);
+    }
+
+    fn count_tokens(&mut self, ticket: Ticket, tokens: u64, now: Instant) {
         let Some(placed) = self.placed.get_mut(&ticket) else { return };
         if tokens <= placed.tokens {
             return;
         }
-        if placed.tokens == 0 {
-            self.handover.begun(ticket, now);
-        }
         let req = &placed.req;
         let survival = self.forecast.survival(&req.workspace, &req.kind);
         let mut share = Share::forecast(survival, req.prompt_tokens, tokens, req.max_tokens);
@@ -394,11 +400,18 @@
         if let Some(target) = self.targets.get_mut(&req.target) {
             target.note_prefix(req.prefix, endpoint);
         }
+        if let Some(state) = self.endpoints.get_mut(endpoint) {
+            state.reading.note(req.prompt_tokens, now);
+            state.note_prefix(req.prefix, now);
+        }
+        self.run_at(req, endpoint, now);
+    }
+
+    /// Accounts for a request that runs at an endpoint from now on.
+    fn run_at(&mut self, req: Request, endpoint: &Arc<str>, now: Instant) {
         let Some(state) = self.endpoints.get_mut(endpoint) else { return };
         let share = Work::new(&req, self.forecast.survival(&req.workspace, &req.kind)).share;
         state.grant(&share, now);
-        state.reading.note(req.prompt_tokens, now);
-        state.note_prefix(req.prefix, now);
         self.count_running(&req, 1);
         let meter = PaceMeter::default();
         let placed = Placed { endpoint: endpoint.clone(), share, tokens: 0, meter, req };
