--- a/crates/core/src/placement/policy/forecast.rs
+++ b/crates/core/src/placement/policy/forecast.rs
@@ -14,6 +14,10 @@
 /// Cost of a first token that comes too late, in seconds by which a generation is held up.
 const LATE_VALUE: f64 = 10.0;
 
+/// Part by which equal endpoints' paces differ: by how many run there, by progress that is told
+/// in steps, and by prompts that are longer than reckoned.
+const USUAL_SPREAD: f64 = 0.5;
+
 /// Beyond this part of its time spent on reading, an endpoint's slowness is all put down to it.
 const MOST_READING: f64 = 0.9;
 
@@ -97,7 +101,8 @@
         let part = endpoint.reading.part(now);
         // What the prompts that it reads do not explain.
         let by_reading = part / (1.0 - part.min(MOST_READING));
-        let slow = making * (endpoint.pace.slowdown(all.fastest, now) - by_reading).max(0.0);
+        let unexplained = endpoint.pace.slowdown(all.fastest, now) - by_reading - USUAL_SPREAD;
+        let slow = making * unexplained.max(0.0);
         let stays = making * part;
         let goes_on = HANDOVER_COST + making * all.least_reading;
         let own =
