Switch off each mechanism of the decisions by its name, for ablation

Hand-over looks at a sample of many endpoints, as placement does. Tests of reading, hand-over, mechanisms and of requests that meet a daemon without a configuration. The relay's tests removed the data folder of a daemon that was still writing, which ends the process: seen once in the whole suite (exit status 1 without a failed test), where the endpoints' write now delays the log's.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod error;
 pub mod events;
 pub mod limits;
+pub mod mechanism;
 pub mod node;
 pub mod once;
 pub mod placement;
--- a/crates/core/src/node/control/mod.rs
+++ b/crates/core/src/node/control/mod.rs
@@ -19,6 +19,7 @@
 use crate::{
     agreement::{Outgoing, Payload, Persist, Replica, ReplicaId, Restored, Role, Synced},
     config::Config,
+    mechanism::Disabled,
     placement::Scheduler,
     state::State,
     units::Instant,
@@ -81,6 +82,7 @@
     daemons: ByVm<Daemon>,
     updates: Updates,
     dispatcher: Option<Dispatcher>,
+    disabled: Disabled,
     /// Engines that registered themselves.
     engines: Engines,
     election: Duration,
@@ -115,6 +117,7 @@
             daemons: ByVm::new(),
             updates: Updates::default(),
             dispatcher: None,
+            disabled: options.disabled,
             engines: Engines::default(),
             election: timing.election,
             log_bytes: 0,
--- a/crates/core/src/node/control/ready.rs
+++ b/crates/core/src/node/control/ready.rs
@@ -164,7 +164,7 @@
         }
         if leads {
             self.config = Config::check(ACCEPTED, self.state.document()).ok();
-            self.dispatcher = Some(Dispatcher::new(now));
+            self.dispatcher = Some(Dispatcher::new(self.disabled, now));
             self.configure_dispatcher();
             return;
         }
--- a/crates/core/src/node/dispatcher.rs
+++ b/crates/core/src/node/dispatcher.rs
@@ -13,6 +13,7 @@
 use crate::{
     config::Endpoints,
     error::RequestError,
+    mechanism::Disabled,
     placement::{Action, ForecastPolicy, Relocation, Scheduler, SchedulerLimits, Ticket},
     units::Instant,
     wire::{Admit, Body, GiveUp, Grant, Health, HealthNews, Move, Moved, Progress, Report, Watch},
@@ -33,10 +34,11 @@
 }
 
 impl Dispatcher {
-    pub(crate) fn new(now: Instant) -> Dispatcher {
-        let policy = Box::new(ForecastPolicy::default());
+    pub(crate) fn new(disabled: Disabled, now: Instant) -> Dispatcher {
+        let policy = Box::new(ForecastPolicy::without(disabled));
+        let limits = SchedulerLimits { disabled, ..SchedulerLimits::default() };
         Dispatcher {
-            scheduler: Scheduler::new(SchedulerLimits::default(), policy),
+            scheduler: Scheduler::new(limits, policy),
             open_at: now.after(LISTEN),
             numbers: ByVm::new(),
             names: BTreeMap::new(),
--- a/crates/core/src/node/endpoint_tests.rs
+++ b/crates/core/src/node/endpoint_tests.rs
@@ -6,6 +6,7 @@
 
 use super::{Clocks, Input, Node, NodeOptions, NodeTiming, Output, VmName};
 use crate::{
+    mechanism::Disabled,
     units::{Instant, UnixMillis},
     wire::{Body, EndpointNews, EndpointRecord, PollReply},
 };
@@ -24,6 +25,7 @@
         endpoint_heartbeat: Duration::from_secs(1),
         timing: NodeTiming::default(),
         seed: 1,
+        disabled: Disabled::default(),
     };
     Node::entry(&options, Instant(0))
 }
@@ -132,6 +134,7 @@
         endpoint_heartbeat: Duration::from_secs(1),
         timing: NodeTiming::default(),
         seed: 1,
+        disabled: Disabled::default(),
     };
     let mut node = Node::replica(&options, 1, crate::agreement::Restored::default(), Instant(0));
     for n in 0..entries {
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -49,6 +49,7 @@
 use crate::{
     agreement::{self, Restored},
     config::ContentHash,
+    mechanism::{Disabled, Mechanism},
     placement::LoadReport,
     registry::Registry,
     units::{Instant, UnixMillis},
@@ -121,6 +122,8 @@
     pub timing: NodeTiming,
     /// Random number of this run of the daemon.
     pub seed: u64,
+    /// Mechanisms that are switched off.
+    pub disabled: Disabled,
 }
 
 /// One daemon.
@@ -153,6 +156,7 @@
     for_leader: Gathered,
     /// When the registry is next searched for endpoints that are silent or long gone.
     next_search: Instant,
+    disabled: Disabled,
 }
 
 impl Node {
@@ -163,7 +167,7 @@
             outputs: Outbox::default(),
             keeper: Keeper::new(options, now),
             operations: Operations::default(),
-            placing: Placing::new(),
+            placing: Placing::new(options.disabled),
             control: None,
             directory: Directory::new(&options.vm, &options.seeds, false, now),
             registry: Registry::new(options.endpoint_heartbeat),
@@ -177,6 +181,7 @@
             heartbeats: Gathered::default(),
             for_leader: Gathered::default(),
             next_search: Instant::default(),
+            disabled: options.disabled,
         }
     }
 
@@ -243,7 +248,11 @@
                 self.placing.health(&endpoint, news, clocks.now, true, out);
             }
             Input::Heartbeat(record) => self.heartbeat(record, clocks.now),
-            Input::Recall(records) => self.registry.recall(records, clocks.now),
+            Input::Recall(records) => {
+                if self.disabled.allows(Mechanism::RecalledEndpoints) {
+                    self.registry.recall(records, clocks.now);
+                }
+            }
             Input::Farewell(id) => self.farewell(&id, clocks.now),
             Input::Moved { call, at, done } => {
                 self.placing.moved(call, &at, done, clocks.now, out);
--- a/crates/core/src/node/placing.rs
+++ b/crates/core/src/node/placing.rs
@@ -17,6 +17,7 @@
 use crate::{
     config::{Config, Endpoints},
     error::{ErrorKind, RequestError},
+    mechanism::Disabled,
     placement::{Action, ForecastPolicy, Relocation, Request, Scheduler, SchedulerLimits, Ticket},
     units::Instant,
     wire::{Admit, Body, GiveUp, Grant, Health, HealthNews, Move, Moved, Progress, Report, Tokens},
@@ -72,10 +73,11 @@
 }
 
 impl Placing {
-    pub(crate) fn new() -> Placing {
-        let policy = Box::new(ForecastPolicy::default());
+    pub(crate) fn new(disabled: Disabled) -> Placing {
+        let policy = Box::new(ForecastPolicy::without(disabled));
+        let limits = SchedulerLimits { disabled, ..SchedulerLimits::default() };
         Placing {
-            local: Scheduler::new(SchedulerLimits::default(), policy),
+            local: Scheduler::new(limits, policy),
             endpoints: Endpoints::new(),
             share_of: 1,
             scheduler: None,
--- a/crates/core/src/node/tests/net/mod.rs
+++ b/crates/core/src/node/tests/net/mod.rs
@@ -14,6 +14,7 @@
 use self::{fixture::file, seen::Seen, site::Host};
 use crate::{
     config::Document,
+    mechanism::Disabled,
     node::{
         CallId, Clocks, ControlStatus, Input, Node, NodeOptions, NodeTiming, Output, Question,
         VmName, control::Control,
@@ -102,6 +103,7 @@
             endpoint_heartbeat: Duration::from_secs(1),
             timing: NodeTiming::default(),
             seed,
+            disabled: Disabled::default(),
         };
         let host = self.hosts.get_mut(vm).unwrap();
         host.node = Some(if host.replica {
--- a/crates/core/src/placement/evacuation.rs
+++ b/crates/core/src/placement/evacuation.rs
@@ -16,7 +16,7 @@
     forecast::worth,
     scheduler::Placed,
 };
-use crate::units::Instant;
+use crate::{mechanism::Mechanism, units::Instant};
 
 /// A move that was not answered for this long is given up: a copy takes up to half a second,
 /// and an endpoint that leaves is gone two seconds after it said so.
@@ -114,10 +114,11 @@
 
     /// Endpoints that leave and still run what can be moved.
     fn must_empty(&self) -> impl Iterator<Item = &EndpointState> {
+        let moves = self.limits.disabled.allows(Mechanism::Evacuation);
         let leaving = self.evacuation.leaving.iter().filter_map(|name| self.endpoints.get(name));
         // One that has come back under its name at another address no longer leaves.
-        leaving.filter(|state| {
-            state.health == Health::Leaving && state.spec.moves && 0 < state.running
+        leaving.filter(move |state| {
+            moves && state.health == Health::Leaving && state.spec.moves && 0 < state.running
         })
     }
 
@@ -194,6 +195,9 @@
     /// What moving a generation is expected to save, for each token copied: its worth when it
     /// ends, unless it ends by itself before its endpoint does.
     fn gain_of_move(&self, placed: &Placed) -> f64 {
+        if !self.limits.disabled.allows(Mechanism::MoveOrder) {
+            return 0.0;
+        }
         let req = &placed.req;
         let survival = self.forecast.survival(&req.workspace, &req.kind);
         let left = survival.expected_beyond(placed.tokens, req.max_tokens);
@@ -215,7 +219,11 @@
         let (req, work) = (&placed.req, self.rest_of(placed));
         let hall = self.endpoints.get(source).map(|state| &state.spec.hall);
         let tries = self.evacuation.tries.get(&ticket);
-        let refused = |name| tries.is_some_and(|tries| tries.refused_by.contains(name));
+        let disabled = self.limits.disabled;
+        let refused = |name| {
+            disabled.allows(Mechanism::RefusedDestinations)
+                && tries.is_some_and(|tries| tries.refused_by.contains(name))
+        };
         let mut open: Vec<&EndpointState> = self
             .endpoints
             .values()
@@ -227,7 +235,9 @@
             .collect();
         // Equal endpoints are told apart by name, so that a run can be repeated.
         open.sort_by(|a, b| a.name.cmp(&b.name));
-        let is_near = |state: &EndpointState| Some(&state.spec.hall) == hall;
+        let is_near = |state: &EndpointState| {
+            !disabled.allows(Mechanism::NearDestinations) || Some(&state.spec.hall) == hall
+        };
         // One that refused a copy of it is asked again only if no other has room.
         for (by_near, by_refused) in [(true, false), (false, false), (true, true), (false, true)] {
             let group: Vec<&EndpointState> = open
--- a/crates/core/src/placement/handover.rs
+++ b/crates/core/src/placement/handover.rs
@@ -70,8 +70,7 @@
         let work = self.rest_of(placed);
         let Some(target) = self.targets.get(&placed.req.target) else { return Next::Stay };
         let near: Vec<&EndpointState> = target
-            .endpoints
-            .iter()
+            .sample(self.samples, placed.req.prefix)
             .filter_map(|name| self.endpoints.get(name))
             .filter(|state| {
                 state.spec.hall == source.spec.hall
--- /dev/null
+++ b/crates/core/src/placement/handover_tests.rs
@@ -0,0 +1,177 @@
+//! Tests of generations that are handed over once their prompt has been read.
+
+use std::collections::BTreeSet;
+
+use googletest::prelude::*;
+use proptest::prelude::*;
+
+use super::{
+    Action, Relocation, Request, Scheduler, Ticket,
+    fixture::{ms, request, scheduler},
+};
+use crate::testing::fixed_seed;
+
+/// A chat whose answer is expected to be long.
+fn chat(number: u64) -> Request {
+    request(number, 3_000, 2_000)
+}
+
+/// A scheduler of engines in these data halls, where `e0` reads prompts most of its time and then
+/// is given a chat, which is request 1.
+fn read_at_first(halls: &[&str]) -> Scheduler {
+    let mut scheduler = scheduler(halls, 200_000);
+    for number in 10..200 {
+        scheduler.adopt(chat(number), "e0", 1, ms(1));
+        scheduler.finish(Ticket { entry: 1, number }, 900, true, ms(1));
+    }
+    for number in 1..halls.len() {
+        let name = format!("e{number}");
+        scheduler.endpoint_leaving(&name, true);
+    }
+    for number in 200..206 {
+        let req = Request { kind: "short".into(), ..request(number, 2_500, 12) };
+        scheduler.arrive(req, ms(number * 2)).unwrap();
+        scheduler.decide(ms(number * 2));
+    }
+    scheduler.arrive(chat(1), ms(450)).unwrap();
+    scheduler.decide(ms(450));
+    for number in 1..halls.len() {
+        let name = format!("e{number}");
+        scheduler.endpoint_leaving(&name, false);
+    }
+    scheduler
+}
+
+const CHAT: Ticket = Ticket { entry: 1, number: 1 };
+
+#[gtest]
+fn a_chat_goes_on_where_less_is_read_after_its_first_token() {
+    let mut scheduler = read_at_first(&["h", "h"]);
+    let before = scheduler.evacuate(ms(900));
+    scheduler.progress(CHAT, 4, ms(1_000));
+
+    let after = scheduler.evacuate(ms(1_001));
+
+    expect_that!(before, len(eq(0)));
+    expect_that!(after.len(), eq(1));
+    expect_that!((after[0].ticket, &*after[0].to), eq((CHAT, "e1")));
+}
+
+#[gtest]
+fn a_short_answer_stays_where_it_was_read() {
+    let mut scheduler = read_at_first(&["h", "h"]);
+    scheduler.progress(Ticket { entry: 1, number: 200 }, 4, ms(1_000));
+
+    expect_that!(scheduler.evacuate(ms(1_001)), len(eq(0)));
+}
+
+#[gtest]
+fn a_chat_stays_in_its_data_hall() {
+    let mut scheduler = read_at_first(&["h", "far"]);
+    scheduler.progress(CHAT, 4, ms(1_000));
+
+    expect_that!(scheduler.evacuate(ms(1_001)), len(eq(0)));
+}
+
+#[gtest]
+fn a_chat_that_a_new_scheduler_adopts_is_not_handed_over() {
+    let mut scheduler = scheduler(&["h", "h"], 200_000);
+    scheduler.adopt(chat(1), "e0", 100, ms(1));
+
+    expect_that!(scheduler.evacuate(ms(2)), len(eq(0)));
+}
+
+#[gtest]
+fn a_generation_at_an_endpoint_that_leaves_goes_before_one_that_is_handed_over() {
+    let mut scheduler = read_at_first(&["h", "h", "h"]);
+    scheduler.adopt(chat(2), "e2", 50, ms(900));
+    scheduler.endpoint_leaving("e2", true);
+    scheduler.progress(CHAT, 4, ms(1_000));
+
+    let moves = scheduler.evacuate(ms(1_001));
+
+    expect_that!(&*moves[0].from, eq("e2"));
+    expect_that!(moves.iter().filter(|m| m.to == moves[0].to).count(), eq(1));
+}
+
+#[gtest]
+fn a_chat_whose_links_stay_in_use_stays_where_it_is() {
+    let mut scheduler = read_at_first(&["h", "h", "h"]);
+    scheduler.adopt(chat(2), "e2", 50, ms(900));
+    scheduler.endpoint_leaving("e2", true);
+    scheduler.evacuate(ms(999));
+    scheduler.progress(CHAT, 4, ms(1_000));
+
+    let meanwhile = scheduler.evacuate(ms(1_001));
+    let given_up = scheduler.evacuate(ms(1_450));
+    scheduler.moved(Ticket { entry: 1, number: 2 }, "e1", true, ms(1_460));
+    let later = scheduler.evacuate(ms(1_470));
+
+    expect_that!(meanwhile, len(eq(0)));
+    expect_that!(given_up, len(eq(0)));
+    expect_that!(later, len(eq(0)));
+}
+
+proptest! {
+    #![proptest_config(fixed_seed(200))]
+
+    /// Whatever comes in whatever order: one move at a time uses an endpoint, nothing is moved to
+    /// one that leaves, and what is placed is accounted for once.
+    #[test]
+    fn hand_overs_keep_the_bounds_of_moves(
+        steps in proptest::collection::vec((0u8..6, 0u64..8, any::<bool>()), 1..150),
+    ) {
+        let mut scheduler = scheduler(&["a", "a", "a", "b"], 34_000);
+        let mut running: BTreeSet<Ticket> = BTreeSet::new();
+        let mut moving: Vec<Relocation> = Vec::new();
+        let mut leaving: BTreeSet<String> = BTreeSet::new();
+        for (n, (step, pick, flag)) in steps.into_iter().enumerate() {
+            let now = ms(1_000 + 30 * n as u64);
+            match step {
+                0 | 1 => {
+                    let most = if flag { 12 } else { 2_000 };
+                    let _ = scheduler.arrive(request(n as u64, 1_000 + pick * 300, most), now);
+                }
+                2 => {
+                    let name = format!("e{}", pick % 4);
+                    scheduler.endpoint_leaving(&name, flag);
+                    if flag { leaving.insert(name); } else { leaving.remove(&name); }
+                }
+                3 => {
+                    if let Some(ticket) = running.iter().nth(pick as usize).copied() {
+                        scheduler.finish(ticket, 500, flag, now);
+                        running.remove(&ticket);
+                        moving.retain(|m| m.ticket != ticket);
+                    }
+                }
+                4 => {
+                    if let Some(ticket) = running.iter().nth(pick as usize).copied() {
+                        scheduler.progress(ticket, 4 + n as u64, now);
+                    }
+                }
+                _ => {
+                    if let Some(Relocation { ticket, from, to }) = moving.pop() {
+                        scheduler.moved(ticket, if flag { &to } else { &from }, flag, now);
+                    }
+                }
+            }
+            for action in scheduler.decide(now) {
+                match action {
+                    Action::Start { ticket, .. } => { running.insert(ticket); }
+                    Action::GiveUp { .. } => {}
+                }
+            }
+            for relocation in scheduler.evacuate(now) {
+                prop_assert!(!leaving.contains(&*relocation.to));
+                let used: Vec<_> = moving.iter().flat_map(|m| [&m.from, &m.to]).collect();
+                prop_assert!(!used.contains(&&relocation.from));
+                prop_assert!(!used.contains(&&relocation.to));
+                prop_assert!(moving.iter().all(|m| m.ticket != relocation.ticket));
+                moving.push(relocation);
+            }
+            prop_assert_eq!(scheduler.running(), running.len());
+            let granted: u64 = scheduler.endpoints().values().map(|e| e.running()).sum();
+            prop_assert_eq!(granted, running.len() as u64);
+        }
+    }
+}
--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -12,12 +12,16 @@
 mod fixture;
 mod forecast;
 mod handover;
+#[cfg(test)]
+mod handover_tests;
 mod pace;
 #[cfg(test)]
 mod pace_tests;
 mod policy;
 mod queue;
 mod reading;
+#[cfg(test)]
+mod reading_tests;
 mod scheduler;
 mod target;
 #[cfg(test)]
--- a/crates/core/src/placement/policy/forecast.rs
+++ b/crates/core/src/placement/policy/forecast.rs
@@ -2,6 +2,7 @@
 
 use super::{Policy, Work, has_slot, least};
 use crate::{
+    mechanism::{Disabled, Mechanism},
     placement::{
         endpoint::EndpointState, forecast::HORIZONS, handover::HANDOVER_COST, pace, reading,
     },
@@ -37,6 +38,8 @@
     /// Part of its memory by which an endpoint may be forecast too full for a small request,
     /// which does little harm if the forecast comes true.
     pub small_excess: f64,
+    /// Mechanisms that are switched off.
+    pub disabled: Disabled,
 }
 
 /// What the endpoints to choose from have in common.
@@ -51,26 +54,39 @@
 
 impl Default for ForecastPolicy {
     fn default() -> ForecastPolicy {
-        ForecastPolicy { margin: 2.5, prefix_value: 2.0, load_value: 0.3, small_excess: 0.25 }
+        ForecastPolicy {
+            margin: 2.5,
+            prefix_value: 2.0,
+            load_value: 0.3,
+            small_excess: 0.25,
+            disabled: Disabled::default(),
+        }
     }
 }
 
 impl ForecastPolicy {
+    /// The policy without these mechanisms.
+    pub fn without(disabled: Disabled) -> ForecastPolicy {
+        ForecastPolicy { disabled, ..ForecastPolicy::default() }
+    }
+
     /// Part of the memory that a request may fill.
     fn limit(&self, work: &Work, endpoint: &EndpointState) -> f64 {
         let most = work.share.mean.iter().copied().fold(work.share.used, f64::max);
         let small = most <= SMALL * endpoint.spec.kv_tokens as f64;
-        if small { 1.0 + self.small_excess } else { 1.0 }
+        let allowed = self.disabled.allows(Mechanism::SmallAllowance);
+        if small && allowed { 1.0 + self.small_excess } else { 1.0 }
     }
 
     /// The fullest that the endpoint is forecast to be, in parts of its memory.
     fn fullness(&self, work: &Work, endpoint: &EndpointState) -> f64 {
         let total = &endpoint.total;
+        let margin = self.if_on(Mechanism::ForecastMargin, self.margin);
         let mut most = total.used + work.share.used;
         for i in 0..HORIZONS.len() {
             let mean = total.mean[i] + work.share.mean[i];
             let variance = (total.variance[i] + work.share.variance[i]).max(0.0);
-            most = most.max(mean + self.margin * variance.sqrt());
+            most = most.max(mean + margin * variance.sqrt());
         }
         most / endpoint.spec.kv_tokens as f64
     }
@@ -91,12 +107,37 @@
         let kv = endpoint.spec.kv_tokens as f64;
         let cached = endpoint.has_prefix(work.prefix, now);
         let saved = if cached { work.prompt_tokens as f64 / kv } else { 0.0 };
-        let crowded =
-            self.fullness(work, endpoint) + self.load_value * load - self.prefix_value * saved;
+        let crowded = self.fullness(work, endpoint) + self.load_value * load
+            - self.if_on(Mechanism::PrefixAffinity, self.prefix_value * saved);
+        let own = MEMORY_VALUE * crowded
+            + self.time_to_first(work, endpoint, now)
+            + self.time_to_last(work, endpoint, all, now);
+        let holds_up = reading::holds_up(work.prompt_tokens).as_secs_f64();
+        if !self.disabled.allows(Mechanism::WorthWeights) {
+            let others = endpoint.running as f64 * holds_up;
+            return own + self.if_on(Mechanism::ReadingHarm, others);
+        }
+        let others = endpoint.total.worth * holds_up;
+        work.share.worth * own + self.if_on(Mechanism::ReadingHarm, others)
+    }
+
+    /// Seconds lost before the first token.
+    fn time_to_first(&self, work: &Work, endpoint: &EndpointState, now: Instant) -> f64 {
         let waits = endpoint.reading.left(now).as_secs_f64();
         let first = waits + reading::reading_time(work.prompt_tokens).as_secs_f64();
         let within = work.first_within.as_secs_f64();
         let late = LATE_VALUE * (2.0 * first / within - 1.0).clamp(0.0, 1.0).powi(2);
+        self.if_on(Mechanism::ReadingWait, waits) + self.if_on(Mechanism::LateFirstToken, late)
+    }
+
+    /// Seconds lost between the tokens.
+    fn time_to_last(
+        &self,
+        work: &Work,
+        endpoint: &EndpointState,
+        all: &Usual,
+        now: Instant,
+    ) -> f64 {
         let making = work.output * all.token_time;
         let part = endpoint.reading.part(now);
         // What the prompts that it reads do not explain.
@@ -105,10 +146,14 @@
         let slow = making * unexplained.max(0.0);
         let stays = making * part;
         let goes_on = HANDOVER_COST + making * all.least_reading;
-        let own =
-            if endpoint.spec.moves && 0 < work.prompt_tokens { stays.min(goes_on) } else { stays };
-        let others = endpoint.total.worth * reading::holds_up(work.prompt_tokens).as_secs_f64();
-        work.share.worth * (MEMORY_VALUE * crowded + waits + own + slow + late) + others
+        let moves = endpoint.spec.moves && self.disabled.allows(Mechanism::Handover);
+        let held_up = if moves && 0 < work.prompt_tokens { stays.min(goes_on) } else { stays };
+        self.if_on(Mechanism::ReadingAvoidance, held_up) + self.if_on(Mechanism::Pace, slow)
+    }
+
+    /// A part of the cost, unless its mechanism is switched off.
+    fn if_on(&self, mechanism: Mechanism, cost: f64) -> f64 {
+        if self.disabled.allows(mechanism) { cost } else { 0.0 }
     }
 }
 
--- /dev/null
+++ b/crates/core/src/placement/reading_tests.rs
@@ -0,0 +1,100 @@
+//! Tests of where prompts are read, and of what that means for others.
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use proptest::prelude::*;
+
+use super::{
+    Action, Request, Scheduler, Ticket,
+    fixture::{ms, request, scheduler},
+    reading::{Reading, reading_time},
+};
+use crate::{testing::fixed_seed, units::Instant};
+
+/// A short answer to a long prompt.
+fn short(number: u64) -> Request {
+    let first_within = Duration::from_secs(60);
+    Request { kind: "short".into(), first_within, ..request(number, 2_500, 12) }
+}
+
+/// A scheduler that knows how long answers are, of engines that run these many chats each.
+fn running(chats: &[u64]) -> Scheduler {
+    let mut scheduler = scheduler(&vec!["h"; chats.len()], 200_000);
+    for number in 1_000..1_100 {
+        scheduler.adopt(request(number, 10, 2_000), "e0", 1, ms(1));
+        scheduler.finish(Ticket { entry: 1, number }, 900, true, ms(1));
+    }
+    let mut number = 0;
+    for (engine, count) in chats.iter().enumerate() {
+        for _ in 0..*count {
+            number += 1;
+            scheduler.adopt(request(number, 3_000, 2_000), &format!("e{engine}"), 8, ms(1));
+        }
+    }
+    scheduler
+}
+
+/// Where a request is placed.
+fn placed(scheduler: &mut Scheduler, req: Request, now: Instant) -> String {
+    scheduler.arrive(req, now).unwrap();
+    match &scheduler.decide(now)[..] {
+        [Action::Start { endpoint, .. }] => endpoint.to_string(),
+        other => panic!("one start was expected: {other:?}"),
+    }
+}
+
+#[gtest]
+fn a_prompt_with_a_short_answer_is_read_where_the_fewest_are_held_up() {
+    let mut scheduler = running(&[4, 1, 4]);
+
+    expect_that!(placed(&mut scheduler, short(100), ms(10)), eq("e1"));
+}
+
+#[gtest]
+fn short_answers_gather_and_chats_stay_away_from_them() {
+    let mut scheduler = running(&[3, 3, 0]);
+
+    let short: Vec<String> =
+        (100..110).map(|n| placed(&mut scheduler, short(n), ms(n * 300))).collect();
+    let chat = placed(&mut scheduler, request(200, 3_000, 2_000), ms(109 * 300 + 10));
+
+    expect_that!(short.iter().filter(|at| *at == "e2").count(), ge(8));
+    expect_that!(chat, not(eq("e2")));
+}
+
+#[gtest]
+fn a_request_that_would_begin_too_late_goes_where_it_holds_others_up() {
+    let mut scheduler = running(&[4, 0]);
+    for number in 100..104 {
+        placed(&mut scheduler, short(number), ms(10));
+    }
+    let hurried = Request { first_within: Duration::from_millis(800), ..short(200) };
+
+    expect_that!(placed(&mut scheduler, hurried, ms(11)), eq("e0"));
+}
+
+proptest! {
+    #![proptest_config(fixed_seed(200))]
+
+    /// The part of the time that goes to reading follows the prompts given, and fades.
+    #[test]
+    fn the_part_spent_on_reading_follows_the_rate_of_prompt_tokens(
+        tokens in 100u64..5_000,
+        gap_ms in 50u64..1_000,
+    ) {
+        let mut reading = Reading::default();
+        let mut now = 0;
+        for _ in 0..(20_000 / gap_ms).max(20) {
+            now += gap_ms;
+            reading.note(tokens, ms(now));
+        }
+
+        let part = reading.part(ms(now + gap_ms / 2));
+        let given = tokens as f64 / 14.0 / gap_ms as f64;
+
+        prop_assert!((part / given - 1.0).abs() < 0.3, "{part} for {given}");
+        prop_assert!(reading.part(ms(now + 20_000)) < given * 0.01);
+        prop_assert!(reading_time(tokens) <= reading.left(ms(now)));
+    }
+}
--- a/crates/core/src/placement/scheduler.rs
+++ b/crates/core/src/placement/scheduler.rs
@@ -19,6 +19,7 @@
 use crate::{
     config::EndpointTarget,
     error::{ErrorKind, RequestError},
+    mechanism::{Disabled, Mechanism},
     units::Instant,
 };
 
@@ -33,11 +34,17 @@
     pub max_waiting: usize,
     /// Time after which a waiting request has gained a whole tier.
     pub ageing: Duration,
+    /// Mechanisms that are switched off.
+    pub disabled: Disabled,
 }
 
 impl Default for SchedulerLimits {
     fn default() -> SchedulerLimits {
-        SchedulerLimits { max_waiting: 10_000, ageing: Duration::from_secs(20) }
+        SchedulerLimits {
+            max_waiting: 10_000,
+            ageing: Duration::from_secs(20),
+            disabled: Disabled::default(),
+        }
     }
 }
 
@@ -82,7 +89,7 @@
 
 /// Queue, endpoints and running streams of the targets of one scheduler.
 pub struct Scheduler {
-    limits: SchedulerLimits,
+    pub(super) limits: SchedulerLimits,
     pub(super) policy: Box<dyn Policy>,
     pub(super) forecast: LengthForecast,
     pub(super) targets: HashMap<EndpointTarget, Target>,
@@ -94,7 +101,7 @@
     pub(super) handover: Handover,
     counts: HashMap<Arc<str>, Count>,
     /// Number of samples of endpoints taken.
-    samples: usize,
+    pub(super) samples: usize,
 }
 
 impl Scheduler {
@@ -155,7 +162,9 @@
             return Err(no_endpoint(&req.target));
         }
         let wait = target.expected_wait(req.rank);
-        if self.limits.max_waiting <= target.queue.len() || req.max_wait * HOPELESS < wait {
+        let hopeless =
+            self.limits.disabled.allows(Mechanism::EarlyRefusal) && req.max_wait * HOPELESS < wait;
+        if self.limits.max_waiting <= target.queue.len() || hopeless {
             return Err(overloaded("the queue is too long for this kind of request", wait));
         }
         let expiry = Expiry { at: now.after(req.max_wait), ticket: req.ticket };
@@ -214,7 +223,7 @@
     /// Notes the number of tokens that a running stream has produced.
     pub fn progress(&mut self, ticket: Ticket, tokens: u64, now: Instant) {
         let Some(placed) = self.placed.get(&ticket) else { return };
-        if placed.tokens == 0 && 0 < tokens {
+        if placed.tokens == 0 && 0 < tokens && self.limits.disabled.allows(Mechanism::Handover) {
             self.handover.begun(ticket, now);
         }
         self.count_tokens(ticket, tokens, now);
@@ -313,7 +322,9 @@
     fn choose_next(&mut self, target: &EndpointTarget, now: Instant) -> Option<Chosen> {
         let state = self.targets.get(target)?;
         let mut blocked = u64::MAX;
-        for waiting in state.queue.heads(now, self.limits.ageing) {
+        let ages = self.limits.disabled.allows(Mechanism::Ageing);
+        let ageing = if ages { self.limits.ageing } else { Duration::MAX };
+        for waiting in state.queue.heads(now, ageing) {
             let req = &waiting.req;
             if blocked <= req.rank {
                 continue;
--- a/crates/lab/src/experiment/compare.rs
+++ b/crates/lab/src/experiment/compare.rs
@@ -4,7 +4,10 @@
 
 use eyre::{Result, bail};
 use serde::Serialize;
-use trayswitch_core::placement::{FirstFit, ForecastPolicy, LeastOutstanding, Policy, RoundRobin};
+use trayswitch_core::{
+    mechanism::Disabled,
+    placement::{FirstFit, ForecastPolicy, LeastOutstanding, Policy, RoundRobin},
+};
 
 use super::{
     ExperimentOptions, Trouble,
@@ -66,16 +69,27 @@
         let [margin, prefix_value, load_value, small_excess] = numbers[..] else {
             bail!("{name}: expected forecast:MARGIN:PREFIX_VALUE:LOAD_VALUE:EXCESS");
         };
-        let policy = ForecastPolicy { margin, prefix_value, load_value, small_excess };
+        let policy = ForecastPolicy {
+            margin,
+            prefix_value,
+            load_value,
+            small_excess,
+            ..ForecastPolicy::default()
+        };
         return Ok(Box::new(policy));
     }
+    if let Some(names) = name.strip_prefix("forecast-without:") {
+        let disabled: Disabled = names.replace('+', ",").parse()?;
+        return Ok(Box::new(ForecastPolicy::without(disabled)));
+    }
     Ok(match name {
         "forecast" => Box::new(ForecastPolicy::default()),
         "round-robin" => Box::new(RoundRobin::default()),
         "least-outstanding" => Box::new(LeastOutstanding),
         "first-fit" => Box::new(FirstFit),
         other => bail!(
-            "there is no policy {other}; expected forecast, round-robin, least-outstanding or first-fit"
+            "there is no policy {other}; expected forecast, forecast-without:NAME+NAME, \
+             round-robin, least-outstanding or first-fit"
         ),
     })
 }
--- a/crates/server/src/relay/admission.rs
+++ b/crates/server/src/relay/admission.rs
@@ -10,6 +10,7 @@
 use trayswitch_core::{
     config::{Config, NamedRoute, RouteKind},
     error::{ErrorKind, RequestError},
+    mechanism::Mechanism,
     node::InForce,
 };
 
@@ -19,11 +20,7 @@
 };
 use crate::edge::{ReadError, read_whole};
 
-/// A daemon that has just become unable to confirm its configuration, by a start or by standing
-/// still, can again within this time (measured after a loss of power everywhere: 0.15 to 0.8 s).
-/// Requests wait for it as long as that may still be so; after it they are refused at once.
-const RECOVERS_WITHIN: Duration = Duration::from_secs(1);
-/// Part of a caller's time that a request may wait for it: the rest is for the answer.
+/// Part of a caller's time that a request may wait for a configuration: the rest is for the answer.
 const MOST_WAITED: u32 = 2;
 /// Pause between two looks at the configuration.
 const LOOK_AGAIN: Duration = Duration::from_millis(10);
@@ -53,7 +50,8 @@
         let body = read_whole(body, limits.max_body as usize, limits.idle_timeout)
             .await
             .map_err(|e| refused(&id, read_error(&e)))?;
-        let most = caller.time_left.unwrap_or(RECOVERS_WITHIN) / MOST_WAITED;
+        let most = caller.time_left.unwrap_or(self.options.recovers_within) / MOST_WAITED;
+        let most = if self.uses(Mechanism::StartPatience) { most } else { Duration::ZERO };
         let Some(config) = self.current_config(arrived + most).await else {
             let message = "this daemon has no configuration that is known to be current";
             return Err(refused(&id, not_ready(message, WHEN_READY)));
@@ -119,7 +117,7 @@
         }
         let since = self.outdated_since.get().unwrap_or_else(Instant::now);
         self.outdated_since.set(Some(since));
-        Some(since + RECOVERS_WITHIN)
+        Some(since + self.options.recovers_within)
     }
 
     /// Whether the configuration in force was confirmed recently enough to run requests by
--- a/crates/server/src/relay/call.rs
+++ b/crates/server/src/relay/call.rs
@@ -7,6 +7,7 @@
 use http::{Response, response};
 use trayswitch_core::{
     error::{ErrorKind, RequestError},
+    mechanism::Mechanism,
     registry::Registered,
 };
 
@@ -93,7 +94,7 @@
         let target = self.job.route.spec.target_latency;
         let second = tokio::time::sleep(target.mul_f64(SECOND_AFTER));
         let mut second = std::pin::pin!(second);
-        let mut hedged = !self.is_repeatable();
+        let mut hedged = !self.is_repeatable() || !self.relay.uses(Mechanism::SecondAttempts);
         loop {
             tokio::select! {
                 Some(end) = self.running.next() => {
--- a/crates/server/src/relay/generation.rs
+++ b/crates/server/src/relay/generation.rs
@@ -10,6 +10,7 @@
 use tokio::{sync::mpsc, time::timeout};
 use trayswitch_core::{
     error::{ErrorKind, RequestError},
+    mechanism::Mechanism,
     node::Input,
     wire::HealthNews,
 };
@@ -118,7 +119,10 @@
     /// Pause between two looks.
     const LOOK_AGAIN: Duration = Duration::from_millis(20);
     loop {
-        let req = job.place_request(avoid.clone());
+        let mut req = job.place_request(avoid.clone());
+        if !relay.uses(Mechanism::PlacePatience) {
+            req.max_wait = Duration::ZERO;
+        }
         let patience = req.max_wait;
         match relay.node.place(req).await {
             Err(e) if e.kind == ErrorKind::NoEndpoint && LOOK_AGAIN < patience => {
--- a/crates/server/src/relay/loads.rs
+++ b/crates/server/src/relay/loads.rs
@@ -8,7 +8,10 @@
     time::{Duration, Instant},
 };
 
-use trayswitch_core::registry::Registered;
+use trayswitch_core::{
+    mechanism::{Disabled, Mechanism},
+    registry::Registered,
+};
 
 /// An endpoint that failed is left alone for this long, doubled after each failure in a row.
 const FIRST_PAUSE: Duration = Duration::from_millis(300);
@@ -44,7 +47,10 @@
 
 /// Loads of endpoints by name.
 #[derive(Debug, Default, Clone)]
-pub(super) struct Loads(Rc<RefCell<HashMap<Arc<str>, Load>>>);
+pub(super) struct Loads {
+    by_name: Rc<RefCell<HashMap<Arc<str>, Load>>>,
+    disabled: Disabled,
+}
 
 /// Counts a request as running while it lives.
 pub(super) struct Running {
@@ -54,13 +60,18 @@
 
 impl Drop for Running {
     fn drop(&mut self) {
-        if let Some(load) = self.loads.0.borrow_mut().get_mut(&self.id) {
+        if let Some(load) = self.loads.by_name.borrow_mut().get_mut(&self.id) {
             load.running -= 1;
         }
     }
 }
 
 impl Loads {
+    /// No loads yet; a choice does without these mechanisms.
+    pub(super) fn new(disabled: Disabled) -> Loads {
+        Loads { by_name: Rc::default(), disabled }
+    }
+
     /// The least loaded endpoint, other than those in `avoid` if there is another.
     pub(super) fn choose(
         &self,
@@ -68,13 +79,19 @@
         avoid: &[Arc<str>],
         hall: &str,
     ) -> Option<Registered> {
-        let loads = self.0.borrow();
+        let loads = self.by_name.borrow();
         let now = Instant::now();
         let cost = |endpoint: &Registered| {
             let load = loads.get(&endpoint.id).cloned().unwrap_or_default();
-            let closed = load.closed_until.is_some_and(|until| now < until);
-            let failing = (load.failed - USUAL_FAILURES).max(0.0) / (1.0 - USUAL_FAILURES);
-            let far = if *endpoint.hall == *hall { 0.0 } else { FAR };
+            let closed = self.disabled.allows(Mechanism::FailurePauses)
+                && load.closed_until.is_some_and(|until| now < until);
+            let failing = if self.disabled.allows(Mechanism::FailureWeights) {
+                (load.failed - USUAL_FAILURES).max(0.0) / (1.0 - USUAL_FAILURES)
+            } else {
+                0.0
+            };
+            let near = *endpoint.hall == *hall || !self.disabled.allows(Mechanism::NearCalls);
+            let far = if near { 0.0 } else { FAR };
             let avoided = avoid.contains(&endpoint.id);
             let rank =
                 f64::from(u8::from(avoided)) * 2_000.0 + f64::from(u8::from(closed)) * 1_000.0;
@@ -89,7 +106,7 @@
     pub(super) fn begin(&self, id: &Arc<str>) -> Running {
         /// Endpoints that are remembered; those that run nothing go first.
         const MAX_LOADS: usize = 4_096;
-        let mut loads = self.0.borrow_mut();
+        let mut loads = self.by_name.borrow_mut();
         if MAX_LOADS <= loads.len() {
             loads.retain(|_, load| 0 < load.running);
         }
@@ -99,12 +116,12 @@
 
     /// Requests of this entry that run at an endpoint.
     pub(super) fn running(&self, id: &str) -> u32 {
-        self.0.borrow().get(id).map_or(0, |load| load.running)
+        self.by_name.borrow().get(id).map_or(0, |load| load.running)
     }
 
     /// Notes how a request ended.
     pub(super) fn note(&self, id: &Arc<str>, verdict: Verdict) {
-        let mut loads = self.0.borrow_mut();
+        let mut loads = self.by_name.borrow_mut();
         let load = loads.entry(id.clone()).or_default();
         let failed = if verdict == Verdict::Good { 0.0 } else { 1.0 };
         load.failed += SMOOTHING * (failed - load.failed);
--- a/crates/server/src/relay/mod.rs
+++ b/crates/server/src/relay/mod.rs
@@ -27,7 +27,10 @@
 
 use http::{Request, Response, response};
 use hyper::body::Incoming;
-use trayswitch_core::error::{ErrorKind, RequestError};
+use trayswitch_core::{
+    error::{ErrorKind, RequestError},
+    mechanism::{Disabled, Mechanism},
+};
 
 pub use self::protocol::{
     Answer, Attempt, CallerRequest, Copied, CopyOrder, MemoryAt, Prompt, Protocol, Turned,
@@ -57,6 +60,12 @@
     pub connect_limit: Duration,
     /// Longest time for one copy of a generation's memory.
     pub copy_limit: Duration,
+    /// A daemon that has just become unable to confirm its configuration, by a start or by
+    /// standing still, can again within this time: requests wait for it as long, and are refused
+    /// at once after that.
+    pub recovers_within: Duration,
+    /// Mechanisms that are switched off.
+    pub disabled: Disabled,
 }
 
 /// What a decision was made by.
@@ -95,7 +104,7 @@
             protocol,
             hall,
             options,
-            loads: Loads::default(),
+            loads: Loads::new(options.disabled),
             budgets: RefCell::default(),
             outdated_since: Cell::new(Some(Instant::now())),
             metrics,
@@ -120,6 +129,11 @@
         }
     }
 
+    /// Whether a mechanism is in use.
+    fn uses(&self, mechanism: Mechanism) -> bool {
+        self.options.disabled.allows(mechanism)
+    }
+
     fn note_request(&self, service: &str) {
         let now = self.node.now();
         let mut budgets = self.budgets.borrow_mut();
--- a/crates/server/src/relay/tests/budget.rs
+++ b/crates/server/src/relay/tests/budget.rs
@@ -4,7 +4,7 @@
 
 use googletest::prelude::*;
 use proptest::prelude::*;
-use trayswitch_core::units::Instant;
+use trayswitch_core::{mechanism::Disabled, units::Instant};
 
 use crate::relay::{RelayOptions, budget::RepeatBudget};
 use crate::testing::fixed_seed;
@@ -17,6 +17,8 @@
         repeat_window: Duration::from_secs(10),
         connect_limit: Duration::from_secs(1),
         copy_limit: Duration::from_secs(1),
+        recovers_within: Duration::from_secs(1),
+        disabled: Disabled::default(),
     }
 }
 
--- a/crates/server/src/relay/tests/entry.rs
+++ b/crates/server/src/relay/tests/entry.rs
@@ -1,9 +1,12 @@
 //! A whole entry for tests: a node that leads a group of its own, a relay and its listener.
 
 use std::{
-    path::PathBuf,
+    cell::RefCell,
+    fs::{self, File},
+    path::{Path, PathBuf},
     rc::Rc,
     sync::atomic::{AtomicU64, Ordering},
+    thread,
     time::Duration,
 };
 
@@ -13,6 +16,7 @@
 use trayswitch_core::{
     agreement::Timing,
     config::Document,
+    mechanism::Disabled,
     node::{Input, NodeOptions, NodeTiming},
     wire::EndpointRecord,
 };
@@ -91,28 +95,47 @@
 pub(super) fn on_local_tasks<T>(test: impl Future<Output = T>) -> T {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
     let bounded = async { tokio::time::timeout(LIMIT, test).await.expect("the test goes on") };
-    LocalSet::new().block_on(&runtime, bounded)
+    let result = LocalSet::new().block_on(&runtime, bounded);
+    drop(runtime);
+    FOLDERS.take().iter().for_each(|folder| remove_when_closed(folder));
+    result
+}
+
+thread_local! {
+    /// Data folders of the entries that the current test has started.
+    static FOLDERS: RefCell<Vec<PathBuf>> = const { RefCell::new(Vec::new()) };
+}
+
+/// Removes a data folder once its daemon, which ends with the test's tasks, has let it go: a
+/// daemon whose folder disappears ends the whole process.
+fn remove_when_closed(folder: &Path) {
+    let lock = File::open(folder.join("lock")).unwrap();
+    while lock.try_lock().is_err() {
+        thread::yield_now();
+    }
+    // What is left behind lies in the system's folder for such files.
+    let _ = fs::remove_dir_all(folder);
 }
 
 /// An entry with its configuration in force.
 pub(super) struct Entry {
     node: NodeHandle,
     server: Server,
-    folder: PathBuf,
-}
-
-impl Drop for Entry {
-    fn drop(&mut self) {
-        // What is left behind lies in the system's folder for such files.
-        let _ = std::fs::remove_dir_all(&self.folder);
-    }
 }
 
 impl Entry {
     /// Starts an entry and waits until it is ready.
     pub(super) async fn open() -> Entry {
+        let entry = Entry::start(LIMIT);
+        entry.configure().await;
+        entry.until(|| entry.node.view().ready()).await;
+        entry
+    }
+
+    /// Starts an entry without a configuration. Requests wait this long for one.
+    pub(super) fn start(recovers_within: Duration) -> Entry {
         let folder = new_folder();
-        let node = NodeHandle::spawn(runtime_options(folder.clone())).unwrap();
+        let node = NodeHandle::spawn(runtime_options(folder)).unwrap();
         let options = RelayOptions {
             max_config_age: LIMIT,
             repeat_ratio: 0.2,
@@ -120,17 +143,26 @@
             repeat_window: Duration::from_secs(10),
             connect_limit: LIMIT,
             copy_limit: LIMIT,
+            recovers_within,
+            disabled: Disabled::default(),
         };
         let metrics = Rc::new(Metrics::new().unwrap());
         let protocol = Box::new(TestProtocol);
         let relay = Relay::new(node.clone(), protocol, HALL.into(), options, metrics);
         let server = edge::bind("127.0.0.1:0".parse().unwrap(), Rc::new(relay)).unwrap();
+        Entry { node, server }
+    }
+
+    /// Brings the configuration into force.
+    pub(super) async fn configure(&self) {
         let document = Document::parse("test.ini", CONFIG).unwrap();
-        node.submit("test.ini", &document, false, LIMIT).await.unwrap();
-        while node.view().in_force().is_none() || !node.view().ready() {
-            tokio::task::yield_now().await;
-        }
-        Entry { node, server, folder }
+        self.node.submit("test.ini", &document, false, LIMIT).await.unwrap();
+        self.until(|| self.node.view().in_force().is_some()).await;
+    }
+
+    /// Returns once a caller has connected.
+    pub(super) async fn connected(&self) {
+        self.until(|| 0 < self.server.open()).await;
     }
 
     /// An endpoint of a service that has registered itself, once requests know of it.
@@ -192,6 +224,7 @@
                 stale_after: LIMIT,
             },
             seed: 1,
+            disabled: Disabled::default(),
         },
         data: Some(folder),
         listen: None,
@@ -204,6 +237,7 @@
     static NEXT: AtomicU64 = AtomicU64::new(0);
     let (pid, number) = (std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
     let folder = std::env::temp_dir().join(format!("trayswitch-relay-{pid}-{number}"));
-    std::fs::create_dir_all(&folder).unwrap();
+    fs::create_dir_all(&folder).unwrap();
+    FOLDERS.with_borrow_mut(|folders| folders.push(folder.clone()));
     folder
 }
--- a/crates/server/src/relay/tests/mod.rs
+++ b/crates/server/src/relay/tests/mod.rs
@@ -8,3 +8,4 @@
 mod moves;
 mod protocol;
 mod reading;
+mod starting;
--- a/crates/trayswitchd/src/node/mod.rs
+++ b/crates/trayswitchd/src/node/mod.rs
@@ -139,6 +139,7 @@
         endpoint_heartbeat: ENDPOINT_HEARTBEAT,
         timing: settings.timing.node(),
         seed: random()?,
+        disabled: settings.disabled,
     })
 }
 
--- a/crates/trayswitchd/src/settings.rs
+++ b/crates/trayswitchd/src/settings.rs
@@ -11,6 +11,7 @@
 use trayswitch_core::{
     agreement,
     config::{Document, Fault, Faults, Section, SectionReader},
+    mechanism::Disabled,
     node::NodeTiming,
 };
 
@@ -88,6 +89,8 @@
     pub(crate) max_body: usize,
     /// Where metrics are sent, if anywhere.
     pub(crate) statsd: Option<SocketAddr>,
+    /// Mechanisms that are switched off.
+    pub(crate) disabled: Disabled,
 }
 
 impl Settings {
@@ -121,6 +124,12 @@
     let max_requests = r.number("max_requests", Some(2_000), 1, 100_000) as usize;
     let max_body = r.number("max_body", Some(1 << 20), 1, 1 << 30) as usize;
     r.finish();
+    let mut r = section(file, document, "placement", faults);
+    let disabled = r.raw("without").unwrap_or("").parse::<Disabled>().unwrap_or_else(|unknown| {
+        r.fault("without", unknown.to_string());
+        Disabled::default()
+    });
+    r.finish();
     let mut r = section(file, document, "metrics", faults);
     let statsd = if r.raw("statsd").is_some() { r.address("statsd") } else { None };
     r.finish();
@@ -152,6 +161,7 @@
         max_requests,
         max_body,
         statsd,
+        disabled,
     })
 }
 
@@ -166,7 +176,7 @@
 }
 
 fn unknown_sections(file: &str, document: &Document, faults: &mut Vec<Fault>) {
-    const KNOWN: [&str; 6] = ["vm", "control", "keys", "timing", "limits", "metrics"];
+    const KNOWN: [&str; 7] = ["vm", "control", "keys", "timing", "limits", "placement", "metrics"];
     for name in document.sections().keys().filter(|name| !KNOWN.contains(&&***name)) {
         faults.push(Fault {
             file: file.to_owned(),
--- a/scripts/compare-days.py
+++ b/scripts/compare-days.py
@@ -75,10 +75,7 @@
     kinds = report["classes"]
     return {
         "worth": report["G"],
-        "served": by_name["whole day"],
-        "worst windows": by_name["worst windows"],
-        "worst class": by_name["worst class"],
-        "nines": by_name["nines"],
+        **by_name,
         "prices": sum(price[2] for price in report["prices"]),
         "failed": sum(kind["failed"] for kind in kinds),
         "refused": sum(kind["refused"] for kind in kinds),
