--- a/crates/core/src/mechanism/mod.rs
+++ b/crates/core/src/mechanism/mod.rs
@@ -49,6 +49,7 @@
     EarlyRefusal = "early-refusal", "A request whose wait is expected to be too long is refused at once.";
     RecalledEndpoints = "recalled-endpoints", "Control VMs know endpoints from before their start.";
     StartPatience = "start-patience", "Requests wait for a daemon that has just started.";
+    StopEstimate = "stop-estimate", "A stopping daemon takes what ends in time more likely than elsewhere.";
     PlacePatience = "place-patience", "Generations wait for a place.";
     SecondAttempts = "second-attempts", "Calls that take long are sent to a second endpoint.";
     FailurePauses = "failure-pauses", "Calls avoid endpoints that did not answer.";
--- a/crates/core/src/node/control/answers.rs
+++ b/crates/core/src/node/control/answers.rs
@@ -21,7 +21,13 @@
         if !self.leads() {
             return self.not_leader(from, None, out);
         }
-        let daemon = Daemon { version: poll.version, heard: clocks.now };
+        let before = self.daemons.get(from).and_then(|daemon| daemon.stopping_since);
+        let daemon = Daemon {
+            version: poll.version,
+            heard: clocks.now,
+            takes_callers: poll.takes_callers,
+            stopping_since: poll.stopping.then(|| before.unwrap_or(clocks.now)),
+        };
         self.daemons.insert(from.clone(), daemon);
         self.next_read += 1;
         self.polls.insert(self.next_read, (from.clone(), poll));
@@ -34,6 +40,7 @@
         let version = self.state.version();
         let update =
             (poll.version < version).then(|| self.updates.since(poll.version, &self.state));
+        let entries = self.entries(now);
         let reply = PollReply {
             nonce: poll.nonce,
             version,
@@ -41,6 +48,8 @@
             update,
             term: self.replica.term(),
             daemons: self.live_daemons(now).len() as u64,
+            taking: entries.taking,
+            stopping: entries.stopping,
         };
         out.send(&vm, Body::PollReply(reply));
     }
--- a/crates/core/src/node/control/mod.rs
+++ b/crates/core/src/node/control/mod.rs
@@ -13,6 +13,7 @@
     ByVm, Clocks, NodeOptions, Outbox, VmName,
     dispatcher::Dispatcher,
     engines::Engines,
+    keeper::Entries,
     members::{self, Peer},
     updates::Updates,
 };
@@ -30,6 +31,9 @@
 
 /// A daemon that has not polled for this long is not counted as live.
 const DAEMON_LIFE: Duration = Duration::from_secs(3);
+/// After the begin of its planned stop, callers are sent to a daemon for this long: balancers ask
+/// each second and give up after the second miss.
+const STILL_SENT_TO: Duration = Duration::from_millis(2_500);
 const HOUSEKEEPING: Duration = Duration::from_millis(250);
 
 #[derive(Debug, Clone)]
@@ -50,6 +54,9 @@
 struct Daemon {
     version: u64,
     heard: Instant,
+    takes_callers: bool,
+    /// When its planned stop began, as far as known.
+    stopping_since: Option<Instant>,
 }
 
 /// Writes, and what waits for them.
@@ -267,6 +274,20 @@
         peer.or_else(|| self.replica.membership().member(id).map(|m| m.vm.as_str().into()))
     }
 
+    /// The live daemons that callers are sent to.
+    fn entries(&self, now: Instant) -> Entries {
+        let mut entries = Entries::default();
+        let live = |daemon: &&Daemon| now.since(daemon.heard) < DAEMON_LIFE;
+        for daemon in self.daemons.values().filter(live).filter(|daemon| daemon.takes_callers) {
+            match daemon.stopping_since {
+                None => entries.taking += 1,
+                Some(since) if now.since(since) < STILL_SENT_TO => entries.stopping += 1,
+                Some(_) => {}
+            }
+        }
+        entries
+    }
+
     fn live_daemons(&self, now: Instant) -> BTreeSet<VmName> {
         let live = |daemon: &Daemon| now.since(daemon.heard) < DAEMON_LIFE;
         self.daemons.iter().filter(|(_, d)| live(d)).map(|(vm, _)| vm.clone()).collect()
--- a/crates/core/src/node/endpoint_tests.rs
+++ b/crates/core/src/node/endpoint_tests.rs
@@ -4,11 +4,11 @@
 
 use googletest::prelude::*;
 
-use super::{Clocks, Input, Node, NodeOptions, NodeTiming, Output, VmName};
+use super::{Clocks, Entries, Input, Node, NodeOptions, NodeTiming, Output, VmName};
 use crate::{
     mechanism::Disabled,
     units::{Instant, UnixMillis},
-    wire::{Body, EndpointNews, EndpointRecord, PollReply},
+    wire::{Body, EndpointNews, EndpointRecord, Poll, PollReply},
 };
 
 fn clocks(ms: u64) -> Clocks {
@@ -22,6 +22,7 @@
         seeds,
         founders: Vec::new(),
         max_voters: 3,
+        takes_callers: true,
         endpoint_heartbeat: Duration::from_secs(1),
         timing: NodeTiming::default(),
         seed: 1,
@@ -131,6 +132,7 @@
         seeds: vec!["10.0.0.1".into()],
         founders: vec!["10.0.0.1".into()],
         max_voters: 1,
+        takes_callers: false,
         endpoint_heartbeat: Duration::from_secs(1),
         timing: NodeTiming::default(),
         seed: 1,
@@ -233,3 +235,54 @@
     expect_that!(remembered(&due).map(Vec::len), some(eq(2)));
     expect_that!(remembered(&unchanged), none());
 }
+
+/// What the leader answers when daemons have polled it.
+fn entries_after(node: &mut Node, polls: &[(&str, bool, u64)]) -> Option<Entries> {
+    let mut last = None;
+    for (vm, stopping, at) in polls {
+        let poll = Poll { nonce: 1, takes_callers: true, stopping: *stopping, ..Poll::default() };
+        let outputs = node.handle(Input::Message((*vm).into(), Body::Poll(poll)), clocks(*at));
+        last = outputs.iter().find_map(|output| match output {
+            Output::Send(to, Body::PollReply(reply)) if **to == **vm => {
+                Some(Entries { taking: reply.taking, stopping: reply.stopping })
+            }
+            _ => None,
+        });
+    }
+    last
+}
+
+/// A control VM that leads a group of its own.
+fn leader() -> Node {
+    let mut node = control_vm(0);
+    let mut inputs = vec![Input::Tick];
+    let mut at = 1;
+    while !inputs.is_empty() || node.next_tick() < Instant(2_000_000) {
+        at = (at + 1).max(node.next_tick().0.div_ceil(1_000)).min(2_000);
+        let batch: Vec<Input> = inputs.drain(..).chain([Input::Tick]).collect();
+        for input in batch {
+            for output in node.handle(input, clocks(at)) {
+                if let Output::Persist(number, _) = output {
+                    inputs.push(Input::Persisted(number));
+                }
+            }
+        }
+        if 2_000 <= at && inputs.is_empty() {
+            break;
+        }
+    }
+    node
+}
+
+#[gtest]
+fn the_leader_tells_how_many_entries_stop_while_callers_still_come_to_them() {
+    let mut node = leader();
+
+    let all = entries_after(&mut node, &[("a", false, 3_000), ("b", false, 3_001)]);
+    let one_stops = entries_after(&mut node, &[("a", true, 3_100), ("b", false, 3_101)]);
+    let long_stopping = entries_after(&mut node, &[("a", true, 5_900), ("b", false, 5_901)]);
+
+    expect_that!(all, some(eq(Entries { taking: 2, stopping: 0 })));
+    expect_that!(one_stops, some(eq(Entries { taking: 1, stopping: 1 })));
+    expect_that!(long_stopping, some(eq(Entries { taking: 1, stopping: 0 })));
+}
--- a/crates/core/src/node/keeper.rs
+++ b/crates/core/src/node/keeper.rs
@@ -46,6 +46,17 @@
     pub(crate) term: u64,
     /// Number of daemons that share the endpoints.
     pub(crate) daemons: u64,
+    /// Those that callers are sent to.
+    pub(crate) entries: Entries,
+}
+
+/// Daemons that callers are sent to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Entries {
+    /// Those that go on.
+    pub taking: u64,
+    /// Those that stop, while callers are still sent to them.
+    pub stopping: u64,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -86,6 +97,8 @@
     confirmed: Option<Instant>,
     fresh: bool,
     told_confirmed: Option<Instant>,
+    takes_callers: bool,
+    stopping: bool,
 }
 
 impl Keeper {
@@ -108,6 +121,8 @@
             last_reply: now,
             confirmed: None,
             fresh: false,
+            takes_callers: options.takes_callers,
+            stopping: false,
             told_confirmed: None,
         }
     }
@@ -233,8 +248,12 @@
         let sent = self.polls[at].at;
         self.polls.drain(..=at);
         self.last_reply = now;
-        let leader =
-            SchedulerAt { vm: from.clone(), term: reply.term, daemons: reply.daemons.max(1) };
+        let leader = SchedulerAt {
+            vm: from.clone(),
+            term: reply.term,
+            daemons: reply.daemons.max(1),
+            entries: Entries { taking: reply.taking, stopping: reply.stopping },
+        };
         self.set_leader(Some(leader));
         if let Some(update) = reply.update
             && self.apply(update)
@@ -314,7 +333,8 @@
             self.fresh = fresh;
             self.told_confirmed = self.confirmed;
             let daemons = self.leader.as_ref().map_or(0, |leader| leader.daemons);
-            out.push(Output::Fresh { fresh, confirmed: self.confirmed, daemons });
+            let entries = self.leader.as_ref().map_or(Entries::default(), |leader| leader.entries);
+            out.push(Output::Fresh { fresh, confirmed: self.confirmed, daemons, entries });
         }
     }
 
@@ -339,6 +359,14 @@
         reachable.into_iter().nth(self.next_replica.checked_rem(count)?)
     }
 
+    /// Tells the leader at once that a planned stop has begun.
+    pub(crate) fn stop(&mut self, now: Instant, out: &mut Outbox) {
+        self.stopping = true;
+        if let Some(leader) = self.leader().cloned() {
+            self.poll(leader, now, out);
+        }
+    }
+
     fn poll(&mut self, to: VmName, now: Instant, out: &mut Outbox) {
         const MAX_POLLS: usize = 16;
         self.nonce = self.nonce.wrapping_add(1);
@@ -348,7 +376,13 @@
         self.polls.push(SentPoll { nonce: self.nonce, at: now });
         let current = self.version_hash();
         let hash = Bytes::copy_from_slice(&current.hash.0);
-        let poll = Poll { nonce: self.nonce, version: current.version, hash };
+        let poll = Poll {
+            nonce: self.nonce,
+            version: current.version,
+            hash,
+            takes_callers: self.takes_callers,
+            stopping: self.stopping,
+        };
         out.send(&to, Body::Poll(poll));
     }
 }
--- a/crates/core/src/node/messages.rs
+++ b/crates/core/src/node/messages.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use super::{ControlStatus, EndpointStatus, InForce, VmName};
+use super::{ControlStatus, EndpointStatus, Entries, InForce, VmName};
 use crate::{
     agreement::Persist,
     error::RequestError,
@@ -155,6 +155,8 @@
         confirmed: Option<Instant>,
         /// Number of daemons that the leader hears.
         daemons: u64,
+        /// Those that callers are sent to, as the leader knows them.
+        entries: Entries,
     },
     /// Ask these endpoints for their load from now on.
     Watch(Vec<String>),
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -50,7 +50,7 @@
     agreement::{self, Restored},
     config::ContentHash,
     mechanism::{Disabled, Mechanism},
-    placement::LoadReport,
+    placement::{LoadReport, Request},
     registry::Registry,
     units::{Instant, UnixMillis},
     wire::{Body, EndpointNews, OperationKind, Report},
@@ -60,7 +60,7 @@
 pub use self::{
     control::{ControlStatus, DaemonStatus, ReplicaStatus},
     endpoints::EndpointStatus,
-    keeper::InForce,
+    keeper::{Entries, InForce},
     messages::{Answer, CallId, Input, Output, Placement, Question, SubmitError},
 };
 
@@ -116,6 +116,8 @@
     pub founders: Vec<VmName>,
     /// Most control replicas that vote.
     pub max_voters: usize,
+    /// Whether callers are sent to this daemon.
+    pub takes_callers: bool,
     /// How often endpoints that register themselves send a heartbeat.
     pub endpoint_heartbeat: Duration,
     /// Time bounds.
@@ -209,6 +211,12 @@
         self.keeper.is_fresh()
     }
 
+    /// The chance that an answer would end within this time, by the lengths and paces that this
+    /// daemon has seen itself.
+    pub fn chance_to_end(&self, req: &Request, within: Duration, now: Instant) -> f64 {
+        self.placing.local().chance_to_end(req, within, now)
+    }
+
     /// Takes an input and returns what must be done.
     pub fn handle(&mut self, input: Input, clocks: Clocks) -> Vec<Output> {
         self.take(input, clocks);
@@ -260,6 +268,7 @@
             Input::Seeds(seeds) => self.directory.set_seeds(seeds, clocks.now, out),
             Input::Load(report) => self.placing.load(report, clocks.now, out),
             Input::Stop => {
+                self.keeper.stop(clocks.now, out);
                 if let Some(control) = &mut self.control {
                     control.stop(clocks, out);
                 }
--- a/crates/core/src/node/tests/net/mod.rs
+++ b/crates/core/src/node/tests/net/mod.rs
@@ -100,6 +100,7 @@
             seeds: self.seeds.clone(),
             founders: if host.founder { self.seeds.clone() } else { Vec::new() },
             max_voters: self.max_voters,
+            takes_callers: true,
             endpoint_heartbeat: Duration::from_secs(1),
             timing: NodeTiming::default(),
             seed,
--- a/crates/core/src/placement/pace.rs
+++ b/crates/core/src/placement/pace.rs
@@ -17,7 +17,7 @@
 const MEMORY: Duration = Duration::from_secs(30);
 
 /// Seconds that a token takes while nobody's pace is known: the usual speed of the users' engines.
-const USUAL: f64 = 0.008;
+pub(crate) const USUAL: f64 = 0.008;
 
 /// Seconds for a token at the fastest of these endpoints, if any was measured lately.
 pub(crate) fn fastest(endpoints: &[&EndpointState], now: Instant) -> Option<f64> {
--- a/crates/core/src/placement/reading_tests.rs
+++ b/crates/core/src/placement/reading_tests.rs
@@ -98,3 +98,19 @@
         prop_assert!(reading_time(tokens) <= reading.left(ms(now)));
     }
 }
+
+#[gtest]
+fn the_chance_to_end_in_time_follows_the_lengths_seen() {
+    let mut scheduler = scheduler(&["h"], 200_000);
+    for number in 0..200 {
+        scheduler.adopt(request(number, 10, 2_000), "e0", 1, ms(1));
+        scheduler.finish(Ticket { entry: 1, number }, 100 + number * 5, true, ms(1));
+    }
+    let chance = |seconds| {
+        scheduler.chance_to_end(&request(1_000, 700, 2_000), Duration::from_secs(seconds), ms(2))
+    };
+
+    expect_that!(chance(1), lt(0.1));
+    expect_that!(chance(5), all![gt(0.4), lt(0.7)]);
+    expect_that!(chance(15), gt(0.9));
+}
--- a/crates/core/src/placement/scheduler.rs
+++ b/crates/core/src/placement/scheduler.rs
@@ -12,8 +12,9 @@
     evacuation::Evacuation,
     forecast::LengthForecast,
     handover::Handover,
-    pace::PaceMeter,
+    pace::{self, PaceMeter},
     policy::{Policy, Work},
+    reading::reading_time,
     target::Target,
 };
 use crate::{
@@ -192,6 +193,18 @@
         self.count_tokens(ticket, tokens, now);
     }
 
+    /// The chance that an answer to this request would end within this time.
+    pub(crate) fn chance_to_end(&self, req: &Request, within: Duration, now: Instant) -> f64 {
+        let making = within.saturating_sub(reading_time(req.prompt_tokens)).as_secs_f64();
+        let paces = self.endpoints.values().filter_map(|endpoint| endpoint.pace.per_token(now));
+        let slowest = paces.max_by(f64::total_cmp).unwrap_or(pace::USUAL);
+        let tokens = (making / slowest) as u64;
+        if req.max_tokens <= tokens {
+            return 1.0;
+        }
+        1.0 - self.forecast.survival(&req.workspace, &req.kind).chance_beyond(0, tokens)
+    }
+
     /// Decides all that can be decided now.
     pub fn decide(&mut self, now: Instant) -> Vec<Action> {
         let mut actions = self.expire(now);
--- a/crates/core/src/wire/control.rs
+++ b/crates/core/src/wire/control.rs
@@ -39,6 +39,12 @@
     /// Its content hash.
     #[prost(bytes = "bytes", tag = "3")]
     pub hash: Bytes,
+    /// Whether callers are sent to the daemon.
+    #[prost(bool, tag = "4")]
+    pub takes_callers: bool,
+    /// Whether a planned stop of it has begun.
+    #[prost(bool, tag = "5")]
+    pub stopping: bool,
 }
 
 /// See [`super::Body::PollReply`].
@@ -62,6 +68,12 @@
     /// Number of daemons that the leader hears.
     #[prost(uint64, tag = "6")]
     pub daemons: u64,
+    /// Daemons that take callers, without those that stop.
+    #[prost(uint64, tag = "7")]
+    pub taking: u64,
+    /// Daemons that stop and still have callers sent to them.
+    #[prost(uint64, tag = "8")]
+    pub stopping: u64,
 }
 
 /// See [`super::Body::NotLeader`].
--- a/crates/core/src/wire/tests.rs
+++ b/crates/core/src/wire/tests.rs
@@ -1,6 +1,6 @@
 //! Tests of frames and the handshake.
 
-use bytes::{Bytes, BytesMut};
+use bytes::BytesMut;
 use googletest::prelude::*;
 use proptest::prelude::*;
 use tokio_util::codec::{Decoder, Encoder};
@@ -8,7 +8,7 @@
 use super::*;
 
 fn envelope(nonce: u64) -> Envelope {
-    Envelope { body: Some(Body::Poll(Poll { nonce, version: 1, hash: Bytes::new() })) }
+    Envelope { body: Some(Body::Poll(Poll { nonce, version: 1, ..Poll::default() })) }
 }
 
 #[gtest]
--- a/crates/server/src/relay/admission.rs
+++ b/crates/server/src/relay/admission.rs
@@ -18,7 +18,10 @@
     Relay,
     job::{Job, rank_of},
 };
-use crate::edge::{ReadError, read_whole};
+use crate::{
+    edge::{ReadError, read_whole},
+    telemetry::EventId,
+};
 
 /// Part of a caller's time that a request may wait for a configuration: the rest is for the answer.
 const MOST_WAITED: u32 = 2;
@@ -66,7 +69,7 @@
         let service = route.spec.pick(fastrand::u64(..)).to_owned();
         let limit = caller.time_left.unwrap_or(route.spec.timeout).min(route.spec.timeout);
         let deadline = arrived + limit;
-        Ok(Job {
+        let job = Job {
             head,
             body,
             caller,
@@ -78,7 +81,31 @@
             arrived,
             deadline,
             counted: None,
-        })
+        };
+        self.check_may_begin(&job).map_err(|e| refused(&id, e))?;
+        Ok(job)
+    }
+
+    /// Refuses a generation that a stopping daemon would likely cut off when it ends, if its
+    /// caller is more likely to come to another daemon.
+    fn check_may_begin(&self, job: &Job) -> Result<(), RequestError> {
+        let view = self.node.view();
+        let Some(left) = view.time_to_end() else { return Ok(()) };
+        if job.route.spec.kind != RouteKind::Generation {
+            return Ok(());
+        }
+        let whole = self.node.chance_to_end(&job.place_request(None), left);
+        let elsewhere = view.chance_elsewhere();
+        if self.uses(Mechanism::StopEstimate) && elsewhere <= whole {
+            log::info!(
+                event = EventId::TakenWhileStopping.number(), id = job.caller.id.as_str(),
+                left_ms = left.as_millis() as u64, chance_whole = whole,
+                chance_elsewhere = elsewhere;
+                "a stopping daemon takes a generation"
+            );
+            return Ok(());
+        }
+        Err(not_ready("this daemon is stopping", ELSEWHERE))
     }
 
     /// The route of a request, if this daemon may serve it.
@@ -87,10 +114,6 @@
             let message = format!("no route leads from {host}{path}");
             return Err(RequestError::new(ErrorKind::NotFound, message));
         };
-        if self.node.view().stopping() && route.spec.kind == RouteKind::Generation {
-            // It would be cut off when the daemon ends; another daemon can carry it whole.
-            return Err(not_ready("this daemon is stopping", ELSEWHERE));
-        }
         Ok(route.clone())
     }
 
--- a/crates/server/src/relay/tests/entry.rs
+++ b/crates/server/src/relay/tests/entry.rs
@@ -214,6 +214,7 @@
             seeds: vec!["127.0.0.1".into()],
             founders: vec!["127.0.0.1".into()],
             max_voters: 1,
+            takes_callers: true,
             endpoint_heartbeat: LIMIT,
             timing: NodeTiming {
                 agreement: Timing {
--- a/crates/server/src/runtime/mod.rs
+++ b/crates/server/src/runtime/mod.rs
@@ -210,6 +210,11 @@
         answer
     }
 
+    /// The chance that an answer to this request would end within this time.
+    pub(crate) fn chance_to_end(&self, req: &Request, within: Duration) -> f64 {
+        self.0.node.borrow().chance_to_end(req, within, self.now())
+    }
+
     /// Begins a planned stop of the node.
     pub fn stop(&self) {
         self.input(Input::Stop);
@@ -237,9 +242,9 @@
                 }
             }
             Output::InForce(in_force) => self.in_force(in_force),
-            Output::Fresh { fresh, confirmed, daemons } => {
+            Output::Fresh { fresh, confirmed, daemons, entries } => {
                 self.fresh(fresh, confirmed);
-                self.0.view.set_daemons(daemons);
+                self.0.view.set_daemons(daemons, entries);
             }
             // This daemon asks no endpoint for its load; the scheduler keeps its own account.
             Output::Watch(_) => {}
--- a/crates/server/src/runtime/view.rs
+++ b/crates/server/src/runtime/view.rs
@@ -4,10 +4,11 @@
     cell::{Cell, RefCell},
     collections::{BTreeMap, HashMap},
     sync::Arc,
+    time::Duration,
 };
 
 use trayswitch_core::{
-    node::{CallId, InForce},
+    node::{CallId, Entries, InForce},
     registry::Registered,
     units::Instant,
 };
@@ -20,8 +21,10 @@
     by_service: RefCell<BTreeMap<Arc<str>, Vec<Arc<str>>>>,
     confirmed: Cell<Option<Instant>>,
     fresh: Cell<bool>,
-    stopping: Cell<bool>,
+    /// When the daemon will have ended, once a planned stop has begun.
+    ends: Cell<Option<std::time::Instant>>,
     daemons: Cell<u64>,
+    entries: Cell<Entries>,
     calls: Cell<u64>,
 }
 
@@ -56,17 +59,31 @@
 
     /// Whether callers should be sent here.
     pub fn ready(&self) -> bool {
-        !self.stopping.get() && self.fresh.get() && self.in_force.borrow().is_some()
+        !self.stopping() && self.fresh.get() && self.in_force.borrow().is_some()
     }
 
-    /// Begins a planned stop: unready, but still serving.
-    pub fn begin_stop(&self) {
-        self.stopping.set(true);
+    /// Begins a planned stop: unready, but still serving until the daemon ends.
+    pub fn begin_stop(&self, ends: std::time::Instant) {
+        self.ends.set(Some(ends));
+    }
+
+    /// Time until the daemon ends, once a planned stop has begun.
+    pub fn time_to_end(&self) -> Option<Duration> {
+        self.ends.get().map(|ends| ends.saturating_duration_since(std::time::Instant::now()))
+    }
+
+    /// The chance that a caller who is sent away from this stopping daemon comes to one that goes
+    /// on, if callers are spread evenly; none while no leader has told.
+    pub(crate) fn chance_elsewhere(&self) -> f64 {
+        let Entries { taking, stopping } = self.entries.get();
+        // This daemon is one of those that stop.
+        let others = taking + stopping.saturating_sub(1);
+        if others == 0 { 0.0 } else { taking as f64 / others as f64 }
     }
 
     /// Whether a planned stop has begun.
     pub fn stopping(&self) -> bool {
-        self.stopping.get()
+        self.ends.get().is_some()
     }
 
     /// Number of daemons that the leader hears; zero while not known.
@@ -85,9 +102,10 @@
         CallId(last + 1)
     }
 
-    pub(super) fn set_daemons(&self, daemons: u64) {
+    pub(super) fn set_daemons(&self, daemons: u64, entries: Entries) {
         if 0 < daemons {
             self.daemons.set(daemons);
+            self.entries.set(entries);
         }
     }
 
--- a/crates/trayswitchd/src/node/mod.rs
+++ b/crates/trayswitchd/src/node/mod.rs
@@ -135,6 +135,7 @@
         vm: settings.vm.as_str().into(),
         founders: replicas.clone(),
         max_voters: replicas.len(),
+        takes_callers: true,
         seeds: replicas,
         endpoint_heartbeat: ENDPOINT_HEARTBEAT,
         timing: settings.timing.node(),
