--- a/crates/server/src/relay/call.rs
+++ b/crates/server/src/relay/call.rs
@@ -20,9 +20,6 @@
 
 /// Largest answer that is held until it is whole.
 const MAX_ANSWER: usize = 16 * 1024 * 1024;
-/// A call that may be repeated and has not been answered in this part of its target time is
-/// sent to a second endpoint as well.
-const SECOND_AFTER: f64 = 0.5;
 
 /// How an attempt ended.
 enum End {
@@ -91,10 +88,13 @@
         self.start()?;
         let deadline = tokio::time::sleep_until(self.job.deadline.into());
         let mut deadline = std::pin::pin!(deadline);
-        let target = self.job.route.spec.target_latency;
-        let second = tokio::time::sleep(target.mul_f64(SECOND_AFTER));
+        // One that may be repeated and takes longer than the others explain is sent to a second
+        // endpoint as well.
+        let unusual_after = self.relay.unusual_after(&self.job.service);
+        let second = tokio::time::sleep(unusual_after.unwrap_or_default());
         let mut second = std::pin::pin!(second);
-        let mut hedged = !self.is_repeatable() || !self.relay.uses(Mechanism::SecondAttempts);
+        let hedges = self.is_repeatable() && self.relay.uses(Mechanism::SecondAttempts);
+        let mut hedged = !hedges || unusual_after.is_none();
         loop {
             tokio::select! {
                 Some(end) = self.running.next() => {
@@ -193,6 +193,9 @@
     let (end, verdict) = ask(relay, job, &endpoint).await;
     drop(running);
     relay.loads.note(&endpoint.id, verdict);
+    if verdict == Verdict::Good {
+        relay.note_latency(&job.service, began.elapsed());
+    }
     let (name, detail) = end.describe();
     relay.metrics.attempt(&job.service, name);
     log::info!(
--- /dev/null
+++ b/crates/server/src/relay/latency.rs
@@ -0,0 +1,40 @@
+//! How long the calls of a service take, and from when on one takes unusually long.
+
+use std::time::Duration;
+
+/// Weights of the newest call in the mean and in the deviation, and the deviations beyond the mean
+/// that are still usual: those by which TCP finds its time-out (RFC 6298, section 2).
+const MEAN_WEIGHT: f64 = 1.0 / 8.0;
+const DEVIATION_WEIGHT: f64 = 1.0 / 4.0;
+const USUAL_DEVIATIONS: f64 = 4.0;
+/// Calls after which the figures mean something.
+const ENOUGH: u32 = 16;
+
+/// The time that calls of one service took, smoothed.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct Latency {
+    calls: u32,
+    /// In seconds.
+    mean: f64,
+    /// Mean distance from the mean, in seconds.
+    deviation: f64,
+}
+
+impl Latency {
+    /// Takes the time of a call that was answered.
+    pub(super) fn note(&mut self, took: Duration) {
+        let took = took.as_secs_f64();
+        if self.calls == 0 {
+            (self.mean, self.deviation) = (took, took / 2.0);
+        }
+        self.calls = self.calls.saturating_add(1);
+        self.deviation += DEVIATION_WEIGHT * ((took - self.mean).abs() - self.deviation);
+        self.mean += MEAN_WEIGHT * (took - self.mean);
+    }
+
+    /// The time after which a call takes longer than the others explain, once that is known.
+    pub(super) fn unusual_after(&self) -> Option<Duration> {
+        let usual = self.mean + USUAL_DEVIATIONS * self.deviation;
+        (ENOUGH <= self.calls).then(|| Duration::from_secs_f64(usual))
+    }
+}
--- a/crates/server/src/relay/mod.rs
+++ b/crates/server/src/relay/mod.rs
@@ -9,6 +9,7 @@
 mod call;
 mod generation;
 mod job;
+mod latency;
 mod loads;
 mod moves;
 mod protocol;
@@ -35,7 +36,7 @@
 pub use self::protocol::{
     Answer, Attempt, CallerRequest, Copied, CopyOrder, MemoryAt, Prompt, Protocol, Turned,
 };
-use self::{budget::RepeatBudget, job::Job, loads::Loads};
+use self::{budget::RepeatBudget, job::Job, latency::Latency, loads::Loads};
 use crate::{
     edge::{self, Body, Bounds, Handler, LocalFuture},
     runtime::NodeHandle,
@@ -85,6 +86,8 @@
     options: RelayOptions,
     loads: Loads,
     budgets: RefCell<HashMap<String, RepeatBudget>>,
+    /// How long calls take, by service.
+    latencies: RefCell<HashMap<String, Latency>>,
     /// Since when requests have found no configuration that is known to be current.
     outdated_since: Cell<Option<Instant>>,
     metrics: Rc<Metrics>,
@@ -106,6 +109,7 @@
             options,
             loads: Loads::new(options.disabled),
             budgets: RefCell::default(),
+            latencies: RefCell::default(),
             outdated_since: Cell::new(Some(Instant::now())),
             metrics,
         }
@@ -129,6 +133,17 @@
         }
     }
 
+    /// Notes how long an answered call took.
+    fn note_latency(&self, service: &str, took: Duration) {
+        let mut latencies = self.latencies.borrow_mut();
+        latencies.entry(service.to_owned()).or_default().note(took);
+    }
+
+    /// The time after which a call to this service takes unusually long, once that is known.
+    fn unusual_after(&self, service: &str) -> Option<Duration> {
+        self.latencies.borrow().get(service).and_then(Latency::unusual_after)
+    }
+
     /// Whether a mechanism is in use.
     fn uses(&self, mechanism: Mechanism) -> bool {
         self.options.disabled.allows(mechanism)
--- a/crates/server/src/relay/tests/mod.rs
+++ b/crates/server/src/relay/tests/mod.rs
@@ -5,6 +5,7 @@
 mod endpoint;
 mod entry;
 mod generations;
+mod latency;
 mod moves;
 mod protocol;
 mod reading;
