--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -22,6 +22,7 @@
 mod reading;
 #[cfg(test)]
 mod reading_tests;
+mod running;
 mod scheduler;
 mod target;
 #[cfg(test)]
--- /dev/null
+++ b/crates/core/src/placement/running.rs
@@ -0,0 +1,182 @@
+//! The scheduler's account of what runs: where, how far it is, and what it still needs.
+
+use std::{sync::Arc, time::Duration};
+
+use super::{
+    Request, Ticket,
+    endpoint::Share,
+    pace::{self, PaceMeter},
+    policy::Work,
+    reading::reading_time,
+    scheduler::{Count, Placed, Queued, Scheduler},
+};
+use crate::{mechanism::Mechanism, units::Instant};
+
+impl Scheduler {
+    /// Takes over a request that already runs, as reported by its entry daemon. Its prompt has been
+    /// read, or soon will be: nothing is held up by it any more.
+    pub fn adopt(&mut self, req: Request, endpoint: &str, tokens: u64, now: Instant) {
+        if self.placed.contains_key(&req.ticket) || !self.endpoints.contains_key(endpoint) {
+            return;
+        }
+        let ticket = req.ticket;
+        self.run_at(req, &endpoint.into(), now);
+        self.count_tokens(ticket, tokens, now);
+    }
+
+    /// The chance that an answer to this request would end within this time.
+    pub(crate) fn chance_to_end(&self, req: &Request, within: Duration, now: Instant) -> f64 {
+        let making = within.saturating_sub(reading_time(req.prompt_tokens)).as_secs_f64();
+        let paces = self.endpoints.values().filter_map(|endpoint| endpoint.pace.per_token(now));
+        let slowest = paces.max_by(f64::total_cmp).unwrap_or(pace::USUAL);
+        let tokens = (making / slowest) as u64;
+        if req.max_tokens <= tokens {
+            return 1.0;
+        }
+        1.0 - self.forecast.survival(&req.workspace, &req.kind).chance_beyond(0, tokens)
+    }
+
+    /// Notes the number of tokens that a running stream has produced.
+    pub fn progress(&mut self, ticket: Ticket, tokens: u64, now: Instant) {
+        let Some(placed) = self.placed.get(&ticket) else { return };
+        if placed.tokens == 0 && 0 < tokens && self.limits.disabled.allows(Mechanism::Handover) {
+            self.handover.begun(ticket, now);
+        }
+        self.count_tokens(ticket, tokens, now);
+    }
+
+    fn count_tokens(&mut self, ticket: Ticket, tokens: u64, now: Instant) {
+        let Some(placed) = self.placed.get_mut(&ticket) else { return };
+        if tokens <= placed.tokens {
+            return;
+        }
+        let req = &placed.req;
+        let survival = self.forecast.survival(&req.workspace, &req.kind);
+        let mut share = Share::forecast(survival, req.prompt_tokens, tokens, req.max_tokens);
+        share.worth = placed.share.worth;
+        if let Some(endpoint) = self.endpoints.get_mut(&placed.endpoint) {
+            endpoint.update(&placed.share, &share);
+            placed.meter.measure(tokens, now, &mut endpoint.pace);
+        }
+        if let Some(target) = self.targets.get_mut(&req.target) {
+            target.queue.charge(req.rank, &req.workspace, req.share, tokens - placed.tokens);
+        }
+        placed.share = share;
+        placed.tokens = tokens;
+    }
+
+    /// Notes that a running request ended, whole or not.
+    pub fn finish(&mut self, ticket: Ticket, tokens: u64, whole: bool, now: Instant) {
+        self.progress(ticket, tokens, now);
+        let Some(placed) = self.placed.remove(&ticket) else { return };
+        self.evacuation.forget(ticket);
+        self.count_running(&placed.req, -1);
+        if let Some(endpoint) = self.endpoints.get_mut(&placed.endpoint) {
+            endpoint.release(&placed.share, now);
+            if whole {
+                endpoint.on_success();
+            }
+        }
+        if whole {
+            self.forecast.learn(&placed.req.workspace, &placed.req.kind, tokens);
+        }
+    }
+
+    /// Forgets a waiting or running request whose caller has left.
+    pub fn cancel(&mut self, ticket: Ticket, now: Instant) {
+        if let Some(queued) = self.queued.remove(&ticket) {
+            self.no_longer_waits(&queued);
+            if let Some(target) = self.targets.get_mut(&queued.target) {
+                target.queue.remove(queued.rank, &queued.workspace, ticket);
+            }
+        }
+        self.finish(ticket, 0, false, now);
+    }
+
+    /// Forgets every request of an entry daemon that is gone.
+    pub fn forget_entry(&mut self, entry: u64, now: Instant) {
+        let queued = self.queued.keys().filter(|t| t.entry == entry);
+        let placed = self.placed.keys().filter(|t| t.entry == entry);
+        let tickets: Vec<Ticket> = queued.chain(placed).copied().collect();
+        for ticket in tickets {
+            self.cancel(ticket, now);
+        }
+    }
+
+    /// Accounts for a running request at another endpoint from now on.
+    pub(super) fn relocate(&mut self, ticket: Ticket, to: &Arc<str>, now: Instant) {
+        let Some(placed) = self.placed.get_mut(&ticket) else { return };
+        if placed.endpoint == *to {
+            return;
+        }
+        if let Some(from) = self.endpoints.get_mut(&placed.endpoint) {
+            from.release(&placed.share, now);
+        }
+        placed.endpoint = to.clone();
+        placed.meter = PaceMeter::default();
+        if let Some(state) = self.endpoints.get_mut(to) {
+            state.grant(&placed.share, now);
+        }
+    }
+
+    /// What a running request still needs of an endpoint that goes on with it.
+    pub(super) fn rest_of(&self, placed: &Placed) -> Work {
+        let req = &placed.req;
+        let survival = self.forecast.survival(&req.workspace, &req.kind);
+        Work {
+            share: placed.share,
+            prompt_tokens: 0,
+            prefix: req.prefix,
+            output: survival.expected_beyond(placed.tokens, req.max_tokens),
+            first_within: Duration::MAX,
+        }
+    }
+
+    pub(super) fn no_longer_waits(&mut self, queued: &Queued) {
+        self.expiries.remove(&queued.expiry);
+        if let Some(count) = self.counts.get_mut(&queued.workspace) {
+            count.waiting -= 1;
+        }
+        self.forget_idle(&queued.workspace);
+    }
+
+    /// Counts a request as running or no longer so, and holds its workspace back at the limit.
+    pub(super) fn count_running(&mut self, req: &Request, change: i64) {
+        let count = self.counts.entry(req.workspace.clone()).or_default();
+        count.running = count.running.saturating_add_signed(change);
+        let hold = req.max_running <= count.running;
+        for target in self.targets.values_mut() {
+            target.queue.hold(&req.workspace, hold);
+        }
+        self.forget_idle(&req.workspace);
+    }
+
+    fn forget_idle(&mut self, workspace: &Arc<str>) {
+        let idle = |count: &Count| count.running == 0 && count.waiting == 0;
+        if self.counts.get(workspace).is_some_and(idle) {
+            self.counts.remove(workspace);
+        }
+    }
+
+    pub(super) fn place(&mut self, req: Request, endpoint: &Arc<str>, now: Instant) {
+        if let Some(target) = self.targets.get_mut(&req.target) {
+            target.note_prefix(req.prefix, endpoint);
+        }
+        if let Some(state) = self.endpoints.get_mut(endpoint) {
+            state.reading.note(req.prompt_tokens, now);
+            state.note_prefix(req.prefix, now);
+        }
+        self.run_at(req, endpoint, now);
+    }
+
+    /// Accounts for a request that runs at an endpoint from now on.
+    fn run_at(&mut self, req: Request, endpoint: &Arc<str>, now: Instant) {
+        let Some(state) = self.endpoints.get_mut(endpoint) else { return };
+        let share = Work::new(&req, self.forecast.survival(&req.workspace, &req.kind)).share;
+        state.grant(&share, now);
+        self.count_running(&req, 1);
+        let meter = PaceMeter::default();
+        let placed = Placed { endpoint: endpoint.clone(), share, tokens: 0, meter, req };
+        self.placed.insert(placed.req.ticket, placed);
+    }
+}
--- a/crates/core/src/placement/scheduler.rs
+++ b/crates/core/src/placement/scheduler.rs
@@ -12,9 +12,8 @@
     evacuation::Evacuation,
     forecast::LengthForecast,
     handover::Handover,
-    pace::{self, PaceMeter},
+    pace::PaceMeter,
     policy::{Policy, Work},
-    reading::reading_time,
     target::Target,
 };
 use crate::{
@@ -54,22 +53,22 @@
 pub(super) struct Placed {
     pub(super) req: Request,
     pub(super) endpoint: Arc<str>,
-    share: Share,
+    pub(super) share: Share,
     pub(super) tokens: u64,
-    meter: PaceMeter,
+    pub(super) meter: PaceMeter,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-struct Expiry {
+pub(super) struct Expiry {
     at: Instant,
     ticket: Ticket,
 }
 
 /// Requests of one workspace.
 #[derive(Debug, Clone, Copy, Default)]
-struct Count {
-    running: u64,
-    waiting: u64,
+pub(super) struct Count {
+    pub(super) running: u64,
+    pub(super) waiting: u64,
 }
 
 /// A request and the endpoint chosen for it.
@@ -81,11 +80,11 @@
 }
 
 #[derive(Debug)]
-struct Queued {
-    target: EndpointTarget,
-    rank: u64,
-    workspace: Arc<str>,
-    expiry: Expiry,
+pub(super) struct Queued {
+    pub(super) target: EndpointTarget,
+    pub(super) rank: u64,
+    pub(super) workspace: Arc<str>,
+    pub(super) expiry: Expiry,
 }
 
 /// Queue, endpoints and running streams of the targets of one scheduler.
@@ -95,12 +94,12 @@
     pub(super) forecast: LengthForecast,
     pub(super) targets: HashMap<EndpointTarget, Target>,
     pub(super) endpoints: HashMap<Arc<str>, EndpointState>,
-    queued: HashMap<Ticket, Queued>,
-    expiries: BTreeSet<Expiry>,
+    pub(super) queued: HashMap<Ticket, Queued>,
+    pub(super) expiries: BTreeSet<Expiry>,
     pub(super) placed: HashMap<Ticket, Placed>,
     pub(super) evacuation: Evacuation,
     pub(super) handover: Handover,
-    counts: HashMap<Arc<str>, Count>,
+    pub(super) counts: HashMap<Arc<str>, Count>,
     /// Number of samples of endpoints taken.
     pub(super) samples: usize,
 }
@@ -182,29 +181,6 @@
         Ok(())
     }
 
-    /// Takes over a request that already runs, as reported by its entry daemon. Its prompt has been
-    /// read, or soon will be: nothing is held up by it any more.
-    pub fn adopt(&mut self, req: Request, endpoint: &str, tokens: u64, now: Instant) {
-        if self.placed.contains_key(&req.ticket) || !self.endpoints.contains_key(endpoint) {
-            return;
-        }
-        let ticket = req.ticket;
-        self.run_at(req, &endpoint.into(), now);
-        self.count_tokens(ticket, tokens, now);
-    }
-
-    /// The chance that an answer to this request would end within this time.
-    pub(crate) fn chance_to_end(&self, req: &Request, within: Duration, now: Instant) -> f64 {
-        let making = within.saturating_sub(reading_time(req.prompt_tokens)).as_secs_f64();
-        let paces = self.endpoints.values().filter_map(|endpoint| endpoint.pace.per_token(now));
-        let slowest = paces.max_by(f64::total_cmp).unwrap_or(pace::USUAL);
-        let tokens = (making / slowest) as u64;
-        if req.max_tokens <= tokens {
-            return 1.0;
-        }
-        1.0 - self.forecast.survival(&req.workspace, &req.kind).chance_beyond(0, tokens)
-    }
-
     /// Decides all that can be decided now.
     pub fn decide(&mut self, now: Instant) -> Vec<Action> {
         let mut actions = self.expire(now);
@@ -233,73 +209,6 @@
         self.next_expiry().into_iter().chain(self.next_evacuation()).min()
     }
 
-    /// Notes the number of tokens that a running stream has produced.
-    pub fn progress(&mut self, ticket: Ticket, tokens: u64, now: Instant) {
-        let Some(placed) = self.placed.get(&ticket) else { return };
-        if placed.tokens == 0 && 0 < tokens && self.limits.disabled.allows(Mechanism::Handover) {
-            self.handover.begun(ticket, now);
-        }
-        self.count_tokens(ticket, tokens, now);
-    }
-
-    fn count_tokens(&mut self, ticket: Ticket, tokens: u64, now: Instant) {
-        let Some(placed) = self.placed.get_mut(&ticket) else { return };
-        if tokens <= placed.tokens {
-            return;
-        }
-        let req = &placed.req;
-        let survival = self.forecast.survival(&req.workspace, &req.kind);
-        let mut share = Share::forecast(survival, req.prompt_tokens, tokens, req.max_tokens);
-        share.worth = placed.share.worth;
-        if let Some(endpoint) = self.endpoints.get_mut(&placed.endpoint) {
-            endpoint.update(&placed.share, &share);
-            placed.meter.measure(tokens, now, &mut endpoint.pace);
-        }
-        if let Some(target) = self.targets.get_mut(&req.target) {
-            target.queue.charge(req.rank, &req.workspace, req.share, tokens - placed.tokens);
-        }
-        placed.share = share;
-        placed.tokens = tokens;
-    }
-
-    /// Notes that a running request ended, whole or not.
-    pub fn finish(&mut self, ticket: Ticket, tokens: u64, whole: bool, now: Instant) {
-        self.progress(ticket, tokens, now);
-        let Some(placed) = self.placed.remove(&ticket) else { return };
-        self.evacuation.forget(ticket);
-        self.count_running(&placed.req, -1);
-        if let Some(endpoint) = self.endpoints.get_mut(&placed.endpoint) {
-            endpoint.release(&placed.share, now);
-            if whole {
-                endpoint.on_success();
-            }
-        }
-        if whole {
-            self.forecast.learn(&placed.req.workspace, &placed.req.kind, tokens);
-        }
-    }
-
-    /// Forgets a waiting or running request whose caller has left.
-    pub fn cancel(&mut self, ticket: Ticket, now: Instant) {
-        if let Some(queued) = self.queued.remove(&ticket) {
-            self.no_longer_waits(&queued);
-            if let Some(target) = self.targets.get_mut(&queued.target) {
-                target.queue.remove(queued.rank, &queued.workspace, ticket);
-            }
-        }
-        self.finish(ticket, 0, false, now);
-    }
-
-    /// Forgets every request of an entry daemon that is gone.
-    pub fn forget_entry(&mut self, entry: u64, now: Instant) {
-        let queued = self.queued.keys().filter(|t| t.entry == entry);
-        let placed = self.placed.keys().filter(|t| t.entry == entry);
-        let tickets: Vec<Ticket> = queued.chain(placed).copied().collect();
-        for ticket in tickets {
-            self.cancel(ticket, now);
-        }
-    }
-
     fn expire(&mut self, now: Instant) -> Vec<Action> {
         let mut actions = Vec::new();
         while let Some(expiry) = self.expiries.first().copied() {
@@ -364,83 +273,6 @@
         }
         None
     }
-
-    /// Accounts for a running request at another endpoint from now on.
-    pub(super) fn relocate(&mut self, ticket: Ticket, to: &Arc<str>, now: Instant) {
-        let Some(placed) = self.placed.get_mut(&ticket) else { return };
-        if placed.endpoint == *to {
-            return;
-        }
-        if let Some(from) = self.endpoints.get_mut(&placed.endpoint) {
-            from.release(&placed.share, now);
-        }
-        placed.endpoint = to.clone();
-        placed.meter = PaceMeter::default();
-        if let Some(state) = self.endpoints.get_mut(to) {
-            state.grant(&placed.share, now);
-        }
-    }
-
-    /// What a running request still needs of an endpoint that goes on with it.
-    pub(super) fn rest_of(&self, placed: &Placed) -> Work {
-        let req = &placed.req;
-        let survival = self.forecast.survival(&req.workspace, &req.kind);
-        Work {
-            share: placed.share,
-            prompt_tokens: 0,
-            prefix: req.prefix,
-            output: survival.expected_beyond(placed.tokens, req.max_tokens),
-            first_within: Duration::MAX,
-        }
-    }
-
-    fn no_longer_waits(&mut self, queued: &Queued) {
-        self.expiries.remove(&queued.expiry);
-        if let Some(count) = self.counts.get_mut(&queued.workspace) {
-            count.waiting -= 1;
-        }
-        self.forget_idle(&queued.workspace);
-    }
-
-    /// Counts a request as running or no longer so, and holds its workspace back at the limit.
-    pub(super) fn count_running(&mut self, req: &Request, change: i64) {
-        let count = self.counts.entry(req.workspace.clone()).or_default();
-        count.running = count.running.saturating_add_signed(change);
-        let hold = req.max_running <= count.running;
-        for target in self.targets.values_mut() {
-            target.queue.hold(&req.workspace, hold);
-        }
-        self.forget_idle(&req.workspace);
-    }
-
-    fn forget_idle(&mut self, workspace: &Arc<str>) {
-        let idle = |count: &Count| count.running == 0 && count.waiting == 0;
-        if self.counts.get(workspace).is_some_and(idle) {
-            self.counts.remove(workspace);
-        }
-    }
-
-    fn place(&mut self, req: Request, endpoint: &Arc<str>, now: Instant) {
-        if let Some(target) = self.targets.get_mut(&req.target) {
-            target.note_prefix(req.prefix, endpoint);
-        }
-        if let Some(state) = self.endpoints.get_mut(endpoint) {
-            state.reading.note(req.prompt_tokens, now);
-            state.note_prefix(req.prefix, now);
-        }
-        self.run_at(req, endpoint, now);
-    }
-
-    /// Accounts for a request that runs at an endpoint from now on.
-    fn run_at(&mut self, req: Request, endpoint: &Arc<str>, now: Instant) {
-        let Some(state) = self.endpoints.get_mut(endpoint) else { return };
-        let share = Work::new(&req, self.forecast.survival(&req.workspace, &req.kind)).share;
-        state.grant(&share, now);
-        self.count_running(&req, 1);
-        let meter = PaceMeter::default();
-        let placed = Placed { endpoint: endpoint.clone(), share, tokens: 0, meter, req };
-        self.placed.insert(placed.req.ticket, placed);
-    }
 }
 
 fn no_endpoint(target: &EndpointTarget) -> RequestError {
