--- a/crates/core/src/placement/evacuation_tests.rs
+++ b/crates/core/src/placement/evacuation_tests.rs
@@ -103,6 +103,21 @@
     expect_that!(later.len(), eq(1));
 }
 
+#[gtest]
+fn a_generation_that_one_endpoint_refused_goes_to_another() {
+    let mut scheduler = with_runs(&["a", "a", "a"], &[3_000]);
+    scheduler.endpoint_leaving("e0", true);
+
+    let first = scheduler.evacuate(ms(2));
+    scheduler.moved(first[0].ticket, "e0", false, ms(5));
+    let second = scheduler.evacuate(ms(500));
+    scheduler.moved(second[0].ticket, "e0", false, ms(505));
+    let third = scheduler.evacuate(ms(1_000));
+
+    expect_that!(second[0].to, not(eq(&first[0].to)));
+    expect_that!(third.len(), eq(1));
+}
+
 #[gtest]
 fn a_move_that_is_never_answered_does_not_block_the_others() {
     let mut scheduler = with_runs(&["a", "a"], &[3_000, 2_000]);
