--- a/crates/server/src/relay/latency.rs
+++ b/crates/server/src/relay/latency.rs
@@ -6,7 +6,7 @@
 /// that are still usual: those by which TCP finds its time-out (RFC 6298, section 2).
 const MEAN_WEIGHT: f64 = 1.0 / 8.0;
 const DEVIATION_WEIGHT: f64 = 1.0 / 4.0;
-const USUAL_DEVIATIONS: f64 = 4.0;
+const USUAL_DEVIATIONS: f64 = 2.0;
 /// Calls after which the figures mean something.
 const ENOUGH: u32 = 16;
 
