--- a/crates/core/src/mechanism/mod.rs
+++ b/crates/core/src/mechanism/mod.rs
@@ -44,7 +44,6 @@
     Pace = "pace", "New work avoids slow endpoints.";
     PrefixAffinity = "prefix-affinity", "Equal starts of prompts go to the same endpoint.";
     ForecastMargin = "forecast-margin", "Memory is kept free for answers that grow long.";
-    SmallAllowance = "small-allowance", "Small requests may exceed the forecast memory.";
     Ageing = "ageing", "Waiting requests gain rank.";
     EarlyRefusal = "early-refusal", "A request whose wait is expected to be too long is refused at once.";
     RecalledEndpoints = "recalled-endpoints", "Control VMs know endpoints from before their start.";
--- a/crates/core/src/placement/policy/forecast.rs
+++ b/crates/core/src/placement/policy/forecast.rs
@@ -22,9 +22,6 @@
 /// Beyond this part of its time spent on reading, an endpoint's slowness is all put down to it.
 const MOST_READING: f64 = 0.9;
 
-/// A request is small when it is forecast to fill no more than this part of the memory.
-const SMALL: f64 = 0.025;
-
 /// Admits while the forecast of memory stays under capacity with a margin, and
 /// takes the endpoint where the least time is lost, by the request and by what runs there.
 #[derive(Debug, Clone)]
@@ -35,9 +32,6 @@
     pub prefix_value: f64,
     /// Weight of the number of requests against that of memory.
     pub load_value: f64,
-    /// Part of its memory by which an endpoint may be forecast too full for a small request,
-    /// which does little harm if the forecast comes true.
-    pub small_excess: f64,
     /// Mechanisms that are switched off.
     pub disabled: Disabled,
 }
@@ -58,7 +52,6 @@
             margin: 2.5,
             prefix_value: 2.0,
             load_value: 0.3,
-            small_excess: 0.25,
             disabled: Disabled::default(),
         }
     }
@@ -70,14 +63,6 @@
         ForecastPolicy { disabled, ..ForecastPolicy::default() }
     }
 
-    /// Part of the memory that a request may fill.
-    fn limit(&self, work: &Work, endpoint: &EndpointState) -> f64 {
-        let most = work.share.mean.iter().copied().fold(work.share.used, f64::max);
-        let small = most <= SMALL * endpoint.spec.kv_tokens as f64;
-        let allowed = self.disabled.allows(Mechanism::SmallAllowance);
-        if small && allowed { 1.0 + self.small_excess } else { 1.0 }
-    }
-
     /// The fullest that the endpoint is forecast to be, in parts of its memory.
     fn fullness(&self, work: &Work, endpoint: &EndpointState) -> f64 {
         let total = &endpoint.total;
@@ -92,8 +77,7 @@
     }
 
     fn fits(&self, work: &Work, endpoint: &EndpointState) -> bool {
-        let memory = endpoint.spec.kv_tokens == 0
-            || self.fullness(work, endpoint) <= self.limit(work, endpoint);
+        let memory = endpoint.spec.kv_tokens == 0 || self.fullness(work, endpoint) <= 1.0;
         // An empty endpoint takes even what the forecast finds too large.
         has_slot(endpoint) && (memory || endpoint.running == 0)
     }
