Derive once what the change had written twice

A daemon's liveness, the scheduler by forecast of entries and leader, and whether endpoints must be kept on disk stood twice; each decision looked for the fastest pace twice. Behaviour and assertions unchanged.

--- a/crates/core/src/node/control/mod.rs
+++ b/crates/core/src/node/control/mod.rs
@@ -59,6 +59,12 @@
     stopping_since: Option<Instant>,
 }
 
+impl Daemon {
+    fn is_live(&self, now: Instant) -> bool {
+        now.since(self.heard) < DAEMON_LIFE
+    }
+}
+
 /// Writes, and what waits for them.
 #[derive(Debug, Default)]
 struct Batch {
@@ -277,8 +283,8 @@
     /// The live daemons that callers are sent to.
     fn entries(&self, now: Instant) -> Entries {
         let mut entries = Entries::default();
-        let live = |daemon: &&Daemon| now.since(daemon.heard) < DAEMON_LIFE;
-        for daemon in self.daemons.values().filter(live).filter(|daemon| daemon.takes_callers) {
+        let sent_to = |daemon: &&Daemon| daemon.takes_callers && daemon.is_live(now);
+        for daemon in self.daemons.values().filter(sent_to) {
             match daemon.stopping_since {
                 None => entries.taking += 1,
                 Some(since) if now.since(since) < STILL_SENT_TO => entries.stopping += 1,
@@ -289,7 +295,6 @@
     }
 
     fn live_daemons(&self, now: Instant) -> BTreeSet<VmName> {
-        let live = |daemon: &Daemon| now.since(daemon.heard) < DAEMON_LIFE;
-        self.daemons.iter().filter(|(_, d)| live(d)).map(|(vm, _)| vm.clone()).collect()
+        self.daemons.iter().filter(|(_, d)| d.is_live(now)).map(|(vm, _)| vm.clone()).collect()
     }
 }
--- a/crates/core/src/node/dispatcher.rs
+++ b/crates/core/src/node/dispatcher.rs
@@ -14,7 +14,7 @@
     config::Endpoints,
     error::RequestError,
     mechanism::Disabled,
-    placement::{Action, ForecastPolicy, Relocation, Scheduler, SchedulerLimits, Ticket},
+    placement::{Action, Relocation, Scheduler, Ticket},
     units::Instant,
     wire::{Admit, Body, GiveUp, Grant, Health, HealthNews, Move, Moved, Progress, Report, Watch},
 };
@@ -35,10 +35,8 @@
 
 impl Dispatcher {
     pub(crate) fn new(disabled: Disabled, now: Instant) -> Dispatcher {
-        let policy = Box::new(ForecastPolicy::without(disabled));
-        let limits = SchedulerLimits { disabled, ..SchedulerLimits::default() };
         Dispatcher {
-            scheduler: Scheduler::new(limits, policy),
+            scheduler: Scheduler::by_forecast(disabled),
             open_at: now.after(LISTEN),
             numbers: ByVm::new(),
             names: BTreeMap::new(),
--- a/crates/core/src/node/endpoints.rs
+++ b/crates/core/src/node/endpoints.rs
@@ -135,7 +135,7 @@
     /// Lets the endpoints be kept on disk, so that they are known at once after a failure of all
     /// control VMs.
     pub(super) fn remember_if_due(&mut self, now: Instant) {
-        if self.control.is_none() || !self.must_remember() || now < self.next_remember {
+        if !self.must_remember() || now < self.next_remember {
             return;
         }
         self.remembered = self.registry.revision();
@@ -145,13 +145,14 @@
         self.outputs.push(Output::Remember(records));
     }
 
+    /// Whether the endpoints have changed since they were kept; entries have no disk.
     fn must_remember(&self) -> bool {
-        self.remembered != self.registry.revision()
+        self.control.is_some() && self.remembered != self.registry.revision()
     }
 
     /// When the endpoints must be kept on disk again.
     fn next_remembering(&self) -> Option<Instant> {
-        (self.control.is_some() && self.must_remember()).then_some(self.next_remember)
+        self.must_remember().then_some(self.next_remember)
     }
 
     /// Brings the endpoints that registered themselves to the schedulers.
--- a/crates/core/src/node/placing.rs
+++ b/crates/core/src/node/placing.rs
@@ -18,7 +18,7 @@
     config::{Config, Endpoints},
     error::{ErrorKind, RequestError},
     mechanism::Disabled,
-    placement::{Action, ForecastPolicy, Relocation, Request, Scheduler, SchedulerLimits, Ticket},
+    placement::{Action, Relocation, Request, Scheduler, Ticket},
     units::Instant,
     wire::{Admit, Body, GiveUp, Grant, Health, HealthNews, Move, Moved, Progress, Report, Tokens},
 };
@@ -74,10 +74,8 @@
 
 impl Placing {
     pub(crate) fn new(disabled: Disabled) -> Placing {
-        let policy = Box::new(ForecastPolicy::without(disabled));
-        let limits = SchedulerLimits { disabled, ..SchedulerLimits::default() };
         Placing {
-            local: Scheduler::new(limits, policy),
+            local: Scheduler::by_forecast(disabled),
             endpoints: Endpoints::new(),
             share_of: 1,
             scheduler: None,
--- a/crates/core/src/placement/handover.rs
+++ b/crates/core/src/placement/handover.rs
@@ -82,7 +82,7 @@
                     && state.takes_work(now)
             })
             .collect();
-        let token_time = pace::token_time(&near, now);
+        let token_time = pace::fastest(&near, now).unwrap_or(pace::USUAL);
         let gain = |state: &EndpointState| {
             let held_up = source.reading.part(now) - state.reading.part(now);
             work.output * token_time * held_up
--- a/crates/core/src/placement/pace.rs
+++ b/crates/core/src/placement/pace.rs
@@ -25,11 +25,6 @@
     paces.min_by(f64::total_cmp)
 }
 
-/// The same, or the usual speed.
-pub(crate) fn token_time(endpoints: &[&EndpointState], now: Instant) -> f64 {
-    fastest(endpoints, now).unwrap_or(USUAL)
-}
-
 /// The time that an endpoint takes for a token of one stream, smoothed.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
 pub(crate) struct Pace {
--- a/crates/core/src/placement/policy/forecast.rs
+++ b/crates/core/src/placement/policy/forecast.rs
@@ -155,9 +155,10 @@
 
     fn choose(&mut self, work: &Work, endpoints: &[&EndpointState], now: Instant) -> Option<usize> {
         let least_reading = endpoints.iter().map(|endpoint| endpoint.reading.part(now));
+        let fastest = pace::fastest(endpoints, now);
         let all = Usual {
-            fastest: pace::fastest(endpoints, now),
-            token_time: pace::token_time(endpoints, now),
+            fastest,
+            token_time: fastest.unwrap_or(pace::USUAL),
             least_reading: least_reading.min_by(f64::total_cmp).unwrap_or(0.0),
         };
         let fits = |endpoint: &EndpointState| self.fits(work, endpoint);
--- a/crates/core/src/placement/scheduler.rs
+++ b/crates/core/src/placement/scheduler.rs
@@ -13,7 +13,7 @@
     forecast::LengthForecast,
     handover::Handover,
     pace::PaceMeter,
-    policy::{Policy, Work},
+    policy::{ForecastPolicy, Policy, Work},
     target::Target,
 };
 use crate::{
@@ -123,6 +123,12 @@
         }
     }
 
+    /// A scheduler by forecast that does without these mechanisms.
+    pub(crate) fn by_forecast(disabled: Disabled) -> Scheduler {
+        let limits = SchedulerLimits { disabled, ..SchedulerLimits::default() };
+        Scheduler::new(limits, Box::new(ForecastPolicy::without(disabled)))
+    }
+
     /// The endpoint of this name.
     pub fn endpoint(&self, name: &str) -> Option<&EndpointState> {
         self.endpoints.get(name)
