Tell what holds a daemon's thread up, and what is sent of each change

Cause: the record of the incident cannot tell whether the leader was held up by answers to polls, by taking the file in, or by large messages on its links. Ruled out: guessing. No decision is changed.

--- a/crates/core/src/node/control/answers.rs
+++ b/crates/core/src/node/control/answers.rs
@@ -6,7 +6,7 @@
 use crate::{
     agreement::ConfirmedRead,
     config::ContentHash,
-    node::{Clocks, Outbox, VmName},
+    node::{Clocks, Outbox, Output, SentChange, VmName},
     once::ClaimResult,
     state::{Command, ConfigChange, ConfigResult, command},
     units::Instant,
@@ -40,6 +40,9 @@
         let version = self.state.version();
         let update =
             (poll.version < version).then(|| self.updates.since(poll.version, &self.state));
+        if let Some(update) = &update {
+            out.push(Output::SentChange(SentChange::new(update, vec![vm.clone()], true)));
+        }
         let entries = self.entries(now);
         let reply = PollReply {
             nonce: poll.nonce,
--- a/crates/core/src/node/control/ready.rs
+++ b/crates/core/src/node/control/ready.rs
@@ -7,7 +7,7 @@
 use crate::{
     agreement::{Entry, Outgoing, Payload, Persist, Ready, Snapshot, Synced},
     config::Config,
-    node::{Clocks, Outbox, Output, dispatcher::Dispatcher, keeper::ACCEPTED},
+    node::{Clocks, Outbox, Output, SentChange, VmName, dispatcher::Dispatcher, keeper::ACCEPTED},
     state::{Applied, Command, ConfigChange, ConfigResult, EncodedDelta, State, command},
     units::Instant,
     wire::{Body, Done, OperationResult},
@@ -135,9 +135,12 @@
             return;
         }
         self.update_config(&change);
-        for (vm, _) in self.daemons.iter().filter(|(_, d)| d.version == change.base) {
+        let behind = self.daemons.iter().filter(|(_, d)| d.version == change.base);
+        let behind: Vec<VmName> = behind.map(|(vm, _)| vm.clone()).collect();
+        for vm in &behind {
             out.send(vm, Body::Update(change.clone()));
         }
+        out.push(Output::SentChange(SentChange::new(&change, behind, false)));
     }
 
     /// Brings an accepted configuration into the scheduler.
--- a/crates/core/src/node/messages.rs
+++ b/crates/core/src/node/messages.rs
@@ -9,6 +9,7 @@
     once::{Claim, ClaimResult, Settle},
     placement::Request,
     registry::Registered,
+    state::ConfigChange,
     units::Instant,
     wire::{AcceptedVersion, Body, EndpointRecord, HealthNews, Report, Submit},
 };
@@ -136,6 +137,53 @@
     Stop,
 }
 
+impl Input {
+    /// What kind of input it is, for logs and metrics.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Input::Tick => "tick",
+            Input::LinkUp(_) => "link_up",
+            Input::LinkDown(_) => "link_down",
+            Input::Message(_, body) => body.kind(),
+            Input::Persisted(_) => "persisted",
+            Input::Ask(..) => "ask",
+            Input::Progress(..) => "own_progress",
+            Input::Finished { .. } => "finished",
+            Input::Cancelled(_) => "cancelled",
+            Input::Health(..) => "own_health",
+            Input::Load(_) => "load",
+            Input::Heartbeat(_) => "heartbeat",
+            Input::Recall(_) => "recall",
+            Input::Farewell(_) => "farewell",
+            Input::Moved { .. } => "own_moved",
+            Input::Seeds(_) => "seeds",
+            Input::Stop => "stop",
+        }
+    }
+}
+
+/// A change of the configuration that the leader has sent.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SentChange {
+    /// The version that it makes.
+    pub version: u64,
+    /// The version that it goes on from; zero for the whole document.
+    pub base: u64,
+    /// Bytes of the delta.
+    pub bytes: usize,
+    /// Daemons that it was sent to.
+    pub daemons: Vec<VmName>,
+    /// Whether it answers a poll; otherwise it was sent as soon as it was accepted.
+    pub asked: bool,
+}
+
+impl SentChange {
+    pub(super) fn new(change: &ConfigChange, daemons: Vec<VmName>, asked: bool) -> SentChange {
+        let ConfigChange { version, base, delta, .. } = change;
+        SentChange { version: *version, base: *base, bytes: delta.len(), daemons, asked }
+    }
+}
+
 /// Something to be done.
 #[derive(Debug, Clone)]
 pub enum Output {
@@ -147,6 +195,8 @@
     Answer(CallId, Answer),
     /// A configuration has come into force.
     InForce(Arc<InForce>),
+    /// The leader has sent a change of the configuration; for logs and metrics.
+    SentChange(SentChange),
     /// Whether the configuration is confirmed to be current, and when it last was.
     Fresh {
         /// Whether that is recent enough.
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -61,7 +61,7 @@
     control::{ControlStatus, DaemonStatus, ReplicaStatus},
     endpoints::EndpointStatus,
     keeper::{Entries, InForce},
-    messages::{Answer, CallId, Input, Output, Placement, Question, SubmitError},
+    messages::{Answer, CallId, Input, Output, Placement, Question, SentChange, SubmitError},
 };
 
 /// Name of a VM.
--- a/crates/core/src/node/tests/net/mod.rs
+++ b/crates/core/src/node/tests/net/mod.rs
@@ -221,6 +221,7 @@
                 self.seen.check_confirmed(vm, self.version_at(vm), at);
             }
             Output::Fresh { .. }
+            | Output::SentChange(_)
             | Output::Watch(_)
             | Output::Leader { .. }
             | Output::Dial(_)
--- a/crates/core/src/wire/mod.rs
+++ b/crates/core/src/wire/mod.rs
@@ -93,3 +93,30 @@
     #[prost(message, tag = "19")]
     Moved(Moved),
 }
+
+impl Body {
+    /// What kind of message it is, for logs and metrics.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Body::Agreement(_) => "agreement",
+            Body::ReplicaInfo(_) => "replica_info",
+            Body::Poll(_) => "poll",
+            Body::PollReply(_) => "poll_reply",
+            Body::NotLeader(_) => "not_leader",
+            Body::Update(_) => "update",
+            Body::Operation(_) => "operation",
+            Body::OperationReply(_) => "operation_reply",
+            Body::Admit(_) => "admit",
+            Body::Grant(_) => "grant",
+            Body::GiveUp(_) => "give_up",
+            Body::Progress(_) => "progress",
+            Body::Health(_) => "health",
+            Body::Watch(_) => "watch",
+            Body::Report(_) => "report",
+            Body::Directory(_) => "directory",
+            Body::EndpointNews(_) => "endpoint_news",
+            Body::Move(_) => "move",
+            Body::Moved(_) => "moved",
+        }
+    }
+}
--- a/crates/server/src/relay/tests/entry.rs
+++ b/crates/server/src/relay/tests/entry.rs
@@ -135,7 +135,8 @@
     /// Starts an entry without a configuration. Requests wait this long for one.
     pub(super) fn start(recovers_within: Duration) -> Entry {
         let folder = new_folder();
-        let node = NodeHandle::spawn(runtime_options(folder)).unwrap();
+        let metrics = Rc::new(Metrics::new().unwrap());
+        let node = NodeHandle::spawn(runtime_options(folder), metrics.clone()).unwrap();
         let options = RelayOptions {
             max_config_age: LIMIT,
             repeat_ratio: 0.2,
@@ -146,7 +147,6 @@
             recovers_within,
             disabled: Disabled::default(),
         };
-        let metrics = Rc::new(Metrics::new().unwrap());
         let protocol = Box::new(TestProtocol);
         let relay = Relay::new(node.clone(), protocol, HALL.into(), options, metrics);
         let server = edge::bind("127.0.0.1:0".parse().unwrap(), Rc::new(relay)).unwrap();
--- a/crates/server/src/runtime/links.rs
+++ b/crates/server/src/runtime/links.rs
@@ -7,7 +7,7 @@
     cell::{Cell, RefCell},
     collections::{BTreeMap, BTreeSet, HashMap},
     net::{IpAddr, SocketAddr},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use bytes::{Bytes, BytesMut};
@@ -32,6 +32,7 @@
 use super::{
     NodeHandle,
     frames::{self, FrameReader},
+    sight,
 };
 use crate::{telemetry::EventId, upstream::socket};
 
@@ -64,9 +65,15 @@
     }
 }
 
+/// A message that waits to be written.
+struct Waiting {
+    body: Body,
+    since: Instant,
+}
+
 struct Link {
     id: u64,
-    tx: mpsc::Sender<Body>,
+    tx: mpsc::Sender<Waiting>,
 }
 
 /// The links that are up, by VM, and the VMs that are dialed.
@@ -95,7 +102,8 @@
     pub(super) fn send(&self, vm: &VmName, body: Body) {
         let up = self.up.borrow();
         let Some(link) = up.get(vm).and_then(|links| links.last()) else { return };
-        if link.tx.try_send(body).is_err() {
+        let waiting = Waiting { body, since: Instant::now() };
+        if link.tx.try_send(waiting).is_err() {
             log::warn!(
                 event = EventId::LinkFull.number(), peer = &**vm;
                 "a message was dropped: the peer does not take what is sent"
@@ -103,7 +111,7 @@
         }
     }
 
-    fn add(&self, vm: &VmName, tx: mpsc::Sender<Body>) -> (u64, bool) {
+    fn add(&self, vm: &VmName, tx: mpsc::Sender<Waiting>) -> (u64, bool) {
         self.next.set(self.next.get() + 1);
         let id = self.next.get();
         let mut up = self.up.borrow_mut();
@@ -257,7 +265,7 @@
     node.input(Input::LinkUp(vm.clone()));
     let ended = tokio::select! {
         ended = read_all(frames, vm, node) => ended,
-        ended = write_all(write, rx) => ended,
+        ended = write_all(write, rx, vm, node) => ended,
     };
     drop(guard);
     ended
@@ -292,22 +300,30 @@
     Ok(())
 }
 
-async fn write_all(mut write: OwnedWriteHalf, mut rx: mpsc::Receiver<Body>) -> Result<()> {
+async fn write_all(
+    mut write: OwnedWriteHalf,
+    mut rx: mpsc::Receiver<Waiting>,
+    vm: &VmName,
+    node: &NodeHandle,
+) -> Result<()> {
     let mut codec = FrameCodec::default();
     let mut buf = BytesMut::new();
     loop {
-        let body = match timeout(KEEP_ALIVE, rx.recv()).await {
-            Ok(Some(body)) => Some(body),
+        let first = match timeout(KEEP_ALIVE, rx.recv()).await {
+            Ok(Some(waiting)) => Some(waiting),
             Ok(None) => return Ok(()),
             Err(_) => None,
         };
-        codec.encode(&Envelope { body }, &mut buf)?;
+        let began = Instant::now();
+        let waited = first.as_ref().map_or(Duration::ZERO, |first| began - first.since);
+        codec.encode(&Envelope { body: first.map(|first| first.body) }, &mut buf)?;
         // What has queued up meanwhile shares one write.
         while buf.len() < MAX_WRITE {
-            let Ok(body) = rx.try_recv() else { break };
-            codec.encode(&Envelope { body: Some(body) }, &mut buf)?;
+            let Ok(waiting) = rx.try_recv() else { break };
+            codec.encode(&Envelope { body: Some(waiting.body) }, &mut buf)?;
         }
         frames::write_all(&mut write, &buf, SILENCE).await?;
+        sight::written(node.metrics(), vm, buf.len(), waited, began.elapsed());
         buf.clear();
     }
 }
--- a/crates/server/src/runtime/mod.rs
+++ b/crates/server/src/runtime/mod.rs
@@ -5,6 +5,7 @@
 mod frames_tests;
 mod links;
 mod placed;
+mod sight;
 mod view;
 mod writer;
 
@@ -40,7 +41,7 @@
     placed::{MoveOrder, Placed},
     view::View,
 };
-use crate::telemetry::EventId;
+use crate::telemetry::{EventId, Metrics};
 
 /// Longest sleep of the timer, against a lost wake-up.
 const LONGEST_SLEEP: Duration = Duration::from_millis(250);
@@ -72,6 +73,7 @@
     moves: RefCell<HashMap<CallId, mpsc::UnboundedSender<MoveOrder>>>,
     writes: Option<writer::Writes>,
     wake: Notify,
+    metrics: Rc<Metrics>,
 }
 
 /// Speaks to the node; cheap to clone.
@@ -80,7 +82,7 @@
 
 impl NodeHandle {
     /// Starts the node on the current thread's local tasks.
-    pub fn spawn(options: RuntimeOptions) -> Result<NodeHandle> {
+    pub fn spawn(options: RuntimeOptions, metrics: Rc<Metrics>) -> Result<NodeHandle> {
         let start = Instant::now();
         let now = units::Instant(0);
         let mut remembered = Vec::new();
@@ -104,6 +106,7 @@
             moves: RefCell::default(),
             writes,
             wake: Notify::new(),
+            metrics,
         }));
         if let Some(address) = options.listen {
             links::accept(address, handle.clone())
@@ -138,7 +141,10 @@
     pub fn input(&self, input: Input) {
         let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let clocks = Clocks { now: self.now(), wall: UnixMillis(wall.as_millis() as u64) };
+        let kind = input.kind();
+        let began = Instant::now();
         let outputs = self.0.node.borrow_mut().handle(input, clocks);
+        sight::input_decided(&self.0.metrics, kind, began.elapsed(), outputs.len());
         for output in outputs {
             self.carry_out(output);
         }
@@ -246,6 +252,7 @@
                 self.fresh(fresh, confirmed);
                 self.0.view.set_daemons(daemons, entries);
             }
+            Output::SentChange(change) => sight::change_sent(&self.0.metrics, &change),
             // This daemon asks no endpoint for its load; the scheduler keeps its own account.
             Output::Watch(_) => {}
             Output::Leader { vm, term } => log::info!(
@@ -320,7 +327,9 @@
     async fn keep_time(self) {
         loop {
             let next = Duration::from_micros(self.0.node.borrow().next_tick().0);
-            let wait = next.saturating_sub(self.0.start.elapsed()).min(LONGEST_SLEEP);
+            let now = self.0.start.elapsed();
+            let due = next.min(now + LONGEST_SLEEP);
+            let wait = due.saturating_sub(now);
             if wait.is_zero() {
                 self.input(Input::Tick);
                 tokio::time::sleep(Duration::from_millis(1)).await;
@@ -330,6 +339,8 @@
                 () = tokio::time::sleep(wait) => self.input(Input::Tick),
                 () = self.0.wake.notified() => {}
             }
+            let late = self.0.start.elapsed().saturating_sub(due);
+            sight::timer_came(&self.0.metrics, late);
         }
     }
 }
@@ -366,6 +377,10 @@
         &self.0.links
     }
 
+    fn metrics(&self) -> &Metrics {
+        &self.0.metrics
+    }
+
     fn message(&self, vm: &VmName, body: Body) {
         self.input(Input::Message(vm.clone(), body));
     }
--- /dev/null
+++ b/crates/server/src/runtime/sight.rs
@@ -0,0 +1,68 @@
+//! Tells in logs and metrics what holds the daemon's only thread up, and what is large on links.
+
+use std::time::Duration;
+
+use trayswitch_core::node::{SentChange, VmName};
+
+use crate::telemetry::{EventId, Metrics};
+
+/// A thread that stands still for this long is told of: half of the time between two heartbeats
+/// of control replicas, and far over what an input takes on a daemon that is not busy.
+const LONG_HOLD: Duration = Duration::from_millis(50);
+/// A write of this many bytes is told of: it keeps a link of 10 Mbit/s busy for 50 ms.
+const LARGE_WRITE: usize = 64 * 1024;
+
+/// Notes that the node has decided on an input.
+pub(super) fn input_decided(metrics: &Metrics, kind: &str, took: Duration, outputs: usize) {
+    metrics.node_input(kind, took);
+    if LONG_HOLD <= took {
+        log::warn!(
+            event = EventId::ThreadHeldUp.number(), input = kind,
+            took_ms = took.as_millis() as u64, outputs = outputs;
+            "the node took long over an input"
+        );
+    }
+}
+
+/// Notes how late the node's timer came.
+pub(super) fn timer_came(metrics: &Metrics, late: Duration) {
+    metrics.timer_late(late);
+    if LONG_HOLD <= late {
+        log::warn!(
+            event = EventId::ThreadHeldUp.number(), input = "-",
+            took_ms = late.as_millis() as u64;
+            "the timer came late: something held the thread up"
+        );
+    }
+}
+
+/// Notes a change of the configuration that was sent.
+pub(super) fn change_sent(metrics: &Metrics, change: &SentChange) {
+    let how = if change.asked { "asked" } else { "unasked" };
+    metrics.change_sent(how, change.daemons.len(), change.bytes);
+    let only = change.daemons.first().filter(|_| change.daemons.len() == 1);
+    log::info!(
+        event = EventId::ChangeSent.number(), config = change.version, base = change.base,
+        bytes = change.bytes, daemons = change.daemons.len(), how = how,
+        peer = only.map_or("-", |vm| &**vm);
+        "a change of the configuration was sent"
+    );
+}
+
+/// Notes a write to a link; `waited` is how long its oldest message had waited.
+pub(super) fn written(
+    metrics: &Metrics,
+    peer: &VmName,
+    bytes: usize,
+    waited: Duration,
+    took: Duration,
+) {
+    metrics.link_write(took);
+    if LARGE_WRITE <= bytes {
+        log::info!(
+            event = EventId::LargeMessage.number(), peer = &**peer, bytes = bytes,
+            waited_ms = waited.as_millis() as u64, took_ms = took.as_millis() as u64;
+            "a large message was written to a link"
+        );
+    }
+}
--- a/crates/server/src/telemetry/metrics.rs
+++ b/crates/server/src/telemetry/metrics.rs
@@ -21,6 +21,11 @@
     first_event: HistogramVec,
     config_version: IntGauge,
     in_progress: IntGauge,
+    node_input: HistogramVec,
+    timer_late: HistogramVec,
+    changes_sent: IntCounterVec,
+    change_bytes: IntCounterVec,
+    link_write: HistogramVec,
 }
 
 impl Metrics {
@@ -71,6 +76,31 @@
             )?,
             config_version: gauge("trayswitch_config_version", "Configuration in force")?,
             in_progress: gauge("trayswitch_requests_in_progress", "Requests in progress")?,
+            node_input: histogram(
+                "trayswitch_node_input_seconds",
+                "Time in which the node decides on an input, by kind of input",
+                &["input"],
+            )?,
+            timer_late: histogram(
+                "trayswitch_timer_late_seconds",
+                "How late the node's timer came: for so long the daemon's thread was held up",
+                &[],
+            )?,
+            changes_sent: counter(
+                "trayswitch_changes_sent_total",
+                "Changes of the configuration that were sent to a daemon, unasked or as an answer",
+                &["how"],
+            )?,
+            change_bytes: counter(
+                "trayswitch_changes_sent_bytes_total",
+                "Bytes of these changes",
+                &["how"],
+            )?,
+            link_write: histogram(
+                "trayswitch_link_write_seconds",
+                "Time until a peer's socket has taken what was gathered for it",
+                &[],
+            )?,
             registry,
         })
     }
@@ -106,6 +136,27 @@
         self.in_progress.add(change);
     }
 
+    /// Notes how long the node took to decide on an input.
+    pub fn node_input(&self, kind: &str, took: Duration) {
+        self.node_input.with_label_values(&[kind]).observe(took.as_secs_f64());
+    }
+
+    /// Notes how late the node's timer came.
+    pub fn timer_late(&self, late: Duration) {
+        self.timer_late.with_label_values::<&str>(&[]).observe(late.as_secs_f64());
+    }
+
+    /// Counts a change of the configuration that was sent to so many daemons.
+    pub fn change_sent(&self, how: &str, daemons: usize, bytes: usize) {
+        self.changes_sent.with_label_values(&[how]).inc_by(daemons as u64);
+        self.change_bytes.with_label_values(&[how]).inc_by((daemons * bytes) as u64);
+    }
+
+    /// Notes how long a write to a link took.
+    pub fn link_write(&self, took: Duration) {
+        self.link_write.with_label_values::<&str>(&[]).observe(took.as_secs_f64());
+    }
+
     /// All metrics as text.
     pub fn text(&self) -> Result<String> {
         Ok(TextEncoder::new().encode_to_string(&self.registry.gather())?)
--- a/crates/server/src/telemetry/tests.rs
+++ b/crates/server/src/telemetry/tests.rs
@@ -55,6 +55,10 @@
     metrics.attempt("s", "e");
     metrics.moved("e");
     metrics.first_event("k", Duration::ZERO);
+    metrics.node_input("i", Duration::ZERO);
+    metrics.timer_late(Duration::ZERO);
+    metrics.change_sent("h", 1, 1);
+    metrics.link_write(Duration::ZERO);
 
     let text = metrics.text().unwrap();
 
--- a/crates/trayswitchd/src/node/actor.rs
+++ b/crates/trayswitchd/src/node/actor.rs
@@ -135,6 +135,7 @@
             | Output::Dial(_)
             | Output::Registered(_)
             | Output::Remember(_)
+            | Output::SentChange(_)
             | Output::Move { .. } => {}
         }
     }
