--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -44,9 +44,10 @@
     LeaderChanged = 212, "Another control VM leads, or none is known.";
     StorageFull = 213, "The disk of the data folder is full, or has room again.";
     EndpointsRecalled = 214, "Endpoints are known from before the daemon's start.";
-    ChangeSent = 215, "The leader has sent a change of the configuration to daemons.";
+    ChangeSent = 215, "A change of the configuration was told to all daemons, or sent to one.";
     ThreadHeldUp = 216, "The daemon's thread was held up: links, timers and requests stood still.";
     LargeMessage = 217, "A large message has been written to a link.";
+    ConfigUnusable = 218, "An accepted configuration cannot come into force on this daemon.";
     EndpointFailed = 301, "An endpoint failed to serve a request.";
     EndpointLeaving = 302, "An endpoint said that it is leaving.";
     StreamResumed = 303, "A stream was resumed at its endpoint.";
--- /dev/null
+++ b/crates/core/src/node/changes_tests.rs
@@ -0,0 +1,237 @@
+//! Tests of changes in pieces, from a control VM to a daemon that fetches them.
+
+use std::{collections::BTreeSet, time::Duration};
+
+use bytes::Bytes;
+use googletest::prelude::*;
+use proptest::prelude::*;
+
+use super::{
+    Outbox, Output, VmName,
+    changes::{Changes, PIECE_BYTES},
+    fetching::{Fetching, Taken},
+};
+use crate::{
+    agreement::Entry,
+    config::{Document, Section},
+    state::{AcceptedChange, Applied, Command, ConfigChange, State, command},
+    testing::{Choices, fixed_seed},
+    units::Instant,
+    wire::{Body, Fetch, Piece},
+};
+
+const NOW: Instant = Instant(1_000_000);
+
+/// A control VM that has accepted some versions.
+#[derive(Default)]
+struct Source {
+    state: State,
+    changes: Changes,
+}
+
+impl Source {
+    /// Accepts a version whose sections `0..count` have this many bytes each.
+    fn accept(&mut self, version: u64, count: usize, bytes: usize) {
+        let mut document = Document::default();
+        for n in 0..count {
+            let text = format!("{version:0bytes$}");
+            let keys = Section::from([("source".to_owned(), text)]);
+            document.insert(&format!("kind k-{n}"), keys);
+        }
+        let (base, before) = (self.state.version(), self.state.document());
+        let change = ConfigChange::new(version, base, before, &document);
+        let size = change.delta.len();
+        let payload = Some(Command::payload(command::Kind::Config(change)));
+        let entry = Entry { term: 1, index: version, at_ms: 1, payload };
+        let Applied::Accepted(change) = self.state.apply(&entry) else { panic!("not accepted") };
+        self.changes.push(*change, size);
+    }
+
+    fn answer(&mut self, fetch: &Fetch) -> Option<Vec<Piece>> {
+        self.changes.answer(fetch, &self.state, NOW)
+    }
+
+    /// All pieces for a daemon at this version.
+    fn all(&mut self, after: u64) -> Vec<Piece> {
+        self.answer(&Fetch { after, count: u64::MAX, ..Fetch::default() }).unwrap()
+    }
+}
+
+/// What a daemon has asked for since the last call.
+fn asked(out: &mut Outbox) -> Vec<(VmName, Fetch)> {
+    let fetch = |output| match output {
+        Output::Send(to, Body::Fetch(fetch)) => Some((to, fetch)),
+        _ => None,
+    };
+    std::mem::take(&mut out.outputs).into_iter().filter_map(fetch).collect()
+}
+
+/// Feeds a fetch from sources until the change is whole. Of what a source answers some is lost
+/// while another is asked, and some comes twice.
+fn fetch_all(sources: &mut [Source], in_force: u64, seed: u64) -> AcceptedChange {
+    let mut choices = Choices::new(seed);
+    let names: Vec<VmName> = (0..sources.len()).map(|n| format!("{n}").into()).collect();
+    let mut out = Outbox::default();
+    let mut fetching = Fetching::begin(names[0].clone(), in_force, NOW, &mut out);
+    for _ in 0..10_000 {
+        let mut asked = asked(&mut out);
+        if asked.is_empty() || choices.below(8) == 0 {
+            let other = choices.below(names.len() as u64) as usize;
+            fetching.go_on(names[other].clone(), NOW, &mut out);
+            // What was asked before is lost on the way, or comes late.
+            if choices.below(2) == 0 {
+                asked.clear();
+            }
+        }
+        for (to, fetch) in asked {
+            let source = &mut sources[to.parse::<usize>().unwrap()];
+            for piece in source.answer(&fetch).unwrap_or_default() {
+                if let Taken::Whole(change) = fetching.take(piece, NOW, &mut out) {
+                    return change;
+                }
+            }
+        }
+    }
+    panic!("the change never became whole");
+}
+
+#[gtest]
+fn a_large_change_is_cut_at_sections_into_small_pieces() {
+    let mut source = Source::default();
+    source.accept(1, 1, 10);
+    source.accept(2, 400, 1_000);
+
+    let pieces = source.all(1);
+
+    expect_that!(pieces.len(), ge(400 * 1_000 / PIECE_BYTES));
+    for piece in &pieces {
+        expect_that!(piece.delta.len(), lt(PIECE_BYTES + 1_100));
+    }
+    let last: Vec<bool> = pieces.iter().map(|piece| piece.last).collect();
+    expect_that!(last.iter().filter(|last| **last).count(), eq(1));
+    expect_that!(last.last(), some(eq(&true)));
+}
+
+#[gtest]
+fn a_piece_is_made_once_for_all_daemons() {
+    let mut source = Source::default();
+    source.accept(1, 1, 10);
+    source.accept(2, 100, 1_000);
+
+    let (first, second) = (source.all(1), source.all(1));
+
+    let places = |pieces: &[Piece]| -> Vec<*const u8> {
+        pieces.iter().map(|piece| piece.delta.as_ptr()).collect()
+    };
+    expect_that!(places(&first), eq(&places(&second)));
+}
+
+#[gtest]
+fn a_daemon_with_the_newest_version_is_answered_once_there_is_a_newer_one() {
+    let mut source = Source::default();
+    source.accept(1, 1, 10);
+    let fetch = Fetch { after: 1, count: 3, ..Fetch::default() };
+
+    let before = source.answer(&fetch);
+    source.accept(2, 2, 10);
+    let after = source.answer(&fetch);
+
+    expect_that!(before, none());
+    expect_that!(after.unwrap()[0].version, eq(2));
+}
+
+#[gtest]
+fn a_daemon_that_lacks_more_than_is_kept_gets_the_whole_document() {
+    let mut source = Source::default();
+    // Each is a change of a megabyte.
+    for version in 1..10 {
+        source.accept(version, 20, 50_000);
+    }
+
+    let behind = source.all(1);
+    let nearly = source.all(8);
+
+    expect_that!((behind[0].base, behind[0].version), eq((0, 9)));
+    expect_that!((nearly[0].base, nearly[0].version), eq((8, 9)));
+}
+
+#[gtest]
+fn a_daemon_that_began_with_a_whole_document_gets_the_rest_of_that_one() {
+    let mut source = Source::default();
+    source.accept(1, 100, 1_000);
+    let first = source.answer(&Fetch { count: 1, ..Fetch::default() }).unwrap().remove(0);
+    source.accept(2, 200, 1_000);
+
+    let rest = Fetch { version: first.version, base: 0, first: 1, count: 1, after: 0 };
+    let second = source.answer(&rest).unwrap().remove(0);
+
+    expect_that!((second.version, second.number), eq((1, 1)));
+}
+
+#[gtest]
+fn a_change_of_another_source_begins_anew() {
+    let mut out = Outbox::default();
+    let mut fetching = Fetching::begin("a".into(), 1, NOW, &mut out);
+    let piece = |version, number, last| Piece {
+        version,
+        base: 0,
+        number,
+        last,
+        delta: Bytes::new(),
+        ..Piece::default()
+    };
+    fetching.take(piece(2, 0, false), NOW, &mut out);
+
+    let crossed = fetching.take(piece(3, 1, true), NOW, &mut out);
+    let anew = fetching.take(piece(3, 0, false), NOW, &mut out);
+    let whole = fetching.take(piece(3, 1, true), NOW, &mut out);
+
+    expect_that!((crossed, anew), eq(&(Taken::Part, Taken::Part)));
+    let Taken::Whole(change) = whole else { panic!("{whole:?}") };
+    expect_that!(change.version, eq(3));
+}
+
+#[gtest]
+fn a_silent_source_is_given_up() {
+    let mut out = Outbox::default();
+    let fetching = Fetching::begin("a".into(), 1, NOW, &mut out);
+
+    expect_that!(fetching.is_stuck(NOW.after(Duration::from_millis(900))), eq(false));
+    expect_that!(fetching.is_stuck(NOW.after(Duration::from_millis(1_000))), eq(true));
+}
+
+proptest! {
+    #![proptest_config(fixed_seed(200))]
+
+    #[test]
+    fn a_fetch_ends_with_the_change_whatever_is_lost_and_whoever_answers(
+        seed in any::<u64>(),
+        before in 0usize..40,
+        after in 1usize..40,
+        bytes in 1usize..9_000,
+        starts_anew in any::<bool>(),
+    ) {
+        let mut sources = [Source::default(), Source::default(), Source::default()];
+        for source in &mut sources {
+            source.accept(1, before, bytes);
+            source.accept(2, after, bytes);
+        }
+        // One has lost what it kept of earlier changes and has only the document.
+        sources[1].changes = Changes::default();
+
+        let in_force = if starts_anew { 0 } else { 1 };
+        let change = fetch_all(&mut sources, in_force, seed);
+
+        let mut document = Document::default();
+        if change.base == 1 {
+            let names: BTreeSet<String> = (0..before).map(|n| format!("kind k-{n}")).collect();
+            for name in names {
+                let text = format!("{:0bytes$}", 1);
+                document.insert(&name, Section::from([("source".to_owned(), text)]));
+            }
+        }
+        document.apply(&change.delta);
+        prop_assert_eq!(document.content_hash(), sources[0].state.hash());
+        prop_assert_eq!(change.hash, sources[0].state.hash());
+    }
+}
--- a/crates/core/src/node/control/answers.rs
+++ b/crates/core/src/node/control/answers.rs
@@ -11,7 +11,7 @@
     state::{Command, ConfigChange, ConfigResult, command},
     units::Instant,
     wire::{
-        AcceptedVersion, Body, ClaimReply, ClaimStatus, NotLeader, Operation, OperationKind,
+        AcceptedVersion, Body, ClaimReply, ClaimStatus, Fetch, NotLeader, Operation, OperationKind,
         OperationReply, OperationResult, Poll, PollReply, Submit,
     },
 };
@@ -37,18 +37,11 @@
 
     pub(super) fn answer_poll(&mut self, read: ConfirmedRead, now: Instant, out: &mut Outbox) {
         let Some((vm, poll)) = self.polls.remove(&read.token) else { return };
-        let version = self.state.version();
-        let update =
-            (poll.version < version).then(|| self.updates.since(poll.version, &self.state));
-        if let Some(update) = &update {
-            out.push(Output::SentChange(SentChange::new(update, vec![vm.clone()], true)));
-        }
         let entries = self.entries(now);
         let reply = PollReply {
             nonce: poll.nonce,
-            version,
+            version: self.state.version(),
             hash: Bytes::copy_from_slice(&self.state.hash().0),
-            update,
             term: self.replica.term(),
             daemons: self.live_daemons(now).len() as u64,
             taking: entries.taking,
@@ -57,6 +50,26 @@
         out.send(&vm, Body::PollReply(reply));
     }
 
+    /// Sends the pieces that a daemon asks for. What is not accepted here yet is sent once it is:
+    /// a replica that follows learns of it a moment after the leader.
+    pub(super) fn fetch(&mut self, from: &VmName, fetch: Fetch, now: Instant, out: &mut Outbox) {
+        let Some(pieces) = self.changes.answer(&fetch, &self.state, now) else {
+            self.fetches.insert(from.clone(), fetch);
+            return;
+        };
+        for piece in pieces {
+            out.push(Output::SentChange(SentChange::piece(&piece, from)));
+            out.send(from, Body::Piece(piece));
+        }
+    }
+
+    /// Answers those that waited for what has been accepted now.
+    pub(super) fn answer_fetches(&mut self, now: Instant, out: &mut Outbox) {
+        for (vm, fetch) in std::mem::take(&mut self.fetches) {
+            self.fetch(&vm, fetch, now, out);
+        }
+    }
+
     pub(super) fn operation(
         &mut self,
         from: &VmName,
--- a/crates/core/src/node/control/mod.rs
+++ b/crates/core/src/node/control/mod.rs
@@ -11,20 +11,19 @@
 
 use super::{
     ByVm, Clocks, NodeOptions, Outbox, VmName,
+    changes::Changes,
     dispatcher::Dispatcher,
     engines::Engines,
     keeper::Entries,
     members::{self, Peer},
-    updates::Updates,
 };
 use crate::{
     agreement::{Outgoing, Payload, Persist, Replica, ReplicaId, Restored, Role, Synced},
-    config::Config,
     mechanism::Disabled,
     placement::Scheduler,
     state::State,
     units::Instant,
-    wire::{Body, Poll, ReplicaInfo, Submit},
+    wire::{Body, Fetch, Poll, ReplicaInfo, Submit},
 };
 
 pub use self::status::{ControlStatus, DaemonStatus, ReplicaStatus};
@@ -82,8 +81,6 @@
     max_voters: usize,
     replica: Replica,
     state: State,
-    /// Only the leader needs it.
-    config: Option<Config>,
     peers: ByVm<Peer>,
     writing: Option<Batch>,
     queued: Option<Batch>,
@@ -93,10 +90,12 @@
     polls: BTreeMap<u64, (VmName, Poll)>,
     next_read: u64,
     daemons: ByVm<Daemon>,
-    updates: Updates,
+    changes: Changes,
+    /// What daemons have asked for that is not accepted here yet.
+    fetches: ByVm<Fetch>,
     dispatcher: Option<Dispatcher>,
     disabled: Disabled,
-    /// Engines that registered themselves.
+    /// The engines that the scheduler may use.
     engines: Engines,
     election: Duration,
     log_bytes: usize,
@@ -118,7 +117,6 @@
             max_voters: options.max_voters,
             replica: Replica::new(id, timing, options.seed, restored, now),
             state: State::default(),
-            config: None,
             peers: ByVm::new(),
             writing: None,
             queued: None,
@@ -128,7 +126,8 @@
             polls: BTreeMap::new(),
             next_read: 0,
             daemons: ByVm::new(),
-            updates: Updates::default(),
+            changes: Changes::default(),
+            fetches: ByVm::new(),
             dispatcher: None,
             disabled: options.disabled,
             engines: Engines::default(),
@@ -143,6 +142,11 @@
         self.dispatcher.is_some()
     }
 
+    /// What is accepted, as far as this replica knows.
+    pub(crate) fn state(&self) -> &State {
+        &self.state
+    }
+
     pub(crate) fn dispatcher(&self) -> Option<&Scheduler> {
         self.dispatcher.as_ref().map(Dispatcher::scheduler)
     }
@@ -160,6 +164,7 @@
 
     pub(crate) fn link_down(&mut self, vm: &VmName, clocks: Clocks, out: &mut Outbox) {
         self.peers.remove(vm);
+        self.fetches.remove(vm);
         if let Some(dispatcher) = &mut self.dispatcher {
             dispatcher.forget(vm, clocks.now, out);
         }
@@ -206,6 +211,7 @@
                 self.pump(clocks, out);
             }
             Body::Poll(poll) => self.poll(from, poll, clocks, out),
+            Body::Fetch(fetch) => self.fetch(from, fetch, clocks.now, out),
             Body::Operation(operation) => self.operation(from, operation, clocks, out),
             Body::Admit(admit) => match &mut self.dispatcher {
                 Some(dispatcher) => dispatcher.admit(from, admit, clocks.now, out),
@@ -256,7 +262,7 @@
         }
     }
 
-    /// Takes the engines that registered themselves.
+    /// Takes the engines that the scheduler may use.
     pub(crate) fn set_engines(&mut self, engines: Engines, now: Instant, out: &mut Outbox) {
         self.engines = engines;
         self.configure_dispatcher();
@@ -266,9 +272,8 @@
     }
 
     fn configure_dispatcher(&mut self) {
-        let listed = self.config.as_ref().map(|config| &config.endpoints);
         if let Some(dispatcher) = &mut self.dispatcher {
-            dispatcher.configure(&self.engines.with(listed), &self.engines.closed);
+            dispatcher.configure(&self.engines.all(), &self.engines.closed);
         }
     }
 
--- a/crates/core/src/node/control/ready.rs
+++ b/crates/core/src/node/control/ready.rs
@@ -1,16 +1,17 @@
 //! Carries out what the replica hands out: messages, writes, committed entries, reads.
 
+use bytes::Bytes;
+
 use super::{
     Batch, Control, Proposed,
     answers::{claim_reply, reply},
 };
 use crate::{
     agreement::{Entry, Outgoing, Payload, Persist, Ready, Snapshot, Synced},
-    config::Config,
-    node::{Clocks, Outbox, Output, SentChange, VmName, dispatcher::Dispatcher, keeper::ACCEPTED},
-    state::{Applied, Command, ConfigChange, ConfigResult, EncodedDelta, State, command},
+    node::{Clocks, Outbox, Output, SentChange, dispatcher::Dispatcher},
+    state::{AcceptedChange, Applied, ConfigResult, State},
     units::Instant,
-    wire::{Body, Done, OperationResult},
+    wire::{Body, Done, OperationResult, Update},
 };
 
 /// The log is compacted when its entries take this many bytes more than the snapshot.
@@ -39,7 +40,7 @@
         self.send_all(ready.messages, out);
         self.queue(ready.persist, ready.messages_after_persist, ready.synced);
         if let Some(snapshot) = ready.install {
-            self.install(&snapshot);
+            self.install(&snapshot, clocks.now, out);
         }
         for entry in ready.committed {
             self.apply(entry, clocks, out);
@@ -94,23 +95,28 @@
         }
     }
 
-    fn install(&mut self, snapshot: &Snapshot) {
+    fn install(&mut self, snapshot: &Snapshot, now: Instant, out: &mut Outbox) {
         self.snapshot_bytes = snapshot.data.len();
         self.log_bytes = 0;
         // A snapshot that passed its checksum and cannot be read was written by a newer release.
         let state = State::decode(snapshot.data.clone());
         self.state = state.expect("a snapshot of a newer release: update this daemon");
+        self.answer_fetches(now, out);
     }
 
     fn apply(&mut self, entry: Entry, clocks: Clocks, out: &mut Outbox) {
-        self.log_bytes += match &entry.payload {
+        let bytes = match &entry.payload {
             Some(Payload::Command(bytes)) => bytes.len() + 32,
             _ => 64,
         };
-        let applied = self.state.apply(&entry);
-        if applied == Applied::Config(ConfigResult::Accepted) {
-            self.accepted(&entry, out);
-        }
+        self.log_bytes += bytes;
+        let applied = match self.state.apply(&entry) {
+            Applied::Accepted(change) => {
+                self.accepted(*change, bytes, clocks.now, out);
+                Applied::Config(ConfigResult::Accepted)
+            }
+            applied => applied,
+        };
         let proposed = self.proposed.remove(&entry.index);
         let Some(Proposed { term, asker, submit }) = proposed else { return };
         if term != entry.term {
@@ -125,39 +131,23 @@
         self.next_submission(clocks, out);
     }
 
-    /// An accepted configuration goes to every daemon at once.
-    fn accepted(&mut self, entry: &Entry, out: &mut Outbox) {
-        let Some(Payload::Command(bytes)) = &entry.payload else { return };
-        let command = <Command as prost::Message>::decode(bytes.clone());
-        let Ok(Command { kind: Some(command::Kind::Config(change)) }) = command else { return };
-        self.updates.push(change.clone());
-        if !self.leads() {
-            return;
-        }
-        self.update_config(&change);
-        let behind = self.daemons.iter().filter(|(_, d)| d.version == change.base);
-        let behind: Vec<VmName> = behind.map(|(vm, _)| vm.clone()).collect();
-        for vm in &behind {
-            out.send(vm, Body::Update(change.clone()));
-        }
-        out.push(Output::SentChange(SentChange::new(&change, behind, false)));
-    }
-
-    /// Brings an accepted configuration into the scheduler.
-    fn update_config(&mut self, change: &ConfigChange) {
-        let delta = EncodedDelta::read(change.delta.clone()).unwrap_or_default();
-        let document = self.state.document();
-        let config = match &self.config {
-            Some(config) => config.updated(ACCEPTED, document, &delta),
-            None => Config::check(ACCEPTED, document),
-        };
-        let Ok(config) = config else { return };
-        let endpoints_changed =
-            self.config.as_ref().is_none_or(|old| old.endpoints != config.endpoints);
-        self.config = Some(config);
-        if endpoints_changed {
-            self.configure_dispatcher();
+    /// The leader tells every daemon of an accepted configuration at once, and what it changes if
+    /// that is small. Daemons fetch what is large, each from a control VM of its own choice and as
+    /// fast as it can: sent to all at once by the leader, 645 kB for 63 daemons stood before its
+    /// heartbeats and their grants for half a second and more.
+    fn accepted(&mut self, change: AcceptedChange, bytes: usize, now: Instant, out: &mut Outbox) {
+        let AcceptedChange { version, base, hash, .. } = change;
+        self.changes.push(change, bytes);
+        if self.leads() {
+            let hash = Bytes::copy_from_slice(&hash.0);
+            let delta = self.changes.latest_if_small();
+            let update = Update { version, base, hash, delta };
+            for vm in self.daemons.keys() {
+                out.send(vm, Body::Update(update.clone()));
+            }
+            out.push(Output::SentChange(SentChange::unasked(&update, self.daemons.len())));
         }
+        self.answer_fetches(now, out);
     }
 
     fn judge_leadership(&mut self, now: Instant, out: &mut Outbox) {
@@ -166,13 +156,11 @@
             return;
         }
         if leads {
-            self.config = Config::check(ACCEPTED, self.state.document()).ok();
             self.dispatcher = Some(Dispatcher::new(self.disabled, now));
             self.configure_dispatcher();
             return;
         }
         self.dispatcher = None;
-        self.config = None;
         self.daemons.clear();
         let proposed = std::mem::take(&mut self.proposed);
         let submissions = std::mem::take(&mut self.submissions);
--- a/crates/core/src/node/endpoints.rs
+++ b/crates/core/src/node/endpoints.rs
@@ -159,7 +159,7 @@
     pub(super) fn hand_out_endpoints(&mut self, now: Instant) {
         let Some(in_force) = self.keeper.in_force() else { return };
         let engines = Engines::new(&self.registry, &in_force.config);
-        self.placing.configure(&in_force.config, &engines);
+        self.placing.configure(&engines);
         if let Some(control) = &mut self.control {
             control.set_engines(engines, now, &mut self.outputs);
         }
--- a/crates/core/src/node/engines.rs
+++ b/crates/core/src/node/engines.rs
@@ -1,4 +1,4 @@
-//! The engines that registered themselves, as schedulers take them.
+//! The engines that schedulers may use.
 
 use std::{collections::BTreeSet, sync::Arc};
 
@@ -7,29 +7,29 @@
     registry::Registry,
 };
 
-/// Engines that registered themselves.
+/// The engines that schedulers may use.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub(crate) struct Engines {
-    /// All that are known, by name.
+    /// Those that registered themselves, by name.
     pub(crate) known: Endpoints,
-    /// Those that must get no new work.
+    /// Those of them that must get no new work.
     pub(crate) closed: BTreeSet<Arc<str>>,
+    /// Those that the configuration lists.
+    listed: Endpoints,
 }
 
 impl Engines {
-    /// The engines of a registry, on the terms of a configuration.
+    /// The engines of a registry on the terms of a configuration, and those that it lists.
     pub(crate) fn new(registry: &Registry, config: &Config) -> Engines {
         let known = registry.engines(config);
         let closed = registry.closed().filter(|id| known.contains_key(&***id)).cloned().collect();
-        Engines { known, closed }
+        Engines { known, closed, listed: config.endpoints.clone() }
     }
 
-    /// Together with the endpoints that a configuration lists.
-    pub(crate) fn with(&self, listed: Option<&Endpoints>) -> Endpoints {
+    /// All of them.
+    pub(crate) fn all(&self) -> Endpoints {
         let mut all = self.known.clone();
-        if let Some(listed) = listed {
-            all.extend(listed.iter().map(|(name, spec)| (name.clone(), spec.clone())));
-        }
+        all.extend(self.listed.iter().map(|(name, spec)| (name.clone(), spec.clone())));
         all
     }
 }
--- /dev/null
+++ b/crates/core/src/node/fetching.rs
@@ -0,0 +1,110 @@
+//! Fetching a change of the configuration from a control VM, piece by piece.
+//!
+//! The daemon asks for a few pieces ahead and for one more with each that comes. So a change goes
+//! to each daemon once, as fast as that daemon takes it, and a control VM keeps nothing for it.
+
+use std::time::Duration;
+
+use super::{Outbox, VmName};
+use crate::{
+    config::{ContentHash, Delta},
+    state::{AcceptedChange, EncodedDelta},
+    units::Instant,
+    wire::{Body, Fetch, Piece},
+};
+
+/// Pieces that are asked for ahead. Two keep a link of 10 Mbit/s busy over a round trip of 3 ms; a
+/// third covers a thread that is busy otherwise. What is under way keeps such a link busy for 40 ms.
+const AHEAD: u64 = 3;
+/// Without a piece for this long, another control VM is asked: many times what one takes.
+const PATIENCE: Duration = Duration::from_secs(1);
+
+/// A change that is being fetched.
+#[derive(Debug)]
+pub(super) struct Fetching {
+    from: VmName,
+    /// The version that it is to go on from; zero for a whole document.
+    base: u64,
+    /// The change that the pieces belong to; its delta holds those that have come.
+    change: AcceptedChange,
+    /// Number of the piece that is expected.
+    next: u64,
+    heard: Instant,
+}
+
+/// What came of a piece.
+#[derive(Debug, PartialEq, Eq)]
+pub(super) enum Taken {
+    /// More are to come.
+    Part,
+    /// The change is whole.
+    Whole(AcceptedChange),
+    /// It cannot be read.
+    Broken,
+}
+
+impl Fetching {
+    /// Begins to fetch what follows a version, or a whole document if that is zero.
+    pub(super) fn begin(from: VmName, base: u64, now: Instant, out: &mut Outbox) -> Fetching {
+        let mut fetching = Fetching { from, base, change: nothing(), next: 0, heard: now };
+        fetching.ask(0, AHEAD, out);
+        fetching
+    }
+
+    /// The control VM that is asked.
+    pub(super) fn from(&self) -> &VmName {
+        &self.from
+    }
+
+    /// The version that the change is to go on from.
+    pub(super) fn base(&self) -> u64 {
+        self.base
+    }
+
+    /// Whether the control VM has been silent for too long.
+    pub(super) fn is_stuck(&self, now: Instant) -> bool {
+        PATIENCE <= now.since(self.heard)
+    }
+
+    /// Goes on at another control VM, from the piece that is expected.
+    pub(super) fn go_on(&mut self, from: VmName, now: Instant, out: &mut Outbox) {
+        self.from = from;
+        self.heard = now;
+        self.ask(self.next, AHEAD, out);
+    }
+
+    /// Takes a piece.
+    pub(super) fn take(&mut self, piece: Piece, now: Instant, out: &mut Outbox) -> Taken {
+        let known = piece.version == self.change.version && piece.base == self.change.base;
+        if !known && piece.number == 0 {
+            self.change = nothing();
+            self.change.version = piece.version;
+            self.change.base = piece.base;
+            self.change.hash = ContentHash::from_slice(&piece.hash).unwrap_or_default();
+            self.next = 0;
+        } else if !known || piece.number != self.next {
+            // Asked of a control VM before, or come twice.
+            return Taken::Part;
+        }
+        self.heard = now;
+        let Ok(delta) = EncodedDelta::read(piece.delta) else { return Taken::Broken };
+        self.change.delta.changed.extend(delta.changed);
+        self.change.delta.removed.extend(delta.removed);
+        self.next += 1;
+        if piece.last {
+            return Taken::Whole(std::mem::replace(&mut self.change, nothing()));
+        }
+        self.ask(self.next + AHEAD - 1, 1, out);
+        Taken::Part
+    }
+
+    fn ask(&mut self, first: u64, count: u64, out: &mut Outbox) {
+        let AcceptedChange { version, base, .. } = self.change;
+        let fetch = Fetch { after: self.base, version, base, first, count };
+        out.send(&self.from, Body::Fetch(fetch));
+    }
+}
+
+fn nothing() -> AcceptedChange {
+    AcceptedChange { version: 0, base: 0, hash: ContentHash::default(), delta: Delta::default() }
+}
--- a/crates/core/src/node/keeper.rs
+++ b/crates/core/src/node/keeper.rs
@@ -3,40 +3,28 @@
 //! The daemon polls the leader. The leader answers only after a quorum has
 //! confirmed that it still leads, so an answer was true at some moment after the
 //! poll was sent, by no clock but the daemon's own. A daemon without a
-//! configuration takes its first one only from such an answer, so a restart
-//! cannot bring an older one back.
+//! configuration takes none that is older than what such an answer told it first,
+//! so a restart cannot bring an older one back. What a version holds is fetched from
+//! any control VM, and known by its hash.
 
 use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 
-use super::{Answer, CallId, NodeOptions, NodeTiming, Outbox, Output, VersionHash, VmName};
+use super::{
+    Answer, CallId, NodeOptions, NodeTiming, Outbox, Output, VersionHash, VmName,
+    holder::{Holder, InForce, Sources},
+};
 use crate::{
-    config::{Config, ContentHash, Document},
-    state::{ConfigChange, EncodedDelta},
+    config::ContentHash,
+    state::State,
     units::Instant,
-    wire::{Body, Poll, PollReply},
+    wire::{Body, Piece, Poll, PollReply, Update},
 };
 
 /// A poll that is not answered in this many intervals goes to another replica.
 const PATIENCE: u32 = 2;
 
-/// Stands for a file's name where an accepted configuration is checked again.
-pub(crate) const ACCEPTED: &str = "accepted configuration";
-
-/// A configuration in force.
-#[derive(Debug)]
-pub struct InForce {
-    /// Its version.
-    pub version: u64,
-    /// Hash of its document.
-    pub hash: ContentHash,
-    /// The document.
-    pub document: Document,
-    /// The checked configuration.
-    pub config: Config,
-}
-
 /// The scheduler that this daemon's requests go to.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct SchedulerAt {
@@ -65,6 +53,13 @@
     at: Instant,
 }
 
+/// What the leader has answered last, and when it was asked.
+#[derive(Debug, Clone, Copy)]
+struct Vouched {
+    current: VersionHash,
+    asked: Instant,
+}
+
 /// A question that waits for a confirmation of a time after it came.
 #[derive(Debug, Clone, Copy)]
 struct PendingRead {
@@ -80,8 +75,9 @@
     /// Questions for the newest configuration.
     reads: Vec<PendingRead>,
     timing: NodeTiming,
-    in_force: Option<Arc<InForce>>,
+    holder: Holder,
     changed: bool,
+    vouched: Option<Vouched>,
     links: BTreeSet<VmName>,
     leader: Option<SchedulerAt>,
     leader_changed: bool,
@@ -108,8 +104,9 @@
             replicas: options.seeds.clone(),
             reads: Vec::new(),
             timing: options.timing,
-            in_force: None,
+            holder: Holder::new(now),
             changed: false,
+            vouched: None,
             links: BTreeSet::new(),
             leader: None,
             leader_changed: false,
@@ -128,7 +125,7 @@
     }
 
     pub(crate) fn in_force(&self) -> Option<&Arc<InForce>> {
-        self.in_force.as_ref()
+        self.holder.in_force()
     }
 
     pub(crate) fn is_fresh(&self) -> bool {
@@ -137,7 +134,7 @@
 
     /// The configuration, if it changed since the last call.
     pub(crate) fn take_changed(&mut self) -> Option<Arc<InForce>> {
-        std::mem::take(&mut self.changed).then(|| self.in_force.clone()).flatten()
+        std::mem::take(&mut self.changed).then(|| self.in_force().cloned()).flatten()
     }
 
     /// The leader, if it changed since the last call.
@@ -161,6 +158,11 @@
         self.next_poll
     }
 
+    /// From now on what is accepted comes from this VM's own control replica.
+    pub(crate) fn rely_on_own_replica(&mut self) {
+        self.holder.rely_on_own_replica();
+    }
+
     /// Takes the control VMs that are known now.
     pub(crate) fn set_replicas(&mut self, replicas: &[VmName]) {
         if self.replicas != replicas {
@@ -180,7 +182,7 @@
 
     fn answer_reads(&mut self, now: Instant, out: &mut Outbox) {
         let confirmed = self.confirmed;
-        let in_force = self.in_force.clone();
+        let in_force = self.in_force().cloned();
         self.reads.retain(|read| {
             if confirmed.is_some_and(|at| read.asked <= at) {
                 out.answer(read.call, Answer::Newest(in_force.clone()));
@@ -199,10 +201,21 @@
         if self.leader.is_none() && self.replicas.contains(vm) {
             self.poll(vm.clone(), now, out);
         }
+        self.holder.fetch_if_missing(
+            &Sources { vm: &self.vm, replicas: &self.replicas, links: &self.links },
+            now,
+            out,
+        );
     }
 
-    pub(crate) fn link_down(&mut self, vm: &VmName) {
+    pub(crate) fn link_down(&mut self, vm: &VmName, now: Instant, out: &mut Outbox) {
         self.links.remove(vm);
+        self.holder.source_lost(
+            vm,
+            &Sources { vm: &self.vm, replicas: &self.replicas, links: &self.links },
+            now,
+            out,
+        );
         if self.leader().is_some_and(|leader| leader == vm) {
             self.set_leader(None);
         }
@@ -211,6 +224,11 @@
     pub(crate) fn tick(&mut self, now: Instant, out: &mut Outbox) {
         self.judge_freshness(now, out);
         self.answer_reads(now, out);
+        self.holder.tick(
+            &Sources { vm: &self.vm, replicas: &self.replicas, links: &self.links },
+            now,
+            out,
+        );
         if now < self.next_poll {
             return;
         }
@@ -255,75 +273,70 @@
             entries: Entries { taking: reply.taking, stopping: reply.stopping },
         };
         self.set_leader(Some(leader));
-        if let Some(update) = reply.update
-            && self.apply(update)
-        {
-            // Tells the leader at once what is in force here.
-            self.poll(from.clone(), now, out);
-        }
         let hash = ContentHash::from_slice(&reply.hash).unwrap_or_default();
         let current = VersionHash { version: reply.version, hash };
-        if self.version_hash() == current && 0 < current.version {
-            self.confirmed = Some(self.confirmed.map_or(sent, |at| at.max(sent)));
-        }
-        self.answer_reads(now, out);
-        self.judge_freshness(now, out);
+        self.vouched = Some(Vouched { current, asked: sent });
+        self.holder.confirmed_current(current.version);
+        self.holder.fetch_if_missing(
+            &Sources { vm: &self.vm, replicas: &self.replicas, links: &self.links },
+            now,
+            out,
+        );
+        self.confirm(now, out);
     }
 
-    /// Takes a configuration that the leader sent unasked. It only ever goes on from the one
-    /// in force, so it cannot be older.
-    pub(crate) fn update(
-        &mut self,
-        from: &VmName,
-        update: ConfigChange,
-        now: Instant,
-        out: &mut Outbox,
-    ) {
-        let current = self.version_hash().version;
-        if update.version <= current {
-            return;
-        }
-        if 0 < current && current == update.base {
-            self.apply(update);
+    /// Takes the word of a leader that a version was accepted.
+    pub(crate) fn update(&mut self, from: &VmName, update: Update, now: Instant, out: &mut Outbox) {
+        if self.holder.update(
+            update,
+            &Sources { vm: &self.vm, replicas: &self.replicas, links: &self.links },
+            now,
+            out,
+        ) {
+            self.came_into_force(Some(from), now, out);
         }
-        // Tells the leader what is in force here, or asks for what is missing.
-        self.poll(from.clone(), now, out);
     }
 
-    fn apply(&mut self, update: ConfigChange) -> bool {
-        let current = self.version_hash();
-        if update.version <= current.version {
-            return false;
+    /// Takes a piece of the change that is being fetched.
+    pub(crate) fn piece(&mut self, from: &VmName, piece: Piece, now: Instant, out: &mut Outbox) {
+        if self.holder.piece(
+            from,
+            piece,
+            &Sources { vm: &self.vm, replicas: &self.replicas, links: &self.links },
+            now,
+            out,
+        ) {
+            self.came_into_force(None, now, out);
         }
-        let Ok(delta) = EncodedDelta::read(update.delta) else { return false };
-        let base = match (&self.in_force, update.base) {
-            (_, 0) => None,
-            (Some(in_force), base) if in_force.version == base => Some(in_force.clone()),
-            _ => return false,
-        };
-        let mut document = base.as_ref().map(|f| f.document.clone()).unwrap_or_default();
-        document.apply(&delta);
-        let hash = document.content_hash();
-        if hash.0[..] != update.hash[..] {
-            return false;
+    }
+
+    /// Takes what this VM's own control replica knows to be accepted.
+    pub(crate) fn take_accepted(&mut self, state: &State, now: Instant, out: &mut Outbox) {
+        if self.holder.take_accepted(state, out) {
+            self.came_into_force(None, now, out);
         }
-        // It was checked when it was submitted; a daemon of another release may still refuse
-        // it, and then shows itself stale.
-        let config = match base {
-            Some(base) => base.config.updated(ACCEPTED, &document, &delta),
-            None => Config::check(ACCEPTED, &document),
-        };
-        let Ok(config) = config else { return false };
-        let version = update.version;
-        self.in_force = Some(Arc::new(InForce { version, hash, document, config }));
+    }
+
+    /// Tells the leader at once what is in force here.
+    fn came_into_force(&mut self, told_by: Option<&VmName>, now: Instant, out: &mut Outbox) {
         self.changed = true;
-        true
+        if let Some(leader) = told_by.or(self.leader()).cloned() {
+            self.poll(leader, now, out);
+        }
+        self.confirm(now, out);
     }
 
-    fn version_hash(&self) -> VersionHash {
-        self.in_force
-            .as_ref()
-            .map_or(VersionHash::default(), |f| VersionHash { version: f.version, hash: f.hash })
+    /// What the leader has vouched for holds for the configuration in force once it is that one.
+    fn confirm(&mut self, now: Instant, out: &mut Outbox) {
+        let in_force = self.holder.version_hash();
+        if let Some(Vouched { current, asked }) = self.vouched
+            && in_force == current
+            && 0 < current.version
+        {
+            self.confirmed = Some(self.confirmed.map_or(asked, |at| at.max(asked)));
+        }
+        self.answer_reads(now, out);
+        self.judge_freshness(now, out);
     }
 
     fn judge_freshness(&mut self, now: Instant, out: &mut Outbox) {
@@ -374,7 +387,7 @@
             self.polls.remove(0);
         }
         self.polls.push(SentPoll { nonce: self.nonce, at: now });
-        let current = self.version_hash();
+        let current = self.holder.version_hash();
         let hash = Bytes::copy_from_slice(&current.hash.0);
         let poll = Poll {
             nonce: self.nonce,
--- a/crates/core/src/node/messages.rs
+++ b/crates/core/src/node/messages.rs
@@ -2,6 +2,8 @@
 
 use std::{sync::Arc, time::Duration};
 
+use bytes::Bytes;
+
 use super::{ControlStatus, EndpointStatus, Entries, InForce, VmName};
 use crate::{
     agreement::Persist,
@@ -9,9 +11,8 @@
     once::{Claim, ClaimResult, Settle},
     placement::Request,
     registry::Registered,
-    state::ConfigChange,
     units::Instant,
-    wire::{AcceptedVersion, Body, EndpointRecord, HealthNews, Report, Submit},
+    wire::{AcceptedVersion, Body, EndpointRecord, HealthNews, Piece, Report, Submit, Update},
 };
 
 /// Names a question that one of the daemon's own threads asked; the answer repeats it.
@@ -162,25 +163,35 @@
     }
 }
 
-/// A change of the configuration that the leader has sent.
+/// A change of the configuration, or a piece of it, that was sent; for logs and metrics.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct SentChange {
-    /// The version that it makes.
+    /// The version that the change makes.
     pub version: u64,
     /// The version that it goes on from; zero for the whole document.
     pub base: u64,
-    /// Bytes of the delta.
+    /// Bytes that were sent to each daemon.
     pub bytes: usize,
-    /// Daemons that it was sent to.
-    pub daemons: Vec<VmName>,
-    /// Whether it answers a poll; otherwise it was sent as soon as it was accepted.
-    pub asked: bool,
+    /// Number of daemons.
+    pub daemons: usize,
+    /// The daemon that has asked for it; nobody where the leader told all of an accepted one.
+    pub asked_by: Option<VmName>,
+    /// Whether nothing is left to be sent of it.
+    pub last: bool,
 }
 
 impl SentChange {
-    pub(super) fn new(change: &ConfigChange, daemons: Vec<VmName>, asked: bool) -> SentChange {
-        let ConfigChange { version, base, delta, .. } = change;
-        SentChange { version: *version, base: *base, bytes: delta.len(), daemons, asked }
+    pub(super) fn unasked(update: &Update, daemons: usize) -> SentChange {
+        let Update { version, base, delta, .. } = update;
+        let bytes = delta.as_ref().map_or(0, Bytes::len);
+        let last = delta.is_some();
+        SentChange { version: *version, base: *base, bytes, daemons, asked_by: None, last }
+    }
+
+    pub(super) fn piece(piece: &Piece, vm: &VmName) -> SentChange {
+        let Piece { version, base, last, delta, .. } = piece;
+        let (bytes, asked_by) = (delta.len(), Some(vm.clone()));
+        SentChange { version: *version, base: *base, bytes, daemons: 1, asked_by, last: *last }
     }
 }
 
@@ -195,8 +206,15 @@
     Answer(CallId, Answer),
     /// A configuration has come into force.
     InForce(Arc<InForce>),
-    /// The leader has sent a change of the configuration; for logs and metrics.
+    /// A change of the configuration was sent.
     SentChange(SentChange),
+    /// An accepted configuration that cannot come into force on this daemon.
+    Unusable {
+        /// Its version.
+        version: u64,
+        /// What is wrong with it.
+        why: &'static str,
+    },
     /// Whether the configuration is confirmed to be current, and when it last was.
     Fresh {
         /// Whether that is recent enough.
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -3,7 +3,8 @@
 //! [`Node`] takes the time and an [`Input`] and leaves [`Output`]s. The same core
 //! runs in the daemon, in tests and in experiments.
 //!
-//! - [`keeper`] holds the configuration in force and knows whether it is current;
+//! - [`keeper`] knows whether the configuration in force is current; [`holder`] holds it,
+//!   [`fetching`] brings a newer one from a control VM, which has it in [`changes`];
 //! - [`operations`] carries changes of the replicated state to the leader;
 //! - [`placing`] finds places for this daemon's requests;
 //! - [`control`] runs a control replica and, on the leader, answers the daemons;
@@ -11,6 +12,9 @@
 //! - [`directory`] knows the control VMs and [`endpoints`] the endpoints that register.
 
 mod admit;
+mod changes;
+#[cfg(test)]
+mod changes_tests;
 mod control;
 mod directory;
 mod dispatcher;
@@ -18,6 +22,10 @@
 mod endpoint_tests;
 mod endpoints;
 mod engines;
+mod fetching;
+mod holder;
+#[cfg(test)]
+mod holder_tests;
 mod keeper;
 mod members;
 #[cfg(test)]
@@ -28,7 +36,6 @@
 mod spread;
 #[cfg(test)]
 mod tests;
-mod updates;
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -60,7 +67,8 @@
 pub use self::{
     control::{ControlStatus, DaemonStatus, ReplicaStatus},
     endpoints::EndpointStatus,
-    keeper::{Entries, InForce},
+    holder::InForce,
+    keeper::Entries,
     messages::{Answer, CallId, Input, Output, Placement, Question, SentChange, SubmitError},
 };
 
@@ -197,6 +205,7 @@
         let mut node = Node::entry(options, now);
         node.control = Some(Control::new(options, id, restored, now));
         node.directory = Directory::new(&options.vm, &options.seeds, true, now);
+        node.keeper.rely_on_own_replica();
         node.keeper.set_replicas(node.directory.known());
         node
     }
@@ -313,7 +322,7 @@
         if let Some(control) = &mut self.control {
             control.link_down(vm, clocks, &mut self.outputs);
         }
-        self.keeper.link_down(vm);
+        self.keeper.link_down(vm, clocks.now, &mut self.outputs);
         self.operations.link_down(vm);
         self.directory.link_down(vm);
         self.links.remove(vm);
@@ -360,6 +369,7 @@
         match body {
             Body::PollReply(reply) => self.keeper.poll_reply(from, reply, clocks.now, out),
             Body::Update(update) => self.keeper.update(from, update, clocks.now, out),
+            Body::Piece(piece) => self.keeper.piece(from, piece, clocks.now, out),
             Body::NotLeader(reply) => {
                 self.keeper.not_leader(from, reply.leader.as_deref(), clocks.now);
                 if let Some(operation) = reply.operation {
@@ -396,6 +406,9 @@
     fn settle(&mut self, clocks: Clocks) {
         loop {
             self.keeper.set_replicas(self.directory.known());
+            if let Some(control) = &self.control {
+                self.keeper.take_accepted(control.state(), clocks.now, &mut self.outputs);
+            }
             let in_force = self.keeper.take_changed();
             self.send_news(clocks.now);
             self.remember_if_due(clocks.now);
--- a/crates/core/src/node/placing.rs
+++ b/crates/core/src/node/placing.rs
@@ -15,7 +15,7 @@
     keeper::SchedulerAt, load_report,
 };
 use crate::{
-    config::{Config, Endpoints},
+    config::Endpoints,
     error::{ErrorKind, RequestError},
     mechanism::Disabled,
     placement::{Action, Relocation, Request, Scheduler, Ticket},
@@ -91,9 +91,9 @@
         &self.local
     }
 
-    /// Takes the endpoints that a configuration lists and those that registered themselves.
-    pub(crate) fn configure(&mut self, config: &Config, engines: &Engines) {
-        let endpoints = engines.with(Some(&config.endpoints));
+    /// Takes the engines that schedulers may use.
+    pub(crate) fn configure(&mut self, engines: &Engines) {
+        let endpoints = engines.all();
         if self.endpoints != endpoints {
             self.endpoints = endpoints;
             self.reconfigure();
--- a/crates/core/src/node/tests/mod.rs
+++ b/crates/core/src/node/tests/mod.rs
@@ -57,6 +57,34 @@
     expect_that!(net.version_at("vm-5"), eq(2));
 }
 
+#[gtest]
+fn a_restarted_daemon_takes_nothing_older_from_a_control_vm_that_is_behind() {
+    for behind in 1..=3 {
+        let behind: VmName = format!("vm-{behind}").into();
+        let mut net = Net::new(&small(), 11);
+        net.calm(100);
+        net.submit(&"vm-4".into(), 1, "a");
+        net.calm(20);
+        // One replica hears no other any more, but entries reach it.
+        for other in net.replicas() {
+            net.disconnect(&behind, &other);
+        }
+        net.wait(100);
+        net.submit(&"vm-4".into(), 2, "b");
+        net.wait(50);
+        for entry in ["vm-4", "vm-5"] {
+            net.crash(&entry.into());
+            net.start(&entry.into());
+        }
+
+        net.wait(100);
+
+        // That no older version came into force on the way is checked as it runs.
+        expect_that!(net.version_at("vm-4"), eq(2), "behind {behind}");
+        expect_that!(net.version_at("vm-5"), eq(2), "behind {behind}");
+    }
+}
+
 #[gtest]
 fn a_wiped_disk_is_repaired_before_the_next_loss() {
     let mut net = Net::new(&small(), 5);
--- a/crates/core/src/node/tests/net/fixture.rs
+++ b/crates/core/src/node/tests/net/fixture.rs
@@ -4,18 +4,32 @@
 
 use crate::{
     config::{EndpointTarget, key_digest},
+    node::changes::PIECE_BYTES,
     placement::{PrefixHash, Request, Ticket},
 };
 
+/// Every version that is a multiple of this is so large that it travels in several pieces.
+const LARGE: u64 = 3;
+/// Sections of a large file, and bytes of each.
+const FILLERS: usize = 6;
+const FILLER_BYTES: usize = PIECE_BYTES / 2;
+
 /// The text of a file of this version; `content` tells files of one version apart.
 pub(super) fn file(version: u64, content: &str) -> String {
     let digest = key_digest("k");
-    format!(
+    let mut text = format!(
         "[deployment]\nname = {content}\nversion = {version}\n[hall h]\nregion = r\n\
          [tier gold]\nrank = 1\n[kind chat]\n[model m]\nkind = chat\n\
          [workspace w]\ntier = gold\nkey_sha256 = {digest}\n\
          [endpoint e0]\nhall = h\naddress = 127.0.0.1:9000\nmodel = m\nslots = 4\nkv_tokens = 100000\n"
-    )
+    );
+    if version.is_multiple_of(LARGE) {
+        for n in 0..FILLERS {
+            let source = format!("{content}{version:0FILLER_BYTES$}");
+            text += &format!("[kind filler-{n}]\nsource = {source}\n");
+        }
+    }
+    text
 }
 
 /// A request that any endpoint of [`file`] may take.
--- a/crates/core/src/node/tests/net/mod.rs
+++ b/crates/core/src/node/tests/net/mod.rs
@@ -220,6 +220,7 @@
             Output::Fresh { confirmed: Some(at), .. } => {
                 self.seen.check_confirmed(vm, self.version_at(vm), at);
             }
+            Output::Unusable { version, why } => panic!("version {version} is unusable: {why}"),
             Output::Fresh { .. }
             | Output::SentChange(_)
             | Output::Watch(_)
--- a/crates/core/src/state/mod.rs
+++ b/crates/core/src/state/mod.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     agreement::{Entry, Payload},
-    config::{ContentHash, Delta, Document, HashedSection, Section},
+    config::{ContentHash, Delta, Document, HashedSection, Section, SectionName},
     once::{Claim, ClaimResult, Claims, EncodedClaims, Settle},
     units::UnixMillis,
 };
@@ -51,23 +51,21 @@
     pub removed: Vec<String>,
 }
 
+impl EncodedSection {
+    /// A section of this name.
+    pub fn new(name: &str, section: &Section) -> EncodedSection {
+        let pair =
+            |(key, value): (&String, &String)| KeyValue { key: key.clone(), value: value.clone() };
+        EncodedSection { name: name.to_owned(), keys: section.iter().map(pair).collect() }
+    }
+}
+
 impl From<&Delta> for EncodedDelta {
     fn from(delta: &Delta) -> EncodedDelta {
-        let keys = |section: &Section| {
-            let pair = |(key, value): (&String, &String)| KeyValue {
-                key: key.clone(),
-                value: value.clone(),
-            };
-            section.iter().map(pair).collect()
+        let section = |(name, section): (&SectionName, &Arc<HashedSection>)| {
+            EncodedSection::new(name, section.keys())
         };
-        let changed = delta
-            .changed
-            .iter()
-            .map(|(name, section)| EncodedSection {
-                name: name.to_string(),
-                keys: keys(section.keys()),
-            })
-            .collect();
+        let changed = delta.changed.iter().map(section).collect();
         let removed = delta.removed.iter().map(|name| name.to_string()).collect();
         EncodedDelta { changed, removed }
     }
@@ -184,12 +182,27 @@
     Rebase,
 }
 
+/// An accepted configuration, as what it changes.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct AcceptedChange {
+    /// Its version.
+    pub version: u64,
+    /// The accepted version before it; zero for the empty document.
+    pub base: u64,
+    /// Content hash of its document.
+    pub hash: ContentHash,
+    /// What it changes.
+    pub delta: Delta,
+}
+
 /// What applying an entry came to.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Applied {
     /// Nothing that anybody waits for.
     Nothing,
-    /// A configuration.
+    /// A configuration was accepted.
+    Accepted(Box<AcceptedChange>),
+    /// A configuration was not accepted.
     Config(ConfigResult),
     /// A claim.
     Claim(ClaimResult),
@@ -267,7 +280,10 @@
             return Applied::Nothing;
         };
         match kind {
-            command::Kind::Config(config) => Applied::Config(self.apply_config(config)),
+            command::Kind::Config(config) => match self.apply_config(config) {
+                Ok(change) => Applied::Accepted(Box::new(change)),
+                Err(result) => Applied::Config(result),
+            },
             command::Kind::Claim(claim) => Applied::Claim(self.claims.claim(&claim, self.now)),
             command::Kind::Settle(settle) => {
                 self.claims.settle(&settle);
@@ -308,25 +324,27 @@
         })
     }
 
-    fn apply_config(&mut self, config: ConfigChange) -> ConfigResult {
+    /// Accepts a configuration, or tells why it is not accepted.
+    fn apply_config(&mut self, config: ConfigChange) -> Result<AcceptedChange, ConfigResult> {
+        let ConfigChange { version, base, .. } = config;
         let hash = ContentHash::from_slice(&config.hash).unwrap_or_default();
-        let result = self.judge(config.version, hash);
+        let result = self.judge(version, hash);
         if result != ConfigResult::Accepted {
-            return result;
+            return Err(result);
         }
-        if config.base != self.version() {
-            return ConfigResult::Rebase;
+        if base != self.version() {
+            return Err(ConfigResult::Rebase);
         }
-        let Ok(delta) = EncodedDelta::read(config.delta) else { return ConfigResult::Rebase };
+        let Ok(delta) = EncodedDelta::read(config.delta) else { return Err(ConfigResult::Rebase) };
         let undo = self.document.apply(&delta);
         if self.document.content_hash() != hash {
             self.document.apply(&undo);
-            return ConfigResult::Rebase;
+            return Err(ConfigResult::Rebase);
         }
-        self.history.insert(config.version, hash);
+        self.history.insert(version, hash);
         if MAX_HISTORY < self.history.len() {
             self.history.pop_first();
         }
-        ConfigResult::Accepted
+        Ok(AcceptedChange { version, base, hash, delta })
     }
 }
--- a/crates/core/src/state/tests.rs
+++ b/crates/core/src/state/tests.rs
@@ -20,6 +20,7 @@
 fn submit(state: &mut State, version: u64, text: &str) -> ConfigResult {
     let command = propose(state, version, text);
     match state.apply(&entry(1, command::Kind::Config(command))) {
+        Applied::Accepted(_) => ConfigResult::Accepted,
         Applied::Config(result) => result,
         other => panic!("{other:?}"),
     }
@@ -48,7 +49,10 @@
     let a = state.apply(&entry(1, command::Kind::Config(first)));
     let b = state.apply(&entry(2, command::Kind::Config(second)));
 
-    expect_that!(a, eq(&Applied::Config(ConfigResult::Accepted)));
+    let delta = Document::default().delta_to(&document("a"));
+    let hash = document("a").content_hash();
+    let change = AcceptedChange { version: 1, base: 0, hash, delta };
+    expect_that!(a, eq(&Applied::Accepted(Box::new(change))));
     let winner = document("a").content_hash();
     expect_that!(b, eq(&Applied::Config(ConfigResult::OtherContent { winner })));
 }
--- a/crates/core/src/wire/control.rs
+++ b/crates/core/src/wire/control.rs
@@ -59,9 +59,6 @@
     /// Its content hash.
     #[prost(bytes = "bytes", tag = "3")]
     pub hash: Bytes,
-    /// What the daemon lacks.
-    #[prost(message, optional, tag = "4")]
-    pub update: Option<ConfigChange>,
     /// Term of the leader; changes when the scheduler does.
     #[prost(uint64, tag = "5")]
     pub term: u64,
@@ -76,6 +73,66 @@
     pub stopping: u64,
 }
 
+/// See [`super::Body::Update`].
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct Update {
+    /// The accepted version.
+    #[prost(uint64, tag = "1")]
+    pub version: u64,
+    /// The accepted version before it.
+    #[prost(uint64, tag = "2")]
+    pub base: u64,
+    /// Its content hash.
+    #[prost(bytes = "bytes", tag = "3")]
+    pub hash: Bytes,
+    /// What it changes, an encoded [`crate::state::EncodedDelta`]; nothing if that is large.
+    #[prost(bytes = "bytes", optional, tag = "4")]
+    pub delta: Option<Bytes>,
+}
+
+/// See [`super::Body::Fetch`].
+#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+pub struct Fetch {
+    /// The version that the change is to go on from; zero asks for the whole document.
+    #[prost(uint64, tag = "1")]
+    pub after: u64,
+    /// The change of which the daemon has earlier pieces makes this version; zero if it has none.
+    #[prost(uint64, tag = "2")]
+    pub version: u64,
+    /// The version that this change goes on from.
+    #[prost(uint64, tag = "3")]
+    pub base: u64,
+    /// Number of the first piece that is wanted.
+    #[prost(uint64, tag = "4")]
+    pub first: u64,
+    /// How many pieces are wanted.
+    #[prost(uint64, tag = "5")]
+    pub count: u64,
+}
+
+/// See [`super::Body::Piece`].
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct Piece {
+    /// The version that the whole change makes.
+    #[prost(uint64, tag = "1")]
+    pub version: u64,
+    /// The version that it goes on from; zero for the empty document.
+    #[prost(uint64, tag = "2")]
+    pub base: u64,
+    /// Content hash of the version.
+    #[prost(bytes = "bytes", tag = "3")]
+    pub hash: Bytes,
+    /// Number of the piece, from 0.
+    #[prost(uint64, tag = "4")]
+    pub number: u64,
+    /// Whether it is the last one.
+    #[prost(bool, tag = "5")]
+    pub last: bool,
+    /// Whole sections, an encoded [`crate::state::EncodedDelta`].
+    #[prost(bytes = "bytes", tag = "6")]
+    pub delta: Bytes,
+}
+
 /// See [`super::Body::NotLeader`].
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct NotLeader {
--- a/crates/core/src/wire/mod.rs
+++ b/crates/core/src/wire/mod.rs
@@ -8,13 +8,14 @@
 #[cfg(test)]
 mod tests;
 
-use crate::{agreement, state::ConfigChange};
+use crate::agreement;
 
 pub use self::{
     codec::{FrameCodec, MAX_FRAME},
     control::{
-        AcceptedVersion, ClaimReply, ClaimStatus, Directory, Done, NotLeader, Operation,
-        OperationKind, OperationReply, OperationResult, Poll, PollReply, ReplicaInfo, Submit,
+        AcceptedVersion, ClaimReply, ClaimStatus, Directory, Done, Fetch, NotLeader, Operation,
+        OperationKind, OperationReply, OperationResult, Piece, Poll, PollReply, ReplicaInfo,
+        Submit, Update,
     },
     endpoints::{EndpointNews, EndpointRecord, Health, HealthNews, Report, Watch},
     handshake::{Handshake, HandshakeError, Hello, Proof},
@@ -27,7 +28,7 @@
     /// What it says.
     #[prost(
         oneof = "Body",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21"
     )]
     pub body: Option<Body>,
 }
@@ -50,9 +51,9 @@
     /// The receiver of a poll or an operation does not lead.
     #[prost(message, tag = "5")]
     NotLeader(NotLeader),
-    /// The leader sends a newly accepted configuration without being asked.
+    /// The leader tells of a newly accepted configuration without being asked.
     #[prost(message, tag = "6")]
-    Update(ConfigChange),
+    Update(Update),
     /// A daemon asks the leader to change the replicated state.
     #[prost(message, tag = "7")]
     Operation(Operation),
@@ -92,6 +93,12 @@
     /// The daemon tells what became of a move.
     #[prost(message, tag = "19")]
     Moved(Moved),
+    /// A daemon asks a control VM for pieces of the change that it lacks.
+    #[prost(message, tag = "20")]
+    Fetch(Fetch),
+    /// A control VM sends one of them.
+    #[prost(message, tag = "21")]
+    Piece(Piece),
 }
 
 impl Body {
@@ -117,6 +124,8 @@
             Body::EndpointNews(_) => "endpoint_news",
             Body::Move(_) => "move",
             Body::Moved(_) => "moved",
+            Body::Fetch(_) => "fetch",
+            Body::Piece(_) => "piece",
         }
     }
 }
--- a/crates/server/src/runtime/mod.rs
+++ b/crates/server/src/runtime/mod.rs
@@ -253,6 +253,10 @@
                 self.0.view.set_daemons(daemons, entries);
             }
             Output::SentChange(change) => sight::change_sent(&self.0.metrics, &change),
+            Output::Unusable { version, why } => log::error!(
+                event = EventId::ConfigUnusable.number(), config = version, cause = why;
+                "an accepted configuration cannot come into force here"
+            ),
             // This daemon asks no endpoint for its load; the scheduler keeps its own account.
             Output::Watch(_) => {}
             Output::Leader { vm, term } => log::info!(
--- a/crates/server/src/runtime/sight.rs
+++ b/crates/server/src/runtime/sight.rs
@@ -36,17 +36,18 @@
     }
 }
 
-/// Notes a change of the configuration that was sent.
+/// Notes a change of the configuration, or a piece of it, that was sent.
 pub(super) fn change_sent(metrics: &Metrics, change: &SentChange) {
-    let how = if change.asked { "asked" } else { "unasked" };
-    metrics.change_sent(how, change.daemons.len(), change.bytes);
-    let only = change.daemons.first().filter(|_| change.daemons.len() == 1);
-    log::info!(
-        event = EventId::ChangeSent.number(), config = change.version, base = change.base,
-        bytes = change.bytes, daemons = change.daemons.len(), how = how,
-        peer = only.map_or("-", |vm| &**vm);
-        "a change of the configuration was sent"
-    );
+    let how = if change.asked_by.is_some() { "asked" } else { "unasked" };
+    metrics.change_sent(how, change.daemons, change.bytes);
+    if change.asked_by.is_none() || change.last {
+        log::info!(
+            event = EventId::ChangeSent.number(), config = change.version, base = change.base,
+            bytes = change.bytes, daemons = change.daemons, how = how,
+            peer = change.asked_by.as_deref().unwrap_or("-");
+            "a change of the configuration was told or sent"
+        );
+    }
 }
 
 /// Notes a write to a link; `waited` is how long its oldest message had waited.
--- a/crates/server/src/telemetry/metrics.rs
+++ b/crates/server/src/telemetry/metrics.rs
@@ -88,14 +88,10 @@
             )?,
             changes_sent: counter(
                 "trayswitch_changes_sent_total",
-                "Changes of the configuration that were sent to a daemon, unasked or as an answer",
-                &["how"],
-            )?,
-            change_bytes: counter(
-                "trayswitch_changes_sent_bytes_total",
-                "Bytes of these changes",
+                "Changes of the configuration told to daemons unasked, and pieces of them that were asked for",
                 &["how"],
             )?,
+            change_bytes: counter("trayswitch_changes_sent_bytes_total", "Their bytes", &["how"])?,
             link_write: histogram(
                 "trayswitch_link_write_seconds",
                 "Time until a peer's socket has taken what was gathered for it",
--- a/crates/trayswitchd/src/node/actor.rs
+++ b/crates/trayswitchd/src/node/actor.rs
@@ -129,6 +129,10 @@
             Output::InForce(in_force) => self.in_force(in_force),
             Output::Fresh { fresh, .. } => self.fresh(fresh),
             Output::Watch(endpoints) => self.view.set_watched(endpoints),
+            Output::Unusable { version, why } => {
+                let event = EventId::ConfigUnusable;
+                log::error!("{event} version {version} cannot come into force here: {why}");
+            }
             // This daemon's control VMs are listed in its settings, its endpoints in the
             // configuration; it has no edge at which endpoints register themselves.
             Output::Leader { .. }
