--- a/crates/core/src/node/holder.rs
+++ b/crates/core/src/node/holder.rs
@@ -270,15 +270,14 @@
         if !self.is_allowed(version) || (base != current && base != 0) {
             return false;
         }
-        let before = self.document();
-        let mut document = if base == current { before.clone() } else { Document::default() };
+        let mut document = if base == current { self.document() } else { Document::default() };
         document.apply(&delta);
         if document.content_hash() != hash {
             let why = "its content is not what its hash says";
             out.push(Output::Unusable { version, why });
             return false;
         }
-        let delta = if base == current { delta } else { before.delta_to(&document) };
+        let delta = if base == current { delta } else { self.document().delta_to(&document) };
         self.put_in_force(VersionHash { version, hash }, document, &delta, out)
     }
 
