Leave a control VM that has nothing to send sooner

Cause (found by reading the change): an entry that prefers a control VM which is cut off from the leader waited a second for it, and two for two of them, before it asked one that has the change.

Change: without a first piece it goes on after 0.15 s, then 0.3 s and so on; pieces of the former source still count.

--- a/crates/core/src/node/changes_tests.rs
+++ b/crates/core/src/node/changes_tests.rs
@@ -192,12 +192,22 @@
 }
 
 #[gtest]
-fn a_silent_source_is_given_up() {
+fn a_source_without_a_first_piece_is_given_up_soon_and_one_that_has_sent_some_later() {
     let mut out = Outbox::default();
-    let fetching = Fetching::begin("a".into(), 1, NOW, &mut out);
+    let mut source = Source::default();
+    source.accept(1, 1, 10);
+    source.accept(2, 100, 1_000);
+    let mut fetching = Fetching::begin("a".into(), 1, NOW, &mut out);
+
+    let first = fetching.patience_ends().since(NOW);
+    fetching.go_on("b".into(), NOW, &mut out);
+    let second = fetching.patience_ends().since(NOW);
+    fetching.take(source.all(1).remove(0), NOW, &mut out);
+    let later = fetching.patience_ends().since(NOW);
 
-    expect_that!(fetching.is_stuck(NOW.after(Duration::from_millis(900))), eq(false));
-    expect_that!(fetching.is_stuck(NOW.after(Duration::from_millis(1_000))), eq(true));
+    expect_that!(first, lt(Duration::from_millis(200)));
+    expect_that!(second, gt(first));
+    expect_that!(later, gt(second));
 }
 
 proptest! {
--- a/crates/core/src/node/fetching.rs
+++ b/crates/core/src/node/fetching.rs
@@ -16,7 +16,11 @@
 /// Pieces that are asked for ahead. Two keep a link of 10 Mbit/s busy over a round trip of 3 ms; a
 /// third covers a thread that is busy otherwise. What is under way keeps such a link busy for 40 ms.
 const AHEAD: u64 = 3;
-/// Without a piece for this long, another control VM is asked: many times what one takes.
+/// Without a first piece for this long, another control VM is asked: one that is cut off from the
+/// leader has nothing to send. Five round trips and pieces on a link of 10 Mbit/s; each further
+/// control VM has as much longer, for a fleet in which all are slow.
+const FIRST_PATIENCE: Duration = Duration::from_millis(150);
+/// The same once pieces have come.
 const PATIENCE: Duration = Duration::from_secs(1);
 
 /// A change that is being fetched.
@@ -30,6 +34,8 @@
     /// Number of the piece that is expected.
     next: u64,
     heard: Instant,
+    /// Control VMs that were asked.
+    asked: u32,
 }
 
 /// What came of a piece.
@@ -46,7 +52,8 @@
 impl Fetching {
     /// Begins to fetch what follows a version, or a whole document if that is zero.
     pub(super) fn begin(from: VmName, base: u64, now: Instant, out: &mut Outbox) -> Fetching {
-        let mut fetching = Fetching { from, base, change: nothing(), next: 0, heard: now };
+        let mut fetching =
+            Fetching { from, base, change: nothing(), next: 0, heard: now, asked: 1 };
         fetching.ask(0, AHEAD, out);
         fetching
     }
@@ -61,15 +68,17 @@
         self.base
     }
 
-    /// Whether the control VM has been silent for too long.
-    pub(super) fn is_stuck(&self, now: Instant) -> bool {
-        PATIENCE <= now.since(self.heard)
+    /// When the control VM will have been silent for too long.
+    pub(super) fn patience_ends(&self) -> Instant {
+        let patience = if self.next == 0 { FIRST_PATIENCE * self.asked } else { PATIENCE };
+        self.heard.after(patience.min(PATIENCE))
     }
 
     /// Goes on at another control VM, from the piece that is expected.
     pub(super) fn go_on(&mut self, from: VmName, now: Instant, out: &mut Outbox) {
         self.from = from;
         self.heard = now;
+        self.asked += 1;
         self.ask(self.next, AHEAD, out);
     }
 
--- a/crates/core/src/node/holder.rs
+++ b/crates/core/src/node/holder.rs
@@ -157,19 +157,16 @@
         taken
     }
 
-    /// Takes a piece of the change that is being fetched. Returns whether a configuration came
-    /// into force.
+    /// Takes a piece of the change that is being fetched, also from a control VM that was given up
+    /// meanwhile. Returns whether a configuration came into force.
     pub(super) fn piece(
         &mut self,
-        from: &VmName,
         piece: Piece,
         sources: &Sources<'_>,
         now: Instant,
         out: &mut Outbox,
     ) -> bool {
-        let Some(fetching) = self.fetching.as_mut().filter(|f| f.from() == from) else {
-            return false;
-        };
+        let Some(fetching) = &mut self.fetching else { return false };
         let version = piece.version;
         let change = match fetching.take(piece, now, out) {
             Taken::Part => return false,
@@ -234,8 +231,13 @@
         }
     }
 
+    /// When [`Holder::tick`] next has something to do.
+    pub(super) fn next_tick(&self) -> Option<Instant> {
+        self.fetching.as_ref().map(Fetching::patience_ends)
+    }
+
     pub(super) fn tick(&mut self, sources: &Sources<'_>, now: Instant, out: &mut Outbox) {
-        if self.fetching.as_ref().is_some_and(|fetching| fetching.is_stuck(now)) {
+        if self.next_tick().is_some_and(|at| at <= now) {
             self.fetch_elsewhere(sources, now, out);
         }
     }
--- a/crates/core/src/node/holder_tests.rs
+++ b/crates/core/src/node/holder_tests.rs
@@ -71,7 +71,7 @@
         let piece = Piece { version, base: 0, hash, number: 0, last: true, delta };
         let Daemon { holder, vm, control, links, out } = self;
         let sources = Sources { vm, replicas: std::slice::from_ref(control), links };
-        holder.piece(control, piece, &sources, NOW, out)
+        holder.piece(piece, &sources, NOW, out)
     }
 
     /// Looks whether something is missing.
--- a/crates/core/src/node/keeper.rs
+++ b/crates/core/src/node/keeper.rs
@@ -155,7 +155,7 @@
     }
 
     pub(crate) fn next_tick(&self) -> Instant {
-        self.next_poll
+        self.holder.next_tick().map_or(self.next_poll, |at| at.min(self.next_poll))
     }
 
     /// From now on what is accepted comes from this VM's own control replica.
@@ -298,9 +298,8 @@
     }
 
     /// Takes a piece of the change that is being fetched.
-    pub(crate) fn piece(&mut self, from: &VmName, piece: Piece, now: Instant, out: &mut Outbox) {
+    pub(crate) fn piece(&mut self, piece: Piece, now: Instant, out: &mut Outbox) {
         if self.holder.piece(
-            from,
             piece,
             &Sources { vm: &self.vm, replicas: &self.replicas, links: &self.links },
             now,
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -371,7 +371,7 @@
         match body {
             Body::PollReply(reply) => self.keeper.poll_reply(from, reply, clocks.now, out),
             Body::Update(update) => self.keeper.update(from, update, clocks.now, out),
-            Body::Piece(piece) => self.keeper.piece(from, piece, clocks.now, out),
+            Body::Piece(piece) => self.keeper.piece(piece, clocks.now, out),
             Body::NotLeader(reply) => {
                 self.keeper.not_leader(from, reply.leader.as_deref(), clocks.now);
                 if let Some(operation) = reply.operation {
--- a/crates/core/src/node/tests/fleet/mod.rs
+++ b/crates/core/src/node/tests/fleet/mod.rs
@@ -60,6 +60,8 @@
     in_force: BTreeMap<VmName, BTreeMap<u64, u64>>,
     /// The longest time for which an entry's configuration was not confirmed.
     pub(super) longest_unconfirmed: Duration,
+    /// Control VMs that reach only each other and the entries.
+    pub(super) cut: BTreeSet<VmName>,
     /// Terms in which a leader was known.
     pub(super) terms: BTreeSet<u64>,
 }
@@ -77,6 +79,7 @@
             accepted: BTreeMap::new(),
             in_force: BTreeMap::new(),
             longest_unconfirmed: Duration::ZERO,
+            cut: BTreeSet::new(),
             terms: BTreeSet::new(),
         };
         for vm in &site.replicas {
@@ -195,6 +198,10 @@
     }
 
     fn send(&mut self, from: &VmName, to: &VmName, body: Body, at: u64) {
+        let both_control = self.hosts[from].is_control && self.hosts[to].is_control;
+        if both_control && self.cut.contains(from) != self.cut.contains(to) {
+            return;
+        }
         let arrives = self.wire.carry(from, to, message_bytes(&body), at);
         self.arrive(to, Input::Message(from.clone(), body), arrives);
     }
--- a/crates/core/src/node/tests/large_change.rs
+++ b/crates/core/src/node/tests/large_change.rs
@@ -117,3 +117,19 @@
     expect_that!(fleet.slowest_small_message(), lt(Duration::from_millis(100)));
     expect_that!(fleet.longest_unconfirmed, lt(Duration::from_secs(1)));
 }
+
+#[gtest]
+fn control_vms_that_are_cut_off_keep_no_entry_waiting() {
+    let mut fleet = settled_fleet();
+    let leader = fleet.leader();
+    let others = site().replicas.into_iter().filter(|vm| *vm != leader);
+    fleet.cut = others.take(2).collect();
+    fleet.run(SETTLED);
+
+    fleet.submit(&leader, 2, &file(2, ROUTES));
+    fleet.run(IN_FORCE_WITHIN * 2);
+
+    let late: Vec<VmName> =
+        late(&fleet, 2).into_iter().filter(|vm| !fleet.cut.contains(vm)).collect();
+    expect_that!(late, is_empty());
+}
