--- a/crates/core/src/node/changes.rs
+++ b/crates/core/src/node/changes.rs
@@ -15,8 +15,8 @@
 use prost::Message;
 
 use crate::{
-    config::{ContentHash, Document, HashedSection, SectionName},
-    state::{AcceptedChange, EncodedDelta, EncodedSection, State},
+    config::{Document, HashedSection, SectionName},
+    state::{AcceptedChange, ChangeId, EncodedDelta, EncodedSection, State},
     units::Instant,
     wire::{Fetch, Piece},
 };
@@ -37,9 +37,7 @@
 /// A change and the pieces of it that have been made.
 #[derive(Debug)]
 struct Cut {
-    version: u64,
-    base: u64,
-    hash: ContentHash,
+    id: ChangeId,
     pieces: Vec<Bytes>,
     changed: btree_map::IntoIter<SectionName, Arc<HashedSection>>,
     removed: vec::IntoIter<SectionName>,
@@ -47,15 +45,16 @@
 
 impl Cut {
     fn new(change: AcceptedChange) -> Cut {
-        let AcceptedChange { version, base, hash, delta } = change;
+        let AcceptedChange { id, delta } = change;
         let (changed, removed) = (delta.changed.into_iter(), delta.removed.into_iter());
-        Cut { version, base, hash, pieces: Vec::new(), changed, removed }
+        Cut { id, pieces: Vec::new(), changed, removed }
     }
 
     /// The whole accepted document, as a change of the empty one.
     fn whole(state: &State) -> Cut {
-        let delta = Document::default().delta_to(state.document());
-        Cut::new(AcceptedChange { version: state.version(), base: 0, hash: state.hash(), delta })
+        let hash = Bytes::copy_from_slice(&state.hash().0);
+        let id = ChangeId { version: state.version(), base: 0, hash };
+        Cut::new(AcceptedChange { id, delta: Document::default().delta_to(state.document()) })
     }
 
     /// Whether pieces are left to be made; there is always a first one.
@@ -90,18 +89,8 @@
             self.make_piece();
         }
         let delta = self.pieces.get(at)?.clone();
-        Some(Piece {
-            version: self.version,
-            base: self.base,
-            hash: Bytes::copy_from_slice(&self.hash.0),
-            number,
-            last: at + 1 == self.pieces.len() && !self.has_more(),
-            delta,
-        })
-    }
-
-    fn is(&self, version: u64, base: u64) -> bool {
-        self.version == version && self.base == base
+        let last = at + 1 == self.pieces.len() && !self.has_more();
+        Some(Piece { change: self.id.clone(), number, last, delta })
     }
 }
 
@@ -157,25 +146,25 @@
         now: Instant,
     ) -> Option<Vec<Piece>> {
         let cut = self.find(fetch, state, now)?;
-        let goes_on = cut.is(fetch.version, fetch.base);
+        let goes_on = fetch.begun.as_ref() == Some(&cut.id);
         let first = if goes_on { fetch.first } else { 0 };
         let numbers = first..first.saturating_add(fetch.count);
         Some(numbers.map_while(|number| cut.piece(number)).collect())
     }
 
     fn find(&mut self, fetch: &Fetch, state: &State, now: Instant) -> Option<&mut Cut> {
-        let began_with = |whole: &Whole| whole.cut.is(fetch.version, fetch.base);
+        let began_with = |whole: &Whole| fetch.begun.as_ref() == Some(&whole.cut.id);
         if let Some(at) = self.whole.iter().position(began_with) {
             return Some(self.ask_whole(at, now));
         }
-        let follows = |recent: &Recent| 0 < fetch.after && recent.cut.base == fetch.after;
+        let follows = |recent: &Recent| 0 < fetch.after && recent.cut.id.base == fetch.after;
         if let Some(at) = self.recent.iter().position(follows) {
             return self.recent.get_mut(at).map(|recent| &mut recent.cut);
         }
         if state.version() <= fetch.after {
             return None;
         }
-        let newest = |whole: &Whole| whole.cut.version == state.version();
+        let newest = |whole: &Whole| whole.cut.id.version == state.version();
         let at = match self.whole.iter().position(newest) {
             Some(at) => at,
             None => self.cut_whole(state, now),
--- a/crates/core/src/node/changes_tests.rs
+++ b/crates/core/src/node/changes_tests.rs
@@ -14,7 +14,7 @@
 use crate::{
     agreement::Entry,
     config::{Document, Section},
-    state::{AcceptedChange, Applied, Command, ConfigChange, State, command},
+    state::{AcceptedChange, Applied, ChangeId, Command, ConfigChange, State, command},
     testing::{Choices, fixed_seed},
     units::Instant,
     wire::{Body, Fetch, Piece},
@@ -137,7 +137,7 @@
     let after = source.answer(&fetch);
 
     expect_that!(before, none());
-    expect_that!(after.unwrap()[0].version, eq(2));
+    expect_that!(after.unwrap()[0].change.version, eq(2));
 }
 
 #[gtest]
@@ -151,8 +151,8 @@
     let behind = source.all(1);
     let nearly = source.all(8);
 
-    expect_that!((behind[0].base, behind[0].version), eq((0, 9)));
-    expect_that!((nearly[0].base, nearly[0].version), eq((8, 9)));
+    expect_that!((behind[0].change.base, behind[0].change.version), eq((0, 9)));
+    expect_that!((nearly[0].change.base, nearly[0].change.version), eq((8, 9)));
 }
 
 #[gtest]
@@ -162,23 +162,19 @@
     let first = source.answer(&Fetch { count: 1, ..Fetch::default() }).unwrap().remove(0);
     source.accept(2, 200, 1_000);
 
-    let rest = Fetch { version: first.version, base: 0, first: 1, count: 1, after: 0 };
+    let rest = Fetch { begun: Some(first.change), first: 1, count: 1, after: 0 };
     let second = source.answer(&rest).unwrap().remove(0);
 
-    expect_that!((second.version, second.number), eq((1, 1)));
+    expect_that!((second.change.version, second.number), eq((1, 1)));
 }
 
 #[gtest]
 fn a_change_of_another_source_begins_anew() {
     let mut out = Outbox::default();
     let mut fetching = Fetching::begin("a".into(), 1, NOW, &mut out);
-    let piece = |version, number, last| Piece {
-        version,
-        base: 0,
-        number,
-        last,
-        delta: Bytes::new(),
-        ..Piece::default()
+    let piece = |version, number, last| {
+        let change = ChangeId { version, ..ChangeId::default() };
+        Piece { change, number, last, delta: Bytes::new() }
     };
     fetching.take(piece(2, 0, false), NOW, &mut out);
 
@@ -188,7 +184,7 @@
 
     expect_that!((crossed, anew), eq(&(Taken::Part, Taken::Part)));
     let Taken::Whole(change) = whole else { panic!("{whole:?}") };
-    expect_that!(change.version, eq(3));
+    expect_that!(change.id.version, eq(3));
 }
 
 #[gtest]
@@ -233,7 +229,7 @@
         let change = fetch_all(&mut sources, in_force, seed);
 
         let mut document = Document::default();
-        if change.base == 1 {
+        if change.id.base == 1 {
             let names: BTreeSet<String> = (0..before).map(|n| format!("kind k-{n}")).collect();
             for name in names {
                 let text = format!("{:0bytes$}", 1);
@@ -242,6 +238,6 @@
         }
         document.apply(&change.delta);
         prop_assert_eq!(document.content_hash(), sources[0].state.hash());
-        prop_assert_eq!(change.hash, sources[0].state.hash());
+        prop_assert_eq!(&change.id.hash[..], &document.content_hash().0[..]);
     }
 }
--- a/crates/core/src/node/control/ready.rs
+++ b/crates/core/src/node/control/ready.rs
@@ -1,7 +1,5 @@
 //! Carries out what the replica hands out: messages, writes, committed entries, reads.
 
-use bytes::Bytes;
-
 use super::{
     Batch, Control, Proposed,
     answers::{claim_reply, reply},
@@ -135,12 +133,10 @@
     /// fast as it can: sent to all at once by the leader, 645 kB for 63 daemons stood before its
     /// heartbeats and their grants for half a second and more.
     fn accepted(&mut self, change: AcceptedChange, bytes: usize, now: Instant, out: &mut Outbox) {
-        let AcceptedChange { version, base, hash, .. } = change;
+        let id = change.id.clone();
         self.changes.push(change, bytes);
         if self.leads() {
-            let hash = Bytes::copy_from_slice(&hash.0);
-            let delta = self.changes.latest_if_small();
-            let update = Update { version, base, hash, delta };
+            let update = Update { change: id, delta: self.changes.latest_if_small() };
             for vm in self.daemons.keys() {
                 out.send(vm, Body::Update(update.clone()));
             }
--- a/crates/core/src/node/fetching.rs
+++ b/crates/core/src/node/fetching.rs
@@ -7,8 +7,8 @@
 
 use super::{Outbox, VmName};
 use crate::{
-    config::{ContentHash, Delta},
-    state::{AcceptedChange, EncodedDelta},
+    config::Delta,
+    state::{AcceptedChange, ChangeId, EncodedDelta},
     units::Instant,
     wire::{Body, Fetch, Piece},
 };
@@ -29,8 +29,10 @@
     from: VmName,
     /// The version that it is to go on from; zero for a whole document.
     base: u64,
-    /// The change that the pieces belong to; its delta holds those that have come.
-    change: AcceptedChange,
+    /// The change that the pieces belong to, once one has come.
+    begun: Option<ChangeId>,
+    /// What the pieces hold that have come.
+    delta: Delta,
     /// Number of the piece that is expected.
     next: u64,
     heard: Instant,
@@ -52,8 +54,8 @@
 impl Fetching {
     /// Begins to fetch what follows a version, or a whole document if that is zero.
     pub(super) fn begin(from: VmName, base: u64, now: Instant, out: &mut Outbox) -> Fetching {
-        let mut fetching =
-            Fetching { from, base, change: nothing(), next: 0, heard: now, asked: 1 };
+        let (begun, delta) = (None, Delta::default());
+        let fetching = Fetching { from, base, begun, delta, next: 0, heard: now, asked: 1 };
         fetching.ask(0, AHEAD, out);
         fetching
     }
@@ -84,12 +86,10 @@
 
     /// Takes a piece.
     pub(super) fn take(&mut self, piece: Piece, now: Instant, out: &mut Outbox) -> Taken {
-        let known = piece.version == self.change.version && piece.base == self.change.base;
+        let known = self.begun.as_ref() == Some(&piece.change);
         if !known && piece.number == 0 {
-            self.change = nothing();
-            self.change.version = piece.version;
-            self.change.base = piece.base;
-            self.change.hash = ContentHash::from_slice(&piece.hash).unwrap_or_default();
+            self.begun = Some(piece.change.clone());
+            self.delta = Delta::default();
             self.next = 0;
         } else if !known || piece.number != self.next {
             // Asked of a control VM before, or come twice.
@@ -97,23 +97,19 @@
         }
         self.heard = now;
         let Ok(delta) = EncodedDelta::read(piece.delta) else { return Taken::Broken };
-        self.change.delta.changed.extend(delta.changed);
-        self.change.delta.removed.extend(delta.removed);
+        self.delta.changed.extend(delta.changed);
+        self.delta.removed.extend(delta.removed);
         self.next += 1;
         if piece.last {
-            return Taken::Whole(std::mem::replace(&mut self.change, nothing()));
+            let delta = std::mem::take(&mut self.delta);
+            return Taken::Whole(AcceptedChange { id: piece.change, delta });
         }
         self.ask(self.next + AHEAD - 1, 1, out);
         Taken::Part
     }
 
-    fn ask(&mut self, first: u64, count: u64, out: &mut Outbox) {
-        let AcceptedChange { version, base, .. } = self.change;
-        let fetch = Fetch { after: self.base, version, base, first, count };
+    fn ask(&self, first: u64, count: u64, out: &mut Outbox) {
+        let fetch = Fetch { after: self.base, begun: self.begun.clone(), first, count };
         out.send(&self.from, Body::Fetch(fetch));
     }
 }
-
-fn nothing() -> AcceptedChange {
-    AcceptedChange { version: 0, base: 0, hash: ContentHash::default(), delta: Delta::default() }
-}
--- a/crates/core/src/node/holder.rs
+++ b/crates/core/src/node/holder.rs
@@ -137,16 +137,16 @@
         now: Instant,
         out: &mut Outbox,
     ) -> bool {
-        let Update { version, base, hash, delta } = update;
+        let Update { change: id, delta } = update;
+        let version = id.version;
         self.newest = self.newest.max(version);
         let current = self.version_hash().version;
         if version <= current || self.is_control {
             return false;
         }
-        let hash = ContentHash::from_slice(&hash).unwrap_or_default();
-        let delta = delta.filter(|_| base == current).map(EncodedDelta::read);
+        let delta = delta.filter(|_| id.base == current).map(EncodedDelta::read);
         let taken = match delta {
-            Some(Ok(delta)) => self.apply(AcceptedChange { version, base, hash, delta }, out),
+            Some(Ok(delta)) => self.apply(AcceptedChange { id, delta }, out),
             Some(Err(_)) => {
                 out.push(Output::Unusable { version, why: "it cannot be read" });
                 false
@@ -167,7 +167,7 @@
         out: &mut Outbox,
     ) -> bool {
         let Some(fetching) = &mut self.fetching else { return false };
-        let version = piece.version;
+        let version = piece.change.version;
         let change = match fetching.take(piece, now, out) {
             Taken::Part => return false,
             Taken::Broken => {
@@ -267,20 +267,21 @@
 
     /// Brings a change into force if it goes on from what is, or is a whole document.
     fn apply(&mut self, change: AcceptedChange, out: &mut Outbox) -> bool {
-        let AcceptedChange { version, base, hash, delta } = change;
-        let current = self.version_hash().version;
-        if !self.is_allowed(version) || (base != current && base != 0) {
+        let AcceptedChange { id, delta } = change;
+        let goes_on = id.base == self.version_hash().version;
+        if !self.is_allowed(id.version) || (!goes_on && id.base != 0) {
             return false;
         }
-        let mut document = if base == current { self.document() } else { Document::default() };
+        let mut document = if goes_on { self.document() } else { Document::default() };
         document.apply(&delta);
-        if document.content_hash() != hash {
+        let hash = document.content_hash();
+        if hash.0[..] != id.hash[..] {
             let why = "its content is not what its hash says";
-            out.push(Output::Unusable { version, why });
+            out.push(Output::Unusable { version: id.version, why });
             return false;
         }
-        let delta = if base == current { delta } else { self.document().delta_to(&document) };
-        self.put_in_force(VersionHash { version, hash }, document, &delta, out)
+        let delta = if goes_on { delta } else { self.document().delta_to(&document) };
+        self.put_in_force(VersionHash { version: id.version, hash }, document, &delta, out)
     }
 
     /// Brings a document into force, which the delta makes of the one before.
--- a/crates/core/src/node/holder_tests.rs
+++ b/crates/core/src/node/holder_tests.rs
@@ -10,7 +10,7 @@
 };
 use crate::{
     config::Document,
-    state::{ConfigChange, EncodedDelta},
+    state::{ChangeId, ConfigChange, EncodedDelta},
     units::Instant,
     wire::{Body, Fetch, Piece, Update},
 };
@@ -58,7 +58,8 @@
     /// Hears of a version that was accepted, with what it changes.
     fn update(&mut self, change: ConfigChange) -> bool {
         let ConfigChange { version, base, hash, delta } = change;
-        let update = Update { version, base, hash, delta: Some(delta) };
+        let change = ChangeId { version, base, hash };
+        let update = Update { change, delta: Some(delta) };
         let Daemon { holder, vm, control, links, out } = self;
         let sources = Sources { vm, replicas: std::slice::from_ref(control), links };
         holder.update(update, &sources, NOW, out)
@@ -68,7 +69,8 @@
     fn piece(&mut self, version: u64, document: &Document) -> bool {
         let delta = EncodedDelta::write(&Document::default().delta_to(document));
         let hash = document.content_hash().0.to_vec().into();
-        let piece = Piece { version, base: 0, hash, number: 0, last: true, delta };
+        let change = ChangeId { version, base: 0, hash };
+        let piece = Piece { change, number: 0, last: true, delta };
         let Daemon { holder, vm, control, links, out } = self;
         let sources = Sources { vm, replicas: std::slice::from_ref(control), links };
         holder.piece(piece, &sources, NOW, out)
--- a/crates/core/src/node/messages.rs
+++ b/crates/core/src/node/messages.rs
@@ -11,6 +11,7 @@
     once::{Claim, ClaimResult, Settle},
     placement::Request,
     registry::Registered,
+    state::ChangeId,
     units::Instant,
     wire::{AcceptedVersion, Body, EndpointRecord, HealthNews, Piece, Report, Submit, Update},
 };
@@ -166,10 +167,8 @@
 /// A change of the configuration, or a piece of it, that was sent; for logs and metrics.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct SentChange {
-    /// The version that the change makes.
-    pub version: u64,
-    /// The version that it goes on from; zero for the whole document.
-    pub base: u64,
+    /// The change.
+    pub change: ChangeId,
     /// Bytes that were sent to each daemon.
     pub bytes: usize,
     /// Number of daemons.
@@ -182,16 +181,16 @@
 
 impl SentChange {
     pub(super) fn unasked(update: &Update, daemons: usize) -> SentChange {
-        let Update { version, base, delta, .. } = update;
+        let Update { change, delta } = update;
         let bytes = delta.as_ref().map_or(0, Bytes::len);
         let last = delta.is_some();
-        SentChange { version: *version, base: *base, bytes, daemons, asked_by: None, last }
+        SentChange { change: change.clone(), bytes, daemons, asked_by: None, last }
     }
 
     pub(super) fn piece(piece: &Piece, vm: &VmName) -> SentChange {
-        let Piece { version, base, last, delta, .. } = piece;
+        let Piece { change, last, delta, .. } = piece;
         let (bytes, asked_by) = (delta.len(), Some(vm.clone()));
-        SentChange { version: *version, base: *base, bytes, daemons: 1, asked_by, last: *last }
+        SentChange { change: change.clone(), bytes, daemons: 1, asked_by, last: *last }
     }
 }
 
--- a/crates/core/src/state/mod.rs
+++ b/crates/core/src/state/mod.rs
@@ -97,8 +97,21 @@
     }
 }
 
-/// A configuration as a delta on an accepted one: what a file proposes, what the log holds,
-/// and what daemons are sent.
+/// Names a change of the configuration.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct ChangeId {
+    /// The version that it makes.
+    #[prost(uint64, tag = "1")]
+    pub version: u64,
+    /// The accepted version that it goes on from; zero for the empty document.
+    #[prost(uint64, tag = "2")]
+    pub base: u64,
+    /// Content hash of the version.
+    #[prost(bytes = "bytes", tag = "3")]
+    pub hash: Bytes,
+}
+
+/// A configuration as a delta on an accepted one: what a file proposes and what the log holds.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct ConfigChange {
     /// The version that the file makes.
@@ -185,12 +198,8 @@
 /// An accepted configuration, as what it changes.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct AcceptedChange {
-    /// Its version.
-    pub version: u64,
-    /// The accepted version before it; zero for the empty document.
-    pub base: u64,
-    /// Content hash of its document.
-    pub hash: ContentHash,
+    /// Its name.
+    pub id: ChangeId,
     /// What it changes.
     pub delta: Delta,
 }
@@ -345,6 +354,6 @@
         if MAX_HISTORY < self.history.len() {
             self.history.pop_first();
         }
-        Ok(AcceptedChange { version, base, hash, delta })
+        Ok(AcceptedChange { id: ChangeId { version, base, hash: config.hash }, delta })
     }
 }
--- a/crates/core/src/state/tests.rs
+++ b/crates/core/src/state/tests.rs
@@ -50,8 +50,8 @@
     let b = state.apply(&entry(2, command::Kind::Config(second)));
 
     let delta = Document::default().delta_to(&document("a"));
-    let hash = document("a").content_hash();
-    let change = AcceptedChange { version: 1, base: 0, hash, delta };
+    let hash = Bytes::copy_from_slice(&document("a").content_hash().0);
+    let change = AcceptedChange { id: ChangeId { version: 1, base: 0, hash }, delta };
     expect_that!(a, eq(&Applied::Accepted(Box::new(change))));
     let winner = document("a").content_hash();
     expect_that!(b, eq(&Applied::Config(ConfigResult::OtherContent { winner })));
--- a/crates/core/src/wire/control.rs
+++ b/crates/core/src/wire/control.rs
@@ -5,7 +5,7 @@
 
 use crate::{
     once::{Claim, Settle, StoredAnswer},
-    state::ConfigChange,
+    state::{ChangeId, ConfigChange},
 };
 
 /// See [`super::Body::ReplicaInfo`].
@@ -76,60 +76,45 @@
 /// See [`super::Body::Update`].
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct Update {
-    /// The accepted version.
-    #[prost(uint64, tag = "1")]
-    pub version: u64,
-    /// The accepted version before it.
-    #[prost(uint64, tag = "2")]
-    pub base: u64,
-    /// Its content hash.
-    #[prost(bytes = "bytes", tag = "3")]
-    pub hash: Bytes,
+    /// The accepted change.
+    #[prost(message, required, tag = "1")]
+    pub change: ChangeId,
     /// What it changes, an encoded [`crate::state::EncodedDelta`]; nothing if that is large.
-    #[prost(bytes = "bytes", optional, tag = "4")]
+    #[prost(bytes = "bytes", optional, tag = "2")]
     pub delta: Option<Bytes>,
 }
 
 /// See [`super::Body::Fetch`].
-#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+#[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct Fetch {
     /// The version that the change is to go on from; zero asks for the whole document.
     #[prost(uint64, tag = "1")]
     pub after: u64,
-    /// The change of which the daemon has earlier pieces makes this version; zero if it has none.
-    #[prost(uint64, tag = "2")]
-    pub version: u64,
-    /// The version that this change goes on from.
-    #[prost(uint64, tag = "3")]
-    pub base: u64,
+    /// The change of which the daemon has earlier pieces, if it has any.
+    #[prost(message, optional, tag = "2")]
+    pub begun: Option<ChangeId>,
     /// Number of the first piece that is wanted.
-    #[prost(uint64, tag = "4")]
+    #[prost(uint64, tag = "3")]
     pub first: u64,
     /// How many pieces are wanted.
-    #[prost(uint64, tag = "5")]
+    #[prost(uint64, tag = "4")]
     pub count: u64,
 }
 
 /// See [`super::Body::Piece`].
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct Piece {
-    /// The version that the whole change makes.
-    #[prost(uint64, tag = "1")]
-    pub version: u64,
-    /// The version that it goes on from; zero for the empty document.
-    #[prost(uint64, tag = "2")]
-    pub base: u64,
-    /// Content hash of the version.
-    #[prost(bytes = "bytes", tag = "3")]
-    pub hash: Bytes,
+    /// The change that it belongs to.
+    #[prost(message, required, tag = "1")]
+    pub change: ChangeId,
     /// Number of the piece, from 0.
-    #[prost(uint64, tag = "4")]
+    #[prost(uint64, tag = "2")]
     pub number: u64,
     /// Whether it is the last one.
-    #[prost(bool, tag = "5")]
+    #[prost(bool, tag = "3")]
     pub last: bool,
     /// Whole sections, an encoded [`crate::state::EncodedDelta`].
-    #[prost(bytes = "bytes", tag = "6")]
+    #[prost(bytes = "bytes", tag = "4")]
     pub delta: Bytes,
 }
 
--- a/crates/server/src/runtime/sight.rs
+++ b/crates/server/src/runtime/sight.rs
@@ -42,7 +42,7 @@
     metrics.change_sent(how, change.daemons, change.bytes);
     if change.asked_by.is_none() || change.last {
         log::info!(
-            event = EventId::ChangeSent.number(), config = change.version, base = change.base,
+            event = EventId::ChangeSent.number(), config = change.change.version, base = change.change.base,
             bytes = change.bytes, daemons = change.daemons, how = how,
             peer = change.asked_by.as_deref().unwrap_or("-");
             "a change of the configuration was told or sent"
