--- a/crates/core/src/agreement/replica/leader.rs
+++ b/crates/core/src/agreement/replica/leader.rs
@@ -10,7 +10,7 @@
         },
         progress::{Progress, quorum_value},
     },
-    Replica, State,
+    HandOver, PendingRead, Replica, State,
 };
 use crate::units::Instant;
 
@@ -23,6 +23,38 @@
 const SNAPSHOT_PAUSE: Duration = Duration::from_secs(2);
 
 impl Replica {
+    /// Asks for a confirmation that this replica leads now. The token comes back
+    /// in [`Ready::reads`] or [`Ready::failed_reads`].
+    pub fn read(&mut self, token: u64, now: Instant) {
+        if !self.is_established() {
+            self.ready.failed_reads.push(token);
+            return;
+        }
+        let index = self.commit;
+        let State::Leader(leadership) = &mut self.state else { return };
+        let in_flight = !leadership.reads.is_empty();
+        // A round already on its way started before this read and proves nothing for it.
+        let round = leadership.round + 1;
+        leadership.reads.push(PendingRead { token, round, index });
+        if !in_flight {
+            self.start_round(now);
+        }
+        self.confirm_reads(now);
+    }
+
+    /// Hands leadership to another voter; the current one steps down when that one starts
+    /// its election. Given up after an election time.
+    pub fn hand_over(&mut self, now: Instant) {
+        let membership = self.membership().clone();
+        let until = now.after(self.timing.election * 2);
+        let State::Leader(leadership) = &mut self.state else { return };
+        let voters = membership.voters().filter(|id| *id != self.id);
+        let best = voters.max_by_key(|id| leadership.peers.get(id).map_or(0, |p| p.matched));
+        let Some(to) = best else { return };
+        leadership.hand_over = Some(HandOver { to, until });
+        self.advance_hand_over();
+    }
+
     pub(super) fn tick_leader(&mut self, now: Instant) {
         if !self.quorum_heard(now) {
             return self.become_follower(self.hard_state.term, None, now);
