--- a/crates/core/src/node/changes.rs
+++ b/crates/core/src/node/changes.rs
@@ -14,6 +14,7 @@
 use bytes::Bytes;
 use prost::Message;
 
+use super::fetching::AHEAD;
 use crate::{
     config::{Document, HashedSection, SectionName},
     state::{AcceptedChange, ChangeId, EncodedDelta, EncodedSection, State},
@@ -147,8 +148,10 @@
     ) -> Option<Vec<Piece>> {
         let cut = self.find(fetch, state, now)?;
         let goes_on = fetch.begun.as_ref() == Some(&cut.id);
-        let first = if goes_on { fetch.first } else { 0 };
-        let numbers = first..first.saturating_add(fetch.count);
+        // A daemon that asked for one more piece of another change lacks all ahead of this one.
+        let (first, count) =
+            if goes_on { (fetch.first, fetch.count) } else { (0, fetch.count.max(AHEAD)) };
+        let numbers = first..first.saturating_add(count);
         Some(numbers.map_while(|number| cut.piece(number)).collect())
     }
 
--- a/crates/core/src/node/changes_tests.rs
+++ b/crates/core/src/node/changes_tests.rs
@@ -168,6 +168,19 @@
     expect_that!((second.change.version, second.number), eq((1, 1)));
 }
 
+#[gtest]
+fn a_daemon_whose_change_is_not_kept_is_sent_the_begin_of_another() {
+    let mut source = Source::default();
+    source.accept(1, 200, 1_000);
+    let gone = ChangeId { version: 7, ..ChangeId::default() };
+
+    let one_more = Fetch { begun: Some(gone), first: 9, count: 1, after: 0 };
+    let pieces = source.answer(&one_more).unwrap();
+
+    let numbers: Vec<u64> = pieces.iter().map(|piece| piece.number).collect();
+    expect_that!(numbers, eq(&vec![0, 1, 2]));
+}
+
 #[gtest]
 fn a_change_of_another_source_begins_anew() {
     let mut out = Outbox::default();
--- a/crates/core/src/node/fetching.rs
+++ b/crates/core/src/node/fetching.rs
@@ -15,7 +15,7 @@
 
 /// Pieces that are asked for ahead. Two keep a link of 10 Mbit/s busy over a round trip of 3 ms; a
 /// third covers a thread that is busy otherwise. What is under way keeps such a link busy for 40 ms.
-const AHEAD: u64 = 3;
+pub(super) const AHEAD: u64 = 3;
 /// Without a first piece for this long, another control VM is asked: one that is cut off from the
 /// leader has nothing to send. Five round trips and pieces on a link of 10 Mbit/s; each further
 /// control VM has as much longer, for a fleet in which all are slow.
--- a/crates/core/src/node/holder.rs
+++ b/crates/core/src/node/holder.rs
@@ -88,7 +88,7 @@
     /// A version that this release does not take; a newer one may do.
     refused: Option<u64>,
     fetching: Option<Fetching>,
-    /// How often another control VM was asked than before.
+    /// How often another control VM had to be asked.
     detours: usize,
     /// Nothing is fetched before this.
     fetch_again: Instant,
@@ -193,7 +193,9 @@
         if !self.is_allowed(state.version()) {
             return false;
         }
-        let delta = self.document().delta_to(state.document());
+        let nothing = Document::default();
+        let before = self.in_force.as_ref().map_or(&nothing, |f| &f.document);
+        let delta = before.delta_to(state.document());
         let version = VersionHash { version: state.version(), hash: state.hash() };
         self.put_in_force(version, state.document().clone(), &delta, out)
     }
@@ -209,7 +211,9 @@
         // No change leads on from a version that is refused; a whole document may.
         let base = if self.refused.is_some() { 0 } else { known };
         self.fetching.take_if(|fetching| fetching.base() != base);
-        let is_missing = known < self.newest && !self.is_control;
+        // Before the first confirmation nothing may come into force.
+        let is_known = self.in_force.is_some() || self.oldest_allowed.is_some();
+        let is_missing = is_known && known < self.newest && !self.is_control;
         if !is_missing || self.fetching.is_some() || now < self.fetch_again {
             return;
         }
--- a/crates/core/src/node/holder_tests.rs
+++ b/crates/core/src/node/holder_tests.rs
@@ -139,6 +139,7 @@
     let taken = daemon.update(ConfigChange::new(1, 0, &Document::default(), &document(1)));
 
     expect_that!((taken, daemon.version()), eq((false, 0)));
+    expect_that!(daemon.asked(), is_empty());
 }
 
 #[gtest]
