--- a/crates/core/src/node/holder.rs
+++ b/crates/core/src/node/holder.rs
@@ -49,17 +49,21 @@
     }
 }
 
-/// The control VMs that a daemon may fetch from.
-pub(super) struct Sources<'a> {
+/// The control VMs that a daemon may ask.
+pub(super) struct Sources {
     /// The daemon's own VM.
-    pub(super) vm: &'a VmName,
+    pub(super) vm: VmName,
     /// All control VMs.
-    pub(super) replicas: &'a [VmName],
+    pub(super) replicas: Vec<VmName>,
     /// VMs that are linked.
-    pub(super) links: &'a BTreeSet<VmName>,
+    pub(super) links: BTreeSet<VmName>,
 }
 
-impl Sources<'_> {
+impl Sources {
+    pub(super) fn new(vm: &VmName, replicas: &[VmName]) -> Sources {
+        Sources { vm: vm.clone(), replicas: replicas.to_vec(), links: BTreeSet::new() }
+    }
+
     /// The control VM to fetch from, after so many others. Each daemon prefers them in an order of
     /// its own, so that all control VMs share the work for a fleet.
     fn after(&self, detours: usize) -> Option<VmName> {
@@ -67,7 +71,7 @@
             self.replicas.iter().filter(|vm| self.links.contains(*vm)).collect();
         sources.sort_by_cached_key(|vm| {
             let mut hasher = DefaultHasher::new();
-            (self.vm, vm).hash(&mut hasher);
+            (&self.vm, vm).hash(&mut hasher);
             hasher.finish()
         });
         let at = detours.checked_rem(sources.len())?;
@@ -133,7 +137,7 @@
     pub(super) fn update(
         &mut self,
         update: Update,
-        sources: &Sources<'_>,
+        sources: &Sources,
         now: Instant,
         out: &mut Outbox,
     ) -> bool {
@@ -162,7 +166,7 @@
     pub(super) fn piece(
         &mut self,
         piece: Piece,
-        sources: &Sources<'_>,
+        sources: &Sources,
         now: Instant,
         out: &mut Outbox,
     ) -> bool {
@@ -201,12 +205,7 @@
     }
 
     /// Fetches the change that follows the version in force, if there is a newer one.
-    pub(super) fn fetch_if_missing(
-        &mut self,
-        sources: &Sources<'_>,
-        now: Instant,
-        out: &mut Outbox,
-    ) {
+    pub(super) fn fetch_if_missing(&mut self, sources: &Sources, now: Instant, out: &mut Outbox) {
         let known = self.version_hash().version.max(self.refused.unwrap_or_default());
         // No change leads on from a version that is refused; a whole document may.
         let base = if self.refused.is_some() { 0 } else { known };
@@ -226,7 +225,7 @@
     pub(super) fn source_lost(
         &mut self,
         vm: &VmName,
-        sources: &Sources<'_>,
+        sources: &Sources,
         now: Instant,
         out: &mut Outbox,
     ) {
@@ -240,13 +239,13 @@
         self.fetching.as_ref().map(Fetching::patience_ends)
     }
 
-    pub(super) fn tick(&mut self, sources: &Sources<'_>, now: Instant, out: &mut Outbox) {
+    pub(super) fn tick(&mut self, sources: &Sources, now: Instant, out: &mut Outbox) {
         if self.next_tick().is_some_and(|at| at <= now) {
             self.fetch_elsewhere(sources, now, out);
         }
     }
 
-    fn fetch_elsewhere(&mut self, sources: &Sources<'_>, now: Instant, out: &mut Outbox) {
+    fn fetch_elsewhere(&mut self, sources: &Sources, now: Instant, out: &mut Outbox) {
         self.detours += 1;
         match (&mut self.fetching, sources.after(self.detours)) {
             (Some(fetching), Some(source)) => fetching.go_on(source, now, out),
--- a/crates/core/src/node/holder_tests.rs
+++ b/crates/core/src/node/holder_tests.rs
@@ -1,7 +1,5 @@
 //! Tests of what may come into force on a daemon.
 
-use std::collections::BTreeSet;
-
 use googletest::prelude::*;
 
 use super::{
@@ -29,9 +27,7 @@
 /// A daemon linked to one control VM.
 struct Daemon {
     holder: Holder,
-    vm: VmName,
-    control: VmName,
-    links: BTreeSet<VmName>,
+    sources: Sources,
     out: Outbox,
 }
 
@@ -46,13 +42,9 @@
 
     fn without_configuration() -> Daemon {
         let control: VmName = "control".into();
-        Daemon {
-            holder: Holder::new(NOW),
-            vm: "daemon".into(),
-            links: BTreeSet::from([control.clone()]),
-            control,
-            out: Outbox::default(),
-        }
+        let mut sources = Sources::new(&"daemon".into(), std::slice::from_ref(&control));
+        sources.links.insert(control);
+        Daemon { holder: Holder::new(NOW), sources, out: Outbox::default() }
     }
 
     /// Hears of a version that was accepted, with what it changes.
@@ -60,9 +52,7 @@
         let ConfigChange { version, base, hash, delta } = change;
         let change = ChangeId { version, base, hash };
         let update = Update { change, delta: Some(delta) };
-        let Daemon { holder, vm, control, links, out } = self;
-        let sources = Sources { vm, replicas: std::slice::from_ref(control), links };
-        holder.update(update, &sources, NOW, out)
+        self.holder.update(update, &self.sources, NOW, &mut self.out)
     }
 
     /// Gets a whole document in one piece.
@@ -71,16 +61,12 @@
         let hash = document.content_hash().0.to_vec().into();
         let change = ChangeId { version, base: 0, hash };
         let piece = Piece { change, number: 0, last: true, delta };
-        let Daemon { holder, vm, control, links, out } = self;
-        let sources = Sources { vm, replicas: std::slice::from_ref(control), links };
-        holder.piece(piece, &sources, NOW, out)
+        self.holder.piece(piece, &self.sources, NOW, &mut self.out)
     }
 
     /// Looks whether something is missing.
     fn fetch(&mut self) {
-        let Daemon { holder, vm, control, links, out } = self;
-        let sources = Sources { vm, replicas: std::slice::from_ref(control), links };
-        holder.fetch_if_missing(&sources, NOW, out);
+        self.holder.fetch_if_missing(&self.sources, NOW, &mut self.out);
     }
 
     fn version(&self) -> u64 {
--- a/crates/core/src/node/keeper.rs
+++ b/crates/core/src/node/keeper.rs
@@ -7,7 +7,7 @@
 //! so a restart cannot bring an older one back. What a version holds is fetched from
 //! any control VM, and known by its hash.
 
-use std::{collections::BTreeSet, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
 
@@ -70,15 +70,13 @@
 
 /// Keeps the configuration in force.
 pub(crate) struct Keeper {
-    vm: VmName,
-    replicas: Vec<VmName>,
+    sources: Sources,
     /// Questions for the newest configuration.
     reads: Vec<PendingRead>,
     timing: NodeTiming,
     holder: Holder,
     changed: bool,
     vouched: Option<Vouched>,
-    links: BTreeSet<VmName>,
     leader: Option<SchedulerAt>,
     leader_changed: bool,
     /// A hint of who leads, from a replica that does not.
@@ -100,14 +98,12 @@
 impl Keeper {
     pub(crate) fn new(options: &NodeOptions, now: Instant) -> Keeper {
         Keeper {
-            vm: options.vm.clone(),
-            replicas: options.seeds.clone(),
+            sources: Sources::new(&options.vm, &options.seeds),
             reads: Vec::new(),
             timing: options.timing,
             holder: Holder::new(now),
             changed: false,
             vouched: None,
-            links: BTreeSet::new(),
             leader: None,
             leader_changed: false,
             hint: None,
@@ -165,8 +161,8 @@
 
     /// Takes the control VMs that are known now.
     pub(crate) fn set_replicas(&mut self, replicas: &[VmName]) {
-        if self.replicas != replicas {
-            self.replicas = replicas.to_vec();
+        if self.sources.replicas != replicas {
+            self.sources.replicas = replicas.to_vec();
         }
     }
 
@@ -197,25 +193,16 @@
     }
 
     pub(crate) fn link_up(&mut self, vm: &VmName, now: Instant, out: &mut Outbox) {
-        self.links.insert(vm.clone());
-        if self.leader.is_none() && self.replicas.contains(vm) {
+        self.sources.links.insert(vm.clone());
+        if self.leader.is_none() && self.sources.replicas.contains(vm) {
             self.poll(vm.clone(), now, out);
         }
-        self.holder.fetch_if_missing(
-            &Sources { vm: &self.vm, replicas: &self.replicas, links: &self.links },
-            now,
-            out,
-        );
+        self.holder.fetch_if_missing(&self.sources, now, out);
     }
 
     pub(crate) fn link_down(&mut self, vm: &VmName, now: Instant, out: &mut Outbox) {
-        self.links.remove(vm);
-        self.holder.source_lost(
-            vm,
-            &Sources { vm: &self.vm, replicas: &self.replicas, links: &self.links },
-            now,
-            out,
-        );
+        self.sources.links.remove(vm);
+        self.holder.source_lost(vm, &self.sources, now, out);
         if self.leader().is_some_and(|leader| leader == vm) {
             self.set_leader(None);
         }
@@ -224,11 +211,7 @@
     pub(crate) fn tick(&mut self, now: Instant, out: &mut Outbox) {
         self.judge_freshness(now, out);
         self.answer_reads(now, out);
-        self.holder.tick(
-            &Sources { vm: &self.vm, replicas: &self.replicas, links: &self.links },
-            now,
-            out,
-        );
+        self.holder.tick(&self.sources, now, out);
         if now < self.next_poll {
             return;
         }
@@ -277,34 +260,20 @@
         let current = VersionHash { version: reply.version, hash };
         self.vouched = Some(Vouched { current, asked: sent });
         self.holder.confirmed_current(current.version);
-        self.holder.fetch_if_missing(
-            &Sources { vm: &self.vm, replicas: &self.replicas, links: &self.links },
-            now,
-            out,
-        );
+        self.holder.fetch_if_missing(&self.sources, now, out);
         self.confirm(now, out);
     }
 
     /// Takes the word of a leader that a version was accepted.
     pub(crate) fn update(&mut self, from: &VmName, update: Update, now: Instant, out: &mut Outbox) {
-        if self.holder.update(
-            update,
-            &Sources { vm: &self.vm, replicas: &self.replicas, links: &self.links },
-            now,
-            out,
-        ) {
+        if self.holder.update(update, &self.sources, now, out) {
             self.came_into_force(Some(from), now, out);
         }
     }
 
     /// Takes a piece of the change that is being fetched.
     pub(crate) fn piece(&mut self, piece: Piece, now: Instant, out: &mut Outbox) {
-        if self.holder.piece(
-            piece,
-            &Sources { vm: &self.vm, replicas: &self.replicas, links: &self.links },
-            now,
-            out,
-        ) {
+        if self.holder.piece(piece, &self.sources, now, out) {
             self.came_into_force(None, now, out);
         }
     }
@@ -360,12 +329,12 @@
         if let Some(leader) = self.leader() {
             return Some(leader.clone());
         }
-        let reachable = |vm: &VmName| *vm == self.vm || self.links.contains(vm);
+        let reachable = |vm: &VmName| *vm == self.sources.vm || self.sources.links.contains(vm);
         if let Some(hint) = self.hint.take().filter(reachable) {
             return Some(hint);
         }
         let reachable: Vec<VmName> =
-            self.replicas.iter().filter(|vm| reachable(vm)).cloned().collect();
+            self.sources.replicas.iter().filter(|vm| reachable(vm)).cloned().collect();
         self.next_replica = self.next_replica.wrapping_add(1);
         let count = reachable.len();
         reachable.into_iter().nth(self.next_replica.checked_rem(count)?)
