Let a heartbeat that a cut has held up take no address from a newer run

Cause: the run of an endpoint that claimed an address last had it, and the other was forgotten for good. A heartbeat of a crashed run that comes late, to a daemon that had not known that run, so took the address of the live run there, and the live run's own heartbeats were ignored from then on.

Ruled out: telling them apart by the numbers of their heartbeats, which count each run apart.

Lists that a daemon is sent when it links anew carry how long ago each endpoint was heard.

--- a/crates/core/src/node/endpoint_tests.rs
+++ b/crates/core/src/node/endpoint_tests.rs
@@ -60,7 +60,7 @@
         sequence: 3,
         ..Default::default()
     };
-    Body::EndpointNews(EndpointNews { records: vec![record] })
+    Body::EndpointNews(EndpointNews::new(vec![record]))
 }
 
 fn told(outputs: &[Output], to: &VmName) -> usize {
--- a/crates/core/src/node/endpoints.rs
+++ b/crates/core/src/node/endpoints.rs
@@ -63,11 +63,14 @@
     /// from each other, tells the leader what the leader does not tell it.
     pub(super) fn endpoint_news(&mut self, from: &VmName, news: EndpointNews, now: Instant) {
         let from_leader = self.keeper.leader() == Some(from);
-        for record in news.records {
+        let EndpointNews { records, ages_ms } = news;
+        let ages = ages_ms.into_iter().chain(std::iter::repeat(0));
+        for (record, age_ms) in records.into_iter().zip(ages) {
             if from_leader {
                 self.for_leader.drop_told(&record);
             }
-            let Some(new) = self.registry.take(record, now) else { continue };
+            let heard = Instant(now.0.saturating_sub(age_ms.saturating_mul(1_000)));
+            let Some(new) = self.registry.take_heard(record, heard, now) else { continue };
             if self.control.is_some() {
                 let pause = RELAY + for_each(RELAY_FOR_A_DAEMON, self.links.len());
                 self.relayed.add(new, now.after(pause));
@@ -79,6 +82,14 @@
         }
     }
 
+    /// All endpoints that are known, for a daemon that is linked anew.
+    pub(super) fn all_endpoints(&self, now: Instant) -> EndpointNews {
+        let age_ms = |heard: Instant| now.since(heard).as_millis() as u64;
+        let heard = self.registry.heard().into_iter();
+        let (records, ages_ms) = heard.map(|(record, heard)| (record, age_ms(heard))).unzip();
+        EndpointNews { records, ages_ms }
+    }
+
     fn tell_all(&mut self, record: EndpointRecord, now: Instant) {
         let pause = for_each(PAUSE_FOR_A_DAEMON, self.links.len());
         self.own_news.add_soon(record, pause, now);
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -63,7 +63,7 @@
     placement::{LoadReport, Request},
     registry::Registry,
     units::Instant,
-    wire::{Body, EndpointNews, OperationKind, Report},
+    wire::{Body, OperationKind, Report},
 };
 
 pub(crate) use self::messages::Outbox;
@@ -259,8 +259,8 @@
         self.keeper.link_up(&vm, clocks.now, out);
         self.directory.link_up(&vm, out);
         if self.control.is_some() {
-            let records = self.registry.records().cloned().collect();
-            out.send(&vm, Body::EndpointNews(EndpointNews { records }));
+            let news = self.all_endpoints(clocks.now);
+            self.outputs.send(&vm, Body::EndpointNews(news));
         }
         self.links.insert(vm);
     }
--- a/crates/core/src/node/spread.rs
+++ b/crates/core/src/node/spread.rs
@@ -85,6 +85,6 @@
             return None;
         }
         self.last_sent = now;
-        Some(EndpointNews { records })
+        Some(EndpointNews::new(records))
     }
 }
--- a/crates/core/src/registry/mod.rs
+++ b/crates/core/src/registry/mod.rs
@@ -32,6 +32,10 @@
 /// The same for one that is only remembered from before this daemon's start: it may have left
 /// meanwhile, and its heartbeat comes within one interval if it has not.
 const MISSED_IF_RECALLED: u32 = 2;
+/// A run of an endpoint has the address of another once that one was not heard for this part of a
+/// heartbeat longer. A heartbeat that a cut has held up may arrive after its sender has crashed and
+/// a new run has registered at the address; that one is heard every heartbeat, and keeps it.
+const HEARD_LONGER: f64 = 1.5;
 
 #[derive(Debug, Clone)]
 struct Known {
@@ -65,18 +69,18 @@
 }
 
 impl Known {
-    fn new(record: EndpointRecord, address: SocketAddr, now: Instant) -> Known {
+    fn new(record: EndpointRecord, address: SocketAddr, heard: Instant, now: Instant) -> Known {
         let leaving_since = record.leaving.then_some(now);
         let silent_since = record.silent.then_some(now);
-        Known { record, address, heard: now, recalled: false, leaving_since, silent_since }
+        Known { record, address, heard, recalled: false, leaving_since, silent_since }
     }
 
     /// Takes what a record says beyond what is known; tells whether that is anything.
-    fn merge(&mut self, record: EndpointRecord, address: SocketAddr, now: Instant) -> bool {
+    fn merge(&mut self, record: EndpointRecord, address: SocketAddr, heard: Instant) -> bool {
         let known = &self.record;
         let newer = known.sequence < record.sequence;
         if newer && !record.silent {
-            self.heard = now;
+            self.heard = self.heard.max(heard);
             self.recalled = false;
         }
         let mut merged = if newer { record.clone() } else { known.clone() };
@@ -154,8 +158,19 @@
         self.revision
     }
 
-    /// Takes a heartbeat or news of it. Returns the record to pass on if it says anything new.
+    /// Takes a heartbeat that was heard now, or news of it. Returns the record to pass on if it
+    /// says anything new.
     pub fn take(&mut self, record: EndpointRecord, now: Instant) -> Option<EndpointRecord> {
+        self.take_heard(record, now, now)
+    }
+
+    /// The same of a heartbeat that was heard earlier.
+    pub fn take_heard(
+        &mut self,
+        record: EndpointRecord,
+        heard: Instant,
+        now: Instant,
+    ) -> Option<EndpointRecord> {
         if record.address.is_empty() {
             return self.leave(&record.id, now);
         }
@@ -165,12 +180,15 @@
             return None;
         }
         let Some(known) = self.known.get_mut(&id) else {
-            self.forget_others_at(address, &id);
-            self.known.insert(id, Known::new(record.clone(), address, now));
+            if self.is_taken(address, heard) {
+                return if record.leaving { self.leave(&id, now) } else { None };
+            }
+            self.known.retain(|_, other| other.address != address);
+            self.known.insert(id, Known::new(record.clone(), address, heard, now));
             self.revision += 1;
             return Some(record);
         };
-        if !known.merge(record, address, now) {
+        if !known.merge(record, address, heard) {
             return None;
         }
         known.note_state(now);
@@ -250,6 +268,11 @@
         silent
     }
 
+    /// All records, each with when it was last heard.
+    pub fn heard(&self) -> Vec<(EndpointRecord, Instant)> {
+        self.known.values().map(|known| (known.record.clone(), known.heard)).collect()
+    }
+
     /// All records.
     pub fn records(&self) -> impl Iterator<Item = &EndpointRecord> {
         self.known.values().map(|known| &known.record)
@@ -307,17 +330,15 @@
         self.known.iter().map(registered).collect()
     }
 
-    /// An address belongs to the run of an endpoint that claimed it last.
-    fn forget_others_at(&mut self, address: SocketAddr, id: &Arc<str>) {
-        let others: Vec<Arc<str>> = self
-            .known
-            .iter()
-            .filter(|(other, known)| known.address == address && *other != id)
-            .map(|(other, _)| other.clone())
-            .collect();
-        for other in others {
-            self.forget(&other);
-        }
+    /// Whether an address belongs to a run that was heard so late that another, heard then, does
+    /// not have it yet.
+    fn is_taken(&self, address: SocketAddr, heard: Instant) -> bool {
+        let longer = self.heartbeat.mul_f64(HEARD_LONGER);
+        let keeps = |other: &Known| {
+            let is_heard = !other.recalled && !other.record.silent;
+            is_heard && heard < other.heard.after(longer)
+        };
+        self.known.values().any(|other| other.address == address && keeps(other))
     }
 
     fn forget(&mut self, id: &Arc<str>) {
--- a/crates/core/src/storage/mod.rs
+++ b/crates/core/src/storage/mod.rs
@@ -147,7 +147,7 @@
     /// Keeps the endpoints that are known, in place of those before. This is only a hint for the
     /// next start: after an error the daemon may go on.
     pub fn remember(&mut self, endpoints: Vec<EndpointRecord>) -> Result<(), StorageError> {
-        let bytes = encode_record(&EndpointNews { records: endpoints }.encode_to_vec());
+        let bytes = encode_record(&EndpointNews::new(endpoints).encode_to_vec());
         self.folder.overwrite(ENDPOINTS, &bytes).map_err(write_error("write the endpoints"))?;
         self.folder.sync(ENDPOINTS).map_err(io_error("sync the endpoints"))
     }
--- a/crates/core/src/wire/endpoints.rs
+++ b/crates/core/src/wire/endpoints.rs
@@ -6,6 +6,16 @@
     /// The endpoints.
     #[prost(message, repeated, tag = "1")]
     pub records: Vec<EndpointRecord>,
+    /// How long ago each was last heard, in milliseconds; empty for news of this moment.
+    #[prost(uint64, repeated, tag = "2")]
+    pub ages_ms: Vec<u64>,
+}
+
+impl EndpointNews {
+    /// News of this moment.
+    pub fn new(records: Vec<EndpointRecord>) -> EndpointNews {
+        EndpointNews { records, ages_ms: Vec::new() }
+    }
 }
 
 /// What an endpoint said of itself when it registered.
--- a/crates/server/src/runtime/frames_tests.rs
+++ b/crates/server/src/runtime/frames_tests.rs
@@ -27,7 +27,7 @@
 fn long_message() -> Envelope {
     let record = |n: usize| EndpointRecord { id: format!("endpoint-{n}"), ..Default::default() };
     let records = (0..2_000).map(record).collect();
-    Envelope { body: Some(Body::EndpointNews(EndpointNews { records })) }
+    Envelope { body: Some(Body::EndpointNews(EndpointNews::new(records))) }
 }
 
 fn encoded(envelope: &Envelope) -> BytesMut {
