End a generation's work wherever it is when its caller leaves

Cause: the relay looked whether the caller was there only between two steps of a generation. In the middle of a move's last copy, while it went on where its copy lies, or while it began again at another endpoint, a caller that left was noticed when that endpoint answered; what had been copied stayed at both engines until it expired.

Ruled out by tests that pass on the code as it was: a request that waits for a configuration, for an endpoint or for a place, a call, its second attempt, a generation before its first event and between events. A property over 150 orders of requests, leaves, progress, moves, failures and changes of the leader finds nothing held for what is gone.

Change: the leave of the caller races everything that is done for its generation; copies of a generation that has ended without them are freed at both engines.

--- /dev/null
+++ b/crates/core/src/node/tests/leaving.rs
@@ -0,0 +1,160 @@
+//! Whatever the order in which requests come, run, move and are given up by callers who leave,
+//! also through changes of the leader: in the end no place is held for any of them.
+
+use googletest::prelude::*;
+use proptest::prelude::*;
+
+use super::net::{Net, Site, request};
+use crate::{
+    node::{CallId, Input, Question, VmName, control::Control},
+    placement::Scheduler,
+    wire::HealthNews,
+};
+
+/// A request of an entry, as far as it is known to its caller.
+#[derive(Debug, Clone)]
+struct Request {
+    entry: VmName,
+    call: CallId,
+}
+
+/// What happens next, with numbers that choose which request, VM or endpoint it happens to.
+#[derive(Debug, Clone, Copy)]
+enum Step {
+    Comes(u8),
+    Leaves(u8),
+    Progresses(u8, u8),
+    Ends(u8),
+    Moved(u8, bool),
+    EndpointFails(u8),
+    LeaderStops,
+    TimePasses(u8),
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let step = prop_oneof![
+        6 => any::<u8>().prop_map(Step::Comes),
+        3 => any::<u8>().prop_map(Step::Leaves),
+        2 => (any::<u8>(), any::<u8>()).prop_map(|(at, tokens)| Step::Progresses(at, tokens)),
+        2 => any::<u8>().prop_map(Step::Ends),
+        1 => (any::<u8>(), any::<bool>()).prop_map(|(at, done)| Step::Moved(at, done)),
+        1 => any::<u8>().prop_map(Step::EndpointFails),
+        1 => Just(Step::LeaderStops),
+        4 => (0u8..6).prop_map(Step::TimePasses),
+    ];
+    proptest::collection::vec(step, 1..60)
+}
+
+/// A net with requests that come and go.
+struct Traffic {
+    net: Net,
+    requests: Vec<Request>,
+}
+
+impl Traffic {
+    fn begin(seed: u64) -> Traffic {
+        let mut net = Net::new(&Site::new(3, 2), seed);
+        net.calm(60);
+        net.submit(&"vm-4".into(), 1, "a");
+        net.calm(60);
+        Traffic { net, requests: Vec::new() }
+    }
+
+    fn pick(&self, at: u8) -> Option<Request> {
+        let at = usize::from(at).checked_rem(self.requests.len())?;
+        self.requests.get(at).cloned()
+    }
+
+    fn tell(&mut self, at: u8, input: impl FnOnce(CallId) -> Input) {
+        if let Some(Request { entry, call }) = self.pick(at) {
+            self.net.handle(&entry, input(call));
+        }
+    }
+
+    fn step(&mut self, step: Step) {
+        match step {
+            Step::Comes(at) => {
+                let entry: VmName = if at % 2 == 0 { "vm-4" } else { "vm-5" }.into();
+                let call = self.net.ask(&entry, Question::Place(request()));
+                self.requests.push(Request { entry, call });
+            }
+            Step::Leaves(at) => self.tell(at, Input::Cancelled),
+            Step::Progresses(at, tokens) => {
+                self.tell(at, |call| Input::Progress(call, u64::from(tokens)));
+            }
+            Step::Ends(at) => self.end(at),
+            Step::Moved(at, done) => {
+                self.tell(at, |call| Input::Moved { call, at: "e0".into(), done });
+            }
+            Step::EndpointFails(at) => {
+                let entry: VmName = if at % 2 == 0 { "vm-4" } else { "vm-5" }.into();
+                self.net.handle(&entry, Input::Health("e0".into(), HealthNews::Failed));
+            }
+            Step::LeaderStops => {
+                if let Some(leader) = self.net.leader() {
+                    self.net.handle(&leader, Input::Stop);
+                }
+            }
+            Step::TimePasses(steps) => self.net.wait(usize::from(steps)),
+        }
+    }
+
+    fn end(&mut self, at: u8) {
+        self.tell(at, |call| Input::Finished { call, tokens: 5, whole: true });
+    }
+
+    /// Every caller that is still there leaves: a request that runs ends, one that waits is
+    /// cancelled, and what has ended hears of it once more.
+    fn all_leave(&mut self) {
+        for Request { entry, call } in std::mem::take(&mut self.requests) {
+            let finished = Input::Finished { call, tokens: 5, whole: false };
+            for input in [Input::Cancelled(call), finished] {
+                self.net.handle(&entry, input);
+            }
+        }
+        self.net.calm(200);
+    }
+
+    /// The schedulers that decide now: the leader's, and each entry's own.
+    fn schedulers(&self) -> Vec<&Scheduler> {
+        let nodes = || self.net.hosts.values().filter_map(|host| host.node.as_ref());
+        let control = nodes().filter_map(|node| node.control.as_ref());
+        let leaders = control.filter_map(Control::dispatcher);
+        leaders.chain(nodes().map(|node| node.placing.local())).collect()
+    }
+}
+
+proptest! {
+    #![proptest_config(crate::testing::fixed_seed(150))]
+
+    #[test]
+    fn nothing_is_held_for_requests_that_are_gone(seed in any::<u64>(), steps in steps()) {
+        let mut traffic = Traffic::begin(seed);
+        for step in steps {
+            traffic.step(step);
+        }
+        traffic.all_leave();
+        for scheduler in traffic.schedulers() {
+            prop_assert_eq!(scheduler.waiting(), 0);
+            prop_assert_eq!(scheduler.running(), 0);
+            for (name, endpoint) in scheduler.endpoints() {
+                prop_assert_eq!(endpoint.running(), 0, "{}", name);
+                prop_assert!(endpoint.kv_used().abs() < 1e-6, "{}: {}", name, endpoint.kv_used());
+            }
+        }
+    }
+}
+
+#[gtest]
+fn the_traffic_of_the_property_is_served() {
+    let mut traffic = Traffic::begin(1);
+
+    for at in 0..3 {
+        traffic.step(Step::Comes(at));
+    }
+    traffic.step(Step::TimePasses(5));
+
+    expect_that!(traffic.net.seen.placed.len(), eq(3));
+    let running: usize = traffic.schedulers().iter().map(|s| s.running()).max().unwrap();
+    expect_that!(running, eq(3));
+}
--- a/crates/core/src/node/tests/mod.rs
+++ b/crates/core/src/node/tests/mod.rs
@@ -3,6 +3,7 @@
 mod fleet;
 mod founding;
 mod large_change;
+mod leaving;
 mod net;
 
 use std::collections::BTreeSet;
--- a/crates/server/src/relay/moves.rs
+++ b/crates/server/src/relay/moves.rs
@@ -51,26 +51,45 @@
     }
 }
 
+/// How far a move has come, and whether it is still wanted.
+#[derive(Default)]
+struct Progress {
+    stopping: Cell<bool>,
+    abandoned: Cell<bool>,
+}
+
 /// A move on its way.
 pub(super) struct Move {
     pub(super) began: Instant,
     /// Where it is to go on.
     pub(super) to: Arc<str>,
-    stopping: Rc<Cell<bool>>,
+    relay: Rc<Relay>,
+    progress: Rc<Progress>,
     future: LocalFuture<'static, MoveEnd>,
 }
 
 impl Move {
     pub(super) fn begin(relay: Rc<Relay>, job: Rc<Job>, from: Registered, to: Registered) -> Move {
-        let stopping = Rc::new(Cell::new(false));
+        let progress = Rc::new(Progress::default());
         let destination = to.id.clone();
-        let future = Box::pin(run(relay, job, from, to, stopping.clone()));
-        Move { began: Instant::now(), to: destination, stopping, future }
+        let future = Box::pin(run(relay.clone(), job, from, to, progress.clone()));
+        Move { began: Instant::now(), to: destination, relay, progress, future }
     }
 
     /// Whether the generation was told to stop.
     pub(super) fn is_stopping(&self) -> bool {
-        self.stopping.get()
+        self.progress.stopping.get()
+    }
+
+    /// Ends a move whose generation nobody wants any more. What was copied holds memory at both
+    /// engines, for seconds, until it is freed.
+    pub(super) fn abandon(self) {
+        self.progress.abandoned.set(true);
+        tokio::task::spawn_local(async move {
+            if let MoveEnd::Stopped { memory, .. } = self.future.await {
+                free(&self.relay, &memory).await;
+            }
+        });
     }
 
     pub(super) async fn end(&mut self) -> MoveEnd {
@@ -83,20 +102,24 @@
     job: Rc<Job>,
     from: Registered,
     to: Registered,
-    stopping: Rc<Cell<bool>>,
+    progress: Rc<Progress>,
 ) -> MoveEnd {
+    let source = from.address;
     let order = |last| CopyOrder { id: &job.caller.id, to: to.address, last };
-    match copy(&relay, from.address, &order(false)).await {
-        Ok(Copied::Done { .. }) => {}
+    let first = match copy(&relay, source, &order(false)).await {
+        Ok(Copied::Done { handle, .. }) => MemoryAt { source, handle },
         Ok(Copied::NoSuchRun) => return MoveEnd::NoSuchRun,
         Ok(Copied::Busy) => return MoveEnd::Failed("another copy is on its way".into()),
         Ok(Copied::Refused { .. }) => return MoveEnd::Failed("no room for the copy".into()),
         Ok(Copied::Malformed) => return MoveEnd::Failed("malformed answer".into()),
         Err(problem) => return MoveEnd::Failed(problem),
+    };
+    if progress.abandoned.get() {
+        free(&relay, &first).await;
+        return MoveEnd::NoSuchRun;
     }
-    stopping.set(true);
-    let source = from.address;
-    match copy(&relay, from.address, &order(true)).await {
+    progress.stopping.set(true);
+    match copy(&relay, source, &order(true)).await {
         Ok(Copied::Done { handle, .. }) => {
             MoveEnd::Stopped { memory: MemoryAt { source, handle }, to: to.id }
         }
@@ -112,6 +135,17 @@
     }
 }
 
+/// Frees a copy at both engines. One that cannot be freed expires after some seconds.
+pub(super) async fn free(relay: &Relay, memory: &MemoryAt) {
+    let req = relay.protocol.free_request(&memory.handle);
+    let freed = exchange(memory.source, req, relay.options.connect_limit);
+    match timeout(relay.options.copy_limit, freed).await {
+        Ok(Ok(_)) => {}
+        Ok(Err(e)) => log::debug!("a copy was not freed: {e}"),
+        Err(_) => log::debug!("a copy was not freed: no answer in time"),
+    }
+}
+
 async fn copy(relay: &Relay, at: SocketAddr, order: &CopyOrder<'_>) -> Result<Copied, String> {
     let ask = async {
         let open =
--- a/crates/server/src/relay/protocol.rs
+++ b/crates/server/src/relay/protocol.rs
@@ -140,6 +140,9 @@
     /// Asks an engine to copy a generation's memory.
     fn copy_request(&self, order: &CopyOrder<'_>) -> Request<Full<Bytes>>;
 
-    /// Reads the answer to that.
+    /// Asks an engine to free a copy that it has made, there and where it lies.
+    fn free_request(&self, handle: &str) -> Request<Full<Bytes>>;
+
+    /// Reads the answer to [`Protocol::copy_request`].
     fn read_copied(&self, head: &response::Parts, body: &[u8]) -> Copied;
 }
--- a/crates/server/src/relay/stream.rs
+++ b/crates/server/src/relay/stream.rs
@@ -17,7 +17,7 @@
     Job, MemoryAt, Relay,
     generation::{Opened, open_at},
     job::GoOn,
-    moves::{Move, MoveEnd},
+    moves::{Move, MoveEnd, free},
     source::{Source, Step},
 };
 use crate::{
@@ -52,6 +52,8 @@
     orders: mpsc::UnboundedReceiver<MoveOrder>,
     /// A move on its way.
     moving: Option<Move>,
+    /// What a move has copied, until the generation goes on with it.
+    copied: Option<MemoryAt>,
     /// The last event that the caller has.
     last: Option<u64>,
     /// Events passed on so far.
@@ -79,6 +81,7 @@
             tx,
             orders,
             moving: None,
+            copied: None,
             last,
             events: 0,
             starts: 1,
@@ -89,13 +92,14 @@
     pub(super) async fn run(mut self, first: Option<Event>) {
         let route = self.job.route.name.clone();
         self.relay.metrics.first_event(&route, self.job.arrived.elapsed());
-        let cause = match first {
-            Some(event) => match self.deliver(event).await {
-                Ok(()) => self.carry().await,
-                Err(cause) => cause,
-            },
-            None => Cause::Answered,
+        let caller = self.tx.clone();
+        let cause = tokio::select! {
+            biased;
+            // Wherever the generation is: between events, in a move, on its way elsewhere.
+            () = caller.closed() => Cause::CallerLeft,
+            cause = self.carry(first) => cause,
         };
+        self.free_copies();
         let (name, detail) = match cause {
             Cause::Answered => {
                 self.placed.finish(self.tokens());
@@ -113,13 +117,28 @@
         self.job.ended(&self.relay.metrics, name, detail.trim());
     }
 
+    /// Frees what was copied of a generation that has ended without it. A move that is on its way
+    /// ends by itself.
+    fn free_copies(&mut self) {
+        if let Some(moving) = self.moving.take() {
+            moving.abandon();
+        }
+        if let Some(memory) = self.copied.take() {
+            let relay = self.relay.clone();
+            tokio::task::spawn_local(async move { free(&relay, &memory).await });
+        }
+    }
+
     /// Passes events on and follows moves until the generation ends.
-    async fn carry(&mut self) -> Cause {
+    async fn carry(&mut self, first: Option<Event>) -> Cause {
+        let Some(first) = first else { return Cause::Answered };
+        if let Err(cause) = self.deliver(first).await {
+            return cause;
+        }
         loop {
             let deadline = sleep_until(self.job.deadline.into());
             let result = tokio::select! {
                 biased;
-                () = self.tx.closed() => Err(Cause::CallerLeft),
                 step = self.source.next() => self.take_step(step).await,
                 Some(order) = self.orders.recv(), if self.moving.is_none() => {
                     self.begin(&order);
@@ -242,6 +261,7 @@
         took: Duration,
     ) -> Result<(), Cause> {
         let stopped = Instant::now();
+        self.copied = Some(memory.clone());
         // The links are free for the next copy while this generation starts again.
         self.placed.moved(to, to != from);
         let went_on = match self.drain().await {
@@ -290,6 +310,7 @@
             let opened = timeout(self.job.time_left(), opened).await;
             match opened.map_err(|_| Cause::TimeOver)? {
                 Ok(Opened::Stream { source, first, .. }) => {
+                    self.copied = None;
                     if endpoint != to {
                         self.placed.moved(endpoint, false);
                     }
--- a/crates/server/src/relay/tests/endpoint.rs
+++ b/crates/server/src/relay/tests/endpoint.rs
@@ -7,7 +7,7 @@
 use hyper::body::Incoming;
 use tokio::sync::{mpsc, oneshot};
 
-use super::protocol::{AFTER, COPY_PATH, ENDPOINT, ID, MEMORY, NOT_RUN, header};
+use super::protocol::{AFTER, COPY_PATH, ENDPOINT, FREE_PATH, ID, MEMORY, NOT_RUN, header};
 use crate::edge::{self, AnswerError, Body, Bounds, Handler, LocalFuture, Server};
 
 /// One attempt that came to the endpoint and waits for its answer.
@@ -52,6 +52,11 @@
         drop(self.answer);
     }
 
+    /// Waits until nobody waits for the answer any more.
+    pub(super) async fn left(&mut self) {
+        self.answer.closed().await;
+    }
+
     /// Begins a stream of events.
     pub(super) fn stream(self) -> Stream {
         let (tx, rx) = mpsc::channel(64);
@@ -126,12 +131,18 @@
 struct Inbox {
     arrivals: mpsc::UnboundedSender<Arrival>,
     copies: mpsc::UnboundedSender<CopyAsked>,
+    freed: mpsc::UnboundedSender<String>,
 }
 
 impl Inbox {
     fn put(&self, req: &Request<Incoming>, answer: oneshot::Sender<Response<Body>>) {
         let headers = req.headers();
         let id: String = header(headers, ID).unwrap_or_default();
+        if let Some(handle) = req.uri().path().strip_prefix(FREE_PATH) {
+            let _ = self.freed.send(handle.to_owned());
+            let _ = answer.send(Response::new(edge::empty()));
+            return;
+        }
         if req.uri().path().starts_with(COPY_PATH) {
             let last = req.uri().path().ends_with("/last");
             let _ = self.copies.send(CopyAsked { id, last, answer });
@@ -181,6 +192,7 @@
     server: Server,
     arrivals: mpsc::UnboundedReceiver<Arrival>,
     copies: mpsc::UnboundedReceiver<CopyAsked>,
+    freed: mpsc::UnboundedReceiver<String>,
 }
 
 impl FakeEndpoint {
@@ -188,9 +200,10 @@
     pub(super) fn open() -> FakeEndpoint {
         let (arrivals_tx, arrivals) = mpsc::unbounded_channel();
         let (copies_tx, copies) = mpsc::unbounded_channel();
-        let inbox = Inbox { arrivals: arrivals_tx, copies: copies_tx };
+        let (freed_tx, freed) = mpsc::unbounded_channel();
+        let inbox = Inbox { arrivals: arrivals_tx, copies: copies_tx, freed: freed_tx };
         let server = edge::bind("127.0.0.1:0".parse().unwrap(), Rc::new(inbox)).unwrap();
-        FakeEndpoint { server, arrivals, copies }
+        FakeEndpoint { server, arrivals, copies, freed }
     }
 
     /// Where it listens.
@@ -208,6 +221,11 @@
         self.copies.recv().await.expect("the endpoint lives as long as the test")
     }
 
+    /// The name of the next copy that may be forgotten.
+    pub(super) async fn freed(&mut self) -> String {
+        self.freed.recv().await.expect("the endpoint lives as long as the test")
+    }
+
     /// Whether any attempt has come that was not taken.
     pub(super) fn is_idle(&mut self) -> bool {
         self.arrivals.try_recv().is_err()
--- a/crates/server/src/relay/tests/entry.rs
+++ b/crates/server/src/relay/tests/entry.rs
@@ -17,7 +17,7 @@
     agreement::Timing,
     config::{CheckedDocument, Document},
     mechanism::Disabled,
-    node::{Input, NodeOptions, NodeTiming},
+    node::{Answer, Input, NodeOptions, NodeTiming, Question},
     wire::EndpointRecord,
 };
 
@@ -121,6 +121,7 @@
 pub(super) struct Entry {
     node: NodeHandle,
     server: Server,
+    metrics: Rc<Metrics>,
 }
 
 impl Entry {
@@ -148,9 +149,9 @@
             disabled: Disabled::default(),
         };
         let protocol = Box::new(TestProtocol);
-        let relay = Relay::new(node.clone(), protocol, HALL.into(), options, metrics);
+        let relay = Relay::new(node.clone(), protocol, HALL.into(), options, metrics.clone());
         let server = edge::bind("127.0.0.1:0".parse().unwrap(), Rc::new(relay)).unwrap();
-        Entry { node, server }
+        Entry { node, server, metrics }
     }
 
     /// Brings the configuration into force.
@@ -166,15 +167,50 @@
         self.until(|| 0 < self.server.open()).await;
     }
 
+    /// Returns once no caller is connected and nothing is done for any.
+    pub(super) async fn at_rest(&self) {
+        self.until(|| self.server.open() == 0 && self.in_progress() == 0).await;
+    }
+
+    /// Returns once so many requests are in progress.
+    pub(super) async fn has_in_progress(&self, count: u64) {
+        self.until(|| self.in_progress() == count).await;
+    }
+
+    fn in_progress(&self) -> u64 {
+        let text = self.metrics.text().unwrap();
+        let line = text.lines().find(|l| l.starts_with("trayswitch_requests_in_progress "));
+        line.and_then(|line| line.split(' ').next_back()?.parse().ok()).unwrap()
+    }
+
+    /// Requests that the scheduler takes for running, at all engines together.
+    pub(super) async fn running(&self) -> u64 {
+        let call = self.node.view().next_call();
+        match self.node.ask(call, Question::Endpoints, LIMIT).await {
+            Some(Answer::Endpoints(endpoints)) => endpoints.iter().map(|e| e.running).sum(),
+            other => panic!("{other:?}"),
+        }
+    }
+
     /// An endpoint of a service that has registered itself, once requests know of it.
     pub(super) async fn register(&self, service: &str, name: &str) -> FakeEndpoint {
+        self.register_with_slots(service, name, 48).await
+    }
+
+    /// The same with so many places.
+    pub(super) async fn register_with_slots(
+        &self,
+        service: &str,
+        name: &str,
+        slots: u64,
+    ) -> FakeEndpoint {
         let endpoint = FakeEndpoint::open();
         self.node.input(Input::Heartbeat(EndpointRecord {
             id: name.to_owned(),
             service: service.to_owned(),
             address: endpoint.address().to_string(),
             hall: HALL.to_owned(),
-            slots: 48,
+            slots,
             sequence: 1,
             ..EndpointRecord::default()
         }));
--- a/crates/server/src/relay/tests/mod.rs
+++ b/crates/server/src/relay/tests/mod.rs
@@ -6,6 +6,7 @@
 mod entry;
 mod generations;
 mod latency;
+mod leaving;
 mod moves;
 mod protocol;
 mod reading;
--- a/crates/server/src/relay/tests/protocol.rs
+++ b/crates/server/src/relay/tests/protocol.rs
@@ -25,6 +25,8 @@
 pub(super) const OUTCOME: &str = "x-outcome";
 /// Path of the orders to copy.
 pub(super) const COPY_PATH: &str = "/copy";
+/// Path under which a copy is freed by its name.
+pub(super) const FREE_PATH: &str = "/free/";
 
 /// Tokens of every prompt.
 const PROMPT_TOKENS: u64 = 1_000;
@@ -102,6 +104,10 @@
             .unwrap()
     }
 
+    fn free_request(&self, handle: &str) -> Request<Full<Bytes>> {
+        Request::delete(format!("{FREE_PATH}{handle}")).body(Full::default()).unwrap()
+    }
+
     fn read_copied(&self, head: &response::Parts, body: &[u8]) -> Copied {
         let handle = std::str::from_utf8(body).ok().filter(|text| !text.is_empty());
         let handle = handle.map(str::to_owned);
--- a/crates/server/src/runtime/view.rs
+++ b/crates/server/src/runtime/view.rs
@@ -93,7 +93,7 @@
 
     /// A new id for a question. They start at a random number, so that the leader does not
     /// take a request of a restarted daemon for one of the daemon before.
-    pub(super) fn next_call(&self) -> CallId {
+    pub(crate) fn next_call(&self) -> CallId {
         let last = match self.calls.get() {
             0 => fastrand::u64(1..1 << 60),
             last => last,
