--- a/crates/server/src/runtime/mod.rs
+++ b/crates/server/src/runtime/mod.rs
@@ -1,5 +1,7 @@
 //! Drives the pure node: feeds it inputs and carries out what it decides.
 
+#[cfg(feature = "faulty-disk")]
+mod faulty;
 mod frames;
 #[cfg(test)]
 mod frames_tests;
