--- a/crates/core/src/config/service.rs
+++ b/crates/core/src/config/service.rs
@@ -49,6 +49,8 @@
     pub moves: bool,
     /// Whether an engine can keep a copy of a generation that runs at another.
     pub backups: bool,
+    /// The longest time for which an engine keeps a place; none where engines keep no places.
+    pub longest_reservation: Option<Duration>,
 }
 
 /// Reads a service.
@@ -62,6 +64,10 @@
         link_mbps: r.number("link_mbps", Some(10_000), 1, 1 << 32),
         moves: r.flag("moves", Some(false)),
         backups: r.flag("backups", Some(false)),
+        longest_reservation: r
+            .raw("longest_reservation")
+            .is_some()
+            .then(|| r.duration("longest_reservation", None)),
     });
     ServiceSpec { calls: BTreeMap::new(), max_connections, health_path, engine }
 }
--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -57,6 +57,7 @@
     AttemptEnded = 311, "An attempt at an endpoint has ended.";
     MoveEnded = 312, "A running generation was moved, or could not be.";
     CallerRefused = 313, "A connection or request of a caller was refused before it was routed.";
+    PlacedAlone = 315, "No scheduler answers; an engine drawn at random was asked for a place.";
     TakenWhileStopping = 314, "A daemon that stops has taken a generation that will likely end in time.";
     RequestFailed = 304, "A request did not end in its whole answer.";
     FrameDropped = 305, "A frame of a generation was ignored.";
--- a/crates/core/src/node/keeper.rs
+++ b/crates/core/src/node/keeper.rs
@@ -24,6 +24,11 @@
 
 /// A poll that is not answered in this many intervals goes to another replica.
 const PATIENCE: u32 = 2;
+/// Half intervals without an answer after which requests are placed without the scheduler: one poll
+/// that was not answered within half an interval. A retransmission on a link that loses packets may
+/// take as long; the few requests that come meanwhile are then placed alone. Three intervals kept
+/// requests waiting for up to 0.7 s for a leader that had lost power.
+const SILENT_HALVES: u32 = 3;
 
 /// The scheduler that this daemon's requests go to.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -86,6 +91,8 @@
     nonce: u64,
     polls: Vec<SentPoll>,
     next_poll: Instant,
+    /// When time last passed here.
+    ticked: Instant,
     last_reply: Instant,
     /// The configuration was current at this time; zero means never confirmed.
     confirmed: Option<Instant>,
@@ -111,6 +118,7 @@
             nonce: options.seed,
             polls: Vec::new(),
             next_poll: now,
+            ticked: now,
             last_reply: now,
             confirmed: None,
             fresh: false,
@@ -146,12 +154,18 @@
 
     /// The scheduler, unless it has been silent for too long.
     pub(crate) fn scheduler(&self, now: Instant) -> Option<&SchedulerAt> {
-        let silent = now.since(self.last_reply);
-        self.leader.as_ref().filter(|_| silent < self.timing.poll * 3)
+        self.leader.as_ref().filter(|_| now < self.scheduler_is_silent_at())
+    }
+
+    /// When the scheduler will have been silent for too long.
+    fn scheduler_is_silent_at(&self) -> Instant {
+        self.last_reply.after(self.timing.poll / 2 * SILENT_HALVES)
     }
 
     pub(crate) fn next_tick(&self) -> Instant {
-        self.holder.next_tick().map_or(self.next_poll, |at| at.min(self.next_poll))
+        let silent = self.scheduler(self.ticked).map(|_| self.scheduler_is_silent_at());
+        let next = self.holder.next_tick().into_iter().chain(silent).min();
+        next.map_or(self.next_poll, |at| at.min(self.next_poll))
     }
 
     /// From now on what is accepted comes from this VM's own control replica.
@@ -209,6 +223,7 @@
     }
 
     pub(crate) fn tick(&mut self, now: Instant, out: &mut Outbox) {
+        self.ticked = now;
         self.judge_freshness(now, out);
         self.answer_reads(now, out);
         self.holder.tick(&self.sources, now, out);
--- a/crates/core/src/node/messages.rs
+++ b/crates/core/src/node/messages.rs
@@ -54,6 +54,16 @@
     pub endpoint: Arc<str>,
     /// Priority for the engine.
     pub priority: u64,
+    /// The endpoints that this daemon has drawn at random, the one above among them, while no
+    /// scheduler answers; none where a scheduler has granted the place.
+    pub drawn: Vec<Arc<str>>,
+}
+
+impl Placement {
+    /// A place that a scheduler has granted.
+    pub(crate) fn granted(endpoint: Arc<str>, priority: u64) -> Placement {
+        Placement { endpoint, priority, drawn: Vec::new() }
+    }
 }
 
 /// Why a submitted file was not accepted.
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -124,7 +124,7 @@
             outputs: Outbox::default(),
             keeper: Keeper::new(options, now),
             operations: Operations::default(),
-            placing: Placing::new(options.disabled),
+            placing: Placing::new(options.disabled, options.seed),
             control: None,
             directory: Directory::new(&options.vm, &options.seeds, false, now),
             registry: Registry::new(options.endpoint_heartbeat),
--- a/crates/core/src/node/placing.rs
+++ b/crates/core/src/node/placing.rs
@@ -1,8 +1,8 @@
 //! Finds places for this daemon's requests: at the scheduler, or by itself while no
 //! scheduler answers.
 //!
-//! The fallback knows only what runs here, so it takes no more than this daemon's
-//! share of each endpoint.
+//! The fallback knows only what runs here. It draws two endpoints at random for each request; which
+//! of them takes it they are asked themselves (see [`crate::placement::order`]).
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -63,7 +63,6 @@
 pub(crate) struct Placing {
     local: Scheduler,
     endpoints: Endpoints,
-    share_of: u64,
     scheduler: Option<VmName>,
     waiting: BTreeMap<CallId, Waiting>,
     running: BTreeMap<CallId, Running>,
@@ -73,11 +72,11 @@
 }
 
 impl Placing {
-    pub(crate) fn new(disabled: Disabled) -> Placing {
+    /// Without requests or endpoints; the seed must be another on each daemon.
+    pub(crate) fn new(disabled: Disabled, seed: u64) -> Placing {
         Placing {
-            local: Scheduler::by_forecast(disabled),
+            local: Scheduler::alone(disabled, seed),
             endpoints: Endpoints::new(),
-            share_of: 1,
             scheduler: None,
             waiting: BTreeMap::new(),
             running: BTreeMap::new(),
@@ -95,8 +94,8 @@
     pub(crate) fn configure(&mut self, engines: &Engines) {
         let endpoints = engines.all();
         if self.endpoints != endpoints {
+            self.local.configure(&endpoints);
             self.endpoints = endpoints;
-            self.reconfigure();
         }
         for name in engines.known.keys() {
             self.local.endpoint_leaving(name, engines.closed.contains(name.as_str()));
@@ -171,7 +170,7 @@
         let endpoint: Arc<str> = grant.endpoint.into();
         self.local.cancel(ticket(call), now);
         self.local.adopt(waiting.req.clone(), &endpoint, 0, now);
-        let placement = Placement { endpoint: endpoint.clone(), priority: grant.priority };
+        let placement = Placement::granted(endpoint.clone(), grant.priority);
         self.running.insert(call, Running { req: waiting.req, endpoint, tokens: 0 });
         out.answer(call, Answer::Placed(Ok(placement)));
     }
@@ -269,14 +268,14 @@
     }
 
     pub(crate) fn tick(&mut self, scheduler: Option<&SchedulerAt>, now: Instant, out: &mut Outbox) {
-        let daemons = scheduler.map_or(self.share_of, |s| s.daemons);
-        if daemons != self.share_of {
-            self.share_of = daemons;
-            self.reconfigure();
-        }
-        if scheduler.is_none() {
-            self.scheduler = None;
-            self.take_over_waiting(now, out);
+        match (scheduler, &self.scheduler) {
+            (None, _) => {
+                self.scheduler = None;
+                self.take_over_waiting(now, out);
+            }
+            // It was silent for a while.
+            (Some(_), None) => self.scheduler_changed(scheduler, now, out),
+            (Some(_), Some(_)) => {}
         }
         self.give_up_overdue(now, out);
         self.decide_locally(now, out);
@@ -347,7 +346,9 @@
                         out.send(scheduler, Body::Admit(running.admit(call)));
                     }
                     self.running.insert(call, running);
-                    let placement = Placement { endpoint, priority };
+                    let other = self.local.another_for(ticket, now);
+                    let drawn = [endpoint.clone()].into_iter().chain(other).collect();
+                    let placement = Placement { endpoint, priority, drawn };
                     out.answer(call, Answer::Placed(Ok(placement)));
                 }
                 Action::GiveUp { ticket, error } => {
@@ -388,15 +389,6 @@
             out.send(scheduler, Body::Progress(progress));
         }
     }
-
-    fn reconfigure(&mut self) {
-        let mut share = self.endpoints.clone();
-        for spec in share.values_mut() {
-            spec.slots = spec.slots.div_ceil(self.share_of);
-            spec.kv_tokens /= self.share_of;
-        }
-        self.local.configure(&share);
-    }
 }
 
 fn ticket(call: CallId) -> Ticket {
--- a/crates/core/src/node/tests/mod.rs
+++ b/crates/core/src/node/tests/mod.rs
@@ -109,8 +109,8 @@
     expect_that!(net.version_at("vm-5"), eq(2));
 }
 
-#[gtest]
-fn requests_are_placed_without_any_leader_within_this_daemons_share() {
+/// A net without control VMs, whose entries have a configuration of one engine with four places.
+fn without_control() -> Net {
     let mut net = Net::new(&small(), 7);
     net.calm(100);
     net.submit(&"vm-4".into(), 1, "a");
@@ -119,13 +119,44 @@
         net.crash(&vm);
     }
     net.wait(100);
-    for _ in 0..4 {
+    net
+}
+
+#[gtest]
+fn requests_are_placed_without_any_leader_as_far_as_engines_have_places() {
+    let mut net = without_control();
+
+    for _ in 0..6 {
         net.ask(&"vm-4".into(), Question::Place(request()));
     }
     net.step(false);
 
-    // Four slots between five daemons are one for each.
-    expect_that!(net.seen.placed.len(), eq(1));
+    expect_that!(net.seen.placed.len(), eq(4));
+}
+
+#[gtest]
+fn a_place_that_no_scheduler_has_granted_names_the_engines_to_ask() {
+    let mut net = without_control();
+
+    net.ask(&"vm-4".into(), Question::Place(request()));
+    net.step(false);
+
+    let [placement] = &net.seen.placements[..] else { panic!("{:?}", net.seen.placements) };
+    expect_that!(placement.drawn, eq(&vec![placement.endpoint.clone()]));
+}
+
+#[gtest]
+fn a_granted_place_needs_no_engines_word() {
+    let mut net = Net::new(&small(), 7);
+    net.calm(100);
+    net.submit(&"vm-4".into(), 1, "a");
+    net.calm(60);
+
+    net.ask(&"vm-4".into(), Question::Place(request()));
+    net.calm(20);
+
+    let [placement] = &net.seen.placements[..] else { panic!("{:?}", net.seen.placements) };
+    expect_that!(placement.drawn, is_empty());
 }
 
 #[gtest]
--- a/crates/core/src/node/tests/net/seen.rs
+++ b/crates/core/src/node/tests/net/seen.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     config::ContentHash,
-    node::{Answer, CallId, InForce, VmName},
+    node::{Answer, CallId, InForce, Placement, VmName},
     once::ClaimResult,
     units::Instant,
 };
@@ -40,6 +40,8 @@
     granted: BTreeMap<u8, BTreeSet<u64>>,
     /// Requests that were placed and have not been finished.
     pub(crate) placed: Vec<CallId>,
+    /// Where requests were placed.
+    pub(crate) placements: Vec<Placement>,
 }
 
 impl Seen {
@@ -84,7 +86,10 @@
                 owners.insert(owner);
                 assert!(owners.len() <= 1, "a claim was granted to two owners");
             }
-            Answer::Placed(Ok(_)) => self.placed.push(call),
+            Answer::Placed(Ok(placement)) => {
+                self.placed.push(call);
+                self.placements.push(placement);
+            }
             _ => {}
         }
     }
--- a/crates/core/src/placement/fixture.rs
+++ b/crates/core/src/placement/fixture.rs
@@ -14,7 +14,7 @@
 }
 
 /// Engines `e0` and so on, one in each of these data halls.
-fn engines(halls: &[&str], kv_tokens: u64) -> Endpoints {
+pub(super) fn engines(halls: &[&str], kv_tokens: u64) -> Endpoints {
     let spec = |(i, hall): (usize, &&str)| {
         let spec = EndpointSpec {
             hall: (*hall).to_owned(),
--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -3,6 +3,9 @@
 //! [`Scheduler`] keeps the queue, the endpoints and the running streams of its
 //! targets. It is soft state: it can be rebuilt from what daemons report.
 
+mod alone;
+#[cfg(test)]
+mod alone_tests;
 mod endpoint;
 mod endpoint_news;
 mod evacuation;
@@ -33,10 +36,11 @@
 use crate::{config::EndpointTarget, error::RequestError};
 
 pub use self::{
+    alone::{EngineLoad, order},
     endpoint::{EndpointState, Health, LoadReport},
     evacuation::Relocation,
     forecast::{HORIZONS, LengthForecast, Survival},
-    policy::{FirstFit, ForecastPolicy, LeastOutstanding, Policy, RoundRobin, Work},
+    policy::{FirstFit, ForecastPolicy, LeastOutstanding, Policy, RoundRobin, TwoDrawn, Work},
     reading::reading_time,
     scheduler::{Scheduler, SchedulerLimits},
 };
--- a/crates/core/src/placement/policy/forecast.rs
+++ b/crates/core/src/placement/policy/forecast.rs
@@ -83,7 +83,7 @@
         most / endpoint.spec.kv_tokens as f64
     }
 
-    fn fits(&self, work: &Work, endpoint: &EndpointState) -> bool {
+    pub(super) fn fits(&self, work: &Work, endpoint: &EndpointState) -> bool {
         let memory = endpoint.spec.kv_tokens == 0 || self.fullness(work, endpoint) <= 1.0;
         // An empty endpoint takes even what the forecast finds too large.
         has_slot(endpoint) && (memory || endpoint.running == 0)
--- a/crates/core/src/placement/policy/mod.rs
+++ b/crates/core/src/placement/policy/mod.rs
@@ -2,12 +2,14 @@
 
 mod baselines;
 mod forecast;
+mod two_drawn;
 
 use std::time::Duration;
 
 pub use self::{
     baselines::{FirstFit, LeastOutstanding, RoundRobin},
     forecast::ForecastPolicy,
+    two_drawn::TwoDrawn,
 };
 use super::{
     PrefixHash, Request,
--- /dev/null
+++ b/crates/core/src/placement/policy/two_drawn.rs
@@ -0,0 +1,36 @@
+//! The better of two endpoints drawn at random.
+
+use super::{ForecastPolicy, Policy, Work};
+use crate::{mechanism::Disabled, placement::endpoint::EndpointState, units::Instant};
+
+/// Draws two of the endpoints that have room and lets another policy choose between them. Many
+/// daemons with equal knowledge then choose apart from each other.
+#[derive(Debug)]
+pub struct TwoDrawn {
+    inner: ForecastPolicy,
+    rng: fastrand::Rng,
+}
+
+impl TwoDrawn {
+    /// The policy without these mechanisms; the seed must be another on each daemon.
+    pub fn without(disabled: Disabled, seed: u64) -> TwoDrawn {
+        TwoDrawn { inner: ForecastPolicy::without(disabled), rng: fastrand::Rng::with_seed(seed) }
+    }
+}
+
+impl Policy for TwoDrawn {
+    fn name(&self) -> &'static str {
+        "two-drawn"
+    }
+
+    fn choose(&mut self, work: &Work, endpoints: &[&EndpointState], now: Instant) -> Option<usize> {
+        let has_room = |at: &usize| self.inner.fits(work, endpoints[*at]);
+        let mut open: Vec<usize> = (0..endpoints.len()).filter(has_room).collect();
+        let mut drawn = Vec::new();
+        while drawn.len() < 2 && !open.is_empty() {
+            drawn.push(open.swap_remove(self.rng.usize(..open.len())));
+        }
+        let choices: Vec<&EndpointState> = drawn.iter().map(|at| endpoints[*at]).collect();
+        self.inner.choose(work, &choices, now).map(|at| drawn[at])
+    }
+}
--- a/crates/core/src/placement/running.rs
+++ b/crates/core/src/placement/running.rs
@@ -16,10 +16,14 @@
     /// Takes over a request that already runs, as reported by its entry daemon. Its prompt has been
     /// read, or soon will be: nothing is held up by it any more.
     pub fn adopt(&mut self, req: Request, endpoint: &str, tokens: u64, now: Instant) {
-        if self.placed.contains_key(&req.ticket) || !self.endpoints.contains_key(endpoint) {
+        let ticket = req.ticket;
+        if !self.endpoints.contains_key(endpoint) {
             return;
         }
-        let ticket = req.ticket;
+        if self.placed.contains_key(&ticket) {
+            // The daemon placed it by itself while this scheduler was silent.
+            return self.relocate(ticket, &endpoint.into(), now);
+        }
         self.run_at(req, &endpoint.into(), now);
         self.count_tokens(ticket, tokens, now);
     }
--- a/crates/core/src/placement/scheduler.rs
+++ b/crates/core/src/placement/scheduler.rs
@@ -13,7 +13,7 @@
     forecast::LengthForecast,
     handover::Handover,
     pace::PaceMeter,
-    policy::{ForecastPolicy, Policy, Work},
+    policy::{ForecastPolicy, Policy, TwoDrawn, Work},
     target::Target,
 };
 use crate::{
@@ -129,6 +129,32 @@
         Scheduler::new(limits, Box::new(ForecastPolicy::without(disabled)))
     }
 
+    /// The scheduler of a daemon for its own requests while no other answers; the seed must be
+    /// another on each daemon. It hands nothing over: it does not know what engines read.
+    pub fn alone(disabled: Disabled, seed: u64) -> Scheduler {
+        let disabled = disabled.with(Mechanism::Handover);
+        let limits = SchedulerLimits { disabled, ..SchedulerLimits::default() };
+        let policy = Box::new(TwoDrawn::without(disabled, seed));
+        Scheduler { samples: seed as usize, ..Scheduler::new(limits, policy) }
+    }
+
+    /// Another endpoint with room for a request that runs, if there is any.
+    pub fn another_for(&mut self, ticket: Ticket, now: Instant) -> Option<Arc<str>> {
+        let placed = self.placed.get(&ticket)?;
+        let target = self.targets.get(&placed.req.target)?;
+        self.samples = self.samples.wrapping_add(1);
+        let open: Vec<&EndpointState> = target
+            .sample(self.samples, placed.req.prefix)
+            .filter(|name| **name != placed.endpoint)
+            .filter_map(|name| self.endpoints.get(name))
+            .filter(|endpoint| endpoint.takes_work(now))
+            .collect();
+        let req = &placed.req;
+        let work = Work::new(req, self.forecast.survival(&req.workspace, &req.kind));
+        let at = self.policy.choose(&work, &open, now)?;
+        Some(open[at].name.clone())
+    }
+
     /// The endpoint of this name.
     pub fn endpoint(&self, name: &str) -> Option<&EndpointState> {
         self.endpoints.get(name)
--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -15,6 +15,7 @@
         .subcommand(fault())
         .subcommand(changes())
         .subcommand(experiment())
+        .subcommand(fleet())
         .subcommand(
             Command::new("configurations")
                 .about("Time taking configurations in at several numbers of routes")
@@ -47,7 +48,31 @@
         ))
         .arg(text("trouble", "none, engine-death or old-load", Some("none")))
         .arg(text("plot", "SVG file to draw", Some("")))
-        .arg(Arg::new("json").long("json").action(clap::ArgAction::SetTrue).help("Print JSON"))
+        .arg(flag("json", "Print JSON"))
+}
+
+fn fleet() -> Command {
+    Command::new("fleet")
+        .about(
+            "Play a whole deployment in virtual time: hundreds of entries and engines that leave",
+        )
+        .arg(number("entries", "Entry VMs", "295"))
+        .arg(number("engines", "Engines", "122"))
+        .arg(number("rate", "Generations a second; 0 takes 1.31 for each engine", "0"))
+        .arg(number("seconds", "Virtual time in which requests come", "16"))
+        .arg(number("warm-up", "Seconds at the begin that are not counted", "4"))
+        .arg(text("burst", "More traffic for a time, as 7..11x1.6", Some("")))
+        .arg(text("lost", "Seconds without a scheduler, as 5..11", Some("")))
+        .arg(text(
+            "alone",
+            "What entries do then: share, two-drawn, reports, reserved, last-known, standby or all",
+            Some("reserved"),
+        ))
+        .arg(flag("leaving", "A sixth of the engines leaves every 3.3 s, and others come"))
+        .arg(text("without", "Mechanisms to switch off, separated by commas", Some("")))
+        .arg(number("first-seed", "First seed", "1"))
+        .arg(number("seeds", "Number of seeds", "4"))
+        .arg(flag("json", "Print JSON"))
 }
 
 fn ask() -> Command {
@@ -67,12 +92,10 @@
         .arg(text("model", "Model", Some("")))
         .arg(text("call", "Call that may not be repeated, as SERVICE/CALL", Some("")))
         .arg(text("emulators", "Emulated endpoints whose journals are compared", Some("")))
-        .arg(
-            Arg::new("balance")
-                .long("balance")
-                .action(clap::ArgAction::SetTrue)
-                .help("Send only to daemons that say that they are ready, as a balancer does"),
-        )
+        .arg(flag(
+            "balance",
+            "Send only to daemons that say that they are ready, as a balancer does",
+        ))
         .arg(number("streams", "Number of generations", "0"))
         .arg(number("length", "Tokens of each generation; 0 lets the endpoint draw it", "0"))
         .arg(number("prompt", "Characters of each prompt", "200"))
@@ -108,6 +131,10 @@
     }
 }
 
+fn flag(name: &'static str, help: &'static str) -> Arg {
+    Arg::new(name).long(name).action(clap::ArgAction::SetTrue).help(help)
+}
+
 fn emulate() -> Command {
     Command::new("emulate")
         .about("Run emulated engines and plain services on loopback")
--- a/crates/lab/src/engine/mod.rs
+++ b/crates/lab/src/engine/mod.rs
@@ -74,6 +74,17 @@
     to_prefill: u64,
     /// Tokens in memory; zero while waiting.
     memory: u64,
+    /// Whether its memory was copied from another engine and need not be computed.
+    copied: bool,
+}
+
+/// A generation that was taken out of an engine.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Taken {
+    /// What was asked.
+    pub(crate) job: Job,
+    /// Tokens made so far.
+    pub(crate) produced: u64,
 }
 
 /// What one step did.
@@ -107,6 +118,8 @@
     waiting: Vec<StreamId>,
     running: Vec<StreamId>,
     used: u64,
+    /// Places that are set aside for copies on their way; their memory counts as used.
+    set_aside: usize,
     next: u64,
     cache: PrefixCache,
 }
@@ -120,6 +133,7 @@
             waiting: Vec::new(),
             running: Vec::new(),
             used: 0,
+            set_aside: 0,
             next: 0,
             cache: PrefixCache::new(spec.cache_tokens),
         }
@@ -142,13 +156,56 @@
 
     /// Takes a generation; it joins the batch when there is room.
     pub(crate) fn submit(&mut self, job: Job) -> StreamId {
+        self.wait(Stream { job, produced: 0, to_prefill: 0, memory: 0, copied: false })
+    }
+
+    /// Takes a generation whose memory was copied here; it goes on ahead of all that wait.
+    pub(crate) fn resume(&mut self, taken: Taken) -> StreamId {
+        let Taken { job, produced } = taken;
+        self.wait(Stream { job, produced, to_prefill: 0, memory: 0, copied: true })
+    }
+
+    fn wait(&mut self, stream: Stream) -> StreamId {
         self.next += 1;
         let id = StreamId(self.next);
-        self.streams.insert(id, Stream { job, produced: 0, to_prefill: 0, memory: 0 });
+        self.streams.insert(id, stream);
         self.waiting.push(id);
         id
     }
 
+    /// Stops a generation and hands it over.
+    pub(crate) fn take(&mut self, id: StreamId) -> Option<Taken> {
+        let stream = self.streams.get(&id)?;
+        let taken = Taken { job: stream.job, produced: stream.produced };
+        self.cancel(id);
+        Some(taken)
+    }
+
+    /// Whether a generation of so many tokens would begin at once.
+    pub(crate) fn has_room(&self, tokens: u64) -> bool {
+        let fits = self.used + tokens <= self.spec.kv_tokens;
+        fits && self.waiting.is_empty() && self.running.len() + self.set_aside < self.spec.slots
+    }
+
+    /// Sets a place and memory aside for a copy.
+    pub(crate) fn set_aside(&mut self, tokens: u64) {
+        self.set_aside += 1;
+        self.used += tokens;
+    }
+
+    /// Gives back what was set aside for a copy.
+    pub(crate) fn give_back(&mut self, tokens: u64) {
+        self.set_aside -= 1;
+        self.used -= tokens;
+    }
+
+    /// Prompt tokens that are still to be read, of all that run and wait.
+    pub(crate) fn unread(&self) -> u64 {
+        let of_waiting = |id: &StreamId| self.streams[id].job.prompt;
+        let waiting: u64 = self.waiting.iter().map(of_waiting).sum();
+        waiting + self.running.iter().map(|id| self.streams[id].to_prefill).sum::<u64>()
+    }
+
     /// Forgets a generation, wherever it is.
     pub(crate) fn cancel(&mut self, id: StreamId) {
         self.waiting.retain(|other| *other != id);
@@ -177,8 +234,8 @@
     fn admit(&mut self) {
         // Stable sort: among equal priorities the earlier stays first.
         let streams = &self.streams;
-        self.waiting.sort_by_key(|id| (streams[id].job.priority, *id));
-        while self.running.len() < self.spec.slots {
+        self.waiting.sort_by_key(|id| (!streams[id].copied, streams[id].job.priority, *id));
+        while self.running.len() + self.set_aside < self.spec.slots {
             let Some(id) = self.waiting.first().copied() else { return };
             let stream = self.streams.get_mut(&id).expect("a waiting stream exists");
             let memory = stream.job.prompt + stream.produced + 1;
@@ -186,7 +243,10 @@
                 return;
             }
             let cached = self.cache.lookup(stream.job.prefix, stream.job.prefix_tokens);
-            stream.to_prefill = (stream.job.prompt + stream.produced).saturating_sub(cached).max(1);
+            stream.to_prefill = match std::mem::take(&mut stream.copied) {
+                true => 0,
+                false => (stream.job.prompt + stream.produced).saturating_sub(cached).max(1),
+            };
             stream.memory = memory;
             self.used += memory;
             self.waiting.remove(0);
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -5,6 +5,7 @@
 mod emulate;
 mod engine;
 mod experiment;
+mod fleet;
 mod load;
 mod options;
 
@@ -60,6 +61,16 @@
             }
             Ok(())
         }
+        Options::Fleet { options, json } => {
+            for options in &options {
+                let report = fleet::run(options);
+                match json {
+                    true => println!("{}", serde_json::to_string(&report)?),
+                    false => print!("{}:\n{}", options.alone.name(), report.table()),
+                }
+            }
+            Ok(())
+        }
         Options::Decisions(sizes) => {
             for cost in experiment::decision_costs(&sizes) {
                 println!("{}", serde_json::to_string(&cost)?);
--- a/crates/lab/src/options.rs
+++ b/crates/lab/src/options.rs
@@ -14,6 +14,7 @@
     changes::ChangeOptions,
     engine::EngineSpec,
     experiment::{ExperimentOptions, Mix, Trouble},
+    fleet::{Alone, Burst, FleetOptions},
     load::LoadOptions,
 };
 
@@ -34,6 +35,13 @@
         /// Print JSON.
         json: bool,
     },
+    /// A deployment in virtual time, once for each way to place without a scheduler.
+    Fleet {
+        /// The deployment.
+        options: Vec<FleetOptions>,
+        /// Print JSON.
+        json: bool,
+    },
     /// Costs of decisions at these sizes.
     Decisions(Vec<usize>),
     /// Time taking configurations in at these numbers of routes.
@@ -89,6 +97,9 @@
                 let json = m.get_flag("json");
                 Ok(Options::Experiment { options: experiment(m)?, json })
             }
+            Some(("fleet", m)) => {
+                Ok(Options::Fleet { options: fleet(m)?, json: m.get_flag("json") })
+            }
             Some(("decisions", m)) => Ok(Options::Decisions(numbers(&text(m, "sizes"))?)),
             Some(("configurations", m)) => Ok(Options::Configurations(numbers(&text(m, "sizes"))?)),
             Some(("fault", m)) => Ok(Options::Fault {
@@ -185,6 +196,58 @@
     Ok(options)
 }
 
+fn fleet(m: &ArgMatches) -> Result<Vec<FleetOptions>> {
+    /// Generations a second for each engine, as the users' largest deployment has them.
+    const RATE_FOR_ENGINE: f64 = 1.31;
+    let engines = number(m, "engines").max(1) as usize;
+    let rate = match number(m, "rate") {
+        0 => RATE_FOR_ENGINE * engines as f64,
+        rate => rate as f64,
+    };
+    let burst = match text(m, "burst").as_str() {
+        "" => None,
+        burst => {
+            let (span, times) = burst.split_once('x').unwrap_or((burst, "1"));
+            let (from, until) = span_of("--burst", span)?;
+            Some(Burst { from, until, times: times.parse().wrap_err("--burst")? })
+        }
+    };
+    let lost = match text(m, "lost").as_str() {
+        "" => None,
+        span => Some(span_of("--lost", span)?),
+    };
+    let ways = match text(m, "alone").as_str() {
+        "all" => Alone::ALL.to_vec(),
+        name => {
+            let way = Alone::ALL.into_iter().find(|way| way.name() == name);
+            vec![way.ok_or_else(|| eyre!("--alone {name}: no such way; see --help"))?]
+        }
+    };
+    let options = FleetOptions {
+        entries: number(m, "entries").max(1) as usize,
+        engines,
+        rate,
+        length: Duration::from_secs(number(m, "seconds").max(1)),
+        warm_up: Duration::from_secs(number(m, "warm-up")),
+        burst,
+        lost,
+        alone: Alone::Reserved,
+        leaving: m.get_flag("leaving"),
+        disabled: text(m, "without").parse()?,
+        first_seed: number(m, "first-seed"),
+        seeds: number(m, "seeds").max(1),
+    };
+    Ok(ways.into_iter().map(|alone| FleetOptions { alone, ..options.clone() }).collect())
+}
+
+/// A span of time such as `5..11`, in seconds.
+fn span_of(name: &str, span: &str) -> Result<(Duration, Duration)> {
+    let seconds = |text: &str| Duration::try_from_secs_f64(text.parse().ok()?).ok();
+    let ends =
+        span.split_once("..").and_then(|(from, until)| Some((seconds(from)?, seconds(until)?)));
+    ends.ok_or_else(|| eyre!("{name} {span}: expected two numbers of seconds, as 5..11"))
+}
+
 fn numbers<T: FromStr>(list: &str) -> Result<Vec<T>> {
     let parse = |item: &str| item.trim().parse().map_err(|_| eyre!("\"{item}\" is no number"));
     list.split(',').map(parse).collect()
--- a/crates/server/src/relay/generation.rs
+++ b/crates/server/src/relay/generation.rs
@@ -21,6 +21,7 @@
     no_answer,
     source::{Source, Step},
     stream::Pump,
+    unscheduled::{NoRoom, confirm},
 };
 use crate::{
     edge::{self, Body},
@@ -75,10 +76,10 @@
     loop {
         let placed = timeout(job.time_left(), place(relay, job, avoid.take())).await;
         let placed = placed.map_err(|_| no_answer(starts, "the time is over"))?;
-        let placed =
+        let (placed, reservation) =
             placed.map_err(|e| if starts == 0 { e } else { no_answer(starts, &e.message) })?;
         relay.check_may_run(job)?;
-        let go_on = GoOn { after: job.caller.after, memory: None };
+        let go_on = GoOn { after: job.caller.after, memory: None, reservation };
         let opened = open_at(relay, job, placed.endpoint(), &go_on);
         let opened = timeout(job.time_left(), opened).await;
         let opened = opened.map_err(|_| no_answer(starts + 1, "the time is over"))?;
@@ -113,9 +114,14 @@
     }
 }
 
-/// Finds a place. While no endpoint is known, as for the length of a heartbeat after all VMs
-/// were started anew, it looks again for as long as a request may wait for a place.
-async fn place(relay: &Relay, job: &Job, avoid: Option<Arc<str>>) -> Result<Placed, RequestError> {
+/// Finds a place, and the name of the reservation there if the engine keeps one. While no endpoint is
+/// known, as for the length of a heartbeat after all VMs were started anew, or none of those that this
+/// daemon has drawn by itself has room, it looks again for as long as a request may wait for a place.
+pub(super) async fn place(
+    relay: &Relay,
+    job: &Job,
+    avoid: Option<Arc<str>>,
+) -> Result<(Placed, Option<String>), RequestError> {
     /// Pause between two looks.
     const LOOK_AGAIN: Duration = Duration::from_millis(20);
     loop {
@@ -124,12 +130,20 @@
             req.max_wait = Duration::ZERO;
         }
         let patience = req.max_wait;
-        match relay.node.place(req).await {
-            Err(e) if e.kind == ErrorKind::NoEndpoint && LOOK_AGAIN < patience => {
-                tokio::time::sleep(LOOK_AGAIN).await;
-            }
-            result => return result,
+        let error = match relay.node.place(req).await {
+            Ok(mut placed) => match confirm(relay, job, &mut placed).await {
+                Ok(reservation) => return Ok((placed, reservation)),
+                Err(NoRoom) => {
+                    RequestError::new(ErrorKind::Overloaded, "no engine that was asked has room")
+                }
+            },
+            Err(e) if e.kind == ErrorKind::NoEndpoint => e,
+            Err(e) => return Err(e),
+        };
+        if patience <= LOOK_AGAIN {
+            return Err(error);
         }
+        tokio::time::sleep(LOOK_AGAIN).await;
     }
 }
 
--- a/crates/server/src/relay/job.rs
+++ b/crates/server/src/relay/job.rs
@@ -50,6 +50,8 @@
     pub(super) after: Option<u64>,
     /// Where the generation's memory lies.
     pub(super) memory: Option<MemoryAt>,
+    /// The name of the place that the engine keeps.
+    pub(super) reservation: Option<String>,
 }
 
 impl Job {
@@ -84,6 +86,7 @@
             priority: self.route.spec.kind.is_generation().then(|| self.priority()),
             after: go_on.after.or(self.caller.after),
             memory: go_on.memory.as_ref(),
+            reservation: go_on.reservation.as_deref(),
         };
         let mut req = Request::new(Full::new(self.body.clone()));
         *req.method_mut() = self.head.method.clone();
--- a/crates/server/src/relay/mod.rs
+++ b/crates/server/src/relay/mod.rs
@@ -17,6 +17,7 @@
 mod stream;
 #[cfg(test)]
 mod tests;
+mod unscheduled;
 
 use std::{
     cell::{Cell, RefCell},
@@ -33,10 +34,14 @@
     mechanism::{Disabled, Mechanism},
 };
 
-pub use self::protocol::{
-    Answer, Attempt, CallerRequest, Copied, CopyOrder, MemoryAt, Prompt, Protocol, Turned,
-};
 use self::{budget::RepeatBudget, job::Job, latency::Latency, loads::Loads};
+pub use self::{
+    protocol::{
+        Answer, Attempt, CallerRequest, Copied, CopyOrder, MemoryAt, Prompt, Protocol, Reserved,
+        Turned,
+    },
+    unscheduled::Reservation,
+};
 use crate::{
     edge::{self, Body, Bounds, Handler, LocalFuture},
     runtime::NodeHandle,
--- a/crates/server/src/relay/protocol.rs
+++ b/crates/server/src/relay/protocol.rs
@@ -5,7 +5,9 @@
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response, request, response};
 use http_body_util::Full;
-use trayswitch_core::error::RequestError;
+use trayswitch_core::{error::RequestError, placement::EngineLoad};
+
+use super::Reservation;
 
 /// What a caller asks for, decoded from its request.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
@@ -52,6 +54,30 @@
     pub after: Option<u64>,
     /// Where the memory of a generation lies that goes on.
     pub memory: Option<&'a MemoryAt>,
+    /// The name of the place that the engine keeps for it.
+    pub reservation: Option<&'a str>,
+}
+
+/// What an engine answered to a [`Reservation`].
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Reserved {
+    /// It keeps a place under this name.
+    Kept(String),
+    /// It has no room.
+    Refused,
+    /// It keeps no places for anybody.
+    Unsupported,
+}
+
+impl Reserved {
+    /// Its name in log lines.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Reserved::Kept(_) => "kept",
+            Reserved::Refused => "refused",
+            Reserved::Unsupported => "unsupported",
+        }
+    }
 }
 
 /// A copy of a generation's memory.
@@ -143,6 +169,18 @@
     /// Asks an engine to free a copy that it has made, there and where it lies.
     fn free_request(&self, handle: &str) -> Request<Full<Bytes>>;
 
+    /// Asks an engine for its load.
+    fn load_request(&self) -> Request<Full<Bytes>>;
+
+    /// Reads the answer to [`Protocol::load_request`].
+    fn read_load(&self, head: &response::Parts, body: &[u8]) -> Option<EngineLoad>;
+
+    /// Asks an engine to keep a place.
+    fn reservation_request(&self, reservation: &Reservation) -> Request<Full<Bytes>>;
+
+    /// Reads the answer to [`Protocol::reservation_request`].
+    fn read_reservation(&self, head: &response::Parts, body: &[u8]) -> Reserved;
+
     /// Reads the answer to [`Protocol::copy_request`].
     fn read_copied(&self, head: &response::Parts, body: &[u8]) -> Copied;
 }
--- a/crates/server/src/relay/stream.rs
+++ b/crates/server/src/relay/stream.rs
@@ -15,7 +15,7 @@
 
 use super::{
     Job, MemoryAt, Relay,
-    generation::{Opened, open_at},
+    generation::{Opened, open_at, place},
     job::GoOn,
     moves::{Move, MoveEnd, free},
     source::{Source, Step},
@@ -302,7 +302,7 @@
         from: &Arc<str>,
         to: &Arc<str>,
     ) -> Result<(), Cause> {
-        let go_on = GoOn { after: self.last, memory: Some(memory.clone()) };
+        let go_on = GoOn { after: self.last, memory: Some(memory.clone()), ..GoOn::default() };
         let mut problem = String::new();
         let endpoints = if to == from { &[from][..] } else { &[to, from] };
         for endpoint in endpoints.iter().copied() {
@@ -336,23 +336,25 @@
         Ok(())
     }
 
-    /// Finds a place at another endpoint.
-    async fn place_again(&mut self, problem: &str) -> Result<(), Cause> {
+    /// Finds a place at another endpoint; returns the name of its reservation there, if there is one.
+    async fn place_again(&mut self, problem: &str) -> Result<Option<String>, Cause> {
         let left = self.placed.endpoint().clone();
-        let placing = self.relay.node.place(self.job.place_request(Some(left)));
+        let placing = place(&self.relay, &self.job, Some(left));
         let placed = timeout(self.job.time_left(), placing).await.map_err(|_| Cause::TimeOver)?;
-        self.placed = placed.map_err(|e| Cause::Lost(format!("{problem}; {}", e.message)))?;
+        let (placed, reservation) =
+            placed.map_err(|e| Cause::Lost(format!("{problem}; {}", e.message)))?;
+        self.placed = placed;
         self.orders = self.placed.orders();
         self.moving = None;
-        Ok(())
+        Ok(reservation)
     }
 
     /// Runs what may be run again from the last event on, at another endpoint.
     async fn start_again(&mut self, problem: String) -> Result<(), Cause> {
         self.take_repeat(&problem)?;
         self.starts += 1;
-        self.place_again(&problem).await?;
-        let go_on = GoOn { after: self.last, memory: None };
+        let reservation = self.place_again(&problem).await?;
+        let go_on = GoOn { after: self.last, memory: None, reservation };
         let opened = open_at(&self.relay, &self.job, self.placed.endpoint(), &go_on);
         let opened = timeout(self.job.time_left(), opened).await.map_err(|_| Cause::TimeOver)?;
         log::info!(
--- a/crates/server/src/relay/tests/endpoint.rs
+++ b/crates/server/src/relay/tests/endpoint.rs
@@ -1,13 +1,21 @@
 //! An endpoint that does what a test tells it.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
 
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 use tokio::sync::{mpsc, oneshot};
 
-use super::protocol::{AFTER, COPY_PATH, ENDPOINT, FREE_PATH, ID, MEMORY, NOT_RUN, header};
+use super::protocol::{
+    AFTER, COPY_PATH, ENDPOINT, FREE_PATH, ID, LOAD_PATH, MEMORY, NOT_RUN, RESERVATION,
+    RESERVE_PATH, header,
+};
 use crate::edge::{self, AnswerError, Body, Bounds, Handler, LocalFuture, Server};
 
 /// One attempt that came to the endpoint and waits for its answer.
@@ -20,6 +28,8 @@
     pub(super) after: Option<u64>,
     /// Where the memory lies that it goes on from.
     pub(super) memory: Option<String>,
+    /// The place that was kept for it.
+    pub(super) reservation: Option<String>,
     answer: oneshot::Sender<Response<Body>>,
 }
 
@@ -127,8 +137,29 @@
     }
 }
 
+/// What an engine says of its room, and what it was asked for.
+#[derive(Default)]
+struct Room {
+    /// Tokens in memory.
+    used: Cell<u64>,
+    /// Whether it keeps a place for whoever asks.
+    keeps: Cell<bool>,
+    /// Tokens of the places that it was asked for.
+    asked: RefCell<Vec<u64>>,
+}
+
+impl Room {
+    fn reserve(&self, tokens: u64) -> Response<Body> {
+        self.asked.borrow_mut().push(tokens);
+        let status =
+            if self.keeps.get() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+        Response::builder().status(status).body(edge::full("kept")).unwrap()
+    }
+}
+
 /// Hands all that comes to the endpoint over to the test.
 struct Inbox {
+    room: Rc<Room>,
     arrivals: mpsc::UnboundedSender<Arrival>,
     copies: mpsc::UnboundedSender<CopyAsked>,
     freed: mpsc::UnboundedSender<String>,
@@ -143,6 +174,15 @@
             let _ = answer.send(Response::new(edge::empty()));
             return;
         }
+        if req.uri().path() == LOAD_PATH {
+            let _ = answer.send(Response::new(edge::full(self.room.used.get().to_string())));
+            return;
+        }
+        if let Some(tokens) = req.uri().path().strip_prefix(RESERVE_PATH) {
+            let tokens = tokens.trim_start_matches('/').parse().unwrap();
+            let _ = answer.send(self.room.reserve(tokens));
+            return;
+        }
         if req.uri().path().starts_with(COPY_PATH) {
             let last = req.uri().path().ends_with("/last");
             let _ = self.copies.send(CopyAsked { id, last, answer });
@@ -153,6 +193,7 @@
             meant_for: header(headers, ENDPOINT).unwrap_or_default(),
             after: header(headers, AFTER),
             memory: header(headers, MEMORY),
+            reservation: header(headers, RESERVATION),
             answer,
         };
         let _ = self.arrivals.send(arrival);
@@ -193,6 +234,7 @@
     arrivals: mpsc::UnboundedReceiver<Arrival>,
     copies: mpsc::UnboundedReceiver<CopyAsked>,
     freed: mpsc::UnboundedReceiver<String>,
+    room: Rc<Room>,
 }
 
 impl FakeEndpoint {
@@ -201,9 +243,11 @@
         let (arrivals_tx, arrivals) = mpsc::unbounded_channel();
         let (copies_tx, copies) = mpsc::unbounded_channel();
         let (freed_tx, freed) = mpsc::unbounded_channel();
-        let inbox = Inbox { arrivals: arrivals_tx, copies: copies_tx, freed: freed_tx };
+        let room = Rc::new(Room::default());
+        let inbox =
+            Inbox { room: room.clone(), arrivals: arrivals_tx, copies: copies_tx, freed: freed_tx };
         let server = edge::bind("127.0.0.1:0".parse().unwrap(), Rc::new(inbox)).unwrap();
-        FakeEndpoint { server, arrivals, copies, freed }
+        FakeEndpoint { server, arrivals, copies, freed, room }
     }
 
     /// Where it listens.
@@ -211,6 +255,17 @@
         self.server.address()
     }
 
+    /// What it says from now on: tokens in memory, and whether it keeps places.
+    pub(super) fn tell_room(&self, used: u64, keeps: bool) {
+        self.room.used.set(used);
+        self.room.keeps.set(keeps);
+    }
+
+    /// Tokens of the places that it was asked for.
+    pub(super) fn places_asked(&self) -> Vec<u64> {
+        self.room.asked.borrow().clone()
+    }
+
     /// The next attempt that comes.
     pub(super) async fn arrival(&mut self) -> Arrival {
         self.arrivals.recv().await.expect("the endpoint lives as long as the test")
--- a/crates/server/src/relay/tests/entry.rs
+++ b/crates/server/src/relay/tests/entry.rs
@@ -10,6 +10,7 @@
     time::Duration,
 };
 
+use bytes::Bytes;
 use http::Request;
 use http_body_util::Full;
 use tokio::task::LocalSet;
@@ -17,8 +18,9 @@
     agreement::Timing,
     config::{CheckedDocument, Document},
     mechanism::Disabled,
-    node::{Answer, Input, NodeOptions, NodeTiming, Question},
-    wire::EndpointRecord,
+    node::{Answer, Input, NodeOptions, NodeTiming, Question, VmName},
+    state::{ChangeId, EncodedDelta},
+    wire::{Body, EndpointRecord, Piece, PollReply},
 };
 
 use super::{
@@ -46,6 +48,7 @@
 slots = 48
 kv_tokens = 34000
 moves = yes
+longest_reservation = 2s
 [route once]
 host = host
 path_prefix = /once/
@@ -90,6 +93,11 @@
 /// Longest wait for anything in a test; only a fault reaches it.
 const LIMIT: Duration = Duration::from_secs(60);
 const HALL: &str = "hall-1";
+/// The entry's VM, and that of a control VM which nobody plays.
+const VM: &str = "127.0.0.1";
+const CONTROL: &str = "127.0.0.2";
+/// Random number of every daemon.
+const SEED: u64 = 1;
 
 /// Runs a test on the local tasks of one thread. One that waits for what never comes fails.
 pub(super) fn on_local_tasks<T>(test: impl Future<Output = T>) -> T {
@@ -135,9 +143,43 @@
 
     /// Starts an entry without a configuration. Requests wait this long for one.
     pub(super) fn start(recovers_within: Duration) -> Entry {
-        let folder = new_folder();
+        Entry::spawn(runtime_options(Some(new_folder())), recovers_within)
+    }
+
+    /// An entry that has its configuration from a control VM which can no longer be reached.
+    pub(super) async fn without_scheduler() -> Entry {
+        let entry = Entry::spawn(runtime_options(None), LIMIT);
+        entry.confirm_by_a_leader_that_is_lost();
+        entry.until(|| entry.node.view().ready()).await;
+        entry
+    }
+
+    /// Plays the part of a leader that links, brings the configuration into force and is gone.
+    fn confirm_by_a_leader_that_is_lost(&self) {
+        let leader: VmName = CONTROL.into();
+        let document = Document::parse("test.ini", CONFIG).unwrap();
+        let hash = Bytes::copy_from_slice(&document.content_hash().0);
+        let delta = EncodedDelta::write(&Document::default().delta_to(&document));
+        let reply = PollReply {
+            // The first poll of a daemon has the number after its seed.
+            nonce: SEED + 1,
+            version: 1,
+            hash: hash.clone(),
+            term: 1,
+            daemons: 1,
+            ..PollReply::default()
+        };
+        let change = ChangeId { version: 1, base: 0, hash };
+        let piece = Piece { change, number: 0, last: true, delta };
+        self.node.input(Input::LinkUp(leader.clone()));
+        self.node.input(Input::Message(leader.clone(), Body::PollReply(reply)));
+        self.node.input(Input::Message(leader.clone(), Body::Piece(piece)));
+        self.node.input(Input::LinkDown(leader));
+    }
+
+    fn spawn(options: RuntimeOptions, recovers_within: Duration) -> Entry {
         let metrics = Rc::new(Metrics::new().unwrap());
-        let node = NodeHandle::spawn(runtime_options(folder), metrics.clone()).unwrap();
+        let node = NodeHandle::spawn(options, metrics.clone()).unwrap();
         let options = RelayOptions {
             max_config_age: LIMIT,
             repeat_ratio: 0.2,
@@ -244,12 +286,14 @@
     }
 }
 
-fn runtime_options(folder: PathBuf) -> RuntimeOptions {
+/// A daemon that leads a group of its own, or one without a data folder that has it from another.
+fn runtime_options(folder: Option<PathBuf>) -> RuntimeOptions {
+    let control = if folder.is_some() { VM } else { CONTROL };
     RuntimeOptions {
         node: NodeOptions {
-            vm: "127.0.0.1".into(),
-            seeds: vec!["127.0.0.1".into()],
-            founders: vec!["127.0.0.1".into()],
+            vm: VM.into(),
+            seeds: vec![control.into()],
+            founders: vec![control.into()],
             max_voters: 1,
             takes_callers: true,
             endpoint_heartbeat: LIMIT,
@@ -261,10 +305,10 @@
                 poll: Duration::from_millis(50),
                 stale_after: LIMIT,
             },
-            seed: 1,
+            seed: SEED,
             disabled: Disabled::default(),
         },
-        data: Some(folder),
+        data: folder,
         listen: None,
         peers: PeerPort(0),
         peer_key: b"test".to_vec(),
--- a/crates/server/src/relay/tests/mod.rs
+++ b/crates/server/src/relay/tests/mod.rs
@@ -11,3 +11,4 @@
 mod protocol;
 mod reading;
 mod starting;
+mod unscheduled;
--- a/crates/server/src/relay/tests/protocol.rs
+++ b/crates/server/src/relay/tests/protocol.rs
@@ -5,10 +5,11 @@
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Request, Response, header, request, response};
 use http_body_util::Full;
-use trayswitch_core::error::RequestError;
+use trayswitch_core::{error::RequestError, placement::EngineLoad};
 
 use crate::relay::{
-    Answer, Attempt, CallerRequest, Copied, CopyOrder, MemoryAt, Prompt, Protocol, Turned,
+    Answer, Attempt, CallerRequest, Copied, CopyOrder, MemoryAt, Prompt, Protocol, Reservation,
+    Reserved, Turned,
 };
 
 /// The request's id, in requests and their answers.
@@ -28,6 +29,15 @@
 /// Path under which a copy is freed by its name.
 pub(super) const FREE_PATH: &str = "/free/";
 
+/// Path of the question for an engine's load.
+pub(super) const LOAD_PATH: &str = "/load";
+/// Path of the question for a place.
+pub(super) const RESERVE_PATH: &str = "/reserve";
+/// The name of the place that an engine keeps.
+pub(super) const RESERVATION: &str = "x-reservation";
+
+/// Memory of every engine, in tokens.
+pub(super) const ENGINE_MEMORY: u64 = 34_000;
 /// Tokens of every prompt.
 const PROMPT_TOKENS: u64 = 1_000;
 /// Most tokens of every answer.
@@ -69,6 +79,9 @@
         if let Some(memory) = attempt.memory {
             set(MEMORY, format!("{}/{}", memory.source, memory.handle));
         }
+        if let Some(reservation) = attempt.reservation {
+            set(RESERVATION, reservation.to_owned());
+        }
         headers
     }
 
@@ -108,6 +121,29 @@
         Request::delete(format!("{FREE_PATH}{handle}")).body(Full::default()).unwrap()
     }
 
+    fn load_request(&self) -> Request<Full<Bytes>> {
+        Request::get(LOAD_PATH).body(Full::default()).unwrap()
+    }
+
+    /// A load is told as the tokens in memory.
+    fn read_load(&self, _: &response::Parts, body: &[u8]) -> Option<EngineLoad> {
+        let kv_used = std::str::from_utf8(body).ok()?.parse().ok()?;
+        Some(EngineLoad { kv_used, kv_tokens: ENGINE_MEMORY, ..EngineLoad::default() })
+    }
+
+    fn reservation_request(&self, reservation: &Reservation) -> Request<Full<Bytes>> {
+        let tokens = reservation.tokens;
+        Request::post(format!("{RESERVE_PATH}/{tokens}")).body(Full::default()).unwrap()
+    }
+
+    fn read_reservation(&self, head: &response::Parts, body: &[u8]) -> Reserved {
+        match head.status.as_u16() {
+            200 => Reserved::Kept(String::from_utf8(body.to_vec()).unwrap()),
+            404 => Reserved::Unsupported,
+            _ => Reserved::Refused,
+        }
+    }
+
     fn read_copied(&self, head: &response::Parts, body: &[u8]) -> Copied {
         let handle = std::str::from_utf8(body).ok().filter(|text| !text.is_empty());
         let handle = handle.map(str::to_owned);
--- /dev/null
+++ b/crates/server/src/relay/tests/unscheduled.rs
@@ -0,0 +1,80 @@
+//! Generations while no scheduler answers.
+
+use googletest::prelude::*;
+use tokio::join;
+
+use super::{
+    endpoint::{either, events_to},
+    entry::{Entry, on_local_tasks},
+    protocol::ENGINE_MEMORY,
+    reading::text,
+};
+
+#[gtest]
+fn the_engine_with_more_room_keeps_a_place_and_gets_the_generation() {
+    on_local_tasks(async {
+        let entry = Entry::without_scheduler().await;
+        let mut roomy = entry.register("engines", "e1").await;
+        let crowded = entry.register("engines", "e2").await;
+        roomy.tell_room(1_000, true);
+        crowded.tell_room(20_000, true);
+
+        let (answer, reservation) = join!(entry.ask("/chat/", "r1"), async {
+            let arrival = roomy.arrival().await;
+            let reservation = arrival.reservation.clone();
+            let stream = arrival.stream();
+            stream.events(1..=3).await;
+            stream.end();
+            reservation
+        });
+
+        expect_that!(text(answer).await, ok(eq(&events_to(3))));
+        expect_that!(reservation, some(eq("kept")));
+        // The prompt of 1,000 tokens and the begin of the answer.
+        expect_that!(roomy.places_asked(), elements_are![gt(&1_000)]);
+        expect_that!(crowded.places_asked(), is_empty());
+    });
+}
+
+#[gtest]
+fn a_generation_goes_where_a_place_is_kept_when_the_better_engine_has_none() {
+    on_local_tasks(async {
+        let entry = Entry::without_scheduler().await;
+        let mut e1 = entry.register("engines", "e1").await;
+        let mut e2 = entry.register("engines", "e2").await;
+        e1.tell_room(1_000, false);
+        e2.tell_room(20_000, true);
+
+        let (answer, meant_for) = join!(entry.ask("/chat/", "r1"), async {
+            let arrival = either(&mut e1, &mut e2).await;
+            let meant_for = arrival.meant_for.clone();
+            arrival.stream().end();
+            meant_for
+        });
+
+        expect_that!(text(answer).await, ok(eq("")));
+        expect_that!(meant_for, eq("e2"));
+    });
+}
+
+#[gtest]
+fn nothing_is_sent_to_engines_without_room_and_a_place_is_looked_for_again() {
+    on_local_tasks(async {
+        let entry = Entry::without_scheduler().await;
+        let mut engine = entry.register("engines", "e1").await;
+        engine.tell_room(ENGINE_MEMORY, false);
+
+        let (answer, idle) = join!(entry.ask("/chat/", "r1"), async {
+            while engine.places_asked().len() < 3 {
+                tokio::task::yield_now().await;
+            }
+            let idle = engine.is_idle();
+            engine.tell_room(0, true);
+            engine.arrival().await.stream().end();
+            idle
+        });
+
+        expect_that!(text(answer).await, ok(eq("")));
+        expect_that!(idle, eq(true));
+    });
+}
--- /dev/null
+++ b/crates/server/src/relay/unscheduled.rs
@@ -0,0 +1,121 @@
+//! Places that a daemon has found by itself while no scheduler answers.
+//!
+//! The node has drawn two engines at random. Both are asked for their loads, and the better one for a
+//! place that it keeps until the generation comes; so what hundreds of daemons send at the same time
+//! fills no engine, and nothing waits at one that has no room.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use futures_util::future::join_all;
+use http::{Request, response};
+use http_body_util::Full;
+use tokio::time::timeout;
+use trayswitch_core::{
+    node::Input,
+    placement::{EngineLoad, order},
+    wire::HealthNews,
+};
+
+use super::{Job, Relay, Reserved};
+use crate::{runtime::Placed, telemetry::EventId, upstream::exchange};
+
+/// Largest answer to a question for load or a place.
+const MAX_ANSWER: usize = 256 * 1024;
+/// How long an engine keeps a place: the way there and a retransmission.
+const KEEP_FOR: Duration = Duration::from_millis(500);
+/// Tokens of the answer that a place has room for beside the prompt: the first second of it.
+const FIRST_TOKENS: u64 = 128;
+
+/// A place that an engine keeps.
+#[derive(Debug, Clone, Copy)]
+pub struct Reservation {
+    /// Memory, in tokens.
+    pub tokens: u64,
+    /// How long it is kept.
+    pub keep_for: Duration,
+}
+
+/// Neither of the engines that were drawn has room.
+pub(super) struct NoRoom;
+
+/// Lets the engines that were drawn confirm a place. Returns the name of the reservation; none where
+/// a scheduler has granted the place, or the engine keeps none.
+pub(super) async fn confirm(
+    relay: &Relay,
+    job: &Job,
+    placed: &mut Placed,
+) -> Result<Option<String>, NoRoom> {
+    let drawn: Vec<Arc<str>> = placed.drawn().to_vec();
+    if drawn.is_empty() {
+        return Ok(None);
+    }
+    let prompt = job.caller.prompt.as_ref().map_or(0, |prompt| prompt.tokens);
+    let loads = join_all(drawn.iter().map(|endpoint| load_of(relay, endpoint))).await;
+    for at in order(&loads, prompt) {
+        let endpoint = &drawn[at];
+        let reserved = reserve(relay, job, endpoint, prompt + FIRST_TOKENS).await;
+        note(job, endpoint, loads[at], &reserved);
+        let name = match reserved {
+            Reserved::Kept(name) => Some(name),
+            Reserved::Unsupported => None,
+            Reserved::Refused => continue,
+        };
+        if *endpoint != *placed.endpoint() {
+            placed.moved(endpoint, true);
+        }
+        return Ok(name);
+    }
+    Err(NoRoom)
+}
+
+fn note(job: &Job, endpoint: &Arc<str>, load: Option<EngineLoad>, reserved: &Reserved) {
+    let load = load.unwrap_or_default();
+    log::info!(
+        event = EventId::PlacedAlone.number(), id = job.caller.id.as_str(), endpoint = &**endpoint,
+        end = reserved.name(), running = load.running, waiting = load.waiting,
+        unread = load.unread_tokens, memory_used = load.kv_used;
+        "no scheduler answers: an engine drawn at random was asked for a place"
+    );
+}
+
+/// The load of an engine, if it tells.
+async fn load_of(relay: &Relay, endpoint: &Arc<str>) -> Option<EngineLoad> {
+    let (head, body) = ask(relay, endpoint, relay.protocol.load_request()).await?;
+    relay.protocol.read_load(&head, &body)
+}
+
+async fn reserve(relay: &Relay, job: &Job, endpoint: &Arc<str>, tokens: u64) -> Reserved {
+    let service = job.config.config.services.get(&job.service);
+    let longest = service.and_then(|service| service.engine.as_ref()?.longest_reservation);
+    let Some(longest) = longest else { return Reserved::Unsupported };
+    let reservation = Reservation { tokens, keep_for: KEEP_FOR.min(longest) };
+    let req = relay.protocol.reservation_request(&reservation);
+    match ask(relay, endpoint, req).await {
+        Some((head, body)) => relay.protocol.read_reservation(&head, &body),
+        None => Reserved::Refused,
+    }
+}
+
+/// An engine's whole answer; none if it gives none in the time that a connection may take to come up,
+/// and then it counts as failed.
+async fn ask(
+    relay: &Relay,
+    endpoint: &Arc<str>,
+    req: Request<Full<Bytes>>,
+) -> Option<(response::Parts, Bytes)> {
+    let address = relay.node.view().endpoint(endpoint)?.address;
+    let limit = relay.options.connect_limit;
+    let whole = async {
+        let open = exchange(address, req, limit).await.map_err(|e| e.to_string())?;
+        Ok((open.head, open.body.collect(MAX_ANSWER).await?))
+    };
+    let problem = match timeout(limit, whole).await {
+        Ok(Ok(answer)) => return Some(answer),
+        Ok(Err(problem)) => problem,
+        Err(_) => "no answer in time".to_owned(),
+    };
+    log::debug!(endpoint = &**endpoint; "an engine tells nothing of its room: {problem}");
+    relay.node.input(Input::Health(endpoint.clone(), HealthNews::Failed));
+    None
+}
--- a/crates/server/src/runtime/placed.rs
+++ b/crates/server/src/runtime/placed.rs
@@ -45,6 +45,11 @@
         self.placement.as_ref().map_or(0, |placement| placement.priority)
     }
 
+    /// The endpoints that this daemon has drawn by itself, if no scheduler has granted the place.
+    pub fn drawn(&self) -> &[Arc<str>] {
+        self.placement.as_ref().map_or(&[], |placement| &placement.drawn)
+    }
+
     /// Tells how many tokens the request has produced.
     pub fn progress(&mut self, tokens: u64) {
         self.tokens = tokens;
