--- a/crates/core/src/placement/policy/forecast.rs
+++ b/crates/core/src/placement/policy/forecast.rs
@@ -7,9 +7,7 @@
 use super::{Policy, Work, has_slot, least};
 use crate::{
     mechanism::{Disabled, Mechanism},
-    placement::{
-        endpoint::EndpointState, forecast::HORIZONS, handover::HANDOVER_COST, pace, reading,
-    },
+    placement::{endpoint::EndpointState, forecast::HORIZONS, handover::HANDOVER_COST, pace},
     units::Instant,
 };
 
@@ -103,7 +101,7 @@
         let own = MEMORY_VALUE * crowded
             + self.time_to_first(work, endpoint, now)
             + self.time_to_last(work, endpoint, all, now);
-        let holds_up = reading::holds_up(work.prompt_tokens).as_secs_f64();
+        let holds_up = endpoint.reading.holds_up(work.prompt_tokens).as_secs_f64();
         if !self.disabled.allows(Mechanism::WorthWeights) {
             let others = endpoint.running as f64 * holds_up;
             return own + self.if_on(Mechanism::ReadingHarm, others);
@@ -115,7 +113,7 @@
     /// Seconds lost before the first token.
     fn time_to_first(&self, work: &Work, endpoint: &EndpointState, now: Instant) -> f64 {
         let waits = endpoint.reading.left(now).as_secs_f64();
-        let first = waits + reading::reading_time(work.prompt_tokens).as_secs_f64();
+        let first = waits + endpoint.reading.time_for(work.prompt_tokens).as_secs_f64();
         let within = work.first_within.as_secs_f64();
         let late = LATE_VALUE * (2.0 * first / within - 1.0).clamp(0.0, 1.0).powi(2);
         self.if_on(Mechanism::ReadingWait, waits) + self.if_on(Mechanism::LateFirstToken, late)
--- a/crates/core/src/placement/running.rs
+++ b/crates/core/src/placement/running.rs
@@ -13,8 +13,7 @@
 use crate::{mechanism::Mechanism, units::Instant};
 
 impl Scheduler {
-    /// Takes over a request that already runs, as reported by its entry daemon. Its prompt has been
-    /// read, or soon will be: nothing is held up by it any more.
+    /// Takes over a request that already runs, as reported by its entry daemon.
     pub fn adopt(&mut self, req: Request, endpoint: &str, tokens: u64, now: Instant) {
         let ticket = req.ticket;
         if !self.endpoints.contains_key(endpoint) {
@@ -24,6 +23,11 @@
             // The daemon placed it by itself while this scheduler was silent.
             return self.relocate(ticket, &endpoint.into(), now);
         }
+        if tokens == 0
+            && let Some(state) = self.endpoints.get_mut(endpoint)
+        {
+            state.reading.adopt(ticket, req.prompt_tokens, now);
+        }
         self.run_at(req, &endpoint.into(), now);
         self.count_tokens(ticket, tokens, now);
     }
@@ -59,6 +63,9 @@
         let mut share = Share::forecast(survival, req.prompt_tokens, tokens, req.max_tokens);
         share.worth = placed.share.worth;
         if let Some(endpoint) = self.endpoints.get_mut(&placed.endpoint) {
+            if placed.tokens == 0 {
+                endpoint.reading.read(ticket, now);
+            }
             endpoint.update(&placed.share, &share);
             placed.meter.measure(tokens, now, &mut endpoint.pace);
         }
@@ -77,6 +84,7 @@
         self.count_running(&placed.req, -1);
         if let Some(endpoint) = self.endpoints.get_mut(&placed.endpoint) {
             endpoint.release(&placed.share, now);
+            endpoint.reading.drop(ticket, now);
             if whole {
                 endpoint.on_success();
             }
@@ -115,6 +123,7 @@
         }
         if let Some(from) = self.endpoints.get_mut(&placed.endpoint) {
             from.release(&placed.share, now);
+            from.reading.drop(ticket, now);
         }
         placed.endpoint = to.clone();
         placed.meter = PaceMeter::default();
@@ -167,7 +176,7 @@
             target.note_prefix(req.prefix, endpoint);
         }
         if let Some(state) = self.endpoints.get_mut(endpoint) {
-            state.reading.note(req.prompt_tokens, now);
+            state.reading.note(req.ticket, req.prompt_tokens, now);
             state.note_prefix(req.prefix, now);
         }
         self.run_at(req, endpoint, now);
--- a/crates/lab/src/fleet/tests.rs
+++ b/crates/lab/src/fleet/tests.rs
@@ -84,3 +84,17 @@
     expect_that!(from_5_s(&report, |f| f.left as f64), each(eq(&0.0)));
     expect_that!(from_5_s(&report, |f| f.refused as f64), each(eq(&0.0)));
 }
+
+/// Prompts of 160 requests a second, a third of the time of 122 engines, a sixth of which leaves every
+/// 3.3 s. While unread prompts were reckoned by time alone, 99 of 2,890 answers were late and first
+/// events at p99 took 1.9 and 2.3 s; now none are, and they take 1.1 and 1.0 s.
+#[gtest]
+fn prompts_of_hundreds_of_callers_are_read_in_time() {
+    let report = run(&FleetOptions { leaving: true, ..deployment(SIZES[2], 16) });
+
+    let row = &report.rows[0];
+    let p99 = |kind: usize| row.mean(|f| f.first_ms[kind][1]);
+    expect_that!(row.mean(|f| f.served), gt(0.99));
+    expect_that!(row.mean(|f| f.late as f64 / f.asked as f64), lt(0.002));
+    expect_that!(p99(0).max(p99(1)), lt(1_400.0));
+}
