Draw slow engines less often without a scheduler, and keep places only where memory is short

Change: the leader names four slow engines in each answer to a poll; daemons draw them less often by that much, and weigh their reports by it. A place is asked for only where memory would be fuller than 0.7.

--- a/crates/core/src/node/control/answers.rs
+++ b/crates/core/src/node/control/answers.rs
@@ -38,6 +38,7 @@
     pub(super) fn answer_poll(&mut self, read: ConfirmedRead, now: Instant, out: &mut Outbox) {
         let Some((vm, poll)) = self.polls.remove(&read.token) else { return };
         let entries = self.entries(now);
+        let slow = self.dispatcher.as_mut().map(|dispatcher| dispatcher.some_slow(now));
         let reply = PollReply {
             nonce: poll.nonce,
             version: self.state.version(),
@@ -46,6 +47,7 @@
             daemons: self.live_daemons(now).len() as u64,
             taking: entries.taking,
             stopping: entries.stopping,
+            slow: slow.unwrap_or_default(),
         };
         out.send(&vm, Body::PollReply(reply));
     }
--- a/crates/core/src/node/dispatcher.rs
+++ b/crates/core/src/node/dispatcher.rs
@@ -16,12 +16,21 @@
     mechanism::Disabled,
     placement::{Action, Relocation, Scheduler, Ticket},
     units::Instant,
-    wire::{Admit, Body, GiveUp, Grant, Health, HealthNews, Move, Moved, Progress, Report, Watch},
+    wire::{
+        Admit, Body, GiveUp, Grant, Health, HealthNews, Move, Moved, Progress, Report,
+        SlowEndpoint, Watch,
+    },
 };
 
 /// Time in which a new leader only listens.
 const LISTEN: Duration = Duration::from_millis(300);
 
+/// Slow endpoints that an answer to a daemon names: 80 bytes, 0.3 kB/s for each daemon, which hears of
+/// 600 within 40 s.
+const SLOW_AT_ONCE: usize = 4;
+/// They are looked for this often, among all endpoints.
+const LOOK_FOR_SLOW: Duration = Duration::from_millis(500);
+
 /// The scheduler of all daemons.
 pub(crate) struct Dispatcher {
     scheduler: Scheduler,
@@ -31,6 +40,17 @@
     leaving: BTreeMap<Arc<str>, Instant>,
     endpoints: Vec<String>,
     watches: ByVm<Vec<String>>,
+    slow: SlowOnes,
+}
+
+/// The endpoints that are slower than others, as they were when last looked for.
+#[derive(Debug, Default)]
+struct SlowOnes {
+    found: Vec<SlowEndpoint>,
+    /// The one that is told next.
+    next: usize,
+    /// They are looked for again after this.
+    look: Instant,
 }
 
 impl Dispatcher {
@@ -43,6 +63,7 @@
             leaving: BTreeMap::new(),
             endpoints: Vec::new(),
             watches: ByVm::new(),
+            slow: SlowOnes::default(),
         }
     }
 
@@ -177,6 +198,25 @@
         self.assign_watches(daemons, out);
     }
 
+    /// Some of the endpoints that are slower than others, the next ones at each call.
+    pub(crate) fn some_slow(&mut self, now: Instant) -> Vec<SlowEndpoint> {
+        let slow = &mut self.slow;
+        if slow.look <= now {
+            let of = |(name, slowness): (Arc<str>, f64)| {
+                let percent = (slowness * 100.0) as u32;
+                SlowEndpoint { name: name.to_string(), percent }
+            };
+            slow.look = now.after(LOOK_FOR_SLOW);
+            slow.found = self.scheduler.slow_endpoints().into_iter().map(of).collect();
+        }
+        let count = slow.found.len();
+        let told =
+            (0..SLOW_AT_ONCE.min(count)).map(|n| slow.found[(slow.next + n) % count].clone());
+        let told = told.collect();
+        slow.next = slow.next.wrapping_add(SLOW_AT_ONCE);
+        told
+    }
+
     /// Grants, gives up and moves what can be now.
     pub(crate) fn decide(&mut self, now: Instant, out: &mut Outbox) {
         if now < self.open_at {
--- a/crates/core/src/node/messages.rs
+++ b/crates/core/src/node/messages.rs
@@ -9,7 +9,7 @@
     agreement::Persist,
     error::RequestError,
     once::{Claim, ClaimResult, Settle},
-    placement::Request,
+    placement::{Drawn, Request},
     registry::Registered,
     state::ChangeId,
     units::Instant,
@@ -48,7 +48,7 @@
 }
 
 /// Where a request was placed.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Placement {
     /// Name of the endpoint.
     pub endpoint: Arc<str>,
@@ -56,7 +56,7 @@
     pub priority: u64,
     /// The endpoints that this daemon has drawn at random, the one above among them, while no
     /// scheduler answers; none where a scheduler has granted the place.
-    pub drawn: Vec<Arc<str>>,
+    pub drawn: Vec<Drawn>,
 }
 
 impl Placement {
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -314,7 +314,10 @@
         let leads = self.leads();
         let out = &mut self.outputs;
         match body {
-            Body::PollReply(reply) => self.keeper.poll_reply(from, reply, clocks.now, out),
+            Body::PollReply(reply) => {
+                self.placing.told_slow(&reply.slow, clocks.now);
+                self.keeper.poll_reply(from, reply, clocks.now, out);
+            }
             Body::Update(update) => self.keeper.update(from, update, clocks.now, out),
             Body::Piece(piece) => self.keeper.piece(piece, clocks.now, out),
             Body::NotLeader(reply) => {
--- a/crates/core/src/node/placing.rs
+++ b/crates/core/src/node/placing.rs
@@ -20,7 +20,10 @@
     mechanism::Disabled,
     placement::{Action, Relocation, Request, Scheduler, Ticket},
     units::Instant,
-    wire::{Admit, Body, GiveUp, Grant, Health, HealthNews, Move, Moved, Progress, Report, Tokens},
+    wire::{
+        Admit, Body, GiveUp, Grant, Health, HealthNews, Move, Moved, Progress, Report,
+        SlowEndpoint, Tokens,
+    },
 };
 
 /// Interval at which token counts are passed on.
@@ -259,6 +262,13 @@
         }
     }
 
+    /// Takes the leader's word of endpoints that are slow.
+    pub(crate) fn told_slow(&mut self, slow: &[SlowEndpoint], now: Instant) {
+        for SlowEndpoint { name, percent } in slow {
+            self.local.endpoint_slow(name, f64::from(*percent) / 100.0, now);
+        }
+    }
+
     pub(crate) fn load(&mut self, report: Report, now: Instant, out: &mut Outbox) {
         self.local.endpoint_leaving(&report.endpoint, report.leaving);
         self.local.endpoint_report(&report.endpoint, load_report(&report, now));
@@ -346,8 +356,7 @@
                         out.send(scheduler, Body::Admit(running.admit(call)));
                     }
                     self.running.insert(call, running);
-                    let other = self.local.another_for(ticket, now);
-                    let drawn = [endpoint.clone()].into_iter().chain(other).collect();
+                    let drawn = self.local.drawn_for(ticket, now);
                     let placement = Placement { endpoint, priority, drawn };
                     out.answer(call, Answer::Placed(Ok(placement)));
                 }
--- a/crates/core/src/placement/alone.rs
+++ b/crates/core/src/placement/alone.rs
@@ -3,8 +3,10 @@
 //! Answers the load of hundreds of daemons that place at the same time, none of which knows what the
 //! others send. A share of each engine for each daemon is less than one prompt there, and the best
 //! engine by equal knowledge is the same one for all. So each daemon draws two engines at random for
-//! each request, asks both for their loads, takes the better one, and lets it confirm that it has
-//! room. docs/DECISIONS.md has the ways that were weighed.
+//! each request, slow ones less often, asks both for their loads, takes the better one, and lets it
+//! confirm that it has room if that is in doubt. docs/DECISIONS.md has the ways that were weighed.
+
+use std::sync::Arc;
 
 use super::reading::reading_time;
 
@@ -13,6 +15,10 @@
 const MEMORY_VALUE: f64 = 0.4;
 /// An engine whose memory would be fuller than this comes last: what runs there grows.
 const NEARLY_FULL: f64 = 0.9;
+/// An engine whose memory would be fuller than this is asked to keep a place: its report is half a second
+/// old, and it may have none. What has a place goes ahead of all that waits to be read; with places at
+/// every engine the earlier requests waited (worth served in a burst 0.92 in place of 0.89).
+const TIGHT: f64 = 0.7;
 
 /// What an engine tells of its load; true some hundred milliseconds ago.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
@@ -29,31 +35,51 @@
     pub kv_tokens: u64,
 }
 
+/// An engine that a daemon has drawn.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Drawn {
+    /// Its name.
+    pub endpoint: Arc<str>,
+    /// How many times as long as others it takes, as far as a scheduler has told.
+    pub slowness: f64,
+}
+
 impl EngineLoad {
     /// Seconds lost by a prompt of this length there.
-    fn cost(&self, prompt_tokens: u64) -> f64 {
-        let unread = reading_time(self.unread_tokens).as_secs_f64();
-        let memory = (self.kv_used + prompt_tokens) as f64 / self.kv_tokens.max(1) as f64;
-        unread + MEMORY_VALUE * memory
+    fn cost(&self, prompt_tokens: u64, slowness: f64) -> f64 {
+        let unread = reading_time(self.unread_tokens).as_secs_f64() * slowness;
+        unread + MEMORY_VALUE * self.fullness(prompt_tokens)
     }
 
     /// Whether a prompt of this length would have to wait there for memory.
     fn is_full(&self, prompt_tokens: u64) -> bool {
-        self.kv_tokens as f64 * NEARLY_FULL < (self.kv_used + prompt_tokens) as f64
+        NEARLY_FULL < self.fullness(prompt_tokens)
+    }
+
+    /// Whether it must be asked for a place before a prompt of this length is sent there.
+    pub fn is_tight(&self, prompt_tokens: u64) -> bool {
+        TIGHT < self.fullness(prompt_tokens)
+    }
+
+    fn fullness(&self, prompt_tokens: u64) -> f64 {
+        (self.kv_used + prompt_tokens) as f64 / self.kv_tokens.max(1) as f64
     }
 }
 
-/// In which order to ask engines for a place, by their positions: the better one first. One whose
+/// An engine that was drawn, and its load if it tells.
+pub type Candidate = (Drawn, Option<EngineLoad>);
+
+/// Brings engines into the order in which to ask them for a place: the better one first. One whose
 /// load is not known comes before those that are full.
-pub fn order(loads: &[Option<EngineLoad>], prompt_tokens: u64) -> Vec<usize> {
-    let key = |at: &usize| match &loads[*at] {
-        Some(load) => (load.is_full(prompt_tokens), false, load.cost(prompt_tokens)),
+pub fn sort(candidates: &mut [Candidate], prompt_tokens: u64) {
+    let key = |(drawn, load): &Candidate| match load {
+        Some(load) => {
+            (load.is_full(prompt_tokens), false, load.cost(prompt_tokens, drawn.slowness))
+        }
         None => (false, true, 0.0),
     };
-    let mut order: Vec<usize> = (0..loads.len()).collect();
-    order.sort_by(|a, b| {
+    candidates.sort_by(|a, b| {
         let (a, b) = (key(a), key(b));
         (a.0, a.1).cmp(&(b.0, b.1)).then(a.2.total_cmp(&b.2))
     });
-    order
 }
--- a/crates/core/src/placement/endpoint.rs
+++ b/crates/core/src/placement/endpoint.rs
@@ -16,6 +16,9 @@
 
 /// A cached prefix is believed for this long.
 const PREFIX_LIFE: Duration = Duration::from_secs(60);
+/// A scheduler's word that an endpoint is slow is believed for this long. Each daemon is told of all
+/// slow ones in turn, of 600 within 40 s.
+const TOLD_SLOW_LIFE: Duration = Duration::from_secs(60);
 const MAX_PREFIXES: usize = 512;
 const MAX_CHANGES: usize = 256;
 
@@ -85,6 +88,13 @@
     }
 }
 
+/// How much slower than others an endpoint is, as a scheduler has told.
+#[derive(Debug, Clone, Copy)]
+struct ToldSlow {
+    slowness: f64,
+    at: Instant,
+}
+
 /// A grant or a release of one request.
 #[derive(Debug, Clone, Copy)]
 struct Change {
@@ -110,6 +120,7 @@
     pub(crate) reading: Reading,
     /// How fast it makes tokens.
     pub(crate) pace: Pace,
+    told_slow: Option<ToldSlow>,
 }
 
 impl EndpointState {
@@ -127,6 +138,7 @@
             failures: 0,
             reading: Reading::default(),
             pace: Pace::default(),
+            told_slow: None,
         }
     }
 
@@ -181,6 +193,17 @@
         }
     }
 
+    /// Notes that it takes so many times as long as others for everything.
+    pub(crate) fn tell_slow(&mut self, slowness: f64, now: Instant) {
+        self.told_slow = Some(ToldSlow { slowness, at: now });
+    }
+
+    /// How many times as long as others it takes, as far as a scheduler has told lately.
+    pub(crate) fn told_slowness(&self, now: Instant) -> f64 {
+        let told = self.told_slow.filter(|told| now.since(told.at) < TOLD_SLOW_LIFE);
+        told.map_or(1.0, |told| told.slowness)
+    }
+
     /// Whether the prefix is believed to be cached.
     pub fn has_prefix(&self, prefix: PrefixHash, now: Instant) -> bool {
         self.prefixes.get(&prefix).is_some_and(|at| now.since(*at) < PREFIX_LIFE)
--- a/crates/core/src/placement/endpoint_news.rs
+++ b/crates/core/src/placement/endpoint_news.rs
@@ -9,6 +9,10 @@
 };
 use crate::{config::Endpoints, units::Instant};
 
+/// Daemons are told of an endpoint that takes this many times as long as the middle one: equal ones
+/// differ by up to 1.1 in their speed of reading, by what else runs there.
+const TOLD_SLOW_FROM: f64 = 1.15;
+
 impl Scheduler {
     /// Takes the endpoints of an accepted configuration; what runs goes on.
     pub fn configure(&mut self, endpoints: &Endpoints) {
@@ -65,6 +69,31 @@
         }
     }
 
+    /// Takes a scheduler's word that an endpoint takes so many times as long as others.
+    pub fn endpoint_slow(&mut self, name: &str, slowness: f64, now: Instant) {
+        if let Some(endpoint) = self.endpoints.get_mut(name) {
+            endpoint.tell_slow(slowness, now);
+        }
+    }
+
+    /// The endpoints that take longer than others for everything, and how many times as long.
+    pub fn slow_endpoints(&self) -> Vec<(Arc<str>, f64)> {
+        let measured = |name: &Arc<str>| {
+            let speed = self.endpoints.get(name)?.reading.measured_speed()?;
+            Some((name.clone(), speed))
+        };
+        let mut slow = Vec::new();
+        for target in self.targets.values() {
+            let mut speeds: Vec<_> = target.endpoints.iter().filter_map(measured).collect();
+            speeds.sort_by(|a, b| a.1.total_cmp(&b.1));
+            // The fastest of many is one that was measured badly.
+            let Some((_, usual)) = speeds.get(speeds.len() / 2).cloned() else { continue };
+            let slower = speeds.into_iter().map(|(name, speed)| (name, usual / speed));
+            slow.extend(slower.take_while(|(_, slowness)| TOLD_SLOW_FROM < *slowness));
+        }
+        slow
+    }
+
     /// Takes a lagged load report.
     pub fn endpoint_report(&mut self, name: &str, report: LoadReport) {
         if let Some(endpoint) = self.endpoints.get_mut(name) {
--- a/crates/core/src/placement/fastest.rs
+++ b/crates/core/src/placement/fastest.rs
@@ -38,7 +38,7 @@
     pub(super) fn slowness_of(&self, endpoint: &EndpointState, now: Instant) -> f64 {
         let own = match (self.speed, endpoint.reading.measured_speed()) {
             (Some(fastest), Some(speed)) => fastest / speed,
-            _ => 1.0,
+            _ => endpoint.told_slowness(now),
         };
         own / (1.0 - endpoint.reading.part(now).min(MOST_READING))
     }
--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -37,7 +37,7 @@
 use crate::{config::EndpointTarget, error::RequestError};
 
 pub use self::{
-    alone::{EngineLoad, order},
+    alone::{Candidate, Drawn, EngineLoad, sort},
     endpoint::{EndpointState, Health, LoadReport},
     evacuation::Relocation,
     forecast::{HORIZONS, LengthForecast, Survival},
--- a/crates/core/src/placement/policy/two_drawn.rs
+++ b/crates/core/src/placement/policy/two_drawn.rs
@@ -1,7 +1,11 @@
 //! The better of two endpoints drawn at random.
 
 use super::{ForecastPolicy, Policy, Work};
-use crate::{mechanism::Disabled, placement::endpoint::EndpointState, units::Instant};
+use crate::{
+    mechanism::{Disabled, Mechanism},
+    placement::endpoint::EndpointState,
+    units::Instant,
+};
 
 /// Draws two of the endpoints that have room and lets another policy choose between them. Many
 /// daemons with equal knowledge then choose apart from each other.
@@ -14,7 +18,9 @@
 impl TwoDrawn {
     /// The policy without these mechanisms; the seed must be another on each daemon.
     pub fn without(disabled: Disabled, seed: u64) -> TwoDrawn {
-        TwoDrawn { inner: ForecastPolicy::without(disabled), rng: fastrand::Rng::with_seed(seed) }
+        // Slow endpoints are drawn less often; left to the choice, the others would get nearly all.
+        let by_room = disabled.with(Mechanism::ReadingAvoidance).with(Mechanism::Pace);
+        TwoDrawn { inner: ForecastPolicy::without(by_room), rng: fastrand::Rng::with_seed(seed) }
     }
 }
 
@@ -28,7 +34,12 @@
         let mut open: Vec<usize> = (0..endpoints.len()).filter(has_room).collect();
         let mut drawn = Vec::new();
         while drawn.len() < 2 && !open.is_empty() {
-            drawn.push(open.swap_remove(self.rng.usize(..open.len())));
+            let at = self.rng.usize(..open.len());
+            // A slow endpoint reads fewer prompts in the same time.
+            let is_last = open.len() == 1;
+            if is_last || self.rng.f64() * endpoints[open[at]].told_slowness(now) < 1.0 {
+                drawn.push(open.swap_remove(at));
+            }
         }
         let choices: Vec<&EndpointState> = drawn.iter().map(|at| endpoints[*at]).collect();
         self.inner.choose(work, &choices, now).map(|at| drawn[at])
--- a/crates/core/src/placement/scheduler.rs
+++ b/crates/core/src/placement/scheduler.rs
@@ -7,7 +7,7 @@
 };
 
 use super::{
-    Action, Request, Ticket,
+    Action, Drawn, Request, Ticket,
     endpoint::{EndpointState, Share},
     evacuation::Evacuation,
     forecast::LengthForecast,
@@ -138,8 +138,18 @@
         Scheduler { samples: seed as usize, ..Scheduler::new(limits, policy) }
     }
 
-    /// Another endpoint with room for a request that runs, if there is any.
-    pub fn another_for(&mut self, ticket: Ticket, now: Instant) -> Option<Arc<str>> {
+    /// The endpoint of a request that was placed, and another one with room if there is any.
+    pub fn drawn_for(&mut self, ticket: Ticket, now: Instant) -> Vec<Drawn> {
+        let first = self.placed.get(&ticket).map(|placed| placed.endpoint.clone());
+        let other = self.another_for(ticket, now);
+        let drawn = |endpoint: Arc<str>| {
+            let slowness = self.endpoints.get(&endpoint).map_or(1.0, |e| e.told_slowness(now));
+            Drawn { endpoint, slowness }
+        };
+        first.into_iter().chain(other).map(drawn).collect()
+    }
+
+    fn another_for(&mut self, ticket: Ticket, now: Instant) -> Option<Arc<str>> {
         let placed = self.placed.get(&ticket)?;
         let target = self.targets.get(&placed.req.target)?;
         self.samples = self.samples.wrapping_add(1);
--- a/crates/core/src/wire/control.rs
+++ b/crates/core/src/wire/control.rs
@@ -71,6 +71,20 @@
     /// Daemons that stop and still have callers sent to them.
     #[prost(uint64, tag = "8")]
     pub stopping: u64,
+    /// Some of the endpoints that are slower than others, for when no scheduler answers.
+    #[prost(message, repeated, tag = "9")]
+    pub slow: Vec<SlowEndpoint>,
+}
+
+/// An endpoint that takes longer for everything.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct SlowEndpoint {
+    /// Its name.
+    #[prost(string, tag = "1")]
+    pub name: String,
+    /// Its time for a prompt in percent of the usual.
+    #[prost(uint32, tag = "2")]
+    pub percent: u32,
 }
 
 /// See [`super::Body::Update`].
--- a/crates/core/src/wire/mod.rs
+++ b/crates/core/src/wire/mod.rs
@@ -15,7 +15,7 @@
     control::{
         AcceptedVersion, ClaimReply, ClaimStatus, Directory, Done, Fetch, NotLeader, Operation,
         OperationKind, OperationReply, OperationResult, Piece, Poll, PollReply, ReplicaInfo,
-        Submit, Update,
+        SlowEndpoint, Submit, Update,
     },
     endpoints::{EndpointNews, EndpointRecord, Health, HealthNews, Report, Watch},
     handshake::{Handshake, HandshakeError, Hello, Proof},
--- a/crates/server/src/relay/protocol.rs
+++ b/crates/server/src/relay/protocol.rs
@@ -65,8 +65,8 @@
     Kept(String),
     /// It has no room.
     Refused,
-    /// It keeps no places for anybody.
-    Unsupported,
+    /// It need not keep one, or keeps none for anybody.
+    Unneeded,
 }
 
 impl Reserved {
@@ -75,7 +75,7 @@
         match self {
             Reserved::Kept(_) => "kept",
             Reserved::Refused => "refused",
-            Reserved::Unsupported => "unsupported",
+            Reserved::Unneeded => "unneeded",
         }
     }
 }
--- a/crates/server/src/relay/unscheduled.rs
+++ b/crates/server/src/relay/unscheduled.rs
@@ -1,8 +1,8 @@
 //! Places that a daemon has found by itself while no scheduler answers.
 //!
-//! The node has drawn two engines at random. Both are asked for their loads, and the better one for a
-//! place that it keeps until the generation comes; so what hundreds of daemons send at the same time
-//! fills no engine, and nothing waits at one that has no room.
+//! The node has drawn two engines at random. Both are asked for their loads, and the better one, if its
+//! memory may be short, for a place that it keeps until the generation comes; so what hundreds of daemons
+//! send at the same time fills no engine, and nothing waits at one that has no room.
 
 use std::{sync::Arc, time::Duration};
 
@@ -13,7 +13,7 @@
 use tokio::time::timeout;
 use trayswitch_core::{
     node::Input,
-    placement::{EngineLoad, order},
+    placement::{Candidate, Drawn, EngineLoad, sort},
     wire::HealthNews,
 };
 
@@ -40,25 +40,28 @@
 pub(super) struct NoRoom;
 
 /// Lets the engines that were drawn confirm a place. Returns the name of the reservation; none where
-/// a scheduler has granted the place, or the engine keeps none.
+/// a scheduler has granted the place, or the engine has much room or keeps no places.
 pub(super) async fn confirm(
     relay: &Relay,
     job: &Job,
     placed: &mut Placed,
 ) -> Result<Option<String>, NoRoom> {
-    let drawn: Vec<Arc<str>> = placed.drawn().to_vec();
-    if drawn.is_empty() {
+    if placed.drawn().is_empty() {
         return Ok(None);
     }
     let prompt = job.caller.prompt.as_ref().map_or(0, |prompt| prompt.tokens);
-    let loads = join_all(drawn.iter().map(|endpoint| load_of(relay, endpoint))).await;
-    for at in order(&loads, prompt) {
-        let endpoint = &drawn[at];
-        let reserved = reserve(relay, job, endpoint, prompt + FIRST_TOKENS).await;
-        note(job, endpoint, loads[at], &reserved);
+    let ask = async |drawn: &Drawn| (drawn.clone(), load_of(relay, &drawn.endpoint).await);
+    let mut candidates: Vec<Candidate> = join_all(placed.drawn().iter().map(ask)).await;
+    sort(&mut candidates, prompt);
+    for (Drawn { endpoint, .. }, load) in &candidates {
+        let reserved = match load {
+            Some(load) if !load.is_tight(prompt) => Reserved::Unneeded,
+            _ => reserve(relay, job, endpoint, prompt + FIRST_TOKENS).await,
+        };
+        note(job, endpoint, *load, &reserved);
         let name = match reserved {
             Reserved::Kept(name) => Some(name),
-            Reserved::Unsupported => None,
+            Reserved::Unneeded => None,
             Reserved::Refused => continue,
         };
         if *endpoint != *placed.endpoint() {
@@ -88,7 +91,7 @@
 async fn reserve(relay: &Relay, job: &Job, endpoint: &Arc<str>, tokens: u64) -> Reserved {
     let service = job.config.config.services.get(&job.service);
     let longest = service.and_then(|service| service.engine.as_ref()?.longest_reservation);
-    let Some(longest) = longest else { return Reserved::Unsupported };
+    let Some(longest) = longest else { return Reserved::Unneeded };
     let reservation = Reservation { tokens, keep_for: KEEP_FOR.min(longest) };
     let req = relay.protocol.reservation_request(&reservation);
     match ask(relay, endpoint, req).await {
--- a/crates/server/src/runtime/placed.rs
+++ b/crates/server/src/runtime/placed.rs
@@ -3,7 +3,10 @@
 use std::sync::Arc;
 
 use tokio::sync::mpsc;
-use trayswitch_core::node::{CallId, Input, Placement};
+use trayswitch_core::{
+    node::{CallId, Input, Placement},
+    placement::Drawn,
+};
 
 use super::NodeHandle;
 
@@ -46,7 +49,7 @@
     }
 
     /// The endpoints that this daemon has drawn by itself, if no scheduler has granted the place.
-    pub fn drawn(&self) -> &[Arc<str>] {
+    pub fn drawn(&self) -> &[Drawn] {
         self.placement.as_ref().map_or(&[], |placement| &placement.drawn)
     }
 
