--- a/crates/core/src/error/mod.rs
+++ b/crates/core/src/error/mod.rs
@@ -65,6 +65,8 @@
     GenerationLost,
     /// The endpoint's answer broke its protocol.
     BadAnswer,
+    /// Every data hall that serves the target was taken out of service by operators.
+    OutOfService,
 }
 
 /// The answer that belongs to one [`ErrorKind`].
@@ -85,7 +87,7 @@
 
 impl ErrorKind {
     /// All kinds, in the order of docs/ERRORS.md.
-    pub const ALL: [ErrorKind; 16] = [
+    pub const ALL: [ErrorKind; 17] = [
         ErrorKind::BadRequest,
         ErrorKind::Unauthorized,
         ErrorKind::NotFound,
@@ -102,6 +104,7 @@
         ErrorKind::OutcomeUnknown,
         ErrorKind::GenerationLost,
         ErrorKind::BadAnswer,
+        ErrorKind::OutOfService,
     ];
 
     /// The number that stands for this kind between daemons.
@@ -135,6 +138,7 @@
             ErrorKind::OutcomeUnknown => (502, Unknown, None, "outcome_unknown"),
             ErrorKind::GenerationLost => (502, CutOff, SOON, "generation_lost"),
             ErrorKind::BadAnswer => (502, Unknown, None, "bad_answer"),
+            ErrorKind::OutOfService => (503, NotRun, LATER, "out_of_service"),
         };
         Answer { status, outcome, retry_after, code }
     }
--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -48,6 +48,8 @@
     ThreadHeldUp = 216, "The daemon's thread was held up: links, timers and requests stood still.";
     LargeMessage = 217, "A large message has been written to a link.";
     ConfigUnusable = 218, "An accepted configuration cannot come into force on this daemon.";
+    HallsOut = 219, "Other data halls are out of service from now on.";
+    HallOrdered = 220, "An operator's order about a data hall was answered.";
     EndpointFailed = 301, "An endpoint failed to serve a request.";
     EndpointLeaving = 302, "An endpoint said that it is leaving.";
     StreamResumed = 303, "A stream was resumed at its endpoint.";
--- a/crates/core/src/node/control/answers.rs
+++ b/crates/core/src/node/control/answers.rs
@@ -8,11 +8,11 @@
     config::ContentHash,
     node::{Clocks, Outbox, Output, SentChange, VmName},
     once::ClaimResult,
-    state::{Command, ConfigChange, ConfigResult, command},
+    state::{Command, ConfigChange, ConfigResult, HallResult, command},
     units::Instant,
     wire::{
-        AcceptedVersion, Body, ClaimReply, ClaimStatus, Fetch, NotLeader, Operation, OperationKind,
-        OperationReply, OperationResult, Poll, PollReply, Submit,
+        AcceptedVersion, Body, ClaimReply, ClaimStatus, Fetch, HallReply, HallStatus, NotLeader,
+        Operation, OperationKind, OperationReply, OperationResult, Poll, PollReply, Submit,
     },
 };
 
@@ -48,6 +48,7 @@
             taking: entries.taking,
             stopping: entries.stopping,
             slow: slow.unwrap_or_default(),
+            halls: Some(self.state.halls_out().clone()),
         };
         out.send(&vm, Body::PollReply(reply));
     }
@@ -91,6 +92,7 @@
             }
             Some(OperationKind::Claim(claim)) => command::Kind::Claim(claim),
             Some(OperationKind::Settle(settle)) => command::Kind::Settle(settle),
+            Some(OperationKind::Hall(order)) => command::Kind::Hall(order),
             None => return,
         };
         self.propose(asker, kind, None, clocks, out);
@@ -200,3 +202,13 @@
     };
     ClaimReply { status: status.into(), answer }
 }
+
+pub(super) fn hall_reply(result: HallResult) -> HallReply {
+    let status = match result {
+        HallResult::Done => HallStatus::Done,
+        HallResult::Repeated => HallStatus::Repeated,
+        HallResult::Overtaken => HallStatus::Overtaken,
+        HallResult::TooMany => HallStatus::TooMany,
+    };
+    HallReply { status: status.into() }
+}
--- a/crates/core/src/node/control/mod.rs
+++ b/crates/core/src/node/control/mod.rs
@@ -273,7 +273,7 @@
 
     fn configure_dispatcher(&mut self) {
         if let Some(dispatcher) = &mut self.dispatcher {
-            dispatcher.configure(&self.engines.all(), &self.engines.closed);
+            dispatcher.configure(&self.engines);
         }
     }
 
--- a/crates/core/src/node/control/ready.rs
+++ b/crates/core/src/node/control/ready.rs
@@ -2,12 +2,12 @@
 
 use super::{
     Batch, Control, Proposed,
-    answers::{claim_reply, reply},
+    answers::{claim_reply, hall_reply, reply},
 };
 use crate::{
     agreement::{Entry, Outgoing, Persist, Ready, Snapshot, Synced},
     node::{Clocks, Outbox, Output, SentChange, dispatcher::Dispatcher},
-    state::{AcceptedChange, Applied, ConfigResult, State},
+    state::{AcceptedChange, Applied, ConfigResult, HallResult, State},
     units::Instant,
     wire::{Body, Done, OperationResult, Update},
 };
@@ -112,6 +112,10 @@
                 self.accepted(*change, bytes, clocks.now, out);
                 Applied::Config(ConfigResult::Accepted)
             }
+            Applied::Hall(HallResult::Done) => {
+                self.tell_halls_out(out);
+                Applied::Hall(HallResult::Done)
+            }
             applied => applied,
         };
         let proposed = self.proposed.remove(&entry.index);
@@ -122,6 +126,7 @@
         let result = match (applied, submit) {
             (Applied::Config(result), Some(submit)) => self.config_result(&submit, result),
             (Applied::Claim(result), _) => OperationResult::Claim(claim_reply(result)),
+            (Applied::Hall(result), _) => OperationResult::Hall(hall_reply(result)),
             _ => OperationResult::Settled(Done {}),
         };
         reply(&asker, result, out);
@@ -145,6 +150,17 @@
         self.answer_fetches(now, out);
     }
 
+    /// The leader tells every daemon at once which data halls are out of service; its answers to
+    /// polls tell those that the message does not reach.
+    fn tell_halls_out(&self, out: &mut Outbox) {
+        if !self.leads() {
+            return;
+        }
+        for vm in self.daemons.keys() {
+            out.send(vm, Body::HallsOut(self.state.halls_out().clone()));
+        }
+    }
+
     fn judge_leadership(&mut self, now: Instant, out: &mut Outbox) {
         let leads = self.replica.is_established();
         if leads == self.dispatcher.is_some() {
--- a/crates/core/src/node/control/status.rs
+++ b/crates/core/src/node/control/status.rs
@@ -44,6 +44,8 @@
     pub commit: u64,
     /// The accepted version.
     pub version: u64,
+    /// The data halls that are out of service.
+    pub halls_out: Vec<String>,
     /// Number of claims kept.
     pub claims: usize,
     /// Whether the loss of any one more voter leaves a quorum. Known to the leader only.
@@ -87,6 +89,7 @@
             term: self.replica.term(),
             commit: self.replica.commit(),
             version: self.state.version(),
+            halls_out: self.state.halls_out().names.clone(),
             claims: self.state.claims().len(),
             survives_next_loss: leads && settled && quorum < sound_voters,
             replicas,
--- a/crates/core/src/node/dispatcher.rs
+++ b/crates/core/src/node/dispatcher.rs
@@ -9,9 +9,8 @@
     time::Duration,
 };
 
-use super::{ByVm, Outbox, VmName, admit, load_report};
+use super::{ByVm, Outbox, VmName, admit, engines::Engines, load_report};
 use crate::{
-    config::Endpoints,
     error::RequestError,
     mechanism::Disabled,
     placement::{Action, Relocation, Scheduler, Ticket},
@@ -71,12 +70,14 @@
         &self.scheduler
     }
 
-    /// Takes the endpoints, and which of them must get no new work.
-    pub(crate) fn configure(&mut self, endpoints: &Endpoints, closed: &BTreeSet<Arc<str>>) {
-        self.scheduler.configure(endpoints);
+    /// Takes the engines, and which of them must get no new work.
+    pub(crate) fn configure(&mut self, engines: &Engines) {
+        let endpoints = engines.all();
+        self.scheduler.configure(&endpoints);
+        self.scheduler.take_halls_out(&engines.halls_out);
         self.endpoints = endpoints.keys().cloned().collect();
         for endpoint in endpoints.keys() {
-            self.scheduler.endpoint_leaving(endpoint, closed.contains(endpoint.as_str()));
+            self.scheduler.endpoint_leaving(endpoint, engines.closed.contains(endpoint.as_str()));
         }
         for endpoint in self.leaving.keys() {
             self.scheduler.endpoint_leaving(endpoint, true);
--- a/crates/core/src/node/endpoints.rs
+++ b/crates/core/src/node/endpoints.rs
@@ -23,7 +23,7 @@
     pub hall: String,
     /// Model or service.
     pub target: String,
-    /// `live`, `leaving` or `down`.
+    /// `live`, `leaving`, `down`, `retrying`, or `out` where its data hall is out of service.
     pub health: &'static str,
     /// Requests granted.
     pub running: u64,
@@ -130,14 +130,15 @@
         self.handed_out != self.registry.revision()
     }
 
-    /// Hands the endpoints out if they have changed; not more often than this daemon can.
-    /// Returns whether it did.
-    pub(super) fn hand_out_if_due(&mut self, now: Instant) -> bool {
-        if !self.must_hand_out() || now < self.next_hand_out {
+    /// Hands the endpoints out if they have changed; not more often than this daemon can, unless
+    /// other data halls are out of service. Returns whether it did.
+    pub(super) fn hand_out_if_due(&mut self, halls_changed: bool, now: Instant) -> bool {
+        let due = self.must_hand_out() && self.next_hand_out <= now;
+        if !due && !halls_changed {
             return false;
         }
         self.handed_out = self.registry.revision();
-        let endpoints = self.registry.endpoints();
+        let endpoints = self.registry.endpoints(self.keeper.halls_out());
         self.next_hand_out = now.after(for_each(PAUSE_FOR_AN_ENDPOINT, endpoints.len()));
         self.outputs.push(Output::Registered(endpoints));
         true
@@ -169,7 +170,8 @@
     /// Brings the endpoints that registered themselves to the schedulers.
     pub(super) fn hand_out_endpoints(&mut self, now: Instant) {
         let Some(in_force) = self.keeper.in_force() else { return };
-        let engines = Engines::new(&self.registry, &in_force.config);
+        let halls_out = self.keeper.halls_out();
+        let engines = Engines::new(&self.registry, &in_force.config, halls_out);
         self.placing.configure(&engines);
         if let Some(control) = &mut self.control {
             control.set_engines(engines, now, &mut self.outputs);
@@ -184,6 +186,7 @@
         hall: state.spec().hall.clone(),
         target: state.spec().target.name().to_owned(),
         health: match state.health() {
+            _ if state.is_out() => "out",
             Health::Live => "live",
             Health::Leaving => "leaving",
             Health::Down(until) if now < until => "down",
--- a/crates/core/src/node/keeper.rs
+++ b/crates/core/src/node/keeper.rs
@@ -1,4 +1,5 @@
-//! The configuration in force on this daemon, and whether it is current.
+//! The configuration in force on this daemon and the data halls that are out of service, and whether
+//! they are current.
 //!
 //! The daemon polls the leader. The leader answers only after a quorum has
 //! confirmed that it still leads, so an answer was true at some moment after the
@@ -12,12 +13,13 @@
 use bytes::Bytes;
 
 use super::{
-    Answer, CallId, NodeOptions, NodeTiming, Outbox, Output, VersionHash, VmName,
+    CallId, NodeOptions, NodeTiming, Outbox, Output, VersionHash, VmName,
     holder::{Holder, InForce, Sources},
+    reads::{Confirmed, Reads, Wanted},
 };
 use crate::{
     config::ContentHash,
-    state::State,
+    state::{HallsOut, State},
     units::Instant,
     wire::{Body, Piece, Poll, PollReply, Update},
 };
@@ -65,22 +67,15 @@
     asked: Instant,
 }
 
-/// A question that waits for a confirmation of a time after it came.
-#[derive(Debug, Clone, Copy)]
-struct PendingRead {
-    call: CallId,
-    asked: Instant,
-    deadline: Instant,
-}
-
 /// Keeps the configuration in force.
 pub(crate) struct Keeper {
     sources: Sources,
-    /// Questions for the newest configuration.
-    reads: Vec<PendingRead>,
+    reads: Reads,
     timing: NodeTiming,
     holder: Holder,
     changed: bool,
+    halls: HallsOut,
+    halls_changed: bool,
     vouched: Option<Vouched>,
     leader: Option<SchedulerAt>,
     leader_changed: bool,
@@ -106,10 +101,12 @@
     pub(crate) fn new(options: &NodeOptions, now: Instant) -> Keeper {
         Keeper {
             sources: Sources::new(&options.vm, &options.seeds),
-            reads: Vec::new(),
+            reads: Reads::default(),
             timing: options.timing,
             holder: Holder::new(now),
             changed: false,
+            halls: HallsOut::default(),
+            halls_changed: false,
             vouched: None,
             leader: None,
             leader_changed: false,
@@ -141,6 +138,26 @@
         std::mem::take(&mut self.changed).then(|| self.in_force().cloned()).flatten()
     }
 
+    /// The data halls that are out of service.
+    pub(crate) fn halls_out(&self) -> &HallsOut {
+        &self.halls
+    }
+
+    /// Whether they changed since the last call.
+    pub(crate) fn take_halls_changed(&mut self) -> bool {
+        std::mem::take(&mut self.halls_changed)
+    }
+
+    /// Takes word of the data halls that are out of service. What an older order came to is nothing
+    /// new.
+    pub(crate) fn take_halls(&mut self, halls: &HallsOut, out: &mut Outbox) {
+        if self.halls.number < halls.number {
+            self.halls = halls.clone();
+            self.halls_changed = true;
+            out.push(Output::HallsOut(halls.clone()));
+        }
+    }
+
     /// The leader, if it changed since the last call.
     pub(crate) fn take_leader_change(&mut self) -> Option<Option<VmName>> {
         let leader = || self.leader.as_ref().map(|leader| leader.vm.clone());
@@ -180,10 +197,16 @@
         }
     }
 
-    /// Answers with the configuration in force once a poll that was sent after now confirms
-    /// that it is the newest.
-    pub(crate) fn read(&mut self, call: CallId, deadline: Instant, now: Instant, out: &mut Outbox) {
-        self.reads.push(PendingRead { call, asked: now, deadline });
+    /// Answers once a poll that was sent after now confirms what is asked for.
+    pub(crate) fn read(
+        &mut self,
+        call: CallId,
+        wanted: Wanted,
+        deadline: Instant,
+        now: Instant,
+        out: &mut Outbox,
+    ) {
+        self.reads.ask(call, wanted, deadline, now);
         self.next_poll = self.next_poll.min(deadline);
         if let Some(target) = self.poll_target() {
             self.poll(target, now, out);
@@ -191,19 +214,10 @@
     }
 
     fn answer_reads(&mut self, now: Instant, out: &mut Outbox) {
-        let confirmed = self.confirmed;
-        let in_force = self.in_force().cloned();
-        self.reads.retain(|read| {
-            if confirmed.is_some_and(|at| read.asked <= at) {
-                out.answer(read.call, Answer::Newest(in_force.clone()));
-                return false;
-            }
-            let waits = now < read.deadline;
-            if !waits {
-                out.answer(read.call, Answer::Newest(None));
-            }
-            waits
-        });
+        let config = Confirmed { what: self.holder.in_force(), as_of: self.confirmed };
+        let halls_as_of = self.vouched.map(|vouched| vouched.asked);
+        let halls = Confirmed { what: &self.halls, as_of: halls_as_of };
+        self.reads.answer(config, halls, now, out);
     }
 
     pub(crate) fn link_up(&mut self, vm: &VmName, now: Instant, out: &mut Outbox) {
@@ -230,8 +244,8 @@
         if now < self.next_poll {
             return;
         }
-        let deadlines = self.reads.iter().map(|read| read.deadline);
-        self.next_poll = deadlines.chain([now.after(self.timing.poll)]).min().unwrap_or(now);
+        let next = now.after(self.timing.poll);
+        self.next_poll = self.reads.next_deadline().map_or(next, |at| at.min(next));
         let silent = now.since(self.last_reply);
         if self.timing.poll * PATIENCE < silent {
             self.set_leader(None);
@@ -274,6 +288,7 @@
         let hash = ContentHash::from_slice(&reply.hash).unwrap_or_default();
         let current = VersionHash { version: reply.version, hash };
         self.vouched = Some(Vouched { current, asked: sent });
+        self.take_halls(&reply.halls.unwrap_or_default(), out);
         self.holder.confirmed_current(current.version);
         self.holder.fetch_if_missing(&self.sources, now, out);
         self.confirm(now, out);
@@ -295,6 +310,7 @@
 
     /// Takes what this VM's own control replica knows to be accepted.
     pub(crate) fn take_accepted(&mut self, state: &State, now: Instant, out: &mut Outbox) {
+        self.take_halls(state.halls_out(), out);
         if self.holder.take_accepted(state, out) {
             self.came_into_force(None, now, out);
         }
--- a/crates/core/src/node/messages.rs
+++ b/crates/core/src/node/messages.rs
@@ -11,7 +11,7 @@
     once::{Claim, ClaimResult, Settle},
     placement::{Drawn, Request},
     registry::Registered,
-    state::ChangeId,
+    state::{ChangeId, HallOrder, HallResult, HallsOut},
     units::Instant,
     wire::{AcceptedVersion, Body, EndpointRecord, HealthNews, Piece, Report, Submit, Update},
 };
@@ -41,6 +41,18 @@
         /// Time allowed.
         limit: Duration,
     },
+    /// Take a data hall out of service or give it back, within this time.
+    Hall {
+        /// The order.
+        order: HallOrder,
+        /// Time allowed.
+        limit: Duration,
+    },
+    /// The data halls that are out of service, confirmed after the question came.
+    HallsOut {
+        /// Time allowed.
+        limit: Duration,
+    },
     /// The state of the endpoints as this node's scheduler sees them.
     Endpoints,
     /// The state of the control replicas as this node sees them.
@@ -90,6 +102,10 @@
     Settled(bool),
     /// To [`Question::Read`]; `None` when it could not be confirmed in time.
     Newest(Option<Arc<InForce>>),
+    /// To [`Question::Hall`]; `None` when no quorum answered in time.
+    Hall(Option<HallResult>),
+    /// To [`Question::HallsOut`]; `None` when they could not be confirmed in time.
+    HallsOut(Option<HallsOut>),
     /// To [`Question::Endpoints`].
     Endpoints(Vec<EndpointStatus>),
     /// To [`Question::Control`].
@@ -215,6 +231,8 @@
     Answer(CallId, Answer),
     /// A configuration has come into force.
     InForce(Arc<InForce>),
+    /// Other data halls are out of service from now on.
+    HallsOut(HallsOut),
     /// A change of the configuration was sent.
     SentChange(SentChange),
     /// An accepted configuration that cannot come into force on this daemon.
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -36,6 +36,7 @@
 mod operations_tests;
 mod options;
 mod placing;
+mod reads;
 mod spread;
 #[cfg(test)]
 mod tests;
@@ -54,6 +55,7 @@
     keeper::Keeper,
     operations::{Operations, SETTLE_LIMIT, SUBMIT_LIMIT},
     placing::Placing,
+    reads::Wanted,
     spread::Gathered,
 };
 use crate::{
@@ -295,8 +297,17 @@
                 let kind = OperationKind::Settle(settle);
                 self.operations.ask(call, kind, SETTLE_LIMIT, leader, clocks.now, out);
             }
+            Question::Hall { order, limit } => {
+                let kind = OperationKind::Hall(order);
+                self.operations.ask(call, kind, limit, leader, clocks.now, out);
+            }
             Question::Read { limit } => {
-                self.keeper.read(call, clocks.now.after(limit), clocks.now, out);
+                let deadline = clocks.now.after(limit);
+                self.keeper.read(call, Wanted::Configuration, deadline, clocks.now, out);
+            }
+            Question::HallsOut { limit } => {
+                let deadline = clocks.now.after(limit);
+                self.keeper.read(call, Wanted::HallsOut, deadline, clocks.now, out);
             }
             Question::Endpoints => {
                 let dispatcher = self.control.as_ref().and_then(Control::dispatcher);
@@ -319,6 +330,7 @@
                 self.keeper.poll_reply(from, reply, clocks.now, out);
             }
             Body::Update(update) => self.keeper.update(from, update, clocks.now, out),
+            Body::HallsOut(halls) => self.keeper.take_halls(&halls, out),
             Body::Piece(piece) => self.keeper.piece(piece, clocks.now, out),
             Body::NotLeader(reply) => {
                 self.keeper.not_leader(from, reply.leader.as_deref(), clocks.now);
@@ -362,7 +374,8 @@
             let in_force = self.keeper.take_changed();
             self.send_news(clocks.now);
             self.remember_if_due(clocks.now);
-            let registered = self.hand_out_if_due(clocks.now);
+            let halls_changed = self.keeper.take_halls_changed();
+            let registered = self.hand_out_if_due(halls_changed, clocks.now);
             if in_force.is_some() || registered {
                 self.hand_out_endpoints(clocks.now);
             }
--- a/crates/core/src/node/operations.rs
+++ b/crates/core/src/node/operations.rs
@@ -5,9 +5,11 @@
 use super::{Answer, CallId, Outbox, SubmitError, VmName};
 use crate::{
     once::{Claim, ClaimResult, Ending, NotRun, Settle},
+    state::HallResult,
     units::Instant,
     wire::{
-        Body, ClaimReply, ClaimStatus, Operation, OperationKind, OperationReply, OperationResult,
+        Body, ClaimReply, ClaimStatus, HallReply, HallStatus, Operation, OperationKind,
+        OperationReply, OperationResult,
     },
 };
 
@@ -37,7 +39,7 @@
     fn resend_after(&self) -> Duration {
         let bytes = match &self.kind {
             OperationKind::Submit(submit) => submit.command.delta.len(),
-            OperationKind::Claim(_) | OperationKind::Settle(_) => 0,
+            OperationKind::Claim(_) | OperationKind::Settle(_) | OperationKind::Hall(_) => 0,
         };
         RESEND + RESEND_FOR_BYTE * u32::try_from(bytes).unwrap_or(u32::MAX)
     }
@@ -114,6 +116,7 @@
             }
             OperationResult::Claim(reply) => Answer::Claimed(Some(claim_result(reply))),
             OperationResult::Settled(_) => Answer::Settled(true),
+            OperationResult::Hall(reply) => Answer::Hall(Some(hall_result(&reply))),
         };
         out.answer(call, answer);
     }
@@ -160,6 +163,7 @@
                     Answer::Claimed(None)
                 }
                 OperationKind::Settle(_) => Answer::Settled(false),
+                OperationKind::Hall(_) => Answer::Hall(None),
             };
             if let Some(call) = pending.call {
                 out.answer(call, answer);
@@ -173,6 +177,15 @@
     Settle { key: claim.key.clone(), owner: claim.owner.clone(), ending }
 }
 
+fn hall_result(reply: &HallReply) -> HallResult {
+    match reply.status() {
+        HallStatus::Done => HallResult::Done,
+        HallStatus::Repeated => HallResult::Repeated,
+        HallStatus::Overtaken => HallResult::Overtaken,
+        HallStatus::TooMany => HallResult::TooMany,
+    }
+}
+
 fn claim_result(reply: ClaimReply) -> ClaimResult {
     match reply.status() {
         ClaimStatus::Granted => ClaimResult::Granted,
--- a/crates/core/src/node/placing.rs
+++ b/crates/core/src/node/placing.rs
@@ -100,6 +100,7 @@
             self.local.configure(&endpoints);
             self.endpoints = endpoints;
         }
+        self.local.take_halls_out(&engines.halls_out);
         for name in engines.known.keys() {
             self.local.endpoint_leaving(name, engines.closed.contains(name.as_str()));
         }
--- /dev/null
+++ b/crates/core/src/node/reads.rs
@@ -0,0 +1,76 @@
+//! Questions that are answered only with what was confirmed after they came.
+
+use std::sync::Arc;
+
+use super::{Answer, CallId, InForce, Outbox};
+use crate::{state::HallsOut, units::Instant};
+
+/// What a question asks for.
+#[derive(Debug, Clone, Copy)]
+pub(super) enum Wanted {
+    /// The newest accepted configuration.
+    Configuration,
+    /// The data halls that are out of service.
+    HallsOut,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Read {
+    call: CallId,
+    wanted: Wanted,
+    asked: Instant,
+    deadline: Instant,
+}
+
+/// Something, and the time as of which it is confirmed to be current.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Confirmed<T> {
+    pub(super) what: T,
+    pub(super) as_of: Option<Instant>,
+}
+
+/// The questions that wait.
+#[derive(Debug, Default)]
+pub(super) struct Reads {
+    waiting: Vec<Read>,
+}
+
+impl Reads {
+    /// Takes a question that came now.
+    pub(super) fn ask(&mut self, call: CallId, wanted: Wanted, deadline: Instant, now: Instant) {
+        self.waiting.push(Read { call, wanted, asked: now, deadline });
+    }
+
+    /// When the next question must be answered, whatever is confirmed by then.
+    pub(super) fn next_deadline(&self) -> Option<Instant> {
+        self.waiting.iter().map(|read| read.deadline).min()
+    }
+
+    /// Answers what was confirmed since it was asked, and what has waited for too long.
+    pub(super) fn answer(
+        &mut self,
+        config: Confirmed<Option<&Arc<InForce>>>,
+        halls: Confirmed<&HallsOut>,
+        now: Instant,
+        out: &mut Outbox,
+    ) {
+        self.waiting.retain(|read| {
+            let as_of = match read.wanted {
+                Wanted::Configuration => config.as_of,
+                Wanted::HallsOut => halls.as_of,
+            };
+            let is_confirmed = as_of.is_some_and(|at| read.asked <= at);
+            if !is_confirmed && now < read.deadline {
+                return true;
+            }
+            let answer = match read.wanted {
+                Wanted::Configuration => {
+                    Answer::Newest(config.what.filter(|_| is_confirmed).cloned())
+                }
+                Wanted::HallsOut => Answer::HallsOut(is_confirmed.then(|| halls.what.clone())),
+            };
+            out.answer(read.call, answer);
+            false
+        });
+    }
+}
--- a/crates/core/src/node/tests/mod.rs
+++ b/crates/core/src/node/tests/mod.rs
@@ -2,6 +2,7 @@
 
 mod fleet;
 mod founding;
+mod halls;
 mod large_change;
 mod leaving;
 mod net;
--- a/crates/core/src/node/tests/net/mishaps.rs
+++ b/crates/core/src/node/tests/net/mishaps.rs
@@ -40,7 +40,12 @@
     /// What an operator or a caller asks of any VM.
     pub(crate) fn traffic(&mut self) {
         let vm = self.pick();
-        match self.random(4) {
+        match self.random(5) {
+            4 => {
+                let hall = ["a", "b"][self.random(2) as usize];
+                let out = self.random(2) == 0;
+                self.order_hall(&vm, hall, out);
+            }
             0 => {
                 let version = 1 + self.random(8);
                 let content = ["a", "b"][self.random(2) as usize];
--- a/crates/core/src/node/tests/net/mod.rs
+++ b/crates/core/src/node/tests/net/mod.rs
@@ -2,6 +2,7 @@
 //! lost answers; checks what the outside world sees while it runs.
 
 mod fixture;
+mod halls;
 mod mishaps;
 mod seen;
 mod site;
@@ -19,7 +20,7 @@
         CallId, Clocks, ControlStatus, Input, Node, NodeOptions, NodeTiming, Output, Question,
         VmName, control::Control,
     },
-    state::ConfigChange,
+    state::{ConfigChange, HallOrder},
     testing::{Choices, Disk},
     units::{Instant, UnixMillis},
     wire::{Body, Submit},
@@ -29,8 +30,9 @@
 
 /// Time that one step takes.
 const STEP_US: u64 = 20_000;
-/// A replica on a VM whose disk was lost has another id than the one before.
-const IDS_OF_A_VM: u64 = 100;
+/// A replica on a VM whose disk was lost has another id than the one before, and than any on another
+/// VM: more than there are numbers of VMs.
+const IDS_OF_A_VM: u64 = 1 << 20;
 
 /// One direction of a link between two VMs.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
@@ -94,6 +96,7 @@
     pub(super) fn start(&mut self, vm: &VmName) {
         let now = Instant(self.now);
         let seed = self.random(1 << 40);
+        self.seen.halls.started(vm);
         let host = &self.hosts[vm];
         let options = NodeOptions {
             vm: vm.clone(),
@@ -178,6 +181,24 @@
         replicas.map(|(vm, _)| vm.clone()).collect()
     }
 
+    /// A daemon without a control replica.
+    pub(super) fn entry(&self) -> VmName {
+        let mut entries = self.hosts.iter().filter(|(_, host)| !host.replica);
+        entries.next().map(|(vm, _)| vm.clone()).unwrap()
+    }
+
+    /// Lets time pass until a question is answered.
+    pub(super) fn wait_for_answer(&mut self, call: CallId) {
+        const STEPS: usize = 200;
+        for _ in 0..STEPS {
+            if self.seen.answered.contains(&call) {
+                return;
+            }
+            self.step(false);
+        }
+        panic!("no answer");
+    }
+
     /// Kills a daemon; of its writes under way some reach the disk.
     pub(super) fn crash(&mut self, vm: &VmName) {
         let writes = self.hosts[vm].writes.len() as u64;
@@ -219,7 +240,9 @@
             }
             Output::Fresh { confirmed: Some(at), .. } => {
                 self.seen.check_confirmed(vm, self.version_at(vm), at);
+                self.seen.halls.check_confirmed(vm, at);
             }
+            Output::HallsOut(halls) => self.seen.halls.check(vm, &halls),
             Output::Unusable { version, why } => panic!("version {version} is unusable: {why}"),
             Output::Fresh { .. }
             | Output::SentChange(_)
@@ -251,6 +274,15 @@
         self.ask(vm, Question::Submit(submit));
     }
 
+    /// Orders a data hall out of service, or back, at a VM that knows so many orders.
+    pub(super) fn order_hall(&mut self, vm: &VmName, hall: &str, out: bool) -> CallId {
+        let after = self.seen.halls.known(vm).number;
+        let order = HallOrder { hall: hall.into(), out, after };
+        let call = CallId(self.next_call + 1);
+        self.seen.halls.note_order(call, &order, Instant(self.now));
+        self.ask(vm, Question::Hall { order, limit: Duration::from_secs(1) })
+    }
+
     /// Syncs the oldest write of a VM.
     fn sync(&mut self, vm: &VmName) {
         let host = self.hosts.get_mut(vm).unwrap();
--- a/crates/core/src/node/tests/net/seen.rs
+++ b/crates/core/src/node/tests/net/seen.rs
@@ -2,10 +2,12 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use super::halls::SeenHalls;
 use crate::{
     config::ContentHash,
     node::{Answer, CallId, InForce, Placement, VmName},
     once::ClaimResult,
+    state::HallsOut,
     units::Instant,
 };
 
@@ -42,6 +44,14 @@
     pub(crate) placed: Vec<CallId>,
     /// Where requests were placed.
     pub(crate) placements: Vec<Placement>,
+    /// Codes of the errors of requests that were not placed.
+    pub(crate) refused: Vec<&'static str>,
+    /// Orders about data halls.
+    pub(crate) halls: SeenHalls,
+    /// What those who asked were told to be out of service.
+    pub(crate) halls_told: Vec<Option<HallsOut>>,
+    /// Questions that were answered.
+    pub(crate) answered: BTreeSet<CallId>,
 }
 
 impl Seen {
@@ -71,6 +81,7 @@
 
     /// Checks an answer: every accepted version is one file, and a claim has one owner.
     pub(super) fn check_answer(&mut self, call: CallId, answer: Answer, now: Instant) {
+        self.answered.insert(call);
         match answer {
             Answer::Submitted(Ok(accepted)) => {
                 let hash = ContentHash::from_slice(&accepted.hash).unwrap();
@@ -86,6 +97,9 @@
                 owners.insert(owner);
                 assert!(owners.len() <= 1, "a claim was granted to two owners");
             }
+            Answer::Hall(Some(result)) => self.halls.note_answer(call, result, now),
+            Answer::HallsOut(halls) => self.halls_told.push(halls),
+            Answer::Placed(Err(error)) => self.refused.push(error.kind.answer().code),
             Answer::Placed(Ok(placement)) => {
                 self.placed.push(call);
                 self.placements.push(placement);
--- a/crates/core/src/placement/endpoint.rs
+++ b/crates/core/src/placement/endpoint.rs
@@ -108,6 +108,8 @@
     pub(crate) name: Arc<str>,
     pub(crate) spec: EndpointSpec,
     pub(crate) health: Health,
+    /// Its data hall is out of service.
+    out: bool,
     /// Requests granted and not yet finished.
     pub(crate) running: u64,
     pub(crate) total: Share,
@@ -130,6 +132,7 @@
             name,
             spec,
             health: Health::Live,
+            out: false,
             running: 0,
             total: Share::default(),
             report: LoadReport::default(),
@@ -152,6 +155,13 @@
         self.health
     }
 
+    /// Whether its data hall is out of service.
+    pub fn is_out(&self) -> bool {
+        self.out
+    }
+
+    pub(crate) fn set_out(&mut self, _: bool) {}
+
     /// Requests granted and not yet finished.
     pub fn running(&self) -> u64 {
         self.running
@@ -160,6 +170,7 @@
     /// Whether new work may be sent now.
     pub fn takes_work(&self, now: Instant) -> bool {
         match self.health {
+            _ if self.out => false,
             Health::Live => true,
             Health::Leaving => false,
             Health::Down(until) => until <= now,
--- a/crates/core/src/placement/endpoint_news.rs
+++ b/crates/core/src/placement/endpoint_news.rs
@@ -7,7 +7,7 @@
     endpoint::{EndpointState, Health, LoadReport},
     scheduler::{Placed, Scheduler},
 };
-use crate::{config::Endpoints, units::Instant};
+use crate::{config::Endpoints, state::HallsOut, units::Instant};
 
 /// Daemons are told of an endpoint that takes this many times as long as the middle one: equal ones
 /// differ by up to 1.1 in their speed of reading, by what else runs there.
@@ -47,6 +47,14 @@
         }
     }
 
+    /// Takes the data halls that are out of service: their endpoints get nothing at all. What runs
+    /// there goes on.
+    pub fn take_halls_out(&mut self, halls: &HallsOut) {
+        for endpoint in self.endpoints.values_mut() {
+            endpoint.set_out(halls.contains(&endpoint.spec.hall));
+        }
+    }
+
     /// Notes that an endpoint failed to serve.
     pub fn endpoint_failed(&mut self, name: &str, now: Instant) {
         if let Some(endpoint) = self.endpoints.get_mut(name) {
--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -15,6 +15,8 @@
 #[cfg(test)]
 mod fixture;
 mod forecast;
+#[cfg(test)]
+mod hall_tests;
 mod handover;
 #[cfg(test)]
 mod handover_tests;
--- a/crates/core/src/placement/scheduler.rs
+++ b/crates/core/src/placement/scheduler.rs
@@ -8,7 +8,7 @@
 
 use super::{
     Action, Drawn, Request, Ticket,
-    endpoint::{EndpointState, Share},
+    endpoint::{EndpointState, Health, Share},
     evacuation::Evacuation,
     forecast::LengthForecast,
     handover::Handover,
@@ -197,11 +197,11 @@
             return Err(RequestError::new(ErrorKind::WorkspaceLimit, message));
         }
         let Some(target) = self.targets.get_mut(&req.target) else {
-            return Err(no_endpoint(&req.target));
+            return Err(self.no_endpoint(&req.target));
         };
         let live = target.endpoints.iter().any(|name| self.endpoints[name].takes_work(now));
         if !live {
-            return Err(no_endpoint(&req.target));
+            return Err(self.no_endpoint(&req.target));
         }
         let wait = target.expected_wait(req.rank);
         let hopeless =
@@ -226,6 +226,7 @@
     /// Decides all that can be decided now.
     pub fn decide(&mut self, now: Instant) -> Vec<Action> {
         let mut actions = self.expire(now);
+        actions.extend(self.give_up_where_all_are_out(now));
         let targets: Vec<EndpointTarget> = self
             .targets
             .iter()
@@ -268,6 +269,50 @@
         actions
     }
 
+    /// Gives up what waits for a target all of whose data halls are out of service: operators give
+    /// them back in minutes.
+    fn give_up_where_all_are_out(&mut self, now: Instant) -> Vec<Action> {
+        let waited_for = self.targets.iter().filter(|(_, target)| 0 < target.queue.len());
+        let out: Vec<EndpointTarget> = waited_for
+            .map(|(name, _)| name.clone())
+            .filter(|target| self.is_out_of_service(target))
+            .collect();
+        if out.is_empty() {
+            return Vec::new();
+        }
+        let mut waiting: Vec<(Ticket, EndpointTarget)> = self
+            .queued
+            .iter()
+            .filter(|(_, queued)| out.contains(&queued.target))
+            .map(|(ticket, queued)| (*ticket, queued.target.clone()))
+            .collect();
+        waiting.sort_by_key(|(ticket, _)| *ticket);
+        let mut actions = Vec::new();
+        for (ticket, target) in waiting {
+            self.cancel(ticket, now);
+            actions.push(Action::GiveUp { ticket, error: self.no_endpoint(&target) });
+        }
+        actions
+    }
+
+    /// Whether all endpoints of a target that do not leave are in data halls that are out of service.
+    fn is_out_of_service(&self, target: &EndpointTarget) -> bool {
+        let names = self.targets.get(target).map_or(&[][..], |target| &target.endpoints);
+        let states = names.iter().filter_map(|name| self.endpoints.get(name));
+        let mut staying = states.filter(|state| state.health != Health::Leaving).peekable();
+        staying.peek().is_some() && staying.all(EndpointState::is_out)
+    }
+
+    /// The error for a request whose target no endpoint serves now.
+    fn no_endpoint(&self, target: &EndpointTarget) -> RequestError {
+        let name = target.name();
+        if self.is_out_of_service(target) {
+            let message = format!("every data hall that serves {name} is out of service");
+            return RequestError::new(ErrorKind::OutOfService, message);
+        }
+        RequestError::new(ErrorKind::NoEndpoint, format!("no live endpoint serves {name}"))
+    }
+
     fn start_next(&mut self, target: &EndpointTarget, now: Instant) -> Option<Action> {
         let Chosen { rank, workspace, ticket, endpoint } = self.choose_next(target, now)?;
         let state = self.targets.get_mut(target)?;
@@ -317,11 +362,6 @@
     }
 }
 
-fn no_endpoint(target: &EndpointTarget) -> RequestError {
-    let message = format!("no live endpoint serves {}", target.name());
-    RequestError::new(ErrorKind::NoEndpoint, message)
-}
-
 fn overloaded(message: &str, wait: Duration) -> RequestError {
     const LEAST: Duration = Duration::from_secs(1);
     let mut error = RequestError::new(ErrorKind::Overloaded, message);
--- a/crates/core/src/registry/mod.rs
+++ b/crates/core/src/registry/mod.rs
@@ -16,6 +16,7 @@
 
 use crate::{
     config::{Config, EndpointSpec, EndpointTarget, Endpoints},
+    state::HallsOut,
     units::Instant,
     wire::EndpointRecord,
 };
@@ -64,6 +65,8 @@
     pub hall: Arc<str>,
     /// Whether it may get new work.
     pub open: bool,
+    /// Whether its data hall is out of service: nothing at all is sent there.
+    pub out: bool,
     /// Number of the heartbeat that told what is new.
     pub sequence: u64,
 }
@@ -316,16 +319,20 @@
         self.known.iter().filter(move |(_, known)| closed(&known.record)).map(|(id, _)| id)
     }
 
-    /// All endpoints, and whether each may get new work.
-    pub fn endpoints(&self) -> Vec<Registered> {
+    /// All endpoints, and whether each may get new work while these halls are out of service.
+    pub fn endpoints(&self, halls_out: &HallsOut) -> Vec<Registered> {
         let closed: BTreeSet<&Arc<str>> = self.closed().collect();
-        let registered = |(id, known): (&Arc<str>, &Known)| Registered {
-            id: id.clone(),
-            service: known.record.service.as_str().into(),
-            address: known.address,
-            hall: known.record.hall.as_str().into(),
-            open: !closed.contains(id),
-            sequence: known.record.sequence,
+        let registered = |(id, known): (&Arc<str>, &Known)| {
+            let out = false;
+            Registered {
+                id: id.clone(),
+                service: known.record.service.as_str().into(),
+                address: known.address,
+                hall: known.record.hall.as_str().into(),
+                open: !out && !closed.contains(id),
+                out,
+                sequence: known.record.sequence,
+            }
         };
         self.known.iter().map(registered).collect()
     }
--- a/crates/core/src/registry/tests.rs
+++ b/crates/core/src/registry/tests.rs
@@ -4,7 +4,7 @@
 use proptest::prelude::*;
 
 use super::Registry;
-use crate::{testing::fixed_seed, units::Instant, wire::EndpointRecord};
+use crate::{state::HallsOut, testing::fixed_seed, units::Instant, wire::EndpointRecord};
 
 const HEARTBEAT: Duration = Duration::from_millis(1_200);
 
@@ -235,7 +235,8 @@
 
 /// Names of the endpoints that may get new work.
 fn open_endpoints(registry: &Registry) -> Vec<String> {
-    let endpoints = registry.endpoints().into_iter().filter(|endpoint| endpoint.open);
+    let endpoints =
+        registry.endpoints(&HallsOut::default()).into_iter().filter(|endpoint| endpoint.open);
     endpoints.map(|endpoint| endpoint.id.to_string()).collect()
 }
 
--- a/crates/core/src/state/mod.rs
+++ b/crates/core/src/state/mod.rs
@@ -1,5 +1,9 @@
-//! The replicated state: the accepted configuration and the claims.
+//! The replicated state: the accepted configuration, the data halls that are out of service, and the
+//! claims.
 
+mod halls;
+#[cfg(test)]
+mod halls_tests;
 #[cfg(test)]
 mod tests;
 
@@ -8,6 +12,8 @@
 use bytes::Bytes;
 use prost::Message;
 
+use self::halls::{EncodedHalls, Halls};
+pub use self::halls::{HallOrder, HallResult, HallsOut, check_hall_name};
 use crate::{
     agreement::{Entry, Payload},
     config::{ContentHash, Delta, Document, HashedSection, Section, SectionName},
@@ -132,13 +138,13 @@
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct Command {
     /// What it does.
-    #[prost(oneof = "command::Kind", tags = "1, 2, 3")]
+    #[prost(oneof = "command::Kind", tags = "1, 2, 3, 4")]
     pub kind: Option<command::Kind>,
 }
 
 /// Parts of [`Command`].
 pub mod command {
-    use super::{Claim, ConfigChange, Settle};
+    use super::{Claim, ConfigChange, HallOrder, Settle};
 
     /// What a command does.
     #[derive(Clone, PartialEq, Eq, prost::Oneof)]
@@ -152,6 +158,9 @@
         /// Ends a claim.
         #[prost(message, tag = "3")]
         Settle(Settle),
+        /// Takes a data hall out of service, or gives it back.
+        #[prost(message, tag = "4")]
+        Hall(HallOrder),
     }
 }
 
@@ -217,6 +226,8 @@
     Claim(ClaimResult),
     /// The end of a claim.
     Settled,
+    /// An order about a data hall.
+    Hall(HallResult),
 }
 
 #[derive(Clone, PartialEq, Eq, prost::Message)]
@@ -237,6 +248,8 @@
     claims: EncodedClaims,
     #[prost(uint64, tag = "4")]
     now_ms: u64,
+    #[prost(message, optional, tag = "5")]
+    halls: Option<EncodedHalls>,
 }
 
 /// The state that the log makes.
@@ -246,6 +259,7 @@
     /// Accepted versions; the last is in force.
     history: BTreeMap<u64, ContentHash>,
     claims: Claims,
+    halls: Halls,
     now: UnixMillis,
 }
 
@@ -270,6 +284,11 @@
         &self.claims
     }
 
+    /// The data halls that are out of service.
+    pub fn halls_out(&self) -> &HallsOut {
+        self.halls.out()
+    }
+
     /// What a file of this version and content would come to now.
     pub fn judge(&self, version: u64, hash: ContentHash) -> ConfigResult {
         match self.history.get(&version) {
@@ -298,6 +317,7 @@
                 self.claims.settle(&settle);
                 Applied::Settled
             }
+            command::Kind::Hall(_) => Applied::Nothing,
         }
     }
 
@@ -313,6 +333,7 @@
             document,
             claims: self.claims.encode(),
             now_ms: self.now.0,
+            halls: Some(self.halls.encode()),
         };
         Bytes::from(encoded.encode_to_vec())
     }
@@ -329,6 +350,7 @@
             document,
             history: history.collect(),
             claims: Claims::decode(encoded.claims),
+            halls: encoded.halls.map(Halls::decode).unwrap_or_default(),
             now: UnixMillis(encoded.now_ms),
         })
     }
--- a/crates/core/src/wire/control.rs
+++ b/crates/core/src/wire/control.rs
@@ -5,7 +5,7 @@
 
 use crate::{
     once::{Claim, Settle, StoredAnswer},
-    state::{ChangeId, ConfigChange},
+    state::{ChangeId, ConfigChange, HallOrder, HallsOut},
 };
 
 /// See [`super::Body::ReplicaInfo`].
@@ -74,6 +74,9 @@
     /// Some of the endpoints that are slower than others, for when no scheduler answers.
     #[prost(message, repeated, tag = "9")]
     pub slow: Vec<SlowEndpoint>,
+    /// The data halls that are out of service, confirmed as the version is.
+    #[prost(message, optional, tag = "10")]
+    pub halls: Option<HallsOut>,
 }
 
 /// An endpoint that takes longer for everything.
@@ -165,7 +168,7 @@
     #[prost(uint64, tag = "1")]
     pub id: u64,
     /// What is asked. All are harmless when repeated.
-    #[prost(oneof = "OperationKind", tags = "2, 3, 4")]
+    #[prost(oneof = "OperationKind", tags = "2, 3, 4, 5")]
     pub kind: Option<OperationKind>,
 }
 
@@ -181,6 +184,9 @@
     /// End a claim.
     #[prost(message, tag = "4")]
     Settle(Settle),
+    /// Take a data hall out of service, or give it back.
+    #[prost(message, tag = "5")]
+    Hall(HallOrder),
 }
 
 /// See [`super::Body::OperationReply`].
@@ -190,7 +196,7 @@
     #[prost(uint64, tag = "1")]
     pub id: u64,
     /// What it came to.
-    #[prost(oneof = "OperationResult", tags = "2, 3, 4, 5, 6")]
+    #[prost(oneof = "OperationResult", tags = "2, 3, 4, 5, 6, 7")]
     pub result: Option<OperationResult>,
 }
 
@@ -212,6 +218,9 @@
     /// The claim has ended.
     #[prost(message, tag = "5")]
     Settled(Done),
+    /// What became of the order about a data hall.
+    #[prost(message, tag = "7")]
+    Hall(HallReply),
 }
 
 /// An answer without content.
@@ -235,6 +244,27 @@
     pub current: u64,
 }
 
+/// What an order about a data hall came to.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct HallReply {
+    /// See [`HallStatus`].
+    #[prost(enumeration = "HallStatus", tag = "1")]
+    pub status: i32,
+}
+
+/// Mirrors [`crate::state::HallResult`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, prost::Enumeration)]
+pub enum HallStatus {
+    /// It is carried out.
+    Done = 0,
+    /// The hall was so already.
+    Repeated = 1,
+    /// The opposite was ordered meanwhile.
+    Overtaken = 2,
+    /// Too many halls are out of service.
+    TooMany = 3,
+}
+
 /// What a claim came to.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct ClaimReply {
--- a/crates/core/src/wire/mod.rs
+++ b/crates/core/src/wire/mod.rs
@@ -8,14 +8,14 @@
 #[cfg(test)]
 mod tests;
 
-use crate::agreement;
+use crate::{agreement, state::HallsOut};
 
 pub use self::{
     codec::{FrameCodec, MAX_FRAME},
     control::{
-        AcceptedVersion, ClaimReply, ClaimStatus, Directory, Done, Fetch, NotLeader, Operation,
-        OperationKind, OperationReply, OperationResult, Piece, Poll, PollReply, ReplicaInfo,
-        SlowEndpoint, Submit, Update,
+        AcceptedVersion, ClaimReply, ClaimStatus, Directory, Done, Fetch, HallReply, HallStatus,
+        NotLeader, Operation, OperationKind, OperationReply, OperationResult, Piece, Poll,
+        PollReply, ReplicaInfo, SlowEndpoint, Submit, Update,
     },
     endpoints::{EndpointNews, EndpointRecord, Health, HealthNews, Report, Watch},
     handshake::{Handshake, HandshakeError, Hello, Proof},
@@ -28,7 +28,7 @@
     /// What it says.
     #[prost(
         oneof = "Body",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22"
     )]
     pub body: Option<Body>,
 }
@@ -99,6 +99,9 @@
     /// A control VM sends one of them.
     #[prost(message, tag = "21")]
     Piece(Piece),
+    /// The leader tells which data halls are out of service, without being asked.
+    #[prost(message, tag = "22")]
+    HallsOut(HallsOut),
 }
 
 impl Body {
@@ -126,6 +129,7 @@
             Body::Moved(_) => "moved",
             Body::Fetch(_) => "fetch",
             Body::Piece(_) => "piece",
+            Body::HallsOut(_) => "halls_out",
         }
     }
 }
--- a/crates/server/src/relay/call.rs
+++ b/crates/server/src/relay/call.rs
@@ -174,8 +174,7 @@
     fn start(&mut self) -> Result<(), RequestError> {
         self.relay.check_may_run(self.job)?;
         let Some(endpoint) = self.choose() else {
-            let message = format!("no live endpoint serves {}", self.job.service);
-            return Err(RequestError::new(ErrorKind::NoEndpoint, message));
+            return Err(no_endpoint(self.relay, &self.job.service));
         };
         self.tried.push(endpoint.id.clone());
         self.starts += 1;
@@ -184,6 +183,15 @@
     }
 }
 
+/// The error for a call to a service that no endpoint serves now.
+fn no_endpoint(relay: &Relay, service: &str) -> RequestError {
+    if relay.node.view().is_out_of_service(service) {
+        let message = format!("every data hall that serves {service} is out of service");
+        return RequestError::new(ErrorKind::OutOfService, message);
+    }
+    RequestError::new(ErrorKind::NoEndpoint, format!("no live endpoint serves {service}"))
+}
+
 /// Makes one attempt at an endpoint.
 async fn attempt(relay: &Relay, job: &Job, endpoint: Registered) -> End {
     let began = Instant::now();
--- a/crates/server/src/relay/generation.rs
+++ b/crates/server/src/relay/generation.rs
@@ -186,6 +186,10 @@
     let Some(known) = relay.node.view().endpoint(endpoint) else {
         return Err(Lost::NotRun("the endpoint has just ended".into()));
     };
+    // It may have been taken out since the place was granted, or while a generation was moved.
+    if known.out {
+        return Err(Lost::NotRun("its data hall is out of service".into()));
+    }
     let failed = || {
         let news = Input::Health(endpoint.clone(), HealthNews::Failed);
         relay.node.input(news);
--- a/crates/server/src/relay/stream.rs
+++ b/crates/server/src/relay/stream.rs
@@ -205,11 +205,11 @@
         self.moving.as_ref().is_some_and(Move::is_stopping)
     }
 
-    /// Begins a move, unless one of its endpoints has gone.
+    /// Begins a move, unless one of its endpoints has gone, or nothing may be sent to the second.
     fn begin(&mut self, order: &MoveOrder) {
         let view = self.relay.node.view();
         let (from, to) = (view.endpoint(&order.from), view.endpoint(&order.to));
-        let (Some(from), Some(to)) = (from, to) else {
+        let (Some(from), Some(to)) = (from, to.filter(|to| !to.out)) else {
             let at = self.placed.endpoint().clone();
             return self.placed.moved(&at, false);
         };
--- a/crates/server/src/relay/tests/entry.rs
+++ b/crates/server/src/relay/tests/entry.rs
@@ -266,6 +266,13 @@
         self.until(|| self.is_open(name) == Some(false)).await;
     }
 
+    /// Takes the endpoints' data hall out of service or gives it back; returns once requests know of
+    /// it, by the endpoint of this name.
+    pub(super) async fn order_hall(&self, out: bool, name: &str) {
+        self.node.order_hall(HALL, out, LIMIT).await.expect("the order is answered");
+        self.until(|| self.is_open(name) == Some(!out)).await;
+    }
+
     fn is_open(&self, name: &str) -> Option<bool> {
         self.node.view().endpoint(name).map(|endpoint| endpoint.open)
     }
--- a/crates/server/src/relay/tests/mod.rs
+++ b/crates/server/src/relay/tests/mod.rs
@@ -5,6 +5,7 @@
 mod endpoint;
 mod entry;
 mod generations;
+mod halls;
 mod latency;
 mod leaving;
 mod moves;
--- a/crates/server/src/runtime/mod.rs
+++ b/crates/server/src/runtime/mod.rs
@@ -32,6 +32,7 @@
     },
     placement::Request,
     registry::Registered,
+    state::{HallOrder, HallResult, HallsOut},
     units::{self, UnixMillis},
     wire::{AcceptedVersion, Body, Submit},
 };
@@ -200,6 +201,31 @@
         }
     }
 
+    /// The data halls that are out of service, if that can be confirmed in time.
+    pub async fn halls_out(&self, limit: Duration) -> Option<HallsOut> {
+        let call = self.0.view.next_call();
+        // The node keeps the limit itself; a little more lets its answer come.
+        match self.ask(call, Question::HallsOut { limit }, limit * 2).await {
+            Some(Answer::HallsOut(halls)) => halls,
+            _ => None,
+        }
+    }
+
+    /// Takes a data hall out of service or gives it back; `None` if no quorum has answered in time.
+    /// What is in force is confirmed first: an operator who has left meanwhile orders nothing, and
+    /// an order that is held up from here on is overtaken by any other that comes.
+    pub async fn order_hall(&self, hall: &str, out: bool, limit: Duration) -> Option<HallResult> {
+        let began = Instant::now();
+        let after = self.halls_out(limit).await?.number;
+        let order = HallOrder { hall: hall.to_owned(), out, after };
+        let left = limit.saturating_sub(began.elapsed());
+        let call = self.0.view.next_call();
+        match self.ask(call, Question::Hall { order, limit: left }, left).await {
+            Some(Answer::Hall(result)) => result,
+            _ => None,
+        }
+    }
+
     /// Asks the node and waits for its answer.
     pub async fn ask(&self, call: CallId, question: Question, limit: Duration) -> Option<Answer> {
         let (tx, rx) = oneshot::channel();
@@ -247,6 +273,7 @@
                 self.fresh(fresh, confirmed);
                 self.0.view.set_daemons(daemons, entries);
             }
+            Output::HallsOut(halls) => self.take_halls_out(&halls),
             Output::SentChange(change) => sight::change_sent(&self.0.metrics, &change),
             Output::Unusable { version, why } => log::error!(
                 event = EventId::ConfigUnusable.number(), config = version, cause = why;
@@ -274,6 +301,15 @@
         self.0.view.publish(in_force);
     }
 
+    fn take_halls_out(&self, halls: &HallsOut) {
+        log::info!(
+            event = EventId::HallsOut.number(), order = halls.number,
+            halls = halls.names.join(",").as_str();
+            "these data halls are out of service"
+        );
+        self.0.metrics.halls_out(halls.names.len());
+    }
+
     fn registered(&self, endpoints: Vec<Registered>) {
         for endpoint in &endpoints {
             let known = self.0.view.endpoint(&endpoint.id);
--- a/crates/server/src/runtime/view.rs
+++ b/crates/server/src/runtime/view.rs
@@ -57,6 +57,15 @@
         ids.iter().filter_map(|id| endpoints.get(id)).filter(|e| e.open).cloned().collect()
     }
 
+    /// Whether all endpoints of a service are in data halls that are out of service.
+    pub fn is_out_of_service(&self, service: &str) -> bool {
+        let endpoints = self.endpoints.borrow();
+        let by_service = self.by_service.borrow();
+        let ids = by_service.get(service).map_or(&[][..], Vec::as_slice);
+        let mut known = ids.iter().filter_map(|id| endpoints.get(id)).peekable();
+        known.peek().is_some() && known.all(|endpoint| endpoint.out)
+    }
+
     /// Whether callers should be sent here.
     pub fn ready(&self) -> bool {
         !self.stopping() && self.fresh.get() && self.in_force.borrow().is_some()
--- a/crates/server/src/telemetry/metrics.rs
+++ b/crates/server/src/telemetry/metrics.rs
@@ -21,6 +21,8 @@
     first_event: HistogramVec,
     config_version: IntGauge,
     in_progress: IntGauge,
+    halls_out: IntGauge,
+    hall_orders: IntCounterVec,
     node_input: HistogramVec,
     timer_late: HistogramVec,
     changes_sent: IntCounterVec,
@@ -76,6 +78,12 @@
             )?,
             config_version: gauge("trayswitch_config_version", "Configuration in force")?,
             in_progress: gauge("trayswitch_requests_in_progress", "Requests in progress")?,
+            halls_out: gauge("trayswitch_halls_out", "Data halls that are out of service")?,
+            hall_orders: counter(
+                "trayswitch_hall_orders_total",
+                "Operators' orders about data halls that were answered here, by what they came to",
+                &["result"],
+            )?,
             node_input: histogram(
                 "trayswitch_node_input_seconds",
                 "Time in which the node decides on an input, by kind of input",
@@ -117,6 +125,16 @@
         self.moves.with_label_values(&[end]).inc();
     }
 
+    /// Notes how many data halls are out of service.
+    pub fn halls_out(&self, halls: usize) {
+        self.halls_out.set(i64::try_from(halls).unwrap_or(i64::MAX));
+    }
+
+    /// Counts an operator's order about a data hall.
+    pub fn hall_order(&self, result: &str) {
+        self.hall_orders.with_label_values(&[result]).inc();
+    }
+
     /// Notes the time to a generation's first event.
     pub fn first_event(&self, kind: &str, took: Duration) {
         self.first_event.with_label_values(&[kind]).observe(took.as_secs_f64());
--- a/crates/trayswitch/src/cli.rs
+++ b/crates/trayswitch/src/cli.rs
@@ -10,7 +10,7 @@
         .about("Submits configurations to trayswitch and shows its state")
         .after_help(
             "Exit codes: 0 done; 1 failed; 2 wrong usage; 3 the file was refused;\n\
-             4 no answer, so that it is not known whether a file was accepted.",
+             4 no answer, so that it is not known whether a file or an order was accepted.",
         )
         .subcommand_required(true)
         .arg_required_else_help(true)
@@ -48,6 +48,7 @@
                 .subcommand_required(true)
                 .subcommand(Command::new("status").about("Show the control replicas and daemons")),
         )
+        .subcommand(hall())
         .subcommand(
             Command::new("explain")
                 .about("Tell a request's story from the log files of several VMs")
@@ -67,6 +68,18 @@
         )
 }
 
+fn hall() -> Command {
+    let name = || Arg::new("name").value_name("NAME").required(true).help("Name of the data hall");
+    Command::new("hall")
+        .about("Take data halls out of service and give them back")
+        .subcommand_required(true)
+        .subcommand(
+            Command::new("out").about("Send nothing more to the endpoints of a hall").arg(name()),
+        )
+        .subcommand(Command::new("back").about("Give a hall back to service").arg(name()))
+        .subcommand(Command::new("list").about("Show the data halls"))
+}
+
 fn config() -> Command {
     let file = || Arg::new("file").value_name("FILE").required(true).help("Configuration file");
     Command::new("config")
--- a/crates/trayswitch/src/client.rs
+++ b/crates/trayswitch/src/client.rs
@@ -36,6 +36,11 @@
         json(self.finish(self.request("GET", path).call())?)
     }
 
+    /// Posts without a body.
+    pub(crate) fn post(&self, path: &str) -> Result<Value, Error> {
+        json(self.finish(self.request("POST", path).call())?)
+    }
+
     /// Gets the configuration in force.
     pub(crate) fn config(&self) -> Result<Shown, Error> {
         let response = self.finish(self.request("GET", "/v1/config").call())?;
--- a/crates/trayswitch/src/command/explain.rs
+++ b/crates/trayswitch/src/command/explain.rs
@@ -85,18 +85,23 @@
     Ok(lines)
 }
 
-/// The request's own lines, and news of the endpoints that it met while it ran.
+/// The request's own lines, news of the endpoints that it met while it ran, and what its daemon knew
+/// of data halls that are out of service.
 fn story<'a>(id: &str, lines: &'a [Line]) -> Vec<&'a Line> {
     let own = || lines.iter().filter(|line| line.text("id") == id);
     let (Some(first), Some(last)) = (own().next(), own().next_back()) else { return Vec::new() };
     let met: BTreeSet<&str> = own().flat_map(Line::endpoints).collect();
     let news = [EventId::EndpointNews, EventId::EndpointLeaving].map(|e| u64::from(e.number()));
     let vm = first.text("vm");
+    let halls = u64::from(EventId::HallsOut.number());
+    let of_halls = |line: &&Line| line.event == halls && line.text("vm") == vm;
+    let before = lines.iter().rfind(|line| of_halls(line) && line.at <= first.at);
     let tells = |line: &&Line| {
         let in_time = first.at.saturating_sub(BEFORE) <= line.at && line.at <= last.at;
         let of_met = news.contains(&line.event) && met.contains(line.text("endpoint"));
         let is_news = of_met && (line.text("vm") == vm || line.event == news[1]);
-        line.text("id") == id || in_time && is_news
+        let knew = before.is_some_and(|before| std::ptr::eq(before, *line));
+        line.text("id") == id || in_time && (is_news || of_halls(line)) || knew
     };
     lines.iter().filter(tells).collect()
 }
--- a/crates/trayswitch/src/command/mod.rs
+++ b/crates/trayswitch/src/command/mod.rs
@@ -2,6 +2,7 @@
 
 mod config;
 mod explain;
+mod hall;
 mod show;
 
 use std::io::{self, Write};
@@ -28,6 +29,8 @@
         Action::Endpoints => show::endpoints(&client()?, options.json, out),
         Action::Workspaces => show::workspaces(&client()?, options.json, out),
         Action::Control => show::control(&client()?, options.json, out),
+        Action::Hall { hall, out: gone } => hall::order(&client()?, hall, *gone, options.json, out),
+        Action::Halls => hall::list(&client()?, options.json, out),
         Action::Explain { id, files } => explain::explain(id, files, options.json, out),
         Action::Completions(shell) => {
             let mut buf = Vec::new();
--- a/crates/trayswitch/src/command/show.rs
+++ b/crates/trayswitch/src/command/show.rs
@@ -2,8 +2,6 @@
 
 use std::io::Write;
 
-use serde_json::Value;
-
 use crate::{
     client::Client,
     error::Error,
@@ -49,7 +47,7 @@
         Column::new("memory used", "/kv_used"),
         Column::new("of", "/kv_tokens"),
     ];
-    list(&client.get("/v1/endpoints")?, &COLUMNS, json, out)
+    output::list(&client.get("/v1/endpoints")?, &COLUMNS, json, out)
 }
 
 /// Shows the workspaces.
@@ -61,7 +59,7 @@
         Column::new("max running", "/max_running"),
         Column::new("max waiting", "/max_waiting"),
     ];
-    list(&client.get("/v1/workspaces")?, &COLUMNS, json, out)
+    output::list(&client.get("/v1/workspaces")?, &COLUMNS, json, out)
 }
 
 /// Shows the control replicas.
@@ -79,6 +77,10 @@
         &format!("leader {leader}, term {}, version {}", control["term"], control["version"]),
         out,
     )?;
+    let halls = output::cell(&control["halls_out"]);
+    if !halls.is_empty() {
+        output::line(&format!("out of service: {halls}"), out)?;
+    }
     const REPLICAS: [Column; 5] = [
         Column::new("replica on", "/vm"),
         Column::new("id", "/id"),
@@ -106,7 +108,3 @@
     ];
     output::table(&control["daemons"], &DAEMONS, out)
 }
-
-fn list(rows: &Value, columns: &[Column], json: bool, out: &mut dyn Write) -> Result<(), Error> {
-    if json { output::json(rows, out) } else { output::table(rows, columns, out) }
-}
--- a/crates/trayswitch/src/error.rs
+++ b/crates/trayswitch/src/error.rs
@@ -13,6 +13,8 @@
     NoKeyFile,
     /// A key file does not hold a key; its content is not shown.
     BadKey(PathBuf),
+    /// A name that no data hall can have.
+    BadHall(String),
     /// A file cannot be read.
     Read(PathBuf, io::Error),
     /// The file has faults.
@@ -42,7 +44,9 @@
     /// The exit code, as the help lists them.
     pub(crate) fn exit_code(&self) -> ExitCode {
         match self {
-            Error::Address(_) | Error::NoKeyFile | Error::BadKey(_) => ExitCode::from(2),
+            Error::Address(_) | Error::NoKeyFile | Error::BadKey(_) | Error::BadHall(_) => {
+                ExitCode::from(2)
+            }
             Error::Faults(_) | Error::Refused(_) => ExitCode::from(3),
             Error::NoAnswer(_) => ExitCode::from(4),
             _ => ExitCode::FAILURE,
@@ -67,14 +71,15 @@
             ),
             Error::Read(path, e) => write!(f, "cannot read {}: {e}", path.display()),
             Error::Faults(faults) => write!(f, "{faults}"),
-            Error::Refused(problem) | Error::Failed(problem) => f.write_str(problem),
+            Error::BadHall(problem) | Error::Refused(problem) | Error::Failed(problem) => {
+                f.write_str(problem)
+            }
             Error::Unreachable(address, problem) => {
                 write!(f, "cannot reach {address}, try another daemon: {problem}")
             }
-            Error::NoAnswer(problem) => write!(
-                f,
-                "{problem}; submitting the same file again is safe and tells what became of it"
-            ),
+            Error::NoAnswer(problem) => {
+                write!(f, "{problem}; sending the same again is safe and tells what became of it")
+            }
             Error::NotEverywhere { version, missing } => write!(
                 f,
                 "version {version} is accepted, but not yet in force on {}",
--- a/crates/trayswitch/src/options.rs
+++ b/crates/trayswitch/src/options.rs
@@ -32,6 +32,15 @@
     Workspaces,
     /// Show the control replicas.
     Control,
+    /// Take a data hall out of service or give it back.
+    Hall {
+        /// Its name.
+        hall: String,
+        /// Whether it is to be out of service.
+        out: bool,
+    },
+    /// Show the data halls.
+    Halls,
     /// Tell a request's story from log files.
     Explain {
         /// The caller's name for the request.
@@ -99,6 +108,13 @@
             id: m.get_one::<String>("id").expect("required").clone(),
             files: m.get_many::<String>("files").expect("required").map(PathBuf::from).collect(),
         },
+        ("hall", m) => match m.subcommand().expect("clap requires a command") {
+            ("list", _) => Action::Halls,
+            (verb, m) => Action::Hall {
+                hall: m.get_one::<String>("name").expect("required").clone(),
+                out: verb == "out",
+            },
+        },
         ("endpoints", _) => Action::Endpoints,
         ("workspaces", _) => Action::Workspaces,
         ("control", _) => Action::Control,
--- a/crates/trayswitch/src/output/mod.rs
+++ b/crates/trayswitch/src/output/mod.rs
@@ -46,6 +46,16 @@
     line(&table.with(Style::blank()).to_string(), out)
 }
 
+/// Prints a list of objects as JSON or as a table.
+pub(crate) fn list(
+    rows: &Value,
+    columns: &[Column],
+    as_json: bool,
+    out: &mut dyn Write,
+) -> Result<(), Error> {
+    if as_json { json(rows, out) } else { table(rows, columns, out) }
+}
+
 /// One value as text.
 pub(crate) fn cell(value: &Value) -> String {
     match value {
@@ -53,6 +63,7 @@
         Value::Bool(true) => "yes".to_owned(),
         Value::Bool(false) => "no".to_owned(),
         Value::Null => "-".to_owned(),
+        Value::Array(items) => items.iter().map(cell).collect::<Vec<_>>().join(", "),
         Value::Object(map) => {
             let pairs: Vec<String> = map.iter().map(|(k, v)| format!("{k} {}", cell(v))).collect();
             pairs.join(", ")
--- a/crates/trayswitch/tests/cli.rs
+++ b/crates/trayswitch/tests/cli.rs
@@ -43,6 +43,13 @@
     root.join(name).display().to_string()
 }
 
+/// A file with an operator key.
+fn key_file(test: &str) -> PathBuf {
+    let key = std::env::temp_dir().join(format!("trayswitch-key-{test}-{}", std::process::id()));
+    std::fs::write(&key, "operator-key-of-the-test").unwrap();
+    key
+}
+
 fn stdout(output: &Output) -> String {
     String::from_utf8_lossy(&output.stdout).into_owned()
 }
@@ -98,8 +105,7 @@
 fn a_daemon_that_cannot_be_reached_is_told_from_a_lost_answer() {
     // The listener is dropped at once, so that nothing listens there.
     let address = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
-    let key = std::env::temp_dir().join(format!("trayswitch-key-{}", std::process::id()));
-    std::fs::write(&key, "operator-key-of-the-test").unwrap();
+    let key = key_file("unreachable");
     let address = address.to_string();
 
     let output = Call::new(&["status", "--operators", &address])
@@ -129,3 +135,16 @@
     expect_that!(stderr(&output), contains_substring("does not hold an operator key"));
     expect_that!(stderr(&output), not(contains_substring("deployment")));
 }
+
+#[gtest]
+fn a_name_that_no_hall_can_have_is_refused_before_any_daemon_is_asked() {
+    let key = key_file("hall");
+
+    let output =
+        Call::new(&["hall", "out", "hall atl", "--key-file", &key.display().to_string()]).run();
+
+    std::fs::remove_file(&key).unwrap();
+
+    expect_that!(output.status.code(), some(eq(2)), "{}", stderr(&output));
+    expect_that!(stderr(&output), contains_substring("\"hall atl\" is no name of a data hall"));
+}
--- a/crates/trayswitchd/src/node/actor.rs
+++ b/crates/trayswitchd/src/node/actor.rs
@@ -129,6 +129,10 @@
             Output::InForce(in_force) => self.in_force(in_force),
             Output::Fresh { fresh, .. } => self.fresh(fresh),
             Output::Watch(endpoints) => self.view.set_watched(endpoints),
+            Output::HallsOut(halls) => {
+                let (event, names) = (EventId::HallsOut, halls.names.join(", "));
+                log::info!("{event} out of service as of order {}: {names}", halls.number);
+            }
             Output::Unusable { version, why } => {
                 let event = EventId::ConfigUnusable;
                 log::error!("{event} version {version} cannot come into force here: {why}");
--- a/crates/trayswitchd/src/operators/mod.rs
+++ b/crates/trayswitchd/src/operators/mod.rs
@@ -1,5 +1,6 @@
 //! The operators' side: submitting files and looking at the state.
 
+mod halls;
 mod reports;
 mod submit;
 
@@ -46,6 +47,7 @@
         (Method::Get, "/v1/workspaces") => {
             respond_json(req, 200, &[], &reports::workspaces(callers))
         }
+        (_, path) if path.starts_with("/v1/halls") => halls::serve(callers, req),
         _ => failure(req, 404, &format!("there is no {path}")),
     }
 }
--- a/crates/trayswitchd/tests/control.rs
+++ b/crates/trayswitchd/tests/control.rs
@@ -114,3 +114,40 @@
     site.wait("all are ready again", |site| (1..=7).all(|i| site.ready(i)));
     expect_that!(site.version(7), eq(1));
 }
+
+#[gtest]
+fn a_hall_is_taken_out_and_stays_so_when_all_restart_until_it_is_given_back() {
+    let size = Size { daemons: 4, replicas: 3, engines: 1, services: 1, ..Size::default() };
+    let mut site = Site::start(size);
+    let ask = |site: &Site| site.load(&[4], &["--streams", "2", "--calls", "2", "--length", "3"]);
+
+    let out = site.cli(4, &["hall", "out", "hall-atl"]);
+    for i in 1..=4 {
+        site.kill(&format!("vm-{i}"));
+    }
+    for i in 1..=4 {
+        site.start_daemon(i);
+    }
+    site.wait("all are ready again", |site| (1..=4).all(|i| site.ready(i)));
+    let listed = site.cli(2, &["hall", "list"]);
+    let while_out = ask(&site);
+    let back = site.cli(1, &["hall", "back", "hall-atl"]);
+    site.wait("it is back everywhere", |site| {
+        let listed = site.cli(4, &["endpoints", "--json"]);
+        !String::from_utf8_lossy(&listed.stdout).contains("\"out\"")
+    });
+    let after = ask(&site);
+
+    expect_that!(text(&out), contains_substring("hall-atl is out of service"));
+    expect_that!(text(&listed), contains_regex("hall-atl +yes +2"));
+    let not_run = serde_json::json!({ "not_run": 2 });
+    expect_that!(while_out["chats"], eq(&not_run), "{while_out}");
+    expect_that!(while_out["calls"], eq(&not_run), "{while_out}");
+    expect_that!(text(&back), contains_substring("hall-atl is in service"));
+    expect_that!(after["chats"]["answered"], eq(&serde_json::json!(2)), "{after}");
+    expect_that!(after["calls"]["answered"], eq(&serde_json::json!(2)), "{after}");
+}
+
+fn text(output: &std::process::Output) -> String {
+    String::from_utf8_lossy(&output.stdout).into_owned()
+}
