Take data halls out of service, and give them back

Change: an order is an entry of the log, so it is acknowledged once a quorum has it on disk; orders are numbered, and one whose opposite was ordered since its operator came changes nothing. Endpoints of a hall that is out get nothing: from schedulers, daemons alone, calls, second attempts, hand-overs, moves, and what was granted a place before. Ruled out: orders outside the log, as registrations are (would not outlive a loss of all VMs); as a part of the configuration (operators send whole files, which would put a hall back that another had taken out).

--- a/crates/core/src/placement/endpoint.rs
+++ b/crates/core/src/placement/endpoint.rs
@@ -160,7 +160,9 @@
         self.out
     }
 
-    pub(crate) fn set_out(&mut self, _: bool) {}
+    pub(crate) fn set_out(&mut self, out: bool) {
+        self.out = out;
+    }
 
     /// Requests granted and not yet finished.
     pub fn running(&self) -> u64 {
--- a/crates/core/src/registry/mod.rs
+++ b/crates/core/src/registry/mod.rs
@@ -323,7 +323,7 @@
     pub fn endpoints(&self, halls_out: &HallsOut) -> Vec<Registered> {
         let closed: BTreeSet<&Arc<str>> = self.closed().collect();
         let registered = |(id, known): (&Arc<str>, &Known)| {
-            let out = false;
+            let out = halls_out.contains(&known.record.hall);
             Registered {
                 id: id.clone(),
                 service: known.record.service.as_str().into(),
--- a/crates/core/src/state/mod.rs
+++ b/crates/core/src/state/mod.rs
@@ -317,7 +317,7 @@
                 self.claims.settle(&settle);
                 Applied::Settled
             }
-            command::Kind::Hall(_) => Applied::Nothing,
+            command::Kind::Hall(order) => Applied::Hall(self.halls.order(&order)),
         }
     }
 
