Let daemons that are linked anew ask for the endpoints that they lack

Cause: each control VM sent all endpoints to each daemon that linked anew; in the virtual fleet of 295 entries and 3,000 endpoints that start at once this cost two leaders their lead (node::tests::recovery). Change: a control VM tells a digest; a daemon asks one control VM after the other for the parts that differ. Endpoints are found by address in constant time. After a start many late heartbeats are no silence.

--- a/crates/core/src/node/endpoints.rs
+++ b/crates/core/src/node/endpoints.rs
@@ -11,7 +11,7 @@
 use crate::{
     placement::{EndpointState, Health, Scheduler},
     units::Instant,
-    wire::{Body, EndpointNews, EndpointRecord},
+    wire::{Body, EndpointNews, EndpointRecord, EndpointsWanted},
 };
 
 /// State of one endpoint as a scheduler sees it.
@@ -63,7 +63,7 @@
     /// from each other, tells the leader what the leader does not tell it.
     pub(super) fn endpoint_news(&mut self, from: &VmName, news: EndpointNews, now: Instant) {
         let from_leader = self.keeper.leader() == Some(from);
-        let EndpointNews { records, ages_ms } = news;
+        let EndpointNews { records, ages_ms, part } = news;
         let ages = ages_ms.into_iter().chain(std::iter::repeat(0));
         for (record, age_ms) in records.into_iter().zip(ages) {
             if from_leader {
@@ -74,20 +74,37 @@
             if self.control.is_some() {
                 let pause = RELAY + for_each(RELAY_FOR_A_DAEMON, self.links.len());
                 self.relayed.add(new, now.after(pause));
-            } else if !from_leader {
+            } else if !from_leader && part.is_none() {
                 let daemons = self.keeper.scheduler(now).map_or(0, |s| s.daemons as usize);
                 let pause = TELL_LEADER + for_each(TELL_LEADER_FOR_A_DAEMON, daemons);
                 self.for_leader.add(new, now.after(pause));
             }
         }
+        if let Some(part) = part {
+            self.endpoint_sync.came(from, part as usize, now, &mut self.outputs);
+        }
     }
 
-    /// All endpoints that are known, for a daemon that is linked anew.
-    pub(super) fn all_endpoints(&self, now: Instant) -> EndpointNews {
+    /// Sends a daemon the part of the endpoints that it asks for.
+    pub(super) fn send_endpoints(&mut self, to: &VmName, wanted: EndpointsWanted, now: Instant) {
         let age_ms = |heard: Instant| now.since(heard).as_millis() as u64;
-        let heard = self.registry.heard().into_iter();
-        let (records, ages_ms) = heard.map(|(record, heard)| (record, age_ms(heard))).unzip();
-        EndpointNews { records, ages_ms }
+        let records = self.registry.part(wanted.part as usize).iter();
+        let (records, ages_ms) =
+            records.map(|(record, heard)| (record.clone(), age_ms(*heard))).unzip();
+        let news = EndpointNews { records, ages_ms, part: Some(wanted.part) };
+        self.outputs.send(to, Body::EndpointNews(news));
+    }
+
+    /// Tells the leader what this entry has from control VMs that it is linked to anew, where the
+    /// leader knew something else.
+    pub(super) fn tell_leader_what_it_lacks(&mut self, now: Instant) {
+        let Some(leader) = self.keeper.leader().filter(|_| self.control.is_none()) else { return };
+        let unknown = self.endpoint_sync.take_unknown_to(leader, || self.registry.digest());
+        for part in unknown {
+            for (record, _) in self.registry.part(part) {
+                self.for_leader.add(record.clone(), now.after(TELL_LEADER));
+            }
+        }
     }
 
     fn tell_all(&mut self, record: EndpointRecord, now: Instant) {
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -18,6 +18,9 @@
 mod control;
 mod directory;
 mod dispatcher;
+mod endpoint_sync;
+#[cfg(test)]
+mod endpoint_sync_tests;
 #[cfg(test)]
 mod endpoint_tests;
 mod endpoints;
@@ -50,6 +53,7 @@
 use self::{
     control::Control,
     directory::Directory,
+    endpoint_sync::EndpointSync,
     endpoints::endpoint_statuses,
     engines::Engines,
     keeper::Keeper,
@@ -63,9 +67,9 @@
     config::ContentHash,
     mechanism::{Disabled, Mechanism},
     placement::{LoadReport, Request},
-    registry::Registry,
+    registry::{Digest, Registry},
     units::Instant,
-    wire::{Body, OperationKind, Report},
+    wire::{Body, EndpointDigest, OperationKind, Report},
 };
 
 pub(crate) use self::messages::Outbox;
@@ -95,6 +99,7 @@
     control: Option<Control>,
     directory: Directory,
     registry: Registry,
+    endpoint_sync: EndpointSync,
     /// Daemons that are linked.
     links: BTreeSet<VmName>,
     /// Revision of the registry that was last handed out.
@@ -130,6 +135,7 @@
             control: None,
             directory: Directory::new(&options.vm, &options.seeds, false, now),
             registry: Registry::new(options.endpoint_heartbeat),
+            endpoint_sync: EndpointSync::default(),
             links: BTreeSet::new(),
             handed_out: 0,
             next_hand_out: Instant::default(),
@@ -189,6 +195,7 @@
         if let Some(control) = &self.control {
             next = next.min(control.next_tick());
         }
+        next = next.min(self.endpoint_sync.next_tick().unwrap_or(next));
         next.min(self.next_news().unwrap_or(next))
     }
 
@@ -244,6 +251,7 @@
         self.operations.tick(leader, clocks.now, out);
         self.placing.tick(self.keeper.scheduler(clocks.now), clocks.now, out);
         self.directory.tick(clocks.now, out);
+        self.endpoint_sync.tick(&self.vm, || self.registry.digest(), clocks.now, out);
         if self.next_search <= clocks.now {
             self.next_search = clocks.now.after(SEARCH);
             self.registry.expire(clocks.now);
@@ -261,8 +269,8 @@
         self.keeper.link_up(&vm, clocks.now, out);
         self.directory.link_up(&vm, out);
         if self.control.is_some() {
-            let news = self.all_endpoints(clocks.now);
-            self.outputs.send(&vm, Body::EndpointNews(news));
+            let sums = self.registry.digest().sums().to_vec();
+            self.outputs.send(&vm, Body::EndpointDigest(EndpointDigest { sums }));
         }
         self.links.insert(vm);
     }
@@ -273,6 +281,7 @@
         }
         self.keeper.link_down(vm, clocks.now, &mut self.outputs);
         self.operations.link_down(vm);
+        self.endpoint_sync.link_down(vm, clocks.now);
         self.directory.link_down(vm);
         self.links.remove(vm);
     }
@@ -343,6 +352,13 @@
             Body::GiveUp(give_up) => self.placing.given_up(give_up, out),
             Body::Directory(message) => self.directory.told(from, message, clocks.now, out),
             Body::EndpointNews(news) => self.endpoint_news(from, news, clocks.now),
+            Body::EndpointDigest(EndpointDigest { sums }) => {
+                // Another release may divide them otherwise; what is new it tells all the same.
+                if let Some(digest) = Digest::read(sums) {
+                    self.endpoint_sync.told(from, digest, clocks.now);
+                }
+            }
+            Body::EndpointsWanted(wanted) => self.send_endpoints(from, wanted, clocks.now),
             Body::Move(order) => self.placing.order(&order, out),
             Body::Watch(watch) => out.push(Output::Watch(watch.endpoints)),
             Body::Health(health) if !leads || *from == self.vm => {
@@ -372,6 +388,7 @@
                 self.keeper.take_accepted(control.state(), clocks.now, &mut self.outputs);
             }
             let in_force = self.keeper.take_changed();
+            self.tell_leader_what_it_lacks(clocks.now);
             self.send_news(clocks.now);
             self.remember_if_due(clocks.now);
             let halls_changed = self.keeper.take_halls_changed();
--- a/crates/core/src/node/tests/mod.rs
+++ b/crates/core/src/node/tests/mod.rs
@@ -6,6 +6,7 @@
 mod large_change;
 mod leaving;
 mod net;
+mod recovery;
 
 use std::collections::BTreeSet;
 
--- /dev/null
+++ b/crates/core/src/node/tests/recovery.rs
@@ -0,0 +1,58 @@
+//! A fleet of hundreds of VMs after all of its entries have failed.
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+
+use super::{fleet::Fleet, net::Site};
+use crate::wire::EndpointRecord;
+
+/// VMs and endpoints of the largest sweep that the users play.
+const CONTROL: usize = 5;
+const ENTRIES: usize = 295;
+const ENDPOINTS: usize = 3_000;
+/// Time until a fleet has elected a leader and all daemons know it.
+const SETTLED: Duration = Duration::from_secs(5);
+
+fn record(n: usize) -> EndpointRecord {
+    EndpointRecord {
+        id: format!("i-{n:010x}"),
+        service: "engines".into(),
+        address: format!("10.{}.{}.{}:8000", n / 65_536, n / 256 % 256, n % 256),
+        hall: "hall-1".into(),
+        slots: 24,
+        sequence: 1,
+        ..EndpointRecord::default()
+    }
+}
+
+/// A fleet that knows its endpoints and has a configuration in force.
+fn fleet_with_endpoints(site: &Site) -> Fleet {
+    let mut fleet = Fleet::new(site);
+    let records: Vec<EndpointRecord> = (0..ENDPOINTS).map(record).collect();
+    fleet.recall(site, &records);
+    fleet.run(SETTLED);
+    let leader = fleet.leader();
+    let file = "[deployment]\nname = d\nversion = 1\n[tier t]\nrank = 1\n\
+                [service engines]\nslots = 24\nkv_tokens = 33640\n";
+    fleet.submit(&leader, 1, file);
+    fleet.run(Duration::from_secs(1));
+    fleet
+}
+
+#[gtest]
+fn hundreds_of_entries_that_start_at_once_serve_within_a_second_and_cost_no_leader_its_lead() {
+    let site = Site::new(CONTROL, ENTRIES);
+    let mut fleet = fleet_with_endpoints(&site);
+    let terms = fleet.terms.clone();
+    let before = fleet.now();
+
+    fleet.restart_entries(&site);
+    fleet.run(Duration::from_secs(3));
+
+    let knew = fleet.all_knew(&site.entries, ENDPOINTS);
+    let confirmed = fleet.all_confirmed(&site.entries);
+    expect_that!(knew.map(|at| at.since(before)), some(lt(Duration::from_secs(1))));
+    expect_that!(confirmed.map(|at| at.since(before)), some(lt(Duration::from_secs(1))));
+    expect_that!(fleet.terms, eq(&terms));
+}
--- a/crates/core/src/registry/mod.rs
+++ b/crates/core/src/registry/mod.rs
@@ -4,11 +4,13 @@
 //! linked to, so no leader is needed. Records of one run of an endpoint are ordered by the
 //! number of the heartbeat; leaving is never taken back.
 
+mod digest;
+mod known;
 #[cfg(test)]
 mod tests;
 
 use std::{
-    collections::{BTreeMap, BTreeSet, VecDeque},
+    collections::{BTreeSet, VecDeque},
     net::SocketAddr,
     sync::Arc,
     time::Duration,
@@ -21,6 +23,12 @@
     wire::EndpointRecord,
 };
 
+pub(crate) use self::digest::Digest;
+use self::{
+    digest::{PARTS, part_of},
+    known::{Known, KnownEndpoints},
+};
+
 /// An endpoint that said it is leaving is forgotten after this long: it serves on for its
 /// notice and, at times, many seconds more, and its generations are moved by its name.
 const KEEP_LEAVING: Duration = Duration::from_secs(60);
@@ -33,25 +41,16 @@
 /// The same for one that is only remembered from before this daemon's start: it may have left
 /// meanwhile, and its heartbeat comes within one interval if it has not.
 const MISSED_IF_RECALLED: u32 = 2;
+/// The shorter time holds while no more of them are missing than this, or one in so many of those that
+/// are heard. After a failure of all control VMs thousands of heartbeats come late, and word of 3,000
+/// silent endpoints to 300 daemons (108 MB) would hold up the leader that has just been elected.
+const FEW_RECALLED: usize = 32;
+const SMALL_PART_RECALLED: usize = 4;
 /// A run of an endpoint has the address of another once that one was not heard for this part of a
 /// heartbeat longer. A heartbeat that a cut has held up may arrive after its sender has crashed and
 /// a new run has registered at the address; that one is heard every heartbeat, and keeps it.
 const HEARD_LONGER: f64 = 1.5;
 
-#[derive(Debug, Clone)]
-struct Known {
-    record: EndpointRecord,
-    address: SocketAddr,
-    /// When a heartbeat or news of it last came.
-    heard: Instant,
-    /// It is known from before this daemon's start and was not heard since.
-    recalled: bool,
-    /// When it began to leave, as known here.
-    leaving_since: Option<Instant>,
-    /// When its heartbeats were found to have stopped.
-    silent_since: Option<Instant>,
-}
-
 /// An endpoint that registered itself, as requests see it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Registered {
@@ -71,48 +70,6 @@
     pub sequence: u64,
 }
 
-impl Known {
-    fn new(record: EndpointRecord, address: SocketAddr, heard: Instant, now: Instant) -> Known {
-        let leaving_since = record.leaving.then_some(now);
-        let silent_since = record.silent.then_some(now);
-        Known { record, address, heard, recalled: false, leaving_since, silent_since }
-    }
-
-    /// Takes what a record says beyond what is known; tells whether that is anything.
-    fn merge(&mut self, record: EndpointRecord, address: SocketAddr, heard: Instant) -> bool {
-        let known = &self.record;
-        let newer = known.sequence < record.sequence;
-        if newer && !record.silent {
-            self.heard = self.heard.max(heard);
-            self.recalled = false;
-        }
-        let mut merged = if newer { record.clone() } else { known.clone() };
-        // It may have begun to leave by a message without a number.
-        merged.leaving = known.leaving || record.leaving;
-        // Of two that know the same heartbeat, the one that misses the next is right. Every
-        // field only ever goes one way, so that news dies out whatever order it comes in.
-        if known.sequence == record.sequence {
-            merged.silent = known.silent || record.silent;
-        }
-        let same =
-            EndpointRecord { sequence: known.sequence, cold_ms: known.cold_ms, ..merged.clone() }
-                == *known;
-        self.record = merged;
-        self.address = address;
-        !same
-    }
-
-    fn note_state(&mut self, now: Instant) {
-        if self.record.leaving {
-            self.leaving_since.get_or_insert(now);
-        }
-        match self.record.silent {
-            true => drop(self.silent_since.get_or_insert(now)),
-            false => self.silent_since = None,
-        }
-    }
-}
-
 /// Names of endpoints that have left, the oldest first; of too many the oldest go.
 #[derive(Debug, Default)]
 struct Forgotten {
@@ -144,16 +101,33 @@
 #[derive(Debug)]
 pub struct Registry {
     heartbeat: Duration,
-    known: BTreeMap<Arc<str>, Known>,
+    known: KnownEndpoints,
     forgotten: Forgotten,
     /// Counts the changes, so that readers see when to look again.
     revision: u64,
+    /// What others are told, as of a revision.
+    shown: Option<Shown>,
+}
+
+/// What others are told of the endpoints, made once for all of them.
+#[derive(Debug)]
+struct Shown {
+    revision: u64,
+    digest: Digest,
+    /// The endpoints of each part, and when each was last heard.
+    parts: Vec<Vec<(EndpointRecord, Instant)>>,
 }
 
 impl Registry {
     /// A registry of endpoints that send a heartbeat about this often.
     pub fn new(heartbeat: Duration) -> Registry {
-        Registry { heartbeat, known: BTreeMap::new(), forgotten: Forgotten::default(), revision: 0 }
+        Registry {
+            heartbeat,
+            known: KnownEndpoints::default(),
+            forgotten: Forgotten::default(),
+            revision: 0,
+            shown: None,
+        }
     }
 
     /// Counts the changes so far.
@@ -182,16 +156,17 @@
         if self.forgotten.contains(&id) {
             return None;
         }
-        let Some(known) = self.known.get_mut(&id) else {
+        if !self.known.contains(&id) {
             if self.is_taken(address, heard) {
                 return if record.leaving { self.leave(&id, now) } else { None };
             }
-            self.known.retain(|_, other| other.address != address);
+            self.known.remove_at(address);
             self.known.insert(id, Known::new(record.clone(), address, heard, now));
             self.revision += 1;
             return Some(record);
-        };
-        if !known.merge(record, address, heard) {
+        }
+        let (known, is_new) = self.known.merge(&id, record, address, heard)?;
+        if !is_new {
             return None;
         }
         known.note_state(now);
@@ -205,7 +180,7 @@
     pub fn recall(&mut self, records: Vec<EndpointRecord>, now: Instant) {
         for record in records {
             let id: Arc<str> = record.id.as_str().into();
-            if self.known.contains_key(&id) || self.take(record, now).is_none() {
+            if self.known.contains(&id) || self.take(record, now).is_none() {
                 continue;
             }
             if let Some(known) = self.known.get_mut(&id) {
@@ -234,18 +209,18 @@
     /// Forgets endpoints that are long gone.
     pub fn expire(&mut self, now: Instant) {
         let over = |since: Option<Instant>, keep| since.is_some_and(|at| keep <= now.since(at));
-        let left: Vec<Arc<str>> = self
-            .known
-            .iter()
-            .filter(|(_, known)| over(known.leaving_since, KEEP_LEAVING))
-            .map(|(id, _)| id.clone())
-            .collect();
+        let those = |is_gone: &dyn Fn(&Known) -> bool| -> Vec<Arc<str>> {
+            let gone = self.known.iter().filter(|(_, known)| is_gone(known));
+            gone.map(|(id, _)| id.clone()).collect()
+        };
+        let left = those(&|known| over(known.leaving_since, KEEP_LEAVING));
+        let silent = those(&|known| over(known.silent_since, KEEP_SILENT));
         for id in left {
             self.forget(&id);
         }
         let before = self.known.len();
         // One whose heartbeats come again later is welcome.
-        self.known.retain(|_, known| !over(known.silent_since, KEEP_SILENT));
+        silent.iter().for_each(|id| self.known.remove(id));
         if self.known.len() < before {
             self.revision += 1;
         }
@@ -254,26 +229,61 @@
     /// Finds the endpoints whose heartbeats have stopped since the last call. Only control
     /// VMs hear every heartbeat.
     pub fn find_silent(&mut self, now: Instant) -> Vec<EndpointRecord> {
-        let heartbeat = self.heartbeat;
-        let limit = heartbeat * MISSED_HEARTBEATS;
-        // While nobody is heard the fault is more likely here than at every endpoint.
-        let anybody = self.known.values().any(|known| now.since(known.heard) < limit);
-        let mut silent = Vec::new();
-        for known in self.known.values_mut() {
-            let missed = if known.recalled { MISSED_IF_RECALLED } else { MISSED_HEARTBEATS };
-            if anybody && !known.record.silent && heartbeat * missed <= now.since(known.heard) {
-                known.record.silent = true;
-                known.note_state(now);
-                self.revision += 1;
-                silent.push(known.record.clone());
-            }
+        let limit = self.heartbeat * MISSED_HEARTBEATS;
+        let is_heard = |known: &Known| !known.recalled && now.since(known.heard) < limit;
+        let heard = self.known.values().filter(|known| is_heard(known)).count();
+        let overdue = self.overdue(MISSED_IF_RECALLED, now).filter(|known| known.recalled).count();
+        // After a start many heartbeats may be late, as all are sent elsewhere first.
+        let waits = FEW_RECALLED < overdue && heard < overdue * SMALL_PART_RECALLED;
+        let missed = if waits { MISSED_HEARTBEATS } else { MISSED_IF_RECALLED };
+        let recalled = self.overdue(missed, now).filter(|known| known.recalled);
+        let others = self.overdue(MISSED_HEARTBEATS, now).filter(|known| !known.recalled);
+        let silent: Vec<Arc<str>> =
+            recalled.chain(others).map(|known| known.record.id.as_str().into()).collect();
+        // Where most are not heard the fault is more likely here than at every endpoint.
+        if heard < silent.len() {
+            return Vec::new();
         }
-        silent
+        silent.into_iter().filter_map(|id| self.fall_silent(&id, now)).collect()
     }
 
-    /// All records, each with when it was last heard.
-    pub fn heard(&self) -> Vec<(EndpointRecord, Instant)> {
-        self.known.values().map(|known| (known.record.clone(), known.heard)).collect()
+    /// Those that are not known to be silent and have missed so many heartbeats.
+    fn overdue(&self, missed: u32, now: Instant) -> impl Iterator<Item = &Known> {
+        let limit = self.heartbeat * missed;
+        self.known
+            .values()
+            .filter(move |known| !known.record.silent && limit <= now.since(known.heard))
+    }
+
+    fn fall_silent(&mut self, id: &str, now: Instant) -> Option<EndpointRecord> {
+        let known = self.known.get_mut(id)?;
+        known.record.silent = true;
+        known.note_state(now);
+        self.revision += 1;
+        Some(known.record.clone())
+    }
+
+    /// A digest of all records.
+    pub(crate) fn digest(&mut self) -> Digest {
+        self.shown().digest.clone()
+    }
+
+    /// The records of a part, each with when it was last heard.
+    pub(crate) fn part(&mut self, part: usize) -> &[(EndpointRecord, Instant)] {
+        self.shown().parts.get(part).map_or(&[], Vec::as_slice)
+    }
+
+    fn shown(&mut self) -> &Shown {
+        self.shown.take_if(|shown| shown.revision != self.revision);
+        let known = &self.known;
+        self.shown.get_or_insert_with(|| {
+            let mut parts = vec![Vec::new(); PARTS];
+            for known in known.values() {
+                parts[part_of(&known.record.id)].push((known.record.clone(), known.heard));
+            }
+            let digest = Digest::of(known.values().map(|known| &known.record));
+            Shown { revision: self.revision, digest, parts }
+        })
     }
 
     /// All records.
@@ -284,7 +294,7 @@
     /// The model engines as the scheduler sees them.
     pub fn engines(&self, config: &Config) -> Endpoints {
         let mut endpoints = Endpoints::new();
-        for (id, known) in &self.known {
+        for (id, known) in self.known.iter() {
             let service = config.services.get(&known.record.service);
             let Some(engine) = service.and_then(|service| service.engine.as_ref()) else {
                 continue;
@@ -345,7 +355,7 @@
             let is_heard = !other.recalled && !other.record.silent;
             is_heard && heard < other.heard.after(longer)
         };
-        self.known.values().any(|other| other.address == address && keeps(other))
+        self.known.at(address).any(keeps)
     }
 
     fn forget(&mut self, id: &Arc<str>) {
--- a/crates/core/src/registry/tests.rs
+++ b/crates/core/src/registry/tests.rs
@@ -214,6 +214,54 @@
     expect_that!(registry.closed().count(), eq(1));
 }
 
+/// Endpoints of these numbers with a heartbeat of this number.
+fn endpoints(numbers: std::ops::Range<u64>, sequence: u64) -> Vec<EndpointRecord> {
+    let of = |n: u64| EndpointRecord {
+        id: format!("e{n}"),
+        address: format!("10.0.{}.{}:80", n / 250, n % 250),
+        ..record("", sequence, false)
+    };
+    numbers.map(of).collect()
+}
+
+#[gtest]
+fn many_recalled_endpoints_whose_heartbeats_are_late_are_not_taken_for_silent() {
+    let mut registry = Registry::new(HEARTBEAT);
+    registry.recall(endpoints(0..1_000, 7), seconds(0));
+    for heard in endpoints(0..600, 8) {
+        registry.take(heard, seconds(1));
+    }
+
+    let late = registry.find_silent(seconds(3));
+    for heard in endpoints(600..980, 8) {
+        registry.take(heard, seconds(3));
+    }
+    let gone = registry.find_silent(seconds(4));
+
+    expect_that!(late.len(), eq(0));
+    expect_that!(gone.len(), eq(20));
+}
+
+#[gtest]
+fn while_most_are_not_heard_no_endpoint_is_taken_for_silent() {
+    let mut registry = Registry::new(HEARTBEAT);
+    for heard in endpoints(0..100, 1) {
+        registry.take(heard, seconds(0));
+    }
+    for heard in endpoints(0..40, 5) {
+        registry.take(heard, seconds(6));
+    }
+
+    let most = registry.find_silent(seconds(6));
+    for heard in endpoints(40..80, 5) {
+        registry.take(heard, seconds(6));
+    }
+    let few = registry.find_silent(seconds(6));
+
+    expect_that!(most.len(), eq(0));
+    expect_that!(few.len(), eq(20));
+}
+
 #[gtest]
 fn a_recalled_endpoint_that_was_leaving_gets_no_new_work() {
     let mut registry = Registry::new(HEARTBEAT);
@@ -363,7 +411,7 @@
                     }
                 }
                 Step::Link(at) => {
-                    let known = vms[at].heard();
+                    let known: Vec<_> = (0..super::PARTS).flat_map(|part| vms[at].part(part).to_vec()).collect();
                     for (record, heard) in known {
                         vms[2].take_heard(record, heard, now);
                     }
--- a/crates/core/src/wire/endpoints.rs
+++ b/crates/core/src/wire/endpoints.rs
@@ -9,12 +9,31 @@
     /// How long ago each was last heard, in milliseconds; empty for news of this moment.
     #[prost(uint64, repeated, tag = "2")]
     pub ages_ms: Vec<u64>,
+    /// The part that these are all of, where the daemon has asked for it.
+    #[prost(uint64, optional, tag = "3")]
+    pub part: Option<u64>,
+}
+
+/// See [`super::Body::EndpointDigest`].
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct EndpointDigest {
+    /// One number for each part.
+    #[prost(fixed64, repeated, tag = "1")]
+    pub sums: Vec<u64>,
+}
+
+/// See [`super::Body::EndpointsWanted`].
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct EndpointsWanted {
+    /// Number of the part.
+    #[prost(uint64, tag = "1")]
+    pub part: u64,
 }
 
 impl EndpointNews {
     /// News of this moment.
     pub fn new(records: Vec<EndpointRecord>) -> EndpointNews {
-        EndpointNews { records, ages_ms: Vec::new() }
+        EndpointNews { records, ages_ms: Vec::new(), part: None }
     }
 }
 
--- a/crates/core/src/wire/mod.rs
+++ b/crates/core/src/wire/mod.rs
@@ -17,7 +17,10 @@
         NotLeader, Operation, OperationKind, OperationReply, OperationResult, Piece, Poll,
         PollReply, ReplicaInfo, SlowEndpoint, Submit, Update,
     },
-    endpoints::{EndpointNews, EndpointRecord, Health, HealthNews, Report, Watch},
+    endpoints::{
+        EndpointDigest, EndpointNews, EndpointRecord, EndpointsWanted, Health, HealthNews, Report,
+        Watch,
+    },
     handshake::{Handshake, HandshakeError, Hello, Proof},
     placement::{Admit, GiveUp, Grant, Move, Moved, Progress, Tokens},
 };
@@ -28,7 +31,7 @@
     /// What it says.
     #[prost(
         oneof = "Body",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24"
     )]
     pub body: Option<Body>,
 }
@@ -102,6 +105,12 @@
     /// The leader tells which data halls are out of service, without being asked.
     #[prost(message, tag = "22")]
     HallsOut(HallsOut),
+    /// A control VM tells a digest of the endpoints that it knows.
+    #[prost(message, tag = "23")]
+    EndpointDigest(EndpointDigest),
+    /// A daemon asks a control VM for a part of them.
+    #[prost(message, tag = "24")]
+    EndpointsWanted(EndpointsWanted),
 }
 
 impl Body {
@@ -130,6 +139,8 @@
             Body::Fetch(_) => "fetch",
             Body::Piece(_) => "piece",
             Body::HallsOut(_) => "halls_out",
+            Body::EndpointDigest(_) => "endpoint_digest",
+            Body::EndpointsWanted(_) => "endpoints_wanted",
         }
     }
 }
