What cold endpoints bear, as configuration and heartbeats tell it, and tests that fail without it

Cause: an engine is cold after a start and bears 20 requests a second from all daemons together; nothing used what configuration and heartbeats say of it.

--- a/crates/core/src/config/endpoint.rs
+++ b/crates/core/src/config/endpoint.rs
@@ -2,7 +2,10 @@
 
 use std::{collections::BTreeMap, net::SocketAddr};
 
-use super::reader::{MAX_COUNT, MAX_TOKENS, SectionReader};
+use super::{
+    reader::{MAX_COUNT, MAX_TOKENS, SectionReader},
+    service::ColdStart,
+};
 
 const DEFAULT_SLOTS: u64 = 64;
 
@@ -41,6 +44,8 @@
     pub checks_fence: bool,
     /// Whether a generation that runs here can be moved to another endpoint.
     pub moves: bool,
+    /// What it bears while it is cold; nothing where a start makes no difference.
+    pub cold_start: Option<ColdStart>,
 }
 
 /// Endpoints by name.
@@ -72,5 +77,6 @@
         kv_tokens,
         checks_fence,
         moves: false,
+        cold_start: None,
     })
 }
--- a/crates/core/src/config/mod.rs
+++ b/crates/core/src/config/mod.rs
@@ -21,6 +21,6 @@
     route::{NamedRoute, RouteKind, RouteSpec, RouteTarget},
     route_table::RouteTable,
     schema::{CheckedDocument, Config, DEPLOYMENT, Deployment, KindSpec, LAYOUT, LIMITS, TierSpec},
-    service::{CallSpec, EngineSpec, ServiceSpec},
+    service::{CallSpec, ColdStart, EngineSpec, ServiceSpec},
     workspace::{WorkspaceSpec, key_digest},
 };
--- a/crates/core/src/config/service.rs
+++ b/crates/core/src/config/service.rs
@@ -21,6 +21,15 @@
     pub timeout: Duration,
 }
 
+/// What endpoints bear while they are cold, as after a start.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ColdStart {
+    /// How long they are cold after a start.
+    pub lasts: Duration,
+    /// Least mean time between two requests, from all callers together.
+    pub interval: Duration,
+}
+
 /// A service.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ServiceSpec {
@@ -30,6 +39,8 @@
     pub max_connections: u64,
     /// Path at which its endpoints tell whether they are well.
     pub health_path: Option<String>,
+    /// What its endpoints bear while they are cold; nothing where a start makes no difference.
+    pub cold_start: Option<ColdStart>,
     /// What its endpoints can do if they are model engines.
     pub engine: Option<EngineSpec>,
 }
@@ -69,7 +80,11 @@
             .is_some()
             .then(|| r.duration("longest_reservation", None)),
     });
-    ServiceSpec { calls: BTreeMap::new(), max_connections, health_path, engine }
+    let cold_start = r.raw("cold_start").is_some().then(|| ColdStart {
+        lasts: r.duration("cold_start", None),
+        interval: r.duration("cold_interval", None),
+    });
+    ServiceSpec { calls: BTreeMap::new(), max_connections, health_path, cold_start, engine }
 }
 
 /// Reads a call.
--- a/crates/core/src/node/control/mod.rs
+++ b/crates/core/src/node/control/mod.rs
@@ -265,15 +265,15 @@
     /// Takes the engines that the scheduler may use.
     pub(crate) fn set_engines(&mut self, engines: Engines, now: Instant, out: &mut Outbox) {
         self.engines = engines;
-        self.configure_dispatcher();
+        self.configure_dispatcher(now);
         if let Some(dispatcher) = &mut self.dispatcher {
             dispatcher.decide(now, out);
         }
     }
 
-    fn configure_dispatcher(&mut self) {
+    fn configure_dispatcher(&mut self, now: Instant) {
         if let Some(dispatcher) = &mut self.dispatcher {
-            dispatcher.configure(&self.engines);
+            dispatcher.configure(&self.engines, now);
         }
     }
 
--- a/crates/core/src/node/control/ready.rs
+++ b/crates/core/src/node/control/ready.rs
@@ -168,7 +168,7 @@
         }
         if leads {
             self.dispatcher = Some(Dispatcher::new(self.disabled, now));
-            self.configure_dispatcher();
+            self.configure_dispatcher(now);
             return;
         }
         self.dispatcher = None;
--- a/crates/core/src/node/dispatcher.rs
+++ b/crates/core/src/node/dispatcher.rs
@@ -71,10 +71,13 @@
     }
 
     /// Takes the engines, and which of them must get no new work.
-    pub(crate) fn configure(&mut self, engines: &Engines) {
+    pub(crate) fn configure(&mut self, engines: &Engines, now: Instant) {
         let endpoints = engines.all();
         self.scheduler.configure(&endpoints);
         self.scheduler.take_halls_out(&engines.halls_out);
+        for (name, until) in &engines.cold {
+            self.scheduler.endpoint_cold(name, *until, now);
+        }
         self.endpoints = endpoints.keys().cloned().collect();
         for endpoint in endpoints.keys() {
             self.scheduler.endpoint_leaving(endpoint, engines.closed.contains(endpoint.as_str()));
--- a/crates/core/src/node/endpoints.rs
+++ b/crates/core/src/node/endpoints.rs
@@ -161,6 +161,14 @@
         true
     }
 
+    /// Notes that data halls were given back to service.
+    pub(super) fn note_halls_back(&mut self, halls: &[String], now: Instant) {
+        let Some(in_force) = self.keeper.in_force() else { return };
+        for hall in halls {
+            self.registry.hall_back(hall, &in_force.config, now);
+        }
+    }
+
     /// Lets the endpoints be kept on disk, so that they are known at once after a failure of all
     /// control VMs.
     pub(super) fn remember_if_due(&mut self, now: Instant) {
@@ -189,7 +197,7 @@
         let Some(in_force) = self.keeper.in_force() else { return };
         let halls_out = self.keeper.halls_out();
         let engines = Engines::new(&self.registry, &in_force.config, halls_out);
-        self.placing.configure(&engines);
+        self.placing.configure(&engines, now);
         if let Some(control) = &mut self.control {
             control.set_engines(engines, now, &mut self.outputs);
         }
--- a/crates/core/src/node/engines.rs
+++ b/crates/core/src/node/engines.rs
@@ -1,11 +1,15 @@
 //! The engines that schedulers may use.
 
-use std::{collections::BTreeSet, sync::Arc};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
 
 use crate::{
     config::{Config, Endpoints},
     registry::Registry,
     state::HallsOut,
+    units::Instant,
 };
 
 /// The engines that schedulers may use.
@@ -15,6 +19,8 @@
     pub(crate) known: Endpoints,
     /// Those of them that must get no new work.
     pub(crate) closed: BTreeSet<Arc<str>>,
+    /// Until when some of them are cold.
+    pub(crate) cold: BTreeMap<Arc<str>, Instant>,
     /// The data halls that are out of service.
     pub(crate) halls_out: HallsOut,
     /// Those that the configuration lists.
@@ -26,7 +32,15 @@
     pub(crate) fn new(registry: &Registry, config: &Config, halls_out: &HallsOut) -> Engines {
         let known = registry.engines(config);
         let closed = registry.closed().filter(|id| known.contains_key(&***id)).cloned().collect();
-        Engines { known, closed, halls_out: halls_out.clone(), listed: config.endpoints.clone() }
+        let cold = registry.cold().filter(|(id, _)| known.contains_key(&***id));
+        let cold = cold.map(|(id, until)| (id.clone(), until)).collect();
+        Engines {
+            cold,
+            known,
+            closed,
+            halls_out: halls_out.clone(),
+            listed: config.endpoints.clone(),
+        }
     }
 
     /// All of them.
--- a/crates/core/src/node/keeper.rs
+++ b/crates/core/src/node/keeper.rs
@@ -75,7 +75,8 @@
     holder: Holder,
     changed: bool,
     halls: HallsOut,
-    halls_changed: bool,
+    /// Halls that were given back since somebody last asked, if any order has come since.
+    halls_back: Option<Vec<String>>,
     vouched: Option<Vouched>,
     leader: Option<SchedulerAt>,
     leader_changed: bool,
@@ -106,7 +107,7 @@
             holder: Holder::new(now),
             changed: false,
             halls: HallsOut::default(),
-            halls_changed: false,
+            halls_back: None,
             vouched: None,
             leader: None,
             leader_changed: false,
@@ -143,17 +144,18 @@
         &self.halls
     }
 
-    /// Whether they changed since the last call.
-    pub(crate) fn take_halls_changed(&mut self) -> bool {
-        std::mem::take(&mut self.halls_changed)
+    /// The halls that were given back since the last call, if other halls are out since then.
+    pub(crate) fn take_halls_back(&mut self) -> Option<Vec<String>> {
+        self.halls_back.take()
     }
 
     /// Takes word of the data halls that are out of service. What an older order came to is nothing
     /// new.
     pub(crate) fn take_halls(&mut self, halls: &HallsOut, out: &mut Outbox) {
         if self.halls.number < halls.number {
-            self.halls = halls.clone();
-            self.halls_changed = true;
+            let before = std::mem::replace(&mut self.halls, halls.clone());
+            let back = before.names.into_iter().filter(|name| !halls.contains(name));
+            self.halls_back.get_or_insert_default().extend(back);
             out.push(Output::HallsOut(halls.clone()));
         }
     }
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -336,6 +336,7 @@
         match body {
             Body::PollReply(reply) => {
                 self.placing.told_slow(&reply.slow, clocks.now);
+                self.placing.set_daemons(reply.daemons);
                 self.keeper.poll_reply(from, reply, clocks.now, out);
             }
             Body::Update(update) => self.keeper.update(from, update, clocks.now, out),
@@ -391,8 +392,9 @@
             self.tell_leader_what_it_lacks(clocks.now);
             self.send_news(clocks.now);
             self.remember_if_due(clocks.now);
-            let halls_changed = self.keeper.take_halls_changed();
-            let registered = self.hand_out_if_due(halls_changed, clocks.now);
+            let halls_back = self.keeper.take_halls_back();
+            self.note_halls_back(halls_back.as_deref().unwrap_or_default(), clocks.now);
+            let registered = self.hand_out_if_due(halls_back.is_some(), clocks.now);
             if in_force.is_some() || registered {
                 self.hand_out_endpoints(clocks.now);
             }
--- a/crates/core/src/node/placing.rs
+++ b/crates/core/src/node/placing.rs
@@ -18,7 +18,7 @@
     config::Endpoints,
     error::{ErrorKind, RequestError},
     mechanism::Disabled,
-    placement::{Action, Relocation, Request, Scheduler, Ticket},
+    placement::{Action, ColdSenders, Relocation, Request, Scheduler, Ticket},
     units::Instant,
     wire::{
         Admit, Body, GiveUp, Grant, Health, HealthNews, Move, Moved, Progress, Report,
@@ -94,13 +94,16 @@
     }
 
     /// Takes the engines that schedulers may use.
-    pub(crate) fn configure(&mut self, engines: &Engines) {
+    pub(crate) fn configure(&mut self, engines: &Engines, now: Instant) {
         let endpoints = engines.all();
         if self.endpoints != endpoints {
             self.local.configure(&endpoints);
             self.endpoints = endpoints;
         }
         self.local.take_halls_out(&engines.halls_out);
+        for (name, until) in &engines.cold {
+            self.local.endpoint_cold(name, *until, now);
+        }
         for name in engines.known.keys() {
             self.local.endpoint_leaving(name, engines.closed.contains(name.as_str()));
         }
@@ -263,6 +266,11 @@
         }
     }
 
+    /// Takes the number of daemons, with which this one shares what cold endpoints bear.
+    pub(crate) fn set_daemons(&mut self, daemons: u64) {
+        self.local.set_cold_senders(ColdSenders::daemons(daemons));
+    }
+
     /// Takes the leader's word of endpoints that are slow.
     pub(crate) fn told_slow(&mut self, slow: &[SlowEndpoint], now: Instant) {
         for SlowEndpoint { name, percent } in slow {
--- a/crates/core/src/placement/endpoint.rs
+++ b/crates/core/src/placement/endpoint.rs
@@ -8,6 +8,7 @@
 
 use super::{
     PrefixHash,
+    cold::{Cold, ColdSenders},
     forecast::{HORIZONS, Survival},
     pace::Pace,
     reading::Reading,
@@ -110,6 +111,7 @@
     pub(crate) health: Health,
     /// Its data hall is out of service.
     out: bool,
+    cold: Option<Cold>,
     /// Requests granted and not yet finished.
     pub(crate) running: u64,
     pub(crate) total: Share,
@@ -133,6 +135,7 @@
             spec,
             health: Health::Live,
             out: false,
+            cold: None,
             running: 0,
             total: Share::default(),
             report: LoadReport::default(),
@@ -160,6 +163,28 @@
         self.out
     }
 
+    /// Notes that it is cold until then; its first request is due after this part of the time between
+    /// two.
+    pub(crate) fn set_cold(&mut self, until: Instant, by: ColdSenders, part: f64, now: Instant) {
+        let Some(bears) = self.spec.cold_start else { return };
+        match &mut self.cold {
+            Some(cold) if !cold.is_over(now) => cold.last(until),
+            cold => *cold = Some(Cold::new(until, by.interval(bears), part, now)),
+        }
+    }
+
+    /// Notes that a request is sent to it.
+    pub(crate) fn note_sent(&mut self, by: ColdSenders, now: Instant) {
+        if let (Some(cold), Some(bears)) = (&mut self.cold, self.spec.cold_start) {
+            cold.sent(by.interval(bears), now);
+        }
+    }
+
+    /// When it may be sent the next request while it is cold.
+    pub(crate) fn next_while_cold(&self) -> Option<Instant> {
+        self.cold.map(|cold| cold.next())
+    }
+
     pub(crate) fn set_out(&mut self, out: bool) {
         self.out = out;
     }
@@ -173,6 +198,7 @@
     pub fn takes_work(&self, now: Instant) -> bool {
         match self.health {
             _ if self.out => false,
+            _ if self.cold.is_some_and(|cold| !cold.takes_work(now)) => false,
             Health::Live => true,
             Health::Leaving => false,
             Health::Down(until) => until <= now,
@@ -233,15 +259,19 @@
         self.prefixes.insert(prefix, now);
     }
 
-    /// Opens the circuit after a failure, for longer after each in a row.
-    pub(crate) fn on_failure(&mut self, now: Instant) {
+    /// Opens the circuit after a failure, for longer after each in a row. Returns until when, if new
+    /// work may be sent then.
+    pub(crate) fn on_failure(&mut self, now: Instant) -> Option<Instant> {
         const FIRST: Duration = Duration::from_millis(500);
         const LONGEST: Duration = Duration::from_secs(30);
         self.failures = (self.failures + 1).min(10);
         let pause = FIRST * 2u32.pow(self.failures - 1);
-        if self.health != Health::Leaving {
-            self.health = Health::Down(now.after(pause.min(LONGEST)));
+        if self.health == Health::Leaving {
+            return None;
         }
+        let until = now.after(pause.min(LONGEST));
+        self.health = Health::Down(until);
+        Some(until)
     }
 
     /// Closes the circuit after a success.
--- a/crates/core/src/placement/endpoint_news.rs
+++ b/crates/core/src/placement/endpoint_news.rs
@@ -1,9 +1,13 @@
 //! What a scheduler is told of endpoints.
 
-use std::{collections::HashMap, sync::Arc};
+use std::{
+    collections::HashMap,
+    hash::{DefaultHasher, Hash, Hasher},
+    sync::Arc,
+};
 
 use super::{
-    Ticket,
+    ColdSenders, Ticket,
     endpoint::{EndpointState, Health, LoadReport},
     scheduler::{Placed, Scheduler},
 };
@@ -36,6 +40,7 @@
         self.endpoints = kept;
         let endpoints = &self.endpoints;
         self.evacuation.leaving.retain(|name| endpoints.contains_key(name));
+        self.cold.retain(|name| endpoints.contains_key(name));
         // Requests at an endpoint that is gone or moved are no longer accounted for.
         let gone = |p: &Placed| self.endpoints.get(&p.endpoint).is_none_or(|e| e.running == 0);
         let tickets: Vec<Ticket> =
@@ -57,11 +62,44 @@
 
     /// Notes that an endpoint failed to serve.
     pub fn endpoint_failed(&mut self, name: &str, now: Instant) {
+        let Some(endpoint) = self.endpoints.get_mut(name) else { return };
+        let Some(until) = endpoint.on_failure(now) else { return };
+        if let Some(bears) = endpoint.spec.cold_start {
+            // It may have started anew when it is tried again, and says so only later.
+            self.cool(name, until.after(bears.lasts), until);
+        }
+    }
+
+    /// Takes an endpoint's word that it is cold until then.
+    pub fn endpoint_cold(&mut self, name: &str, until: Instant, now: Instant) {
+        if now < until {
+            self.cool(name, until, now);
+        }
+    }
+
+    /// Tells the scheduler with whom it shares what cold endpoints bear.
+    pub fn set_cold_senders(&mut self, senders: ColdSenders) {
+        self.cold_senders = senders;
+    }
+
+    /// An endpoint is cold from `since` on, until then.
+    fn cool(&mut self, name: &str, until: Instant, since: Instant) {
+        let part = self.cold_phase(name, until);
         if let Some(endpoint) = self.endpoints.get_mut(name) {
-            endpoint.on_failure(now);
+            endpoint.set_cold(until, self.cold_senders, part, since);
+            self.cold.insert(endpoint.name.clone());
         }
     }
 
+    /// The part of the time between two requests after which the first one is due: none for a
+    /// scheduler of all daemons, another one for each daemon and endpoint without it.
+    fn cold_phase(&self, name: &str, until: Instant) -> f64 {
+        let Some(seed) = self.alone else { return 0.0 };
+        let mut hasher = DefaultHasher::new();
+        (seed, name, until.0).hash(&mut hasher);
+        hasher.finish() as f64 / u64::MAX as f64
+    }
+
     /// Notes that an endpoint is leaving, or has come back.
     pub fn endpoint_leaving(&mut self, name: &str, leaving: bool) {
         let Some(endpoint) = self.endpoints.get_mut(name) else { return };
--- a/crates/core/src/placement/evacuation.rs
+++ b/crates/core/src/placement/evacuation.rs
@@ -172,6 +172,9 @@
     ) -> Option<Relocation> {
         let from = self.placed.get(&ticket)?.endpoint.clone();
         self.relocate(ticket, to, now);
+        if let Some(state) = self.endpoints.get_mut(to) {
+            state.note_sent(self.cold_senders, now);
+        }
         let until = now.after(LONGEST_MOVE);
         self.evacuation.moves.insert(ticket, Move { from: from.clone(), to: to.clone(), until });
         Some(Relocation { ticket, from, to: to.clone() })
--- a/crates/core/src/placement/fixture.rs
+++ b/crates/core/src/placement/fixture.rs
@@ -24,6 +24,7 @@
             kv_tokens,
             checks_fence: false,
             moves: true,
+            cold_start: None,
         };
         (format!("e{i}"), spec)
     };
--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -6,6 +6,9 @@
 mod alone;
 #[cfg(test)]
 mod alone_tests;
+mod cold;
+#[cfg(test)]
+mod cold_tests;
 mod endpoint;
 mod endpoint_news;
 mod evacuation;
@@ -40,6 +43,7 @@
 
 pub use self::{
     alone::{Candidate, Drawn, EngineLoad, sort},
+    cold::{Cold, ColdSenders},
     endpoint::{EndpointState, Health, LoadReport},
     evacuation::Relocation,
     forecast::{HORIZONS, LengthForecast, Survival},
--- a/crates/core/src/placement/scheduler.rs
+++ b/crates/core/src/placement/scheduler.rs
@@ -7,7 +7,7 @@
 };
 
 use super::{
-    Action, Drawn, Request, Ticket,
+    Action, ColdSenders, Drawn, Request, Ticket,
     endpoint::{EndpointState, Health, Share},
     evacuation::Evacuation,
     forecast::LengthForecast,
@@ -100,6 +100,14 @@
     pub(super) evacuation: Evacuation,
     pub(super) handover: Handover,
     pub(super) counts: HashMap<Arc<str>, Count>,
+    /// Endpoints that are cold, or were lately: few of many.
+    pub(super) cold: BTreeSet<Arc<str>>,
+    /// With whom it shares what they bear.
+    pub(super) cold_senders: ColdSenders,
+    /// Random number of the daemon that places by itself; none for the scheduler of all daemons.
+    pub(super) alone: Option<u64>,
+    /// When it last decided.
+    decided: Instant,
     /// Number of samples of endpoints taken.
     pub(super) samples: usize,
 }
@@ -119,6 +127,10 @@
             evacuation: Evacuation::default(),
             handover: Handover::default(),
             counts: HashMap::new(),
+            cold: BTreeSet::new(),
+            cold_senders: ColdSenders::scheduler(),
+            alone: None,
+            decided: Instant::default(),
             samples: 0,
         }
     }
@@ -135,7 +147,9 @@
         let disabled = disabled.with(Mechanism::Handover);
         let limits = SchedulerLimits { disabled, ..SchedulerLimits::default() };
         let policy = Box::new(TwoDrawn::without(disabled, seed));
-        Scheduler { samples: seed as usize, ..Scheduler::new(limits, policy) }
+        let cold_senders = ColdSenders::daemons(0);
+        let (samples, alone) = (seed as usize, Some(seed));
+        Scheduler { samples, alone, cold_senders, ..Scheduler::new(limits, policy) }
     }
 
     /// The endpoint of a request that was placed, and another one with room if there is any.
@@ -225,6 +239,7 @@
 
     /// Decides all that can be decided now.
     pub fn decide(&mut self, now: Instant) -> Vec<Action> {
+        self.decided = now;
         let mut actions = self.expire(now);
         actions.extend(self.give_up_where_all_are_out(now));
         let targets: Vec<EndpointTarget> = self
@@ -249,7 +264,17 @@
     /// When [`Scheduler::decide`] and [`Scheduler::evacuate`] must be called even without
     /// other input.
     pub fn next_decision(&self) -> Option<Instant> {
-        self.next_expiry().into_iter().chain(self.next_evacuation()).min()
+        let next = self.next_expiry().into_iter().chain(self.next_evacuation());
+        next.chain(self.next_while_cold()).min()
+    }
+
+    /// When a cold endpoint next takes a request, while any waits.
+    fn next_while_cold(&self) -> Option<Instant> {
+        if self.queued.is_empty() {
+            return None;
+        }
+        let cold = self.cold.iter().filter_map(|name| self.endpoints.get(name));
+        cold.filter_map(EndpointState::next_while_cold).filter(|at| self.decided < *at).min()
     }
 
     fn expire(&mut self, now: Instant) -> Vec<Action> {
--- a/crates/core/src/registry/known.rs
+++ b/crates/core/src/registry/known.rs
@@ -4,10 +4,15 @@
     collections::{BTreeMap, BTreeSet, HashMap},
     net::SocketAddr,
     sync::Arc,
+    time::Duration,
 };
 
 use crate::{units::Instant, wire::EndpointRecord};
 
+/// An endpoint that says it is cold for this much longer than was known is cold anew: between two
+/// heartbeats the time that is left differs by the delays of both.
+const COLD_ANEW: Duration = Duration::from_millis(200);
+
 /// What is known of one endpoint.
 #[derive(Debug, Clone)]
 pub(super) struct Known {
@@ -21,6 +26,8 @@
     pub(super) leaving_since: Option<Instant>,
     /// When its heartbeats were found to have stopped.
     pub(super) silent_since: Option<Instant>,
+    /// Until when it is cold, as far as known.
+    pub(super) cold_until: Option<Instant>,
 }
 
 impl Known {
@@ -32,17 +39,27 @@
     ) -> Known {
         let leaving_since = record.leaving.then_some(now);
         let silent_since = record.silent.then_some(now);
-        Known { record, address, heard, recalled: false, leaving_since, silent_since }
+        let cold_until = cold_until(&record, heard);
+        let recalled = false;
+        Known { record, address, heard, recalled, leaving_since, silent_since, cold_until }
+    }
+
+    /// Notes that it is cold until then at least; tells whether that is new.
+    pub(super) fn cool(&mut self, until: Instant) -> bool {
+        let is_new = self.cold_until.is_none_or(|known| known.after(COLD_ANEW) < until);
+        is_new
     }
 
     /// Takes what a record says beyond what is known; tells whether that is anything.
     fn merge(&mut self, record: EndpointRecord, address: SocketAddr, heard: Instant) -> bool {
-        let known = &self.record;
-        let newer = known.sequence < record.sequence;
+        let newer = self.record.sequence < record.sequence;
         if newer && !record.silent {
             self.heard = self.heard.max(heard);
             self.recalled = false;
         }
+        let cold = cold_until(&record, heard).filter(|_| newer);
+        let is_cold_anew = cold.is_some_and(|until| self.cool(until));
+        let known = &self.record;
         let mut merged = if newer { record.clone() } else { known.clone() };
         // It may have begun to leave by a message without a number.
         merged.leaving = known.leaving || record.leaving;
@@ -56,7 +73,7 @@
                 == *known;
         self.record = merged;
         self.address = address;
-        !same
+        !same || is_cold_anew
     }
 
     pub(super) fn note_state(&mut self, now: Instant) {
@@ -70,6 +87,11 @@
     }
 }
 
+/// Until when an endpoint is cold by a record that was heard then.
+fn cold_until(record: &EndpointRecord, heard: Instant) -> Option<Instant> {
+    (0 < record.cold_ms).then(|| heard.after(Duration::from_millis(record.cold_ms)))
+}
+
 /// All of them. Looked for by address they are found in the same time whatever their number: one after
 /// the other they kept an entry of 0.12 cores busy for 0.4 s when it learned of 3,000.
 #[derive(Debug, Default)]
@@ -117,6 +139,10 @@
         }
     }
 
+    pub(super) fn values_mut(&mut self) -> impl Iterator<Item = &mut Known> {
+        self.by_id.values_mut()
+    }
+
     /// Removes those that are known at an address.
     pub(super) fn remove_at(&mut self, address: SocketAddr) {
         for id in self.by_address.remove(&address).into_iter().flatten() {
--- a/crates/core/src/registry/mod.rs
+++ b/crates/core/src/registry/mod.rs
@@ -66,6 +66,8 @@
     pub open: bool,
     /// Whether its data hall is out of service: nothing at all is sent there.
     pub out: bool,
+    /// Until when it is cold, as far as known.
+    pub cold_until: Option<Instant>,
     /// Number of the heartbeat that told what is new.
     pub sequence: u64,
 }
@@ -307,12 +309,30 @@
                 kv_tokens: engine.kv_tokens,
                 checks_fence: false,
                 moves: engine.moves,
+                cold_start: service.and_then(|service| service.cold_start),
             };
             endpoints.insert(id.to_string(), spec);
         }
         endpoints
     }
 
+    /// Until when endpoints are cold, by name; those of which that is not known are left out.
+    pub fn cold(&self) -> impl Iterator<Item = (&Arc<str>, Instant)> {
+        self.known.iter().filter_map(|(id, known)| Some((id, known.cold_until?)))
+    }
+
+    /// Notes that a data hall was given back to service: its endpoints may have become cold shortly
+    /// before, and say so only with their next heartbeats.
+    pub fn hall_back(&mut self, hall: &str, config: &Config, now: Instant) {
+        for known in self.known.values_mut().filter(|known| known.record.hall == hall) {
+            let service = config.services.get(&known.record.service);
+            if let Some(cold_start) = service.and_then(|service| service.cold_start) {
+                known.cool(now.after(cold_start.lasts));
+                self.revision += 1;
+            }
+        }
+    }
+
     /// Names of the endpoints that must get no new work: those that leave, and those that are
     /// silent while another of their service is heard. Where all are silent it is more likely
     /// that their heartbeats do not arrive than that all have failed at once.
@@ -341,6 +361,7 @@
                 hall: known.record.hall.as_str().into(),
                 open: !out && !closed.contains(id),
                 out,
+                cold_until: known.cold_until,
                 sequence: known.record.sequence,
             }
         };
--- a/crates/lab/src/fleet/engines.rs
+++ b/crates/lab/src/fleet/engines.rs
@@ -85,6 +85,7 @@
             kv_tokens: SPEC.kv_tokens,
             checks_fence: false,
             moves: true,
+            cold_start: None,
         }
     }
 
--- a/crates/server/src/relay/call.rs
+++ b/crates/server/src/relay/call.rs
@@ -168,6 +168,7 @@
 
     fn choose(&self) -> Option<Registered> {
         let endpoints = self.relay.node.view().open_endpoints(&self.job.service);
+        let endpoints = self.relay.loads.open(endpoints, self.relay.cold_rule(self.job).as_ref());
         self.relay.loads.choose(&endpoints, &self.tried, &self.relay.hall)
     }
 
@@ -185,7 +186,13 @@
 
 /// The error for a call to a service that no endpoint serves now.
 fn no_endpoint(relay: &Relay, service: &str) -> RequestError {
-    if relay.node.view().is_out_of_service(service) {
+    let view = relay.node.view();
+    if !view.open_endpoints(service).is_empty() {
+        // They are cold, and bear no more for now.
+        let message = format!("the endpoints of {service} have just started");
+        return RequestError::new(ErrorKind::Overloaded, message);
+    }
+    if view.is_out_of_service(service) {
         let message = format!("every data hall that serves {service} is out of service");
         return RequestError::new(ErrorKind::OutOfService, message);
     }
@@ -197,7 +204,7 @@
     let began = Instant::now();
     let inputs = relay.inputs();
     let own_running = relay.loads.running(&endpoint.id);
-    let running = relay.loads.begin(&endpoint.id);
+    let running = relay.loads.begin(&endpoint.id, relay.cold_rule(job).as_ref());
     let (end, verdict) = ask(relay, job, &endpoint).await;
     drop(running);
     relay.loads.note(&endpoint.id, verdict);
--- a/crates/server/src/relay/loads.rs
+++ b/crates/server/src/relay/loads.rs
@@ -9,8 +9,11 @@
 };
 
 use trayswitch_core::{
+    config::ColdStart,
     mechanism::{Disabled, Mechanism},
+    placement::{Cold, ColdSenders},
     registry::Registered,
+    units,
 };
 
 /// An endpoint that failed is left alone for this long, doubled after each failure in a row.
@@ -32,6 +35,47 @@
     failed: f64,
     failures: u32,
     closed_until: Option<Instant>,
+    /// When it may be tried again after it has not answered: it may have started anew.
+    retried: Option<Instant>,
+    cold: Option<Cold>,
+}
+
+/// What cold endpoints of a service bear, and with how many daemons this one shares it.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct ColdRule {
+    pub(super) bears: ColdStart,
+    pub(super) senders: ColdSenders,
+    pub(super) now: units::Instant,
+}
+
+impl ColdRule {
+    fn interval(&self) -> Duration {
+        self.senders.interval(self.bears)
+    }
+}
+
+impl Load {
+    /// Whether a cold endpoint may be sent a request of this daemon now.
+    fn takes_work(&mut self, endpoint: &Registered, rule: &ColdRule) -> bool {
+        let now = rule.now;
+        let Some(until) = self.cold_until(endpoint, rule).filter(|until| now < *until) else {
+            self.cold = None;
+            return true;
+        };
+        match &mut self.cold {
+            Some(cold) => cold.last(until),
+            cold => *cold = Some(Cold::new(until, rule.interval(), fastrand::f64(), now)),
+        }
+        self.cold.is_none_or(|cold| cold.takes_work(now))
+    }
+
+    /// Until when it is cold: by its own word, or since it may have started anew when it failed.
+    fn cold_until(&self, endpoint: &Registered, rule: &ColdRule) -> Option<units::Instant> {
+        let lasts = rule.bears.lasts;
+        let left = |retried: Instant| (retried + lasts).checked_duration_since(Instant::now());
+        let since_retried = self.retried.and_then(left).map(|left| rule.now.after(left));
+        endpoint.cold_until.max(since_retried)
+    }
 }
 
 /// How a request at an endpoint ended, as far as it tells of the endpoint.
@@ -72,6 +116,20 @@
         Loads { by_name: Rc::default(), disabled }
     }
 
+    /// Those that may be sent a request now, as far as cold ones bear it.
+    pub(super) fn open(
+        &self,
+        mut endpoints: Vec<Registered>,
+        rule: Option<&ColdRule>,
+    ) -> Vec<Registered> {
+        let Some(rule) = rule else { return endpoints };
+        let mut loads = self.by_name.borrow_mut();
+        endpoints.retain(|endpoint| {
+            loads.entry(endpoint.id.clone()).or_default().takes_work(endpoint, rule)
+        });
+        endpoints
+    }
+
     /// The least loaded endpoint, other than those in `avoid` if there is another.
     pub(super) fn choose(
         &self,
@@ -103,14 +161,18 @@
     }
 
     /// Counts a request as running at an endpoint.
-    pub(super) fn begin(&self, id: &Arc<str>) -> Running {
+    pub(super) fn begin(&self, id: &Arc<str>, rule: Option<&ColdRule>) -> Running {
         /// Endpoints that are remembered; those that run nothing go first.
         const MAX_LOADS: usize = 4_096;
         let mut loads = self.by_name.borrow_mut();
         if MAX_LOADS <= loads.len() {
             loads.retain(|_, load| 0 < load.running);
         }
-        loads.entry(id.clone()).or_default().running += 1;
+        let load = loads.entry(id.clone()).or_default();
+        load.running += 1;
+        if let (Some(cold), Some(rule)) = (&mut load.cold, rule) {
+            cold.sent(rule.interval(), rule.now);
+        }
         Running { loads: self.clone(), id: id.clone() }
     }
 
@@ -135,6 +197,7 @@
                 let pause = FIRST_PAUSE * 2u32.pow(load.failures.min(4));
                 load.failures += 1;
                 load.closed_until = Some(Instant::now() + pause.min(LONGEST_PAUSE));
+                load.retried = load.closed_until;
             }
         }
     }
--- a/crates/server/src/relay/mod.rs
+++ b/crates/server/src/relay/mod.rs
@@ -32,9 +32,15 @@
 use trayswitch_core::{
     error::{ErrorKind, RequestError},
     mechanism::{Disabled, Mechanism},
+    placement::ColdSenders,
 };
 
-use self::{budget::RepeatBudget, job::Job, latency::Latency, loads::Loads};
+use self::{
+    budget::RepeatBudget,
+    job::Job,
+    latency::Latency,
+    loads::{ColdRule, Loads},
+};
 pub use self::{
     protocol::{
         Answer, Attempt, CallerRequest, Copied, CopyOrder, MemoryAt, Prompt, Protocol, Reserved,
@@ -138,6 +144,13 @@
         }
     }
 
+    /// What cold endpoints of a request's service bear, if they bear less than others.
+    fn cold_rule(&self, job: &Job) -> Option<ColdRule> {
+        let service = job.config.config.services.get(&job.service)?;
+        let senders = ColdSenders::daemons(self.node.view().daemons());
+        Some(ColdRule { bears: service.cold_start?, senders, now: self.node.now() })
+    }
+
     /// Notes how long an answered call took.
     fn note_latency(&self, service: &str, took: Duration) {
         let mut latencies = self.latencies.borrow_mut();
--- /dev/null
+++ b/crates/server/src/relay/tests/cold.rs
@@ -0,0 +1,111 @@
+//! What many daemons together send to plain endpoints that are cold.
+
+use std::{collections::VecDeque, sync::Arc, time::Duration};
+
+use googletest::prelude::*;
+use trayswitch_core::{
+    config::ColdStart, mechanism::Disabled, placement::ColdSenders, registry::Registered,
+    units::Instant,
+};
+
+use crate::relay::loads::{ColdRule, Loads, Verdict};
+
+/// What an endpoint bears in a second while it is cold, and what it falls over at.
+const BEARS: u32 = 20;
+const FALLS_OVER: usize = 35;
+const SECOND: Duration = Duration::from_secs(1);
+
+fn endpoint(n: usize, cold_until: Option<Instant>) -> Registered {
+    Registered {
+        id: format!("e{n}").into(),
+        service: "desk".into(),
+        address: format!("10.0.0.{}:80", n + 1).parse().unwrap(),
+        hall: "h".into(),
+        open: true,
+        out: false,
+        cold_until,
+        sequence: 1,
+    }
+}
+
+fn rule(daemons: u64, now: Instant) -> ColdRule {
+    let bears = ColdStart { lasts: SECOND, interval: SECOND / BEARS };
+    ColdRule { bears, senders: ColdSenders::daemons(daemons), now }
+}
+
+/// Sends a request of a daemon, if it may send any; returns where.
+fn send(loads: &Loads, endpoints: &[Registered], rule: &ColdRule) -> Option<Arc<str>> {
+    let open = loads.open(endpoints.to_vec(), Some(rule));
+    let chosen = loads.choose(&open, &[], "h")?;
+    drop(loads.begin(&chosen.id, Some(rule)));
+    Some(chosen.id)
+}
+
+fn most_in_a_second(times: &[Instant]) -> usize {
+    let mut window = VecDeque::new();
+    let mut most = 0;
+    for at in times {
+        window.push_back(*at);
+        while window.front().is_some_and(|first: &Instant| first.after(SECOND) <= *at) {
+            window.pop_front();
+        }
+        most = most.max(window.len());
+    }
+    most
+}
+
+#[gtest]
+fn daemons_together_send_a_cold_endpoint_what_it_bears_whatever_their_number() {
+    fastrand::seed(7);
+    for daemons in [1, 7, 64, 300] {
+        let all: Vec<Loads> = (0..daemons).map(|_| Loads::new(Disabled::default())).collect();
+        let endpoints = [endpoint(0, Some(Instant(0).after(SECOND * 5)))];
+        let mut times = Vec::new();
+        for at in 0..500 {
+            let now = Instant(at * 10_000);
+            for loads in &all {
+                times.extend(send(loads, &endpoints, &rule(daemons, now)).map(|_| now));
+            }
+        }
+
+        expect_that!(most_in_a_second(&times), le(FALLS_OVER), "{daemons} daemons");
+        expect_that!(times.len(), ge(25), "{daemons} daemons: used in 5 s");
+    }
+}
+
+#[gtest]
+fn while_cold_endpoints_take_no_more_the_others_are_chosen() {
+    fastrand::seed(8);
+    let loads = Loads::new(Disabled::default());
+    let endpoints = [endpoint(0, Some(Instant(0).after(SECOND))), endpoint(1, None)];
+    let chosen: Vec<Arc<str>> =
+        (0..50).filter_map(|_| send(&loads, &endpoints, &rule(64, Instant(0)))).collect();
+
+    expect_that!(chosen.len(), eq(50));
+    expect_that!(chosen.iter().filter(|id| &***id == "e0").count(), le(1));
+}
+
+#[gtest]
+fn an_endpoint_that_did_not_answer_is_taken_for_cold_when_it_is_tried_again() {
+    fastrand::seed(9);
+    let loads = Loads::new(Disabled::default());
+    let endpoints = [endpoint(0, None)];
+    loads.note(&"e0".into(), Verdict::Dead);
+
+    let chosen = (0..50).filter_map(|_| send(&loads, &endpoints, &rule(64, Instant(0))));
+
+    expect_that!(chosen.count(), le(1));
+}
+
+#[gtest]
+fn one_that_is_cold_no_more_is_sent_all() {
+    fastrand::seed(10);
+    let loads = Loads::new(Disabled::default());
+    let endpoints = [endpoint(0, Some(Instant(0).after(SECOND)))];
+    send(&loads, &endpoints, &rule(64, Instant(0)));
+
+    let warm = rule(64, Instant(0).after(SECOND));
+    let chosen = (0..50).filter_map(|_| send(&loads, &endpoints, &warm));
+
+    expect_that!(chosen.count(), eq(50));
+}
--- a/crates/server/src/relay/tests/mod.rs
+++ b/crates/server/src/relay/tests/mod.rs
@@ -2,6 +2,7 @@
 
 mod budget;
 mod calls;
+mod cold;
 mod endpoint;
 mod entry;
 mod generations;
