Keep what cold endpoints are sent to what they bear

Endpoints of a hall that is given back, and those that failed and are tried again, are taken for cold until their heartbeats say otherwise.

--- a/crates/core/src/placement/cold.rs
+++ b/crates/core/src/placement/cold.rs
@@ -72,7 +72,7 @@
 
     /// Whether it may be sent a request now.
     pub fn takes_work(&self, now: Instant) -> bool {
-        true
+        self.is_over(now) || self.next <= now
     }
 
     /// When it may be sent a request, if that is not so already.
--- a/crates/core/src/registry/known.rs
+++ b/crates/core/src/registry/known.rs
@@ -47,6 +47,7 @@
     /// Notes that it is cold until then at least; tells whether that is new.
     pub(super) fn cool(&mut self, until: Instant) -> bool {
         let is_new = self.cold_until.is_none_or(|known| known.after(COLD_ANEW) < until);
+        self.cold_until = self.cold_until.max(Some(until));
         is_new
     }
 
