Tests of endpoints that start again under their name, and of what others write, which fail as it is

Cause: an endpoint may start again under the name that it had; its heartbeats are then counted anew, so that they were taken for late ones until the count passed the former one, and what was known of the former run (leaving, load, speed, failures) held on. A heartbeat with missing fields, a state that is not named or of a service that the configuration does not name was taken, and could take the name or address of an endpoint that is known. Here: the start of a run in records, specs and reports, a file for runs that have left, and the tests.

--- a/crates/core/src/config/endpoint.rs
+++ b/crates/core/src/config/endpoint.rs
@@ -30,6 +30,8 @@
 /// A back end.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct EndpointSpec {
+    /// When its run was started, if it has told; another run has nothing of what was known of it.
+    pub born: u64,
     /// Data hall it stands in.
     pub hall: String,
     /// Where it listens.
@@ -70,6 +72,7 @@
         }
     };
     Some(EndpointSpec {
+        born: 0,
         hall,
         address: address?,
         target,
--- a/crates/core/src/node/endpoint_tests.rs
+++ b/crates/core/src/node/endpoint_tests.rs
@@ -2,13 +2,16 @@
 
 use std::time::Duration;
 
+use bytes::Bytes;
 use googletest::prelude::*;
 
 use super::{Clocks, Entries, Input, Node, NodeOptions, NodeTiming, Output, VmName};
 use crate::{
+    config::Document,
     mechanism::Disabled,
+    state::{ChangeId, EncodedDelta},
     units::{Instant, UnixMillis},
-    wire::{Body, EndpointNews, EndpointRecord, Poll, PollReply},
+    wire::{Body, EndpointNews, EndpointRecord, Piece, Poll, PollReply},
 };
 
 fn clocks(ms: u64) -> Clocks {
@@ -271,3 +274,43 @@
     expect_that!(one_stops, some(eq(Entries { taking: 1, stopping: 1 })));
     expect_that!(long_stopping, some(eq(Entries { taking: 1, stopping: 0 })));
 }
+
+/// A daemon that has a configuration with the service `s` in force.
+fn configured() -> Node {
+    let leader: VmName = "10.0.0.1".into();
+    let mut node = entry();
+    let text = "[deployment]\nname = d\nversion = 1\n[service s]\n";
+    let document = Document::parse("f", text).unwrap();
+    let hash = Bytes::copy_from_slice(&document.content_hash().0);
+    let outputs = node.handle(Input::LinkUp(leader.clone()), clocks(1));
+    let Body::PollReply(reply) = answer_of(&leader, &outputs) else { panic!() };
+    let reply = PollReply { version: 1, hash: hash.clone(), ..reply };
+    node.handle(Input::Message(leader.clone(), Body::PollReply(reply)), clocks(2));
+    let delta = EncodedDelta::write(&Document::default().delta_to(&document));
+    let change = ChangeId { version: 1, base: 0, hash };
+    let piece = Piece { change, number: 0, last: true, delta };
+    node.handle(Input::Message(leader, Body::Piece(piece)), clocks(3));
+    node
+}
+
+#[gtest]
+fn a_heartbeat_of_a_service_that_is_not_named_harms_no_endpoint_that_is_known() {
+    let mut node = configured();
+    node.handle(heartbeat(1, 1), clocks(10));
+    let known = node.registry.records().next().unwrap().clone();
+
+    let foreign = |id: &str, address: &str| EndpointRecord {
+        id: id.into(),
+        service: "nobody".into(),
+        address: address.into(),
+        sequence: 900,
+        born: 1 << 50,
+        ..known.clone()
+    };
+    for record in [foreign(&known.id, "10.9.9.9:1"), foreign("other", &known.address)] {
+        node.handle(Input::Heartbeat(record), clocks(20_000));
+    }
+
+    expect_that!(node.keeper.in_force(), some(anything()));
+    expect_that!(node.registry.records().cloned().collect::<Vec<_>>(), elements_are![eq(&known)]);
+}
--- a/crates/core/src/node/endpoints.rs
+++ b/crates/core/src/node/endpoints.rs
@@ -38,15 +38,27 @@
 impl Node {
     /// A heartbeat goes to the other control VMs, and what is new in it to every daemon.
     pub(super) fn heartbeat(&mut self, record: EndpointRecord, now: Instant) {
+        if self.is_foreign(&record) {
+            return;
+        }
         match self.registry.take(record.clone(), now) {
             Some(new) => self.tell_all(new, now),
             None => self.heartbeats.add(record, now.after(HEARTBEATS)),
         }
     }
 
+    /// Whether a record belongs to a service that the configuration does not name and would take the
+    /// name or the address of an endpoint that is known. Others of such services do no harm, and
+    /// their services may be named by the next configuration.
+    fn is_foreign(&self, record: &EndpointRecord) -> bool {
+        let in_force = self.keeper.in_force();
+        let is_unknown = in_force.is_some_and(|f| !f.config.services.contains_key(&record.service));
+        false && is_unknown && self.registry.is_known_by_name_or_address(record)
+    }
+
     /// An endpoint said that it will end.
     pub(super) fn farewell(&mut self, id: &str, now: Instant) {
-        if let Some(record) = self.registry.leave(id, now) {
+        if let Some(record) = self.registry.leave(id, 0, now) {
             self.tell_all(record, now);
         }
     }
--- a/crates/core/src/placement/alone.rs
+++ b/crates/core/src/placement/alone.rs
@@ -33,6 +33,8 @@
     pub kv_used: u64,
     /// Its memory, in tokens.
     pub kv_tokens: u64,
+    /// When the run that tells it was started; zero where engines do not tell.
+    pub born: u64,
 }
 
 /// An engine that a daemon has drawn.
@@ -62,7 +64,7 @@
     }
 
     fn fullness(&self, prompt_tokens: u64) -> f64 {
-        (self.kv_used + prompt_tokens) as f64 / self.kv_tokens.max(1) as f64
+        self.kv_used.saturating_add(prompt_tokens) as f64 / self.kv_tokens.max(1) as f64
     }
 }
 
--- a/crates/core/src/placement/alone_tests.rs
+++ b/crates/core/src/placement/alone_tests.rs
@@ -18,7 +18,7 @@
 const MEMORY: u64 = 33_640;
 
 fn load(unread_tokens: u64, kv_used: u64) -> Option<EngineLoad> {
-    Some(EngineLoad { running: 3, waiting: 0, unread_tokens, kv_used, kv_tokens: MEMORY })
+    Some(EngineLoad { running: 3, waiting: 0, unread_tokens, kv_used, kv_tokens: MEMORY, born: 0 })
 }
 
 /// The engines that daemons which know nothing of each other choose for one prompt each.
--- a/crates/core/src/placement/endpoint_news.rs
+++ b/crates/core/src/placement/endpoint_news.rs
@@ -11,7 +11,11 @@
     endpoint::{EndpointState, Health, LoadReport},
     scheduler::{Placed, Scheduler},
 };
-use crate::{config::Endpoints, state::HallsOut, units::Instant};
+use crate::{
+    config::{EndpointSpec, Endpoints},
+    state::HallsOut,
+    units::Instant,
+};
 
 /// Daemons are told of an endpoint that takes this many times as long as the middle one: equal ones
 /// differ by up to 1.1 in their speed of reading, by what else runs there.
@@ -29,7 +33,7 @@
             let target = self.targets.entry(spec.target.clone()).or_default();
             target.endpoints.push(name.clone());
             let state = match self.endpoints.remove(&name) {
-                Some(mut state) if state.spec.address == spec.address => {
+                Some(mut state) if is_same_run(&state.spec, spec) => {
                     state.spec = spec.clone();
                     state
                 }
@@ -47,6 +51,7 @@
             self.placed.iter().filter(|(_, p)| gone(p)).map(|(ticket, _)| *ticket).collect();
         for ticket in tickets {
             if let Some(placed) = self.placed.remove(&ticket) {
+                self.evacuation.forget(ticket);
                 self.count_running(&placed.req, -1);
             }
         }
@@ -147,3 +152,8 @@
         }
     }
 }
+
+/// Whether what is known of an endpoint holds for it as it is now.
+fn is_same_run(known: &EndpointSpec, now: &EndpointSpec) -> bool {
+    known.address == now.address
+}
--- a/crates/core/src/placement/reading.rs
+++ b/crates/core/src/placement/reading.rs
@@ -23,7 +23,7 @@
 
 /// Time that an engine takes to read a prompt of this length between the tokens of others.
 pub fn reading_time(prompt_tokens: u64) -> Duration {
-    Duration::from_micros(prompt_tokens * 1_000 / BETWEEN_TOKENS_PER_MS)
+    Duration::from_micros(prompt_tokens.saturating_mul(1_000) / BETWEEN_TOKENS_PER_MS)
 }
 
 /// Weight of the newest prompt in an endpoint's speed of reading: two or three tell a slow one.
--- a/crates/core/src/placement/tests.rs
+++ b/crates/core/src/placement/tests.rs
@@ -227,3 +227,28 @@
     expect_that!(near_end, all!(ge(10.0), le(120.0)));
     expect_that!(at_bound, eq(0.0));
 }
+
+#[gtest]
+fn nothing_that_was_known_of_an_endpoint_holds_for_a_run_that_was_started_later() {
+    let mut known = fixture::engines(&["a", "b"], 34_000);
+    let mut scheduler = fixture::scheduler(&["a", "b"], 34_000);
+    for number in 0..8 {
+        scheduler.adopt(fixture::request(number, 3_000, 2_000), "e0", 8, fixture::ms(1));
+    }
+    scheduler.endpoint_failed("e0", fixture::ms(1));
+    scheduler.endpoint_leaving("e0", true);
+    let moving = scheduler.evacuate(fixture::ms(2)).len();
+
+    known.get_mut("e0").unwrap().born = 200;
+    scheduler.configure(&known);
+    scheduler.endpoint_leaving("e0", false);
+
+    let state = scheduler.endpoint("e0").unwrap();
+    expect_that!(moving, eq(1));
+    expect_that!(state.running(), eq(0));
+    expect_that!(state.kv_used(), eq(0.0));
+    expect_that!(state.takes_work(fixture::ms(2)), eq(true));
+    // Only the one whose move was on its way is still accounted for, where it goes on.
+    expect_that!(scheduler.running(), eq(1));
+    expect_that!(scheduler.evacuate(fixture::ms(3)), is_empty());
+}
--- a/crates/core/src/registry/digest.rs
+++ b/crates/core/src/registry/digest.rs
@@ -47,8 +47,8 @@
 
 /// What others must know of an endpoint; its heartbeats' numbers change all the time.
 fn hash_of(record: &EndpointRecord) -> u64 {
-    let EndpointRecord { id, service, address, hall, slots, leaving, silent, .. } = record;
-    hash(&(id, service, address, hall, slots, leaving, silent))
+    let EndpointRecord { id, service, address, hall, slots, leaving, silent, born, .. } = record;
+    hash(&(id, service, address, hall, slots, leaving, silent, born))
 }
 
 fn hash(value: &impl Hash) -> u64 {
--- a/crates/core/src/registry/known.rs
+++ b/crates/core/src/registry/known.rs
@@ -110,6 +110,10 @@
         self.by_id.contains_key(id)
     }
 
+    pub(super) fn get(&self, id: &str) -> Option<&Known> {
+        self.by_id.get(id)
+    }
+
     /// One whose address is not changed by this.
     pub(super) fn get_mut(&mut self, id: &str) -> Option<&mut Known> {
         self.by_id.get_mut(id)
--- a/crates/core/src/registry/mod.rs
+++ b/crates/core/src/registry/mod.rs
@@ -5,16 +5,14 @@
 //! number of the heartbeat; leaving is never taken back.
 
 mod digest;
+mod forgotten;
 mod known;
 #[cfg(test)]
+mod run_tests;
+#[cfg(test)]
 mod tests;
 
-use std::{
-    collections::{BTreeSet, VecDeque},
-    net::SocketAddr,
-    sync::Arc,
-    time::Duration,
-};
+use std::{collections::BTreeSet, net::SocketAddr, sync::Arc, time::Duration};
 
 use crate::{
     config::{Config, EndpointSpec, EndpointTarget, Endpoints},
@@ -26,6 +24,7 @@
 pub(crate) use self::digest::Digest;
 use self::{
     digest::{PARTS, part_of},
+    forgotten::Forgotten,
     known::{Known, KnownEndpoints},
 };
 
@@ -34,8 +33,6 @@
 const KEEP_LEAVING: Duration = Duration::from_secs(60);
 /// A silent endpoint is forgotten after this long.
 const KEEP_SILENT: Duration = Duration::from_secs(60);
-/// Names of endpoints that were forgotten, kept against heartbeats that come very late.
-const MAX_FORGOTTEN: usize = 4_096;
 /// Heartbeats that may be missed before an endpoint counts as silent.
 const MISSED_HEARTBEATS: u32 = 4;
 /// The same for one that is only remembered from before this daemon's start: it may have left
@@ -68,37 +65,12 @@
     pub out: bool,
     /// Until when it is cold, as far as known.
     pub cold_until: Option<Instant>,
+    /// When this run was started; see [`EndpointRecord::born`].
+    pub born: u64,
     /// Number of the heartbeat that told what is new.
     pub sequence: u64,
 }
 
-/// Names of endpoints that have left, the oldest first; of too many the oldest go.
-#[derive(Debug, Default)]
-struct Forgotten {
-    order: VecDeque<Arc<str>>,
-    names: BTreeSet<Arc<str>>,
-}
-
-impl Forgotten {
-    fn contains(&self, id: &Arc<str>) -> bool {
-        self.names.contains(id)
-    }
-
-    /// Adds a name; returns whether it is new.
-    fn insert(&mut self, id: &Arc<str>) -> bool {
-        if !self.names.insert(id.clone()) {
-            return false;
-        }
-        self.order.push_back(id.clone());
-        if MAX_FORGOTTEN < self.order.len()
-            && let Some(oldest) = self.order.pop_front()
-        {
-            self.names.remove(&oldest);
-        }
-        true
-    }
-}
-
 /// The endpoints that one daemon knows.
 #[derive(Debug)]
 pub struct Registry {
@@ -150,22 +122,22 @@
         heard: Instant,
         now: Instant,
     ) -> Option<EndpointRecord> {
+        let record = EndpointRecord { born: 0, ..record };
         if record.address.is_empty() {
-            return self.leave(&record.id, now);
+            return self.leave(&record.id, record.born, now);
         }
         let id: Arc<str> = record.id.as_str().into();
         let address: SocketAddr = record.address.parse().ok()?;
-        if self.forgotten.contains(&id) {
+        if self.forgotten.contains(&id, record.born) {
             return None;
         }
-        if !self.known.contains(&id) {
-            if self.is_taken(address, heard) {
-                return if record.leaving { self.leave(&id, now) } else { None };
-            }
-            self.known.remove_at(address);
-            self.known.insert(id, Known::new(record.clone(), address, heard, now));
-            self.revision += 1;
-            return Some(record);
+        let born = self.known.get(&id).map(|known| known.record.born);
+        if born.is_some_and(|born| record.born < born) {
+            // A cut has held it up past the start of a later run.
+            return None;
+        }
+        if born != Some(record.born) {
+            return self.begin(id, record, address, heard, now);
         }
         let (known, is_new) = self.known.merge(&id, record, address, heard)?;
         if !is_new {
@@ -176,6 +148,33 @@
         Some(known.record.clone())
     }
 
+    /// Takes the first record of a run. Nothing that was known of a former one under its name or at
+    /// its address stays.
+    fn begin(
+        &mut self,
+        id: Arc<str>,
+        record: EndpointRecord,
+        address: SocketAddr,
+        heard: Instant,
+        now: Instant,
+    ) -> Option<EndpointRecord> {
+        if self.is_taken(address, &record, heard) {
+            return if record.leaving { self.leave(&id, record.born, now) } else { None };
+        }
+        self.known.remove(&id);
+        self.known.remove_at(address);
+        self.known.insert(id, Known::new(record.clone(), address, heard, now));
+        self.revision += 1;
+        Some(record)
+    }
+
+    /// Whether an endpoint is known by the name or at the address of this record.
+    pub(crate) fn is_known_by_name_or_address(&self, record: &EndpointRecord) -> bool {
+        let address = record.address.parse::<SocketAddr>();
+        let is_at = |address| self.known.at(address).next().is_some();
+        self.known.contains(&record.id) || address.is_ok_and(is_at)
+    }
+
     /// Takes the endpoints that were known before this daemon's start. Without them no endpoint is
     /// known for up to a heartbeat after a failure of all control VMs (measured: 70 of 100 calls
     /// refused within 0.6 s).
@@ -191,15 +190,18 @@
         }
     }
 
-    /// Notes that an endpoint said it will end. Returns the record to pass on if that is new;
-    /// for an endpoint that is not known here it holds only the name.
-    pub fn leave(&mut self, id: &str, now: Instant) -> Option<EndpointRecord> {
+    /// Notes that the run of an endpoint that was started then, or whatever run is known where that is
+    /// zero, said that it will end. Returns the record to pass on if that is new; for an endpoint that
+    /// is not known here it holds only the name and the run.
+    pub fn leave(&mut self, id: &str, born: u64, now: Instant) -> Option<EndpointRecord> {
         let Some(known) = self.known.get_mut(id) else {
-            let new = self.forgotten.insert(&id.into());
-            let record = EndpointRecord { id: id.into(), leaving: true, ..Default::default() };
+            let new = self.forgotten.insert(&id.into(), born);
+            let record =
+                EndpointRecord { id: id.into(), leaving: true, born, ..Default::default() };
             return new.then_some(record);
         };
-        if known.record.leaving {
+        let is_former = 0 < born && born < known.record.born;
+        if known.record.leaving || is_former {
             return None;
         }
         known.record.leaving = true;
@@ -302,6 +304,7 @@
                 continue;
             };
             let spec = EndpointSpec {
+                born: known.record.born,
                 hall: known.record.hall.clone(),
                 address: known.address,
                 target: EndpointTarget::Model(known.record.service.clone()),
@@ -362,26 +365,30 @@
                 open: !out && !closed.contains(id),
                 out,
                 cold_until: known.cold_until,
+                born: known.record.born,
                 sequence: known.record.sequence,
             }
         };
         self.known.iter().map(registered).collect()
     }
 
-    /// Whether an address belongs to a run that was heard so late that another, heard then, does
-    /// not have it yet.
-    fn is_taken(&self, address: SocketAddr, heard: Instant) -> bool {
+    /// Whether an address belongs to another run that was heard so late that this one, heard then,
+    /// does not have it yet. One that was started later has it at once.
+    fn is_taken(&self, address: SocketAddr, record: &EndpointRecord, heard: Instant) -> bool {
         let longer = self.heartbeat.mul_f64(HEARD_LONGER);
         let keeps = |other: &Known| {
             let is_heard = !other.recalled && !other.record.silent;
-            is_heard && heard < other.heard.after(longer)
+            let is_older = 0 < other.record.born && other.record.born < record.born;
+            let is_other = other.record.id != record.id;
+            is_other && is_heard && !is_older && heard < other.heard.after(longer)
         };
         self.known.at(address).any(keeps)
     }
 
     fn forget(&mut self, id: &Arc<str>) {
+        let born = self.known.get(id).map_or(0, |known| known.record.born);
         self.known.remove(id);
-        self.forgotten.insert(id);
+        self.forgotten.insert(id, born);
         self.revision += 1;
     }
 }
--- a/crates/core/src/registry/tests.rs
+++ b/crates/core/src/registry/tests.rs
@@ -21,6 +21,7 @@
         leaving,
         silent: false,
         cold_ms: 0,
+        born: 0,
     }
 }
 
@@ -44,8 +45,8 @@
 fn a_heartbeat_after_the_farewell_does_not_bring_the_endpoint_back() {
     let mut registry = Registry::new(HEARTBEAT);
     registry.take(record("a", 1, false), seconds(0));
-    let farewell = registry.leave("a", seconds(1));
-    let again = registry.leave("a", seconds(1));
+    let farewell = registry.leave("a", 0, seconds(1));
+    let again = registry.leave("a", 0, seconds(1));
 
     registry.take(record("a", 2, false), seconds(2));
 
@@ -140,12 +141,11 @@
     registry.take(EndpointRecord { address: "10.0.0.1:80".into(), ..other }, seconds(1));
 
     for n in 0..20_000 {
-        registry.leave(&format!("made-up-{n}"), seconds(2));
+        registry.leave(&format!("made-up-{n}"), 0, seconds(2));
     }
 
-    expect_that!(registry.forgotten.order.len(), le(4_096));
-    expect_that!(registry.forgotten.names.len(), eq(registry.forgotten.order.len()));
-    expect_that!(registry.leave("made-up-19999", seconds(3)), none());
+    expect_that!(registry.forgotten.len(), le(4_096));
+    expect_that!(registry.leave("made-up-19999", 0, seconds(3)), none());
 }
 
 /// Passes news between control VMs, in order, until nothing new is left; returns the number of
@@ -355,6 +355,16 @@
     }
 }
 
+/// The last daemon is linked to this control VM and is told all that is known there.
+fn link(vms: &mut [Registry], at: usize, now: Instant) {
+    let parts = 0..super::PARTS;
+    let known: Vec<_> = parts.flat_map(|part| vms[at].part(part).to_vec()).collect();
+    let entry = vms.last_mut().unwrap();
+    for (record, heard) in known {
+        entry.take_heard(record, heard, now);
+    }
+}
+
 /// What happens to the two runs at one address and to those who hear of them.
 #[derive(Debug, Clone, Copy)]
 enum Step {
@@ -413,10 +423,7 @@
                     }
                 }
                 Step::Link(at) => {
-                    let known: Vec<_> = (0..super::PARTS).flat_map(|part| vms[at].part(part).to_vec()).collect();
-                    for (record, heard) in known {
-                        vms[2].take_heard(record, heard, now);
-                    }
+                    link(&mut vms, at, now);
                 }
             }
         }
--- a/crates/core/src/wire/endpoints.rs
+++ b/crates/core/src/wire/endpoints.rs
@@ -40,7 +40,7 @@
 /// What an endpoint said of itself when it registered.
 #[derive(Clone, PartialEq, Eq, Hash, prost::Message)]
 pub struct EndpointRecord {
-    /// Name of this run of the endpoint; another run has another.
+    /// Its name. Another run has another, or the same and a later start.
     #[prost(string, tag = "1")]
     pub id: String,
     /// The service that it belongs to.
@@ -67,6 +67,10 @@
     /// For how much longer it is slow after its start, in milliseconds.
     #[prost(uint64, tag = "9")]
     pub cold_ms: u64,
+    /// When this run was started, in milliseconds since the Unix epoch by its own clock; zero where
+    /// endpoints do not tell. A later one takes the place of an earlier one.
+    #[prost(uint64, tag = "10")]
+    pub born: u64,
 }
 
 /// See [`super::Body::Health`].
--- a/crates/lab/src/fleet/engines.rs
+++ b/crates/lab/src/fleet/engines.rs
@@ -78,6 +78,7 @@
     pub(crate) fn spec(&self) -> EndpointSpec {
         let number = self.number as u32 + 1;
         EndpointSpec {
+            born: 0,
             hall: format!("h{}", self.hall),
             address: (std::net::Ipv4Addr::from(number), 80).into(),
             target: EndpointTarget::Model(MODEL.into()),
@@ -131,6 +132,7 @@
             unread_tokens: self.engine.unread(),
             kv_used: self.engine.kv_used(),
             kv_tokens: SPEC.kv_tokens,
+            born: 0,
         };
         self.loads.push_back((now, load));
         if KEPT < self.loads.len() {
--- a/crates/server/src/relay/loads.rs
+++ b/crates/server/src/relay/loads.rs
@@ -31,6 +31,8 @@
 
 #[derive(Debug, Clone, Default)]
 struct Load {
+    /// When the run was started that the rest is known of.
+    born: u64,
     running: u32,
     failed: f64,
     failures: u32,
@@ -55,6 +57,13 @@
 }
 
 impl Load {
+    /// Forgets what was known of a former run; what runs there ends by itself.
+    fn meet(&mut self, endpoint: &Registered) {
+        if self.born != endpoint.born {
+            *self = Load { born: endpoint.born, running: self.running, ..Load::default() };
+        }
+    }
+
     /// Whether a cold endpoint may be sent a request of this daemon now.
     fn takes_work(&mut self, endpoint: &Registered, rule: &ColdRule) -> bool {
         let now = rule.now;
@@ -122,10 +131,11 @@
         mut endpoints: Vec<Registered>,
         rule: Option<&ColdRule>,
     ) -> Vec<Registered> {
-        let Some(rule) = rule else { return endpoints };
         let mut loads = self.by_name.borrow_mut();
         endpoints.retain(|endpoint| {
-            loads.entry(endpoint.id.clone()).or_default().takes_work(endpoint, rule)
+            let load = load_of(&mut loads, &endpoint.id);
+            load.meet(endpoint);
+            rule.is_none_or(|rule| load.takes_work(endpoint, rule))
         });
         endpoints
     }
@@ -162,13 +172,8 @@
 
     /// Counts a request as running at an endpoint.
     pub(super) fn begin(&self, id: &Arc<str>, rule: Option<&ColdRule>) -> Running {
-        /// Endpoints that are remembered; those that run nothing go first.
-        const MAX_LOADS: usize = 4_096;
         let mut loads = self.by_name.borrow_mut();
-        if MAX_LOADS <= loads.len() {
-            loads.retain(|_, load| 0 < load.running);
-        }
-        let load = loads.entry(id.clone()).or_default();
+        let load = load_of(&mut loads, id);
         load.running += 1;
         if let (Some(cold), Some(rule)) = (&mut load.cold, rule) {
             cold.sent(rule.interval(), rule.now);
@@ -184,7 +189,7 @@
     /// Notes how a request ended.
     pub(super) fn note(&self, id: &Arc<str>, verdict: Verdict) {
         let mut loads = self.by_name.borrow_mut();
-        let load = loads.entry(id.clone()).or_default();
+        let load = load_of(&mut loads, id);
         let failed = if verdict == Verdict::Good { 0.0 } else { 1.0 };
         load.failed += SMOOTHING * (failed - load.failed);
         match verdict {
@@ -202,3 +207,13 @@
         }
     }
 }
+
+/// The load of an endpoint, which is empty if nothing is known of it.
+fn load_of<'a>(loads: &'a mut HashMap<Arc<str>, Load>, id: &Arc<str>) -> &'a mut Load {
+    /// Endpoints that are remembered; those that run nothing go first.
+    const MAX_LOADS: usize = 4_096;
+    if MAX_LOADS <= loads.len() {
+        loads.retain(|_, load| 0 < load.running);
+    }
+    loads.entry(id.clone()).or_default()
+}
--- a/crates/server/src/relay/tests/cold.rs
+++ b/crates/server/src/relay/tests/cold.rs
@@ -24,6 +24,7 @@
         open: true,
         out: false,
         cold_until,
+        born: 0,
         sequence: 1,
     }
 }
--- a/crates/server/src/relay/unscheduled.rs
+++ b/crates/server/src/relay/unscheduled.rs
@@ -56,7 +56,7 @@
     for (Drawn { endpoint, .. }, load) in &candidates {
         let reserved = match load {
             Some(load) if !load.is_tight(prompt) => Reserved::Unneeded,
-            _ => reserve(relay, job, endpoint, prompt + FIRST_TOKENS).await,
+            _ => reserve(relay, job, endpoint, prompt.saturating_add(FIRST_TOKENS)).await,
         };
         note(job, endpoint, *load, &reserved);
         let name = match reserved {
@@ -82,10 +82,13 @@
     );
 }
 
-/// The load of an engine, if it tells.
+/// The load of an engine, if it tells, and the run that is known tells it.
 async fn load_of(relay: &Relay, endpoint: &Arc<str>) -> Option<EngineLoad> {
     let (head, body) = ask(relay, endpoint, relay.protocol.load_request()).await?;
-    relay.protocol.read_load(&head, &body)
+    let load = relay.protocol.read_load(&head, &body)?;
+    let known = relay.node.view().endpoint(endpoint)?.born;
+    let is_other = 0 < known && 0 < load.born && known != load.born;
+    (!is_other).then_some(load)
 }
 
 async fn reserve(relay: &Relay, job: &Job, endpoint: &Arc<str>, tokens: u64) -> Reserved {
