Tell runs of an endpoint apart by their start, and take nothing that is not as the platform says

Weighed: ending what runs at a former run as soon as a later one is known: refused, since a request may have gone to the new run under the same name before word of it came, and is then cut off though it runs; connections to a former run end by themselves, at once or within 4 s behind a cut (keep-alive probes). A farewell has no mark of its run: it closes the run that is known, which is safe for callers.

--- a/crates/core/src/node/endpoints.rs
+++ b/crates/core/src/node/endpoints.rs
@@ -53,7 +53,7 @@
     fn is_foreign(&self, record: &EndpointRecord) -> bool {
         let in_force = self.keeper.in_force();
         let is_unknown = in_force.is_some_and(|f| !f.config.services.contains_key(&record.service));
-        false && is_unknown && self.registry.is_known_by_name_or_address(record)
+        is_unknown && self.registry.is_known_by_name_or_address(record)
     }
 
     /// An endpoint said that it will end.
--- a/crates/core/src/placement/endpoint_news.rs
+++ b/crates/core/src/placement/endpoint_news.rs
@@ -155,5 +155,5 @@
 
 /// Whether what is known of an endpoint holds for it as it is now.
 fn is_same_run(known: &EndpointSpec, now: &EndpointSpec) -> bool {
-    known.address == now.address
+    known.address == now.address && known.born == now.born
 }
--- a/crates/core/src/registry/mod.rs
+++ b/crates/core/src/registry/mod.rs
@@ -122,7 +122,6 @@
         heard: Instant,
         now: Instant,
     ) -> Option<EndpointRecord> {
-        let record = EndpointRecord { born: 0, ..record };
         if record.address.is_empty() {
             return self.leave(&record.id, record.born, now);
         }
@@ -139,6 +138,10 @@
         if born != Some(record.born) {
             return self.begin(id, record, address, heard, now);
         }
+        if self.known.get(&id).is_some_and(|known| known.record.service != record.service) {
+            // No run changes its service: this was written by somebody else.
+            return None;
+        }
         let (known, is_new) = self.known.merge(&id, record, address, heard)?;
         if !is_new {
             return None;
