Let requests wait rather than go where their first token comes late

The reckoning of placement knows it at the grant: median of actual to predicted time of reading 1.0, 90% within 1.26 times. They were sent all the same, since a late first token was one cost among others, and the time that a request had waited was not taken off.

Change: an endpoint fits only where the first token comes within what is left of the target; what comes late wherever it goes does not wait for it. Three fixtures that were late by their own numbers have targets that fit; the same crowd of prompts is a test of its own, and any load is played.

--- /dev/null
+++ b/crates/core/src/placement/in_time_tests.rs
@@ -0,0 +1,152 @@
+//! Tests that requests wait rather than go where their first token would come late.
+
+use std::{collections::VecDeque, time::Duration};
+
+use googletest::prelude::*;
+use proptest::prelude::*;
+
+use super::{
+    Action, Request, Scheduler, Ticket,
+    fixture::{ms, request, scheduler},
+    reading::reading_time,
+};
+use crate::{testing::fixed_seed, units::Instant};
+
+/// Time within which a first token should come.
+const WITHIN: Duration = Duration::from_secs(1);
+
+/// A request whose prompt takes this long to read.
+fn reads_for(number: u64, ms: u64) -> Request {
+    let prompt_tokens = ms * 7;
+    let max_wait = WITHIN.saturating_sub(reading_time(prompt_tokens));
+    Request { max_wait, first_within: WITHIN, ..request(number, prompt_tokens, 100) }
+}
+
+fn starts(scheduler: &mut Scheduler, now: Instant) -> Vec<(u64, String)> {
+    let start = |action| match action {
+        Action::Start { ticket, endpoint, .. } => Some((ticket.number, endpoint.to_string())),
+        Action::GiveUp { .. } => None,
+    };
+    scheduler.decide(now).into_iter().filter_map(start).collect()
+}
+
+/// A scheduler of engines that are given prompts of 300 ms at the start.
+fn reading(prompts: &[u64]) -> Scheduler {
+    let mut scheduler = scheduler(&vec!["h"; prompts.len()], 1_000_000);
+    let mut number = 1_000;
+    for (engine, count) in prompts.iter().enumerate() {
+        for _ in 0..*count {
+            number += 1;
+            scheduler.adopt(reads_for(number, 300), &format!("e{engine}"), 0, ms(0));
+        }
+    }
+    scheduler
+}
+
+#[gtest]
+fn a_request_waits_until_its_first_token_would_come_in_time() {
+    let mut scheduler = reading(&[3, 4]);
+    scheduler.arrive(reads_for(1, 200), ms(0)).unwrap();
+
+    let at_once = starts(&mut scheduler, ms(0));
+    scheduler.progress(Ticket { entry: 1, number: 1_001 }, 1, ms(150));
+    let later = starts(&mut scheduler, ms(150));
+
+    expect_that!(at_once, is_empty());
+    expect_that!(later, eq(&vec![(1, "e0".to_owned())]));
+}
+
+#[gtest]
+fn time_that_a_request_has_waited_is_no_longer_left_for_reading() {
+    let mut scheduler = reading(&[4]);
+    scheduler.arrive(reads_for(1, 200), ms(0)).unwrap();
+    starts(&mut scheduler, ms(0));
+
+    scheduler.progress(Ticket { entry: 1, number: 1_001 }, 1, ms(300));
+    scheduler.progress(Ticket { entry: 1, number: 1_002 }, 1, ms(600));
+    let of_three = starts(&mut scheduler, ms(610));
+    scheduler.arrive(Request { rank: 0, ..reads_for(2, 200) }, ms(610)).unwrap();
+    let of_new = starts(&mut scheduler, ms(611));
+
+    expect_that!(of_three, is_empty());
+    expect_that!(of_new, eq(&vec![(2, "e0".to_owned())]));
+}
+
+#[gtest]
+fn a_request_that_comes_late_wherever_it_goes_does_not_wait() {
+    let mut scheduler = reading(&[2]);
+    let max_wait = Duration::from_millis(500);
+    scheduler.arrive(Request { max_wait, ..reads_for(1, 1_500) }, ms(0)).unwrap();
+
+    expect_that!(starts(&mut scheduler, ms(0)), len(eq(1)));
+}
+
+#[gtest]
+fn a_crowd_of_prompts_goes_as_far_as_it_is_read_in_time() {
+    let mut scheduler = scheduler(&["h"], 10_000_000);
+    for number in 0..100 {
+        scheduler.arrive(request(number, 100, 100), ms(0)).unwrap();
+    }
+
+    let sent = starts(&mut scheduler, ms(0)).len();
+
+    // 100 tokens are read in 14 ms, and an endpoint has 48 places.
+    expect_that!(sent, eq(48));
+    expect_that!(scheduler.waiting(), eq(52));
+}
+
+/// Plays requests to endpoints that read one prompt after the other, and gives back the longest
+/// time to a first token, in milliseconds, and the number of answers.
+fn longest_wait(endpoints: usize, gaps: &[(u64, u64)]) -> (u64, usize) {
+    let mut scheduler = scheduler(&vec!["h"; endpoints], 10_000_000);
+    let mut coming: VecDeque<(u64, u64)> = VecDeque::new();
+    let mut at = 0;
+    for (gap, size) in gaps {
+        at += gap;
+        coming.push_back((at, *size));
+    }
+    let mut unread: Vec<VecDeque<(u64, u64)>> = vec![VecDeque::new(); endpoints];
+    let mut arrived = std::collections::HashMap::new();
+    let (mut longest, mut answers, mut number) = (0, 0, 0);
+    for now in 0..at + 3_000 {
+        while coming.front().is_some_and(|(at, _)| *at <= now) {
+            let (_, size) = coming.pop_front().unwrap();
+            number += 1;
+            arrived.insert(number, (now, size));
+            let _ = scheduler.arrive(reads_for(number, size), ms(now));
+        }
+        for prompts in &mut unread {
+            let Some((number, left)) = prompts.front_mut() else { continue };
+            *left -= 1;
+            if *left == 0 {
+                let ticket = Ticket { entry: 1, number: *number };
+                scheduler.progress(ticket, 1, ms(now));
+                scheduler.finish(ticket, 1, true, ms(now));
+                longest = longest.max(now - arrived[number].0);
+                answers += 1;
+                prompts.pop_front();
+            }
+        }
+        for (number, endpoint) in starts(&mut scheduler, ms(now)) {
+            let at: usize = endpoint[1..].parse().unwrap();
+            unread[at].push_back((number, arrived[&number].1));
+        }
+    }
+    (longest, answers)
+}
+
+proptest! {
+    #![proptest_config(fixed_seed(40))]
+
+    /// However prompts come, and though more come than are read, what is answered begins in time.
+    #[test]
+    fn under_any_load_what_is_answered_begins_in_time(
+        gaps in proptest::collection::vec((0u64..120, 20u64..400), 20..200),
+        endpoints in 1usize..4,
+    ) {
+        let (longest, answers) = longest_wait(endpoints, &gaps);
+
+        prop_assert!(longest <= WITHIN.as_millis() as u64 + 20, "{longest} ms");
+        prop_assert!(0 < answers);
+    }
+}
--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -23,6 +23,8 @@
 mod handover;
 #[cfg(test)]
 mod handover_tests;
+#[cfg(test)]
+mod in_time_tests;
 mod pace;
 #[cfg(test)]
 mod pace_tests;
--- a/crates/core/src/placement/policy/forecast.rs
+++ b/crates/core/src/placement/policy/forecast.rs
@@ -6,6 +6,8 @@
 //! from 1.9 and 2.3 s to 1.1 and 1.0 s by the exact account of unread prompts, and chats as a whole from
 //! 5.57 to 5.20 s by what follows from it (`trayswitch-lab fleet --leaving`, 8 seeds).
 
+use std::time::Duration;
+
 use super::{Policy, Work, has_slot, least};
 use crate::{
     mechanism::{Disabled, Mechanism},
@@ -84,10 +86,12 @@
         most / endpoint.spec.kv_tokens as f64
     }
 
-    pub(super) fn fits(&self, work: &Work, endpoint: &EndpointState) -> bool {
+    /// Whether a request may be sent there: it has room, and the first token would come in time.
+    pub(super) fn fits(&self, work: &Work, endpoint: &EndpointState, now: Instant) -> bool {
         let memory = endpoint.spec.kv_tokens == 0 || self.fullness(work, endpoint) <= 1.0;
         // An empty endpoint takes even what the forecast finds too large.
-        has_slot(endpoint) && (memory || endpoint.running == 0)
+        let has_room = has_slot(endpoint) && (memory || endpoint.running == 0);
+        has_room && is_in_time(work, endpoint, now)
     }
 
     /// Seconds lost at this endpoint.
@@ -115,8 +119,7 @@
 
     /// Seconds lost before the first token.
     fn time_to_first(&self, work: &Work, endpoint: &EndpointState, now: Instant) -> f64 {
-        let reading = &endpoint.reading;
-        let first = (reading.left(now) + reading.time_for(work.prompt_tokens)).as_secs_f64();
+        let first = first_token(work, endpoint, now).as_secs_f64();
         let within = work.first_within.as_secs_f64();
         let late = LATE_VALUE * (2.0 * first / within - 1.0).clamp(0.0, 1.0).powi(2);
         self.if_on(Mechanism::ReadingWait, FIRST_TOKEN_WEIGHT * first)
@@ -160,7 +163,20 @@
         let token_times = endpoints.iter().map(|endpoint| fastest.token_time_at(endpoint, now));
         let least_token_time = token_times.min_by(f64::total_cmp).unwrap_or_default();
         let all = Usual { fastest, least_token_time };
-        let fits = |endpoint: &EndpointState| self.fits(work, endpoint);
+        let fits = |endpoint: &EndpointState| self.fits(work, endpoint, now);
         least(endpoints, fits, |endpoint| self.cost(work, endpoint, &all, now))
     }
 }
+
+/// Whether the first token would come in time, or late wherever it is sent.
+fn is_in_time(work: &Work, endpoint: &EndpointState, now: Instant) -> bool {
+    let within = work.first_within;
+    let is_late_anyway = within < endpoint.reading.time_for(work.prompt_tokens);
+    work.prompt_tokens == 0 || is_late_anyway || first_token(work, endpoint, now) <= within
+}
+
+/// Time until the first token of a request that is sent there now (measured: 90% come within 1.3 times
+/// this, also where engines read all the time).
+fn first_token(work: &Work, endpoint: &EndpointState, now: Instant) -> Duration {
+    endpoint.reading.left(now) + endpoint.reading.time_for(work.prompt_tokens)
+}
--- a/crates/core/src/placement/policy/two_drawn.rs
+++ b/crates/core/src/placement/policy/two_drawn.rs
@@ -30,7 +30,7 @@
     }
 
     fn choose(&mut self, work: &Work, endpoints: &[&EndpointState], now: Instant) -> Option<usize> {
-        let has_room = |at: &usize| self.inner.fits(work, endpoints[*at]);
+        let has_room = |at: &usize| self.inner.fits(work, endpoints[*at], now);
         let mut open: Vec<usize> = (0..endpoints.len()).filter(has_room).collect();
         let mut drawn = Vec::new();
         while drawn.len() < 2 && !open.is_empty() {
--- a/crates/core/src/placement/scheduler.rs
+++ b/crates/core/src/placement/scheduler.rs
@@ -363,7 +363,8 @@
             if blocked <= req.rank {
                 continue;
             }
-            let work = Work::new(req, self.forecast.survival(&req.workspace, &req.kind));
+            let mut work = Work::new(req, self.forecast.survival(&req.workspace, &req.kind));
+            work.first_within = req.first_within.saturating_sub(now.since(waiting.arrived));
             self.samples = self.samples.wrapping_add(1);
             let mut open: Vec<&EndpointState> = state
                 .sample(self.samples, req.prefix)
