Name requests by their content, and tell whether an endpoint has ended under one

Cause: the record of requests that end engines cannot tell whether two tries are the same request, nor whether an engine ended or only one connection to it. Change: a keyed digest of method, path, workspace and body, the same for each try on every daemon; after an attempt breaks off, one connection to the endpoint's address tells whether it has ended (refused), is alive or silent; event 316 and trayswitch_attempts_broken_off_total. No decision uses them yet.

--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -61,6 +61,7 @@
     CallerRefused = 313, "A connection or request of a caller was refused before it was routed.";
     PlacedAlone = 315, "No scheduler answers; an engine drawn at random was asked for a place.";
     TakenWhileStopping = 314, "A daemon that stops has taken a generation that will likely end in time.";
+    EndedUnder = 316, "An attempt broke off, and it was found out whether its endpoint has ended.";
     RequestFailed = 304, "A request did not end in its whole answer.";
     FrameDropped = 305, "A frame of a generation was ignored.";
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod node;
 pub mod once;
 pub mod placement;
+pub mod quarantine;
 pub mod registry;
 pub mod state;
 pub mod storage;
--- a/crates/server/src/relay/call.rs
+++ b/crates/server/src/relay/call.rs
@@ -232,7 +232,10 @@
     let opened = exchange(endpoint.address, req, connect_limit).await;
     match opened {
         Err(SendError::NotSent(problem)) => (End::NotRun(problem), Verdict::Dead),
-        Err(SendError::Lost(problem)) => (End::Unknown(problem), Verdict::Dead),
+        Err(SendError::Lost(problem)) => {
+            relay.look_after(job, endpoint, 0);
+            (End::Unknown(problem), Verdict::Dead)
+        }
         Ok(open) => match protocol.judge(&job.caller.id, &open.head) {
             Answer::Turned(Turned::Full) => {
                 (End::NotRun("the endpoint is full".into()), Verdict::Failed)
@@ -246,7 +249,10 @@
                     let verdict = if success { Verdict::Good } else { Verdict::Failed };
                     (End::Answer { head: open.head, body, success }, verdict)
                 }
-                Err(problem) => (End::Unknown(problem), Verdict::Failed),
+                Err(problem) => {
+                    relay.look_after(job, endpoint, 0);
+                    (End::Unknown(problem), Verdict::Failed)
+                }
             },
         },
     }
--- a/crates/server/src/relay/generation.rs
+++ b/crates/server/src/relay/generation.rs
@@ -194,6 +194,7 @@
         let news = Input::Health(endpoint.clone(), HealthNews::Failed);
         relay.node.input(news);
     };
+    let broke_off = || relay.look_after(job, &known, go_on.after.unwrap_or(0));
     let req = job.request(&*relay.protocol, endpoint, known.address, go_on);
     let open = match exchange(known.address, req, relay.options.connect_limit).await {
         Ok(open) => open,
@@ -203,6 +204,7 @@
         }
         Err(SendError::Lost(problem)) => {
             failed();
+            broke_off();
             return Err(Lost::Unknown(problem));
         }
     };
@@ -217,7 +219,10 @@
         Answer::Ran { success: false } => {
             /// Largest answer of an endpoint that failed.
             const MAX_FAILURE: usize = 1024 * 1024;
-            let body = open.body.collect(MAX_FAILURE).await.map_err(Lost::Unknown)?;
+            let body = open.body.collect(MAX_FAILURE).await.map_err(|problem| {
+                broke_off();
+                Lost::Unknown(problem)
+            })?;
             return Ok(Opened::Failed { head: open.head, body });
         }
     }
@@ -227,6 +232,7 @@
         Step::Ended => Ok(Opened::Stream { head: open.head, source, first: None }),
         Step::Lost(problem) => {
             failed();
+            broke_off();
             Err(Lost::Unknown(problem))
         }
     }
--- a/crates/server/src/relay/job.rs
+++ b/crates/server/src/relay/job.rs
@@ -13,6 +13,7 @@
     config::{EndpointTarget, NamedRoute},
     node::InForce,
     placement::{self, PrefixHash, Ticket},
+    quarantine::RequestIdentity,
 };
 
 use super::{Attempt, CallerRequest, InProgress, MemoryAt, Protocol};
@@ -71,6 +72,16 @@
         self.rank.saturating_sub(1).min(LEAST_URGENT)
     }
 
+    /// What it has in common with other tries of the same request.
+    pub(super) fn identity(&self) -> RequestIdentity<'_> {
+        RequestIdentity {
+            method: self.head.method.as_str(),
+            path: self.head.uri.path_and_query().map_or("", |path| path.as_str()),
+            workspace: self.workspace.as_deref(),
+            body: &self.body,
+        }
+    }
+
     /// The request to an endpoint.
     pub(super) fn request(
         &self,
--- a/crates/server/src/relay/mod.rs
+++ b/crates/server/src/relay/mod.rs
@@ -7,6 +7,7 @@
 mod admission;
 mod budget;
 mod call;
+mod ended;
 mod generation;
 mod job;
 mod latency;
--- a/crates/server/src/relay/stream.rs
+++ b/crates/server/src/relay/stream.rs
@@ -160,7 +160,12 @@
             Step::Ended if self.is_stopped() => self.follow_move(true).await,
             Step::Ended => Err(Cause::Answered),
             Step::Lost(_) if self.is_stopped() => self.follow_move(false).await,
-            Step::Lost(problem) => self.start_again(problem).await,
+            Step::Lost(problem) => {
+                if let Some(endpoint) = self.relay.node.view().endpoint(self.placed.endpoint()) {
+                    self.relay.look_after(&self.job, &endpoint, self.last.unwrap_or(0));
+                }
+                self.start_again(problem).await
+            }
         }
     }
 
--- a/crates/server/src/relay/tests/endpoint.rs
+++ b/crates/server/src/relay/tests/endpoint.rs
@@ -10,7 +10,10 @@
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
-use tokio::sync::{mpsc, oneshot};
+use tokio::{
+    net::TcpStream,
+    sync::{mpsc, oneshot},
+};
 
 use super::protocol::{
     AFTER, COPY_PATH, ENDPOINT, FREE_PATH, ID, LOAD_PATH, MEMORY, NOT_RUN, RESERVATION,
@@ -266,6 +269,14 @@
         self.room.asked.borrow().clone()
     }
 
+    /// Ends: takes no connections any more. What runs here is broken off by whoever holds it.
+    pub(super) async fn end(&self) {
+        self.server.close();
+        while TcpStream::connect(self.address()).await.is_ok() {
+            tokio::task::yield_now().await;
+        }
+    }
+
     /// The next attempt that comes.
     pub(super) async fn arrival(&mut self) -> Arrival {
         self.arrivals.recv().await.expect("the endpoint lives as long as the test")
--- a/crates/server/src/relay/tests/entry.rs
+++ b/crates/server/src/relay/tests/entry.rs
@@ -220,9 +220,19 @@
     }
 
     fn in_progress(&self) -> u64 {
+        self.metric("trayswitch_requests_in_progress").unwrap()
+    }
+
+    /// Returns once this metric stands at so much.
+    pub(super) async fn has_counted(&self, name: &str, count: u64) {
+        self.until(|| self.metric(name) == Some(count)).await;
+    }
+
+    /// A metric by its name and labels, if it has been counted.
+    fn metric(&self, name: &str) -> Option<u64> {
         let text = self.metrics.text().unwrap();
-        let line = text.lines().find(|l| l.starts_with("trayswitch_requests_in_progress "));
-        line.and_then(|line| line.split(' ').next_back()?.parse().ok()).unwrap()
+        let line = text.lines().find(|line| line.split(' ').next() == Some(name));
+        line.and_then(|line| line.split(' ').next_back()?.parse().ok())
     }
 
     /// Requests that the scheduler takes for running, at all engines together.
--- a/crates/server/src/runtime/mod.rs
+++ b/crates/server/src/runtime/mod.rs
@@ -31,6 +31,7 @@
         VmName,
     },
     placement::Request,
+    quarantine::{DigestKey, RequestDigest, RequestIdentity},
     registry::Registered,
     state::{HallOrder, HallResult, HallsOut},
     units::{self, UnixMillis},
@@ -71,6 +72,7 @@
     start: Instant,
     view: View,
     links: Links,
+    digest_key: DigestKey,
     calls: RefCell<HashMap<CallId, oneshot::Sender<Answer>>>,
     moves: RefCell<HashMap<CallId, mpsc::UnboundedSender<MoveOrder>>>,
     writes: Option<writer::Writes>,
@@ -98,12 +100,14 @@
             }
             None => (Node::entry(&options.node, now), None, None),
         };
+        let digest_key = DigestKey::new(&options.peer_key);
         let links = Links::new(options.node.vm.clone(), options.peer_key, options.peers);
         let handle = NodeHandle(Rc::new(Shared {
             node: RefCell::new(node),
             start,
             view: View::default(),
             links,
+            digest_key,
             calls: RefCell::default(),
             moves: RefCell::default(),
             writes,
@@ -242,6 +246,11 @@
         self.0.node.borrow().chance_to_end(req, within, self.now())
     }
 
+    /// The name by which all daemons know a request again.
+    pub(crate) fn digest(&self, req: &RequestIdentity<'_>) -> RequestDigest {
+        self.0.digest_key.digest(req)
+    }
+
     /// Begins a planned stop of the node.
     pub fn stop(&self) {
         self.input(Input::Stop);
--- a/crates/server/src/telemetry/metrics.rs
+++ b/crates/server/src/telemetry/metrics.rs
@@ -17,6 +17,7 @@
     requests: IntCounterVec,
     attempts: IntCounterVec,
     moves: IntCounterVec,
+    broke_off: IntCounterVec,
     latency: HistogramVec,
     first_event: HistogramVec,
     config_version: IntGauge,
@@ -66,6 +67,11 @@
                 "Moves of running generations, by how they ended",
                 &["end"],
             )?,
+            broke_off: counter(
+                "trayswitch_attempts_broken_off_total",
+                "Attempts that broke off, by service and what the endpoint's address said then",
+                &["service", "endpoint"],
+            )?,
             latency: histogram(
                 "trayswitch_request_seconds",
                 "Time to the end of the answer, by kind",
@@ -125,6 +131,11 @@
         self.moves.with_label_values(&[end]).inc();
     }
 
+    /// Counts an attempt that broke off, and what its endpoint's address said then.
+    pub fn broke_off(&self, service: &str, endpoint: &str) {
+        self.broke_off.with_label_values(&[service, endpoint]).inc();
+    }
+
     /// Notes how many data halls are out of service.
     pub fn halls_out(&self, halls: usize) {
         self.halls_out.set(i64::try_from(halls).unwrap_or(i64::MAX));
