Tests of requests that end whatever runs them, which fail as it is

Change: a whole entry with endpoints that end under a marked request and are back under another name; the generation, the call, and three tries at the same time.

--- a/crates/server/src/relay/tests/endpoint.rs
+++ b/crates/server/src/relay/tests/endpoint.rs
@@ -25,6 +25,8 @@
 pub(super) struct Arrival {
     /// The request's id.
     pub(super) id: String,
+    /// The path.
+    pub(super) path: String,
     /// The endpoint that it was meant for.
     pub(super) meant_for: String,
     /// The last event that the caller has.
@@ -193,6 +195,7 @@
         }
         let arrival = Arrival {
             id,
+            path: req.uri().path().to_owned(),
             meant_for: header(headers, ENDPOINT).unwrap_or_default(),
             after: header(headers, AFTER),
             memory: header(headers, MEMORY),
--- a/crates/server/src/relay/tests/mod.rs
+++ b/crates/server/src/relay/tests/mod.rs
@@ -3,6 +3,7 @@
 mod budget;
 mod calls;
 mod cold;
+mod crashing;
 mod ended;
 mod endpoint;
 mod entry;
