--- a/crates/core/src/error/mod.rs
+++ b/crates/core/src/error/mod.rs
@@ -67,6 +67,8 @@
     BadAnswer,
     /// Every data hall that serves the target was taken out of service by operators.
     OutOfService,
+    /// Endpoints have ended under this request, and it is sent to none any more.
+    Quarantined,
 }
 
 /// The answer that belongs to one [`ErrorKind`].
@@ -84,10 +86,12 @@
 
 const SOON: Option<Duration> = Some(Duration::from_secs(1));
 const LATER: Option<Duration> = Some(Duration::from_secs(5));
+/// Operators need minutes to mend what a request ends; one trial more runs after an hour.
+const MUCH_LATER: Option<Duration> = Some(Duration::from_secs(600));
 
 impl ErrorKind {
     /// All kinds, in the order of docs/ERRORS.md.
-    pub const ALL: [ErrorKind; 17] = [
+    pub const ALL: [ErrorKind; 18] = [
         ErrorKind::BadRequest,
         ErrorKind::Unauthorized,
         ErrorKind::NotFound,
@@ -105,6 +109,7 @@
         ErrorKind::GenerationLost,
         ErrorKind::BadAnswer,
         ErrorKind::OutOfService,
+        ErrorKind::Quarantined,
     ];
 
     /// The number that stands for this kind between daemons.
@@ -139,6 +144,7 @@
             ErrorKind::GenerationLost => (502, CutOff, SOON, "generation_lost"),
             ErrorKind::BadAnswer => (502, Unknown, None, "bad_answer"),
             ErrorKind::OutOfService => (503, NotRun, LATER, "out_of_service"),
+            ErrorKind::Quarantined => (503, NotRun, MUCH_LATER, "quarantined"),
         };
         Answer { status, outcome, retry_after, code }
     }
--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -62,6 +62,8 @@
     PlacedAlone = 315, "No scheduler answers; an engine drawn at random was asked for a place.";
     TakenWhileStopping = 314, "A daemon that stops has taken a generation that will likely end in time.";
     EndedUnder = 316, "An attempt broke off, and it was found out whether its endpoint has ended.";
+    SuspectChanged = 317, "The leader has put on record that an endpoint has ended under a request, or that the request is no suspect any more.";
+    TrialAsked = 318, "A try of a request under which endpoints have ended was let run, or was not.";
     RequestFailed = 304, "A request did not end in its whole answer.";
     FrameDropped = 305, "A frame of a generation was ignored.";
 }
--- a/crates/core/src/node/admit.rs
+++ b/crates/core/src/node/admit.rs
@@ -24,6 +24,7 @@
         first_within_ms: (max_wait + req.first_within.saturating_sub(req.max_wait)).as_millis()
             as u64,
         avoid: req.avoid.as_deref().map(str::to_owned),
+        apart: req.apart,
         rank: req.rank,
         share: req.share,
         max_running: req.max_running,
@@ -55,5 +56,6 @@
         max_wait: Duration::from_millis(admit.max_wait_ms),
         first_within: Duration::from_millis(admit.first_within_ms),
         avoid: admit.avoid.map(Into::into),
+        apart: admit.apart,
     }
 }
--- a/crates/core/src/node/control/answers.rs
+++ b/crates/core/src/node/control/answers.rs
@@ -8,6 +8,7 @@
     config::ContentHash,
     node::{Clocks, Outbox, Output, SentChange, VmName},
     once::ClaimResult,
+    quarantine::CopyState,
     state::{Command, ConfigChange, ConfigResult, HallResult, command},
     units::Instant,
     wire::{
@@ -26,6 +27,7 @@
             version: poll.version,
             heard: clocks.now,
             takes_callers: poll.takes_callers,
+            suspects: CopyState { known: poll.suspects, filling: poll.filling },
             stopping_since: poll.stopping.then(|| before.unwrap_or(clocks.now)),
         };
         self.daemons.insert(from.clone(), daemon);
@@ -49,6 +51,7 @@
             stopping: entries.stopping,
             slow: slow.unwrap_or_default(),
             halls: Some(self.state.halls_out().clone()),
+            suspects: self.suspects_news_for(&vm),
         };
         out.send(&vm, Body::PollReply(reply));
     }
@@ -93,6 +96,8 @@
             Some(OperationKind::Claim(claim)) => command::Kind::Claim(claim),
             Some(OperationKind::Settle(settle)) => command::Kind::Settle(settle),
             Some(OperationKind::Hall(order)) => command::Kind::Hall(order),
+            Some(OperationKind::Ended(ended)) => command::Kind::Ended(ended),
+            Some(OperationKind::Clear(clear)) => command::Kind::Clear(clear),
             None => return,
         };
         self.propose(asker, kind, None, clocks, out);
--- a/crates/core/src/node/control/mod.rs
+++ b/crates/core/src/node/control/mod.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod ready;
 mod status;
+mod suspects;
 
 use std::{
     collections::{BTreeMap, BTreeSet, VecDeque},
@@ -21,12 +22,14 @@
     agreement::{Outgoing, Payload, Persist, Replica, ReplicaId, Restored, Role, Synced},
     mechanism::Disabled,
     placement::Scheduler,
+    quarantine::CopyState,
     state::State,
     units::Instant,
     wire::{Body, Fetch, Poll, ReplicaInfo, Submit},
 };
 
 pub use self::status::{ControlStatus, DaemonStatus, ReplicaStatus};
+use self::suspects::Suspects;
 
 /// A daemon that has not polled for this long is not counted as live.
 const DAEMON_LIFE: Duration = Duration::from_secs(3);
@@ -54,6 +57,8 @@
     version: u64,
     heard: Instant,
     takes_callers: bool,
+    /// What it knows of suspects.
+    suspects: CopyState,
     /// When its planned stop began, as far as known.
     stopping_since: Option<Instant>,
 }
@@ -94,6 +99,7 @@
     /// What daemons have asked for that is not accepted here yet.
     fetches: ByVm<Fetch>,
     dispatcher: Option<Dispatcher>,
+    suspects: Suspects,
     disabled: Disabled,
     /// The engines that the scheduler may use.
     engines: Engines,
@@ -129,6 +135,7 @@
             changes: Changes::default(),
             fetches: ByVm::new(),
             dispatcher: None,
+            suspects: Suspects::new(now),
             disabled: options.disabled,
             engines: Engines::default(),
             election: timing.election,
@@ -154,7 +161,8 @@
     pub(crate) fn next_tick(&self) -> Instant {
         let next = self.replica.next_tick().min(self.next_housekeeping);
         let dispatcher = self.dispatcher.as_ref().and_then(Dispatcher::next_tick);
-        dispatcher.map_or(next, |at| at.min(next))
+        let next = dispatcher.map_or(next, |at| at.min(next));
+        self.suspects.next_tick().map_or(next, |at| at.min(next))
     }
 
     pub(crate) fn link_up(&mut self, vm: &VmName, out: &mut Outbox) {
@@ -168,6 +176,7 @@
         if let Some(dispatcher) = &mut self.dispatcher {
             dispatcher.forget(vm, clocks.now, out);
         }
+        self.forget_trials(vm, clocks.now, out);
     }
 
     pub(crate) fn tick(&mut self, clocks: Clocks, out: &mut Outbox) {
@@ -177,9 +186,11 @@
         if let Some(dispatcher) = &mut self.dispatcher {
             dispatcher.tick(&live, clocks.now, out);
         }
+        self.tick_suspects(clocks.now, out);
         if self.next_housekeeping <= clocks.now {
             self.next_housekeeping = clocks.now.after(HOUSEKEEPING);
             self.keep_members(clocks);
+            self.age_suspects(clocks);
             self.pump(clocks, out);
         }
     }
@@ -228,6 +239,8 @@
                     dispatcher.health(from, health, &live, clocks.now, out);
                 }
             }
+            Body::TrialAsk(ask) => self.trial_ask(from, &ask, clocks.now, out),
+            Body::TrialOver(over) => self.trial_over(from, over, clocks.now, out),
             Body::Moved(moved) => {
                 if let Some(dispatcher) = &mut self.dispatcher {
                     dispatcher.moved(from, &moved, clocks.now, out);
--- a/crates/core/src/node/control/ready.rs
+++ b/crates/core/src/node/control/ready.rs
@@ -3,6 +3,7 @@
 use super::{
     Batch, Control, Proposed,
     answers::{claim_reply, hall_reply, reply},
+    suspects::{Suspects, suspects_reply},
 };
 use crate::{
     agreement::{Entry, Outgoing, Persist, Ready, Snapshot, Synced},
@@ -116,6 +117,10 @@
                 self.tell_halls_out(out);
                 Applied::Hall(HallResult::Done)
             }
+            Applied::Suspects(change) => {
+                self.suspects_changed(&change, clocks.now, out);
+                Applied::Suspects(change)
+            }
             applied => applied,
         };
         let proposed = self.proposed.remove(&entry.index);
@@ -127,6 +132,7 @@
             (Applied::Config(result), Some(submit)) => self.config_result(&submit, result),
             (Applied::Claim(result), _) => OperationResult::Claim(claim_reply(result)),
             (Applied::Hall(result), _) => OperationResult::Hall(hall_reply(result)),
+            (Applied::Suspects(change), _) => OperationResult::Suspects(suspects_reply(&change)),
             _ => OperationResult::Settled(Done {}),
         };
         reply(&asker, result, out);
@@ -168,6 +174,7 @@
         }
         if leads {
             self.dispatcher = Some(Dispatcher::new(self.disabled, now));
+            self.suspects = Suspects::new(now);
             self.configure_dispatcher(now);
             return;
         }
--- a/crates/core/src/node/dispatcher.rs
+++ b/crates/core/src/node/dispatcher.rs
@@ -126,7 +126,9 @@
         for tokens in progress.running {
             self.scheduler.progress(ticket(tokens.number), tokens.tokens, now);
         }
-        let freed = !progress.finished.is_empty() || !progress.ended.is_empty();
+        let freed = !progress.finished.is_empty()
+            || !progress.ended.is_empty()
+            || self.scheduler.has_apart();
         for tokens in progress.finished {
             self.scheduler.finish(ticket(tokens.number), tokens.tokens, true, now);
         }
--- a/crates/core/src/node/keeper.rs
+++ b/crates/core/src/node/keeper.rs
@@ -19,6 +19,7 @@
 };
 use crate::{
     config::ContentHash,
+    quarantine::{CopyState, Known},
     state::{HallsOut, State},
     units::Instant,
     wire::{Body, Piece, Poll, PollReply, Update},
@@ -96,6 +97,8 @@
     told_confirmed: Option<Instant>,
     takes_callers: bool,
     stopping: bool,
+    /// What is known here of suspects, for polls.
+    suspects: CopyState,
 }
 
 impl Keeper {
@@ -123,6 +126,7 @@
             takes_callers: options.takes_callers,
             stopping: false,
             told_confirmed: None,
+            suspects: Known::default().state(),
         }
     }
 
@@ -373,6 +377,21 @@
         reachable.into_iter().nth(self.next_replica.checked_rem(count)?)
     }
 
+    /// Takes how much is known here of suspects; asks on at once if the leader has told that there is more.
+    pub(crate) fn know_suspects(
+        &mut self,
+        state: CopyState,
+        has_more: bool,
+        now: Instant,
+        out: &mut Outbox,
+    ) {
+        let has_new = self.suspects != state;
+        self.suspects = state;
+        if let (true, true, Some(leader)) = (has_new, has_more, self.leader().cloned()) {
+            self.poll(leader, now, out);
+        }
+    }
+
     /// Tells the leader at once that a planned stop has begun.
     pub(crate) fn stop(&mut self, now: Instant, out: &mut Outbox) {
         self.stopping = true;
@@ -396,6 +415,8 @@
             hash,
             takes_callers: self.takes_callers,
             stopping: self.stopping,
+            suspects: self.suspects.known,
+            filling: self.suspects.filling,
         };
         out.send(&to, Body::Poll(poll));
     }
--- a/crates/core/src/node/messages.rs
+++ b/crates/core/src/node/messages.rs
@@ -4,12 +4,13 @@
 
 use bytes::Bytes;
 
-use super::{ControlStatus, EndpointStatus, Entries, InForce, VmName};
+use super::{BrokeOff, ControlStatus, EndpointStatus, Entries, InForce, TrialAnswer, VmName};
 use crate::{
     agreement::Persist,
     error::RequestError,
     once::{Claim, ClaimResult, Settle},
     placement::{Drawn, Request},
+    quarantine::{RequestDigest, Suspect},
     registry::Registered,
     state::{ChangeId, HallOrder, HallResult, HallsOut},
     units::Instant,
@@ -53,6 +54,22 @@
         /// Time allowed.
         limit: Duration,
     },
+    /// Whether a try of a suspect may run.
+    Trial {
+        /// The request.
+        request: RequestDigest,
+        /// How long it may wait for the answer.
+        limit: Duration,
+    },
+    /// Forget the ends under a request, within this time.
+    Clear {
+        /// The request.
+        request: RequestDigest,
+        /// Time allowed.
+        limit: Duration,
+    },
+    /// The requests under which endpoints have ended, as this node knows them.
+    Suspects,
     /// The state of the endpoints as this node's scheduler sees them.
     Endpoints,
     /// The state of the control replicas as this node sees them.
@@ -106,6 +123,13 @@
     Hall(Option<HallResult>),
     /// To [`Question::HallsOut`]; `None` when they could not be confirmed in time.
     HallsOut(Option<HallsOut>),
+    /// To [`Question::Trial`].
+    Trial(TrialAnswer),
+    /// To [`Question::Clear`]: whether the request was a suspect; `None` when no quorum answered in
+    /// time.
+    Cleared(Option<bool>),
+    /// To [`Question::Suspects`].
+    Suspects(Vec<Suspect>),
     /// To [`Question::Endpoints`].
     Endpoints(Vec<EndpointStatus>),
     /// To [`Question::Control`].
@@ -140,6 +164,19 @@
     },
     /// The asker of a placement has left.
     Cancelled(CallId),
+    /// An attempt at an endpoint broke off.
+    BrokeOff(BrokeOff),
+    /// A suspect has brought its whole answer, in a try that was no trial.
+    AnsweredWhole(RequestDigest),
+    /// A trial has begun to answer well.
+    TrialBegun(CallId),
+    /// A trial has ended, or its asker has left.
+    TrialOver {
+        /// The try.
+        call: CallId,
+        /// Whether it has brought its whole answer.
+        whole: bool,
+    },
     /// This daemon has news of an endpoint.
     Health(Arc<str>, HealthNews),
     /// This daemon asked an endpoint for its load.
@@ -178,6 +215,10 @@
             Input::Progress(..) => "own_progress",
             Input::Finished { .. } => "finished",
             Input::Cancelled(_) => "cancelled",
+            Input::BrokeOff(_) => "broke_off",
+            Input::AnsweredWhole(_) => "answered_whole",
+            Input::TrialBegun(_) => "trial_begun",
+            Input::TrialOver { .. } => "own_trial_over",
             Input::Health(..) => "own_health",
             Input::Load(_) => "load",
             Input::Heartbeat(_) => "heartbeat",
@@ -262,6 +303,15 @@
         /// Its term; zero while none is known.
         term: u64,
     },
+    /// This daemon leads, and what is on record about a request has changed.
+    Suspect(Suspect),
+    /// This daemon knows of so many suspects from now on.
+    Suspects {
+        /// All of them.
+        suspects: usize,
+        /// Those that are sent to no endpoint.
+        quarantined: usize,
+    },
     /// Keep links to these control VMs.
     Dial(Vec<VmName>),
     /// The endpoints that registered themselves have changed.
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -9,6 +9,7 @@
 //! - [`placing`] finds places for this daemon's requests;
 //! - [`control`] runs a control replica and, on the leader, answers the daemons;
 //! - [`dispatcher`] is the scheduler that the leader runs for all daemons;
+//! - [`suspects`] knows under which requests endpoints have ended;
 //! - [`directory`] knows the control VMs and [`endpoints`] the endpoints that register.
 
 mod admit;
@@ -41,6 +42,7 @@
 mod placing;
 mod reads;
 mod spread;
+mod suspects;
 #[cfg(test)]
 mod tests;
 
@@ -50,6 +52,8 @@
     time::Duration,
 };
 
+use bytes::Bytes;
+
 use self::{
     control::Control,
     directory::Directory,
@@ -61,15 +65,17 @@
     placing::Placing,
     reads::Wanted,
     spread::Gathered,
+    suspects::{Context, Suspects},
 };
 use crate::{
     agreement::{self, Restored},
     config::ContentHash,
     mechanism::{Disabled, Mechanism},
     placement::{LoadReport, Request},
+    quarantine::{ClearRequest, RequestDigest, Standing},
     registry::{Digest, Registry},
     units::Instant,
-    wire::{Body, EndpointDigest, OperationKind, Report},
+    wire::{Body, EndpointDigest, OperationKind, OperationResult, Report, SuspectNews},
 };
 
 pub(crate) use self::messages::Outbox;
@@ -80,6 +86,7 @@
     keeper::Entries,
     messages::{Answer, CallId, Input, Output, Placement, Question, SentChange, SubmitError},
     options::{Clocks, NodeOptions, NodeTiming},
+    suspects::{AfterBreak, BrokeOff, TrialAnswer},
 };
 
 /// Name of a VM.
@@ -96,6 +103,7 @@
     keeper: Keeper,
     operations: Operations,
     placing: Placing,
+    suspects: Suspects,
     control: Option<Control>,
     directory: Directory,
     registry: Registry,
@@ -132,6 +140,7 @@
             keeper: Keeper::new(options, now),
             operations: Operations::default(),
             placing: Placing::new(options.disabled, options.seed),
+            suspects: Suspects::default(),
             control: None,
             directory: Directory::new(&options.vm, &options.seeds, false, now),
             registry: Registry::new(options.endpoint_heartbeat),
@@ -175,6 +184,16 @@
         self.keeper.is_fresh()
     }
 
+    /// How a request stands under which endpoints may have ended.
+    pub fn standing(&self, request: &RequestDigest) -> Standing {
+        self.suspects.standing(request)
+    }
+
+    /// Whether there are any requests under which endpoints have ended.
+    pub fn has_suspects(&self) -> bool {
+        !self.suspects.is_empty()
+    }
+
     /// The chance that an answer would end within this time, by the lengths and paces that this
     /// daemon has seen itself.
     pub fn chance_to_end(&self, req: &Request, within: Duration, now: Instant) -> f64 {
@@ -192,6 +211,7 @@
     pub fn next_tick(&self) -> Instant {
         let mut next = self.keeper.next_tick().min(self.placing.next_tick());
         next = next.min(self.directory.next_tick());
+        next = next.min(self.suspects.next_tick().unwrap_or(next));
         if let Some(control) = &self.control {
             next = next.min(control.next_tick());
         }
@@ -220,6 +240,22 @@
             Input::Health(endpoint, news) => {
                 self.placing.health(&endpoint, news, clocks.now, true, out);
             }
+            Input::BrokeOff(broke_off) => {
+                let (suspects, mut cx, out) = self.suspects_context(clocks.now);
+                suspects.broke_off(broke_off, &mut cx, out);
+            }
+            Input::AnsweredWhole(request) => {
+                let (suspects, mut cx, out) = self.suspects_context(clocks.now);
+                suspects.answered_whole(&request, &mut cx, out);
+            }
+            Input::TrialBegun(call) => {
+                let (suspects, cx, out) = self.suspects_context(clocks.now);
+                suspects.begun(call, &cx, out);
+            }
+            Input::TrialOver { call, whole } => {
+                let (suspects, mut cx, out) = self.suspects_context(clocks.now);
+                suspects.over(call, whole, &mut cx, out);
+            }
             Input::Heartbeat(record) => self.heartbeat(record, clocks.now),
             Input::Recall(records) => {
                 if self.disabled.allows(Mechanism::RecalledEndpoints) {
@@ -259,6 +295,26 @@
                 self.tell_silent(clocks.now);
             }
         }
+        let (suspects, mut cx, out) = self.suspects_context(clocks.now);
+        suspects.tick(&mut cx, out);
+    }
+
+    /// What is known of suspects, and what else that part of the daemon needs.
+    fn suspects_context(&mut self, now: Instant) -> (&mut Suspects, Context<'_>, &mut Outbox) {
+        let cx = Context {
+            leader: self.keeper.leader(),
+            operations: &mut self.operations,
+            registry: &self.registry,
+            now,
+        };
+        (&mut self.suspects, cx, &mut self.outputs)
+    }
+
+    /// Takes what has changed about suspects.
+    fn suspect_news(&mut self, news: &SuspectNews, now: Instant) {
+        self.suspects.take(news, &mut self.outputs);
+        let state = self.suspects.known().state();
+        self.keeper.know_suspects(state, news.more, now, &mut self.outputs);
     }
 
     fn link_up(&mut self, vm: VmName, clocks: Clocks) {
@@ -318,6 +374,20 @@
                 let deadline = clocks.now.after(limit);
                 self.keeper.read(call, Wanted::HallsOut, deadline, clocks.now, out);
             }
+            Question::Trial { request, limit } => {
+                let (suspects, cx, out) = self.suspects_context(clocks.now);
+                suspects.ask(call, request, limit, &cx, out);
+            }
+            Question::Clear { request, limit } => {
+                let request = Bytes::copy_from_slice(request.as_bytes());
+                let kind = OperationKind::Clear(ClearRequest { request });
+                self.operations.ask(call, kind, limit, leader, clocks.now, out);
+            }
+            Question::Suspects => {
+                let control = self.control.as_ref();
+                let all = control.map_or_else(Vec::new, |c| c.state().suspects().all());
+                out.answer(call, Answer::Suspects(all));
+            }
             Question::Endpoints => {
                 let dispatcher = self.control.as_ref().and_then(Control::dispatcher);
                 let scheduler = dispatcher.unwrap_or(self.placing.local());
@@ -337,7 +407,11 @@
             Body::PollReply(reply) => {
                 self.placing.told_slow(&reply.slow, clocks.now);
                 self.placing.set_daemons(reply.daemons);
+                let news = reply.suspects.clone();
                 self.keeper.poll_reply(from, reply, clocks.now, out);
+                if let Some(news) = news {
+                    self.suspect_news(&news, clocks.now);
+                }
             }
             Body::Update(update) => self.keeper.update(from, update, clocks.now, out),
             Body::HallsOut(halls) => self.keeper.take_halls(&halls, out),
@@ -348,7 +422,22 @@
                     self.operations.not_taken(operation);
                 }
             }
-            Body::OperationReply(reply) => self.operations.reply(reply, out),
+            Body::Suspects(news) => self.suspect_news(&news, clocks.now),
+            Body::TrialReply(reply) => {
+                let (suspects, cx, out) = self.suspects_context(clocks.now);
+                suspects.answered(reply, &cx, out);
+            }
+            Body::OperationReply(reply) => {
+                let recorded = match reply.result {
+                    Some(OperationResult::Suspects(recorded)) => Some((reply.id, recorded)),
+                    _ => None,
+                };
+                self.operations.reply(reply, out);
+                if let Some((operation, recorded)) = recorded {
+                    let (suspects, cx, out) = self.suspects_context(clocks.now);
+                    suspects.recorded(operation, recorded, &cx, out);
+                }
+            }
             Body::Grant(grant) => self.placing.granted(from, grant, clocks.now, out),
             Body::GiveUp(give_up) => self.placing.given_up(give_up, out),
             Body::Directory(message) => self.directory.told(from, message, clocks.now, out),
@@ -404,6 +493,7 @@
             if let Some(leader) = self.keeper.take_leader_change() {
                 let now = clocks.now;
                 self.operations.leader_changed(leader.as_ref(), now, &mut self.outputs);
+                self.suspects.leader_changed(leader.as_ref(), &mut self.outputs);
                 let scheduler = self.keeper.scheduler(now);
                 let term = scheduler.map_or(0, |scheduler| scheduler.term);
                 self.outputs.push(Output::Leader { vm: leader, term });
--- a/crates/core/src/node/operations.rs
+++ b/crates/core/src/node/operations.rs
@@ -39,7 +39,7 @@
     fn resend_after(&self) -> Duration {
         let bytes = match &self.kind {
             OperationKind::Submit(submit) => submit.command.delta.len(),
-            OperationKind::Claim(_) | OperationKind::Settle(_) | OperationKind::Hall(_) => 0,
+            _ => 0,
         };
         RESEND + RESEND_FOR_BYTE * u32::try_from(bytes).unwrap_or(u32::MAX)
     }
@@ -72,6 +72,19 @@
         self.add(kind, Some(call), now.after(limit), leader, now, out);
     }
 
+    /// Carries an operation that nobody waits for; returns its number.
+    pub(crate) fn carry(
+        &mut self,
+        kind: OperationKind,
+        limit: Duration,
+        leader: Option<&VmName>,
+        now: Instant,
+        out: &mut Outbox,
+    ) -> u64 {
+        self.add(kind, None, now.after(limit), leader, now, out);
+        self.next
+    }
+
     pub(crate) fn tick(&mut self, leader: Option<&VmName>, now: Instant, out: &mut Outbox) {
         self.expire(leader, now, out);
         self.send_due(leader, now, out);
@@ -117,6 +130,7 @@
             OperationResult::Claim(reply) => Answer::Claimed(Some(claim_result(reply))),
             OperationResult::Settled(_) => Answer::Settled(true),
             OperationResult::Hall(reply) => Answer::Hall(Some(hall_result(&reply))),
+            OperationResult::Suspects(reply) => Answer::Cleared(Some(reply.changed)),
         };
         out.answer(call, answer);
     }
@@ -164,6 +178,7 @@
                 }
                 OperationKind::Settle(_) => Answer::Settled(false),
                 OperationKind::Hall(_) => Answer::Hall(None),
+                OperationKind::Ended(_) | OperationKind::Clear(_) => Answer::Cleared(None),
             };
             if let Some(call) = pending.call {
                 out.answer(call, answer);
--- a/crates/core/src/node/placing.rs
+++ b/crates/core/src/node/placing.rs
@@ -200,6 +200,9 @@
         let first = running.tokens == 0;
         running.tokens = tokens;
         self.local.progress(ticket(call), tokens, now);
+        if self.local.has_apart() {
+            self.decide_locally(now, out);
+        }
         match &self.scheduler {
             Some(scheduler) if first => {
                 let running = vec![Tokens { number: call.0, tokens }];
--- /dev/null
+++ b/crates/core/src/node/suspects.rs
@@ -0,0 +1,362 @@
+//! What a daemon knows of requests under which endpoints have ended, and its own tries of them.
+//!
+//! A daemon tells the leader of each end that it sees, until that is on record. What it has told counts
+//! here at once, so that its next try of the request is not sent before the answer. A try of a suspect
+//! asks the leader whether it may run; so do all that wait when the leader changes.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+
+use super::{Answer, CallId, Outbox, Output, VmName, operations::Operations};
+use crate::{
+    quarantine::{ClearRequest, EndedRun, EndedUnder, Known, RequestDigest, Standing},
+    registry::{Registry, RunState},
+    units::Instant,
+    wire::{
+        Body, OperationKind, SuspectNews, SuspectsReply, TrialAsk, TrialOver, TrialReply,
+        TrialStatus,
+    },
+};
+
+/// How long an end is told to leaders until one has put it on record.
+const TELL_LIMIT: Duration = Duration::from_secs(120);
+/// How long it is waited for the registry's word that an endpoint has ended which does not answer, or
+/// takes connections again: its heartbeats count as stopped after four are missing, and the word of that
+/// takes as long as one more.
+const HEARTBEATS_TO_TELL: u32 = 6;
+
+/// What an endpoint's address said after an attempt there had broken off.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AfterBreak {
+    /// Nothing listens there any more.
+    Refused,
+    /// It takes connections; it failed this request only, or has started anew.
+    Taken,
+    /// Nothing.
+    Silent,
+}
+
+/// An attempt that broke off.
+#[derive(Debug, Clone)]
+pub struct BrokeOff {
+    /// The request.
+    pub request: RequestDigest,
+    /// Name of the endpoint.
+    pub endpoint: Arc<str>,
+    /// When its run was started, by its own word; zero where it has not said.
+    pub born: u64,
+    /// What its address said then.
+    pub after: AfterBreak,
+    /// The trial that it was, if it was one.
+    pub trial: Option<CallId>,
+}
+
+/// Whether a try of a suspect may run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum TrialAnswer {
+    /// It may, as the only try, and apart from other requests if so. Its end is told with
+    /// [`super::Input::TrialOver`].
+    Granted {
+        /// Whether it runs apart.
+        apart: bool,
+    },
+    /// It is no suspect any more.
+    Clear,
+    /// It is sent to no endpoint.
+    Quarantined,
+    /// Others wait for the same, or no leader answers.
+    NotNow,
+}
+
+/// A try that waits for the leader's answer.
+#[derive(Debug)]
+struct Asking {
+    request: RequestDigest,
+    deadline: Instant,
+}
+
+/// A trial that runs.
+#[derive(Debug)]
+struct Running {
+    request: RequestDigest,
+    /// Whether it has begun well, and others need not wait for it.
+    begun: bool,
+}
+
+/// An end that is not on record yet, as far as is known here.
+#[derive(Debug)]
+struct OwnEnd {
+    request: RequestDigest,
+    in_trial: bool,
+    /// Number of the change that put it on record, once that was told.
+    recorded: Option<u64>,
+    /// When nobody tells leaders of it any more.
+    until: Instant,
+}
+
+/// An attempt that broke off at an endpoint that may have ended.
+#[derive(Debug)]
+struct Unclear {
+    broke_off: BrokeOff,
+    until: Instant,
+}
+
+/// What a daemon knows of suspects.
+#[derive(Debug, Default)]
+pub(crate) struct Suspects {
+    known: Known,
+    /// By the number of the operation.
+    own: BTreeMap<u64, OwnEnd>,
+    unclear: Vec<Unclear>,
+    asking: BTreeMap<CallId, Asking>,
+    /// Trials that run here.
+    running: BTreeMap<CallId, Running>,
+    /// Trials that have ended, by the operation after which the leader is told.
+    ending: BTreeMap<u64, CallId>,
+}
+
+/// What the parts of a daemon beside this one know now.
+pub(super) struct Context<'a> {
+    pub(super) leader: Option<&'a VmName>,
+    pub(super) operations: &'a mut Operations,
+    pub(super) registry: &'a Registry,
+    pub(super) now: Instant,
+}
+
+impl Suspects {
+    /// The daemon's copy of what is on record.
+    pub(crate) fn known(&self) -> &Known {
+        &self.known
+    }
+
+    /// Whether there are none at all.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.known.is_empty() && self.own.is_empty()
+    }
+
+    /// How a request stands.
+    pub(crate) fn standing(&self, request: &RequestDigest) -> Standing {
+        let own = self.own.values().filter(|end| end.request == *request);
+        // Some of these may be on record already, and are not counted twice.
+        let own = own.fold(Standing::default(), |own, end| own.with_end(end.in_trial));
+        self.known.standing(request).max(own)
+    }
+
+    /// Takes what has changed about suspects.
+    pub(crate) fn take(&mut self, news: &SuspectNews, out: &mut Outbox) {
+        if !self.known.take(news) {
+            return;
+        }
+        let number = self.known.state().known;
+        self.own.retain(|_, end| end.recorded.is_none_or(|recorded| number < recorded));
+        let (suspects, quarantined) = self.known.counts();
+        out.push(Output::Suspects { suspects, quarantined });
+    }
+
+    /// An attempt here broke off.
+    pub(super) fn broke_off(
+        &mut self,
+        broke_off: BrokeOff,
+        cx: &mut Context<'_>,
+        out: &mut Outbox,
+    ) {
+        match (cx.registry.run_state(&broke_off.endpoint, broke_off.born), broke_off.after) {
+            // What runs at an endpoint that leaves may end with it, as its callers were told.
+            (RunState::Left, _) => {}
+            (_, AfterBreak::Refused) | (RunState::Ended, _) => self.ended(&broke_off, cx, out),
+            (RunState::Runs, _) => {
+                let until = cx.now.after(cx.registry.heartbeat() * HEARTBEATS_TO_TELL);
+                self.unclear.push(Unclear { broke_off, until });
+            }
+        }
+    }
+
+    /// Puts on record that an endpoint has ended under a request.
+    fn ended(&mut self, broke_off: &BrokeOff, cx: &mut Context<'_>, out: &mut Outbox) {
+        let BrokeOff { request, endpoint, born, trial, .. } = broke_off;
+        let in_trial = trial.is_some();
+        let run = EndedRun { endpoint: endpoint.to_string(), born: *born };
+        let ended = EndedUnder { run, request: bytes_of(request), in_trial };
+        let kind = OperationKind::Ended(ended);
+        let number = cx.operations.carry(kind, TELL_LIMIT, cx.leader, cx.now, out);
+        let until = cx.now.after(TELL_LIMIT);
+        let end = OwnEnd { request: *request, in_trial, recorded: None, until };
+        self.own.insert(number, end);
+        if let Some(call) = trial {
+            self.ending.insert(number, *call);
+        }
+    }
+
+    /// What this daemon has told is on record.
+    pub(super) fn recorded(
+        &mut self,
+        operation: u64,
+        reply: SuspectsReply,
+        cx: &Context<'_>,
+        out: &mut Outbox,
+    ) {
+        if let Some(end) = self.own.get_mut(&operation) {
+            end.recorded = Some(reply.number);
+        }
+        let known = self.known.state().known;
+        self.own.retain(|_, end| end.recorded.is_none_or(|recorded| known < recorded));
+        if let Some(call) = self.ending.remove(&operation)
+            && !self.ending.values().any(|other| *other == call)
+            && !self.running.contains_key(&call)
+        {
+            tell_over(call, cx.leader, out);
+        }
+    }
+
+    /// Asks whether a try may run.
+    pub(super) fn ask(
+        &mut self,
+        call: CallId,
+        request: RequestDigest,
+        limit: Duration,
+        cx: &Context<'_>,
+        out: &mut Outbox,
+    ) {
+        self.asking.insert(call, Asking { request, deadline: cx.now.after(limit) });
+        self.send_ask(call, request, false, cx.leader, out);
+    }
+
+    /// Takes the leader's answer.
+    pub(super) fn answered(&mut self, reply: TrialReply, cx: &Context<'_>, out: &mut Outbox) {
+        let call = CallId(reply.number);
+        let Some(asking) = self.asking.remove(&call) else {
+            // Its caller has left.
+            if reply.status() == TrialStatus::Granted && !self.running.contains_key(&call) {
+                tell_over(call, cx.leader, out);
+            }
+            return;
+        };
+        let answer = match reply.status() {
+            TrialStatus::Granted => {
+                let running = Running { request: asking.request, begun: false };
+                self.running.insert(call, running);
+                TrialAnswer::Granted { apart: reply.apart }
+            }
+            TrialStatus::Quarantined => TrialAnswer::Quarantined,
+            TrialStatus::Clear => {
+                self.known.forget(&asking.request);
+                TrialAnswer::Clear
+            }
+            TrialStatus::Busy => TrialAnswer::NotNow,
+        };
+        out.answer(call, Answer::Trial(answer));
+    }
+
+    /// A try has ended, or its caller waits no longer for the leader's answer. One that has brought its
+    /// whole answer clears the request.
+    pub(super) fn over(
+        &mut self,
+        call: CallId,
+        whole: bool,
+        cx: &mut Context<'_>,
+        out: &mut Outbox,
+    ) {
+        let asked = self.asking.remove(&call).is_some();
+        let Some(Running { request, .. }) = self.running.remove(&call) else {
+            if asked {
+                tell_over(call, cx.leader, out);
+            }
+            return;
+        };
+        if whole {
+            let kind = OperationKind::Clear(ClearRequest { request: bytes_of(&request) });
+            let number = cx.operations.carry(kind, TELL_LIMIT, cx.leader, cx.now, out);
+            self.ending.insert(number, call);
+        } else if !self.ending.values().any(|ending| *ending == call) {
+            tell_over(call, cx.leader, out);
+        }
+    }
+
+    /// A request has brought its whole answer, in a try that was no trial: it is no suspect.
+    pub(super) fn answered_whole(
+        &mut self,
+        request: &RequestDigest,
+        cx: &mut Context<'_>,
+        out: &mut Outbox,
+    ) {
+        let kind = OperationKind::Clear(ClearRequest { request: bytes_of(request) });
+        cx.operations.carry(kind, TELL_LIMIT, cx.leader, cx.now, out);
+    }
+
+    /// The try has begun well: others of the same request need not wait for its end.
+    pub(super) fn begun(&mut self, call: CallId, cx: &Context<'_>, out: &mut Outbox) {
+        if let Some(running) = self.running.get_mut(&call) {
+            running.begun = true;
+            tell_over(call, cx.leader, out);
+        }
+    }
+
+    /// Tells a new leader what waits and what runs.
+    pub(super) fn leader_changed(&mut self, leader: Option<&VmName>, out: &mut Outbox) {
+        for (call, running) in self.running.iter().filter(|(_, running)| !running.begun) {
+            self.send_ask(*call, running.request, true, leader, out);
+        }
+        for (call, asking) in &self.asking {
+            self.send_ask(*call, asking.request, false, leader, out);
+        }
+    }
+
+    pub(super) fn next_tick(&self) -> Option<Instant> {
+        let asking = self.asking.values().map(|asking| asking.deadline);
+        let unclear = self.unclear.iter().map(|unclear| unclear.until);
+        let own = self.own.values().map(|end| end.until);
+        asking.chain(unclear).chain(own).min()
+    }
+
+    pub(super) fn tick(&mut self, cx: &mut Context<'_>, out: &mut Outbox) {
+        self.judge_unclear(cx, out);
+        let now = cx.now;
+        self.own.retain(|_, end| now < end.until);
+        let over = self.asking.iter().filter(|(_, asking)| asking.deadline <= now);
+        for call in over.map(|(call, _)| *call).collect::<Vec<_>>() {
+            self.asking.remove(&call);
+            tell_over(call, cx.leader, out);
+            out.answer(call, Answer::Trial(TrialAnswer::NotNow));
+        }
+    }
+
+    /// Looks whether the endpoints that did not say so have ended.
+    fn judge_unclear(&mut self, cx: &mut Context<'_>, out: &mut Outbox) {
+        let unclear = std::mem::take(&mut self.unclear);
+        for waiting in unclear {
+            let BrokeOff { endpoint, born, .. } = &waiting.broke_off;
+            match cx.registry.run_state(endpoint, *born) {
+                RunState::Ended => self.ended(&waiting.broke_off, cx, out),
+                RunState::Runs if cx.now < waiting.until => self.unclear.push(waiting),
+                RunState::Runs | RunState::Left => {}
+            }
+        }
+    }
+
+    fn send_ask(
+        &self,
+        call: CallId,
+        request: RequestDigest,
+        runs: bool,
+        leader: Option<&VmName>,
+        out: &mut Outbox,
+    ) {
+        let Some(leader) = leader else { return };
+        let Standing { ended, .. } = self.standing(&request);
+        let request = bytes_of(&request);
+        out.send(leader, Body::TrialAsk(TrialAsk { number: call.0, request, ended, runs }));
+    }
+}
+
+fn bytes_of(request: &RequestDigest) -> Bytes {
+    Bytes::copy_from_slice(request.as_bytes())
+}
+
+/// Tells the leader that a try waits or runs no more. One that does not hear it hears that the link to
+/// this daemon is down, or is told anew what runs.
+fn tell_over(call: CallId, leader: Option<&VmName>, out: &mut Outbox) {
+    if let Some(leader) = leader {
+        out.send(leader, Body::TrialOver(TrialOver { number: call.0 }));
+    }
+}
--- a/crates/core/src/node/tests/mod.rs
+++ b/crates/core/src/node/tests/mod.rs
@@ -7,6 +7,7 @@
 mod leaving;
 mod net;
 mod recovery;
+mod suspects;
 
 use std::collections::BTreeSet;
 
--- a/crates/core/src/node/tests/net/fixture.rs
+++ b/crates/core/src/node/tests/net/fixture.rs
@@ -49,5 +49,6 @@
         max_wait: Duration::from_secs(2),
         first_within: Duration::from_secs(2),
         avoid: None,
+        apart: false,
     }
 }
--- a/crates/core/src/node/tests/net/mod.rs
+++ b/crates/core/src/node/tests/net/mod.rs
@@ -20,6 +20,7 @@
         CallId, Clocks, ControlStatus, Input, Node, NodeOptions, NodeTiming, Output, Question,
         VmName, control::Control,
     },
+    quarantine::{RequestDigest, Standing},
     state::{ConfigChange, HallOrder},
     testing::{Choices, Disk},
     units::{Instant, UnixMillis},
@@ -246,6 +247,8 @@
             Output::Unusable { version, why } => panic!("version {version} is unusable: {why}"),
             Output::Fresh { .. }
             | Output::SentChange(_)
+            | Output::Suspect(_)
+            | Output::Suspects { .. }
             | Output::Watch(_)
             | Output::Leader { .. }
             | Output::Dial(_)
@@ -255,6 +258,16 @@
         }
     }
 
+    /// How a request stands by what a VM's daemon knows; nothing while it does not run.
+    pub(super) fn standing(&self, vm: &VmName, request: &RequestDigest) -> Option<Standing> {
+        Some(self.hosts[vm].node.as_ref()?.standing(request))
+    }
+
+    /// Whether a VM's daemon runs and may send requests to endpoints.
+    pub(super) fn serves(&self, vm: &VmName) -> bool {
+        self.hosts[vm].node.as_ref().is_some_and(Node::is_fresh)
+    }
+
     /// Asks a node; the answer is checked when it comes.
     pub(super) fn ask(&mut self, vm: &VmName, question: Question) -> CallId {
         self.next_call += 1;
--- a/crates/core/src/node/tests/net/seen.rs
+++ b/crates/core/src/node/tests/net/seen.rs
@@ -5,7 +5,7 @@
 use super::halls::SeenHalls;
 use crate::{
     config::ContentHash,
-    node::{Answer, CallId, InForce, Placement, VmName},
+    node::{Answer, CallId, InForce, Placement, TrialAnswer, VmName},
     once::ClaimResult,
     state::HallsOut,
     units::Instant,
@@ -50,6 +50,10 @@
     pub(crate) halls: SeenHalls,
     /// What those who asked were told to be out of service.
     pub(crate) halls_told: Vec<Option<HallsOut>>,
+    /// What tries of suspects were told.
+    pub(crate) trials: BTreeMap<CallId, TrialAnswer>,
+    /// Whether those were suspects that operators have cleared.
+    pub(crate) cleared: Vec<Option<bool>>,
     /// Questions that were answered.
     pub(crate) answered: BTreeSet<CallId>,
 }
@@ -97,6 +101,10 @@
                 owners.insert(owner);
                 assert!(owners.len() <= 1, "a claim was granted to two owners");
             }
+            Answer::Trial(answer) => {
+                self.trials.insert(call, answer);
+            }
+            Answer::Cleared(cleared) => self.cleared.push(cleared),
             Answer::Hall(Some(result)) => self.halls.note_answer(call, result, now),
             Answer::HallsOut(halls) => self.halls_told.push(halls),
             Answer::Placed(Err(error)) => self.refused.push(error.kind.answer().code),
--- /dev/null
+++ b/crates/core/src/placement/apart_tests.rs
@@ -0,0 +1,160 @@
+//! Tests of requests that run apart from others.
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+
+use super::{
+    Action, Request, Scheduler,
+    fixture::{ms, request, scheduler},
+};
+
+/// A request that runs apart and may wait long.
+fn apart(number: u64) -> Request {
+    let long = Duration::from_secs(60);
+    Request { apart: true, max_wait: long, first_within: long, ..request(number, 100, 1_000) }
+}
+
+/// Starts requests, and returns where each went.
+fn start(scheduler: &mut Scheduler, requests: Vec<Request>, at: u64) -> Vec<(u64, String)> {
+    for req in requests {
+        scheduler.arrive(req, ms(at)).unwrap();
+    }
+    decide(scheduler, at)
+}
+
+fn decide(scheduler: &mut Scheduler, at: u64) -> Vec<(u64, String)> {
+    let started = |action| match action {
+        Action::Start { ticket, endpoint, .. } => Some((ticket.number, endpoint.to_string())),
+        Action::GiveUp { .. } => None,
+    };
+    scheduler.decide(ms(at)).into_iter().filter_map(started).collect()
+}
+
+fn plain(numbers: std::ops::Range<u64>) -> Vec<Request> {
+    numbers.map(|number| request(number, 100, 1_000)).collect()
+}
+
+/// A scheduler of engines with the same number of chats at each, which have all begun.
+fn busy(engines: usize, chats_each: u64) -> Scheduler {
+    let mut scheduler = scheduler(&vec!["h"; engines], 1_000_000);
+    let chats = start(&mut scheduler, plain(1_000..1_000 + engines as u64 * chats_each), 0);
+    for (number, _) in chats {
+        scheduler.progress(request(number, 0, 0).ticket, 100, ms(0));
+    }
+    scheduler
+}
+
+#[gtest]
+fn nothing_else_is_sent_to_its_engine_until_it_has_begun_well() {
+    let mut scheduler = busy(4, 1);
+    let at = start(&mut scheduler, vec![apart(1)], 10).remove(0).1;
+
+    let beside = start(&mut scheduler, plain(2..40), 20);
+    scheduler.progress(apart(1).ticket, 4, ms(30));
+    let after_first_event = start(&mut scheduler, plain(40..60), 40);
+    scheduler.progress(apart(1).ticket, 32, ms(50));
+    let after = start(&mut scheduler, plain(60..100), 60);
+
+    expect_that!(beside.iter().filter(|(_, endpoint)| *endpoint == at).count(), eq(0));
+    expect_that!(after_first_event.iter().filter(|(_, endpoint)| *endpoint == at).count(), eq(0));
+    expect_that!(after.iter().filter(|(_, endpoint)| *endpoint == at).count(), gt(0));
+}
+
+#[gtest]
+fn it_waits_until_nothing_else_is_about_to_begin_there() {
+    let mut scheduler = busy(2, 0);
+    let before = start(&mut scheduler, plain(10..20), 0);
+
+    let at_once = start(&mut scheduler, vec![apart(1)], 10);
+    for (number, _) in &before {
+        scheduler.progress(request(*number, 0, 0).ticket, 4, ms(20));
+    }
+    let then = decide(&mut scheduler, 20);
+
+    expect_that!(at_once, is_empty());
+    expect_that!(then, elements_are![(eq(&1), anything())]);
+}
+
+#[gtest]
+fn it_goes_where_the_fewest_would_be_lost() {
+    let mut scheduler = busy(4, 3);
+    let emptied: Vec<_> =
+        (0..4).map(|i| scheduler.endpoint(&format!("e{i}")).unwrap().running()).collect();
+    let at = start(&mut scheduler, vec![apart(1)], 10).remove(0).1;
+
+    let of_it = scheduler.endpoint(&at).unwrap().running() - 1;
+
+    expect_that!(of_it, eq(*emptied.iter().min().unwrap()));
+}
+
+#[gtest]
+fn most_engines_are_left_to_others() {
+    let mut scheduler = busy(8, 1);
+
+    let started = start(&mut scheduler, (1..10).map(apart).collect(), 10);
+    let others = start(&mut scheduler, plain(20..60), 20);
+
+    expect_that!(started.len(), eq(2));
+    expect_that!(others.len(), eq(40));
+}
+
+#[gtest]
+fn the_only_engine_is_not_kept_from_others() {
+    let mut scheduler = busy(1, 1);
+
+    let started = start(&mut scheduler, vec![apart(1)], 10);
+    let others = start(&mut scheduler, plain(20..25), 20);
+
+    expect_that!(started.len(), eq(1));
+    expect_that!(others.len(), eq(5));
+}
+
+#[gtest]
+fn an_engine_is_free_again_when_its_request_ends_or_waits_no_more() {
+    let mut scheduler = busy(2, 0);
+    let at = start(&mut scheduler, vec![apart(1), apart(2)], 0);
+    expect_that!(at.len(), eq(1));
+
+    scheduler.finish(apart(1).ticket, 0, false, ms(10));
+    let next = decide(&mut scheduler, 10);
+    scheduler.cancel(apart(2).ticket, ms(20));
+    let others = start(&mut scheduler, plain(10..30), 30);
+
+    expect_that!(next, elements_are![(eq(&2), anything())]);
+    let engines: std::collections::BTreeSet<_> = others.iter().map(|(_, e)| e.clone()).collect();
+    expect_that!(engines.len(), eq(2));
+}
+
+#[gtest]
+fn one_whose_engine_fails_while_it_waits_gets_another() {
+    let mut scheduler = busy(2, 0);
+    let before = start(&mut scheduler, plain(10..20), 0);
+    expect_that!(start(&mut scheduler, vec![apart(1)], 10), is_empty());
+    let kept =
+        ["e0", "e1"].into_iter().find(|name| !scheduler.endpoint(name).unwrap().takes_work(ms(10)));
+
+    scheduler.endpoint_failed(kept.unwrap(), ms(20));
+    for (number, _) in &before {
+        scheduler.progress(request(*number, 0, 0).ticket, 4, ms(20));
+    }
+    let started = decide(&mut scheduler, 20);
+
+    expect_that!(started.len(), eq(1));
+    expect_that!(started[0].1.as_str(), not(eq(kept.unwrap())));
+}
+
+#[gtest]
+fn it_is_given_up_when_it_has_waited_for_long_enough() {
+    let mut scheduler = busy(2, 0);
+    start(&mut scheduler, plain(10..20), 0);
+    let short = Duration::from_millis(100);
+    scheduler.arrive(Request { max_wait: short, ..apart(1) }, ms(10)).unwrap();
+
+    let actions = scheduler.decide(ms(120));
+
+    let gave_up =
+        |action: &Action| matches!(action, Action::GiveUp { ticket, .. } if ticket.number == 1);
+    expect_that!(actions.iter().filter(|action| gave_up(action)).count(), eq(1));
+    expect_that!(scheduler.has_apart(), eq(false));
+}
--- a/crates/core/src/placement/endpoint.rs
+++ b/crates/core/src/placement/endpoint.rs
@@ -7,7 +7,7 @@
 };
 
 use super::{
-    PrefixHash,
+    PrefixHash, Ticket,
     cold::{Cold, ColdSenders},
     forecast::{HORIZONS, Survival},
     pace::Pace,
@@ -125,6 +125,8 @@
     /// How fast it makes tokens.
     pub(crate) pace: Pace,
     told_slow: Option<ToldSlow>,
+    /// The request that runs apart for which it is kept, and takes no other work.
+    pub(crate) kept_for: Option<Ticket>,
 }
 
 impl EndpointState {
@@ -145,6 +147,7 @@
             reading: Reading::default(),
             pace: Pace::default(),
             told_slow: None,
+            kept_for: None,
         }
     }
 
@@ -196,6 +199,12 @@
 
     /// Whether new work may be sent now.
     pub fn takes_work(&self, now: Instant) -> bool {
+        self.kept_for.is_none() && self.is_usable(now)
+    }
+
+    /// Whether new work may be sent now, or could be if the endpoint were not kept for a request that
+    /// runs apart.
+    pub(crate) fn is_usable(&self, now: Instant) -> bool {
         match self.health {
             _ if self.out => false,
             _ if self.cold.is_some_and(|cold| !cold.takes_work(now)) => false,
--- a/crates/core/src/placement/endpoint_news.rs
+++ b/crates/core/src/placement/endpoint_news.rs
@@ -52,6 +52,7 @@
         for ticket in tickets {
             if let Some(placed) = self.placed.remove(&ticket) {
                 self.evacuation.forget(ticket);
+                self.forget_apart(ticket);
                 self.count_running(&placed.req, -1);
             }
         }
--- a/crates/core/src/placement/evacuation.rs
+++ b/crates/core/src/placement/evacuation.rs
@@ -187,6 +187,7 @@
             .iter()
             .filter(|(ticket, placed)| {
                 placed.endpoint == *source
+                    && !placed.req.apart
                     && goes_on(placed)
                     && self.evacuation.may_move(ticket, now)
             })
--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -6,6 +6,9 @@
 mod alone;
 #[cfg(test)]
 mod alone_tests;
+mod apart;
+#[cfg(test)]
+mod apart_tests;
 mod cold;
 #[cfg(test)]
 mod cold_tests;
@@ -108,6 +111,8 @@
     pub first_within: Duration,
     /// An endpoint that this request should not be sent to again.
     pub avoid: Option<Arc<str>>,
+    /// Whether it runs apart from others, since endpoints have ended under it.
+    pub apart: bool,
 }
 
 /// A decision of the scheduler.
--- a/crates/core/src/placement/reading.rs
+++ b/crates/core/src/placement/reading.rs
@@ -68,6 +68,11 @@
         Duration::from_secs_f64((all as f64 - read.min(most)) / self.speed())
     }
 
+    /// Requests whose first tokens have not been told.
+    pub(crate) fn unread(&self) -> usize {
+        self.unread.len()
+    }
+
     /// Time that it takes to read a prompt of this length there.
     pub(crate) fn time_for(&self, prompt_tokens: u64) -> Duration {
         Duration::from_secs_f64(prompt_tokens as f64 / self.speed())
--- a/crates/core/src/placement/running.rs
+++ b/crates/core/src/placement/running.rs
@@ -51,6 +51,7 @@
             self.handover.begun(ticket, now);
         }
         self.count_tokens(ticket, tokens, now);
+        self.note_begin_apart(ticket, tokens);
     }
 
     fn count_tokens(&mut self, ticket: Ticket, tokens: u64, now: Instant) {
@@ -81,6 +82,7 @@
         self.progress(ticket, tokens, now);
         let Some(placed) = self.placed.remove(&ticket) else { return };
         self.evacuation.forget(ticket);
+        self.forget_apart(ticket);
         self.count_running(&placed.req, -1);
         if let Some(endpoint) = self.endpoints.get_mut(&placed.endpoint) {
             endpoint.release(&placed.share, now);
@@ -98,6 +100,7 @@
     pub fn cancel(&mut self, ticket: Ticket, now: Instant) {
         if let Some(queued) = self.queued.remove(&ticket) {
             self.no_longer_waits(&queued);
+            self.forget_apart(ticket);
             if let Some(target) = self.targets.get_mut(&queued.target) {
                 target.queue.remove(queued.rank, &queued.workspace, ticket);
             }
--- a/crates/core/src/placement/scheduler.rs
+++ b/crates/core/src/placement/scheduler.rs
@@ -8,6 +8,7 @@
 
 use super::{
     Action, ColdSenders, Drawn, Request, Ticket,
+    apart::Apart,
     endpoint::{EndpointState, Health, Share},
     evacuation::Evacuation,
     forecast::LengthForecast,
@@ -99,6 +100,7 @@
     pub(super) placed: HashMap<Ticket, Placed>,
     pub(super) evacuation: Evacuation,
     pub(super) handover: Handover,
+    pub(super) apart: Apart,
     pub(super) counts: HashMap<Arc<str>, Count>,
     /// Endpoints that are cold, or were lately: few of many.
     pub(super) cold: BTreeSet<Arc<str>>,
@@ -126,6 +128,7 @@
             placed: HashMap::new(),
             evacuation: Evacuation::default(),
             handover: Handover::default(),
+            apart: Apart::default(),
             counts: HashMap::new(),
             cold: BTreeSet::new(),
             cold_senders: ColdSenders::scheduler(),
@@ -213,7 +216,7 @@
         let Some(target) = self.targets.get_mut(&req.target) else {
             return Err(self.no_endpoint(&req.target));
         };
-        let live = target.endpoints.iter().any(|name| self.endpoints[name].takes_work(now));
+        let live = target.endpoints.iter().any(|name| self.endpoints[name].is_usable(now));
         if !live {
             return Err(self.no_endpoint(&req.target));
         }
@@ -233,7 +236,11 @@
         };
         self.counts.entry(req.workspace.clone()).or_default().waiting += 1;
         self.queued.insert(req.ticket, queued);
-        target.queue.push(req, now);
+        if req.apart {
+            self.apart.push(req, now);
+        } else {
+            target.queue.push(req, now);
+        }
         Ok(())
     }
 
@@ -242,6 +249,7 @@
         self.decided = now;
         let mut actions = self.expire(now);
         actions.extend(self.give_up_where_all_are_out(now));
+        actions.extend(self.start_apart(now));
         let targets: Vec<EndpointTarget> = self
             .targets
             .iter()
--- a/crates/core/src/registry/mod.rs
+++ b/crates/core/src/registry/mod.rs
@@ -71,6 +71,17 @@
     pub sequence: u64,
 }
 
+/// What is known of one run of an endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum RunState {
+    /// It runs, as far as is known.
+    Runs,
+    /// It has said that it leaves, and may have ended since.
+    Left,
+    /// It has ended without a word: its heartbeats have stopped, or another run has come in its place.
+    Ended,
+}
+
 /// The endpoints that one daemon knows.
 #[derive(Debug)]
 pub struct Registry {
@@ -104,6 +115,11 @@
         }
     }
 
+    /// About how often an endpoint sends a heartbeat.
+    pub(crate) fn heartbeat(&self) -> Duration {
+        self.heartbeat
+    }
+
     /// Counts the changes so far.
     pub fn revision(&self) -> u64 {
         self.revision
@@ -193,6 +209,18 @@
         }
     }
 
+    /// What is known of the run of an endpoint that was started then.
+    pub(crate) fn run_state(&self, id: &str, born: u64) -> RunState {
+        match self.known.get(id) {
+            Some(known) if known.record.born != born => RunState::Ended,
+            Some(known) if known.record.leaving => RunState::Left,
+            Some(known) if known.record.silent => RunState::Ended,
+            Some(_) => RunState::Runs,
+            None if self.forgotten.contains(id, born) => RunState::Left,
+            None => RunState::Ended,
+        }
+    }
+
     /// Notes that the run of an endpoint that was started then, or whatever run is known where that is
     /// zero, said that it will end. Returns the record to pass on if that is new; for an endpoint that
     /// is not known here it holds only the name and the run.
--- a/crates/core/src/state/mod.rs
+++ b/crates/core/src/state/mod.rs
@@ -18,6 +18,7 @@
     agreement::{Entry, Payload},
     config::{ContentHash, Delta, Document, HashedSection, Section, SectionName},
     once::{Claim, ClaimResult, Claims, EncodedClaims, Settle},
+    quarantine::{Change, EncodedRecords, Records},
     units::UnixMillis,
 };
 
@@ -134,17 +135,22 @@
     pub delta: Bytes,
 }
 
+/// Lets what is known of suspects age to the time of its entry.
+#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+pub struct AgeSuspects {}
+
 /// A command of the log.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct Command {
     /// What it does.
-    #[prost(oneof = "command::Kind", tags = "1, 2, 3, 4")]
+    #[prost(oneof = "command::Kind", tags = "1, 2, 3, 4, 5, 6, 7")]
     pub kind: Option<command::Kind>,
 }
 
 /// Parts of [`Command`].
 pub mod command {
-    use super::{Claim, ConfigChange, HallOrder, Settle};
+    use super::{AgeSuspects, Claim, ConfigChange, HallOrder, Settle};
+    use crate::quarantine::{ClearRequest, EndedUnder};
 
     /// What a command does.
     #[derive(Clone, PartialEq, Eq, prost::Oneof)]
@@ -161,6 +167,15 @@
         /// Takes a data hall out of service, or gives it back.
         #[prost(message, tag = "4")]
         Hall(HallOrder),
+        /// Counts the end of an endpoint under a request.
+        #[prost(message, tag = "5")]
+        Ended(EndedUnder),
+        /// Forgets the ends under a request.
+        #[prost(message, tag = "6")]
+        Clear(ClearRequest),
+        /// Lets what is known of suspects age.
+        #[prost(message, tag = "7")]
+        Age(AgeSuspects),
     }
 }
 
@@ -228,6 +243,8 @@
     Settled,
     /// An order about a data hall.
     Hall(HallResult),
+    /// A change of what is known of suspects.
+    Suspects(Change),
 }
 
 #[derive(Clone, PartialEq, Eq, prost::Message)]
@@ -250,6 +267,8 @@
     now_ms: u64,
     #[prost(message, optional, tag = "5")]
     halls: Option<EncodedHalls>,
+    #[prost(message, optional, tag = "6")]
+    suspects: Option<EncodedRecords>,
 }
 
 /// The state that the log makes.
@@ -260,6 +279,7 @@
     history: BTreeMap<u64, ContentHash>,
     claims: Claims,
     halls: Halls,
+    suspects: Records,
     now: UnixMillis,
 }
 
@@ -289,6 +309,11 @@
         self.halls.out()
     }
 
+    /// The requests under which endpoints have ended.
+    pub fn suspects(&self) -> &Records {
+        &self.suspects
+    }
+
     /// What a file of this version and content would come to now.
     pub fn judge(&self, version: u64, hash: ContentHash) -> ConfigResult {
         match self.history.get(&version) {
@@ -318,6 +343,9 @@
                 Applied::Settled
             }
             command::Kind::Hall(order) => Applied::Hall(self.halls.order(&order)),
+            command::Kind::Ended(ended) => Applied::Suspects(self.suspects.ended(&ended, self.now)),
+            command::Kind::Clear(clear) => Applied::Suspects(self.suspects.clear(&clear)),
+            command::Kind::Age(AgeSuspects {}) => Applied::Suspects(self.suspects.age(self.now)),
         }
     }
 
@@ -334,6 +362,7 @@
             claims: self.claims.encode(),
             now_ms: self.now.0,
             halls: Some(self.halls.encode()),
+            suspects: Some(self.suspects.encode()),
         };
         Bytes::from(encoded.encode_to_vec())
     }
@@ -351,6 +380,7 @@
             history: history.collect(),
             claims: Claims::decode(encoded.claims),
             halls: encoded.halls.map(Halls::decode).unwrap_or_default(),
+            suspects: encoded.suspects.map(Records::decode).unwrap_or_default(),
             now: UnixMillis(encoded.now_ms),
         })
     }
--- a/crates/core/src/wire/control.rs
+++ b/crates/core/src/wire/control.rs
@@ -3,8 +3,10 @@
 
 use bytes::Bytes;
 
+use super::{SuspectNews, SuspectsReply};
 use crate::{
     once::{Claim, Settle, StoredAnswer},
+    quarantine::{ClearRequest, EndedUnder},
     state::{ChangeId, ConfigChange, HallOrder, HallsOut},
 };
 
@@ -45,6 +47,12 @@
     /// Whether a planned stop of it has begun.
     #[prost(bool, tag = "5")]
     pub stopping: bool,
+    /// Number of the last change about suspects that the daemon knows.
+    #[prost(uint64, tag = "6")]
+    pub suspects: u64,
+    /// Whether it began without any and has not been told all of them yet.
+    #[prost(bool, tag = "7")]
+    pub filling: bool,
 }
 
 /// See [`super::Body::PollReply`].
@@ -77,6 +85,9 @@
     /// The data halls that are out of service, confirmed as the version is.
     #[prost(message, optional, tag = "10")]
     pub halls: Option<HallsOut>,
+    /// What the daemon lacks of the suspects.
+    #[prost(message, optional, tag = "11")]
+    pub suspects: Option<SuspectNews>,
 }
 
 /// An endpoint that takes longer for everything.
@@ -168,7 +179,7 @@
     #[prost(uint64, tag = "1")]
     pub id: u64,
     /// What is asked. All are harmless when repeated.
-    #[prost(oneof = "OperationKind", tags = "2, 3, 4, 5")]
+    #[prost(oneof = "OperationKind", tags = "2, 3, 4, 5, 6, 7")]
     pub kind: Option<OperationKind>,
 }
 
@@ -187,6 +198,12 @@
     /// Take a data hall out of service, or give it back.
     #[prost(message, tag = "5")]
     Hall(HallOrder),
+    /// Count the end of an endpoint under a request.
+    #[prost(message, tag = "6")]
+    Ended(EndedUnder),
+    /// Forget the ends under a request.
+    #[prost(message, tag = "7")]
+    Clear(ClearRequest),
 }
 
 /// See [`super::Body::OperationReply`].
@@ -196,7 +213,7 @@
     #[prost(uint64, tag = "1")]
     pub id: u64,
     /// What it came to.
-    #[prost(oneof = "OperationResult", tags = "2, 3, 4, 5, 6, 7")]
+    #[prost(oneof = "OperationResult", tags = "2, 3, 4, 5, 6, 7, 8")]
     pub result: Option<OperationResult>,
 }
 
@@ -221,6 +238,9 @@
     /// What became of the order about a data hall.
     #[prost(message, tag = "7")]
     Hall(HallReply),
+    /// The ends under a request are counted or forgotten.
+    #[prost(message, tag = "8")]
+    Suspects(SuspectsReply),
 }
 
 /// An answer without content.
--- a/crates/core/src/wire/mod.rs
+++ b/crates/core/src/wire/mod.rs
@@ -5,6 +5,7 @@
 mod endpoints;
 mod handshake;
 mod placement;
+mod quarantine;
 #[cfg(test)]
 mod tests;
 
@@ -23,6 +24,9 @@
     },
     handshake::{Handshake, HandshakeError, Hello, Proof},
     placement::{Admit, GiveUp, Grant, Move, Moved, Progress, Tokens},
+    quarantine::{
+        SuspectChange, SuspectNews, SuspectsReply, TrialAsk, TrialOver, TrialReply, TrialStatus,
+    },
 };
 
 /// A message between two daemons.
@@ -31,7 +35,7 @@
     /// What it says.
     #[prost(
         oneof = "Body",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26, 27, 28"
     )]
     pub body: Option<Body>,
 }
@@ -111,6 +115,18 @@
     /// A daemon asks a control VM for a part of them.
     #[prost(message, tag = "24")]
     EndpointsWanted(EndpointsWanted),
+    /// The leader tells under which requests endpoints have ended, without being asked.
+    #[prost(message, tag = "25")]
+    Suspects(SuspectNews),
+    /// A daemon asks whether a try of a suspect may run.
+    #[prost(message, tag = "26")]
+    TrialAsk(TrialAsk),
+    /// The leader answers.
+    #[prost(message, tag = "27")]
+    TrialReply(TrialReply),
+    /// The try has ended, or is no longer wanted.
+    #[prost(message, tag = "28")]
+    TrialOver(TrialOver),
 }
 
 impl Body {
@@ -141,6 +157,10 @@
             Body::HallsOut(_) => "halls_out",
             Body::EndpointDigest(_) => "endpoint_digest",
             Body::EndpointsWanted(_) => "endpoints_wanted",
+            Body::Suspects(_) => "suspects",
+            Body::TrialAsk(_) => "trial_ask",
+            Body::TrialReply(_) => "trial_reply",
+            Body::TrialOver(_) => "trial_over",
         }
     }
 }
--- a/crates/core/src/wire/placement.rs
+++ b/crates/core/src/wire/placement.rs
@@ -54,6 +54,9 @@
     /// Tokens so far, when it already runs.
     #[prost(uint64, tag = "14")]
     pub tokens: u64,
+    /// Whether it runs apart from others.
+    #[prost(bool, tag = "18")]
+    pub apart: bool,
 }
 
 /// See [`super::Body::Grant`].
--- a/crates/lab/src/experiment/cost.rs
+++ b/crates/lab/src/experiment/cost.rs
@@ -69,6 +69,7 @@
         max_wait: std::time::Duration::from_secs(10),
         first_within: std::time::Duration::from_secs(10),
         avoid: None,
+        apart: false,
     };
     scheduler.arrive(req, now).expect("there is room");
     let actions = scheduler.decide(now);
--- a/crates/lab/src/experiment/sim.rs
+++ b/crates/lab/src/experiment/sim.rs
@@ -186,6 +186,7 @@
             max_wait: kind.deadline,
             first_within: kind.deadline,
             avoid: None,
+            apart: false,
         };
         if self.scheduler.arrive(req, Instant(self.now)).is_err() {
             self.give_up(i);
--- a/crates/lab/src/fleet/deciders.rs
+++ b/crates/lab/src/fleet/deciders.rs
@@ -268,5 +268,6 @@
         max_wait: first_within.saturating_sub(reading_time(arrival.prompt)),
         first_within,
         avoid: None,
+        apart: false,
     }
 }
--- a/crates/server/src/relay/admission.rs
+++ b/crates/server/src/relay/admission.rs
@@ -1,6 +1,7 @@
 //! Finds out who asks for what, and whether this daemon may serve it.
 
 use std::{
+    cell::OnceCell,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -81,6 +82,7 @@
             arrived,
             deadline,
             counted: None,
+            digest: OnceCell::new(),
         };
         self.check_may_begin(&job).map_err(|e| refused(&id, e))?;
         Ok(job)
@@ -95,7 +97,7 @@
         if job.route.spec.kind != RouteKind::Generation {
             return Ok(());
         }
-        let whole = self.node.chance_to_end(&job.place_request(None), left);
+        let whole = self.node.chance_to_end(&job.place_request(None, false), left);
         let elsewhere = view.chance_elsewhere();
         if self.uses(Mechanism::StopEstimate) && elsewhere <= whole {
             log::info!(
--- a/crates/server/src/relay/call.rs
+++ b/crates/server/src/relay/call.rs
@@ -11,7 +11,9 @@
     registry::Registered,
 };
 
-use super::{Answer, Job, MAX_TURNED, Relay, Turned, job::GoOn, loads::Verdict, no_answer};
+use super::{
+    Answer, Job, MAX_TURNED, Relay, Turned, job::GoOn, loads::Verdict, no_answer, permit::Permit,
+};
 use crate::{
     edge::{self, Body, LocalFuture},
     telemetry::EventId,
@@ -29,6 +31,8 @@
     NotRun(String),
     /// It may have run.
     Unknown(String),
+    /// It was not sent: too many endpoints have ended under it, or it had no turn.
+    Refused(RequestError),
 }
 
 impl End {
@@ -39,6 +43,7 @@
             End::Answer { head, .. } => ("failed", head.status.to_string()),
             End::NotRun(problem) => ("not_run", problem.clone()),
             End::Unknown(problem) => ("unknown", problem.clone()),
+            End::Refused(error) => ("refused", error.message.clone()),
         }
     }
 }
@@ -104,7 +109,10 @@
                 }
                 () = second.as_mut(), if !hedged => {
                     hedged = true;
-                    self.start_another();
+                    // Of a suspect one try runs at a time, and a second one would wait for the first.
+                    if !self.relay.is_suspect(self.job) {
+                        self.start_another();
+                    }
                 }
                 () = deadline.as_mut() => return Err(no_answer(self.starts, "the time is over")),
             }
@@ -140,6 +148,13 @@
                     self.start_another();
                 }
             }
+            End::Refused(error) => {
+                self.starts -= 1;
+                if self.starts == 0 {
+                    return Err(error);
+                }
+                self.problem = error.message;
+            }
         }
         if !self.running.is_empty() {
             return Ok(None);
@@ -199,17 +214,22 @@
     RequestError::new(ErrorKind::NoEndpoint, format!("no live endpoint serves {service}"))
 }
 
-/// Makes one attempt at an endpoint.
+/// Makes one attempt at an endpoint, once it may be sent.
 async fn attempt(relay: &Relay, job: &Job, endpoint: Registered) -> End {
+    let mut permit = match relay.permit(job).await {
+        Ok(permit) => permit,
+        Err(error) => return End::Refused(error),
+    };
     let began = Instant::now();
     let inputs = relay.inputs();
     let own_running = relay.loads.running(&endpoint.id);
     let running = relay.loads.begin(&endpoint.id, relay.cold_rule(job).as_ref());
-    let (end, verdict) = ask(relay, job, &endpoint).await;
+    let (end, verdict) = ask(relay, job, &permit, &endpoint).await;
     drop(running);
     relay.loads.note(&endpoint.id, verdict);
     if verdict == Verdict::Good {
         relay.note_latency(&job.service, began.elapsed());
+        relay.answered_whole(job, &mut permit);
     }
     let (name, detail) = end.describe();
     relay.metrics.attempt(&job.service, name);
@@ -225,7 +245,7 @@
 }
 
 /// Sends the request and waits for the whole answer; tells how well the endpoint did.
-async fn ask(relay: &Relay, job: &Job, endpoint: &Registered) -> (End, Verdict) {
+async fn ask(relay: &Relay, job: &Job, permit: &Permit, endpoint: &Registered) -> (End, Verdict) {
     let protocol = &*relay.protocol;
     let req = job.request(protocol, &endpoint.id, endpoint.address, &GoOn::default());
     let connect_limit = relay.options.connect_limit.min(job.time_left());
@@ -233,7 +253,7 @@
     match opened {
         Err(SendError::NotSent(problem)) => (End::NotRun(problem), Verdict::Dead),
         Err(SendError::Lost(problem)) => {
-            relay.look_after(job, endpoint, 0);
+            relay.broke_off(job, permit, endpoint, 0).await;
             (End::Unknown(problem), Verdict::Dead)
         }
         Ok(open) => match protocol.judge(&job.caller.id, &open.head) {
@@ -250,7 +270,7 @@
                     (End::Answer { head: open.head, body, success }, verdict)
                 }
                 Err(problem) => {
-                    relay.look_after(job, endpoint, 0);
+                    relay.broke_off(job, permit, endpoint, 0).await;
                     (End::Unknown(problem), Verdict::Failed)
                 }
             },
--- a/crates/server/src/relay/ended.rs
+++ b/crates/server/src/relay/ended.rs
@@ -3,83 +3,60 @@
 //! An attempt that breaks off tells only that its connection has ended. An endpoint that has ended
 //! refuses the next connection; one that only failed this request takes it.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{net::SocketAddr, time::Duration};
 
 use tokio::time::timeout;
-use trayswitch_core::registry::Registered;
-
-use super::{Job, Relay};
-use crate::{
-    telemetry::{EventId, Metrics},
-    upstream::socket,
+use trayswitch_core::{
+    node::{AfterBreak, BrokeOff, Input},
+    registry::Registered,
 };
 
-/// What an endpoint's address says after an attempt there broke off.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum After {
-    /// Nothing listens there any more: the endpoint has ended.
-    Ended,
-    /// It takes connections.
-    Alive,
-    /// It does not say anything; its VM or the way there may have failed.
-    Silent,
-}
-
-impl After {
-    fn name(self) -> &'static str {
-        match self {
-            After::Ended => "ended",
-            After::Alive => "alive",
-            After::Silent => "silent",
-        }
-    }
-}
+use super::{Job, Relay, permit::Permit};
+use crate::{telemetry::EventId, upstream::socket};
 
 impl Relay {
     /// Finds out whether an endpoint has ended, after an attempt there broke off when its caller had
-    /// so many events.
-    pub(super) fn look_after(&self, job: &Job, endpoint: &Registered, events: u64) {
-        let look = Look {
-            id: job.caller.id.clone(),
-            request: self.node.digest(&job.identity()).to_string(),
-            service: job.service.clone(),
-            endpoint: endpoint.clone(),
-            events,
-            limit: self.options.connect_limit,
-            metrics: self.metrics.clone(),
-        };
-        tokio::task::spawn_local(look.run());
-    }
-}
-
-/// A look at an endpoint.
-struct Look {
-    id: String,
-    request: String,
-    service: String,
-    endpoint: Registered,
-    events: u64,
-    limit: Duration,
-    metrics: Rc<Metrics>,
-}
-
-impl Look {
-    async fn run(self) {
-        let after = look_at(self.endpoint.address, self.limit).await;
-        self.metrics.broke_off(&self.service, after.name());
+    /// so many events. Before this is known the request is not sent again: the next attempt may be a
+    /// trial.
+    pub(super) async fn broke_off(
+        &self,
+        job: &Job,
+        permit: &Permit,
+        endpoint: &Registered,
+        events: u64,
+    ) {
+        let after = look_at(endpoint.address, self.options.connect_limit).await;
+        let request = job.digest(self);
+        self.metrics.broke_off(&job.service, name(after));
         log::info!(
-            event = EventId::EndedUnder.number(), id = self.id.as_str(),
-            request = self.request.as_str(), endpoint = &*self.endpoint.id,
-            born = self.endpoint.born, events = self.events, end = after.name();
+            event = EventId::EndedUnder.number(), id = job.caller.id.as_str(),
+            request = request.to_string().as_str(), endpoint = &*endpoint.id,
+            born = endpoint.born, events = events, end = name(after),
+            trial = permit.trial.is_some();
             "an attempt broke off"
         );
+        self.node.input(Input::BrokeOff(BrokeOff {
+            request,
+            endpoint: endpoint.id.clone(),
+            born: endpoint.born,
+            after,
+            trial: permit.trial.as_ref().map(|trial| trial.call()),
+        }));
+    }
+}
+
+fn name(after: AfterBreak) -> &'static str {
+    match after {
+        AfterBreak::Refused => "ended",
+        AfterBreak::Taken => "alive",
+        AfterBreak::Silent => "silent",
     }
 }
 
-async fn look_at(address: SocketAddr, limit: Duration) -> After {
+async fn look_at(address: SocketAddr, limit: Duration) -> AfterBreak {
     match timeout(limit, socket::connect(address)).await {
-        Ok(Ok(_)) => After::Alive,
-        Ok(Err(_)) => After::Ended,
-        Err(_) => After::Silent,
+        Ok(Ok(_)) => AfterBreak::Taken,
+        Ok(Err(_)) => AfterBreak::Refused,
+        Err(_) => AfterBreak::Silent,
     }
 }
--- a/crates/server/src/relay/generation.rs
+++ b/crates/server/src/relay/generation.rs
@@ -19,6 +19,7 @@
     Answer, Job, MAX_TURNED, Relay, Turned,
     job::GoOn,
     no_answer,
+    permit::Permit,
     source::{Source, Step},
     stream::Pump,
     unscheduled::{NoRoom, confirm},
@@ -53,14 +54,14 @@
 /// Serves one generation.
 pub(super) async fn serve(relay: Rc<Relay>, job: Job) -> Response<Body> {
     match start(&relay, &job).await {
-        Ok((placed, Opened::Stream { head, source, first })) => {
+        Ok(Started { placed, permit, opened: Opened::Stream { head, source, first } }) => {
             let (tx, rx) = mpsc::channel(MAX_EVENTS);
             let answer = relay.answer(&head, edge::streamed(rx));
-            let pump = Pump::new(relay, job, placed, source, tx);
+            let pump = Pump::new(relay, job, placed, permit, source, tx);
             tokio::task::spawn_local(pump.run(first));
             answer
         }
-        Ok((_, Opened::Failed { head, body })) => {
+        Ok(Started { opened: Opened::Failed { head, body }, .. }) => {
             job.ended(&relay.metrics, "endpoint_failed", head.status.as_str());
             relay.answer(&head, edge::full(body))
         }
@@ -68,19 +69,32 @@
     }
 }
 
-async fn start(relay: &Relay, job: &Job) -> Result<(Placed, Opened), RequestError> {
+/// A generation that has a place and an answer.
+struct Started {
+    placed: Placed,
+    permit: Permit,
+    opened: Opened,
+}
+
+async fn start(relay: &Relay, job: &Job) -> Result<Started, RequestError> {
     let spec = &job.route.spec;
     let mut avoid: Option<Arc<str>> = None;
     let mut starts = 0;
     let mut turned = 0;
     loop {
-        let placed = timeout(job.time_left(), place(relay, job, avoid.take())).await;
+        let not_placed =
+            |e: RequestError| if starts == 0 { e } else { no_answer(starts, &e.message) };
+        let permit = relay.permit(job).await.map_err(not_placed)?;
+        let placed = place(relay, job, avoid.clone(), permit.is_apart());
+        let placed = timeout(job.time_left(), placed).await;
         let placed = placed.map_err(|_| no_answer(starts, "the time is over"))?;
-        let (placed, reservation) =
-            placed.map_err(|e| if starts == 0 { e } else { no_answer(starts, &e.message) })?;
+        let (placed, reservation) = placed.map_err(not_placed)?;
         relay.check_may_run(job)?;
+        if relay.must_ask_again(job, &permit) {
+            continue;
+        }
         let go_on = GoOn { after: job.caller.after, memory: None, reservation };
-        let opened = open_at(relay, job, placed.endpoint(), &go_on);
+        let opened = open_at(relay, job, &permit, placed.endpoint(), &go_on);
         let opened = timeout(job.time_left(), opened).await;
         let opened = opened.map_err(|_| no_answer(starts + 1, "the time is over"))?;
         let endpoint = placed.endpoint().clone();
@@ -91,7 +105,7 @@
                 starts += 1;
                 "the endpoint failed".to_owned()
             }
-            Ok(opened) => return Ok((placed, opened)),
+            Ok(opened) => return Ok(Started { placed, permit, opened }),
             Err(Lost::NotRun(problem)) => {
                 turned += 1;
                 if MAX_TURNED <= turned {
@@ -121,11 +135,12 @@
     relay: &Relay,
     job: &Job,
     avoid: Option<Arc<str>>,
+    apart: bool,
 ) -> Result<(Placed, Option<String>), RequestError> {
     /// Pause between two looks.
     const LOOK_AGAIN: Duration = Duration::from_millis(20);
     loop {
-        let mut req = job.place_request(avoid.clone());
+        let mut req = job.place_request(avoid.clone(), apart);
         if !relay.uses(Mechanism::PlacePatience) {
             req.max_wait = Duration::ZERO;
         }
@@ -151,12 +166,13 @@
 pub(super) async fn open_at(
     relay: &Relay,
     job: &Job,
+    permit: &Permit,
     endpoint: &Arc<str>,
     go_on: &GoOn,
 ) -> Result<Opened, Lost> {
     let began = Instant::now();
     let inputs = relay.inputs();
-    let opened = send(relay, job, endpoint, go_on).await;
+    let opened = send(relay, job, permit, endpoint, go_on).await;
     let (name, detail) = describe(&opened);
     relay.metrics.attempt(&job.service, name);
     log::info!(
@@ -182,7 +198,13 @@
     }
 }
 
-async fn send(relay: &Relay, job: &Job, endpoint: &Arc<str>, go_on: &GoOn) -> Result<Opened, Lost> {
+async fn send(
+    relay: &Relay,
+    job: &Job,
+    permit: &Permit,
+    endpoint: &Arc<str>,
+    go_on: &GoOn,
+) -> Result<Opened, Lost> {
     let Some(known) = relay.node.view().endpoint(endpoint) else {
         return Err(Lost::NotRun("the endpoint has just ended".into()));
     };
@@ -194,7 +216,7 @@
         let news = Input::Health(endpoint.clone(), HealthNews::Failed);
         relay.node.input(news);
     };
-    let broke_off = || relay.look_after(job, &known, go_on.after.unwrap_or(0));
+    let broke_off = || relay.broke_off(job, permit, &known, go_on.after.unwrap_or(0));
     let req = job.request(&*relay.protocol, endpoint, known.address, go_on);
     let open = match exchange(known.address, req, relay.options.connect_limit).await {
         Ok(open) => open,
@@ -204,7 +226,7 @@
         }
         Err(SendError::Lost(problem)) => {
             failed();
-            broke_off();
+            broke_off().await;
             return Err(Lost::Unknown(problem));
         }
     };
@@ -219,11 +241,13 @@
         Answer::Ran { success: false } => {
             /// Largest answer of an endpoint that failed.
             const MAX_FAILURE: usize = 1024 * 1024;
-            let body = open.body.collect(MAX_FAILURE).await.map_err(|problem| {
-                broke_off();
-                Lost::Unknown(problem)
-            })?;
-            return Ok(Opened::Failed { head: open.head, body });
+            return match open.body.collect(MAX_FAILURE).await {
+                Ok(body) => Ok(Opened::Failed { head: open.head, body }),
+                Err(problem) => {
+                    broke_off().await;
+                    Err(Lost::Unknown(problem))
+                }
+            };
         }
     }
     let mut source = Source::new(open.body);
@@ -232,7 +256,7 @@
         Step::Ended => Ok(Opened::Stream { head: open.head, source, first: None }),
         Step::Lost(problem) => {
             failed();
-            broke_off();
+            broke_off().await;
             Err(Lost::Unknown(problem))
         }
     }
--- a/crates/server/src/relay/job.rs
+++ b/crates/server/src/relay/job.rs
@@ -1,6 +1,7 @@
 //! One admitted request.
 
 use std::{
+    cell::OnceCell,
     net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
@@ -13,10 +14,10 @@
     config::{EndpointTarget, NamedRoute},
     node::InForce,
     placement::{self, PrefixHash, Ticket},
-    quarantine::RequestIdentity,
+    quarantine::{RequestDigest, RequestIdentity},
 };
 
-use super::{Attempt, CallerRequest, InProgress, MemoryAt, Protocol};
+use super::{Attempt, CallerRequest, InProgress, MemoryAt, Protocol, Relay};
 use crate::telemetry::{EventId, Metrics};
 
 /// Rank of requests whose tier is not known: after all others.
@@ -42,6 +43,8 @@
     /// When the final answer is due.
     pub(super) deadline: Instant,
     pub(super) counted: Option<InProgress>,
+    /// Its digest, once anybody has asked for it.
+    pub(super) digest: OnceCell<RequestDigest>,
 }
 
 /// How an attempt goes on with a generation.
@@ -72,8 +75,13 @@
         self.rank.saturating_sub(1).min(LEAST_URGENT)
     }
 
+    /// The name by which every daemon knows the request again, whichever try it is.
+    pub(super) fn digest(&self, relay: &Relay) -> RequestDigest {
+        *self.digest.get_or_init(|| relay.node.digest(&self.identity()))
+    }
+
     /// What it has in common with other tries of the same request.
-    pub(super) fn identity(&self) -> RequestIdentity<'_> {
+    fn identity(&self) -> RequestIdentity<'_> {
         RequestIdentity {
             method: self.head.method.as_str(),
             path: self.head.uri.path_and_query().map_or("", |path| path.as_str()),
@@ -112,7 +120,7 @@
     }
 
     /// What the scheduler needs to know.
-    pub(super) fn place_request(&self, avoid: Option<Arc<str>>) -> placement::Request {
+    pub(super) fn place_request(&self, avoid: Option<Arc<str>>, apart: bool) -> placement::Request {
         let prompt = self.caller.prompt.clone().unwrap_or_default();
         let unlimited = u64::MAX / 2;
         let spec = &self.route.spec;
@@ -137,6 +145,7 @@
             max_wait: max_wait.min(self.time_left()),
             first_within,
             avoid,
+            apart,
         }
     }
 
--- a/crates/server/src/relay/mod.rs
+++ b/crates/server/src/relay/mod.rs
@@ -13,6 +13,7 @@
 mod latency;
 mod loads;
 mod moves;
+mod permit;
 mod protocol;
 mod source;
 mod stream;
--- /dev/null
+++ b/crates/server/src/relay/permit.rs
@@ -0,0 +1,135 @@
+//! Whether an attempt may be sent: of requests under which endpoints have ended one try runs at a
+//! time, and in the end none.
+
+use std::time::Duration;
+
+use trayswitch_core::{
+    error::{ErrorKind, RequestError},
+    node::Input,
+    quarantine::Standing,
+};
+
+use super::{Job, Relay};
+use crate::{
+    runtime::{Trial, Tried},
+    telemetry::EventId,
+};
+
+/// How long a try waits for its turn. Engines that ended under a request did so within 1.6 s after it
+/// was sent to them, 0.7 s in the middle.
+const PATIENCE: Duration = Duration::from_millis(1_500);
+/// Part of the time that is left which a try may wait for its turn; the rest is for the answer.
+const MOST_WAITED: u32 = 2;
+/// When to come back to one that had no turn: one try takes about as long.
+const NEXT_TURN: Duration = Duration::from_secs(1);
+
+/// Lets one attempt go ahead.
+pub(super) struct Permit {
+    /// The trial that it is, if endpoints have ended under the request.
+    pub(super) trial: Option<Trial>,
+    /// How the request stood when it was given.
+    standing: Standing,
+}
+
+impl Permit {
+    /// Whether the attempt runs apart from other requests.
+    pub(super) fn is_apart(&self) -> bool {
+        self.trial.as_ref().is_some_and(Trial::is_apart)
+    }
+
+    /// For a run that goes on, or was lost: nothing is held any more.
+    pub(super) fn none() -> Permit {
+        Permit { trial: None, standing: Standing::default() }
+    }
+
+    /// Notes that the answer has begun well.
+    pub(super) fn begin(&mut self) {
+        if let Some(trial) = &mut self.trial {
+            trial.begin();
+        }
+    }
+}
+
+impl Relay {
+    /// Lets an attempt of a request go ahead; one of a suspect waits for its turn.
+    pub(super) async fn permit(&self, job: &Job) -> Result<Permit, RequestError> {
+        let standing = self.standing(job);
+        if !standing.is_suspect() {
+            return Ok(Permit::none());
+        }
+        if standing.is_quarantined() {
+            return Err(self.quarantined(job, standing));
+        }
+        let limit = PATIENCE.min(job.time_left() / MOST_WAITED);
+        let tried = self.node.try_suspect(job.digest(self), limit).await;
+        let (answer, permit) = match tried {
+            Tried::Granted(trial) => {
+                let answer = if trial.is_apart() { "apart" } else { "granted" };
+                (answer, Ok(Permit { trial: Some(trial), standing }))
+            }
+            Tried::Clear => ("clear", Ok(Permit::none())),
+            Tried::Quarantined => ("quarantined", Err(quarantined(self.standing(job)))),
+            Tried::NotNow if standing.runs_apart() => ("not_now", Err(no_turn())),
+            // Nearly all that were at one end are innocent; without a leader they go on unwatched.
+            Tried::NotNow => ("unwatched", Ok(Permit { trial: None, standing })),
+        };
+        self.note_trial(job, standing, answer);
+        permit
+    }
+
+    /// Whether a permit is no longer good: endpoints have ended under the request since it was given.
+    pub(super) fn must_ask_again(&self, job: &Job, permit: &Permit) -> bool {
+        let now = self.standing(job);
+        let is_news = now.is_suspect() && now != permit.standing;
+        now.is_quarantined() || permit.trial.is_none() && is_news
+    }
+
+    /// Whether endpoints have ended under a request.
+    pub(super) fn is_suspect(&self, job: &Job) -> bool {
+        self.standing(job).is_suspect()
+    }
+
+    /// Notes that a request has brought its whole answer: it is no suspect any more.
+    pub(super) fn answered_whole(&self, job: &Job, permit: &mut Permit) {
+        match &mut permit.trial {
+            Some(trial) => trial.finish(),
+            None if self.is_suspect(job) => {
+                self.node.input(Input::AnsweredWhole(job.digest(self)));
+            }
+            None => {}
+        }
+    }
+
+    fn standing(&self, job: &Job) -> Standing {
+        self.node.standing(|| job.digest(self))
+    }
+
+    fn quarantined(&self, job: &Job, standing: Standing) -> RequestError {
+        self.note_trial(job, standing, "quarantined");
+        quarantined(standing)
+    }
+
+    fn note_trial(&self, job: &Job, standing: Standing, answer: &str) {
+        self.metrics.trial(answer);
+        log::info!(
+            event = EventId::TrialAsked.number(), id = job.caller.id.as_str(),
+            request = job.digest(self).to_string().as_str(), end = answer,
+            ended = standing.ended, in_trials = standing.in_trials;
+            "endpoints have ended under a request that was tried again"
+        );
+    }
+}
+
+fn quarantined(standing: Standing) -> RequestError {
+    let ended = standing.ended;
+    let message =
+        format!("{ended} endpoints have ended under this request; it is sent to no other");
+    RequestError::new(ErrorKind::Quarantined, message)
+}
+
+fn no_turn() -> RequestError {
+    let message = "endpoints have ended under this request; one try of it runs at a time";
+    let mut error = RequestError::new(ErrorKind::Overloaded, message);
+    error.retry_after = Some(NEXT_TURN);
+    error
+}
--- a/crates/server/src/relay/stream.rs
+++ b/crates/server/src/relay/stream.rs
@@ -13,11 +13,14 @@
     time::{sleep_until, timeout},
 };
 
+use trayswitch_core::error::RequestError;
+
 use super::{
     Job, MemoryAt, Relay,
     generation::{Opened, open_at, place},
     job::GoOn,
     moves::{Move, MoveEnd, free},
+    permit::Permit,
     source::{Source, Step},
 };
 use crate::{
@@ -47,6 +50,7 @@
     relay: Rc<Relay>,
     job: Rc<Job>,
     placed: Placed,
+    permit: Permit,
     source: Source,
     tx: mpsc::Sender<Result<Bytes, AnswerError>>,
     orders: mpsc::UnboundedReceiver<MoveOrder>,
@@ -58,6 +62,8 @@
     last: Option<u64>,
     /// Events passed on so far.
     events: u64,
+    /// Events that were passed on before it last began at an endpoint.
+    events_before: u64,
     /// How many times the generation was started.
     starts: u32,
 }
@@ -68,6 +74,7 @@
         relay: Rc<Relay>,
         job: Job,
         placed: Placed,
+        permit: Permit,
         source: Source,
         tx: mpsc::Sender<Result<Bytes, AnswerError>>,
     ) -> Pump {
@@ -77,6 +84,7 @@
             relay,
             job: Rc::new(job),
             placed,
+            permit,
             source,
             tx,
             orders,
@@ -84,6 +92,7 @@
             copied: None,
             last,
             events: 0,
+            events_before: 0,
             starts: 1,
         }
     }
@@ -103,6 +112,7 @@
         let (name, detail) = match cause {
             Cause::Answered => {
                 self.placed.finish(self.tokens());
+                self.relay.answered_whole(&self.job, &mut self.permit);
                 ("answered", String::new())
             }
             Cause::CallerLeft => ("caller_left", String::new()),
@@ -161,14 +171,20 @@
             Step::Ended => Err(Cause::Answered),
             Step::Lost(_) if self.is_stopped() => self.follow_move(false).await,
             Step::Lost(problem) => {
-                if let Some(endpoint) = self.relay.node.view().endpoint(self.placed.endpoint()) {
-                    self.relay.look_after(&self.job, &endpoint, self.last.unwrap_or(0));
-                }
+                self.broke_off().await;
                 self.start_again(problem).await
             }
         }
     }
 
+    /// Finds out whether the endpoint has ended under the generation.
+    async fn broke_off(&self) {
+        if let Some(endpoint) = self.relay.node.view().endpoint(self.placed.endpoint()) {
+            let last = self.last.unwrap_or(0);
+            self.relay.broke_off(&self.job, &self.permit, &endpoint, last).await;
+        }
+    }
+
     /// Goes on with the events of another connection.
     async fn switch(&mut self, source: Source, first: Option<Event>) -> Result<(), Cause> {
         self.source = source;
@@ -197,6 +213,9 @@
         if self.events == 1 || self.events.is_multiple_of(PROGRESS_EVENTS) {
             self.placed.progress(self.tokens());
         }
+        if self.events - self.events_before == PROGRESS_EVENTS {
+            self.permit.begin();
+        }
         Ok(())
     }
 
@@ -311,7 +330,7 @@
         let mut problem = String::new();
         let endpoints = if to == from { &[from][..] } else { &[to, from] };
         for endpoint in endpoints.iter().copied() {
-            let opened = open_at(&self.relay, &self.job, endpoint, &go_on);
+            let opened = open_at(&self.relay, &self.job, &self.permit, endpoint, &go_on);
             let opened = timeout(self.job.time_left(), opened).await;
             match opened.map_err(|_| Cause::TimeOver)? {
                 Ok(Opened::Stream { source, first, .. }) => {
@@ -344,11 +363,18 @@
     /// Finds a place at another endpoint; returns the name of its reservation there, if there is one.
     async fn place_again(&mut self, problem: &str) -> Result<Option<String>, Cause> {
         let left = self.placed.endpoint().clone();
-        let placing = place(&self.relay, &self.job, Some(left));
-        let placed = timeout(self.job.time_left(), placing).await.map_err(|_| Cause::TimeOver)?;
-        let (placed, reservation) =
-            placed.map_err(|e| Cause::Lost(format!("{problem}; {}", e.message)))?;
+        let lost = |e: RequestError| Cause::Lost(format!("{problem}; {}", e.message));
+        let (placed, permit, reservation) = loop {
+            let permit = self.relay.permit(&self.job).await.map_err(lost)?;
+            let placing = place(&self.relay, &self.job, Some(left.clone()), permit.is_apart());
+            let placed = timeout(self.job.time_left(), placing).await;
+            let (placed, reservation) = placed.map_err(|_| Cause::TimeOver)?.map_err(lost)?;
+            if !self.relay.must_ask_again(&self.job, &permit) {
+                break (placed, permit, reservation);
+            }
+        };
         self.placed = placed;
+        self.permit = permit;
         self.orders = self.placed.orders();
         self.moving = None;
         Ok(reservation)
@@ -358,9 +384,13 @@
     async fn start_again(&mut self, problem: String) -> Result<(), Cause> {
         self.take_repeat(&problem)?;
         self.starts += 1;
+        self.events_before = self.events;
+        // The next attempt waits for its turn behind this one.
+        self.permit = Permit::none();
         let reservation = self.place_again(&problem).await?;
         let go_on = GoOn { after: self.last, memory: None, reservation };
-        let opened = open_at(&self.relay, &self.job, self.placed.endpoint(), &go_on);
+        let endpoint = self.placed.endpoint();
+        let opened = open_at(&self.relay, &self.job, &self.permit, endpoint, &go_on);
         let opened = timeout(self.job.time_left(), opened).await.map_err(|_| Cause::TimeOver)?;
         log::info!(
             event = EventId::StreamResumed.number(), id = self.job.caller.id.as_str(),
--- a/crates/server/src/relay/tests/crashing.rs
+++ b/crates/server/src/relay/tests/crashing.rs
@@ -169,3 +169,123 @@
         expect_that!(site.ended, le(5));
     });
 }
+
+/// All endpoints end at once while so many tries of a request run there.
+async fn ends_beside(site: &mut Site<'_>, path: &str, tries: usize) {
+    let entry = site.entry;
+    let asks = (0..tries).map(|_| Box::pin(entry.ask(path, "r")));
+    let asks = futures_util::future::join_all(asks);
+    let rack = async {
+        let mut arrivals = Vec::new();
+        for _ in 0..tries {
+            arrivals.push(site.arrival().await);
+        }
+        for endpoint in site.endpoints.drain(..) {
+            endpoint.end().await;
+        }
+        for (_, arrival) in arrivals {
+            arrival.stream().cut().await;
+        }
+    };
+    join!(asks, rack);
+    for _ in 0..ENDPOINTS {
+        site.start_one().await;
+    }
+}
+
+#[gtest]
+fn what_ran_at_a_rack_that_ended_is_served_when_it_comes_again() {
+    on_local_tasks(async {
+        let entry = Entry::open().await;
+        let mut site = Site::open(&entry, "engines").await;
+        // Six tries of a popular request ran there.
+        ends_beside(&mut site, "/chat/popular", 6).await;
+
+        let (_, _, first) = ask(&mut site, "/chat/popular").await;
+        let (_, _, second) = ask(&mut site, "/chat/popular").await;
+
+        expect_that!(first, eq(&events_to(3)));
+        expect_that!(second, eq(&events_to(3)));
+    });
+}
+
+#[gtest]
+fn what_ran_beside_a_deadly_request_is_served_when_it_comes_again() {
+    on_local_tasks(async {
+        let entry = Entry::open().await;
+        let mut site = Site::open(&entry, "engines").await;
+        let both =
+            async { join!(entry.ask("/chat/innocent", "r1"), entry.ask("/chat/deadly", "r2")) };
+        let all_end = async {
+            let (one, other) = (site.arrival().await, site.arrival().await);
+            for endpoint in site.endpoints.drain(..) {
+                endpoint.end().await;
+            }
+            for (_, arrival) in [one, other] {
+                arrival.stream().cut().await;
+            }
+        };
+        join!(both, all_end);
+        for _ in 0..ENDPOINTS {
+            site.start_one().await;
+        }
+
+        insist(&mut site, "/chat/deadly", 4).await;
+        let (_, _, innocent) = ask(&mut site, "/chat/innocent").await;
+
+        expect_that!(innocent, eq(&events_to(3)));
+    });
+}
+
+#[gtest]
+fn a_summary_that_goes_on_after_an_end_runs_as_a_trial_and_clears_itself() {
+    on_local_tasks(async {
+        let entry = Entry::open().await;
+        let mut site = Site::open(&entry, "engines").await;
+        let answer = async { text(entry.ask("/recap/good", "r").await).await };
+        let serve = async {
+            let (at, arrival) = site.arrival().await;
+            let endpoint = site.endpoints.remove(at);
+            let stream = arrival.stream();
+            stream.events(1..=2).await;
+            endpoint.end().await;
+            stream.cut().await;
+            let (_, arrival) = site.arrival().await;
+            let after = arrival.after;
+            let stream = arrival.stream();
+            stream.events(3..=3).await;
+            stream.end();
+            after
+        };
+
+        let (answer, after) = join!(answer, serve);
+
+        expect_that!(answer, ok(eq(&events_to(3))));
+        expect_that!(after, some(eq(2)));
+        entry.has_counted("trayswitch_trials_total{answer=\"granted\"}", 1).await;
+        entry.has_counted("trayswitch_suspects", 0).await;
+    });
+}
+
+#[gtest]
+fn a_caller_that_leaves_gives_its_turn_to_the_next() {
+    on_local_tasks(async {
+        let entry = Entry::open().await;
+        let mut site = Site::open(&entry, "desk").await;
+        insist(&mut site, "/once/deadly", 1).await;
+
+        let held = {
+            let first = entry.ask("/once/deadly", "r1");
+            tokio::select! {
+                _ = first => panic!("nobody has answered"),
+                (_, arrival) = site.arrival() => arrival,
+            }
+        };
+        let (answer, ()) = join!(entry.ask("/once/deadly", "r2"), async {
+            site.arrival().await.1.answer(200, "done");
+        });
+
+        expect_that!(text(answer).await, ok(eq("done")));
+        drop(held);
+    });
+}
--- a/crates/server/src/runtime/mod.rs
+++ b/crates/server/src/runtime/mod.rs
@@ -8,6 +8,7 @@
 mod links;
 mod placed;
 mod sight;
+mod trial;
 mod view;
 mod writer;
 
@@ -31,7 +32,7 @@
         VmName,
     },
     placement::Request,
-    quarantine::{DigestKey, RequestDigest, RequestIdentity},
+    quarantine::{DigestKey, RequestDigest, RequestIdentity, Standing},
     registry::Registered,
     state::{HallOrder, HallResult, HallsOut},
     units::{self, UnixMillis},
@@ -39,9 +40,11 @@
 };
 
 use self::links::Links;
+pub(crate) use self::trial::Tried;
 pub use self::{
     links::PeerPort,
     placed::{MoveOrder, Placed},
+    trial::Trial,
     view::View,
 };
 use crate::telemetry::{EventId, Metrics};
@@ -251,6 +254,13 @@
         self.0.digest_key.digest(req)
     }
 
+    /// How a request stands under which endpoints may have ended; it is named only if there are any
+    /// such requests.
+    pub(crate) fn standing(&self, digest: impl FnOnce() -> RequestDigest) -> Standing {
+        let node = self.0.node.borrow();
+        if node.has_suspects() { node.standing(&digest()) } else { Standing::default() }
+    }
+
     /// Begins a planned stop of the node.
     pub fn stop(&self) {
         self.input(Input::Stop);
@@ -284,6 +294,10 @@
             }
             Output::HallsOut(halls) => self.take_halls_out(&halls),
             Output::SentChange(change) => sight::change_sent(&self.0.metrics, &change),
+            Output::Suspect(suspect) => sight::suspect_changed(&suspect),
+            Output::Suspects { suspects, quarantined } => {
+                self.0.metrics.suspects(suspects, quarantined);
+            }
             Output::Unusable { version, why } => log::error!(
                 event = EventId::ConfigUnusable.number(), config = version, cause = why;
                 "an accepted configuration cannot come into force here"
--- a/crates/server/src/runtime/sight.rs
+++ b/crates/server/src/runtime/sight.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
-use trayswitch_core::node::{SentChange, VmName};
+use trayswitch_core::{
+    node::{SentChange, VmName},
+    quarantine::{Standing, Suspect},
+};
 
 use crate::telemetry::{EventId, Metrics};
 
@@ -36,6 +39,22 @@
     }
 }
 
+/// Tells of what is on record about a request under which endpoints have ended.
+pub(super) fn suspect_changed(suspect: &Suspect) {
+    let endpoints: Vec<&str> = suspect.runs.iter().map(|run| run.endpoint.as_str()).collect();
+    let Standing { ended, in_trials } = suspect.standing;
+    let end = match suspect.standing {
+        standing if standing.is_quarantined() => "quarantined",
+        standing if standing.is_suspect() => "suspect",
+        _ => "clear",
+    };
+    log::info!(
+        event = EventId::SuspectChanged.number(), request = suspect.request.to_string().as_str(),
+        end = end, ended = ended, in_trials = in_trials, endpoints = endpoints.join(",").as_str();
+        "endpoints have ended under a request, or it is no suspect any more"
+    );
+}
+
 /// Notes a change of the configuration, or a piece of it, that was sent.
 pub(super) fn change_sent(metrics: &Metrics, change: &SentChange) {
     let how = if change.asked_by.is_some() { "asked" } else { "unasked" };
--- /dev/null
+++ b/crates/server/src/runtime/trial.rs
@@ -0,0 +1,84 @@
+//! A try of a request under which endpoints have ended, for as long as it runs.
+
+use std::time::Duration;
+
+use trayswitch_core::{
+    node::{Answer, CallId, Input, Question, TrialAnswer},
+    quarantine::RequestDigest,
+};
+
+use super::NodeHandle;
+
+/// The leader's word comes within the asker's own limit; this only bounds a fault.
+const SLACK: Duration = Duration::from_secs(1);
+
+/// A try that the leader lets run, as the only one of its request. Dropping it tells the node that it
+/// has ended.
+pub struct Trial {
+    node: NodeHandle,
+    call: CallId,
+    apart: bool,
+    begun: bool,
+    whole: bool,
+}
+
+impl Trial {
+    /// Names it towards the node.
+    pub(crate) fn call(&self) -> CallId {
+        self.call
+    }
+
+    /// Whether it runs apart from other requests.
+    pub(crate) fn is_apart(&self) -> bool {
+        self.apart
+    }
+
+    /// Notes that it has begun to answer well.
+    pub(crate) fn begin(&mut self) {
+        if !std::mem::replace(&mut self.begun, true) {
+            self.node.input(Input::TrialBegun(self.call));
+        }
+    }
+
+    /// Notes that it has brought its whole answer.
+    pub(crate) fn finish(&mut self) {
+        self.whole = true;
+    }
+}
+
+impl Drop for Trial {
+    fn drop(&mut self) {
+        self.node.input(Input::TrialOver { call: self.call, whole: self.whole });
+    }
+}
+
+/// What became of the question whether a try may run.
+pub(crate) enum Tried {
+    /// It may, as a trial.
+    Granted(Trial),
+    /// It may like any other.
+    Clear,
+    /// The request is sent to no endpoint.
+    Quarantined,
+    /// Others wait for the same, or no leader answers.
+    NotNow,
+}
+
+impl NodeHandle {
+    /// Asks whether a try of a suspect may run, and waits so long for the answer.
+    pub(crate) async fn try_suspect(&self, request: RequestDigest, limit: Duration) -> Tried {
+        let call = self.view().next_call();
+        // Dropped before it is granted, it takes the question back.
+        let mut trial =
+            Trial { node: self.clone(), call, apart: false, begun: false, whole: false };
+        match self.ask(call, Question::Trial { request, limit }, limit + SLACK).await {
+            Some(Answer::Trial(TrialAnswer::Granted { apart })) => {
+                trial.apart = apart;
+                Tried::Granted(trial)
+            }
+            Some(Answer::Trial(TrialAnswer::Clear)) => Tried::Clear,
+            Some(Answer::Trial(TrialAnswer::Quarantined)) => Tried::Quarantined,
+            _ => Tried::NotNow,
+        }
+    }
+}
--- a/crates/server/src/telemetry/metrics.rs
+++ b/crates/server/src/telemetry/metrics.rs
@@ -18,6 +18,9 @@
     attempts: IntCounterVec,
     moves: IntCounterVec,
     broke_off: IntCounterVec,
+    suspects: IntGauge,
+    quarantined: IntGauge,
+    trials: IntCounterVec,
     latency: HistogramVec,
     first_event: HistogramVec,
     config_version: IntGauge,
@@ -72,6 +75,19 @@
                 "Attempts that broke off, by service and what the endpoint's address said then",
                 &["service", "endpoint"],
             )?,
+            suspects: gauge(
+                "trayswitch_suspects",
+                "Requests under which endpoints have ended, as this daemon knows",
+            )?,
+            quarantined: gauge(
+                "trayswitch_quarantined",
+                "Those of them that are sent to no endpoint",
+            )?,
+            trials: counter(
+                "trayswitch_trials_total",
+                "Tries of such requests, by what the leader answered",
+                &["answer"],
+            )?,
             latency: histogram(
                 "trayswitch_request_seconds",
                 "Time to the end of the answer, by kind",
@@ -136,6 +152,17 @@
         self.broke_off.with_label_values(&[service, endpoint]).inc();
     }
 
+    /// Notes how many suspects are known, and how many of them are sent to no endpoint.
+    pub fn suspects(&self, suspects: usize, quarantined: usize) {
+        self.suspects.set(i64::try_from(suspects).unwrap_or(i64::MAX));
+        self.quarantined.set(i64::try_from(quarantined).unwrap_or(i64::MAX));
+    }
+
+    /// Counts the leader's answer to a try of a suspect.
+    pub fn trial(&self, answer: &str) {
+        self.trials.with_label_values(&[answer]).inc();
+    }
+
     /// Notes how many data halls are out of service.
     pub fn halls_out(&self, halls: usize) {
         self.halls_out.set(i64::try_from(halls).unwrap_or(i64::MAX));
--- a/crates/trayswitchd/src/callers/chat.rs
+++ b/crates/trayswitchd/src/callers/chat.rs
@@ -121,6 +121,7 @@
         max_wait: kind_spec.max_wait,
         first_within: kind_spec.max_wait,
         avoid: None,
+        apart: false,
     })
 }
 
--- a/crates/trayswitchd/src/node/actor.rs
+++ b/crates/trayswitchd/src/node/actor.rs
@@ -10,6 +10,7 @@
 use trayswitch_core::{
     agreement::Persist,
     node::{Answer, CallId, Clocks, InForce, Input, Node, Output, VmName},
+    quarantine::{Standing, Suspect},
     units::{self, UnixMillis},
     wire::Body,
 };
@@ -133,6 +134,7 @@
                 let (event, names) = (EventId::HallsOut, halls.names.join(", "));
                 log::info!("{event} out of service as of order {}: {names}", halls.number);
             }
+            Output::Suspect(suspect) => note_suspect(&suspect),
             Output::Unusable { version, why } => {
                 let event = EventId::ConfigUnusable;
                 log::error!("{event} version {version} cannot come into force here: {why}");
@@ -144,6 +146,7 @@
             | Output::Registered(_)
             | Output::Remember(_)
             | Output::SentChange(_)
+            | Output::Suspects { .. }
             | Output::Move { .. } => {}
         }
     }
@@ -172,3 +175,21 @@
         }
     }
 }
+
+/// Tells of what is on record about a request under which endpoints have ended.
+fn note_suspect(suspect: &Suspect) {
+    let (event, request, Standing { ended, in_trials }) =
+        (EventId::SuspectChanged, suspect.request, suspect.standing);
+    let endpoints: Vec<&str> = suspect.runs.iter().map(|run| run.endpoint.as_str()).collect();
+    let endpoints = endpoints.join(", ");
+    if suspect.standing.is_quarantined() {
+        log::warn!(
+            "{event} request {request} is sent to no endpoint any more: {ended} have ended under it, \
+             {in_trials} of them in trials: {endpoints}"
+        );
+    } else if suspect.standing.is_suspect() {
+        log::info!("{event} {ended} endpoints have ended under request {request}: {endpoints}");
+    } else {
+        log::info!("{event} request {request} is no suspect any more");
+    }
+}
