trayswitchd: try requests under which endpoints have ended one at a time; never call what may have run "not run"

Cause: the same fault stood in the product's own daemon, which has attempts of its own. While it was looked at: a generation whose engine was lost, and for which no other place was found, was answered 503 "not run" though it may have run. Change: generations and calls ask for a permit as on crates/server; endpoints that the configuration lists say nothing of their runs, so their ends are told apart by when they were seen. Operators: GET /v1/suspects, DELETE /v1/suspects/DIGEST, trayswitch suspects list|clear. Emulated endpoints end under a marked text (die_under).

--- a/crates/core/src/node/messages.rs
+++ b/crates/core/src/node/messages.rs
@@ -68,7 +68,7 @@
         /// Time allowed.
         limit: Duration,
     },
-    /// The requests under which endpoints have ended, as this node knows them.
+    /// The requests under which endpoints have ended, as this node's control replica knows them.
     Suspects,
     /// The state of the endpoints as this node's scheduler sees them.
     Endpoints,
@@ -128,8 +128,8 @@
     /// To [`Question::Clear`]: whether the request was a suspect; `None` when no quorum answered in
     /// time.
     Cleared(Option<bool>),
-    /// To [`Question::Suspects`].
-    Suspects(Vec<Suspect>),
+    /// To [`Question::Suspects`]; `None` where the node has no control replica.
+    Suspects(Option<Vec<Suspect>>),
     /// To [`Question::Endpoints`].
     Endpoints(Vec<EndpointStatus>),
     /// To [`Question::Control`].
@@ -166,7 +166,7 @@
     Cancelled(CallId),
     /// An attempt at an endpoint broke off.
     BrokeOff(BrokeOff),
-    /// A suspect has brought its whole answer, in a try that was no trial.
+    /// A request that may be a suspect has brought its whole answer, in a try that was no trial.
     AnsweredWhole(RequestDigest),
     /// A trial has begun to answer well.
     TrialBegun(CallId),
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -241,19 +241,19 @@
                 self.placing.health(&endpoint, news, clocks.now, true, out);
             }
             Input::BrokeOff(broke_off) => {
-                let (suspects, mut cx, out) = self.suspects_context(clocks.now);
+                let (suspects, mut cx, out) = self.suspects_context(clocks);
                 suspects.broke_off(broke_off, &mut cx, out);
             }
             Input::AnsweredWhole(request) => {
-                let (suspects, mut cx, out) = self.suspects_context(clocks.now);
+                let (suspects, mut cx, out) = self.suspects_context(clocks);
                 suspects.answered_whole(&request, &mut cx, out);
             }
             Input::TrialBegun(call) => {
-                let (suspects, cx, out) = self.suspects_context(clocks.now);
+                let (suspects, cx, out) = self.suspects_context(clocks);
                 suspects.begun(call, &cx, out);
             }
             Input::TrialOver { call, whole } => {
-                let (suspects, mut cx, out) = self.suspects_context(clocks.now);
+                let (suspects, mut cx, out) = self.suspects_context(clocks);
                 suspects.over(call, whole, &mut cx, out);
             }
             Input::Heartbeat(record) => self.heartbeat(record, clocks.now),
@@ -295,17 +295,18 @@
                 self.tell_silent(clocks.now);
             }
         }
-        let (suspects, mut cx, out) = self.suspects_context(clocks.now);
+        let (suspects, mut cx, out) = self.suspects_context(clocks);
         suspects.tick(&mut cx, out);
     }
 
     /// What is known of suspects, and what else that part of the daemon needs.
-    fn suspects_context(&mut self, now: Instant) -> (&mut Suspects, Context<'_>, &mut Outbox) {
+    fn suspects_context(&mut self, clocks: Clocks) -> (&mut Suspects, Context<'_>, &mut Outbox) {
         let cx = Context {
             leader: self.keeper.leader(),
             operations: &mut self.operations,
             registry: &self.registry,
-            now,
+            now: clocks.now,
+            wall: clocks.wall,
         };
         (&mut self.suspects, cx, &mut self.outputs)
     }
@@ -375,7 +376,7 @@
                 self.keeper.read(call, Wanted::HallsOut, deadline, clocks.now, out);
             }
             Question::Trial { request, limit } => {
-                let (suspects, cx, out) = self.suspects_context(clocks.now);
+                let (suspects, cx, out) = self.suspects_context(clocks);
                 suspects.ask(call, request, limit, &cx, out);
             }
             Question::Clear { request, limit } => {
@@ -384,8 +385,7 @@
                 self.operations.ask(call, kind, limit, leader, clocks.now, out);
             }
             Question::Suspects => {
-                let control = self.control.as_ref();
-                let all = control.map_or_else(Vec::new, |c| c.state().suspects().all());
+                let all = self.control.as_ref().map(|control| control.state().suspects().all());
                 out.answer(call, Answer::Suspects(all));
             }
             Question::Endpoints => {
@@ -424,7 +424,7 @@
             }
             Body::Suspects(news) => self.suspect_news(&news, clocks.now),
             Body::TrialReply(reply) => {
-                let (suspects, cx, out) = self.suspects_context(clocks.now);
+                let (suspects, cx, out) = self.suspects_context(clocks);
                 suspects.answered(reply, &cx, out);
             }
             Body::OperationReply(reply) => {
@@ -434,7 +434,7 @@
                 };
                 self.operations.reply(reply, out);
                 if let Some((operation, recorded)) = recorded {
-                    let (suspects, cx, out) = self.suspects_context(clocks.now);
+                    let (suspects, cx, out) = self.suspects_context(clocks);
                     suspects.recorded(operation, recorded, &cx, out);
                 }
             }
--- a/crates/core/src/node/suspects.rs
+++ b/crates/core/src/node/suspects.rs
@@ -12,7 +12,7 @@
 use crate::{
     quarantine::{ClearRequest, EndedRun, EndedUnder, Known, RequestDigest, Standing},
     registry::{Registry, RunState},
-    units::Instant,
+    units::{Instant, UnixMillis},
     wire::{
         Body, OperationKind, SuspectNews, SuspectsReply, TrialAsk, TrialOver, TrialReply,
         TrialStatus,
@@ -44,14 +44,22 @@
     pub request: RequestDigest,
     /// Name of the endpoint.
     pub endpoint: Arc<str>,
-    /// When its run was started, by its own word; zero where it has not said.
-    pub born: u64,
+    /// When its run was started, by its own word; zero where it has not said. Nothing for an endpoint that
+    /// the configuration lists, of which no run says anything.
+    pub born: Option<u64>,
     /// What its address said then.
     pub after: AfterBreak,
     /// The trial that it was, if it was one.
     pub trial: Option<CallId>,
 }
 
+impl BrokeOff {
+    /// What the registry knows of the endpoint's run; nothing where the configuration lists it.
+    fn run_state(&self, cx: &Context<'_>) -> Option<RunState> {
+        Some(cx.registry.run_state(&self.endpoint, self.born?))
+    }
+}
+
 /// Whether a try of a suspect may run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum TrialAnswer {
@@ -122,6 +130,7 @@
     pub(super) operations: &'a mut Operations,
     pub(super) registry: &'a Registry,
     pub(super) now: Instant,
+    pub(super) wall: UnixMillis,
 }
 
 impl Suspects {
@@ -150,8 +159,12 @@
         }
         let number = self.known.state().known;
         self.own.retain(|_, end| end.recorded.is_none_or(|recorded| number < recorded));
-        let (suspects, quarantined) = self.known.counts();
-        out.push(Output::Suspects { suspects, quarantined });
+        self.tell_counts(out);
+    }
+
+    fn tell_counts(&self, out: &mut Outbox) {
+        let (known, quarantined) = self.known.counts();
+        out.push(Output::Suspects { suspects: known + self.own.len(), quarantined });
     }
 
     /// An attempt here broke off.
@@ -161,11 +174,15 @@
         cx: &mut Context<'_>,
         out: &mut Outbox,
     ) {
-        match (cx.registry.run_state(&broke_off.endpoint, broke_off.born), broke_off.after) {
+        match (broke_off.run_state(cx), broke_off.after) {
             // What runs at an endpoint that leaves may end with it, as its callers were told.
-            (RunState::Left, _) => {}
-            (_, AfterBreak::Refused) | (RunState::Ended, _) => self.ended(&broke_off, cx, out),
-            (RunState::Runs, _) => {
+            (Some(RunState::Left), _) => {}
+            (_, AfterBreak::Refused) | (Some(RunState::Ended), _) => {
+                self.ended(&broke_off, cx, out);
+            }
+            // Nobody will tell what became of it.
+            (None, _) => {}
+            (Some(RunState::Runs), _) => {
                 let until = cx.now.after(cx.registry.heartbeat() * HEARTBEATS_TO_TELL);
                 self.unclear.push(Unclear { broke_off, until });
             }
@@ -176,7 +193,8 @@
     fn ended(&mut self, broke_off: &BrokeOff, cx: &mut Context<'_>, out: &mut Outbox) {
         let BrokeOff { request, endpoint, born, trial, .. } = broke_off;
         let in_trial = trial.is_some();
-        let run = EndedRun { endpoint: endpoint.to_string(), born: *born };
+        let seen_ms = if born.is_some() { 0 } else { cx.wall.0 };
+        let run = EndedRun { endpoint: endpoint.to_string(), born: born.unwrap_or(0), seen_ms };
         let ended = EndedUnder { run, request: bytes_of(request), in_trial };
         let kind = OperationKind::Ended(ended);
         let number = cx.operations.carry(kind, TELL_LIMIT, cx.leader, cx.now, out);
@@ -186,6 +204,7 @@
         if let Some(call) = trial {
             self.ending.insert(number, *call);
         }
+        self.tell_counts(out);
     }
 
     /// What this daemon has told is on record.
@@ -218,6 +237,13 @@
         cx: &Context<'_>,
         out: &mut Outbox,
     ) {
+        let standing = self.standing(&request);
+        if standing.is_quarantined() {
+            return out.answer(call, Answer::Trial(TrialAnswer::Quarantined));
+        }
+        if !standing.is_suspect() {
+            return out.answer(call, Answer::Trial(TrialAnswer::Clear));
+        }
         self.asking.insert(call, Asking { request, deadline: cx.now.after(limit) });
         self.send_ask(call, request, false, cx.leader, out);
     }
@@ -273,15 +299,17 @@
         }
     }
 
-    /// A request has brought its whole answer, in a try that was no trial: it is no suspect.
+    /// A request has brought its whole answer, in a try that was no trial: if it was a suspect, it is none.
     pub(super) fn answered_whole(
         &mut self,
         request: &RequestDigest,
         cx: &mut Context<'_>,
         out: &mut Outbox,
     ) {
-        let kind = OperationKind::Clear(ClearRequest { request: bytes_of(request) });
-        cx.operations.carry(kind, TELL_LIMIT, cx.leader, cx.now, out);
+        if self.standing(request).is_suspect() {
+            let kind = OperationKind::Clear(ClearRequest { request: bytes_of(request) });
+            cx.operations.carry(kind, TELL_LIMIT, cx.leader, cx.now, out);
+        }
     }
 
     /// The try has begun well: others of the same request need not wait for its end.
@@ -325,11 +353,10 @@
     fn judge_unclear(&mut self, cx: &mut Context<'_>, out: &mut Outbox) {
         let unclear = std::mem::take(&mut self.unclear);
         for waiting in unclear {
-            let BrokeOff { endpoint, born, .. } = &waiting.broke_off;
-            match cx.registry.run_state(endpoint, *born) {
-                RunState::Ended => self.ended(&waiting.broke_off, cx, out),
-                RunState::Runs if cx.now < waiting.until => self.unclear.push(waiting),
-                RunState::Runs | RunState::Left => {}
+            match waiting.broke_off.run_state(cx) {
+                Some(RunState::Ended) => self.ended(&waiting.broke_off, cx, out),
+                Some(RunState::Runs) if cx.now < waiting.until => self.unclear.push(waiting),
+                Some(RunState::Runs | RunState::Left) | None => {}
             }
         }
     }
--- a/crates/core/src/node/tests/suspects.rs
+++ b/crates/core/src/node/tests/suspects.rs
@@ -46,7 +46,7 @@
     let broke_off = BrokeOff {
         request: deadly(),
         endpoint: endpoint.into(),
-        born: 0,
+        born: Some(0),
         after: AfterBreak::Refused,
         trial,
     };
@@ -216,7 +216,7 @@
 
 fn breaks_off(net: &mut Net, after: AfterBreak) {
     let endpoint = "i-1".into();
-    let broke_off = BrokeOff { request: deadly(), endpoint, born: 0, after, trial: None };
+    let broke_off = BrokeOff { request: deadly(), endpoint, born: Some(0), after, trial: None };
     net.handle(&"vm-4".into(), Input::BrokeOff(broke_off));
 }
 
--- a/crates/core/src/quarantine/digest.rs
+++ b/crates/core/src/quarantine/digest.rs
@@ -37,6 +37,16 @@
         bytes.try_into().ok().map(RequestDigest)
     }
 
+    /// Reads a digest as operators write it.
+    pub fn parse(text: &str) -> Option<RequestDigest> {
+        if text.len() != 2 * LENGTH || !text.bytes().all(|byte| byte.is_ascii_hexdigit()) {
+            return None;
+        }
+        let byte = |at: usize| u8::from_str_radix(&text[2 * at..2 * at + 2], 16).ok();
+        let bytes: Option<Vec<u8>> = (0..LENGTH).map(byte).collect();
+        RequestDigest::from_slice(&bytes?)
+    }
+
     /// Its bytes.
     pub fn as_bytes(&self) -> &[u8] {
         &self.0
--- a/crates/core/src/quarantine/digest_tests.rs
+++ b/crates/core/src/quarantine/digest_tests.rs
@@ -17,6 +17,14 @@
 
     expect_that!(digest("POST", "/a/b", Some("w"), b"body"), eq(first));
     expect_that!(RequestDigest::from_slice(first.as_bytes()), some(eq(first)));
+    expect_that!(RequestDigest::parse(&first.to_string()), some(eq(first)));
+}
+
+#[gtest]
+fn what_is_no_digest_is_not_taken_for_one() {
+    for text in ["", "12", &"0g".repeat(16), &"+1".repeat(16), &"é".repeat(16)] {
+        expect_that!(RequestDigest::parse(text), none(), "{text}");
+    }
 }
 
 #[gtest]
--- a/crates/core/src/quarantine/record.rs
+++ b/crates/core/src/quarantine/record.rs
@@ -24,6 +24,11 @@
 /// Ends of which the endpoint's run is kept, to know the same end again when another daemon tells of it.
 const RUNS_KEPT: usize = 8;
 
+/// Runs of an endpoint that cannot be told apart are the same if their ends were seen within this time, in
+/// ms: far over the differences between the clocks of daemons, and less than an endpoint takes to start
+/// and end again.
+const SAME_END: u64 = 1_000;
+
 /// A run of an endpoint that has ended.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct EndedRun {
@@ -33,6 +38,17 @@
     /// When the run was started, by its own word; zero where it has not said.
     #[prost(uint64, tag = "2")]
     pub born: u64,
+    /// When its end was seen, in ms since the Unix epoch, where name and start do not tell one run of the
+    /// endpoint from the next; else zero.
+    #[prost(uint64, tag = "3")]
+    pub seen_ms: u64,
+}
+
+impl EndedRun {
+    fn is_same(&self, other: &EndedRun) -> bool {
+        let is_at_once = self.seen_ms.abs_diff(other.seen_ms) < SAME_END;
+        self.endpoint == other.endpoint && self.born == other.born && is_at_once
+    }
 }
 
 /// How a request stands.
@@ -93,7 +109,7 @@
 
     /// Counts an end, unless it is known; tells whether it was not.
     pub(super) fn end(&mut self, run: &EndedRun, in_trial: bool, now: UnixMillis) -> bool {
-        if self.runs.contains(run) {
+        if self.runs.iter().any(|known| known.is_same(run)) {
             return false;
         }
         if self.runs.len() == RUNS_KEPT {
--- a/crates/core/src/quarantine/records_tests.rs
+++ b/crates/core/src/quarantine/records_tests.rs
@@ -18,7 +18,7 @@
 }
 
 fn ended(number: u8, endpoint: u64, in_trial: bool) -> EndedUnder {
-    let run = EndedRun { endpoint: format!("e{endpoint}"), born: 0 };
+    let run = EndedRun { endpoint: format!("e{endpoint}"), born: 0, seen_ms: 0 };
     EndedUnder { run, request: bytes(number), in_trial }
 }
 
@@ -60,13 +60,28 @@
 #[gtest]
 fn another_run_of_the_same_endpoint_is_another_end() {
     let mut records = after(1, 0, 0);
-    let run = EndedRun { endpoint: "e0".into(), born: 7 };
+    let run = EndedRun { endpoint: "e0".into(), born: 7, seen_ms: 0 };
 
     records.ended(&EndedUnder { run, ..ended(1, 0, false) }, UnixMillis(0));
 
     expect_that!(records.standing(&request(1)).ended, eq(2));
 }
 
+#[gtest]
+fn an_endpoint_whose_runs_cannot_be_told_apart_ends_again_when_that_is_seen_later() {
+    let mut records = Records::default();
+    let seen = |seen_ms| EndedUnder {
+        run: EndedRun { endpoint: "e0".into(), born: 0, seen_ms },
+        ..ended(1, 0, false)
+    };
+
+    for seen_ms in [10_000, 10_400, 10_000, 14_000] {
+        records.ended(&seen(seen_ms), UnixMillis(0));
+    }
+
+    expect_that!(records.standing(&request(1)).ended, eq(2));
+}
+
 #[gtest]
 fn a_whole_answer_clears_a_request() {
     let mut records = after(3, 2, 0);
--- a/crates/core/src/quarantine/trials_tests.rs
+++ b/crates/core/src/quarantine/trials_tests.rs
@@ -21,7 +21,7 @@
 }
 
 fn ends(records: &mut Records, endpoint: u64, in_trial: bool) {
-    let run = EndedRun { endpoint: format!("e{endpoint}"), born: 0 };
+    let run = EndedRun { endpoint: format!("e{endpoint}"), born: 0, seen_ms: 0 };
     let request = Bytes::copy_from_slice(request().as_bytes());
     records.ended(&EndedUnder { run, request, in_trial }, UnixMillis(0));
 }
--- a/crates/lab/src/emulate/engine.rs
+++ b/crates/lab/src/emulate/engine.rs
@@ -167,6 +167,7 @@
 
     fn start(&self, chat: &ChatRequest, request_id: &str) -> Arc<Generation> {
         let text: String = chat.messages.iter().map(|m| m.content.as_str()).collect();
+        self.faults.begin(&text);
         let mut hasher = DefaultHasher::new();
         let prefix: String = text.chars().take(PREFIX_CHARS).collect();
         prefix.hash(&mut hasher);
--- a/crates/lab/src/emulate/faults.rs
+++ b/crates/lab/src/emulate/faults.rs
@@ -9,6 +9,9 @@
 
 use serde::{Deserialize, Serialize};
 
+/// Exit code of a process that a fault ends.
+const EXIT: i32 = 9;
+
 /// One fault, as posted to `/emulator/faults`.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 #[serde(tag = "fault", rename_all = "snake_case")]
@@ -41,6 +44,11 @@
     Return,
     /// The process ends at once.
     Die,
+    /// The process ends when it begins to run a request whose text holds this.
+    DieUnder {
+        /// The text.
+        text: String,
+    },
 }
 
 #[derive(Debug, Default)]
@@ -52,6 +60,7 @@
     left_at: Option<Instant>,
     turned_away: TurnedAway,
     forget: bool,
+    deadly: Option<String>,
 }
 
 /// New work that came to an endpoint after it began to leave.
@@ -86,7 +95,15 @@
                 state.turned_away = TurnedAway::default();
             }
             Fault::Return => state.left_at = None,
-            Fault::Die => process::exit(9),
+            Fault::Die => process::exit(EXIT),
+            Fault::DieUnder { text } => state.deadly = Some(text),
+        }
+    }
+
+    /// Ends the process if a request with this text is to end it.
+    pub(crate) fn begin(&self, text: &str) {
+        if self.state().deadly.as_ref().is_some_and(|deadly| text.contains(deadly.as_str())) {
+            process::exit(EXIT);
         }
     }
 
--- a/crates/lab/src/emulate/service.rs
+++ b/crates/lab/src/emulate/service.rs
@@ -41,6 +41,7 @@
         let body = String::from_utf8_lossy(&body).into_owned();
         let name = req.url().trim_start_matches("/calls/").to_owned();
         let request_id = header(&req, "X-Request-Id").unwrap_or_default().to_owned();
+        self.faults.begin(&body);
         self.journal.add(Run { request_id, name: name.clone(), detail: body.clone() });
         thread::sleep(self.delay);
         self.faults.wait_while_frozen();
--- a/crates/server/src/relay/ended.rs
+++ b/crates/server/src/relay/ended.rs
@@ -38,7 +38,7 @@
         self.node.input(Input::BrokeOff(BrokeOff {
             request,
             endpoint: endpoint.id.clone(),
-            born: endpoint.born,
+            born: Some(endpoint.born),
             after,
             trial: permit.trial.as_ref().map(|trial| trial.call()),
         }));
--- a/crates/trayswitch/src/cli.rs
+++ b/crates/trayswitch/src/cli.rs
@@ -2,6 +2,7 @@
 
 use clap::{Arg, ArgAction, Command, value_parser};
 use clap_complete::Shell;
+use trayswitch_core::quarantine::RequestDigest;
 
 /// Builds the command.
 pub(crate) fn command() -> Command {
@@ -49,6 +50,7 @@
                 .subcommand(Command::new("status").about("Show the control replicas and daemons")),
         )
         .subcommand(hall())
+        .subcommand(suspects())
         .subcommand(
             Command::new("explain")
                 .about("Tell a request's story from the log files of several VMs")
@@ -80,6 +82,21 @@
         .subcommand(Command::new("list").about("Show the data halls"))
 }
 
+fn suspects() -> Command {
+    let digest =
+        Arg::new("request").value_name("DIGEST").required(true).help("Digest of the request");
+    let digest = digest.value_parser(|text: &str| {
+        RequestDigest::parse(text).ok_or("expected 32 hexadecimal digits")
+    });
+    Command::new("suspects")
+        .about("Look after requests under which endpoints have ended")
+        .subcommand_required(true)
+        .subcommand(Command::new("list").about("Show them, as a control VM knows them"))
+        .subcommand(
+            Command::new("clear").about("Let a request be sent to endpoints again").arg(digest),
+        )
+}
+
 fn config() -> Command {
     let file = || Arg::new("file").value_name("FILE").required(true).help("Configuration file");
     Command::new("config")
--- a/crates/trayswitch/src/client.rs
+++ b/crates/trayswitch/src/client.rs
@@ -41,6 +41,11 @@
         json(self.finish(self.request("POST", path).call())?)
     }
 
+    /// Deletes.
+    pub(crate) fn delete(&self, path: &str) -> Result<Value, Error> {
+        json(self.finish(self.request("DELETE", path).call())?)
+    }
+
     /// Gets the configuration in force.
     pub(crate) fn config(&self) -> Result<Shown, Error> {
         let response = self.finish(self.request("GET", "/v1/config").call())?;
--- a/crates/trayswitch/src/command/mod.rs
+++ b/crates/trayswitch/src/command/mod.rs
@@ -4,6 +4,7 @@
 mod explain;
 mod hall;
 mod show;
+mod suspects;
 
 use std::io::{self, Write};
 
@@ -31,6 +32,8 @@
         Action::Control => show::control(&client()?, options.json, out),
         Action::Hall { hall, out: gone } => hall::order(&client()?, hall, *gone, options.json, out),
         Action::Halls => hall::list(&client()?, options.json, out),
+        Action::Suspects => suspects::list(&client()?, options.json, out),
+        Action::ClearSuspect(request) => suspects::clear(&client()?, *request, options.json, out),
         Action::Explain { id, files } => explain::explain(id, files, options.json, out),
         Action::Completions(shell) => {
             let mut buf = Vec::new();
--- a/crates/trayswitch/src/options.rs
+++ b/crates/trayswitch/src/options.rs
@@ -4,6 +4,7 @@
 
 use clap::ArgMatches;
 use clap_complete::Shell;
+use trayswitch_core::quarantine::RequestDigest;
 
 use crate::error::Error;
 
@@ -41,6 +42,10 @@
     },
     /// Show the data halls.
     Halls,
+    /// Show the requests under which endpoints have ended.
+    Suspects,
+    /// Let one of them be sent to endpoints again.
+    ClearSuspect(RequestDigest),
     /// Tell a request's story from log files.
     Explain {
         /// The caller's name for the request.
@@ -115,6 +120,12 @@
                 out: verb == "out",
             },
         },
+        ("suspects", m) => match m.subcommand().expect("clap requires a command") {
+            ("clear", m) => {
+                Action::ClearSuspect(*m.get_one::<RequestDigest>("request").expect("required"))
+            }
+            _ => Action::Suspects,
+        },
         ("endpoints", _) => Action::Endpoints,
         ("workspaces", _) => Action::Workspaces,
         ("control", _) => Action::Control,
--- a/crates/trayswitchd/src/callers/call.rs
+++ b/crates/trayswitchd/src/callers/call.rs
@@ -16,6 +16,7 @@
         Claim, ClaimKey, ClaimResult, Ending, NotRun, Settle, StoredAnswer, Unknown, uuid_v7_time,
     },
     placement,
+    quarantine::RequestDigest,
 };
 use trayswitch_http::header;
 
@@ -43,6 +44,7 @@
     content_type: String,
     body: Vec<u8>,
     place: placement::Request,
+    digest: RequestDigest,
 }
 
 /// The whole answer, and whether it is that of an earlier run.
@@ -102,7 +104,9 @@
     let target = EndpointTarget::Service(service.to_owned());
     let place = chat::place(config, &admitted.workspace, &spec.kind, target)?;
     let body = callers.body(req)?;
+    let digest = callers.digest(req, &admitted.workspace, &body);
     Ok(ServiceRequest {
+        digest,
         workspace: admitted.workspace,
         service: service.to_owned(),
         call: call.to_owned(),
@@ -251,9 +255,12 @@
     request_id: &str,
     place: placement::Request,
 ) -> Result<Attempted, RequestError> {
+    let mut permit = callers.permit(&request.digest)?;
     let call = callers.node().view().next_call();
+    let place = placement::Request { apart: permit.is_apart(), ..place };
     let placement = callers.place(call, place)?;
-    let result = match callers.address(&placement.endpoint) {
+    let address = callers.address(&placement.endpoint);
+    let result = match address {
         Some(address) => callers.service().call(
             address,
             &ServiceCall {
@@ -268,5 +275,12 @@
     };
     let whole = result.is_ok();
     callers.node().input(Input::Finished { call, tokens: 0, whole });
+    match (&result, address) {
+        (Ok(_), _) => callers.answered_whole(&request.digest, &mut permit),
+        (Err(error), Some(address)) => {
+            callers.broke_off(&request.digest, &permit, &placement.endpoint, address, error);
+        }
+        (Err(_), None) => {}
+    }
     Ok((placement.endpoint, result))
 }
--- a/crates/trayswitchd/src/callers/chat.rs
+++ b/crates/trayswitchd/src/callers/chat.rs
@@ -7,6 +7,7 @@
     config::{Config, EndpointTarget},
     error::{ErrorKind, RequestError},
     placement::{self, PrefixHash, Ticket},
+    quarantine::RequestDigest,
 };
 use trayswitch_http::header;
 
@@ -30,6 +31,7 @@
     pub(super) body: Map<String, Value>,
     pub(super) stream: bool,
     pub(super) place: placement::Request,
+    pub(super) digest: RequestDigest,
 }
 
 /// Serves one request.
@@ -52,7 +54,9 @@
     let admitted = callers.admit(req)?;
     let kind = header(req, "X-Kind").map(str::to_owned);
     let body = callers.body(req)?;
-    check(&admitted, &body, kind)
+    let digest = callers.digest(req, &admitted.workspace, &body);
+    let chat = check(&admitted, &body, kind)?;
+    Ok(ChatRequest { digest, ..chat })
 }
 
 /// Checks a body against the configuration.
@@ -92,7 +96,8 @@
     place.prefix = prefix(&prompt);
     place.max_tokens = max_tokens;
     let workspace = admitted.workspace.clone();
-    Ok(ChatRequest { workspace, kind, model, body, stream, place })
+    let digest = RequestDigest::default();
+    Ok(ChatRequest { workspace, kind, model, body, stream, place, digest })
 }
 
 /// What the scheduler needs to know, without the prompt's part.
--- a/crates/trayswitchd/src/callers/context.rs
+++ b/crates/trayswitchd/src/callers/context.rs
@@ -17,6 +17,7 @@
     limits::RetryBudget,
     node::{Answer, CallId, InForce, Input, Placement, Question},
     placement,
+    quarantine::{DigestKey, RequestDigest, RequestIdentity},
     wire::HealthNews,
 };
 use trayswitch_http::{BodyError, header, read_body};
@@ -40,6 +41,7 @@
     histograms: Histograms,
     metrics: Metrics,
     budgets: Mutex<HashMap<String, RetryBudget>>,
+    digest_key: DigestKey,
     /// Makes request ids unique over restarts.
     run: u64,
     requests: AtomicU64,
@@ -58,6 +60,7 @@
         Ok(Callers {
             engine: Box::new(HttpEngine::new(settings.timing.idle)),
             service: Box::new(HttpService::new()),
+            digest_key: DigestKey::new(&settings.keys.peer),
             settings,
             node,
             histograms: Histograms::default(),
@@ -92,6 +95,17 @@
         &self.metrics
     }
 
+    /// The name by which every daemon knows a request again.
+    pub(super) fn digest(&self, req: &Request, workspace: &str, body: &[u8]) -> RequestDigest {
+        let method = req.method().to_string();
+        self.digest_key.digest(&RequestIdentity {
+            method: &method,
+            path: req.url(),
+            workspace: Some(workspace),
+            body,
+        })
+    }
+
     /// A name for a request in logs and in the endpoints' records.
     pub(super) fn request_id(&self) -> String {
         let number = self.requests.fetch_add(1, Ordering::Relaxed);
--- a/crates/trayswitchd/src/callers/mod.rs
+++ b/crates/trayswitchd/src/callers/mod.rs
@@ -4,6 +4,7 @@
 mod call;
 mod chat;
 mod context;
+mod permit;
 mod run;
 mod sink;
 #[cfg(test)]
--- /dev/null
+++ b/crates/trayswitchd/src/callers/permit.rs
@@ -0,0 +1,133 @@
+//! Whether an attempt may be sent: of requests under which endpoints have ended one try runs at a
+//! time, and in the end none.
+
+use std::{
+    net::{SocketAddr, TcpStream},
+    sync::Arc,
+    time::Duration,
+};
+
+use trayswitch_core::{
+    error::{ErrorKind, RequestError},
+    node::{AfterBreak, Answer, BrokeOff, CallId, Input, Question, TrialAnswer},
+    quarantine::RequestDigest,
+};
+
+use super::context::Callers;
+use crate::{endpoint::EndpointError, node::NodeHandle, telemetry::EventId};
+
+/// How long a try waits for its turn. Engines that end under a request do so within 1.6 s after it was
+/// sent to them.
+const PATIENCE: Duration = Duration::from_millis(1_500);
+/// The node answers in the time above; this only bounds a fault.
+const SLACK: Duration = Duration::from_secs(1);
+/// Longest time until a connection to an endpoint of the same region is up.
+const CONNECT: Duration = Duration::from_millis(500);
+
+/// Lets one attempt go ahead. Dropping it ends the trial that it may be.
+pub(super) struct Permit {
+    node: NodeHandle,
+    trial: Option<CallId>,
+    apart: bool,
+    whole: bool,
+}
+
+impl Permit {
+    fn free(node: &NodeHandle) -> Permit {
+        Permit { node: node.clone(), trial: None, apart: false, whole: false }
+    }
+
+    fn trial(node: &NodeHandle, call: CallId, apart: bool) -> Permit {
+        Permit { node: node.clone(), trial: Some(call), apart, whole: false }
+    }
+
+    /// Whether the attempt runs apart from other requests.
+    pub(super) fn is_apart(&self) -> bool {
+        self.apart
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        if let Some(call) = self.trial {
+            self.node.input(Input::TrialOver { call, whole: self.whole });
+        }
+    }
+}
+
+impl Callers {
+    /// Lets an attempt of a request go ahead; one of a suspect waits for its turn.
+    pub(super) fn permit(&self, request: &RequestDigest) -> Result<Permit, RequestError> {
+        let node = self.node();
+        if !node.view().has_suspects() {
+            return Ok(Permit::free(node));
+        }
+        let call = node.view().next_call();
+        let question = Question::Trial { request: *request, limit: PATIENCE };
+        match node.ask_as(call, question, PATIENCE + SLACK) {
+            Ok(Answer::Trial(TrialAnswer::Granted { apart })) => {
+                log::info!("{} request {request} runs as a trial", EventId::TrialAsked);
+                Ok(Permit::trial(node, call, apart))
+            }
+            Ok(Answer::Trial(TrialAnswer::Clear)) => Ok(Permit::free(node)),
+            Ok(Answer::Trial(TrialAnswer::Quarantined)) => Err(quarantined()),
+            _ => {
+                node.input(Input::TrialOver { call, whole: false });
+                Err(no_turn())
+            }
+        }
+    }
+
+    /// Notes that an attempt has brought its whole answer.
+    pub(super) fn answered_whole(&self, request: &RequestDigest, permit: &mut Permit) {
+        if permit.trial.is_some() {
+            permit.whole = true;
+        } else if self.node().view().has_suspects() {
+            self.node().input(Input::AnsweredWhole(*request));
+        }
+    }
+
+    /// Tells the node of an attempt that was lost if its endpoint has ended.
+    pub(super) fn broke_off(
+        &self,
+        request: &RequestDigest,
+        permit: &Permit,
+        endpoint: &Arc<str>,
+        address: SocketAddr,
+        error: &EndpointError,
+    ) {
+        if error.is_not_run() || !has_ended(address, error) {
+            return;
+        }
+        let event = EventId::EndedUnder;
+        log::info!("{event} {endpoint} has ended under request {request}: {error}");
+        // The next attempt may come before the node has told the view.
+        self.node().view().set_has_suspects(true);
+        self.node().input(Input::BrokeOff(BrokeOff {
+            request: *request,
+            endpoint: endpoint.clone(),
+            born: None,
+            after: AfterBreak::Refused,
+            trial: permit.trial,
+        }));
+    }
+}
+
+/// Whether an endpoint has ended after an attempt there was lost: nothing listens any more, or it runs
+/// again and knows nothing of what ran.
+fn has_ended(address: SocketAddr, error: &EndpointError) -> bool {
+    matches!(error, EndpointError::Gone) || {
+        let refused = |e: std::io::Error| e.kind() == std::io::ErrorKind::ConnectionRefused;
+        TcpStream::connect_timeout(&address, CONNECT).is_err_and(refused)
+    }
+}
+
+fn quarantined() -> RequestError {
+    let message = "endpoints have ended under this request; it is sent to no other";
+    RequestError::new(ErrorKind::Quarantined, message)
+}
+
+fn no_turn() -> RequestError {
+    let message = "endpoints have ended under this request; one try of it runs at a time";
+    RequestError::new(ErrorKind::Overloaded, message)
+}
--- a/crates/trayswitchd/src/callers/run.rs
+++ b/crates/trayswitchd/src/callers/run.rs
@@ -10,10 +10,11 @@
 use trayswitch_core::{
     delivery::{AttemptId, Delivery, Limits, NextStep, Verdict},
     error::{ErrorKind, Outcome, RequestError},
-    node::{CallId, Input},
+    node::{CallId, Input, Placement},
+    placement,
 };
 
-use super::{chat::ChatRequest, context::Callers, sink::Sink};
+use super::{chat::ChatRequest, context::Callers, permit::Permit, sink::Sink};
 use crate::{
     endpoint::{EndpointError, Frames, StartGeneration},
     node::random,
@@ -32,6 +33,7 @@
 /// Where an attempt runs.
 struct Place {
     call: CallId,
+    permit: Permit,
     endpoint: Arc<str>,
     address: SocketAddr,
     priority: u64,
@@ -110,13 +112,16 @@
     /// Returns the engine's reason for the end, or `None` when the caller has left.
     fn run(&mut self, sink: &mut dyn Sink) -> Result<Option<String>, RequestError> {
         loop {
-            let place = self.place()?;
+            let mut place = self.place().map_err(|e| self.not_placed(e))?;
             let end = self.attempt(&place, sink);
             let whole = matches!(end, End::Finished { .. });
             let tokens = self.delivery.delivered();
             self.callers.node().input(Input::Finished { call: place.call, tokens, whole });
             match end {
-                End::Finished { reason } => return Ok(Some(reason)),
+                End::Finished { reason } => {
+                    self.callers.answered_whole(&self.chat.digest, &mut place.permit);
+                    return Ok(Some(reason));
+                }
                 End::CallerLeft => {
                     self.cancel(place.address);
                     return Ok(None);
@@ -128,14 +133,26 @@
     }
 
     fn place(&mut self) -> Result<Place, RequestError> {
+        let permit = self.callers.permit(&self.chat.digest)?;
         let call = self.callers.node().view().next_call();
-        let placement = self.callers.place(call, self.chat.place.clone())?;
+        let req = placement::Request { apart: permit.is_apart(), ..self.chat.place.clone() };
+        let placement = self.callers.place(call, req)?;
         let Some(address) = self.callers.address(&placement.endpoint) else {
             self.callers.node().input(Input::Finished { call, tokens: 0, whole: false });
             let message = "the endpoint was just removed";
             return Err(RequestError::new(ErrorKind::NoEndpoint, message));
         };
-        Ok(Place { call, endpoint: placement.endpoint, address, priority: placement.priority })
+        let Placement { endpoint, priority, .. } = placement;
+        Ok(Place { call, permit, endpoint, address, priority })
+    }
+
+    /// The error where no place was found, after attempts that may have run.
+    fn not_placed(&self, error: RequestError) -> RequestError {
+        match (self.delivery.delivered(), self.may_have_run) {
+            (0, false) => error,
+            (0, true) => RequestError::new(ErrorKind::OutcomeUnknown, error.message),
+            _ => RequestError::new(ErrorKind::GenerationLost, error.message),
+        }
     }
 
     /// Runs the request at one endpoint, with as many resumes as that takes.
@@ -257,6 +274,8 @@
         sink: &mut dyn Sink,
     ) -> Result<(), RequestError> {
         self.callers.report(&place.endpoint, lost);
+        let Place { permit, endpoint, address, .. } = place;
+        self.callers.broke_off(&self.chat.digest, permit, endpoint, *address, lost);
         self.may_have_run |= !lost.is_not_run();
         self.cancel(place.address);
         if 0 < self.delivery.delivered() && sink.restart() {
--- a/crates/trayswitchd/src/node/actor.rs
+++ b/crates/trayswitchd/src/node/actor.rs
@@ -134,6 +134,7 @@
                 let (event, names) = (EventId::HallsOut, halls.names.join(", "));
                 log::info!("{event} out of service as of order {}: {names}", halls.number);
             }
+            Output::Suspects { suspects, .. } => self.view.set_has_suspects(0 < suspects),
             Output::Suspect(suspect) => note_suspect(&suspect),
             Output::Unusable { version, why } => {
                 let event = EventId::ConfigUnusable;
@@ -146,7 +147,6 @@
             | Output::Registered(_)
             | Output::Remember(_)
             | Output::SentChange(_)
-            | Output::Suspects { .. }
             | Output::Move { .. } => {}
         }
     }
--- a/crates/trayswitchd/src/node/view.rs
+++ b/crates/trayswitchd/src/node/view.rs
@@ -17,6 +17,7 @@
     draining: AtomicBool,
     requests: AtomicUsize,
     calls: AtomicU64,
+    has_suspects: AtomicBool,
 }
 
 impl View {
@@ -45,6 +46,16 @@
         *self.watched.write().expect("no reader panics") = endpoints;
     }
 
+    /// Whether there are any requests under which endpoints have ended.
+    pub(crate) fn has_suspects(&self) -> bool {
+        self.has_suspects.load(Ordering::Relaxed)
+    }
+
+    /// Sets whether there are any.
+    pub(crate) fn set_has_suspects(&self, has_suspects: bool) {
+        self.has_suspects.store(has_suspects, Ordering::Relaxed);
+    }
+
     /// Whether the configuration is confirmed to be current.
     pub(crate) fn fresh(&self) -> bool {
         self.fresh.load(Ordering::Relaxed)
--- a/crates/trayswitchd/src/operators/mod.rs
+++ b/crates/trayswitchd/src/operators/mod.rs
@@ -3,6 +3,7 @@
 mod halls;
 mod reports;
 mod submit;
+mod suspects;
 
 use std::{sync::Arc, thread};
 
@@ -48,6 +49,7 @@
             respond_json(req, 200, &[], &reports::workspaces(callers))
         }
         (_, path) if path.starts_with("/v1/halls") => halls::serve(callers, req),
+        (_, path) if path.starts_with("/v1/suspects") => suspects::serve(callers, req),
         _ => failure(req, 404, &format!("there is no {path}")),
     }
 }
--- a/crates/trayswitchd/tests/support/mod.rs
+++ b/crates/trayswitchd/tests/support/mod.rs
@@ -5,6 +5,7 @@
 use std::{
     collections::BTreeMap,
     fs,
+    net::{SocketAddr, TcpStream},
     path::{Path, PathBuf},
     process::{Child, Command, Output, Stdio},
     sync::atomic::{AtomicU32, Ordering},
@@ -248,10 +249,7 @@
 
     /// Switches a fault on in `engine-N` or `service-N`.
     pub fn fault(&self, name: &str, fault: &str) {
-        let (kind, number) = name.split_once('-').unwrap();
-        let first = if kind == "engine" { ENGINE_PORT } else { SERVICE_PORT };
-        let port = first + number.parse::<u16>().unwrap() - 1;
-        let endpoint = format!("{}:{port}", self.host(100));
+        let endpoint = format!("{}:{}", self.host(100), self.port(name));
         let status = Command::new(program_path("trayswitch-lab"))
             .args(["fault", "--endpoint", &endpoint, fault])
             .status()
@@ -280,6 +278,34 @@
         child.wait().unwrap().success()
     }
 
+    /// Starts the engines anew that have ended by themselves; returns how many had.
+    pub fn restart_engines(&mut self, fault: &str) -> usize {
+        let mut ended = 0;
+        for i in 1..=self.size.engines {
+            let name = format!("engine-{i}");
+            let child = self.processes.get_mut(&name).unwrap();
+            if child.try_wait().unwrap().is_some() {
+                ended += 1;
+                self.start_engine(i);
+                self.fault_when_up(&name, fault);
+            }
+        }
+        ended
+    }
+
+    /// Switches a fault on in an endpoint that has just been started.
+    fn fault_when_up(&self, name: &str, fault: &str) {
+        let engine = SocketAddr::new(self.host(100).parse().unwrap(), self.port(name));
+        self.wait("the endpoint listens", |_| TcpStream::connect(engine).is_ok());
+        self.fault(name, fault);
+    }
+
+    fn port(&self, name: &str) -> u16 {
+        let (kind, number) = name.split_once('-').unwrap();
+        let first = if kind == "engine" { ENGINE_PORT } else { SERVICE_PORT };
+        first + number.parse::<u16>().unwrap() - 1
+    }
+
     pub fn wipe(&self, daemon: usize) {
         fs::remove_dir_all(self.data(daemon)).unwrap();
     }
