Count the time in which a VM is suspended wherever a promise rests on time

Cause: std::time::Instant stands still while a VM is suspended. The age of the configuration, deadlines, cold starts, pauses after failures and the time of a planned stop were measured by it, and held longer by as long as the suspension: a daemon that wakes up runs requests by a configuration, and a key, that may be long gone. Ruled out: the decision core (it takes the time from outside); the silence of others (links, reads), which a VM that could hear nothing must not hold against them, stays on the steady clock. Change: crates/clock reads CLOCK_BOOTTIME; timers that end at a deadline look again once a suspension is found (by the drift of the two clocks, at every input and four times a second); readiness looks before it answers; trayswitchd's view counts the configuration as current only until it expires, and looks again before each attempt. Event 108, trayswitch_suspended_seconds.

--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -30,6 +30,7 @@
     SettingsReloaded = 105, "The settings file was read again.";
     MetricsFailed = 106, "Metrics cannot be served.";
     LinesDropped = 107, "Log lines were dropped: the reader of the output did not keep up, or there were too many.";
+    Suspended = 108, "The VM was suspended and goes on.";
     ConfigInForce = 201, "A configuration came into force on this daemon.";
     ConfigStale = 202, "The daemon can no longer confirm that its configuration is current.";
     ConfigFresh = 203, "The daemon has confirmed again that its configuration is current.";
--- a/crates/core/src/node/tests/suspects.rs
+++ b/crates/core/src/node/tests/suspects.rs
@@ -427,6 +427,25 @@
     }
 }
 
+#[gtest]
+fn a_leader_or_an_entry_that_is_suspended_lets_no_more_through() {
+    for mishap_at in (1..240).step_by(9) {
+        for leads in [false, true] {
+            let mut net = running(&Site::new(3, 3), 16);
+
+            let callers = insist(&mut net, mishap_at, |net| {
+                let vm = if leads { net.leader().unwrap() } else { "vm-5".into() };
+                net.hosts.get_mut(&vm).unwrap().frozen = true;
+                // Longer than anything that rests on time holds.
+                net.wait(300);
+                net.hosts.get_mut(&vm).unwrap().frozen = false;
+            });
+
+            expect_that!(callers.too_late(), le(ALLOWED), "leads {leads}, at step {mishap_at}");
+        }
+    }
+}
+
 proptest! {
     #![proptest_config(fixed_seed(40))]
 
--- a/crates/server/src/lib.rs
+++ b/crates/server/src/lib.rs
@@ -18,4 +18,5 @@
 pub mod telemetry;
 #[cfg(test)]
 mod testing;
+mod timer;
 pub mod upstream;
--- a/crates/server/src/relay/admission.rs
+++ b/crates/server/src/relay/admission.rs
@@ -1,13 +1,10 @@
 //! Finds out who asks for what, and whether this daemon may serve it.
 
-use std::{
-    cell::OnceCell,
-    sync::Arc,
-    time::{Duration, Instant},
-};
+use std::{cell::OnceCell, sync::Arc, time::Duration};
 
 use http::{header, request};
 use hyper::body::Incoming;
+use trayswitch_clock::Instant;
 use trayswitch_core::{
     config::{Config, NamedRoute, RouteKind},
     error::{ErrorKind, RequestError},
--- a/crates/server/src/relay/call.rs
+++ b/crates/server/src/relay/call.rs
@@ -1,10 +1,11 @@
 //! Plain calls: the least loaded endpoint, and another where that is allowed.
 
-use std::{sync::Arc, time::Instant};
+use std::sync::Arc;
 
 use bytes::Bytes;
 use futures_util::{StreamExt, stream::FuturesUnordered};
 use http::{Response, response};
+use trayswitch_clock::Instant;
 use trayswitch_core::{
     error::{ErrorKind, RequestError},
     mechanism::Mechanism,
@@ -17,6 +18,7 @@
 use crate::{
     edge::{self, Body, LocalFuture},
     telemetry::EventId,
+    timer::sleep_until,
     upstream::{SendError, exchange},
 };
 
@@ -91,7 +93,7 @@
 
     async fn run(&mut self) -> Result<(response::Parts, Bytes), RequestError> {
         self.start()?;
-        let deadline = tokio::time::sleep_until(self.job.deadline.into());
+        let deadline = sleep_until(self.job.deadline);
         let mut deadline = std::pin::pin!(deadline);
         // One that may be repeated and takes longer than the others explain is sent to a second
         // endpoint as well.
--- a/crates/server/src/relay/generation.rs
+++ b/crates/server/src/relay/generation.rs
@@ -1,13 +1,10 @@
 //! Starts a generation: places it, sends it and waits for its first event.
 
-use std::{
-    rc::Rc,
-    sync::Arc,
-    time::{Duration, Instant},
-};
+use std::{rc::Rc, sync::Arc, time::Duration};
 
 use http::{Response, response};
-use tokio::{sync::mpsc, time::timeout};
+use tokio::sync::mpsc;
+use trayswitch_clock::Instant;
 use trayswitch_core::{
     error::{ErrorKind, RequestError},
     mechanism::Mechanism,
@@ -28,6 +25,7 @@
     edge::{self, Body},
     runtime::Placed,
     telemetry::EventId,
+    timer::until,
     upstream::{Event, SendError, exchange},
 };
 
@@ -86,7 +84,7 @@
             |e: RequestError| if starts == 0 { e } else { no_answer(starts, &e.message) };
         let permit = relay.permit(job).await.map_err(not_placed)?;
         let placed = place(relay, job, avoid.clone(), permit.is_apart());
-        let placed = timeout(job.time_left(), placed).await;
+        let placed = until(job.deadline, placed).await;
         let placed = placed.map_err(|_| no_answer(starts, "the time is over"))?;
         let (placed, reservation) = placed.map_err(not_placed)?;
         relay.check_may_run(job)?;
@@ -95,7 +93,7 @@
         }
         let go_on = GoOn { after: job.caller.after, memory: None, reservation };
         let opened = open_at(relay, job, &permit, placed.endpoint(), &go_on);
-        let opened = timeout(job.time_left(), opened).await;
+        let opened = until(job.deadline, opened).await;
         let opened = opened.map_err(|_| no_answer(starts + 1, "the time is over"))?;
         let endpoint = placed.endpoint().clone();
         let problem = match opened {
--- a/crates/server/src/relay/job.rs
+++ b/crates/server/src/relay/job.rs
@@ -1,15 +1,11 @@
 //! One admitted request.
 
-use std::{
-    cell::OnceCell,
-    net::SocketAddr,
-    sync::Arc,
-    time::{Duration, Instant},
-};
+use std::{cell::OnceCell, net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http::{Request, request};
 use http_body_util::Full;
+use trayswitch_clock::Instant;
 use trayswitch_core::{
     config::{EndpointTarget, NamedRoute},
     node::InForce,
--- a/crates/server/src/relay/loads.rs
+++ b/crates/server/src/relay/loads.rs
@@ -1,13 +1,8 @@
 //! What this entry knows of plain endpoints from its own requests, and the choice by it.
 
-use std::{
-    cell::RefCell,
-    collections::HashMap,
-    rc::Rc,
-    sync::Arc,
-    time::{Duration, Instant},
-};
+use std::{cell::RefCell, collections::HashMap, rc::Rc, sync::Arc, time::Duration};
 
+use trayswitch_clock::Instant;
 use trayswitch_core::{
     config::ColdStart,
     mechanism::{Disabled, Mechanism},
--- a/crates/server/src/relay/mod.rs
+++ b/crates/server/src/relay/mod.rs
@@ -26,11 +26,12 @@
     collections::HashMap,
     rc::Rc,
     sync::Arc,
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use http::{Request, Response, response};
 use hyper::body::Incoming;
+use trayswitch_clock::Instant;
 use trayswitch_core::{
     error::{ErrorKind, RequestError},
     mechanism::{Disabled, Mechanism},
--- a/crates/server/src/relay/stream.rs
+++ b/crates/server/src/relay/stream.rs
@@ -1,18 +1,11 @@
 //! Carries the events of a running generation to its caller, across endpoints.
 
-use std::{
-    future::pending,
-    rc::Rc,
-    sync::Arc,
-    time::{Duration, Instant},
-};
+use std::{future::pending, rc::Rc, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use tokio::{
-    sync::mpsc,
-    time::{sleep_until, timeout},
-};
+use tokio::{sync::mpsc, time::timeout};
 
+use trayswitch_clock::Instant;
 use trayswitch_core::error::RequestError;
 
 use super::{
@@ -27,6 +20,7 @@
     edge::AnswerError,
     runtime::{MoveOrder, Placed},
     telemetry::EventId,
+    timer::{sleep_until, until},
     upstream::Event,
 };
 
@@ -146,7 +140,7 @@
             return cause;
         }
         loop {
-            let deadline = sleep_until(self.job.deadline.into());
+            let deadline = sleep_until(self.job.deadline);
             let result = tokio::select! {
                 biased;
                 step = self.source.next() => self.take_step(step).await,
@@ -243,7 +237,7 @@
     /// The stream closed while the generation was being stopped: the move says what it means.
     async fn follow_move(&mut self, ended: bool) -> Result<(), Cause> {
         let end = next_end(&mut self.moving);
-        let end = timeout(self.job.time_left(), end).await.map_err(|_| Cause::TimeOver)?;
+        let end = until(self.job.deadline, end).await.map_err(|_| Cause::TimeOver)?;
         if matches!(end, MoveEnd::NoSuchRun) && ended {
             return Err(Cause::Answered);
         }
@@ -331,7 +325,7 @@
         let endpoints = if to == from { &[from][..] } else { &[to, from] };
         for endpoint in endpoints.iter().copied() {
             let opened = open_at(&self.relay, &self.job, &self.permit, endpoint, &go_on);
-            let opened = timeout(self.job.time_left(), opened).await;
+            let opened = until(self.job.deadline, opened).await;
             match opened.map_err(|_| Cause::TimeOver)? {
                 Ok(Opened::Stream { source, first, .. }) => {
                     self.copied = None;
@@ -367,7 +361,7 @@
         let (placed, permit, reservation) = loop {
             let permit = self.relay.permit(&self.job).await.map_err(lost)?;
             let placing = place(&self.relay, &self.job, Some(left.clone()), permit.is_apart());
-            let placed = timeout(self.job.time_left(), placing).await;
+            let placed = until(self.job.deadline, placing).await;
             let (placed, reservation) = placed.map_err(|_| Cause::TimeOver)?.map_err(lost)?;
             if !self.relay.must_ask_again(&self.job, &permit) {
                 break (placed, permit, reservation);
@@ -391,7 +385,7 @@
         let go_on = GoOn { after: self.last, memory: None, reservation };
         let endpoint = self.placed.endpoint();
         let opened = open_at(&self.relay, &self.job, &self.permit, endpoint, &go_on);
-        let opened = timeout(self.job.time_left(), opened).await.map_err(|_| Cause::TimeOver)?;
+        let opened = until(self.job.deadline, opened).await.map_err(|_| Cause::TimeOver)?;
         log::info!(
             event = EventId::StreamResumed.number(), id = self.job.caller.id.as_str(),
             after = self.last.unwrap_or(0), endpoint = &**self.placed.endpoint();
--- a/crates/server/src/relay/tests/entry.rs
+++ b/crates/server/src/relay/tests/entry.rs
@@ -90,8 +90,9 @@
 public = yes
 tier = all
 ";
-/// Longest wait for anything in a test; only a fault reaches it.
-const LIMIT: Duration = Duration::from_secs(60);
+/// Longest wait for anything in a test, and how long a configuration holds that was confirmed; only a
+/// fault reaches it.
+pub(super) const LIMIT: Duration = Duration::from_secs(60);
 const HALL: &str = "hall-1";
 /// The entry's VM, and that of a control VM which nobody plays.
 const VM: &str = "127.0.0.1";
@@ -148,7 +149,12 @@
 
     /// An entry that has its configuration from a control VM which can no longer be reached.
     pub(super) async fn without_scheduler() -> Entry {
-        let entry = Entry::spawn(runtime_options(None), LIMIT);
+        Entry::confirmed_once(LIMIT).await
+    }
+
+    /// The same; requests wait this long for a configuration that is known to be current.
+    pub(super) async fn confirmed_once(recovers_within: Duration) -> Entry {
+        let entry = Entry::spawn(runtime_options(None), recovers_within);
         entry.confirm_by_a_leader_that_is_lost();
         entry.until(|| entry.node.view().ready()).await;
         entry
@@ -204,6 +210,17 @@
         self.until(|| self.node.view().in_force().is_some()).await;
     }
 
+    /// Suspends the VM for longer than a configuration holds.
+    pub(super) fn suspend(&self) {
+        trayswitch_clock::suspend(LIMIT);
+    }
+
+    /// Whether callers are sent here.
+    pub(super) fn is_ready(&self) -> bool {
+        self.node.look_whether_suspended();
+        self.node.view().ready()
+    }
+
     /// Returns once a caller has connected.
     pub(super) async fn connected(&self) {
         self.until(|| 0 < self.server.open()).await;
--- a/crates/server/src/relay/tests/mod.rs
+++ b/crates/server/src/relay/tests/mod.rs
@@ -15,4 +15,5 @@
 mod protocol;
 mod reading;
 mod starting;
+mod suspended;
 mod unscheduled;
--- a/crates/server/src/runtime/mod.rs
+++ b/crates/server/src/runtime/mod.rs
@@ -24,6 +24,7 @@
 
 use eyre::{Result, WrapErr, eyre};
 use tokio::sync::{Notify, mpsc, oneshot};
+use trayswitch_clock as clock;
 use trayswitch_core::{
     config::CheckedDocument,
     error::{ErrorKind, RequestError},
@@ -47,7 +48,10 @@
     trial::Trial,
     view::View,
 };
-use crate::telemetry::{EventId, Metrics};
+use crate::{
+    telemetry::{EventId, Metrics},
+    timer,
+};
 
 /// Longest sleep of the timer, against a lost wake-up.
 const LONGEST_SLEEP: Duration = Duration::from_millis(250);
@@ -72,7 +76,7 @@
 
 struct Shared {
     node: RefCell<Node>,
-    start: Instant,
+    start: clock::Instant,
     view: View,
     links: Links,
     digest_key: DigestKey,
@@ -90,7 +94,7 @@
 impl NodeHandle {
     /// Starts the node on the current thread's local tasks.
     pub fn spawn(options: RuntimeOptions, metrics: Rc<Metrics>) -> Result<NodeHandle> {
-        let start = Instant::now();
+        let start = clock::Instant::now();
         let now = units::Instant(0);
         let mut remembered = Vec::new();
         let (node, writes, written) = match &options.data {
@@ -148,6 +152,7 @@
 
     /// Gives the node an input and carries out what it decides.
     pub fn input(&self, input: Input) {
+        self.look_whether_suspended();
         let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let clocks = Clocks { now: self.now(), wall: UnixMillis(wall.as_millis() as u64) };
         let kind = input.kind();
@@ -160,6 +165,14 @@
         self.0.wake.notify_one();
     }
 
+    /// Lets all that rests on time look again if the VM has been suspended.
+    pub fn look_whether_suspended(&self) {
+        if let Some(time) = timer::look() {
+            sight::was_suspended(&self.0.metrics, time);
+            self.input(Input::Tick);
+        }
+    }
+
     /// Places a request; the guard frees the place when it is dropped.
     pub async fn place(&self, req: Request) -> Result<Placed, RequestError> {
         let call = self.0.view.next_call();
@@ -180,7 +193,7 @@
         or_newer: bool,
         limit: Duration,
     ) -> Result<AcceptedVersion, SubmitError> {
-        let began = Instant::now();
+        let began = clock::Instant::now();
         loop {
             let (checked, in_force) = (checked.clone(), self.0.view.in_force());
             let command = off_thread(move || checked.change_from(in_force.as_deref())).await;
@@ -222,7 +235,7 @@
     /// What is in force is confirmed first: an operator who has left meanwhile orders nothing, and
     /// an order that is held up from here on is overtaken by any other that comes.
     pub async fn order_hall(&self, hall: &str, out: bool, limit: Duration) -> Option<HallResult> {
-        let began = Instant::now();
+        let began = clock::Instant::now();
         let after = self.halls_out(limit).await?.number;
         let order = HallOrder { hall: hall.to_owned(), out, after };
         let left = limit.saturating_sub(began.elapsed());
@@ -385,6 +398,7 @@
     async fn keep_time(self) {
         loop {
             let next = Duration::from_micros(self.0.node.borrow().next_tick().0);
+            self.look_whether_suspended();
             let now = self.0.start.elapsed();
             let due = next.min(now + LONGEST_SLEEP);
             let wait = due.saturating_sub(now);
--- a/crates/server/src/runtime/sight.rs
+++ b/crates/server/src/runtime/sight.rs
@@ -55,6 +55,15 @@
     );
 }
 
+/// Notes that the VM was suspended.
+pub(super) fn was_suspended(metrics: &Metrics, time: Duration) {
+    metrics.suspended(time);
+    log::warn!(
+        event = EventId::Suspended.number(), took_ms = time.as_millis() as u64;
+        "the VM was suspended"
+    );
+}
+
 /// Notes a change of the configuration, or a piece of it, that was sent.
 pub(super) fn change_sent(metrics: &Metrics, change: &SentChange) {
     let how = if change.asked_by.is_some() { "asked" } else { "unasked" };
--- a/crates/server/src/runtime/view.rs
+++ b/crates/server/src/runtime/view.rs
@@ -7,6 +7,7 @@
     time::Duration,
 };
 
+use trayswitch_clock as clock;
 use trayswitch_core::{
     node::{CallId, Entries, InForce},
     registry::Registered,
@@ -22,7 +23,7 @@
     confirmed: Cell<Option<Instant>>,
     fresh: Cell<bool>,
     /// When the daemon will have ended, once a planned stop has begun.
-    ends: Cell<Option<std::time::Instant>>,
+    ends: Cell<Option<clock::Instant>>,
     daemons: Cell<u64>,
     entries: Cell<Entries>,
     calls: Cell<u64>,
@@ -72,13 +73,13 @@
     }
 
     /// Begins a planned stop: unready, but still serving until the daemon ends.
-    pub fn begin_stop(&self, ends: std::time::Instant) {
+    pub fn begin_stop(&self, ends: clock::Instant) {
         self.ends.set(Some(ends));
     }
 
     /// Time until the daemon ends, once a planned stop has begun.
     pub fn time_to_end(&self) -> Option<Duration> {
-        self.ends.get().map(|ends| ends.saturating_duration_since(std::time::Instant::now()))
+        self.ends.get().map(|ends| ends.saturating_duration_since(clock::Instant::now()))
     }
 
     /// The chance that a caller who is sent away from this stopping daemon comes to one that goes
--- a/crates/server/src/telemetry/metrics.rs
+++ b/crates/server/src/telemetry/metrics.rs
@@ -29,6 +29,7 @@
     hall_orders: IntCounterVec,
     node_input: HistogramVec,
     timer_late: HistogramVec,
+    suspended: HistogramVec,
     changes_sent: IntCounterVec,
     change_bytes: IntCounterVec,
     link_write: HistogramVec,
@@ -116,6 +117,11 @@
                 "How late the node's timer came: for so long the daemon's thread was held up",
                 &[],
             )?,
+            suspended: histogram(
+                "trayswitch_suspended_seconds",
+                "For how long the VM was suspended, each time",
+                &[],
+            )?,
             changes_sent: counter(
                 "trayswitch_changes_sent_total",
                 "Changes of the configuration told to daemons unasked, and pieces of them that were asked for",
@@ -198,6 +204,11 @@
         self.timer_late.with_label_values::<&str>(&[]).observe(late.as_secs_f64());
     }
 
+    /// Notes for how long the VM was suspended.
+    pub fn suspended(&self, time: Duration) {
+        self.suspended.with_label_values::<&str>(&[]).observe(time.as_secs_f64());
+    }
+
     /// Counts a change of the configuration that was sent to so many daemons.
     pub fn change_sent(&self, how: &str, daemons: usize, bytes: usize) {
         self.changes_sent.with_label_values(&[how]).inc_by(daemons as u64);
--- a/crates/trayswitchd/src/callers/call.rs
+++ b/crates/trayswitchd/src/callers/call.rs
@@ -1,13 +1,11 @@
 //! `POST /v1/services/SERVICE/CALL`: one call of a plain service.
 
-use std::{
-    sync::Arc,
-    time::{Duration, Instant},
-};
+use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use sha2::{Digest, Sha256};
 use tiny_http::Request;
+use trayswitch_clock::Instant;
 use trayswitch_core::{
     config::{CallSpec, EndpointTarget},
     error::{ErrorKind, Outcome, RequestError},
--- a/crates/trayswitchd/src/callers/context.rs
+++ b/crates/trayswitchd/src/callers/context.rs
@@ -171,6 +171,11 @@
         req: placement::Request,
     ) -> Result<Placement, RequestError> {
         match self.node.ask_as(call, Question::Place(req), PLACE_LIMIT) {
+            Ok(Answer::Placed(Ok(_))) if !self.node.view().fresh() => {
+                // The VM may have been suspended while the request waited.
+                self.node.input(Input::Finished { call, tokens: 0, whole: false });
+                Err(not_ready("no control VM has confirmed the configuration lately"))
+            }
             Ok(Answer::Placed(placed)) => placed,
             Ok(_) | Err(_) => Err(not_ready("the daemon's scheduler did not answer")),
         }
--- a/crates/trayswitchd/src/callers/run.rs
+++ b/crates/trayswitchd/src/callers/run.rs
@@ -1,12 +1,8 @@
 //! Runs one generation: places it, reads its frames, resumes it when the link is lost.
 
-use std::{
-    net::SocketAddr,
-    sync::Arc,
-    thread,
-    time::{Duration, Instant},
-};
+use std::{net::SocketAddr, sync::Arc, thread, time::Duration};
 
+use trayswitch_clock::Instant;
 use trayswitch_core::{
     delivery::{AttemptId, Delivery, Limits, NextStep, Verdict},
     error::{ErrorKind, Outcome, RequestError},
--- a/crates/trayswitchd/src/node/actor.rs
+++ b/crates/trayswitchd/src/node/actor.rs
@@ -3,10 +3,11 @@
 use std::{
     collections::HashMap,
     sync::{Arc, mpsc},
-    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+    time::{self, Duration, SystemTime, UNIX_EPOCH},
 };
 
 use stakker::{CX, MinTimerKey, timer_min};
+use trayswitch_clock::Instant;
 use trayswitch_core::{
     agreement::Persist,
     node::{Answer, CallId, Clocks, InForce, Input, Node, Output, VmName},
@@ -25,6 +26,8 @@
 pub(super) struct NodeActor {
     node: Node,
     start: Instant,
+    stale_after: Duration,
+    fresh: bool,
     view: Arc<View>,
     writes: Option<Writes>,
     links: HashMap<VmName, LinkHandle>,
@@ -33,16 +36,20 @@
 }
 
 impl NodeActor {
-    /// An actor that counts time from `start`.
+    /// An actor that counts time from `start`, and takes the configuration for current for so long after it
+    /// was confirmed.
     pub(super) fn new(
         node: Node,
         start: Instant,
+        stale_after: Duration,
         view: Arc<View>,
         writes: Option<Writes>,
     ) -> NodeActor {
         NodeActor {
             node,
             start,
+            stale_after,
+            fresh: false,
             view,
             writes,
             links: HashMap::new(),
@@ -96,8 +103,11 @@
 
     fn arm(&mut self, cx: CX![]) {
         const SHORTEST: Duration = Duration::from_millis(1);
+        /// The timer stands still while the VM is suspended, and comes at most this much later.
+        const LONGEST: Duration = Duration::from_millis(250);
         let next = self.start + Duration::from_micros(self.node.next_tick().0);
-        let at = next.max(Instant::now() + SHORTEST);
+        let wait = next.saturating_duration_since(Instant::now());
+        let at = time::Instant::now() + wait.clamp(SHORTEST, LONGEST);
         timer_min!(&mut self.timer, at, [cx], tick());
     }
 
@@ -128,7 +138,7 @@
                 }
             }
             Output::InForce(in_force) => self.in_force(in_force),
-            Output::Fresh { fresh, .. } => self.fresh(fresh),
+            Output::Fresh { fresh, confirmed, .. } => self.fresh(fresh, confirmed),
             Output::Watch(endpoints) => self.view.set_watched(endpoints),
             Output::HallsOut(halls) => {
                 let (event, names) = (EventId::HallsOut, halls.names.join(", "));
@@ -163,11 +173,12 @@
         self.view.publish(in_force);
     }
 
-    fn fresh(&self, fresh: bool) {
-        if self.view.fresh() == fresh {
+    fn fresh(&mut self, fresh: bool, confirmed: Option<units::Instant>) {
+        let until = confirmed.map(|at| self.start + Duration::from_micros(at.0) + self.stale_after);
+        self.view.set_fresh_until(until);
+        if std::mem::replace(&mut self.fresh, fresh) == fresh {
             return;
         }
-        self.view.set_fresh(fresh);
         if fresh {
             log::info!("{} the configuration is confirmed", EventId::ConfigFresh);
         } else {
--- a/crates/trayswitchd/src/node/mod.rs
+++ b/crates/trayswitchd/src/node/mod.rs
@@ -16,6 +16,7 @@
 
 use eyre::{Result, eyre};
 use stakker::{Stakker, actor, call, ret_nop};
+use trayswitch_clock as clock;
 use trayswitch_core::{
     node::{Answer, CallId, Input, Node, NodeOptions, Question, VmName},
     units,
@@ -62,7 +63,8 @@
         let view = Arc::new(View::default());
         let handle = NodeHandle { tx, view: view.clone() };
         let options = options(settings)?;
-        let start = Instant::now();
+        let start = clock::Instant::now();
+        let stale_after = options.timing.stale_after;
         let (node, writer) = match &settings.data {
             Some(path) => {
                 let opened = writer::open(path, random()?)?;
@@ -74,7 +76,7 @@
         };
         let run = move || {
             let _guard = EndsProcess;
-            run(&rx, NodeActor::new(node, start, view, writer));
+            run(&rx, NodeActor::new(node, start, stale_after, view, writer));
         };
         thread::Builder::new().name("node".into()).spawn(run)?;
         Ok(handle)
--- a/crates/trayswitchd/src/node/view.rs
+++ b/crates/trayswitchd/src/node/view.rs
@@ -5,6 +5,7 @@
     atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
 };
 
+use trayswitch_clock::Instant;
 use trayswitch_core::node::{CallId, InForce};
 
 /// State shared with request threads.
@@ -12,7 +13,8 @@
 pub(crate) struct View {
     in_force: RwLock<Option<Arc<InForce>>>,
     watched: RwLock<Vec<String>>,
-    fresh: AtomicBool,
+    /// Until when the configuration counts as current, unless it is confirmed again.
+    fresh_until: RwLock<Option<Instant>>,
     stopping: AtomicBool,
     draining: AtomicBool,
     requests: AtomicUsize,
@@ -58,12 +60,13 @@
 
     /// Whether the configuration is confirmed to be current.
     pub(crate) fn fresh(&self) -> bool {
-        self.fresh.load(Ordering::Relaxed)
+        let until = *self.fresh_until.read().expect("no reader panics");
+        until.is_some_and(|until| Instant::now() < until)
     }
 
-    /// Sets whether the configuration is confirmed to be current.
-    pub(crate) fn set_fresh(&self, fresh: bool) {
-        self.fresh.store(fresh, Ordering::Relaxed);
+    /// Sets until when the configuration counts as current.
+    pub(crate) fn set_fresh_until(&self, until: Option<Instant>) {
+        *self.fresh_until.write().expect("no reader panics") = until;
     }
 
     /// Whether the balancer should send callers here.
--- a/crates/trayswitchd/src/operators/halls.rs
+++ b/crates/trayswitchd/src/operators/halls.rs
@@ -1,13 +1,11 @@
 //! Data halls: taking them out of service, giving them back, and showing them.
 
-use std::{
-    collections::BTreeMap,
-    time::{Duration, Instant},
-};
+use std::{collections::BTreeMap, time::Duration};
 
 use serde::Serialize;
 use serde_json::json;
 use tiny_http::{Method, Request};
+use trayswitch_clock::Instant;
 use trayswitch_core::{
     node::{Answer, Question},
     state::{HallOrder, HallResult, HallsOut, check_hall_name},
--- a/crates/trayswitchd/src/operators/submit.rs
+++ b/crates/trayswitchd/src/operators/submit.rs
@@ -1,11 +1,9 @@
 //! Submitting a file: parsed and checked here, so that the node's thread only ever handles
 //! what a file changes.
 
-use std::{
-    thread,
-    time::{Duration, Instant},
-};
+use std::{thread, time::Duration};
 
+use trayswitch_clock::Instant;
 use trayswitch_core::{
     config::{CheckedDocument, Document, Faults},
     node::{Answer, Question, SubmitError},
--- a/crates/trayswitchd/src/stop.rs
+++ b/crates/trayswitchd/src/stop.rs
@@ -1,15 +1,13 @@
 //! A planned stop: unready first, then no new requests, then out once all have ended.
 
-use std::{
-    process, thread,
-    time::{Duration, Instant},
-};
+use std::{process, thread, time::Duration};
 
 use eyre::Result;
 use signal_hook::{
     consts::{SIGINT, SIGTERM},
     iterator::Signals,
 };
+use trayswitch_clock::Instant;
 use trayswitch_core::node::Input;
 
 use crate::{node::NodeHandle, settings::Timing, telemetry::EventId};
