--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -21,6 +21,11 @@
                 .about("Time taking configurations in at several numbers of routes")
                 .arg(text("sizes", "Numbers of routes", Some("50,1450,2850,4250,18000"))),
         )
+        .subcommand(
+            Command::new("suspects")
+                .about("Time the look for suspects, and count the endpoints that end under one")
+                .arg(text("daemons", "Daemons, separated by commas", Some("7,64,300"))),
+        )
         .subcommand(
             Command::new("decisions").about("Time scheduling decisions at several sizes").arg(
                 text(
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -8,6 +8,7 @@
 mod fleet;
 mod load;
 mod options;
+mod suspects;
 
 use std::{
     io::{self, Write},
@@ -77,6 +78,15 @@
             }
             Ok(())
         }
+        Options::Suspects(daemons) => {
+            for cost in suspects::costs() {
+                println!("{}", serde_json::to_string(&cost)?);
+            }
+            for ends in suspects::ends(&daemons) {
+                println!("{}", serde_json::to_string(&ends)?);
+            }
+            Ok(())
+        }
         Options::Configurations(sizes) => {
             for cost in changes::config_costs(&sizes) {
                 println!("{}", serde_json::to_string(&cost)?);
--- /dev/null
+++ b/crates/lab/src/suspects/cost.rs
@@ -0,0 +1,78 @@
+//! What it costs a daemon to look whether a request is a suspect.
+
+use std::{hint::black_box, time::Instant as Clock};
+
+use serde::Serialize;
+use trayswitch_core::{
+    mechanism::Disabled,
+    node::{Clocks, Input, Node, NodeOptions, NodeTiming},
+    quarantine::{DigestKey, RequestDigest, RequestIdentity},
+    units::{Instant, UnixMillis},
+    wire::{Body, SuspectChange, SuspectNews},
+};
+
+/// Requests that are looked at.
+const LOOKS: u64 = 20_000;
+/// Records that a daemon knows: none, one, and as many as are kept.
+const RECORDS: [u64; 3] = [0, 1, 4_096];
+/// Bytes of a body: a call, a prompt, a long prompt.
+const BODIES: [usize; 3] = [200, 10_000, 400_000];
+
+/// Cost at one size.
+#[derive(Debug, Serialize)]
+pub(crate) struct Cost {
+    /// Suspects that the daemon knows.
+    pub(crate) records: u64,
+    /// Bytes of the body.
+    pub(crate) body: usize,
+    /// Nanoseconds for one request.
+    pub(crate) nanos: f64,
+}
+
+/// Times the look at several sizes.
+pub(crate) fn costs() -> Vec<Cost> {
+    let at = |records| BODIES.map(|body| cost(records, body));
+    RECORDS.into_iter().flat_map(at).collect()
+}
+
+fn cost(records: u64, body: usize) -> Cost {
+    let node = daemon(records);
+    let key = DigestKey::new(b"key of the daemons");
+    let bytes = vec![b'x'; body];
+    let req = RequestIdentity { method: "POST", path: "/a/b", workspace: Some("w"), body: &bytes };
+    let looks = if body < 100_000 { LOOKS } else { LOOKS / 100 };
+    let began = Clock::now();
+    for _ in 0..looks {
+        let req = black_box(&req);
+        if black_box(node.has_suspects()) {
+            black_box(node.standing(&key.digest(req)));
+        }
+    }
+    Cost { records, body, nanos: began.elapsed().as_secs_f64() * 1e9 / looks as f64 }
+}
+
+/// A daemon that was told of so many suspects.
+fn daemon(records: u64) -> Node {
+    let options = NodeOptions {
+        vm: "entry".into(),
+        seeds: vec!["control".into()],
+        founders: Vec::new(),
+        max_voters: 1,
+        takes_callers: true,
+        endpoint_heartbeat: std::time::Duration::from_secs(1),
+        timing: NodeTiming::default(),
+        seed: 1,
+        disabled: Disabled::default(),
+    };
+    let mut node = Node::entry(&options, Instant(0));
+    let change = |number: u64| {
+        let digest = [number.to_be_bytes(), number.to_be_bytes()].concat();
+        SuspectChange { request: digest.into(), ended: 1, in_trials: 0 }
+    };
+    let changes: Vec<SuspectChange> = (1..=records).map(change).collect();
+    let news = SuspectNews { after: 0, up_to: records, reset: false, more: false, changes };
+    let clocks = Clocks { now: Instant(1), wall: UnixMillis(1) };
+    node.handle(Input::Message("control".into(), Body::Suspects(news)), clocks);
+    assert_eq!(node.standing(&RequestDigest::default()).ended, 0);
+    node
+}
