Count an endpoint that ends after the attempt there was given up

Cause: only attempts that broke off while they were awaited counted. One whose time was over, or whose caller had left, told nothing, though its endpoint may end, or have gone dark, under it. Change: an attempt that is dropped before its end is kept in mind for six heartbeats; if the endpoint falls silent or starts anew meanwhile, it has ended under it. A call that has waited for its turn looks again whether it may run. Test: relay::tests::crashing::an_endpoint_that_starts_anew_after_a_request_was_given_up_has_ended_under_it, which waits for ever without the change.

--- a/crates/core/src/node/suspects.rs
+++ b/crates/core/src/node/suspects.rs
@@ -25,6 +25,9 @@
 /// takes connections again: its heartbeats count as stopped after four are missing, and the word of that
 /// takes as long as one more.
 const HEARTBEATS_TO_TELL: u32 = 6;
+/// Attempts that are waited for so; of more the oldest are forgotten. A busy daemon has a hundred, if all its callers
+/// leave early.
+const MAX_UNCLEAR: usize = 1_024;
 
 /// What an endpoint's address said after an attempt there had broken off.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -184,6 +187,9 @@
             (None, _) => {}
             (Some(RunState::Runs), _) => {
                 let until = cx.now.after(cx.registry.heartbeat() * HEARTBEATS_TO_TELL);
+                if MAX_UNCLEAR <= self.unclear.len() {
+                    self.unclear.remove(0);
+                }
                 self.unclear.push(Unclear { broke_off, until });
             }
         }
--- a/crates/server/src/relay/call.rs
+++ b/crates/server/src/relay/call.rs
@@ -13,7 +13,8 @@
 };
 
 use super::{
-    Answer, Job, MAX_TURNED, Relay, Turned, job::GoOn, loads::Verdict, no_answer, permit::Permit,
+    Answer, Job, MAX_TURNED, Relay, Turned, ended::Awaited, job::GoOn, loads::Verdict, no_answer,
+    permit::Permit,
 };
 use crate::{
     edge::{self, Body, LocalFuture},
@@ -190,7 +191,6 @@
     }
 
     fn start(&mut self) -> Result<(), RequestError> {
-        self.relay.check_may_run(self.job)?;
         let Some(endpoint) = self.choose() else {
             return Err(no_endpoint(self.relay, &self.job.service));
         };
@@ -222,11 +222,17 @@
         Ok(permit) => permit,
         Err(error) => return End::Refused(error),
     };
+    // It may have waited for its turn.
+    if let Err(error) = relay.check_may_run(job) {
+        return End::Refused(error);
+    }
     let began = Instant::now();
     let inputs = relay.inputs();
     let own_running = relay.loads.running(&endpoint.id);
     let running = relay.loads.begin(&endpoint.id, relay.cold_rule(job).as_ref());
+    let awaited = Awaited::begin(relay, job, &permit, &endpoint);
     let (end, verdict) = ask(relay, job, &permit, &endpoint).await;
+    awaited.end();
     drop(running);
     relay.loads.note(&endpoint.id, verdict);
     if verdict == Verdict::Good {
--- a/crates/server/src/relay/ended.rs
+++ b/crates/server/src/relay/ended.rs
@@ -26,17 +26,26 @@
         events: u64,
     ) {
         let after = look_at(endpoint.address, self.options.connect_limit).await;
-        let request = job.digest(self);
         self.metrics.broke_off(&job.service, name(after));
         log::info!(
             event = EventId::EndedUnder.number(), id = job.caller.id.as_str(),
-            request = request.to_string().as_str(), endpoint = &*endpoint.id,
+            request = job.digest(self).to_string().as_str(), endpoint = &*endpoint.id,
             born = endpoint.born, events = events, end = name(after),
             trial = permit.trial.is_some();
             "an attempt broke off"
         );
+        self.tell_broken_off(job, permit, endpoint, after);
+    }
+
+    fn tell_broken_off(
+        &self,
+        job: &Job,
+        permit: &Permit,
+        endpoint: &Registered,
+        after: AfterBreak,
+    ) {
         self.node.input(Input::BrokeOff(BrokeOff {
-            request,
+            request: job.digest(self),
             endpoint: endpoint.id.clone(),
             born: Some(endpoint.born),
             after,
@@ -45,6 +54,41 @@
     }
 }
 
+/// An attempt whose end is awaited. One that is given up, since its time is over or its caller has left, may
+/// have ended an endpoint that nobody looks at any more: the node waits for a while for word of that.
+pub(super) struct Awaited<'a> {
+    relay: &'a Relay,
+    job: &'a Job,
+    permit: &'a Permit,
+    endpoint: &'a Registered,
+    has_ended: bool,
+}
+
+impl<'a> Awaited<'a> {
+    pub(super) fn begin(
+        relay: &'a Relay,
+        job: &'a Job,
+        permit: &'a Permit,
+        endpoint: &'a Registered,
+    ) -> Awaited<'a> {
+        Awaited { relay, job, permit, endpoint, has_ended: false }
+    }
+
+    /// The attempt has come to its end.
+    pub(super) fn end(mut self) {
+        self.has_ended = true;
+    }
+}
+
+impl Drop for Awaited<'_> {
+    fn drop(&mut self) {
+        if !self.has_ended {
+            let Awaited { relay, job, permit, endpoint, .. } = self;
+            relay.tell_broken_off(job, permit, endpoint, AfterBreak::Silent);
+        }
+    }
+}
+
 fn name(after: AfterBreak) -> &'static str {
     match after {
         AfterBreak::Refused => "ended",
--- a/crates/server/src/relay/generation.rs
+++ b/crates/server/src/relay/generation.rs
@@ -9,11 +9,13 @@
     error::{ErrorKind, RequestError},
     mechanism::Mechanism,
     node::Input,
+    registry::Registered,
     wire::HealthNews,
 };
 
 use super::{
     Answer, Job, MAX_TURNED, Relay, Turned,
+    ended::Awaited,
     job::GoOn,
     no_answer,
     permit::Permit,
@@ -210,12 +212,25 @@
     if known.out {
         return Err(Lost::NotRun("its data hall is out of service".into()));
     }
+    let awaited = Awaited::begin(relay, job, permit, &known);
+    let opened = send_to(relay, job, permit, &known, go_on).await;
+    awaited.end();
+    opened
+}
+
+async fn send_to(
+    relay: &Relay,
+    job: &Job,
+    permit: &Permit,
+    known: &Registered,
+    go_on: &GoOn,
+) -> Result<Opened, Lost> {
     let failed = || {
-        let news = Input::Health(endpoint.clone(), HealthNews::Failed);
+        let news = Input::Health(known.id.clone(), HealthNews::Failed);
         relay.node.input(news);
     };
-    let broke_off = || relay.broke_off(job, permit, &known, go_on.after.unwrap_or(0));
-    let req = job.request(&*relay.protocol, endpoint, known.address, go_on);
+    let broke_off = || relay.broke_off(job, permit, known, go_on.after.unwrap_or(0));
+    let req = job.request(&*relay.protocol, &known.id, known.address, go_on);
     let open = match exchange(known.address, req, relay.options.connect_limit).await {
         Ok(open) => open,
         Err(SendError::NotSent(problem)) => {
--- a/crates/server/src/relay/tests/crashing.rs
+++ b/crates/server/src/relay/tests/crashing.rs
@@ -289,3 +289,22 @@
         drop(held);
     });
 }
+
+#[gtest]
+fn an_endpoint_that_starts_anew_after_a_request_was_given_up_has_ended_under_it() {
+    on_local_tasks(async {
+        let entry = Entry::open().await;
+        for (service, path) in [("engines", "/chat/deadly"), ("desk", "/once/deadly")] {
+            let mut endpoint = entry.register(service, service).await;
+            let held = tokio::select! {
+                _ = entry.ask(path, "r1") => panic!("nobody has answered"),
+                arrival = endpoint.arrival() => arrival,
+            };
+
+            let _again = entry.starts_again(service, service).await;
+
+            drop(held);
+        }
+        entry.has_counted("trayswitch_suspects", 2).await;
+    });
+}
--- a/crates/server/src/relay/tests/entry.rs
+++ b/crates/server/src/relay/tests/entry.rs
@@ -287,6 +287,23 @@
         endpoint
     }
 
+    /// Another run of an endpoint has started under its name.
+    pub(super) async fn starts_again(&self, service: &str, name: &str) -> FakeEndpoint {
+        let endpoint = FakeEndpoint::open();
+        self.node.input(Input::Heartbeat(EndpointRecord {
+            id: name.to_owned(),
+            service: service.to_owned(),
+            address: endpoint.address().to_string(),
+            hall: HALL.to_owned(),
+            slots: 48,
+            sequence: 1,
+            born: 1,
+            ..EndpointRecord::default()
+        }));
+        self.until(|| self.node.view().endpoint(name).is_some_and(|known| known.born == 1)).await;
+        endpoint
+    }
+
     /// Takes an endpoint's word that it will end; returns once requests know of it.
     pub(super) async fn leaves(&self, name: &str) {
         self.node.input(Input::Farewell(name.into()));
