--- /dev/null
+++ b/crates/core/src/node/inputs.rs
@@ -0,0 +1,199 @@
+//! Hands each input to the part of the node that it is for.
+
+use bytes::Bytes;
+
+use super::{
+    Answer, CallId, Clocks, Control, Input, Node, Output, Question, VmName,
+    endpoints::endpoint_statuses,
+    operations::{SETTLE_LIMIT, SUBMIT_LIMIT},
+    reads::Wanted,
+};
+use crate::{
+    mechanism::Mechanism,
+    quarantine::ClearRequest,
+    registry::Digest,
+    wire::{Body, EndpointDigest, OperationKind, OperationResult},
+};
+
+impl Node {
+    pub(super) fn take(&mut self, input: Input, clocks: Clocks) {
+        let out = &mut self.outputs;
+        match input {
+            Input::Tick => self.tick(clocks),
+            Input::LinkUp(vm) => self.link_up(vm, clocks),
+            Input::LinkDown(vm) => self.link_down(&vm, clocks),
+            Input::Message(from, body) => self.message(&from, body, clocks),
+            Input::Persisted(number) => {
+                if let Some(control) = &mut self.control {
+                    control.persisted(number, clocks, out);
+                }
+            }
+            Input::Ask(call, question) => self.ask(call, question, clocks),
+            Input::Progress(call, tokens) => self.placing.progress(call, tokens, clocks.now, out),
+            Input::Finished { call, tokens, whole } => {
+                self.placing.finished(call, tokens, whole, clocks.now, out);
+            }
+            Input::Cancelled(call) => self.placing.cancel(call, clocks.now, out),
+            Input::Health(endpoint, news) => {
+                self.placing.health(&endpoint, news, clocks.now, true, out);
+            }
+            Input::BrokeOff(broke_off) => {
+                let (suspects, mut cx, out) = self.suspects_context(clocks);
+                suspects.broke_off(broke_off, &mut cx, out);
+            }
+            Input::AnsweredWhole(request) => {
+                let (suspects, mut cx, out) = self.suspects_context(clocks);
+                suspects.answered_whole(&request, &mut cx, out);
+            }
+            Input::TrialBegun(call) => {
+                let (suspects, cx, out) = self.suspects_context(clocks);
+                suspects.begun(call, &cx, out);
+            }
+            Input::TrialOver { call, whole } => {
+                let (suspects, mut cx, out) = self.suspects_context(clocks);
+                suspects.over(call, whole, &mut cx, out);
+            }
+            Input::Heartbeat(record) => self.heartbeat(record, clocks.now),
+            Input::Recall(records) => {
+                if self.disabled.allows(Mechanism::RecalledEndpoints) {
+                    self.registry.recall(records, clocks.now);
+                }
+            }
+            Input::Farewell(id) => self.farewell(&id, clocks.now),
+            Input::Moved { call, at, done } => {
+                self.placing.moved(call, &at, done, clocks.now, out);
+            }
+            Input::Seeds(seeds) => self.directory.set_seeds(seeds, clocks.now, out),
+            Input::Load(report) => self.placing.load(report, clocks.now, out),
+            Input::Stop => {
+                self.keeper.stop(clocks.now, out);
+                if let Some(control) = &mut self.control {
+                    control.stop(clocks, out);
+                }
+            }
+        }
+    }
+
+    fn ask(&mut self, call: CallId, question: Question, clocks: Clocks) {
+        let out = &mut self.outputs;
+        let leader = self.keeper.leader();
+        match question {
+            Question::Place(req) => {
+                let scheduler = self.keeper.scheduler(clocks.now);
+                self.placing.place(call, req, scheduler, clocks.now, out);
+            }
+            Question::Submit(submit) => {
+                let kind = OperationKind::Submit(submit);
+                self.operations.ask(call, kind, SUBMIT_LIMIT, leader, clocks.now, out);
+            }
+            Question::Claim { claim, limit } => {
+                let kind = OperationKind::Claim(claim);
+                self.operations.ask(call, kind, limit, leader, clocks.now, out);
+            }
+            Question::Settle(settle) => {
+                let kind = OperationKind::Settle(settle);
+                self.operations.ask(call, kind, SETTLE_LIMIT, leader, clocks.now, out);
+            }
+            Question::Hall { order, limit } => {
+                let kind = OperationKind::Hall(order);
+                self.operations.ask(call, kind, limit, leader, clocks.now, out);
+            }
+            Question::Read { limit } => {
+                let deadline = clocks.now.after(limit);
+                self.keeper.read(call, Wanted::Configuration, deadline, clocks.now, out);
+            }
+            Question::HallsOut { limit } => {
+                let deadline = clocks.now.after(limit);
+                self.keeper.read(call, Wanted::HallsOut, deadline, clocks.now, out);
+            }
+            Question::Trial { request, limit } => {
+                let (suspects, cx, out) = self.suspects_context(clocks);
+                suspects.ask(call, request, limit, &cx, out);
+            }
+            Question::Clear { request, limit } => {
+                let request = Bytes::copy_from_slice(request.as_bytes());
+                let kind = OperationKind::Clear(ClearRequest { request });
+                self.operations.ask(call, kind, limit, leader, clocks.now, out);
+            }
+            Question::Suspects => {
+                let all = self.control.as_ref().map(|control| control.state().suspects().all());
+                out.answer(call, Answer::Suspects(all));
+            }
+            Question::Endpoints => {
+                let dispatcher = self.control.as_ref().and_then(Control::dispatcher);
+                let scheduler = dispatcher.unwrap_or(self.placing.local());
+                out.answer(call, Answer::Endpoints(endpoint_statuses(scheduler, clocks.now)));
+            }
+            Question::Control => {
+                let status = self.control.as_ref().map(|control| control.status(clocks.now));
+                out.answer(call, Answer::Control(status.unwrap_or_default()));
+            }
+        }
+    }
+
+    pub(super) fn message(&mut self, from: &VmName, body: Body, clocks: Clocks) {
+        let leads = self.leads();
+        let out = &mut self.outputs;
+        match body {
+            Body::PollReply(reply) => {
+                self.placing.told_slow(&reply.slow, clocks.now);
+                self.placing.set_daemons(reply.daemons);
+                let news = reply.suspects.clone();
+                self.keeper.poll_reply(from, reply, clocks.now, out);
+                if let Some(news) = news {
+                    self.suspect_news(&news, clocks.now);
+                }
+            }
+            Body::Update(update) => self.keeper.update(from, update, clocks.now, out),
+            Body::HallsOut(halls) => self.keeper.take_halls(&halls, out),
+            Body::Piece(piece) => self.keeper.piece(piece, clocks.now, out),
+            Body::NotLeader(reply) => {
+                self.keeper.not_leader(from, reply.leader.as_deref(), clocks.now);
+                if let Some(operation) = reply.operation {
+                    self.operations.not_taken(operation);
+                }
+            }
+            Body::Suspects(news) => self.suspect_news(&news, clocks.now),
+            Body::TrialReply(reply) => {
+                let (suspects, cx, out) = self.suspects_context(clocks);
+                suspects.answered(reply, &cx, out);
+            }
+            Body::OperationReply(reply) => {
+                let recorded = match reply.result {
+                    Some(OperationResult::Suspects(recorded)) => Some((reply.id, recorded)),
+                    _ => None,
+                };
+                self.operations.reply(reply, out);
+                if let Some((operation, recorded)) = recorded {
+                    let (suspects, cx, out) = self.suspects_context(clocks);
+                    suspects.recorded(operation, recorded, &cx, out);
+                }
+            }
+            Body::Grant(grant) => self.placing.granted(from, grant, clocks.now, out),
+            Body::GiveUp(give_up) => self.placing.given_up(give_up, out),
+            Body::Directory(message) => self.directory.told(from, message, clocks.now, out),
+            Body::EndpointNews(news) => self.endpoint_news(from, news, clocks.now),
+            Body::EndpointDigest(EndpointDigest { sums }) => {
+                // Another release may divide them otherwise; what is new it tells all the same.
+                if let Some(digest) = Digest::read(sums) {
+                    self.endpoint_sync.told(from, digest, clocks.now);
+                }
+            }
+            Body::EndpointsWanted(wanted) => self.send_endpoints(from, wanted, clocks.now),
+            Body::Move(order) => self.placing.order(&order, out),
+            Body::Watch(watch) => out.push(Output::Watch(watch.endpoints)),
+            Body::Health(health) if !leads || *from == self.vm => {
+                let (endpoint, news) = (health.endpoint.as_str().into(), health.news());
+                self.placing.health(&endpoint, news, clocks.now, false, out);
+                if let (true, Some(control)) = (leads, &mut self.control) {
+                    control.message(from, Body::Health(health), clocks, out);
+                }
+            }
+            body => {
+                if let Some(control) = &mut self.control {
+                    control.message(from, body, clocks, out);
+                }
+            }
+        }
+    }
+}
--- a/crates/core/src/node/tests/mod.rs
+++ b/crates/core/src/node/tests/mod.rs
@@ -3,6 +3,7 @@
 mod fleet;
 mod founding;
 mod halls;
+mod insistent;
 mod large_change;
 mod leaving;
 mod net;
--- a/crates/core/src/node/tests/suspects.rs
+++ b/crates/core/src/node/tests/suspects.rs
@@ -1,9 +1,7 @@
-//! Requests under which endpoints end, in whole nodes: known everywhere a moment after, kept through the
-//! loss of the leader and of all VMs, and tried one at a time.
+//! Requests under which endpoints end, in whole nodes: known everywhere a moment after, and kept through
+//! the loss of the leader and of all VMs.
 //!
-//! The story of the failure that this guards against is in `relay::tests::crashing` of the server; here are
-//! the parts of it that only several daemons show: tries that come through another daemon each, three at the
-//! same time before any endpoint has ended, and control VMs that fail just then.
+//! The story of the failure that this guards against is in `relay::tests::crashing` of the server.
 
 use std::time::Duration;
 
@@ -21,19 +19,13 @@
     wire::EndpointRecord,
 };
 
-/// Steps of 20 ms in which an endpoint that begins to run the deadly request ends.
-const STEPS_TO_END: usize = 35;
-/// Steps in which every daemon that is not cut off has to know what was told: 3 s.
-const STEPS_TO_KNOW: usize = 150;
-/// Tries that may reach an endpoint after that.
-const ALLOWED: usize = 3;
-
-fn deadly() -> RequestDigest {
+/// The request that the tests are about.
+pub(super) fn deadly() -> RequestDigest {
     RequestDigest::from_slice(&[7; 16]).unwrap()
 }
 
 /// A site whose daemons have a configuration.
-fn running(site: &Site, seed: u64) -> Net {
+pub(super) fn running(site: &Site, seed: u64) -> Net {
     let mut net = Net::new(site, seed);
     net.calm(100);
     net.submit(&net.entry(), 1, "a");
@@ -42,7 +34,7 @@
 }
 
 /// An endpoint of this name ends under the deadly request at a VM.
-fn ends(net: &mut Net, vm: &VmName, endpoint: &str, trial: Option<CallId>) {
+pub(super) fn ends(net: &mut Net, vm: &VmName, endpoint: &str, trial: Option<CallId>) {
     let broke_off = BrokeOff {
         request: deadly(),
         endpoint: endpoint.into(),
@@ -54,7 +46,7 @@
 }
 
 /// Asks for a trial at a VM.
-fn ask(net: &mut Net, vm: &VmName) -> CallId {
+pub(super) fn ask(net: &mut Net, vm: &VmName) -> CallId {
     net.ask(vm, Question::Trial { request: deadly(), limit: Duration::from_secs(2) })
 }
 
@@ -262,190 +254,6 @@
     expect_that!(standing, some(eq(Standing { ended: 1, in_trials: 0 })));
 }
 
-/// A try that runs at an endpoint, which ends at a step.
-struct Run {
-    vm: VmName,
-    ends_at: usize,
-    trial: Option<CallId>,
-}
-
-/// Callers that repeat the deadly request through one daemon after the other.
-struct Callers {
-    asked: Vec<(VmName, CallId)>,
-    runs: Vec<Run>,
-    /// Steps at which endpoints began to run it, and at which they ended.
-    begun: Vec<usize>,
-    ended: Vec<usize>,
-    step: usize,
-}
-
-impl Callers {
-    fn new() -> Callers {
-        Callers {
-            asked: Vec::new(),
-            runs: Vec::new(),
-            begun: Vec::new(),
-            ended: Vec::new(),
-            step: 0,
-        }
-    }
-
-    fn begin(&mut self, vm: &VmName, trial: Option<CallId>) {
-        self.begun.push(self.step);
-        self.runs.push(Run { vm: vm.clone(), ends_at: self.step + STEPS_TO_END, trial });
-    }
-
-    /// A try comes to a daemon, which does with it what the server does.
-    fn come_to(&mut self, net: &mut Net, vm: &VmName) {
-        if !net.serves(vm) {
-            return;
-        }
-        let Some(standing) = net.standing(vm, &deadly()) else { return };
-        if standing.is_quarantined() {
-            return;
-        }
-        if standing.is_suspect() {
-            let call = ask(net, vm);
-            self.asked.push((vm.clone(), call));
-        } else {
-            self.begin(vm, None);
-        }
-    }
-
-    /// Lets a step pass: tries that may run begin, and endpoints end under those that have run.
-    fn step(&mut self, net: &mut Net) {
-        net.step(false);
-        self.step += 1;
-        for (vm, call) in std::mem::take(&mut self.asked) {
-            match net.seen.trials.get(&call) {
-                None => self.asked.push((vm, call)),
-                Some(TrialAnswer::Granted { .. }) => self.begin(&vm, Some(call)),
-                Some(_) => {}
-            }
-        }
-        let (over, runs) = std::mem::take(&mut self.runs)
-            .into_iter()
-            .partition(|run: &Run| run.ends_at <= self.step);
-        self.runs = runs;
-        for Run { vm, trial, .. } in over {
-            let endpoint = format!("e{}", self.ended.len());
-            self.ended.push(self.step);
-            ends(net, &vm, &endpoint, trial);
-            if let Some(call) = trial {
-                net.handle(&vm, Input::TrialOver { call, whole: false });
-            }
-        }
-    }
-
-    /// Tries that began before any daemon could know of an end.
-    fn unforeseen(&self) -> usize {
-        let first = self.ended.first().copied().unwrap_or(usize::MAX);
-        self.begun.iter().filter(|begun| **begun <= first + 1).count()
-    }
-
-    /// Tries that began at an endpoint later than every daemon had to know of the third end.
-    fn too_late(&self) -> usize {
-        let Some(third) = self.ended.get(2) else { return 0 };
-        self.begun.iter().filter(|begun| third + STEPS_TO_KNOW < **begun).count()
-    }
-}
-
-/// Lets callers repeat the deadly request every few steps, three at once at first, and a mishap happen in
-/// between; returns them.
-fn insist(net: &mut Net, mishap_at: usize, mishap: impl Fn(&mut Net)) -> Callers {
-    let entries: Vec<VmName> =
-        net.vms().into_iter().filter(|vm| !net.replicas().contains(vm)).collect();
-    let mut callers = Callers::new();
-    entries.iter().for_each(|vm| callers.come_to(net, vm));
-    for step in 1..900 {
-        if step == mishap_at {
-            mishap(net);
-        }
-        callers.step(net);
-        if step % 7 == 0 {
-            callers.come_to(net, &entries[step / 7 % entries.len()]);
-        }
-    }
-    callers
-}
-
-#[gtest]
-fn tries_at_three_daemons_at_once_and_on_end_few_endpoints() {
-    let mut net = running(&Site::new(3, 3), 12);
-
-    let callers = insist(&mut net, 0, |_| {});
-
-    // And then two trials, one after the other.
-    expect_that!(callers.ended.len(), eq(callers.unforeseen() + 2));
-    expect_that!(callers.too_late(), eq(0));
-}
-
-#[gtest]
-fn the_loss_of_the_leader_at_any_step_ends_no_more_than_allowed() {
-    for mishap_at in (1..240).step_by(3) {
-        let mut net = running(&Site::new(3, 3), 13);
-
-        let callers = insist(&mut net, mishap_at, |net| {
-            let leader = net.leader().unwrap();
-            net.crash(&leader);
-        });
-
-        expect_that!(callers.too_late(), le(ALLOWED), "lost at step {mishap_at}");
-        let most = callers.unforeseen() + 2 + ALLOWED;
-        expect_that!(callers.ended.len(), le(most), "lost at step {mishap_at}");
-    }
-}
-
-#[gtest]
-fn the_loss_of_all_vms_at_any_step_ends_no_more_than_allowed() {
-    for mishap_at in (1..240).step_by(3) {
-        let mut net = running(&Site::new(3, 3), 14);
-
-        let callers = insist(&mut net, mishap_at, |net| {
-            let vms = net.vms();
-            vms.iter().for_each(|vm| net.crash(vm));
-            vms.iter().for_each(|vm| net.start(vm));
-        });
-
-        expect_that!(callers.too_late(), le(ALLOWED), "lost at step {mishap_at}");
-    }
-}
-
-#[gtest]
-fn control_vms_that_nobody_reaches_for_a_while_let_no_more_through() {
-    for mishap_at in (1..240).step_by(9) {
-        let mut net = running(&Site::new(3, 3), 15);
-
-        let callers = insist(&mut net, mishap_at, |net| {
-            let replicas = net.replicas();
-            replicas.iter().for_each(|vm| net.crash(vm));
-            net.wait(60);
-            replicas.iter().for_each(|vm| net.start(vm));
-        });
-
-        expect_that!(callers.too_late(), le(ALLOWED), "lost at step {mishap_at}");
-    }
-}
-
-#[gtest]
-fn a_leader_or_an_entry_that_is_suspended_lets_no_more_through() {
-    for mishap_at in (1..240).step_by(9) {
-        for leads in [false, true] {
-            let mut net = running(&Site::new(3, 3), 16);
-
-            let callers = insist(&mut net, mishap_at, |net| {
-                let vm = if leads { net.leader().unwrap() } else { "vm-5".into() };
-                net.hosts.get_mut(&vm).unwrap().frozen = true;
-                // Longer than anything that rests on time holds.
-                net.wait(300);
-                net.hosts.get_mut(&vm).unwrap().frozen = false;
-            });
-
-            expect_that!(callers.too_late(), le(ALLOWED), "leads {leads}, at step {mishap_at}");
-        }
-    }
-}
-
 proptest! {
     #![proptest_config(fixed_seed(40))]
 
