--- a/crates/trayswitch/src/command/explain.rs
+++ b/crates/trayswitch/src/command/explain.rs
@@ -85,8 +85,8 @@
     Ok(lines)
 }
 
-/// The request's own lines, news of the endpoints that it met while it ran, and what its daemon knew
-/// of data halls that are out of service.
+/// The request's own lines, news of the endpoints that it met while it ran, what its daemon knew of data
+/// halls that are out of service, and what became of the same request before.
 fn story<'a>(id: &str, lines: &'a [Line]) -> Vec<&'a Line> {
     let own = || lines.iter().filter(|line| line.text("id") == id);
     let (Some(first), Some(last)) = (own().next(), own().next_back()) else { return Vec::new() };
@@ -96,12 +96,18 @@
     let halls = u64::from(EventId::HallsOut.number());
     let of_halls = |line: &&Line| line.event == halls && line.text("vm") == vm;
     let before = lines.iter().rfind(|line| of_halls(line) && line.at <= first.at);
+    let digest = own().map(|line| line.text("request")).find(|digest| !digest.is_empty());
+    let suspects = u64::from(EventId::SuspectChanged.number());
+    let of_suspect = |line: &&Line| {
+        line.event == suspects && Some(line.text("request")) == digest && line.at <= last.at
+    };
     let tells = |line: &&Line| {
         let in_time = first.at.saturating_sub(BEFORE) <= line.at && line.at <= last.at;
         let of_met = news.contains(&line.event) && met.contains(line.text("endpoint"));
         let is_news = of_met && (line.text("vm") == vm || line.event == news[1]);
         let knew = before.is_some_and(|before| std::ptr::eq(before, *line));
-        line.text("id") == id || in_time && (is_news || of_halls(line)) || knew
+        let is_due = in_time && (is_news || of_halls(line));
+        line.text("id") == id || is_due || knew || of_suspect(line)
     };
     lines.iter().filter(tells).collect()
 }
--- a/crates/trayswitch/src/command/explain/tests.rs
+++ b/crates/trayswitch/src/command/explain/tests.rs
@@ -50,3 +50,21 @@
 fn a_request_that_no_line_names_has_no_story() {
     expect_that!(story("r9", &lines()).len(), eq(0));
 }
+
+#[gtest]
+fn a_story_has_what_became_of_the_same_request_before() {
+    let texts = [
+        r#"{"t":1000,"event":317,"vm":"core-1","request":"aa","end":"suspect","ended":1,"msg":"endpoints have ended"}"#,
+        r#"{"t":2000,"event":317,"vm":"core-1","request":"bb","end":"suspect","ended":1,"msg":"endpoints have ended"}"#,
+        r#"{"t":3000,"event":317,"vm":"core-1","request":"aa","end":"quarantined","ended":3,"msg":"endpoints have ended"}"#,
+        r#"{"t":900000,"event":318,"vm":"front-1","id":"r1","request":"aa","end":"quarantined","msg":"tried again"}"#,
+        r#"{"t":900001,"event":310,"vm":"front-1","id":"r1","cause":"quarantined","detail":"","msg":"a request ended"}"#,
+        r#"{"t":950000,"event":317,"vm":"core-1","request":"aa","end":"clear","ended":0,"msg":"endpoints have ended"}"#,
+    ];
+    let lines: Vec<Line> = texts.iter().filter_map(|text| Line::parse(text)).collect();
+
+    let story = story("r1", &lines);
+
+    let times: Vec<u64> = story.iter().map(|line| line.at).collect();
+    expect_that!(times, elements_are![eq(&1000), eq(&3000), eq(&900000), eq(&900001)]);
+}
--- a/crates/trayswitch/tests/cli.rs
+++ b/crates/trayswitch/tests/cli.rs
@@ -148,3 +148,11 @@
     expect_that!(output.status.code(), some(eq(2)), "{}", stderr(&output));
     expect_that!(stderr(&output), contains_substring("\"hall atl\" is no name of a data hall"));
 }
+
+#[gtest]
+fn what_is_no_digest_is_refused_before_any_daemon_is_asked() {
+    let output = Call::new(&["suspects", "clear", "5f0c"]).run();
+
+    expect_that!(output.status.code(), some(eq(2)), "{}", stderr(&output));
+    expect_that!(stderr(&output), contains_substring("expected 32 hexadecimal digits"));
+}
--- a/crates/trayswitchd/tests/support/mod.rs
+++ b/crates/trayswitchd/tests/support/mod.rs
@@ -204,6 +204,18 @@
             .unwrap()
     }
 
+    /// Sends a request to the operators' side of a daemon; returns its status and answer.
+    pub fn operate(&self, daemon: usize, method: &str, path: &str) -> (u16, Value) {
+        let url = format!("http://{}:8081{path}", self.host(daemon));
+        let key = format!("Bearer {OPERATOR_KEY}");
+        let result = ureq::request(method, &url).set("Authorization", &key).call();
+        let response = match result {
+            Ok(response) | Err(ureq::Error::Status(_, response)) => response,
+            Err(e) => panic!("{e}"),
+        };
+        (response.status(), response.into_json().unwrap_or_default())
+    }
+
     pub fn status(&self, daemon: usize) -> Option<Value> {
         let output = self.cli(daemon, &["status", "--json"]);
         serde_json::from_slice(&output.stdout).ok()
--- a/crates/trayswitchd/tests/suspects.rs
+++ b/crates/trayswitchd/tests/suspects.rs
@@ -94,3 +94,20 @@
     expect_that!(status, eq(502), "{answer}");
     expect_that!(answer["error"]["outcome"], eq(&json!("unknown")), "{answer}");
 }
+
+#[gtest]
+fn what_operators_send_wrongly_changes_nothing_and_is_told_so() {
+    let site = Site::start(Size { daemons: 1, replicas: 1, ..Size::default() });
+    let cases = [
+        ("POST", "/v1/suspects", 405, "send GET"),
+        ("DELETE", "/v1/suspects/5f0c", 422, "32 hexadecimal digits"),
+        ("GET", "/v1/suspects/00000000000000000000000000000000", 405, "send DELETE"),
+        ("GET", "/v1/suspectsx", 404, "there is no"),
+    ];
+    for (method, path, status, message) in cases {
+        let (got, answer) = site.operate(1, method, path);
+
+        expect_that!(got, eq(status), "{method} {path} {answer}");
+        expect_that!(answer["error"]["message"].as_str().unwrap(), contains_substring(message));
+    }
+}
