Number a daemon's operations from a random one, so that no late answer is taken for another's

After a restart a daemon numbered its operations from 1 again; the leader answers by VM and number, also after a commit that took long, and the answer to the former run's operation was taken for that to the new one: a file could be told accepted that was not. Test first: one file submitted, the daemon restarted 0 to 5 steps later, another submitted: the second was answered with the first one's version. All whole-node schedules check it now. Change: numbers go on from the daemon's own random seed, as those of its questions do.

--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -135,7 +135,7 @@
             vm: options.vm.clone(),
             outputs: Outbox::default(),
             keeper: Keeper::new(options, now),
-            operations: Operations::default(),
+            operations: Operations::numbered_from(options.seed),
             placing: Placing::new(options.disabled, options.seed),
             suspects: Suspects::default(),
             control: None,
--- a/crates/core/src/node/operations.rs
+++ b/crates/core/src/node/operations.rs
@@ -52,13 +52,25 @@
 }
 
 /// Operations that are not answered yet.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Operations {
-    next: u64,
+    /// Number of the last one.
+    last: u64,
     pending: BTreeMap<u64, Pending>,
 }
 
 impl Operations {
+    /// None yet. Their numbers go on from a random one: an answer to the daemon's former run may come late,
+    /// and must not be taken for that to another operation.
+    pub(crate) fn numbered_from(seed: u64) -> Operations {
+        Operations { last: seed, pending: BTreeMap::new() }
+    }
+
+    /// Whether an operation has not been answered, nor given up.
+    pub(crate) fn is_pending(&self, number: u64) -> bool {
+        self.pending.contains_key(&number)
+    }
+
     /// Carries an operation to the leader and answers `call`, within this time.
     pub(crate) fn ask(
         &mut self,
@@ -82,7 +94,7 @@
         out: &mut Outbox,
     ) -> u64 {
         self.add(kind, None, now.after(limit), leader, now, out);
-        self.next
+        self.last
     }
 
     pub(crate) fn tick(&mut self, leader: Option<&VmName>, now: Instant, out: &mut Outbox) {
@@ -144,8 +156,8 @@
         now: Instant,
         out: &mut Outbox,
     ) {
-        self.next += 1;
-        self.pending.insert(self.next, Pending { kind, call, deadline, sent: None });
+        self.last = self.last.wrapping_add(1);
+        self.pending.insert(self.last, Pending { kind, call, deadline, sent: None });
         self.send_due(leader, now, out);
     }
 
--- a/crates/core/src/node/operations_tests.rs
+++ b/crates/core/src/node/operations_tests.rs
@@ -30,7 +30,8 @@
         let command = ConfigChange { version: 1, base: 0, hash: Bytes::new(), delta };
         let kind = OperationKind::Submit(Submit { command, ..Submit::default() });
         let leader: VmName = "leader".into();
-        let mut asked = Asked { operations: Operations::default(), leader, out: Outbox::default() };
+        let mut asked =
+            Asked { operations: Operations::numbered_from(1), leader, out: Outbox::default() };
         let (operations, leader) = (&mut asked.operations, Some(&asked.leader));
         operations.ask(CallId(1), kind, SUBMIT_LIMIT, leader, NOW, &mut asked.out);
         asked
--- a/crates/core/src/node/suspects.rs
+++ b/crates/core/src/node/suspects.rs
@@ -347,6 +347,8 @@
         self.judge_unclear(cx, out);
         let now = cx.now;
         self.own.retain(|_, end| now < end.until);
+        // Without a leader for so long, none has any trial of this daemon in mind.
+        self.ending.retain(|number, _| cx.operations.is_pending(*number));
         let over = self.asking.iter().filter(|(_, asking)| asking.deadline <= now);
         for call in over.map(|(call, _)| *call).collect::<Vec<_>>() {
             self.asking.remove(&call);
--- a/crates/core/src/node/tests/mod.rs
+++ b/crates/core/src/node/tests/mod.rs
@@ -113,6 +113,23 @@
     expect_that!(net.version_at("vm-5"), eq(2));
 }
 
+#[gtest]
+fn the_answer_to_a_daemons_former_run_is_not_taken_for_that_to_a_new_question() {
+    for steps in 0..6 {
+        let mut net = Net::new(&small(), 13);
+        net.calm(100);
+        let asker: VmName = "vm-4".into();
+        net.submit(&asker, 1, "a");
+        net.wait(steps);
+
+        net.crash(&asker);
+        net.start(&asker);
+        net.submit(&asker, 2, "b");
+        // That the new question is not answered with the former file is checked as it runs.
+        net.wait(100);
+    }
+}
+
 /// A net without control VMs, whose entries have a configuration of one engine with four places.
 fn without_control() -> Net {
     let mut net = Net::new(&small(), 7);
--- a/crates/core/src/node/tests/net/mod.rs
+++ b/crates/core/src/node/tests/net/mod.rs
@@ -284,6 +284,7 @@
         let (base_version, base) = in_force.map_or((0, &nothing), |f| (f.version, &f.document));
         let command = ConfigChange::new(version, base_version, base, &document);
         let submit = Submit { file: "f.ini".into(), command, or_newer: false };
+        self.seen.note_submission(CallId(self.next_call + 1), version);
         self.ask(vm, Question::Submit(submit));
     }
 
--- a/crates/core/src/node/tests/net/seen.rs
+++ b/crates/core/src/node/tests/net/seen.rs
@@ -36,6 +36,8 @@
     pub(crate) accepted: u64,
     /// When each of these was told, in the order of time.
     acknowledged: Vec<Acknowledged>,
+    /// The version of each file that was submitted.
+    submitted: BTreeMap<CallId, u64>,
     /// What each claim asked for.
     claims: BTreeMap<CallId, Claimed>,
     /// Owners that were granted each key.
@@ -59,6 +61,11 @@
 }
 
 impl Seen {
+    /// Notes the version of a file before it is submitted.
+    pub(super) fn note_submission(&mut self, call: CallId, version: u64) {
+        self.submitted.insert(call, version);
+    }
+
     /// Notes what a claim asks for, before it is asked.
     pub(super) fn note_claim(&mut self, call: CallId, key: u8, owner: u64) {
         self.claims.insert(call, Claimed { key, owner });
@@ -88,6 +95,7 @@
         self.answered.insert(call);
         match answer {
             Answer::Submitted(Ok(accepted)) => {
+                assert_eq!(accepted.version, self.submitted[&call], "another file was accepted");
                 let hash = ContentHash::from_slice(&accepted.hash).unwrap();
                 let known = self.hashes.entry(accepted.version).or_insert(hash);
                 assert_eq!(*known, hash, "two files accepted as one version");
