Look into an engine's end also during a move; clocks that were not read together are not compared

Cause: of a generation whose engine ended between the two copies of a move nobody asked whether the engine had ended, so the end was not held against the request. Found by reading all places where a stream is lost. Ruled out: the attempt at the other end of a move is looked into already, as every attempt that waits for its first event. The look whether the VM was suspended skips readings of the two clocks that lie more than 10 ms apart: on a busy machine the process may be off the processor between them, and event 108 would tell of a suspension that never was.

--- a/crates/core/src/node/suspects.rs
+++ b/crates/core/src/node/suspects.rs
@@ -25,8 +25,8 @@
 /// takes connections again: its heartbeats count as stopped after four are missing, and the word of that
 /// takes as long as one more.
 const HEARTBEATS_TO_TELL: u32 = 6;
-/// Attempts that are waited for so; of more the oldest are forgotten. A busy daemon has a hundred, if all its callers
-/// leave early.
+/// Attempts that are waited for so; of more the oldest are forgotten. A busy daemon has a hundred, if all
+/// its callers leave early.
 const MAX_UNCLEAR: usize = 1_024;
 
 /// What an endpoint's address said after an attempt there had broken off.
--- a/crates/core/src/placement/apart.rs
+++ b/crates/core/src/placement/apart.rs
@@ -103,8 +103,8 @@
         }
     }
 
-    /// Whether the request that waits at this place may start at the engine that is kept for it: it has room, and nothing else is
-    /// about to begin there.
+    /// Whether the request that waits at this place may start at the engine that is kept for it: it has
+    /// room, and nothing else is about to begin there.
     fn is_ready_for(&mut self, at: usize, endpoint: &Arc<str>, now: Instant) -> bool {
         let Some(state) = self.endpoints.get(endpoint) else { return false };
         let waiting = &self.apart.waiting[at];
--- a/crates/server/src/relay/permit.rs
+++ b/crates/server/src/relay/permit.rs
@@ -37,7 +37,7 @@
         self.trial.as_ref().is_some_and(Trial::is_apart)
     }
 
-    /// For a run that goes on, or was lost: nothing is held any more.
+    /// For a request that is no suspect, and for one whose turn is over.
     pub(super) fn none() -> Permit {
         Permit { trial: None, standing: Standing::default() }
     }
--- a/crates/server/src/relay/stream.rs
+++ b/crates/server/src/relay/stream.rs
@@ -245,6 +245,9 @@
             return self.take_move(end).await;
         }
         self.take_move(end).await?;
+        if !ended {
+            self.broke_off().await;
+        }
         let problem = "the endpoint closed the stream during a move".to_owned();
         self.start_again(problem).await
     }
--- a/crates/server/src/relay/tests/entry.rs
+++ b/crates/server/src/relay/tests/entry.rs
@@ -100,6 +100,11 @@
 /// Random number of every daemon.
 const SEED: u64 = 1;
 
+/// Name of the counter of a service's attempts that broke off at endpoints of which this was found.
+pub(super) fn broken_off(service: &str, endpoint: &str) -> String {
+    format!("trayswitch_attempts_broken_off_total{{endpoint=\"{endpoint}\",service=\"{service}\"}}")
+}
+
 /// Runs a test on the local tasks of one thread. One that waits for what never comes fails.
 pub(super) fn on_local_tasks<T>(test: impl Future<Output = T>) -> T {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
--- a/crates/server/src/timer.rs
+++ b/crates/server/src/timer.rs
@@ -12,8 +12,10 @@
 use tokio::sync::Notify;
 use trayswitch_clock::Instant;
 
-/// The clocks have drifted apart by this much only if the VM was suspended.
+/// The clocks have drifted apart by this much only if the VM was suspended: twice what reading both may take.
 const SUSPENDED: Duration = Duration::from_millis(20);
+/// Two clocks that were read further apart are not compared: this process was not run in between.
+const READ_TOGETHER: Duration = Duration::from_millis(10);
 
 thread_local! {
     static RESUMED: Rc<Notify> = Rc::default();
@@ -23,8 +25,8 @@
 /// The time on both clocks, read together.
 #[derive(Debug, Clone, Copy)]
 struct Clocks {
-    counts_on: Instant,
     stands_still: time::Instant,
+    counts_on: Instant,
 }
 
 /// Time is over.
@@ -33,7 +35,10 @@
 
 /// Lets timers look again if the VM has been suspended since the last call; returns for how long it was.
 pub(crate) fn look() -> Option<Duration> {
-    let now = Clocks { counts_on: Instant::now(), stands_still: time::Instant::now() };
+    let now = Clocks { stands_still: time::Instant::now(), counts_on: Instant::now() };
+    if READ_TOGETHER < now.stands_still.elapsed() {
+        return None;
+    }
     let last = CLOCKS.replace(Some(now))?;
     let steady = now.stands_still.saturating_duration_since(last.stands_still);
     let suspended = (now.counts_on - last.counts_on).saturating_sub(steady);
