--- a/crates/core/src/node/keeper.rs
+++ b/crates/core/src/node/keeper/mod.rs
@@ -8,10 +8,11 @@
 //! so a restart cannot bring an older one back. What a version holds is fetched from
 //! any control VM, and known by its hash.
 
-use std::{sync::Arc, time::Duration};
+mod polls;
 
-use bytes::Bytes;
+use std::{sync::Arc, time::Duration};
 
+use self::polls::SentPoll;
 use super::{
     CallId, NodeOptions, NodeTiming, Outbox, Output, VersionHash, VmName,
     holder::{Holder, InForce, Sources},
@@ -22,7 +23,7 @@
     quarantine::{CopyState, Known},
     state::{HallsOut, State},
     units::Instant,
-    wire::{Body, Piece, Poll, PollReply, Update},
+    wire::{Piece, PollReply, Update},
 };
 
 /// A poll that is not answered in this many intervals goes to another replica.
@@ -55,12 +56,6 @@
     pub stopping: u64,
 }
 
-#[derive(Debug, Clone, Copy)]
-struct SentPoll {
-    nonce: u64,
-    at: Instant,
-}
-
 /// What the leader has answered last, and when it was asked.
 #[derive(Debug, Clone, Copy)]
 struct Vouched {
@@ -361,63 +356,4 @@
         self.leader_changed |= name(&self.leader) != name(&leader);
         self.leader = leader;
     }
-
-    fn poll_target(&mut self) -> Option<VmName> {
-        if let Some(leader) = self.leader() {
-            return Some(leader.clone());
-        }
-        let reachable = |vm: &VmName| *vm == self.sources.vm || self.sources.links.contains(vm);
-        if let Some(hint) = self.hint.take().filter(reachable) {
-            return Some(hint);
-        }
-        let reachable: Vec<VmName> =
-            self.sources.replicas.iter().filter(|vm| reachable(vm)).cloned().collect();
-        self.next_replica = self.next_replica.wrapping_add(1);
-        let count = reachable.len();
-        reachable.into_iter().nth(self.next_replica.checked_rem(count)?)
-    }
-
-    /// Takes how much is known here of suspects; asks on at once if the leader has told that there is more.
-    pub(crate) fn know_suspects(
-        &mut self,
-        state: CopyState,
-        has_more: bool,
-        now: Instant,
-        out: &mut Outbox,
-    ) {
-        let has_new = self.suspects != state;
-        self.suspects = state;
-        if let (true, true, Some(leader)) = (has_new, has_more, self.leader().cloned()) {
-            self.poll(leader, now, out);
-        }
-    }
-
-    /// Tells the leader at once that a planned stop has begun.
-    pub(crate) fn stop(&mut self, now: Instant, out: &mut Outbox) {
-        self.stopping = true;
-        if let Some(leader) = self.leader().cloned() {
-            self.poll(leader, now, out);
-        }
-    }
-
-    fn poll(&mut self, to: VmName, now: Instant, out: &mut Outbox) {
-        const MAX_POLLS: usize = 16;
-        self.nonce = self.nonce.wrapping_add(1);
-        if MAX_POLLS <= self.polls.len() {
-            self.polls.remove(0);
-        }
-        self.polls.push(SentPoll { nonce: self.nonce, at: now });
-        let current = self.holder.version_hash();
-        let hash = Bytes::copy_from_slice(&current.hash.0);
-        let poll = Poll {
-            nonce: self.nonce,
-            version: current.version,
-            hash,
-            takes_callers: self.takes_callers,
-            stopping: self.stopping,
-            suspects: self.suspects.known,
-            filling: self.suspects.filling,
-        };
-        out.send(&to, Body::Poll(poll));
-    }
 }
--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -21,6 +21,7 @@
 #[cfg(test)]
 mod fixture;
 mod forecast;
+mod giving_up;
 #[cfg(test)]
 mod hall_tests;
 mod handover;
--- a/crates/core/src/placement/scheduler.rs
+++ b/crates/core/src/placement/scheduler.rs
@@ -9,9 +9,10 @@
 use super::{
     Action, ColdSenders, Drawn, Request, Ticket,
     apart::Apart,
-    endpoint::{EndpointState, Health, Share},
+    endpoint::{EndpointState, Share},
     evacuation::Evacuation,
     forecast::LengthForecast,
+    giving_up::overloaded,
     handover::Handover,
     pace::PaceMeter,
     policy::{ForecastPolicy, Policy, TwoDrawn, Work},
@@ -61,8 +62,8 @@
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct Expiry {
-    at: Instant,
-    ticket: Ticket,
+    pub(super) at: Instant,
+    pub(super) ticket: Ticket,
 }
 
 /// Requests of one workspace.
@@ -285,67 +286,6 @@
         cold.filter_map(EndpointState::next_while_cold).filter(|at| self.decided < *at).min()
     }
 
-    fn expire(&mut self, now: Instant) -> Vec<Action> {
-        let mut actions = Vec::new();
-        while let Some(expiry) = self.expiries.first().copied() {
-            if now < expiry.at {
-                break;
-            }
-            let wait = self.queued.get(&expiry.ticket).map(|q| {
-                let target = self.targets.get(&q.target);
-                target.map_or(Duration::ZERO, |target| target.expected_wait(q.rank))
-            });
-            self.cancel(expiry.ticket, now);
-            let error = overloaded("no endpoint became free in time", wait.unwrap_or_default());
-            actions.push(Action::GiveUp { ticket: expiry.ticket, error });
-        }
-        actions
-    }
-
-    /// Gives up what waits for a target all of whose data halls are out of service: operators give
-    /// them back in minutes.
-    fn give_up_where_all_are_out(&mut self, now: Instant) -> Vec<Action> {
-        let waited_for = self.targets.iter().filter(|(_, target)| 0 < target.queue.len());
-        let out: Vec<EndpointTarget> = waited_for
-            .map(|(name, _)| name.clone())
-            .filter(|target| self.is_out_of_service(target))
-            .collect();
-        if out.is_empty() {
-            return Vec::new();
-        }
-        let mut waiting: Vec<(Ticket, EndpointTarget)> = self
-            .queued
-            .iter()
-            .filter(|(_, queued)| out.contains(&queued.target))
-            .map(|(ticket, queued)| (*ticket, queued.target.clone()))
-            .collect();
-        waiting.sort_by_key(|(ticket, _)| *ticket);
-        let mut actions = Vec::new();
-        for (ticket, target) in waiting {
-            self.cancel(ticket, now);
-            actions.push(Action::GiveUp { ticket, error: self.no_endpoint(&target) });
-        }
-        actions
-    }
-
-    /// Whether all endpoints of a target that do not leave are in data halls that are out of service.
-    fn is_out_of_service(&self, target: &EndpointTarget) -> bool {
-        let names = self.targets.get(target).map_or(&[][..], |target| &target.endpoints);
-        let states = names.iter().filter_map(|name| self.endpoints.get(name));
-        let mut staying = states.filter(|state| state.health != Health::Leaving).peekable();
-        staying.peek().is_some() && staying.all(EndpointState::is_out)
-    }
-
-    /// The error for a request whose target no endpoint serves now.
-    fn no_endpoint(&self, target: &EndpointTarget) -> RequestError {
-        let name = target.name();
-        if self.is_out_of_service(target) {
-            let message = format!("every data hall that serves {name} is out of service");
-            return RequestError::new(ErrorKind::OutOfService, message);
-        }
-        RequestError::new(ErrorKind::NoEndpoint, format!("no live endpoint serves {name}"))
-    }
-
     fn start_next(&mut self, target: &EndpointTarget, now: Instant) -> Option<Action> {
         let Chosen { rank, workspace, ticket, endpoint } = self.choose_next(target, now)?;
         let state = self.targets.get_mut(target)?;
@@ -395,10 +335,3 @@
         None
     }
 }
-
-fn overloaded(message: &str, wait: Duration) -> RequestError {
-    const LEAST: Duration = Duration::from_secs(1);
-    let mut error = RequestError::new(ErrorKind::Overloaded, message);
-    error.retry_after = Some(wait.max(LEAST));
-    error
-}
