Watch an endpoint that takes connections after an attempt broke off: it may be about to end

Cause: a process that ends closes its connections one after the other; the look whether it still listens may come before its turn. trayswitchd then counted no end at all, the relay only once heartbeats had stopped (six of them), and tries went on unwatched meanwhile. Change: the relay holds the connection for two seconds beside whatever comes next, and tells the end when it is closed and the next is refused; trayswitchd does the same for 0.2 s before the next attempt. Its process tests ask an engine's address, not its process, whether it has ended: more ends are counted, none fewer. Also: the answers to tries without a turn stand once for both daemons; placing by itself has a file of its own.

--- /dev/null
+++ b/crates/core/src/node/placing/local.rs
@@ -0,0 +1,72 @@
+//! Requests that this daemon places by itself.
+
+use super::{Placing, Running, Waiting};
+use crate::{
+    node::{Answer, CallId, Outbox, Output, Placement},
+    placement::{Action, Relocation, Request},
+    units::Instant,
+    wire::Body,
+};
+
+impl Placing {
+    /// Takes a request that no scheduler answers for.
+    pub(super) fn place_locally(
+        &mut self,
+        call: CallId,
+        req: Request,
+        deadline: Instant,
+        now: Instant,
+        out: &mut Outbox,
+    ) {
+        if let Err(error) = self.local.arrive(req.clone(), now) {
+            out.answer(call, Answer::Placed(Err(error)));
+            return;
+        }
+        self.waiting.insert(call, Waiting { req, deadline, remote: false });
+        self.decide_locally(now, out);
+    }
+
+    /// Takes back what waits at a scheduler that has fallen silent.
+    pub(super) fn take_over_waiting(&mut self, now: Instant, out: &mut Outbox) {
+        let remote: Vec<CallId> =
+            self.waiting.iter().filter(|(_, w)| w.remote).map(|(call, _)| *call).collect();
+        for call in remote {
+            let Some(mut waiting) = self.waiting.remove(&call) else { continue };
+            waiting.req.max_wait = waiting.deadline.since(now);
+            self.place_locally(call, waiting.req, waiting.deadline, now, out);
+        }
+    }
+
+    /// Starts, moves and gives up what this daemon places by itself.
+    pub(super) fn decide_locally(&mut self, now: Instant, out: &mut Outbox) {
+        if self.scheduler.is_none() {
+            for Relocation { ticket, from, to } in self.local.evacuate(now) {
+                out.push(Output::Move { call: CallId(ticket.number), from, to });
+            }
+        }
+        for action in self.local.decide(now) {
+            match action {
+                Action::Start { ticket, endpoint, priority } => {
+                    let call = CallId(ticket.number);
+                    let Some(waiting) = self.waiting.remove(&call) else { continue };
+                    let running =
+                        Running { req: waiting.req, endpoint: endpoint.clone(), tokens: 0 };
+                    if let Some(scheduler) = &self.scheduler {
+                        // It waited here since the scheduler was silent; now that one hears of it.
+                        out.send(scheduler, Body::Admit(running.admit(call)));
+                    }
+                    self.running.insert(call, running);
+                    let drawn = self.local.drawn_for(ticket, now);
+                    let placement = Placement { endpoint, priority, drawn };
+                    out.answer(call, Answer::Placed(Ok(placement)));
+                }
+                Action::GiveUp { ticket, error } => {
+                    let call = CallId(ticket.number);
+                    if self.waiting.remove(&call).is_some() {
+                        out.answer(call, Answer::Placed(Err(error)));
+                    }
+                }
+            }
+        }
+    }
+}
--- a/crates/core/src/quarantine/mod.rs
+++ b/crates/core/src/quarantine/mod.rs
@@ -20,11 +20,13 @@
 mod trials;
 #[cfg(test)]
 mod trials_tests;
+mod turn;
 
 pub use self::{
     digest::{DigestKey, RequestDigest, RequestIdentity},
     record::{EndedRun, Standing},
     records::{Change, ClearRequest, EndedUnder, Records, Suspect},
+    turn::{PATIENCE, no_turn, quarantined},
 };
 pub(crate) use self::{
     known::Known,
--- a/crates/server/src/relay/ended.rs
+++ b/crates/server/src/relay/ended.rs
@@ -1,18 +1,39 @@
 //! Finds out whether an endpoint has ended under a request.
 //!
 //! An attempt that breaks off tells only that its connection has ended. An endpoint that has ended
-//! refuses the next connection; one that only failed this request takes it.
+//! refuses the next connection; one that only failed this request takes it. So does one that is about to
+//! end: a process that ends closes its connections one after the other, and the one that it listens by may
+//! be the last. It is watched for a while, beside whatever comes next.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
-use tokio::time::timeout;
+use tokio::{
+    io::AsyncReadExt,
+    net::TcpStream,
+    sync::OwnedSemaphorePermit,
+    time::{Instant, timeout, timeout_at},
+};
 use trayswitch_core::{
     node::{AfterBreak, BrokeOff, Input},
     registry::Registered,
 };
 
 use super::{Job, Relay, permit::Permit};
-use crate::{telemetry::EventId, upstream::socket};
+use crate::{
+    runtime::NodeHandle,
+    telemetry::{EventId, Metrics},
+    upstream::socket,
+};
+
+/// How long an endpoint is watched that takes connections after an attempt broke off: far longer than a
+/// process takes from closing its first connection to closing its last.
+const WATCHED: Duration = Duration::from_secs(2);
+/// Connections of one endpoint that may be closed while it is watched; one that closes more does so by
+/// habit.
+const LOOKS: usize = 4;
+/// Endpoints that one daemon watches at a time, with a connection each. The ends of others are known by
+/// their heartbeats.
+pub(super) const MOST_WATCHED: usize = 256;
 
 impl Relay {
     /// Finds out whether an endpoint has ended, after an attempt there broke off when its caller had
@@ -25,7 +46,8 @@
         endpoint: &Registered,
         events: u64,
     ) {
-        let after = look_at(endpoint.address, self.options.connect_limit).await;
+        let limit = self.options.connect_limit;
+        let (after, connection) = look_at(endpoint.address, limit).await;
         self.metrics.broke_off(&job.service, name(after));
         log::info!(
             event = EventId::EndedUnder.number(), id = job.caller.id.as_str(),
@@ -34,26 +56,88 @@
             trial = permit.trial.is_some();
             "an attempt broke off"
         );
-        self.tell_broken_off(job, permit, endpoint, after);
+        let broke_off = self.describe(job, permit, endpoint, after);
+        self.node.input(Input::BrokeOff(broke_off.clone()));
+        let Some(connection) = connection else { return };
+        // Without a permit there are many already.
+        let Ok(permit) = self.watched.clone().try_acquire_owned() else { return };
+        let watch = Watch {
+            node: self.node.clone(),
+            metrics: self.metrics.clone(),
+            service: job.service.clone(),
+            address: endpoint.address,
+            limit,
+            broke_off,
+            _permit: permit,
+        };
+        tokio::task::spawn_local(watch.run(connection));
     }
 
-    fn tell_broken_off(
+    fn describe(
         &self,
         job: &Job,
         permit: &Permit,
         endpoint: &Registered,
         after: AfterBreak,
-    ) {
-        self.node.input(Input::BrokeOff(BrokeOff {
+    ) -> BrokeOff {
+        BrokeOff {
             request: job.digest(self),
             endpoint: endpoint.id.clone(),
             born: Some(endpoint.born),
             after,
             trial: permit.trial.as_ref().map(|trial| trial.call()),
-        }));
+        }
     }
 }
 
+/// An endpoint that took a connection after an attempt there had broken off.
+struct Watch {
+    node: NodeHandle,
+    metrics: Rc<Metrics>,
+    service: String,
+    address: SocketAddr,
+    limit: Duration,
+    broke_off: BrokeOff,
+    _permit: OwnedSemaphorePermit,
+}
+
+impl Watch {
+    /// Tells the node if the endpoint ends soon.
+    async fn run(self, mut connection: TcpStream) {
+        let until = Instant::now() + WATCHED;
+        for _ in 0..LOOKS {
+            if timeout_at(until, closes(connection)).await.is_err() {
+                return;
+            }
+            connection = match look_at(self.address, self.limit).await {
+                // It is there, and closed only the connection.
+                (_, Some(next)) => next,
+                (AfterBreak::Refused, None) => return self.tell(),
+                (_, None) => return,
+            };
+        }
+    }
+
+    fn tell(self) {
+        self.metrics.broke_off(&self.service, "closed");
+        log::info!(
+            event = EventId::EndedUnder.number(),
+            request = self.broke_off.request.to_string().as_str(),
+            endpoint = &*self.broke_off.endpoint, end = "closed",
+            trial = self.broke_off.trial.is_some();
+            "an endpoint ended after an attempt there had broken off"
+        );
+        let broke_off = BrokeOff { after: AfterBreak::Refused, ..self.broke_off };
+        self.node.input(Input::BrokeOff(broke_off));
+    }
+}
+
+/// Waits until the other side closes a connection on which it was asked nothing.
+async fn closes(mut connection: TcpStream) {
+    let mut unasked = [0; 64];
+    while connection.read(&mut unasked).await.is_ok_and(|bytes| 0 < bytes) {}
+}
+
 /// An attempt whose end is awaited. One that is given up, since its time is over or its caller has left, may
 /// have ended an endpoint that nobody looks at any more: the node waits for a while for word of that.
 pub(super) struct Awaited<'a> {
@@ -84,7 +168,8 @@
     fn drop(&mut self) {
         if !self.has_ended {
             let Awaited { relay, job, permit, endpoint, .. } = self;
-            relay.tell_broken_off(job, permit, endpoint, AfterBreak::Silent);
+            let broke_off = relay.describe(job, permit, endpoint, AfterBreak::Silent);
+            relay.node.input(Input::BrokeOff(broke_off));
         }
     }
 }
@@ -97,10 +182,11 @@
     }
 }
 
-async fn look_at(address: SocketAddr, limit: Duration) -> AfterBreak {
+/// What an endpoint's address says now, and the connection if it takes one.
+async fn look_at(address: SocketAddr, limit: Duration) -> (AfterBreak, Option<TcpStream>) {
     match timeout(limit, socket::connect(address)).await {
-        Ok(Ok(_)) => AfterBreak::Taken,
-        Ok(Err(_)) => AfterBreak::Refused,
-        Err(_) => AfterBreak::Silent,
+        Ok(Ok(connection)) => (AfterBreak::Taken, Some(connection)),
+        Ok(Err(_)) => (AfterBreak::Refused, None),
+        Err(_) => (AfterBreak::Silent, None),
     }
 }
--- a/crates/server/src/relay/mod.rs
+++ b/crates/server/src/relay/mod.rs
@@ -31,6 +31,7 @@
 
 use http::{Request, Response, response};
 use hyper::body::Incoming;
+use tokio::sync::Semaphore;
 use trayswitch_clock::Instant;
 use trayswitch_core::{
     error::{ErrorKind, RequestError},
@@ -40,6 +41,7 @@
 
 use self::{
     budget::RepeatBudget,
+    ended::MOST_WATCHED,
     job::Job,
     latency::Latency,
     loads::{ColdRule, Loads},
@@ -104,6 +106,8 @@
     latencies: RefCell<HashMap<String, Latency>>,
     /// Since when requests have found no configuration that is known to be current.
     outdated_since: Cell<Option<Instant>>,
+    /// Endpoints that are watched since an attempt there broke off.
+    watched: Arc<Semaphore>,
     metrics: Rc<Metrics>,
 }
 
@@ -125,6 +129,7 @@
             budgets: RefCell::default(),
             latencies: RefCell::default(),
             outdated_since: Cell::new(Some(Instant::now())),
+            watched: Arc::new(Semaphore::new(MOST_WATCHED)),
             metrics,
         }
     }
--- a/crates/server/src/relay/permit.rs
+++ b/crates/server/src/relay/permit.rs
@@ -1,12 +1,10 @@
 //! Whether an attempt may be sent: of requests under which endpoints have ended one try runs at a
 //! time, and in the end none.
 
-use std::time::Duration;
-
 use trayswitch_core::{
-    error::{ErrorKind, RequestError},
+    error::RequestError,
     node::Input,
-    quarantine::Standing,
+    quarantine::{PATIENCE, Standing, no_turn, quarantined},
 };
 
 use super::{Job, Relay};
@@ -15,13 +13,8 @@
     telemetry::EventId,
 };
 
-/// How long a try waits for its turn. Engines that ended under a request did so within 1.6 s after it
-/// was sent to them, 0.7 s in the middle.
-const PATIENCE: Duration = Duration::from_millis(1_500);
 /// Part of the time that is left which a try may wait for its turn; the rest is for the answer.
 const MOST_WAITED: u32 = 2;
-/// When to come back to one that had no turn: one try takes about as long.
-const NEXT_TURN: Duration = Duration::from_secs(1);
 
 /// Lets one attempt go ahead.
 pub(super) struct Permit {
@@ -58,7 +51,8 @@
             return Ok(Permit::none());
         }
         if standing.is_quarantined() {
-            return Err(self.quarantined(job, standing));
+            self.note_trial(job, standing, "quarantined");
+            return Err(quarantined());
         }
         let limit = PATIENCE.min(job.time_left() / MOST_WAITED);
         let tried = self.node.try_suspect(job.digest(self), limit).await;
@@ -68,7 +62,7 @@
                 (answer, Ok(Permit { trial: Some(trial), standing }))
             }
             Tried::Clear => ("clear", Ok(Permit::none())),
-            Tried::Quarantined => ("quarantined", Err(quarantined(self.standing(job)))),
+            Tried::Quarantined => ("quarantined", Err(quarantined())),
             Tried::NotNow if standing.runs_apart() => ("not_now", Err(no_turn())),
             // Nearly all that were at one end are innocent; without a leader they go on unwatched.
             Tried::NotNow => ("unwatched", Ok(Permit { trial: None, standing })),
@@ -104,11 +98,6 @@
         self.node.standing(|| job.digest(self))
     }
 
-    fn quarantined(&self, job: &Job, standing: Standing) -> RequestError {
-        self.note_trial(job, standing, "quarantined");
-        quarantined(standing)
-    }
-
     fn note_trial(&self, job: &Job, standing: Standing, answer: &str) {
         self.metrics.trial(answer);
         log::info!(
@@ -119,17 +108,3 @@
         );
     }
 }
-
-fn quarantined(standing: Standing) -> RequestError {
-    let ended = standing.ended;
-    let message =
-        format!("{ended} endpoints have ended under this request; it is sent to no other");
-    RequestError::new(ErrorKind::Quarantined, message)
-}
-
-fn no_turn() -> RequestError {
-    let message = "endpoints have ended under this request; one try of it runs at a time";
-    let mut error = RequestError::new(ErrorKind::Overloaded, message);
-    error.retry_after = Some(NEXT_TURN);
-    error
-}
--- a/crates/server/src/relay/tests/ended.rs
+++ b/crates/server/src/relay/tests/ended.rs
@@ -38,3 +38,19 @@
         entry.has_counted(&broken_off("desk", "alive"), 1).await;
     });
 }
+
+#[gtest]
+fn an_endpoint_that_ends_while_it_is_looked_at_has_ended() {
+    on_local_tasks(async {
+        let entry = Entry::open().await;
+        let mut engine = entry.register("engines", "e1").await;
+
+        let (answer, ()) =
+            join!(entry.ask("/chat/", "r1"), async { engine.arrival().await.break_off() });
+        entry.has_counted(&broken_off("engines", "alive"), 1).await;
+        engine.end().await;
+
+        expect_that!(outcome(&answer), some(eq("outcome_unknown")));
+        entry.has_counted(&broken_off("engines", "closed"), 1).await;
+    });
+}
--- a/crates/server/src/relay/tests/entry.rs
+++ b/crates/server/src/relay/tests/entry.rs
@@ -279,15 +279,8 @@
         slots: u64,
     ) -> FakeEndpoint {
         let endpoint = FakeEndpoint::open();
-        self.node.input(Input::Heartbeat(EndpointRecord {
-            id: name.to_owned(),
-            service: service.to_owned(),
-            address: endpoint.address().to_string(),
-            hall: HALL.to_owned(),
-            slots,
-            sequence: 1,
-            ..EndpointRecord::default()
-        }));
+        let record = first_heartbeat(service, name, &endpoint);
+        self.node.input(Input::Heartbeat(EndpointRecord { slots, ..record }));
         self.until(|| self.is_open(name) == Some(true)).await;
         endpoint
     }
@@ -295,16 +288,8 @@
     /// Another run of an endpoint has started under its name.
     pub(super) async fn starts_again(&self, service: &str, name: &str) -> FakeEndpoint {
         let endpoint = FakeEndpoint::open();
-        self.node.input(Input::Heartbeat(EndpointRecord {
-            id: name.to_owned(),
-            service: service.to_owned(),
-            address: endpoint.address().to_string(),
-            hall: HALL.to_owned(),
-            slots: 48,
-            sequence: 1,
-            born: 1,
-            ..EndpointRecord::default()
-        }));
+        let record = first_heartbeat(service, name, &endpoint);
+        self.node.input(Input::Heartbeat(EndpointRecord { born: 1, ..record }));
         self.until(|| self.node.view().endpoint(name).is_some_and(|known| known.born == 1)).await;
         endpoint
     }
@@ -343,6 +328,19 @@
 }
 
 /// A daemon that leads a group of its own, or one without a data folder that has it from another.
+/// What an endpoint with 48 places says first of itself.
+fn first_heartbeat(service: &str, name: &str, endpoint: &FakeEndpoint) -> EndpointRecord {
+    EndpointRecord {
+        id: name.to_owned(),
+        service: service.to_owned(),
+        address: endpoint.address().to_string(),
+        hall: HALL.to_owned(),
+        slots: 48,
+        sequence: 1,
+        ..EndpointRecord::default()
+    }
+}
+
 fn runtime_options(folder: Option<PathBuf>) -> RuntimeOptions {
     let control = if folder.is_some() { VM } else { CONTROL };
     RuntimeOptions {
--- a/crates/trayswitchd/src/callers/permit.rs
+++ b/crates/trayswitchd/src/callers/permit.rs
@@ -2,28 +2,32 @@
 //! time, and in the end none.
 
 use std::{
+    io::{self, Read},
     net::{SocketAddr, TcpStream},
     sync::Arc,
     time::Duration,
 };
 
 use trayswitch_core::{
-    error::{ErrorKind, RequestError},
+    error::RequestError,
     node::{AfterBreak, Answer, BrokeOff, CallId, Input, Question, TrialAnswer},
-    quarantine::RequestDigest,
+    quarantine::{PATIENCE, RequestDigest, no_turn, quarantined},
 };
 
 use super::context::Callers;
 use crate::{endpoint::EndpointError, node::NodeHandle, telemetry::EventId};
 
-/// How long a try waits for its turn. Engines that end under a request do so within 1.6 s after it was
-/// sent to them.
-const PATIENCE: Duration = Duration::from_millis(1_500);
-/// The node answers in the time above; this only bounds a fault.
+/// The node answers within the time that a try may wait; this only bounds a fault.
 const SLACK: Duration = Duration::from_secs(1);
 /// Longest time until a connection to an endpoint of the same region is up.
 const CONNECT: Duration = Duration::from_millis(500);
 
+/// How long it is watched whether an endpoint closes a connection after an attempt there was lost: many
+/// times what a process takes from closing its first connection to closing its last. The next attempt waits.
+const WATCHED: Duration = Duration::from_millis(200);
+/// Connections of one endpoint that may be closed meanwhile; one that closes more does so by habit.
+const LOOKS: usize = 4;
+
 /// Lets one attempt go ahead. Dropping it ends the trial that it may be.
 pub(super) struct Permit {
     node: NodeHandle,
@@ -114,20 +118,28 @@
 }
 
 /// Whether an endpoint has ended after an attempt there was lost: nothing listens any more, or it runs
-/// again and knows nothing of what ran.
-fn has_ended(address: SocketAddr, error: &EndpointError) -> bool {
-    matches!(error, EndpointError::Gone) || {
-        let refused = |e: std::io::Error| e.kind() == std::io::ErrorKind::ConnectionRefused;
-        TcpStream::connect_timeout(&address, CONNECT).is_err_and(refused)
+/// again and knows nothing of what ran. One that is about to end may still take a connection, and closes
+/// it: a process that ends closes its connections one after the other.
+pub(super) fn has_ended(address: SocketAddr, error: &EndpointError) -> bool {
+    if matches!(error, EndpointError::Gone) {
+        return true;
     }
+    for _ in 0..LOOKS {
+        match TcpStream::connect_timeout(&address, CONNECT) {
+            Ok(connection) if is_closed(&connection) => {}
+            Ok(_) => return false,
+            Err(e) => return e.kind() == io::ErrorKind::ConnectionRefused,
+        }
+    }
+    false
 }
 
-fn quarantined() -> RequestError {
-    let message = "endpoints have ended under this request; it is sent to no other";
-    RequestError::new(ErrorKind::Quarantined, message)
-}
-
-fn no_turn() -> RequestError {
-    let message = "endpoints have ended under this request; one try of it runs at a time";
-    RequestError::new(ErrorKind::Overloaded, message)
+/// Whether the other side soon closes a connection on which it was asked nothing.
+fn is_closed(mut connection: &TcpStream) -> bool {
+    let limited = connection.set_read_timeout(Some(WATCHED));
+    let read = limited.and_then(|()| connection.read(&mut [0]));
+    match read {
+        Ok(bytes) => bytes == 0,
+        Err(e) => !matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut),
+    }
 }
--- a/crates/trayswitchd/tests/support/mod.rs
+++ b/crates/trayswitchd/tests/support/mod.rs
@@ -291,12 +291,14 @@
     }
 
     /// Starts the engines anew that have ended by themselves; returns how many had.
+    ///
+    /// An engine that takes no connections any more has ended, though its process may go on for a moment.
     pub fn restart_engines(&mut self, fault: &str) -> usize {
         let mut ended = 0;
         for i in 1..=self.size.engines {
             let name = format!("engine-{i}");
-            let child = self.processes.get_mut(&name).unwrap();
-            if child.try_wait().unwrap().is_some() {
+            if TcpStream::connect(self.engine_address(&name)).is_err() {
+                self.processes.get_mut(&name).unwrap().wait().unwrap();
                 ended += 1;
                 self.start_engine(i);
                 self.fault_when_up(&name, fault);
@@ -307,11 +309,15 @@
 
     /// Switches a fault on in an endpoint that has just been started.
     fn fault_when_up(&self, name: &str, fault: &str) {
-        let engine = SocketAddr::new(self.host(100).parse().unwrap(), self.port(name));
+        let engine = self.engine_address(name);
         self.wait("the endpoint listens", |_| TcpStream::connect(engine).is_ok());
         self.fault(name, fault);
     }
 
+    fn engine_address(&self, name: &str) -> SocketAddr {
+        SocketAddr::new(self.host(100).parse().unwrap(), self.port(name))
+    }
+
     fn port(&self, name: &str) -> u16 {
         let (kind, number) = name.split_once('-').unwrap();
         let first = if kind == "engine" { ENGINE_PORT } else { SERVICE_PORT };
