Show which limits endpoints name in their answers

Callers saw nothing; endpoints in need were sent three times what they had asked for. Neither lines nor counters told whether an answer names a limit, and which: the hypotheses of the incident cannot be told apart by rates alone. Change: the limit is read where the platform's words are decoded, as a checked type; it stands on an attempt's line and in a counter by service. What is no limit (no number, negative, not finite, two of them) is told of and changes nothing. Nothing is decided by it yet.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -20,5 +20,6 @@
 pub mod storage;
 #[cfg(test)]
 mod testing;
+pub mod throttle;
 pub mod units;
 pub mod wire;
--- /dev/null
+++ b/crates/core/src/throttle/limit.rs
@@ -0,0 +1,84 @@
+//! The limit itself, as an endpoint names it.
+
+use std::{fmt, str::FromStr, time::Duration};
+
+/// An endpoint that takes fewer requests than one in this time is sent one all the same: one that gets no
+/// request can never say that its need is over.
+pub const LONGEST_INTERVAL: Duration = Duration::from_secs(10);
+
+/// Requests a second that an endpoint takes, from all daemons together. Zero or more, and finite.
+#[derive(Debug, Clone, Copy, PartialEq, PartialOrd)]
+pub struct RateLimit(f64);
+
+/// Why a text names no limit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BadLimit {
+    /// It is no decimal number.
+    NoNumber,
+    /// It is below zero.
+    Negative,
+    /// It is infinite, or not a number by its own word.
+    NotFinite,
+    /// More than one is named.
+    Several,
+}
+
+impl RateLimit {
+    /// A limit of so many requests a second.
+    pub fn new(per_second: f64) -> Result<RateLimit, BadLimit> {
+        if !per_second.is_finite() {
+            return Err(BadLimit::NotFinite);
+        }
+        if per_second < 0.0 {
+            return Err(BadLimit::Negative);
+        }
+        Ok(RateLimit(per_second))
+    }
+
+    /// The only limit that is named by these texts, if any is.
+    pub fn read<'a>(
+        mut texts: impl Iterator<Item = &'a str>,
+    ) -> Result<Option<RateLimit>, BadLimit> {
+        let Some(text) = texts.next() else { return Ok(None) };
+        if texts.next().is_some() {
+            return Err(BadLimit::Several);
+        }
+        text.parse().map(Some)
+    }
+
+    /// Requests a second.
+    pub fn per_second(self) -> f64 {
+        self.0
+    }
+
+    /// Time between two requests at this rate, which is bounded by [`LONGEST_INTERVAL`].
+    pub fn interval(self) -> Duration {
+        let interval = Duration::try_from_secs_f64(1.0 / self.0).unwrap_or(LONGEST_INTERVAL);
+        interval.min(LONGEST_INTERVAL)
+    }
+}
+
+impl FromStr for RateLimit {
+    type Err = BadLimit;
+
+    fn from_str(text: &str) -> Result<RateLimit, BadLimit> {
+        RateLimit::new(text.trim().parse().map_err(|_| BadLimit::NoNumber)?)
+    }
+}
+
+impl fmt::Display for RateLimit {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:.3}", self.0)
+    }
+}
+
+impl fmt::Display for BadLimit {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            BadLimit::NoNumber => "it is no decimal number",
+            BadLimit::Negative => "it is below zero",
+            BadLimit::NotFinite => "it is not finite",
+            BadLimit::Several => "more than one is named",
+        })
+    }
+}
--- a/crates/server/src/relay/call.rs
+++ b/crates/server/src/relay/call.rs
@@ -10,11 +10,12 @@
     error::{ErrorKind, RequestError},
     mechanism::Mechanism,
     registry::Registered,
+    throttle::RateLimit,
 };
 
 use super::{
-    Answer, Job, MAX_TURNED, Relay, Turned, ended::Awaited, job::GoOn, loads::Verdict, no_answer,
-    permit::Permit,
+    Answer, Job, MAX_TURNED, Relay, Turned, ended::Awaited, job::GoOn, limited, loads::Verdict,
+    no_answer, permit::Permit,
 };
 use crate::{
     edge::{self, Body, LocalFuture},
@@ -231,7 +232,7 @@
     let own_running = relay.loads.running(&endpoint.id);
     let running = relay.loads.begin(&endpoint.id, relay.cold_rule(job).as_ref());
     let awaited = Awaited::begin(relay, job, &permit, &endpoint);
-    let (end, verdict) = ask(relay, job, &permit, &endpoint).await;
+    let Tried { end, verdict, limit } = ask(relay, job, &permit, &endpoint).await;
     awaited.end();
     drop(running);
     relay.loads.note(&endpoint.id, verdict);
@@ -246,42 +247,69 @@
         endpoint = &*endpoint.id, end = name, detail = detail.as_str(),
         config = inputs.config, config_age_ms = inputs.config_age_ms,
         sequence = endpoint.sequence, own_running = own_running,
+        limit = limited::describe(limit).as_str(),
         took_ms = began.elapsed().as_millis() as u64;
         "an attempt ended"
     );
     end
 }
 
-/// Sends the request and waits for the whole answer; tells how well the endpoint did.
-async fn ask(relay: &Relay, job: &Job, permit: &Permit, endpoint: &Registered) -> (End, Verdict) {
+/// What became of an attempt that was sent.
+struct Tried {
+    end: End,
+    /// How well the endpoint did.
+    verdict: Verdict,
+    /// How much it takes, by its own word.
+    limit: Option<RateLimit>,
+}
+
+impl Tried {
+    /// One whose answer names no limit.
+    fn new(end: End, verdict: Verdict) -> Tried {
+        Tried { end, verdict, limit: None }
+    }
+}
+
+/// Sends the request and waits for the whole answer.
+async fn ask(relay: &Relay, job: &Job, permit: &Permit, endpoint: &Registered) -> Tried {
     let protocol = &*relay.protocol;
     let req = job.request(protocol, &endpoint.id, endpoint.address, &GoOn::default());
     let connect_limit = relay.options.connect_limit.min(job.time_left());
     let opened = exchange(endpoint.address, req, connect_limit).await;
-    match opened {
-        Err(SendError::NotSent(problem)) => (End::NotRun(problem), Verdict::Dead),
+    let open = match opened {
+        Ok(open) => open,
+        Err(SendError::NotSent(problem)) => {
+            return Tried::new(End::NotRun(problem), Verdict::Dead);
+        }
         Err(SendError::Lost(problem)) => {
             relay.broke_off(job, permit, endpoint, 0).await;
-            (End::Unknown(problem), Verdict::Dead)
+            return Tried::new(End::Unknown(problem), Verdict::Dead);
+        }
+    };
+    let success = match protocol.judge(&job.caller.id, &open.head) {
+        Answer::Ran { success } => success,
+        Answer::Turned(Turned::Full) => {
+            let limit = relay.read_limit(job, endpoint, &open.head);
+            let end = End::NotRun("the endpoint is full".into());
+            return Tried { end, verdict: Verdict::Failed, limit };
+        }
+        Answer::Turned(Turned::Other) => {
+            let end = End::NotRun("another endpoint has the address".into());
+            return Tried::new(end, Verdict::Dead);
+        }
+        Answer::Foreign(problem) => {
+            return Tried::new(End::Unknown(problem.into()), Verdict::Failed);
+        }
+    };
+    let limit = relay.read_limit(job, endpoint, &open.head);
+    match open.body.collect(MAX_ANSWER).await {
+        Ok(body) => {
+            let verdict = if success { Verdict::Good } else { Verdict::Failed };
+            Tried { end: End::Answer { head: open.head, body, success }, verdict, limit }
+        }
+        Err(problem) => {
+            relay.broke_off(job, permit, endpoint, 0).await;
+            Tried { end: End::Unknown(problem), verdict: Verdict::Failed, limit }
         }
-        Ok(open) => match protocol.judge(&job.caller.id, &open.head) {
-            Answer::Turned(Turned::Full) => {
-                (End::NotRun("the endpoint is full".into()), Verdict::Failed)
-            }
-            Answer::Turned(Turned::Other) => {
-                (End::NotRun("another endpoint has the address".into()), Verdict::Dead)
-            }
-            Answer::Foreign(problem) => (End::Unknown(problem.into()), Verdict::Failed),
-            Answer::Ran { success } => match open.body.collect(MAX_ANSWER).await {
-                Ok(body) => {
-                    let verdict = if success { Verdict::Good } else { Verdict::Failed };
-                    (End::Answer { head: open.head, body, success }, verdict)
-                }
-                Err(problem) => {
-                    relay.broke_off(job, permit, endpoint, 0).await;
-                    (End::Unknown(problem), Verdict::Failed)
-                }
-            },
-        },
     }
 }
--- a/crates/server/src/relay/generation.rs
+++ b/crates/server/src/relay/generation.rs
@@ -10,6 +10,7 @@
     mechanism::Mechanism,
     node::Input,
     registry::Registered,
+    throttle::RateLimit,
     wire::HealthNews,
 };
 
@@ -17,7 +18,7 @@
     Answer, Job, MAX_TURNED, Relay, Turned,
     ended::Awaited,
     job::GoOn,
-    no_answer,
+    limited, no_answer,
     permit::Permit,
     source::{Source, Step},
     stream::Pump,
@@ -174,12 +175,14 @@
     let inputs = relay.inputs();
     let opened = send(relay, job, permit, endpoint, go_on).await;
     let (name, detail) = describe(&opened);
+    let limit = limited::describe(limit_named(relay, &opened));
     relay.metrics.attempt(&job.service, name);
     log::info!(
         event = EventId::AttemptEnded.number(), id = job.caller.id.as_str(),
         endpoint = &**endpoint, end = name, detail = detail.as_str(),
         config = inputs.config, config_age_ms = inputs.config_age_ms,
-        after = go_on.after.unwrap_or(0), took_ms = began.elapsed().as_millis() as u64;
+        after = go_on.after.unwrap_or(0), took_ms = began.elapsed().as_millis() as u64,
+        limit = limit.as_str();
         "an attempt ended"
     );
     opened
@@ -198,6 +201,16 @@
     }
 }
 
+/// How much the endpoint takes, by the head of its answer.
+fn limit_named(relay: &Relay, opened: &Result<Opened, Lost>) -> Option<RateLimit> {
+    match opened {
+        Ok(Opened::Stream { head, .. } | Opened::Failed { head, .. }) => {
+            relay.protocol.limit(head).ok()?
+        }
+        Err(_) => None,
+    }
+}
+
 async fn send(
     relay: &Relay,
     job: &Job,
@@ -244,14 +257,20 @@
         }
     };
     match relay.protocol.judge(&job.caller.id, &open.head) {
-        Answer::Turned(Turned::Full) => return Err(Lost::NotRun("the endpoint is full".into())),
+        Answer::Turned(Turned::Full) => {
+            relay.read_limit(job, known, &open.head);
+            return Err(Lost::NotRun("the endpoint is full".into()));
+        }
         Answer::Turned(Turned::Other) => {
             failed();
             return Err(Lost::NotRun("another endpoint has the address".into()));
         }
         Answer::Foreign(problem) => return Err(Lost::Unknown(problem.into())),
-        Answer::Ran { success: true } => {}
+        Answer::Ran { success: true } => {
+            relay.read_limit(job, known, &open.head);
+        }
         Answer::Ran { success: false } => {
+            relay.read_limit(job, known, &open.head);
             /// Largest answer of an endpoint that failed.
             const MAX_FAILURE: usize = 1024 * 1024;
             return match open.body.collect(MAX_FAILURE).await {
--- a/crates/server/src/relay/mod.rs
+++ b/crates/server/src/relay/mod.rs
@@ -11,6 +11,7 @@
 mod generation;
 mod job;
 mod latency;
+mod limited;
 mod loads;
 mod moves;
 mod permit;
--- a/crates/server/src/relay/protocol.rs
+++ b/crates/server/src/relay/protocol.rs
@@ -5,7 +5,11 @@
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response, request, response};
 use http_body_util::Full;
-use trayswitch_core::{error::RequestError, placement::EngineLoad};
+use trayswitch_core::{
+    error::RequestError,
+    placement::EngineLoad,
+    throttle::{BadLimit, RateLimit},
+};
 
 use super::Reservation;
 
@@ -157,6 +161,9 @@
     /// Judges an endpoint's answer to the request of this id.
     fn judge(&self, id: &str, head: &response::Parts) -> Answer;
 
+    /// How many requests a second the endpoint takes from all daemons, if it says so in its answer.
+    fn limit(&self, head: &response::Parts) -> Result<Option<RateLimit>, BadLimit>;
+
     /// Headers of an endpoint's answer that are passed on to the caller.
     fn answer_headers(&self, head: &response::Parts) -> HeaderMap;
 
--- a/crates/server/src/relay/tests/protocol.rs
+++ b/crates/server/src/relay/tests/protocol.rs
@@ -5,7 +5,11 @@
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Request, Response, header, request, response};
 use http_body_util::Full;
-use trayswitch_core::{error::RequestError, placement::EngineLoad};
+use trayswitch_core::{
+    error::RequestError,
+    placement::EngineLoad,
+    throttle::{BadLimit, RateLimit},
+};
 
 use crate::relay::{
     Answer, Attempt, CallerRequest, Copied, CopyOrder, MemoryAt, Prompt, Protocol, Reservation,
@@ -22,6 +26,8 @@
 pub(super) const MEMORY: &str = "x-memory";
 /// Why an endpoint turned a request away: `full` or `other`.
 pub(super) const NOT_RUN: &str = "x-not-run";
+/// Requests a second that the endpoint takes.
+pub(super) const LIMIT: &str = "x-limit";
 /// The outcome that a caller is told where no endpoint answered.
 pub(super) const OUTCOME: &str = "x-outcome";
 /// Path of the orders to copy.
@@ -96,6 +102,11 @@
         }
     }
 
+    fn limit(&self, head: &response::Parts) -> Result<Option<RateLimit>, BadLimit> {
+        let values = head.headers.get_all(LIMIT).iter();
+        RateLimit::read(values.map(|value| value.to_str().unwrap_or_default()))
+    }
+
     fn answer_headers(&self, head: &response::Parts) -> HeaderMap {
         head.headers.clone()
     }
--- a/crates/server/src/telemetry/metrics.rs
+++ b/crates/server/src/telemetry/metrics.rs
@@ -21,6 +21,7 @@
     suspects: IntGauge,
     quarantined: IntGauge,
     trials: IntCounterVec,
+    limits_read: IntCounterVec,
     latency: HistogramVec,
     first_event: HistogramVec,
     config_version: IntGauge,
@@ -89,6 +90,11 @@
                 "Tries of such requests, by what the leader answered",
                 &["answer"],
             )?,
+            limits_read: counter(
+                "trayswitch_limits_read_total",
+                "Answers in which an endpoint names how many requests a second it takes, by service and whether it can be read",
+                &["service", "limit"],
+            )?,
             latency: histogram(
                 "trayswitch_request_seconds",
                 "Time to the end of the answer, by kind",
@@ -164,6 +170,11 @@
         self.quarantined.set(i64::try_from(quarantined).unwrap_or(i64::MAX));
     }
 
+    /// An endpoint has named in an answer how many requests a second it takes.
+    pub fn limit_read(&self, service: &str, limit: &str) {
+        self.limits_read.with_label_values(&[service, limit]).inc();
+    }
+
     /// Counts the leader's answer to a try of a suspect.
     pub fn trial(&self, answer: &str) {
         self.trials.with_label_values(&[answer]).inc();
