--- a/crates/core/src/node/control/answers.rs
+++ b/crates/core/src/node/control/answers.rs
@@ -41,6 +41,7 @@
         let Some((vm, poll)) = self.polls.remove(&read.token) else { return };
         let entries = self.entries(now);
         let slow = self.dispatcher.as_mut().map(|dispatcher| dispatcher.some_slow(now));
+        let limits = self.dispatcher.as_mut().map(|dispatcher| dispatcher.some_limits(now));
         let reply = PollReply {
             nonce: poll.nonce,
             version: self.state.version(),
@@ -52,6 +53,7 @@
             slow: slow.unwrap_or_default(),
             halls: Some(self.state.halls_out().clone()),
             suspects: self.suspects_news_for(&vm),
+            limits: limits.unwrap_or_default(),
         };
         out.send(&vm, Body::PollReply(reply));
     }
--- a/crates/core/src/node/control/mod.rs
+++ b/crates/core/src/node/control/mod.rs
@@ -24,6 +24,7 @@
     placement::Scheduler,
     quarantine::CopyState,
     state::State,
+    throttle::Word,
     units::Instant,
     wire::{Body, Fetch, Poll, ReplicaInfo, Submit},
 };
@@ -241,6 +242,15 @@
             }
             Body::TrialAsk(ask) => self.trial_ask(from, &ask, clocks.now, out),
             Body::TrialOver(over) => self.trial_over(from, over, clocks.now, out),
+            Body::LimitsRead(news) => {
+                if let Some(dispatcher) = &mut self.dispatcher {
+                    dispatcher.limits_read(news, clocks.now);
+                }
+            }
+            Body::LeaveAsk(ask) => match &mut self.dispatcher {
+                Some(dispatcher) => dispatcher.leave_ask(from, ask, clocks.now, out),
+                None => self.not_leader(from, None, out),
+            },
             Body::Moved(moved) => {
                 if let Some(dispatcher) = &mut self.dispatcher {
                     dispatcher.moved(from, &moved, clocks.now, out);
@@ -284,6 +294,13 @@
         }
     }
 
+    /// Forgets the limits of endpoints that are not there any more.
+    pub(crate) fn retain_limits(&mut self, is_there: impl Fn(&Word) -> bool, now: Instant) {
+        if let Some(dispatcher) = &mut self.dispatcher {
+            dispatcher.retain_limits(is_there, now);
+        }
+    }
+
     fn configure_dispatcher(&mut self, now: Instant) {
         if let Some(dispatcher) = &mut self.dispatcher {
             dispatcher.configure(&self.engines, now);
--- a/crates/core/src/node/dispatcher.rs
+++ b/crates/core/src/node/dispatcher.rs
@@ -9,15 +9,16 @@
     time::Duration,
 };
 
-use super::{ByVm, Outbox, VmName, admit, engines::Engines, load_report};
+use super::{ByVm, Outbox, VmName, admit, engines::Engines, limits::Limits, load_report};
 use crate::{
     error::RequestError,
     mechanism::Disabled,
     placement::{Action, Relocation, Scheduler, Ticket},
+    throttle::Word,
     units::Instant,
     wire::{
-        Admit, Body, GiveUp, Grant, Health, HealthNews, Move, Moved, Progress, Report,
-        SlowEndpoint, Watch,
+        Admit, Body, GiveUp, Grant, Health, HealthNews, LeaveAsk, LimitNews, LimitWord, Move,
+        Moved, Progress, Report, SlowEndpoint, Watch,
     },
 };
 
@@ -40,6 +41,7 @@
     endpoints: Vec<String>,
     watches: ByVm<Vec<String>>,
     slow: SlowOnes,
+    limits: Limits,
 }
 
 /// The endpoints that are slower than others, as they were when last looked for.
@@ -63,6 +65,7 @@
             endpoints: Vec::new(),
             watches: ByVm::new(),
             slow: SlowOnes::default(),
+            limits: Limits::default(),
         }
     }
 
@@ -88,7 +91,8 @@
     }
 
     pub(crate) fn next_tick(&self) -> Option<Instant> {
-        self.scheduler.next_decision().map(|at| at.max(self.open_at))
+        let next = self.scheduler.next_decision().map(|at| at.max(self.open_at));
+        next.into_iter().chain(self.limits.next_tick()).min()
     }
 
     /// Takes what became of a move.
@@ -145,6 +149,7 @@
         let Some(entry) = self.numbers.remove(vm) else { return };
         self.names.remove(&entry);
         self.watches.remove(vm);
+        self.limits.forget(vm);
         self.scheduler.forget_entry(entry, now);
         self.decide(now, out);
     }
@@ -202,6 +207,33 @@
     pub(crate) fn tick(&mut self, daemons: &BTreeSet<VmName>, now: Instant, out: &mut Outbox) {
         self.decide(now, out);
         self.assign_watches(daemons, out);
+        self.limits.tick(daemons, &mut self.scheduler.throttle, now, out);
+    }
+
+    /// Takes what a daemon has read of the limits that endpoints name.
+    pub(crate) fn limits_read(&mut self, news: LimitNews, now: Instant) {
+        self.limits.read(news, &mut self.scheduler.throttle, now);
+    }
+
+    /// Takes a daemon's request for leave at endpoints that name limits.
+    pub(crate) fn leave_ask(
+        &mut self,
+        from: &VmName,
+        ask: LeaveAsk,
+        now: Instant,
+        out: &mut Outbox,
+    ) {
+        self.limits.ask(from, ask, &mut self.scheduler.throttle, now, out);
+    }
+
+    /// Some of the limits that endpoints name, the next ones at each call.
+    pub(crate) fn some_limits(&mut self, now: Instant) -> Vec<LimitWord> {
+        self.limits.some(&self.scheduler.throttle, now)
+    }
+
+    /// Forgets the limits of endpoints that are not there any more.
+    pub(crate) fn retain_limits(&mut self, is_there: impl Fn(&Word) -> bool, now: Instant) {
+        self.scheduler.throttle.retain(is_there, now);
     }
 
     /// Some of the endpoints that are slower than others, the next ones at each call.
--- a/crates/core/src/node/endpoints.rs
+++ b/crates/core/src/node/endpoints.rs
@@ -10,6 +10,7 @@
 };
 use crate::{
     placement::{EndpointState, Health, Scheduler},
+    throttle::Word,
     units::Instant,
     wire::{Body, EndpointNews, EndpointRecord, EndpointsWanted},
 };
@@ -213,6 +214,15 @@
         if let Some(control) = &mut self.control {
             control.set_engines(engines, now, &mut self.outputs);
         }
+        let registry = &self.registry;
+        let is_there = |word: &Word| {
+            registry.knows_run(&word.endpoint, word.born)
+                || in_force.config.endpoints.contains_key(&*word.endpoint)
+        };
+        self.placing.throttle_mut().retain(is_there, now);
+        if let Some(control) = &mut self.control {
+            control.retain_limits(is_there, now);
+        }
     }
 }
 
--- a/crates/core/src/node/inputs.rs
+++ b/crates/core/src/node/inputs.rs
@@ -12,7 +12,8 @@
     mechanism::Mechanism,
     quarantine::ClearRequest,
     registry::Digest,
-    wire::{Body, EndpointDigest, OperationKind, OperationResult},
+    throttle::Ask,
+    wire::{Body, EndpointDigest, LimitWord, OperationKind, OperationResult},
 };
 
 impl Node {
@@ -53,6 +54,10 @@
                 let (suspects, mut cx, out) = self.suspects_context(clocks);
                 suspects.over(call, whole, &mut cx, out);
             }
+            Input::LimitRead(word) => {
+                let (leaves, mut cx, out) = self.leaves_context(clocks.now);
+                leaves.read(word, &mut cx, out);
+            }
             Input::Heartbeat(record) => self.heartbeat(record, clocks.now),
             Input::Recall(records) => {
                 if self.disabled.allows(Mechanism::RecalledEndpoints) {
@@ -110,6 +115,10 @@
                 let (suspects, cx, out) = self.suspects_context(clocks);
                 suspects.ask(call, request, limit, &cx, out);
             }
+            Question::Leave(ask) => {
+                let (leaves, mut cx, out) = self.leaves_context(clocks.now);
+                leaves.ask(Ask { asker: call, ..ask }, &mut cx, out);
+            }
             Question::Clear { request, limit } => {
                 let request = Bytes::copy_from_slice(request.as_bytes());
                 let kind = OperationKind::Clear(ClearRequest { request });
@@ -137,7 +146,9 @@
         match body {
             Body::PollReply(reply) => {
                 self.placing.told_slow(&reply.slow, clocks.now);
-                self.placing.set_daemons(reply.daemons);
+                self.placing.set_daemons(reply.daemons, clocks.now);
+                self.limits_told(reply.limits.clone(), clocks);
+                let out = &mut self.outputs;
                 let news = reply.suspects.clone();
                 self.keeper.poll_reply(from, reply, clocks.now, out);
                 if let Some(news) = news {
@@ -158,6 +169,11 @@
                 let (suspects, cx, out) = self.suspects_context(clocks);
                 suspects.answered(reply, &cx, out);
             }
+            Body::Limits(news) => self.limits_told(news.words, clocks),
+            Body::LeaveReply(reply) => {
+                let (leaves, mut cx, out) = self.leaves_context(clocks.now);
+                leaves.answered(reply, &mut cx, out);
+            }
             Body::OperationReply(reply) => {
                 let recorded = match reply.result {
                     Some(OperationResult::Suspects(recorded)) => Some((reply.id, recorded)),
@@ -196,4 +212,10 @@
             }
         }
     }
+
+    /// Takes the leader's word of the limits that endpoints name.
+    fn limits_told(&mut self, words: Vec<LimitWord>, clocks: Clocks) {
+        let (leaves, mut cx, out) = self.leaves_context(clocks.now);
+        leaves.told(words, &mut cx, out);
+    }
 }
--- /dev/null
+++ b/crates/core/src/node/limits.rs
@@ -0,0 +1,139 @@
+//! What the leader does about endpoints that name limits: gives leave, and tells all daemons of the limits.
+
+use std::{
+    collections::{BTreeSet, VecDeque},
+    sync::Arc,
+    time::Duration,
+};
+
+use super::{Outbox, VmName, leaves::decode, spread};
+use crate::{
+    throttle::{Change, Keeper, Leave, Throttle, Word},
+    units::Instant,
+    wire::{Body, LeaveAsk, LeaveReply, LimitNews, LimitWord},
+};
+
+/// Daemons are told of changes no more often than this; an endpoint may name another limit in each answer.
+const TELL_PAUSE: Duration = Duration::from_millis(100);
+/// Limits in one message: 2 kB.
+const TOLD_AT_ONCE: usize = 32;
+/// Limits that an answer to a daemon's poll names, for what has not reached it: 120 bytes.
+const REPEATED_AT_ONCE: usize = 2;
+
+/// The leader's soft state about limits.
+#[derive(Debug, Default)]
+pub(super) struct Limits {
+    keeper: Keeper<(VmName, u64)>,
+    /// Endpoints of which daemons are to be told.
+    news: VecDeque<Arc<str>>,
+    /// When they are told, if of any.
+    tell: Option<Instant>,
+    told: Instant,
+    /// Number of the limits that were repeated.
+    repeated: usize,
+}
+
+impl Limits {
+    /// Takes what an endpoint has said.
+    pub(super) fn learn(&mut self, word: Word, throttle: &mut Throttle, now: Instant) {
+        let endpoint = word.endpoint.clone();
+        if throttle.learn(word, now) != Change::None && !self.news.contains(&endpoint) {
+            self.news.push_back(endpoint);
+            self.tell.get_or_insert(now.max(self.told.after(TELL_PAUSE)));
+        }
+    }
+
+    /// Takes what a daemon has read.
+    pub(super) fn read(&mut self, news: LimitNews, throttle: &mut Throttle, now: Instant) {
+        for word in news.words.into_iter().filter_map(|word| word.decode(now)) {
+            self.learn(word, throttle, now);
+        }
+    }
+
+    /// Takes a daemon's request for leave.
+    pub(super) fn ask(
+        &mut self,
+        from: &VmName,
+        ask: LeaveAsk,
+        throttle: &mut Throttle,
+        now: Instant,
+        out: &mut Outbox,
+    ) {
+        let (ask, words) = decode(from, ask, now);
+        words.into_iter().for_each(|word| self.learn(word, throttle, now));
+        let asker = ask.asker.clone();
+        if let Some(leave) = self.keeper.ask(ask, throttle, now) {
+            reply(&asker, leave, out);
+        }
+    }
+
+    /// A daemon is gone.
+    pub(super) fn forget(&mut self, vm: &VmName) {
+        self.keeper.forget(|(asker, _)| asker == vm);
+    }
+
+    pub(super) fn next_tick(&self) -> Option<Instant> {
+        self.tell.into_iter().chain(self.keeper.next_decision()).min()
+    }
+
+    /// Gives leave that is due, and tells daemons what is news.
+    pub(super) fn tick(
+        &mut self,
+        daemons: &BTreeSet<VmName>,
+        throttle: &mut Throttle,
+        now: Instant,
+        out: &mut Outbox,
+    ) {
+        if self.keeper.next_decision().is_some_and(|due| due <= now) {
+            for (asker, leave) in self.keeper.decide(throttle, now) {
+                reply(&asker, leave, out);
+            }
+        }
+        if self.tell.take_if(|at| *at <= now).is_some() {
+            self.tell_all(daemons, throttle, now, out);
+        }
+    }
+
+    fn tell_all(
+        &mut self,
+        daemons: &BTreeSet<VmName>,
+        throttle: &Throttle,
+        now: Instant,
+        out: &mut Outbox,
+    ) {
+        let due = self.news.drain(..TOLD_AT_ONCE.min(self.news.len()));
+        let words = due.filter_map(|name| Some(LimitWord::encode(throttle.word(&name)?, now)));
+        let news = LimitNews { words: words.collect() };
+        for vm in daemons {
+            out.send(vm, Body::Limits(news.clone()));
+        }
+        self.told = now;
+        if !self.news.is_empty() {
+            let pause = spread::for_each(spread::PAUSE_FOR_A_DAEMON, daemons.len());
+            self.tell = Some(now.after(pause.max(TELL_PAUSE)));
+        }
+    }
+
+    /// Some of the limits, the next ones at each call.
+    pub(super) fn some(&mut self, throttle: &Throttle, now: Instant) -> Vec<LimitWord> {
+        let count = throttle.count();
+        if count == 0 {
+            return Vec::new();
+        }
+        let first = self.repeated % count;
+        self.repeated = self.repeated.wrapping_add(REPEATED_AT_ONCE);
+        let words = throttle.words().skip(first).take(REPEATED_AT_ONCE);
+        words.map(|word| LimitWord::encode(word, now)).collect()
+    }
+}
+
+fn reply(asker: &(VmName, u64), leave: Leave, out: &mut Outbox) {
+    let (vm, number) = asker;
+    let (endpoint, retry_after) = match leave {
+        Leave::Granted(endpoint) => (Some(endpoint.to_string()), Duration::ZERO),
+        Leave::NotNow { retry_after } => (None, retry_after),
+    };
+    let retry_after_ms = retry_after.as_millis() as u64;
+    let reply = LeaveReply { number: *number, endpoint, retry_after_ms };
+    out.send(vm, Body::LeaveReply(reply));
+}
--- a/crates/core/src/node/messages.rs
+++ b/crates/core/src/node/messages.rs
@@ -13,6 +13,7 @@
     quarantine::{RequestDigest, Suspect},
     registry::Registered,
     state::{ChangeId, HallOrder, HallResult, HallsOut},
+    throttle::{Ask, Change, Leave, RateLimit, Word},
     units::Instant,
     wire::{AcceptedVersion, Body, EndpointRecord, HealthNews, Piece, Report, Submit, Update},
 };
@@ -61,6 +62,8 @@
         /// How long it may wait for the answer.
         limit: Duration,
     },
+    /// Leave for a request at one of several endpoints that name limits; who asks is filled in by the node.
+    Leave(Ask<CallId>),
     /// Forget the ends under a request, within this time.
     Clear {
         /// The request.
@@ -125,6 +128,8 @@
     HallsOut(Option<HallsOut>),
     /// To [`Question::Trial`].
     Trial(TrialAnswer),
+    /// To [`Question::Leave`].
+    Leave(Leave),
     /// To [`Question::Clear`]: whether the request was a suspect; `None` when no quorum answered in
     /// time.
     Cleared(Option<bool>),
@@ -177,6 +182,8 @@
         /// Whether it has brought its whole answer.
         whole: bool,
     },
+    /// An endpoint has said in an answer how much it takes, or names no limit any more.
+    LimitRead(Word),
     /// This daemon has news of an endpoint.
     Health(Arc<str>, HealthNews),
     /// This daemon asked an endpoint for its load.
@@ -219,6 +226,7 @@
             Input::AnsweredWhole(_) => "answered_whole",
             Input::TrialBegun(_) => "trial_begun",
             Input::TrialOver { .. } => "own_trial_over",
+            Input::LimitRead(_) => "limit_read",
             Input::Health(..) => "own_health",
             Input::Load(_) => "load",
             Input::Heartbeat(_) => "heartbeat",
@@ -312,6 +320,17 @@
         /// Those that are sent to no endpoint.
         quarantined: usize,
     },
+    /// An endpoint has named a limit, another one or none any more.
+    Limit {
+        /// The endpoint.
+        endpoint: Arc<str>,
+        /// What it names.
+        limit: Option<RateLimit>,
+        /// What is new about it.
+        change: Change,
+        /// Number of endpoints that name one, as this daemon knows.
+        limited: usize,
+    },
     /// Keep links to these control VMs.
     Dial(Vec<VmName>),
     /// The endpoints that registered themselves have changed.
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -9,6 +9,7 @@
 //! - [`placing`] finds places for this daemon's requests;
 //! - [`control`] runs a control replica and, on the leader, answers the daemons;
 //! - [`dispatcher`] is the scheduler that the leader runs for all daemons;
+//! - [`leaves`] asks for leave at endpoints that name limits, [`limits`] gives it on the leader;
 //! - [`suspects`] knows under which requests endpoints have ended;
 //! - [`directory`] knows the control VMs and [`endpoints`] the endpoints that register.
 
@@ -32,6 +33,8 @@
 mod holder_tests;
 mod inputs;
 mod keeper;
+mod leaves;
+mod limits;
 mod members;
 #[cfg(test)]
 mod members_tests;
@@ -59,6 +62,7 @@
     endpoint_sync::EndpointSync,
     engines::Engines,
     keeper::Keeper,
+    leaves::Leaves,
     operations::Operations,
     placing::Placing,
     spread::Gathered,
@@ -71,6 +75,7 @@
     placement::{LoadReport, Request},
     quarantine::{RequestDigest, Standing},
     registry::Registry,
+    throttle::RateLimit,
     units::Instant,
     wire::{Body, EndpointDigest, Report, SuspectNews},
 };
@@ -101,6 +106,7 @@
     operations: Operations,
     placing: Placing,
     suspects: Suspects,
+    leaves: Leaves,
     control: Option<Control>,
     directory: Directory,
     registry: Registry,
@@ -138,6 +144,7 @@
             operations: Operations::numbered_from(options.seed),
             placing: Placing::new(options.disabled, options.seed),
             suspects: Suspects::default(),
+            leaves: Leaves::default(),
             control: None,
             directory: Directory::new(&options.vm, &options.seeds, false, now),
             registry: Registry::new(options.endpoint_heartbeat),
@@ -191,6 +198,16 @@
         !self.suspects.is_empty()
     }
 
+    /// The limit that an endpoint names, if it does.
+    pub fn limit(&self, endpoint: &str) -> Option<RateLimit> {
+        self.placing.local().throttle.limit(endpoint)
+    }
+
+    /// Whether any endpoint names a limit.
+    pub fn has_limits(&self) -> bool {
+        !self.placing.local().throttle.is_empty()
+    }
+
     /// The chance that an answer would end within this time, by the lengths and paces that this
     /// daemon has seen itself.
     pub fn chance_to_end(&self, req: &Request, within: Duration, now: Instant) -> f64 {
@@ -209,6 +226,7 @@
         let mut next = self.keeper.next_tick().min(self.placing.next_tick());
         next = next.min(self.directory.next_tick());
         next = next.min(self.suspects.next_tick().unwrap_or(next));
+        next = next.min(self.leaves.next_tick().unwrap_or(next));
         if let Some(control) = &self.control {
             next = next.min(control.next_tick());
         }
@@ -236,6 +254,16 @@
         }
         let (suspects, mut cx, out) = self.suspects_context(clocks);
         suspects.tick(&mut cx, out);
+        let (leaves, mut cx, out) = self.leaves_context(clocks.now);
+        leaves.tick(&mut cx, out);
+    }
+
+    /// This daemon's requests for leave, and what else that part of it needs.
+    fn leaves_context(&mut self, now: Instant) -> (&mut Leaves, leaves::Context<'_>, &mut Outbox) {
+        let scheduler = self.keeper.scheduler(now);
+        let throttle = self.placing.throttle_mut();
+        let cx = leaves::Context { scheduler, throttle, now };
+        (&mut self.leaves, cx, &mut self.outputs)
     }
 
     /// What is known of suspects, and what else that part of the daemon needs.
@@ -314,6 +342,8 @@
                 let term = scheduler.map_or(0, |scheduler| scheduler.term);
                 self.outputs.push(Output::Leader { vm: leader, term });
                 self.placing.scheduler_changed(scheduler, now, &mut self.outputs);
+                let (leaves, mut cx, out) = self.leaves_context(now);
+                leaves.scheduler_changed(&mut cx, out);
             }
             let vm = &self.vm;
             let to_self = |output: &Output| matches!(output, Output::Send(to, _) if to == vm);
--- a/crates/core/src/node/placing/mod.rs
+++ b/crates/core/src/node/placing/mod.rs
@@ -20,7 +20,8 @@
     config::Endpoints,
     error::{ErrorKind, RequestError},
     mechanism::Disabled,
-    placement::{ColdSenders, Request, Scheduler, Ticket},
+    placement::{Request, Scheduler, Senders, Ticket},
+    throttle::Throttle,
     units::Instant,
     wire::{
         Admit, Body, GiveUp, Grant, Health, HealthNews, Move, Moved, Progress, Report,
@@ -95,6 +96,11 @@
         &self.local
     }
 
+    /// The limits that endpoints name, as this daemon knows them.
+    pub(crate) fn throttle_mut(&mut self) -> &mut Throttle {
+        &mut self.local.throttle
+    }
+
     /// Takes the engines that schedulers may use.
     pub(crate) fn configure(&mut self, engines: &Engines, now: Instant) {
         let endpoints = engines.all();
@@ -133,6 +139,10 @@
         let Some(running) = self.running.get_mut(&call) else { return };
         running.endpoint = at.clone();
         self.local.moved(ticket(call), at, done, now);
+        if done && self.scheduler.is_none() {
+            // The other one of two that were drawn.
+            self.local.throttle.sent(at, now);
+        }
         if let Some(scheduler) = &self.scheduler {
             let moved = Moved { number: call.0, at: at.to_string(), done };
             out.send(scheduler, Body::Moved(moved));
@@ -271,9 +281,9 @@
         }
     }
 
-    /// Takes the number of daemons, with which this one shares what cold endpoints bear.
-    pub(crate) fn set_daemons(&mut self, daemons: u64) {
-        self.local.set_cold_senders(ColdSenders::daemons(daemons));
+    /// Takes the number of daemons, with which this one shares what cold endpoints bear and limits allow.
+    pub(crate) fn set_daemons(&mut self, daemons: u64, now: Instant) {
+        self.local.set_senders(Senders::daemons(daemons), now);
     }
 
     /// Takes the leader's word of endpoints that are slow.
--- a/crates/core/src/node/tests/mod.rs
+++ b/crates/core/src/node/tests/mod.rs
@@ -6,6 +6,7 @@
 mod insistent;
 mod large_change;
 mod leaving;
+mod limits;
 mod net;
 mod recovery;
 mod suspects;
--- a/crates/core/src/node/tests/net/mod.rs
+++ b/crates/core/src/node/tests/net/mod.rs
@@ -249,6 +249,7 @@
             | Output::SentChange(_)
             | Output::Suspect(_)
             | Output::Suspects { .. }
+            | Output::Limit { .. }
             | Output::Watch(_)
             | Output::Leader { .. }
             | Output::Dial(_)
@@ -258,6 +259,11 @@
         }
     }
 
+    /// The time by the clock of every daemon.
+    pub(super) fn time(&self) -> Instant {
+        Instant(self.now)
+    }
+
     /// How a request stands by what a VM's daemon knows; nothing while it does not run.
     pub(super) fn standing(&self, vm: &VmName, request: &RequestDigest) -> Option<Standing> {
         Some(self.hosts[vm].node.as_ref()?.standing(request))
--- a/crates/core/src/node/tests/net/seen.rs
+++ b/crates/core/src/node/tests/net/seen.rs
@@ -8,6 +8,7 @@
     node::{Answer, CallId, InForce, Placement, TrialAnswer, VmName},
     once::ClaimResult,
     state::HallsOut,
+    throttle::Leave,
     units::Instant,
 };
 
@@ -54,6 +55,8 @@
     pub(crate) halls_told: Vec<Option<HallsOut>>,
     /// What tries of suspects were told.
     pub(crate) trials: BTreeMap<CallId, TrialAnswer>,
+    /// What requests for leave were told.
+    pub(crate) leaves: BTreeMap<CallId, Leave>,
     /// Whether those were suspects that operators have cleared.
     pub(crate) cleared: Vec<Option<bool>>,
     /// Questions that were answered.
@@ -112,6 +115,9 @@
             Answer::Trial(answer) => {
                 self.trials.insert(call, answer);
             }
+            Answer::Leave(leave) => {
+                self.leaves.insert(call, leave);
+            }
             Answer::Cleared(cleared) => self.cleared.push(cleared),
             Answer::Hall(Some(result)) => self.halls.note_answer(call, result, now),
             Answer::HallsOut(halls) => self.halls_told.push(halls),
--- a/crates/core/src/placement/apart.rs
+++ b/crates/core/src/placement/apart.rs
@@ -69,7 +69,9 @@
     fn engine_for(&self, ticket: Ticket, waiting: &Waiting, now: Instant) -> Option<Arc<str>> {
         let target = self.targets.get(&waiting.req.target)?;
         let states = target.endpoints.iter().filter_map(|name| self.endpoints.get(name));
-        let usable: Vec<&EndpointState> = states.filter(|state| state.is_usable(now)).collect();
+        let usable: Vec<&EndpointState> = states
+            .filter(|state| state.is_usable(now) && self.throttle.takes(&state.name, now))
+            .collect();
         let kept = self.apart.kept.get(&ticket);
         if let Some(kept) = usable.iter().find(|state| Some(&state.name) == kept) {
             return Some(kept.name.clone());
--- a/crates/core/src/placement/cold.rs
+++ b/crates/core/src/placement/cold.rs
@@ -9,41 +9,17 @@
 
 use std::time::Duration;
 
+use super::{Parts, Senders};
 use crate::{config::ColdStart, units::Instant};
 
-/// Part of what a cold endpoint bears that a scheduler sends.
-const SCHEDULERS_PART: f64 = 0.8;
-/// The same for all daemons that choose by themselves together. Some may do so while others reach the
-/// scheduler; both parts are 1.3 times what an endpoint bears, and one falls over well above that. The
-/// random times of 300 daemons spread by a fifth (20 requests a second, one deviation).
-const DAEMONS_PART: f64 = 0.5;
-/// Daemons that do not know how many they are send nothing to cold endpoints: their share of as many
-/// as there may be at all.
-const UNKNOWN: u64 = 1_000_000;
+/// Who sends which part of what a cold endpoint bears. Some daemons may choose by themselves while others
+/// reach the scheduler; both parts together are 1.3 times what an endpoint bears, and one falls over well above
+/// that. The random times of 300 daemons spread by a fifth (20 requests a second, one deviation).
+const PARTS: Parts = Parts { scheduler: 0.8, daemons: 0.5 };
 
-/// Who sends to cold endpoints: one scheduler, or one of many daemons that choose by themselves.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct ColdSenders {
-    part: f64,
-    count: u64,
-}
-
-impl ColdSenders {
-    /// The scheduler of all daemons.
-    pub fn scheduler() -> ColdSenders {
-        ColdSenders { part: SCHEDULERS_PART, count: 1 }
-    }
-
-    /// One of so many daemons; zero while their number is not known.
-    pub fn daemons(count: u64) -> ColdSenders {
-        let count = if count == 0 { UNKNOWN } else { count };
-        ColdSenders { part: DAEMONS_PART, count }
-    }
-
-    /// Time between two requests of one of them to the same endpoint.
-    pub fn interval(self, bears: ColdStart) -> Duration {
-        bears.interval.mul_f64(self.count as f64 / self.part)
-    }
+/// Time between two requests of one sender to the same cold endpoint.
+pub fn cold_interval(senders: Senders, bears: ColdStart) -> Duration {
+    senders.interval(bears.interval, PARTS)
 }
 
 /// An endpoint that is cold, as one sender knows it.
--- a/crates/core/src/placement/endpoint.rs
+++ b/crates/core/src/placement/endpoint.rs
@@ -7,8 +7,8 @@
 };
 
 use super::{
-    PrefixHash, Ticket,
-    cold::{Cold, ColdSenders},
+    PrefixHash, Senders, Ticket,
+    cold::{Cold, cold_interval},
     forecast::{HORIZONS, Survival},
     pace::Pace,
     reading::Reading,
@@ -168,18 +168,18 @@
 
     /// Notes that it is cold until then; its first request is due after this part of the time between
     /// two.
-    pub(crate) fn set_cold(&mut self, until: Instant, by: ColdSenders, part: f64, now: Instant) {
+    pub(crate) fn set_cold(&mut self, until: Instant, by: Senders, part: f64, now: Instant) {
         let Some(bears) = self.spec.cold_start else { return };
         match &mut self.cold {
             Some(cold) if !cold.is_over(now) => cold.last(until),
-            cold => *cold = Some(Cold::new(until, by.interval(bears), part, now)),
+            cold => *cold = Some(Cold::new(until, cold_interval(by, bears), part, now)),
         }
     }
 
     /// Notes that a request is sent to it.
-    pub(crate) fn note_sent(&mut self, by: ColdSenders, now: Instant) {
+    pub(crate) fn note_sent(&mut self, by: Senders, now: Instant) {
         if let (Some(cold), Some(bears)) = (&mut self.cold, self.spec.cold_start) {
-            cold.sent(by.interval(bears), now);
+            cold.sent(cold_interval(by, bears), now);
         }
     }
 
--- a/crates/core/src/placement/endpoint_news.rs
+++ b/crates/core/src/placement/endpoint_news.rs
@@ -7,7 +7,7 @@
 };
 
 use super::{
-    ColdSenders, Ticket,
+    Senders, Ticket,
     endpoint::{EndpointState, Health, LoadReport},
     scheduler::{Placed, Scheduler},
 };
@@ -83,16 +83,17 @@
         }
     }
 
-    /// Tells the scheduler with whom it shares what cold endpoints bear.
-    pub fn set_cold_senders(&mut self, senders: ColdSenders) {
-        self.cold_senders = senders;
+    /// Tells the scheduler with whom it shares what cold endpoints bear and limits allow.
+    pub fn set_senders(&mut self, senders: Senders, now: Instant) {
+        self.senders = senders;
+        self.throttle.set_senders(senders, now);
     }
 
     /// An endpoint is cold from `since` on, until then.
     fn cool(&mut self, name: &str, until: Instant, since: Instant) {
         let part = self.cold_phase(name, until);
         if let Some(endpoint) = self.endpoints.get_mut(name) {
-            endpoint.set_cold(until, self.cold_senders, part, since);
+            endpoint.set_cold(until, self.senders, part, since);
             self.cold.insert(endpoint.name.clone());
         }
     }
--- a/crates/core/src/placement/evacuation.rs
+++ b/crates/core/src/placement/evacuation.rs
@@ -173,8 +173,9 @@
         let from = self.placed.get(&ticket)?.endpoint.clone();
         self.relocate(ticket, to, now);
         if let Some(state) = self.endpoints.get_mut(to) {
-            state.note_sent(self.cold_senders, now);
+            state.note_sent(self.senders, now);
         }
+        self.throttle.sent(to, now);
         let until = now.after(LONGEST_MOVE);
         self.evacuation.moves.insert(ticket, Move { from: from.clone(), to: to.clone(), until });
         Some(Relocation { ticket, from, to: to.clone() })
@@ -233,7 +234,7 @@
             .values()
             .filter(|state| {
                 state.spec.target == req.target
-                    && state.takes_work(now)
+                    && self.may_send(state, now)
                     && !self.evacuation.is_busy(&state.name)
             })
             .collect();
--- a/crates/core/src/placement/handover.rs
+++ b/crates/core/src/placement/handover.rs
@@ -77,7 +77,7 @@
         let is_near = |state: &&EndpointState| {
             state.spec.hall == source.spec.hall
                 && state.name != source.name
-                && state.takes_work(now)
+                && self.may_send(state, now)
         };
         let all = target.endpoints.iter().filter_map(|name| self.endpoints.get(name));
         let near: Vec<&EndpointState> = all.filter(is_near).collect();
--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -39,6 +39,7 @@
 mod reading_tests;
 mod running;
 mod scheduler;
+mod senders;
 mod target;
 #[cfg(test)]
 mod tests;
@@ -47,15 +48,17 @@
 
 use crate::{config::EndpointTarget, error::RequestError};
 
+pub(crate) use self::senders::Parts;
 pub use self::{
     alone::{Candidate, Drawn, EngineLoad, sort},
-    cold::{Cold, ColdSenders},
+    cold::{Cold, cold_interval},
     endpoint::{EndpointState, Health, LoadReport},
     evacuation::Relocation,
     forecast::{HORIZONS, LengthForecast, Survival},
     policy::{FirstFit, ForecastPolicy, LeastOutstanding, Policy, RoundRobin, TwoDrawn, Work},
     reading::reading_time,
     scheduler::{Scheduler, SchedulerLimits},
+    senders::Senders,
 };
 
 /// Ranks that one tier takes up; kinds of request are told apart within them.
--- a/crates/core/src/placement/running.rs
+++ b/crates/core/src/placement/running.rs
@@ -181,8 +181,9 @@
         if let Some(state) = self.endpoints.get_mut(endpoint) {
             state.reading.note(req.ticket, req.prompt_tokens, now);
             state.note_prefix(req.prefix, now);
-            state.note_sent(self.cold_senders, now);
+            state.note_sent(self.senders, now);
         }
+        self.throttle.sent(endpoint, now);
         self.run_at(req, endpoint, now);
     }
 
--- a/crates/core/src/placement/scheduler.rs
+++ b/crates/core/src/placement/scheduler.rs
@@ -7,7 +7,7 @@
 };
 
 use super::{
-    Action, ColdSenders, Drawn, Request, Ticket,
+    Action, Drawn, Request, Senders, Ticket,
     apart::Apart,
     endpoint::{EndpointState, Share},
     evacuation::Evacuation,
@@ -22,6 +22,7 @@
     config::EndpointTarget,
     error::{ErrorKind, RequestError},
     mechanism::{Disabled, Mechanism},
+    throttle::Throttle,
     units::Instant,
 };
 
@@ -105,8 +106,10 @@
     pub(super) counts: HashMap<Arc<str>, Count>,
     /// Endpoints that are cold, or were lately: few of many.
     pub(super) cold: BTreeSet<Arc<str>>,
-    /// With whom it shares what they bear.
-    pub(super) cold_senders: ColdSenders,
+    /// With whom it shares what they bear, and what limits allow.
+    pub(super) senders: Senders,
+    /// The limits that endpoints name, also those of endpoints that it does not place at itself.
+    pub(crate) throttle: Throttle,
     /// Random number of the daemon that places by itself; none for the scheduler of all daemons.
     pub(super) alone: Option<u64>,
     /// When it last decided.
@@ -132,7 +135,8 @@
             apart: Apart::default(),
             counts: HashMap::new(),
             cold: BTreeSet::new(),
-            cold_senders: ColdSenders::scheduler(),
+            senders: Senders::Scheduler,
+            throttle: Throttle::new(Senders::Scheduler, 0),
             alone: None,
             decided: Instant::default(),
             samples: 0,
@@ -151,9 +155,10 @@
         let disabled = disabled.with(Mechanism::Handover);
         let limits = SchedulerLimits { disabled, ..SchedulerLimits::default() };
         let policy = Box::new(TwoDrawn::without(disabled, seed));
-        let cold_senders = ColdSenders::daemons(0);
+        let senders = Senders::daemons(0);
         let (samples, alone) = (seed as usize, Some(seed));
-        Scheduler { samples, alone, cold_senders, ..Scheduler::new(limits, policy) }
+        let throttle = Throttle::new(senders, seed);
+        Scheduler { samples, alone, senders, throttle, ..Scheduler::new(limits, policy) }
     }
 
     /// The endpoint of a request that was placed, and another one with room if there is any.
@@ -175,7 +180,7 @@
             .sample(self.samples, placed.req.prefix)
             .filter(|name| **name != placed.endpoint)
             .filter_map(|name| self.endpoints.get(name))
-            .filter(|endpoint| endpoint.takes_work(now))
+            .filter(|endpoint| self.may_send(endpoint, now))
             .collect();
         let req = &placed.req;
         let work = Work::new(req, self.forecast.survival(&req.workspace, &req.kind));
@@ -274,7 +279,23 @@
     /// other input.
     pub fn next_decision(&self) -> Option<Instant> {
         let next = self.next_expiry().into_iter().chain(self.next_evacuation());
-        next.chain(self.next_while_cold()).min()
+        next.chain(self.next_while_cold()).chain(self.next_turn()).min()
+    }
+
+    /// Whether an endpoint may be sent new work now.
+    pub(super) fn may_send(&self, endpoint: &EndpointState, now: Instant) -> bool {
+        endpoint.takes_work(now) && self.throttle.takes(&endpoint.name, now)
+    }
+
+    /// When an endpoint that names a limit next takes a request, while any waits.
+    fn next_turn(&self) -> Option<Instant> {
+        if self.queued.is_empty() || self.throttle.is_empty() {
+            return None;
+        }
+        let limited = self.throttle.words().map(|word| &word.endpoint);
+        let limited = limited.filter(|name| self.endpoints.contains_key(*name));
+        let turns = limited.map(|name| self.throttle.next(name, self.decided));
+        turns.filter(|at| self.decided < *at).min()
     }
 
     /// When a cold endpoint next takes a request, while any waits.
@@ -317,7 +338,7 @@
             let mut open: Vec<&EndpointState> = state
                 .sample(self.samples, req.prefix)
                 .filter_map(|name| self.endpoints.get(name))
-                .filter(|endpoint| endpoint.takes_work(now))
+                .filter(|endpoint| self.may_send(endpoint, now))
                 .collect();
             if let (Some(avoid), true) = (&req.avoid, 1 < open.len()) {
                 open.retain(|endpoint| endpoint.name != *avoid);
--- a/crates/core/src/registry/mod.rs
+++ b/crates/core/src/registry/mod.rs
@@ -212,6 +212,11 @@
         }
     }
 
+    /// Whether the run of an endpoint that was started then is the one that is known, if it answers or not.
+    pub(crate) fn knows_run(&self, id: &str, born: u64) -> bool {
+        self.known.get(id).is_some_and(|known| known.record.born == born)
+    }
+
     /// Notes that the run of an endpoint that was started then, or whatever run is known where that is
     /// zero, said that it will end. Returns the record to pass on if that is new; for an endpoint that
     /// is not known here it holds only the name and the run.
--- /dev/null
+++ b/crates/core/src/throttle/word.rs
@@ -0,0 +1,40 @@
+//! What an endpoint has said in one answer.
+
+use std::sync::Arc;
+
+use super::RateLimit;
+use crate::units::Instant;
+
+/// What an endpoint said of how much it takes: true at some time between the request and its answer.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Word {
+    /// Name of the endpoint.
+    pub endpoint: Arc<str>,
+    /// When its run was started, by its own word; zero where it has not said.
+    pub born: u64,
+    /// What it takes; nothing where it names no limit.
+    pub limit: Option<RateLimit>,
+    /// When the request was sent.
+    pub asked: Instant,
+    /// When the answer was read.
+    pub read: Instant,
+}
+
+impl Word {
+    /// Whether this holds in place of what another answer of the same run has said. Of two that may have been
+    /// given in either order the lower limit holds, until a later answer says otherwise.
+    pub(super) fn replaces(&self, known: &Word) -> bool {
+        if self.born != known.born {
+            return known.born < self.born;
+        }
+        if self.read <= known.asked {
+            return false;
+        }
+        known.read <= self.asked || self.rate() <= known.rate()
+    }
+
+    /// Requests a second; without a limit more than any.
+    fn rate(&self) -> f64 {
+        self.limit.map_or(f64::INFINITY, RateLimit::per_second)
+    }
+}
--- a/crates/core/src/wire/control.rs
+++ b/crates/core/src/wire/control.rs
@@ -3,7 +3,7 @@
 
 use bytes::Bytes;
 
-use super::{SuspectNews, SuspectsReply};
+use super::{LimitWord, SuspectNews, SuspectsReply};
 use crate::{
     once::{Claim, Settle, StoredAnswer},
     quarantine::{ClearRequest, EndedUnder},
@@ -88,6 +88,9 @@
     /// What the daemon lacks of the suspects.
     #[prost(message, optional, tag = "11")]
     pub suspects: Option<SuspectNews>,
+    /// Some of the limits that endpoints name.
+    #[prost(message, repeated, tag = "12")]
+    pub limits: Vec<LimitWord>,
 }
 
 /// An endpoint that takes longer for everything.
--- a/crates/core/src/wire/mod.rs
+++ b/crates/core/src/wire/mod.rs
@@ -8,6 +8,7 @@
 mod quarantine;
 #[cfg(test)]
 mod tests;
+mod throttle;
 
 use crate::{agreement, state::HallsOut};
 
@@ -27,6 +28,7 @@
     quarantine::{
         SuspectChange, SuspectNews, SuspectsReply, TrialAsk, TrialOver, TrialReply, TrialStatus,
     },
+    throttle::{LeaveAsk, LeaveReply, LimitNews, LimitWord},
 };
 
 /// A message between two daemons.
@@ -35,7 +37,7 @@
     /// What it says.
     #[prost(
         oneof = "Body",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26, 27, 28"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26, 27, 28, 29, 30, 31, 32"
     )]
     pub body: Option<Body>,
 }
@@ -127,6 +129,18 @@
     /// The try has ended, or is no longer wanted.
     #[prost(message, tag = "28")]
     TrialOver(TrialOver),
+    /// A daemon tells the leader which limits endpoints have named to it.
+    #[prost(message, tag = "29")]
+    LimitsRead(LimitNews),
+    /// The leader tells which limits endpoints name, without being asked.
+    #[prost(message, tag = "30")]
+    Limits(LimitNews),
+    /// A daemon asks whether a request may go to an endpoint that names a limit.
+    #[prost(message, tag = "31")]
+    LeaveAsk(LeaveAsk),
+    /// The leader answers.
+    #[prost(message, tag = "32")]
+    LeaveReply(LeaveReply),
 }
 
 impl Body {
@@ -161,6 +175,10 @@
             Body::TrialAsk(_) => "trial_ask",
             Body::TrialReply(_) => "trial_reply",
             Body::TrialOver(_) => "trial_over",
+            Body::LimitsRead(_) => "limits_read",
+            Body::Limits(_) => "limits",
+            Body::LeaveAsk(_) => "leave_ask",
+            Body::LeaveReply(_) => "leave_reply",
         }
     }
 }
--- a/crates/server/src/relay/call.rs
+++ b/crates/server/src/relay/call.rs
@@ -1,6 +1,6 @@
 //! Plain calls: the least loaded endpoint, and another where that is allowed.
 
-use std::sync::Arc;
+use std::{cell::RefCell, rc::Rc, sync::Arc};
 
 use bytes::Bytes;
 use futures_util::{StreamExt, stream::FuturesUnordered};
@@ -14,8 +14,8 @@
 };
 
 use super::{
-    Answer, Job, MAX_TURNED, Relay, Turned, ended::Awaited, job::GoOn, limited, loads::Verdict,
-    no_answer, permit::Permit,
+    Answer, Job, MAX_TURNED, Relay, Turned, ended::Awaited, job::GoOn, limited, limited::Try,
+    loads::Verdict, no_answer, permit::Permit,
 };
 use crate::{
     edge::{self, Body, LocalFuture},
@@ -69,7 +69,8 @@
     relay: &'a Relay,
     job: &'a Job,
     running: FuturesUnordered<LocalFuture<'a, End>>,
-    tried: Vec<Arc<str>>,
+    /// Endpoints that the call was sent to.
+    tried: Rc<RefCell<Vec<Arc<str>>>>,
     /// Attempts that may have run or still may.
     starts: u32,
     turned: u32,
@@ -85,7 +86,7 @@
             relay,
             job,
             running: FuturesUnordered::new(),
-            tried: Vec::new(),
+            tried: Rc::default(),
             starts: 0,
             turned: 0,
             failure: None,
@@ -94,7 +95,7 @@
     }
 
     async fn run(&mut self) -> Result<(response::Parts, Bytes), RequestError> {
-        self.start()?;
+        self.start(Try::First);
         let deadline = sleep_until(self.job.deadline);
         let mut deadline = std::pin::pin!(deadline);
         // One that may be repeated and takes longer than the others explain is sent to a second
@@ -113,8 +114,10 @@
                 }
                 () = second.as_mut(), if !hedged => {
                     hedged = true;
-                    // Of a suspect one try runs at a time, and a second one would wait for the first.
-                    if !self.relay.is_suspect(self.job) {
+                    // Of a suspect one try runs at a time, and a second one would wait for the first. One that
+                    // was not sent yet is not late at its endpoint.
+                    let is_sent = !self.tried.borrow().is_empty();
+                    if is_sent && !self.relay.is_suspect(self.job) {
                         self.start_another();
                     }
                 }
@@ -177,33 +180,28 @@
         if self.relay.check_may_run(self.job).is_err() {
             return;
         }
-        if self.choose().is_some_and(|endpoint| !self.tried.contains(&endpoint.id))
-            && self.relay.may_repeat(&self.job.service)
-            && let Err(e) = self.start()
-        {
-            self.problem = e.message;
+        if self.has_untried() && self.relay.may_repeat(&self.job.service) {
+            self.start(Try::Another);
         }
     }
 
-    fn choose(&self) -> Option<Registered> {
-        let endpoints = self.relay.node.view().open_endpoints(&self.job.service);
-        let endpoints = self.relay.loads.open(endpoints, self.relay.cold_rule(self.job).as_ref());
-        self.relay.loads.choose(&endpoints, &self.tried, &self.relay.hall)
+    /// Whether any endpoint is left that the call was not sent to.
+    fn has_untried(&self) -> bool {
+        let (relay, tried) = (self.relay, self.tried.borrow());
+        let open = relay.open_endpoints(self.job);
+        let best = relay.loads.choose(&open, &tried, &relay.hall);
+        best.is_some_and(|endpoint| !tried.contains(&endpoint.id))
     }
 
-    fn start(&mut self) -> Result<(), RequestError> {
-        let Some(endpoint) = self.choose() else {
-            return Err(no_endpoint(self.relay, &self.job.service));
-        };
-        self.tried.push(endpoint.id.clone());
+    fn start(&mut self, which: Try) {
         self.starts += 1;
-        self.running.push(Box::pin(attempt(self.relay, self.job, endpoint)));
-        Ok(())
+        let attempt = attempt(self.relay, self.job, which, self.tried.clone());
+        self.running.push(Box::pin(attempt));
     }
 }
 
 /// The error for a call to a service that no endpoint serves now.
-fn no_endpoint(relay: &Relay, service: &str) -> RequestError {
+pub(super) fn no_endpoint(relay: &Relay, service: &str) -> RequestError {
     let view = relay.node.view();
     if !view.open_endpoints(service).is_empty() {
         // They are cold, and bear no more for now.
@@ -218,11 +216,17 @@
 }
 
 /// Makes one attempt at an endpoint, once it may be sent.
-async fn attempt(relay: &Relay, job: &Job, endpoint: Registered) -> End {
+async fn attempt(relay: &Relay, job: &Job, which: Try, tried: Rc<RefCell<Vec<Arc<str>>>>) -> End {
     let mut permit = match relay.permit(job).await {
         Ok(permit) => permit,
         Err(error) => return End::Refused(error),
     };
+    let tried_before = tried.borrow().clone();
+    let endpoint = match relay.endpoint_for(job, which, &tried_before).await {
+        Ok(endpoint) => endpoint,
+        Err(error) => return End::Refused(error),
+    };
+    tried.borrow_mut().push(endpoint.id.clone());
     // It may have waited for its turn.
     if let Err(error) = relay.check_may_run(job) {
         return End::Refused(error);
@@ -275,6 +279,7 @@
     let protocol = &*relay.protocol;
     let req = job.request(protocol, &endpoint.id, endpoint.address, &GoOn::default());
     let connect_limit = relay.options.connect_limit.min(job.time_left());
+    let asked = relay.node.now();
     let opened = exchange(endpoint.address, req, connect_limit).await;
     let open = match opened {
         Ok(open) => open,
@@ -289,7 +294,7 @@
     let success = match protocol.judge(&job.caller.id, &open.head) {
         Answer::Ran { success } => success,
         Answer::Turned(Turned::Full) => {
-            let limit = relay.read_limit(job, endpoint, &open.head);
+            let limit = relay.read_limit(job, endpoint, asked, &open.head);
             let end = End::NotRun("the endpoint is full".into());
             return Tried { end, verdict: Verdict::Failed, limit };
         }
@@ -301,7 +306,7 @@
             return Tried::new(End::Unknown(problem.into()), Verdict::Failed);
         }
     };
-    let limit = relay.read_limit(job, endpoint, &open.head);
+    let limit = relay.read_limit(job, endpoint, asked, &open.head);
     match open.body.collect(MAX_ANSWER).await {
         Ok(body) => {
             let verdict = if success { Verdict::Good } else { Verdict::Failed };
--- a/crates/server/src/relay/generation.rs
+++ b/crates/server/src/relay/generation.rs
@@ -244,6 +244,7 @@
     };
     let broke_off = || relay.broke_off(job, permit, known, go_on.after.unwrap_or(0));
     let req = job.request(&*relay.protocol, &known.id, known.address, go_on);
+    let asked = relay.node.now();
     let open = match exchange(known.address, req, relay.options.connect_limit).await {
         Ok(open) => open,
         Err(SendError::NotSent(problem)) => {
@@ -258,7 +259,7 @@
     };
     match relay.protocol.judge(&job.caller.id, &open.head) {
         Answer::Turned(Turned::Full) => {
-            relay.read_limit(job, known, &open.head);
+            relay.read_limit(job, known, asked, &open.head);
             return Err(Lost::NotRun("the endpoint is full".into()));
         }
         Answer::Turned(Turned::Other) => {
@@ -267,10 +268,10 @@
         }
         Answer::Foreign(problem) => return Err(Lost::Unknown(problem.into())),
         Answer::Ran { success: true } => {
-            relay.read_limit(job, known, &open.head);
+            relay.read_limit(job, known, asked, &open.head);
         }
         Answer::Ran { success: false } => {
-            relay.read_limit(job, known, &open.head);
+            relay.read_limit(job, known, asked, &open.head);
             /// Largest answer of an endpoint that failed.
             const MAX_FAILURE: usize = 1024 * 1024;
             return match open.body.collect(MAX_FAILURE).await {
--- a/crates/server/src/relay/latency.rs
+++ b/crates/server/src/relay/latency.rs
@@ -34,6 +34,11 @@
         self.mean += MEAN_WEIGHT * (took - self.mean);
     }
 
+    /// The time that a call takes, once any has been answered.
+    pub(super) fn mean(&self) -> Duration {
+        Duration::from_secs_f64(self.mean)
+    }
+
     /// The time after which a call takes longer than the others explain, once that is known.
     pub(super) fn unusual_after(&self) -> Option<Duration> {
         let usual = self.mean + USUAL_DEVIATIONS * self.deviation;
--- a/crates/server/src/relay/limited.rs
+++ b/crates/server/src/relay/limited.rs
@@ -1,27 +1,46 @@
-//! Endpoints that name in their answers how many requests a second they take.
+//! Endpoints that name in their answers how many requests a second they take, and what calls do about it.
+
+use std::{sync::Arc, time::Duration};
 
 use http::response;
-use trayswitch_core::{registry::Registered, throttle::RateLimit};
+use trayswitch_clock::Instant;
+use trayswitch_core::{
+    error::{ErrorKind, RequestError},
+    node::Input,
+    registry::Registered,
+    throttle::{Leave, RateLimit, Word},
+    units,
+};
 
-use super::{Job, Relay};
+use super::{Job, Relay, call::no_endpoint};
 use crate::telemetry::EventId;
 
+/// Endpoints that one request for leave names: as many as a question holds in one packet.
+const MAX_CANDIDATES: usize = 16;
+/// Part of the time that is left which a call may wait for leave; the rest is for the answer.
+const MOST_WAITED: u32 = 2;
+
+/// Which attempt at a call is to be sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Try {
+    /// The first one: it may wait, and go wherever it can.
+    First,
+    /// Another one: only at once, and to an endpoint that was not tried.
+    Another,
+}
+
 impl Relay {
-    /// The limit that an endpoint names in its answer. One that cannot be read is told of and changes
-    /// nothing.
+    /// Takes what an endpoint says in its answer of how much it takes. What cannot be read is told of and
+    /// changes nothing. The answer is to a request that was sent at `asked`.
     pub(super) fn read_limit(
         &self,
         job: &Job,
         endpoint: &Registered,
+        asked: units::Instant,
         head: &response::Parts,
     ) -> Option<RateLimit> {
-        match self.protocol.limit(head) {
-            Ok(limit) => {
-                if limit.is_some() {
-                    self.metrics.limit_read(&job.service, "named");
-                }
-                limit
-            }
+        let limit = match self.protocol.limit(head) {
+            Ok(limit) => limit,
             Err(problem) => {
                 self.metrics.limit_read(&job.service, "unreadable");
                 log::warn!(
@@ -29,10 +48,121 @@
                     end = "unreadable", detail = problem.to_string().as_str();
                     "an endpoint names a limit that cannot be read"
                 );
-                None
+                return None;
             }
+        };
+        if limit.is_some() {
+            self.metrics.limit_read(&job.service, "named");
+        }
+        if limit.is_some() || self.node.has_limits() {
+            let word = Word {
+                endpoint: endpoint.id.clone(),
+                born: endpoint.born,
+                limit,
+                asked,
+                read: self.node.now(),
+            };
+            self.node.input(Input::LimitRead(word));
+        }
+        limit
+    }
+
+    /// The endpoints that a call may be sent to now, but for what they say of how much they take.
+    pub(super) fn open_endpoints(&self, job: &Job) -> Vec<Registered> {
+        let endpoints = self.node.view().open_endpoints(&job.service);
+        self.loads.open(endpoints, self.cold_rule(job).as_ref())
+    }
+
+    /// The endpoint for an attempt at a call. The best one is asked for leave if it names a limit; without leave
+    /// one that names none is next, and a first attempt waits only if there is none of these.
+    pub(super) async fn endpoint_for(
+        &self,
+        job: &Job,
+        which: Try,
+        tried: &[Arc<str>],
+    ) -> Result<Registered, RequestError> {
+        let open = self.open_endpoints(job);
+        let Some(best) = self.loads.choose(&open, tried, &self.hall) else {
+            return Err(no_endpoint(self, &job.service));
+        };
+        if self.node.limit(&best.id).is_none() {
+            return Ok(best);
         }
+        let (mut limited, free): (Vec<_>, Vec<_>) = open
+            .into_iter()
+            .filter(|endpoint| which == Try::First || !tried.contains(&endpoint.id))
+            .partition(|endpoint| self.node.limit(&endpoint.id).is_some());
+        self.loads.sort(&mut limited, &self.hall);
+        let max_wait = match which {
+            Try::First if free.is_empty() => self.patience(job),
+            Try::First | Try::Another => Duration::ZERO,
+        };
+        let began = Instant::now();
+        let leave = self.ask_for_leave(job, &limited, max_wait, free.is_empty()).await;
+        let (end, chosen) = match leave {
+            Leave::Granted(endpoint) => ("granted", self.granted(job, &endpoint)),
+            Leave::NotNow { retry_after } => match self.loads.choose(&free, tried, &self.hall) {
+                Some(endpoint) => ("elsewhere", Ok(endpoint)),
+                None => ("refused", Err(no_turn(&job.service, retry_after))),
+            },
+        };
+        self.note_leave(job, &best, end, began.elapsed());
+        chosen
     }
+
+    /// Asks for leave at one of these endpoints.
+    async fn ask_for_leave(
+        &self,
+        job: &Job,
+        limited: &[Registered],
+        max_wait: Duration,
+        is_only_way: bool,
+    ) -> Leave {
+        let now = Instant::now();
+        let not_before = self.no_leave_until.borrow().get(&job.service).copied();
+        if let Some(until) = not_before.filter(|until| now < *until && !is_only_way) {
+            return Leave::NotNow { retry_after: until.saturating_duration_since(now) };
+        }
+        let candidates = limited.iter().take(MAX_CANDIDATES).map(|endpoint| endpoint.id.clone());
+        let leave = self.node.leave(&job.service, candidates.collect(), max_wait).await;
+        if let Leave::NotNow { retry_after } = leave {
+            let until = Instant::now() + retry_after;
+            self.no_leave_until.borrow_mut().insert(job.service.clone(), until);
+        }
+        leave
+    }
+
+    /// The endpoint that leave was given for, if it may still be sent anything.
+    fn granted(&self, job: &Job, endpoint: &str) -> Result<Registered, RequestError> {
+        let mut open = self.open_endpoints(job).into_iter();
+        let still_open = open.find(|open| *open.id == *endpoint);
+        still_open.ok_or_else(|| no_endpoint(self, &job.service))
+    }
+
+    /// How long a call may wait for leave, so that its answer still comes in time.
+    fn patience(&self, job: &Job) -> Duration {
+        let taken = job.arrived.elapsed() + self.usual_latency(&job.service);
+        let in_time = job.route.spec.target_latency.saturating_sub(taken);
+        in_time.min(job.time_left() / MOST_WAITED)
+    }
+
+    fn note_leave(&self, job: &Job, endpoint: &Registered, end: &str, took: Duration) {
+        self.metrics.leave(&job.service, end);
+        log::info!(
+            event = EventId::LeaveAsked.number(), id = job.caller.id.as_str(),
+            endpoint = &*endpoint.id, end = end, took_ms = took.as_millis() as u64,
+            limit = describe(self.node.limit(&endpoint.id)).as_str();
+            "the best endpoint names a limit"
+        );
+    }
+}
+
+/// The answer to a call that no endpoint takes in time.
+fn no_turn(service: &str, retry_after: Duration) -> RequestError {
+    let message = format!("the endpoints of {service} take no more for now, by their own word");
+    let mut error = RequestError::new(ErrorKind::Overloaded, message);
+    error.retry_after = Some(retry_after);
+    error
 }
 
 /// A limit as lines of the log tell it.
--- a/crates/server/src/relay/loads.rs
+++ b/crates/server/src/relay/loads.rs
@@ -6,7 +6,7 @@
 use trayswitch_core::{
     config::ColdStart,
     mechanism::{Disabled, Mechanism},
-    placement::{Cold, ColdSenders},
+    placement::{Cold, Senders, cold_interval},
     registry::Registered,
     units,
 };
@@ -41,13 +41,13 @@
 #[derive(Debug, Clone, Copy)]
 pub(super) struct ColdRule {
     pub(super) bears: ColdStart,
-    pub(super) senders: ColdSenders,
+    pub(super) senders: Senders,
     pub(super) now: units::Instant,
 }
 
 impl ColdRule {
     fn interval(&self) -> Duration {
-        self.senders.interval(self.bears)
+        cold_interval(self.senders, self.bears)
     }
 }
 
@@ -142,29 +142,36 @@
         avoid: &[Arc<str>],
         hall: &str,
     ) -> Option<Registered> {
-        let loads = self.by_name.borrow();
-        let now = Instant::now();
-        let cost = |endpoint: &Registered| {
-            let load = loads.get(&endpoint.id).cloned().unwrap_or_default();
-            let closed = self.disabled.allows(Mechanism::FailurePauses)
-                && load.closed_until.is_some_and(|until| now < until);
-            let failing = if self.disabled.allows(Mechanism::FailureWeights) {
-                (load.failed - USUAL_FAILURES).max(0.0) / (1.0 - USUAL_FAILURES)
-            } else {
-                0.0
-            };
-            let near = *endpoint.hall == *hall || !self.disabled.allows(Mechanism::NearCalls);
-            let far = if near { 0.0 } else { FAR };
-            let avoided = avoid.contains(&endpoint.id);
-            let rank =
-                f64::from(u8::from(avoided)) * 2_000.0 + f64::from(u8::from(closed)) * 1_000.0;
-            rank + f64::from(load.running) + FAILURE_WEIGHT * failing + far + 0.1 * fastrand::f64()
-        };
-        let costs = endpoints.iter().map(|endpoint| (cost(endpoint), endpoint));
+        let costs = endpoints.iter().map(|endpoint| (self.cost(endpoint, avoid, hall), endpoint));
         let (_, best) = costs.min_by(|a, b| a.0.total_cmp(&b.0))?;
         Some(best.clone())
     }
 
+    /// The same endpoints, the least loaded one first.
+    pub(super) fn sort(&self, endpoints: &mut Vec<Registered>, hall: &str) {
+        let costs = endpoints.drain(..).map(|endpoint| (self.cost(&endpoint, &[], hall), endpoint));
+        let mut costs: Vec<(f64, Registered)> = costs.collect();
+        costs.sort_by(|a, b| a.0.total_cmp(&b.0));
+        endpoints.extend(costs.into_iter().map(|(_, endpoint)| endpoint));
+    }
+
+    /// What it costs to send another request to an endpoint, in requests that run there.
+    fn cost(&self, endpoint: &Registered, avoid: &[Arc<str>], hall: &str) -> f64 {
+        let load = self.by_name.borrow().get(&endpoint.id).cloned().unwrap_or_default();
+        let closed = self.disabled.allows(Mechanism::FailurePauses)
+            && load.closed_until.is_some_and(|until| Instant::now() < until);
+        let failing = if self.disabled.allows(Mechanism::FailureWeights) {
+            (load.failed - USUAL_FAILURES).max(0.0) / (1.0 - USUAL_FAILURES)
+        } else {
+            0.0
+        };
+        let near = *endpoint.hall == *hall || !self.disabled.allows(Mechanism::NearCalls);
+        let far = if near { 0.0 } else { FAR };
+        let avoided = avoid.contains(&endpoint.id);
+        let rank = f64::from(u8::from(avoided)) * 2_000.0 + f64::from(u8::from(closed)) * 1_000.0;
+        rank + f64::from(load.running) + FAILURE_WEIGHT * failing + far + 0.1 * fastrand::f64()
+    }
+
     /// Counts a request as running at an endpoint.
     pub(super) fn begin(&self, id: &Arc<str>, rule: Option<&ColdRule>) -> Running {
         let mut loads = self.by_name.borrow_mut();
--- a/crates/server/src/relay/mod.rs
+++ b/crates/server/src/relay/mod.rs
@@ -37,7 +37,7 @@
 use trayswitch_core::{
     error::{ErrorKind, RequestError},
     mechanism::{Disabled, Mechanism},
-    placement::ColdSenders,
+    placement::Senders,
 };
 
 use self::{
@@ -105,6 +105,8 @@
     budgets: RefCell<HashMap<String, RepeatBudget>>,
     /// How long calls take, by service.
     latencies: RefCell<HashMap<String, Latency>>,
+    /// Until when leave at a service's limited endpoints is not asked for while others are free.
+    no_leave_until: RefCell<HashMap<String, Instant>>,
     /// Since when requests have found no configuration that is known to be current.
     outdated_since: Cell<Option<Instant>>,
     /// Endpoints that are watched since an attempt there broke off.
@@ -129,6 +131,7 @@
             loads: Loads::new(options.disabled),
             budgets: RefCell::default(),
             latencies: RefCell::default(),
+            no_leave_until: RefCell::default(),
             outdated_since: Cell::new(Some(Instant::now())),
             watched: Arc::new(Semaphore::new(MOST_WATCHED)),
             metrics,
@@ -156,7 +159,7 @@
     /// What cold endpoints of a request's service bear, if they bear less than others.
     fn cold_rule(&self, job: &Job) -> Option<ColdRule> {
         let service = job.config.config.services.get(&job.service)?;
-        let senders = ColdSenders::daemons(self.node.view().daemons());
+        let senders = Senders::daemons(self.node.view().daemons());
         Some(ColdRule { bears: service.cold_start?, senders, now: self.node.now() })
     }
 
@@ -171,6 +174,11 @@
         self.latencies.borrow().get(service).and_then(Latency::unusual_after)
     }
 
+    /// The time that a call to this service takes; none before any was answered.
+    fn usual_latency(&self, service: &str) -> Duration {
+        self.latencies.borrow().get(service).map_or(Duration::ZERO, Latency::mean)
+    }
+
     /// Whether a mechanism is in use.
     fn uses(&self, mechanism: Mechanism) -> bool {
         self.options.disabled.allows(mechanism)
--- a/crates/server/src/runtime/mod.rs
+++ b/crates/server/src/runtime/mod.rs
@@ -32,6 +32,7 @@
     quarantine::{DigestKey, RequestDigest, RequestIdentity, Standing},
     registry::Registered,
     state::HallsOut,
+    throttle::RateLimit,
     units::{self, UnixMillis},
     wire::Body,
 };
@@ -182,6 +183,16 @@
         if node.has_suspects() { node.standing(&digest()) } else { Standing::default() }
     }
 
+    /// The limit that an endpoint names, if it does.
+    pub(crate) fn limit(&self, endpoint: &str) -> Option<RateLimit> {
+        self.0.node.borrow().limit(endpoint)
+    }
+
+    /// Whether anything is known of what an endpoint has said of its limit.
+    pub(crate) fn has_limits(&self) -> bool {
+        self.0.node.borrow().has_limits()
+    }
+
     /// Begins a planned stop of the node.
     pub fn stop(&self) {
         self.input(Input::Stop);
@@ -219,6 +230,9 @@
             Output::Suspects { suspects, quarantined } => {
                 self.0.metrics.suspects(suspects, quarantined);
             }
+            Output::Limit { endpoint, limit, change, limited } => {
+                sight::limit_changed(&self.0.metrics, &endpoint, limit, change, limited);
+            }
             Output::Unusable { version, why } => log::error!(
                 event = EventId::ConfigUnusable.number(), config = version, cause = why;
                 "an accepted configuration cannot come into force here"
--- a/crates/server/src/runtime/questions.rs
+++ b/crates/server/src/runtime/questions.rs
@@ -10,6 +10,7 @@
     node::{Answer, CallId, InForce, Input, Question, SubmitError},
     placement::Request,
     state::{HallOrder, HallResult, HallsOut},
+    throttle::{Ask, Leave},
     wire::{AcceptedVersion, Submit},
 };
 
@@ -20,6 +21,9 @@
 /// A placement is answered within its own time in the queue; this only bounds a fault.
 const PLACE_LIMIT: Duration = Duration::from_secs(600);
 
+/// The node answers within the asker's own limit; this only bounds a fault.
+const LEAVE_SLACK: Duration = Duration::from_secs(1);
+
 impl NodeHandle {
     /// Places a request; the guard frees the place when it is dropped.
     pub async fn place(&self, req: Request) -> Result<Placed, RequestError> {
@@ -32,6 +36,22 @@
         }
     }
 
+    /// Asks for leave at one of several endpoints that name limits, the best one first; waits so long for it
+    /// if it is not given at once.
+    pub(crate) async fn leave(
+        &self,
+        service: &str,
+        endpoints: Vec<Arc<str>>,
+        max_wait: Duration,
+    ) -> Leave {
+        let call = self.0.view.next_call();
+        let ask = Ask { asker: call, service: service.into(), endpoints, max_wait };
+        match self.ask(call, Question::Leave(ask), max_wait + LEAVE_SLACK).await {
+            Some(Answer::Leave(leave)) => leave,
+            _ => Leave::NotNow { retry_after: LEAVE_SLACK },
+        }
+    }
+
     /// Submits a document and waits for the outcome. One that comes too late is confirmed, not
     /// refused, if `or_newer` is set.
     pub async fn submit(
--- a/crates/server/src/runtime/sight.rs
+++ b/crates/server/src/runtime/sight.rs
@@ -5,6 +5,7 @@
 use trayswitch_core::{
     node::{SentChange, VmName},
     quarantine::{Standing, Suspect},
+    throttle::{Change, RateLimit},
 };
 
 use crate::telemetry::{EventId, Metrics};
@@ -55,6 +56,23 @@
     );
 }
 
+/// Tells that an endpoint names a limit, another one, or none any more.
+pub(super) fn limit_changed(
+    metrics: &Metrics,
+    endpoint: &str,
+    limit: Option<RateLimit>,
+    change: Change,
+    limited: usize,
+) {
+    metrics.limited_endpoints(limited);
+    let limit = limit.map_or_else(|| "-".to_owned(), |limit| limit.to_string());
+    log::info!(
+        event = EventId::LimitChanged.number(), endpoint = endpoint, end = change.name(),
+        limit = limit.as_str();
+        "an endpoint says how many requests a second it takes from all daemons"
+    );
+}
+
 /// Notes that the VM was suspended.
 pub(super) fn was_suspended(metrics: &Metrics, time: Duration) {
     metrics.suspended(time);
--- a/crates/server/src/telemetry/metrics.rs
+++ b/crates/server/src/telemetry/metrics.rs
@@ -22,6 +22,8 @@
     quarantined: IntGauge,
     trials: IntCounterVec,
     limits_read: IntCounterVec,
+    limited_endpoints: IntGauge,
+    leaves: IntCounterVec,
     latency: HistogramVec,
     first_event: HistogramVec,
     config_version: IntGauge,
@@ -95,6 +97,15 @@
                 "Answers in which an endpoint names how many requests a second it takes, by service and whether it can be read",
                 &["service", "limit"],
             )?,
+            limited_endpoints: gauge(
+                "trayswitch_limited_endpoints",
+                "Endpoints that name how many requests a second they take, as this daemon knows",
+            )?,
+            leaves: counter(
+                "trayswitch_leaves_total",
+                "Calls for which an endpoint that names a limit was chosen, by service and what became of them",
+                &["service", "end"],
+            )?,
             latency: histogram(
                 "trayswitch_request_seconds",
                 "Time to the end of the answer, by kind",
@@ -170,6 +181,16 @@
         self.quarantined.set(i64::try_from(quarantined).unwrap_or(i64::MAX));
     }
 
+    /// This daemon knows of so many endpoints that name a limit.
+    pub fn limited_endpoints(&self, count: usize) {
+        self.limited_endpoints.set(count as i64);
+    }
+
+    /// A call for which an endpoint that names a limit was chosen went there, elsewhere or nowhere.
+    pub fn leave(&self, service: &str, end: &str) {
+        self.leaves.with_label_values(&[service, end]).inc();
+    }
+
     /// An endpoint has named in an answer how many requests a second it takes.
     pub fn limit_read(&self, service: &str, limit: &str) {
         self.limits_read.with_label_values(&[service, limit]).inc();
--- a/crates/trayswitchd/src/node/actor.rs
+++ b/crates/trayswitchd/src/node/actor.rs
@@ -146,6 +146,11 @@
             }
             Output::Suspects { suspects, .. } => self.view.set_has_suspects(0 < suspects),
             Output::Suspect(suspect) => note_suspect(&suspect),
+            Output::Limit { endpoint, limit, change, .. } => {
+                let limit = limit.map_or_else(|| "none".to_owned(), |limit| limit.to_string());
+                let (event, change) = (EventId::LimitChanged, change.name());
+                log::info!("{event} {endpoint}: {change}, {limit} requests a second");
+            }
             Output::Unusable { version, why } => {
                 let event = EventId::ConfigUnusable;
                 log::error!("{event} version {version} cannot come into force here: {why}");
