--- a/crates/core/src/node/dispatcher.rs
+++ b/crates/core/src/node/dispatcher.rs
@@ -40,6 +40,8 @@
     leaving: BTreeMap<Arc<str>, Instant>,
     endpoints: Vec<String>,
     watches: ByVm<Vec<String>>,
+    /// Whether the endpoints have changed since they were assigned.
+    must_assign: bool,
     slow: SlowOnes,
     limits: Limits,
 }
@@ -64,6 +66,7 @@
             leaving: BTreeMap::new(),
             endpoints: Vec::new(),
             watches: ByVm::new(),
+            must_assign: true,
             slow: SlowOnes::default(),
             limits: Limits::default(),
         }
@@ -82,6 +85,7 @@
             self.scheduler.endpoint_cold(name, *until, now);
         }
         self.endpoints = endpoints.keys().cloned().collect();
+        self.must_assign = true;
         for endpoint in endpoints.keys() {
             self.scheduler.endpoint_leaving(endpoint, engines.closed.contains(endpoint.as_str()));
         }
@@ -281,8 +285,12 @@
     }
 
     /// Each endpoint is asked for its load by one daemon, chosen by rendezvous hashing, so
-    /// that a change of daemons moves few endpoints.
+    /// that a change of daemons moves few endpoints. Only a change is worth the look at all of them.
     fn assign_watches(&mut self, daemons: &BTreeSet<VmName>, out: &mut Outbox) {
+        if !self.must_assign && self.watches.keys().eq(daemons) {
+            return;
+        }
+        self.must_assign = false;
         let mut assigned: ByVm<Vec<String>> =
             daemons.iter().map(|vm| (vm.clone(), Vec::new())).collect();
         for endpoint in &self.endpoints {
--- a/crates/core/src/node/endpoints.rs
+++ b/crates/core/src/node/endpoints.rs
@@ -10,7 +10,7 @@
 };
 use crate::{
     placement::{EndpointState, Health, Scheduler},
-    throttle::Word,
+    throttle::{RateLimit, Word},
     units::Instant,
     wire::{Body, EndpointNews, EndpointRecord, EndpointsWanted},
 };
@@ -34,6 +34,8 @@
     pub kv_used: u64,
     /// Memory, in tokens.
     pub kv_tokens: u64,
+    /// Requests a second that it takes from all daemons, by its own word; nothing where it names no limit.
+    pub limit: Option<f64>,
 }
 
 impl Node {
@@ -243,6 +245,7 @@
         slots: state.spec().slots,
         kv_used: state.kv_used() as u64,
         kv_tokens: state.spec().kv_tokens,
+        limit: scheduler.throttle.limit(name).map(RateLimit::per_second),
     };
     scheduler.endpoints().into_iter().map(status).collect()
 }
--- a/crates/core/src/node/limits.rs
+++ b/crates/core/src/node/limits.rs
@@ -14,7 +14,7 @@
 };
 
 /// Daemons are told of changes no more often than this; an endpoint may name another limit in each answer.
-const TELL_PAUSE: Duration = Duration::from_millis(100);
+const TELL_PAUSE: Duration = Duration::from_millis(200);
 /// Limits in one message: 2 kB.
 const TOLD_AT_ONCE: usize = 32;
 /// Limits that an answer to a daemon's poll names, for what has not reached it: 120 bytes.
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -203,11 +203,6 @@
         self.placing.local().throttle.limit(endpoint)
     }
 
-    /// Whether any endpoint names a limit.
-    pub fn has_limits(&self) -> bool {
-        !self.placing.local().throttle.is_empty()
-    }
-
     /// The chance that an answer would end within this time, by the lengths and paces that this
     /// daemon has seen itself.
     pub fn chance_to_end(&self, req: &Request, within: Duration, now: Instant) -> f64 {
--- a/crates/server/src/relay/limited.rs
+++ b/crates/server/src/relay/limited.rs
@@ -54,7 +54,7 @@
         if limit.is_some() {
             self.metrics.limit_read(&job.service, "named");
         }
-        if limit.is_some() || self.node.has_limits() {
+        if limit.is_some() || self.node.limit(&endpoint.id).is_some() {
             let word = Word {
                 endpoint: endpoint.id.clone(),
                 born: endpoint.born,
--- a/crates/server/src/runtime/mod.rs
+++ b/crates/server/src/runtime/mod.rs
@@ -188,11 +188,6 @@
         self.0.node.borrow().limit(endpoint)
     }
 
-    /// Whether anything is known of what an endpoint has said of its limit.
-    pub(crate) fn has_limits(&self) -> bool {
-        self.0.node.borrow().has_limits()
-    }
-
     /// Begins a planned stop of the node.
     pub fn stop(&self) {
         self.input(Input::Stop);
--- a/crates/trayswitch/src/command/explain/tests.rs
+++ b/crates/trayswitch/src/command/explain/tests.rs
@@ -68,3 +68,20 @@
     let times: Vec<u64> = story.iter().map(|line| line.at).collect();
     expect_that!(times, elements_are![eq(&1000), eq(&3000), eq(&900000), eq(&900001)]);
 }
+
+#[gtest]
+fn a_story_has_the_limits_that_the_endpoints_it_met_have_named_to_its_daemon() {
+    let texts = [
+        r#"{"t":1000,"event":319,"vm":"front-1","endpoint":"i-1","end":"named","limit":"2.900","msg":"an endpoint says"}"#,
+        r#"{"t":1010,"event":319,"vm":"front-2","endpoint":"i-1","end":"named","limit":"2.900","msg":"an endpoint says"}"#,
+        r#"{"t":1020,"event":319,"vm":"front-1","endpoint":"i-9","end":"named","limit":"1.000","msg":"an endpoint says"}"#,
+        r#"{"t":1500,"event":320,"vm":"front-1","id":"r1","endpoint":"i-1","end":"refused","msg":"the best endpoint names a limit"}"#,
+        r#"{"t":1501,"event":310,"vm":"front-1","id":"r1","cause":"overloaded","detail":"","msg":"a request ended"}"#,
+    ];
+    let lines: Vec<Line> = texts.iter().filter_map(|text| Line::parse(text)).collect();
+
+    let story = story("r1", &lines);
+
+    let times: Vec<u64> = story.iter().map(|line| line.at).collect();
+    expect_that!(times, elements_are![eq(&1000), eq(&1500), eq(&1501)]);
+}
--- a/crates/trayswitch/src/command/show.rs
+++ b/crates/trayswitch/src/command/show.rs
@@ -37,7 +37,7 @@
 
 /// Shows the endpoints.
 pub(super) fn endpoints(client: &Client, json: bool, out: &mut dyn Write) -> Result<(), Error> {
-    const COLUMNS: [Column; 8] = [
+    const COLUMNS: [Column; 9] = [
         Column::new("endpoint", "/name"),
         Column::new("hall", "/hall"),
         Column::new("serves", "/target"),
@@ -46,6 +46,7 @@
         Column::new("slots", "/slots"),
         Column::new("memory used", "/kv_used"),
         Column::new("of", "/kv_tokens"),
+        Column::new("takes a second", "/limit"),
     ];
     output::list(&client.get("/v1/endpoints")?, &COLUMNS, json, out)
 }
