--- a/crates/core/src/node/leaves.rs
+++ b/crates/core/src/node/leaves.rs
@@ -1,11 +1,11 @@
-//! This daemon's requests for leave at endpoints that name limits: at the leader, or while none answers at a
-//! keeper of its own, which knows only this daemon's share.
+//! This daemon's requests for leave at endpoints that name limits: at the leader, or while none answers in a
+//! queue of its own, which knows only this daemon's share.
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use super::{Answer, CallId, Outbox, Output, VmName, keeper::SchedulerAt};
 use crate::{
-    throttle::{Ask, Change, Keeper, Leave, Throttle, Word},
+    throttle::{Ask, Change, Leave, LeaveQueue, Throttle, Word},
     units::Instant,
     wire::{Body, LeaveAsk, LeaveReply, LimitNews, LimitWord},
 };
@@ -29,7 +29,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct Leaves {
     asking: BTreeMap<CallId, Asking>,
-    own: Keeper<CallId>,
+    own: LeaveQueue<CallId>,
 }
 
 /// What the parts of a daemon beside this one know now.
--- a/crates/core/src/node/limits.rs
+++ b/crates/core/src/node/limits.rs
@@ -8,7 +8,7 @@
 
 use super::{Outbox, VmName, leaves::decode, spread};
 use crate::{
-    throttle::{Change, Keeper, Leave, Throttle, Word},
+    throttle::{Change, Leave, LeaveQueue, Throttle, Word},
     units::Instant,
     wire::{Body, LeaveAsk, LeaveReply, LimitNews, LimitWord},
 };
@@ -23,7 +23,7 @@
 /// The leader's soft state about limits.
 #[derive(Debug, Default)]
 pub(super) struct Limits {
-    keeper: Keeper<(VmName, u64)>,
+    queue: LeaveQueue<(VmName, u64)>,
     /// Endpoints of which daemons are to be told.
     news: VecDeque<Arc<str>>,
     /// When they are told, if of any.
@@ -62,18 +62,18 @@
         let (ask, words) = decode(from, ask, now);
         words.into_iter().for_each(|word| self.learn(word, throttle, now));
         let asker = ask.asker.clone();
-        if let Some(leave) = self.keeper.ask(ask, throttle, now) {
+        if let Some(leave) = self.queue.ask(ask, throttle, now) {
             reply(&asker, leave, out);
         }
     }
 
     /// A daemon is gone.
     pub(super) fn forget(&mut self, vm: &VmName) {
-        self.keeper.forget(|(asker, _)| asker == vm);
+        self.queue.forget(|(asker, _)| asker == vm);
     }
 
     pub(super) fn next_tick(&self) -> Option<Instant> {
-        self.tell.into_iter().chain(self.keeper.next_decision()).min()
+        self.tell.into_iter().chain(self.queue.next_decision()).min()
     }
 
     /// Gives leave that is due, and tells daemons what is news.
@@ -84,8 +84,8 @@
         now: Instant,
         out: &mut Outbox,
     ) {
-        if self.keeper.next_decision().is_some_and(|due| due <= now) {
-            for (asker, leave) in self.keeper.decide(throttle, now) {
+        if self.queue.next_decision().is_some_and(|due| due <= now) {
+            for (asker, leave) in self.queue.decide(throttle, now) {
                 reply(&asker, leave, out);
             }
         }
--- a/crates/core/src/throttle/mod.rs
+++ b/crates/core/src/throttle/mod.rs
@@ -2,15 +2,15 @@
 //!
 //! An endpoint in need says so in its answers, for as long as the need lasts. A [`Throttle`] knows these limits
 //! and when each endpoint may be sent the next request. The scheduler of all daemons has one, and counts what
-//! it places itself; a [`Keeper`] beside it gives leave for what daemons send without it. So one place counts
+//! it places itself; a [`LeaveQueue`] beside it gives leave for what daemons send without it. So one place counts
 //! the whole. A daemon that reaches no scheduler has both of its own, and keeps to a share.
 
-mod keeper;
-#[cfg(test)]
-mod keeper_tests;
 mod limit;
 #[cfg(test)]
 mod limit_tests;
+mod queue;
+#[cfg(test)]
+mod queue_tests;
 mod table;
 #[cfg(test)]
 mod table_tests;
@@ -20,8 +20,8 @@
 mod word;
 
 pub use self::{
-    keeper::{Ask, Keeper, Leave},
     limit::{BadLimit, RateLimit},
+    queue::{Ask, Leave, LeaveQueue},
     table::{Change, Throttle},
     word::Word,
 };
--- a/crates/core/src/throttle/keeper.rs
+++ b/crates/core/src/throttle/queue.rs
@@ -52,34 +52,34 @@
 
 /// Those that wait for leave at one service.
 #[derive(Debug)]
-struct Queue<A> {
+struct ServiceQueue<A> {
     waiting: VecDeque<Waiting<A>>,
     refused: u32,
     /// Since when they are counted.
     refused_since: Instant,
 }
 
-impl<A> Default for Queue<A> {
-    fn default() -> Queue<A> {
-        Queue { waiting: VecDeque::new(), refused: 0, refused_since: Instant::default() }
+impl<A> Default for ServiceQueue<A> {
+    fn default() -> ServiceQueue<A> {
+        ServiceQueue { waiting: VecDeque::new(), refused: 0, refused_since: Instant::default() }
     }
 }
 
 /// Gives leave; knows nothing but who waits.
 #[derive(Debug)]
-pub struct Keeper<A> {
-    queues: BTreeMap<Arc<str>, Queue<A>>,
+pub struct LeaveQueue<A> {
+    queues: BTreeMap<Arc<str>, ServiceQueue<A>>,
     /// When it must decide again.
     due: Option<Instant>,
 }
 
-impl<A> Default for Keeper<A> {
-    fn default() -> Keeper<A> {
-        Keeper { queues: BTreeMap::new(), due: None }
+impl<A> Default for LeaveQueue<A> {
+    fn default() -> LeaveQueue<A> {
+        LeaveQueue { queues: BTreeMap::new(), due: None }
     }
 }
 
-impl<A: Clone + PartialEq> Keeper<A> {
+impl<A: Clone + PartialEq> LeaveQueue<A> {
     /// Takes a request for leave; it waits if nothing is returned.
     pub fn ask(&mut self, ask: Ask<A>, throttle: &mut Throttle, now: Instant) -> Option<Leave> {
         let queue = self.queues.entry(ask.service.clone()).or_default();
@@ -114,7 +114,7 @@
                 }
             }
         }
-        let is_used = |queue: &Queue<A>| {
+        let is_used = |queue: &ServiceQueue<A>| {
             !queue.waiting.is_empty() || now.since(queue.refused_since) < REFUSED_TOGETHER
         };
         self.queues.retain(|_, queue| is_used(queue));
@@ -122,7 +122,7 @@
         told
     }
 
-    /// When [`Keeper::decide`] must be called even without other input.
+    /// When [`LeaveQueue::decide`] must be called even without other input.
     pub fn next_decision(&self) -> Option<Instant> {
         self.due
     }
@@ -151,7 +151,7 @@
     }
 }
 
-impl<A> Queue<A> {
+impl<A> ServiceQueue<A> {
     /// How long one more would wait.
     fn expected_wait(&self, ask: &Ask<A>, throttle: &Throttle, now: Instant) -> Duration {
         let first = ask.endpoints.iter().map(|endpoint| throttle.next(endpoint, now)).min();
--- a/crates/core/src/throttle/keeper_tests.rs
+++ b/crates/core/src/throttle/queue_tests.rs
@@ -5,7 +5,7 @@
 use googletest::prelude::*;
 use proptest::prelude::*;
 
-use super::{Ask, Keeper, Leave, RateLimit, Throttle, Word};
+use super::{Ask, Leave, LeaveQueue, RateLimit, Throttle, Word};
 use crate::{placement::Senders, testing::fixed_seed, units::Instant};
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -42,11 +42,11 @@
 
 #[gtest]
 fn one_that_cannot_wait_is_told_at_once() {
-    let (mut keeper, mut throttle) = (Keeper::default(), limited(&["e"], 1.0));
+    let (mut queue, mut throttle) = (LeaveQueue::default(), limited(&["e"], 1.0));
 
-    let early = keeper.ask(ask(1, &["e"], Duration::ZERO), &mut throttle, after_ms(500));
-    let due = keeper.ask(ask(2, &["e"], Duration::ZERO), &mut throttle, after_ms(1_100));
-    let next = keeper.ask(ask(3, &["e"], Duration::ZERO), &mut throttle, after_ms(1_200));
+    let early = queue.ask(ask(1, &["e"], Duration::ZERO), &mut throttle, after_ms(500));
+    let due = queue.ask(ask(2, &["e"], Duration::ZERO), &mut throttle, after_ms(1_100));
+    let next = queue.ask(ask(3, &["e"], Duration::ZERO), &mut throttle, after_ms(1_200));
 
     // The interval is 1/0.95 s.
     let retry_after = Duration::from_micros(552_631);
@@ -57,13 +57,13 @@
 
 #[gtest]
 fn one_that_waits_goes_before_one_that_came_later() {
-    let (mut keeper, mut throttle) = (Keeper::default(), limited(&["e"], 1.0));
-    expect_that!(keeper.ask(ask(1, &["e"], SECOND * 3), &mut throttle, after_ms(100)), none());
-    expect_that!(keeper.ask(ask(2, &["e"], SECOND * 3), &mut throttle, after_ms(200)), none());
-    let later = keeper.ask(ask(3, &["e"], Duration::ZERO), &mut throttle, after_ms(1_060));
+    let (mut queue, mut throttle) = (LeaveQueue::default(), limited(&["e"], 1.0));
+    expect_that!(queue.ask(ask(1, &["e"], SECOND * 3), &mut throttle, after_ms(100)), none());
+    expect_that!(queue.ask(ask(2, &["e"], SECOND * 3), &mut throttle, after_ms(200)), none());
+    let later = queue.ask(ask(3, &["e"], Duration::ZERO), &mut throttle, after_ms(1_060));
 
-    let first = keeper.decide(&mut throttle, after_ms(1_060));
-    let second = keeper.decide(&mut throttle, after_ms(2_110));
+    let first = queue.decide(&mut throttle, after_ms(1_060));
+    let second = queue.decide(&mut throttle, after_ms(2_110));
 
     expect_that!(later, some(matches_pattern!(Leave::NotNow { .. })));
     expect_that!(first, elements_are![eq(&(1, granted("e")))]);
@@ -72,8 +72,8 @@
 
 #[gtest]
 fn one_whose_turn_would_come_too_late_is_refused_at_once() {
-    let (mut keeper, mut throttle) = (Keeper::default(), limited(&["e"], 1.0));
-    let mut ask = |asker| keeper.ask(ask(asker, &["e"], SECOND * 3), &mut throttle, after_ms(0));
+    let (mut queue, mut throttle) = (LeaveQueue::default(), limited(&["e"], 1.0));
+    let mut ask = |asker| queue.ask(ask(asker, &["e"], SECOND * 3), &mut throttle, after_ms(0));
 
     let told: Vec<_> = (0..5).map(&mut ask).collect();
 
@@ -83,8 +83,8 @@
 
 #[gtest]
 fn those_who_are_refused_together_are_told_to_come_back_one_after_the_other() {
-    let (mut keeper, mut throttle) = (Keeper::default(), limited(&["e"], 10.0));
-    let mut ask = |asker| keeper.ask(ask(asker, &["e"], Duration::ZERO), &mut throttle, START);
+    let (mut queue, mut throttle) = (LeaveQueue::default(), limited(&["e"], 10.0));
+    let mut ask = |asker| queue.ask(ask(asker, &["e"], Duration::ZERO), &mut throttle, START);
 
     let told: Vec<Duration> = (0..10)
         .filter_map(|asker| match ask(asker)? {
@@ -100,24 +100,24 @@
 
 #[gtest]
 fn leave_is_given_where_a_turn_comes_first() {
-    let (mut keeper, mut throttle) = (Keeper::default(), limited(&["slow"], 0.5));
+    let (mut queue, mut throttle) = (LeaveQueue::default(), limited(&["slow"], 0.5));
     name(&mut throttle, "fast", 5.0, START);
-    keeper.ask(ask(1, &["slow", "fast"], SECOND), &mut throttle, after_ms(10));
+    queue.ask(ask(1, &["slow", "fast"], SECOND), &mut throttle, after_ms(10));
 
-    let due = keeper.next_decision().unwrap();
-    let told = keeper.decide(&mut throttle, due);
+    let due = queue.next_decision().unwrap();
+    let told = queue.decide(&mut throttle, due);
 
     expect_that!(told, elements_are![eq(&(1, granted("fast")))]);
 }
 
 #[gtest]
 fn who_has_left_is_given_nothing() {
-    let (mut keeper, mut throttle) = (Keeper::default(), limited(&["e"], 1.0));
-    keeper.ask(ask(1, &["e"], SECOND * 3), &mut throttle, START);
-    keeper.ask(ask(2, &["e"], SECOND * 3), &mut throttle, START);
+    let (mut queue, mut throttle) = (LeaveQueue::default(), limited(&["e"], 1.0));
+    queue.ask(ask(1, &["e"], SECOND * 3), &mut throttle, START);
+    queue.ask(ask(2, &["e"], SECOND * 3), &mut throttle, START);
 
-    keeper.forget(|asker| *asker == 1);
-    let told = keeper.decide(&mut throttle, after_ms(1_100));
+    queue.forget(|asker| *asker == 1);
+    let told = queue.decide(&mut throttle, after_ms(1_100));
 
     expect_that!(told, elements_are![eq(&(2, granted("e")))]);
 }
@@ -144,10 +144,10 @@
     prop::collection::vec(arrival, 1..300)
 }
 
-/// Sends what arrives as the keeper says; returns the endpoint and the time of each request.
+/// Sends what arrives as the queue says; returns the endpoint and the time of each request.
 fn play(arrivals: &[Arrival], per_second: f64) -> Vec<(String, Instant)> {
     const NAMES: [&str; 3] = ["e0", "e1", "e2"];
-    let (mut keeper, mut throttle) = (Keeper::default(), limited(&NAMES, per_second));
+    let (mut queue, mut throttle) = (LeaveQueue::default(), limited(&NAMES, per_second));
     let (mut now, mut sent) = (START, Vec::new());
     let mut note = |leave: Leave, now| {
         if let Leave::Granted(endpoint) = leave {
@@ -156,8 +156,8 @@
     };
     for (asker, arrival) in arrivals.iter().enumerate() {
         let until = now.after(Duration::from_micros(arrival.pause_us));
-        while let Some(due) = keeper.next_decision().filter(|due| *due <= until) {
-            let told = keeper.decide(&mut throttle, due.max(now));
+        while let Some(due) = queue.next_decision().filter(|due| *due <= until) {
+            let told = queue.decide(&mut throttle, due.max(now));
             told.into_iter().for_each(|(_, leave)| note(leave, due.max(now)));
         }
         now = until;
@@ -167,7 +167,7 @@
         let max_wait = Duration::from_millis(arrival.max_wait_ms);
         // Every second caller may go to any of them.
         let endpoints = if asker % 2 == 0 { &NAMES[..] } else { &NAMES[arrival.endpoint..][..1] };
-        let leave = keeper.ask(ask(asker as u32, endpoints, max_wait), &mut throttle, now);
+        let leave = queue.ask(ask(asker as u32, endpoints, max_wait), &mut throttle, now);
         leave.into_iter().for_each(|leave| note(leave, now));
     }
     sent
@@ -194,13 +194,13 @@
 
 #[gtest]
 fn what_endpoints_take_is_used_while_more_is_asked_for() {
-    let (mut keeper, mut throttle) = (Keeper::default(), limited(&["e0", "e1"], 5.0));
+    let (mut queue, mut throttle) = (LeaveQueue::default(), limited(&["e0", "e1"], 5.0));
     let mut sent = 0;
     for asker in 0..1_000 {
         let now = after_ms(10 * asker);
-        sent += keeper.decide(&mut throttle, now).len();
+        sent += queue.decide(&mut throttle, now).len();
         let ask = ask(asker as u32, &["e0", "e1"], SECOND / 4);
-        sent += usize::from(matches!(keeper.ask(ask, &mut throttle, now), Some(Leave::Granted(_))));
+        sent += usize::from(matches!(queue.ask(ask, &mut throttle, now), Some(Leave::Granted(_))));
     }
 
     // 10 a second for 10 s, of which 0.95 are sent; and the first interval.
--- a/crates/lab/src/limits/play.rs
+++ b/crates/lab/src/limits/play.rs
@@ -5,7 +5,7 @@
 use serde::Serialize;
 use trayswitch_core::units::Instant;
 
-use super::ways::{Arrival, Keepers, LIMIT, Sent, WAYS, Way};
+use super::ways::{Arrival, Deciders, LIMIT, Sent, WAYS, Way};
 
 /// Endpoints of the service.
 const ENDPOINTS: usize = 4;
@@ -69,18 +69,18 @@
     let takes = LIMIT * ENDPOINTS as f64;
     let weights: Vec<f64> = (0..daemons).map(|n| weight(traffic, n)).collect();
     let whole: f64 = weights.iter().sum();
-    let mut keepers = Keepers::new(way, daemons, ENDPOINTS);
+    let mut deciders = Deciders::new(way, daemons, ENDPOINTS);
     let (mut next, mut came, mut sent) = (Instant(0), 0_usize, Vec::new());
     for step in 0..(LASTS.as_micros() / STEP.as_micros()) as u64 {
         let now = Instant(step * STEP.as_micros() as u64);
         while next <= now {
             let daemon = draw(&weights, rng.f64() * whole);
             came += usize::from(WARM_UP <= now.since(Instant(0)));
-            sent.extend(keepers.come(Arrival { at: now, daemon }, MAX_WAIT));
+            sent.extend(deciders.come(Arrival { at: now, daemon }, MAX_WAIT));
             let pause = -(1.0 - rng.f64()).ln() / (takes * load);
             next = next.after(Duration::from_secs_f64(pause));
         }
-        sent.extend(keepers.decide(now, MAX_WAIT));
+        sent.extend(deciders.decide(now, MAX_WAIT));
     }
     sent.retain(|sent| WARM_UP <= sent.at.since(Instant(0)));
     let seconds = (LASTS - WARM_UP).as_secs_f64();
@@ -94,7 +94,7 @@
         most: most_in_span(&sent) as f64 / (LIMIT * SPAN.as_secs_f64()),
         used: sent.len() as f64 / possible,
         waited_ms: 1_000.0 * waited / sent.len().max(1) as f64,
-        messages: keepers.messages as f64 / LASTS.as_secs_f64(),
+        messages: deciders.messages as f64 / LASTS.as_secs_f64(),
     }
 }
 
--- a/crates/lab/src/limits/ways.rs
+++ b/crates/lab/src/limits/ways.rs
@@ -5,7 +5,7 @@
 use serde::Serialize;
 use trayswitch_core::{
     placement::Senders,
-    throttle::{Ask, Keeper, Leave, RateLimit, Throttle, Word},
+    throttle::{Ask, Leave, LeaveQueue, RateLimit, Throttle, Word},
     units::Instant,
 };
 
@@ -47,11 +47,11 @@
 }
 
 /// Keeps the limits of some endpoints.
-pub(super) struct Keepers {
+pub(super) struct Deciders {
     way: Way,
     endpoints: Vec<Arc<str>>,
     /// One for each daemon, or one for all.
-    keepers: Vec<(Keeper<Arrival>, Throttle)>,
+    queues: Vec<(LeaveQueue<Arrival>, Throttle)>,
     /// Leases of the daemons: requests that each may still send, as parts of one.
     leases: Vec<f64>,
     /// What came to each daemon since the last leases.
@@ -69,8 +69,8 @@
     }
 }
 
-impl Keepers {
-    pub(super) fn new(way: Way, daemons: usize, endpoints: usize) -> Keepers {
+impl Deciders {
+    pub(super) fn new(way: Way, daemons: usize, endpoints: usize) -> Deciders {
         let names: Vec<Arc<str>> = (0..endpoints).map(|n| format!("e{n}").into()).collect();
         let of_one = |seed: usize| {
             let senders = match way {
@@ -81,12 +81,12 @@
             for endpoint in &names {
                 throttle.learn(word(endpoint), Instant(1));
             }
-            (Keeper::default(), throttle)
+            (LeaveQueue::default(), throttle)
         };
-        let keepers = if way == Way::Asked { 1 } else { daemons };
-        Keepers {
+        let queues = if way == Way::Asked { 1 } else { daemons };
+        Deciders {
             way,
-            keepers: (0..keepers).map(of_one).collect(),
+            queues: (0..queues).map(of_one).collect(),
             leases: vec![0.0; daemons],
             demand: vec![0.0; daemons],
             next_lease: Instant(0),
@@ -107,10 +107,10 @@
         let is_asked = self.way == Way::Asked;
         self.messages += usize::from(is_asked);
         let at = if is_asked { 0 } else { arrival.daemon };
-        let (keeper, throttle) = &mut self.keepers[at];
+        let (queue, throttle) = &mut self.queues[at];
         let endpoints = self.endpoints.clone();
         let ask = Ask { asker: arrival, service: "s".into(), endpoints, max_wait };
-        match keeper.ask(ask, throttle, arrival.at) {
+        match queue.ask(ask, throttle, arrival.at) {
             Some(Leave::Granted(endpoint)) => Some(self.sent(endpoint, arrival, arrival.at)),
             Some(Leave::NotNow { .. }) | None => None,
         }
@@ -122,9 +122,9 @@
             return self.use_leases(now, max_wait);
         }
         let mut told = Vec::new();
-        for (keeper, throttle) in &mut self.keepers {
-            if keeper.next_decision().is_some_and(|due| due <= now) {
-                told.extend(keeper.decide(throttle, now));
+        for (queue, throttle) in &mut self.queues {
+            if queue.next_decision().is_some_and(|due| due <= now) {
+                told.extend(queue.decide(throttle, now));
             }
         }
         let sent = |(arrival, leave)| match leave {
