--- a/crates/lab/src/fleet/mod.rs
+++ b/crates/lab/src/fleet/mod.rs
@@ -7,7 +7,9 @@
 mod deciders;
 mod engines;
 mod figures;
+mod leaving;
 mod load;
+mod moving;
 mod sim;
 #[cfg(test)]
 mod tests;
--- a/crates/lab/src/fleet/sim.rs
+++ b/crates/lab/src/fleet/sim.rs
@@ -7,8 +7,7 @@
 };
 
 use trayswitch_core::{
-    config::Endpoints,
-    placement::{Action, Candidate, Drawn, Relocation, Ticket, sort},
+    placement::{Action, Candidate, Drawn, Relocation, sort},
     units::Instant,
 };
 
@@ -17,9 +16,10 @@
     deciders::{Deciders, Grant},
     engines::FleetEngine,
     figures::{Course, Figures},
+    leaving::FIRST_LEAVE,
     load::{Arrival, KINDS, TOKENS_PER_EVENT, arrivals},
 };
-use crate::engine::{Produced, Taken};
+use crate::engine::Produced;
 
 /// From an entry to the scheduler and back, decision included.
 const ASK: u64 = 3_000;
@@ -28,11 +28,9 @@
 /// Asking an engine for its load, or for a place.
 const INQUIRE: u64 = 6_000;
 /// From an entry to the scheduler.
-const NEWS: u64 = 1_500;
+pub(super) const NEWS: u64 = 1_500;
 /// The scheduler hears of a stream in steps of this many events, after the first.
 const NEWS_EVENTS: u64 = 16;
-/// Time between the stop of a moved generation and its next token.
-const PAUSE: u64 = 12_000;
 /// Load reports tell what was so long ago.
 const REPORT_AGE: u64 = 500_000;
 const SAMPLE_EVERY: u64 = 50_000;
@@ -40,17 +38,8 @@
 /// Pause before a request that found no place looks again.
 const LOOK_AGAIN: u64 = 20_000;
 
-/// A part of the engines leaves so often, is gone so much later, and others come after that.
-const LEAVE_EVERY: u64 = 3_300_000;
-const FIRST_LEAVE: u64 = 1_500_000;
-const LEAVING_PART: f64 = 0.17;
-const NOTICE: u64 = 1_800_000;
-const REPLACED_AFTER: u64 = 4_000_000;
-/// Word of a leaving engine reaches schedulers after this.
-const LEAVE_NEWS: u64 = 10_000;
-
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
-enum Event {
+pub(super) enum Event {
     /// A request comes to its entry, or looks for a place again.
     Arrives(usize),
     /// Its question reaches the scheduler.
@@ -95,20 +84,20 @@
 
 /// The state of one play.
 pub(super) struct Sim<'a> {
-    options: &'a FleetOptions,
-    arrivals: Vec<Arrival>,
-    courses: Vec<Course>,
+    pub(super) options: &'a FleetOptions,
+    pub(super) arrivals: Vec<Arrival>,
+    pub(super) courses: Vec<Course>,
     /// The engine that each request runs at.
-    at: Vec<Option<usize>>,
+    pub(super) at: Vec<Option<usize>>,
     /// Requests that are being moved.
-    moving: HashMap<usize, usize>,
-    engines: Vec<FleetEngine>,
-    by_name: HashMap<String, usize>,
-    deciders: Deciders,
-    rng: fastrand::Rng,
+    pub(super) moving: HashMap<usize, usize>,
+    pub(super) engines: Vec<FleetEngine>,
+    pub(super) by_name: HashMap<String, usize>,
+    pub(super) deciders: Deciders,
+    pub(super) rng: fastrand::Rng,
     heap: BinaryHeap<Reverse<(u64, u64, Event)>>,
     sequence: u64,
-    now: u64,
+    pub(super) now: u64,
     pub(super) preempted: u64,
     pub(super) moved: u64,
     pub(super) moves_refused: u64,
@@ -339,7 +328,7 @@
         self.step(engine);
     }
 
-    fn step(&mut self, engine: usize) {
+    pub(super) fn step(&mut self, engine: usize) {
         if let Some(took) = self.engines[engine].begin_step() {
             self.after(took, Event::StepDone(engine));
         }
@@ -370,116 +359,21 @@
         }
     }
 
-    /// Copies a generation to another engine; the links of both are busy until it has arrived.
-    fn order_move(&mut self, ticket: Ticket, from: &str, to: &str) {
-        let i = ticket.number as usize;
-        let (from, to) = (self.by_name[from], self.by_name[to]);
-        let runs_there = self.at[i] == Some(from) && !self.moving.contains_key(&i);
-        let tokens = self.arrivals[i].prompt + self.courses[i].tokens;
-        let has_room = !self.engines[to].gone && self.engines[to].engine.has_room(tokens);
-        if !runs_there || !has_room {
-            self.moves_refused += u64::from(runs_there);
-            return self.moved(i, from, false);
-        }
-        let free = self.engines[from].link_free.max(self.engines[to].link_free).max(self.now);
-        let arrives = free + self.engines[from].copy_time(tokens, &self.engines[to]);
-        self.engines[from].link_free = arrives;
-        self.engines[to].link_free = arrives;
-        self.engines[to].engine.set_aside(tokens);
-        self.moving.insert(i, to);
-        self.at(arrives, Event::Copied { i, from, to, tokens });
-    }
-
-    fn copied(&mut self, i: usize, from: usize, to: usize, tokens: u64) {
-        self.moving.remove(&i);
-        self.engines[to].engine.give_back(tokens);
-        let stream = self.engines[from].stream_of(i).filter(|_| self.at[i] == Some(from));
-        let target_lives = !self.engines[to].gone;
-        let Some(stream) = stream.filter(|_| target_lives) else { return };
-        let taken = self.engines[from].engine.take(stream);
-        let Some(taken) = taken else { return };
-        self.engines[from].requests.remove(&stream);
-        self.resume(i, to, taken);
-        self.moved += 1;
-        self.moved(i, to, true);
-        self.step(from);
-    }
-
-    fn resume(&mut self, i: usize, to: usize, taken: Taken) {
-        let stream = self.engines[to].engine.resume(taken);
-        self.engines[to].requests.insert(stream, i);
-        self.at[i] = Some(to);
-        self.after(PAUSE, Event::Resumes(to));
-    }
-
-    /// Tells the schedulers where a generation runs after a move.
-    fn moved(&mut self, i: usize, at: usize, done: bool) {
-        let now = Instant(self.now);
-        self.deciders.moved(i, &self.arrivals[i], &self.engines[at].name, done, now);
-    }
-
-    fn leave(&mut self) {
-        let open = |engine: &usize| !self.engines[*engine].leaving && !self.engines[*engine].gone;
-        let mut open: Vec<usize> = (0..self.engines.len()).filter(open).collect();
-        self.rng.shuffle(&mut open);
-        let count = (open.len() as f64 * LEAVING_PART) as usize;
-        for engine in open.into_iter().take(count) {
-            self.engines[engine].leaving = true;
-            self.after(LEAVE_NEWS, Event::Leaves(engine));
-            self.after(NOTICE, Event::Gone(engine));
-            self.after(REPLACED_AFTER, Event::Comes);
-        }
-        self.again(LEAVE_EVERY, Event::Leave);
-    }
-
-    fn gone(&mut self, engine: usize) {
-        self.engines[engine].gone = true;
-        self.engines[engine].step = None;
-        let lost: Vec<usize> = self.engines[engine].requests.drain().map(|(_, i)| i).collect();
-        for i in lost {
-            self.at[i] = None;
-            self.courses[i].cut = Some(self.now);
-            self.after(NEWS, Event::Ended { i, whole: false });
-        }
-        self.configure();
-    }
-
-    fn comes(&mut self) {
-        let engine = FleetEngine::new(self.engines.len());
-        self.by_name.insert(engine.name.to_string(), self.engines.len());
-        self.engines.push(engine);
-        self.configure();
-    }
-
-    fn endpoints(&self) -> Endpoints {
-        let live = self.engines.iter().filter(|engine| !engine.gone);
-        live.map(|engine| (engine.name.to_string(), engine.spec())).collect()
-    }
-
-    fn leaving(&self) -> Vec<String> {
-        let leaving = self.engines.iter().filter(|engine| engine.leaving && !engine.gone);
-        leaving.map(|engine| engine.name.to_string()).collect()
-    }
-
-    fn configure(&mut self) {
-        self.deciders.configure(&self.endpoints(), &self.leaving());
-    }
-
-    fn name_at(&self, i: usize) -> String {
+    pub(super) fn name_at(&self, i: usize) -> String {
         self.at[i].map_or_else(String::new, |engine| self.engines[engine].name.to_string())
     }
 
-    fn again(&mut self, pause: u64, event: Event) {
+    pub(super) fn again(&mut self, pause: u64, event: Event) {
         if self.is_open() {
             self.after(pause, event);
         }
     }
 
-    fn after(&mut self, pause: u64, event: Event) {
+    pub(super) fn after(&mut self, pause: u64, event: Event) {
         self.at(self.now + pause, event);
     }
 
-    fn at(&mut self, time: u64, event: Event) {
+    pub(super) fn at(&mut self, time: u64, event: Event) {
         self.sequence += 1;
         self.heap.push(Reverse((time, self.sequence, event)));
     }
--- a/crates/server/src/relay/tests/endpoint.rs
+++ b/crates/server/src/relay/tests/endpoint.rs
@@ -82,6 +82,15 @@
         self.answer.closed().await;
     }
 
+    /// Streams the events of these ids and ends; returns the last event that the caller had.
+    pub(super) async fn stream_whole(self, ids: impl IntoIterator<Item = u64>) -> Option<u64> {
+        let after = self.after;
+        let stream = self.stream();
+        stream.events(ids).await;
+        stream.end();
+        after
+    }
+
     /// Begins a stream of events.
     pub(super) fn stream(self) -> Stream {
         let (tx, rx) = mpsc::channel(64);
--- a/crates/server/src/relay/tests/generations.rs
+++ b/crates/server/src/relay/tests/generations.rs
@@ -69,12 +69,7 @@
         let (whole, after) = join!(reading.rest(), async {
             stream.bytes("id: 4\ndata: tok").await;
             stream.cut().await;
-            let arrival = either(&mut e1, &mut e2).await;
-            let after = arrival.after;
-            let stream = arrival.stream();
-            stream.events(4..=6).await;
-            stream.end();
-            after
+            either(&mut e1, &mut e2).await.stream_whole(4..=6).await
         });
 
         expect_that!(after, some(eq(3)));
@@ -92,9 +87,7 @@
         let (reading, stream) = running(&entry, "/recap/", 3, &mut e1, &mut e2).await;
         let (whole, ()) = join!(reading.rest(), async {
             stream.cut().await;
-            let stream = either(&mut e1, &mut e2).await.stream();
-            stream.events(2..=5).await;
-            stream.end();
+            either(&mut e1, &mut e2).await.stream_whole(2..=5).await;
         });
 
         expect_that!(whole, ok(eq(&events_to(5))));
@@ -126,9 +119,7 @@
 
         let (answer, ()) = join!(entry.ask("/chat/", "r1"), async {
             either(&mut e1, &mut e2).await.turn_away("full");
-            let stream = either(&mut e1, &mut e2).await.stream();
-            stream.events(1..=2).await;
-            stream.end();
+            either(&mut e1, &mut e2).await.stream_whole(1..=2).await;
         });
 
         expect_that!(text(answer).await, ok(eq(&events_to(2))));
--- a/crates/server/src/relay/tests/leaving.rs
+++ b/crates/server/src/relay/tests/leaving.rs
@@ -31,9 +31,7 @@
     let (answer, arrived) = join!(entry.ask(path, "next"), async {
         let arrival = engine.arrival().await;
         let id = arrival.id.clone();
-        let stream = arrival.stream();
-        stream.events([1]).await;
-        stream.end();
+        arrival.stream_whole([1]).await;
         id
     });
 
--- a/crates/server/src/relay/tests/moves.rs
+++ b/crates/server/src/relay/tests/moves.rs
@@ -60,9 +60,7 @@
             let arrival = to.arrival().await;
             // Event 4 may still have been on its way when the generation went on.
             let (after, memory) = (arrival.after.unwrap_or_default(), arrival.memory.clone());
-            let stream = arrival.stream();
-            stream.events(after + 1..=7).await;
-            stream.end();
+            arrival.stream_whole(after + 1..=7).await;
             (after, memory, asked)
         });
 
@@ -102,12 +100,7 @@
             stream.end();
             last.answer(200, "h2");
             to.arrival().await.turn_away("full");
-            let arrival = from.arrival().await;
-            let after = arrival.after;
-            let stream = arrival.stream();
-            stream.events(4..=6).await;
-            stream.end();
-            after
+            from.arrival().await.stream_whole(4..=6).await
         });
 
         expect_that!(after, some(eq(3)));
@@ -127,9 +120,7 @@
             last.answer(503, "h2");
             let arrival = from.arrival().await;
             let memory = arrival.memory.clone();
-            let stream = arrival.stream();
-            stream.events(4..=5).await;
-            stream.end();
+            arrival.stream_whole(4..=5).await;
             memory
         });
 
@@ -203,12 +194,7 @@
             stream.bytes("id: 4\ndata: tok").await;
             stream.cut().await;
             last.answer(200, "h2");
-            let arrival = to.arrival().await;
-            let after = arrival.after;
-            let stream = arrival.stream();
-            stream.events(4..=6).await;
-            stream.end();
-            after
+            to.arrival().await.stream_whole(4..=6).await
         });
 
         expect_that!(after, some(eq(3)));
