--- a/crates/core/src/registry/tests.rs
+++ b/crates/core/src/registry/tests.rs
@@ -4,13 +4,11 @@
 use proptest::prelude::*;
 
 use super::Registry;
-use crate::{
-    config::Config, state::HallsOut, testing::fixed_seed, units::Instant, wire::EndpointRecord,
-};
+use crate::{state::HallsOut, testing::fixed_seed, units::Instant, wire::EndpointRecord};
 
-const HEARTBEAT: Duration = Duration::from_millis(1_200);
+pub(super) const HEARTBEAT: Duration = Duration::from_millis(1_200);
 
-fn record(id: &str, sequence: u64, leaving: bool) -> EndpointRecord {
+pub(super) fn record(id: &str, sequence: u64, leaving: bool) -> EndpointRecord {
     EndpointRecord {
         id: id.into(),
         service: "s".into(),
@@ -25,7 +23,7 @@
     }
 }
 
-fn seconds(s: u64) -> Instant {
+pub(super) fn seconds(s: u64) -> Instant {
     Instant(s * 1_000_000)
 }
 
@@ -432,48 +430,3 @@
         }
     }
 }
-
-#[gtest]
-fn an_endpoint_is_cold_for_as_long_as_its_heartbeat_says() {
-    let mut registry = Registry::new(HEARTBEAT);
-    let cold = EndpointRecord { cold_ms: 900, ..record("a", 1, false) };
-
-    registry.take(cold, seconds(1));
-
-    let until: Vec<Instant> = registry.cold().map(|(_, until)| until).collect();
-    expect_that!(until, elements_are![eq(&Instant(1_900_000))]);
-}
-
-#[gtest]
-fn an_endpoint_that_becomes_cold_again_is_news_and_one_that_warms_up_is_not() {
-    let mut registry = Registry::new(HEARTBEAT);
-    let with = |sequence, cold_ms| EndpointRecord { cold_ms, ..record("a", sequence, false) };
-    registry.take(with(1, 1_500), seconds(0));
-
-    let warming = registry.take(with(2, 350), Instant(1_200_000));
-    let warm = registry.take(with(3, 0), Instant(2_400_000));
-    let again = registry.take(with(4, 1_000), Instant(3_600_000));
-
-    expect_that!(warming, none());
-    expect_that!(warm, none());
-    expect_that!(again, some(anything()));
-    let until: Vec<Instant> = registry.cold().map(|(_, until)| until).collect();
-    expect_that!(until, elements_are![eq(&Instant(4_600_000))]);
-}
-
-#[gtest]
-fn the_endpoints_of_a_hall_that_is_back_are_taken_for_cold() {
-    let mut registry = Registry::new(HEARTBEAT);
-    registry.take(record("a", 1, false), seconds(0));
-    let text = "[deployment]\nname = d\nversion = 1\n[tier t]\nrank = 1\n\
-                [service s]\ncold_start = 2s\ncold_interval = 50ms\n";
-    let config = Config::parse("c.ini", text).unwrap();
-
-    registry.hall_back("elsewhere", &config, seconds(9));
-    let other = registry.cold().count();
-    registry.hall_back("h", &config, seconds(9));
-
-    expect_that!(other, eq(0));
-    let until: Vec<Instant> = registry.cold().map(|(_, until)| until).collect();
-    expect_that!(until, elements_are![eq(&seconds(11))]);
-}
--- a/crates/server/src/relay/limited.rs
+++ b/crates/server/src/relay/limited.rs
@@ -85,7 +85,8 @@
         let Some(best) = self.loads.choose(&open, tried, &self.hall) else {
             return Err(no_endpoint(self, &job.service));
         };
-        if self.node.limit(&best.id).is_none() {
+        let is_new = which == Try::First || !tried.contains(&best.id);
+        if is_new && self.node.limit(&best.id).is_none() {
             return Ok(best);
         }
         let (mut limited, free): (Vec<_>, Vec<_>) = open
