--- a/crates/server/src/relay/tests/endpoint.rs
+++ b/crates/server/src/relay/tests/endpoint.rs
@@ -36,7 +36,7 @@
     /// The place that was kept for it.
     pub(super) reservation: Option<String>,
     /// What the endpoint says of how much it takes, in requests a second.
-    limit: Option<f64>,
+    limit: Option<String>,
     answer: oneshot::Sender<Response<Body>>,
 }
 
@@ -44,15 +44,15 @@
     fn respond(self, status: StatusCode, body: Body) {
         let mut res = Response::builder().status(status).header(ID, &self.id);
         if let Some(limit) = self.limit {
-            res = res.header(LIMIT, limit.to_string());
+            res = res.header(LIMIT, limit);
         }
         // A caller that has left takes no answer; the test sees that by other means.
         let _ = self.answer.send(res.body(body).unwrap());
     }
 
     /// Lets the answer name a limit, or none.
-    pub(super) fn naming(self, limit: Option<f64>) -> Arrival {
-        Arrival { limit, ..self }
+    pub(super) fn naming(self, limit: Option<&str>) -> Arrival {
+        Arrival { limit: limit.map(str::to_owned), ..self }
     }
 
     /// Answers with the whole body at once.
@@ -62,7 +62,10 @@
 
     /// Says that it did not run.
     pub(super) fn turn_away(self, why: &str) {
-        let res = Response::builder().status(503).header(ID, &self.id).header(NOT_RUN, why);
+        let mut res = Response::builder().status(503).header(ID, &self.id).header(NOT_RUN, why);
+        if let Some(limit) = self.limit {
+            res = res.header(LIMIT, limit);
+        }
         let _ = self.answer.send(res.body(edge::empty()).unwrap());
     }
 
--- a/crates/server/src/relay/tests/entry.rs
+++ b/crates/server/src/relay/tests/entry.rs
@@ -59,6 +59,16 @@
 max_attempts = 3
 public = yes
 tier = all
+[route soon]
+host = host
+path_prefix = /soon/
+services = desk:1
+kind = single
+timeout = 600s
+target_latency = 1ms
+max_attempts = 3
+public = yes
+tier = all
 [route again]
 host = host
 path_prefix = /again/
--- a/crates/server/src/relay/tests/limits.rs
+++ b/crates/server/src/relay/tests/limits.rs
@@ -22,11 +22,13 @@
 use super::{
     endpoint::{FakeEndpoint, either},
     entry::{Entry, on_local_tasks},
-    reading::text,
+    reading::{outcome, text},
 };
 
 /// What an endpoint in need takes in a second: so little that a test is over before the next one is due.
 const LIMIT: f64 = 0.2;
+/// A limit at which a call that waits is served soon.
+const SOON: &str = "20";
 /// Requests that are sent, one after the other.
 const REQUESTS: u32 = 40;
 
@@ -48,8 +50,8 @@
         let (answer, meant_for) = join!(entry.ask(path, "r1"), async {
             let arrival = either(needy, other).await;
             let meant_for = arrival.meant_for.clone();
-            let limit = (meant_for == "needy").then_some(LIMIT);
-            arrival.naming(limit).answer(200, "id: 1\ndata: token 1\n\n");
+            let limit = (meant_for == "needy").then(|| LIMIT.to_string());
+            arrival.naming(limit.as_deref()).answer(200, "id: 1\ndata: token 1\n\n");
             meant_for
         });
         assert_that!(text(answer).await, ok(contains_substring("token 1")));
@@ -58,6 +60,14 @@
     at_needy
 }
 
+/// Makes one call that an endpoint answers, naming this.
+async fn call(entry: &Entry, path: &str, endpoint: &mut FakeEndpoint, limit: Option<&str>) {
+    let (answer, ()) = join!(entry.ask(path, "r1"), async {
+        endpoint.arrival().await.naming(limit).answer(200, "done");
+    });
+    expect_that!(text(answer).await, ok(eq("done")));
+}
+
 #[gtest]
 fn calls_keep_to_the_limit_that_an_endpoint_names() {
     on_local_tasks(async {
@@ -85,3 +95,78 @@
         expect_that!(at_needy, le(allowed(began)));
     });
 }
+
+#[gtest]
+fn calls_wait_for_their_turn_where_every_endpoint_names_a_limit() {
+    on_local_tasks(async {
+        let entry = Entry::open().await;
+        let mut endpoint = entry.register("desk", "e1").await;
+
+        for _ in 0..5 {
+            call(&entry, "/once/x", &mut endpoint, Some(SOON)).await;
+        }
+
+        let granted = "trayswitch_leaves_total{end=\"granted\",service=\"desk\"}";
+        entry.has_counted(granted, 4).await;
+    });
+}
+
+#[gtest]
+fn a_call_that_no_endpoint_takes_in_time_is_refused_at_once() {
+    on_local_tasks(async {
+        let entry = Entry::open().await;
+        let mut endpoint = entry.register("desk", "e1").await;
+        call(&entry, "/soon/x", &mut endpoint, Some("0")).await;
+
+        let refused = entry.ask("/soon/x", "r2").await;
+
+        expect_that!(outcome(&refused), some(eq("overloaded")));
+        expect_that!(refused.head.status.as_u16(), eq(503));
+        expect_true!(endpoint.is_idle());
+    });
+}
+
+#[gtest]
+fn an_endpoint_that_names_no_limit_any_more_gets_all_calls_again() {
+    on_local_tasks(async {
+        let entry = Entry::open().await;
+        let mut endpoint = entry.register("desk", "e1").await;
+        call(&entry, "/once/x", &mut endpoint, Some(SOON)).await;
+        entry.has_counted("trayswitch_limited_endpoints", 1).await;
+
+        call(&entry, "/once/x", &mut endpoint, None).await;
+        call(&entry, "/soon/x", &mut endpoint, None).await;
+
+        entry.has_counted("trayswitch_limited_endpoints", 0).await;
+    });
+}
+
+#[gtest]
+fn what_is_no_limit_is_counted_and_holds_nothing_back() {
+    on_local_tasks(async {
+        let entry = Entry::open().await;
+        let mut endpoint = entry.register("desk", "e1").await;
+
+        for limit in ["", "2,9", "-1", "NaN", "1e999"] {
+            call(&entry, "/soon/x", &mut endpoint, Some(limit)).await;
+        }
+
+        let unreadable = "trayswitch_limits_read_total{limit=\"unreadable\",service=\"desk\"}";
+        entry.has_counted(unreadable, 5).await;
+    });
+}
+
+#[gtest]
+fn a_refusal_names_a_limit_like_any_answer() {
+    on_local_tasks(async {
+        let entry = Entry::open().await;
+        let mut endpoint = entry.register("desk", "e1").await;
+
+        let (refused, ()) = join!(entry.ask("/soon/x", "r1"), async {
+            endpoint.arrival().await.naming(Some("0")).turn_away("full");
+        });
+
+        expect_that!(outcome(&refused), some(eq("endpoint_refused")));
+        entry.has_counted("trayswitch_limited_endpoints", 1).await;
+    });
+}
