Count a suspect once, whichever word of it comes first

What operators saw: trayswitch_suspects stood one too high after an endpoint had ended, until the next change. Cause: an end that a daemon saw itself counted beside the record of it, if the leader's word to all came before the answer to its own; the answer then changed the count and told nobody. Change: a request counts once, and each change of the count is told. Attempts that broke off have a file of their own.

--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -14,6 +14,7 @@
 //! - [`directory`] knows the control VMs and [`endpoints`] the endpoints that register.
 
 mod admit;
+mod broke_off;
 mod changes;
 #[cfg(test)]
 mod changes_tests;
@@ -48,6 +49,8 @@
 mod spread;
 mod suspects;
 #[cfg(test)]
+mod suspects_tests;
+#[cfg(test)]
 mod tests;
 
 use std::{
@@ -82,13 +85,14 @@
 
 pub(crate) use self::messages::Outbox;
 pub use self::{
+    broke_off::{AfterBreak, BrokeOff},
     control::{ControlStatus, DaemonStatus, ReplicaStatus},
     endpoints::EndpointStatus,
     holder::InForce,
     keeper::Entries,
     messages::{Answer, CallId, Input, Output, Placement, Question, SentChange, SubmitError},
     options::{Clocks, NodeOptions, NodeTiming},
-    suspects::{AfterBreak, BrokeOff, TrialAnswer},
+    suspects::TrialAnswer,
 };
 
 /// Name of a VM.
--- a/crates/core/src/node/suspects.rs
+++ b/crates/core/src/node/suspects.rs
@@ -4,11 +4,14 @@
 //! here at once, so that its next try of the request is not sent before the answer. A try of a suspect
 //! asks the leader whether it may run; so do all that wait when the leader changes.
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use bytes::Bytes;
 
-use super::{Answer, CallId, Outbox, Output, VmName, operations::Operations};
+use super::{AfterBreak, Answer, BrokeOff, CallId, Outbox, Output, VmName, operations::Operations};
 use crate::{
     quarantine::{ClearRequest, EndedRun, EndedUnder, Known, RequestDigest, Standing},
     registry::{Registry, RunState},
@@ -29,40 +32,6 @@
 /// its callers leave early.
 const MAX_UNCLEAR: usize = 1_024;
 
-/// What an endpoint's address said after an attempt there had broken off.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum AfterBreak {
-    /// Nothing listens there any more.
-    Refused,
-    /// It takes connections; it failed this request only, or has started anew.
-    Taken,
-    /// Nothing.
-    Silent,
-}
-
-/// An attempt that broke off.
-#[derive(Debug, Clone)]
-pub struct BrokeOff {
-    /// The request.
-    pub request: RequestDigest,
-    /// Name of the endpoint.
-    pub endpoint: Arc<str>,
-    /// When its run was started, by its own word; zero where it has not said. Nothing for an endpoint that
-    /// the configuration lists, of which no run says anything.
-    pub born: Option<u64>,
-    /// What its address said then.
-    pub after: AfterBreak,
-    /// The trial that it was, if it was one.
-    pub trial: Option<CallId>,
-}
-
-impl BrokeOff {
-    /// What the registry knows of the endpoint's run; nothing where the configuration lists it.
-    fn run_state(&self, cx: &Context<'_>) -> Option<RunState> {
-        Some(cx.registry.run_state(&self.endpoint, self.born?))
-    }
-}
-
 /// Whether a try of a suspect may run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum TrialAnswer {
@@ -165,9 +134,13 @@
         self.tell_counts(out);
     }
 
+    /// Tells how many there are. An end that this daemon saw may be on record already, before the answer to its
+    /// own word has come, or under several ends of its own: a request counts once.
     fn tell_counts(&self, out: &mut Outbox) {
         let (known, quarantined) = self.known.counts();
-        out.push(Output::Suspects { suspects: known + self.own.len(), quarantined });
+        let own: BTreeSet<&RequestDigest> = self.own.values().map(|end| &end.request).collect();
+        let own = own.into_iter().filter(|request| !self.known.standing(request).is_suspect());
+        out.push(Output::Suspects { suspects: known + own.count(), quarantined });
     }
 
     /// An attempt here broke off.
@@ -177,7 +150,7 @@
         cx: &mut Context<'_>,
         out: &mut Outbox,
     ) {
-        match (broke_off.run_state(cx), broke_off.after) {
+        match (broke_off.run_state(cx.registry), broke_off.after) {
             // What runs at an endpoint that leaves may end with it, as its callers were told.
             (Some(RunState::Left), _) => {}
             (_, AfterBreak::Refused) | (Some(RunState::Ended), _) => {
@@ -273,6 +246,7 @@
             TrialStatus::Quarantined => TrialAnswer::Quarantined,
             TrialStatus::Clear => {
                 self.known.forget(&asking.request);
+                self.tell_counts(out);
                 TrialAnswer::Clear
             }
             TrialStatus::Busy => TrialAnswer::NotNow,
@@ -345,8 +319,11 @@
 
     pub(super) fn tick(&mut self, cx: &mut Context<'_>, out: &mut Outbox) {
         self.judge_unclear(cx, out);
-        let now = cx.now;
+        let (now, own) = (cx.now, self.own.len());
         self.own.retain(|_, end| now < end.until);
+        if self.own.len() < own {
+            self.tell_counts(out);
+        }
         // Without a leader for so long, none has any trial of this daemon in mind.
         self.ending.retain(|number, _| cx.operations.is_pending(*number));
         let over = self.asking.iter().filter(|(_, asking)| asking.deadline <= now);
@@ -361,7 +338,7 @@
     fn judge_unclear(&mut self, cx: &mut Context<'_>, out: &mut Outbox) {
         let unclear = std::mem::take(&mut self.unclear);
         for waiting in unclear {
-            match waiting.broke_off.run_state(cx) {
+            match waiting.broke_off.run_state(cx.registry) {
                 Some(RunState::Ended) => self.ended(&waiting.broke_off, cx, out),
                 Some(RunState::Runs) if cx.now < waiting.until => self.unclear.push(waiting),
                 Some(RunState::Runs | RunState::Left) | None => {}
