Let a shared turn that has lapsed stay so when the number of daemons changes

What an endpoint in need would see: a request of every daemon at once, when daemons that choose by themselves have learnt another number of daemons while their turns had lapsed (found by reading; no run showed it). Cause: another time between two turns began at once where the last turn was in the past. Change: it goes on from the next turn. A test of the turns fails without it.

--- a/crates/core/src/throttle/turns.rs
+++ b/crates/core/src/throttle/turns.rs
@@ -47,13 +47,15 @@
         };
     }
 
-    /// Takes another time between two turns; as large a part of it is left as before.
+    /// Takes another time between two turns; as large a part of it is left as before. A shared turn that has
+    /// lapsed stays so: all daemons learn of their number at the same moment.
     pub(super) fn space(&mut self, interval: Duration, shared: bool, now: Instant) {
         self.shared = shared;
         if self.interval == interval {
             return;
         }
-        let left = self.next.since(now).as_secs_f64();
+        let next = if shared { self.next(now) } else { self.next };
+        let left = next.since(now).as_secs_f64();
         let part = (left / self.interval.as_secs_f64().max(f64::MIN_POSITIVE)).min(1.0);
         self.interval = interval;
         self.next = now.after(interval.mul_f64(part));
--- a/crates/core/src/throttle/turns_tests.rs
+++ b/crates/core/src/throttle/turns_tests.rs
@@ -66,6 +66,17 @@
     expect_that!(turns.next(ms(5_000)), eq(ms(5_500)));
 }
 
+#[gtest]
+fn another_interval_does_not_bring_back_a_shared_turn_that_has_lapsed() {
+    let mut turns = Turns::new(LONG, true, 0.5, ms(0));
+
+    turns.space(LONG * 2, true, ms(20_000));
+
+    expect_false!(turns.has_come(ms(20_000)));
+    // 25 s of 30 were left.
+    expect_that!(turns.next(ms(20_000)), eq(ms(70_000)));
+}
+
 #[gtest]
 fn any_arrivals_get_no_more_turns_than_there_are_and_one() {
     let arrivals = prop::collection::vec(0..3_000_000u64, 1..200);
--- a/crates/server/src/relay/call.rs
+++ b/crates/server/src/relay/call.rs
@@ -236,7 +236,7 @@
     let own_running = relay.loads.running(&endpoint.id);
     let running = relay.loads.begin(&endpoint.id, relay.cold_rule(job).as_ref());
     let awaited = Awaited::begin(relay, job, &permit, &endpoint);
-    let Tried { end, verdict, limit } = ask(relay, job, &permit, &endpoint).await;
+    let Sent { end, verdict, limit } = ask(relay, job, &permit, &endpoint).await;
     awaited.end();
     drop(running);
     relay.loads.note(&endpoint.id, verdict);
@@ -259,7 +259,7 @@
 }
 
 /// What became of an attempt that was sent.
-struct Tried {
+struct Sent {
     end: End,
     /// How well the endpoint did.
     verdict: Verdict,
@@ -267,15 +267,15 @@
     limit: Option<RateLimit>,
 }
 
-impl Tried {
+impl Sent {
     /// One whose answer names no limit.
-    fn new(end: End, verdict: Verdict) -> Tried {
-        Tried { end, verdict, limit: None }
+    fn new(end: End, verdict: Verdict) -> Sent {
+        Sent { end, verdict, limit: None }
     }
 }
 
 /// Sends the request and waits for the whole answer.
-async fn ask(relay: &Relay, job: &Job, permit: &Permit, endpoint: &Registered) -> Tried {
+async fn ask(relay: &Relay, job: &Job, permit: &Permit, endpoint: &Registered) -> Sent {
     let protocol = &*relay.protocol;
     let req = job.request(protocol, &endpoint.id, endpoint.address, &GoOn::default());
     let connect_limit = relay.options.connect_limit.min(job.time_left());
@@ -284,11 +284,11 @@
     let open = match opened {
         Ok(open) => open,
         Err(SendError::NotSent(problem)) => {
-            return Tried::new(End::NotRun(problem), Verdict::Dead);
+            return Sent::new(End::NotRun(problem), Verdict::Dead);
         }
         Err(SendError::Lost(problem)) => {
             relay.broke_off(job, permit, endpoint, 0).await;
-            return Tried::new(End::Unknown(problem), Verdict::Dead);
+            return Sent::new(End::Unknown(problem), Verdict::Dead);
         }
     };
     let success = match protocol.judge(&job.caller.id, &open.head) {
@@ -296,25 +296,25 @@
         Answer::Turned(Turned::Full) => {
             let limit = relay.read_limit(job, endpoint, asked, &open.head);
             let end = End::NotRun("the endpoint is full".into());
-            return Tried { end, verdict: Verdict::Failed, limit };
+            return Sent { end, verdict: Verdict::Failed, limit };
         }
         Answer::Turned(Turned::Other) => {
             let end = End::NotRun("another endpoint has the address".into());
-            return Tried::new(end, Verdict::Dead);
+            return Sent::new(end, Verdict::Dead);
         }
         Answer::Foreign(problem) => {
-            return Tried::new(End::Unknown(problem.into()), Verdict::Failed);
+            return Sent::new(End::Unknown(problem.into()), Verdict::Failed);
         }
     };
     let limit = relay.read_limit(job, endpoint, asked, &open.head);
     match open.body.collect(MAX_ANSWER).await {
         Ok(body) => {
             let verdict = if success { Verdict::Good } else { Verdict::Failed };
-            Tried { end: End::Answer { head: open.head, body, success }, verdict, limit }
+            Sent { end: End::Answer { head: open.head, body, success }, verdict, limit }
         }
         Err(problem) => {
             relay.broke_off(job, permit, endpoint, 0).await;
-            Tried { end: End::Unknown(problem), verdict: Verdict::Failed, limit }
+            Sent { end: End::Unknown(problem), verdict: Verdict::Failed, limit }
         }
     }
 }
