Show what endpoints say of themselves in their answers: back-off, leaving, a cold start

Nothing told whether a rejection had asked for back-off, nor for how long. Every answer's head is now decoded into one value, of requests, copies and questions for load alike; the line of an attempt (event 311) has backoff_ms and leaving, a counter and event 321 tell what was read and what could not be. No decision changes.

--- /dev/null
+++ b/crates/core/src/backoff/retry_after_tests.rs
@@ -0,0 +1,61 @@
+//! `Retry-After` as endpoints write it, well and badly.
+
+use std::time::{Duration, SystemTime};
+
+use googletest::prelude::*;
+
+use super::{BadRetryAfter, LONGEST_BACKOFF, RetryAfter};
+
+/// Sunday, 6 November 1994, 08:49:37 UTC.
+const NOW: Duration = Duration::from_secs(784_111_777);
+
+fn read(values: &[&str]) -> std::result::Result<Option<Duration>, BadRetryAfter> {
+    read_answered(values, None)
+}
+
+fn read_answered(
+    values: &[&str],
+    answered: Option<&str>,
+) -> std::result::Result<Option<Duration>, BadRetryAfter> {
+    let now = SystemTime::UNIX_EPOCH + NOW;
+    let read = RetryAfter::read(values.iter().copied(), answered, now)?;
+    Ok(read.map(RetryAfter::time))
+}
+
+#[gtest]
+fn seconds_are_read_with_fractions() {
+    expect_that!(read(&["3"]), ok(some(eq(Duration::from_secs(3)))));
+    expect_that!(read(&[" 0.25 "]), ok(some(eq(Duration::from_millis(250)))));
+    expect_that!(read(&["0"]), ok(some(eq(Duration::ZERO))));
+    expect_that!(read(&[]), ok(none()));
+}
+
+#[gtest]
+fn a_date_counts_from_that_of_the_answer_or_from_now() {
+    let later = read(&["Sun, 06 Nov 1994 08:49:40 GMT"]);
+    let past = read(&["Sun, 06 Nov 1994 08:49:30 GMT"]);
+    let slow_clock =
+        read_answered(&["Sun, 06 Nov 1994 07:00:02 GMT"], Some("Sun, 06 Nov 1994 07:00:00 GMT"));
+
+    expect_that!(later, ok(some(eq(Duration::from_secs(3)))));
+    expect_that!(past, ok(some(eq(Duration::ZERO))));
+    expect_that!(slow_clock, ok(some(eq(Duration::from_secs(2)))));
+}
+
+#[gtest]
+fn no_more_than_the_longest_back_off_is_believed() {
+    expect_that!(read(&["3600"]), ok(some(eq(LONGEST_BACKOFF))));
+    expect_that!(read(&["1e300"]), ok(some(eq(LONGEST_BACKOFF))));
+    expect_that!(read(&["Sat, 06 Nov 2094 08:49:37 GMT"]), ok(some(eq(LONGEST_BACKOFF))));
+}
+
+#[gtest]
+fn what_is_no_time_is_told_apart() {
+    expect_that!(read(&[""]), err(eq(BadRetryAfter::NotATime)));
+    expect_that!(read(&["soon"]), err(eq(BadRetryAfter::NotATime)));
+    expect_that!(read(&["-1"]), err(eq(BadRetryAfter::Negative)));
+    expect_that!(read(&["NaN"]), err(eq(BadRetryAfter::NotFinite)));
+    expect_that!(read(&["inf"]), err(eq(BadRetryAfter::NotFinite)));
+    expect_that!(read(&["1e999"]), err(eq(BadRetryAfter::NotFinite)));
+    expect_that!(read(&["3", "3"]), err(eq(BadRetryAfter::Repeated)));
+}
--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -67,6 +67,7 @@
     TrialAsked = 318, "A try of a request under which endpoints have ended was let run, or was not.";
     LimitChanged = 319, "An endpoint has named how many requests a second it takes, another number, or none any more.";
     LeaveAsked = 320, "A call for which an endpoint that names a limit was chosen went there, elsewhere, or was refused.";
+    SignalUnreadable = 321, "What an endpoint says of itself in an answer cannot be read.";
     RequestFailed = 304, "A request did not end in its whole answer.";
     FrameDropped = 305, "A frame of a generation was ignored.";
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,6 +5,7 @@
 //! except for [`storage`], which owns the synced files of a control replica.
 
 pub mod agreement;
+pub mod backoff;
 pub mod config;
 pub mod delivery;
 pub mod error;
--- a/crates/server/src/relay/call.rs
+++ b/crates/server/src/relay/call.rs
@@ -10,11 +10,10 @@
     error::{ErrorKind, RequestError},
     mechanism::Mechanism,
     registry::Registered,
-    throttle::RateLimit,
 };
 
 use super::{
-    Answer, Job, MAX_TURNED, Relay, Turned, ended::Awaited, job::GoOn, limited, limited::Try,
+    Answer, Job, MAX_TURNED, Relay, Signals, Turned, ended::Awaited, job::GoOn, limited::Try,
     loads::Verdict, no_answer, permit::Permit,
 };
 use crate::{
@@ -236,7 +235,7 @@
     let own_running = relay.loads.running(&endpoint.id);
     let running = relay.loads.begin(&endpoint.id, relay.cold_rule(job).as_ref());
     let awaited = Awaited::begin(relay, job, &permit, &endpoint);
-    let Sent { end, verdict, limit } = ask(relay, job, &permit, &endpoint).await;
+    let Sent { end, verdict, signals } = ask(relay, job, &permit, &endpoint).await;
     awaited.end();
     drop(running);
     relay.loads.note(&endpoint.id, verdict);
@@ -251,7 +250,8 @@
         endpoint = &*endpoint.id, end = name, detail = detail.as_str(),
         config = inputs.config, config_age_ms = inputs.config_age_ms,
         sequence = endpoint.sequence, own_running = own_running,
-        limit = limited::describe(limit).as_str(),
+        limit = signals.describe_limit().as_str(),
+        backoff_ms = signals.describe_backoff().as_str(), leaving = signals.is_leaving(),
         took_ms = began.elapsed().as_millis() as u64;
         "an attempt ended"
     );
@@ -263,14 +263,14 @@
     end: End,
     /// How well the endpoint did.
     verdict: Verdict,
-    /// How much it takes, by its own word.
-    limit: Option<RateLimit>,
+    /// What it says of itself.
+    signals: Signals,
 }
 
 impl Sent {
-    /// One whose answer names no limit.
+    /// One without an answer that the endpoint gave to it.
     fn new(end: End, verdict: Verdict) -> Sent {
-        Sent { end, verdict, limit: None }
+        Sent { end, verdict, signals: Signals::default() }
     }
 }
 
@@ -291,12 +291,18 @@
             return Sent::new(End::Unknown(problem), Verdict::Dead);
         }
     };
-    let success = match protocol.judge(&job.caller.id, &open.head) {
+    let answer = protocol.judge(&job.caller.id, &open.head);
+    let signals = match answer {
+        Answer::Ran { .. } | Answer::Turned(Turned::Full) => {
+            relay.on_answer(&job.service, endpoint, asked, &open.head)
+        }
+        Answer::Turned(Turned::Other) | Answer::Foreign(_) => Signals::default(),
+    };
+    let success = match answer {
         Answer::Ran { success } => success,
         Answer::Turned(Turned::Full) => {
-            let limit = relay.read_limit(job, endpoint, asked, &open.head);
             let end = End::NotRun("the endpoint is full".into());
-            return Sent { end, verdict: Verdict::Failed, limit };
+            return Sent { end, verdict: Verdict::Failed, signals };
         }
         Answer::Turned(Turned::Other) => {
             let end = End::NotRun("another endpoint has the address".into());
@@ -306,15 +312,14 @@
             return Sent::new(End::Unknown(problem.into()), Verdict::Failed);
         }
     };
-    let limit = relay.read_limit(job, endpoint, asked, &open.head);
     match open.body.collect(MAX_ANSWER).await {
         Ok(body) => {
             let verdict = if success { Verdict::Good } else { Verdict::Failed };
-            Sent { end: End::Answer { head: open.head, body, success }, verdict, limit }
+            Sent { end: End::Answer { head: open.head, body, success }, verdict, signals }
         }
         Err(problem) => {
             relay.broke_off(job, permit, endpoint, 0).await;
-            Sent { end: End::Unknown(problem), verdict: Verdict::Failed, limit }
+            Sent { end: End::Unknown(problem), verdict: Verdict::Failed, signals }
         }
     }
 }
--- a/crates/server/src/relay/generation.rs
+++ b/crates/server/src/relay/generation.rs
@@ -10,15 +10,14 @@
     mechanism::Mechanism,
     node::Input,
     registry::Registered,
-    throttle::RateLimit,
     wire::HealthNews,
 };
 
 use super::{
-    Answer, Job, MAX_TURNED, Relay, Turned,
+    Answer, Job, MAX_TURNED, Relay, Signals, Turned,
     ended::Awaited,
     job::GoOn,
-    limited, no_answer,
+    no_answer,
     permit::Permit,
     source::{Source, Step},
     stream::Pump,
@@ -173,16 +172,17 @@
 ) -> Result<Opened, Lost> {
     let began = Instant::now();
     let inputs = relay.inputs();
-    let opened = send(relay, job, permit, endpoint, go_on).await;
+    let mut signals = Signals::default();
+    let opened = send(relay, job, permit, endpoint, go_on, &mut signals).await;
     let (name, detail) = describe(&opened);
-    let limit = limited::describe(limit_named(relay, &opened));
     relay.metrics.attempt(&job.service, name);
     log::info!(
         event = EventId::AttemptEnded.number(), id = job.caller.id.as_str(),
         endpoint = &**endpoint, end = name, detail = detail.as_str(),
         config = inputs.config, config_age_ms = inputs.config_age_ms,
         after = go_on.after.unwrap_or(0), took_ms = began.elapsed().as_millis() as u64,
-        limit = limit.as_str();
+        limit = signals.describe_limit().as_str(),
+        backoff_ms = signals.describe_backoff().as_str(), leaving = signals.is_leaving();
         "an attempt ended"
     );
     opened
@@ -201,22 +201,13 @@
     }
 }
 
-/// How much the endpoint takes, by the head of its answer.
-fn limit_named(relay: &Relay, opened: &Result<Opened, Lost>) -> Option<RateLimit> {
-    match opened {
-        Ok(Opened::Stream { head, .. } | Opened::Failed { head, .. }) => {
-            relay.protocol.limit(head).ok()?
-        }
-        Err(_) => None,
-    }
-}
-
 async fn send(
     relay: &Relay,
     job: &Job,
     permit: &Permit,
     endpoint: &Arc<str>,
     go_on: &GoOn,
+    signals: &mut Signals,
 ) -> Result<Opened, Lost> {
     let Some(known) = relay.node.view().endpoint(endpoint) else {
         return Err(Lost::NotRun("the endpoint has just ended".into()));
@@ -226,7 +217,7 @@
         return Err(Lost::NotRun("its data hall is out of service".into()));
     }
     let awaited = Awaited::begin(relay, job, permit, &known);
-    let opened = send_to(relay, job, permit, &known, go_on).await;
+    let opened = send_to(relay, job, permit, &known, go_on, signals).await;
     awaited.end();
     opened
 }
@@ -237,6 +228,7 @@
     permit: &Permit,
     known: &Registered,
     go_on: &GoOn,
+    signals: &mut Signals,
 ) -> Result<Opened, Lost> {
     let failed = || {
         let news = Input::Health(known.id.clone(), HealthNews::Failed);
@@ -257,9 +249,12 @@
             return Err(Lost::Unknown(problem));
         }
     };
-    match relay.protocol.judge(&job.caller.id, &open.head) {
+    let answer = relay.protocol.judge(&job.caller.id, &open.head);
+    if matches!(answer, Answer::Ran { .. } | Answer::Turned(Turned::Full)) {
+        *signals = relay.on_answer(&job.service, known, asked, &open.head);
+    }
+    match answer {
         Answer::Turned(Turned::Full) => {
-            relay.read_limit(job, known, asked, &open.head);
             return Err(Lost::NotRun("the endpoint is full".into()));
         }
         Answer::Turned(Turned::Other) => {
@@ -267,11 +262,8 @@
             return Err(Lost::NotRun("another endpoint has the address".into()));
         }
         Answer::Foreign(problem) => return Err(Lost::Unknown(problem.into())),
-        Answer::Ran { success: true } => {
-            relay.read_limit(job, known, asked, &open.head);
-        }
+        Answer::Ran { success: true } => {}
         Answer::Ran { success: false } => {
-            relay.read_limit(job, known, asked, &open.head);
             /// Largest answer of an endpoint that failed.
             const MAX_FAILURE: usize = 1024 * 1024;
             return match open.body.collect(MAX_FAILURE).await {
--- a/crates/server/src/relay/limited.rs
+++ b/crates/server/src/relay/limited.rs
@@ -2,7 +2,6 @@
 
 use std::{sync::Arc, time::Duration};
 
-use http::response;
 use trayswitch_clock::Instant;
 use trayswitch_core::{
     error::{ErrorKind, RequestError},
@@ -12,7 +11,7 @@
     units,
 };
 
-use super::{Job, Relay, call::no_endpoint};
+use super::{Job, Relay, Signals, call::no_endpoint};
 use crate::telemetry::EventId;
 
 /// Endpoints that one request for leave names: as many as a question holds in one packet.
@@ -30,29 +29,29 @@
 }
 
 impl Relay {
-    /// Takes what an endpoint says in its answer of how much it takes. What cannot be read is told of and
-    /// changes nothing. The answer is to a request that was sent at `asked`.
-    pub(super) fn read_limit(
+    /// Takes how much an endpoint takes, by an answer to a request that was sent at `asked`. What cannot be
+    /// read changes nothing.
+    pub(super) fn note_limit(
         &self,
-        job: &Job,
+        service: &str,
         endpoint: &Registered,
         asked: units::Instant,
-        head: &response::Parts,
-    ) -> Option<RateLimit> {
-        let limit = match self.protocol.limit(head) {
+        signals: &Signals,
+    ) {
+        let limit = match signals.limit {
             Ok(limit) => limit,
             Err(problem) => {
-                self.metrics.limit_read(&job.service, "unreadable");
+                self.metrics.limit_read(service, "unreadable");
                 log::warn!(
                     event = EventId::LimitChanged.number(), endpoint = &*endpoint.id,
                     end = "unreadable", detail = problem.to_string().as_str();
                     "an endpoint names a limit that cannot be read"
                 );
-                return None;
+                return;
             }
         };
         if limit.is_some() {
-            self.metrics.limit_read(&job.service, "named");
+            self.metrics.limit_read(service, "named");
         }
         if limit.is_some() || self.node.limit(&endpoint.id).is_some() {
             let word = Word {
@@ -64,7 +63,6 @@
             };
             self.node.input(Input::LimitRead(word));
         }
-        limit
     }
 
     /// The endpoints that a call may be sent to now, but for what they say of how much they take.
--- a/crates/server/src/relay/mod.rs
+++ b/crates/server/src/relay/mod.rs
@@ -16,6 +16,7 @@
 mod moves;
 mod permit;
 mod protocol;
+mod signals;
 mod source;
 mod stream;
 #[cfg(test)]
@@ -52,6 +53,7 @@
         Answer, Attempt, CallerRequest, Copied, CopyOrder, MemoryAt, Prompt, Protocol, Reserved,
         Turned,
     },
+    signals::{BadFlag, BadMillis, Signals},
     unscheduled::Reservation,
 };
 use crate::{
--- a/crates/server/src/relay/moves.rs
+++ b/crates/server/src/relay/moves.rs
@@ -4,7 +4,7 @@
 //! is stopped and what is new is copied as well. So the pause is short, and the generation
 //! never leaves its engine before its copy is known to be good.
 
-use std::{cell::Cell, net::SocketAddr, rc::Rc, sync::Arc, time::Instant};
+use std::{cell::Cell, rc::Rc, sync::Arc, time::Instant};
 
 use tokio::time::timeout;
 use trayswitch_core::registry::Registered;
@@ -106,7 +106,7 @@
 ) -> MoveEnd {
     let source = from.address;
     let order = |last| CopyOrder { id: &job.caller.id, to: to.address, last };
-    let first = match copy(&relay, source, &order(false)).await {
+    let first = match copy(&relay, &job.service, &from, &order(false)).await {
         Ok(Copied::Done { handle, .. }) => MemoryAt { source, handle },
         Ok(Copied::NoSuchRun) => return MoveEnd::NoSuchRun,
         Ok(Copied::Busy) => return MoveEnd::Failed("another copy is on its way".into()),
@@ -119,7 +119,7 @@
         return MoveEnd::NoSuchRun;
     }
     progress.stopping.set(true);
-    match copy(&relay, source, &order(true)).await {
+    match copy(&relay, &job.service, &from, &order(true)).await {
         Ok(Copied::Done { handle, .. }) => {
             MoveEnd::Stopped { memory: MemoryAt { source, handle }, to: to.id }
         }
@@ -146,12 +146,19 @@
     }
 }
 
-async fn copy(relay: &Relay, at: SocketAddr, order: &CopyOrder<'_>) -> Result<Copied, String> {
+async fn copy(
+    relay: &Relay,
+    service: &str,
+    from: &Registered,
+    order: &CopyOrder<'_>,
+) -> Result<Copied, String> {
     let ask = async {
-        let open =
-            exchange(at, relay.protocol.copy_request(order), relay.options.connect_limit).await;
+        let asked = relay.node.now();
+        let req = relay.protocol.copy_request(order);
+        let open = exchange(from.address, req, relay.options.connect_limit).await;
         let open = open.map_err(|e: SendError| e.to_string())?;
         let head = open.head;
+        relay.on_answer(service, from, asked, &head);
         let body = open.body.collect(MAX_ANSWER).await?;
         Ok(relay.protocol.read_copied(&head, &body))
     };
--- a/crates/server/src/relay/protocol.rs
+++ b/crates/server/src/relay/protocol.rs
@@ -5,13 +5,9 @@
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response, request, response};
 use http_body_util::Full;
-use trayswitch_core::{
-    error::RequestError,
-    placement::EngineLoad,
-    throttle::{BadLimit, RateLimit},
-};
+use trayswitch_core::{error::RequestError, placement::EngineLoad};
 
-use super::Reservation;
+use super::{Reservation, Signals};
 
 /// What a caller asks for, decoded from its request.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
@@ -161,8 +157,8 @@
     /// Judges an endpoint's answer to the request of this id.
     fn judge(&self, id: &str, head: &response::Parts) -> Answer;
 
-    /// How many requests a second the endpoint takes from all daemons, if it says so in its answer.
-    fn limit(&self, head: &response::Parts) -> Result<Option<RateLimit>, BadLimit>;
+    /// What the endpoint says of itself in its answer.
+    fn signals(&self, head: &response::Parts) -> Signals;
 
     /// Headers of an endpoint's answer that are passed on to the caller.
     fn answer_headers(&self, head: &response::Parts) -> HeaderMap;
--- a/crates/server/src/relay/tests/protocol.rs
+++ b/crates/server/src/relay/tests/protocol.rs
@@ -1,19 +1,17 @@
 //! A protocol for tests, as plain as can be: one header for each thing that is told.
 
-use std::str::FromStr;
+use std::{str::FromStr, time::SystemTime};
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Request, Response, header, request, response};
 use http_body_util::Full;
 use trayswitch_core::{
-    error::RequestError,
-    placement::EngineLoad,
-    throttle::{BadLimit, RateLimit},
+    backoff::RetryAfter, error::RequestError, placement::EngineLoad, throttle::RateLimit,
 };
 
 use crate::relay::{
     Answer, Attempt, CallerRequest, Copied, CopyOrder, MemoryAt, Prompt, Protocol, Reservation,
-    Reserved, Turned,
+    Reserved, Signals, Turned,
 };
 
 /// The request's id, in requests and their answers.
@@ -28,6 +26,10 @@
 pub(super) const NOT_RUN: &str = "x-not-run";
 /// Requests a second that the endpoint takes.
 pub(super) const LIMIT: &str = "x-limit";
+/// Seconds for which a rejecting endpoint wants nothing from the daemon.
+pub(super) const RETRY_AFTER: &str = "x-retry-after";
+/// Given by an endpoint that is about to end.
+pub(super) const LEAVING: &str = "x-leaving";
 /// The outcome that a caller is told where no endpoint answered.
 pub(super) const OUTCOME: &str = "x-outcome";
 /// Path of the orders to copy.
@@ -57,6 +59,10 @@
     headers.get(name)?.to_str().ok()?.parse().ok()
 }
 
+fn text(value: &HeaderValue) -> &str {
+    value.to_str().unwrap_or_default()
+}
+
 impl Protocol for TestProtocol {
     fn caller_request(&self, head: &request::Parts) -> Result<CallerRequest, RequestError> {
         Ok(CallerRequest {
@@ -102,9 +108,14 @@
         }
     }
 
-    fn limit(&self, head: &response::Parts) -> Result<Option<RateLimit>, BadLimit> {
-        let values = head.headers.get_all(LIMIT).iter();
-        RateLimit::read(values.map(|value| value.to_str().unwrap_or_default()))
+    fn signals(&self, head: &response::Parts) -> Signals {
+        let values = |name| head.headers.get_all(name).iter().map(text);
+        Signals {
+            limit: RateLimit::read(values(LIMIT)),
+            retry_after: RetryAfter::read(values(RETRY_AFTER), None, SystemTime::UNIX_EPOCH),
+            leaving: Ok(head.headers.contains_key(LEAVING)),
+            cold_for: Ok(None),
+        }
     }
 
     fn answer_headers(&self, head: &response::Parts) -> HeaderMap {
--- a/crates/server/src/relay/unscheduled.rs
+++ b/crates/server/src/relay/unscheduled.rs
@@ -110,10 +110,12 @@
     endpoint: &Arc<str>,
     req: Request<Full<Bytes>>,
 ) -> Option<(response::Parts, Bytes)> {
-    let address = relay.node.view().endpoint(endpoint)?.address;
+    let known = relay.node.view().endpoint(endpoint)?;
     let limit = relay.options.connect_limit;
+    let asked = relay.node.now();
     let whole = async {
-        let open = exchange(address, req, limit).await.map_err(|e| e.to_string())?;
+        let open = exchange(known.address, req, limit).await.map_err(|e| e.to_string())?;
+        relay.on_answer(&known.service, &known, asked, &open.head);
         Ok((open.head, open.body.collect(MAX_ANSWER).await?))
     };
     let problem = match timeout(limit, whole).await {
--- a/crates/server/src/telemetry/metrics.rs
+++ b/crates/server/src/telemetry/metrics.rs
@@ -22,6 +22,7 @@
     quarantined: IntGauge,
     trials: IntCounterVec,
     limits_read: IntCounterVec,
+    signals_read: IntCounterVec,
     limited_endpoints: IntGauge,
     leaves: IntCounterVec,
     latency: HistogramVec,
@@ -97,6 +98,11 @@
                 "Answers in which an endpoint names how many requests a second it takes, by service and whether it can be read",
                 &["service", "limit"],
             )?,
+            signals_read: counter(
+                "trayswitch_endpoint_signals_total",
+                "Answers in which an endpoint asks for back-off, says that it leaves or that it is cold, by service, signal and whether it can be read",
+                &["service", "signal", "end"],
+            )?,
             limited_endpoints: gauge(
                 "trayswitch_limited_endpoints",
                 "Endpoints that name how many requests a second they take, as this daemon knows",
@@ -196,6 +202,11 @@
         self.limits_read.with_label_values(&[service, limit]).inc();
     }
 
+    /// An endpoint has said something of itself in an answer.
+    pub fn signal_read(&self, service: &str, signal: &str, end: &str) {
+        self.signals_read.with_label_values(&[service, signal, end]).inc();
+    }
+
     /// Counts the leader's answer to a try of a suspect.
     pub fn trial(&self, answer: &str) {
         self.trials.with_label_values(&[answer]).inc();
