--- /dev/null
+++ b/crates/core/src/backoff/table_tests.rs
@@ -0,0 +1,179 @@
+//! Which daemon may send to an endpoint that has rejected requests.
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use proptest::prelude::*;
+
+use super::{Admission, BackoffTable, Rejection};
+use crate::{testing::fixed_seed, units::Instant};
+
+const RUN: u64 = 7;
+const D1: u64 = 1;
+const D2: u64 = 2;
+
+fn ms(ms: u64) -> Instant {
+    Instant(1_000_000 + ms * 1_000)
+}
+
+fn rejection(started_at: u64, retry_after_ms: Option<u64>) -> Rejection {
+    let retry_after = retry_after_ms.map(Duration::from_millis);
+    Rejection { endpoint: "e".into(), started_at, retry_after }
+}
+
+fn rejected(daemon: u64, retry_after_ms: Option<u64>) -> BackoffTable {
+    let mut table = BackoffTable::default();
+    table.on_rejection(daemon, &rejection(RUN, retry_after_ms), ms(0));
+    table
+}
+
+#[gtest]
+fn it_gets_nothing_of_the_daemon_that_it_has_asked_and_little_of_others() {
+    let table = rejected(D1, Some(3_000));
+
+    expect_that!(table.admission("e", D1, ms(2_999)), eq(Admission::BackedOff(ms(3_000))));
+    expect_that!(table.admission("e", D2, ms(2_999)), eq(Admission::LastResort));
+    expect_that!(table.admission("e", D1, ms(3_000)), eq(Admission::Open));
+    expect_that!(table.admission("other", D1, ms(0)), eq(Admission::Open));
+}
+
+#[gtest]
+fn a_rejection_without_a_time_closes_it_to_nobody() {
+    let table = rejected(D1, None);
+
+    expect_that!(table.admission("e", D1, ms(10)), eq(Admission::LastResort));
+    expect_that!(table.admission("e", D1, ms(300)), eq(Admission::Open));
+}
+
+#[gtest]
+fn zero_seconds_ask_for_nothing() {
+    let table = rejected(D1, Some(0));
+
+    expect_that!(table.admission("e", D1, ms(0)), eq(Admission::Open));
+}
+
+#[gtest]
+fn of_several_answers_the_latest_end_holds() {
+    let mut table = rejected(D1, Some(3_000));
+
+    table.on_rejection(D1, &rejection(RUN, Some(100)), ms(10));
+
+    expect_that!(table.backs_off_until("e", D1, ms(500)), some(eq(ms(3_000))));
+}
+
+#[gtest]
+fn an_answer_lifts_no_back_off() {
+    let mut table = rejected(D1, Some(3_000));
+    table.on_sent("e", ms(1));
+
+    table.on_end("e", ms(1), true, ms(2));
+
+    expect_that!(table.backs_off_until("e", D1, ms(500)), some(eq(ms(3_000))));
+}
+
+#[gtest]
+fn a_new_run_has_asked_for_nothing() {
+    let mut table = rejected(D1, Some(3_000));
+
+    table.on_rejection(D2, &rejection(RUN + 1, None), ms(10));
+    table.on_rejection(D1, &rejection(RUN, Some(9_000)), ms(20));
+
+    expect_that!(table.backs_off_until("e", D1, ms(30)), none());
+}
+
+#[gtest]
+fn runs_and_daemons_that_are_gone_are_forgotten() {
+    let mut of_run = rejected(D1, Some(3_000));
+    let mut of_daemon = rejected(D1, Some(3_000));
+
+    of_run.retain(|endpoint, started_at| (endpoint, started_at) != ("e", RUN), ms(10));
+    of_daemon.forget_daemon(D1);
+
+    expect_that!(of_run.admission("e", D1, ms(10)), eq(Admission::Open));
+    expect_that!(of_daemon.admission("e", D1, ms(10)), eq(Admission::LastResort));
+}
+
+#[gtest]
+fn others_are_told_once_and_of_what_lasts() {
+    let mut table = rejected(D1, Some(3_000));
+    let first = table.take_news("e", ms(0));
+    table.on_rejection(D2, &rejection(RUN, Some(3_000)), ms(100));
+    let little_more = table.take_news("e", ms(100));
+    table.on_rejection(D2, &rejection(RUN, Some(3_000)), ms(700));
+    let much_more = table.take_news("e", ms(700));
+    let short = rejected(D1, None).take_news("e", ms(0));
+
+    expect_that!([first, little_more, much_more, short], eq([true, false, true, false]));
+}
+
+#[gtest]
+fn a_daemon_that_is_told_sends_there_last() {
+    let mut table = BackoffTable::default();
+
+    table.on_report(&"e".into(), RUN, Duration::from_secs(3), ms(0));
+
+    expect_that!(table.admission("e", D1, ms(2_999)), eq(Admission::LastResort));
+    expect_that!(table.admission("e", D1, ms(3_000)), eq(Admission::Open));
+}
+
+#[gtest]
+fn nothing_is_kept_of_what_is_over() {
+    let mut table = rejected(D1, Some(3_000));
+
+    table.expire(ms(40_000));
+
+    expect_true!(table.is_empty());
+}
+
+/// What happens to the endpoint: a rejection by the run of this number, a while after the event before.
+#[derive(Debug, Clone, Copy)]
+struct Event {
+    pause_ms: u64,
+    daemon: u64,
+    run: u64,
+    retry_after_ms: Option<u64>,
+}
+
+fn events() -> impl Strategy<Value = Vec<Event>> {
+    let retry_after = prop_oneof![1 => Just(None), 4 => (0u64..5_000).prop_map(Some)];
+    let event = (0u64..2_000, 0u64..4, 0u64..3, retry_after);
+    let event = event.prop_map(|(pause_ms, daemon, run, retry_after_ms)| Event {
+        pause_ms,
+        daemon,
+        run,
+        retry_after_ms,
+    });
+    prop::collection::vec(event, 1..40)
+}
+
+proptest! {
+    #![proptest_config(fixed_seed(300))]
+
+    /// Whatever comes in whatever order: a daemon is kept away exactly as long as a rejection of the present run
+    /// has asked it for.
+    #[test]
+    fn a_daemon_is_kept_away_for_as_long_as_it_was_asked_to(events in events()) {
+        let mut table = BackoffTable::default();
+        let mut asked: Vec<(u64, Instant)> = Vec::new();
+        let (mut now, mut run) = (0, 0);
+        for event in events {
+            now += event.pause_ms;
+            table.on_rejection(event.daemon, &rejection(event.run, event.retry_after_ms), ms(now));
+            if run < event.run {
+                run = event.run;
+                asked.clear();
+            }
+            if let Some(time) = event.retry_after_ms.filter(|_| event.run == run) {
+                asked.push((event.daemon, ms(now + time)));
+            }
+            if now.is_multiple_of(3) {
+                table.expire(ms(now));
+            }
+            for daemon in 0..4 {
+                let of_daemon = asked.iter().filter(|(of, until)| *of == daemon && ms(now) < *until);
+                let until = of_daemon.map(|(_, until)| *until).max();
+                prop_assert_eq!(table.backs_off_until("e", daemon, ms(now)), until);
+            }
+        }
+    }
+}
--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -68,6 +68,7 @@
     LimitChanged = 319, "An endpoint has named how many requests a second it takes, another number, or none any more.";
     LeaveAsked = 320, "A call for which an endpoint that names a limit was chosen went there, elsewhere, or was refused.";
     SignalUnreadable = 321, "What an endpoint says of itself in an answer cannot be read.";
+    BackoffChanged = 322, "An endpoint has asked this daemon to back off, or the time is over.";
     RequestFailed = 304, "A request did not end in its whole answer.";
     FrameDropped = 305, "A frame of a generation was ignored.";
 }
--- a/crates/core/src/mechanism/mod.rs
+++ b/crates/core/src/mechanism/mod.rs
@@ -53,6 +53,7 @@
     SecondAttempts = "second-attempts", "Calls that take long are sent to a second endpoint.";
     FailurePauses = "failure-pauses", "Calls avoid endpoints that did not answer.";
     FailureWeights = "failure-weights", "Calls avoid endpoints that fail often.";
+    SharedBackoff = "shared-backoff", "An endpoint that rejects requests is the last resort of all daemons.";
     NearCalls = "near-calls", "Calls prefer endpoints of the same data hall.";
 }
 
--- a/crates/core/src/node/admit.rs
+++ b/crates/core/src/node/admit.rs
@@ -23,7 +23,7 @@
         max_wait_ms: max_wait.as_millis() as u64,
         first_within_ms: (max_wait + req.first_within.saturating_sub(req.max_wait)).as_millis()
             as u64,
-        avoid: req.avoid.as_deref().map(str::to_owned),
+        avoid: req.avoid.iter().map(|name| name.to_string()).collect(),
         apart: req.apart,
         rank: req.rank,
         share: req.share,
@@ -55,7 +55,7 @@
         max_tokens: admit.max_tokens,
         max_wait: Duration::from_millis(admit.max_wait_ms),
         first_within: Duration::from_millis(admit.first_within_ms),
-        avoid: admit.avoid.map(Into::into),
+        avoid: admit.avoid.into_iter().map(Into::into).collect(),
         apart: admit.apart,
     }
 }
--- a/crates/core/src/node/control/mod.rs
+++ b/crates/core/src/node/control/mod.rs
@@ -24,7 +24,6 @@
     placement::Scheduler,
     quarantine::CopyState,
     state::State,
-    throttle::Word,
     units::Instant,
     wire::{Body, Fetch, Poll, ReplicaInfo, Submit},
 };
@@ -247,6 +246,11 @@
                     dispatcher.limits_read(news, clocks.now);
                 }
             }
+            Body::Rejected(rejected) => {
+                if let Some(dispatcher) = &mut self.dispatcher {
+                    dispatcher.rejected(from, rejected, clocks.now);
+                }
+            }
             Body::LeaveAsk(ask) => match &mut self.dispatcher {
                 Some(dispatcher) => dispatcher.leave_ask(from, ask, clocks.now, out),
                 None => self.not_leader(from, None, out),
@@ -294,10 +298,10 @@
         }
     }
 
-    /// Forgets the limits of endpoints that are not there any more.
-    pub(crate) fn retain_limits(&mut self, is_there: impl Fn(&Word) -> bool, now: Instant) {
+    /// Forgets what runs of endpoints have said that are not there any more.
+    pub(crate) fn retain_runs(&mut self, is_there: impl Fn(&str, u64) -> bool, now: Instant) {
         if let Some(dispatcher) = &mut self.dispatcher {
-            dispatcher.retain_limits(is_there, now);
+            dispatcher.retain_runs(is_there, now);
         }
     }
 
--- a/crates/core/src/node/dispatcher.rs
+++ b/crates/core/src/node/dispatcher.rs
@@ -9,16 +9,18 @@
     time::Duration,
 };
 
-use super::{ByVm, Outbox, VmName, admit, engines::Engines, limits::Limits, load_report};
+use super::{
+    ByVm, Outbox, VmName, admit, broadcast::Broadcast, engines::Engines, limits::Limits,
+    load_report,
+};
 use crate::{
     error::RequestError,
     mechanism::Disabled,
     placement::{Action, Relocation, Scheduler, Ticket},
-    throttle::Word,
     units::Instant,
     wire::{
-        Admit, Body, GiveUp, Grant, Health, HealthNews, LeaveAsk, LimitNews, LimitWord, Move,
-        Moved, Progress, Report, SlowEndpoint, Watch,
+        Admit, Body, GiveUp, Grant, Health, HealthNews, LastResort, LeaveAsk, LimitNews, LimitWord,
+        Move, Moved, Overloaded, Progress, Rejected, Report, SlowEndpoint, Watch,
     },
 };
 
@@ -44,6 +46,8 @@
     must_assign: bool,
     slow: SlowOnes,
     limits: Limits,
+    /// Endpoints that reject requests, of which daemons are to be told.
+    overloaded: Broadcast,
 }
 
 /// The endpoints that are slower than others, as they were when last looked for.
@@ -69,6 +73,7 @@
             must_assign: true,
             slow: SlowOnes::default(),
             limits: Limits::default(),
+            overloaded: Broadcast::default(),
         }
     }
 
@@ -96,7 +101,8 @@
 
     pub(crate) fn next_tick(&self) -> Option<Instant> {
         let next = self.scheduler.next_decision().map(|at| at.max(self.open_at));
-        next.into_iter().chain(self.limits.next_tick()).min()
+        let news = self.limits.next_tick().into_iter().chain(self.overloaded.next_tick());
+        next.into_iter().chain(news).min()
     }
 
     /// Takes what became of a move.
@@ -136,7 +142,8 @@
         }
         let freed = !progress.finished.is_empty()
             || !progress.ended.is_empty()
-            || self.scheduler.has_apart();
+            || self.scheduler.has_apart()
+            || !self.scheduler.backoffs.is_empty();
         for tokens in progress.finished {
             self.scheduler.finish(ticket(tokens.number), tokens.tokens, true, now);
         }
@@ -212,6 +219,36 @@
         self.decide(now, out);
         self.assign_watches(daemons, out);
         self.limits.tick(daemons, &mut self.scheduler.throttle, now, out);
+        self.tell_overloaded(daemons, now, out);
+        self.scheduler.backoffs.expire(now);
+    }
+
+    /// Takes word that an endpoint has rejected a request of a daemon.
+    pub(crate) fn rejected(&mut self, from: &VmName, rejected: Rejected, now: Instant) {
+        let rejection = rejected.decode();
+        let daemon = self.number(from);
+        self.scheduler.rejected(daemon, &rejection, now);
+        let must_tell = self.scheduler.shares_backoffs()
+            && self.scheduler.backoffs.take_news(&rejection.endpoint, now);
+        if must_tell {
+            self.overloaded.add(&rejection.endpoint, now);
+        }
+    }
+
+    fn tell_overloaded(&mut self, daemons: &BTreeSet<VmName>, now: Instant, out: &mut Outbox) {
+        let backoffs = &self.scheduler.backoffs;
+        let due = self.overloaded.take_due(daemons.len(), now);
+        let endpoints = due.iter().filter_map(|name| {
+            let until = backoffs.last_resort_until(name, now)?;
+            Some(LastResort::new(name, backoffs.started_at(name)?, until, now))
+        });
+        let news = Overloaded { endpoints: endpoints.collect() };
+        if news.endpoints.is_empty() {
+            return;
+        }
+        for vm in daemons {
+            out.send(vm, Body::Overloaded(news.clone()));
+        }
     }
 
     /// Takes what a daemon has read of the limits that endpoints name.
@@ -235,9 +272,9 @@
         self.limits.some(&self.scheduler.throttle, now)
     }
 
-    /// Forgets the limits of endpoints that are not there any more.
-    pub(crate) fn retain_limits(&mut self, is_there: impl Fn(&Word) -> bool, now: Instant) {
-        self.scheduler.throttle.retain(is_there, now);
+    /// Forgets what runs of endpoints have said that are not there any more.
+    pub(crate) fn retain_runs(&mut self, is_there: impl Fn(&str, u64) -> bool, now: Instant) {
+        self.scheduler.retain_runs(is_there, now);
     }
 
     /// Some of the endpoints that are slower than others, the next ones at each call.
--- a/crates/core/src/node/endpoints.rs
+++ b/crates/core/src/node/endpoints.rs
@@ -10,7 +10,7 @@
 };
 use crate::{
     placement::{EndpointState, Health, Scheduler},
-    throttle::{RateLimit, Word},
+    throttle::RateLimit,
     units::Instant,
     wire::{Body, EndpointNews, EndpointRecord, EndpointsWanted},
 };
@@ -217,13 +217,13 @@
             control.set_engines(engines, now, &mut self.outputs);
         }
         let registry = &self.registry;
-        let is_there = |word: &Word| {
-            registry.knows_run(&word.endpoint, word.born)
-                || in_force.config.endpoints.contains_key(&*word.endpoint)
+        let is_there = |endpoint: &str, started_at| {
+            registry.knows_run(endpoint, started_at)
+                || in_force.config.endpoints.contains_key(endpoint)
         };
-        self.placing.throttle_mut().retain(is_there, now);
+        self.placing.retain_runs(is_there, now);
         if let Some(control) = &mut self.control {
-            control.retain_limits(is_there, now);
+            control.retain_runs(is_there, now);
         }
     }
 }
--- a/crates/core/src/node/inputs.rs
+++ b/crates/core/src/node/inputs.rs
@@ -58,6 +58,10 @@
                 let (leaves, mut cx, out) = self.leaves_context(clocks.now);
                 leaves.read(word, &mut cx, out);
             }
+            Input::Rejected(rejection) => {
+                let scheduler = self.keeper.scheduler(clocks.now);
+                self.placing.rejected(&rejection, scheduler, clocks.now, out);
+            }
             Input::Heartbeat(record) => self.heartbeat(record, clocks.now),
             Input::Recall(records) => {
                 if self.disabled.allows(Mechanism::RecalledEndpoints) {
@@ -170,6 +174,7 @@
                 suspects.answered(reply, &cx, out);
             }
             Body::Limits(news) => self.limits_told(news.words, clocks),
+            Body::Overloaded(news) => self.placing.told_overloaded(&news, clocks.now),
             Body::LeaveReply(reply) => {
                 let (leaves, mut cx, out) = self.leaves_context(clocks.now);
                 leaves.answered(reply, &mut cx, out);
--- a/crates/core/src/node/limits.rs
+++ b/crates/core/src/node/limits.rs
@@ -1,22 +1,14 @@
 //! What the leader does about endpoints that name limits: gives leave, and tells all daemons of the limits.
 
-use std::{
-    collections::{BTreeSet, VecDeque},
-    sync::Arc,
-    time::Duration,
-};
+use std::{collections::BTreeSet, time::Duration};
 
-use super::{Outbox, VmName, leaves::decode, spread};
+use super::{Outbox, VmName, broadcast::Broadcast, leaves::decode};
 use crate::{
     throttle::{Change, Leave, LeaveQueue, Throttle, Word},
     units::Instant,
     wire::{Body, LeaveAsk, LeaveReply, LimitNews, LimitWord},
 };
 
-/// Daemons are told of changes no more often than this; an endpoint may name another limit in each answer.
-const TELL_PAUSE: Duration = Duration::from_millis(200);
-/// Limits in one message: 2 kB.
-const TOLD_AT_ONCE: usize = 32;
 /// Limits that an answer to a daemon's poll names, for what has not reached it: 120 bytes.
 const REPEATED_AT_ONCE: usize = 2;
 
@@ -24,11 +16,7 @@
 #[derive(Debug, Default)]
 pub(super) struct Limits {
     queue: LeaveQueue<(VmName, u64)>,
-    /// Endpoints of which daemons are to be told.
-    news: VecDeque<Arc<str>>,
-    /// When they are told, if of any.
-    tell: Option<Instant>,
-    told: Instant,
+    news: Broadcast,
     /// Number of the limits that were repeated.
     repeated: usize,
 }
@@ -37,9 +25,8 @@
     /// Takes what an endpoint has said.
     pub(super) fn learn(&mut self, word: Word, throttle: &mut Throttle, now: Instant) {
         let endpoint = word.endpoint.clone();
-        if throttle.learn(word, now) != Change::None && !self.news.contains(&endpoint) {
-            self.news.push_back(endpoint);
-            self.tell.get_or_insert(now.max(self.told.after(TELL_PAUSE)));
+        if throttle.learn(word, now) != Change::None {
+            self.news.add(&endpoint, now);
         }
     }
 
@@ -73,7 +60,7 @@
     }
 
     pub(super) fn next_tick(&self) -> Option<Instant> {
-        self.tell.into_iter().chain(self.queue.next_decision()).min()
+        self.news.next_tick().into_iter().chain(self.queue.next_decision()).min()
     }
 
     /// Gives leave that is due, and tells daemons what is news.
@@ -89,29 +76,26 @@
                 reply(&asker, leave, out);
             }
         }
-        if self.tell.take_if(|at| *at <= now).is_some() {
-            self.tell_all(daemons, throttle, now, out);
-        }
+        self.tell(daemons, throttle, now, out);
     }
 
-    fn tell_all(
+    fn tell(
         &mut self,
         daemons: &BTreeSet<VmName>,
         throttle: &Throttle,
         now: Instant,
         out: &mut Outbox,
     ) {
-        let due = self.news.drain(..TOLD_AT_ONCE.min(self.news.len()));
-        let words = due.filter_map(|name| Some(LimitWord::encode(throttle.word(&name)?, now)));
+        let due = self.news.take_due(daemons.len(), now);
+        if due.is_empty() {
+            return;
+        }
+        let words =
+            due.iter().filter_map(|name| Some(LimitWord::encode(throttle.word(name)?, now)));
         let news = LimitNews { words: words.collect() };
         for vm in daemons {
             out.send(vm, Body::Limits(news.clone()));
         }
-        self.told = now;
-        if !self.news.is_empty() {
-            let pause = spread::for_each(spread::PAUSE_FOR_A_DAEMON, daemons.len());
-            self.tell = Some(now.after(pause.max(TELL_PAUSE)));
-        }
     }
 
     /// Some of the limits, the next ones at each call.
--- a/crates/core/src/node/messages.rs
+++ b/crates/core/src/node/messages.rs
@@ -7,6 +7,7 @@
 use super::{BrokeOff, ControlStatus, EndpointStatus, Entries, InForce, TrialAnswer, VmName};
 use crate::{
     agreement::Persist,
+    backoff::Rejection,
     error::RequestError,
     once::{Claim, ClaimResult, Settle},
     placement::{Drawn, Request},
@@ -184,6 +185,8 @@
     },
     /// An endpoint has said in an answer how much it takes, or names no limit any more.
     LimitRead(Word),
+    /// An endpoint has rejected a request of this daemon.
+    Rejected(Rejection),
     /// This daemon has news of an endpoint.
     Health(Arc<str>, HealthNews),
     /// This daemon asked an endpoint for its load.
@@ -227,6 +230,7 @@
             Input::TrialBegun(_) => "trial_begun",
             Input::TrialOver { .. } => "own_trial_over",
             Input::LimitRead(_) => "limit_read",
+            Input::Rejected(_) => "rejected",
             Input::Health(..) => "own_health",
             Input::Load(_) => "load",
             Input::Heartbeat(_) => "heartbeat",
@@ -320,6 +324,15 @@
         /// Those that are sent to no endpoint.
         quarantined: usize,
     },
+    /// An endpoint has asked this daemon to back off, or the time is over.
+    Backoff {
+        /// Name of the endpoint.
+        endpoint: Arc<str>,
+        /// For how long; nothing once it is over.
+        left: Option<Duration>,
+        /// Number of the endpoints that have asked it to back off.
+        backing_off: usize,
+    },
     /// An endpoint has named a limit, another one or none any more.
     Limit {
         /// The endpoint.
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -14,6 +14,7 @@
 //! - [`directory`] knows the control VMs and [`endpoints`] the endpoints that register.
 
 mod admit;
+mod broadcast;
 mod broke_off;
 mod changes;
 #[cfg(test)]
@@ -73,6 +74,7 @@
 };
 use crate::{
     agreement::{self, Restored},
+    backoff::{Admission, BackoffTable},
     config::ContentHash,
     mechanism::Disabled,
     placement::{LoadReport, Request},
@@ -207,6 +209,16 @@
         self.placing.local().throttle.limit(endpoint)
     }
 
+    /// Whether an endpoint may be sent a request of this daemon, as far as it has rejected some.
+    pub fn admission(&self, endpoint: &str, now: Instant) -> Admission {
+        self.placing.local().own_admission(endpoint, now)
+    }
+
+    /// The table of endpoints that have rejected requests, for those that this daemon sends by itself.
+    pub fn backoffs_mut(&mut self) -> &mut BackoffTable {
+        self.placing.backoffs_mut()
+    }
+
     /// The chance that an answer would end within this time, by the lengths and paces that this
     /// daemon has seen itself.
     pub fn chance_to_end(&self, req: &Request, within: Duration, now: Instant) -> f64 {
--- /dev/null
+++ b/crates/core/src/node/placing/backoff.rs
@@ -0,0 +1,89 @@
+//! Endpoints that have rejected requests of this daemon.
+
+use std::sync::Arc;
+
+use super::Placing;
+use crate::{
+    backoff::{OWN_DAEMON, Rejection},
+    node::{Outbox, Output, VmName, keeper::SchedulerAt},
+    units::Instant,
+    wire::{Body, Overloaded, Rejected},
+};
+
+/// Back-offs that a new leader is told of by one daemon.
+const MAX_TOLD: usize = 64;
+
+impl Placing {
+    /// Takes what an endpoint has rejected, and tells the leader, which places requests of this daemon.
+    pub(crate) fn rejected(
+        &mut self,
+        rejection: &Rejection,
+        scheduler: Option<&SchedulerAt>,
+        now: Instant,
+        out: &mut Outbox,
+    ) {
+        self.local.rejected(OWN_DAEMON, rejection, now);
+        if let Some(scheduler) = scheduler {
+            out.send(&scheduler.vm, Body::Rejected(Rejected::encode(rejection)));
+        }
+        let endpoint = &rejection.endpoint;
+        if self.local.backoffs.backs_off_until(endpoint, OWN_DAEMON, now).is_none() {
+            return;
+        }
+        self.next_backoff_end = self.first_end(now);
+        if self.backing_off.insert(endpoint.clone()) {
+            self.show(endpoint, now, out);
+        }
+    }
+
+    /// Takes the leader's word of endpoints that reject requests of other daemons.
+    pub(crate) fn told_overloaded(&mut self, news: &Overloaded, now: Instant) {
+        for told in &news.endpoints {
+            let endpoint: Arc<str> = told.endpoint.as_str().into();
+            self.local.backoffs.on_report(&endpoint, told.started_at, told.left(), now);
+        }
+    }
+
+    /// Tells a new leader which endpoints want nothing from this daemon.
+    pub(super) fn tell_backoffs(&self, scheduler: &VmName, now: Instant, out: &mut Outbox) {
+        for rejection in self.local.backoffs.asked(OWN_DAEMON, now).take(MAX_TOLD) {
+            out.send(scheduler, Body::Rejected(Rejected::encode(&rejection)));
+        }
+    }
+
+    /// Forgets what runs of endpoints have said that are not there any more.
+    pub(crate) fn retain_runs(&mut self, is_there: impl Fn(&str, u64) -> bool, now: Instant) {
+        self.local.retain_runs(is_there, now);
+    }
+
+    /// Shows which endpoints take requests of this daemon again.
+    pub(super) fn end_backoffs(&mut self, now: Instant, out: &mut Outbox) {
+        if self.next_backoff_end.is_none_or(|end| now < end) {
+            return;
+        }
+        let backoffs = &self.local.backoffs;
+        let is_over = |name: &Arc<str>| backoffs.backs_off_until(name, OWN_DAEMON, now).is_none();
+        let ended: Vec<Arc<str>> =
+            self.backing_off.iter().filter(|name| is_over(name)).cloned().collect();
+        for endpoint in ended {
+            self.backing_off.remove(&endpoint);
+            self.show(&endpoint, now, out);
+        }
+        self.next_backoff_end = self.first_end(now);
+    }
+
+    fn show(&self, endpoint: &Arc<str>, now: Instant, out: &mut Outbox) {
+        let backoffs = &self.local.backoffs;
+        let until = backoffs.backs_off_until(endpoint, OWN_DAEMON, now);
+        out.push(Output::Backoff {
+            endpoint: endpoint.clone(),
+            left: until.map(|until| until.since(now)),
+            backing_off: self.backing_off.len(),
+        });
+    }
+
+    fn first_end(&self, now: Instant) -> Option<Instant> {
+        let asked = self.local.backoffs.asked(OWN_DAEMON, now);
+        asked.filter_map(|rejection| Some(now.after(rejection.retry_after?))).min()
+    }
+}
--- a/crates/core/src/node/placing/mod.rs
+++ b/crates/core/src/node/placing/mod.rs
@@ -4,6 +4,7 @@
 //! The fallback knows only what runs here. It draws two endpoints at random for each request; which
 //! of them takes it they are asked themselves (see [`crate::placement::order`]).
 
+mod backoff;
 mod local;
 
 use std::{
@@ -17,6 +18,7 @@
     keeper::SchedulerAt, load_report,
 };
 use crate::{
+    backoff::BackoffTable,
     config::Endpoints,
     error::{ErrorKind, RequestError},
     mechanism::Disabled,
@@ -75,6 +77,10 @@
     /// Running requests whose token counts were not passed on yet.
     unreported: BTreeSet<CallId>,
     next_report: Instant,
+    /// Endpoints that have asked this daemon to back off, until it has shown that this is over.
+    backing_off: BTreeSet<Arc<str>>,
+    /// When the first endpoint takes requests of this daemon again.
+    next_backoff_end: Option<Instant>,
 }
 
 impl Placing {
@@ -88,6 +94,8 @@
             running: BTreeMap::new(),
             unreported: BTreeSet::new(),
             next_report: Instant::default(),
+            backing_off: BTreeSet::new(),
+            next_backoff_end: None,
         }
     }
 
@@ -101,6 +109,11 @@
         &mut self.local.throttle
     }
 
+    /// The endpoints that have rejected requests, as this daemon knows them.
+    pub(crate) fn backoffs_mut(&mut self) -> &mut BackoffTable {
+        &mut self.local.backoffs
+    }
+
     /// Takes the engines that schedulers may use.
     pub(crate) fn configure(&mut self, engines: &Engines, now: Instant) {
         let endpoints = engines.all();
@@ -153,7 +166,12 @@
     pub(crate) fn next_tick(&self) -> Instant {
         let deadlines = self.waiting.values().map(|w| w.deadline);
         let local = self.local.next_decision().filter(|_| self.scheduler.is_none());
-        deadlines.chain([self.next_report]).chain(local).min().unwrap_or(self.next_report)
+        deadlines
+            .chain([self.next_report])
+            .chain(local)
+            .chain(self.next_backoff_end)
+            .min()
+            .unwrap_or(self.next_report)
     }
 
     pub(crate) fn place(
@@ -312,9 +330,11 @@
             (Some(_), Some(_)) => {}
         }
         self.give_up_overdue(now, out);
+        self.end_backoffs(now, out);
         self.decide_locally(now, out);
         if self.next_report <= now {
             self.next_report = now.after(REPORT);
+            self.local.backoffs.expire(now);
             self.report(out);
         }
     }
@@ -328,6 +348,7 @@
     ) {
         self.scheduler = scheduler.map(|s| s.vm.clone());
         let Some(scheduler) = &self.scheduler else { return };
+        self.tell_backoffs(scheduler, now, out);
         for (call, running) in &self.running {
             out.send(scheduler, Body::Admit(running.admit(*call)));
         }
--- a/crates/core/src/node/tests/leaving.rs
+++ b/crates/core/src/node/tests/leaving.rs
@@ -1,11 +1,14 @@
 //! Whatever the order in which requests come, run, move and are given up by callers who leave,
 //! also through changes of the leader: in the end no place is held for any of them.
 
+use std::time::Duration;
+
 use googletest::prelude::*;
 use proptest::prelude::*;
 
 use super::net::{Net, Site, request};
 use crate::{
+    backoff::Rejection,
     node::{CallId, Input, Question, VmName, control::Control},
     placement::Scheduler,
     wire::HealthNews,
@@ -27,6 +30,7 @@
     Ends(u8),
     Moved(u8, bool),
     EndpointFails(u8),
+    EndpointRejects(u8, u16),
     LeaderStops,
     TimePasses(u8),
 }
@@ -39,6 +43,7 @@
         2 => any::<u8>().prop_map(Step::Ends),
         1 => (any::<u8>(), any::<bool>()).prop_map(|(at, done)| Step::Moved(at, done)),
         1 => any::<u8>().prop_map(Step::EndpointFails),
+        2 => (any::<u8>(), 0u16..3_000).prop_map(|(at, ms)| Step::EndpointRejects(at, ms)),
         1 => Just(Step::LeaderStops),
         4 => (0u8..6).prop_map(Step::TimePasses),
     ];
@@ -90,6 +95,12 @@
                 let entry: VmName = if at % 2 == 0 { "vm-4" } else { "vm-5" }.into();
                 self.net.handle(&entry, Input::Health("e0".into(), HealthNews::Failed));
             }
+            Step::EndpointRejects(at, millis) => {
+                let entry: VmName = if at % 2 == 0 { "vm-4" } else { "vm-5" }.into();
+                let retry_after = (0 < millis).then(|| Duration::from_millis(millis.into()));
+                let rejection = Rejection { endpoint: "e0".into(), started_at: 0, retry_after };
+                self.net.handle(&entry, Input::Rejected(rejection));
+            }
             Step::LeaderStops => {
                 if let Some(leader) = self.net.leader() {
                     self.net.handle(&leader, Input::Stop);
--- a/crates/core/src/node/tests/mod.rs
+++ b/crates/core/src/node/tests/mod.rs
@@ -1,5 +1,6 @@
 //! Properties of whole nodes: five daemons, three of them control replicas.
 
+mod backoff;
 mod fleet;
 mod founding;
 mod halls;
--- a/crates/core/src/node/tests/net/fixture.rs
+++ b/crates/core/src/node/tests/net/fixture.rs
@@ -48,7 +48,7 @@
         max_tokens: 100,
         max_wait: Duration::from_secs(2),
         first_within: Duration::from_secs(2),
-        avoid: None,
+        avoid: Vec::new(),
         apart: false,
     }
 }
--- a/crates/core/src/node/tests/net/mod.rs
+++ b/crates/core/src/node/tests/net/mod.rs
@@ -250,6 +250,7 @@
             | Output::Suspect(_)
             | Output::Suspects { .. }
             | Output::Limit { .. }
+            | Output::Backoff { .. }
             | Output::Watch(_)
             | Output::Leader { .. }
             | Output::Dial(_)
--- a/crates/core/src/placement/apart.rs
+++ b/crates/core/src/placement/apart.rs
@@ -71,6 +71,10 @@
         let states = target.endpoints.iter().filter_map(|name| self.endpoints.get(name));
         let usable: Vec<&EndpointState> = states
             .filter(|state| state.is_usable(now) && self.throttle.takes(&state.name, now))
+            .filter(|state| {
+                let daemon = waiting.req.ticket.entry;
+                self.backoffs.backs_off_until(&state.name, daemon, now).is_none()
+            })
             .collect();
         let kept = self.apart.kept.get(&ticket);
         if let Some(kept) = usable.iter().find(|state| Some(&state.name) == kept) {
@@ -82,7 +86,7 @@
             return None;
         }
         let free = usable.iter().filter(|state| state.kept_for.is_none());
-        let avoided = |state: &EndpointState| waiting.req.avoid.as_ref() == Some(&state.name);
+        let avoided = |state: &EndpointState| waiting.req.avoid.contains(&state.name);
         let least =
             free.min_by_key(|state| (avoided(state), state.reading.unread(), state.running()))?;
         Some(least.name.clone())
--- a/crates/core/src/placement/evacuation.rs
+++ b/crates/core/src/placement/evacuation.rs
@@ -16,7 +16,7 @@
     forecast::worth,
     scheduler::Placed,
 };
-use crate::{mechanism::Mechanism, units::Instant};
+use crate::{backoff::Admission, mechanism::Mechanism, units::Instant};
 
 /// A move that was not answered for this long is given up: a copy takes up to half a second,
 /// and an endpoint that leaves is gone two seconds after it said so.
@@ -234,7 +234,7 @@
             .values()
             .filter(|state| {
                 state.spec.target == req.target
-                    && self.may_send(state, now)
+                    && self.admission(state, ticket.entry, now) == Some(Admission::Open)
                     && !self.evacuation.is_busy(&state.name)
             })
             .collect();
--- a/crates/core/src/placement/fixture.rs
+++ b/crates/core/src/placement/fixture.rs
@@ -48,7 +48,7 @@
         max_tokens,
         max_wait: Duration::from_secs(1),
         first_within: Duration::from_secs(1),
-        avoid: None,
+        avoid: Vec::new(),
         apart: false,
     }
 }
--- a/crates/core/src/placement/handover.rs
+++ b/crates/core/src/placement/handover.rs
@@ -16,7 +16,7 @@
     fastest::Fastest,
     target::even_sample,
 };
-use crate::units::Instant;
+use crate::{backoff::Admission, units::Instant};
 
 /// What a hand-over must save to be worth its pause, its use of the links and the risk that the
 /// endpoint leaves meanwhile: seconds by which the generation is held up. With 0.1 a quarter more is
@@ -77,7 +77,7 @@
         let is_near = |state: &&EndpointState| {
             state.spec.hall == source.spec.hall
                 && state.name != source.name
-                && self.may_send(state, now)
+                && self.admission(state, ticket.entry, now) == Some(Admission::Open)
         };
         let all = target.endpoints.iter().filter_map(|name| self.endpoints.get(name));
         let near: Vec<&EndpointState> = all.filter(is_near).collect();
--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -9,6 +9,9 @@
 mod apart;
 #[cfg(test)]
 mod apart_tests;
+mod backoff;
+#[cfg(test)]
+mod backoff_tests;
 mod cold;
 #[cfg(test)]
 mod cold_tests;
@@ -113,8 +116,8 @@
     pub max_wait: Duration,
     /// Time within which its first token should come, counted as `max_wait` is.
     pub first_within: Duration,
-    /// An endpoint that this request should not be sent to again.
-    pub avoid: Option<Arc<str>>,
+    /// Endpoints that it should not be sent to again: they have rejected it, or failed.
+    pub avoid: Vec<Arc<str>>,
     /// Whether it runs apart from others, since endpoints have ended under it.
     pub apart: bool,
 }
--- a/crates/core/src/placement/running.rs
+++ b/crates/core/src/placement/running.rs
@@ -66,6 +66,7 @@
         if let Some(endpoint) = self.endpoints.get_mut(&placed.endpoint) {
             if placed.tokens == 0 {
                 endpoint.reading.read(ticket, now);
+                self.backoffs.on_end(&placed.endpoint, placed.at, true, now);
             }
             endpoint.update(&placed.share, &share);
             placed.meter.measure(tokens, now, &mut endpoint.pace);
@@ -81,6 +82,9 @@
     pub fn finish(&mut self, ticket: Ticket, tokens: u64, whole: bool, now: Instant) {
         self.progress(ticket, tokens, now);
         let Some(placed) = self.placed.remove(&ticket) else { return };
+        if placed.tokens == 0 {
+            self.backoffs.on_end(&placed.endpoint, placed.at, false, now);
+        }
         self.evacuation.forget(ticket);
         self.forget_apart(ticket);
         self.count_running(&placed.req, -1);
@@ -101,6 +105,7 @@
         if let Some(queued) = self.queued.remove(&ticket) {
             self.no_longer_waits(&queued);
             self.forget_apart(ticket);
+            self.forget_held(ticket);
             if let Some(target) = self.targets.get_mut(&queued.target) {
                 target.queue.remove(queued.rank, &queued.workspace, ticket);
             }
@@ -110,6 +115,7 @@
 
     /// Forgets every request of an entry daemon that is gone.
     pub fn forget_entry(&mut self, entry: u64, now: Instant) {
+        self.backoffs.forget_daemon(entry);
         let queued = self.queued.keys().filter(|t| t.entry == entry);
         let placed = self.placed.keys().filter(|t| t.entry == entry);
         let tickets: Vec<Ticket> = queued.chain(placed).copied().collect();
@@ -128,6 +134,11 @@
             from.release(&placed.share, now);
             from.reading.drop(ticket, now);
         }
+        if placed.tokens == 0 {
+            self.backoffs.on_end(&placed.endpoint, placed.at, false, now);
+            self.backoffs.on_sent(to, now);
+        }
+        placed.at = now;
         placed.endpoint = to.clone();
         placed.meter = PaceMeter::default();
         if let Some(state) = self.endpoints.get_mut(to) {
@@ -184,6 +195,7 @@
             state.note_sent(self.senders, now);
         }
         self.throttle.sent(endpoint, now);
+        self.backoffs.on_sent(endpoint, now);
         self.run_at(req, endpoint, now);
     }
 
@@ -194,7 +206,7 @@
         state.grant(&share, now);
         self.count_running(&req, 1);
         let meter = PaceMeter::default();
-        let placed = Placed { endpoint: endpoint.clone(), share, tokens: 0, meter, req };
+        let placed = Placed { endpoint: endpoint.clone(), share, tokens: 0, meter, at: now, req };
         self.placed.insert(placed.req.ticket, placed);
     }
 }
--- a/crates/core/src/placement/scheduler.rs
+++ b/crates/core/src/placement/scheduler.rs
@@ -9,6 +9,7 @@
 use super::{
     Action, Drawn, Request, Senders, Ticket,
     apart::Apart,
+    backoff::{Candidates, Held},
     endpoint::{EndpointState, Share},
     evacuation::Evacuation,
     forecast::LengthForecast,
@@ -19,6 +20,7 @@
     target::Target,
 };
 use crate::{
+    backoff::{BackoffTable, Refusals},
     config::EndpointTarget,
     error::{ErrorKind, RequestError},
     mechanism::{Disabled, Mechanism},
@@ -59,6 +61,8 @@
     pub(super) share: Share,
     pub(super) tokens: u64,
     pub(super) meter: PaceMeter,
+    /// When it was placed there.
+    pub(super) at: Instant,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -74,6 +78,14 @@
     pub(super) waiting: u64,
 }
 
+/// What becomes of a waiting request.
+enum Next {
+    /// It starts.
+    Start(Chosen),
+    /// It waits until then: every endpoint has asked its daemon to back off.
+    Hold(Ticket, Instant),
+}
+
 /// A request and the endpoint chosen for it.
 struct Chosen {
     rank: u64,
@@ -110,10 +122,15 @@
     pub(super) senders: Senders,
     /// The limits that endpoints name, also those of endpoints that it does not place at itself.
     pub(crate) throttle: Throttle,
+    /// The endpoints that have rejected requests lately, and the daemons that they have asked to back off.
+    pub(crate) backoffs: BackoffTable,
+    /// Requests that wait until an endpoint takes requests of their daemon again.
+    pub(super) held: Vec<Held>,
+    pub(super) refusals: Refusals,
     /// Random number of the daemon that places by itself; none for the scheduler of all daemons.
     pub(super) alone: Option<u64>,
     /// When it last decided.
-    decided: Instant,
+    pub(super) decided: Instant,
     /// Number of samples of endpoints taken.
     pub(super) samples: usize,
 }
@@ -137,6 +154,9 @@
             cold: BTreeSet::new(),
             senders: Senders::Scheduler,
             throttle: Throttle::new(Senders::Scheduler, 0),
+            backoffs: BackoffTable::default(),
+            held: Vec::new(),
+            refusals: Refusals::default(),
             alone: None,
             decided: Instant::default(),
             samples: 0,
@@ -176,16 +196,16 @@
         let placed = self.placed.get(&ticket)?;
         let target = self.targets.get(&placed.req.target)?;
         self.samples = self.samples.wrapping_add(1);
-        let open: Vec<&EndpointState> = target
-            .sample(self.samples, placed.req.prefix)
-            .filter(|name| **name != placed.endpoint)
-            .filter_map(|name| self.endpoints.get(name))
-            .filter(|endpoint| self.may_send(endpoint, now))
-            .collect();
         let req = &placed.req;
+        let others = target
+            .sample(self.samples, req.prefix)
+            .filter(|name| **name != placed.endpoint)
+            .filter_map(|name| self.endpoints.get(name));
+        let open = Candidates::new(others, req, |endpoint| {
+            self.admission(endpoint, req.ticket.entry, now)
+        });
         let work = Work::new(req, self.forecast.survival(&req.workspace, &req.kind));
-        let at = self.policy.choose(&work, &open, now)?;
-        Some(open[at].name.clone())
+        open.choose(&work, &mut *self.policy, now)
     }
 
     /// The endpoint of this name.
@@ -219,13 +239,21 @@
             let message = "the workspace has as many requests waiting as it may";
             return Err(RequestError::new(ErrorKind::WorkspaceLimit, message));
         }
-        let Some(target) = self.targets.get_mut(&req.target) else {
+        let Some(target) = self.targets.get(&req.target) else {
             return Err(self.no_endpoint(&req.target));
         };
         let live = target.endpoints.iter().any(|name| self.endpoints[name].is_usable(now));
         if !live {
             return Err(self.no_endpoint(&req.target));
         }
+        if let Some(until) = self.backed_off_until(&req, now)
+            && now.after(req.max_wait) < until
+        {
+            return Err(self.all_back_off(&req.target, until, now));
+        }
+        let Some(target) = self.targets.get(&req.target) else {
+            return Err(self.no_endpoint(&req.target));
+        };
         let wait = target.expected_wait(req.rank);
         let hopeless =
             self.limits.disabled.allows(Mechanism::EarlyRefusal) && req.max_wait * HOPELESS < wait;
@@ -244,7 +272,7 @@
         self.queued.insert(req.ticket, queued);
         if req.apart {
             self.apart.push(req, now);
-        } else {
+        } else if let Some(target) = self.targets.get_mut(&req.target) {
             target.queue.push(req, now);
         }
         Ok(())
@@ -256,6 +284,7 @@
         let mut actions = self.expire(now);
         actions.extend(self.give_up_where_all_are_out(now));
         actions.extend(self.start_apart(now));
+        self.let_held_go_on(now);
         let targets: Vec<EndpointTarget> = self
             .targets
             .iter()
@@ -263,8 +292,11 @@
             .map(|(name, _)| name.clone())
             .collect();
         for target in targets {
-            while let Some(action) = self.start_next(&target, now) {
-                actions.push(action);
+            while let Some(next) = self.choose_next(&target, now) {
+                actions.extend(match next {
+                    Next::Start(chosen) => self.start(&target, chosen, now),
+                    Next::Hold(ticket, until) => self.hold(ticket, until, now),
+                });
             }
         }
         actions
@@ -279,10 +311,13 @@
     /// other input.
     pub fn next_decision(&self) -> Option<Instant> {
         let next = self.next_expiry().into_iter().chain(self.next_evacuation());
-        next.chain(self.next_while_cold()).chain(self.next_turn()).min()
+        next.chain(self.next_while_cold())
+            .chain(self.next_turn())
+            .chain(self.next_more_open())
+            .min()
     }
 
-    /// Whether an endpoint may be sent new work now.
+    /// Whether an endpoint may be sent new work now, as far as it has rejected none.
     pub(super) fn may_send(&self, endpoint: &EndpointState, now: Instant) -> bool {
         endpoint.takes_work(now) && self.throttle.takes(&endpoint.name, now)
     }
@@ -307,8 +342,8 @@
         cold.filter_map(EndpointState::next_while_cold).filter(|at| self.decided < *at).min()
     }
 
-    fn start_next(&mut self, target: &EndpointTarget, now: Instant) -> Option<Action> {
-        let Chosen { rank, workspace, ticket, endpoint } = self.choose_next(target, now)?;
+    fn start(&mut self, target: &EndpointTarget, chosen: Chosen, now: Instant) -> Option<Action> {
+        let Chosen { rank, workspace, ticket, endpoint } = chosen;
         let state = self.targets.get_mut(target)?;
         state.queue.chosen(rank, &workspace);
         let waiting = state.queue.remove(rank, &workspace, ticket)?;
@@ -320,9 +355,9 @@
         Some(Action::Start { ticket, endpoint, priority: rank })
     }
 
-    /// The next request that can be placed. While the head of a rank waits for room, only
-    /// better ranks may go before it.
-    fn choose_next(&mut self, target: &EndpointTarget, now: Instant) -> Option<Chosen> {
+    /// What becomes of the next request. While the head of a rank waits for room, only better ones may go
+    /// before it.
+    fn choose_next(&mut self, target: &EndpointTarget, now: Instant) -> Option<Next> {
         let state = self.targets.get(target)?;
         let mut blocked = u64::MAX;
         let ages = self.limits.disabled.allows(Mechanism::Ageing);
@@ -335,21 +370,21 @@
             let mut work = Work::new(req, self.forecast.survival(&req.workspace, &req.kind));
             work.first_within = req.first_within.saturating_sub(now.since(waiting.arrived));
             self.samples = self.samples.wrapping_add(1);
-            let mut open: Vec<&EndpointState> = state
-                .sample(self.samples, req.prefix)
-                .filter_map(|name| self.endpoints.get(name))
-                .filter(|endpoint| self.may_send(endpoint, now))
-                .collect();
-            if let (Some(avoid), true) = (&req.avoid, 1 < open.len()) {
-                open.retain(|endpoint| endpoint.name != *avoid);
-            }
-            if let Some(at) = self.policy.choose(&work, &open, now) {
-                return Some(Chosen {
+            let sample = state.sample(self.samples, req.prefix);
+            let open = sample.filter_map(|name| self.endpoints.get(name));
+            let open = Candidates::new(open, req, |endpoint| {
+                self.admission(endpoint, req.ticket.entry, now)
+            });
+            if let Some(endpoint) = open.choose(&work, &mut *self.policy, now) {
+                return Some(Next::Start(Chosen {
                     rank: req.rank,
                     workspace: req.workspace.clone(),
                     ticket: req.ticket,
-                    endpoint: open[at].name.clone(),
-                });
+                    endpoint,
+                }));
+            }
+            if let Some(until) = self.backed_off_until(req, now) {
+                return Some(Next::Hold(req.ticket, until));
             }
             blocked = req.rank;
         }
--- a/crates/core/src/wire/mod.rs
+++ b/crates/core/src/wire/mod.rs
@@ -1,5 +1,6 @@
 //! Messages between the daemons, and their frames.
 
+mod backoff;
 mod codec;
 mod control;
 mod endpoints;
@@ -13,6 +14,7 @@
 use crate::{agreement, state::HallsOut};
 
 pub use self::{
+    backoff::{LastResort, Overloaded, Rejected},
     codec::{FrameCodec, MAX_FRAME},
     control::{
         AcceptedVersion, ClaimReply, ClaimStatus, Directory, Done, Fetch, HallReply, HallStatus,
@@ -37,7 +39,7 @@
     /// What it says.
     #[prost(
         oneof = "Body",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26, 27, 28, 29, 30, 31, 32"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26, 27, 28, 29, 30, 31, 32, 33, 34"
     )]
     pub body: Option<Body>,
 }
@@ -141,6 +143,12 @@
     /// The leader answers.
     #[prost(message, tag = "32")]
     LeaveReply(LeaveReply),
+    /// A daemon tells the leader that an endpoint has rejected a request of it, and asked it to back off.
+    #[prost(message, tag = "33")]
+    Rejected(Rejected),
+    /// The leader tells which endpoints reject requests, without being asked.
+    #[prost(message, tag = "34")]
+    Overloaded(Overloaded),
 }
 
 impl Body {
@@ -179,6 +187,8 @@
             Body::Limits(_) => "limits",
             Body::LeaveAsk(_) => "leave_ask",
             Body::LeaveReply(_) => "leave_reply",
+            Body::Rejected(_) => "rejected",
+            Body::Overloaded(_) => "overloaded",
         }
     }
 }
--- a/crates/core/src/wire/placement.rs
+++ b/crates/core/src/wire/placement.rs
@@ -33,9 +33,9 @@
     /// Time left for the first token, in milliseconds.
     #[prost(uint64, tag = "17")]
     pub first_within_ms: u64,
-    /// An endpoint to avoid.
-    #[prost(string, optional, tag = "10")]
-    pub avoid: Option<String>,
+    /// Endpoints to avoid.
+    #[prost(string, repeated, tag = "10")]
+    pub avoid: Vec<String>,
     /// Rank of the tier.
     #[prost(uint64, tag = "11")]
     pub rank: u64,
--- a/crates/lab/src/experiment/cost.rs
+++ b/crates/lab/src/experiment/cost.rs
@@ -68,7 +68,7 @@
         max_tokens: 2_000,
         max_wait: std::time::Duration::from_secs(10),
         first_within: std::time::Duration::from_secs(10),
-        avoid: None,
+        avoid: Vec::new(),
         apart: false,
     };
     scheduler.arrive(req, now).expect("there is room");
--- a/crates/lab/src/experiment/sim.rs
+++ b/crates/lab/src/experiment/sim.rs
@@ -185,7 +185,7 @@
             max_tokens: 32_768,
             max_wait: kind.deadline,
             first_within: kind.deadline,
-            avoid: None,
+            avoid: Vec::new(),
             apart: false,
         };
         if self.scheduler.arrive(req, Instant(self.now)).is_err() {
--- a/crates/lab/src/fleet/deciders.rs
+++ b/crates/lab/src/fleet/deciders.rs
@@ -267,7 +267,7 @@
         max_tokens: MAX_TOKENS,
         max_wait: first_within.saturating_sub(reading_time(arrival.prompt)),
         first_within,
-        avoid: None,
+        avoid: Vec::new(),
         apart: false,
     }
 }
--- a/crates/server/src/relay/admission.rs
+++ b/crates/server/src/relay/admission.rs
@@ -94,7 +94,7 @@
         if job.route.spec.kind != RouteKind::Generation {
             return Ok(());
         }
-        let whole = self.node.chance_to_end(&job.place_request(None, false), left);
+        let whole = self.node.chance_to_end(&job.place_request(Vec::new(), false), left);
         let elsewhere = view.chance_elsewhere();
         if self.uses(Mechanism::StopEstimate) && elsewhere <= whole {
             log::info!(
--- /dev/null
+++ b/crates/server/src/relay/backoff.rs
@@ -0,0 +1,160 @@
+//! Endpoints that take nothing new of this daemon: they have asked it to back off, or leave. Whoever has chosen an
+//! endpoint, this is looked at once more when the request is about to be sent.
+
+use std::{sync::Arc, time::Duration};
+
+use trayswitch_core::{
+    backoff::Admission,
+    error::{ErrorKind, RequestError},
+    registry::Registered,
+    units,
+};
+
+use super::{Job, Relay, limited::Try};
+use crate::runtime::NodeHandle;
+
+/// Pause between two looks at an endpoint that has not answered the request before.
+const LOOK_AGAIN: Duration = Duration::from_millis(10);
+
+/// The endpoints of a service, as far as they have rejected requests.
+pub(super) struct Admitted {
+    /// Those that a call may be sent to; those of last resort only if there are no others.
+    pub(super) endpoints: Vec<Registered>,
+    /// When another one may take one.
+    more_at: Option<units::Instant>,
+}
+
+impl Relay {
+    /// Whether a new request may be sent to an endpoint now.
+    pub(super) fn may_send(&self, endpoint: &Registered) -> Result<(), String> {
+        if let Admission::BackedOff(_) = self.node.admission(&endpoint.id) {
+            return Err("the endpoint has asked this daemon to back off".into());
+        }
+        match self.known_run(endpoint) {
+            Some(known) if !known.out && !known.open => {
+                Err("the endpoint takes no new work".into())
+            }
+            _ => self.may_go_on(endpoint),
+        }
+    }
+
+    /// Whether a generation may go on at the endpoint that has its memory.
+    pub(super) fn may_go_on(&self, endpoint: &Registered) -> Result<(), String> {
+        match self.known_run(endpoint) {
+            None => Err("the endpoint has just ended".into()),
+            Some(known) if known.out => Err("its data hall is out of service".into()),
+            Some(_) => Ok(()),
+        }
+    }
+
+    /// Whether an endpoint may be asked to copy generations elsewhere. One that leaves is, since they are lost
+    /// otherwise.
+    pub(super) fn may_ask_for_copies(&self, endpoint: &Registered) -> bool {
+        let backs_off = matches!(self.node.admission(&endpoint.id), Admission::BackedOff(_));
+        !backs_off || !endpoint.open
+    }
+
+    fn known_run(&self, endpoint: &Registered) -> Option<Registered> {
+        let known = self.node.view().endpoint(&endpoint.id)?;
+        (known.born == endpoint.born).then_some(known)
+    }
+
+    /// Those of these endpoints that an attempt at a call may go to.
+    pub(super) fn admitted(
+        &self,
+        endpoints: Vec<Registered>,
+        which: Try,
+        tried: &[Arc<str>],
+    ) -> Admitted {
+        let (mut open, mut last_resort, mut more_at) = (Vec::new(), Vec::new(), None);
+        for endpoint in endpoints {
+            if which == Try::Another && tried.contains(&endpoint.id) {
+                continue;
+            }
+            let opens_at = match self.node.admission(&endpoint.id) {
+                Admission::Open => {
+                    open.push(endpoint);
+                    continue;
+                }
+                Admission::LastResort => {
+                    last_resort.push(endpoint);
+                    continue;
+                }
+                Admission::Busy => self.node.now().after(LOOK_AGAIN),
+                Admission::BackedOff(until) => until,
+            };
+            more_at = Some(more_at.map_or(opens_at, |at: units::Instant| at.min(opens_at)));
+        }
+        let endpoints = if open.is_empty() { last_resort } else { open };
+        Admitted { endpoints, more_at }
+    }
+
+    /// Waits until an endpoint may take a call, if the answer then still comes in time; refuses it at once
+    /// otherwise.
+    pub(super) async fn wait_for_admission(
+        &self,
+        job: &Job,
+        which: Try,
+        admitted: &Admitted,
+    ) -> Result<(), RequestError> {
+        let now = self.node.now();
+        let wait = admitted.more_at.map_or(Duration::MAX, |at| at.since(now));
+        if which == Try::First && wait <= self.patience(job) {
+            tokio::time::sleep(wait.max(Duration::from_millis(1))).await;
+            return Ok(());
+        }
+        let endpoints = self.node.view().open_endpoints(&job.service).len();
+        let mut refusals = self.refusals.borrow_mut();
+        let refusals = refusals.entry(job.service.clone()).or_default();
+        let wait =
+            wait.min(trayswitch_core::backoff::LONGEST_BACKOFF) + refusals.add(endpoints, now);
+        let message = format!(
+            "all endpoints of {} have asked this daemon to back off; retry after {} ms",
+            job.service,
+            wait.as_millis()
+        );
+        let mut error = RequestError::new(ErrorKind::Overloaded, message);
+        error.retry_after = Some(wait);
+        Err(error)
+    }
+
+    /// Counts a call as sent to an endpoint that has rejected others lately; nothing to count elsewhere.
+    pub(super) fn count_unanswered(&self, endpoint: &Arc<str>) -> Option<Unanswered> {
+        let mut counted = None;
+        self.node.with_backoffs(|backoffs, now| {
+            if backoffs.started_at(endpoint).is_some() {
+                backoffs.on_sent(endpoint, now);
+                counted = Some(now);
+            }
+        });
+        let sent = counted?;
+        Some(Unanswered {
+            node: self.node.clone(),
+            endpoint: endpoint.clone(),
+            sent,
+            answered: false,
+        })
+    }
+}
+
+/// Counts a call as not answered while it lives.
+pub(super) struct Unanswered {
+    node: NodeHandle,
+    endpoint: Arc<str>,
+    sent: units::Instant,
+    answered: bool,
+}
+
+impl Unanswered {
+    /// Notes that the endpoint has answered.
+    pub(super) fn answered(mut self) {
+        self.answered = true;
+    }
+}
+
+impl Drop for Unanswered {
+    fn drop(&mut self) {
+        let Unanswered { endpoint, sent, answered, .. } = self;
+        self.node.with_backoffs(|backoffs, now| backoffs.on_end(endpoint, *sent, *answered, now));
+    }
+}
--- a/crates/server/src/relay/call.rs
+++ b/crates/server/src/relay/call.rs
@@ -13,16 +13,18 @@
 };
 
 use super::{
-    Answer, Job, MAX_TURNED, Relay, Signals, Turned, ended::Awaited, job::GoOn, limited::Try,
+    Answer, Job, MAX_REJECTIONS, Relay, Signals, Turned, ended::Awaited, job::GoOn, limited::Try,
     loads::Verdict, no_answer, permit::Permit,
 };
 use crate::{
     edge::{self, Body, LocalFuture},
     telemetry::EventId,
     timer::sleep_until,
-    upstream::{SendError, exchange},
+    upstream::{SendError, exchange_if},
 };
 
+/// Endpoints that a call is not sent to after all before its caller is told so.
+const MAX_WITHHELD: usize = 16;
 /// Largest answer that is held until it is whole.
 const MAX_ANSWER: usize = 16 * 1024 * 1024;
 
@@ -30,6 +32,8 @@
 enum End {
     /// The endpoint's whole answer.
     Answer { head: response::Parts, body: Bytes, success: bool },
+    /// It was not sent: the endpoint takes nothing new.
+    Withheld(String),
     /// The request certainly did not run there.
     NotRun(String),
     /// It may have run.
@@ -44,6 +48,7 @@
         match self {
             End::Answer { head, success: true, .. } => ("answered", head.status.to_string()),
             End::Answer { head, .. } => ("failed", head.status.to_string()),
+            End::Withheld(problem) => ("withheld", problem.clone()),
             End::NotRun(problem) => ("not_run", problem.clone()),
             End::Unknown(problem) => ("unknown", problem.clone()),
             End::Refused(error) => ("refused", error.message.clone()),
@@ -72,7 +77,7 @@
     tried: Rc<RefCell<Vec<Arc<str>>>>,
     /// Attempts that may have run or still may.
     starts: u32,
-    turned: u32,
+    rejections: u32,
     /// A whole answer of an endpoint that failed, for when nothing better comes.
     failure: Option<(response::Parts, Bytes)>,
     /// What is told when no answer came.
@@ -87,7 +92,7 @@
             running: FuturesUnordered::new(),
             tried: Rc::default(),
             starts: 0,
-            turned: 0,
+            rejections: 0,
             failure: None,
             problem: String::new(),
         }
@@ -140,11 +145,11 @@
                 self.failure = Some((head, body));
                 self.start_another();
             }
-            End::NotRun(problem) => {
+            End::NotRun(problem) | End::Withheld(problem) => {
                 self.starts -= 1;
-                self.turned += 1;
+                self.rejections += 1;
                 self.problem = problem;
-                if self.turned < MAX_TURNED {
+                if self.rejections < MAX_REJECTIONS {
                     self.start_another();
                 }
             }
@@ -184,12 +189,11 @@
         }
     }
 
-    /// Whether any endpoint is left that the call was not sent to.
+    /// Whether any endpoint is left that the call was not sent to and may be.
     fn has_untried(&self) -> bool {
-        let (relay, tried) = (self.relay, self.tried.borrow());
-        let open = relay.open_endpoints(self.job);
-        let best = relay.loads.choose(&open, &tried, &relay.hall);
-        best.is_some_and(|endpoint| !tried.contains(&endpoint.id))
+        let open = self.relay.open_endpoints(self.job);
+        let admitted = self.relay.admitted(open, Try::Another, &self.tried.borrow());
+        !admitted.endpoints.is_empty()
     }
 
     fn start(&mut self, which: Try) {
@@ -214,8 +218,20 @@
     RequestError::new(ErrorKind::NoEndpoint, format!("no live endpoint serves {service}"))
 }
 
-/// Makes one attempt at an endpoint, once it may be sent.
+/// Makes one attempt at an endpoint, once it may be sent. One that is withheld at the last moment goes elsewhere.
 async fn attempt(relay: &Relay, job: &Job, which: Try, tried: Rc<RefCell<Vec<Arc<str>>>>) -> End {
+    loop {
+        match attempt_once(relay, job, which, &tried).await {
+            End::Withheld(problem) if MAX_WITHHELD <= tried.borrow().len() => {
+                return End::NotRun(problem);
+            }
+            End::Withheld(_) => {}
+            end => return end,
+        }
+    }
+}
+
+async fn attempt_once(relay: &Relay, job: &Job, which: Try, tried: &RefCell<Vec<Arc<str>>>) -> End {
     let mut permit = match relay.permit(job).await {
         Ok(permit) => permit,
         Err(error) => return End::Refused(error),
@@ -234,11 +250,17 @@
     let inputs = relay.inputs();
     let own_running = relay.loads.running(&endpoint.id);
     let running = relay.loads.begin(&endpoint.id, relay.cold_rule(job).as_ref());
+    let unanswered = relay.count_unanswered(&endpoint.id);
     let awaited = Awaited::begin(relay, job, &permit, &endpoint);
     let Sent { end, verdict, signals } = ask(relay, job, &permit, &endpoint).await;
     awaited.end();
     drop(running);
-    relay.loads.note(&endpoint.id, verdict);
+    if let (Some(unanswered), End::Answer { .. }) = (unanswered, &end) {
+        unanswered.answered();
+    }
+    if !matches!(end, End::Withheld(_)) {
+        relay.loads.note(&endpoint.id, verdict);
+    }
     if verdict == Verdict::Good {
         relay.note_latency(&job.service, began.elapsed());
         relay.answered_whole(job, &mut permit);
@@ -280,9 +302,13 @@
     let req = job.request(protocol, &endpoint.id, endpoint.address, &GoOn::default());
     let connect_limit = relay.options.connect_limit.min(job.time_left());
     let asked = relay.node.now();
-    let opened = exchange(endpoint.address, req, connect_limit).await;
+    let may_send = || relay.may_send(endpoint);
+    let opened = exchange_if(endpoint.address, req, connect_limit, may_send).await;
     let open = match opened {
         Ok(open) => open,
+        Err(SendError::Withheld(problem)) => {
+            return Sent::new(End::Withheld(problem), Verdict::Failed);
+        }
         Err(SendError::NotSent(problem)) => {
             return Sent::new(End::NotRun(problem), Verdict::Dead);
         }
@@ -291,16 +317,10 @@
             return Sent::new(End::Unknown(problem), Verdict::Dead);
         }
     };
-    let answer = protocol.judge(&job.caller.id, &open.head);
-    let signals = match answer {
-        Answer::Ran { .. } | Answer::Turned(Turned::Full) => {
-            relay.on_answer(&job.service, endpoint, asked, &open.head)
-        }
-        Answer::Turned(Turned::Other) | Answer::Foreign(_) => Signals::default(),
-    };
-    let success = match answer {
+    let success = match protocol.judge(&job.caller.id, &open.head) {
         Answer::Ran { success } => success,
         Answer::Turned(Turned::Full) => {
+            let signals = relay.on_rejection(&job.service, endpoint, asked, &open.head);
             let end = End::NotRun("the endpoint is full".into());
             return Sent { end, verdict: Verdict::Failed, signals };
         }
@@ -312,6 +332,7 @@
             return Sent::new(End::Unknown(problem.into()), Verdict::Failed);
         }
     };
+    let signals = relay.on_answer(&job.service, endpoint, asked, &open.head);
     match open.body.collect(MAX_ANSWER).await {
         Ok(body) => {
             let verdict = if success { Verdict::Good } else { Verdict::Failed };
--- a/crates/server/src/relay/generation.rs
+++ b/crates/server/src/relay/generation.rs
@@ -14,7 +14,7 @@
 };
 
 use super::{
-    Answer, Job, MAX_TURNED, Relay, Signals, Turned,
+    Answer, Job, MAX_REJECTIONS, Relay, Signals, Turned,
     ended::Awaited,
     job::GoOn,
     no_answer,
@@ -28,9 +28,11 @@
     runtime::Placed,
     telemetry::EventId,
     timer::until,
-    upstream::{Event, SendError, exchange},
+    upstream::{Event, SendError, exchange_if},
 };
 
+/// Endpoints that a request is not sent to after all, one after the other, before its caller is told so.
+pub(super) const MAX_WITHHELD: usize = 16;
 /// Events that may wait for a slow caller.
 const MAX_EVENTS: usize = 64;
 
@@ -45,6 +47,8 @@
 /// Why an attempt brought none.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(super) enum Lost {
+    /// It was not sent: the endpoint takes nothing new.
+    Withheld(String),
     /// The request certainly did not run there.
     NotRun(String),
     /// It may have run.
@@ -78,9 +82,9 @@
 
 async fn start(relay: &Relay, job: &Job) -> Result<Started, RequestError> {
     let spec = &job.route.spec;
-    let mut avoid: Option<Arc<str>> = None;
+    let mut avoid: Vec<Arc<str>> = Vec::new();
     let mut starts = 0;
-    let mut turned = 0;
+    let mut rejections = 0;
     loop {
         let not_placed =
             |e: RequestError| if starts == 0 { e } else { no_answer(starts, &e.message) };
@@ -106,9 +110,16 @@
                 "the endpoint failed".to_owned()
             }
             Ok(opened) => return Ok(Started { placed, permit, opened }),
+            Err(Lost::Withheld(problem)) => {
+                avoid.push(endpoint);
+                if MAX_WITHHELD <= avoid.len() {
+                    return Err(no_answer(starts, &problem));
+                }
+                continue;
+            }
             Err(Lost::NotRun(problem)) => {
-                turned += 1;
-                if MAX_TURNED <= turned {
+                rejections += 1;
+                if MAX_REJECTIONS <= rejections {
                     return Err(no_answer(starts, &problem));
                 }
                 problem
@@ -124,7 +135,7 @@
         if !relay.may_repeat(&job.service) {
             return Err(no_answer(starts, &format!("no more repeats are allowed now: {problem}")));
         }
-        avoid = Some(endpoint);
+        avoid.push(endpoint);
     }
 }
 
@@ -134,7 +145,7 @@
 pub(super) async fn place(
     relay: &Relay,
     job: &Job,
-    avoid: Option<Arc<str>>,
+    avoid: Vec<Arc<str>>,
     apart: bool,
 ) -> Result<(Placed, Option<String>), RequestError> {
     /// Pause between two looks.
@@ -196,6 +207,7 @@
             ("streams", id.map_or_else(String::new, |id| format!("from event {id}")))
         }
         Ok(Opened::Failed { head, .. }) => ("failed", head.status.to_string()),
+        Err(Lost::Withheld(problem)) => ("withheld", problem.clone()),
         Err(Lost::NotRun(problem)) => ("not_run", problem.clone()),
         Err(Lost::Unknown(problem)) => ("unknown", problem.clone()),
     }
@@ -210,12 +222,8 @@
     signals: &mut Signals,
 ) -> Result<Opened, Lost> {
     let Some(known) = relay.node.view().endpoint(endpoint) else {
-        return Err(Lost::NotRun("the endpoint has just ended".into()));
+        return Err(Lost::Withheld("the endpoint has just ended".into()));
     };
-    // It may have been taken out since the place was granted, or while a generation was moved.
-    if known.out {
-        return Err(Lost::NotRun("its data hall is out of service".into()));
-    }
     let awaited = Awaited::begin(relay, job, permit, &known);
     let opened = send_to(relay, job, permit, &known, go_on, signals).await;
     awaited.end();
@@ -237,8 +245,13 @@
     let broke_off = || relay.broke_off(job, permit, known, go_on.after.unwrap_or(0));
     let req = job.request(&*relay.protocol, &known.id, known.address, go_on);
     let asked = relay.node.now();
-    let open = match exchange(known.address, req, relay.options.connect_limit).await {
+    // What its memory lies at may go on there whatever it says: it runs there already.
+    let is_there = go_on.memory.as_ref().is_some_and(|memory| memory.source == known.address);
+    let may_send = || if is_there { relay.may_go_on(known) } else { relay.may_send(known) };
+    let opened = exchange_if(known.address, req, relay.options.connect_limit, may_send).await;
+    let open = match opened {
         Ok(open) => open,
+        Err(SendError::Withheld(problem)) => return Err(Lost::Withheld(problem)),
         Err(SendError::NotSent(problem)) => {
             failed();
             return Err(Lost::NotRun(problem));
@@ -249,12 +262,9 @@
             return Err(Lost::Unknown(problem));
         }
     };
-    let answer = relay.protocol.judge(&job.caller.id, &open.head);
-    if matches!(answer, Answer::Ran { .. } | Answer::Turned(Turned::Full)) {
-        *signals = relay.on_answer(&job.service, known, asked, &open.head);
-    }
-    match answer {
+    match relay.protocol.judge(&job.caller.id, &open.head) {
         Answer::Turned(Turned::Full) => {
+            *signals = relay.on_rejection(&job.service, known, asked, &open.head);
             return Err(Lost::NotRun("the endpoint is full".into()));
         }
         Answer::Turned(Turned::Other) => {
@@ -262,8 +272,11 @@
             return Err(Lost::NotRun("another endpoint has the address".into()));
         }
         Answer::Foreign(problem) => return Err(Lost::Unknown(problem.into())),
-        Answer::Ran { success: true } => {}
+        Answer::Ran { success: true } => {
+            *signals = relay.on_answer(&job.service, known, asked, &open.head);
+        }
         Answer::Ran { success: false } => {
+            *signals = relay.on_answer(&job.service, known, asked, &open.head);
             /// Largest answer of an endpoint that failed.
             const MAX_FAILURE: usize = 1024 * 1024;
             return match open.body.collect(MAX_FAILURE).await {
--- a/crates/server/src/relay/job.rs
+++ b/crates/server/src/relay/job.rs
@@ -116,7 +116,7 @@
     }
 
     /// What the scheduler needs to know.
-    pub(super) fn place_request(&self, avoid: Option<Arc<str>>, apart: bool) -> placement::Request {
+    pub(super) fn place_request(&self, avoid: Vec<Arc<str>>, apart: bool) -> placement::Request {
         let prompt = self.caller.prompt.clone().unwrap_or_default();
         let unlimited = u64::MAX / 2;
         let spec = &self.route.spec;
--- a/crates/server/src/relay/limited.rs
+++ b/crates/server/src/relay/limited.rs
@@ -79,18 +79,25 @@
         which: Try,
         tried: &[Arc<str>],
     ) -> Result<Registered, RequestError> {
-        let open = self.open_endpoints(job);
+        let open = loop {
+            let open = self.open_endpoints(job);
+            if open.is_empty() {
+                return Err(no_endpoint(self, &job.service));
+            }
+            let admitted = self.admitted(open, which, tried);
+            if !admitted.endpoints.is_empty() {
+                break admitted.endpoints;
+            }
+            self.wait_for_admission(job, which, &admitted).await?;
+        };
         let Some(best) = self.loads.choose(&open, tried, &self.hall) else {
             return Err(no_endpoint(self, &job.service));
         };
-        let is_new = which == Try::First || !tried.contains(&best.id);
-        if is_new && self.node.limit(&best.id).is_none() {
+        if self.node.limit(&best.id).is_none() {
             return Ok(best);
         }
-        let (mut limited, free): (Vec<_>, Vec<_>) = open
-            .into_iter()
-            .filter(|endpoint| which == Try::First || !tried.contains(&endpoint.id))
-            .partition(|endpoint| self.node.limit(&endpoint.id).is_some());
+        let (mut limited, free): (Vec<_>, Vec<_>) =
+            open.into_iter().partition(|endpoint| self.node.limit(&endpoint.id).is_some());
         self.loads.sort(&mut limited, &self.hall);
         let max_wait = match which {
             Try::First if free.is_empty() => self.patience(job),
@@ -139,7 +146,7 @@
     }
 
     /// How long a call may wait for leave, so that its answer still comes in time.
-    fn patience(&self, job: &Job) -> Duration {
+    pub(super) fn patience(&self, job: &Job) -> Duration {
         let taken = job.arrived.elapsed() + self.usual_latency(&job.service);
         let in_time = job.route.spec.target_latency.saturating_sub(taken);
         in_time.min(job.time_left() / MOST_WAITED)
--- a/crates/server/src/relay/mod.rs
+++ b/crates/server/src/relay/mod.rs
@@ -5,6 +5,7 @@
 //! side is decoded and encoded by a [`Protocol`].
 
 mod admission;
+mod backoff;
 mod budget;
 mod call;
 mod ended;
@@ -36,6 +37,7 @@
 use tokio::sync::Semaphore;
 use trayswitch_clock::Instant;
 use trayswitch_core::{
+    backoff::Refusals,
     error::{ErrorKind, RequestError},
     mechanism::{Disabled, Mechanism},
     placement::Senders,
@@ -62,8 +64,8 @@
     telemetry::{EventId, Metrics},
 };
 
-/// Endpoints that may turn one request away before its caller is told so.
-const MAX_TURNED: u32 = 3;
+/// Endpoints that may reject one request before its caller is told so.
+const MAX_REJECTIONS: u32 = 3;
 
 /// Bounds that the operators set for all entries.
 #[derive(Debug, Clone, Copy)]
@@ -113,6 +115,8 @@
     outdated_since: Cell<Option<Instant>>,
     /// Endpoints that are watched since an attempt there broke off.
     watched: Arc<Semaphore>,
+    /// Calls that were refused shortly one after the other, by service.
+    refusals: RefCell<HashMap<String, Refusals>>,
     metrics: Rc<Metrics>,
 }
 
@@ -136,6 +140,7 @@
             no_leave_until: RefCell::default(),
             outdated_since: Cell::new(Some(Instant::now())),
             watched: Arc::new(Semaphore::new(MOST_WATCHED)),
+            refusals: RefCell::default(),
             metrics,
         }
     }
--- a/crates/server/src/relay/signals.rs
+++ b/crates/server/src/relay/signals.rs
@@ -6,7 +6,8 @@
 
 use http::response;
 use trayswitch_core::{
-    backoff::{BadRetryAfter, RetryAfter},
+    backoff::{BadRetryAfter, Rejection, RetryAfter},
+    node::Input,
     registry::Registered,
     throttle::{BadLimit, RateLimit},
     units,
@@ -83,9 +84,35 @@
     ) -> Signals {
         let signals = self.read_signals(service, endpoint, head);
         self.note_limit(service, endpoint, asked, &signals);
+        if let Ok(Some(_)) = signals.retry_after {
+            self.note_rejection(endpoint, &signals);
+        }
         signals
     }
 
+    /// The same of an answer that rejects the request.
+    pub(super) fn on_rejection(
+        &self,
+        service: &str,
+        endpoint: &Registered,
+        asked: units::Instant,
+        head: &response::Parts,
+    ) -> Signals {
+        let signals = self.on_answer(service, endpoint, asked, head);
+        if !matches!(signals.retry_after, Ok(Some(_))) {
+            self.note_rejection(endpoint, &signals);
+        }
+        signals
+    }
+
+    fn note_rejection(&self, endpoint: &Registered, signals: &Signals) {
+        self.node.input(Input::Rejected(Rejection {
+            endpoint: endpoint.id.clone(),
+            started_at: endpoint.born,
+            retry_after: signals.retry_after.ok().flatten().map(RetryAfter::time),
+        }));
+    }
+
     /// Reads what an endpoint says of itself in an answer. A signal that cannot be read is logged and changes
     /// nothing.
     fn read_signals(
--- a/crates/server/src/relay/stream/following.rs
+++ b/crates/server/src/relay/stream/following.rs
@@ -32,7 +32,9 @@
     pub(super) fn begin(&mut self, order: &MoveOrder) {
         let view = self.relay.node.view();
         let (from, to) = (view.endpoint(&order.from), view.endpoint(&order.to));
-        let (Some(from), Some(to)) = (from, to.filter(|to| !to.out)) else {
+        let to = to.filter(|to| self.relay.may_send(to).is_ok());
+        let from = from.filter(|from| self.relay.may_ask_for_copies(from));
+        let (Some(from), Some(to)) = (from, to) else {
             let at = self.placed.endpoint().clone();
             return self.placed.moved(&at, false);
         };
--- a/crates/server/src/relay/stream/mod.rs
+++ b/crates/server/src/relay/stream/mod.rs
@@ -2,7 +2,7 @@
 
 mod following;
 
-use std::rc::Rc;
+use std::{rc::Rc, sync::Arc};
 
 use bytes::Bytes;
 use tokio::sync::mpsc;
@@ -12,7 +12,7 @@
 use self::following::next_end;
 use super::{
     Job, MemoryAt, Relay,
-    generation::{Opened, open_at, place},
+    generation::{Lost, MAX_WITHHELD, Opened, open_at, place},
     job::GoOn,
     moves::{Move, free},
     permit::Permit,
@@ -231,12 +231,15 @@
     }
 
     /// Finds a place at another endpoint; returns the name of its reservation there, if there is one.
-    async fn place_again(&mut self, problem: &str) -> Result<Option<String>, Cause> {
-        let left = self.placed.endpoint().clone();
+    async fn place_again(
+        &mut self,
+        avoid: &[Arc<str>],
+        problem: &str,
+    ) -> Result<Option<String>, Cause> {
         let lost = |e: RequestError| Cause::Lost(format!("{problem}; {}", e.message));
         let (placed, permit, reservation) = loop {
             let permit = self.relay.permit(&self.job).await.map_err(lost)?;
-            let placing = place(&self.relay, &self.job, Some(left.clone()), permit.is_apart());
+            let placing = place(&self.relay, &self.job, avoid.to_vec(), permit.is_apart());
             let placed = until(self.job.deadline, placing).await;
             let (placed, reservation) = placed.map_err(|_| Cause::TimeOver)?.map_err(lost)?;
             if !self.relay.must_ask_again(&self.job, &permit) {
@@ -257,11 +260,18 @@
         self.events_before = self.events;
         // The next attempt waits for its turn behind this one.
         self.permit = Permit::none();
-        let reservation = self.place_again(&problem).await?;
-        let go_on = GoOn { after: self.last, memory: None, reservation };
-        let endpoint = self.placed.endpoint();
-        let opened = open_at(&self.relay, &self.job, &self.permit, endpoint, &go_on);
-        let opened = until(self.job.deadline, opened).await.map_err(|_| Cause::TimeOver)?;
+        let mut avoid = vec![self.placed.endpoint().clone()];
+        let opened = loop {
+            let reservation = self.place_again(&avoid, &problem).await?;
+            let go_on = GoOn { after: self.last, memory: None, reservation };
+            let endpoint = self.placed.endpoint();
+            let opened = open_at(&self.relay, &self.job, &self.permit, endpoint, &go_on);
+            let opened = until(self.job.deadline, opened).await.map_err(|_| Cause::TimeOver)?;
+            if !matches!(opened, Err(Lost::Withheld(_))) || MAX_WITHHELD <= avoid.len() {
+                break opened;
+            }
+            avoid.push(endpoint.clone());
+        };
         log::info!(
             event = EventId::StreamResumed.number(), id = self.job.caller.id.as_str(),
             after = self.last.unwrap_or(0), endpoint = &**self.placed.endpoint();
--- a/crates/server/src/relay/tests/backoff.rs
+++ b/crates/server/src/relay/tests/backoff.rs
@@ -21,7 +21,7 @@
 use super::{
     endpoint::{Arrival, FakeEndpoint, either},
     entry::{Entry, on_local_tasks},
-    reading::text,
+    reading::{Reading, outcome, text},
 };
 
 /// Back-off in seconds that no test outlasts.
@@ -108,3 +108,195 @@
         }
     });
 }
+
+/// Makes one call that an endpoint rejects with so much back-off and the other, if there is one, does not get.
+async fn rejected(entry: &Entry, path: &str, endpoint: &mut FakeEndpoint, retry_after: &str) {
+    let (answer, ()) = join!(entry.ask(path, "r1"), async {
+        endpoint.arrival().await.reject(retry_after);
+    });
+    assert_that!(answer.head.status.as_u16(), eq(503));
+}
+
+#[gtest]
+fn a_generation_goes_to_no_engine_twice_that_has_rejected_it() {
+    on_local_tasks(async {
+        let entry = Entry::open().await;
+        let mut engines = [
+            entry.register("engines", "e1").await,
+            entry.register("engines", "e2").await,
+            entry.register("engines", "e3").await,
+        ];
+        let [e1, e2, e3] = &mut engines;
+
+        let (answer, rejected) = join!(entry.ask("/chat/x", "r1"), async {
+            let mut rejected = Vec::new();
+            while rejected.len() < 2 {
+                let arrival = tokio::select! {
+                    arrival = e1.arrival() => arrival,
+                    arrival = e2.arrival() => arrival,
+                    arrival = e3.arrival() => arrival,
+                };
+                rejected.push(arrival.meant_for.clone());
+                arrival.turn_away("full");
+            }
+            let arrival = tokio::select! {
+                arrival = e1.arrival() => arrival,
+                arrival = e2.arrival() => arrival,
+                arrival = e3.arrival() => arrival,
+            };
+            rejected.push(arrival.meant_for.clone());
+            arrival.answer(200, "id: 1\ndata: token 1\n\n");
+            rejected
+        });
+
+        expect_that!(text(answer).await, ok(contains_substring("token 1")));
+        expect_that!(rejected, unordered_elements_are![eq("e1"), eq("e2"), eq("e3")]);
+    });
+}
+
+#[gtest]
+fn where_every_endpoint_has_asked_for_back_off_the_next_request_is_refused_at_once() {
+    on_local_tasks(async {
+        for (service, path) in [("desk", "/soon/x"), ("engines", "/brief/x")] {
+            let entry = Entry::open().await;
+            let mut endpoint = entry.register(service, "e1").await;
+            rejected(&entry, path, &mut endpoint, LONG).await;
+
+            let refused = entry.ask(path, "r2").await;
+
+            expect_that!(outcome(&refused), some(eq("overloaded")), "{path}");
+            expect_that!(refused.head.status.as_u16(), eq(503), "{path}");
+            expect_true!(endpoint.is_idle(), "{path}");
+        }
+    });
+}
+
+#[gtest]
+fn a_request_whose_answer_still_comes_in_time_waits_for_the_end_of_a_back_off() {
+    on_local_tasks(async {
+        for (service, path) in [("desk", "/once/x"), ("engines", "/chat/x")] {
+            let entry = Entry::open().await;
+            let mut wary = entry.register(service, "e1").await;
+            let first = async {
+                wary.arrival().await.reject("0.2");
+                // A generation waits for a place itself, a call is made again.
+                wary.arrival().await.answer(200, "id: 1\ndata: token 1\n\n");
+            };
+            let asks = async {
+                let first = entry.ask(path, "r1").await;
+                if first.head.status.is_success() { first } else { entry.ask(path, "r2").await }
+            };
+
+            let (answer, ()) = join!(asks, first);
+
+            expect_that!(text(answer).await, ok(contains_substring("token 1")), "{path}");
+        }
+    });
+}
+
+#[gtest]
+fn after_a_back_off_one_call_is_sent_until_it_is_answered() {
+    on_local_tasks(async {
+        let entry = Entry::open().await;
+        let mut endpoint = entry.register("desk", "e1").await;
+        rejected(&entry, "/once/x", &mut endpoint, "0.05").await;
+
+        let asks = async { join!(entry.ask("/once/x", "r2"), entry.ask("/once/x", "r3")) };
+        let ((second, third), early) = join!(asks, async {
+            let first = endpoint.arrival().await;
+            entry.has_in_progress(2).await;
+            let early = !endpoint.is_idle();
+            first.answer(200, "done");
+            endpoint.arrival().await.answer(200, "done");
+            early
+        });
+
+        expect_false!(early);
+        expect_that!(text(second).await, ok(eq("done")));
+        expect_that!(text(third).await, ok(eq("done")));
+    });
+}
+
+#[gtest]
+fn a_new_run_of_an_endpoint_gets_requests_whatever_the_former_one_has_asked_for() {
+    on_local_tasks(async {
+        let entry = Entry::open().await;
+        let mut former = entry.register("desk", "e1").await;
+        rejected(&entry, "/once/x", &mut former, LONG).await;
+        let mut endpoint = entry.starts_again("desk", "e1").await;
+
+        let (answer, ()) = join!(entry.ask("/once/x", "r2"), async {
+            endpoint.arrival().await.answer(200, "done");
+        });
+
+        expect_that!(text(answer).await, ok(eq("done")));
+    });
+}
+
+#[gtest]
+fn a_request_is_not_sent_to_an_endpoint_that_has_asked_for_back_off_since_it_was_chosen() {
+    on_local_tasks(async {
+        // Without a scheduler both engines are asked for their loads once they are chosen.
+        let entry = Entry::without_scheduler().await;
+        let mut wary = entry.register("engines", "wary").await;
+        let mut other = entry.register("engines", "other").await;
+        wary.tell_backoff(LONG);
+        other.tell_room(1_000, true);
+
+        let (answer, ()) = join!(entry.ask("/chat/x", "r1"), async {
+            other.arrival().await.answer(200, "id: 1\ndata: token 1\n\n");
+        });
+
+        expect_that!(text(answer).await, ok(contains_substring("token 1")));
+        expect_true!(wary.is_idle());
+        let withheld = "trayswitch_attempts_total{end=\"withheld\",service=\"engines\"}";
+        entry.has_counted(withheld, 1).await;
+    });
+}
+
+#[gtest]
+fn a_generation_is_not_moved_to_an_engine_that_has_asked_for_back_off() {
+    on_local_tasks(async {
+        let entry = Entry::open().await;
+        let mut to = entry.register("engines", "to").await;
+        rejected(&entry, "/brief/x", &mut to, LONG).await;
+        let mut from = entry.register("engines", "from").await;
+        let (answer, stream) = join!(entry.ask("/chat/x", "r2"), async {
+            let stream = from.arrival().await.stream();
+            stream.events(1..=3).await;
+            stream
+        });
+        let mut reading = Reading::new(answer);
+        reading.read_to(3).await;
+
+        entry.leaves("from").await;
+        stream.events(4..=40).await;
+        reading.read_to(40).await;
+        stream.end();
+
+        expect_that!(reading.rest().await, ok(anything()));
+        expect_true!(from.is_asked_for_no_copy());
+        expect_true!(to.is_idle());
+    });
+}
+
+#[gtest]
+fn what_is_no_time_is_counted_and_closes_the_endpoint_to_nobody() {
+    on_local_tasks(async {
+        let entry = Entry::open().await;
+        let mut endpoint = entry.register("desk", "e1").await;
+
+        for retry_after in ["soon", "-1", "NaN", "0"] {
+            rejected(&entry, "/once/x", &mut endpoint, retry_after).await;
+        }
+
+        let counted = |end| {
+            format!(
+                "trayswitch_endpoint_signals_total{{end=\"{end}\",service=\"desk\",signal=\"backoff\"}}"
+            )
+        };
+        entry.has_counted(&counted("unreadable"), 3).await;
+        entry.has_counted(&counted("read"), 1).await;
+        entry.has_counted("trayswitch_backing_off_endpoints", 0).await;
+    });
+}
--- a/crates/server/src/relay/tests/endpoint.rs
+++ b/crates/server/src/relay/tests/endpoint.rs
@@ -185,11 +185,21 @@
     used: Cell<u64>,
     /// Whether it keeps a place for whoever asks.
     keeps: Cell<bool>,
+    /// Seconds of back-off that it asks for when it is asked for its load.
+    retry_after: RefCell<Option<String>>,
     /// Tokens of the places that it was asked for.
     asked: RefCell<Vec<u64>>,
 }
 
 impl Room {
+    fn load(&self) -> Response<Body> {
+        let mut res = Response::builder();
+        if let Some(retry_after) = &*self.retry_after.borrow() {
+            res = res.header(RETRY_AFTER, retry_after);
+        }
+        res.body(edge::full(self.used.get().to_string())).unwrap()
+    }
+
     fn reserve(&self, tokens: u64) -> Response<Body> {
         self.asked.borrow_mut().push(tokens);
         let status =
@@ -216,7 +226,7 @@
             return;
         }
         if req.uri().path() == LOAD_PATH {
-            let _ = answer.send(Response::new(edge::full(self.room.used.get().to_string())));
+            let _ = answer.send(self.room.load());
             return;
         }
         if let Some(tokens) = req.uri().path().strip_prefix(RESERVE_PATH) {
@@ -304,6 +314,11 @@
         self.room.keeps.set(keeps);
     }
 
+    /// Seconds of back-off that it asks for from now on when it is asked for its load.
+    pub(super) fn tell_backoff(&self, retry_after: &str) {
+        *self.room.retry_after.borrow_mut() = Some(retry_after.to_owned());
+    }
+
     /// Tokens of the places that it was asked for.
     pub(super) fn places_asked(&self) -> Vec<u64> {
         self.room.asked.borrow().clone()
@@ -327,6 +342,11 @@
         self.copies.recv().await.expect("the endpoint lives as long as the test")
     }
 
+    /// Whether no order to copy has come that was not taken.
+    pub(super) fn is_asked_for_no_copy(&mut self) -> bool {
+        self.copies.try_recv().is_err()
+    }
+
     /// The name of the next copy that may be forgotten.
     pub(super) async fn freed(&mut self) -> String {
         self.freed.recv().await.expect("the endpoint lives as long as the test")
--- a/crates/server/src/relay/tests/entry.rs
+++ b/crates/server/src/relay/tests/entry.rs
@@ -89,6 +89,16 @@
 max_attempts = 3
 public = yes
 tier = all
+[route brief]
+host = host
+path_prefix = /brief/
+services = engines:1
+kind = generation
+timeout = 600s
+target_latency = 10s
+max_attempts = 3
+public = yes
+tier = all
 [route recap]
 host = host
 path_prefix = /recap/
--- a/crates/server/src/runtime/mod.rs
+++ b/crates/server/src/runtime/mod.rs
@@ -27,6 +27,7 @@
 use tokio::sync::{Notify, mpsc, oneshot};
 use trayswitch_clock as clock;
 use trayswitch_core::{
+    backoff::{Admission, BackoffTable},
     node::{Answer, CallId, Clocks, InForce, Input, Node, NodeOptions, Output, VmName},
     placement::Request,
     quarantine::{DigestKey, RequestDigest, RequestIdentity, Standing},
@@ -188,6 +189,16 @@
         self.0.node.borrow().limit(endpoint)
     }
 
+    /// Whether an endpoint may be sent a request, as far as it has rejected some.
+    pub(crate) fn admission(&self, endpoint: &str) -> Admission {
+        self.0.node.borrow().admission(endpoint, self.now())
+    }
+
+    /// The table of endpoints that have rejected requests, for those that are placed without the node.
+    pub(crate) fn with_backoffs(&self, change: impl FnOnce(&mut BackoffTable, units::Instant)) {
+        change(self.0.node.borrow_mut().backoffs_mut(), self.now());
+    }
+
     /// Begins a planned stop of the node.
     pub fn stop(&self) {
         self.input(Input::Stop);
@@ -225,6 +236,9 @@
             Output::Suspects { suspects, quarantined } => {
                 self.0.metrics.suspects(suspects, quarantined);
             }
+            Output::Backoff { endpoint, left, backing_off } => {
+                sight::backoff_changed(&self.0.metrics, &endpoint, left, backing_off);
+            }
             Output::Limit { endpoint, limit, change, limited } => {
                 sight::limit_changed(&self.0.metrics, &endpoint, limit, change, limited);
             }
--- a/crates/server/src/runtime/sight.rs
+++ b/crates/server/src/runtime/sight.rs
@@ -73,6 +73,22 @@
     );
 }
 
+/// Tells that an endpoint has asked this daemon to back off, or that the time is over.
+pub(super) fn backoff_changed(
+    metrics: &Metrics,
+    endpoint: &str,
+    left: Option<Duration>,
+    backing_off: usize,
+) {
+    metrics.backing_off(backing_off);
+    let end = if left.is_some() { "begins" } else { "ends" };
+    log::info!(
+        event = EventId::BackoffChanged.number(), endpoint = endpoint, end = end,
+        backoff_ms = left.unwrap_or_default().as_millis() as u64, backing_off = backing_off;
+        "an endpoint wants no requests of this daemon, or takes them again"
+    );
+}
+
 /// Notes that the VM was suspended.
 pub(super) fn was_suspended(metrics: &Metrics, time: Duration) {
     metrics.suspended(time);
--- a/crates/server/src/telemetry/metrics.rs
+++ b/crates/server/src/telemetry/metrics.rs
@@ -24,6 +24,7 @@
     limits_read: IntCounterVec,
     signals_read: IntCounterVec,
     limited_endpoints: IntGauge,
+    backing_off: IntGauge,
     leaves: IntCounterVec,
     latency: HistogramVec,
     first_event: HistogramVec,
@@ -107,6 +108,10 @@
                 "trayswitch_limited_endpoints",
                 "Endpoints that name how many requests a second they take, as this daemon knows",
             )?,
+            backing_off: gauge(
+                "trayswitch_backing_off_endpoints",
+                "Endpoints that have asked this daemon to back off",
+            )?,
             leaves: counter(
                 "trayswitch_leaves_total",
                 "Calls for which an endpoint that names a limit was chosen, by service and what became of them",
@@ -197,6 +202,11 @@
         self.leaves.with_label_values(&[service, end]).inc();
     }
 
+    /// So many endpoints have asked this daemon to back off.
+    pub fn backing_off(&self, endpoints: usize) {
+        self.backing_off.set(endpoints as i64);
+    }
+
     /// An endpoint has named in an answer how many requests a second it takes.
     pub fn limit_read(&self, service: &str, limit: &str) {
         self.limits_read.with_label_values(&[service, limit]).inc();
--- a/crates/server/src/upstream/exchange.rs
+++ b/crates/server/src/upstream/exchange.rs
@@ -21,6 +21,8 @@
 pub enum SendError {
     /// No byte of the request was sent.
     NotSent(String),
+    /// No byte was sent, since it may not be any more.
+    Withheld(String),
     /// The request, or a part of it, was sent; the endpoint may run it.
     Lost(String),
 }
@@ -29,6 +31,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             SendError::NotSent(problem) => write!(f, "not sent: {problem}"),
+            SendError::Withheld(problem) => write!(f, "withheld: {problem}"),
             SendError::Lost(problem) => write!(f, "lost: {problem}"),
         }
     }
@@ -88,6 +91,16 @@
     address: SocketAddr,
     req: Request<Full<Bytes>>,
     connect_limit: Duration,
+) -> Result<OpenAnswer, SendError> {
+    exchange_if(address, req, connect_limit, || Ok(())).await
+}
+
+/// The same, if the request may still be sent once the connection is up.
+pub async fn exchange_if(
+    address: SocketAddr,
+    req: Request<Full<Bytes>>,
+    connect_limit: Duration,
+    may_send: impl FnOnce() -> Result<(), String>,
 ) -> Result<OpenAnswer, SendError> {
     let not_sent = |problem: String| SendError::NotSent(problem);
     let socket = match timeout(connect_limit, socket::connect(address)).await {
@@ -104,6 +117,7 @@
     };
     let connection = Connection(tokio::task::spawn_local(run));
     sender.ready().await.map_err(|e| not_sent(describe(&e)))?;
+    may_send().map_err(SendError::Withheld)?;
     let answer = sender.send_request(req).await.map_err(|e| SendError::Lost(describe(&e)))?;
     let (head, incoming) = answer.into_parts();
     Ok(OpenAnswer { head, body: AnswerBody { incoming, _connection: connection } })
--- a/crates/trayswitchd/src/callers/call.rs
+++ b/crates/trayswitchd/src/callers/call.rs
@@ -230,7 +230,7 @@
         };
         callers.report(&endpoint, &error);
         may_have_run |= !error.is_not_run();
-        place.avoid = Some(endpoint);
+        place.avoid.push(endpoint);
         last = Some(error);
         if may_have_run && !request.spec.repeatable || !callers.may_retry(&request.workspace) {
             break;
--- a/crates/trayswitchd/src/callers/chat.rs
+++ b/crates/trayswitchd/src/callers/chat.rs
@@ -125,7 +125,7 @@
         max_tokens: 0,
         max_wait: kind_spec.max_wait,
         first_within: kind_spec.max_wait,
-        avoid: None,
+        avoid: Vec::new(),
         apart: false,
     })
 }
--- a/crates/trayswitchd/src/callers/run.rs
+++ b/crates/trayswitchd/src/callers/run.rs
@@ -284,7 +284,7 @@
         match self.delivery.on_lost(false) {
             NextStep::RunAfresh if !may_retry => Err(self.denied(lost)),
             NextStep::RunAfresh => {
-                self.chat.place.avoid = Some(place.endpoint.clone());
+                self.chat.place.avoid.push(place.endpoint.clone());
                 thread::sleep(jitter(FIRST_PAUSE));
                 Ok(())
             }
--- a/crates/trayswitchd/src/node/actor.rs
+++ b/crates/trayswitchd/src/node/actor.rs
@@ -152,6 +152,13 @@
                 let (event, change) = (EventId::LimitChanged, change.name());
                 log::info!("{event} {endpoint}: {change}, {limit} requests a second");
             }
+            Output::Backoff { endpoint, left, .. } => {
+                let event = EventId::BackoffChanged;
+                match left {
+                    Some(left) => log::info!("{event} {endpoint}: no requests for {left:.3?}"),
+                    None => log::info!("{event} {endpoint}: takes requests again"),
+                }
+            }
             Output::Unusable { version, why } => {
                 let event = EventId::ConfigUnusable;
                 log::error!("{event} version {version} cannot come into force here: {why}");
