Take an endpoint's word of a cold start from any answer

The third signal that an answer may carry and that nobody acted on: health answers name the rest of a cold start, and only heartbeats were read for it. It holds for the run that says it, as if a heartbeat had said so.

--- a/crates/core/src/node/inputs.rs
+++ b/crates/core/src/node/inputs.rs
@@ -65,6 +65,9 @@
             Input::Leaving { endpoint, started_at } => {
                 self.leaves(&endpoint, started_at, clocks.now);
             }
+            Input::Cold { endpoint, started_at, left } => {
+                self.registry.cool(&endpoint, started_at, clocks.now.after(left));
+            }
             Input::Heartbeat(record) => self.heartbeat(record, clocks.now),
             Input::Recall(records) => {
                 if self.disabled.allows(Mechanism::RecalledEndpoints) {
--- a/crates/core/src/node/messages.rs
+++ b/crates/core/src/node/messages.rs
@@ -194,6 +194,15 @@
         /// When its run was started.
         started_at: u64,
     },
+    /// An endpoint has said in an answer that it is slow after its start.
+    Cold {
+        /// Name of the endpoint.
+        endpoint: Arc<str>,
+        /// When its run was started.
+        started_at: u64,
+        /// For how much longer.
+        left: Duration,
+    },
     /// This daemon has news of an endpoint.
     Health(Arc<str>, HealthNews),
     /// This daemon asked an endpoint for its load.
@@ -239,6 +248,7 @@
             Input::LimitRead(_) => "limit_read",
             Input::Rejected(_) => "rejected",
             Input::Leaving { .. } => "leaving",
+            Input::Cold { .. } => "cold",
             Input::Health(..) => "own_health",
             Input::Load(_) => "load",
             Input::Heartbeat(_) => "heartbeat",
--- a/crates/core/src/registry/cold_tests.rs
+++ b/crates/core/src/registry/cold_tests.rs
@@ -52,3 +52,20 @@
     let until: Vec<Instant> = registry.cold().map(|(_, until)| until).collect();
     expect_that!(until, elements_are![eq(&seconds(11))]);
 }
+
+#[gtest]
+fn what_an_endpoint_says_in_an_answer_holds_for_the_run_that_says_it() {
+    let mut registry = Registry::new(HEARTBEAT);
+    let run = EndpointRecord { born: 5, ..record("a", 1, false) };
+    registry.take(run, seconds(1));
+    let before = registry.revision();
+
+    registry.cool("a", 4, seconds(3));
+    let of_another = registry.cold().count();
+    registry.cool("a", 5, seconds(3));
+
+    expect_that!(of_another, eq(0));
+    let until: Vec<Instant> = registry.cold().map(|(_, until)| until).collect();
+    expect_that!(until, elements_are![eq(&seconds(3))]);
+    expect_that!(registry.revision(), eq(before + 1));
+}
--- a/crates/core/src/registry/mod.rs
+++ b/crates/core/src/registry/mod.rs
@@ -328,6 +328,14 @@
         }
     }
 
+    /// Notes that the run of an endpoint that was started then is cold until that time.
+    pub(crate) fn cool(&mut self, id: &str, born: u64, until: Instant) {
+        let known = self.known.get_mut(id).filter(|known| known.record.born == born);
+        if known.is_some_and(|known| known.cool(until)) {
+            self.revision += 1;
+        }
+    }
+
     /// Names of the endpoints that must get no new work: those that leave, and those that are
     /// silent while another of their service is heard. Where all are silent it is more likely
     /// that their heartbeats do not arrive than that all have failed at once.
--- a/crates/server/src/relay/signals.rs
+++ b/crates/server/src/relay/signals.rs
@@ -87,6 +87,10 @@
         if signals.is_leaving() {
             self.note_leaving(endpoint);
         }
+        if let Ok(Some(left)) = signals.cold_for {
+            let (endpoint, started_at) = (endpoint.id.clone(), endpoint.born);
+            self.node.input(Input::Cold { endpoint, started_at, left });
+        }
         if let Ok(Some(_)) = signals.retry_after {
             self.note_rejection(endpoint, &signals);
         }
