Let only answers to requests lift an endpoint's limit

Reading every answer for what endpoints say of themselves also took a copy's or a load's answer, which names no limit, for word that the limit is over. The new test of the relay fails without this.

The value that heads are decoded into moves to the core, so that trayswitchd can use it as well.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod placement;
 pub mod quarantine;
 pub mod registry;
+pub mod signals;
 pub mod state;
 pub mod storage;
 #[cfg(test)]
--- /dev/null
+++ b/crates/core/src/signals.rs
@@ -0,0 +1,71 @@
+//! What endpoints say of themselves in the heads of their answers, whatever was asked.
+
+use std::{fmt, time::Duration};
+
+use crate::{
+    backoff::{BadRetryAfter, RetryAfter},
+    throttle::{BadLimit, RateLimit},
+};
+
+/// What an endpoint says of itself in the head of an answer.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Signals {
+    /// How many requests a second it takes from all daemons together.
+    pub limit: Result<Option<RateLimit>, BadLimit>,
+    /// How long it wants nothing from this daemon, where it rejects a request.
+    pub retry_after: Result<Option<RetryAfter>, BadRetryAfter>,
+    /// Whether it is about to end.
+    pub leaving: Result<bool, BadFlag>,
+    /// For how much longer it is slow after its start.
+    pub cold_for: Result<Option<Duration>, BadMillis>,
+}
+
+impl Default for Signals {
+    fn default() -> Signals {
+        Signals { limit: Ok(None), retry_after: Ok(None), leaving: Ok(false), cold_for: Ok(None) }
+    }
+}
+
+/// A flag that is neither `1` nor `0`.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct BadFlag;
+
+/// A text that is no whole number of milliseconds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct BadMillis;
+
+impl fmt::Display for BadFlag {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("it is neither 1 nor 0")
+    }
+}
+
+impl fmt::Display for BadMillis {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("it is no whole number of milliseconds")
+    }
+}
+
+impl Signals {
+    /// The limit that it names, as lines of the log tell it.
+    pub fn describe_limit(&self) -> String {
+        let limit = self.limit.ok().flatten();
+        limit.map_or_else(|| "-".to_owned(), |limit| limit.to_string())
+    }
+
+    /// The back-off that it asks for in milliseconds, as lines of the log tell it.
+    pub fn describe_backoff(&self) -> String {
+        let backoff = self.backoff();
+        backoff.map_or_else(|| "-".to_owned(), |backoff| backoff.as_millis().to_string())
+    }
+
+    /// The back-off that it asks for.
+    pub fn backoff(&self) -> Option<Duration> {
+        self.retry_after.ok().flatten().map(RetryAfter::time)
+    }
+
+    /// Whether it says that it is about to end.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.unwrap_or_default()
+    }
+}
--- a/crates/server/src/relay/call.rs
+++ b/crates/server/src/relay/call.rs
@@ -10,10 +10,11 @@
     error::{ErrorKind, RequestError},
     mechanism::Mechanism,
     registry::Registered,
+    signals::Signals,
 };
 
 use super::{
-    Answer, Job, MAX_REJECTIONS, Relay, Signals, Turned, ended::Awaited, job::GoOn, limited::Try,
+    Answer, Job, MAX_REJECTIONS, Relay, Turned, ended::Awaited, job::GoOn, limited::Try,
     loads::Verdict, no_answer, permit::Permit,
 };
 use crate::{
--- a/crates/server/src/relay/generation.rs
+++ b/crates/server/src/relay/generation.rs
@@ -10,11 +10,12 @@
     mechanism::Mechanism,
     node::Input,
     registry::Registered,
+    signals::Signals,
     wire::HealthNews,
 };
 
 use super::{
-    Answer, Job, MAX_REJECTIONS, Relay, Signals, Turned,
+    Answer, Job, MAX_REJECTIONS, Relay, Turned,
     ended::Awaited,
     job::GoOn,
     no_answer,
--- a/crates/server/src/relay/limited.rs
+++ b/crates/server/src/relay/limited.rs
@@ -7,11 +7,12 @@
     error::{ErrorKind, RequestError},
     node::Input,
     registry::Registered,
+    signals::Signals,
     throttle::{Leave, RateLimit, Word},
     units,
 };
 
-use super::{Job, Relay, Signals, call::no_endpoint};
+use super::{Job, Relay, call::no_endpoint};
 use crate::telemetry::EventId;
 
 /// Endpoints that one request for leave names: as many as a question holds in one packet.
--- a/crates/server/src/relay/mod.rs
+++ b/crates/server/src/relay/mod.rs
@@ -55,7 +55,6 @@
         Answer, Attempt, CallerRequest, Copied, CopyOrder, MemoryAt, Prompt, Protocol, Reserved,
         Turned,
     },
-    signals::{BadFlag, BadMillis, Signals},
     unscheduled::Reservation,
 };
 use crate::{
--- a/crates/server/src/relay/moves.rs
+++ b/crates/server/src/relay/moves.rs
@@ -158,7 +158,7 @@
         let open = exchange(from.address, req, relay.options.connect_limit).await;
         let open = open.map_err(|e: SendError| e.to_string())?;
         let head = open.head;
-        relay.on_answer(service, from, asked, &head);
+        relay.on_own_answer(service, from, asked, &head);
         let body = open.body.collect(MAX_ANSWER).await?;
         Ok(relay.protocol.read_copied(&head, &body))
     };
--- a/crates/server/src/relay/protocol.rs
+++ b/crates/server/src/relay/protocol.rs
@@ -5,9 +5,9 @@
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response, request, response};
 use http_body_util::Full;
-use trayswitch_core::{error::RequestError, placement::EngineLoad};
+use trayswitch_core::{error::RequestError, placement::EngineLoad, signals::Signals};
 
-use super::{Reservation, Signals};
+use super::Reservation;
 
 /// What a caller asks for, decoded from its request.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
--- a/crates/server/src/relay/signals.rs
+++ b/crates/server/src/relay/signals.rs
@@ -1,80 +1,19 @@
-//! What endpoints say of themselves in the heads of their answers.
+//! Takes what endpoints say of themselves in the heads of their answers.
 //!
-//! Every answer is read for it here, whatever was asked, so that no signal is passed on to a caller unheard.
+//! Every answer comes by here, whatever was asked, so that no signal is passed on to a caller unheard.
 
-use std::{fmt, time::Duration};
+use std::fmt;
 
 use http::response;
 use trayswitch_core::{
-    backoff::{BadRetryAfter, Rejection, RetryAfter},
-    node::Input,
-    registry::Registered,
-    throttle::{BadLimit, RateLimit},
-    units,
+    backoff::Rejection, node::Input, registry::Registered, signals::Signals, units,
 };
 
-use super::{Relay, limited};
+use super::Relay;
 use crate::telemetry::EventId;
 
-/// What an endpoint says of itself in the head of an answer.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Signals {
-    /// How many requests a second it takes from all daemons together.
-    pub limit: Result<Option<RateLimit>, BadLimit>,
-    /// How long it wants nothing from this daemon, where it rejects a request.
-    pub retry_after: Result<Option<RetryAfter>, BadRetryAfter>,
-    /// Whether it is about to end.
-    pub leaving: Result<bool, BadFlag>,
-    /// For how much longer it is slow after its start.
-    pub cold_for: Result<Option<Duration>, BadMillis>,
-}
-
-impl Default for Signals {
-    fn default() -> Signals {
-        Signals { limit: Ok(None), retry_after: Ok(None), leaving: Ok(false), cold_for: Ok(None) }
-    }
-}
-
-/// A flag that is neither `1` nor `0`.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct BadFlag;
-
-/// A text that is no whole number of milliseconds.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct BadMillis;
-
-impl fmt::Display for BadFlag {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("it is neither 1 nor 0")
-    }
-}
-
-impl fmt::Display for BadMillis {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("it is no whole number of milliseconds")
-    }
-}
-
-impl Signals {
-    /// The limit that it names, as lines of the log tell it.
-    pub(super) fn describe_limit(&self) -> String {
-        limited::describe(self.limit.ok().flatten())
-    }
-
-    /// The back-off that it asks for, as lines of the log tell it.
-    pub(super) fn describe_backoff(&self) -> String {
-        let backoff = self.retry_after.ok().flatten();
-        backoff.map_or_else(|| "-".to_owned(), |backoff| backoff.time().as_millis().to_string())
-    }
-
-    /// Whether it says that it is about to end.
-    pub(super) fn is_leaving(&self) -> bool {
-        self.leaving.unwrap_or_default()
-    }
-}
-
 impl Relay {
-    /// Takes what an endpoint says of itself in an answer to a request that was sent at `asked`.
+    /// Takes what an endpoint says of itself in an answer to a caller's request that was sent at `asked`.
     pub(super) fn on_answer(
         &self,
         service: &str,
@@ -84,6 +23,27 @@
     ) -> Signals {
         let signals = self.read_signals(service, endpoint, head);
         self.note_limit(service, endpoint, asked, &signals);
+        self.note_state(endpoint, &signals);
+        signals
+    }
+
+    /// The same of an answer to a question of this daemon's own. An endpoint may name its limit to requests only,
+    /// so one that is not named here still holds.
+    pub(super) fn on_own_answer(
+        &self,
+        service: &str,
+        endpoint: &Registered,
+        asked: units::Instant,
+        head: &response::Parts,
+    ) {
+        let signals = self.read_signals(service, endpoint, head);
+        if signals.limit != Ok(None) {
+            self.note_limit(service, endpoint, asked, &signals);
+        }
+        self.note_state(endpoint, &signals);
+    }
+
+    fn note_state(&self, endpoint: &Registered, signals: &Signals) {
         if signals.is_leaving() {
             self.note_leaving(endpoint);
         }
@@ -91,10 +51,9 @@
             let (endpoint, started_at) = (endpoint.id.clone(), endpoint.born);
             self.node.input(Input::Cold { endpoint, started_at, left });
         }
-        if let Ok(Some(_)) = signals.retry_after {
-            self.note_rejection(endpoint, &signals);
+        if signals.backoff().is_some() {
+            self.note_rejection(endpoint, signals);
         }
-        signals
     }
 
     /// The same of an answer that rejects the request.
@@ -106,7 +65,7 @@
         head: &response::Parts,
     ) -> Signals {
         let signals = self.on_answer(service, endpoint, asked, head);
-        if !matches!(signals.retry_after, Ok(Some(_))) {
+        if signals.backoff().is_none() {
             self.note_rejection(endpoint, &signals);
         }
         signals
@@ -124,7 +83,7 @@
         self.node.input(Input::Rejected(Rejection {
             endpoint: endpoint.id.clone(),
             started_at: endpoint.born,
-            retry_after: signals.retry_after.ok().flatten().map(RetryAfter::time),
+            retry_after: signals.backoff(),
         }));
     }
 
--- a/crates/server/src/relay/tests/entry.rs
+++ b/crates/server/src/relay/tests/entry.rs
@@ -271,7 +271,7 @@
     }
 
     /// A metric by its name and labels, if it has been counted.
-    fn metric(&self, name: &str) -> Option<u64> {
+    pub(super) fn metric(&self, name: &str) -> Option<u64> {
         let text = self.metrics.text().unwrap();
         let line = text.lines().find(|line| line.split(' ').next() == Some(name));
         line.and_then(|line| line.split(' ').next_back()?.parse().ok())
--- a/crates/server/src/relay/tests/limits.rs
+++ b/crates/server/src/relay/tests/limits.rs
@@ -170,3 +170,26 @@
         entry.has_counted("trayswitch_limited_endpoints", 1).await;
     });
 }
+
+#[gtest]
+fn an_answer_to_the_daemons_own_question_lifts_no_limit() {
+    on_local_tasks(async {
+        // Without a scheduler an engine is asked for its load before each generation.
+        let entry = Entry::without_scheduler().await;
+        let mut engine = entry.register("engines", "e1").await;
+        let (first, ()) = join!(entry.ask("/chat/x", "r1"), async {
+            engine.arrival().await.naming(Some(SOON)).answer(200, "id: 1\ndata: token 1\n\n");
+        });
+        expect_that!(text(first).await, ok(anything()));
+
+        let (second, limited) = join!(entry.ask("/chat/x", "r2"), async {
+            let arrival = engine.arrival().await;
+            let limited = entry.metric("trayswitch_limited_endpoints");
+            arrival.naming(Some(SOON)).answer(200, "id: 1\ndata: token 1\n\n");
+            limited
+        });
+
+        expect_that!(text(second).await, ok(anything()));
+        expect_that!(limited, some(eq(1)));
+    });
+}
--- a/crates/server/src/relay/tests/protocol.rs
+++ b/crates/server/src/relay/tests/protocol.rs
@@ -6,12 +6,13 @@
 use http::{HeaderMap, HeaderValue, Request, Response, header, request, response};
 use http_body_util::Full;
 use trayswitch_core::{
-    backoff::RetryAfter, error::RequestError, placement::EngineLoad, throttle::RateLimit,
+    backoff::RetryAfter, error::RequestError, placement::EngineLoad, signals::Signals,
+    throttle::RateLimit,
 };
 
 use crate::relay::{
     Answer, Attempt, CallerRequest, Copied, CopyOrder, MemoryAt, Prompt, Protocol, Reservation,
-    Reserved, Signals, Turned,
+    Reserved, Turned,
 };
 
 /// The request's id, in requests and their answers.
--- a/crates/server/src/relay/unscheduled.rs
+++ b/crates/server/src/relay/unscheduled.rs
@@ -115,7 +115,7 @@
     let asked = relay.node.now();
     let whole = async {
         let open = exchange(known.address, req, limit).await.map_err(|e| e.to_string())?;
-        relay.on_answer(&known.service, &known, asked, &open.head);
+        relay.on_own_answer(&known.service, &known, asked, &open.head);
         Ok((open.head, open.body.collect(MAX_ANSWER).await?))
     };
     let problem = match timeout(limit, whole).await {
