--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -31,6 +31,11 @@
                 .about("Compare who keeps the limits that endpoints name")
                 .arg(text("daemons", "Daemons, separated by commas", Some("1,7,64,300"))),
         )
+        .subcommand(
+            Command::new("backoff")
+                .about("Compare what daemons make of endpoints that reject requests")
+                .arg(text("daemons", "Daemons, separated by commas", Some("1,7,64,300"))),
+        )
         .subcommand(
             Command::new("decisions").about("Time scheduling decisions at several sizes").arg(
                 text(
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,5 +1,6 @@
 //! `trayswitch-lab`: emulated endpoints, load and measurements for trayswitch.
 
+mod backoff;
 mod changes;
 mod cli;
 mod emulate;
@@ -94,6 +95,12 @@
             }
             Ok(())
         }
+        Options::Backoff(daemons) => {
+            for outcome in backoff::compare(&daemons) {
+                println!("{}", serde_json::to_string(&outcome)?);
+            }
+            Ok(())
+        }
         Options::Configurations(sizes) => {
             for cost in changes::config_costs(&sizes) {
                 println!("{}", serde_json::to_string(&cost)?);
--- a/crates/lab/src/options.rs
+++ b/crates/lab/src/options.rs
@@ -46,6 +46,8 @@
     Suspects(Vec<usize>),
     /// How limits are kept with so many daemons.
     Limits(Vec<usize>),
+    /// What becomes of requests where endpoints reject some, with so many daemons.
+    Backoff(Vec<usize>),
     /// Costs of decisions at these sizes.
     Decisions(Vec<usize>),
     /// Time taking configurations in at these numbers of routes.
@@ -106,6 +108,7 @@
             }
             Some(("suspects", m)) => Ok(Options::Suspects(numbers(&text(m, "daemons"))?)),
             Some(("limits", m)) => Ok(Options::Limits(numbers(&text(m, "daemons"))?)),
+            Some(("backoff", m)) => Ok(Options::Backoff(numbers(&text(m, "daemons"))?)),
             Some(("decisions", m)) => Ok(Options::Decisions(numbers(&text(m, "sizes"))?)),
             Some(("configurations", m)) => Ok(Options::Configurations(numbers(&text(m, "sizes"))?)),
             Some(("fault", m)) => Ok(Options::Fault {
