--- a/crates/core/src/node/endpoints.rs
+++ b/crates/core/src/node/endpoints.rs
@@ -36,6 +36,8 @@
     pub kv_tokens: u64,
     /// Requests a second that it takes from all daemons, by its own word; nothing where it names no limit.
     pub limit: Option<f64>,
+    /// For how much longer it is the last resort, since it has rejected requests, in milliseconds.
+    pub backoff_ms: Option<u64>,
 }
 
 impl Node {
@@ -258,6 +260,10 @@
         kv_used: state.kv_used() as u64,
         kv_tokens: state.spec().kv_tokens,
         limit: scheduler.throttle.limit(name).map(RateLimit::per_second),
+        backoff_ms: scheduler
+            .backoffs
+            .last_resort_until(name, now)
+            .map(|until| until.since(now).as_millis() as u64),
     };
     scheduler.endpoints().into_iter().map(status).collect()
 }
--- a/crates/trayswitch/src/command/explain.rs
+++ b/crates/trayswitch/src/command/explain.rs
@@ -91,7 +91,12 @@
     let own = || lines.iter().filter(|line| line.text("id") == id);
     let (Some(first), Some(last)) = (own().next(), own().next_back()) else { return Vec::new() };
     let met: BTreeSet<&str> = own().flat_map(Line::endpoints).collect();
-    let news = [EventId::EndpointNews, EventId::EndpointLeaving, EventId::LimitChanged];
+    let news = [
+        EventId::EndpointNews,
+        EventId::EndpointLeaving,
+        EventId::LimitChanged,
+        EventId::BackoffChanged,
+    ];
     let news = news.map(|e| u64::from(e.number()));
     let vm = first.text("vm");
     let halls = u64::from(EventId::HallsOut.number());
--- a/crates/trayswitch/src/command/explain/tests.rs
+++ b/crates/trayswitch/src/command/explain/tests.rs
@@ -85,3 +85,19 @@
     let times: Vec<u64> = story.iter().map(|line| line.at).collect();
     expect_that!(times, elements_are![eq(&1000), eq(&1500), eq(&1501)]);
 }
+
+#[gtest]
+fn a_story_has_the_back_off_that_the_endpoints_it_met_have_asked_its_daemon_for() {
+    let texts = [
+        r#"{"t":1000,"event":322,"vm":"front-1","endpoint":"i-1","end":"begins","backoff_ms":3000,"msg":"an endpoint wants no requests"}"#,
+        r#"{"t":1010,"event":322,"vm":"front-2","endpoint":"i-1","end":"begins","backoff_ms":3000,"msg":"an endpoint wants no requests"}"#,
+        r#"{"t":1500,"event":311,"vm":"front-1","id":"r1","endpoint":"i-1","end":"withheld","msg":"an attempt ended"}"#,
+        r#"{"t":1501,"event":310,"vm":"front-1","id":"r1","cause":"overloaded","detail":"","msg":"a request ended"}"#,
+    ];
+    let lines: Vec<Line> = texts.iter().filter_map(|text| Line::parse(text)).collect();
+
+    let story = story("r1", &lines);
+
+    let times: Vec<u64> = story.iter().map(|line| line.at).collect();
+    expect_that!(times, elements_are![eq(&1000), eq(&1500), eq(&1501)]);
+}
--- a/crates/trayswitch/src/command/show.rs
+++ b/crates/trayswitch/src/command/show.rs
@@ -37,7 +37,7 @@
 
 /// Shows the endpoints.
 pub(super) fn endpoints(client: &Client, json: bool, out: &mut dyn Write) -> Result<(), Error> {
-    const COLUMNS: [Column; 9] = [
+    const COLUMNS: [Column; 10] = [
         Column::new("endpoint", "/name"),
         Column::new("hall", "/hall"),
         Column::new("serves", "/target"),
@@ -47,6 +47,7 @@
         Column::new("memory used", "/kv_used"),
         Column::new("of", "/kv_tokens"),
         Column::new("takes a second", "/limit"),
+        Column::new("backs off ms", "/backoff_ms"),
     ];
     output::list(&client.get("/v1/endpoints")?, &COLUMNS, json, out)
 }
