--- a/crates/server/src/relay/backoff.rs
+++ b/crates/server/src/relay/backoff.rs
@@ -10,7 +10,7 @@
     units,
 };
 
-use super::{Job, Relay, limited::Try};
+use super::{Job, Relay, limited::AttemptKind};
 use crate::runtime::NodeHandle;
 
 /// Pause between two looks at an endpoint that has not answered the request before.
@@ -63,12 +63,12 @@
     pub(super) fn admitted(
         &self,
         endpoints: Vec<Registered>,
-        which: Try,
+        which: AttemptKind,
         tried: &[Arc<str>],
     ) -> Admitted {
         let (mut open, mut last_resort, mut more_at) = (Vec::new(), Vec::new(), None);
         for endpoint in endpoints {
-            if which == Try::Another && tried.contains(&endpoint.id) {
+            if which == AttemptKind::Retry && tried.contains(&endpoint.id) {
                 continue;
             }
             let opens_at = match self.node.admission(&endpoint.id) {
@@ -94,12 +94,12 @@
     pub(super) async fn wait_for_admission(
         &self,
         job: &Job,
-        which: Try,
+        which: AttemptKind,
         admitted: &Admitted,
     ) -> Result<(), RequestError> {
         let now = self.node.now();
         let wait = admitted.more_at.map_or(Duration::MAX, |at| at.since(now));
-        if which == Try::First && wait <= self.patience(job) {
+        if which == AttemptKind::First && wait <= self.patience(job) {
             tokio::time::sleep(wait.max(Duration::from_millis(1))).await;
             return Ok(());
         }
--- a/crates/server/src/relay/call.rs
+++ b/crates/server/src/relay/call.rs
@@ -14,8 +14,8 @@
 };
 
 use super::{
-    Answer, Job, MAX_REJECTIONS, Relay, Turned, ended::Awaited, job::GoOn, limited::Try,
-    loads::Verdict, no_answer, permit::Permit,
+    Answer, Job, MAX_REJECTIONS, RejectionReason, Relay, ended::Awaited, job::GoOn,
+    limited::AttemptKind, loads::Outcome, no_answer, permit::Permit,
 };
 use crate::{
     edge::{self, Body, LocalFuture},
@@ -100,7 +100,7 @@
     }
 
     async fn run(&mut self) -> Result<(response::Parts, Bytes), RequestError> {
-        self.start(Try::First);
+        self.start(AttemptKind::First);
         let deadline = sleep_until(self.job.deadline);
         let mut deadline = std::pin::pin!(deadline);
         // One that may be repeated and takes longer than the others explain is sent to a second
@@ -186,18 +186,18 @@
             return;
         }
         if self.has_untried() && self.relay.may_repeat(&self.job.service) {
-            self.start(Try::Another);
+            self.start(AttemptKind::Retry);
         }
     }
 
     /// Whether any endpoint is left that the call was not sent to and may be.
     fn has_untried(&self) -> bool {
         let open = self.relay.open_endpoints(self.job);
-        let admitted = self.relay.admitted(open, Try::Another, &self.tried.borrow());
+        let admitted = self.relay.admitted(open, AttemptKind::Retry, &self.tried.borrow());
         !admitted.endpoints.is_empty()
     }
 
-    fn start(&mut self, which: Try) {
+    fn start(&mut self, which: AttemptKind) {
         self.starts += 1;
         let attempt = attempt(self.relay, self.job, which, self.tried.clone());
         self.running.push(Box::pin(attempt));
@@ -220,7 +220,12 @@
 }
 
 /// Makes one attempt at an endpoint, once it may be sent. One that is withheld at the last moment goes elsewhere.
-async fn attempt(relay: &Relay, job: &Job, which: Try, tried: Rc<RefCell<Vec<Arc<str>>>>) -> End {
+async fn attempt(
+    relay: &Relay,
+    job: &Job,
+    which: AttemptKind,
+    tried: Rc<RefCell<Vec<Arc<str>>>>,
+) -> End {
     loop {
         match attempt_once(relay, job, which, &tried).await {
             End::Withheld(problem) if MAX_WITHHELD <= tried.borrow().len() => {
@@ -232,7 +237,12 @@
     }
 }
 
-async fn attempt_once(relay: &Relay, job: &Job, which: Try, tried: &RefCell<Vec<Arc<str>>>) -> End {
+async fn attempt_once(
+    relay: &Relay,
+    job: &Job,
+    which: AttemptKind,
+    tried: &RefCell<Vec<Arc<str>>>,
+) -> End {
     let mut permit = match relay.permit(job).await {
         Ok(permit) => permit,
         Err(error) => return End::Refused(error),
@@ -253,16 +263,16 @@
     let running = relay.loads.begin(&endpoint.id, relay.cold_rule(job).as_ref());
     let unanswered = relay.count_unanswered(&endpoint.id);
     let awaited = Awaited::begin(relay, job, &permit, &endpoint);
-    let Sent { end, verdict, signals } = ask(relay, job, &permit, &endpoint).await;
+    let Sent { end, outcome, signals } = ask(relay, job, &permit, &endpoint).await;
     awaited.end();
     drop(running);
     if let (Some(unanswered), End::Answer { .. }) = (unanswered, &end) {
         unanswered.answered();
     }
     if !matches!(end, End::Withheld(_)) {
-        relay.loads.note(&endpoint.id, verdict);
+        relay.loads.record_outcome(&endpoint.id, outcome);
     }
-    if verdict == Verdict::Good {
+    if outcome == Outcome::Success {
         relay.note_latency(&job.service, began.elapsed());
         relay.answered_whole(job, &mut permit);
     }
@@ -285,15 +295,15 @@
 struct Sent {
     end: End,
     /// How well the endpoint did.
-    verdict: Verdict,
+    outcome: Outcome,
     /// What it says of itself.
     signals: Signals,
 }
 
 impl Sent {
     /// One without an answer that the endpoint gave to it.
-    fn new(end: End, verdict: Verdict) -> Sent {
-        Sent { end, verdict, signals: Signals::default() }
+    fn new(end: End, outcome: Outcome) -> Sent {
+        Sent { end, outcome, signals: Signals::default() }
     }
 }
 
@@ -308,40 +318,40 @@
     let open = match opened {
         Ok(open) => open,
         Err(SendError::Withheld(problem)) => {
-            return Sent::new(End::Withheld(problem), Verdict::Failed);
+            return Sent::new(End::Withheld(problem), Outcome::Error);
         }
         Err(SendError::NotSent(problem)) => {
-            return Sent::new(End::NotRun(problem), Verdict::Dead);
+            return Sent::new(End::NotRun(problem), Outcome::Unreachable);
         }
         Err(SendError::Lost(problem)) => {
             relay.broke_off(job, permit, endpoint, 0).await;
-            return Sent::new(End::Unknown(problem), Verdict::Dead);
+            return Sent::new(End::Unknown(problem), Outcome::Unreachable);
         }
     };
     let success = match protocol.judge(&job.caller.id, &open.head) {
         Answer::Ran { success } => success,
-        Answer::Turned(Turned::Full) => {
+        Answer::Rejected(RejectionReason::Overloaded) => {
             let signals = relay.on_rejection(&job.service, endpoint, asked, &open.head);
             let end = End::NotRun("the endpoint is full".into());
-            return Sent { end, verdict: Verdict::Failed, signals };
+            return Sent { end, outcome: Outcome::Error, signals };
         }
-        Answer::Turned(Turned::Other) => {
+        Answer::Rejected(RejectionReason::WrongEndpoint) => {
             let end = End::NotRun("another endpoint has the address".into());
-            return Sent::new(end, Verdict::Dead);
+            return Sent::new(end, Outcome::Unreachable);
         }
         Answer::Foreign(problem) => {
-            return Sent::new(End::Unknown(problem.into()), Verdict::Failed);
+            return Sent::new(End::Unknown(problem.into()), Outcome::Error);
         }
     };
     let signals = relay.on_answer(&job.service, endpoint, asked, &open.head);
     match open.body.collect(MAX_ANSWER).await {
         Ok(body) => {
-            let verdict = if success { Verdict::Good } else { Verdict::Failed };
-            Sent { end: End::Answer { head: open.head, body, success }, verdict, signals }
+            let outcome = if success { Outcome::Success } else { Outcome::Error };
+            Sent { end: End::Answer { head: open.head, body, success }, outcome, signals }
         }
         Err(problem) => {
             relay.broke_off(job, permit, endpoint, 0).await;
-            Sent { end: End::Unknown(problem), verdict: Verdict::Failed, signals }
+            Sent { end: End::Unknown(problem), outcome: Outcome::Error, signals }
         }
     }
 }
--- a/crates/server/src/relay/generation.rs
+++ b/crates/server/src/relay/generation.rs
@@ -15,7 +15,7 @@
 };
 
 use super::{
-    Answer, Job, MAX_REJECTIONS, Relay, Turned,
+    Answer, Job, MAX_REJECTIONS, RejectionReason, Relay,
     ended::Awaited,
     job::GoOn,
     no_answer,
@@ -264,11 +264,11 @@
         }
     };
     match relay.protocol.judge(&job.caller.id, &open.head) {
-        Answer::Turned(Turned::Full) => {
+        Answer::Rejected(RejectionReason::Overloaded) => {
             *signals = relay.on_rejection(&job.service, known, asked, &open.head);
             return Err(Lost::NotRun("the endpoint is full".into()));
         }
-        Answer::Turned(Turned::Other) => {
+        Answer::Rejected(RejectionReason::WrongEndpoint) => {
             failed();
             return Err(Lost::NotRun("another endpoint has the address".into()));
         }
--- a/crates/server/src/relay/limited.rs
+++ b/crates/server/src/relay/limited.rs
@@ -22,11 +22,11 @@
 
 /// Which attempt at a call is to be sent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum Try {
+pub(super) enum AttemptKind {
     /// The first one: it may wait, and go wherever it can.
     First,
-    /// Another one: only at once, and to an endpoint that was not tried.
-    Another,
+    /// A later one: only at once, and to an endpoint that was not tried.
+    Retry,
 }
 
 impl Relay {
@@ -77,7 +77,7 @@
     pub(super) async fn endpoint_for(
         &self,
         job: &Job,
-        which: Try,
+        which: AttemptKind,
         tried: &[Arc<str>],
     ) -> Result<Registered, RequestError> {
         let open = loop {
@@ -101,8 +101,8 @@
             open.into_iter().partition(|endpoint| self.node.limit(&endpoint.id).is_some());
         self.loads.sort(&mut limited, &self.hall);
         let max_wait = match which {
-            Try::First if free.is_empty() => self.patience(job),
-            Try::First | Try::Another => Duration::ZERO,
+            AttemptKind::First if free.is_empty() => self.patience(job),
+            AttemptKind::First | AttemptKind::Retry => Duration::ZERO,
         };
         let began = Instant::now();
         let leave = self.ask_for_leave(job, &limited, max_wait, free.is_empty()).await;
--- a/crates/server/src/relay/loads.rs
+++ b/crates/server/src/relay/loads.rs
@@ -53,7 +53,7 @@
 
 impl Load {
     /// Forgets what was known of a former run; what runs there ends by itself.
-    fn meet(&mut self, endpoint: &Registered) {
+    fn reset_if_restarted(&mut self, endpoint: &Registered) {
         if self.born != endpoint.born {
             *self = Load { born: endpoint.born, running: self.running, ..Load::default() };
         }
@@ -84,13 +84,13 @@
 
 /// How a request at an endpoint ended, as far as it tells of the endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum Verdict {
+pub(super) enum Outcome {
     /// It answered.
-    Good,
+    Success,
     /// It answered with a failure of its own.
-    Failed,
+    Error,
     /// It could not be reached, or did not answer.
-    Dead,
+    Unreachable,
 }
 
 /// Loads of endpoints by name.
@@ -129,7 +129,7 @@
         let mut loads = self.by_name.borrow_mut();
         endpoints.retain(|endpoint| {
             let load = load_of(&mut loads, &endpoint.id);
-            load.meet(endpoint);
+            load.reset_if_restarted(endpoint);
             rule.is_none_or(|rule| load.takes_work(endpoint, rule))
         });
         endpoints
@@ -188,19 +188,19 @@
         self.by_name.borrow().get(id).map_or(0, |load| load.running)
     }
 
-    /// Notes how a request ended.
-    pub(super) fn note(&self, id: &Arc<str>, verdict: Verdict) {
+    /// Records how a request ended.
+    pub(super) fn record_outcome(&self, id: &Arc<str>, outcome: Outcome) {
         let mut loads = self.by_name.borrow_mut();
         let load = load_of(&mut loads, id);
-        let failed = if verdict == Verdict::Good { 0.0 } else { 1.0 };
+        let failed = if outcome == Outcome::Success { 0.0 } else { 1.0 };
         load.failed += SMOOTHING * (failed - load.failed);
-        match verdict {
-            Verdict::Good => {
+        match outcome {
+            Outcome::Success => {
                 load.failures = 0;
                 load.closed_until = None;
             }
-            Verdict::Failed => {}
-            Verdict::Dead => {
+            Outcome::Error => {}
+            Outcome::Unreachable => {
                 let pause = FIRST_PAUSE * 2u32.pow(load.failures.min(4));
                 load.failures += 1;
                 load.closed_until = Some(Instant::now() + pause.min(LONGEST_PAUSE));
--- a/crates/server/src/relay/mod.rs
+++ b/crates/server/src/relay/mod.rs
@@ -52,8 +52,8 @@
 };
 pub use self::{
     protocol::{
-        Answer, Attempt, CallerRequest, Copied, CopyOrder, MemoryAt, Prompt, Protocol, Reserved,
-        Turned,
+        Answer, Attempt, CallerRequest, Copied, CopyOrder, MemoryAt, Prompt, Protocol,
+        RejectionReason, Reserved,
     },
     unscheduled::Reservation,
 };
--- a/crates/server/src/relay/protocol.rs
+++ b/crates/server/src/relay/protocol.rs
@@ -93,7 +93,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Answer {
     /// It says that the request has not run there.
-    Turned(Turned),
+    Rejected(RejectionReason),
     /// The request ran; this is its answer, whatever its status.
     Ran {
         /// Whether it ended well.
@@ -103,13 +103,13 @@
     Foreign(&'static str),
 }
 
-/// Why an endpoint turned a request away.
+/// Why an endpoint rejected a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Turned {
+pub enum RejectionReason {
     /// It has no room, or the time is over.
-    Full,
+    Overloaded,
     /// Another run of an endpoint, or another version, has its address.
-    Other,
+    WrongEndpoint,
 }
 
 /// An order to copy the memory of a running generation.
--- a/crates/server/src/relay/tests/cold.rs
+++ b/crates/server/src/relay/tests/cold.rs
@@ -8,7 +8,7 @@
     units::Instant,
 };
 
-use crate::relay::loads::{ColdRule, Loads, Verdict};
+use crate::relay::loads::{ColdRule, Loads, Outcome};
 
 /// What an endpoint bears in a second while it is cold, and what it falls over at.
 const BEARS: u32 = 20;
@@ -91,7 +91,7 @@
     fastrand::seed(9);
     let loads = Loads::new(Disabled::default());
     let endpoints = [endpoint(0, None)];
-    loads.note(&"e0".into(), Verdict::Dead);
+    loads.record_outcome(&"e0".into(), Outcome::Unreachable);
 
     let chosen = (0..50).filter_map(|_| send(&loads, &endpoints, &rule(64, Instant(0))));
 
--- a/crates/server/src/relay/tests/protocol.rs
+++ b/crates/server/src/relay/tests/protocol.rs
@@ -11,8 +11,8 @@
 };
 
 use crate::relay::{
-    Answer, Attempt, CallerRequest, Copied, CopyOrder, MemoryAt, Prompt, Protocol, Reservation,
-    Reserved, Turned,
+    Answer, Attempt, CallerRequest, Copied, CopyOrder, MemoryAt, Prompt, Protocol, RejectionReason,
+    Reservation, Reserved,
 };
 
 /// The request's id, in requests and their answers.
@@ -103,8 +103,8 @@
             return Answer::Foreign("the answer is for another request");
         }
         match header::<String>(&head.headers, NOT_RUN).as_deref() {
-            Some("full") => Answer::Turned(Turned::Full),
-            Some(_) => Answer::Turned(Turned::Other),
+            Some("full") => Answer::Rejected(RejectionReason::Overloaded),
+            Some(_) => Answer::Rejected(RejectionReason::WrongEndpoint),
             None => Answer::Ran { success: head.status.is_success() },
         }
     }
