--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -66,7 +66,7 @@
     SuspectChanged = 317, "The leader has put on record that an endpoint has ended under a request, or that the request is no suspect any more.";
     TrialAsked = 318, "A try of a request under which endpoints have ended was let run, or was not.";
     LimitChanged = 319, "An endpoint has named how many requests a second it takes, another number, or none any more.";
-    LeaveAsked = 320, "A call for which an endpoint that names a limit was chosen went there, elsewhere, or was refused.";
+    PermitRequested = 320, "A call for which an endpoint that names a limit was chosen went there, elsewhere, or was refused.";
     SignalUnreadable = 321, "What an endpoint says of itself in an answer cannot be read.";
     BackoffChanged = 322, "An endpoint has asked this daemon to back off, or the time is over.";
     RequestFailed = 304, "A request did not end in its whole answer.";
--- a/crates/core/src/node/control/mod.rs
+++ b/crates/core/src/node/control/mod.rs
@@ -251,8 +251,8 @@
                     dispatcher.rejected(from, rejected, clocks.now);
                 }
             }
-            Body::LeaveAsk(ask) => match &mut self.dispatcher {
-                Some(dispatcher) => dispatcher.leave_ask(from, ask, clocks.now, out),
+            Body::PermitQuery(ask) => match &mut self.dispatcher {
+                Some(dispatcher) => dispatcher.permit_query(from, ask, clocks.now, out),
                 None => self.not_leader(from, None, out),
             },
             Body::Moved(moved) => {
--- a/crates/core/src/node/dispatcher.rs
+++ b/crates/core/src/node/dispatcher.rs
@@ -19,8 +19,8 @@
     placement::{Action, Relocation, Scheduler, Ticket},
     units::Instant,
     wire::{
-        Admit, Body, GiveUp, Grant, Health, HealthNews, LastResort, LeaveAsk, LimitNews, LimitWord,
-        Move, Moved, Overloaded, Progress, Rejected, Report, SlowEndpoint, Watch,
+        Admit, Body, GiveUp, Grant, Health, HealthNews, LastResort, LimitNews, LimitWord, Move,
+        Moved, Overloaded, PermitQuery, Progress, Rejected, Report, SlowEndpoint, Watch,
     },
 };
 
@@ -256,11 +256,11 @@
         self.limits.read(news, &mut self.scheduler.throttle, now);
     }
 
-    /// Takes a daemon's request for leave at endpoints that name limits.
-    pub(crate) fn leave_ask(
+    /// Takes a daemon's request for a permit at endpoints that name limits.
+    pub(crate) fn permit_query(
         &mut self,
         from: &VmName,
-        ask: LeaveAsk,
+        ask: PermitQuery,
         now: Instant,
         out: &mut Outbox,
     ) {
--- a/crates/core/src/node/endpoints.rs
+++ b/crates/core/src/node/endpoints.rs
@@ -70,7 +70,7 @@
 
     /// An endpoint has said in an answer that it will end. That is first-hand, so it holds whatever control VMs say
     /// of this run, and is told to them at once.
-    pub(super) fn leaves(&mut self, endpoint: &str, started_at: u64, now: Instant) {
+    pub(super) fn endpoint_leaves(&mut self, endpoint: &str, started_at: u64, now: Instant) {
         if !self.registry.knows_run(endpoint, started_at) {
             return;
         }
--- a/crates/core/src/node/inputs.rs
+++ b/crates/core/src/node/inputs.rs
@@ -12,7 +12,7 @@
     mechanism::Mechanism,
     quarantine::ClearRequest,
     registry::Digest,
-    throttle::Ask,
+    throttle::PermitRequest,
     wire::{Body, EndpointDigest, LimitWord, OperationKind, OperationResult},
 };
 
@@ -55,15 +55,15 @@
                 suspects.over(call, whole, &mut cx, out);
             }
             Input::LimitRead(word) => {
-                let (leaves, mut cx, out) = self.leaves_context(clocks.now);
-                leaves.read(word, &mut cx, out);
+                let (permits, mut cx, out) = self.permits_context(clocks.now);
+                permits.read(word, &mut cx, out);
             }
             Input::Rejected(rejection) => {
                 let scheduler = self.keeper.scheduler(clocks.now);
                 self.placing.rejected(&rejection, scheduler, clocks.now, out);
             }
             Input::Leaving { endpoint, started_at } => {
-                self.leaves(&endpoint, started_at, clocks.now);
+                self.endpoint_leaves(&endpoint, started_at, clocks.now);
             }
             Input::Cold { endpoint, started_at, left } => {
                 self.registry.cool(&endpoint, started_at, clocks.now.after(left));
@@ -125,9 +125,9 @@
                 let (suspects, cx, out) = self.suspects_context(clocks);
                 suspects.ask(call, request, limit, &cx, out);
             }
-            Question::Leave(ask) => {
-                let (leaves, mut cx, out) = self.leaves_context(clocks.now);
-                leaves.ask(Ask { asker: call, ..ask }, &mut cx, out);
+            Question::Permit(ask) => {
+                let (permits, mut cx, out) = self.permits_context(clocks.now);
+                permits.ask(PermitRequest { asker: call, ..ask }, &mut cx, out);
             }
             Question::Clear { request, limit } => {
                 let request = Bytes::copy_from_slice(request.as_bytes());
@@ -181,9 +181,9 @@
             }
             Body::Limits(news) => self.limits_told(news.words, clocks),
             Body::Overloaded(news) => self.placing.told_overloaded(&news, clocks.now),
-            Body::LeaveReply(reply) => {
-                let (leaves, mut cx, out) = self.leaves_context(clocks.now);
-                leaves.answered(reply, &mut cx, out);
+            Body::PermitReply(reply) => {
+                let (permits, mut cx, out) = self.permits_context(clocks.now);
+                permits.answered(reply, &mut cx, out);
             }
             Body::OperationReply(reply) => {
                 let recorded = match reply.result {
@@ -226,7 +226,7 @@
 
     /// Takes the leader's word of the limits that endpoints name.
     fn limits_told(&mut self, words: Vec<LimitWord>, clocks: Clocks) {
-        let (leaves, mut cx, out) = self.leaves_context(clocks.now);
-        leaves.told(words, &mut cx, out);
+        let (permits, mut cx, out) = self.permits_context(clocks.now);
+        permits.told(words, &mut cx, out);
     }
 }
--- a/crates/core/src/node/limits.rs
+++ b/crates/core/src/node/limits.rs
@@ -1,12 +1,12 @@
-//! What the leader does about endpoints that name limits: gives leave, and tells all daemons of the limits.
+//! What the leader does about endpoints that name limits: gives permits, and tells all daemons of the limits.
 
 use std::{collections::BTreeSet, time::Duration};
 
-use super::{Outbox, VmName, broadcast::Broadcast, leaves::decode};
+use super::{Outbox, VmName, broadcast::Broadcast, permits::decode};
 use crate::{
-    throttle::{Change, Leave, LeaveQueue, Throttle, Word},
+    throttle::{Change, Permit, PermitQueue, Throttle, Word},
     units::Instant,
-    wire::{Body, LeaveAsk, LeaveReply, LimitNews, LimitWord},
+    wire::{Body, LimitNews, LimitWord, PermitQuery, PermitReply},
 };
 
 /// Limits that an answer to a daemon's poll names, for what has not reached it: 120 bytes.
@@ -15,7 +15,7 @@
 /// The leader's soft state about limits.
 #[derive(Debug, Default)]
 pub(super) struct Limits {
-    queue: LeaveQueue<(VmName, u64)>,
+    queue: PermitQueue<(VmName, u64)>,
     news: Broadcast,
     /// Number of the limits that were repeated.
     repeated: usize,
@@ -37,11 +37,11 @@
         }
     }
 
-    /// Takes a daemon's request for leave.
+    /// Takes a daemon's request for a permit.
     pub(super) fn ask(
         &mut self,
         from: &VmName,
-        ask: LeaveAsk,
+        ask: PermitQuery,
         throttle: &mut Throttle,
         now: Instant,
         out: &mut Outbox,
@@ -49,8 +49,8 @@
         let (ask, words) = decode(from, ask, now);
         words.into_iter().for_each(|word| self.learn(word, throttle, now));
         let asker = ask.asker.clone();
-        if let Some(leave) = self.queue.ask(ask, throttle, now) {
-            reply(&asker, leave, out);
+        if let Some(permit) = self.queue.ask(ask, throttle, now) {
+            reply(&asker, permit, out);
         }
     }
 
@@ -63,7 +63,7 @@
         self.news.next_tick().into_iter().chain(self.queue.next_decision()).min()
     }
 
-    /// Gives leave that is due, and tells daemons what is news.
+    /// Gives permits that are due, and tells daemons what is news.
     pub(super) fn tick(
         &mut self,
         daemons: &BTreeSet<VmName>,
@@ -72,8 +72,8 @@
         out: &mut Outbox,
     ) {
         if self.queue.next_decision().is_some_and(|due| due <= now) {
-            for (asker, leave) in self.queue.decide(throttle, now) {
-                reply(&asker, leave, out);
+            for (asker, permit) in self.queue.decide(throttle, now) {
+                reply(&asker, permit, out);
             }
         }
         self.tell(daemons, throttle, now, out);
@@ -111,13 +111,13 @@
     }
 }
 
-fn reply(asker: &(VmName, u64), leave: Leave, out: &mut Outbox) {
+fn reply(asker: &(VmName, u64), permit: Permit, out: &mut Outbox) {
     let (vm, number) = asker;
-    let (endpoint, retry_after) = match leave {
-        Leave::Granted(endpoint) => (Some(endpoint.to_string()), Duration::ZERO),
-        Leave::NotNow { retry_after } => (None, retry_after),
+    let (endpoint, retry_after) = match permit {
+        Permit::Granted(endpoint) => (Some(endpoint.to_string()), Duration::ZERO),
+        Permit::Denied { retry_after } => (None, retry_after),
     };
     let retry_after_ms = retry_after.as_millis() as u64;
-    let reply = LeaveReply { number: *number, endpoint, retry_after_ms };
-    out.send(vm, Body::LeaveReply(reply));
+    let reply = PermitReply { number: *number, endpoint, retry_after_ms };
+    out.send(vm, Body::PermitReply(reply));
 }
--- a/crates/core/src/node/messages.rs
+++ b/crates/core/src/node/messages.rs
@@ -14,7 +14,7 @@
     quarantine::{RequestDigest, Suspect},
     registry::Registered,
     state::{ChangeId, HallOrder, HallResult, HallsOut},
-    throttle::{Ask, Change, Leave, RateLimit, Word},
+    throttle::{Change, Permit, PermitRequest, RateLimit, Word},
     units::Instant,
     wire::{AcceptedVersion, Body, EndpointRecord, HealthNews, Piece, Report, Submit, Update},
 };
@@ -63,8 +63,8 @@
         /// How long it may wait for the answer.
         limit: Duration,
     },
-    /// Leave for a request at one of several endpoints that name limits; who asks is filled in by the node.
-    Leave(Ask<CallId>),
+    /// A permit for a request at one of several endpoints that name limits; who asks is filled in by the node.
+    Permit(PermitRequest<CallId>),
     /// Forget the ends under a request, within this time.
     Clear {
         /// The request.
@@ -129,8 +129,8 @@
     HallsOut(Option<HallsOut>),
     /// To [`Question::Trial`].
     Trial(TrialAnswer),
-    /// To [`Question::Leave`].
-    Leave(Leave),
+    /// To [`Question::Permit`].
+    Permit(Permit),
     /// To [`Question::Clear`]: whether the request was a suspect; `None` when no quorum answered in
     /// time.
     Cleared(Option<bool>),
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -9,7 +9,7 @@
 //! - [`placing`] finds places for this daemon's requests;
 //! - [`control`] runs a control replica and, on the leader, answers the daemons;
 //! - [`dispatcher`] is the scheduler that the leader runs for all daemons;
-//! - [`leaves`] asks for leave at endpoints that name limits, [`limits`] gives it on the leader;
+//! - [`permits`] asks for permits at endpoints that name limits, [`limits`] gives them on the leader;
 //! - [`suspects`] knows under which requests endpoints have ended;
 //! - [`directory`] knows the control VMs and [`endpoints`] the endpoints that register.
 
@@ -35,7 +35,6 @@
 mod holder_tests;
 mod inputs;
 mod keeper;
-mod leaves;
 mod limits;
 mod members;
 #[cfg(test)]
@@ -45,6 +44,7 @@
 #[cfg(test)]
 mod operations_tests;
 mod options;
+mod permits;
 mod placing;
 mod reads;
 mod spread;
@@ -66,8 +66,8 @@
     endpoint_sync::EndpointSync,
     engines::Engines,
     keeper::Keeper,
-    leaves::Leaves,
     operations::Operations,
+    permits::Permits,
     placing::Placing,
     spread::Gathered,
     suspects::{Context, Suspects},
@@ -112,7 +112,7 @@
     operations: Operations,
     placing: Placing,
     suspects: Suspects,
-    leaves: Leaves,
+    permits: Permits,
     control: Option<Control>,
     directory: Directory,
     registry: Registry,
@@ -150,7 +150,7 @@
             operations: Operations::numbered_from(options.seed),
             placing: Placing::new(options.disabled, options.seed),
             suspects: Suspects::default(),
-            leaves: Leaves::default(),
+            permits: Permits::default(),
             control: None,
             directory: Directory::new(&options.vm, &options.seeds, false, now),
             registry: Registry::new(options.endpoint_heartbeat),
@@ -237,7 +237,7 @@
         let mut next = self.keeper.next_tick().min(self.placing.next_tick());
         next = next.min(self.directory.next_tick());
         next = next.min(self.suspects.next_tick().unwrap_or(next));
-        next = next.min(self.leaves.next_tick().unwrap_or(next));
+        next = next.min(self.permits.next_tick().unwrap_or(next));
         if let Some(control) = &self.control {
             next = next.min(control.next_tick());
         }
@@ -265,16 +265,19 @@
         }
         let (suspects, mut cx, out) = self.suspects_context(clocks);
         suspects.tick(&mut cx, out);
-        let (leaves, mut cx, out) = self.leaves_context(clocks.now);
-        leaves.tick(&mut cx, out);
+        let (permits, mut cx, out) = self.permits_context(clocks.now);
+        permits.tick(&mut cx, out);
     }
 
-    /// This daemon's requests for leave, and what else that part of it needs.
-    fn leaves_context(&mut self, now: Instant) -> (&mut Leaves, leaves::Context<'_>, &mut Outbox) {
+    /// This daemon's requests for permits, and what else that part of it needs.
+    fn permits_context(
+        &mut self,
+        now: Instant,
+    ) -> (&mut Permits, permits::Context<'_>, &mut Outbox) {
         let scheduler = self.keeper.scheduler(now);
         let throttle = self.placing.throttle_mut();
-        let cx = leaves::Context { scheduler, throttle, now };
-        (&mut self.leaves, cx, &mut self.outputs)
+        let cx = permits::Context { scheduler, throttle, now };
+        (&mut self.permits, cx, &mut self.outputs)
     }
 
     /// What is known of suspects, and what else that part of the daemon needs.
@@ -353,8 +356,8 @@
                 let term = scheduler.map_or(0, |scheduler| scheduler.term);
                 self.outputs.push(Output::Leader { vm: leader, term });
                 self.placing.scheduler_changed(scheduler, now, &mut self.outputs);
-                let (leaves, mut cx, out) = self.leaves_context(now);
-                leaves.scheduler_changed(&mut cx, out);
+                let (permits, mut cx, out) = self.permits_context(now);
+                permits.scheduler_changed(&mut cx, out);
             }
             let vm = &self.vm;
             let to_self = |output: &Output| matches!(output, Output::Send(to, _) if to == vm);
--- a/crates/core/src/node/leaves.rs
+++ b/crates/core/src/node/permits.rs
@@ -1,13 +1,13 @@
-//! This daemon's requests for leave at endpoints that name limits: at the leader, or while none answers in a
+//! This daemon's requests for permits at endpoints that name limits: at the leader, or while none answers in a
 //! queue of its own, which knows only this daemon's share.
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use super::{Answer, CallId, Outbox, Output, VmName, keeper::SchedulerAt};
 use crate::{
-    throttle::{Ask, Change, Leave, LeaveQueue, Throttle, Word},
+    throttle::{Change, Permit, PermitQueue, PermitRequest, Throttle, Word},
     units::Instant,
-    wire::{Body, LeaveAsk, LeaveReply, LimitNews, LimitWord},
+    wire::{Body, LimitNews, LimitWord, PermitQuery, PermitReply},
 };
 
 /// How long the leader's answer may take beyond what the request can wait: many round trips. A request that
@@ -21,15 +21,15 @@
 /// A question to the leader that waits for its answer.
 #[derive(Debug)]
 struct Asking {
-    ask: Ask<CallId>,
+    ask: PermitRequest<CallId>,
     deadline: Instant,
 }
 
 /// What this daemon waits for.
 #[derive(Debug, Default)]
-pub(crate) struct Leaves {
+pub(crate) struct Permits {
     asking: BTreeMap<CallId, Asking>,
-    own: LeaveQueue<CallId>,
+    own: PermitQueue<CallId>,
 }
 
 /// What the parts of a daemon beside this one know now.
@@ -40,7 +40,7 @@
     pub(super) now: Instant,
 }
 
-impl Leaves {
+impl Permits {
     /// Takes an endpoint's word that has come to this daemon; tells the leader if it is news.
     pub(super) fn read(&mut self, word: Word, cx: &mut Context<'_>, out: &mut Outbox) {
         let endpoint = word.endpoint.clone();
@@ -61,36 +61,41 @@
         }
     }
 
-    /// Asks for leave.
-    pub(super) fn ask(&mut self, ask: Ask<CallId>, cx: &mut Context<'_>, out: &mut Outbox) {
+    /// Asks for a permit.
+    pub(super) fn ask(
+        &mut self,
+        ask: PermitRequest<CallId>,
+        cx: &mut Context<'_>,
+        out: &mut Outbox,
+    ) {
         let Some(scheduler) = cx.scheduler else { return self.ask_alone(ask, cx, out) };
         out.send(&scheduler.vm, encode(&ask, cx));
         let deadline = cx.now.after(ask.max_wait + ANSWER_LIMIT);
         self.asking.insert(ask.asker, Asking { ask, deadline });
     }
 
-    fn ask_alone(&mut self, ask: Ask<CallId>, cx: &mut Context<'_>, out: &mut Outbox) {
+    fn ask_alone(&mut self, ask: PermitRequest<CallId>, cx: &mut Context<'_>, out: &mut Outbox) {
         let call = ask.asker;
-        if let Some(leave) = self.own.ask(ask, cx.throttle, cx.now) {
-            out.answer(call, Answer::Leave(leave));
+        if let Some(permit) = self.own.ask(ask, cx.throttle, cx.now) {
+            out.answer(call, Answer::Permit(permit));
         }
     }
 
-    /// Takes the leader's answer. Leave for a request that no longer waits is lost.
-    pub(super) fn answered(&mut self, reply: LeaveReply, cx: &mut Context<'_>, out: &mut Outbox) {
+    /// Takes the leader's answer. A permit for a request that no longer waits is lost.
+    pub(super) fn answered(&mut self, reply: PermitReply, cx: &mut Context<'_>, out: &mut Outbox) {
         let call = CallId(reply.number);
         if self.asking.remove(&call).is_none() {
             return;
         }
-        let leave = match reply.endpoint {
+        let permit = match reply.endpoint {
             Some(endpoint) => {
                 // Its own share begins after this, should it have to choose by itself.
                 cx.throttle.sent(&endpoint, cx.now);
-                Leave::Granted(endpoint.into())
+                Permit::Granted(endpoint.into())
             }
-            None => Leave::NotNow { retry_after: Duration::from_millis(reply.retry_after_ms) },
+            None => Permit::Denied { retry_after: Duration::from_millis(reply.retry_after_ms) },
         };
-        out.answer(call, Answer::Leave(leave));
+        out.answer(call, Answer::Permit(permit));
     }
 
     /// Tells a new leader what endpoints have said and what waits; without one what waits goes on here.
@@ -121,14 +126,14 @@
             }
         }
         if self.own.next_decision().is_some_and(|due| due <= cx.now) {
-            for (call, leave) in self.own.decide(cx.throttle, cx.now) {
-                out.answer(call, Answer::Leave(leave));
+            for (call, permit) in self.own.decide(cx.throttle, cx.now) {
+                out.answer(call, Answer::Permit(permit));
             }
         }
         let overdue = self.asking.iter().filter(|(_, asking)| asking.deadline <= cx.now);
         for call in overdue.map(|(call, _)| *call).collect::<Vec<_>>() {
             self.asking.remove(&call);
-            out.answer(call, Answer::Leave(Leave::NotNow { retry_after: UNANSWERED }));
+            out.answer(call, Answer::Permit(Permit::Denied { retry_after: UNANSWERED }));
         }
     }
 }
@@ -144,9 +149,9 @@
     change
 }
 
-fn encode(ask: &Ask<CallId>, cx: &Context<'_>) -> Body {
+fn encode(ask: &PermitRequest<CallId>, cx: &Context<'_>) -> Body {
     let endpoints = ask.endpoints.iter().filter_map(|name| cx.throttle.word(name));
-    Body::LeaveAsk(LeaveAsk {
+    Body::PermitQuery(PermitQuery {
         number: ask.asker.0,
         service: ask.service.to_string(),
         endpoints: endpoints.map(|word| LimitWord::encode(word, cx.now)).collect(),
@@ -157,12 +162,12 @@
 /// The same as the leader takes it, and what the endpoints have said.
 pub(super) fn decode(
     from: &VmName,
-    ask: LeaveAsk,
+    ask: PermitQuery,
     now: Instant,
-) -> (Ask<(VmName, u64)>, Vec<Word>) {
+) -> (PermitRequest<(VmName, u64)>, Vec<Word>) {
     let max_wait = ask.max_wait();
     let words: Vec<Word> = ask.endpoints.into_iter().filter_map(|word| word.decode(now)).collect();
     let endpoints: Vec<Arc<str>> = words.iter().map(|word| word.endpoint.clone()).collect();
     let asker = (from.clone(), ask.number);
-    (Ask { asker, service: ask.service.into(), endpoints, max_wait }, words)
+    (PermitRequest { asker, service: ask.service.into(), endpoints, max_wait }, words)
 }
--- a/crates/core/src/node/tests/limits.rs
+++ b/crates/core/src/node/tests/limits.rs
@@ -13,7 +13,7 @@
 };
 use crate::{
     node::{CallId, Input, Node, Question, VmName},
-    throttle::{Ask, Leave, RateLimit, Word},
+    throttle::{Permit, PermitRequest, RateLimit, Word},
     units::Instant,
 };
 
@@ -84,20 +84,20 @@
             return self.send(net, vm);
         }
         let endpoints = vec![ENDPOINT.into()];
-        let ask = Ask { asker: CallId(0), service: "s".into(), endpoints, max_wait };
-        let call = net.ask(vm, Question::Leave(ask));
+        let ask = PermitRequest { asker: CallId(0), service: "s".into(), endpoints, max_wait };
+        let call = net.ask(vm, Question::Permit(ask));
         self.asked.push((vm.clone(), call));
     }
 
-    /// Lets a step pass: requests that have leave are sent, and answers are read.
+    /// Lets a step pass: requests that have a permit are sent, and answers are read.
     fn step(&mut self, net: &mut Net) {
         net.step(false);
         self.step += 1;
         for (vm, call) in std::mem::take(&mut self.asked) {
-            match net.seen.leaves.get(&call) {
+            match net.seen.permits.get(&call) {
                 None => self.asked.push((vm, call)),
-                Some(Leave::Granted(_)) => self.send(net, &vm),
-                Some(Leave::NotNow { .. }) => {}
+                Some(Permit::Granted(_)) => self.send(net, &vm),
+                Some(Permit::Denied { .. }) => {}
             }
         }
         let due = |run: &Run| run.answered_at <= self.step;
--- a/crates/core/src/node/tests/net/seen.rs
+++ b/crates/core/src/node/tests/net/seen.rs
@@ -8,7 +8,7 @@
     node::{Answer, CallId, InForce, Placement, TrialAnswer, VmName},
     once::ClaimResult,
     state::HallsOut,
-    throttle::Leave,
+    throttle::Permit,
     units::Instant,
 };
 
@@ -55,8 +55,8 @@
     pub(crate) halls_told: Vec<Option<HallsOut>>,
     /// What tries of suspects were told.
     pub(crate) trials: BTreeMap<CallId, TrialAnswer>,
-    /// What requests for leave were told.
-    pub(crate) leaves: BTreeMap<CallId, Leave>,
+    /// What requests for permits were told.
+    pub(crate) permits: BTreeMap<CallId, Permit>,
     /// Whether those were suspects that operators have cleared.
     pub(crate) cleared: Vec<Option<bool>>,
     /// Questions that were answered.
@@ -115,8 +115,8 @@
             Answer::Trial(answer) => {
                 self.trials.insert(call, answer);
             }
-            Answer::Leave(leave) => {
-                self.leaves.insert(call, leave);
+            Answer::Permit(permit) => {
+                self.permits.insert(call, permit);
             }
             Answer::Cleared(cleared) => self.cleared.push(cleared),
             Answer::Hall(Some(result)) => self.halls.note_answer(call, result, now),
--- a/crates/core/src/signals.rs
+++ b/crates/core/src/signals.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     backoff::{BadRetryAfter, RetryAfter},
-    throttle::{BadLimit, RateLimit},
+    throttle::{BadLimit, RateLimit, describe_limit},
 };
 
 /// What an endpoint says of itself in the head of an answer.
@@ -49,8 +49,7 @@
 impl Signals {
     /// The limit that it names, as lines of the log tell it.
     pub fn describe_limit(&self) -> String {
-        let limit = self.limit.ok().flatten();
-        limit.map_or_else(|| "-".to_owned(), |limit| limit.to_string())
+        describe_limit(self.limit.ok().flatten())
     }
 
     /// The back-off that it asks for in milliseconds, as lines of the log tell it.
--- a/crates/core/src/throttle/limit.rs
+++ b/crates/core/src/throttle/limit.rs
@@ -72,6 +72,11 @@
     }
 }
 
+/// A limit as log lines tell it, if there is one.
+pub fn describe_limit(limit: Option<RateLimit>) -> String {
+    limit.map_or_else(|| "-".to_owned(), |limit| limit.to_string())
+}
+
 impl fmt::Display for BadLimit {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
--- a/crates/core/src/throttle/mod.rs
+++ b/crates/core/src/throttle/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! An endpoint in need says so in its answers, for as long as the need lasts. A [`Throttle`] knows these limits
 //! and when each endpoint may be sent the next request. The scheduler of all daemons has one, and counts what
-//! it places itself; a [`LeaveQueue`] beside it gives leave for what daemons send without it. So one place counts
+//! it places itself; a [`PermitQueue`] beside it gives permits for what daemons send without it. So one place counts
 //! the whole. A daemon that reaches no scheduler has both of its own, and keeps to a share.
 
 mod limit;
@@ -20,8 +20,8 @@
 mod word;
 
 pub use self::{
-    limit::{BadLimit, RateLimit},
-    queue::{Ask, Leave, LeaveQueue},
+    limit::{BadLimit, RateLimit, describe_limit},
+    queue::{Permit, PermitQueue, PermitRequest},
     table::{Change, Throttle},
     word::Word,
 };
--- a/crates/core/src/throttle/queue.rs
+++ b/crates/core/src/throttle/queue.rs
@@ -1,4 +1,4 @@
-//! Gives leave for single requests to endpoints that name limits, first come, first served.
+//! Gives permits for single requests to endpoints that name limits, first come, first served.
 
 use std::{
     collections::{BTreeMap, VecDeque},
@@ -9,7 +9,7 @@
 use super::Throttle;
 use crate::units::Instant;
 
-/// Most that wait for leave at the endpoints of one service.
+/// Most that wait for a permit at the endpoints of one service.
 const MAX_WAITING: usize = 1_024;
 /// Those that were refused within this time are counted into when the next one may come back, so that they do not
 /// all come at the same moment.
@@ -19,9 +19,9 @@
 /// Nor later: by then the endpoints may say otherwise.
 const LONGEST_RETRY: Duration = Duration::from_secs(4);
 
-/// A request for leave.
+/// A request for a permit.
 #[derive(Debug, Clone)]
-pub struct Ask<A> {
+pub struct PermitRequest<A> {
     /// Who asks.
     pub asker: A,
     /// The service that the endpoints are of.
@@ -34,11 +34,11 @@
 
 /// What an asker is told.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Leave {
+pub enum Permit {
     /// It may send one request to this endpoint, at once.
     Granted(Arc<str>),
     /// None of the endpoints takes one in time.
-    NotNow {
+    Denied {
         /// When one likely does.
         retry_after: Duration,
     },
@@ -46,11 +46,11 @@
 
 #[derive(Debug)]
 struct Waiting<A> {
-    ask: Ask<A>,
+    ask: PermitRequest<A>,
     deadline: Instant,
 }
 
-/// Those that wait for leave at one service.
+/// Those that wait for a permit at one service.
 #[derive(Debug)]
 struct ServiceQueue<A> {
     waiting: VecDeque<Waiting<A>>,
@@ -65,28 +65,33 @@
     }
 }
 
-/// Gives leave; knows nothing but who waits.
+/// Gives permits; knows nothing but who waits.
 #[derive(Debug)]
-pub struct LeaveQueue<A> {
+pub struct PermitQueue<A> {
     queues: BTreeMap<Arc<str>, ServiceQueue<A>>,
     /// When it must decide again.
     due: Option<Instant>,
 }
 
-impl<A> Default for LeaveQueue<A> {
-    fn default() -> LeaveQueue<A> {
-        LeaveQueue { queues: BTreeMap::new(), due: None }
+impl<A> Default for PermitQueue<A> {
+    fn default() -> PermitQueue<A> {
+        PermitQueue { queues: BTreeMap::new(), due: None }
     }
 }
 
-impl<A: Clone + PartialEq> LeaveQueue<A> {
-    /// Takes a request for leave; it waits if nothing is returned.
-    pub fn ask(&mut self, ask: Ask<A>, throttle: &mut Throttle, now: Instant) -> Option<Leave> {
+impl<A: Clone + PartialEq> PermitQueue<A> {
+    /// Takes a request for a permit; it waits if nothing is returned.
+    pub fn ask(
+        &mut self,
+        ask: PermitRequest<A>,
+        throttle: &mut Throttle,
+        now: Instant,
+    ) -> Option<Permit> {
         let queue = self.queues.entry(ask.service.clone()).or_default();
         if queue.waiting.is_empty()
             && let Some(endpoint) = take_turn(&ask, throttle, now)
         {
-            return Some(Leave::Granted(endpoint));
+            return Some(Permit::Granted(endpoint));
         }
         let wait = queue.expected_wait(&ask, throttle, now);
         if ask.max_wait < wait || MAX_WAITING <= queue.waiting.len() {
@@ -99,12 +104,12 @@
     }
 
     /// What those that wait are told now.
-    pub fn decide(&mut self, throttle: &mut Throttle, now: Instant) -> Vec<(A, Leave)> {
+    pub fn decide(&mut self, throttle: &mut Throttle, now: Instant) -> Vec<(A, Permit)> {
         let mut told = Vec::new();
         for queue in self.queues.values_mut() {
             for Waiting { ask, deadline } in std::mem::take(&mut queue.waiting) {
                 if let Some(endpoint) = take_turn(&ask, throttle, now) {
-                    told.push((ask.asker, Leave::Granted(endpoint)));
+                    told.push((ask.asker, Permit::Granted(endpoint)));
                 } else if deadline <= now {
                     let wait = queue.expected_wait(&ask, throttle, now);
                     let refused = queue.refuse(&ask, wait, throttle, now);
@@ -122,7 +127,7 @@
         told
     }
 
-    /// When [`LeaveQueue::decide`] must be called even without other input.
+    /// When [`PermitQueue::decide`] must be called even without other input.
     pub fn next_decision(&self) -> Option<Instant> {
         self.due
     }
@@ -135,7 +140,7 @@
     }
 
     /// Takes all that wait out.
-    pub fn take_waiting(&mut self) -> Vec<Ask<A>> {
+    pub fn take_waiting(&mut self) -> Vec<PermitRequest<A>> {
         let queues = std::mem::take(&mut self.queues);
         self.due = None;
         queues.into_values().flat_map(|queue| queue.waiting).map(|waiting| waiting.ask).collect()
@@ -153,31 +158,37 @@
 
 impl<A> ServiceQueue<A> {
     /// How long one more would wait.
-    fn expected_wait(&self, ask: &Ask<A>, throttle: &Throttle, now: Instant) -> Duration {
+    fn expected_wait(&self, ask: &PermitRequest<A>, throttle: &Throttle, now: Instant) -> Duration {
         let first = ask.endpoints.iter().map(|endpoint| throttle.next(endpoint, now)).min();
         let first = first.map_or(LONGEST_RETRY, |at| at.since(now));
         first + spread(self.waiting.len(), rate(ask, throttle))
     }
 
-    fn refuse(&mut self, ask: &Ask<A>, wait: Duration, throttle: &Throttle, now: Instant) -> Leave {
+    fn refuse(
+        &mut self,
+        ask: &PermitRequest<A>,
+        wait: Duration,
+        throttle: &Throttle,
+        now: Instant,
+    ) -> Permit {
         if REFUSED_TOGETHER <= now.since(self.refused_since) {
             (self.refused, self.refused_since) = (0, now);
         }
         let retry_after = wait + spread(self.refused as usize, rate(ask, throttle));
         self.refused += 1;
-        Leave::NotNow { retry_after: retry_after.clamp(SHORTEST_RETRY, LONGEST_RETRY) }
+        Permit::Denied { retry_after: retry_after.clamp(SHORTEST_RETRY, LONGEST_RETRY) }
     }
 }
 
 /// Uses the turn of the first endpoint whose turn has come.
-fn take_turn<A>(ask: &Ask<A>, throttle: &mut Throttle, now: Instant) -> Option<Arc<str>> {
+fn take_turn<A>(ask: &PermitRequest<A>, throttle: &mut Throttle, now: Instant) -> Option<Arc<str>> {
     let endpoint = ask.endpoints.iter().find(|endpoint| throttle.takes(endpoint, now))?;
     throttle.sent(endpoint, now);
     Some(endpoint.clone())
 }
 
 /// Requests a second that the endpoints take together.
-fn rate<A>(ask: &Ask<A>, throttle: &Throttle) -> f64 {
+fn rate<A>(ask: &PermitRequest<A>, throttle: &Throttle) -> f64 {
     ask.endpoints.iter().filter_map(|endpoint| throttle.rate(endpoint)).sum()
 }
 
--- a/crates/core/src/throttle/queue_tests.rs
+++ b/crates/core/src/throttle/queue_tests.rs
@@ -1,11 +1,11 @@
-//! Leave for requests to endpoints that name limits, counted in one place.
+//! Permits for requests to endpoints that name limits, counted in one place.
 
 use std::time::Duration;
 
 use googletest::prelude::*;
 use proptest::prelude::*;
 
-use super::{Ask, Leave, LeaveQueue, RateLimit, Throttle, Word};
+use super::{Permit, PermitQueue, PermitRequest, RateLimit, Throttle, Word};
 use crate::{placement::Senders, testing::fixed_seed, units::Instant};
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -31,18 +31,18 @@
     throttle.learn(Word { endpoint, born: 1, limit, asked, read: now }, now);
 }
 
-fn ask(asker: u32, endpoints: &[&str], max_wait: Duration) -> Ask<u32> {
+fn ask(asker: u32, endpoints: &[&str], max_wait: Duration) -> PermitRequest<u32> {
     let endpoints = endpoints.iter().map(|name| (*name).into()).collect();
-    Ask { asker, service: "s".into(), endpoints, max_wait }
+    PermitRequest { asker, service: "s".into(), endpoints, max_wait }
 }
 
-fn granted(endpoint: &str) -> Leave {
-    Leave::Granted(endpoint.into())
+fn granted(endpoint: &str) -> Permit {
+    Permit::Granted(endpoint.into())
 }
 
 #[gtest]
 fn one_that_cannot_wait_is_told_at_once() {
-    let (mut queue, mut throttle) = (LeaveQueue::default(), limited(&["e"], 1.0));
+    let (mut queue, mut throttle) = (PermitQueue::default(), limited(&["e"], 1.0));
 
     let early = queue.ask(ask(1, &["e"], Duration::ZERO), &mut throttle, after_ms(500));
     let due = queue.ask(ask(2, &["e"], Duration::ZERO), &mut throttle, after_ms(1_100));
@@ -50,14 +50,14 @@
 
     // The interval is 1/0.95 s.
     let retry_after = Duration::from_micros(552_631);
-    expect_that!(early, some(eq(&Leave::NotNow { retry_after })));
+    expect_that!(early, some(eq(&Permit::Denied { retry_after })));
     expect_that!(due, some(eq(&granted("e"))));
-    expect_that!(next, some(matches_pattern!(Leave::NotNow { .. })));
+    expect_that!(next, some(matches_pattern!(Permit::Denied { .. })));
 }
 
 #[gtest]
 fn one_that_waits_goes_before_one_that_came_later() {
-    let (mut queue, mut throttle) = (LeaveQueue::default(), limited(&["e"], 1.0));
+    let (mut queue, mut throttle) = (PermitQueue::default(), limited(&["e"], 1.0));
     expect_that!(queue.ask(ask(1, &["e"], SECOND * 3), &mut throttle, after_ms(100)), none());
     expect_that!(queue.ask(ask(2, &["e"], SECOND * 3), &mut throttle, after_ms(200)), none());
     let later = queue.ask(ask(3, &["e"], Duration::ZERO), &mut throttle, after_ms(1_060));
@@ -65,31 +65,31 @@
     let first = queue.decide(&mut throttle, after_ms(1_060));
     let second = queue.decide(&mut throttle, after_ms(2_110));
 
-    expect_that!(later, some(matches_pattern!(Leave::NotNow { .. })));
+    expect_that!(later, some(matches_pattern!(Permit::Denied { .. })));
     expect_that!(first, elements_are![eq(&(1, granted("e")))]);
     expect_that!(second, elements_are![eq(&(2, granted("e")))]);
 }
 
 #[gtest]
 fn one_whose_turn_would_come_too_late_is_refused_at_once() {
-    let (mut queue, mut throttle) = (LeaveQueue::default(), limited(&["e"], 1.0));
+    let (mut queue, mut throttle) = (PermitQueue::default(), limited(&["e"], 1.0));
     let mut ask = |asker| queue.ask(ask(asker, &["e"], SECOND * 3), &mut throttle, after_ms(0));
 
     let told: Vec<_> = (0..5).map(&mut ask).collect();
 
     expect_that!(told[..2], elements_are![none(), none()]);
-    expect_that!(told[2..], each(some(matches_pattern!(Leave::NotNow { .. }))));
+    expect_that!(told[2..], each(some(matches_pattern!(Permit::Denied { .. }))));
 }
 
 #[gtest]
 fn those_who_are_refused_together_are_told_to_come_back_one_after_the_other() {
-    let (mut queue, mut throttle) = (LeaveQueue::default(), limited(&["e"], 10.0));
+    let (mut queue, mut throttle) = (PermitQueue::default(), limited(&["e"], 10.0));
     let mut ask = |asker| queue.ask(ask(asker, &["e"], Duration::ZERO), &mut throttle, START);
 
     let told: Vec<Duration> = (0..10)
         .filter_map(|asker| match ask(asker)? {
-            Leave::NotNow { retry_after } => Some(retry_after),
-            Leave::Granted(_) => None,
+            Permit::Denied { retry_after } => Some(retry_after),
+            Permit::Granted(_) => None,
         })
         .collect();
 
@@ -100,7 +100,7 @@
 
 #[gtest]
 fn leave_is_given_where_a_turn_comes_first() {
-    let (mut queue, mut throttle) = (LeaveQueue::default(), limited(&["slow"], 0.5));
+    let (mut queue, mut throttle) = (PermitQueue::default(), limited(&["slow"], 0.5));
     name(&mut throttle, "fast", 5.0, START);
     queue.ask(ask(1, &["slow", "fast"], SECOND), &mut throttle, after_ms(10));
 
@@ -112,7 +112,7 @@
 
 #[gtest]
 fn who_has_left_is_given_nothing() {
-    let (mut queue, mut throttle) = (LeaveQueue::default(), limited(&["e"], 1.0));
+    let (mut queue, mut throttle) = (PermitQueue::default(), limited(&["e"], 1.0));
     queue.ask(ask(1, &["e"], SECOND * 3), &mut throttle, START);
     queue.ask(ask(2, &["e"], SECOND * 3), &mut throttle, START);
 
@@ -147,10 +147,10 @@
 /// Sends what arrives as the queue says; returns the endpoint and the time of each request.
 fn play(arrivals: &[Arrival], per_second: f64) -> Vec<(String, Instant)> {
     const NAMES: [&str; 3] = ["e0", "e1", "e2"];
-    let (mut queue, mut throttle) = (LeaveQueue::default(), limited(&NAMES, per_second));
+    let (mut queue, mut throttle) = (PermitQueue::default(), limited(&NAMES, per_second));
     let (mut now, mut sent) = (START, Vec::new());
-    let mut note = |leave: Leave, now| {
-        if let Leave::Granted(endpoint) = leave {
+    let mut note = |permit: Permit, now| {
+        if let Permit::Granted(endpoint) = permit {
             sent.push((endpoint.to_string(), now));
         }
     };
@@ -158,7 +158,7 @@
         let until = now.after(Duration::from_micros(arrival.pause_us));
         while let Some(due) = queue.next_decision().filter(|due| *due <= until) {
             let told = queue.decide(&mut throttle, due.max(now));
-            told.into_iter().for_each(|(_, leave)| note(leave, due.max(now)));
+            told.into_iter().for_each(|(_, permit)| note(permit, due.max(now)));
         }
         now = until;
         if let Some(factor) = arrival.factor {
@@ -167,8 +167,8 @@
         let max_wait = Duration::from_millis(arrival.max_wait_ms);
         // Every second caller may go to any of them.
         let endpoints = if asker % 2 == 0 { &NAMES[..] } else { &NAMES[arrival.endpoint..][..1] };
-        let leave = queue.ask(ask(asker as u32, endpoints, max_wait), &mut throttle, now);
-        leave.into_iter().for_each(|leave| note(leave, now));
+        let permit = queue.ask(ask(asker as u32, endpoints, max_wait), &mut throttle, now);
+        permit.into_iter().for_each(|permit| note(permit, now));
     }
     sent
 }
@@ -194,13 +194,13 @@
 
 #[gtest]
 fn what_endpoints_take_is_used_while_more_is_asked_for() {
-    let (mut queue, mut throttle) = (LeaveQueue::default(), limited(&["e0", "e1"], 5.0));
+    let (mut queue, mut throttle) = (PermitQueue::default(), limited(&["e0", "e1"], 5.0));
     let mut sent = 0;
     for asker in 0..1_000 {
         let now = after_ms(10 * asker);
         sent += queue.decide(&mut throttle, now).len();
         let ask = ask(asker as u32, &["e0", "e1"], SECOND / 4);
-        sent += usize::from(matches!(queue.ask(ask, &mut throttle, now), Some(Leave::Granted(_))));
+        sent += usize::from(matches!(queue.ask(ask, &mut throttle, now), Some(Permit::Granted(_))));
     }
 
     // 10 a second for 10 s, of which 0.95 are sent; and the first interval.
--- a/crates/core/src/wire/mod.rs
+++ b/crates/core/src/wire/mod.rs
@@ -30,7 +30,7 @@
     quarantine::{
         SuspectChange, SuspectNews, SuspectsReply, TrialAsk, TrialOver, TrialReply, TrialStatus,
     },
-    throttle::{LeaveAsk, LeaveReply, LimitNews, LimitWord},
+    throttle::{LimitNews, LimitWord, PermitQuery, PermitReply},
 };
 
 /// A message between two daemons.
@@ -139,10 +139,10 @@
     Limits(LimitNews),
     /// A daemon asks whether a request may go to an endpoint that names a limit.
     #[prost(message, tag = "31")]
-    LeaveAsk(LeaveAsk),
+    PermitQuery(PermitQuery),
     /// The leader answers.
     #[prost(message, tag = "32")]
-    LeaveReply(LeaveReply),
+    PermitReply(PermitReply),
     /// A daemon tells the leader that an endpoint has rejected a request of it, and asked it to back off.
     #[prost(message, tag = "33")]
     Rejected(Rejected),
@@ -185,8 +185,8 @@
             Body::TrialOver(_) => "trial_over",
             Body::LimitsRead(_) => "limits_read",
             Body::Limits(_) => "limits",
-            Body::LeaveAsk(_) => "leave_ask",
-            Body::LeaveReply(_) => "leave_reply",
+            Body::PermitQuery(_) => "leave_ask",
+            Body::PermitReply(_) => "leave_reply",
             Body::Rejected(_) => "rejected",
             Body::Overloaded(_) => "overloaded",
         }
--- a/crates/core/src/wire/throttle.rs
+++ b/crates/core/src/wire/throttle.rs
@@ -68,9 +68,9 @@
     pub words: Vec<LimitWord>,
 }
 
-/// See [`super::Body::LeaveAsk`].
+/// See [`super::Body::PermitQuery`].
 #[derive(Clone, PartialEq, Eq, prost::Message)]
-pub struct LeaveAsk {
+pub struct PermitQuery {
     /// Number given by the daemon.
     #[prost(uint64, tag = "1")]
     pub number: u64,
@@ -86,9 +86,9 @@
     pub max_wait_ms: u64,
 }
 
-/// See [`super::Body::LeaveReply`].
+/// See [`super::Body::PermitReply`].
 #[derive(Clone, PartialEq, Eq, prost::Message)]
-pub struct LeaveReply {
+pub struct PermitReply {
     /// Number of the request.
     #[prost(uint64, tag = "1")]
     pub number: u64,
@@ -100,7 +100,7 @@
     pub retry_after_ms: u64,
 }
 
-impl LeaveAsk {
+impl PermitQuery {
     /// How long it can wait.
     pub(crate) fn max_wait(&self) -> Duration {
         Duration::from_millis(self.max_wait_ms)
--- a/crates/lab/src/limits/ways.rs
+++ b/crates/lab/src/limits/ways.rs
@@ -5,7 +5,7 @@
 use serde::Serialize;
 use trayswitch_core::{
     placement::Senders,
-    throttle::{Ask, Leave, LeaveQueue, RateLimit, Throttle, Word},
+    throttle::{Permit, PermitQueue, PermitRequest, RateLimit, Throttle, Word},
     units::Instant,
 };
 
@@ -51,7 +51,7 @@
     way: Way,
     endpoints: Vec<Arc<str>>,
     /// One for each daemon, or one for all.
-    queues: Vec<(LeaveQueue<Arrival>, Throttle)>,
+    queues: Vec<(PermitQueue<Arrival>, Throttle)>,
     /// Leases of the daemons: requests that each may still send, as parts of one.
     leases: Vec<f64>,
     /// What came to each daemon since the last leases.
@@ -81,7 +81,7 @@
             for endpoint in &names {
                 throttle.learn(word(endpoint), Instant(1));
             }
-            (LeaveQueue::default(), throttle)
+            (PermitQueue::default(), throttle)
         };
         let queues = if way == Way::Asked { 1 } else { daemons };
         Deciders {
@@ -109,10 +109,10 @@
         let at = if is_asked { 0 } else { arrival.daemon };
         let (queue, throttle) = &mut self.queues[at];
         let endpoints = self.endpoints.clone();
-        let ask = Ask { asker: arrival, service: "s".into(), endpoints, max_wait };
+        let ask = PermitRequest { asker: arrival, service: "s".into(), endpoints, max_wait };
         match queue.ask(ask, throttle, arrival.at) {
-            Some(Leave::Granted(endpoint)) => Some(self.sent(endpoint, arrival, arrival.at)),
-            Some(Leave::NotNow { .. }) | None => None,
+            Some(Permit::Granted(endpoint)) => Some(self.sent(endpoint, arrival, arrival.at)),
+            Some(Permit::Denied { .. }) | None => None,
         }
     }
 
@@ -127,9 +127,9 @@
                 told.extend(queue.decide(throttle, now));
             }
         }
-        let sent = |(arrival, leave)| match leave {
-            Leave::Granted(endpoint) => Some(self.sent(endpoint, arrival, now)),
-            Leave::NotNow { .. } => None,
+        let sent = |(arrival, permit)| match permit {
+            Permit::Granted(endpoint) => Some(self.sent(endpoint, arrival, now)),
+            Permit::Denied { .. } => None,
         };
         told.into_iter().filter_map(sent).collect()
     }
--- a/crates/server/src/relay/admission.rs
+++ b/crates/server/src/relay/admission.rs
@@ -13,7 +13,7 @@
 };
 
 use super::{
-    Relay,
+    QUEUE_PART, Relay,
     job::{Job, rank_of},
 };
 use crate::{
@@ -21,8 +21,6 @@
     telemetry::EventId,
 };
 
-/// Part of a caller's time that a request may wait for a configuration: the rest is for the answer.
-const MOST_WAITED: u32 = 2;
 /// Pause between two looks at the configuration.
 const LOOK_AGAIN: Duration = Duration::from_millis(10);
 /// When to come back to a daemon without a current configuration: one that has just started
@@ -51,7 +49,7 @@
         let body = read_whole(body, limits.max_body as usize, limits.idle_timeout)
             .await
             .map_err(|e| refused(&id, read_error(&e)))?;
-        let most = caller.time_left.unwrap_or(self.options.recovers_within) / MOST_WAITED;
+        let most = caller.time_left.unwrap_or(self.options.recovers_within) / QUEUE_PART;
         let most = if self.uses(Mechanism::StartPatience) { most } else { Duration::ZERO };
         let Some(config) = self.current_config(arrived + most).await else {
             let message = "this daemon has no configuration that is known to be current";
--- a/crates/server/src/relay/backoff.rs
+++ b/crates/server/src/relay/backoff.rs
@@ -10,7 +10,7 @@
     units,
 };
 
-use super::{Job, Relay, limited::AttemptKind};
+use super::{Job, Relay, call::no_endpoint, limited::AttemptKind};
 use crate::runtime::NodeHandle;
 
 /// Pause between two looks at an endpoint that has not answered the request before.
@@ -59,6 +59,26 @@
         (known.born == endpoint.born).then_some(known)
     }
 
+    /// The endpoints that an attempt at a call may go to, once there are any.
+    pub(super) async fn admitted_endpoints(
+        &self,
+        job: &Job,
+        which: AttemptKind,
+        tried: &[Arc<str>],
+    ) -> Result<Vec<Registered>, RequestError> {
+        loop {
+            let open = self.open_endpoints(job);
+            if open.is_empty() {
+                return Err(no_endpoint(self, &job.service));
+            }
+            let admitted = self.admitted(open, which, tried);
+            if !admitted.endpoints.is_empty() {
+                return Ok(admitted.endpoints);
+            }
+            self.wait_for_admission(job, which, &admitted).await?;
+        }
+    }
+
     /// Those of these endpoints that an attempt at a call may go to.
     pub(super) fn admitted(
         &self,
@@ -91,7 +111,7 @@
 
     /// Waits until an endpoint may take a call, if the answer then still comes in time; refuses it at once
     /// otherwise.
-    pub(super) async fn wait_for_admission(
+    async fn wait_for_admission(
         &self,
         job: &Job,
         which: AttemptKind,
@@ -99,7 +119,7 @@
     ) -> Result<(), RequestError> {
         let now = self.node.now();
         let wait = admitted.more_at.map_or(Duration::MAX, |at| at.since(now));
-        if which == AttemptKind::First && wait <= self.patience(job) {
+        if which == AttemptKind::First && wait <= self.max_queue_time(job) {
             tokio::time::sleep(wait.max(Duration::from_millis(1))).await;
             return Ok(());
         }
--- a/crates/server/src/relay/call.rs
+++ b/crates/server/src/relay/call.rs
@@ -15,7 +15,7 @@
 
 use super::{
     Answer, Job, MAX_REJECTIONS, RejectionReason, Relay, ended::Awaited, job::GoOn,
-    limited::AttemptKind, loads::Outcome, no_answer, permit::Permit,
+    limited::AttemptKind, loads::Outcome, no_answer, quarantine_turn::QuarantineTurn,
 };
 use crate::{
     edge::{self, Body, LocalFuture},
@@ -243,8 +243,8 @@
     which: AttemptKind,
     tried: &RefCell<Vec<Arc<str>>>,
 ) -> End {
-    let mut permit = match relay.permit(job).await {
-        Ok(permit) => permit,
+    let mut turn = match relay.quarantine_turn(job).await {
+        Ok(turn) => turn,
         Err(error) => return End::Refused(error),
     };
     let tried_before = tried.borrow().clone();
@@ -262,8 +262,8 @@
     let own_running = relay.loads.running(&endpoint.id);
     let running = relay.loads.begin(&endpoint.id, relay.cold_rule(job).as_ref());
     let unanswered = relay.count_unanswered(&endpoint.id);
-    let awaited = Awaited::begin(relay, job, &permit, &endpoint);
-    let Sent { end, outcome, signals } = ask(relay, job, &permit, &endpoint).await;
+    let awaited = Awaited::begin(relay, job, &turn, &endpoint);
+    let Sent { end, outcome, signals } = ask(relay, job, &turn, &endpoint).await;
     awaited.end();
     drop(running);
     if let (Some(unanswered), End::Answer { .. }) = (unanswered, &end) {
@@ -274,7 +274,7 @@
     }
     if outcome == Outcome::Success {
         relay.note_latency(&job.service, began.elapsed());
-        relay.answered_whole(job, &mut permit);
+        relay.answered_whole(job, &mut turn);
     }
     let (name, detail) = end.describe();
     relay.metrics.attempt(&job.service, name);
@@ -308,7 +308,7 @@
 }
 
 /// Sends the request and waits for the whole answer.
-async fn ask(relay: &Relay, job: &Job, permit: &Permit, endpoint: &Registered) -> Sent {
+async fn ask(relay: &Relay, job: &Job, turn: &QuarantineTurn, endpoint: &Registered) -> Sent {
     let protocol = &*relay.protocol;
     let req = job.request(protocol, &endpoint.id, endpoint.address, &GoOn::default());
     let connect_limit = relay.options.connect_limit.min(job.time_left());
@@ -324,7 +324,7 @@
             return Sent::new(End::NotRun(problem), Outcome::Unreachable);
         }
         Err(SendError::Lost(problem)) => {
-            relay.broke_off(job, permit, endpoint, 0).await;
+            relay.broke_off(job, turn, endpoint, 0).await;
             return Sent::new(End::Unknown(problem), Outcome::Unreachable);
         }
     };
@@ -350,7 +350,7 @@
             Sent { end: End::Answer { head: open.head, body, success }, outcome, signals }
         }
         Err(problem) => {
-            relay.broke_off(job, permit, endpoint, 0).await;
+            relay.broke_off(job, turn, endpoint, 0).await;
             Sent { end: End::Unknown(problem), outcome: Outcome::Error, signals }
         }
     }
--- a/crates/server/src/relay/ended.rs
+++ b/crates/server/src/relay/ended.rs
@@ -18,7 +18,7 @@
     registry::Registered,
 };
 
-use super::{Job, Relay, permit::Permit};
+use super::{Job, Relay, quarantine_turn::QuarantineTurn};
 use crate::{
     runtime::NodeHandle,
     telemetry::{EventId, Metrics},
@@ -42,7 +42,7 @@
     pub(super) async fn broke_off(
         &self,
         job: &Job,
-        permit: &Permit,
+        turn: &QuarantineTurn,
         endpoint: &Registered,
         events: u64,
     ) {
@@ -53,10 +53,10 @@
             event = EventId::EndedUnder.number(), id = job.caller.id.as_str(),
             request = job.digest(self).to_string().as_str(), endpoint = &*endpoint.id,
             born = endpoint.born, events = events, end = name(after),
-            trial = permit.trial.is_some();
+            trial = turn.trial.is_some();
             "an attempt broke off"
         );
-        let broke_off = self.describe(job, permit, endpoint, after);
+        let broke_off = self.describe(job, turn, endpoint, after);
         self.node.input(Input::BrokeOff(broke_off.clone()));
         let Some(connection) = connection else { return };
         // Without a permit there are many already.
@@ -76,7 +76,7 @@
     fn describe(
         &self,
         job: &Job,
-        permit: &Permit,
+        turn: &QuarantineTurn,
         endpoint: &Registered,
         after: AfterBreak,
     ) -> BrokeOff {
@@ -85,7 +85,7 @@
             endpoint: endpoint.id.clone(),
             born: Some(endpoint.born),
             after,
-            trial: permit.trial.as_ref().map(|trial| trial.call()),
+            trial: turn.trial.as_ref().map(|trial| trial.call()),
         }
     }
 }
@@ -143,7 +143,7 @@
 pub(super) struct Awaited<'a> {
     relay: &'a Relay,
     job: &'a Job,
-    permit: &'a Permit,
+    turn: &'a QuarantineTurn,
     endpoint: &'a Registered,
     has_ended: bool,
 }
@@ -152,10 +152,10 @@
     pub(super) fn begin(
         relay: &'a Relay,
         job: &'a Job,
-        permit: &'a Permit,
+        turn: &'a QuarantineTurn,
         endpoint: &'a Registered,
     ) -> Awaited<'a> {
-        Awaited { relay, job, permit, endpoint, has_ended: false }
+        Awaited { relay, job, turn, endpoint, has_ended: false }
     }
 
     /// The attempt has come to its end.
@@ -167,8 +167,8 @@
 impl Drop for Awaited<'_> {
     fn drop(&mut self) {
         if !self.has_ended {
-            let Awaited { relay, job, permit, endpoint, .. } = self;
-            let broke_off = relay.describe(job, permit, endpoint, AfterBreak::Silent);
+            let Awaited { relay, job, turn, endpoint, .. } = self;
+            let broke_off = relay.describe(job, turn, endpoint, AfterBreak::Silent);
             relay.node.input(Input::BrokeOff(broke_off));
         }
     }
--- a/crates/server/src/relay/generation.rs
+++ b/crates/server/src/relay/generation.rs
@@ -19,7 +19,7 @@
     ended::Awaited,
     job::GoOn,
     no_answer,
-    permit::Permit,
+    quarantine_turn::QuarantineTurn,
     source::{Source, Step},
     stream::Pump,
     unscheduled::{NoRoom, confirm},
@@ -59,10 +59,10 @@
 /// Serves one generation.
 pub(super) async fn serve(relay: Rc<Relay>, job: Job) -> Response<Body> {
     match start(&relay, &job).await {
-        Ok(Started { placed, permit, opened: Opened::Stream { head, source, first } }) => {
+        Ok(Started { placed, turn, opened: Opened::Stream { head, source, first } }) => {
             let (tx, rx) = mpsc::channel(MAX_EVENTS);
             let answer = relay.answer(&head, edge::streamed(rx));
-            let pump = Pump::new(relay, job, placed, permit, source, tx);
+            let pump = Pump::new(relay, job, placed, turn, source, tx);
             tokio::task::spawn_local(pump.run(first));
             answer
         }
@@ -77,7 +77,7 @@
 /// A generation that has a place and an answer.
 struct Started {
     placed: Placed,
-    permit: Permit,
+    turn: QuarantineTurn,
     opened: Opened,
 }
 
@@ -89,17 +89,17 @@
     loop {
         let not_placed =
             |e: RequestError| if starts == 0 { e } else { no_answer(starts, &e.message) };
-        let permit = relay.permit(job).await.map_err(not_placed)?;
-        let placed = place(relay, job, avoid.clone(), permit.is_apart());
+        let turn = relay.quarantine_turn(job).await.map_err(not_placed)?;
+        let placed = place(relay, job, avoid.clone(), turn.is_apart());
         let placed = until(job.deadline, placed).await;
         let placed = placed.map_err(|_| no_answer(starts, "the time is over"))?;
         let (placed, reservation) = placed.map_err(not_placed)?;
         relay.check_may_run(job)?;
-        if relay.must_ask_again(job, &permit) {
+        if relay.must_ask_again(job, &turn) {
             continue;
         }
         let go_on = GoOn { after: job.caller.after, memory: None, reservation };
-        let opened = open_at(relay, job, &permit, placed.endpoint(), &go_on);
+        let opened = open_at(relay, job, &turn, placed.endpoint(), &go_on);
         let opened = until(job.deadline, opened).await;
         let opened = opened.map_err(|_| no_answer(starts + 1, "the time is over"))?;
         let endpoint = placed.endpoint().clone();
@@ -110,7 +110,7 @@
                 starts += 1;
                 "the endpoint failed".to_owned()
             }
-            Ok(opened) => return Ok(Started { placed, permit, opened }),
+            Ok(opened) => return Ok(Started { placed, turn, opened }),
             Err(Lost::Withheld(problem)) => {
                 avoid.push(endpoint);
                 if MAX_WITHHELD <= avoid.len() {
@@ -178,14 +178,14 @@
 pub(super) async fn open_at(
     relay: &Relay,
     job: &Job,
-    permit: &Permit,
+    turn: &QuarantineTurn,
     endpoint: &Arc<str>,
     go_on: &GoOn,
 ) -> Result<Opened, Lost> {
     let began = Instant::now();
     let inputs = relay.inputs();
     let mut signals = Signals::default();
-    let opened = send(relay, job, permit, endpoint, go_on, &mut signals).await;
+    let opened = send(relay, job, turn, endpoint, go_on, &mut signals).await;
     let (name, detail) = describe(&opened);
     relay.metrics.attempt(&job.service, name);
     log::info!(
@@ -217,7 +217,7 @@
 async fn send(
     relay: &Relay,
     job: &Job,
-    permit: &Permit,
+    turn: &QuarantineTurn,
     endpoint: &Arc<str>,
     go_on: &GoOn,
     signals: &mut Signals,
@@ -225,8 +225,8 @@
     let Some(known) = relay.node.view().endpoint(endpoint) else {
         return Err(Lost::Withheld("the endpoint has just ended".into()));
     };
-    let awaited = Awaited::begin(relay, job, permit, &known);
-    let opened = send_to(relay, job, permit, &known, go_on, signals).await;
+    let awaited = Awaited::begin(relay, job, turn, &known);
+    let opened = send_to(relay, job, turn, &known, go_on, signals).await;
     awaited.end();
     opened
 }
@@ -234,7 +234,7 @@
 async fn send_to(
     relay: &Relay,
     job: &Job,
-    permit: &Permit,
+    turn: &QuarantineTurn,
     known: &Registered,
     go_on: &GoOn,
     signals: &mut Signals,
@@ -243,7 +243,7 @@
         let news = Input::Health(known.id.clone(), HealthNews::Failed);
         relay.node.input(news);
     };
-    let broke_off = || relay.broke_off(job, permit, known, go_on.after.unwrap_or(0));
+    let broke_off = || relay.broke_off(job, turn, known, go_on.after.unwrap_or(0));
     let req = job.request(&*relay.protocol, &known.id, known.address, go_on);
     let asked = relay.node.now();
     // What its memory lies at may go on there whatever it says: it runs there already.
--- a/crates/server/src/relay/limited.rs
+++ b/crates/server/src/relay/limited.rs
@@ -8,17 +8,15 @@
     node::Input,
     registry::Registered,
     signals::Signals,
-    throttle::{Leave, RateLimit, Word},
+    throttle::{Permit, Word, describe_limit},
     units,
 };
 
-use super::{Job, Relay, call::no_endpoint};
+use super::{Job, QUEUE_PART, Relay, call::no_endpoint};
 use crate::telemetry::EventId;
 
-/// Endpoints that one request for leave names: as many as a question holds in one packet.
+/// Endpoints that one request for a permit names: as many as a question holds in one packet.
 const MAX_CANDIDATES: usize = 16;
-/// Part of the time that is left which a call may wait for leave; the rest is for the answer.
-const MOST_WAITED: u32 = 2;
 
 /// Which attempt at a call is to be sent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -72,7 +70,7 @@
         self.loads.open(endpoints, self.cold_rule(job).as_ref())
     }
 
-    /// The endpoint for an attempt at a call. The best one is asked for leave if it names a limit; without leave
+    /// The endpoint for an attempt at a call. The best one is asked for a permit if it names a limit; without a permit
     /// one that names none is next, and a first attempt waits only if there is none of these.
     pub(super) async fn endpoint_for(
         &self,
@@ -80,17 +78,7 @@
         which: AttemptKind,
         tried: &[Arc<str>],
     ) -> Result<Registered, RequestError> {
-        let open = loop {
-            let open = self.open_endpoints(job);
-            if open.is_empty() {
-                return Err(no_endpoint(self, &job.service));
-            }
-            let admitted = self.admitted(open, which, tried);
-            if !admitted.endpoints.is_empty() {
-                break admitted.endpoints;
-            }
-            self.wait_for_admission(job, which, &admitted).await?;
-        };
+        let open = self.admitted_endpoints(job, which, tried).await?;
         let Some(best) = self.loads.choose(&open, tried, &self.hall) else {
             return Err(no_endpoint(self, &job.service));
         };
@@ -101,78 +89,74 @@
             open.into_iter().partition(|endpoint| self.node.limit(&endpoint.id).is_some());
         self.loads.sort(&mut limited, &self.hall);
         let max_wait = match which {
-            AttemptKind::First if free.is_empty() => self.patience(job),
+            AttemptKind::First if free.is_empty() => self.max_queue_time(job),
             AttemptKind::First | AttemptKind::Retry => Duration::ZERO,
         };
         let began = Instant::now();
-        let leave = self.ask_for_leave(job, &limited, max_wait, free.is_empty()).await;
-        let (end, chosen) = match leave {
-            Leave::Granted(endpoint) => ("granted", self.granted(job, &endpoint)),
-            Leave::NotNow { retry_after } => match self.loads.choose(&free, tried, &self.hall) {
+        let permit = self.ask_for_permit(job, &limited, max_wait, free.is_empty()).await;
+        let (end, chosen) = match permit {
+            Permit::Granted(endpoint) => ("granted", self.granted(job, &endpoint)),
+            Permit::Denied { retry_after } => match self.loads.choose(&free, tried, &self.hall) {
                 Some(endpoint) => ("elsewhere", Ok(endpoint)),
                 None => ("refused", Err(no_turn(&job.service, retry_after))),
             },
         };
-        self.note_leave(job, &best, end, began.elapsed());
+        self.note_permit(job, &best, end, began.elapsed());
         chosen
     }
 
-    /// Asks for leave at one of these endpoints.
-    async fn ask_for_leave(
+    /// Asks for a permit at one of these endpoints.
+    async fn ask_for_permit(
         &self,
         job: &Job,
         limited: &[Registered],
         max_wait: Duration,
         is_only_way: bool,
-    ) -> Leave {
+    ) -> Permit {
         let now = Instant::now();
-        let not_before = self.no_leave_until.borrow().get(&job.service).copied();
+        let not_before = self.no_permit_until.borrow().get(&job.service).copied();
         if let Some(until) = not_before.filter(|until| now < *until && !is_only_way) {
-            return Leave::NotNow { retry_after: until.saturating_duration_since(now) };
+            return Permit::Denied { retry_after: until.saturating_duration_since(now) };
         }
         let candidates = limited.iter().take(MAX_CANDIDATES).map(|endpoint| endpoint.id.clone());
-        let leave = self.node.leave(&job.service, candidates.collect(), max_wait).await;
-        if let Leave::NotNow { retry_after } = leave {
+        let permit = self.node.permit(&job.service, candidates.collect(), max_wait).await;
+        if let Permit::Denied { retry_after } = permit {
             let until = Instant::now() + retry_after;
-            self.no_leave_until.borrow_mut().insert(job.service.clone(), until);
+            self.no_permit_until.borrow_mut().insert(job.service.clone(), until);
         }
-        leave
+        permit
     }
 
-    /// The endpoint that leave was given for, if it may still be sent anything.
+    /// The endpoint that a permit was given for, if it may still be sent anything.
     fn granted(&self, job: &Job, endpoint: &str) -> Result<Registered, RequestError> {
         let mut open = self.open_endpoints(job).into_iter();
         let still_open = open.find(|open| *open.id == *endpoint);
         still_open.ok_or_else(|| no_endpoint(self, &job.service))
     }
 
-    /// How long a call may wait for leave, so that its answer still comes in time.
-    pub(super) fn patience(&self, job: &Job) -> Duration {
+    /// How long a call may wait before it is sent, so that its answer still comes in time.
+    pub(super) fn max_queue_time(&self, job: &Job) -> Duration {
         let taken = job.arrived.elapsed() + self.usual_latency(&job.service);
         let in_time = job.route.spec.target_latency.saturating_sub(taken);
-        in_time.min(job.time_left() / MOST_WAITED)
+        in_time.min(job.time_left() / QUEUE_PART)
     }
 
-    fn note_leave(&self, job: &Job, endpoint: &Registered, end: &str, took: Duration) {
-        self.metrics.leave(&job.service, end);
+    fn note_permit(&self, job: &Job, endpoint: &Registered, end: &str, took: Duration) {
+        self.metrics.permit(&job.service, end);
         log::info!(
-            event = EventId::LeaveAsked.number(), id = job.caller.id.as_str(),
+            event = EventId::PermitRequested.number(), id = job.caller.id.as_str(),
             endpoint = &*endpoint.id, end = end, took_ms = took.as_millis() as u64,
-            limit = describe(self.node.limit(&endpoint.id)).as_str();
-            "the best endpoint names a limit"
+            limit = describe_limit(self.node.limit(&endpoint.id)).as_str();
+            "the preferred endpoint is rate limited"
         );
     }
 }
 
 /// The answer to a call that no endpoint takes in time.
 fn no_turn(service: &str, retry_after: Duration) -> RequestError {
-    let message = format!("the endpoints of {service} take no more for now, by their own word");
+    let millis = retry_after.as_millis();
+    let message = format!("all endpoints of {service} are rate limited; retry after {millis} ms");
     let mut error = RequestError::new(ErrorKind::Overloaded, message);
     error.retry_after = Some(retry_after);
     error
 }
-
-/// A limit as lines of the log tell it.
-pub(super) fn describe(limit: Option<RateLimit>) -> String {
-    limit.map_or_else(|| "-".to_owned(), |limit| limit.to_string())
-}
--- a/crates/server/src/relay/mod.rs
+++ b/crates/server/src/relay/mod.rs
@@ -15,8 +15,8 @@
 mod limited;
 mod loads;
 mod moves;
-mod permit;
 mod protocol;
+mod quarantine_turn;
 mod signals;
 mod source;
 mod stream;
@@ -63,6 +63,8 @@
     telemetry::{EventId, Metrics},
 };
 
+/// Part of the time left that a request may wait before it is sent; the rest is for the answer.
+const QUEUE_PART: u32 = 2;
 /// Endpoints that may reject one request before its caller is told so.
 const MAX_REJECTIONS: u32 = 3;
 
@@ -109,7 +111,7 @@
     /// How long calls take, by service.
     latencies: RefCell<HashMap<String, Latency>>,
     /// Until when leave at a service's limited endpoints is not asked for while others are free.
-    no_leave_until: RefCell<HashMap<String, Instant>>,
+    no_permit_until: RefCell<HashMap<String, Instant>>,
     /// Since when requests have found no configuration that is known to be current.
     outdated_since: Cell<Option<Instant>>,
     /// Endpoints that are watched since an attempt there broke off.
@@ -136,7 +138,7 @@
             loads: Loads::new(options.disabled),
             budgets: RefCell::default(),
             latencies: RefCell::default(),
-            no_leave_until: RefCell::default(),
+            no_permit_until: RefCell::default(),
             outdated_since: Cell::new(Some(Instant::now())),
             watched: Arc::new(Semaphore::new(MOST_WATCHED)),
             refusals: RefCell::default(),
--- a/crates/server/src/relay/permit.rs
+++ b/crates/server/src/relay/quarantine_turn.rs
@@ -7,32 +7,29 @@
     quarantine::{PATIENCE, Standing, no_turn, quarantined},
 };
 
-use super::{Job, Relay};
+use super::{Job, QUEUE_PART, Relay};
 use crate::{
     runtime::{Trial, Tried},
     telemetry::EventId,
 };
 
-/// Part of the time that is left which a try may wait for its turn; the rest is for the answer.
-const MOST_WAITED: u32 = 2;
-
 /// Lets one attempt go ahead.
-pub(super) struct Permit {
+pub(super) struct QuarantineTurn {
     /// The trial that it is, if endpoints have ended under the request.
     pub(super) trial: Option<Trial>,
     /// How the request stood when it was given.
     standing: Standing,
 }
 
-impl Permit {
+impl QuarantineTurn {
     /// Whether the attempt runs apart from other requests.
     pub(super) fn is_apart(&self) -> bool {
         self.trial.as_ref().is_some_and(Trial::is_apart)
     }
 
     /// For a request that is no suspect, and for one whose turn is over.
-    pub(super) fn none() -> Permit {
-        Permit { trial: None, standing: Standing::default() }
+    pub(super) fn none() -> QuarantineTurn {
+        QuarantineTurn { trial: None, standing: Standing::default() }
     }
 
     /// Notes that the answer has begun well.
@@ -45,37 +42,37 @@
 
 impl Relay {
     /// Lets an attempt of a request go ahead; one of a suspect waits for its turn.
-    pub(super) async fn permit(&self, job: &Job) -> Result<Permit, RequestError> {
+    pub(super) async fn quarantine_turn(&self, job: &Job) -> Result<QuarantineTurn, RequestError> {
         let standing = self.standing(job);
         if !standing.is_suspect() {
-            return Ok(Permit::none());
+            return Ok(QuarantineTurn::none());
         }
         if standing.is_quarantined() {
             self.note_trial(job, standing, "quarantined");
             return Err(quarantined());
         }
-        let limit = PATIENCE.min(job.time_left() / MOST_WAITED);
+        let limit = PATIENCE.min(job.time_left() / QUEUE_PART);
         let tried = self.node.try_suspect(job.digest(self), limit).await;
-        let (answer, permit) = match tried {
+        let (answer, turn) = match tried {
             Tried::Granted(trial) => {
                 let answer = if trial.is_apart() { "apart" } else { "granted" };
-                (answer, Ok(Permit { trial: Some(trial), standing }))
+                (answer, Ok(QuarantineTurn { trial: Some(trial), standing }))
             }
-            Tried::Clear => ("clear", Ok(Permit::none())),
+            Tried::Clear => ("clear", Ok(QuarantineTurn::none())),
             Tried::Quarantined => ("quarantined", Err(quarantined())),
             Tried::NotNow if standing.runs_apart() => ("not_now", Err(no_turn())),
             // Nearly all that were at one end are innocent; without a leader they go on unwatched.
-            Tried::NotNow => ("unwatched", Ok(Permit { trial: None, standing })),
+            Tried::NotNow => ("unwatched", Ok(QuarantineTurn { trial: None, standing })),
         };
         self.note_trial(job, standing, answer);
-        permit
+        turn
     }
 
-    /// Whether a permit is no longer good: endpoints have ended under the request since it was given.
-    pub(super) fn must_ask_again(&self, job: &Job, permit: &Permit) -> bool {
+    /// Whether a turn is no longer good: endpoints have ended under the request since it was given.
+    pub(super) fn must_ask_again(&self, job: &Job, turn: &QuarantineTurn) -> bool {
         let now = self.standing(job);
-        let is_news = now.is_suspect() && now != permit.standing;
-        now.is_quarantined() || permit.trial.is_none() && is_news
+        let is_news = now.is_suspect() && now != turn.standing;
+        now.is_quarantined() || turn.trial.is_none() && is_news
     }
 
     /// Whether endpoints have ended under a request.
@@ -84,8 +81,8 @@
     }
 
     /// Notes that a request has brought its whole answer: it is no suspect any more.
-    pub(super) fn answered_whole(&self, job: &Job, permit: &mut Permit) {
-        match &mut permit.trial {
+    pub(super) fn answered_whole(&self, job: &Job, turn: &mut QuarantineTurn) {
+        match &mut turn.trial {
             Some(trial) => trial.finish(),
             None if self.is_suspect(job) => {
                 self.node.input(Input::AnsweredWhole(job.digest(self)));
--- a/crates/server/src/relay/stream/following.rs
+++ b/crates/server/src/relay/stream/following.rs
@@ -134,7 +134,7 @@
         let mut problem = String::new();
         let endpoints = if to == from { &[from][..] } else { &[to, from] };
         for endpoint in endpoints.iter().copied() {
-            let opened = open_at(&self.relay, &self.job, &self.permit, endpoint, &go_on);
+            let opened = open_at(&self.relay, &self.job, &self.turn, endpoint, &go_on);
             let opened = until(self.job.deadline, opened).await;
             match opened.map_err(|_| Cause::TimeOver)? {
                 Ok(Opened::Stream { source, first, .. }) => {
--- a/crates/server/src/relay/stream/mod.rs
+++ b/crates/server/src/relay/stream/mod.rs
@@ -15,7 +15,7 @@
     generation::{Lost, MAX_WITHHELD, Opened, open_at, place},
     job::GoOn,
     moves::{Move, free},
-    permit::Permit,
+    quarantine_turn::QuarantineTurn,
     source::{Source, Step},
 };
 use crate::{
@@ -43,7 +43,7 @@
     relay: Rc<Relay>,
     job: Rc<Job>,
     placed: Placed,
-    permit: Permit,
+    turn: QuarantineTurn,
     source: Source,
     tx: mpsc::Sender<Result<Bytes, AnswerError>>,
     orders: mpsc::UnboundedReceiver<MoveOrder>,
@@ -67,7 +67,7 @@
         relay: Rc<Relay>,
         job: Job,
         placed: Placed,
-        permit: Permit,
+        turn: QuarantineTurn,
         source: Source,
         tx: mpsc::Sender<Result<Bytes, AnswerError>>,
     ) -> Pump {
@@ -77,7 +77,7 @@
             relay,
             job: Rc::new(job),
             placed,
-            permit,
+            turn,
             source,
             tx,
             orders,
@@ -105,7 +105,7 @@
         let (name, detail) = match cause {
             Cause::Answered => {
                 self.placed.finish(self.tokens());
-                self.relay.answered_whole(&self.job, &mut self.permit);
+                self.relay.answered_whole(&self.job, &mut self.turn);
                 ("answered", String::new())
             }
             Cause::CallerLeft => ("caller_left", String::new()),
@@ -174,7 +174,7 @@
     async fn broke_off(&self) {
         if let Some(endpoint) = self.relay.node.view().endpoint(self.placed.endpoint()) {
             let last = self.last.unwrap_or(0);
-            self.relay.broke_off(&self.job, &self.permit, &endpoint, last).await;
+            self.relay.broke_off(&self.job, &self.turn, &endpoint, last).await;
         }
     }
 
@@ -207,7 +207,7 @@
             self.placed.progress(self.tokens());
         }
         if self.events - self.events_before == PROGRESS_EVENTS {
-            self.permit.begin();
+            self.turn.begin();
         }
         Ok(())
     }
@@ -237,17 +237,17 @@
         problem: &str,
     ) -> Result<Option<String>, Cause> {
         let lost = |e: RequestError| Cause::Lost(format!("{problem}; {}", e.message));
-        let (placed, permit, reservation) = loop {
-            let permit = self.relay.permit(&self.job).await.map_err(lost)?;
-            let placing = place(&self.relay, &self.job, avoid.to_vec(), permit.is_apart());
+        let (placed, turn, reservation) = loop {
+            let turn = self.relay.quarantine_turn(&self.job).await.map_err(lost)?;
+            let placing = place(&self.relay, &self.job, avoid.to_vec(), turn.is_apart());
             let placed = until(self.job.deadline, placing).await;
             let (placed, reservation) = placed.map_err(|_| Cause::TimeOver)?.map_err(lost)?;
-            if !self.relay.must_ask_again(&self.job, &permit) {
-                break (placed, permit, reservation);
+            if !self.relay.must_ask_again(&self.job, &turn) {
+                break (placed, turn, reservation);
             }
         };
         self.placed = placed;
-        self.permit = permit;
+        self.turn = turn;
         self.orders = self.placed.orders();
         self.moving = None;
         Ok(reservation)
@@ -259,13 +259,13 @@
         self.starts += 1;
         self.events_before = self.events;
         // The next attempt waits for its turn behind this one.
-        self.permit = Permit::none();
+        self.turn = QuarantineTurn::none();
         let mut avoid = vec![self.placed.endpoint().clone()];
         let opened = loop {
             let reservation = self.place_again(&avoid, &problem).await?;
             let go_on = GoOn { after: self.last, memory: None, reservation };
             let endpoint = self.placed.endpoint();
-            let opened = open_at(&self.relay, &self.job, &self.permit, endpoint, &go_on);
+            let opened = open_at(&self.relay, &self.job, &self.turn, endpoint, &go_on);
             let opened = until(self.job.deadline, opened).await.map_err(|_| Cause::TimeOver)?;
             if !matches!(opened, Err(Lost::Withheld(_))) || MAX_WITHHELD <= avoid.len() {
                 break opened;
--- a/crates/server/src/runtime/questions.rs
+++ b/crates/server/src/runtime/questions.rs
@@ -10,7 +10,7 @@
     node::{Answer, CallId, InForce, Input, Question, SubmitError},
     placement::Request,
     state::{HallOrder, HallResult, HallsOut},
-    throttle::{Ask, Leave},
+    throttle::{Permit, PermitRequest},
     wire::{AcceptedVersion, Submit},
 };
 
@@ -36,19 +36,19 @@
         }
     }
 
-    /// Asks for leave at one of several endpoints that name limits, the best one first; waits so long for it
+    /// Asks for a permit at one of several endpoints that name limits, the best one first; waits so long for it
     /// if it is not given at once.
-    pub(crate) async fn leave(
+    pub(crate) async fn permit(
         &self,
         service: &str,
         endpoints: Vec<Arc<str>>,
         max_wait: Duration,
-    ) -> Leave {
+    ) -> Permit {
         let call = self.0.view.next_call();
-        let ask = Ask { asker: call, service: service.into(), endpoints, max_wait };
-        match self.ask(call, Question::Leave(ask), max_wait + LEAVE_SLACK).await {
-            Some(Answer::Leave(leave)) => leave,
-            _ => Leave::NotNow { retry_after: LEAVE_SLACK },
+        let ask = PermitRequest { asker: call, service: service.into(), endpoints, max_wait };
+        match self.ask(call, Question::Permit(ask), max_wait + LEAVE_SLACK).await {
+            Some(Answer::Permit(permit)) => permit,
+            _ => Permit::Denied { retry_after: LEAVE_SLACK },
         }
     }
 
--- a/crates/server/src/runtime/sight.rs
+++ b/crates/server/src/runtime/sight.rs
@@ -5,7 +5,7 @@
 use trayswitch_core::{
     node::{SentChange, VmName},
     quarantine::{Standing, Suspect},
-    throttle::{Change, RateLimit},
+    throttle::{Change, RateLimit, describe_limit},
 };
 
 use crate::telemetry::{EventId, Metrics};
@@ -65,7 +65,7 @@
     limited: usize,
 ) {
     metrics.limited_endpoints(limited);
-    let limit = limit.map_or_else(|| "-".to_owned(), |limit| limit.to_string());
+    let limit = describe_limit(limit);
     log::info!(
         event = EventId::LimitChanged.number(), endpoint = endpoint, end = change.name(),
         limit = limit.as_str();
--- a/crates/server/src/telemetry/metrics.rs
+++ b/crates/server/src/telemetry/metrics.rs
@@ -198,7 +198,7 @@
     }
 
     /// A call for which an endpoint that names a limit was chosen went there, elsewhere or nowhere.
-    pub fn leave(&self, service: &str, end: &str) {
+    pub fn permit(&self, service: &str, end: &str) {
         self.leaves.with_label_values(&[service, end]).inc();
     }
 
--- a/crates/trayswitch/src/command/explain/tests.rs
+++ b/crates/trayswitch/src/command/explain/tests.rs
@@ -75,7 +75,7 @@
         r#"{"t":1000,"event":319,"vm":"front-1","endpoint":"i-1","end":"named","limit":"2.900","msg":"an endpoint says"}"#,
         r#"{"t":1010,"event":319,"vm":"front-2","endpoint":"i-1","end":"named","limit":"2.900","msg":"an endpoint says"}"#,
         r#"{"t":1020,"event":319,"vm":"front-1","endpoint":"i-9","end":"named","limit":"1.000","msg":"an endpoint says"}"#,
-        r#"{"t":1500,"event":320,"vm":"front-1","id":"r1","endpoint":"i-1","end":"refused","msg":"the best endpoint names a limit"}"#,
+        r#"{"t":1500,"event":320,"vm":"front-1","id":"r1","endpoint":"i-1","end":"refused","msg":"the preferred endpoint is rate limited"}"#,
         r#"{"t":1501,"event":310,"vm":"front-1","id":"r1","cause":"overloaded","detail":"","msg":"a request ended"}"#,
     ];
     let lines: Vec<Line> = texts.iter().filter_map(|text| Line::parse(text)).collect();
