--- a/crates/server/src/relay/call.rs
+++ b/crates/server/src/relay/call.rs
@@ -340,6 +340,7 @@
             return Sent::new(end, Outcome::Unreachable);
         }
         Answer::Foreign(problem) => {
+            relay.on_own_answer(&job.service, endpoint, asked, &open.head);
             return Sent::new(End::Unknown(problem.into()), Outcome::Error);
         }
     };
--- a/crates/server/src/relay/generation.rs
+++ b/crates/server/src/relay/generation.rs
@@ -272,7 +272,10 @@
             failed();
             return Err(Lost::NotRun("another endpoint has the address".into()));
         }
-        Answer::Foreign(problem) => return Err(Lost::Unknown(problem.into())),
+        Answer::Foreign(problem) => {
+            relay.on_own_answer(&job.service, known, asked, &open.head);
+            return Err(Lost::Unknown(problem.into()));
+        }
         Answer::Ran { success: true } => {
             *signals = relay.on_answer(&job.service, known, asked, &open.head);
         }
--- a/crates/server/src/relay/signals.rs
+++ b/crates/server/src/relay/signals.rs
@@ -27,8 +27,8 @@
         signals
     }
 
-    /// The same of an answer to a question of this daemon's own. An endpoint may name its limit to requests only,
-    /// so one that is not named here still holds.
+    /// The same of an answer to a question of this daemon's own, or of one that is not the request's. An endpoint may
+    /// name its limit to requests only, so one that is not named here still holds.
     pub(super) fn on_own_answer(
         &self,
         service: &str,
--- a/crates/server/src/relay/tests/backoff.rs
+++ b/crates/server/src/relay/tests/backoff.rs
@@ -300,3 +300,20 @@
         entry.has_counted("trayswitch_backing_off_endpoints", 0).await;
     });
 }
+
+#[gtest]
+fn back_off_holds_also_where_the_answer_is_not_the_requests_own() {
+    on_local_tasks(async {
+        let entry = Entry::open().await;
+        let mut wary = entry.register("desk", "wary").await;
+        let mut other = entry.register("desk", "other").await;
+
+        let crossed = |arrival: Arrival| {
+            arrival.backing_off(LONG).answer_crossed();
+            false
+        };
+        let at_wary = send_all(&entry, "/again/x", &mut wary, &mut other, crossed).await;
+
+        expect_that!(at_wary, le(1));
+    });
+}
--- a/crates/server/src/relay/tests/endpoint.rs
+++ b/crates/server/src/relay/tests/endpoint.rs
@@ -63,6 +63,11 @@
         self.saying(LEAVING, "1")
     }
 
+    /// Lets the answer ask for this many seconds of back-off.
+    pub(super) fn backing_off(self, retry_after: &str) -> Arrival {
+        self.saying(RETRY_AFTER, retry_after)
+    }
+
     fn saying(mut self, name: &'static str, value: &str) -> Arrival {
         self.signals.push((name, value.to_owned()));
         self
@@ -80,13 +85,13 @@
 
     /// Says that it did not run, and asks for this many seconds of back-off.
     pub(super) fn reject(self, retry_after: &str) {
-        self.saying(RETRY_AFTER, retry_after).turn_away("full");
+        self.backing_off(retry_after).turn_away("full");
     }
 
     /// Answers with the id of another request.
     pub(super) fn answer_crossed(self) {
-        let res = Response::builder().status(200).header(ID, "another");
-        let _ = self.answer.send(res.body(edge::full("not yours")).unwrap());
+        let crossed = Arrival { id: "another".into(), ..self };
+        crossed.respond(StatusCode::OK, edge::full("not yours"));
     }
 
     /// Breaks the connection off without an answer.
