--- a/crates/core/src/registry/mod.rs
+++ b/crates/core/src/registry/mod.rs
@@ -4,6 +4,8 @@
 //! linked to, so no leader is needed. Records of one run of an endpoint are ordered by the
 //! number of the heartbeat; leaving is never taken back.
 
+#[cfg(test)]
+mod address_tests;
 #[cfg(test)]
 mod cold_tests;
 mod digest;
