lab: control-plane plays all daemons of a deployment in virtual time

Every daemon runs the real state machine; links, disks and processors are modelled. Five phases (start, steady, changes, replacement of endpoints, loss of the leader) report processor time by input, bytes by message, memory of one daemon of each role, and how long grants, configurations, notices and the next leader take to reach all.

--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -16,6 +16,7 @@
         .subcommand(changes())
         .subcommand(experiment())
         .subcommand(fleet())
+        .subcommand(control_plane())
         .subcommand(
             Command::new("configurations")
                 .about("Time taking configurations in at several numbers of routes")
@@ -90,6 +91,23 @@
         .arg(flag("json", "Print JSON"))
 }
 
+fn control_plane() -> Command {
+    Command::new("control-plane")
+        .about("Play all daemons of a deployment in virtual time and measure what each role costs")
+        .arg(number("entries", "Entry VMs", "985"))
+        .arg(number("control", "Control VMs", "10"))
+        .arg(number("engines", "Model engines", "9242"))
+        .arg(number("plain", "Endpoints of a plain service", "760"))
+        .arg(number("heartbeat-ms", "Interval of the endpoints' heartbeats", "5000"))
+        .arg(number("start-s", "Seconds in which all endpoints start", "23"))
+        .arg(number("phase-s", "Seconds of each phase after the start", "8"))
+        .arg(number("rate", "Generations a second", "96"))
+        .arg(number("replaced-percent", "Share of the endpoints that is replaced", "5"))
+        .arg(number("workspaces", "Workspaces", "333"))
+        .arg(number("seed", "Seed of all random choices", "1"))
+        .arg(flag("json", "Print JSON"))
+}
+
 fn ask() -> Command {
     Command::new("ask")
         .about("Ask a daemon for one generation and print it token by token")
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -3,6 +3,7 @@
 mod backoff;
 mod changes;
 mod cli;
+mod control_plane;
 mod emulate;
 mod engine;
 mod experiment;
@@ -74,6 +75,14 @@
             }
             Ok(())
         }
+        Options::ControlPlane { options, json } => {
+            let report = control_plane::run(&options);
+            match json {
+                true => println!("{}", serde_json::to_string(&report)?),
+                false => print!("{}", report.table()),
+            }
+            Ok(())
+        }
         Options::Decisions(sizes) => {
             for cost in experiment::decision_costs(&sizes) {
                 println!("{}", serde_json::to_string(&cost)?);
--- a/crates/lab/src/options.rs
+++ b/crates/lab/src/options.rs
@@ -12,6 +12,7 @@
 
 use crate::{
     changes::ChangeOptions,
+    control_plane::ControlPlaneOptions,
     engine::EngineSpec,
     experiment::{ExperimentOptions, Mix, Trouble},
     fleet::{Alone, Burst, FleetOptions},
@@ -42,6 +43,13 @@
         /// Print JSON.
         json: bool,
     },
+    /// All daemons of a deployment in virtual time.
+    ControlPlane {
+        /// The deployment.
+        options: ControlPlaneOptions,
+        /// Print JSON.
+        json: bool,
+    },
     /// Costs of looking for suspects, and endpoints that end under one with so many daemons.
     Suspects(Vec<usize>),
     /// How limits are kept with so many daemons.
@@ -106,6 +114,10 @@
             Some(("fleet", m)) => {
                 Ok(Options::Fleet { options: fleet(m)?, json: m.get_flag("json") })
             }
+            Some(("control-plane", m)) => {
+                let json = m.get_flag("json");
+                Ok(Options::ControlPlane { options: control_plane(m)?, json })
+            }
             Some(("suspects", m)) => Ok(Options::Suspects(numbers(&text(m, "daemons"))?)),
             Some(("limits", m)) => Ok(Options::Limits(numbers(&text(m, "daemons"))?)),
             Some(("backoff", m)) => Ok(Options::Backoff(numbers(&text(m, "daemons"))?)),
@@ -151,6 +163,34 @@
     })
 }
 
+fn control_plane(m: &ArgMatches) -> Result<ControlPlaneOptions> {
+    let count = |name| number(m, name) as usize;
+    let seconds = |name| Duration::from_secs(number(m, name));
+    let options = ControlPlaneOptions {
+        entries: count("entries"),
+        control: count("control"),
+        engines: count("engines"),
+        plain: count("plain"),
+        heartbeat: Duration::from_millis(number(m, "heartbeat-ms")),
+        start: seconds("start-s"),
+        phase: seconds("phase-s"),
+        rate: number(m, "rate") as f64,
+        replaced: number(m, "replaced-percent") as f64 / 100.0,
+        workspaces: count("workspaces"),
+        seed: number(m, "seed"),
+    };
+    if options.entries == 0 || options.control == 0 || options.engines == 0 {
+        bail!("--entries, --control and --engines must be at least 1");
+    }
+    if options.rate <= 0.0 || options.workspaces == 0 || options.heartbeat.is_zero() {
+        bail!("--rate, --workspaces and --heartbeat-ms must be at least 1");
+    }
+    if 1.0 < options.replaced {
+        bail!("--replaced-percent must be at most 100");
+    }
+    Ok(options)
+}
+
 fn load(m: &ArgMatches) -> Result<LoadOptions> {
     let call = Some(text(m, "call")).filter(|call| !call.is_empty());
     let options = LoadOptions {
