backoff: keep what an endpoint asked for around its restart under the same name

Cause: a response does not say which run sent it, so an entry attributes a rejection to the run that it knows. If the endpoint restarts under its name and the entry was suspended, the new run's rejection is booked for the former run, and dropped with it when the heartbeat of the new run arrives.

Evidence: node test of all 24 orders of a longer and a shorter rejection, the restart's heartbeat and a suspension; it failed at [longer, shorter, heartbeat, suspension] and passes now.

Older back-offs end with their run, as before. Rate limits read in that time are kept the same way.

--- a/crates/core/src/backoff/circuit.rs
+++ b/crates/core/src/backoff/circuit.rs
@@ -65,6 +65,11 @@
         self.allowed = 1;
     }
 
+    /// Time of the last rejection.
+    pub(super) fn rejected_at(&self) -> Instant {
+        self.rejected_at
+    }
+
     pub(super) fn until(&self) -> Instant {
         self.until
     }
--- a/crates/core/src/backoff/table.rs
+++ b/crates/core/src/backoff/table.rs
@@ -7,7 +7,7 @@
 };
 
 use super::{Rejection, circuit::Circuit};
-use crate::units::Instant;
+use crate::{signals::RESTART_NEWS_DELAY, units::Instant};
 
 /// Maximum endpoints in the table. More rejecting at once indicate a network fault.
 const MAX_ENDPOINTS: usize = 4_096;
@@ -39,8 +39,64 @@
     circuit: Circuit,
     /// End of the back-off that was last announced.
     announced: Instant,
-    /// End of the back-off of each daemon that was asked to back off.
-    backoffs: BTreeMap<u64, Instant>,
+    /// Back-offs of each daemon that was asked to back off.
+    backoffs: BTreeMap<u64, Backoffs>,
+}
+
+impl Endpoint {
+    fn new(started_at: u64) -> Endpoint {
+        Endpoint {
+            started_at,
+            circuit: Circuit::new(),
+            announced: Instant::default(),
+            backoffs: BTreeMap::new(),
+        }
+    }
+
+    /// Replaces the run by a later one, which may have sent the latest rejections.
+    fn set_run(&mut self, started_at: u64, now: Instant) {
+        let is_recent = |asked_at: Instant| now.since(asked_at) < RESTART_NEWS_DELAY;
+        self.started_at = started_at;
+        if !is_recent(self.circuit.rejected_at()) {
+            self.circuit = Circuit::new();
+            self.announced = Instant::default();
+        }
+        self.backoffs.retain(|_, backoffs| {
+            backoffs.0.retain(|backoff| is_recent(backoff.asked_at));
+            !backoffs.0.is_empty()
+        });
+    }
+
+    /// Removes back-offs that have ended; returns whether nothing is left to remember.
+    fn is_reset(&mut self, now: Instant) -> bool {
+        self.backoffs.retain(|_, backoffs| backoffs.end().is_some_and(|end| now < end));
+        self.backoffs.is_empty() && self.circuit.is_reset(now)
+    }
+}
+
+/// A back-off that an endpoint asked a daemon for.
+#[derive(Debug, Clone, Copy)]
+struct Backoff {
+    asked_at: Instant,
+    until: Instant,
+}
+
+/// The back-offs that an endpoint asked one daemon for, from the longest to the latest. Each one
+/// applies, so the longest counts until it ends or its run is replaced.
+#[derive(Debug, Default)]
+struct Backoffs(Vec<Backoff>);
+
+impl Backoffs {
+    /// Adds a back-off and drops earlier ones that end no later.
+    fn add(&mut self, backoff: Backoff) {
+        self.0.retain(|earlier| backoff.until < earlier.until);
+        self.0.push(backoff);
+    }
+
+    /// When the last of them ends.
+    fn end(&self) -> Option<Instant> {
+        self.0.first().map(|longest| longest.until)
+    }
 }
 
 /// Endpoints that recently rejected requests. A daemon keeps one table for itself, under
@@ -56,17 +112,16 @@
         self.known.is_empty()
     }
 
-    /// Records a rejection of a daemon's request. Rejections of earlier runs are ignored.
+    /// Records a rejection of a daemon's request. It counts for the latest known run, since a daemon
+    /// that names an earlier one has not heard of the restart.
     pub fn on_rejection(&mut self, daemon: u64, rejection: &Rejection, now: Instant) {
-        let Some(known) = self.current_run(&rejection.endpoint, rejection.started_at, now) else {
+        let Some(known) = self.latest_run(&rejection.endpoint, rejection.started_at, now) else {
             return;
         };
         known.circuit.on_rejection(rejection.retry_after, now);
         if let Some(retry_after) = rejection.retry_after.filter(|time| !time.is_zero()) {
-            let until = now.after(retry_after);
-            // Each rejection asks for a back-off of its own, so the latest end applies.
-            let end = known.backoffs.entry(daemon).or_default();
-            *end = until.max(*end);
+            let backoff = Backoff { asked_at: now, until: now.after(retry_after) };
+            known.backoffs.entry(daemon).or_default().add(backoff);
         }
     }
 
@@ -79,7 +134,8 @@
         now: Instant,
     ) {
         let until = now.after(remaining);
-        if let Some(known) = self.current_run(endpoint, started_at, now)
+        if let Some(known) = self.latest_run(endpoint, started_at, now)
+            && known.started_at == started_at
             && known.circuit.until() < until
         {
             known.circuit.trip_until(until, now);
@@ -88,16 +144,17 @@
 
     /// Removes endpoints whose circuit has reset.
     pub fn expire(&mut self, now: Instant) {
-        self.retain(|_, _| true, now);
+        self.known.retain(|_, known| !known.is_reset(now));
     }
 
-    /// Like [`BackoffTable::expire`], and removes runs that `is_current` rejects.
-    pub fn retain(&mut self, is_current: impl Fn(&str, u64) -> bool, now: Instant) {
-        self.known.retain(|endpoint, known| {
-            known.backoffs.retain(|_, until| now < *until);
-            let is_reset = known.backoffs.is_empty() && known.circuit.is_reset(now);
-            !is_reset && is_current(endpoint, known.started_at)
-        });
+    /// Like [`BackoffTable::expire`], and applies the start times of the known runs of endpoints.
+    pub fn update_runs(&mut self, started_at: impl Fn(&str) -> Option<u64>, now: Instant) {
+        for (endpoint, known) in &mut self.known {
+            if let Some(started_at) = started_at(endpoint).filter(|at| known.started_at < *at) {
+                known.set_run(started_at, now);
+            }
+        }
+        self.expire(now);
     }
 
     /// Removes a daemon that is gone.
@@ -110,8 +167,8 @@
     /// Whether this daemon may send a request to an endpoint.
     pub fn admission(&self, endpoint: &str, daemon: u64, now: Instant) -> Admission {
         let Some(known) = self.known.get(endpoint) else { return Admission::Allowed };
-        match known.backoffs.get(&daemon) {
-            Some(until) if now < *until => Admission::BackedOff(*until),
+        match known.backoffs.get(&daemon).and_then(Backoffs::end) {
+            Some(until) if now < until => Admission::BackedOff(until),
             _ if !known.circuit.admits(now) => Admission::Busy,
             _ if known.circuit.is_last_resort(now) => Admission::LastResort,
             _ => Admission::Allowed,
@@ -152,7 +209,7 @@
     /// Current back-offs of a daemon, as rejections with the remaining time.
     pub fn active_backoffs(&self, daemon: u64, now: Instant) -> impl Iterator<Item = Rejection> {
         self.known.iter().filter_map(move |(endpoint, known)| {
-            let until = known.backoffs.get(&daemon).filter(|until| now < **until)?;
+            let until = known.backoffs.get(&daemon)?.end().filter(|until| now < *until)?;
             let (endpoint, retry_after) = (endpoint.clone(), Some(until.since(now)));
             Some(Rejection { endpoint, started_at: known.started_at, retry_after })
         })
@@ -161,7 +218,7 @@
     /// Next time at which the admission of an endpoint changes by expiry.
     pub fn next_change(&self, now: Instant) -> Option<Instant> {
         let ends = |known: &Endpoint| {
-            let backoffs = known.backoffs.values().copied();
+            let backoffs = known.backoffs.values().filter_map(Backoffs::end);
             backoffs.chain([known.circuit.until()]).filter(|at| now < *at).min()
         };
         self.known.values().filter_map(ends).min()
@@ -179,15 +236,13 @@
     pub fn on_end(&mut self, endpoint: &str, sent: Instant, answered: bool, now: Instant) {
         let Some(known) = self.known.get_mut(endpoint) else { return };
         known.circuit.on_end(sent, answered);
-        known.backoffs.retain(|_, until| now < *until);
-        if known.backoffs.is_empty() && known.circuit.is_reset(now) {
+        if known.is_reset(now) {
             self.known.remove(endpoint);
         }
     }
 
-    /// State of this run of an endpoint, created if needed; `None` if a later run is known or the
-    /// table is full.
-    fn current_run(
+    /// State of the latest known run of an endpoint, created if needed; `None` if the table is full.
+    fn latest_run(
         &mut self,
         endpoint: &Arc<str>,
         started_at: u64,
@@ -199,18 +254,9 @@
                 return None;
             }
         }
-        let new = || Endpoint {
-            started_at,
-            circuit: Circuit::new(),
-            announced: Instant::default(),
-            backoffs: BTreeMap::new(),
-        };
-        let known = self.known.entry(endpoint.clone()).or_insert_with(new);
-        if started_at < known.started_at {
-            return None;
-        }
+        let known = self.known.entry(endpoint.clone()).or_insert_with(|| Endpoint::new(started_at));
         if known.started_at < started_at {
-            *known = new();
+            known.set_run(started_at, now);
         }
         Some(known)
     }
--- a/crates/core/src/node/control/mod.rs
+++ b/crates/core/src/node/control/mod.rs
@@ -312,10 +312,10 @@
         }
     }
 
-    /// Drops what endpoint runs reported that no longer exist.
-    pub(crate) fn retain_runs(&mut self, exists: impl Fn(&str, u64) -> bool, now: Instant) {
+    /// Applies the start times of the known runs of endpoints.
+    pub(crate) fn update_runs(&mut self, started_at: impl Fn(&str) -> Option<u64>, now: Instant) {
         if let Some(dispatcher) = &mut self.dispatcher {
-            dispatcher.retain_runs(exists, now);
+            dispatcher.update_runs(started_at, now);
         }
     }
 
--- a/crates/core/src/node/dispatcher.rs
+++ b/crates/core/src/node/dispatcher.rs
@@ -280,9 +280,9 @@
         self.permits.next_limits(&self.scheduler.throttle, now)
     }
 
-    /// Removes state of endpoint runs that no longer exist.
-    pub(crate) fn retain_runs(&mut self, exists: impl Fn(&str, u64) -> bool, now: Instant) {
-        self.scheduler.retain_runs(exists, now);
+    /// Applies the start times of the known runs of endpoints.
+    pub(crate) fn update_runs(&mut self, started_at: impl Fn(&str) -> Option<u64>, now: Instant) {
+        self.scheduler.update_runs(started_at, now);
     }
 
     /// The next few slow endpoints, in rotation, for a poll reply.
--- a/crates/core/src/node/endpoints.rs
+++ b/crates/core/src/node/endpoints.rs
@@ -73,7 +73,7 @@
     /// Handles a response in which an endpoint announces that it will exit. It comes from the endpoint
     /// itself, so it overrides what control VMs report of this run.
     pub(super) fn on_endpoint_leaving(&mut self, endpoint: &str, started_at: u64, now: Instant) {
-        if !self.registry.is_current_run(endpoint, started_at) {
+        if self.registry.started_at(endpoint) != Some(started_at) {
             return;
         }
         if let Some(record) = self.registry.mark_leaving(endpoint, started_at, now) {
@@ -239,13 +239,13 @@
             control.set_engines(engines, now, &mut self.outputs);
         }
         let registry = &self.registry;
-        let is_known = |endpoint: &str, started_at| {
-            registry.is_current_run(endpoint, started_at)
-                || active_config.config.endpoints.contains_key(endpoint)
+        let started_at = |endpoint: &str| {
+            let configured = active_config.config.endpoints.get(endpoint);
+            registry.started_at(endpoint).or(configured.map(|spec| spec.started_at))
         };
-        self.placement.retain_runs(is_known, now);
+        self.placement.update_runs(started_at, now);
         if let Some(control) = &mut self.control {
-            control.retain_runs(is_known, now);
+            control.update_runs(started_at, now);
         }
     }
 }
--- a/crates/core/src/node/placement_client/backoff.rs
+++ b/crates/core/src/node/placement_client/backoff.rs
@@ -53,9 +53,9 @@
         }
     }
 
-    /// Removes state of endpoint runs that no longer exist.
-    pub(crate) fn retain_runs(&mut self, exists: impl Fn(&str, u64) -> bool, now: Instant) {
-        self.local.retain_runs(exists, now);
+    /// Applies the start times of the known runs of endpoints.
+    pub(crate) fn update_runs(&mut self, started_at: impl Fn(&str) -> Option<u64>, now: Instant) {
+        self.local.update_runs(started_at, now);
     }
 
     /// Publishes the backoffs that have expired.
--- a/crates/core/src/node/tests/backoff.rs
+++ b/crates/core/src/node/tests/backoff.rs
@@ -12,6 +12,8 @@
 use crate::{
     backoff::{Admission, Rejection},
     node::{Input, Node, NodeCall, VmName},
+    units::Instant,
+    wire::EndpointRecord,
 };
 
 /// The endpoint in the configuration.
@@ -122,3 +124,114 @@
 
     expect_true!(is_placed(&mut net, "vm-4"));
 }
+
+/// An endpoint that registers itself and restarts under its name.
+const RESTARTED: &str = "i-1";
+
+/// Registers a run of the endpoint at a control VM.
+fn register(net: &mut Net, started_at: u64) {
+    let record = EndpointRecord {
+        id: RESTARTED.into(),
+        service: "s".into(),
+        address: "127.0.0.1:9100".into(),
+        hall: "h".into(),
+        slots: 4,
+        sequence: 1,
+        born: started_at,
+        ..EndpointRecord::default()
+    };
+    net.handle(&"vm-1".into(), Input::Heartbeat(record));
+}
+
+/// Something that happens to a daemon around the restart of an endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Step {
+    /// The endpoint asks the daemon to back off; the daemon assumes the run that it knows.
+    Asks(Duration),
+    /// The second run sends its first heartbeat.
+    Registers,
+    /// The daemon is suspended for a while.
+    Freezes,
+}
+
+/// All orders of the steps.
+fn orders(steps: &[Step]) -> Vec<Vec<Step>> {
+    if steps.is_empty() {
+        return vec![Vec::new()];
+    }
+    let with_first = |first: usize| {
+        let mut rest = steps.to_vec();
+        let first = rest.remove(first);
+        orders(&rest).into_iter().map(move |order| [vec![first], order].concat())
+    };
+    (0..steps.len()).flat_map(with_first).collect()
+}
+
+/// A response says nothing of the run that sent it, so a back-off asked for around a restart may be
+/// the new run's.
+#[gtest]
+fn backoff_asked_for_around_a_restart_holds() {
+    const LONG: Duration = Duration::from_millis(3_700);
+    const SHORT: Duration = Duration::from_millis(1_300);
+    let daemon: VmName = "vm-4".into();
+    let steps = [Step::Asks(LONG), Step::Asks(SHORT), Step::Registers, Step::Freezes];
+    for order in orders(&steps) {
+        let mut net = configured_net(&Site::new(3, 2), 38);
+        register(&mut net, 1);
+        net.run(20);
+        let mut known_run = 1;
+        let mut ends = net.time();
+        for step in &order {
+            match step {
+                Step::Asks(time) => {
+                    let rejection = Rejection {
+                        endpoint: RESTARTED.into(),
+                        started_at: known_run,
+                        retry_after: Some(*time),
+                    };
+                    net.handle(&daemon, Input::Rejected(rejection));
+                    ends = ends.max(net.time().after(*time));
+                }
+                Step::Registers => {
+                    register(&mut net, 2);
+                    net.run(10);
+                    known_run = 2;
+                }
+                Step::Freezes => {
+                    net.hosts.get_mut(&daemon).unwrap().suspended = true;
+                    net.run(20);
+                    net.hosts.get_mut(&daemon).unwrap().suspended = false;
+                    net.run(3);
+                }
+            }
+        }
+
+        while net.time() < Instant(ends.0 - 20_000) {
+            net.run(1);
+            let node = net.hosts[&daemon].node.as_ref().unwrap();
+            let admission = node.admission(RESTARTED, net.time());
+            assert_that!(admission, eq(Admission::BackedOff(ends)), "{order:?}");
+        }
+    }
+}
+
+#[gtest]
+fn backoff_asked_for_long_before_a_restart_ends_with_its_run() {
+    let daemon: VmName = "vm-4".into();
+    let mut net = configured_net(&Site::new(3, 2), 39);
+    register(&mut net, 1);
+    net.run(20);
+    let rejection = Rejection {
+        endpoint: RESTARTED.into(),
+        started_at: 1,
+        retry_after: Some(Duration::from_secs(60)),
+    };
+    net.handle(&daemon, Input::Rejected(rejection));
+    net.run(600);
+
+    register(&mut net, 2);
+    net.run(20);
+
+    let node = net.hosts[&daemon].node.as_ref().unwrap();
+    expect_that!(node.admission(RESTARTED, net.time()), eq(Admission::Allowed));
+}
--- a/crates/core/src/placement/backoff.rs
+++ b/crates/core/src/placement/backoff.rs
@@ -14,6 +14,8 @@
     config::EndpointTarget,
     error::RequestError,
     mechanism::Mechanism,
+    signals::RESTART_NEWS_DELAY,
+    throttle::RateLimitReport,
     units::Instant,
 };
 
@@ -85,10 +87,15 @@
         self.limits.disabled.allows(Mechanism::SharedBackoff)
     }
 
-    /// Discards rate limits and back-offs reported by endpoint runs that no longer exist.
-    pub(crate) fn retain_runs(&mut self, is_current: impl Fn(&str, u64) -> bool, now: Instant) {
-        self.throttle.retain(|word| is_current(&word.endpoint, word.started_at), now);
-        self.backoffs.retain(is_current, now);
+    /// Applies the start times of the known runs of endpoints: rate limits and back-offs of earlier
+    /// runs are discarded.
+    pub(crate) fn update_runs(&mut self, started_at: impl Fn(&str) -> Option<u64>, now: Instant) {
+        let is_current = |report: &RateLimitReport| {
+            now.since(report.received_at) < RESTART_NEWS_DELAY
+                || started_at(&report.endpoint) == Some(report.started_at)
+        };
+        self.throttle.retain(is_current, now);
+        self.backoffs.update_runs(started_at, now);
     }
 
     /// Whether an endpoint admits requests of a daemon; `None` if it is unavailable for other reasons.
--- a/crates/core/src/registry/mod.rs
+++ b/crates/core/src/registry/mod.rs
@@ -215,9 +215,9 @@
         }
     }
 
-    /// Whether this run is the known run of the endpoint, alive or not.
-    pub(crate) fn is_current_run(&self, id: &str, started_at: u64) -> bool {
-        self.known.get(id).is_some_and(|known| known.record.born == started_at)
+    /// Start time of the known run of an endpoint, alive or not.
+    pub(crate) fn started_at(&self, id: &str) -> Option<u64> {
+        self.known.get(id).map(|known| known.record.born)
     }
 
     /// Marks a run as leaving; `started_at` 0 stands for the known run. Returns the record to
