relay: read the head of a response whose attempt is not needed any more

Cause: an attempt that loses against a hedge, or whose caller leaves, was dropped with its connection. An endpoint that rejected it just then had asked for back-off in a response that nobody read.

Relay test: a hedge rejects after the first attempt was answered; before, the daemon never learned of the back-off.

Read at the exchange, so calls, hedges, generations and resumed streams are covered.

The delay of restart news is now 5 s, the time after which a daemon that hears no control VM sends nothing; the relay test of a restarted endpoint restarts it that much later, since a rejection just before may be the new run's.

--- a/crates/core/src/signals.rs
+++ b/crates/core/src/signals.rs
@@ -7,9 +7,10 @@
     throttle::{InvalidRateLimit, RateLimit, describe_limit},
 };
 
-/// Time within which daemons learn that an endpoint has restarted. A response does not name the run
-/// that sent it, so what was read within this time before the news may come from the new run.
-pub(crate) const RESTART_NEWS_DELAY: Duration = Duration::from_secs(10);
+/// Time within which daemons learn that an endpoint has restarted: one that hears no control VM for
+/// longer sends nothing. A response does not name the run that sent it, so what was read within this
+/// time before the news may come from the new run.
+pub(crate) const RESTART_NEWS_DELAY: Duration = Duration::from_secs(5);
 
 /// State that an endpoint reports in the headers of a response.
 #[derive(Debug, Clone, Copy, PartialEq)]
--- a/crates/server/src/relay/call.rs
+++ b/crates/server/src/relay/call.rs
@@ -60,7 +60,7 @@
 }
 
 /// Serves one call.
-pub(super) async fn serve(relay: &Relay, job: Job) -> Response<Body> {
+pub(super) async fn serve(relay: &Rc<Relay>, job: Job) -> Response<Body> {
     let mut call = Call::new(relay, &job);
     match call.run().await {
         Ok((head, body)) => {
@@ -73,7 +73,7 @@
 }
 
 struct Call<'a> {
-    relay: &'a Relay,
+    relay: &'a Rc<Relay>,
     job: &'a Job,
     running: FuturesUnordered<LocalFuture<'a, AttemptEnd>>,
     /// Endpoints that the call was sent to.
@@ -88,7 +88,7 @@
 }
 
 impl<'a> Call<'a> {
-    fn new(relay: &'a Relay, job: &'a Job) -> Call<'a> {
+    fn new(relay: &'a Rc<Relay>, job: &'a Job) -> Call<'a> {
         Call {
             relay,
             job,
@@ -228,7 +228,7 @@
 
 /// Makes one attempt; if it is withheld just before sending, selects another endpoint.
 async fn attempt(
-    relay: &Relay,
+    relay: &Rc<Relay>,
     job: &Job,
     kind: AttemptKind,
     tried: Rc<RefCell<Vec<Arc<str>>>>,
@@ -245,7 +245,7 @@
 }
 
 async fn try_once(
-    relay: &Relay,
+    relay: &Rc<Relay>,
     job: &Job,
     kind: AttemptKind,
     tried: &RefCell<Vec<Arc<str>>>,
@@ -317,7 +317,7 @@
 
 /// Sends the request and reads the complete response.
 async fn send(
-    relay: &Relay,
+    relay: &Rc<Relay>,
     job: &Job,
     turn: &QuarantineTurn,
     endpoint: &RegisteredEndpoint,
@@ -327,7 +327,8 @@
     let connect_timeout = relay.options.connect_timeout.min(job.time_left());
     let sent_at = relay.node.now();
     let may_send = || relay.may_send(endpoint);
-    let opened = exchange_if(endpoint.address, req, connect_timeout, may_send).await;
+    let late = relay.late_response(job, endpoint, sent_at);
+    let opened = exchange_if(endpoint.address, req, connect_timeout, may_send, late).await;
     let open = match opened {
         Ok(open) => open,
         Err(SendError::Withheld(error)) => {
--- a/crates/server/src/relay/generation.rs
+++ b/crates/server/src/relay/generation.rs
@@ -85,7 +85,7 @@
     opened: Opened,
 }
 
-async fn start(relay: &Relay, job: &Job) -> Result<StartedGeneration, RequestError> {
+async fn start(relay: &Rc<Relay>, job: &Job) -> Result<StartedGeneration, RequestError> {
     let spec = &job.route.spec;
     let mut avoid: Vec<Arc<str>> = Vec::new();
     let mut attempts = 0;
@@ -182,7 +182,7 @@
 
 /// Sends a generation to an endpoint and waits for the first event.
 pub(super) async fn open_on_endpoint(
-    relay: &Relay,
+    relay: &Rc<Relay>,
     job: &Job,
     turn: &QuarantineTurn,
     endpoint: &Arc<str>,
@@ -221,7 +221,7 @@
 }
 
 async fn send(
-    relay: &Relay,
+    relay: &Rc<Relay>,
     job: &Job,
     turn: &QuarantineTurn,
     endpoint: &Arc<str>,
@@ -238,7 +238,7 @@
 }
 
 async fn send_to(
-    relay: &Relay,
+    relay: &Rc<Relay>,
     job: &Job,
     turn: &QuarantineTurn,
     known: &RegisteredEndpoint,
@@ -259,7 +259,9 @@
         resume_from.kv_copy.as_ref().is_some_and(|copy| copy.source == known.address);
     let may_send =
         || if resumes_in_place { relay.may_resume(known) } else { relay.may_send(known) };
-    let opened = exchange_if(known.address, req, relay.options.connect_timeout, may_send).await;
+    let connect_timeout = relay.options.connect_timeout;
+    let late = relay.late_response(job, known, sent_at);
+    let opened = exchange_if(known.address, req, connect_timeout, may_send, late).await;
     let open = match opened {
         Ok(open) => open,
         Err(SendError::Withheld(error)) => return Err(OpenError::Withheld(error)),
--- a/crates/server/src/relay/mod.rs
+++ b/crates/server/src/relay/mod.rs
@@ -82,6 +82,9 @@
     pub retry_window: Duration,
     /// Timeout for connecting to an endpoint.
     pub connect_timeout: Duration,
+    /// How long after a request was sent the head of its response is still read if the attempt is
+    /// not needed any more. An endpoint may ask for back-off in it.
+    pub late_response_timeout: Duration,
     /// Timeout for one copy of a generation's KV cache.
     pub copy_timeout: Duration,
     /// How long requests wait for a configuration after a start or a suspension before they are
--- a/crates/server/src/relay/signals.rs
+++ b/crates/server/src/relay/signals.rs
@@ -3,15 +3,15 @@
 //!
 //! Every response passes through here, including those to the daemon's own requests.
 
-use std::fmt;
+use std::{fmt, rc::Rc};
 
 use http::response;
 use trayswitch_core::{
     backoff::Rejection, node::Input, registry::RegisteredEndpoint, signals::EndpointSignals, units,
 };
 
-use super::Relay;
-use crate::telemetry::EventId;
+use super::{Job, RejectionReason, Relay, ResponseClass};
+use crate::{telemetry::EventId, upstream::LateResponse};
 
 impl Relay {
     /// Processes the signals in the response to a caller's request that was sent at `sent_at`.
@@ -45,6 +45,30 @@
         self.report_state(endpoint, &signals);
     }
 
+    /// Processes the signals in a response to an attempt of `job` that is not needed any more.
+    pub(super) fn late_response(
+        self: &Rc<Self>,
+        job: &Job,
+        endpoint: &RegisteredEndpoint,
+        sent_at: units::Instant,
+    ) -> LateResponse {
+        let (relay, endpoint) = (self.clone(), endpoint.clone());
+        let (service, id) = (job.service.clone(), job.caller.id.clone());
+        let read = move |head: &response::Parts| match relay.protocol.classify_response(&id, head) {
+            ResponseClass::Rejected(RejectionReason::Overloaded) => {
+                relay.on_rejection(&service, &endpoint, sent_at, head);
+            }
+            ResponseClass::Executed { .. } => {
+                relay.on_response(&service, &endpoint, sent_at, head);
+            }
+            ResponseClass::Rejected(RejectionReason::WrongEndpoint) => {}
+            ResponseClass::Invalid(_) => {
+                relay.on_control_response(&service, &endpoint, sent_at, head);
+            }
+        };
+        LateResponse { timeout: self.options.late_response_timeout, read: Box::new(read) }
+    }
+
     fn report_state(&self, endpoint: &RegisteredEndpoint, signals: &EndpointSignals) {
         if signals.is_leaving() {
             self.report_leaving(endpoint);
--- a/crates/server/src/relay/tests/backoff.rs
+++ b/crates/server/src/relay/tests/backoff.rs
@@ -3,6 +3,8 @@
 //! Guards against requests being sent to an endpoint that has asked for back-off, and against
 //! refusals while other endpoints have capacity.
 
+use std::time::Duration;
+
 use googletest::prelude::*;
 use tokio::join;
 
@@ -14,6 +16,8 @@
 
 /// Back-off in seconds, longer than any test.
 const LONG_BACKOFF_SECS: &str = "100";
+/// A rejection that is this old when the restart becomes known was the former run's.
+const RESTART_NEWS_DELAY: Duration = Duration::from_secs(5);
 /// Requests sent in sequence.
 const REQUESTS: u32 = 40;
 
@@ -221,6 +225,7 @@
         let daemon = TestDaemon::open().await;
         let mut former = daemon.register("desk", "e1").await;
         send_rejected(&daemon, "/once/x", &mut former, LONG_BACKOFF_SECS).await;
+        trayswitch_clock::simulate_suspend(RESTART_NEWS_DELAY);
         let mut endpoint = daemon.restart_endpoint("desk", "e1").await;
 
         let (answer, ()) = join!(daemon.send("/once/x", "r2"), async {
@@ -316,3 +321,43 @@
         expect_that!(sent_to_backing_off, le(1));
     });
 }
+
+/// An endpoint may reject an attempt that lost against a hedge just before.
+#[gtest]
+fn backoff_asked_for_after_the_call_was_answered_holds() {
+    run_test(async {
+        let daemon = TestDaemon::with_late_responses().await;
+        let mut e1 = daemon.register("desk", "e1").await;
+        let mut e2 = daemon.register("desk", "e2").await;
+        // Enough calls for a hedging delay.
+        for _ in 0..20 {
+            let (answered, ()) = join!(daemon.send("/again/x", "r1"), async {
+                next_arrival_at(&mut e1, &mut e2).await.answer(200, "fine");
+            });
+            assert_that!(text(answered).await, ok(eq("fine")));
+        }
+
+        let (answered, rejecting) = join!(daemon.send("/again/x", "r2"), async {
+            let first = next_arrival_at(&mut e1, &mut e2).await;
+            let hedge = next_arrival_at(&mut e1, &mut e2).await;
+            let rejecting = hedge.endpoint_id.clone();
+            first.answer(200, "fine");
+            (rejecting, hedge)
+        });
+        assert_that!(text(answered).await, ok(eq("fine")));
+        let (rejecting, hedge) = rejecting;
+        hedge.reject(LONG_BACKOFF_SECS);
+
+        daemon.wait_for_metric("trayswitch_backing_off_endpoints", 1).await;
+        for _ in 0..REQUESTS {
+            let (answered, arrived_at) = join!(daemon.send("/again/x", "r3"), async {
+                let arrival = next_arrival_at(&mut e1, &mut e2).await;
+                let arrived_at = arrival.endpoint_id.clone();
+                arrival.answer(200, "fine");
+                arrived_at
+            });
+            assert_that!(text(answered).await, ok(eq("fine")));
+            expect_that!(arrived_at, not(eq(&rejecting)));
+        }
+    });
+}
--- a/crates/server/src/relay/tests/retry_budget.rs
+++ b/crates/server/src/relay/tests/retry_budget.rs
@@ -17,6 +17,7 @@
         retry_window: Duration::from_secs(10),
         connect_timeout: Duration::from_secs(1),
         copy_timeout: Duration::from_secs(1),
+        late_response_timeout: Duration::ZERO,
         config_recovery_timeout: Duration::from_secs(1),
         disabled: Disabled::default(),
     }
--- a/crates/server/src/upstream/exchange.rs
+++ b/crates/server/src/upstream/exchange.rs
@@ -5,14 +5,17 @@
 //! that must not be repeated has run; a new one costs a round trip (docs/PLATFORM.md has the
 //! figures).
 
-use std::{fmt, net::SocketAddr, time::Duration};
+use std::{fmt, future::Future, net::SocketAddr, pin::Pin, time::Duration};
 
 use bytes::Bytes;
-use http::{Request, response};
+use http::{Request, Response, response};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
-use tokio::{task::JoinHandle, time::timeout};
+use tokio::{
+    task::JoinHandle,
+    time::{Instant, timeout, timeout_at},
+};
 
 use super::socket;
 
@@ -92,7 +95,16 @@
     req: Request<Full<Bytes>>,
     connect_limit: Duration,
 ) -> Result<OpenAnswer, SendError> {
-    exchange_if(address, req, connect_limit, || Ok(())).await
+    let late = LateResponse { timeout: Duration::ZERO, read: Box::new(|_| {}) };
+    exchange_if(address, req, connect_limit, || Ok(()), late).await
+}
+
+/// Reads the head of a response that comes after the future of its exchange was dropped.
+pub struct LateResponse {
+    /// Time after the request was sent for which the connection stays open.
+    pub timeout: Duration,
+    /// Called with the head.
+    pub read: Box<dyn FnOnce(&response::Parts)>,
 }
 
 /// The same, if the request may still be sent once the connection is up.
@@ -101,6 +113,7 @@
     req: Request<Full<Bytes>>,
     connect_limit: Duration,
     may_send: impl FnOnce() -> Result<(), String>,
+    late: LateResponse,
 ) -> Result<OpenAnswer, SendError> {
     let not_sent = |problem: String| SendError::NotSent(problem);
     let socket = match timeout(connect_limit, socket::connect(address)).await {
@@ -118,9 +131,57 @@
     let connection = Connection(tokio::task::spawn_local(run));
     sender.ready().await.map_err(|e| not_sent(describe(&e)))?;
     may_send().map_err(SendError::Withheld)?;
-    let answer = sender.send_request(req).await.map_err(|e| SendError::Lost(describe(&e)))?;
-    let (head, incoming) = answer.into_parts();
-    Ok(OpenAnswer { head, body: AnswerBody { incoming, _connection: connection } })
+    let pending = PendingResponse {
+        response: Box::pin(sender.send_request(req)),
+        connection,
+        read_until: Instant::now() + late.timeout,
+        late,
+    };
+    pending.wait().await
+}
+
+type ResponseFuture = Pin<Box<dyn Future<Output = hyper::Result<Response<Incoming>>>>>;
+
+/// A request that was sent and whose response has not begun.
+struct PendingResponse {
+    response: ResponseFuture,
+    connection: Connection,
+    read_until: Instant,
+    late: LateResponse,
+}
+
+/// Reads the response in the background if it is dropped before the response has begun.
+struct ReadIfDropped(Option<PendingResponse>);
+
+impl PendingResponse {
+    async fn wait(self) -> Result<OpenAnswer, SendError> {
+        let mut guard = ReadIfDropped(Some(self));
+        let response = match &mut guard.0 {
+            Some(pending) => pending.response.as_mut().await,
+            None => unreachable!("the guard is full until it is dropped"),
+        };
+        let Some(PendingResponse { connection, .. }) = guard.0.take() else {
+            unreachable!("the guard is full until it is dropped")
+        };
+        let answer = response.map_err(|e| SendError::Lost(describe(&e)))?;
+        let (head, incoming) = answer.into_parts();
+        Ok(OpenAnswer { head, body: AnswerBody { incoming, _connection: connection } })
+    }
+
+    async fn read_late(self) {
+        let PendingResponse { response, connection: _connection, read_until, late } = self;
+        if let Ok(Ok(answer)) = timeout_at(read_until, response).await {
+            (late.read)(&answer.into_parts().0);
+        }
+    }
+}
+
+impl Drop for ReadIfDropped {
+    fn drop(&mut self) {
+        if let Some(pending) = self.0.take().filter(|pending| Instant::now() < pending.read_until) {
+            tokio::task::spawn_local(pending.read_late());
+        }
+    }
 }
 
 /// An error with its cause: hyper's own text names only the step that failed.
--- a/crates/server/src/upstream/mod.rs
+++ b/crates/server/src/upstream/mod.rs
@@ -8,5 +8,5 @@
 
 pub use self::{
     events::{Event, EventSplitter},
-    exchange::{AnswerBody, OpenAnswer, SendError, exchange, exchange_if},
+    exchange::{AnswerBody, LateResponse, OpenAnswer, SendError, exchange, exchange_if},
 };
