--- a/crates/core/src/node/control/mod.rs
+++ b/crates/core/src/node/control/mod.rs
@@ -15,7 +15,7 @@
     config_changes::ConfigChanges,
     control_client::EntryDaemons,
     dispatcher::Dispatcher,
-    engines::Engines,
+    engines::{EngineChange, Engines},
     members::{self, Peer},
 };
 use crate::{
@@ -23,7 +23,7 @@
     mechanism::Disabled,
     placement::Scheduler,
     quarantine::SuspectCacheState,
-    state::State,
+    state::{HallsOut, State},
     units::Instant,
     wire::{Body, Fetch, Poll, ReplicaInfo, Submit},
 };
@@ -104,8 +104,8 @@
     dispatcher: Option<Dispatcher>,
     suspect_coordinator: SuspectCoordinator,
     disabled: Disabled,
-    /// Endpoints available to the scheduler.
-    engines: Engines,
+    /// Whether the dispatcher was created without the engines.
+    needs_engines: bool,
     election_timeout: Duration,
     log_bytes: usize,
     snapshot_bytes: usize,
@@ -140,7 +140,7 @@
             dispatcher: None,
             suspect_coordinator: SuspectCoordinator::new(now),
             disabled: options.disabled,
-            engines: Engines::default(),
+            needs_engines: false,
             election_timeout: timing.election,
             log_bytes: 0,
             snapshot_bytes: 0,
@@ -303,25 +303,44 @@
         }
     }
 
-    /// Updates the endpoints available to the scheduler.
-    pub(crate) fn set_engines(&mut self, engines: Engines, now: Instant, out: &mut Outbox) {
-        self.engines = engines;
-        self.configure_dispatcher(now);
+    /// Whether the dispatcher has not been given the engines since it was created.
+    pub(crate) fn needs_engines(&self) -> bool {
+        self.needs_engines && self.leads()
+    }
+
+    /// Replaces the engines available to the scheduler.
+    pub(crate) fn set_engines(&mut self, engines: &Engines, now: Instant, out: &mut Outbox) {
         if let Some(dispatcher) = &mut self.dispatcher {
+            dispatcher.configure(engines, now);
             dispatcher.decide(now, out);
+            self.needs_engines = false;
         }
     }
 
-    /// Applies the start times of the known runs of endpoints.
-    pub(crate) fn update_runs(&mut self, started_at: impl Fn(&str) -> Option<u64>, now: Instant) {
+    /// Applies changes of registered engines.
+    pub(crate) fn update_engines(
+        &mut self,
+        changes: &[EngineChange],
+        now: Instant,
+        out: &mut Outbox,
+    ) {
         if let Some(dispatcher) = &mut self.dispatcher {
-            dispatcher.update_runs(started_at, now);
+            dispatcher.update_engines(changes, now);
+            dispatcher.decide(now, out);
+        }
+    }
+
+    /// Applies the data halls that are out of service.
+    pub(crate) fn set_halls_out(&mut self, halls: &HallsOut) {
+        if let Some(dispatcher) = &mut self.dispatcher {
+            dispatcher.set_halls_out(halls);
         }
     }
 
-    fn configure_dispatcher(&mut self, now: Instant) {
+    /// Applies the start times of the known runs of endpoints.
+    pub(crate) fn update_runs(&mut self, started_at: impl Fn(&str) -> Option<u64>, now: Instant) {
         if let Some(dispatcher) = &mut self.dispatcher {
-            dispatcher.configure(&self.engines, now);
+            dispatcher.update_runs(started_at, now);
         }
     }
 
--- a/crates/core/src/node/control/ready.rs
+++ b/crates/core/src/node/control/ready.rs
@@ -184,7 +184,7 @@
         if leads {
             self.dispatcher = Some(Dispatcher::new(self.disabled, now));
             self.suspect_coordinator = SuspectCoordinator::new(now);
-            self.configure_dispatcher(now);
+            self.needs_engines = true;
             return;
         }
         self.dispatcher = None;
--- a/crates/core/src/node/dispatcher.rs
+++ b/crates/core/src/node/dispatcher.rs
@@ -10,13 +10,17 @@
 };
 
 use super::{
-    ByVm, Outbox, VmName, admit, broadcast::Broadcast, engines::Engines, load_report,
+    ByVm, Outbox, VmName, admit,
+    broadcast::Broadcast,
+    engines::{EngineChange, Engines},
+    load_report,
     permit_allocator::PermitAllocator,
 };
 use crate::{
     error::RequestError,
     mechanism::Disabled,
     placement::{Action, Relocation, Scheduler, Ticket},
+    state::HallsOut,
     units::Instant,
     wire::{
         Admit, Body, GiveUp, Grant, Health, HealthNews, LastResort, LimitNews, LimitWord, Move,
@@ -42,7 +46,6 @@
     daemon_names: BTreeMap<u64, VmName>,
     /// Endpoints that are leaving, and since when that is known.
     leaving: BTreeMap<Arc<str>, Instant>,
-    endpoints: Vec<String>,
     /// Endpoints whose load each daemon polls.
     watches: ByVm<Vec<String>>,
     /// Whether the endpoints have changed since the watches were assigned.
@@ -70,7 +73,6 @@
             daemon_numbers: ByVm::new(),
             daemon_names: BTreeMap::new(),
             leaving: BTreeMap::new(),
-            endpoints: Vec::new(),
             watches: ByVm::new(),
             watches_outdated: true,
             slow: SlowEndpoints::default(),
@@ -91,7 +93,6 @@
         for (name, until) in &engines.cold {
             self.scheduler.endpoint_cold(name, *until, now);
         }
-        self.endpoints = endpoints.keys().cloned().collect();
         self.watches_outdated = true;
         for endpoint in endpoints.keys() {
             self.scheduler.endpoint_leaving(endpoint, engines.draining.contains(endpoint.as_str()));
@@ -101,6 +102,22 @@
         }
     }
 
+    /// Applies the data halls that are out of service.
+    pub(crate) fn set_halls_out(&mut self, halls: &HallsOut) {
+        self.scheduler.set_halls_out(halls);
+    }
+
+    /// Applies changes of registered engines.
+    pub(crate) fn update_engines(&mut self, changes: &[EngineChange], now: Instant) {
+        for change in changes {
+            change.apply(&mut self.scheduler, now);
+            if self.leaving.contains_key(&change.name) {
+                self.scheduler.endpoint_leaving(&change.name, true);
+            }
+        }
+        self.watches_outdated |= !changes.is_empty();
+    }
+
     pub(crate) fn next_tick(&self) -> Option<Instant> {
         let next = self.scheduler.next_decision().map(|at| at.max(self.ready_at));
         let news = self.permits.next_tick().into_iter().chain(self.overloaded.next_tick());
@@ -338,10 +355,10 @@
         self.watches_outdated = false;
         let mut assigned: ByVm<Vec<String>> =
             daemons.iter().map(|vm| (vm.clone(), Vec::new())).collect();
-        for endpoint in &self.endpoints {
+        for endpoint in self.scheduler.endpoints().into_keys() {
             let watcher = daemons.iter().max_by_key(|vm| rendezvous(vm, endpoint));
             if let Some(list) = watcher.and_then(|vm| assigned.get_mut(vm)) {
-                list.push(endpoint.clone());
+                list.push(endpoint.to_owned());
             }
         }
         for (vm, endpoints) in &assigned {
--- a/crates/core/src/node/endpoint_sync.rs
+++ b/crates/core/src/node/endpoint_sync.rs
@@ -97,7 +97,7 @@
     pub(super) fn tick(
         &mut self,
         own_vm: &VmName,
-        digest: impl FnOnce() -> RegistryDigest,
+        digest: &RegistryDigest,
         now: Instant,
         out: &mut Outbox,
     ) {
@@ -109,7 +109,6 @@
             self.uncompared.insert(timed_out.from);
         }
         self.next_choice = None;
-        let digest = digest();
         let mut candidates: Vec<VmName> =
             std::mem::take(&mut self.uncompared).into_iter().collect();
         candidates.sort_by_cached_key(|vm| {
@@ -120,7 +119,7 @@
         let mut candidates = candidates.into_iter();
         for vm in candidates.by_ref() {
             let Some(theirs) = self.digests.get(&vm) else { continue };
-            let remaining: VecDeque<usize> = theirs.differing_buckets(&digest).collect();
+            let remaining: VecDeque<usize> = theirs.differing_buckets(digest).collect();
             if remaining.is_empty() {
                 continue;
             }
@@ -138,7 +137,7 @@
     pub(super) fn take_parts_unknown_to(
         &mut self,
         leader: &VmName,
-        digest: impl FnOnce() -> RegistryDigest,
+        digest: &RegistryDigest,
     ) -> Vec<usize> {
         let is_done = self.fetch.is_none() && self.next_choice.is_none();
         let Some(known) =
@@ -146,7 +145,7 @@
         else {
             return Vec::new();
         };
-        let differing: BTreeSet<usize> = known.differing_buckets(&digest()).collect();
+        let differing: BTreeSet<usize> = known.differing_buckets(digest).collect();
         let updated = std::mem::take(&mut self.updated_parts);
         updated.intersection(&differing).copied().collect()
     }
--- a/crates/core/src/node/endpoints.rs
+++ b/crates/core/src/node/endpoints.rs
@@ -4,13 +4,15 @@
 use super::{
     Engines, Node, Output, VmName,
     news_batch::{
-        HEARTBEAT_DELAY, LEADER_DELAY, LEADER_DELAY_PER_DAEMON, NewsBatch,
-        PUBLISH_INTERVAL_PER_ENDPOINT, RELAY_DELAY, RELAY_DELAY_PER_DAEMON, SAVE_INTERVAL,
-        SAVE_INTERVAL_PER_ENDPOINT, SEND_INTERVAL_PER_DAEMON, scaled,
+        HEARTBEAT_DELAY, LEADER_DELAY, LEADER_DELAY_PER_DAEMON, NewsBatch, RELAY_DELAY,
+        RELAY_DELAY_PER_DAEMON, SAVE_INTERVAL, SAVE_INTERVAL_PER_ENDPOINT,
+        SEND_INTERVAL_PER_DAEMON, scaled,
     },
 };
 use crate::{
+    config::Config,
     placement::{EndpointState, Health, Scheduler},
+    registry::EndpointChanges,
     throttle::RateLimit,
     units::Instant,
     wire::{Body, EndpointNews, EndpointRecord, EndpointsWanted},
@@ -77,7 +79,6 @@
             return;
         }
         if let Some(record) = self.registry.mark_leaving(endpoint, started_at, now) {
-            self.next_publish = now;
             self.broadcast_record(record, now);
         }
     }
@@ -124,9 +125,9 @@
         now: Instant,
     ) {
         let age_ms = |received: Instant| now.since(received).as_millis() as u64;
-        let records = self.registry.bucket(request.part as usize).iter();
+        let records = self.registry.bucket(request.part as usize).into_iter();
         let (records, ages_ms) =
-            records.map(|(record, received)| (record.clone(), age_ms(*received))).unzip();
+            records.map(|(record, received)| (record, age_ms(received))).unzip();
         let news = EndpointNews { records, ages_ms, part: Some(request.part) };
         self.outputs.send(to, Body::EndpointNews(news));
     }
@@ -135,10 +136,10 @@
     /// synchronization, in parts where the leader's digest differs.
     pub(super) fn queue_updates_for_leader(&mut self, now: Instant) {
         let Some(leader) = self.client.leader().filter(|_| self.control.is_none()) else { return };
-        let unknown = self.endpoint_sync.take_parts_unknown_to(leader, || self.registry.digest());
+        let unknown = self.endpoint_sync.take_parts_unknown_to(leader, self.registry.digest());
         for part in unknown {
             for (record, _) in self.registry.bucket(part) {
-                self.leader_updates.add(record.clone(), now.after(LEADER_DELAY));
+                self.leader_updates.add(record, now.after(LEADER_DELAY));
             }
         }
     }
@@ -172,36 +173,53 @@
         }
     }
 
-    /// Time at which a batch, a publication or a save is next due.
+    /// Time at which a batch or a save is next due.
     pub(super) fn next_endpoint_tick(&self) -> Option<Instant> {
         let batches =
             [&self.local_updates, &self.relayed_updates, &self.heartbeats, &self.leader_updates];
-        let publish = self.has_unpublished_endpoints().then_some(self.next_publish);
         let due = batches.into_iter().filter_map(NewsBatch::due);
-        due.chain(publish).chain(self.next_save_due()).min()
+        due.chain(self.next_save_due()).min()
     }
 
-    /// Whether the registry has changed since it was last published.
-    fn has_unpublished_endpoints(&self) -> bool {
-        self.published_revision != self.registry.revision()
+    /// Publishes the endpoints that have changed and updates the schedulers with them.
+    pub(super) fn publish_endpoint_changes(&mut self, now: Instant) {
+        let names = self.registry.take_changes();
+        if names.is_empty() {
+            return;
+        }
+        let mut changes = EndpointChanges::default();
+        for name in &names {
+            match self.registry.endpoint(name, self.client.halls_out()) {
+                Some(endpoint) => changes.changed.push(endpoint),
+                None => changes.removed.push(name.clone()),
+            }
+        }
+        self.outputs.push(Output::Registered(changes));
+        let Some(active_config) = self.client.active_config().cloned() else { return };
+        let engines = Engines::changes(&self.registry, &active_config.config, &names);
+        self.placement.update_engines(&engines, now);
+        if let Some(control) = &mut self.control {
+            control.update_engines(&engines, now, &mut self.outputs);
+        }
+        self.update_runs(&active_config.config, now);
     }
 
-    /// Publishes the endpoints if they have changed and the minimum interval has passed, or at once if
-    /// the set of data halls out of service has changed. Returns whether it did.
-    pub(super) fn publish_endpoints_if_due(&mut self, halls_changed: bool, now: Instant) -> bool {
-        let due = self.has_unpublished_endpoints() && self.next_publish <= now;
-        if !due && !halls_changed {
-            return false;
+    /// Applies a change of the data halls that are out of service, some of which may be back.
+    pub(super) fn on_halls_changed(&mut self, restored: &[String], now: Instant) {
+        self.on_halls_restored(restored, now);
+        let halls_out = self.client.halls_out();
+        let is_affected = |hall: &str| {
+            halls_out.contains(hall) || restored.iter().any(|restored| restored == hall)
+        };
+        self.registry.mark_halls_changed(is_affected);
+        self.placement.set_halls_out(halls_out);
+        if let Some(control) = &mut self.control {
+            control.set_halls_out(halls_out);
         }
-        self.published_revision = self.registry.revision();
-        let endpoints = self.registry.endpoints(self.client.halls_out());
-        self.next_publish = now.after(scaled(PUBLISH_INTERVAL_PER_ENDPOINT, endpoints.len()));
-        self.outputs.push(Output::Registered(endpoints));
-        true
     }
 
     /// Marks the endpoints of data halls that are back in service.
-    pub(super) fn on_halls_restored(&mut self, halls: &[String], now: Instant) {
+    fn on_halls_restored(&mut self, halls: &[String], now: Instant) {
         let Some(active_config) = self.client.active_config() else { return };
         for hall in halls {
             self.registry.on_hall_restored(hall, &active_config.config, now);
@@ -229,18 +247,34 @@
         self.has_unsaved_endpoints().then_some(self.next_save)
     }
 
-    /// Updates the schedulers with the registered and configured endpoints.
+    /// Gives the schedulers all registered and configured endpoints if the configuration of the
+    /// services has changed or the leader's scheduler is new.
     pub(super) fn configure_schedulers(&mut self, now: Instant) {
-        let Some(active_config) = self.client.active_config() else { return };
-        let halls_out = self.client.halls_out();
-        let engines = Engines::new(&self.registry, &active_config.config, halls_out);
-        self.placement.configure(&engines, now);
-        if let Some(control) = &mut self.control {
-            control.set_engines(engines, now, &mut self.outputs);
+        let Some(active_config) = self.client.active_config().cloned() else { return };
+        let config = &active_config.config;
+        let is_new = self.scheduler_config.as_ref().is_none_or(|before| {
+            before.config.services != config.services || before.config.endpoints != config.endpoints
+        });
+        self.scheduler_config = Some(active_config.clone());
+        let control = self.control.as_mut().filter(|control| is_new || control.needs_engines());
+        if !is_new && control.is_none() {
+            return;
         }
+        let engines = Engines::new(&self.registry, config, self.client.halls_out());
+        if is_new {
+            self.placement.configure(&engines, now);
+        }
+        if let Some(control) = control {
+            control.set_engines(&engines, now, &mut self.outputs);
+        }
+        self.update_runs(config, now);
+    }
+
+    /// Tells the schedulers which runs of endpoints are known.
+    fn update_runs(&mut self, config: &Config, now: Instant) {
         let registry = &self.registry;
         let started_at = |endpoint: &str| {
-            let configured = active_config.config.endpoints.get(endpoint);
+            let configured = config.endpoints.get(endpoint);
             registry.started_at(endpoint).or(configured.map(|spec| spec.started_at))
         };
         self.placement.update_runs(started_at, now);
--- a/crates/core/src/node/engines.rs
+++ b/crates/core/src/node/engines.rs
@@ -7,7 +7,8 @@
 
 use crate::{
     config::{Config, Endpoints},
-    registry::Registry,
+    placement::Scheduler,
+    registry::{RegisteredEngine, Registry},
     state::HallsOut,
     units::Instant,
 };
@@ -27,6 +28,27 @@
     configured: Endpoints,
 }
 
+/// A registered engine that was added, changed or removed.
+#[derive(Debug, Clone, PartialEq)]
+pub(crate) struct EngineChange {
+    pub(crate) name: Arc<str>,
+    /// `None` if it was removed or is no engine.
+    pub(crate) engine: Option<RegisteredEngine>,
+}
+
+impl EngineChange {
+    /// Applies the change to a scheduler.
+    pub(crate) fn apply(&self, scheduler: &mut Scheduler, now: Instant) {
+        let EngineChange { name, engine } = self;
+        let Some(engine) = engine else { return scheduler.remove_endpoint(name) };
+        scheduler.set_endpoint(name, &engine.spec);
+        scheduler.endpoint_leaving(name, !engine.available);
+        if let Some(until) = engine.cold_until {
+            scheduler.endpoint_cold(name, until, now);
+        }
+    }
+}
+
 impl Engines {
     /// Combines the registered engines of configured services with the engines that the
     /// configuration lists.
@@ -45,6 +67,21 @@
         }
     }
 
+    /// Changes of registered engines that schedulers need to know.
+    pub(crate) fn changes(
+        registry: &Registry,
+        config: &Config,
+        names: &BTreeSet<Arc<str>>,
+    ) -> Vec<EngineChange> {
+        let change = |name: &Arc<str>| {
+            let engine = registry.engine(name, config);
+            EngineChange { name: name.clone(), engine }
+        };
+        // The configuration decides about the engines that it lists.
+        let registered = names.iter().filter(|name| !config.endpoints.contains_key(&***name));
+        registered.map(change).collect()
+    }
+
     /// All engines, by name.
     pub(crate) fn all(&self) -> Endpoints {
         let mut all = self.registered.clone();
--- a/crates/core/src/node/messages.rs
+++ b/crates/core/src/node/messages.rs
@@ -14,7 +14,7 @@
     once::{Claim, ClaimResult, Settle},
     placement::{Request, SampledEndpoint},
     quarantine::{RequestDigest, Suspect},
-    registry::RegisteredEndpoint,
+    registry::EndpointChanges,
     state::{ChangeId, HallOrder, HallResult, HallsOut},
     throttle::{LimitChange, Permit, PermitRequest, RateLimit, RateLimitReport},
     units::Instant,
@@ -366,8 +366,8 @@
     },
     /// Maintain links to these control VMs.
     Dial(Vec<VmName>),
-    /// The registered endpoints have changed.
-    Registered(Vec<RegisteredEndpoint>),
+    /// Some registered endpoints have changed.
+    Registered(EndpointChanges),
     /// Replace the endpoints saved on disk, if this daemon stores any state.
     SaveEndpoints(Vec<EndpointRecord>),
     /// Move a running request to another endpoint, then report with [`Input::Moved`].
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -126,10 +126,8 @@
     endpoint_sync: EndpointSync,
     /// VMs of the daemons with a link to this one.
     links: BTreeSet<VmName>,
-    /// Revision of the registry that was last published with [`Output::Registered`].
-    published_revision: u64,
-    /// Earliest time of the next publication.
-    next_publish: Instant,
+    /// The configuration that the schedulers have.
+    scheduler_config: Option<Arc<ActiveConfig>>,
     /// Revision of the registry that was last saved to disk.
     saved_revision: u64,
     /// Earliest time of the next save.
@@ -154,7 +152,7 @@
             outputs: Outbox::default(),
             client: ControlClient::new(options, now),
             operations: Operations::numbered_from(options.seed),
-            placement: PlacementClient::new(options.disabled, options.seed),
+            placement: PlacementClient::new(options),
             suspects: SuspectTracker::default(),
             permits: PermitClient::default(),
             control: None,
@@ -162,8 +160,7 @@
             registry: Registry::new(options.endpoint_heartbeat),
             endpoint_sync: EndpointSync::default(),
             links: BTreeSet::new(),
-            published_revision: 0,
-            next_publish: Instant::default(),
+            scheduler_config: None,
             saved_revision: 0,
             next_save: Instant::default(),
             local_updates: NewsBatch::default(),
@@ -261,7 +258,7 @@
         self.operations.tick(leader, clocks.now, out);
         self.placement.tick(self.client.scheduler(clocks.now), clocks.now, out);
         self.directory.tick(clocks.now, out);
-        self.endpoint_sync.tick(&self.vm, || self.registry.digest(), clocks.now, out);
+        self.endpoint_sync.tick(&self.vm, self.registry.digest(), clocks.now, out);
         if self.next_expiry_scan <= clocks.now {
             self.next_expiry_scan = clocks.now.after(EXPIRY_SCAN_INTERVAL);
             self.registry.expire(clocks.now);
@@ -349,10 +346,12 @@
             self.queue_updates_for_leader(clocks.now);
             self.flush_endpoint_news(clocks.now);
             self.save_endpoints_if_due(clocks.now);
-            let restored_halls = self.client.take_restored_halls();
-            self.on_halls_restored(restored_halls.as_deref().unwrap_or_default(), clocks.now);
-            let published = self.publish_endpoints_if_due(restored_halls.is_some(), clocks.now);
-            if active_config.is_some() || published {
+            if let Some(restored) = self.client.take_restored_halls() {
+                self.on_halls_changed(&restored, clocks.now);
+            }
+            self.publish_endpoint_changes(clocks.now);
+            let needs_engines = self.control.as_ref().is_some_and(ControlReplica::needs_engines);
+            if active_config.is_some() || needs_engines {
                 self.configure_schedulers(clocks.now);
             }
             if let Some(active_config) = active_config {
--- a/crates/core/src/node/news_batch.rs
+++ b/crates/core/src/node/news_batch.rs
@@ -23,8 +23,6 @@
 /// Added to [`LEADER_DELAY`] for each daemon, since the leader delays news by
 /// [`RELAY_DELAY_PER_DAEMON`].
 pub(super) const LEADER_DELAY_PER_DAEMON: Duration = Duration::from_micros(800);
-/// Minimum interval between publishing all endpoints to schedulers and requests, for each endpoint.
-pub(super) const PUBLISH_INTERVAL_PER_ENDPOINT: Duration = Duration::from_micros(100);
 
 /// Minimum interval between writes of the endpoints to disk. Each write delays log writes by one sync,
 /// and endpoints that left since the last write are detected by their missing heartbeats.
--- a/crates/core/src/node/placement_client/mod.rs
+++ b/crates/core/src/node/placement_client/mod.rs
@@ -14,15 +14,16 @@
 };
 
 use super::{
-    CallId, NodeReply, Outbox, Output, Placement, VmName, admit, control_client::RemoteScheduler,
-    engines::Engines, load_report,
+    CallId, NodeOptions, NodeReply, Outbox, Output, Placement, VmName, admit,
+    control_client::RemoteScheduler,
+    engines::{EngineChange, Engines},
+    load_report,
 };
 use crate::{
     backoff::BackoffTable,
-    config::Endpoints,
     error::{ErrorKind, RequestError},
-    mechanism::Disabled,
     placement::{Request, Scheduler, SenderRole, Ticket},
+    state::HallsOut,
     throttle::Throttle,
     units::Instant,
     wire::{
@@ -74,7 +75,8 @@
 /// Tracks this daemon's requests that wait for a place or have one.
 pub(crate) struct PlacementClient {
     local: Scheduler,
-    endpoints: Endpoints,
+    /// Whether this daemon has requests to place, so that the local scheduler needs the engines.
+    takes_callers: bool,
     scheduler: Option<VmName>,
     waiting: BTreeMap<CallId, Waiting>,
     running: BTreeMap<CallId, Running>,
@@ -88,10 +90,10 @@
 
 impl PlacementClient {
     /// Creates a client without requests or endpoints. The seed must differ between daemons.
-    pub(crate) fn new(disabled: Disabled, seed: u64) -> PlacementClient {
+    pub(crate) fn new(options: &NodeOptions) -> PlacementClient {
         PlacementClient {
-            local: Scheduler::local(disabled, seed),
-            endpoints: Endpoints::new(),
+            local: Scheduler::local(options.disabled, options.seed),
+            takes_callers: options.takes_callers,
             scheduler: None,
             waiting: BTreeMap::new(),
             running: BTreeMap::new(),
@@ -119,11 +121,10 @@
 
     /// Replaces the engines that the local scheduler may use.
     pub(crate) fn configure(&mut self, engines: &Engines, now: Instant) {
-        let endpoints = engines.all();
-        if self.endpoints != endpoints {
-            self.local.configure(&endpoints);
-            self.endpoints = endpoints;
+        if !self.takes_callers {
+            return;
         }
+        self.local.configure(&engines.all());
         self.local.set_halls_out(&engines.halls_out);
         for (name, until) in &engines.cold {
             self.local.endpoint_cold(name, *until, now);
@@ -133,6 +134,19 @@
         }
     }
 
+    /// Applies changes of registered engines.
+    pub(crate) fn update_engines(&mut self, changes: &[EngineChange], now: Instant) {
+        if !self.takes_callers {
+            return;
+        }
+        changes.iter().for_each(|change| change.apply(&mut self.local, now));
+    }
+
+    /// Applies the data halls that are out of service.
+    pub(crate) fn set_halls_out(&mut self, halls: &HallsOut) {
+        self.local.set_halls_out(halls);
+    }
+
     /// Starts a relocation, unless the request has left the endpoint that the scheduler assumes.
     pub(crate) fn on_move(&self, order: &Move, out: &mut Outbox) {
         let call = CallId(order.number);
--- a/crates/core/src/placement/endpoint_updates.rs
+++ b/crates/core/src/placement/endpoint_updates.rs
@@ -32,20 +32,56 @@
             let name: Arc<str> = name.as_str().into();
             let target = self.targets.entry(spec.target.clone()).or_default();
             target.endpoints.push(name.clone());
-            let state = match self.endpoints.remove(&name) {
+            let mut state = match self.endpoints.remove(&name) {
                 Some(mut state) if is_same_run(&state.spec, spec) => {
                     state.spec = spec.clone();
                     state
                 }
                 _ => EndpointState::new(name.clone(), spec.clone()),
             };
+            state.set_hall_out(self.halls_out.contains(&spec.hall));
             states.insert(name, state);
         }
         self.endpoints = states;
         let endpoints = &self.endpoints;
         self.moves.leaving.retain(|name| endpoints.contains_key(name));
         self.cold.retain(|name| endpoints.contains_key(name));
-        // Drop the accounting of requests on endpoints that were removed or replaced.
+        self.drop_requests_of_gone_endpoints();
+    }
+
+    /// Adds an endpoint or replaces its specification.
+    pub(crate) fn set_endpoint(&mut self, name: &Arc<str>, spec: &EndpointSpec) {
+        match self.endpoints.get_mut(name) {
+            Some(state) if is_same_run(&state.spec, spec) && state.spec.target == spec.target => {
+                state.spec = spec.clone();
+            }
+            _ => {
+                self.remove_endpoint(name);
+                let state = EndpointState::new(name.clone(), spec.clone());
+                self.endpoints.insert(name.clone(), state);
+                self.targets.entry(spec.target.clone()).or_default().add_endpoint(name);
+            }
+        }
+        if let Some(state) = self.endpoints.get_mut(name) {
+            state.set_hall_out(self.halls_out.contains(&spec.hall));
+        }
+    }
+
+    /// Removes an endpoint and the accounting of its requests.
+    pub(crate) fn remove_endpoint(&mut self, name: &str) {
+        let Some(state) = self.endpoints.remove(name) else { return };
+        if let Some(target) = self.targets.get_mut(&state.spec.target) {
+            target.remove_endpoint(name);
+        }
+        self.moves.leaving.remove(name);
+        self.cold.remove(name);
+        if 0 < state.running {
+            self.drop_requests_of_gone_endpoints();
+        }
+    }
+
+    /// Drops the accounting of requests on endpoints that were removed or replaced.
+    fn drop_requests_of_gone_endpoints(&mut self) {
         let gone =
             |p: &PlacedRequest| self.endpoints.get(&p.endpoint).is_none_or(|e| e.running == 0);
         let tickets: Vec<Ticket> =
@@ -62,6 +98,10 @@
     /// Applies the set of data halls that are out of service. Their endpoints get no new requests;
     /// running requests continue.
     pub fn set_halls_out(&mut self, halls: &HallsOut) {
+        if self.halls_out == *halls {
+            return;
+        }
+        self.halls_out = halls.clone();
         for endpoint in self.endpoints.values_mut() {
             endpoint.set_hall_out(halls.contains(&endpoint.spec.hall));
         }
--- a/crates/core/src/placement/scheduler.rs
+++ b/crates/core/src/placement/scheduler.rs
@@ -24,6 +24,7 @@
     config::EndpointTarget,
     error::{ErrorKind, RequestError},
     mechanism::{Disabled, Mechanism},
+    state::HallsOut,
     throttle::Throttle,
     units::Instant,
 };
@@ -116,6 +117,8 @@
     pub(super) handover: HandoverQueue,
     pub(super) isolated: IsolatedRequests,
     pub(super) counts: HashMap<Arc<str>, WorkspaceCounts>,
+    /// Data halls that are out of service.
+    pub(super) halls_out: HallsOut,
     /// Endpoints that are cold or recently were; a small subset, so that lookups stay cheap.
     pub(super) cold: BTreeSet<Arc<str>>,
     /// Determines this scheduler's part of cold-start and rate limits shared with other senders.
@@ -151,6 +154,7 @@
             handover: HandoverQueue::default(),
             isolated: IsolatedRequests::default(),
             counts: HashMap::new(),
+            halls_out: HallsOut::default(),
             cold: BTreeSet::new(),
             sender_role: SenderRole::Scheduler,
             throttle: Throttle::new(SenderRole::Scheduler, 0),
--- a/crates/core/src/placement/target.rs
+++ b/crates/core/src/placement/target.rs
@@ -21,6 +21,7 @@
 #[derive(Debug, Default)]
 pub(super) struct TargetState {
     pub(super) queue: Queue,
+    /// Names, in order.
     pub(super) endpoints: Vec<Arc<str>>,
     /// Endpoint that last received a request with this prefix.
     prefix_endpoints: HashMap<PrefixHash, Arc<str>>,
@@ -30,6 +31,20 @@
 }
 
 impl TargetState {
+    /// Adds an endpoint.
+    pub(super) fn add_endpoint(&mut self, name: &Arc<str>) {
+        if let Err(at) = self.endpoints.binary_search(name) {
+            self.endpoints.insert(at, name.clone());
+        }
+    }
+
+    /// Removes an endpoint.
+    pub(super) fn remove_endpoint(&mut self, name: &str) {
+        if let Ok(at) = self.endpoints.binary_search_by(|known| (**known).cmp(name)) {
+            self.endpoints.remove(at);
+        }
+    }
+
     /// Returns candidate endpoints: a bounded sample plus the endpoint that last received this
     /// prefix, so that the cost of a decision does not grow with the number of endpoints.
     pub(super) fn sample(
--- a/crates/core/src/registry/digest.rs
+++ b/crates/core/src/registry/digest.rs
@@ -7,24 +7,33 @@
 /// Number of buckets: with 3,000 endpoints a bucket has 47 and takes 6 kB on a link.
 pub(crate) const BUCKETS: usize = 64;
 
-/// The bucket of an endpoint.
-pub(crate) fn bucket_of(id: &str) -> usize {
-    (hash(&id) % BUCKETS as u64) as usize
+/// The bucket of an endpoint, by the hash of its name.
+pub(super) fn bucket_of(id_hash: u64) -> usize {
+    (id_hash % BUCKETS as u64) as usize
 }
 
 /// One checksum per bucket: the sum of the hashes of its records.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct RegistryDigest(Vec<u64>);
 
+impl Default for RegistryDigest {
+    /// The digest of no records.
+    fn default() -> RegistryDigest {
+        RegistryDigest(vec![0; BUCKETS])
+    }
+}
+
 impl RegistryDigest {
-    /// Computes the digest of these records.
-    pub(crate) fn of<'a>(records: impl Iterator<Item = &'a EndpointRecord>) -> RegistryDigest {
-        let mut sums = vec![0u64; BUCKETS];
-        for record in records {
-            let sum = &mut sums[bucket_of(&record.id)];
-            *sum = sum.wrapping_add(hash_of(record));
-        }
-        RegistryDigest(sums)
+    /// Adds a record, by the hash of its name and its own.
+    pub(super) fn add(&mut self, id_hash: u64, record_hash: u64) {
+        let sum = &mut self.0[bucket_of(id_hash)];
+        *sum = sum.wrapping_add(record_hash);
+    }
+
+    /// Removes a record that was added before.
+    pub(super) fn remove(&mut self, id_hash: u64, record_hash: u64) {
+        let sum = &mut self.0[bucket_of(id_hash)];
+        *sum = sum.wrapping_sub(record_hash);
     }
 
     /// Decodes another daemon's digest; `None` if the number of buckets differs.
@@ -44,9 +53,14 @@
     }
 }
 
+/// Hash of an endpoint's name, equal on all daemons.
+pub(crate) fn hash_of_id(id: &str) -> u64 {
+    hash(&id)
+}
+
 /// Hashes the fields that other daemons must know. Heartbeat numbers change all the time and are
 /// excluded.
-fn hash_of(record: &EndpointRecord) -> u64 {
+pub(super) fn hash_of(record: &EndpointRecord) -> u64 {
     let EndpointRecord { id, service, address, hall, slots, leaving, silent, born, .. } = record;
     hash(&(id, service, address, hall, slots, leaving, silent, born))
 }
--- a/crates/core/src/registry/endpoint_table.rs
+++ b/crates/core/src/registry/endpoint_table.rs
@@ -1,12 +1,13 @@
-//! The known endpoints, indexed by name and address.
+//! The known endpoints, indexed by name and address, with a digest that is kept up to date.
 
 use std::{
-    collections::{BTreeMap, BTreeSet, HashMap},
+    collections::{BTreeMap, HashMap},
     net::SocketAddr,
     sync::Arc,
     time::Duration,
 };
 
+use super::digest::{self, RegistryDigest};
 use crate::{units::Instant, wire::EndpointRecord};
 
 /// An endpoint has started cold again if its reported cold time exceeds the known one by more than
@@ -28,6 +29,10 @@
     pub(super) silent_since: Option<Instant>,
     /// End of its cold start, if known.
     pub(super) cold_until: Option<Instant>,
+    /// Hash of its name.
+    pub(super) id_hash: u64,
+    /// Hash of the record in the digest.
+    record_hash: u64,
 }
 
 impl EndpointState {
@@ -37,11 +42,22 @@
         heard: Instant,
         now: Instant,
     ) -> EndpointState {
-        let leaving_since = record.leaving.then_some(now);
-        let silent_since = record.silent.then_some(now);
-        let cold_until = cold_until(&record, heard);
-        let restored = false;
-        EndpointState { record, address, heard, restored, leaving_since, silent_since, cold_until }
+        EndpointState {
+            address,
+            heard,
+            restored: false,
+            leaving_since: record.leaving.then_some(now),
+            silent_since: record.silent.then_some(now),
+            cold_until: cold_until(&record, heard),
+            id_hash: digest::hash_of_id(&record.id),
+            record_hash: 0,
+            record,
+        }
+    }
+
+    /// Whether it sends heartbeats and has not announced that it leaves.
+    pub(super) fn is_heard(&self) -> bool {
+        !self.record.leaving && !self.record.silent
     }
 
     /// Extends the cold start to `until`; returns whether that is a new cold start.
@@ -52,7 +68,12 @@
     }
 
     /// Merges a record of the same run; returns whether it contains anything new.
-    fn merge(&mut self, record: EndpointRecord, address: SocketAddr, heard: Instant) -> bool {
+    pub(super) fn merge(
+        &mut self,
+        record: EndpointRecord,
+        address: SocketAddr,
+        heard: Instant,
+    ) -> bool {
         let newer = self.record.sequence < record.sequence;
         if newer && !record.silent {
             self.heard = self.heard.max(heard);
@@ -97,14 +118,13 @@
 #[derive(Debug, Default)]
 pub(super) struct EndpointTable {
     by_id: BTreeMap<Arc<str>, EndpointState>,
-    by_address: HashMap<SocketAddr, BTreeSet<Arc<str>>>,
+    by_address: HashMap<SocketAddr, Vec<Arc<str>>>,
+    /// Endpoints of each service that are heard.
+    heard: HashMap<String, usize>,
+    digest: RegistryDigest,
 }
 
 impl EndpointTable {
-    pub(super) fn len(&self) -> usize {
-        self.by_id.len()
-    }
-
     pub(super) fn contains(&self, id: &str) -> bool {
         self.by_id.contains_key(id)
     }
@@ -113,9 +133,9 @@
         self.by_id.get(id)
     }
 
-    /// The caller must not change the address.
-    pub(super) fn get_mut(&mut self, id: &str) -> Option<&mut EndpointState> {
-        self.by_id.get_mut(id)
+    /// An endpoint with its shared name.
+    pub(super) fn get_entry(&self, id: &str) -> Option<(&Arc<str>, &EndpointState)> {
+        self.by_id.get_key_value(id)
     }
 
     pub(super) fn iter(&self) -> impl Iterator<Item = (&Arc<str>, &EndpointState)> {
@@ -132,50 +152,81 @@
         ids.filter_map(|id| self.by_id.get(id))
     }
 
-    pub(super) fn insert(&mut self, id: Arc<str>, known: EndpointState) {
-        self.by_address.entry(known.address).or_default().insert(id.clone());
-        self.by_id.insert(id, known);
+    /// Names of the endpoints at an address.
+    pub(super) fn ids_at(&self, address: SocketAddr) -> Vec<Arc<str>> {
+        self.by_address.get(&address).cloned().unwrap_or_default()
     }
 
-    pub(super) fn remove(&mut self, id: &str) {
-        if let Some((id, known)) = self.by_id.remove_entry(id) {
-            self.remove_from_address(&id, known.address);
-        }
+    /// Digest of all records.
+    pub(super) fn digest(&self) -> &RegistryDigest {
+        &self.digest
     }
 
-    pub(super) fn values_mut(&mut self) -> impl Iterator<Item = &mut EndpointState> {
-        self.by_id.values_mut()
+    /// Whether any endpoint of a service is heard.
+    pub(super) fn is_any_heard(&self, service: &str) -> bool {
+        self.heard.contains_key(service)
     }
 
-    /// Removes the endpoints at an address.
-    pub(super) fn remove_at(&mut self, address: SocketAddr) {
-        for id in self.by_address.remove(&address).into_iter().flatten() {
-            self.by_id.remove(&id);
+    pub(super) fn insert(&mut self, id: Arc<str>, mut known: EndpointState) {
+        self.remove(&id);
+        let ids = self.by_address.entry(known.address).or_insert_with(|| Vec::with_capacity(1));
+        ids.push(id.clone());
+        known.record_hash = digest::hash_of(&known.record);
+        self.digest.add(known.id_hash, known.record_hash);
+        if known.is_heard() {
+            self.count_heard(&known.record.service, 1);
         }
+        self.by_id.insert(id, known);
     }
 
-    /// Merges a record into a known endpoint; returns its state and whether the record contains
-    /// anything new.
-    pub(super) fn merge(
-        &mut self,
-        id: &Arc<str>,
-        record: EndpointRecord,
-        address: SocketAddr,
-        heard: Instant,
-    ) -> Option<(&mut EndpointState, bool)> {
-        let before = self.by_id.get(id)?.address;
-        if before != address {
-            self.remove_from_address(id, before);
-            self.by_address.entry(address).or_default().insert(id.clone());
+    pub(super) fn remove(&mut self, id: &str) -> Option<EndpointState> {
+        let (id, known) = self.by_id.remove_entry(id)?;
+        self.remove_from_address(&id, known.address);
+        self.digest.remove(known.id_hash, known.record_hash);
+        if known.is_heard() {
+            self.count_heard(&known.record.service, -1);
         }
+        Some(known)
+    }
+
+    /// Changes an endpoint and updates the indexes.
+    pub(super) fn update<T>(
+        &mut self,
+        id: &str,
+        change: impl FnOnce(&mut EndpointState) -> T,
+    ) -> Option<T> {
         let known = self.by_id.get_mut(id)?;
-        let is_new = known.merge(record, address, heard);
-        Some((known, is_new))
+        let (address, was_heard, before) = (known.address, known.is_heard(), known.record_hash);
+        let result = change(known);
+        known.record_hash = digest::hash_of(&known.record);
+        let (id_hash, after) = (known.id_hash, known.record_hash);
+        let (now_at, is_heard) = (known.address, known.is_heard());
+        let service = (was_heard != is_heard).then(|| known.record.service.clone());
+        if before != after {
+            self.digest.remove(id_hash, before);
+            self.digest.add(id_hash, after);
+        }
+        if let Some(service) = service {
+            self.count_heard(&service, if is_heard { 1 } else { -1 });
+        }
+        if address != now_at {
+            self.remove_from_address(id, address);
+            self.by_address.entry(now_at).or_default().push(id.into());
+        }
+        Some(result)
+    }
+
+    fn count_heard(&mut self, service: &str, change: isize) {
+        let count = self.heard.get(service).copied().unwrap_or_default();
+        match count.saturating_add_signed(change) {
+            0 => drop(self.heard.remove(service)),
+            count => drop(self.heard.insert(service.to_owned(), count)),
+        }
     }
 
-    fn remove_from_address(&mut self, id: &Arc<str>, address: SocketAddr) {
+    fn remove_from_address(&mut self, id: &str, address: SocketAddr) {
         if let Some(ids) = self.by_address.get_mut(&address) {
-            ids.remove(id);
+            ids.retain(|other| **other != *id);
             if ids.is_empty() {
                 self.by_address.remove(&address);
             }
--- a/crates/core/src/registry/mod.rs
+++ b/crates/core/src/registry/mod.rs
@@ -29,7 +29,7 @@
 pub(crate) use self::digest::RegistryDigest;
 use self::{
     departed_runs::DepartedRuns,
-    digest::{BUCKETS, bucket_of},
+    digest::bucket_of,
     endpoint_table::{EndpointState, EndpointTable},
 };
 
@@ -66,6 +66,25 @@
     pub sequence: u64,
 }
 
+/// Registered endpoints that have changed.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct EndpointChanges {
+    /// Endpoints that were added or changed.
+    pub changed: Vec<RegisteredEndpoint>,
+    /// Names of endpoints that were removed.
+    pub removed: Vec<Arc<str>>,
+}
+
+/// A registered model engine.
+#[derive(Debug, Clone, PartialEq)]
+pub(crate) struct RegisteredEngine {
+    pub(crate) spec: EndpointSpec,
+    /// Whether it may receive new requests.
+    pub(crate) available: bool,
+    /// End of the cold start, if known.
+    pub(crate) cold_until: Option<Instant>,
+}
+
 /// State of one run of an endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum RunState {
@@ -85,17 +104,8 @@
     departed: DepartedRuns,
     /// Incremented by each change, so that readers notice changes.
     revision: u64,
-    /// Cached digest and buckets of a revision.
-    exchange: Option<ExchangeView>,
-}
-
-/// Digest and buckets for the exchange with other daemons, computed once per revision.
-#[derive(Debug)]
-struct ExchangeView {
-    revision: u64,
-    digest: RegistryDigest,
-    /// Records of each bucket, with the time when each was last heard.
-    buckets: Vec<Vec<(EndpointRecord, Instant)>>,
+    /// Endpoints that were added, changed or removed since [`Registry::take_changes`].
+    changed: BTreeSet<Arc<str>>,
 }
 
 impl Registry {
@@ -106,7 +116,7 @@
             known: EndpointTable::default(),
             departed: DepartedRuns::default(),
             revision: 0,
-            exchange: None,
+            changed: BTreeSet::new(),
         }
     }
 
@@ -153,13 +163,15 @@
             // A run never changes its service, so the record has another origin.
             return None;
         }
-        let (known, is_new) = self.known.merge(&id, record, address, heard)?;
-        if !is_new {
-            return None;
+        let merged = self.update(&id, |known| {
+            let is_new = known.merge(record, address, heard);
+            known.update_timers(now);
+            is_new.then(|| known.record.clone())
+        })?;
+        if merged.is_some() {
+            self.mark_changed(&id);
         }
-        known.update_timers(now);
-        self.revision += 1;
-        Some(known.record.clone())
+        merged
     }
 
     /// Applies the first record of a run, which replaces any known run of its name or at its
@@ -175,13 +187,64 @@
         if self.is_address_held(address, &record, heard) {
             return if record.leaving { self.mark_leaving(&id, record.born, now) } else { None };
         }
-        self.known.remove(&id);
-        self.known.remove_at(address);
-        self.known.insert(id, EndpointState::new(record.clone(), address, heard, now));
-        self.revision += 1;
+        for other in self.known.ids_at(address) {
+            self.remove(&other);
+        }
+        self.remove(&id);
+        let service = record.service.clone();
+        let had_heard = self.known.is_any_heard(&service);
+        let state = EndpointState::new(record.clone(), address, heard, now);
+        self.known.insert(id.clone(), state);
+        self.on_heard_change(&service, had_heard);
+        self.mark_changed(&id);
         Some(record)
     }
 
+    /// Removes an endpoint.
+    fn remove(&mut self, id: &Arc<str>) {
+        let service = self.known.get(id).map(|known| known.record.service.clone());
+        let Some(service) = service else { return };
+        let had_heard = self.known.is_any_heard(&service);
+        self.known.remove(id);
+        self.on_heard_change(&service, had_heard);
+        self.mark_changed(id);
+    }
+
+    /// Changes an endpoint.
+    fn update<T>(&mut self, id: &str, change: impl FnOnce(&mut EndpointState) -> T) -> Option<T> {
+        let service = self.known.get(id)?.record.service.clone();
+        let had_heard = self.known.is_any_heard(&service);
+        let result = self.known.update(id, change);
+        self.on_heard_change(&service, had_heard);
+        result
+    }
+
+    /// Silent endpoints of a service are available while none of it is heard.
+    fn on_heard_change(&mut self, service: &str, had_heard: bool) {
+        if self.known.is_any_heard(service) == had_heard {
+            return;
+        }
+        let silent = |known: &EndpointState| known.record.silent && known.record.service == service;
+        let affected = self.known.iter().filter(|(_, known)| silent(known));
+        self.changed.extend(affected.map(|(id, _)| id.clone()));
+    }
+
+    fn mark_changed(&mut self, id: &Arc<str>) {
+        self.revision += 1;
+        self.changed.insert(id.clone());
+    }
+
+    /// Names of the endpoints that were added, changed or removed since the last call.
+    pub(crate) fn take_changes(&mut self) -> BTreeSet<Arc<str>> {
+        std::mem::take(&mut self.changed)
+    }
+
+    /// Marks the endpoints of these data halls as changed.
+    pub(crate) fn mark_halls_changed(&mut self, affected: impl Fn(&str) -> bool) {
+        let ids = self.known.iter().filter(|(_, known)| affected(&known.record.hall));
+        self.changed.extend(ids.map(|(id, _)| id.clone()));
+    }
+
     /// Whether an endpoint is known by the name or address of this record.
     pub(crate) fn is_known_by_name_or_address(&self, record: &EndpointRecord) -> bool {
         let address = record.address.parse::<SocketAddr>();
@@ -197,9 +260,7 @@
             if self.known.contains(&id) || self.apply(record, now).is_none() {
                 continue;
             }
-            if let Some(known) = self.known.get_mut(&id) {
-                known.restored = true;
-            }
+            self.update(&id, |known| known.restored = true);
         }
     }
 
@@ -228,7 +289,7 @@
         started_at: u64,
         now: Instant,
     ) -> Option<EndpointRecord> {
-        let Some(known) = self.known.get_mut(id) else {
+        let Some(known) = self.known.get(id) else {
             let new = self.departed.insert(&id.into(), started_at);
             let record = EndpointRecord {
                 id: id.into(),
@@ -242,10 +303,13 @@
         if known.record.leaving || is_former {
             return None;
         }
-        known.record.leaving = true;
-        known.update_timers(now);
-        self.revision += 1;
-        Some(known.record.clone())
+        let record = self.update(id, |known| {
+            known.record.leaving = true;
+            known.update_timers(now);
+            known.record.clone()
+        });
+        self.mark_changed(&id.into());
+        record
     }
 
     /// Removes endpoints that left or fell silent long ago.
@@ -261,35 +325,19 @@
         for id in left {
             self.forget(&id);
         }
-        let before = self.known.len();
         // Silent endpoints may register again later, unlike those that left.
-        silent.iter().for_each(|id| self.known.remove(id));
-        if self.known.len() < before {
-            self.revision += 1;
-        }
+        silent.iter().for_each(|id| self.remove(id));
     }
 
     /// Digest of all records.
-    pub(crate) fn digest(&mut self) -> RegistryDigest {
-        self.exchange_view().digest.clone()
+    pub(crate) fn digest(&self) -> &RegistryDigest {
+        self.known.digest()
     }
 
     /// Records of a bucket, each with the time when it was last heard.
-    pub(crate) fn bucket(&mut self, bucket: usize) -> &[(EndpointRecord, Instant)] {
-        self.exchange_view().buckets.get(bucket).map_or(&[], Vec::as_slice)
-    }
-
-    fn exchange_view(&mut self) -> &ExchangeView {
-        self.exchange.take_if(|view| view.revision != self.revision);
-        let known = &self.known;
-        self.exchange.get_or_insert_with(|| {
-            let mut buckets = vec![Vec::new(); BUCKETS];
-            for known in known.values() {
-                buckets[bucket_of(&known.record.id)].push((known.record.clone(), known.heard));
-            }
-            let digest = RegistryDigest::of(known.values().map(|known| &known.record));
-            ExchangeView { revision: self.revision, digest, buckets }
-        })
+    pub(crate) fn bucket(&self, bucket: usize) -> Vec<(EndpointRecord, Instant)> {
+        let known = self.known.values().filter(|known| bucket_of(known.id_hash) == bucket);
+        known.map(|known| (known.record.clone(), known.heard)).collect()
     }
 
     /// All records.
@@ -299,26 +347,21 @@
 
     /// The registered model engines, for the scheduler.
     pub fn engines(&self, config: &Config) -> Endpoints {
-        let mut endpoints = Endpoints::new();
-        for (id, known) in self.known.iter() {
-            let service = config.services.get(&known.record.service);
-            let Some(engine) = service.and_then(|service| service.engine.as_ref()) else {
-                continue;
-            };
-            let spec = EndpointSpec {
-                started_at: known.record.born,
-                hall: known.record.hall.clone(),
-                address: known.address,
-                target: EndpointTarget::Model(known.record.service.clone()),
-                slots: known.record.slots.min(engine.slots),
-                kv_tokens: engine.kv_tokens,
-                checks_fence: false,
-                supports_relocation: engine.supports_relocation,
-                cold_start: service.and_then(|service| service.cold_start),
-            };
-            endpoints.insert(id.to_string(), spec);
-        }
-        endpoints
+        let engines = self
+            .known
+            .iter()
+            .filter_map(|(id, known)| Some((id.to_string(), engine_spec(known, config)?)));
+        engines.collect()
+    }
+
+    /// A registered model engine, for the scheduler; `None` if it is unknown or no engine.
+    pub(crate) fn engine(&self, id: &str, config: &Config) -> Option<RegisteredEngine> {
+        let known = self.known.get(id)?;
+        Some(RegisteredEngine {
+            spec: engine_spec(known, config)?,
+            available: self.is_available(known),
+            cold_until: known.cold_until,
+        })
     }
 
     /// Endpoints with a known cold start and when it ends.
@@ -329,57 +372,73 @@
     /// Marks the endpoints of a data hall that returned to service as cold: they may have
     /// restarted, and report that only with their next heartbeats.
     pub fn on_hall_restored(&mut self, hall: &str, config: &Config, now: Instant) {
-        for known in self.known.values_mut().filter(|known| known.record.hall == hall) {
-            let service = config.services.get(&known.record.service);
-            if let Some(cold_start) = service.and_then(|service| service.cold_start) {
-                known.extend_cold(now.after(cold_start.duration));
-                self.revision += 1;
+        let in_hall = self.known.iter().filter(|(_, known)| known.record.hall == hall);
+        let ids: Vec<Arc<str>> = in_hall.map(|(id, _)| id.clone()).collect();
+        for id in ids {
+            let is_cold = self.update(&id, |known| {
+                let service = config.services.get(&known.record.service);
+                let cold_start = service.and_then(|service| service.cold_start);
+                cold_start.map(|cold_start| known.extend_cold(now.after(cold_start.duration)))
+            });
+            if is_cold.flatten().is_some() {
+                self.mark_changed(&id);
             }
         }
     }
 
     /// Marks a run as cold until the given time.
     pub(crate) fn mark_cold(&mut self, id: &str, started_at: u64, until: Instant) {
-        let known = self.known.get_mut(id).filter(|known| known.record.born == started_at);
-        if known.is_some_and(|known| known.extend_cold(until)) {
-            self.revision += 1;
+        if self.started_at(id) != Some(started_at) {
+            return;
+        }
+        if self.update(id, |known| known.extend_cold(until)) == Some(true) {
+            self.mark_changed(&id.into());
         }
     }
 
-    /// Names of endpoints that must not receive new requests: those that are leaving, and those
-    /// that are silent while another endpoint of their service is heard. If all are silent, lost
-    /// heartbeats are more likely than a failure of all.
+    /// Names of endpoints that must not receive new requests.
     pub fn unavailable(&self) -> impl Iterator<Item = &Arc<str>> {
-        let heard: BTreeSet<&str> = self
-            .known
-            .values()
-            .filter(|known| !known.record.leaving && !known.record.silent)
-            .map(|known| known.record.service.as_str())
-            .collect();
-        let is_unavailable = move |record: &EndpointRecord| {
-            record.leaving || record.silent && heard.contains(record.service.as_str())
-        };
-        self.known.iter().filter(move |(_, known)| is_unavailable(&known.record)).map(|(id, _)| id)
+        self.known.iter().filter(|(_, known)| !self.is_available(known)).map(|(id, _)| id)
+    }
+
+    /// Whether an endpoint may receive new requests: it is not leaving, and it is not silent while
+    /// another endpoint of its service is heard. If all are silent, lost heartbeats are more likely
+    /// than a failure of all.
+    fn is_available(&self, known: &EndpointState) -> bool {
+        let EndpointRecord { leaving, silent, service, .. } = &known.record;
+        let counts_as_lost = *silent && self.known.is_any_heard(service);
+        !leaving && !counts_as_lost
     }
 
     /// All endpoints, given the data halls that are out of service.
     pub fn endpoints(&self, halls_out: &HallsOut) -> Vec<RegisteredEndpoint> {
-        let unavailable: BTreeSet<&Arc<str>> = self.unavailable().collect();
-        let registered = |(id, known): (&Arc<str>, &EndpointState)| {
-            let out = halls_out.contains(&known.record.hall);
-            RegisteredEndpoint {
-                id: id.clone(),
-                service: known.record.service.as_str().into(),
-                address: known.address,
-                hall: known.record.hall.as_str().into(),
-                available: !out && !unavailable.contains(id),
-                hall_out: out,
-                cold_until: known.cold_until,
-                started_at: known.record.born,
-                sequence: known.record.sequence,
-            }
-        };
-        self.known.iter().map(registered).collect()
+        self.known.iter().map(|(id, known)| self.registered(id, known, halls_out)).collect()
+    }
+
+    /// An endpoint, given the data halls that are out of service.
+    pub(crate) fn endpoint(&self, id: &str, halls_out: &HallsOut) -> Option<RegisteredEndpoint> {
+        let (id, known) = self.known.get_entry(id)?;
+        Some(self.registered(id, known, halls_out))
+    }
+
+    fn registered(
+        &self,
+        id: &Arc<str>,
+        known: &EndpointState,
+        halls_out: &HallsOut,
+    ) -> RegisteredEndpoint {
+        let hall_out = halls_out.contains(&known.record.hall);
+        RegisteredEndpoint {
+            id: id.clone(),
+            service: known.record.service.as_str().into(),
+            address: known.address,
+            hall: known.record.hall.as_str().into(),
+            available: !hall_out && self.is_available(known),
+            hall_out,
+            cold_until: known.cold_until,
+            started_at: known.record.born,
+            sequence: known.record.sequence,
+        }
     }
 
     /// Whether the address belongs to another run that was heard too recently to be replaced by
@@ -401,9 +460,25 @@
     }
 
     fn forget(&mut self, id: &Arc<str>) {
-        let started_at = self.known.get(id).map_or(0, |known| known.record.born);
-        self.known.remove(id);
+        let started_at = self.started_at(id).unwrap_or_default();
+        self.remove(id);
         self.departed.insert(id, started_at);
-        self.revision += 1;
     }
 }
+
+/// Specification of an engine; `None` if its service is not configured or runs no model.
+fn engine_spec(known: &EndpointState, config: &Config) -> Option<EndpointSpec> {
+    let service = config.services.get(&known.record.service)?;
+    let engine = service.engine.as_ref()?;
+    Some(EndpointSpec {
+        started_at: known.record.born,
+        hall: known.record.hall.clone(),
+        address: known.address,
+        target: EndpointTarget::Model(known.record.service.clone()),
+        slots: known.record.slots.min(engine.slots),
+        kv_tokens: engine.kv_tokens,
+        checks_fence: false,
+        supports_relocation: engine.supports_relocation,
+        cold_start: service.cold_start,
+    })
+}
--- a/crates/core/src/registry/run_tests.rs
+++ b/crates/core/src/registry/run_tests.rs
@@ -5,7 +5,7 @@
 use googletest::prelude::*;
 use proptest::prelude::*;
 
-use super::{BUCKETS, Registry};
+use super::{Registry, digest::BUCKETS};
 use crate::{state::HallsOut, testing::fixed_seed, units::Instant, wire::EndpointRecord};
 
 const HEARTBEAT: Duration = Duration::from_millis(1_200);
--- a/crates/core/src/registry/silence.rs
+++ b/crates/core/src/registry/silence.rs
@@ -48,11 +48,13 @@
             .filter(move |known| !known.record.silent && limit <= now.since(known.heard))
     }
 
-    fn mark_silent(&mut self, id: &str, now: Instant) -> Option<EndpointRecord> {
-        let known = self.known.get_mut(id)?;
-        known.record.silent = true;
-        known.update_timers(now);
-        self.revision += 1;
-        Some(known.record.clone())
+    fn mark_silent(&mut self, id: &Arc<str>, now: Instant) -> Option<EndpointRecord> {
+        let record = self.update(id, |known| {
+            known.record.silent = true;
+            known.update_timers(now);
+            known.record.clone()
+        });
+        self.mark_changed(id);
+        record
     }
 }
--- a/crates/server/src/runtime/mod.rs
+++ b/crates/server/src/runtime/mod.rs
@@ -31,7 +31,7 @@
     node::{ActiveConfig, CallId, Clocks, Input, Node, NodeOptions, NodeReply, Output, VmName},
     placement::Request,
     quarantine::{CrashCounts, DigestKey, RequestDigest, RequestIdentity},
-    registry::RegisteredEndpoint,
+    registry::{EndpointChanges, RegisteredEndpoint},
     state::HallsOut,
     throttle::RateLimit,
     units::{self, UnixMillis},
@@ -254,7 +254,7 @@
                 "the leader, as this daemon knows it"
             ),
             Output::Dial(vms) => links::dial(self, &vms),
-            Output::Registered(endpoints) => self.registered(endpoints),
+            Output::Registered(changes) => self.registered(changes),
             Output::Move { call, from, to } => self.order_move(call, from, to),
         }
     }
@@ -277,8 +277,8 @@
         self.0.metrics.halls_out(halls.names.len());
     }
 
-    fn registered(&self, endpoints: Vec<RegisteredEndpoint>) {
-        for endpoint in &endpoints {
+    fn registered(&self, changes: EndpointChanges) {
+        for endpoint in &changes.changed {
             let known = self.0.view.endpoint(&endpoint.id);
             let known =
                 known.map(|known| RegisteredEndpoint { sequence: endpoint.sequence, ..known });
@@ -291,7 +291,7 @@
                 );
             }
         }
-        self.0.view.set_endpoints(endpoints);
+        self.0.view.update_endpoints(changes);
     }
 
     fn fresh(&self, fresh: bool, confirmed: Option<units::Instant>) {
--- a/crates/server/src/runtime/view.rs
+++ b/crates/server/src/runtime/view.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     sync::Arc,
     time::Duration,
 };
@@ -10,7 +10,7 @@
 use trayswitch_clock as clock;
 use trayswitch_core::{
     node::{ActiveConfig, CallId, EntryDaemons},
-    registry::RegisteredEndpoint,
+    registry::{EndpointChanges, RegisteredEndpoint},
     units::Instant,
 };
 
@@ -19,7 +19,7 @@
 pub struct View {
     active_config: RefCell<Option<Arc<ActiveConfig>>>,
     endpoints: RefCell<HashMap<Arc<str>, RegisteredEndpoint>>,
-    by_service: RefCell<BTreeMap<Arc<str>, Vec<Arc<str>>>>,
+    by_service: RefCell<BTreeMap<Arc<str>, BTreeSet<Arc<str>>>>,
     confirmed: Cell<Option<Instant>>,
     fresh: Cell<bool>,
     /// When the daemon will have ended, once a planned stop has begun.
@@ -54,16 +54,16 @@
     pub fn open_endpoints(&self, service: &str) -> Vec<RegisteredEndpoint> {
         let endpoints = self.endpoints.borrow();
         let by_service = self.by_service.borrow();
-        let ids = by_service.get(service).map_or(&[][..], Vec::as_slice);
-        ids.iter().filter_map(|id| endpoints.get(id)).filter(|e| e.available).cloned().collect()
+        let ids = by_service.get(service).into_iter().flatten();
+        ids.filter_map(|id| endpoints.get(id)).filter(|e| e.available).cloned().collect()
     }
 
     /// Whether all endpoints of a service are in data halls that are out of service.
     pub fn is_out_of_service(&self, service: &str) -> bool {
         let endpoints = self.endpoints.borrow();
         let by_service = self.by_service.borrow();
-        let ids = by_service.get(service).map_or(&[][..], Vec::as_slice);
-        let mut known = ids.iter().filter_map(|id| endpoints.get(id)).peekable();
+        let ids = by_service.get(service).into_iter().flatten();
+        let mut known = ids.filter_map(|id| endpoints.get(id)).peekable();
         known.peek().is_some() && known.all(|endpoint| endpoint.hall_out)
     }
 
@@ -129,13 +129,37 @@
         self.fresh.replace(fresh)
     }
 
-    pub(super) fn set_endpoints(&self, registered: Vec<RegisteredEndpoint>) {
-        let mut by_service: BTreeMap<Arc<str>, Vec<Arc<str>>> = BTreeMap::new();
-        for endpoint in &registered {
-            by_service.entry(endpoint.service.clone()).or_default().push(endpoint.id.clone());
+    pub(super) fn update_endpoints(&self, changes: EndpointChanges) {
+        let EndpointChanges { changed, removed } = changes;
+        let mut endpoints = self.endpoints.borrow_mut();
+        let mut by_service = self.by_service.borrow_mut();
+        for id in removed {
+            if let Some(endpoint) = endpoints.remove(&id) {
+                remove_from_service(&mut by_service, &endpoint);
+            }
+        }
+        for endpoint in changed {
+            let known = endpoints.get(&endpoint.id);
+            if known.is_none_or(|known| known.service != endpoint.service) {
+                if let Some(known) = known {
+                    remove_from_service(&mut by_service, known);
+                }
+                let ids = by_service.entry(endpoint.service.clone()).or_default();
+                ids.insert(endpoint.id.clone());
+            }
+            endpoints.insert(endpoint.id.clone(), endpoint);
+        }
+    }
+}
+
+fn remove_from_service(
+    by_service: &mut BTreeMap<Arc<str>, BTreeSet<Arc<str>>>,
+    endpoint: &RegisteredEndpoint,
+) {
+    if let Some(ids) = by_service.get_mut(&endpoint.service) {
+        ids.remove(&endpoint.id);
+        if ids.is_empty() {
+            by_service.remove(&endpoint.service);
         }
-        let endpoints = registered.into_iter().map(|endpoint| (endpoint.id.clone(), endpoint));
-        *self.endpoints.borrow_mut() = endpoints.collect();
-        *self.by_service.borrow_mut() = by_service;
     }
 }
