control: count daemons and assign load polls without scanning the fleet for each message

What grew faster than the fleet: the leader counted all daemons twice for each poll, with a set of their names (D polls of D steps every 250 ms), cloned that set at each tick, and hashed every pair of daemon and endpoint whenever either changed (D x E; 9 million hashes for 985 daemons and 9,242 engines), for load polls that the platform's daemons do not even make.

Daemons are counted at most each 100 ms or when one changes its state. Endpoints are hashed into 1,024 partitions that are assigned to daemons (D x 1,024 when daemons change, E when endpoints do), at most each 100 ms, and only where daemons poll loads (NodeOptions::polls_loads; trayswitchd does).

--- a/crates/core/src/node/control/answers.rs
+++ b/crates/core/src/node/control/answers.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 
-use super::{ControlReplica, DaemonState, PendingProposal, ReplyTo};
+use super::{ControlReplica, PendingProposal, ReplyTo, daemons::DaemonState};
 use crate::{
     agreement::ConfirmedRead,
     config::ContentHash,
@@ -31,7 +31,7 @@
             suspects: SuspectCacheState { revision: poll.suspects, initializing: poll.filling },
             stopping_since: poll.stopping.then(|| before.unwrap_or(clocks.now)),
         };
-        self.daemons.insert(from.clone(), daemon);
+        self.daemons.on_poll(from, daemon, clocks.now);
         self.last_read_token += 1;
         self.pending_polls.insert(self.last_read_token, (from.clone(), poll));
         self.replica.read(self.last_read_token, clocks.now);
@@ -41,7 +41,8 @@
     /// Answers a poll that a quorum has confirmed.
     pub(super) fn answer_poll(&mut self, read: ConfirmedRead, now: Instant, out: &mut Outbox) {
         let Some((vm, poll)) = self.pending_polls.remove(&read.token) else { return };
-        let entries = self.count_entry_daemons(now);
+        let entries = self.daemons.entries(now);
+        let daemons = self.daemons.live(now).len() as u64;
         let slow = self.dispatcher.as_mut().map(|dispatcher| dispatcher.next_slow_endpoints(now));
         let limits = self.dispatcher.as_mut().map(|dispatcher| dispatcher.next_rate_limits(now));
         let reply = PollReply {
@@ -49,7 +50,7 @@
             version: self.state.version(),
             hash: Bytes::copy_from_slice(&self.state.hash().0),
             term: self.replica.term(),
-            daemons: self.live_daemons(now).len() as u64,
+            daemons,
             taking: entries.accepting,
             stopping: entries.stopping,
             slow: slow.unwrap_or_default(),
--- a/crates/core/src/node/control/mod.rs
+++ b/crates/core/src/node/control/mod.rs
@@ -1,41 +1,34 @@
 //! A control replica: runs consensus, applies the replicated state and, on the leader, serves daemons.
 
 mod answers;
+mod daemons;
 mod ready;
 mod status;
 mod suspects;
 
 use std::{
-    collections::{BTreeMap, BTreeSet, VecDeque},
+    collections::{BTreeMap, VecDeque},
     time::Duration,
 };
 
 use super::{
     ByVm, Clocks, NodeOptions, Outbox, VmName,
     config_changes::ConfigChanges,
-    control_client::EntryDaemons,
-    dispatcher::Dispatcher,
+    dispatcher::{Dispatcher, DispatcherOptions},
     engines::{EngineChange, Engines},
     members::{self, Peer},
 };
 use crate::{
     agreement::{Outgoing, Payload, Persist, Replica, ReplicaId, Restored, Role, Synced},
-    mechanism::Disabled,
     placement::Scheduler,
-    quarantine::SuspectCacheState,
     state::{HallsOut, State},
     units::Instant,
     wire::{Body, Fetch, Poll, ReplicaInfo, Submit},
 };
 
 pub use self::status::{ControlStatus, DaemonStatus, ReplicaStatus};
-use self::suspects::SuspectCoordinator;
+use self::{daemons::DaemonTable, suspects::SuspectCoordinator};
 
-/// A daemon that has not polled for this long counts as dead.
-const DAEMON_TIMEOUT: Duration = Duration::from_secs(3);
-/// A stopping daemon still receives callers for this long: load balancers probe once a second and
-/// drop a target after two failed probes.
-const DRAIN_PERIOD: Duration = Duration::from_millis(2_500);
 const HOUSEKEEPING_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Where the result of an operation is sent.
@@ -54,24 +47,6 @@
     submit: Option<Submit>,
 }
 
-/// What the leader knows of a daemon from its last poll.
-#[derive(Debug, Clone, Copy)]
-struct DaemonState {
-    version: u64,
-    last_poll: Instant,
-    takes_callers: bool,
-    /// How current its copy of the suspects is.
-    suspects: SuspectCacheState,
-    /// When it first reported its planned stop.
-    stopping_since: Option<Instant>,
-}
-
-impl DaemonState {
-    fn is_live(&self, now: Instant) -> bool {
-        now.since(self.last_poll) < DAEMON_TIMEOUT
-    }
-}
-
 /// A write to the log and the messages that may be sent once it is synced.
 #[derive(Debug, Default)]
 struct WriteBatch {
@@ -97,13 +72,13 @@
     submissions: VecDeque<(ReplyTo, Submit)>,
     pending_polls: BTreeMap<u64, (VmName, Poll)>,
     last_read_token: u64,
-    daemons: ByVm<DaemonState>,
+    daemons: DaemonTable,
     config_changes: ConfigChanges,
     /// Fetches of versions that this replica has not applied yet; the latest of each daemon.
     waiting_fetches: ByVm<Fetch>,
     dispatcher: Option<Dispatcher>,
     suspect_coordinator: SuspectCoordinator,
-    disabled: Disabled,
+    dispatcher_options: DispatcherOptions,
     /// Whether the dispatcher was created without the engines.
     needs_engines: bool,
     election_timeout: Duration,
@@ -134,12 +109,15 @@
             submissions: VecDeque::new(),
             pending_polls: BTreeMap::new(),
             last_read_token: 0,
-            daemons: ByVm::new(),
+            daemons: DaemonTable::default(),
             config_changes: ConfigChanges::default(),
             waiting_fetches: ByVm::new(),
             dispatcher: None,
             suspect_coordinator: SuspectCoordinator::new(now),
-            disabled: options.disabled,
+            dispatcher_options: DispatcherOptions {
+                polls_loads: options.polls_loads,
+                disabled: options.disabled,
+            },
             needs_engines: false,
             election_timeout: timing.election,
             log_bytes: 0,
@@ -187,9 +165,8 @@
     pub(crate) fn tick(&mut self, clocks: Clocks, out: &mut Outbox) {
         self.replica.tick(clocks.now);
         self.process_ready(clocks, out);
-        let live = self.live_daemons(clocks.now);
         if let Some(dispatcher) = &mut self.dispatcher {
-            dispatcher.tick(&live, clocks.now, out);
+            dispatcher.tick(self.daemons.live(clocks.now), clocks.now, out);
         }
         self.tick_suspects(clocks.now, out);
         if self.next_housekeeping <= clocks.now {
@@ -246,9 +223,9 @@
                 }
             }
             Body::Health(health) => {
-                let live = self.live_daemons(clocks.now);
                 if let Some(dispatcher) = &mut self.dispatcher {
-                    dispatcher.on_health(from, health, &live, clocks.now, out);
+                    let live = self.daemons.live(clocks.now);
+                    dispatcher.on_health(from, health, live, clocks.now, out);
                 }
             }
             Body::TrialAsk(ask) => self.on_trial_ask(from, &ask, clocks.now, out),
@@ -273,9 +250,9 @@
                 }
             }
             Body::Report(report) => {
-                let live = self.live_daemons(clocks.now);
                 if let Some(dispatcher) = &mut self.dispatcher {
-                    dispatcher.on_load_report(from, report, &live, clocks.now, out);
+                    let live = self.daemons.live(clocks.now);
+                    dispatcher.on_load_report(from, report, live, clocks.now, out);
                 }
             }
             _ => {}
@@ -353,21 +330,9 @@
         peer.or_else(|| self.replica.membership().member(id).map(|m| m.vm.as_str().into()))
     }
 
-    /// Counts the live daemons that load balancers send callers to.
-    fn count_entry_daemons(&self, now: Instant) -> EntryDaemons {
-        let mut entries = EntryDaemons::default();
-        let receives_callers = |daemon: &&DaemonState| daemon.takes_callers && daemon.is_live(now);
-        for daemon in self.daemons.values().filter(receives_callers) {
-            match daemon.stopping_since {
-                None => entries.accepting += 1,
-                Some(since) if now.since(since) < DRAIN_PERIOD => entries.stopping += 1,
-                Some(_) => {}
-            }
-        }
-        entries
-    }
-
-    fn live_daemons(&self, now: Instant) -> BTreeSet<VmName> {
-        self.daemons.iter().filter(|(_, d)| d.is_live(now)).map(|(vm, _)| vm.clone()).collect()
+    /// How often all daemons were counted.
+    #[cfg(test)]
+    pub(crate) fn daemon_counts(&self) -> u64 {
+        self.daemons.counts
     }
 }
--- a/crates/core/src/node/control/ready.rs
+++ b/crates/core/src/node/control/ready.rs
@@ -155,7 +155,7 @@
         self.config_changes.push(change, bytes);
         if self.leads() {
             let update = Update { change: id, delta: self.config_changes.latest_if_small() };
-            for vm in self.daemons.keys() {
+            for (vm, _) in self.daemons.iter() {
                 out.send(vm, Body::Update(update.clone()));
             }
             out.push(Output::SentChange(SentChange::pushed(&update, self.daemons.len())));
@@ -169,7 +169,7 @@
         if !self.leads() {
             return;
         }
-        for vm in self.daemons.keys() {
+        for (vm, _) in self.daemons.iter() {
             out.send(vm, Body::HallsOut(self.state.halls_out().clone()));
         }
     }
@@ -182,7 +182,7 @@
             return;
         }
         if leads {
-            self.dispatcher = Some(Dispatcher::new(self.disabled, now));
+            self.dispatcher = Some(Dispatcher::new(self.dispatcher_options, now));
             self.suspect_coordinator = SuspectCoordinator::new(now);
             self.needs_engines = true;
             return;
--- a/crates/core/src/node/control/status.rs
+++ b/crates/core/src/node/control/status.rs
@@ -1,6 +1,6 @@
 //! Status of the control replicas for operators.
 
-use super::{ControlReplica, DaemonState};
+use super::{ControlReplica, daemons::DaemonState};
 use crate::{agreement::ReplicaId, node::VmName, units::Instant};
 
 /// State of one control replica, as the leader sees it.
--- a/crates/core/src/node/control/suspects.rs
+++ b/crates/core/src/node/control/suspects.rs
@@ -75,7 +75,7 @@
             return;
         }
         self.suspect_coordinator.last_broadcast = now;
-        for (vm, daemon) in &mut self.daemons {
+        for (vm, daemon) in self.daemons.iter_mut() {
             let news = self.state.suspects().changes_since(daemon.suspects);
             if news.reset || daemon.suspects.revision < news.up_to {
                 // If the message is lost, the next poll reply repeats the change.
--- a/crates/core/src/node/dispatcher.rs
+++ b/crates/core/src/node/dispatcher.rs
@@ -15,6 +15,7 @@
     engines::{EngineChange, Engines},
     load_report,
     permit_allocator::PermitAllocator,
+    watches::Watches,
 };
 use crate::{
     error::RequestError,
@@ -24,7 +25,7 @@
     units::Instant,
     wire::{
         Admit, Body, GiveUp, Grant, Health, HealthNews, LastResort, LimitNews, LimitWord, Move,
-        Moved, Overloaded, PermitQuery, Progress, Rejected, Report, SlowEndpoint, Watch,
+        Moved, Overloaded, PermitQuery, Progress, Rejected, Report, SlowEndpoint,
     },
 };
 
@@ -36,6 +37,15 @@
 /// Interval between scans of all endpoints for slow ones.
 const SLOW_SCAN_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Settings of a dispatcher.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct DispatcherOptions {
+    /// Whether daemons poll the load of endpoints.
+    pub(crate) polls_loads: bool,
+    /// Mechanisms that are disabled.
+    pub(crate) disabled: Disabled,
+}
+
 /// Schedules the requests of all daemons.
 pub(crate) struct Dispatcher {
     scheduler: Scheduler,
@@ -46,10 +56,8 @@
     daemon_names: BTreeMap<u64, VmName>,
     /// Endpoints that are leaving, and since when that is known.
     leaving: BTreeMap<Arc<str>, Instant>,
-    /// Endpoints whose load each daemon polls.
-    watches: ByVm<Vec<String>>,
-    /// Whether the endpoints have changed since the watches were assigned.
-    watches_outdated: bool,
+    /// Endpoints whose load each daemon polls; `None` if daemons poll none.
+    watches: Option<Watches>,
     slow: SlowEndpoints,
     permits: PermitAllocator,
     /// Endpoints that reject requests, to be broadcast to the daemons.
@@ -66,15 +74,14 @@
 }
 
 impl Dispatcher {
-    pub(crate) fn new(disabled: Disabled, now: Instant) -> Dispatcher {
+    pub(crate) fn new(options: DispatcherOptions, now: Instant) -> Dispatcher {
         Dispatcher {
-            scheduler: Scheduler::with_forecast(disabled),
+            scheduler: Scheduler::with_forecast(options.disabled),
             ready_at: now.after(RECOVERY_TIME),
             daemon_numbers: ByVm::new(),
             daemon_names: BTreeMap::new(),
             leaving: BTreeMap::new(),
-            watches: ByVm::new(),
-            watches_outdated: true,
+            watches: options.polls_loads.then(Watches::default),
             slow: SlowEndpoints::default(),
             permits: PermitAllocator::default(),
             overloaded: Broadcast::default(),
@@ -93,7 +100,7 @@
         for (name, until) in &engines.cold {
             self.scheduler.endpoint_cold(name, *until, now);
         }
-        self.watches_outdated = true;
+        self.on_endpoints_changed();
         for endpoint in endpoints.keys() {
             self.scheduler.endpoint_leaving(endpoint, engines.draining.contains(endpoint.as_str()));
         }
@@ -115,7 +122,15 @@
                 self.scheduler.endpoint_leaving(&change.name, true);
             }
         }
-        self.watches_outdated |= !changes.is_empty();
+        if !changes.is_empty() {
+            self.on_endpoints_changed();
+        }
+    }
+
+    fn on_endpoints_changed(&mut self) {
+        if let Some(watches) = &mut self.watches {
+            watches.on_endpoints_changed();
+        }
     }
 
     pub(crate) fn next_tick(&self) -> Option<Instant> {
@@ -184,7 +199,9 @@
     pub(crate) fn remove_daemon(&mut self, vm: &VmName, now: Instant, out: &mut Outbox) {
         let Some(entry) = self.daemon_numbers.remove(vm) else { return };
         self.daemon_names.remove(&entry);
-        self.watches.remove(vm);
+        if let Some(watches) = &mut self.watches {
+            watches.remove_daemon(vm);
+        }
         self.permits.remove_daemon(vm);
         self.scheduler.forget_entry(entry, now);
         self.decide(now, out);
@@ -242,7 +259,9 @@
 
     pub(crate) fn tick(&mut self, daemons: &BTreeSet<VmName>, now: Instant, out: &mut Outbox) {
         self.decide(now, out);
-        self.assign_watches(daemons, out);
+        if let Some(watches) = &mut self.watches {
+            watches.assign(&self.scheduler, daemons, now, out);
+        }
         self.permits.tick(daemons, &mut self.scheduler.throttle, now, out);
         self.broadcast_overloaded(daemons, now, out);
         self.scheduler.backoffs.expire(now);
@@ -346,29 +365,6 @@
         }
     }
 
-    /// Assigns each endpoint to the daemon that polls its load. Rendezvous hashing reassigns few
-    /// endpoints when daemons come and go.
-    fn assign_watches(&mut self, daemons: &BTreeSet<VmName>, out: &mut Outbox) {
-        if !self.watches_outdated && self.watches.keys().eq(daemons) {
-            return;
-        }
-        self.watches_outdated = false;
-        let mut assigned: ByVm<Vec<String>> =
-            daemons.iter().map(|vm| (vm.clone(), Vec::new())).collect();
-        for endpoint in self.scheduler.endpoints().into_keys() {
-            let watcher = daemons.iter().max_by_key(|vm| rendezvous(vm, endpoint));
-            if let Some(list) = watcher.and_then(|vm| assigned.get_mut(vm)) {
-                list.push(endpoint.to_owned());
-            }
-        }
-        for (vm, endpoints) in &assigned {
-            if self.watches.get(vm) != Some(endpoints) {
-                out.send(vm, Body::Watch(Watch { endpoints: endpoints.clone() }));
-            }
-        }
-        self.watches = assigned;
-    }
-
     fn daemon_number(&mut self, vm: &VmName) -> u64 {
         if let Some(number) = self.daemon_numbers.get(vm) {
             return *number;
@@ -380,15 +376,6 @@
     }
 }
 
-fn rendezvous(vm: &str, endpoint: &str) -> u32 {
-    let mut hasher = crc32fast::Hasher::new();
-    hasher.update(vm.as_bytes());
-    hasher.update(&[0]);
-    hasher.update(endpoint.as_bytes());
-    // CRCs of similar names are correlated; mix the bits.
-    hasher.finalize().wrapping_mul(0x9e37_79b1).rotate_left(15).wrapping_mul(0x85eb_ca77)
-}
-
 fn forward_health(from: &VmName, health: &Health, daemons: &BTreeSet<VmName>, out: &mut Outbox) {
     for vm in daemons.iter().filter(|vm| *vm != from) {
         out.send(vm, Body::Health(health.clone()));
--- a/crates/core/src/node/endpoint_sync_tests.rs
+++ b/crates/core/src/node/endpoint_sync_tests.rs
@@ -27,6 +27,7 @@
         founders: Vec::new(),
         max_voters: 3,
         takes_callers: vm == ENTRY,
+        polls_loads: true,
         endpoint_heartbeat: Duration::from_secs(1),
         timing: NodeTiming::default(),
         seed: 1,
--- a/crates/core/src/node/endpoint_tests.rs
+++ b/crates/core/src/node/endpoint_tests.rs
@@ -14,7 +14,7 @@
     wire::{Body, EndpointNews, EndpointRecord, Piece, Poll, PollReply},
 };
 
-fn clocks(ms: u64) -> Clocks {
+pub(super) fn clocks(ms: u64) -> Clocks {
     Clocks { now: Instant(ms * 1_000), wall: UnixMillis(ms) }
 }
 
@@ -26,6 +26,7 @@
         founders: Vec::new(),
         max_voters: 3,
         takes_callers: true,
+        polls_loads: true,
         endpoint_heartbeat: Duration::from_secs(1),
         timing: NodeTiming::default(),
         seed: 1,
@@ -136,6 +137,7 @@
         founders: vec!["10.0.0.1".into()],
         max_voters: 1,
         takes_callers: false,
+        polls_loads: true,
         endpoint_heartbeat: Duration::from_secs(1),
         timing: NodeTiming::default(),
         seed: 1,
@@ -244,7 +246,7 @@
 }
 
 /// The only control VM of a group, which leads it.
-fn leader() -> Node {
+pub(super) fn leader() -> Node {
     let mut node = control_vm(0);
     let mut inputs = vec![Input::Tick];
     let mut at = 1;
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -41,6 +41,8 @@
 mod endpoints;
 mod engines;
 mod failed_attempt;
+#[cfg(test)]
+mod growth_tests;
 mod inputs;
 mod members;
 #[cfg(test)]
@@ -60,6 +62,7 @@
 mod suspect_tracker_tests;
 #[cfg(test)]
 mod tests;
+mod watches;
 
 use std::{
     collections::{BTreeMap, BTreeSet},
--- a/crates/core/src/node/options.rs
+++ b/crates/core/src/node/options.rs
@@ -23,6 +23,8 @@
     pub max_voters: usize,
     /// Whether callers are sent to this daemon.
     pub takes_callers: bool,
+    /// Whether daemons poll the load of endpoints for the scheduler.
+    pub polls_loads: bool,
     /// Interval between heartbeats of endpoints that register themselves.
     pub endpoint_heartbeat: Duration,
     /// Intervals and timeouts.
--- a/crates/core/src/node/tests/fleet/mod.rs
+++ b/crates/core/src/node/tests/fleet/mod.rs
@@ -106,6 +106,7 @@
             founders: if is_control { site.seeds() } else { Vec::new() },
             max_voters: site.replicas.len(),
             takes_callers: !is_control,
+            polls_loads: true,
             endpoint_heartbeat: Duration::from_secs(1),
             timing: TIMING,
             seed: number * 7_919,
--- a/crates/core/src/node/tests/net/mod.rs
+++ b/crates/core/src/node/tests/net/mod.rs
@@ -105,6 +105,7 @@
             founders: if host.bootstraps { self.seeds.clone() } else { Vec::new() },
             max_voters: self.max_voters,
             takes_callers: true,
+            polls_loads: true,
             endpoint_heartbeat: Duration::from_secs(1),
             timing: NodeTiming::default(),
             seed,
--- a/crates/lab/src/control_plane/sim.rs
+++ b/crates/lab/src/control_plane/sim.rs
@@ -178,6 +178,7 @@
             seeds,
             max_voters: VOTERS,
             takes_callers: !is_control,
+            polls_loads: false,
             endpoint_heartbeat: self.options.heartbeat,
             timing: TIMING,
             seed: self.options.seed.wrapping_add(n as u64 * 7_919),
--- a/crates/lab/src/suspects/cost.rs
+++ b/crates/lab/src/suspects/cost.rs
@@ -59,6 +59,7 @@
         founders: Vec::new(),
         max_voters: 1,
         takes_callers: true,
+        polls_loads: false,
         endpoint_heartbeat: std::time::Duration::from_secs(1),
         timing: NodeTiming::default(),
         seed: 1,
--- a/crates/server/src/relay/tests/test_daemon.rs
+++ b/crates/server/src/relay/tests/test_daemon.rs
@@ -387,6 +387,7 @@
             founders: vec![control.into()],
             max_voters: 1,
             takes_callers: true,
+            polls_loads: false,
             endpoint_heartbeat: LIMIT,
             timing: NodeTiming {
                 agreement: Timing {
--- a/crates/trayswitchd/src/node/mod.rs
+++ b/crates/trayswitchd/src/node/mod.rs
@@ -145,6 +145,7 @@
         founders: replicas.clone(),
         max_voters: replicas.len(),
         takes_callers: true,
+        polls_loads: true,
         seeds: replicas,
         endpoint_heartbeat: ENDPOINT_HEARTBEAT,
         timing: settings.timing.node(),
