relay: a confirmation ends the wait for a current configuration even if no request saw it

What callers saw: after a VM had been suspended, a request was refused at once with 503 (not_ready) although its time would have let it wait for the configuration to be confirmed again. leader_serves_again_after_confirming_config failed in 6 to 10 of 100 runs once the tables of the endpoints had become small enough for the request to arrive first.

Cause: since when the configuration is not current was kept from the daemon's start until a request saw it current. Without such a request the period counted the whole life of the daemon, and its recovery deadline had passed when the first request came.

Now a period belongs to one last confirmation; another confirmation starts a new one.

--- a/crates/server/src/relay/admission.rs
+++ b/crates/server/src/relay/admission.rs
@@ -123,27 +123,18 @@
     async fn current_config(&self, until: Instant) -> Option<Arc<ActiveConfig>> {
         loop {
             let current = self.node.view().active_config().filter(|_| self.is_config_current());
-            let Some(recovery_deadline) = self.track_staleness(current.is_some()) else {
+            let now = Instant::now();
+            let confirmed = self.node.view().confirmed();
+            let Some(since) = self.staleness.since(current.is_some(), confirmed, now) else {
                 return current;
             };
-            if until.min(recovery_deadline) <= Instant::now() {
+            if until.min(since + self.options.config_recovery_timeout) <= now {
                 return None;
             }
             tokio::time::sleep(POLL_INTERVAL).await;
         }
     }
 
-    /// Tracks since when the configuration is not current; returns when recovery is due.
-    fn track_staleness(&self, current: bool) -> Option<Instant> {
-        if current {
-            self.unconfirmed_since.set(None);
-            return None;
-        }
-        let since = self.unconfirmed_since.get().unwrap_or_else(Instant::now);
-        self.unconfirmed_since.set(Some(since));
-        Some(since + self.options.config_recovery_timeout)
-    }
-
     /// Whether the active configuration was confirmed recently enough. Checked before each attempt,
     /// since the VM may have been suspended in between.
     fn is_config_current(&self) -> bool {
--- a/crates/server/src/relay/mod.rs
+++ b/crates/server/src/relay/mod.rs
@@ -20,17 +20,12 @@
 mod relocation;
 mod retry_budget;
 mod signals;
+mod staleness;
 mod stream;
 #[cfg(test)]
 mod tests;
 
-use std::{
-    cell::{Cell, RefCell},
-    collections::HashMap,
-    rc::Rc,
-    sync::Arc,
-    time::Duration,
-};
+use std::{cell::RefCell, collections::HashMap, rc::Rc, sync::Arc, time::Duration};
 
 use http::{Request, Response, response};
 use hyper::body::Incoming;
@@ -49,6 +44,7 @@
     latency::LatencyEstimate,
     load_balancer::{ColdStartPolicy, LoadBalancer},
     retry_budget::RetryBudget,
+    staleness::Staleness,
 };
 pub use self::{
     local_placement::Reservation,
@@ -116,8 +112,8 @@
     /// Until when, by service, no permit is requested at rate-limited endpoints while others are
     /// free.
     permit_denied_until: RefCell<HashMap<String, Instant>>,
-    /// Since when the active configuration has been missing or unconfirmed.
-    unconfirmed_since: Cell<Option<Instant>>,
+    /// How long the active configuration has been missing or unconfirmed.
+    staleness: Staleness,
     /// One permit for each endpoint that is watched after a failed attempt.
     watch_permits: Arc<Semaphore>,
     /// Spreads the retries of callers refused together, by service.
@@ -143,7 +139,7 @@
             retry_budgets: RefCell::default(),
             latencies: RefCell::default(),
             permit_denied_until: RefCell::default(),
-            unconfirmed_since: Cell::new(Some(Instant::now())),
+            staleness: Staleness::starting_at(Instant::now()),
             watch_permits: Arc::new(Semaphore::new(MAX_WATCHED_ENDPOINTS)),
             retry_spreaders: RefCell::default(),
             metrics,
--- a/crates/server/src/relay/tests/mod.rs
+++ b/crates/server/src/relay/tests/mod.rs
@@ -16,6 +16,7 @@
 mod relocation;
 mod response;
 mod retry_budget;
+mod staleness;
 mod startup;
 mod suspension;
 mod test_daemon;
--- a/crates/server/src/relay/tests/test_daemon.rs
+++ b/crates/server/src/relay/tests/test_daemon.rs
@@ -383,6 +383,7 @@
     RuntimeOptions {
         node: NodeOptions {
             vm: VM.into(),
+            hall: String::new(),
             seeds: vec![control.into()],
             founders: vec![control.into()],
             max_voters: 1,
