--- a/crates/core/src/config/endpoint.rs
+++ b/crates/core/src/config/endpoint.rs
@@ -30,6 +30,8 @@
 /// Settings of an endpoint.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct EndpointSpec {
+    /// Whether it registered itself instead of being listed in the configuration.
+    pub is_registered: bool,
     /// Start time of the current run as the endpoint reported it; 0 if unknown. A different value
     /// means that the endpoint restarted and lost its state.
     pub started_at: u64,
@@ -73,6 +75,7 @@
         }
     };
     Some(EndpointSpec {
+        is_registered: false,
         started_at: 0,
         hall,
         address: address?,
--- a/crates/core/src/mechanism/mod.rs
+++ b/crates/core/src/mechanism/mod.rs
@@ -54,6 +54,7 @@
     FailurePauses = "failure-pauses", "Calls avoid endpoints that did not answer.";
     FailureWeights = "failure-weights", "Calls avoid endpoints that fail often.";
     SharedBackoff = "shared-backoff", "An endpoint that rejects requests is the last resort of all daemons.";
+    EndpointSamples = "endpoint-samples", "Entries of a large fleet know a sample of its endpoints.";
     NearCalls = "near-calls", "Calls prefer endpoints of the same data hall.";
 }
 
--- a/crates/core/src/node/broadcast.rs
+++ b/crates/core/src/node/broadcast.rs
@@ -40,7 +40,7 @@
         let due = self.waiting.drain(..MAX_BATCH_ENDPOINTS.min(self.waiting.len())).collect();
         self.last_broadcast = now;
         if !self.waiting.is_empty() {
-            let interval = news_batch::scaled(news_batch::SEND_INTERVAL_PER_DAEMON, daemons);
+            let interval = news_batch::scaled(news_batch::SEND_INTERVAL_PER_MESSAGE, daemons);
             self.due = Some(now.after(interval.max(BROADCAST_INTERVAL)));
         }
         due
--- a/crates/core/src/node/control/suspects.rs
+++ b/crates/core/src/node/control/suspects.rs
@@ -58,7 +58,7 @@
                 out.push(Output::Suspect(suspect.clone()));
             }
             let pause =
-                news_batch::scaled(news_batch::SEND_INTERVAL_PER_DAEMON, self.daemons.len());
+                news_batch::scaled(news_batch::SEND_INTERVAL_PER_MESSAGE, self.daemons.len());
             let due = now.max(self.suspect_coordinator.last_broadcast.after(pause));
             self.suspect_coordinator.next_broadcast.get_or_insert(due);
             self.tick_suspects(now, out);
--- a/crates/core/src/node/control_client/mod.rs
+++ b/crates/core/src/node/control_client/mod.rs
@@ -72,6 +72,8 @@
     /// change.
     restored_halls: Option<Vec<String>>,
     last_confirmation: Option<ConfirmedVersion>,
+    /// Number of daemons in the last reply.
+    daemons: u64,
     leader: Option<RemoteScheduler>,
     leader_changed: bool,
     /// Leader according to a replica that does not lead.
@@ -105,6 +107,7 @@
             halls_out: HallsOut::default(),
             restored_halls: None,
             last_confirmation: None,
+            daemons: 0,
             leader: None,
             leader_changed: false,
             leader_hint: None,
@@ -167,6 +170,11 @@
         self.leader.as_ref().map(|leader| &leader.vm)
     }
 
+    /// Number of daemons according to the last leader; zero if none has answered yet.
+    pub(crate) fn daemons(&self) -> u64 {
+        self.daemons
+    }
+
     /// The leader's scheduler, unless its replies have timed out.
     pub(crate) fn scheduler(&self, now: Instant) -> Option<&RemoteScheduler> {
         self.leader.as_ref().filter(|_| now < self.scheduler_timeout_at())
@@ -284,6 +292,7 @@
             daemons: reply.daemons.max(1),
             entries: EntryDaemons { accepting: reply.taking, stopping: reply.stopping },
         };
+        self.daemons = leader.daemons;
         self.set_leader(Some(leader));
         let hash = ContentHash::from_slice(&reply.hash).unwrap_or_default();
         let current = VersionHash { version: reply.version, hash };
--- a/crates/core/src/node/dispatcher.rs
+++ b/crates/core/src/node/dispatcher.rs
@@ -24,8 +24,8 @@
     state::HallsOut,
     units::Instant,
     wire::{
-        Admit, Body, GiveUp, Grant, Health, HealthNews, LastResort, LimitNews, LimitWord, Move,
-        Moved, Overloaded, PermitQuery, Progress, Rejected, Report, SlowEndpoint,
+        Admit, Body, EndpointRecord, GiveUp, Grant, Health, HealthNews, LastResort, LimitNews,
+        LimitWord, Move, Moved, Overloaded, PermitQuery, Progress, Rejected, Report, SlowEndpoint,
     },
 };
 
@@ -347,15 +347,17 @@
         }
         for Relocation { ticket, from, to } in self.scheduler.plan_relocations(now) {
             let Some(vm) = self.daemon_names.get(&ticket.entry) else { continue };
+            let record = record_of(&self.scheduler, &to);
             let (from, to) = (from.to_string(), to.to_string());
-            out.send(vm, Body::Move(Move { number: ticket.number, from, to }));
+            out.send(vm, Body::Move(Move { number: ticket.number, from, to, record }));
         }
         for action in self.scheduler.decide(now) {
             match action {
                 Action::Start { ticket, endpoint, priority } => {
                     let Some(vm) = self.daemon_names.get(&ticket.entry) else { continue };
-                    let endpoint = endpoint.to_string();
-                    out.send(vm, Body::Grant(Grant { number: ticket.number, endpoint, priority }));
+                    let record = record_of(&self.scheduler, &endpoint);
+                    let (number, endpoint) = (ticket.number, endpoint.to_string());
+                    out.send(vm, Body::Grant(Grant { number, endpoint, priority, record }));
                 }
                 Action::GiveUp { ticket, error } => {
                     let Some(vm) = self.daemon_names.get(&ticket.entry) else { continue };
@@ -376,6 +378,21 @@
     }
 }
 
+/// What a daemon needs to know of an engine that registered itself; `None` if the configuration lists
+/// it.
+fn record_of(scheduler: &Scheduler, name: &Arc<str>) -> Option<EndpointRecord> {
+    let spec = scheduler.endpoint(name)?.spec();
+    spec.is_registered.then(|| EndpointRecord {
+        id: name.to_string(),
+        service: spec.target.name().to_owned(),
+        address: spec.address.to_string(),
+        hall: spec.hall.clone(),
+        slots: spec.slots,
+        born: spec.started_at,
+        ..EndpointRecord::default()
+    })
+}
+
 fn forward_health(from: &VmName, health: &Health, daemons: &BTreeSet<VmName>, out: &mut Outbox) {
     for vm in daemons.iter().filter(|vm| *vm != from) {
         out.send(vm, Body::Health(health.clone()));
--- a/crates/core/src/node/endpoint_sync_tests.rs
+++ b/crates/core/src/node/endpoint_sync_tests.rs
@@ -23,6 +23,7 @@
 fn options(vm: &str) -> NodeOptions {
     NodeOptions {
         vm: vm.into(),
+        hall: String::new(),
         seeds: (1..=3).map(control).collect(),
         founders: Vec::new(),
         max_voters: 3,
--- a/crates/core/src/node/endpoints.rs
+++ b/crates/core/src/node/endpoints.rs
@@ -1,13 +1,9 @@
-//! Endpoints that register themselves: spreads their records between daemons, configures the
-//! schedulers with them and reports their state.
+//! Endpoints that register themselves: publishes them, configures the schedulers with them, saves
+//! them and reports their state.
 
 use super::{
-    Engines, Node, Output, VmName,
-    news_batch::{
-        HEARTBEAT_DELAY, LEADER_DELAY, LEADER_DELAY_PER_DAEMON, NewsBatch, RELAY_DELAY,
-        RELAY_DELAY_PER_DAEMON, SAVE_INTERVAL, SAVE_INTERVAL_PER_ENDPOINT,
-        SEND_INTERVAL_PER_DAEMON, scaled,
-    },
+    Engines, Node, Output,
+    news_batch::{SAVE_INTERVAL, SAVE_INTERVAL_PER_ENDPOINT, scaled},
 };
 use crate::{
     config::Config,
@@ -15,7 +11,7 @@
     registry::EndpointChanges,
     throttle::RateLimit,
     units::Instant,
-    wire::{Body, EndpointNews, EndpointRecord, EndpointsWanted},
+    wire::EndpointRecord,
 };
 
 /// State of one endpoint as a scheduler sees it.
@@ -44,143 +40,6 @@
 }
 
 impl Node {
-    /// Forwards a heartbeat: changes to all daemons, others to the control VMs only.
-    pub(super) fn on_heartbeat(&mut self, record: EndpointRecord, now: Instant) {
-        if self.conflicts_with_known(&record) {
-            return;
-        }
-        match self.registry.apply(record.clone(), now) {
-            Some(new) => self.broadcast_record(new, now),
-            None => self.heartbeats.add(record, now.after(HEARTBEAT_DELAY)),
-        }
-    }
-
-    /// Whether a record of an unconfigured service has the name or address of a known endpoint and
-    /// would replace it. Other records of unconfigured services are accepted: the next configuration
-    /// may add the service.
-    fn conflicts_with_known(&self, record: &EndpointRecord) -> bool {
-        let active_config = self.client.active_config();
-        let is_unknown =
-            active_config.is_some_and(|f| !f.config.services.contains_key(&record.service));
-        is_unknown && self.registry.is_known_by_name_or_address(record)
-    }
-
-    /// Handles an endpoint's announcement that it will exit.
-    pub(super) fn on_deregistration(&mut self, id: &str, now: Instant) {
-        if let Some(record) = self.registry.mark_leaving(id, 0, now) {
-            self.broadcast_record(record, now);
-        }
-    }
-
-    /// Handles a response in which an endpoint announces that it will exit. It comes from the endpoint
-    /// itself, so it overrides what control VMs report of this run.
-    pub(super) fn on_endpoint_leaving(&mut self, endpoint: &str, started_at: u64, now: Instant) {
-        if self.registry.started_at(endpoint) != Some(started_at) {
-            return;
-        }
-        if let Some(record) = self.registry.mark_leaving(endpoint, started_at, now) {
-            self.broadcast_record(record, now);
-        }
-    }
-
-    /// Broadcasts the endpoints whose heartbeats have stopped.
-    pub(super) fn broadcast_silent_endpoints(&mut self, now: Instant) {
-        for record in self.registry.detect_silent(now) {
-            self.broadcast_record(record, now);
-        }
-    }
-
-    /// Stores records from another daemon and relays changes to daemons that the sender may not
-    /// reach: a control VM to all daemons, an entry to the leader if the leader has not sent them,
-    /// since control VMs may be partitioned from each other.
-    pub(super) fn on_endpoint_news(&mut self, from: &VmName, news: EndpointNews, now: Instant) {
-        let from_leader = self.client.leader() == Some(from);
-        let EndpointNews { records, ages_ms, part } = news;
-        let ages = ages_ms.into_iter().chain(std::iter::repeat(0));
-        for (record, age_ms) in records.into_iter().zip(ages) {
-            if from_leader {
-                self.leader_updates.remove_known(&record);
-            }
-            let received = Instant(now.0.saturating_sub(age_ms.saturating_mul(1_000)));
-            let Some(new) = self.registry.apply_heard_at(record, received, now) else { continue };
-            if self.control.is_some() {
-                let pause = RELAY_DELAY + scaled(RELAY_DELAY_PER_DAEMON, self.links.len());
-                self.relayed_updates.add(new, now.after(pause));
-            } else if !from_leader && part.is_none() {
-                let daemons = self.client.scheduler(now).map_or(0, |s| s.daemons as usize);
-                let pause = LEADER_DELAY + scaled(LEADER_DELAY_PER_DAEMON, daemons);
-                self.leader_updates.add(new, now.after(pause));
-            }
-        }
-        if let Some(part) = part {
-            self.endpoint_sync.on_part(from, part as usize, now, &mut self.outputs);
-        }
-    }
-
-    /// Sends a daemon one part of the registry.
-    pub(super) fn send_endpoint_part(
-        &mut self,
-        to: &VmName,
-        request: EndpointsWanted,
-        now: Instant,
-    ) {
-        let age_ms = |received: Instant| now.since(received).as_millis() as u64;
-        let records = self.registry.bucket(request.part as usize).into_iter();
-        let (records, ages_ms) =
-            records.map(|(record, received)| (record, age_ms(received))).unzip();
-        let news = EndpointNews { records, ages_ms, part: Some(request.part) };
-        self.outputs.send(to, Body::EndpointNews(news));
-    }
-
-    /// Queues for the leader the records that an entry received from other control VMs during
-    /// synchronization, in parts where the leader's digest differs.
-    pub(super) fn queue_updates_for_leader(&mut self, now: Instant) {
-        let Some(leader) = self.client.leader().filter(|_| self.control.is_none()) else { return };
-        let unknown = self.endpoint_sync.take_parts_unknown_to(leader, self.registry.digest());
-        for part in unknown {
-            for (record, _) in self.registry.bucket(part) {
-                self.leader_updates.add(record, now.after(LEADER_DELAY));
-            }
-        }
-    }
-
-    fn broadcast_record(&mut self, record: EndpointRecord, now: Instant) {
-        let pause = scaled(SEND_INTERVAL_PER_DAEMON, self.links.len());
-        self.local_updates.add_rate_limited(record, pause, now);
-    }
-
-    /// Sends the batches that are due.
-    pub(super) fn flush_endpoint_news(&mut self, now: Instant) {
-        for news in [self.local_updates.take_due(now), self.relayed_updates.take_due(now)]
-            .into_iter()
-            .flatten()
-        {
-            for vm in &self.links {
-                self.outputs.send(vm, Body::EndpointNews(news.clone()));
-            }
-        }
-        if let Some(heartbeats) = self.heartbeats.take_due(now) {
-            let control = self.directory.known().iter().filter(|vm| self.links.contains(*vm));
-            for vm in control {
-                self.outputs.send(vm, Body::EndpointNews(heartbeats.clone()));
-            }
-        }
-        let Some(leader) = self.client.leader() else {
-            return self.leader_updates.postpone(now.after(LEADER_DELAY));
-        };
-        if let Some(news) = self.leader_updates.take_due(now) {
-            self.outputs.send(leader, Body::EndpointNews(news));
-        }
-    }
-
-    /// Time at which a batch or a save is next due.
-    pub(super) fn next_endpoint_tick(&self) -> Option<Instant> {
-        let batches =
-            [&self.local_updates, &self.relayed_updates, &self.heartbeats, &self.leader_updates];
-        let due = batches.into_iter().filter_map(NewsBatch::due);
-        due.chain(self.next_save_due()).min()
-    }
-
     /// Publishes the endpoints that have changed and updates the schedulers with them.
     pub(super) fn publish_endpoint_changes(&mut self, now: Instant) {
         let names = self.registry.take_changes();
@@ -243,7 +102,8 @@
         self.control.is_some() && self.saved_revision != self.registry.revision()
     }
 
-    fn next_save_due(&self) -> Option<Instant> {
+    /// When the next save is due.
+    pub(super) fn next_save_due(&self) -> Option<Instant> {
         self.has_unsaved_endpoints().then_some(self.next_save)
     }
 
--- a/crates/core/src/node/inputs.rs
+++ b/crates/core/src/node/inputs.rs
@@ -11,9 +11,8 @@
 use crate::{
     mechanism::Mechanism,
     quarantine::ClearRequest,
-    registry::RegistryDigest,
     throttle::PermitRequest,
-    wire::{Body, EndpointDigest, LimitWord, OperationKind, OperationResult},
+    wire::{Body, LimitWord, OperationKind, OperationResult},
 };
 
 impl Node {
@@ -199,19 +198,25 @@
                     suspects.on_crash_recorded(operation, recorded, &cx, out);
                 }
             }
-            Body::Grant(grant) => self.placement.on_grant(from, grant, clocks.now, out),
+            Body::Grant(mut grant) => {
+                self.on_endpoint_chosen(grant.record.take(), clocks.now);
+                self.placement.on_grant(from, grant, clocks.now, &mut self.outputs);
+            }
             Body::GiveUp(give_up) => self.placement.on_give_up(give_up, out),
             Body::Directory(message) => self.directory.on_directory(from, message, clocks.now, out),
             Body::EndpointNews(news) => self.on_endpoint_news(from, news, clocks.now),
-            Body::EndpointDigest(EndpointDigest { sums }) => {
-                // A release with another number of buckets sends a digest that cannot be compared;
-                // changes still arrive as news.
-                if let Some(digest) = RegistryDigest::from_sums(sums) {
-                    self.endpoint_sync.on_digest(from, digest, clocks.now);
-                }
+            Body::EndpointHeartbeats(heartbeats) => {
+                self.on_endpoint_heartbeats(from, &heartbeats, clocks.now);
+            }
+            Body::EndpointCensus(census) => self.on_endpoint_census(from, census, clocks.now),
+            Body::EndpointInterest(interest) => self.on_endpoint_interest(from, &interest),
+            Body::EndpointDigest(digest) => self.on_endpoint_digest(from, digest, clocks.now),
+            Body::EndpointsWanted(wanted) => self.on_endpoints_wanted(from, wanted, clocks.now),
+            Body::EndpointsUsed(used) => self.on_endpoints_used(from, used, clocks.now),
+            Body::Move(mut order) => {
+                self.on_endpoint_chosen(order.record.take(), clocks.now);
+                self.placement.on_move(&order, &mut self.outputs);
             }
-            Body::EndpointsWanted(wanted) => self.send_endpoint_part(from, wanted, clocks.now),
-            Body::Move(order) => self.placement.on_move(&order, out),
             Body::Watch(watch) => out.push(Output::Watch(watch.endpoints)),
             Body::Health(health) if !leads || *from == self.vm => {
                 let (endpoint, news) = (health.endpoint.as_str().into(), health.news());
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -11,7 +11,8 @@
 //! - `placement_client` places this daemon's requests;
 //! - `permit_client` requests permits for endpoints with rate limits;
 //! - `suspect_tracker` tracks requests that may crash endpoints;
-//! - `directory` lists the control VMs and `endpoints` the endpoints that register.
+//! - `directory` lists the control VMs and `endpoints` the endpoints that register; of a large
+//!   fleet's, an entry knows a sample (`endpoint_sources`) and those that it uses (`endpoint_uses`).
 //!
 //! On control VMs:
 //!
@@ -33,11 +34,15 @@
 mod control_client;
 mod directory;
 mod dispatcher;
+mod endpoint_news;
+mod endpoint_sources;
+mod endpoint_subscribers;
 mod endpoint_sync;
 #[cfg(test)]
 mod endpoint_sync_tests;
 #[cfg(test)]
 mod endpoint_tests;
+mod endpoint_uses;
 mod endpoints;
 mod engines;
 mod failed_attempt;
@@ -64,19 +69,18 @@
 mod tests;
 mod watches;
 
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    sync::Arc,
-    time::Duration,
-};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use self::{
     control::ControlReplica,
     control_client::ControlClient,
     directory::Directory,
+    endpoint_sources::EndpointSources,
+    endpoint_subscribers::EndpointSubscribers,
     endpoint_sync::EndpointSync,
+    endpoint_uses::EndpointUses,
     engines::Engines,
-    news_batch::NewsBatch,
+    news_batch::{HeartbeatBatch, NewsBatch},
     operations::Operations,
     permit_client::PermitClient,
     placement_client::PlacementClient,
@@ -92,7 +96,7 @@
     registry::Registry,
     throttle::RateLimit,
     units::Instant,
-    wire::{Body, EndpointDigest, Report, SuspectNews},
+    wire::{Report, SuspectNews},
 };
 
 pub(crate) use self::messages::Outbox;
@@ -126,21 +130,26 @@
     control: Option<ControlReplica>,
     directory: Directory,
     registry: Registry,
+    /// Data hall of this VM.
+    hall: String,
+    endpoint_sources: EndpointSources,
+    endpoint_subscribers: EndpointSubscribers,
     endpoint_sync: EndpointSync,
-    /// VMs of the daemons with a link to this one.
-    links: BTreeSet<VmName>,
+    endpoint_uses: EndpointUses,
+    /// Revision of the registry and number of daemons for which it was last trimmed.
+    trimmed_for: (u64, u64),
     /// The configuration that the schedulers have.
     scheduler_config: Option<Arc<ActiveConfig>>,
     /// Revision of the registry that was last saved to disk.
     saved_revision: u64,
     /// Earliest time of the next save.
     next_save: Instant,
-    /// Updates received from endpoints, for all linked daemons.
-    local_updates: NewsBatch,
-    /// Updates received from other control VMs, for all linked daemons.
-    relayed_updates: NewsBatch,
+    /// Changes for the control VMs that this daemon exchanges news with.
+    peer_updates: NewsBatch,
+    /// Changes for subscribers.
+    subscriber_updates: NewsBatch,
     /// Heartbeats without changes, for the other control VMs.
-    heartbeats: NewsBatch,
+    heartbeats: HeartbeatBatch,
     /// Updates that an entry received from control VMs other than the leader, for the leader.
     leader_updates: NewsBatch,
     next_expiry_scan: Instant,
@@ -161,14 +170,18 @@
             control: None,
             directory: Directory::new(&options.vm, &options.seeds, false, now),
             registry: Registry::new(options.endpoint_heartbeat),
+            hall: options.hall.clone(),
+            endpoint_sources: EndpointSources::new(options, false),
+            endpoint_subscribers: EndpointSubscribers::default(),
             endpoint_sync: EndpointSync::default(),
-            links: BTreeSet::new(),
+            endpoint_uses: EndpointUses::default(),
+            trimmed_for: (0, 0),
             scheduler_config: None,
             saved_revision: 0,
             next_save: Instant::default(),
-            local_updates: NewsBatch::default(),
-            relayed_updates: NewsBatch::default(),
-            heartbeats: NewsBatch::default(),
+            peer_updates: NewsBatch::default(),
+            subscriber_updates: NewsBatch::default(),
+            heartbeats: HeartbeatBatch::default(),
             leader_updates: NewsBatch::default(),
             next_expiry_scan: Instant::default(),
             disabled: options.disabled,
@@ -184,6 +197,7 @@
     ) -> Node {
         let mut node = Node::entry(options, now);
         node.control = Some(ControlReplica::new(options, id, restored, now));
+        node.endpoint_sources = EndpointSources::new(options, true);
         node.directory = Directory::new(&options.vm, &options.seeds, true, now);
         node.client.use_local_replica();
         node.client.set_replicas(node.directory.known());
@@ -247,7 +261,6 @@
         if let Some(control) = &self.control {
             next = next.min(control.next_tick());
         }
-        next = next.min(self.endpoint_sync.next_tick().unwrap_or(next));
         next.min(self.next_endpoint_tick().unwrap_or(next))
     }
 
@@ -261,12 +274,13 @@
         self.operations.tick(leader, clocks.now, out);
         self.placement.tick(self.client.scheduler(clocks.now), clocks.now, out);
         self.directory.tick(clocks.now, out);
-        self.endpoint_sync.tick(&self.vm, self.registry.digest(), clocks.now, out);
+        self.tick_endpoints(clocks.now);
         if self.next_expiry_scan <= clocks.now {
             self.next_expiry_scan = clocks.now.after(EXPIRY_SCAN_INTERVAL);
             self.registry.expire(clocks.now);
+            self.trim_endpoints(clocks.now);
             if self.leads() {
-                self.broadcast_silent_endpoints(clocks.now);
+                self.spread_silent_endpoints(clocks.now);
             }
         }
         let (suspects, mut cx, out) = self.suspects_context(clocks);
@@ -316,10 +330,8 @@
         self.client.link_up(&vm, clocks.now, out);
         self.directory.link_up(&vm, out);
         if self.control.is_some() {
-            let sums = self.registry.digest().sums().to_vec();
-            self.outputs.send(&vm, Body::EndpointDigest(EndpointDigest { sums }));
+            self.send_census(&vm);
         }
-        self.links.insert(vm);
     }
 
     fn link_down(&mut self, vm: &VmName, clocks: Clocks) {
@@ -328,9 +340,10 @@
         }
         self.client.link_down(vm, clocks.now, &mut self.outputs);
         self.operations.link_down(vm);
-        self.endpoint_sync.link_down(vm, clocks.now);
+        self.endpoint_sources.link_down(vm, clocks.now);
+        self.endpoint_subscribers.remove(vm);
+        self.endpoint_sync.remove(vm, clocks.now);
         self.directory.link_down(vm);
-        self.links.remove(vm);
     }
 
     fn leads(&self) -> bool {
@@ -364,6 +377,7 @@
                 let now = clocks.now;
                 self.operations.leader_changed(leader.as_ref(), now, &mut self.outputs);
                 self.suspects.on_leader_change(leader.as_ref(), &mut self.outputs);
+                self.endpoint_sources.on_leader_change(now);
                 let scheduler = self.client.scheduler(now);
                 let term = scheduler.map_or(0, |scheduler| scheduler.term);
                 self.outputs.push(Output::Leader { vm: leader, term });
--- a/crates/core/src/node/news_batch.rs
+++ b/crates/core/src/node/news_batch.rs
@@ -1,28 +1,23 @@
-//! Batches gossip about endpoints, so that a large fleet receives many changes in one message.
+//! Batches gossip about endpoints, so that many changes share one message.
 
 use std::{collections::BTreeMap, time::Duration};
 
 use crate::{
     units::Instant,
-    wire::{EndpointNews, EndpointRecord},
+    wire::{EndpointHeartbeat, EndpointHeartbeats, EndpointRecord},
 };
 
-/// Minimum interval between messages to all daemons, for each daemon; about the time that sending to
-/// one takes.
-pub(super) const SEND_INTERVAL_PER_DAEMON: Duration = Duration::from_micros(100);
-/// Delay before relaying news of another control VM, which has sent it to its own daemons already.
-pub(super) const RELAY_DELAY: Duration = Duration::from_millis(30);
-/// Added to [`RELAY_DELAY`] for each daemon that receives the news.
-pub(super) const RELAY_DELAY_PER_DAEMON: Duration = Duration::from_micros(400);
+/// Minimum interval between batches, for each message that the last one took; several times what
+/// sending a message takes, so that news leave time for everything else.
+pub(super) const SEND_INTERVAL_PER_MESSAGE: Duration = Duration::from_micros(100);
 /// Delay before forwarding heartbeats without changes. Shorter than the silence after which an
 /// endpoint counts as lost.
-pub(super) const HEARTBEAT_DELAY: Duration = Duration::from_millis(100);
+const HEARTBEAT_DELAY: Duration = Duration::from_millis(100);
 /// Delay before an entry daemon forwards news to the leader, unless the leader sends it first. Needed
 /// while a network partition separates control VMs that the entry daemon reaches.
 pub(super) const LEADER_DELAY: Duration = Duration::from_millis(50);
-/// Added to [`LEADER_DELAY`] for each daemon, since the leader delays news by
-/// [`RELAY_DELAY_PER_DAEMON`].
-pub(super) const LEADER_DELAY_PER_DAEMON: Duration = Duration::from_micros(800);
+/// Added to [`LEADER_DELAY`] for each daemon, since the leader may have to send to all first.
+pub(super) const LEADER_DELAY_PER_DAEMON: Duration = Duration::from_micros(400);
 
 /// Minimum interval between writes of the endpoints to disk. Each write delays log writes by one sync,
 /// and endpoints that left since the last write are detected by their missing heartbeats.
@@ -40,26 +35,18 @@
 pub(super) struct NewsBatch {
     records: BTreeMap<String, EndpointRecord>,
     due: Option<Instant>,
-    last_sent: Instant,
+    /// Nothing is sent before this.
+    not_before: Instant,
 }
 
 impl NewsBatch {
     /// Adds a record that must be sent by `due`.
     pub(super) fn add(&mut self, record: EndpointRecord, due: Instant) {
         self.records.insert(record.id.clone(), record);
+        let due = due.max(self.not_before);
         self.due = Some(self.due.map_or(due, |earlier| earlier.min(due)));
     }
 
-    /// Adds a record to send as soon as `interval` has passed since the last batch.
-    pub(super) fn add_rate_limited(
-        &mut self,
-        record: EndpointRecord,
-        interval: Duration,
-        now: Instant,
-    ) {
-        self.add(record, now.max(self.last_sent.after(interval)));
-    }
-
     /// Removes a record that the receiver has already, unless a newer one is waiting.
     pub(super) fn remove_known(&mut self, record: &EndpointRecord) {
         let newest = self.records.get(&record.id);
@@ -79,15 +66,43 @@
     }
 
     /// Takes the batch if it is due and not empty.
-    pub(super) fn take_due(&mut self, now: Instant) -> Option<EndpointNews> {
+    pub(super) fn take_due(&mut self, now: Instant) -> Option<Vec<EndpointRecord>> {
         self.due.filter(|due| *due <= now)?;
         self.due = None;
         let records: Vec<EndpointRecord> =
             std::mem::take(&mut self.records).into_values().collect();
-        if records.is_empty() {
-            return None;
-        }
-        self.last_sent = now;
-        Some(EndpointNews::new(records))
+        (!records.is_empty()).then_some(records)
+    }
+
+    /// Holds the next batch back for as long as this one took to send.
+    pub(super) fn on_sent(&mut self, messages: usize, now: Instant) {
+        self.not_before = now.after(scaled(SEND_INTERVAL_PER_MESSAGE, messages));
+    }
+}
+
+/// Heartbeats without changes that wait to be sent.
+#[derive(Debug, Default)]
+pub(super) struct HeartbeatBatch {
+    heartbeats: BTreeMap<String, EndpointHeartbeat>,
+    due: Option<Instant>,
+}
+
+impl HeartbeatBatch {
+    pub(super) fn add(&mut self, record: EndpointRecord, now: Instant) {
+        let EndpointRecord { id, sequence, born, .. } = record;
+        let heartbeat = EndpointHeartbeat { id: id.clone(), sequence, started_at: born };
+        self.heartbeats.insert(id, heartbeat);
+        self.due.get_or_insert(now.after(HEARTBEAT_DELAY));
+    }
+
+    pub(super) fn due(&self) -> Option<Instant> {
+        self.due
+    }
+
+    /// Takes the batch if it is due.
+    pub(super) fn take_due(&mut self, now: Instant) -> Option<EndpointHeartbeats> {
+        self.due.take_if(|due| *due <= now)?;
+        let heartbeats = std::mem::take(&mut self.heartbeats).into_values().collect();
+        Some(EndpointHeartbeats { heartbeats })
     }
 }
--- a/crates/core/src/node/options.rs
+++ b/crates/core/src/node/options.rs
@@ -14,6 +14,8 @@
 pub struct NodeOptions {
     /// Name of its VM.
     pub vm: VmName,
+    /// Its data hall; control VMs there are preferred as sources. Empty if unknown.
+    pub hall: String,
     /// Names of control VMs that are contacted first, to discover the others.
     pub seeds: Vec<VmName>,
     /// Names of the control VMs that bootstrap the control group; the first one writes the first log
--- a/crates/core/src/node/placement_client/mod.rs
+++ b/crates/core/src/node/placement_client/mod.rs
@@ -23,6 +23,7 @@
     backoff::BackoffTable,
     error::{ErrorKind, RequestError},
     placement::{Request, Scheduler, SenderRole, Ticket},
+    registry::Registry,
     state::HallsOut,
     throttle::Throttle,
     units::Instant,
@@ -147,6 +148,12 @@
         self.local.set_halls_out(halls);
     }
 
+    /// Endpoints that registered themselves and run requests of this daemon, with the start of the run.
+    pub(crate) fn endpoints_in_use(&self, registry: &Registry) -> Vec<(Arc<str>, u64)> {
+        let running = self.running.values().map(|running| &running.endpoint);
+        running.filter_map(|id| Some((id.clone(), registry.started_at(id)?))).collect()
+    }
+
     /// Starts a relocation, unless the request has left the endpoint that the scheduler assumes.
     pub(crate) fn on_move(&self, order: &Move, out: &mut Outbox) {
         let call = CallId(order.number);
--- a/crates/core/src/node/tests/fleet/mod.rs
+++ b/crates/core/src/node/tests/fleet/mod.rs
@@ -68,6 +68,8 @@
     known_at: BTreeMap<VmName, BTreeMap<usize, u64>>,
     /// When each entry first had a confirmed configuration.
     confirmed: BTreeMap<VmName, u64>,
+    /// Records of endpoints that were sent to entries.
+    pub(super) records_to_entries: usize,
 }
 
 impl Fleet {
@@ -87,6 +89,7 @@
             terms: BTreeSet::new(),
             known_at: BTreeMap::new(),
             confirmed: BTreeMap::new(),
+            records_to_entries: 0,
         };
         for vm in &site.replicas {
             fleet.add(vm, site, true);
@@ -102,6 +105,7 @@
         let number = self.hosts.len() as u64 + 1;
         let options = NodeOptions {
             vm: vm.clone(),
+            hall: String::new(),
             seeds: site.seeds(),
             founders: if is_control { site.seeds() } else { Vec::new() },
             max_voters: site.replicas.len(),
@@ -160,6 +164,16 @@
         }
     }
 
+    /// An endpoint deregisters at a control VM.
+    pub(super) fn deregister_endpoint(&mut self, vm: &VmName, id: &str) {
+        self.arrive(vm, Input::EndpointDeregistered(id.into()), self.now);
+    }
+
+    /// Number of endpoints that a VM knows.
+    pub(super) fn endpoints_at(&self, vm: &VmName) -> usize {
+        self.hosts[vm].node.registry.records().count()
+    }
+
     /// When the last of these VMs knew at least `count` endpoints; `None` unless all do.
     pub(super) fn all_known_at(&self, vms: &[VmName], count: usize) -> Option<Instant> {
         let at = |vm: &VmName| self.known_at.get(vm)?.range(count..).map(|(_, at)| *at).min();
@@ -254,6 +268,11 @@
         if both_control && self.partitioned.contains(from) != self.partitioned.contains(to) {
             return;
         }
+        if let Body::EndpointNews(news) = &body
+            && !self.hosts[to].is_control
+        {
+            self.records_to_entries += news.records.len();
+        }
         let arrives = self.network.send(from, to, message_bytes(&body), at);
         self.arrive(to, Input::Message(from.clone(), body), arrives);
     }
--- a/crates/core/src/node/tests/mod.rs
+++ b/crates/core/src/node/tests/mod.rs
@@ -4,6 +4,7 @@
 mod bootstrap;
 mod crash_retries;
 mod fleet;
+mod growth;
 mod halls;
 mod large_change;
 mod leaving_response;
--- a/crates/core/src/node/tests/net/mod.rs
+++ b/crates/core/src/node/tests/net/mod.rs
@@ -101,6 +101,7 @@
         let host = &self.hosts[vm];
         let options = NodeOptions {
             vm: vm.clone(),
+            hall: String::new(),
             seeds: self.seeds.clone(),
             founders: if host.bootstraps { self.seeds.clone() } else { Vec::new() },
             max_voters: self.max_voters,
--- a/crates/core/src/placement/fixture.rs
+++ b/crates/core/src/placement/fixture.rs
@@ -17,6 +17,7 @@
 pub(super) fn engines(halls: &[&str], kv_tokens: u64) -> Endpoints {
     let spec = |(i, hall): (usize, &&str)| {
         let spec = EndpointSpec {
+            is_registered: false,
             started_at: 0,
             hall: (*hall).to_owned(),
             address: format!("10.0.0.{}:80", i + 1).parse().unwrap(),
--- a/crates/core/src/registry/endpoint_table.rs
+++ b/crates/core/src/registry/endpoint_table.rs
@@ -29,10 +29,21 @@
     pub(super) silent_since: Option<Instant>,
     /// End of its cold start, if known.
     pub(super) cold_until: Option<Instant>,
-    /// Hash of its name.
+    /// Position in the index.
+    at: usize,
+}
+
+/// What scans over all endpoints need, close together in memory.
+#[derive(Debug)]
+pub(super) struct IndexEntry {
+    pub(super) id: Arc<str>,
+    /// Hash of the name.
     pub(super) id_hash: u64,
     /// Hash of the record in the digest.
-    record_hash: u64,
+    pub(super) record_hash: u64,
+    /// Number of the service.
+    pub(super) service: usize,
+    pub(super) leaving: bool,
 }
 
 impl EndpointState {
@@ -49,8 +60,7 @@
             leaving_since: record.leaving.then_some(now),
             silent_since: record.silent.then_some(now),
             cold_until: cold_until(&record, heard),
-            id_hash: digest::hash_of_id(&record.id),
-            record_hash: 0,
+            at: 0,
             record,
         }
     }
@@ -119,6 +129,9 @@
 pub(super) struct EndpointTable {
     by_id: BTreeMap<Arc<str>, EndpointState>,
     by_address: HashMap<SocketAddr, Vec<Arc<str>>>,
+    index: Vec<IndexEntry>,
+    /// Services by number; numbers are never reused.
+    services: Vec<String>,
     /// Endpoints of each service that are heard.
     heard: HashMap<String, usize>,
     digest: RegistryDigest,
@@ -167,14 +180,37 @@
         self.heard.contains_key(service)
     }
 
+    /// Number of endpoints of each service that are heard.
+    pub(super) fn count_heard(&self) -> impl Iterator<Item = (&str, usize)> {
+        self.heard.iter().map(|(service, count)| (service.as_str(), *count))
+    }
+
+    /// The index.
+    pub(super) fn index(&self) -> &[IndexEntry] {
+        &self.index
+    }
+
+    /// Services by number.
+    pub(super) fn services(&self) -> &[String] {
+        &self.services
+    }
+
     pub(super) fn insert(&mut self, id: Arc<str>, mut known: EndpointState) {
         self.remove(&id);
         let ids = self.by_address.entry(known.address).or_insert_with(|| Vec::with_capacity(1));
         ids.push(id.clone());
-        known.record_hash = digest::hash_of(&known.record);
-        self.digest.add(known.id_hash, known.record_hash);
+        let entry = IndexEntry {
+            id: id.clone(),
+            id_hash: digest::hash_of_id(&id),
+            record_hash: digest::hash_of(&known.record),
+            service: self.number_of_service(&known.record.service),
+            leaving: known.record.leaving,
+        };
+        self.digest.add(entry.id_hash, entry.record_hash);
+        known.at = self.index.len();
+        self.index.push(entry);
         if known.is_heard() {
-            self.count_heard(&known.record.service, 1);
+            self.adjust_heard(&known.record.service, 1);
         }
         self.by_id.insert(id, known);
     }
@@ -182,13 +218,26 @@
     pub(super) fn remove(&mut self, id: &str) -> Option<EndpointState> {
         let (id, known) = self.by_id.remove_entry(id)?;
         self.remove_from_address(&id, known.address);
-        self.digest.remove(known.id_hash, known.record_hash);
+        let entry = self.index.swap_remove(known.at);
+        self.digest.remove(entry.id_hash, entry.record_hash);
+        let moved = self.index.get(known.at).map(|moved| moved.id.clone());
+        if let Some(moved) = moved.and_then(|id| self.by_id.get_mut(&id)) {
+            moved.at = known.at;
+        }
         if known.is_heard() {
-            self.count_heard(&known.record.service, -1);
+            self.adjust_heard(&known.record.service, -1);
         }
         Some(known)
     }
 
+    fn number_of_service(&mut self, service: &str) -> usize {
+        let number = self.services.iter().position(|known| known == service);
+        number.unwrap_or_else(|| {
+            self.services.push(service.to_owned());
+            self.services.len() - 1
+        })
+    }
+
     /// Changes an endpoint and updates the indexes.
     pub(super) fn update<T>(
         &mut self,
@@ -196,18 +245,20 @@
         change: impl FnOnce(&mut EndpointState) -> T,
     ) -> Option<T> {
         let known = self.by_id.get_mut(id)?;
-        let (address, was_heard, before) = (known.address, known.is_heard(), known.record_hash);
+        let (address, was_heard) = (known.address, known.is_heard());
         let result = change(known);
-        known.record_hash = digest::hash_of(&known.record);
-        let (id_hash, after) = (known.id_hash, known.record_hash);
-        let (now_at, is_heard) = (known.address, known.is_heard());
-        let service = (was_heard != is_heard).then(|| known.record.service.clone());
-        if before != after {
-            self.digest.remove(id_hash, before);
-            self.digest.add(id_hash, after);
+        let entry = &mut self.index[known.at];
+        let record_hash = digest::hash_of(&known.record);
+        if entry.record_hash != record_hash {
+            self.digest.remove(entry.id_hash, entry.record_hash);
+            self.digest.add(entry.id_hash, record_hash);
+            entry.record_hash = record_hash;
+            entry.leaving = known.record.leaving;
         }
-        if let Some(service) = service {
-            self.count_heard(&service, if is_heard { 1 } else { -1 });
+        let (now_at, is_heard) = (known.address, known.is_heard());
+        if was_heard != is_heard {
+            let service = known.record.service.clone();
+            self.adjust_heard(&service, if is_heard { 1 } else { -1 });
         }
         if address != now_at {
             self.remove_from_address(id, address);
@@ -216,7 +267,7 @@
         Some(result)
     }
 
-    fn count_heard(&mut self, service: &str, change: isize) {
+    fn adjust_heard(&mut self, service: &str, change: isize) {
         let count = self.heard.get(service).copied().unwrap_or_default();
         match count.saturating_add_signed(change) {
             0 => drop(self.heard.remove(service)),
--- a/crates/core/src/registry/mod.rs
+++ b/crates/core/src/registry/mod.rs
@@ -13,24 +13,35 @@
 mod endpoint_table;
 #[cfg(test)]
 mod run_tests;
+mod sample;
+#[cfg(test)]
+mod sample_tests;
 mod silence;
 #[cfg(test)]
 mod tests;
 
-use std::{collections::BTreeSet, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
 
 use crate::{
     config::{Config, EndpointSpec, EndpointTarget, Endpoints},
     state::HallsOut,
     units::Instant,
-    wire::EndpointRecord,
+    wire::{EndpointHeartbeat, EndpointRecord},
 };
 
-pub(crate) use self::digest::RegistryDigest;
 use self::{
     departed_runs::DepartedRuns,
     digest::bucket_of,
-    endpoint_table::{EndpointState, EndpointTable},
+    endpoint_table::{EndpointState, EndpointTable, IndexEntry},
+};
+pub(crate) use self::{
+    digest::{BUCKETS, RegistryDigest, hash_of_id},
+    sample::EndpointSample,
 };
 
 /// How long a leaving endpoint is kept: it may serve for some time after its notice, and its
@@ -174,6 +185,23 @@
         merged
     }
 
+    /// Applies a heartbeat that says nothing new to a daemon that knows the run. Returns the record to
+    /// forward if the endpoint was silent.
+    pub(crate) fn on_heartbeat(
+        &mut self,
+        heartbeat: &EndpointHeartbeat,
+        now: Instant,
+    ) -> Option<EndpointRecord> {
+        let EndpointHeartbeat { id, sequence, started_at } = heartbeat;
+        let known = &self.known.get(id)?.record;
+        if known.born != *started_at || *sequence <= known.sequence {
+            return None;
+        }
+        let record =
+            EndpointRecord { sequence: *sequence, silent: false, cold_ms: 0, ..known.clone() };
+        self.apply(record, now)
+    }
+
     /// Applies the first record of a run, which replaces any known run of its name or at its
     /// address.
     fn add_run(
@@ -329,15 +357,97 @@
         silent.iter().for_each(|id| self.remove(id));
     }
 
-    /// Digest of all records.
-    pub(crate) fn digest(&self) -> &RegistryDigest {
-        self.known.digest()
+    /// Digest of the records in a sample, and their number.
+    pub(crate) fn sample_digest(&self, sample: &EndpointSample) -> (RegistryDigest, usize) {
+        if sample.is_whole() {
+            return (self.known.digest().clone(), self.known.index().len());
+        }
+        let (mut digest, mut count) = (RegistryDigest::default(), 0);
+        for entry in self.sampled(sample) {
+            digest.add(entry.id_hash, entry.record_hash);
+            count += 1;
+        }
+        (digest, count)
+    }
+
+    /// Records of some buckets in a sample, each with the time when it was last heard.
+    pub(crate) fn buckets(
+        &self,
+        buckets: &[usize],
+        sample: &EndpointSample,
+    ) -> Vec<(EndpointRecord, Instant)> {
+        let entries = self.sampled(sample);
+        let entries = entries.filter(|entry| buckets.contains(&bucket_of(entry.id_hash)));
+        let known = entries.filter_map(|entry| self.known.get(&entry.id));
+        known.map(|known| (known.record.clone(), known.heard)).collect()
     }
 
     /// Records of a bucket, each with the time when it was last heard.
+    #[cfg(test)]
     pub(crate) fn bucket(&self, bucket: usize) -> Vec<(EndpointRecord, Instant)> {
-        let known = self.known.values().filter(|known| bucket_of(known.id_hash) == bucket);
-        known.map(|known| (known.record.clone(), known.heard)).collect()
+        self.buckets(&[bucket], &EndpointSample::whole(""))
+    }
+
+    fn sampled<'a>(&'a self, sample: &EndpointSample) -> impl Iterator<Item = &'a IndexEntry> {
+        let is_in = sample.filter(self.known.services());
+        self.known.index().iter().filter(move |entry| is_in.contains(entry.service, entry.id_hash))
+    }
+
+    /// Whether an endpoint is known and in a sample.
+    pub(crate) fn is_sampled(&self, id: &str, sample: &EndpointSample) -> bool {
+        let known = self.known.get(id);
+        known.is_some_and(|known| sample.contains(&known.record.service, hash_of_id(id)))
+    }
+
+    /// Whether a run is neither known nor known to have left or to be followed by another.
+    pub(crate) fn lacks_run(&self, id: &str, started_at: u64) -> bool {
+        match self.started_at(id) {
+            Some(known) => known < started_at,
+            None => !self.departed.contains(id, started_at),
+        }
+    }
+
+    /// Number of endpoints of each service that are in a sample and not leaving.
+    pub(crate) fn count_sampled(&self, sample: &EndpointSample) -> BTreeMap<String, usize> {
+        let services = self.known.services();
+        let mut counts = vec![0; services.len()];
+        for entry in self.sampled(sample).filter(|entry| !entry.leaving) {
+            counts[entry.service] += 1;
+        }
+        let counts = services.iter().cloned().zip(counts);
+        counts.filter(|(_, count)| 0 < *count).collect()
+    }
+
+    /// Number of endpoints of each service that are heard.
+    pub(crate) fn count_heard(&self) -> impl Iterator<Item = (&str, usize)> {
+        self.known.count_heard()
+    }
+
+    /// Forgets the endpoints that are in no sample of this daemon and not in use.
+    pub(crate) fn retain(&mut self, sample: &EndpointSample, is_used: impl Fn(&str) -> bool) {
+        let is_in = sample.filter(self.known.services());
+        let unneeded =
+            self.known.index().iter().filter(|entry| {
+                !is_in.contains(entry.service, entry.id_hash) && !is_used(&entry.id)
+            });
+        let unneeded: Vec<Arc<str>> = unneeded.map(|entry| entry.id.clone()).collect();
+        unneeded.iter().for_each(|id| self.remove(id));
+    }
+
+    /// The record of an endpoint, or of its departure, if another daemon that knows the run
+    /// `started_at` as available lacks it.
+    pub(crate) fn news_for(&self, id: &str, started_at: u64) -> Option<EndpointRecord> {
+        let departed = || EndpointRecord {
+            id: id.into(),
+            leaving: true,
+            born: started_at,
+            ..EndpointRecord::default()
+        };
+        match self.known.get(id).map(|known| &known.record) {
+            Some(record) if record.born != started_at => Some(record.clone()),
+            Some(record) => (record.leaving || record.silent).then(|| record.clone()),
+            None => self.departed.contains(id, started_at).then(departed),
+        }
     }
 
     /// All records.
@@ -471,6 +581,7 @@
     let service = config.services.get(&known.record.service)?;
     let engine = service.engine.as_ref()?;
     Some(EndpointSpec {
+        is_registered: true,
         started_at: known.record.born,
         hall: known.record.hall.clone(),
         address: known.address,
--- a/crates/core/src/wire/endpoints.rs
+++ b/crates/core/src/wire/endpoints.rs
@@ -9,9 +9,9 @@
     /// How long ago each was last heard, in milliseconds; empty for news of this moment.
     #[prost(uint64, repeated, tag = "2")]
     pub ages_ms: Vec<u64>,
-    /// The part that these are all of, where the daemon has asked for it.
-    #[prost(uint64, optional, tag = "3")]
-    pub part: Option<u64>,
+    /// The parts that these are all of, where the daemon has asked for them.
+    #[prost(uint64, repeated, tag = "3")]
+    pub parts: Vec<u64>,
 }
 
 /// See [`super::Body::EndpointDigest`].
@@ -20,20 +20,108 @@
     /// One number for each part.
     #[prost(fixed64, repeated, tag = "1")]
     pub sums: Vec<u64>,
+    /// Number of endpoints.
+    #[prost(uint64, tag = "2")]
+    pub endpoints: u64,
+}
+
+/// See [`super::Body::EndpointCensus`].
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct EndpointCensus {
+    /// Data hall of the control VM.
+    #[prost(string, tag = "1")]
+    pub hall: String,
+    /// Number of endpoints of each service.
+    #[prost(message, repeated, tag = "2")]
+    pub services: Vec<ServiceCount>,
+}
+
+/// Number of endpoints of a service.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct ServiceCount {
+    /// The service.
+    #[prost(string, tag = "1")]
+    pub service: String,
+    /// Number of endpoints.
+    #[prost(uint64, tag = "2")]
+    pub endpoints: u64,
+}
+
+/// See [`super::Body::EndpointInterest`].
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct EndpointInterest {
+    /// Whether the daemon wants news of endpoints at all.
+    #[prost(bool, tag = "1")]
+    pub wanted: bool,
+    /// The services of which it knows a sample; it knows others completely.
+    #[prost(message, repeated, tag = "2")]
+    pub samples: Vec<ServiceSample>,
+}
+
+/// A daemon's sample of a service.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct ServiceSample {
+    /// The service.
+    #[prost(string, tag = "1")]
+    pub service: String,
+    /// How often its endpoints are halved.
+    #[prost(uint32, tag = "2")]
+    pub halvings: u32,
+}
+
+/// See [`super::Body::EndpointsUsed`].
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct EndpointsUsed {
+    /// The endpoints.
+    #[prost(message, repeated, tag = "1")]
+    pub endpoints: Vec<UsedEndpoint>,
+}
+
+/// A run of an endpoint that a daemon sends requests to.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct UsedEndpoint {
+    /// Its name.
+    #[prost(string, tag = "1")]
+    pub id: String,
+    /// Start of the run that the daemon knows.
+    #[prost(uint64, tag = "2")]
+    pub started_at: u64,
+}
+
+/// See [`super::Body::EndpointHeartbeats`].
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct EndpointHeartbeats {
+    /// The heartbeats.
+    #[prost(message, repeated, tag = "1")]
+    pub heartbeats: Vec<EndpointHeartbeat>,
+}
+
+/// A heartbeat that says nothing new.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct EndpointHeartbeat {
+    /// The endpoint.
+    #[prost(string, tag = "1")]
+    pub id: String,
+    /// Number of the heartbeat.
+    #[prost(uint64, tag = "2")]
+    pub sequence: u64,
+    /// Start of the run.
+    #[prost(uint64, tag = "3")]
+    pub started_at: u64,
 }
 
 /// See [`super::Body::EndpointsWanted`].
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct EndpointsWanted {
-    /// Number of the part.
-    #[prost(uint64, tag = "1")]
-    pub part: u64,
+    /// Numbers of the parts.
+    #[prost(uint64, repeated, tag = "1")]
+    pub parts: Vec<u64>,
 }
 
 impl EndpointNews {
     /// News of this moment.
     pub fn new(records: Vec<EndpointRecord>) -> EndpointNews {
-        EndpointNews { records, ages_ms: Vec::new(), part: None }
+        EndpointNews { records, ages_ms: Vec::new(), parts: Vec::new() }
     }
 }
 
--- a/crates/core/src/wire/mod.rs
+++ b/crates/core/src/wire/mod.rs
@@ -22,8 +22,9 @@
         PollReply, ReplicaInfo, SlowEndpoint, Submit, Update,
     },
     endpoints::{
-        EndpointDigest, EndpointNews, EndpointRecord, EndpointsWanted, Health, HealthNews, Report,
-        Watch,
+        EndpointCensus, EndpointDigest, EndpointHeartbeat, EndpointHeartbeats, EndpointInterest,
+        EndpointNews, EndpointRecord, EndpointsUsed, EndpointsWanted, Health, HealthNews, Report,
+        ServiceCount, ServiceSample, UsedEndpoint, Watch,
     },
     handshake::{Handshake, HandshakeError, Hello, Proof},
     placement::{Admit, GiveUp, Grant, Move, Moved, Progress, Tokens},
@@ -39,7 +40,7 @@
     /// What it says.
     #[prost(
         oneof = "Body",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26, 27, 28, 29, 30, 31, 32, 33, 34"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26, 27, 28, 29, 30, 31, 32, 33, 34, 35, 36, 37, 38"
     )]
     pub body: Option<Body>,
 }
@@ -149,6 +150,18 @@
     /// The leader tells which endpoints reject requests, without being asked.
     #[prost(message, tag = "34")]
     Overloaded(Overloaded),
+    /// A control VM tells how many endpoints there are, when a link comes up.
+    #[prost(message, tag = "35")]
+    EndpointCensus(EndpointCensus),
+    /// A daemon tells a control VM of which endpoints it wants news.
+    #[prost(message, tag = "36")]
+    EndpointInterest(EndpointInterest),
+    /// A daemon tells a control VM which endpoints it sends requests to beside its sample.
+    #[prost(message, tag = "37")]
+    EndpointsUsed(EndpointsUsed),
+    /// A control VM passes on heartbeats that say nothing new.
+    #[prost(message, tag = "38")]
+    EndpointHeartbeats(EndpointHeartbeats),
 }
 
 impl Body {
@@ -189,6 +202,10 @@
             Body::PermitReply(_) => "leave_reply",
             Body::Rejected(_) => "rejected",
             Body::Overloaded(_) => "overloaded",
+            Body::EndpointCensus(_) => "endpoint_census",
+            Body::EndpointInterest(_) => "endpoint_interest",
+            Body::EndpointsUsed(_) => "endpoints_used",
+            Body::EndpointHeartbeats(_) => "endpoint_heartbeats",
         }
     }
 }
--- a/crates/core/src/wire/placement.rs
+++ b/crates/core/src/wire/placement.rs
@@ -1,5 +1,7 @@
 //! Messages by which requests find a place, run there and move.
 
+use super::EndpointRecord;
+
 /// See [`super::Body::Admit`].
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct Admit {
@@ -71,6 +73,9 @@
     /// Priority for the engine.
     #[prost(uint64, tag = "3")]
     pub priority: u64,
+    /// The endpoint's record, which the daemon may lack.
+    #[prost(message, optional, tag = "4")]
+    pub record: Option<EndpointRecord>,
 }
 
 /// See [`super::Body::GiveUp`].
@@ -127,6 +132,9 @@
     /// Where it is to go on.
     #[prost(string, tag = "3")]
     pub to: String,
+    /// Record of that endpoint, which the daemon may lack.
+    #[prost(message, optional, tag = "4")]
+    pub record: Option<EndpointRecord>,
 }
 
 /// See [`super::Body::Moved`].
--- a/crates/lab/src/control_plane/sim.rs
+++ b/crates/lab/src/control_plane/sim.rs
@@ -174,6 +174,7 @@
         let seeds: Vec<VmName> = self.names[..SEEDS.min(self.options.control)].to_vec();
         let options = NodeOptions {
             vm: self.names[n].clone(),
+            hall: format!("hall-{}", n % HALLS),
             founders: if is_control { seeds.clone() } else { Vec::new() },
             seeds,
             max_voters: VOTERS,
--- a/crates/lab/src/fleet/engines.rs
+++ b/crates/lab/src/fleet/engines.rs
@@ -78,6 +78,7 @@
     pub(crate) fn spec(&self) -> EndpointSpec {
         let number = self.number as u32 + 1;
         EndpointSpec {
+            is_registered: false,
             started_at: 0,
             hall: format!("h{}", self.hall),
             address: (std::net::Ipv4Addr::from(number), 80).into(),
--- a/crates/lab/src/suspects/cost.rs
+++ b/crates/lab/src/suspects/cost.rs
@@ -55,6 +55,7 @@
 fn daemon(records: u64) -> Node {
     let options = NodeOptions {
         vm: "entry".into(),
+        hall: String::new(),
         seeds: vec!["control".into()],
         founders: Vec::new(),
         max_voters: 1,
--- a/crates/trayswitchd/src/node/mod.rs
+++ b/crates/trayswitchd/src/node/mod.rs
@@ -142,6 +142,7 @@
     let replicas: Vec<VmName> = settings.replicas.iter().map(|r| r.vm.as_str().into()).collect();
     Ok(NodeOptions {
         vm: settings.vm.as_str().into(),
+        hall: settings.hall.clone(),
         founders: replicas.clone(),
         max_voters: replicas.len(),
         takes_callers: true,
