placement: the tier of the route orders generations within the tier of their workspace

A workspace's tier replaced that of the route, so all requests of workspaces of one tier had one rank. The tier of the route now decides within it, ten ranks a tier, so that ageing (a workspace tier for 20 s) outweighs one after 2 s.

The request also carries what the next parts need: the longest acceptable pause, the time left and a digest.

--- a/crates/core/src/mechanism/mod.rs
+++ b/crates/core/src/mechanism/mod.rs
@@ -55,6 +55,7 @@
     FailureWeights = "failure-weights", "Calls avoid endpoints that fail often.";
     SharedBackoff = "shared-backoff", "An endpoint that rejects requests is the last resort of all daemons.";
     EndpointSamples = "endpoint-samples", "Entries of a large fleet know a sample of its endpoints.";
+    RouteUrgency = "route-urgency", "Within a workspace's tier, generations on more urgent routes go first.";
     NearCalls = "near-calls", "Calls prefer endpoints of the same data hall.";
 }
 
--- a/crates/core/src/node/admit.rs
+++ b/crates/core/src/node/admit.rs
@@ -6,6 +6,7 @@
 use crate::{
     config::EndpointTarget,
     placement::{PrefixHash, Request, Ticket},
+    quarantine::RequestDigest,
     wire::Admit,
 };
 
@@ -25,6 +26,9 @@
             as u64,
         avoid: req.avoid.iter().map(|name| name.to_string()).collect(),
         apart: req.isolated,
+        time_left_ms: (max_wait + req.time_left.saturating_sub(req.max_wait)).as_millis() as u64,
+        longest_gap_ms: req.longest_gap.as_millis() as u64,
+        digest: req.digest.map(|digest| digest.as_bytes().to_vec()).unwrap_or_default(),
         rank: req.rank,
         share: req.share,
         max_running: req.max_running,
@@ -57,5 +61,8 @@
         ttft_target: Duration::from_millis(admit.first_within_ms),
         avoid: admit.avoid.into_iter().map(Into::into).collect(),
         isolated: admit.apart,
+        time_left: Duration::from_millis(admit.time_left_ms),
+        longest_gap: Duration::from_millis(admit.longest_gap_ms),
+        digest: RequestDigest::from_slice(&admit.digest),
     }
 }
--- a/crates/core/src/node/tests/net/fixture.rs
+++ b/crates/core/src/node/tests/net/fixture.rs
@@ -51,5 +51,8 @@
         ttft_target: Duration::from_secs(2),
         avoid: Vec::new(),
         isolated: false,
+        time_left: Duration::from_secs(60),
+        longest_gap: Duration::ZERO,
+        digest: None,
     }
 }
--- a/crates/core/src/placement/fixture.rs
+++ b/crates/core/src/placement/fixture.rs
@@ -51,6 +51,9 @@
         ttft_target: Duration::from_secs(1),
         avoid: Vec::new(),
         isolated: false,
+        time_left: Duration::from_secs(60),
+        longest_gap: Duration::ZERO,
+        digest: None,
     }
 }
 
--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -35,6 +35,8 @@
 #[cfg(test)]
 mod prefill_tests;
 mod queue;
+#[allow(dead_code)] // The parts that use it come next.
+mod reserved_work;
 mod scheduler;
 mod sender_role;
 mod speed_baseline;
@@ -49,7 +51,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use crate::{config::EndpointTarget, error::RequestError};
+use crate::{config::EndpointTarget, error::RequestError, quarantine::RequestDigest};
 
 pub(crate) use self::sender_role::RateSplit;
 pub use self::{
@@ -75,6 +77,18 @@
     tier_rank * RANKS_PER_TIER + RANKS_PER_TIER - kind_weight.min(RANKS_PER_TIER)
 }
 
+/// Ranks between two tiers of routes, so that the ten tiers of a platform with priorities 0 to 9 fit
+/// into one tier of workspaces. Ageing outweighs one of them after a tenth of its time for a whole
+/// tier, which is longer than the usual wait for an engine.
+const RANKS_PER_ROUTE_TIER: u64 = 10;
+
+/// Returns the queue rank of a request on a route that has a tier of its own: the tier of the
+/// workspace decides first, the tier of the route within it.
+pub fn rank_on_route(workspace_tier_rank: u64, route_tier_rank: u64) -> u64 {
+    let within_tier = route_tier_rank.saturating_mul(RANKS_PER_ROUTE_TIER).min(RANKS_PER_TIER - 1);
+    workspace_tier_rank * RANKS_PER_TIER + within_tier
+}
+
 /// Identifies a request at the scheduler, unique per incarnation of the entry daemon.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Ticket {
@@ -117,6 +131,12 @@
     pub max_wait: Duration,
     /// Target time to first token, counted from the same instant as `max_wait`.
     pub ttft_target: Duration,
+    /// Time left until the caller's deadline, counted from the same instant as `max_wait`.
+    pub time_left: Duration,
+    /// Longest pause between two events that the caller accepts; zero if any is acceptable.
+    pub longest_gap: Duration,
+    /// Identifies the request in all its tries, on every daemon.
+    pub digest: Option<RequestDigest>,
     /// Endpoints that rejected or failed this request; used only if no other endpoint is admissible.
     pub avoid: Vec<Arc<str>>,
     /// Whether no other request may start on its endpoint at the same time, because endpoints
--- a/crates/core/src/placement/tests.rs
+++ b/crates/core/src/placement/tests.rs
@@ -70,6 +70,28 @@
     expect_that!(order, elements_are![eq(&4), eq(&3), eq(&1), eq(&2)]);
 }
 
+/// Guards against long answers of a less urgent route that keep the room of urgent short ones of the
+/// same workspace tier.
+#[gtest]
+fn urgent_route_goes_first_within_the_tier_of_the_workspace() {
+    let mut scheduler = scheduler(1, 1, 100_000);
+    let (urgent, relaxed) = (rank_on_route(2, 1), rank_on_route(2, 3));
+    scheduler.enqueue(request(0, "w", relaxed), START).unwrap();
+    scheduler.decide(START);
+    for (number, rank) in [(1, relaxed), (2, relaxed), (3, urgent), (4, rank_on_route(1, 9))] {
+        scheduler.enqueue(request(number, "w", rank), START).unwrap();
+    }
+    let mut order = Vec::new();
+    for running in [0, 4, 3, 1] {
+        // Long answers that have waited for 3 s do not overtake an urgent one.
+        let now = START.after(Duration::from_secs(3));
+        scheduler.finish(Ticket { entry: 1, number: running }, 100, true, now);
+        order.extend(started(&scheduler.decide(now)));
+    }
+
+    expect_that!(order, elements_are![eq(&4), eq(&3), eq(&1), eq(&2)]);
+}
+
 #[gtest]
 fn expired_request_is_rejected_with_retry_after() {
     let mut scheduler = scheduler(1, 1, 100_000);
--- a/crates/core/src/wire/placement.rs
+++ b/crates/core/src/wire/placement.rs
@@ -59,6 +59,15 @@
     /// Whether it runs apart from others.
     #[prost(bool, tag = "18")]
     pub apart: bool,
+    /// Longest acceptable pause between two events, in milliseconds; zero if any is acceptable.
+    #[prost(uint64, tag = "19")]
+    pub longest_gap_ms: u64,
+    /// Keyed digest of the request, equal in all its tries; empty if it was not computed.
+    #[prost(bytes = "vec", tag = "20")]
+    pub digest: Vec<u8>,
+    /// Time left until the caller's deadline, in milliseconds.
+    #[prost(uint64, tag = "21")]
+    pub time_left_ms: u64,
 }
 
 /// See [`super::Body::Grant`].
--- a/crates/lab/src/control_plane/load.rs
+++ b/crates/lab/src/control_plane/load.rs
@@ -55,6 +55,9 @@
         ttft_target: Duration::from_millis(1_800),
         avoid: Vec::new(),
         isolated: false,
+        time_left: Duration::from_secs(60),
+        longest_gap: Duration::ZERO,
+        digest: None,
     };
     (generation, request)
 }
--- a/crates/lab/src/experiment/cost.rs
+++ b/crates/lab/src/experiment/cost.rs
@@ -70,6 +70,9 @@
         ttft_target: std::time::Duration::from_secs(10),
         avoid: Vec::new(),
         isolated: false,
+        time_left: std::time::Duration::from_secs(60),
+        longest_gap: std::time::Duration::ZERO,
+        digest: None,
     };
     scheduler.enqueue(req, now).expect("there is room");
     let actions = scheduler.decide(now);
--- a/crates/lab/src/experiment/sim.rs
+++ b/crates/lab/src/experiment/sim.rs
@@ -187,6 +187,9 @@
             ttft_target: kind.deadline,
             avoid: Vec::new(),
             isolated: false,
+            time_left: Duration::from_secs(60),
+            longest_gap: Duration::ZERO,
+            digest: None,
         };
         if self.scheduler.enqueue(req, Instant(self.now)).is_err() {
             self.give_up(i);
--- a/crates/lab/src/fleet/deciders.rs
+++ b/crates/lab/src/fleet/deciders.rs
@@ -269,5 +269,8 @@
         ttft_target,
         avoid: Vec::new(),
         isolated: false,
+        time_left: Duration::from_secs(60),
+        longest_gap: Duration::ZERO,
+        digest: None,
     }
 }
--- a/crates/server/src/relay/admission.rs
+++ b/crates/server/src/relay/admission.rs
@@ -10,6 +10,7 @@
     error::{ErrorKind, RequestError},
     mechanism::Mechanism,
     node::ActiveConfig,
+    placement,
 };
 
 use super::{
@@ -67,6 +68,12 @@
         let workspace_spec = workspace.as_ref().and_then(|name| config.config.workspaces.get(name));
         let tier = workspace_spec.map(|spec| spec.tier.as_str()).or(route.spec.tier.as_deref());
         let rank = tier_rank(&config.config, tier);
+        let route_rank = tier_rank(&config.config, route.spec.tier.as_deref());
+        let queue_rank = if self.is_enabled(Mechanism::RouteUrgency) {
+            placement::rank_on_route(rank, route_rank)
+        } else {
+            placement::rank(rank, 1)
+        };
         let service = route.spec.pick_service(fastrand::u64(..)).to_owned();
         let timeout = caller.time_left.unwrap_or(route.spec.timeout).min(route.spec.timeout);
         let deadline = received_at + timeout;
@@ -79,6 +86,7 @@
             service,
             workspace,
             rank,
+            queue_rank,
             received_at,
             deadline,
             in_progress: None,
--- a/crates/server/src/relay/job.rs
+++ b/crates/server/src/relay/job.rs
@@ -35,6 +35,8 @@
     pub(super) workspace: Option<Arc<str>>,
     /// Rank of its tier; 1 is served first.
     pub(super) rank: u64,
+    /// Rank in the queue of the scheduler, which also depends on the route.
+    pub(super) queue_rank: u64,
     pub(super) received_at: Instant,
     /// When the response must be complete.
     pub(super) deadline: Instant,
@@ -133,7 +135,7 @@
         placement::Request {
             ticket: Ticket { entry: 0, number: 0 },
             workspace: self.workspace.clone().unwrap_or_else(|| "-".into()),
-            rank: placement::rank(self.rank, 1),
+            rank: self.queue_rank,
             share: workspace.map_or(1, |w| w.share),
             max_running: workspace.map_or(unlimited, |w| w.max_running),
             max_waiting: workspace.map_or(unlimited, |w| w.max_waiting),
@@ -146,6 +148,9 @@
             ttft_target,
             avoid,
             isolated,
+            time_left: self.time_left(),
+            longest_gap: spec.longest_gap,
+            digest: None,
         }
     }
 
--- a/crates/trayswitchd/src/callers/chat.rs
+++ b/crates/trayswitchd/src/callers/chat.rs
@@ -1,5 +1,7 @@
 //! `POST /v1/chat/completions`: one generation for one caller.
 
+use std::time::Duration;
+
 use serde_json::{Map, Value};
 use sha2::{Digest, Sha256};
 use tiny_http::Request;
@@ -127,6 +129,9 @@
         ttft_target: kind_spec.max_wait,
         avoid: Vec::new(),
         isolated: false,
+        time_left: kind_spec.max_wait,
+        longest_gap: Duration::ZERO,
+        digest: None,
     })
 }
 
