placement: requests that will not start in time are rejected on arrival or soon after

Cause: the expected wait was the queue length times an average start interval, and a request was rejected on arrival only beyond twice its maximum wait. Nearly all rejections came after the whole queueing time.

Change: AdmissionControl (mechanism admission-forecast, off for the local scheduler) estimates the wait of a request as the queued work served before it, by rank and share, over the rate left by more urgent arrivals. The rate is the work that starts while requests wait, which covers both KV cache and prefill time; at the onset the rate of releases stands in. A forecast from the progress of running responses corrects it by what will end in the next 4 s. Requests whose wait is too long are rejected on arrival, and queued ones are checked every 100 ms. Requests that would be late on every endpoint start after those that can be in time.

--- a/crates/core/src/placement/accounting.rs
+++ b/crates/core/src/placement/accounting.rs
@@ -92,6 +92,11 @@
     pub fn finish(&mut self, ticket: Ticket, tokens: u64, whole: bool, now: Instant) {
         self.progress(ticket, tokens, now);
         let Some(placed) = self.placed.remove(&ticket) else { return };
+        if let Some(target) = self.targets.get_mut(&placed.req.target) {
+            let work = placed.req.prompt_tokens + placed.tokens;
+            let hold = placed.started.map(|started| now.since(started));
+            target.admission.on_released(placed.req.rank, work as f64, hold, now);
+        }
         if placed.tokens == 0 {
             self.backoffs.on_end(&placed.endpoint, placed.at, false, now);
         }
@@ -206,7 +211,11 @@
         }
         self.throttle.on_sent(endpoint, now);
         self.backoffs.on_sent(endpoint, now);
+        let ticket = req.ticket;
         self.account_placed(req, endpoint, now);
+        if let Some(placed) = self.placed.get_mut(&ticket) {
+            placed.started = Some(now);
+        }
     }
 
     /// Starts the accounting of a request on an endpoint.
@@ -217,8 +226,15 @@
         state.grant(&memory, now);
         self.count_running(&req, 1);
         let meter = TokenLatencyMeter::default();
-        let placed =
-            PlacedRequest { endpoint: endpoint.clone(), memory, tokens: 0, meter, at: now, req };
+        let placed = PlacedRequest {
+            endpoint: endpoint.clone(),
+            memory,
+            tokens: 0,
+            meter,
+            at: now,
+            started: None,
+            req,
+        };
         self.placed.insert(placed.req.ticket, placed);
     }
 }
--- a/crates/core/src/placement/backoff.rs
+++ b/crates/core/src/placement/backoff.rs
@@ -62,6 +62,15 @@
         groups
     }
 
+    /// Whether the first token would be late on each of the endpoints even if it was idle.
+    pub(super) fn is_late_on_all(&self, demand: &Demand) -> bool {
+        let is_late = |state: &&EndpointState| {
+            demand.ttft_target < state.prefill.time_for(demand.prompt_tokens)
+        };
+        let mut all = self.open.iter().chain(&self.last_resort).chain(&self.avoided).peekable();
+        all.peek().is_some() && all.all(is_late)
+    }
+
     /// Selects the best endpoint with capacity.
     pub(super) fn choose(
         &self,
--- a/crates/core/src/placement/expiry.rs
+++ b/crates/core/src/placement/expiry.rs
@@ -3,16 +3,27 @@
 use std::time::Duration;
 
 use super::{
-    Action, Ticket,
+    Action, Request, Ticket,
     endpoint::{EndpointState, Health},
-    scheduler::Scheduler,
+    forecast::LengthForecast,
+    reserved_work::NothingReserved,
+    scheduler::{PlacedRequest, Scheduler},
+    target::TargetState,
+    token_latency,
 };
 use crate::{
     config::EndpointTarget,
     error::{ErrorKind, RequestError},
+    mechanism::Mechanism,
     units::Instant,
 };
 
+/// Requests whose estimated wait exceeds `max_wait` by this factor are rejected on arrival while no
+/// rates are known. Above 1 because that estimate is rough.
+const EXCESS_WAIT_FACTOR: u32 = 2;
+/// Fraction of the average output that is assumed to be left of a response that has exceeded it.
+const MIN_OUTPUT_LEFT: f64 = 0.05;
+
 impl Scheduler {
     /// Rejects requests that have exceeded their maximum wait.
     pub(super) fn expire(&mut self, now: Instant) -> Vec<Action> {
@@ -21,18 +32,92 @@
             if now < expiry.at {
                 break;
             }
-            let wait = self.queued.get(&expiry.ticket).map(|q| {
-                let target = self.targets.get(&q.target);
-                target.map_or(Duration::ZERO, |target| target.expected_wait(q.rank))
-            });
+            let wait = self.wait_of_queued(expiry.ticket, now).unwrap_or_default();
             self.cancel(expiry.ticket, now);
-            let error =
-                overloaded_error("no endpoint became free in time", wait.unwrap_or_default());
+            let error = overloaded_error("no endpoint became free in time", wait);
             actions.push(Action::GiveUp { ticket: expiry.ticket, error });
         }
         actions
     }
 
+    /// Expected wait of a new request like a queued one.
+    fn wait_of_queued(&self, ticket: Ticket, now: Instant) -> Option<Duration> {
+        let queued = self.queued.get(&ticket)?;
+        let target = self.targets.get(&queued.target)?;
+        let waiting = target.queue.find(queued.rank, &queued.workspace, ticket);
+        let forecast = waiting.and_then(|waiting| target.forecast_wait(&waiting.req, now));
+        Some(forecast.unwrap_or_else(|| target.expected_wait(queued.rank)))
+    }
+
+    /// Records a new request for admission control. Services use no KV cache and are not subject to it.
+    pub(super) fn record_arrival(&mut self, req: &Request, now: Instant) {
+        if !self.limits.disabled.allows(Mechanism::AdmissionForecast)
+            || matches!(req.target, EndpointTarget::Service(_))
+        {
+            return;
+        }
+        let work = request_work(&self.forecast, req);
+        if let Some(target) = self.targets.get_mut(&req.target) {
+            target.admission.on_arrival(req, work, now);
+        }
+    }
+
+    /// Expected wait of a request that is to be rejected because the queue is too long.
+    pub(super) fn excess_wait(
+        &self,
+        target: &TargetState,
+        req: &Request,
+        now: Instant,
+    ) -> Option<Duration> {
+        let forecast = target.forecast_wait(req, now);
+        let wait = forecast.unwrap_or_else(|| target.expected_wait(req.rank));
+        let too_long = match forecast {
+            Some(wait) => req.max_wait < wait,
+            None => {
+                self.limits.disabled.allows(Mechanism::EarlyRefusal)
+                    && req.max_wait * EXCESS_WAIT_FACTOR < wait
+            }
+        };
+        (too_long || self.limits.max_waiting <= target.queue.len()).then_some(wait)
+    }
+
+    /// Rejects the queued requests of a target that are not expected to start in time.
+    pub(super) fn shed_overdue(&mut self, name: &EndpointTarget, now: Instant) -> Vec<Action> {
+        let Some(target) = self.targets.get_mut(name) else { return Vec::new() };
+        target.admission.on_decided(target.queue.has_eligible(), now);
+        if !target.admission.is_check_due(now) {
+            return Vec::new();
+        }
+        self.renew_releases(name, now);
+        let Some(target) = self.targets.get_mut(name) else { return Vec::new() };
+        let overdue = target.admission.overdue(&target.queue, &NothingReserved, now);
+        let shed = overdue.into_iter().map(|(ticket, wait)| {
+            self.cancel(ticket, now);
+            let error = overloaded_error("the queue has become too long for this request", wait);
+            Action::GiveUp { ticket, error }
+        });
+        shed.collect()
+    }
+
+    /// Forecasts when the running requests of a target end, from their progress.
+    fn renew_releases(&mut self, name: &EndpointTarget, now: Instant) {
+        let Some(target) = self.targets.get(name) else { return };
+        let time_left = |placed: &PlacedRequest| {
+            let output = target.admission.output_of_long(placed.req.rank)?;
+            let endpoint = self.endpoints.get(&placed.endpoint)?;
+            let token_seconds = endpoint.token_latency.seconds_per_token(now);
+            let token_seconds = token_seconds.unwrap_or(token_latency::DEFAULT_TOKEN_SECONDS);
+            let rest = (output - placed.tokens as f64).max(output * MIN_OUTPUT_LEFT);
+            let left = Duration::from_secs_f64(rest * token_seconds);
+            Some((placed.req.prompt_tokens as f64 + output, left))
+        };
+        let placed = self.placed.values().filter(|placed| placed.req.target == *name);
+        let running: Vec<(f64, Duration)> = placed.filter_map(time_left).collect();
+        if let Some(target) = self.targets.get_mut(name) {
+            target.admission.renew_releases(running.into_iter(), now);
+        }
+    }
+
     /// Rejects requests for targets whose data halls are all out of service, since operators take
     /// minutes to restore them.
     pub(super) fn give_up_out_of_service(&mut self, now: Instant) -> Vec<Action> {
@@ -79,6 +164,12 @@
     }
 }
 
+/// Prompt tokens and expected output tokens of a request.
+pub(super) fn request_work(forecast: &LengthForecast, req: &Request) -> f64 {
+    let distribution = forecast.distribution(&req.workspace, &req.kind);
+    req.prompt_tokens as f64 + distribution.expected_remaining(0, req.max_tokens)
+}
+
 /// Error for a request that was or would be queued for too long.
 pub(super) fn overloaded_error(message: &str, wait: Duration) -> RequestError {
     const MIN_RETRY_AFTER: Duration = Duration::from_secs(1);
--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -4,6 +4,9 @@
 //! Its state is soft and can be rebuilt from the reports of the daemons.
 
 mod accounting;
+mod admission_control;
+#[cfg(test)]
+mod admission_control_tests;
 mod backoff;
 #[cfg(test)]
 mod backoff_tests;
@@ -35,10 +38,13 @@
 #[cfg(test)]
 mod prefill_tests;
 mod queue;
-#[allow(dead_code)] // The parts that use it come next.
+mod queued_work;
+mod release_forecast;
 mod reserved_work;
 mod scheduler;
 mod sender_role;
+mod service_curve;
+mod service_rate;
 mod speed_baseline;
 mod target;
 #[cfg(test)]
--- a/crates/core/src/placement/queue.rs
+++ b/crates/core/src/placement/queue.rs
@@ -6,7 +6,10 @@
     time::Duration,
 };
 
-use super::{RANKS_PER_TIER, Request, Ticket};
+use super::{
+    RANKS_PER_TIER, Request, Ticket,
+    queued_work::{QueuedWork, RankWork},
+};
 use crate::units::Instant;
 
 /// A queued request.
@@ -44,6 +47,7 @@
 #[derive(Debug, Default)]
 struct RankQueue {
     len: usize,
+    work: RankWork,
     by_service: BTreeSet<FairnessKey>,
     waiting: HashMap<Arc<str>, VecDeque<WaitingRequest>>,
     served: HashMap<Arc<str>, NormalizedService>,
@@ -59,6 +63,7 @@
 
     fn push(&mut self, waiting: WaitingRequest, at_limit: bool) {
         let workspace = waiting.req.workspace.clone();
+        self.work.add(&waiting.req);
         // Idle workspaces do not accumulate credit.
         let service = self.served.entry(workspace.clone()).or_insert(self.virtual_time);
         let queue = self.waiting.entry(workspace.clone()).or_default();
@@ -91,6 +96,7 @@
         let at = queue.iter().position(|w| w.req.ticket == ticket)?;
         let waiting = queue.remove(at);
         self.len -= 1;
+        waiting.iter().for_each(|waiting| self.work.remove(&waiting.req));
         if queue.is_empty() {
             self.waiting.remove(workspace);
             let key = self.key(workspace);
@@ -129,6 +135,58 @@
         self.ranks.range(..=rank).map(|(_, rank_queue)| rank_queue.len).sum()
     }
 
+    /// Ranks with queued requests, best first.
+    pub(crate) fn ranks(&self) -> impl Iterator<Item = u64> {
+        self.ranks.iter().filter(|(_, queue)| 0 < queue.len).map(|(rank, _)| *rank)
+    }
+
+    /// Whether a queued request could start if there was capacity.
+    pub(crate) fn has_eligible(&self) -> bool {
+        self.ranks.values().any(|rank_queue| rank_queue.head().is_some())
+    }
+
+    /// Queued work of a rank, without workspaces at their limit of running requests.
+    pub(crate) fn rank_work(&self, rank: u64) -> QueuedWork {
+        let Some(rank_queue) = self.ranks.get(&rank) else { return QueuedWork::default() };
+        rank_queue.work.total_without(self.at_limit.iter())
+    }
+
+    /// Queued work of a rank as in [`Queue::rank_work`], and of one workspace at that rank.
+    pub(crate) fn queued_work(&self, rank: u64, workspace: &str) -> (QueuedWork, QueuedWork) {
+        let own = self.ranks.get(&rank).map(|rank_queue| rank_queue.work.of(workspace));
+        (self.rank_work(rank), own.unwrap_or_default())
+    }
+
+    /// Requests of a rank in the expected order of service, without workspaces at their limit.
+    pub(crate) fn in_order(&self, rank: u64) -> Vec<&WaitingRequest> {
+        let Some(rank_queue) = self.ranks.get(&rank) else { return Vec::new() };
+        let eligible = rank_queue.waiting.iter().filter(|(name, _)| !self.at_limit.contains(*name));
+        let mut order: Vec<(f64, &WaitingRequest)> = Vec::with_capacity(rank_queue.len);
+        for (_, queue) in eligible {
+            let mut served = 0.0;
+            for waiting in queue {
+                order.push((served, waiting));
+                served += waiting.req.prompt_tokens as f64 / waiting.req.share as f64;
+            }
+        }
+        let key = |(served, waiting): &(f64, &WaitingRequest)| {
+            (NormalizedService(*served), waiting.req.ticket)
+        };
+        order.sort_by_key(key);
+        order.into_iter().map(|(_, waiting)| waiting).collect()
+    }
+
+    /// Returns a queued request.
+    pub(crate) fn find(
+        &self,
+        rank: u64,
+        workspace: &str,
+        ticket: Ticket,
+    ) -> Option<&WaitingRequest> {
+        let queue = self.ranks.get(&rank)?.waiting.get(workspace)?;
+        queue.iter().find(|waiting| waiting.req.ticket == ticket)
+    }
+
     pub(crate) fn push(&mut self, req: Request, arrived: Instant) {
         self.len += 1;
         let at_limit = self.at_limit.contains(&req.workspace);
--- a/crates/core/src/placement/scheduler.rs
+++ b/crates/core/src/placement/scheduler.rs
@@ -11,7 +11,7 @@
     backoff::{AdmissionGroups, HeldRequest},
     endpoint::{EndpointState, MemoryDemand},
     evacuation::MoveTracker,
-    expiry::overloaded_error,
+    expiry::{overloaded_error, request_work},
     forecast::LengthForecast,
     handover::HandoverQueue,
     isolation::IsolatedRequests,
@@ -29,10 +29,6 @@
     units::Instant,
 };
 
-/// Requests whose estimated wait exceeds `max_wait` by this factor are rejected on arrival. Above 1
-/// because the estimate is rough.
-const EXCESS_WAIT_FACTOR: u32 = 2;
-
 /// Limits of a scheduler.
 #[derive(Debug, Clone, Copy)]
 pub struct SchedulerLimits {
@@ -64,6 +60,8 @@
     pub(super) meter: TokenLatencyMeter,
     /// Time of placement on the current endpoint.
     pub(super) at: Instant,
+    /// Time of the start on its first endpoint; `None` if this scheduler did not start it.
+    pub(super) started: Option<Instant>,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -175,9 +173,10 @@
 
     /// Creates the scheduler that a daemon uses for its own requests while no central scheduler
     /// answers. The seed must differ between daemons. Hand-overs are disabled, since the daemon
-    /// does not know the prefill load of the engines.
+    /// does not know the prefill load of the engines, and so is admission control, since it sees only
+    /// its own requests.
     pub fn local(disabled: Disabled, seed: u64) -> Scheduler {
-        let disabled = disabled.with(Mechanism::Handover);
+        let disabled = disabled.with(Mechanism::Handover).with(Mechanism::AdmissionForecast);
         let limits = SchedulerLimits { disabled, ..SchedulerLimits::default() };
         let policy = Box::new(PowerOfTwoChoices::without(disabled, seed));
         let sender_role = SenderRole::one_of(0);
@@ -262,13 +261,11 @@
         {
             return Err(self.backed_off_error(&req.target, until, now));
         }
+        self.record_arrival(&req, now);
         let Some(target) = self.targets.get(&req.target) else {
             return Err(self.no_endpoint_error(&req.target));
         };
-        let wait = target.expected_wait(req.rank);
-        let wait_too_long = self.limits.disabled.allows(Mechanism::EarlyRefusal)
-            && req.max_wait * EXCESS_WAIT_FACTOR < wait;
-        if self.limits.max_waiting <= target.queue.len() || wait_too_long {
+        if let Some(wait) = self.excess_wait(target, &req, now) {
             return Err(overloaded_error("the queue is too long for this kind of request", wait));
         }
         let expiry = Expiry { at: now.after(req.max_wait), ticket: req.ticket };
@@ -299,7 +296,7 @@
         let targets: Vec<EndpointTarget> = self
             .targets
             .iter()
-            .filter(|(_, target)| 0 < target.queue.len())
+            .filter(|(_, target)| 0 < target.queue.len() || target.admission.next_check().is_some())
             .map(|(name, _)| name.clone())
             .collect();
         for target in targets {
@@ -309,6 +306,7 @@
                     Step::Hold(ticket, until) => self.hold_until(ticket, until, now),
                 });
             }
+            actions.extend(self.shed_overdue(&target, now));
         }
         actions
     }
@@ -325,6 +323,7 @@
         next.chain(self.next_cold_send())
             .chain(self.next_rate_limit_slot())
             .chain(self.next_backoff_change())
+            .chain(self.targets.values().filter_map(|target| target.admission.next_check()).min())
             .min()
     }
 
@@ -364,6 +363,8 @@
         state.queue.advance_virtual_time(rank, &workspace);
         let waiting = state.queue.remove(rank, &workspace, ticket)?;
         state.record_start(now);
+        let work = request_work(&self.forecast, &waiting.req);
+        state.admission.on_started(work, now);
         if let Some(queued) = self.queued.remove(&ticket) {
             self.on_dequeued(&queued);
         }
@@ -372,10 +373,11 @@
     }
 
     /// Decides on the next queued request. While the head of a rank waits for capacity, only requests
-    /// of better ranks may overtake it.
+    /// of better ranks may overtake it. Requests that would be late on any endpoint come after all others.
     fn next_step(&mut self, target: &EndpointTarget, now: Instant) -> Option<Step> {
         let state = self.targets.get(target)?;
-        let mut blocked = u64::MAX;
+        let defers_late = self.limits.disabled.allows(Mechanism::AdmissionForecast);
+        let (mut blocked, mut deferred) = (u64::MAX, None);
         let ages = self.limits.disabled.allows(Mechanism::Ageing);
         let ageing = if ages { self.limits.ageing } else { Duration::MAX };
         for waiting in state.queue.heads(now, ageing) {
@@ -392,19 +394,28 @@
             let open = AdmissionGroups::new(open, req, |endpoint| {
                 self.admission(endpoint, req.ticket.entry, now)
             });
+            let defer = defers_late && open.is_late_on_all(&demand);
             if let Some(endpoint) = open.choose(&demand, &mut *self.policy, now) {
-                return Some(Step::Start(Selection {
+                let start = Step::Start(Selection {
                     rank: req.rank,
                     workspace: req.workspace.clone(),
                     ticket: req.ticket,
                     endpoint,
-                }));
+                });
+                if !defer {
+                    return Some(start);
+                }
+                deferred.get_or_insert(start);
+            }
+            if defer {
+                continue;
             }
             if let Some(until) = self.backed_off_until(req, now) {
                 return Some(Step::Hold(req.ticket, until));
             }
             blocked = req.rank;
         }
-        None
+        // No request that could be in time waits for capacity.
+        deferred.filter(|_| blocked == u64::MAX)
     }
 }
--- a/crates/core/src/placement/target.rs
+++ b/crates/core/src/placement/target.rs
@@ -2,7 +2,10 @@
 
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
-use super::{PrefixHash, queue::Queue};
+use super::{
+    PrefixHash, Request, admission_control::AdmissionControl, queue::Queue,
+    reserved_work::NothingReserved,
+};
 use crate::units::Instant;
 
 /// Maximum number of endpoints that one decision examines.
@@ -21,6 +24,7 @@
 #[derive(Debug, Default)]
 pub(super) struct TargetState {
     pub(super) queue: Queue,
+    pub(super) admission: AdmissionControl,
     /// Names, in order.
     pub(super) endpoints: Vec<Arc<str>>,
     /// Endpoint that last received a request with this prefix.
@@ -75,7 +79,12 @@
         self.last_queued_start = (0 < self.queue.len()).then_some(now);
     }
 
-    /// Estimated queueing time of a new request of this rank.
+    /// Expected queueing time of a new request like this one, from measured rates.
+    pub(super) fn forecast_wait(&self, req: &Request, now: Instant) -> Option<Duration> {
+        self.admission.expected_wait(&self.queue, req, &NothingReserved, now)
+    }
+
+    /// Rough estimate of the queueing time of a new request of this rank.
     pub(super) fn expected_wait(&self, rank: u64) -> Duration {
         Duration::from_secs_f64(self.start_interval * self.queue.ahead_of(rank) as f64)
     }
