placement: rejected requests get a time to come back, and then go before newcomers

Callers that came back as told were rejected again, since the told time was the expected wait, at least 1 s and the same for all rejected together, and nothing kept their order.

ReturnSchedule gives each rejected request with a digest a time after those given before at its rank, or by the share of its workspace, and recognises it on any daemon. Due requests are queued before newcomers of their rank and may wait for half of their time left. Daemons keep the times that they pass on, send them to a new leader (Body::Returns) and use them while no leader answers.

Trial in virtual time (40 at once at ten starts a second, and 60 newcomers at 12.5 a second): nobody is rejected twice and the order of start is that of the first rejections; without the mechanism at least 5 of the 40 are rejected again.

--- a/crates/core/src/error/mod.rs
+++ b/crates/core/src/error/mod.rs
@@ -165,12 +165,14 @@
     pub message: String,
     /// Overrides the table's Retry-After when a better estimate is known.
     pub retry_after: Option<Duration>,
+    /// Tokens that are reserved for the request when it comes back; zero if nothing is.
+    pub reserved_work: u64,
 }
 
 impl RequestError {
     /// An error with the table's own Retry-After.
     pub fn new(kind: ErrorKind, message: impl Into<String>) -> RequestError {
-        RequestError { kind, message: message.into(), retry_after: None }
+        RequestError { kind, message: message.into(), retry_after: None, reserved_work: 0 }
     }
 
     /// When the caller may come back, if that can help.
--- a/crates/core/src/mechanism/mod.rs
+++ b/crates/core/src/mechanism/mod.rs
@@ -56,6 +56,7 @@
     SharedBackoff = "shared-backoff", "An endpoint that rejects requests is the last resort of all daemons.";
     EndpointSamples = "endpoint-samples", "Entries of a large fleet know a sample of its endpoints.";
     RouteUrgency = "route-urgency", "Within a workspace's tier, generations on more urgent routes go first.";
+    ReturnOrder = "return-order", "Rejected requests get a time to come back, and then go before newcomers.";
     NearCalls = "near-calls", "Calls prefer endpoints of the same data hall.";
 }
 
--- a/crates/core/src/node/control/mod.rs
+++ b/crates/core/src/node/control/mod.rs
@@ -240,6 +240,11 @@
                     dispatcher.on_rejection(from, rejected, clocks.now);
                 }
             }
+            Body::Returns(returns) => {
+                if let Some(dispatcher) = &mut self.dispatcher {
+                    dispatcher.on_returns(returns, clocks.now);
+                }
+            }
             Body::PermitQuery(ask) => match &mut self.dispatcher {
                 Some(dispatcher) => dispatcher.on_permit_query(from, ask, clocks.now, out),
                 None => self.reply_not_leader(from, None, out),
--- a/crates/core/src/node/dispatcher.rs
+++ b/crates/core/src/node/dispatcher.rs
@@ -25,7 +25,8 @@
     units::Instant,
     wire::{
         Admit, Body, EndpointRecord, GiveUp, Grant, Health, HealthNews, LastResort, LimitNews,
-        LimitWord, Move, Moved, Overloaded, PermitQuery, Progress, Rejected, Report, SlowEndpoint,
+        LimitWord, Move, Moved, Overloaded, PermitQuery, Progress, Rejected, Report, Returns,
+        SlowEndpoint,
     },
 };
 
@@ -279,6 +280,13 @@
         }
     }
 
+    /// Adds the times of return that a daemon passed on for an earlier leader.
+    pub(crate) fn on_returns(&mut self, returns: Returns, now: Instant) {
+        for promised in returns.returns.into_iter().filter_map(|promised| promised.decode(now)) {
+            self.scheduler.returns.restore(promised, now);
+        }
+    }
+
     fn broadcast_overloaded(&mut self, daemons: &BTreeSet<VmName>, now: Instant, out: &mut Outbox) {
         let backoffs = &self.scheduler.backoffs;
         let due = self.overloaded.take_due(daemons.len(), now);
@@ -404,6 +412,7 @@
         number: ticket.number,
         kind: error.kind.number(),
         retry_after_ms: error.retry_after().unwrap_or_default().as_millis() as u64,
+        reserved_work: error.reserved_work,
         message: error.message,
     }
 }
--- a/crates/core/src/node/placement_client/local.rs
+++ b/crates/core/src/node/placement_client/local.rs
@@ -22,7 +22,7 @@
             out.reply(call, NodeReply::Placed(Err(error)));
             return;
         }
-        self.waiting.insert(call, Waiting { req, deadline, remote: false });
+        self.waiting.insert(call, Waiting { req, deadline, fail_at: deadline, remote: false });
         self.schedule_locally(now, out);
     }
 
--- a/crates/core/src/node/placement_client/mod.rs
+++ b/crates/core/src/node/placement_client/mod.rs
@@ -6,6 +6,7 @@
 
 mod backoff;
 mod local;
+mod returns;
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -22,7 +23,7 @@
 use crate::{
     backoff::BackoffTable,
     error::{ErrorKind, RequestError},
-    placement::{Request, Scheduler, SenderRole, Ticket},
+    placement::{Request, Scheduler, SenderRole, Ticket, max_wait_of_due},
     registry::Registry,
     state::HallsOut,
     throttle::Throttle,
@@ -43,7 +44,11 @@
 #[derive(Debug)]
 struct Waiting {
     req: Request,
+    /// When its maximum wait is over, with grace.
     deadline: Instant,
+    /// When this daemon fails it if the leader's scheduler has not answered. Later than `deadline`,
+    /// since the scheduler lets a request wait longer that comes back when it was told to.
+    fail_at: Instant,
     /// Whether it waits at the leader's scheduler.
     remote: bool,
 }
@@ -188,7 +193,7 @@
     }
 
     pub(crate) fn next_tick(&self) -> Instant {
-        let deadlines = self.waiting.values().map(|w| w.deadline);
+        let deadlines = self.waiting.values().map(|w| w.fail_at);
         let local = self.local.next_decision().filter(|_| self.scheduler.is_none());
         deadlines
             .chain([self.next_report])
@@ -211,7 +216,8 @@
         let remote = scheduler.is_some();
         match scheduler {
             Some(scheduler) => {
-                let waiting = Waiting { req, deadline, remote };
+                let fail_at = fail_time(&req, now);
+                let waiting = Waiting { req, deadline, fail_at, remote };
                 out.send(&scheduler.vm, Body::Admit(waiting.admit_message(call, now)));
                 self.waiting.insert(call, waiting);
             }
@@ -236,11 +242,10 @@
         out.reply(call, NodeReply::Placed(Ok(placement)));
     }
 
-    pub(crate) fn on_give_up(&mut self, give_up: GiveUp, out: &mut Outbox) {
+    pub(crate) fn on_give_up(&mut self, give_up: GiveUp, now: Instant, out: &mut Outbox) {
         let call = CallId(give_up.number);
-        if self.waiting.remove(&call).is_none() {
-            return;
-        }
+        let Some(waiting) = self.waiting.remove(&call) else { return };
+        self.remember_return(&waiting.req, &give_up, now);
         let kind = ErrorKind::from_number(give_up.kind).unwrap_or(ErrorKind::Overloaded);
         let mut error = RequestError::new(kind, give_up.message);
         error.retry_after = Some(Duration::from_millis(give_up.retry_after_ms));
@@ -384,6 +389,7 @@
         self.scheduler = scheduler.map(|s| s.vm.clone());
         let Some(scheduler) = &self.scheduler else { return };
         self.send_backoffs(scheduler, now, out);
+        self.send_returns(scheduler, now, out);
         for (call, running) in &self.running {
             out.send(scheduler, Body::Admit(running.admit_message(*call)));
         }
@@ -396,7 +402,7 @@
         let overdue: Vec<CallId> = self
             .waiting
             .iter()
-            .filter(|(_, w)| w.remote && w.deadline <= now)
+            .filter(|(_, w)| w.remote && w.fail_at <= now)
             .map(|(call, _)| *call)
             .collect();
         for call in overdue {
@@ -422,6 +428,12 @@
     }
 }
 
+/// When this daemon fails a request that the leader's scheduler has not answered.
+fn fail_time(req: &Request, now: Instant) -> Instant {
+    let max_wait = if req.digest.is_some() { max_wait_of_due(req) } else { req.max_wait };
+    now.after(max_wait + GIVE_UP_GRACE)
+}
+
 fn ticket(call: CallId) -> Ticket {
     Ticket { entry: 0, number: call.0 }
 }
--- a/crates/core/src/node/tests/mod.rs
+++ b/crates/core/src/node/tests/mod.rs
@@ -12,6 +12,7 @@
 mod quarantine;
 mod rate_limits;
 mod recovery;
+mod returns;
 mod slot_leaks;
 
 use std::collections::BTreeSet;
--- a/crates/core/src/placement/accounting.rs
+++ b/crates/core/src/placement/accounting.rs
@@ -7,6 +7,7 @@
     endpoint::MemoryDemand,
     policy::Demand,
     prefill::prefill_time,
+    queue::WaitingRequest,
     scheduler::{PlacedRequest, QueuePosition, Scheduler, WorkspaceCounts},
     token_latency::{self, TokenLatencyMeter},
 };
@@ -16,6 +17,7 @@
     /// Adds a request that is already running, as reported by its entry daemon.
     pub fn adopt(&mut self, req: Request, endpoint: &str, tokens: u64, now: Instant) {
         let ticket = req.ticket;
+        self.returns.on_served(&req);
         if !self.endpoints.contains_key(endpoint) {
             return;
         }
@@ -112,17 +114,23 @@
 
     /// Removes a queued or running request whose caller has disconnected.
     pub fn cancel(&mut self, ticket: Ticket, now: Instant) {
-        if let Some(queued) = self.queued.remove(&ticket) {
-            self.on_dequeued(&queued);
-            self.forget_isolated(ticket);
-            self.remove_held(ticket);
-            if let Some(target) = self.targets.get_mut(&queued.target) {
-                target.queue.remove(queued.rank, &queued.workspace, ticket);
-            }
-        }
+        self.dequeue(ticket);
         self.finish(ticket, 0, false, now);
     }
 
+    /// Removes a request from the queue and returns it, unless it is an isolated one.
+    pub(super) fn dequeue(&mut self, ticket: Ticket) -> Option<WaitingRequest> {
+        let queued = self.queued.remove(&ticket)?;
+        self.on_dequeued(&queued);
+        self.forget_isolated(ticket);
+        let held = self.remove_held(ticket);
+        let target = self.targets.get_mut(&queued.target);
+        let waiting =
+            held.or_else(|| target?.queue.remove(queued.rank, &queued.workspace, ticket))?;
+        self.returns.on_withdrawn(&waiting.req);
+        Some(waiting)
+    }
+
     /// Removes all requests of a disconnected entry daemon.
     pub fn forget_entry(&mut self, entry: u64, now: Instant) {
         self.backoffs.remove_daemon(entry);
@@ -196,6 +204,7 @@
     }
 
     pub(super) fn place(&mut self, req: Request, endpoint: &Arc<str>, now: Instant) {
+        self.returns.on_served(&req);
         if let Some(target) = self.targets.get_mut(&req.target) {
             target.record_prefix(req.prefix, endpoint);
         }
--- a/crates/core/src/placement/backoff.rs
+++ b/crates/core/src/placement/backoff.rs
@@ -5,13 +5,12 @@
 use super::{
     Action, Request, Ticket,
     endpoint::EndpointState,
-    expiry::overloaded_error,
     policy::{Demand, Policy},
+    queue::WaitingRequest,
     scheduler::Scheduler,
 };
 use crate::{
     backoff::{Admission, LOCAL_DAEMON, Rejection},
-    config::EndpointTarget,
     error::RequestError,
     mechanism::Mechanism,
     signals::RESTART_NEWS_DELAY,
@@ -25,8 +24,7 @@
 /// A request that is held until the back-off of its daemon ends.
 #[derive(Debug)]
 pub(super) struct HeldRequest {
-    req: Request,
-    arrived: Instant,
+    waiting: WaitingRequest,
     until: Instant,
 }
 
@@ -158,11 +156,12 @@
         let target = self.targets.get_mut(&queued.target)?;
         let waiting = target.queue.remove(rank, &queued.workspace, ticket)?;
         if until <= expires {
-            self.held.push(HeldRequest { req: waiting.req, arrived: waiting.arrived, until });
+            self.held.push(HeldRequest { waiting, until });
             return None;
         }
-        let error = self.backed_off_error(&waiting.req.target, until, now);
         self.cancel(ticket, now);
+        self.returns.on_withdrawn(&waiting.req);
+        let error = self.backed_off_error(&waiting.req, until, now);
         Some(Action::GiveUp { ticket, error })
     }
 
@@ -171,15 +170,17 @@
         for held in std::mem::take(&mut self.held) {
             if now < held.until {
                 self.held.push(held);
-            } else if let Some(target) = self.targets.get_mut(&held.req.target) {
-                target.queue.push(held.req, held.arrived);
+            } else if let Some(target) = self.targets.get_mut(&held.waiting.req.target) {
+                let WaitingRequest { req, arrived, order } = held.waiting;
+                target.queue.push(req, arrived, order);
             }
         }
     }
 
     /// Removes a held request.
-    pub(super) fn remove_held(&mut self, ticket: Ticket) {
-        self.held.retain(|held| held.req.ticket != ticket);
+    pub(super) fn remove_held(&mut self, ticket: Ticket) -> Option<WaitingRequest> {
+        let at = self.held.iter().position(|held| held.waiting.req.ticket == ticket)?;
+        Some(self.held.remove(at).waiting)
     }
 
     /// Time at which a back-off next changes or a held request is due, if any request is queued.
@@ -195,17 +196,15 @@
     /// are spread over requests that are rejected at the same time.
     pub(super) fn backed_off_error(
         &mut self,
-        target: &EndpointTarget,
+        req: &Request,
         until: Instant,
         now: Instant,
     ) -> RequestError {
+        let target = &req.target;
         let endpoints = self.targets.get(target).map_or(0, |target| target.endpoints.len());
         let wait: Duration = until.since(now) + self.retry_spreader.next_delay(endpoints, now);
-        let message = format!(
-            "all endpoints of {} have asked this daemon to back off; retry after {} ms",
-            target.name(),
-            wait.as_millis()
-        );
-        overloaded_error(&message, wait)
+        let message =
+            format!("all endpoints of {} have asked this daemon to back off", target.name());
+        self.reject(&message, req, wait, now)
     }
 }
--- a/crates/core/src/placement/expiry.rs
+++ b/crates/core/src/placement/expiry.rs
@@ -3,9 +3,11 @@
 use std::time::Duration;
 
 use super::{
-    Action, Ticket,
+    Action, Request, Ticket,
     endpoint::{EndpointState, Health},
-    scheduler::Scheduler,
+    returns::{Capacity, unreserved_error},
+    scheduler::{QueuePosition, Scheduler},
+    target::TargetState,
 };
 use crate::{
     config::EndpointTarget,
@@ -21,18 +23,42 @@
             if now < expiry.at {
                 break;
             }
-            let wait = self.queued.get(&expiry.ticket).map(|q| {
-                let target = self.targets.get(&q.target);
-                target.map_or(Duration::ZERO, |target| target.expected_wait(q.rank))
-            });
-            self.cancel(expiry.ticket, now);
-            let error =
-                overloaded_error("no endpoint became free in time", wait.unwrap_or_default());
-            actions.push(Action::GiveUp { ticket: expiry.ticket, error });
+            let ticket = expiry.ticket;
+            let wait = self.queued.get(&ticket).map(|queued| self.expected_wait(queued));
+            let wait = wait.unwrap_or_default();
+            let waiting = self.dequeue(ticket);
+            self.expiries.remove(&expiry);
+            let message = "no endpoint became free in time";
+            let error = match waiting {
+                // Order of return: its return is reserved.
+                Some(waiting) => self.reject(message, &waiting.req, wait, now),
+                None => unreserved_error(message, wait),
+            };
+            actions.push(Action::GiveUp { ticket, error });
         }
         actions
     }
 
+    fn expected_wait(&self, queued: &QueuePosition) -> Duration {
+        let target = self.targets.get(&queued.target);
+        target.map_or(Duration::ZERO, |target| target.expected_wait(queued.rank))
+    }
+
+    /// Error for a request that was or would be queued for too long, with the time to come back.
+    pub(super) fn reject(
+        &mut self,
+        message: &str,
+        req: &Request,
+        wait: Duration,
+        now: Instant,
+    ) -> RequestError {
+        let output = self.forecast.distribution(&req.workspace, &req.kind);
+        let work = req.prompt_tokens as f64 + output.expected_remaining(0, req.max_tokens);
+        let starts_per_second = self.targets.get(&req.target).map_or(0.0, TargetState::start_rate);
+        let capacity = Capacity { wait, work, rate: starts_per_second * work };
+        self.returns.reject(message, req, capacity, now)
+    }
+
     /// Rejects requests for targets whose data halls are all out of service, since operators take
     /// minutes to restore them.
     pub(super) fn give_up_out_of_service(&mut self, now: Instant) -> Vec<Action> {
@@ -78,11 +104,3 @@
         RequestError::new(ErrorKind::NoEndpoint, format!("no live endpoint serves {name}"))
     }
 }
-
-/// Error for a request that was or would be queued for too long.
-pub(super) fn overloaded_error(message: &str, wait: Duration) -> RequestError {
-    const MIN_RETRY_AFTER: Duration = Duration::from_secs(1);
-    let mut error = RequestError::new(ErrorKind::Overloaded, message);
-    error.retry_after = Some(wait.max(MIN_RETRY_AFTER));
-    error
-}
--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -37,6 +37,10 @@
 mod queue;
 #[allow(dead_code)] // The parts that use it come next.
 mod reserved_work;
+mod return_queue;
+#[cfg(test)]
+mod return_tests;
+mod returns;
 mod scheduler;
 mod sender_role;
 mod speed_baseline;
@@ -53,7 +57,6 @@
 
 use crate::{config::EndpointTarget, error::RequestError, quarantine::RequestDigest};
 
-pub(crate) use self::sender_role::RateSplit;
 pub use self::{
     cold_start::{ColdPacer, cold_interval},
     endpoint::{EndpointState, Health, LoadReport},
@@ -67,6 +70,10 @@
     scheduler::{Scheduler, SchedulerLimits},
     sender_role::SenderRole,
 };
+pub(crate) use self::{
+    returns::{PromisedReturn, max_wait_of_due},
+    sender_role::RateSplit,
+};
 
 /// Ranks per tier; request kinds are ordered within a tier.
 pub const RANKS_PER_TIER: u64 = 100;
--- a/crates/core/src/placement/queue.rs
+++ b/crates/core/src/placement/queue.rs
@@ -6,7 +6,7 @@
     time::Duration,
 };
 
-use super::{RANKS_PER_TIER, Request, Ticket};
+use super::{RANKS_PER_TIER, Request, Ticket, return_queue::ReturnQueue, returns::ReturnOrder};
 use crate::units::Instant;
 
 /// A queued request.
@@ -14,6 +14,8 @@
 pub(crate) struct WaitingRequest {
     pub(crate) req: Request,
     pub(crate) arrived: Instant,
+    /// Its place before newcomers, if it came back when it was due.
+    pub(crate) order: Option<ReturnOrder>,
 }
 
 /// Tokens served to a workspace, divided by its fair-share weight.
@@ -44,6 +46,7 @@
 #[derive(Debug, Default)]
 struct RankQueue {
     len: usize,
+    returning: ReturnQueue,
     by_service: BTreeSet<FairnessKey>,
     waiting: HashMap<Arc<str>, VecDeque<WaitingRequest>>,
     served: HashMap<Arc<str>, NormalizedService>,
@@ -58,6 +61,10 @@
     }
 
     fn push(&mut self, waiting: WaitingRequest, at_limit: bool) {
+        self.len += 1;
+        if let Some(order) = waiting.order {
+            return self.returning.push(order, waiting, at_limit);
+        }
         let workspace = waiting.req.workspace.clone();
         // Idle workspaces do not accumulate credit.
         let service = self.served.entry(workspace.clone()).or_insert(self.virtual_time);
@@ -69,10 +76,10 @@
             }
         }
         queue.push_back(waiting);
-        self.len += 1;
     }
 
     fn set_at_limit(&mut self, workspace: &Arc<str>, at_limit: bool) {
+        self.returning.set_at_limit(workspace, at_limit);
         let key = self.key(workspace);
         if at_limit {
             self.by_service.remove(&key);
@@ -82,11 +89,19 @@
     }
 
     fn head(&self) -> Option<&WaitingRequest> {
+        self.returning.head().or_else(|| self.newcomer())
+    }
+
+    fn newcomer(&self) -> Option<&WaitingRequest> {
         let first = self.by_service.first()?;
         self.waiting.get(&first.workspace)?.front()
     }
 
     fn remove(&mut self, workspace: &Arc<str>, ticket: Ticket) -> Option<WaitingRequest> {
+        if let Some(waiting) = self.returning.remove(workspace, ticket) {
+            self.len -= 1;
+            return Some(waiting);
+        }
         let queue = self.waiting.get_mut(workspace)?;
         let at = queue.iter().position(|w| w.req.ticket == ticket)?;
         let waiting = queue.remove(at);
@@ -129,10 +144,12 @@
         self.ranks.range(..=rank).map(|(_, rank_queue)| rank_queue.len).sum()
     }
 
-    pub(crate) fn push(&mut self, req: Request, arrived: Instant) {
+    /// Adds a request; `order` is its place before newcomers, if it came back when it was due.
+    pub(crate) fn push(&mut self, req: Request, arrived: Instant, order: Option<ReturnOrder>) {
         self.len += 1;
         let at_limit = self.at_limit.contains(&req.workspace);
-        self.ranks.entry(req.rank).or_default().push(WaitingRequest { req, arrived }, at_limit);
+        let waiting = WaitingRequest { req, arrived, order };
+        self.ranks.entry(waiting.req.rank).or_default().push(waiting, at_limit);
     }
 
     /// Returns the first request of each rank in the order of service. Each `ageing` of waiting time
--- /dev/null
+++ b/crates/core/src/placement/returns/table.rs
@@ -0,0 +1,194 @@
+//! The bounded table of reservations.
+
+use std::{
+    collections::{BTreeMap, BTreeSet, HashMap},
+    sync::Arc,
+};
+
+use super::lane::{Booking, Lane};
+use crate::{config::EndpointTarget, placement::Ticket, quarantine::RequestDigest, units::Instant};
+
+/// One workspace holds at most this part of a full table while others want some.
+const MAX_WORKSPACE_PART: usize = 4;
+
+/// The reservation of one request.
+#[derive(Debug)]
+pub(super) struct Record {
+    pub(super) target: Arc<EndpointTarget>,
+    pub(super) rank: u64,
+    pub(super) booking: Booking,
+    /// Number of the reservation, in order.
+    pub(super) sequence: u64,
+    /// The try that is in the queue, if any.
+    pub(super) queued_as: Option<Ticket>,
+}
+
+/// Reservations by digest, with the lanes of their targets and ranks.
+#[derive(Debug)]
+pub(super) struct RecordTable {
+    capacity: usize,
+    records: HashMap<RequestDigest, Record>,
+    /// Requests that are not queued, by time of return.
+    by_due: BTreeSet<(Instant, RequestDigest)>,
+    /// Reservations of each workspace, in order.
+    by_workspace: HashMap<Arc<str>, BTreeMap<u64, RequestDigest>>,
+    /// Workspaces by their number of reservations.
+    by_size: BTreeSet<(usize, Arc<str>)>,
+    lanes: HashMap<Arc<EndpointTarget>, BTreeMap<u64, Lane>>,
+    /// Requests that were due before this and have not come back are not counted.
+    counted_from: Instant,
+}
+
+impl RecordTable {
+    pub(super) fn new(capacity: usize) -> RecordTable {
+        RecordTable {
+            capacity,
+            records: HashMap::new(),
+            by_due: BTreeSet::new(),
+            by_workspace: HashMap::new(),
+            by_size: BTreeSet::new(),
+            lanes: HashMap::new(),
+            counted_from: Instant::default(),
+        }
+    }
+
+    pub(super) fn get(&self, digest: &RequestDigest) -> Option<&Record> {
+        self.records.get(digest)
+    }
+
+    /// The reservations of requests that are not queued, in order of their times.
+    pub(super) fn absent(&self) -> impl Iterator<Item = (&RequestDigest, &Record)> {
+        self.by_due.iter().filter_map(|(_, digest)| Some((digest, self.records.get(digest)?)))
+    }
+
+    /// The target, shared between all records.
+    pub(super) fn shared_target(&self, target: &EndpointTarget) -> Arc<EndpointTarget> {
+        let known = self.lanes.get_key_value(target);
+        known.map_or_else(|| Arc::new(target.clone()), |(known, _)| known.clone())
+    }
+
+    /// See [`Lane::next_due`].
+    pub(super) fn next_due(
+        &self,
+        target: &EndpointTarget,
+        rank: u64,
+        booking: &Booking,
+        rate: f64,
+        earliest: Instant,
+    ) -> Instant {
+        let lane = self.lanes.get(target).and_then(|lanes| lanes.get(&rank));
+        lane.map_or(earliest, |lane| lane.next_due(booking, rate, earliest))
+    }
+
+    /// Adds a reservation whose work is done at `rate`; false if there is no room for it.
+    pub(super) fn insert(&mut self, digest: RequestDigest, record: Record, rate: f64) -> bool {
+        if self.capacity <= self.records.len() && !self.make_room(&record.booking.workspace) {
+            return false;
+        }
+        self.by_due.insert((record.booking.due, digest));
+        self.lane(&record).add(&record.booking, rate);
+        self.change_workspace(&record.booking.workspace, |held| {
+            held.insert(record.sequence, digest);
+        });
+        self.records.insert(digest, record);
+        true
+    }
+
+    /// Evicts the newest reservation of the workspace with the most, if this one has less than its
+    /// part and remains below the other.
+    fn make_room(&mut self, workspace: &Arc<str>) -> bool {
+        let Some((largest, holder)) = self.by_size.last().cloned() else { return false };
+        let held = self.by_workspace.get(workspace).map_or(0, BTreeMap::len);
+        let max_part = self.capacity / MAX_WORKSPACE_PART;
+        let gives_room = held < max_part && held + 1 < largest;
+        let newest = self.by_workspace.get(&holder).and_then(|held| held.values().next_back());
+        match newest.copied() {
+            Some(newest) if gives_room => self.remove(&newest),
+            _ => return false,
+        }
+        true
+    }
+
+    /// Sets which try of a request is in the queue.
+    pub(super) fn set_queued(&mut self, digest: &RequestDigest, ticket: Option<Ticket>) {
+        let Some(record) = self.records.get_mut(digest) else { return };
+        let was_queued = std::mem::replace(&mut record.queued_as, ticket).is_some();
+        let lane = self.lanes.get_mut(&record.target).and_then(|lanes| lanes.get_mut(&record.rank));
+        let key = (record.booking.due, *digest);
+        match (lane, was_queued, ticket.is_some()) {
+            (Some(lane), false, true) => {
+                lane.stop_expecting(&record.booking);
+                self.by_due.remove(&key);
+            }
+            (Some(lane), true, false) => {
+                lane.expect(&record.booking);
+                self.by_due.insert(key);
+            }
+            _ => {}
+        }
+    }
+
+    pub(super) fn remove(&mut self, digest: &RequestDigest) {
+        let Some(record) = self.records.remove(digest) else { return };
+        self.by_due.remove(&(record.booking.due, *digest));
+        self.change_workspace(&record.booking.workspace, |held| {
+            held.remove(&record.sequence);
+        });
+        let lane = self.lane(&record);
+        if record.queued_as.is_none() {
+            lane.stop_expecting(&record.booking);
+        }
+        lane.remove(&record.booking);
+        if lane.is_empty()
+            && let Some(lanes) = self.lanes.get_mut(&record.target)
+        {
+            lanes.remove(&record.rank);
+            if lanes.is_empty() {
+                self.lanes.remove(&record.target);
+            }
+        }
+    }
+
+    /// Removes what was due before `start` and is not queued.
+    pub(super) fn remove_due_before(&mut self, start: Instant) {
+        while let Some((due, digest)) = self.by_due.first().copied()
+            && due < start
+        {
+            self.remove(&digest);
+        }
+    }
+
+    /// From now on requests that were due before `start` and have not come back are not counted.
+    pub(super) fn count_from(&mut self, start: Instant) {
+        self.counted_from = self.counted_from.max(start);
+    }
+
+    /// Tokens of absent requests of this rank or better that are due before `until`.
+    pub(super) fn awaited(&self, target: &EndpointTarget, rank: u64, until: Instant) -> u64 {
+        let Some(lanes) = self.lanes.get(target) else { return 0 };
+        lanes.range(..=rank).map(|(_, lane)| lane.awaited(self.counted_from, until)).sum()
+    }
+
+    fn lane(&mut self, record: &Record) -> &mut Lane {
+        self.lanes.entry(record.target.clone()).or_default().entry(record.rank).or_default()
+    }
+
+    /// Changes the reservations of a workspace.
+    fn change_workspace(
+        &mut self,
+        workspace: &Arc<str>,
+        change: impl FnOnce(&mut BTreeMap<u64, RequestDigest>),
+    ) {
+        let held = self.by_workspace.entry(workspace.clone()).or_default();
+        let before = held.len();
+        change(held);
+        let after = held.len();
+        if after == 0 {
+            self.by_workspace.remove(workspace);
+        }
+        self.by_size.remove(&(before, workspace.clone()));
+        if 0 < after {
+            self.by_size.insert((after, workspace.clone()));
+        }
+    }
+}
--- a/crates/core/src/placement/scheduler.rs
+++ b/crates/core/src/placement/scheduler.rs
@@ -11,11 +11,11 @@
     backoff::{AdmissionGroups, HeldRequest},
     endpoint::{EndpointState, MemoryDemand},
     evacuation::MoveTracker,
-    expiry::overloaded_error,
     forecast::LengthForecast,
     handover::HandoverQueue,
     isolation::IsolatedRequests,
     policy::{Demand, ForecastPolicy, Policy, PowerOfTwoChoices},
+    returns::{ReturnSchedule, Returning, max_wait_of_due},
     target::TargetState,
     token_latency::TokenLatencyMeter,
 };
@@ -130,6 +130,8 @@
     /// Requests held until the back-off of their daemon ends.
     pub(super) held: Vec<HeldRequest>,
     pub(super) retry_spreader: RetrySpreader,
+    /// When rejected requests are to come back.
+    pub(crate) returns: ReturnSchedule,
     /// Seed of a daemon-local scheduler; `None` for the central scheduler.
     pub(super) local_seed: Option<u64>,
     /// Time of the last call to [`Scheduler::decide`].
@@ -161,6 +163,7 @@
             backoffs: BackoffTable::default(),
             held: Vec::new(),
             retry_spreader: RetrySpreader::default(),
+            returns: ReturnSchedule::new(limits.disabled),
             local_seed: None,
             last_decision: Instant::default(),
             sample_offset: 0,
@@ -183,7 +186,9 @@
         let sender_role = SenderRole::one_of(0);
         let (sample_offset, local_seed) = (seed as usize, Some(seed));
         let throttle = Throttle::new(sender_role, seed);
+        let returns = ReturnSchedule::recognising(disabled);
         Scheduler {
+            returns,
             sample_offset,
             local_seed,
             sender_role,
@@ -260,7 +265,7 @@
         if let Some(until) = self.backed_off_until(&req, now)
             && now.after(req.max_wait) < until
         {
-            return Err(self.backed_off_error(&req.target, until, now));
+            return Err(self.backed_off_error(&req, until, now));
         }
         let Some(target) = self.targets.get(&req.target) else {
             return Err(self.no_endpoint_error(&req.target));
@@ -268,10 +273,20 @@
         let wait = target.expected_wait(req.rank);
         let wait_too_long = self.limits.disabled.allows(Mechanism::EarlyRefusal)
             && req.max_wait * EXCESS_WAIT_FACTOR < wait;
-        if self.limits.max_waiting <= target.queue.len() || wait_too_long {
-            return Err(overloaded_error("the queue is too long for this kind of request", wait));
+        let is_full = self.limits.max_waiting <= target.queue.len() || wait_too_long;
+        // Order of return: a request that comes back when it is due is not rejected again.
+        let returning = self.returns.on_return(&req, now);
+        let order = returning.place(target.queue.ahead_of(req.rank) == 0);
+        let is_early = matches!(returning, Returning::Early(_));
+        if order.is_none() && (is_full || is_early) {
+            let message = "the queue is too long for this kind of request";
+            return Err(self.reject(message, &req, wait, now));
         }
-        let expiry = Expiry { at: now.after(req.max_wait), ticket: req.ticket };
+        let max_wait = order.map_or(req.max_wait, |_| max_wait_of_due(&req));
+        if order.is_some() {
+            self.returns.on_queued(&req);
+        }
+        let expiry = Expiry { at: now.after(max_wait), ticket: req.ticket };
         self.expiries.insert(expiry);
         let queued = QueuePosition {
             target: req.target.clone(),
@@ -284,7 +299,7 @@
         if req.isolated {
             self.isolated.push(req, now);
         } else if let Some(target) = self.targets.get_mut(&req.target) {
-            target.queue.push(req, now);
+            target.queue.push(req, now, order);
         }
         Ok(())
     }
@@ -361,8 +376,11 @@
     ) -> Option<Action> {
         let Selection { rank, workspace, ticket, endpoint } = selection;
         let state = self.targets.get_mut(target)?;
-        state.queue.advance_virtual_time(rank, &workspace);
         let waiting = state.queue.remove(rank, &workspace, ticket)?;
+        if waiting.order.is_none() {
+            // Returning requests are selected in another order than that of the service.
+            state.queue.advance_virtual_time(rank, &workspace);
+        }
         state.record_start(now);
         if let Some(queued) = self.queued.remove(&ticket) {
             self.on_dequeued(&queued);
--- a/crates/core/src/placement/target.rs
+++ b/crates/core/src/placement/target.rs
@@ -75,6 +75,11 @@
         self.last_queued_start = (0 < self.queue.len()).then_some(now);
     }
 
+    /// Requests started per second while some were queued; zero if unknown.
+    pub(super) fn start_rate(&self) -> f64 {
+        if 0.0 < self.start_interval { 1.0 / self.start_interval } else { 0.0 }
+    }
+
     /// Estimated queueing time of a new request of this rank.
     pub(super) fn expected_wait(&self, rank: u64) -> Duration {
         Duration::from_secs_f64(self.start_interval * self.queue.ahead_of(rank) as f64)
--- a/crates/core/src/wire/mod.rs
+++ b/crates/core/src/wire/mod.rs
@@ -7,6 +7,7 @@
 mod handshake;
 mod placement;
 mod quarantine;
+mod returns;
 #[cfg(test)]
 mod tests;
 mod throttle;
@@ -31,6 +32,7 @@
     quarantine::{
         SuspectChange, SuspectNews, SuspectsReply, TrialAsk, TrialOver, TrialReply, TrialStatus,
     },
+    returns::{Return, Returns},
     throttle::{LimitNews, LimitWord, PermitQuery, PermitReply},
 };
 
@@ -40,7 +42,7 @@
     /// What it says.
     #[prost(
         oneof = "Body",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26, 27, 28, 29, 30, 31, 32, 33, 34, 35, 36, 37, 38"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26, 27, 28, 29, 30, 31, 32, 33, 34, 35, 36, 37, 38, 39"
     )]
     pub body: Option<Body>,
 }
@@ -162,6 +164,9 @@
     /// A control VM passes on heartbeats that say nothing new.
     #[prost(message, tag = "38")]
     EndpointHeartbeats(EndpointHeartbeats),
+    /// A daemon tells a new leader which rejected requests were told when to come back.
+    #[prost(message, tag = "39")]
+    Returns(Returns),
 }
 
 impl Body {
@@ -206,6 +211,7 @@
             Body::EndpointInterest(_) => "endpoint_interest",
             Body::EndpointsUsed(_) => "endpoints_used",
             Body::EndpointHeartbeats(_) => "endpoint_heartbeats",
+            Body::Returns(_) => "returns",
         }
     }
 }
--- a/crates/core/src/wire/placement.rs
+++ b/crates/core/src/wire/placement.rs
@@ -102,6 +102,9 @@
     /// When to come back, in milliseconds.
     #[prost(uint64, tag = "4")]
     pub retry_after_ms: u64,
+    /// Tokens that are reserved for it when it comes back; zero if nothing is.
+    #[prost(uint64, tag = "5")]
+    pub reserved_work: u64,
 }
 
 /// Tokens of one request.
