relay: placement requests of generations carry the digest of the request

The scheduler recognises a request that comes back by its digest. Only the first placement of a request has one: the errors of later ones do not tell the caller when to come back.

--- a/crates/server/src/relay/generation.rs
+++ b/crates/server/src/relay/generation.rs
@@ -9,6 +9,7 @@
     error::{ErrorKind, RequestError},
     mechanism::Mechanism,
     node::Input,
+    quarantine::RequestDigest,
     registry::RegisteredEndpoint,
     signals::EndpointSignals,
     wire::HealthNews,
@@ -95,7 +96,10 @@
             if attempts == 0 { e } else { no_response_error(attempts, &e.message) }
         };
         let turn = relay.quarantine_turn(job).await.map_err(placement_error)?;
-        let placed = acquire_placement(relay, job, avoid.clone(), turn.is_isolated());
+        // A rejection tells the caller when to come back only if nothing was attempted before.
+        let is_first = attempts == 0 && relay.is_enabled(Mechanism::ReturnOrder);
+        let digest = is_first.then(|| job.digest(relay));
+        let placed = acquire_placement(relay, job, avoid.clone(), turn.is_isolated(), digest);
         let placed = until(job.deadline, placed).await;
         let placed = placed.map_err(|_| no_response_error(attempts, "the deadline has passed"))?;
         let (placed, reservation) = placed.map_err(placement_error)?;
@@ -155,10 +159,12 @@
     job: &Job,
     avoid: Vec<Arc<str>>,
     isolated: bool,
+    digest: Option<RequestDigest>,
 ) -> Result<(Placed, Option<String>), RequestError> {
     const POLL_INTERVAL: Duration = Duration::from_millis(20);
     loop {
         let mut req = job.placement_request(avoid.clone(), isolated);
+        req.digest = digest;
         if !relay.is_enabled(Mechanism::PlacePatience) {
             req.max_wait = Duration::ZERO;
         }
--- a/crates/server/src/relay/job.rs
+++ b/crates/server/src/relay/job.rs
@@ -117,7 +117,7 @@
         req
     }
 
-    /// Builds the placement request for the scheduler.
+    /// Builds the placement request for the scheduler, without the digest.
     pub(super) fn placement_request(
         &self,
         avoid: Vec<Arc<str>>,
--- a/crates/server/src/relay/stream/mod.rs
+++ b/crates/server/src/relay/stream/mod.rs
@@ -252,7 +252,7 @@
         let (placed, turn, reservation) = loop {
             let turn = self.relay.quarantine_turn(&self.job).await.map_err(lost)?;
             let placing =
-                acquire_placement(&self.relay, &self.job, avoid.to_vec(), turn.is_isolated());
+                acquire_placement(&self.relay, &self.job, avoid.to_vec(), turn.is_isolated(), None);
             let placed = until(self.job.deadline, placing).await;
             let (placed, reservation) =
                 placed.map_err(|_| EndReason::DeadlineExceeded)?.map_err(lost)?;
