Merge part 3, order of return, with admission control

Rejections of admission control reserve a return; its forecasts count the reserved and the returning work.

--- a/crates/core/src/mechanism/mod.rs
+++ b/crates/core/src/mechanism/mod.rs
@@ -57,6 +57,7 @@
     EndpointSamples = "endpoint-samples", "Entries of a large fleet know a sample of its endpoints.";
     RouteUrgency = "route-urgency", "Within a workspace's tier, generations on more urgent routes go first.";
     AdmissionForecast = "admission-forecast", "Requests whose wait is expected to be too long are rejected early, from measured rates.";
+    ReturnOrder = "return-order", "Rejected requests get a time to come back, and then go before newcomers.";
     NearCalls = "near-calls", "Calls prefer endpoints of the same data hall.";
 }
 
--- a/crates/core/src/placement/admission_control.rs
+++ b/crates/core/src/placement/admission_control.rs
@@ -121,6 +121,11 @@
         self.rate.is_busy().then_some(self.next_check)
     }
 
+    /// Tokens per second that requests of this rank can start; `None` if unknown.
+    pub(super) fn rate(&self, rank: u64, now: Instant) -> Option<f64> {
+        Some(self.service_curve(rank, now)?.rate())
+    }
+
     /// Expected time until a new request like this one would start; `None` if unknown.
     pub(super) fn expected_wait(
         &self,
@@ -134,7 +139,9 @@
         let others = if own.requests == 0 { req.share } else { 0 };
         let shares = (rank.share + others) as f64 / req.share.max(1) as f64;
         let fair = self.tokens(req.rank, own) * shares;
-        let ahead = self.better_work(queue, req.rank) + fair.min(self.tokens(req.rank, rank));
+        let returning = self.tokens(req.rank, queue.returning_work(req.rank));
+        let ahead =
+            self.better_work(queue, req.rank) + returning + fair.min(self.tokens(req.rank, rank));
         let until = now.after(curve.time_for(ahead));
         Some(curve.time_for(ahead + reserved.reserved(&req.target, req.rank, until)))
     }
@@ -154,6 +161,7 @@
         let mut ahead = 0.0;
         for rank in queue.ranks() {
             let Some(curve) = self.service_curve(rank, now) else { break };
+            ahead += self.tokens(rank, queue.returning_work(rank));
             for waiting in queue.in_order(rank) {
                 let req = &waiting.req;
                 let until = now.after(curve.time_for(ahead));
@@ -183,7 +191,8 @@
     /// Queued tokens of better ranks.
     fn better_work(&self, queue: &Queue, rank: u64) -> f64 {
         let better = queue.ranks().filter(|better| *better < rank);
-        better.map(|better| self.tokens(better, queue.rank_work(better))).sum()
+        let work = |rank| queue.rank_work(rank).plus(queue.returning_work(rank));
+        better.map(|better| self.tokens(better, work(better))).sum()
     }
 
     fn tokens(&self, rank: u64, work: QueuedWork) -> f64 {
--- a/crates/core/src/placement/admission_control_tests.rs
+++ b/crates/core/src/placement/admission_control_tests.rs
@@ -275,7 +275,7 @@
     let (mut control, mut queue) = (AdmissionControl::default(), Queue::default());
     let new = |number| Request { workspace: "big".into(), ..request(number, 900, 100) };
     for number in 0..30 {
-        queue.push(new(number), ms(0));
+        queue.push(new(number), ms(0), None);
     }
     for number in 0..30 {
         let now = ms(number * 100);
@@ -309,7 +309,7 @@
 fn wait_is_unknown_at_first() {
     let (mut control, mut queue) = (AdmissionControl::default(), Queue::default());
     control.on_arrival(&request(0, 900, 100), 1_000.0, ms(0));
-    queue.push(request(0, 900, 100), ms(0));
+    queue.push(request(0, 900, 100), ms(0), None);
     control.on_decided(true, ms(0));
 
     let wait = control.expected_wait(&queue, &request(1, 900, 100), &NothingReserved, ms(500));
@@ -329,7 +329,11 @@
         for number in 0..30 {
             let max_wait = Duration::from_millis(max_wait_ms);
             let ttft_target = Duration::from_secs(3);
-            queue.push(Request { max_wait, ttft_target, ..request(number, 900, 100) }, ms(2_500));
+            queue.push(
+                Request { max_wait, ttft_target, ..request(number, 900, 100) },
+                ms(2_500),
+                None,
+            );
         }
         queue
     };
--- a/crates/core/src/placement/expiry.rs
+++ b/crates/core/src/placement/expiry.rs
@@ -6,7 +6,7 @@
     Action, Request, Ticket,
     endpoint::{EndpointState, Health},
     forecast::LengthForecast,
-    reserved_work::NothingReserved,
+    returns::{Capacity, unreserved_error},
     scheduler::{PlacedRequest, Scheduler},
     target::TargetState,
     token_latency,
@@ -32,10 +32,10 @@
             if now < expiry.at {
                 break;
             }
-            let wait = self.wait_of_queued(expiry.ticket, now).unwrap_or_default();
-            self.cancel(expiry.ticket, now);
-            let error = overloaded_error("no endpoint became free in time", wait);
-            actions.push(Action::GiveUp { ticket: expiry.ticket, error });
+            let ticket = expiry.ticket;
+            let wait = self.wait_of_queued(ticket, now).unwrap_or_default();
+            actions.push(self.give_up(ticket, "no endpoint became free in time", wait, now));
+            self.expiries.remove(&expiry);
         }
         actions
     }
@@ -45,7 +45,8 @@
         let queued = self.queued.get(&ticket)?;
         let target = self.targets.get(&queued.target)?;
         let waiting = target.queue.find(queued.rank, &queued.workspace, ticket);
-        let forecast = waiting.and_then(|waiting| target.forecast_wait(&waiting.req, now));
+        let forecast =
+            waiting.and_then(|waiting| target.forecast_wait(&waiting.req, &self.returns, now));
         Some(forecast.unwrap_or_else(|| target.expected_wait(queued.rank)))
     }
 
@@ -69,7 +70,7 @@
         req: &Request,
         now: Instant,
     ) -> Option<Duration> {
-        let forecast = target.forecast_wait(req, now);
+        let forecast = target.forecast_wait(req, &self.returns, now);
         let wait = forecast.unwrap_or_else(|| target.expected_wait(req.rank));
         let too_long = match forecast {
             Some(wait) => req.max_wait < wait,
@@ -90,12 +91,10 @@
         }
         self.renew_releases(name, now);
         let Some(target) = self.targets.get_mut(name) else { return Vec::new() };
-        let overdue = target.admission.overdue(&target.queue, &NothingReserved, now);
-        let shed = overdue.into_iter().map(|(ticket, wait)| {
-            self.cancel(ticket, now);
-            let error = overloaded_error("the queue has become too long for this request", wait);
-            Action::GiveUp { ticket, error }
-        });
+        let overdue = target.admission.overdue(&target.queue, &self.returns, now);
+        let message = "the queue has become too long for this request";
+        let shed =
+            overdue.into_iter().map(|(ticket, wait)| self.give_up(ticket, message, wait, now));
         shed.collect()
     }
 
@@ -118,6 +117,31 @@
         }
     }
 
+    /// Rejects a queued request and reserves its return.
+    fn give_up(&mut self, ticket: Ticket, message: &str, wait: Duration, now: Instant) -> Action {
+        let error = match self.dequeue(ticket) {
+            Some(waiting) => self.reject(message, &waiting.req, wait, now),
+            None => unreserved_error(message, wait),
+        };
+        Action::GiveUp { ticket, error }
+    }
+
+    /// Error for a request that was or would be queued for too long, with the time to come back.
+    pub(super) fn reject(
+        &mut self,
+        message: &str,
+        req: &Request,
+        wait: Duration,
+        now: Instant,
+    ) -> RequestError {
+        let work = request_work(&self.forecast, req);
+        let target = self.targets.get(&req.target);
+        let rate = target.and_then(|target| target.admission.rate(req.rank, now));
+        let starts = || target.map_or(0.0, TargetState::start_rate) * work;
+        let capacity = Capacity { wait, work, rate: rate.unwrap_or_else(starts) };
+        self.returns.reject(message, req, capacity, now)
+    }
+
     /// Rejects requests for targets whose data halls are all out of service, since operators take
     /// minutes to restore them.
     pub(super) fn give_up_out_of_service(&mut self, now: Instant) -> Vec<Action> {
@@ -169,11 +193,3 @@
     let distribution = forecast.distribution(&req.workspace, &req.kind);
     req.prompt_tokens as f64 + distribution.expected_remaining(0, req.max_tokens)
 }
-
-/// Error for a request that was or would be queued for too long.
-pub(super) fn overloaded_error(message: &str, wait: Duration) -> RequestError {
-    const MIN_RETRY_AFTER: Duration = Duration::from_secs(1);
-    let mut error = RequestError::new(ErrorKind::Overloaded, message);
-    error.retry_after = Some(wait.max(MIN_RETRY_AFTER));
-    error
-}
--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -41,6 +41,10 @@
 mod queued_work;
 mod release_forecast;
 mod reserved_work;
+mod return_queue;
+#[cfg(test)]
+mod return_tests;
+mod returns;
 mod scheduler;
 mod sender_role;
 mod service_curve;
@@ -59,7 +63,6 @@
 
 use crate::{config::EndpointTarget, error::RequestError, quarantine::RequestDigest};
 
-pub(crate) use self::sender_role::RateSplit;
 pub use self::{
     cold_start::{ColdPacer, cold_interval},
     endpoint::{EndpointState, Health, LoadReport},
@@ -73,6 +76,10 @@
     scheduler::{Scheduler, SchedulerLimits},
     sender_role::SenderRole,
 };
+pub(crate) use self::{
+    returns::{PromisedReturn, max_wait_of_due},
+    sender_role::RateSplit,
+};
 
 /// Ranks per tier; request kinds are ordered within a tier.
 pub const RANKS_PER_TIER: u64 = 100;
--- a/crates/core/src/placement/queue.rs
+++ b/crates/core/src/placement/queue.rs
@@ -9,6 +9,8 @@
 use super::{
     RANKS_PER_TIER, Request, Ticket,
     queued_work::{QueuedWork, RankWork},
+    return_queue::ReturnQueue,
+    returns::ReturnOrder,
 };
 use crate::units::Instant;
 
@@ -17,6 +19,8 @@
 pub(crate) struct WaitingRequest {
     pub(crate) req: Request,
     pub(crate) arrived: Instant,
+    /// Its place before newcomers, if it came back when it was due.
+    pub(crate) order: Option<ReturnOrder>,
 }
 
 /// Tokens served to a workspace, divided by its fair-share weight.
@@ -48,6 +52,8 @@
 struct RankQueue {
     len: usize,
     work: RankWork,
+    returning: ReturnQueue,
+    returning_work: RankWork,
     by_service: BTreeSet<FairnessKey>,
     waiting: HashMap<Arc<str>, VecDeque<WaitingRequest>>,
     served: HashMap<Arc<str>, NormalizedService>,
@@ -62,6 +68,11 @@
     }
 
     fn push(&mut self, waiting: WaitingRequest, at_limit: bool) {
+        self.len += 1;
+        if let Some(order) = waiting.order {
+            self.returning_work.add(&waiting.req);
+            return self.returning.push(order, waiting, at_limit);
+        }
         let workspace = waiting.req.workspace.clone();
         self.work.add(&waiting.req);
         // Idle workspaces do not accumulate credit.
@@ -74,10 +85,10 @@
             }
         }
         queue.push_back(waiting);
-        self.len += 1;
     }
 
     fn set_at_limit(&mut self, workspace: &Arc<str>, at_limit: bool) {
+        self.returning.set_at_limit(workspace, at_limit);
         let key = self.key(workspace);
         if at_limit {
             self.by_service.remove(&key);
@@ -87,11 +98,20 @@
     }
 
     fn head(&self) -> Option<&WaitingRequest> {
+        self.returning.head().or_else(|| self.newcomer())
+    }
+
+    fn newcomer(&self) -> Option<&WaitingRequest> {
         let first = self.by_service.first()?;
         self.waiting.get(&first.workspace)?.front()
     }
 
     fn remove(&mut self, workspace: &Arc<str>, ticket: Ticket) -> Option<WaitingRequest> {
+        if let Some(waiting) = self.returning.remove(workspace, ticket) {
+            self.returning_work.remove(&waiting.req);
+            self.len -= 1;
+            return Some(waiting);
+        }
         let queue = self.waiting.get_mut(workspace)?;
         let at = queue.iter().position(|w| w.req.ticket == ticket)?;
         let waiting = queue.remove(at);
@@ -145,19 +165,25 @@
         self.ranks.values().any(|rank_queue| rank_queue.head().is_some())
     }
 
-    /// Queued work of a rank, without workspaces at their limit of running requests.
+    /// Queued work of the newcomers of a rank, without workspaces at their limit of running requests.
     pub(crate) fn rank_work(&self, rank: u64) -> QueuedWork {
         let Some(rank_queue) = self.ranks.get(&rank) else { return QueuedWork::default() };
         rank_queue.work.total_without(self.at_limit.iter())
     }
 
+    /// Queued work of the returning requests of a rank, which are served before newcomers.
+    pub(crate) fn returning_work(&self, rank: u64) -> QueuedWork {
+        let Some(rank_queue) = self.ranks.get(&rank) else { return QueuedWork::default() };
+        rank_queue.returning_work.total_without(self.at_limit.iter())
+    }
+
     /// Queued work of a rank as in [`Queue::rank_work`], and of one workspace at that rank.
     pub(crate) fn queued_work(&self, rank: u64, workspace: &str) -> (QueuedWork, QueuedWork) {
         let own = self.ranks.get(&rank).map(|rank_queue| rank_queue.work.of(workspace));
         (self.rank_work(rank), own.unwrap_or_default())
     }
 
-    /// Requests of a rank in the expected order of service, without workspaces at their limit.
+    /// Newcomers of a rank in the expected order of service, without workspaces at their limit.
     pub(crate) fn in_order(&self, rank: u64) -> Vec<&WaitingRequest> {
         let Some(rank_queue) = self.ranks.get(&rank) else { return Vec::new() };
         let eligible = rank_queue.waiting.iter().filter(|(name, _)| !self.at_limit.contains(*name));
@@ -176,7 +202,7 @@
         order.into_iter().map(|(_, waiting)| waiting).collect()
     }
 
-    /// Returns a queued request.
+    /// Returns a queued newcomer.
     pub(crate) fn find(
         &self,
         rank: u64,
@@ -187,10 +213,12 @@
         queue.iter().find(|waiting| waiting.req.ticket == ticket)
     }
 
-    pub(crate) fn push(&mut self, req: Request, arrived: Instant) {
+    /// Adds a request; `order` is its place before newcomers, if it came back when it was due.
+    pub(crate) fn push(&mut self, req: Request, arrived: Instant, order: Option<ReturnOrder>) {
         self.len += 1;
         let at_limit = self.at_limit.contains(&req.workspace);
-        self.ranks.entry(req.rank).or_default().push(WaitingRequest { req, arrived }, at_limit);
+        let waiting = WaitingRequest { req, arrived, order };
+        self.ranks.entry(waiting.req.rank).or_default().push(waiting, at_limit);
     }
 
     /// Returns the first request of each rank in the order of service. Each `ageing` of waiting time
--- a/crates/core/src/placement/reserved_work.rs
+++ b/crates/core/src/placement/reserved_work.rs
@@ -9,8 +9,10 @@
 }
 
 /// No request was told to come back.
+#[cfg(test)]
 pub(crate) struct NothingReserved;
 
+#[cfg(test)]
 impl ReservedWork for NothingReserved {
     fn reserved(&self, _target: &EndpointTarget, _rank: u64, _until: Instant) -> f64 {
         0.0
--- a/crates/core/src/placement/scheduler.rs
+++ b/crates/core/src/placement/scheduler.rs
@@ -11,11 +11,12 @@
     backoff::{AdmissionGroups, HeldRequest},
     endpoint::{EndpointState, MemoryDemand},
     evacuation::MoveTracker,
-    expiry::{overloaded_error, request_work},
+    expiry::request_work,
     forecast::LengthForecast,
     handover::HandoverQueue,
     isolation::IsolatedRequests,
     policy::{Demand, ForecastPolicy, Policy, PowerOfTwoChoices},
+    returns::{ReturnSchedule, Returning, max_wait_of_due},
     target::TargetState,
     token_latency::TokenLatencyMeter,
 };
@@ -128,6 +129,8 @@
     /// Requests held until the back-off of their daemon ends.
     pub(super) held: Vec<HeldRequest>,
     pub(super) retry_spreader: RetrySpreader,
+    /// When rejected requests are to come back.
+    pub(crate) returns: ReturnSchedule,
     /// Seed of a daemon-local scheduler; `None` for the central scheduler.
     pub(super) local_seed: Option<u64>,
     /// Time of the last call to [`Scheduler::decide`].
@@ -159,6 +162,7 @@
             backoffs: BackoffTable::default(),
             held: Vec::new(),
             retry_spreader: RetrySpreader::default(),
+            returns: ReturnSchedule::new(limits.disabled),
             local_seed: None,
             last_decision: Instant::default(),
             sample_offset: 0,
@@ -182,7 +186,9 @@
         let sender_role = SenderRole::one_of(0);
         let (sample_offset, local_seed) = (seed as usize, Some(seed));
         let throttle = Throttle::new(sender_role, seed);
+        let returns = ReturnSchedule::recognising(disabled);
         Scheduler {
+            returns,
             sample_offset,
             local_seed,
             sender_role,
@@ -259,16 +265,28 @@
         if let Some(until) = self.backed_off_until(&req, now)
             && now.after(req.max_wait) < until
         {
-            return Err(self.backed_off_error(&req.target, until, now));
+            return Err(self.backed_off_error(&req, until, now));
+        }
+        // Order of return: a request that comes back when it is due is not rejected again.
+        let returning = self.returns.on_return(&req, now);
+        if returning == Returning::Unknown {
+            self.record_arrival(&req, now);
         }
-        self.record_arrival(&req, now);
         let Some(target) = self.targets.get(&req.target) else {
             return Err(self.no_endpoint_error(&req.target));
         };
-        if let Some(wait) = self.excess_wait(target, &req, now) {
-            return Err(overloaded_error("the queue is too long for this kind of request", wait));
+        let order = returning.place(target.queue.ahead_of(req.rank) == 0);
+        let is_early = matches!(returning, Returning::Early(_));
+        let excess_wait = self.excess_wait(target, &req, now);
+        if order.is_none() && (excess_wait.is_some() || is_early) {
+            let message = "the queue is too long for this kind of request";
+            return Err(self.reject(message, &req, excess_wait.unwrap_or_default(), now));
+        }
+        let max_wait = order.map_or(req.max_wait, |_| max_wait_of_due(&req));
+        if order.is_some() {
+            self.returns.on_queued(&req);
         }
-        let expiry = Expiry { at: now.after(req.max_wait), ticket: req.ticket };
+        let expiry = Expiry { at: now.after(max_wait), ticket: req.ticket };
         self.expiries.insert(expiry);
         let queued = QueuePosition {
             target: req.target.clone(),
@@ -281,7 +299,7 @@
         if req.isolated {
             self.isolated.push(req, now);
         } else if let Some(target) = self.targets.get_mut(&req.target) {
-            target.queue.push(req, now);
+            target.queue.push(req, now, order);
         }
         Ok(())
     }
@@ -360,8 +378,11 @@
     ) -> Option<Action> {
         let Selection { rank, workspace, ticket, endpoint } = selection;
         let state = self.targets.get_mut(target)?;
-        state.queue.advance_virtual_time(rank, &workspace);
         let waiting = state.queue.remove(rank, &workspace, ticket)?;
+        if waiting.order.is_none() {
+            // Returning requests are selected in another order than that of the service.
+            state.queue.advance_virtual_time(rank, &workspace);
+        }
         state.record_start(now);
         let work = request_work(&self.forecast, &waiting.req);
         state.admission.on_started(work, now);
--- a/crates/core/src/placement/service_curve.rs
+++ b/crates/core/src/placement/service_curve.rs
@@ -39,6 +39,11 @@
         ServiceCurve { by_step, rate: left.max(min_rate) }
     }
 
+    /// Tokens per second after the steps.
+    pub(super) fn rate(&self) -> f64 {
+        self.rate
+    }
+
     /// Time until this many tokens have started.
     pub(super) fn time_for(&self, work: f64) -> Duration {
         if work <= 0.0 {
--- a/crates/core/src/placement/target.rs
+++ b/crates/core/src/placement/target.rs
@@ -4,7 +4,7 @@
 
 use super::{
     PrefixHash, Request, admission_control::AdmissionControl, queue::Queue,
-    reserved_work::NothingReserved,
+    reserved_work::ReservedWork,
 };
 use crate::units::Instant;
 
@@ -80,8 +80,18 @@
     }
 
     /// Expected queueing time of a new request like this one, from measured rates.
-    pub(super) fn forecast_wait(&self, req: &Request, now: Instant) -> Option<Duration> {
-        self.admission.expected_wait(&self.queue, req, &NothingReserved, now)
+    pub(super) fn forecast_wait(
+        &self,
+        req: &Request,
+        reserved: &dyn ReservedWork,
+        now: Instant,
+    ) -> Option<Duration> {
+        self.admission.expected_wait(&self.queue, req, reserved, now)
+    }
+
+    /// Requests started per second while some were queued; zero if unknown.
+    pub(super) fn start_rate(&self) -> f64 {
+        if 0.0 < self.start_interval { 1.0 / self.start_interval } else { 0.0 }
     }
 
     /// Rough estimate of the queueing time of a new request of this rank.
