placement: forecasts of waits are corrected by observed waits

Requests were admitted up to their limit by forecasts that were too short, and shed after most of their time in the queue (median age 1.3 of 1.35 s). The ratio of observed to forecast waits now corrects them, by rank. After the next seconds, more urgent demand is taken to be what it usually is: reservations of a burst had been spaced over tens of seconds.

--- a/crates/core/src/placement/accounting.rs
+++ b/crates/core/src/placement/accounting.rs
@@ -119,12 +119,12 @@
 
     /// Removes a queued or running request whose caller has disconnected.
     pub fn cancel(&mut self, ticket: Ticket, now: Instant) {
-        self.dequeue(ticket);
+        self.dequeue(ticket, now);
         self.finish(ticket, 0, false, now);
     }
 
     /// Removes a request from the queue and returns it, unless it is an isolated one.
-    pub(super) fn dequeue(&mut self, ticket: Ticket) -> Option<WaitingRequest> {
+    pub(super) fn dequeue(&mut self, ticket: Ticket, now: Instant) -> Option<WaitingRequest> {
         let queued = self.queued.remove(&ticket)?;
         self.on_dequeued(&queued);
         self.forget_isolated(ticket);
@@ -133,6 +133,9 @@
         let waiting =
             held.or_else(|| target?.queue.remove(queued.rank, &queued.workspace, ticket))?;
         self.returns.on_withdrawn(&waiting.req);
+        if let Some(target) = self.targets.get_mut(&waiting.req.target) {
+            target.admission.on_left_queue(&waiting, false, now);
+        }
         Some(waiting)
     }
 
--- a/crates/core/src/placement/admission_control.rs
+++ b/crates/core/src/placement/admission_control.rs
@@ -15,6 +15,7 @@
     reserved_work::ReservedWork,
     service_curve::ServiceCurve,
     service_rate::{DecayingSum, ServiceRate, slow_sum},
+    wait_calibration::WaitCalibration,
 };
 use crate::units::Instant;
 
@@ -36,11 +37,18 @@
 /// Weight of the latest request in the averages of a rank; about the last twenty count.
 const EWMA_WEIGHT: f64 = 0.05;
 
+/// Time constant of the usual demand. It is expected after the next seconds, since a burst that has
+/// lasted for seconds says little about the time after them.
+const USUAL_DEMAND_WINDOW: Duration = Duration::from_secs(15);
+
 /// What is known of the requests of one rank.
 #[derive(Debug)]
 struct RankProfile {
     /// Tokens that have arrived recently.
     arrived: DecayingSum,
+    /// Tokens that have arrived over [`USUAL_DEMAND_WINDOW`].
+    arrived_usually: DecayingSum,
+    calibration: WaitCalibration,
     /// Average of the expected output, in tokens.
     output: f64,
     /// Average time from start to end, once measured.
@@ -62,17 +70,39 @@
     pub(super) fn on_arrival(&mut self, req: &Request, work: f64, now: Instant) {
         self.first_arrival.get_or_insert(now);
         let output = work - req.prompt_tokens as f64;
-        let new = || RankProfile { arrived: slow_sum(), output, hold: None };
+        let new = || RankProfile {
+            arrived: slow_sum(),
+            arrived_usually: DecayingSum::new(USUAL_DEMAND_WINDOW),
+            calibration: WaitCalibration::default(),
+            output,
+            hold: None,
+        };
         let profile = self.ranks.entry(req.rank).or_insert_with(new);
         profile.arrived.add(work, now);
+        profile.arrived_usually.add(work, now);
         profile.output += EWMA_WEIGHT * (output - profile.output);
     }
 
-    /// Records that a request of this many tokens has started.
+    /// Records that a request is queued, with its expected wait before calibration.
+    pub(super) fn on_queued(&mut self, req: &Request, forecast: Option<Duration>) {
+        if let (Some(profile), Some(forecast)) = (self.ranks.get_mut(&req.rank), forecast) {
+            profile.calibration.on_queued(req.ticket, forecast);
+        }
+    }
+
+    /// Records that a queued request of this many tokens has started.
     pub(super) fn on_started(&mut self, work: f64, now: Instant) {
         self.rate.on_started(work, now);
     }
 
+    /// Records that a request has left the queue.
+    pub(super) fn on_left_queue(&mut self, waiting: &WaitingRequest, started: bool, now: Instant) {
+        if let Some(profile) = self.ranks.get_mut(&waiting.req.rank) {
+            let waited = now.since(waiting.arrived);
+            profile.calibration.on_left(waiting.req.ticket, waited, started, now);
+        }
+    }
+
     /// Records that a request of this many tokens has ended, `hold` after its start if that is known.
     pub(super) fn on_released(
         &mut self,
@@ -133,6 +163,18 @@
         req: &Request,
         reserved: &dyn ReservedWork,
         now: Instant,
+    ) -> Option<Duration> {
+        let forecast = self.forecast_wait(queue, req, reserved, now)?;
+        Some(forecast.mul_f64(self.calibration(req.rank, now)))
+    }
+
+    /// The same before calibration.
+    pub(super) fn forecast_wait(
+        &self,
+        queue: &Queue,
+        req: &Request,
+        reserved: &dyn ReservedWork,
+        now: Instant,
     ) -> Option<Duration> {
         let curve = self.service_curve(req.rank, now)?;
         let (rank, own) = queue.queued_work(req.rank, &req.workspace);
@@ -161,12 +203,13 @@
         let mut ahead = 0.0;
         for rank in queue.ranks() {
             let Some(curve) = self.service_curve(rank, now) else { break };
+            let calibration = self.calibration(rank, now);
             ahead += self.tokens(rank, queue.returning_work(rank));
             for waiting in queue.in_order(rank) {
                 let req = &waiting.req;
                 let until = now.after(curve.time_for(ahead));
                 let promised = reserved.reserved(&req.target, rank, until);
-                let wait = curve.time_for(ahead + promised);
+                let wait = curve.time_for(ahead + promised).mul_f64(calibration);
                 if is_overdue(waiting, wait, now) {
                     overdue.push((req.ticket, wait));
                 } else {
@@ -179,13 +222,21 @@
 
     /// Work of a rank that can start in the next seconds; `None` if unknown.
     fn service_curve(&self, rank: u64, now: Instant) -> Option<ServiceCurve> {
-        let learned = LEARNING_TIME <= now.since(self.first_arrival?);
-        if !learned || self.rate.events(now) < MIN_EVENTS {
+        let observed = now.since(self.first_arrival?);
+        if observed < LEARNING_TIME || self.rate.events(now) < MIN_EVENTS {
             return None;
         }
         let rate = self.rate.tokens_per_second(now);
         let better = self.ranks.range(..rank).map(|(_, rank)| rank.arrived.per_second(now));
-        Some(ServiceCurve::new(rate, better.sum(), self.releases.changes(now)))
+        // The averages have not yet seen a whole window.
+        let seen = 1.0 - (-observed.as_secs_f64() / USUAL_DEMAND_WINDOW.as_secs_f64()).exp();
+        let usual = self.ranks.range(..rank).map(|(_, rank)| rank.arrived_usually.per_second(now));
+        let (better, usual) = (better.sum(), usual.sum::<f64>() / seen);
+        Some(ServiceCurve::new(rate, better, usual, self.releases.changes(now)))
+    }
+
+    fn calibration(&self, rank: u64, now: Instant) -> f64 {
+        self.ranks.get(&rank).map_or(1.0, |profile| profile.calibration.factor(now))
     }
 
     /// Queued tokens of better ranks.
--- a/crates/core/src/placement/expiry.rs
+++ b/crates/core/src/placement/expiry.rs
@@ -46,7 +46,7 @@
         let target = self.targets.get(&queued.target)?;
         let waiting = target.queue.find(queued.rank, &queued.workspace, ticket);
         let forecast =
-            waiting.and_then(|waiting| target.forecast_wait(&waiting.req, &self.returns, now));
+            waiting.and_then(|waiting| target.calibrated_wait(&waiting.req, &self.returns, now));
         Some(forecast.unwrap_or_else(|| target.expected_wait(queued.rank)))
     }
 
@@ -70,7 +70,7 @@
         req: &Request,
         now: Instant,
     ) -> Option<Duration> {
-        let forecast = target.forecast_wait(req, &self.returns, now);
+        let forecast = target.calibrated_wait(req, &self.returns, now);
         let wait = forecast.unwrap_or_else(|| target.expected_wait(req.rank));
         let too_long = match forecast {
             Some(wait) => req.max_wait < wait,
@@ -119,7 +119,7 @@
 
     /// Rejects a queued request and reserves its return.
     fn give_up(&mut self, ticket: Ticket, message: &str, wait: Duration, now: Instant) -> Action {
-        let error = match self.dequeue(ticket) {
+        let error = match self.dequeue(ticket, now) {
             Some(waiting) => self.reject(message, &waiting.req, wait, now),
             None => unreserved_error(message, wait),
         };
--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -58,6 +58,7 @@
 mod token_latency_tests;
 #[cfg(test)]
 mod ttft_tests;
+mod wait_calibration;
 
 use std::{sync::Arc, time::Duration};
 
--- a/crates/core/src/placement/scheduler.rs
+++ b/crates/core/src/placement/scheduler.rs
@@ -299,6 +299,10 @@
         if req.isolated {
             self.isolated.push(req, now);
         } else if let Some(target) = self.targets.get_mut(&req.target) {
+            if order.is_none() {
+                let forecast = target.forecast_wait(&req, &self.returns, now);
+                target.admission.on_queued(&req, forecast);
+            }
             target.queue.push(req, now, order);
         }
         Ok(())
@@ -386,6 +390,7 @@
         state.record_start(now);
         let work = request_work(&self.forecast, &waiting.req);
         state.admission.on_started(work, now);
+        state.admission.on_left_queue(&waiting, true, now);
         if let Some(queued) = self.queued.remove(&ticket) {
             self.on_dequeued(&queued);
         }
--- a/crates/core/src/placement/service_curve.rs
+++ b/crates/core/src/placement/service_curve.rs
@@ -20,11 +20,13 @@
 }
 
 impl ServiceCurve {
-    /// Combines the total rate and the rate that more urgent requests take, in tokens per second, with
+    /// Combines the total rate and the rates that more urgent requests take now and usually, in tokens
+    /// per second, with
     /// forecast changes of the tokens released in each step.
     pub(super) fn new(
         total: f64,
         more_urgent: f64,
+        more_urgent_usually: f64,
         changes: impl Iterator<Item = f64>,
     ) -> ServiceCurve {
         let min_rate = total * MIN_RATE_FRACTION;
@@ -36,7 +38,7 @@
             sum += (left * seconds + change).max(min_rate * seconds);
             *tokens = sum;
         }
-        ServiceCurve { by_step, rate: left.max(min_rate) }
+        ServiceCurve { by_step, rate: (total - more_urgent_usually).max(min_rate) }
     }
 
     /// Tokens per second after the steps.
--- a/crates/core/src/placement/target.rs
+++ b/crates/core/src/placement/target.rs
@@ -80,7 +80,7 @@
     }
 
     /// Expected queueing time of a new request like this one, from measured rates.
-    pub(super) fn forecast_wait(
+    pub(super) fn calibrated_wait(
         &self,
         req: &Request,
         reserved: &dyn ReservedWork,
@@ -89,6 +89,16 @@
         self.admission.expected_wait(&self.queue, req, reserved, now)
     }
 
+    /// The same before it is corrected by observed waits.
+    pub(super) fn forecast_wait(
+        &self,
+        req: &Request,
+        reserved: &dyn ReservedWork,
+        now: Instant,
+    ) -> Option<Duration> {
+        self.admission.forecast_wait(&self.queue, req, reserved, now)
+    }
+
     /// Requests started per second while some were queued; zero if unknown.
     pub(super) fn start_rate(&self) -> f64 {
         if 0.0 < self.start_interval { 1.0 / self.start_interval } else { 0.0 }
