returns: requests that were rejected late take what newcomers leave over

A request that was rejected after a quarter of its target latency can no longer be in time, but went before newcomers that could. It now waits behind the newcomers of its rank.

--- a/crates/core/src/placement/admission_control.rs
+++ b/crates/core/src/placement/admission_control.rs
@@ -27,7 +27,7 @@
 /// Interval between two checks of the queue, short against the smallest target latencies.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Fraction of the target latency within which a rejection is worth much more to the caller.
-const EARLY_FRACTION: f64 = 0.25;
+pub(super) const EARLY_FRACTION: f64 = 0.25;
 /// Factor by which the wait of a request must exceed the time it has left to be shed early. An
 /// estimate from 25 starts per second has an error of about a fifth; half of that avoids that requests
 /// at the limit are admitted and shed by turns.
--- a/crates/core/src/placement/backoff.rs
+++ b/crates/core/src/placement/backoff.rs
@@ -214,6 +214,6 @@
         let wait: Duration = until.since(now) + self.retry_spreader.next_delay(endpoints, now);
         let message =
             format!("all endpoints of {} have asked this daemon to back off", target.name());
-        self.reject(&message, req, wait, now)
+        self.reject(&message, req, wait, false, now)
     }
 }
--- a/crates/core/src/placement/expiry.rs
+++ b/crates/core/src/placement/expiry.rs
@@ -4,6 +4,7 @@
 
 use super::{
     Action, Request, Ticket,
+    admission_control::EARLY_FRACTION,
     endpoint::{EndpointState, Health},
     forecast::LengthForecast,
     returns::{Capacity, unreserved_error},
@@ -120,7 +121,11 @@
     /// Rejects a queued request and reserves its return.
     fn give_up(&mut self, ticket: Ticket, message: &str, wait: Duration, now: Instant) -> Action {
         let error = match self.dequeue(ticket, now) {
-            Some(waiting) => self.reject(message, &waiting.req, wait, now),
+            Some(waiting) => {
+                let is_late =
+                    waiting.req.ttft_target.mul_f64(EARLY_FRACTION) < now.since(waiting.arrived);
+                self.reject(message, &waiting.req, wait, is_late, now)
+            }
             None => unreserved_error(message, wait),
         };
         Action::GiveUp { ticket, error }
@@ -132,13 +137,14 @@
         message: &str,
         req: &Request,
         wait: Duration,
+        is_late: bool,
         now: Instant,
     ) -> RequestError {
         let work = request_work(&self.forecast, req);
         let target = self.targets.get(&req.target);
         let rate = target.and_then(|target| target.admission.rate(req.rank, now));
         let starts = || target.map_or(0.0, TargetState::start_rate) * work;
-        let capacity = Capacity { wait, work, rate: rate.unwrap_or_else(starts) };
+        let capacity = Capacity { wait, work, rate: rate.unwrap_or_else(starts), is_late };
         self.returns.reject(message, req, capacity, now)
     }
 
--- a/crates/core/src/placement/queue.rs
+++ b/crates/core/src/placement/queue.rs
@@ -54,6 +54,8 @@
     work: RankWork,
     returning: ReturnQueue,
     returning_work: RankWork,
+    /// Returning requests that are late already; served when no other request of the rank waits.
+    late: ReturnQueue,
     by_service: BTreeSet<FairnessKey>,
     waiting: HashMap<Arc<str>, VecDeque<WaitingRequest>>,
     served: HashMap<Arc<str>, NormalizedService>,
@@ -69,6 +71,9 @@
 
     fn push(&mut self, waiting: WaitingRequest, at_limit: bool) {
         self.len += 1;
+        if let Some(order) = waiting.order.filter(|order| order.is_late) {
+            return self.late.push(order, waiting, at_limit);
+        }
         if let Some(order) = waiting.order {
             self.returning_work.add(&waiting.req);
             return self.returning.push(order, waiting, at_limit);
@@ -89,6 +94,7 @@
 
     fn set_at_limit(&mut self, workspace: &Arc<str>, at_limit: bool) {
         self.returning.set_at_limit(workspace, at_limit);
+        self.late.set_at_limit(workspace, at_limit);
         let key = self.key(workspace);
         if at_limit {
             self.by_service.remove(&key);
@@ -98,7 +104,7 @@
     }
 
     fn head(&self) -> Option<&WaitingRequest> {
-        self.returning.head().or_else(|| self.newcomer())
+        self.returning.head().or_else(|| self.newcomer()).or_else(|| self.late.head())
     }
 
     fn newcomer(&self) -> Option<&WaitingRequest> {
@@ -112,6 +118,10 @@
             self.len -= 1;
             return Some(waiting);
         }
+        if let Some(waiting) = self.late.remove(workspace, ticket) {
+            self.len -= 1;
+            return Some(waiting);
+        }
         let queue = self.waiting.get_mut(workspace)?;
         let at = queue.iter().position(|w| w.req.ticket == ticket)?;
         let waiting = queue.remove(at);
--- a/crates/core/src/placement/returns/lane.rs
+++ b/crates/core/src/placement/returns/lane.rs
@@ -44,6 +44,8 @@
     /// Prompt and expected output, in tokens.
     pub(super) work: u64,
     pub(super) due: Instant,
+    /// Whether it is served only from what newcomers leave over.
+    pub(super) is_late: bool,
 }
 
 /// Reservations of one target and rank.
@@ -95,11 +97,17 @@
 
     /// Counts the work of a reservation whose request has not come back.
     pub(super) fn expect(&mut self, booking: &Booking) {
+        if booking.is_late {
+            return;
+        }
         *self.awaited.entry(bucket(booking.due)).or_default() += booking.work;
     }
 
     /// No longer counts the work of a reservation, since its request is in the queue.
     pub(super) fn stop_expecting(&mut self, booking: &Booking) {
+        if booking.is_late {
+            return;
+        }
         let bucket = bucket(booking.due);
         let Some(work) = self.awaited.get_mut(&bucket) else { return };
         *work -= booking.work;
--- a/crates/core/src/placement/returns/mod.rs
+++ b/crates/core/src/placement/returns/mod.rs
@@ -51,6 +51,9 @@
 /// of the first rejections within a rank and workspace.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct ReturnOrder {
+    /// Whether its rejection came too late for it to be served in time. It is served from what
+    /// newcomers leave over, since late work must not delay work that will be in time.
+    pub(crate) is_late: bool,
     due: Instant,
     sequence: u64,
 }
@@ -100,6 +103,8 @@
     pub(crate) work: f64,
     /// Tokens per second at which requests of its rank start; zero if unknown.
     pub(crate) rate: f64,
+    /// Whether the rejection comes too late for it to be served in time.
+    pub(crate) is_late: bool,
 }
 
 impl Capacity {
@@ -200,6 +205,7 @@
             share: req.share.max(1),
             work: capacity.work(),
             due: earliest.max(now.after(floor)),
+            is_late: capacity.is_late,
         };
         let due = self.table.next_due(&req.target, req.rank, &booking, rate, booking.due);
         booking.due = due;
@@ -217,7 +223,8 @@
         let record =
             req.digest.filter(|_| !req.isolated).and_then(|digest| self.table.get(&digest));
         let Some(record) = record else { return Returning::Unknown };
-        let order = ReturnOrder { due: record.booking.due, sequence: record.sequence };
+        let Booking { is_late, due, .. } = record.booking;
+        let order = ReturnOrder { is_late, due, sequence: record.sequence };
         match record.queued_as {
             Some(ticket) if ticket != req.ticket => Returning::Unknown,
             _ if now.after(EARLY_TOLERANCE) < order.due => Returning::Early(order),
@@ -257,7 +264,8 @@
         if self.mode == Mode::Off || is_known || due.after(RECOGNISED_AFTER_DUE) <= now {
             return;
         }
-        let booking = Booking { workspace, share: share.max(1), work: work.max(1), due };
+        let (share, work, is_late) = (share.max(1), work.max(1), false);
+        let booking = Booking { workspace, share, work, due, is_late };
         self.insert(digest, &target, rank, booking, f64::INFINITY);
     }
 
--- a/crates/core/src/placement/scheduler.rs
+++ b/crates/core/src/placement/scheduler.rs
@@ -280,7 +280,8 @@
         let excess_wait = self.excess_wait(target, &req, now);
         if order.is_none() && (excess_wait.is_some() || is_early) {
             let message = "the queue is too long for this kind of request";
-            return Err(self.reject(message, &req, excess_wait.unwrap_or_default(), now));
+            let wait = excess_wait.unwrap_or_default();
+            return Err(self.reject(message, &req, wait, false, now));
         }
         let max_wait = order.map_or(req.max_wait, |_| max_wait_of_due(&req));
         if order.is_some() {
