returns: due requests wait for three targets at most, and reservations follow the average rate

Late returning requests waited for up to half of their time left, longer than callers wait for a silent stream. The time of return followed the higher of two averages of the rate, so callers came before there was capacity.

--- a/crates/core/src/placement/admission_control.rs
+++ b/crates/core/src/placement/admission_control.rs
@@ -151,9 +151,10 @@
         self.rate.is_busy().then_some(self.next_check)
     }
 
-    /// Tokens per second that requests of this rank can start; `None` if unknown.
-    pub(super) fn rate(&self, rank: u64, now: Instant) -> Option<f64> {
-        Some(self.service_curve(rank, now)?.rate())
+    /// Tokens per second that requests of this rank can start after the next seconds; `None` if unknown.
+    pub(super) fn usual_rate(&self, rank: u64, now: Instant) -> Option<f64> {
+        let curve = self.service_curve_at(rank, self.rate.average(now), now)?;
+        Some(curve.rate())
     }
 
     /// Expected time until a new request like this one would start; `None` if unknown.
@@ -184,6 +185,10 @@
         let returning = self.tokens(req.rank, queue.returning_work(req.rank));
         let ahead =
             self.better_work(queue, req.rank) + returning + fair.min(self.tokens(req.rank, rank));
+        if ahead <= 0.0 && !self.rate.is_busy() {
+            // It may take capacity that is free, which is not kept for absent requests.
+            return Some(Duration::ZERO);
+        }
         let until = now.after(curve.time_for(ahead));
         Some(curve.time_for(ahead + reserved.reserved(&req.target, req.rank, until)))
     }
@@ -222,17 +227,21 @@
 
     /// Work of a rank that can start in the next seconds; `None` if unknown.
     fn service_curve(&self, rank: u64, now: Instant) -> Option<ServiceCurve> {
+        self.service_curve_at(rank, self.rate.tokens_per_second(now), now)
+    }
+
+    /// The same for this total rate in tokens per second.
+    fn service_curve_at(&self, rank: u64, total: f64, now: Instant) -> Option<ServiceCurve> {
         let observed = now.since(self.first_arrival?);
         if observed < LEARNING_TIME || self.rate.events(now) < MIN_EVENTS {
             return None;
         }
-        let rate = self.rate.tokens_per_second(now);
         let better = self.ranks.range(..rank).map(|(_, rank)| rank.arrived.per_second(now));
         // The averages have not yet seen a whole window.
         let seen = 1.0 - (-observed.as_secs_f64() / USUAL_DEMAND_WINDOW.as_secs_f64()).exp();
         let usual = self.ranks.range(..rank).map(|(_, rank)| rank.arrived_usually.per_second(now));
         let (better, usual) = (better.sum(), usual.sum::<f64>() / seen);
-        Some(ServiceCurve::new(rate, better, usual, self.releases.changes(now)))
+        Some(ServiceCurve::new(total, better, usual, self.releases.changes(now)))
     }
 
     fn calibration(&self, rank: u64, now: Instant) -> f64 {
--- a/crates/core/src/placement/expiry.rs
+++ b/crates/core/src/placement/expiry.rs
@@ -142,7 +142,7 @@
     ) -> RequestError {
         let work = request_work(&self.forecast, req);
         let target = self.targets.get(&req.target);
-        let rate = target.and_then(|target| target.admission.rate(req.rank, now));
+        let rate = target.and_then(|target| target.admission.usual_rate(req.rank, now));
         let starts = || target.map_or(0.0, TargetState::start_rate) * work;
         let capacity = Capacity { wait, work, rate: rate.unwrap_or_else(starts), is_late };
         self.returns.reject(message, req, capacity, now)
--- a/crates/core/src/placement/returns/mod.rs
+++ b/crates/core/src/placement/returns/mod.rs
@@ -38,6 +38,9 @@
 const MAX_PART_OF_TIME_LEFT: u32 = 3;
 /// A due request may wait for this part of its time left.
 const MAX_WAIT_PART: u32 = 2;
+/// It waits for no more than this many times its target latency: callers give up on a stream that stays
+/// silent for a few times it.
+const MAX_WAIT_TARGETS: u32 = 3;
 /// Shortest time to come back: a few round trips.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
 /// Shortest time to come back where the request is not recognised, or the rate of service is unknown,
@@ -325,5 +328,6 @@
 
 /// How long a due request may wait for its start.
 pub(crate) fn max_wait_of_due(req: &Request) -> Duration {
-    req.max_wait.max(req.time_left / MAX_WAIT_PART)
+    let usable = (req.time_left / MAX_WAIT_PART).min(req.ttft_target * MAX_WAIT_TARGETS);
+    req.max_wait.max(usable)
 }
--- a/crates/core/src/placement/returns/tests.rs
+++ b/crates/core/src/placement/returns/tests.rs
@@ -24,7 +24,7 @@
 }
 
 fn capacity(wait_ms: u64) -> Capacity {
-    Capacity { wait: Duration::from_millis(wait_ms), work: WORK, rate: RATE }
+    Capacity { wait: Duration::from_millis(wait_ms), work: WORK, rate: RATE, is_late: false }
 }
 
 fn schedule() -> ReturnSchedule {
--- a/crates/core/src/placement/service_rate.rs
+++ b/crates/core/src/placement/service_rate.rs
@@ -130,6 +130,11 @@
         self.events.at_time(now)
     }
 
+    /// Tokens per second that the target starts on average.
+    pub(super) fn average(&self, now: Instant) -> f64 {
+        self.slow.rate(self.released.per_second(now), now)
+    }
+
     /// Tokens per second that the target can start: the higher of a short and a long average, so that
     /// a rise is seen sooner than a fall.
     pub(super) fn tokens_per_second(&self, now: Instant) -> f64 {
--- a/crates/core/src/placement/wait_calibration.rs
+++ b/crates/core/src/placement/wait_calibration.rs
@@ -7,8 +7,8 @@
 
 /// Weight of the latest request; about the last ten count.
 const EWMA_WEIGHT: f64 = 0.1;
-/// Shorter forecasts say little: one placement that takes an engine's step more doubles them.
-const MIN_FORECAST: Duration = Duration::from_millis(100);
+/// Shorter forecasts say little: one prompt that is prefilled before the request changes them by half.
+const MIN_FORECAST: Duration = Duration::from_millis(500);
 /// Bounds of the factor. Engines turn up to four times slower; forecasts are not lowered by more than
 /// their usual error, since a request that is admitted wrongly costs its caller most.
 const FACTORS: std::ops::RangeInclusive<f64> = 0.8..=4.0;
