placement: view of the load and log of rejections on the leader

Cause: nothing shows an operator who waits, who is rejected and why; the reason for a rejection is known to the scheduler only. The scheduler feeds it by single calls; NodeCall::Load and three outputs hand it out. It decides nothing and is off in daemon-local schedulers.

--- a/crates/core/src/node/control/ready.rs
+++ b/crates/core/src/node/control/ready.rs
@@ -8,6 +8,7 @@
 use crate::{
     agreement::{Entry, Outgoing, Persist, Ready, Snapshot, Synced},
     node::{Clocks, Outbox, Output, SentChange, dispatcher::Dispatcher},
+    placement::LoadSnapshot,
     state::{AcceptedChange, Applied, ConfigResult, HallResult, State},
     units::Instant,
     wire::{Body, Done, OperationResult, Update},
@@ -188,6 +189,7 @@
             return;
         }
         self.dispatcher = None;
+        out.push(Output::Load(LoadSnapshot::default()));
         self.daemons.clear();
         let proposals = std::mem::take(&mut self.proposals);
         let submissions = std::mem::take(&mut self.submissions);
--- a/crates/core/src/node/dispatcher.rs
+++ b/crates/core/src/node/dispatcher.rs
@@ -10,7 +10,7 @@
 };
 
 use super::{
-    ByVm, Outbox, VmName, admit,
+    ByVm, Outbox, Output, VmName, admit,
     broadcast::Broadcast,
     engines::{EngineChange, Engines},
     load_report,
@@ -36,6 +36,9 @@
 const SLOW_PER_POLL_REPLY: usize = 4;
 /// Interval between scans of all endpoints for slow ones.
 const SLOW_SCAN_INTERVAL: Duration = Duration::from_millis(500);
+/// Interval between reports of the load for metrics: half of the window that they cover, so that no
+/// count is missed between two of them.
+const LOAD_REPORT_INTERVAL: Duration = Duration::from_secs(5);
 
 /// Settings of a dispatcher.
 #[derive(Debug, Clone, Copy)]
@@ -62,6 +65,7 @@
     permits: PermitAllocator,
     /// Endpoints that reject requests, to be broadcast to the daemons.
     overloaded: Broadcast,
+    next_load_report: Instant,
 }
 
 /// Endpoints that are slower than others, as of the last scan.
@@ -85,6 +89,7 @@
             slow: SlowEndpoints::default(),
             permits: PermitAllocator::default(),
             overloaded: Broadcast::default(),
+            next_load_report: now,
         }
     }
 
@@ -163,6 +168,7 @@
         }
         if let Err(error) = self.scheduler.enqueue(req, now) {
             out.send(from, Body::GiveUp(give_up_message(ticket, error)));
+            self.report_refusals(now, out);
             return;
         }
         self.decide(now, out);
@@ -265,6 +271,23 @@
         self.permits.tick(daemons, &mut self.scheduler.throttle, now, out);
         self.broadcast_overloaded(daemons, now, out);
         self.scheduler.backoffs.expire(now);
+        self.report_refusals(now, out);
+        if self.next_load_report <= now {
+            self.next_load_report = now.after(LOAD_REPORT_INTERVAL);
+            out.push(Output::Load(self.scheduler.load_snapshot(now)));
+        }
+    }
+
+    /// Hands out the rejections that are due for the log.
+    fn report_refusals(&mut self, now: Instant, out: &mut Outbox) {
+        let (refusals, omitted) = self.scheduler.load_view.take_refusals(now);
+        for refusal in refusals {
+            let Some(entry) = self.daemon_names.get(&refusal.ticket.entry) else { continue };
+            out.push(Output::Refused { entry: entry.clone(), refusal: Box::new(refusal) });
+        }
+        if 0 < omitted {
+            out.push(Output::RefusalsOmitted(omitted));
+        }
     }
 
     /// Applies a rejection that a daemon reports.
@@ -365,6 +388,7 @@
                 }
             }
         }
+        self.report_refusals(now, out);
     }
 
     fn daemon_number(&mut self, vm: &VmName) -> u64 {
--- a/crates/core/src/node/inputs.rs
+++ b/crates/core/src/node/inputs.rs
@@ -145,6 +145,11 @@
                 let scheduler = leader_scheduler.unwrap_or(self.placement.local());
                 out.reply(call, NodeReply::Endpoints(endpoint_statuses(scheduler, clocks.now)));
             }
+            NodeCall::Load => {
+                let scheduler = self.control.as_ref().and_then(ControlReplica::scheduler);
+                let load = scheduler.map(|scheduler| scheduler.load_snapshot(clocks.now));
+                out.reply(call, NodeReply::Load(load));
+            }
             NodeCall::ControlStatus => {
                 let status = self.control.as_ref().map(|control| control.status(clocks.now));
                 out.reply(call, NodeReply::ControlStatus(status.unwrap_or_default()));
--- a/crates/core/src/node/messages.rs
+++ b/crates/core/src/node/messages.rs
@@ -12,7 +12,7 @@
     backoff::Rejection,
     error::RequestError,
     once::{Claim, ClaimResult, Settle},
-    placement::{Request, SampledEndpoint},
+    placement::{LoadSnapshot, Refusal, Request, SampledEndpoint},
     quarantine::{RequestDigest, Suspect},
     registry::EndpointChanges,
     state::{ChangeId, HallOrder, HallResult, HallsOut},
@@ -78,6 +78,8 @@
     Suspects,
     /// List the endpoints with their state in this node's scheduler.
     Endpoints,
+    /// The load as this node's scheduler sees it; only the leader has it.
+    Load,
     /// Status of the control replicas as seen by this node.
     ControlStatus,
 }
@@ -140,6 +142,8 @@
     Suspects(Option<Vec<Suspect>>),
     /// To [`NodeCall::Endpoints`].
     Endpoints(Vec<EndpointStatus>),
+    /// To [`NodeCall::Load`]; `None` if the node does not lead.
+    Load(Option<LoadSnapshot>),
     /// To [`NodeCall::ControlStatus`].
     ControlStatus(ControlStatus),
 }
@@ -344,6 +348,17 @@
         /// Suspects in quarantine, which are sent to no endpoint.
         quarantined: usize,
     },
+    /// The load that the leader sees, some seconds after the last one; empty when it ceases to lead.
+    Load(LoadSnapshot),
+    /// A request was rejected by the scheduler of the leader, for the log.
+    Refused {
+        /// The daemon that sent the request.
+        entry: VmName,
+        /// The request and the state behind the decision.
+        refusal: Box<Refusal>,
+    },
+    /// Rejections since the last such output that were left out of [`Output::Refused`].
+    RefusalsOmitted(u64),
     /// An endpoint has asked this daemon to back off, or its back-off has ended.
     Backoff {
         /// Name of the endpoint.
--- a/crates/core/src/node/tests/net/mod.rs
+++ b/crates/core/src/node/tests/net/mod.rs
@@ -262,6 +262,9 @@
             | Output::Suspects { .. }
             | Output::Limit { .. }
             | Output::Backoff { .. }
+            | Output::Load(_)
+            | Output::Refused { .. }
+            | Output::RefusalsOmitted(_)
             | Output::Watch(_)
             | Output::Leader { .. }
             | Output::Dial(_)
--- a/crates/core/src/placement/accounting.rs
+++ b/crates/core/src/placement/accounting.rs
@@ -75,6 +75,7 @@
         memory.value = placed.memory.value;
         if let Some(endpoint) = self.endpoints.get_mut(&placed.endpoint) {
             if placed.tokens == 0 {
+                self.load_view.on_first_token(ticket, now);
                 endpoint.prefill.on_first_token(ticket, now);
                 self.backoffs.on_end(&placed.endpoint, placed.at, true, now);
             }
@@ -91,6 +92,7 @@
     /// Records that a running request ended; `whole` if its response was complete.
     pub fn finish(&mut self, ticket: Ticket, tokens: u64, whole: bool, now: Instant) {
         self.progress(ticket, tokens, now);
+        self.load_view.on_ended(ticket);
         let Some(placed) = self.placed.remove(&ticket) else { return };
         if placed.tokens == 0 {
             self.backoffs.on_end(&placed.endpoint, placed.at, false, now);
@@ -196,6 +198,7 @@
     }
 
     pub(super) fn place(&mut self, req: Request, endpoint: &Arc<str>, now: Instant) {
+        self.load_view.on_started(req.ticket, now);
         if let Some(target) = self.targets.get_mut(&req.target) {
             target.record_prefix(req.prefix, endpoint);
         }
--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -30,6 +30,9 @@
 mod isolation;
 #[cfg(test)]
 mod isolation_tests;
+mod load_view;
+#[cfg(test)]
+mod load_view_tests;
 mod policy;
 mod prefill;
 #[cfg(test)]
@@ -60,6 +63,9 @@
     engine_choice::{Candidate, EngineLoad, SampledEndpoint, sort_by_cost},
     evacuation::Relocation,
     forecast::{HORIZONS, LengthDistribution, LengthForecast},
+    load_view::{
+        LoadSnapshot, Refusal, RejectionContext, RequestLoad, ServiceLoad, WINDOW_SECONDS,
+    },
     policy::{
         Demand, FirstFit, ForecastPolicy, LeastOutstanding, Policy, PowerOfTwoChoices, RoundRobin,
     },
--- a/crates/core/src/placement/scheduler.rs
+++ b/crates/core/src/placement/scheduler.rs
@@ -15,6 +15,7 @@
     forecast::LengthForecast,
     handover::HandoverQueue,
     isolation::IsolatedRequests,
+    load_view::{LoadSnapshot, LoadView},
     policy::{Demand, ForecastPolicy, Policy, PowerOfTwoChoices},
     target::TargetState,
     token_latency::TokenLatencyMeter,
@@ -130,6 +131,7 @@
     /// Requests held until the back-off of their daemon ends.
     pub(super) held: Vec<HeldRequest>,
     pub(super) retry_spreader: RetrySpreader,
+    pub(crate) load_view: LoadView,
     /// Seed of a daemon-local scheduler; `None` for the central scheduler.
     pub(super) local_seed: Option<u64>,
     /// Time of the last call to [`Scheduler::decide`].
@@ -161,6 +163,7 @@
             backoffs: BackoffTable::default(),
             held: Vec::new(),
             retry_spreader: RetrySpreader::default(),
+            load_view: LoadView::new(true),
             local_seed: None,
             last_decision: Instant::default(),
             sample_offset: 0,
@@ -188,6 +191,7 @@
             local_seed,
             sender_role,
             throttle,
+            load_view: LoadView::new(false),
             ..Scheduler::new(limits, policy)
         }
     }
@@ -229,6 +233,11 @@
         self.endpoints.iter().map(|(name, state)| (&**name, state)).collect()
     }
 
+    /// The load as operators see it.
+    pub(crate) fn load_snapshot(&self, now: Instant) -> LoadSnapshot {
+        self.load_view.snapshot(self.endpoints.values(), now)
+    }
+
     /// Number of queued requests.
     pub fn waiting(&self) -> usize {
         self.queued.len()
@@ -245,6 +254,16 @@
         if self.queued.contains_key(&req.ticket) || self.placed.contains_key(&req.ticket) {
             return Ok(());
         }
+        let ticket = req.ticket;
+        self.load_view.on_asked(&req, now);
+        let result = self.enqueue_new(req, now);
+        if let Err(error) = &result {
+            self.load_view.on_refused(ticket, error, &self.targets, now);
+        }
+        result
+    }
+
+    fn enqueue_new(&mut self, req: Request, now: Instant) -> Result<(), RequestError> {
         let waiting = self.counts.get(&req.workspace).map_or(0, |count| count.waiting);
         if req.max_waiting <= waiting {
             let message = "the workspace has reached its limit of queued requests";
@@ -310,6 +329,7 @@
                 });
             }
         }
+        self.load_view.on_decided(&actions, &self.targets, now);
         actions
     }
 
