--- a/crates/server/src/relay/job.rs
+++ b/crates/server/src/relay/job.rs
@@ -159,11 +159,13 @@
         let elapsed = self.received_at.elapsed();
         let workspace = self.workspace.as_deref().unwrap_or("-");
         metrics.request(workspace, &self.route.name, cause, elapsed);
+        let digest = self.digest.get().map(RequestDigest::to_string).unwrap_or_default();
         log::info!(
             event = EventId::RequestEnded.number(), id = self.caller.id.as_str(),
             cause = cause, detail = detail, route = &*self.route.name,
             service = self.service.as_str(), workspace = workspace,
-            config = self.config.version, took_ms = elapsed.as_millis() as u64;
+            config = self.config.version, took_ms = elapsed.as_millis() as u64,
+            request = digest.as_str();
             "a request ended"
         );
     }
--- a/crates/server/src/runtime/mod.rs
+++ b/crates/server/src/runtime/mod.rs
@@ -239,6 +239,9 @@
             Output::Backoff { endpoint, left, backing_off } => {
                 sight::backoff_changed(&self.0.metrics, &endpoint, left, backing_off);
             }
+            Output::Load(load) => self.0.metrics.load(&load),
+            Output::Refused { entry, refusal } => sight::rejected(&entry, &refusal),
+            Output::RefusalsOmitted(count) => sight::rejections_omitted(count),
             Output::Limit { endpoint, limit, change, limited } => {
                 sight::limit_changed(&self.0.metrics, &endpoint, limit, change, limited);
             }
--- a/crates/server/src/runtime/sight.rs
+++ b/crates/server/src/runtime/sight.rs
@@ -4,6 +4,7 @@
 
 use trayswitch_core::{
     node::{SentChange, VmName},
+    placement::{Refusal, RejectionContext},
     quarantine::{CrashCounts, Suspect},
     throttle::{LimitChange, RateLimit, describe_limit},
 };
@@ -89,6 +90,33 @@
     );
 }
 
+/// Tells of a request that the scheduler has rejected, and of the state behind the decision.
+pub(super) fn rejected(entry: &VmName, refusal: &Refusal) {
+    let RejectionContext { expected_wait, ahead, work_ahead, rate, next_return } = refusal.context;
+    let known = |value: Option<f64>| value.map_or("-".to_owned(), |value| format!("{value:.0}"));
+    let retry_after = refusal.error.retry_after().unwrap_or_default();
+    log::info!(
+        event = EventId::RequestRejected.number(), entry = &**entry,
+        request = refusal.digest.map(|digest| digest.to_string()).unwrap_or_default().as_str(),
+        end = refusal.error.kind.answer().code, detail = refusal.error.message.as_str(),
+        service = &*refusal.row.service, route = &*refusal.row.kind,
+        workspace = &*refusal.row.workspace, rank = refusal.rank,
+        waited_ms = refusal.waited.as_millis() as u64,
+        expected_wait_ms = expected_wait.as_millis() as u64, ahead = ahead,
+        work_ahead = known(work_ahead).as_str(), rate = known(rate).as_str(),
+        return_reserved = next_return.is_some(), retry_after_ms = retry_after.as_millis() as u64;
+        "the scheduler has rejected a request"
+    );
+}
+
+/// Tells how many rejections have no line of their own.
+pub(super) fn rejections_omitted(count: u64) {
+    log::info!(
+        event = EventId::RequestRejected.number(), omitted = count;
+        "lines of rejections were left out"
+    );
+}
+
 /// Notes that the VM was suspended.
 pub(super) fn was_suspended(metrics: &Metrics, time: Duration) {
     metrics.suspended(time);
--- a/crates/server/src/telemetry/metrics.rs
+++ b/crates/server/src/telemetry/metrics.rs
@@ -6,6 +6,9 @@
 use prometheus::{
     HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
 };
+use trayswitch_core::placement::LoadSnapshot;
+
+use super::load::LoadMetrics;
 
 /// Upper bounds of latency in seconds: finer around the users' targets of 0.1 to 1.8 s.
 const LATENCY_BOUNDS: [f64; 14] =
@@ -38,6 +41,7 @@
     changes_sent: IntCounterVec,
     change_bytes: IntCounterVec,
     link_write: HistogramVec,
+    load: LoadMetrics,
 }
 
 impl Metrics {
@@ -161,6 +165,7 @@
                 "Time until a peer's socket has taken what was gathered for it",
                 &[],
             )?,
+            load: LoadMetrics::new(&registry)?,
             registry,
         })
     }
@@ -273,6 +278,11 @@
         self.link_write.with_label_values::<&str>(&[]).observe(took.as_secs_f64());
     }
 
+    /// Notes the load that the leader sees.
+    pub fn load(&self, load: &LoadSnapshot) {
+        self.load.set(load);
+    }
+
     /// All metrics as text.
     pub fn text(&self) -> Result<String> {
         Ok(TextEncoder::new().encode_to_string(&self.registry.gather())?)
--- a/crates/server/src/telemetry/mod.rs
+++ b/crates/server/src/telemetry/mod.rs
@@ -1,6 +1,7 @@
 //! Log lines and metrics.
 
 mod lines;
+mod load;
 mod metrics;
 #[cfg(test)]
 mod tests;
--- a/crates/server/src/telemetry/tests.rs
+++ b/crates/server/src/telemetry/tests.rs
@@ -3,6 +3,7 @@
 use std::{io::Write, sync::mpsc::sync_channel, time::Duration};
 
 use googletest::prelude::*;
+use trayswitch_core::placement::{LoadSnapshot, RequestLoad, ServiceLoad};
 
 use super::{
     Metrics,
@@ -59,6 +60,7 @@
     metrics.timer_late(Duration::ZERO);
     metrics.change_sent("h", 1, 1);
     metrics.link_write(Duration::ZERO);
+    metrics.load(&load());
 
     let text = metrics.text().unwrap();
 
@@ -67,3 +69,37 @@
         expect_that!(catalogue, contains_substring(format!("`{name}`")));
     }
 }
+
+/// A load with one row of each table, and a request that was rejected.
+fn load() -> LoadSnapshot {
+    let requests = RequestLoad {
+        service: "m".into(),
+        kind: "chat".into(),
+        workspace: "w".into(),
+        rejected: 3,
+        next_return_ms: Some(600),
+        ..RequestLoad::default()
+    };
+    let services =
+        ServiceLoad { service: "m".into(), hall: "a".into(), full: 2, ..ServiceLoad::default() };
+    LoadSnapshot { window_s: 10, requests: vec![requests], services: vec![services] }
+}
+
+/// Guards against a former leader that goes on showing its last load.
+#[gtest]
+fn the_load_is_shown_until_the_next_one() {
+    let metrics = Metrics::new().unwrap();
+
+    metrics.load(&load());
+    let leading = metrics.text().unwrap();
+    metrics.load(&LoadSnapshot::default());
+    let after = metrics.text().unwrap();
+
+    let rejected =
+        r#"trayswitch_load_requests{kind="chat",service="m",what="rejected",workspace="w"} 3"#;
+    let full = r#"trayswitch_load_endpoints{hall="a",service="m",state="full"} 2"#;
+    expect_that!(leading, contains_substring(rejected));
+    expect_that!(leading, contains_substring(full));
+    expect_that!(leading, contains_substring("trayswitch_load_next_return_ms"));
+    expect_that!(after, not(contains_substring("trayswitch_load_")));
+}
