trayswitch load: shows the load that the leader sees; explain shows rejections

Cause: operators had no command for the load, and the leader's lines about a rejected request were not part of its story. Change: command "load" with two tables or JSON; explain takes event 323 of the same digest into the story, also of earlier tries.

--- a/crates/trayswitch/src/cli.rs
+++ b/crates/trayswitch/src/cli.rs
@@ -42,6 +42,11 @@
         .subcommand(
             Command::new("endpoints").about("Show the endpoints as the scheduler sees them"),
         )
+        .subcommand(
+            Command::new("load").about(
+                "Show who waits and who is rejected, and the capacity, as the leader sees it",
+            ),
+        )
         .subcommand(Command::new("workspaces").about("Show the workspaces in force"))
         .subcommand(
             Command::new("control")
--- a/crates/trayswitch/src/command/explain.rs
+++ b/crates/trayswitch/src/command/explain.rs
@@ -86,7 +86,7 @@
 }
 
 /// The request's own lines, news of the endpoints that it met while it ran, what its daemon knew of data
-/// halls that are out of service, and what became of the same request before.
+/// halls that are out of service, and what the leader decided on the same request, also before.
 fn story<'a>(id: &str, lines: &'a [Line]) -> Vec<&'a Line> {
     let own = || lines.iter().filter(|line| line.text("id") == id);
     let (Some(first), Some(last)) = (own().next(), own().next_back()) else { return Vec::new() };
@@ -103,9 +103,12 @@
     let of_halls = |line: &&Line| line.event == halls && line.text("vm") == vm;
     let before = lines.iter().rfind(|line| of_halls(line) && line.at <= first.at);
     let digest = own().map(|line| line.text("request")).find(|digest| !digest.is_empty());
-    let suspects = u64::from(EventId::SuspectChanged.number());
-    let of_suspect = |line: &&Line| {
-        line.event == suspects && Some(line.text("request")) == digest && line.at <= last.at
+    let by_leader = [EventId::SuspectChanged, EventId::RequestRejected];
+    let by_leader = by_leader.map(|e| u64::from(e.number()));
+    let of_same = |line: &&Line| {
+        by_leader.contains(&line.event)
+            && Some(line.text("request")) == digest
+            && line.at <= last.at
     };
     let tells = |line: &&Line| {
         let in_time = first.at.saturating_sub(BEFORE) <= line.at && line.at <= last.at;
@@ -113,7 +116,7 @@
         let is_news = of_met && (line.text("vm") == vm || line.event == news[1]);
         let knew = before.is_some_and(|before| std::ptr::eq(before, *line));
         let is_due = in_time && (is_news || of_halls(line));
-        line.text("id") == id || is_due || knew || of_suspect(line)
+        line.text("id") == id || is_due || knew || of_same(line)
     };
     lines.iter().filter(tells).collect()
 }
--- a/crates/trayswitch/src/command/explain/tests.rs
+++ b/crates/trayswitch/src/command/explain/tests.rs
@@ -101,3 +101,24 @@
     let times: Vec<u64> = story.iter().map(|line| line.at).collect();
     expect_that!(times, elements_are![eq(&1000), eq(&1500), eq(&1501)]);
 }
+
+/// Guards against a rejection whose reason only the leader knows.
+#[gtest]
+fn a_story_has_the_leaders_rejections_of_the_same_request() {
+    let texts = [
+        r#"{"t":1000,"event":323,"vm":"core-1","request":"aa","end":"overloaded","expected_wait_ms":900,"msg":"the scheduler has rejected"}"#,
+        r#"{"t":1002,"event":310,"vm":"front-1","id":"r1","request":"aa","cause":"overloaded","detail":"","msg":"a request ended"}"#,
+        r#"{"t":2000,"event":323,"vm":"core-1","request":"","end":"overloaded","expected_wait_ms":900,"msg":"the scheduler has rejected"}"#,
+        r#"{"t":3000,"event":323,"vm":"core-1","request":"bb","end":"overloaded","expected_wait_ms":900,"msg":"the scheduler has rejected"}"#,
+        r#"{"t":4000,"event":323,"vm":"core-1","request":"aa","end":"overloaded","expected_wait_ms":700,"msg":"the scheduler has rejected"}"#,
+        r#"{"t":4002,"event":310,"vm":"front-2","id":"r2","request":"aa","cause":"overloaded","detail":"","msg":"a request ended"}"#,
+        r#"{"t":5000,"event":310,"vm":"front-2","id":"r3","request":"","cause":"answered","msg":"a request ended"}"#,
+    ];
+    let lines: Vec<Line> = texts.iter().filter_map(|text| Line::parse(text)).collect();
+    let times = |id: &str| story(id, &lines).iter().map(|line| line.at).collect::<Vec<u64>>();
+
+    expect_that!(times("r1"), elements_are![eq(&1000), eq(&1002)]);
+    expect_that!(times("r2"), elements_are![eq(&1000), eq(&4000), eq(&4002)]);
+    expect_that!(times("r3"), elements_are![eq(&5000)]);
+    expect_that!(tell(&lines[4], 4000), contains_substring("expected_wait_ms=700"));
+}
--- a/crates/trayswitch/src/command/mod.rs
+++ b/crates/trayswitch/src/command/mod.rs
@@ -3,6 +3,7 @@
 mod config;
 mod explain;
 mod hall;
+mod load;
 mod show;
 mod suspects;
 
@@ -28,6 +29,7 @@
         Action::Key => config::key(&mut io::stdin().lock(), out),
         Action::Status => show::status(&client()?, options.json, out),
         Action::Endpoints => show::endpoints(&client()?, options.json, out),
+        Action::Load => load::load(&client()?, options.json, out),
         Action::Workspaces => show::workspaces(&client()?, options.json, out),
         Action::Control => show::control(&client()?, options.json, out),
         Action::Hall { hall, out: gone } => hall::order(&client()?, hall, *gone, options.json, out),
--- a/crates/trayswitch/src/options.rs
+++ b/crates/trayswitch/src/options.rs
@@ -29,6 +29,8 @@
     Status,
     /// Show the endpoints.
     Endpoints,
+    /// Show the load.
+    Load,
     /// Show the workspaces.
     Workspaces,
     /// Show the control replicas.
@@ -127,6 +129,7 @@
             _ => Action::Suspects,
         },
         ("endpoints", _) => Action::Endpoints,
+        ("load", _) => Action::Load,
         ("workspaces", _) => Action::Workspaces,
         ("control", _) => Action::Control,
         ("completions", m) => Action::Completions(*m.get_one::<Shell>("shell").expect("required")),
--- a/crates/trayswitch/tests/cli.rs
+++ b/crates/trayswitch/tests/cli.rs
@@ -1,9 +1,11 @@
 //! The command line as its users meet it.
 
 use std::{
-    io::Write,
+    io::{BufRead, BufReader, Write},
+    net::TcpListener,
     path::PathBuf,
     process::{Command, Output, Stdio},
+    thread,
 };
 
 use googletest::prelude::*;
@@ -58,6 +60,35 @@
     String::from_utf8_lossy(&output.stderr).into_owned()
 }
 
+/// Calls the command with a daemon that answers one request with this status and body; returns the
+/// request's first line too.
+fn call_daemon(
+    args: &[&str],
+    test: &str,
+    status: &'static str,
+    body: &'static str,
+) -> (Output, String) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    let key = key_file(test);
+    let daemon = thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        let mut lines = BufReader::new(stream.try_clone().unwrap()).lines().map_while(|l| l.ok());
+        let first = lines.next().unwrap();
+        lines.find(String::is_empty).unwrap();
+        let length = body.len();
+        write!(stream, "HTTP/1.1 {status}\r\nContent-Length: {length}\r\n\r\n{body}").unwrap();
+        first
+    });
+
+    let output = Call::new(args)
+        .args(&["--operators", &address, "--key-file", &key.display().to_string()])
+        .run();
+
+    std::fs::remove_file(&key).unwrap();
+    (output, daemon.join().unwrap())
+}
+
 #[gtest]
 fn the_users_deployments_are_sound() {
     for name in ["magnolia/site.ini", "abay/site.ini", "demo/site.ini"] {
@@ -156,3 +187,40 @@
     expect_that!(output.status.code(), some(eq(2)), "{}", stderr(&output));
     expect_that!(stderr(&output), contains_substring("expected 32 hexadecimal digits"));
 }
+
+const LOAD: &str = r#"{"window_s":10,"requests":[{"service":"m","kind":"chat","workspace":"w",
+    "asked":7,"started":4,"rejected":2,"returned":1,"in_time":3,"late":1,"waiting":5,
+    "next_return_ms":null}],"services":[{"service":"m","hall":"a","endpoints":6,"full":6,"idle":0,
+    "unavailable":1,"free_tokens":900}]}"#;
+
+#[gtest]
+fn the_load_is_shown_as_two_tables() {
+    let (output, request) = call_daemon(&["load"], "load", "200 OK", LOAD);
+
+    expect_that!(request, starts_with("GET /v1/load "));
+    expect_that!(output.status.code(), some(eq(0)), "{}", stderr(&output));
+    expect_that!(stdout(&output), contains_substring("requests of the last 10 s"));
+    expect_that!(stdout(&output), contains_regex("m +chat +w +7 +4 +2 +1 +3 +1 +5 +-"));
+    expect_that!(stdout(&output), contains_regex("m +a +6 +6 +0 +1 +900"));
+}
+
+#[gtest]
+fn the_load_is_shown_as_json() {
+    let (output, _) = call_daemon(&["load", "--json"], "load-json", "200 OK", LOAD);
+
+    let shown: serde_json::Value = serde_json::from_slice(&output.stdout).unwrap();
+    let expected: serde_json::Value = serde_json::from_str(LOAD).unwrap();
+    expect_that!(shown, eq(&expected));
+}
+
+/// Guards against an empty table from a daemon that does not know the load.
+#[gtest]
+fn a_daemon_that_does_not_lead_shows_no_load() {
+    let body = r#"{"error":{"message":"this daemon does not lead"}}"#;
+
+    let (output, _) = call_daemon(&["load"], "load-follower", "409 Conflict", body);
+
+    expect_that!(output.status.code(), some(eq(1)));
+    expect_that!(stderr(&output), contains_substring("this daemon does not lead"));
+    expect_that!(stdout(&output), eq(""));
+}
