--- a/crates/trayswitchd/src/node/actor.rs
+++ b/crates/trayswitchd/src/node/actor.rs
@@ -11,6 +11,7 @@
 use trayswitch_core::{
     agreement::Persist,
     node::{ActiveConfig, CallId, Clocks, Input, Node, NodeReply, Output, VmName},
+    placement::{Refusal, RejectionContext},
     quarantine::{CrashCounts, Suspect},
     units::{self, UnixMillis},
     wire::Body,
@@ -164,13 +165,20 @@
                 let event = EventId::ConfigUnusable;
                 log::error!("{event} version {version} cannot come into force here: {reason}");
             }
+            Output::Refused { entry, refusal } => note_refusal(&entry, &refusal),
+            Output::RefusalsOmitted(count) => {
+                let event = EventId::RequestRejected;
+                log::info!("{event} {count} lines of rejections were left out");
+            }
             // This daemon's control VMs are listed in its settings, its endpoints in the
-            // configuration; it has no edge at which endpoints register themselves.
+            // configuration; it has no edge at which endpoints register themselves. Operators ask for
+            // the load, and its metrics have no gauges.
             Output::Leader { .. }
             | Output::Dial(_)
             | Output::Registered(_)
             | Output::SaveEndpoints(_)
             | Output::SentChange(_)
+            | Output::Load(_)
             | Output::Move { .. } => {}
         }
     }
@@ -218,3 +226,20 @@
         log::info!("{event} request {request} is no suspect any more");
     }
 }
+
+/// Tells of a request that the scheduler has rejected, and of the state behind the decision.
+fn note_refusal(entry: &VmName, refusal: &Refusal) {
+    let (event, row, message) = (EventId::RequestRejected, &refusal.row, &refusal.error.message);
+    let RejectionContext { expected_wait, ahead, .. } = refusal.context;
+    log::info!(
+        "{event} rejected a request of {entry} (service {}, kind {}, workspace {}, rank {}) after \
+         {:.3?}: {message}; expected wait {expected_wait:.3?}, {ahead} requests ahead, retry after \
+         {:.3?}",
+        row.service,
+        row.kind,
+        row.workspace,
+        refusal.rank,
+        refusal.waited,
+        refusal.error.retry_after().unwrap_or_default()
+    );
+}
--- a/crates/trayswitchd/src/operators/mod.rs
+++ b/crates/trayswitchd/src/operators/mod.rs
@@ -45,6 +45,7 @@
         (Method::Get, "/v1/config") => show(callers, req),
         (Method::Get, "/v1/status") => respond_json(req, 200, &[], &reports::status(callers)),
         (Method::Get, "/v1/endpoints") => respond_json(req, 200, &[], &reports::endpoints(callers)),
+        (Method::Get, "/v1/load") => load(callers, req),
         (Method::Get, "/v1/workspaces") => {
             respond_json(req, 200, &[], &reports::workspaces(callers))
         }
@@ -106,6 +107,18 @@
     respond(req, 200, &headers, active_config.document.to_ini().into_bytes())
 }
 
+fn load(callers: &Callers, req: Request) -> std::io::Result<()> {
+    match reports::load(callers) {
+        Ok(Some(load)) => respond_json(req, 200, &[], &load),
+        Ok(None) => failure(
+            req,
+            409,
+            "this daemon does not lead; \"trayswitch control status\" at a control VM names the leader",
+        ),
+        Err(()) => failure(req, 503, "the daemon did not answer in time"),
+    }
+}
+
 fn failure(req: Request, status: u16, message: &str) -> std::io::Result<()> {
     respond_json(req, status, &[], &json!({ "error": { "message": message } }))
 }
--- a/crates/trayswitchd/src/operators/reports.rs
+++ b/crates/trayswitchd/src/operators/reports.rs
@@ -6,6 +6,7 @@
 use trayswitch_core::{
     config::WorkspaceSpec,
     node::{ControlStatus, EndpointStatus, NodeCall, NodeReply},
+    placement::LoadSnapshot,
     units::Hex,
 };
 
@@ -72,6 +73,14 @@
     }
 }
 
+/// The load as the leader sees it; `None` on other daemons. Fails if the node does not answer in time.
+pub(super) fn load(callers: &Callers) -> Result<Option<LoadSnapshot>, ()> {
+    match callers.node().ask(NodeCall::Load, LIMIT) {
+        Ok(NodeReply::Load(load)) => Ok(load),
+        _ => Err(()),
+    }
+}
+
 pub(super) fn workspaces(callers: &Callers) -> Vec<WorkspaceReport> {
     let Some(active_config) = callers.node().view().active_config() else { return Vec::new() };
     let report = |(name, spec): (&Arc<str>, &Arc<WorkspaceSpec>)| WorkspaceReport {
