node: tests of the load and the rejections that a leader reports

Cause: nothing checked that rejections reach the leader's log with their entry, and that a former leader's load is taken back.

--- a/crates/core/src/node/tests/mod.rs
+++ b/crates/core/src/node/tests/mod.rs
@@ -8,6 +8,7 @@
 mod halls;
 mod large_change;
 mod leaving_response;
+mod load;
 mod net;
 mod quarantine;
 mod rate_limits;
--- a/crates/core/src/node/tests/net/mod.rs
+++ b/crates/core/src/node/tests/net/mod.rs
@@ -252,6 +252,12 @@
                 self.observed.check_confirmed(vm, self.version_at(vm), at);
                 self.observed.halls.check_confirmed(vm, at);
             }
+            Output::Load(load) => {
+                self.observed.loads.insert(vm.clone(), load);
+            }
+            Output::Refused { entry, refusal } => {
+                self.observed.refused.push((vm.clone(), entry, *refusal));
+            }
             Output::HallsOut(halls) => self.observed.halls.check(vm, &halls),
             Output::ConfigRejected { version, reason } => {
                 panic!("version {version} is unusable: {reason}")
@@ -262,8 +268,6 @@
             | Output::Suspects { .. }
             | Output::Limit { .. }
             | Output::Backoff { .. }
-            | Output::Load(_)
-            | Output::Refused { .. }
             | Output::RefusalsOmitted(_)
             | Output::Watch(_)
             | Output::Leader { .. }
--- a/crates/core/src/node/tests/net/observations.rs
+++ b/crates/core/src/node/tests/net/observations.rs
@@ -7,6 +7,7 @@
     config::ContentHash,
     node::{ActiveConfig, CallId, NodeReply, Placement, TrialAnswer, VmName},
     once::ClaimResult,
+    placement::{LoadSnapshot, Refusal},
     state::HallsOut,
     throttle::Permit,
     units::Instant,
@@ -58,6 +59,10 @@
     pub(crate) permits: BTreeMap<CallId, Permit>,
     /// Whether each cleared request was a suspect.
     pub(crate) cleared: Vec<Option<bool>>,
+    /// The last load that each VM has reported.
+    pub(crate) loads: BTreeMap<VmName, LoadSnapshot>,
+    /// Rejections for the log, with the VM that logs them and the entry.
+    pub(crate) refused: Vec<(VmName, VmName, Refusal)>,
     /// Calls that were answered.
     pub(crate) answered: BTreeSet<CallId>,
 }
