--- a/crates/core/src/node/tests/net/mod.rs
+++ b/crates/core/src/node/tests/net/mod.rs
@@ -252,6 +252,12 @@
                 self.observed.check_confirmed(vm, self.version_at(vm), at);
                 self.observed.halls.check_confirmed(vm, at);
             }
+            Output::Load(load) => {
+                self.observed.loads.insert(vm.clone(), load);
+            }
+            Output::Refused { entry, refusal } => {
+                self.observed.refused.push((vm.clone(), entry, *refusal));
+            }
             Output::HallsOut(halls) => self.observed.halls.check(vm, &halls),
             Output::ConfigRejected { version, reason } => {
                 panic!("version {version} is unusable: {reason}")
@@ -262,6 +268,7 @@
             | Output::Suspects { .. }
             | Output::Limit { .. }
             | Output::Backoff { .. }
+            | Output::RefusalsOmitted(_)
             | Output::Watch(_)
             | Output::Leader { .. }
             | Output::Dial(_)
--- a/crates/core/src/placement/accounting.rs
+++ b/crates/core/src/placement/accounting.rs
@@ -77,6 +77,7 @@
         memory.value = placed.memory.value;
         if let Some(endpoint) = self.endpoints.get_mut(&placed.endpoint) {
             if placed.tokens == 0 {
+                self.load_view.on_first_token(ticket, now);
                 endpoint.prefill.on_first_token(ticket, now);
                 self.backoffs.on_end(&placed.endpoint, placed.at, true, now);
             }
@@ -93,6 +94,7 @@
     /// Records that a running request ended; `whole` if its response was complete.
     pub fn finish(&mut self, ticket: Ticket, tokens: u64, whole: bool, now: Instant) {
         self.progress(ticket, tokens, now);
+        self.load_view.on_ended(ticket);
         let Some(placed) = self.placed.remove(&ticket) else { return };
         if let Some(target) = self.targets.get_mut(&placed.req.target) {
             let work = placed.req.prompt_tokens + placed.tokens;
@@ -213,6 +215,7 @@
 
     pub(super) fn place(&mut self, req: Request, endpoint: &Arc<str>, now: Instant) {
         self.returns.on_served(&req);
+        self.load_view.on_started(req.ticket, now);
         if let Some(target) = self.targets.get_mut(&req.target) {
             target.record_prefix(req.prefix, endpoint);
         }
--- a/crates/core/src/placement/scheduler.rs
+++ b/crates/core/src/placement/scheduler.rs
@@ -15,6 +15,7 @@
     forecast::LengthForecast,
     handover::HandoverQueue,
     isolation::IsolatedRequests,
+    load_view::{LoadSnapshot, LoadView},
     policy::{Demand, ForecastPolicy, Policy, PowerOfTwoChoices},
     returns::{ReturnSchedule, Returning, max_wait_of_due},
     target::TargetState,
@@ -131,6 +132,7 @@
     pub(super) retry_spreader: RetrySpreader,
     /// When rejected requests are to come back.
     pub(crate) returns: ReturnSchedule,
+    pub(crate) load_view: LoadView,
     /// Seed of a daemon-local scheduler; `None` for the central scheduler.
     pub(super) local_seed: Option<u64>,
     /// Time of the last call to [`Scheduler::decide`].
@@ -163,6 +165,7 @@
             held: Vec::new(),
             retry_spreader: RetrySpreader::default(),
             returns: ReturnSchedule::new(limits.disabled),
+            load_view: LoadView::new(true),
             local_seed: None,
             last_decision: Instant::default(),
             sample_offset: 0,
@@ -193,6 +196,7 @@
             local_seed,
             sender_role,
             throttle,
+            load_view: LoadView::new(false),
             ..Scheduler::new(limits, policy)
         }
     }
@@ -234,6 +238,11 @@
         self.endpoints.iter().map(|(name, state)| (&**name, state)).collect()
     }
 
+    /// The load as operators see it.
+    pub(crate) fn load_snapshot(&self, now: Instant) -> LoadSnapshot {
+        self.load_view.snapshot(self.endpoints.values(), now)
+    }
+
     /// Number of queued requests.
     pub fn waiting(&self) -> usize {
         self.queued.len()
@@ -250,6 +259,16 @@
         if self.queued.contains_key(&req.ticket) || self.placed.contains_key(&req.ticket) {
             return Ok(());
         }
+        let ticket = req.ticket;
+        self.load_view.on_asked(&req, now);
+        let result = self.enqueue_new(req, now);
+        if let Err(error) = &result {
+            self.load_view.on_refused(ticket, error, &self.targets, now);
+        }
+        result
+    }
+
+    fn enqueue_new(&mut self, req: Request, now: Instant) -> Result<(), RequestError> {
         let waiting = self.counts.get(&req.workspace).map_or(0, |count| count.waiting);
         if req.max_waiting <= waiting {
             let message = "the workspace has reached its limit of queued requests";
@@ -271,6 +290,8 @@
         let returning = self.returns.on_return(&req, now);
         if returning == Returning::Unknown {
             self.record_arrival(&req, now);
+        } else {
+            self.load_view.on_returned(req.ticket, now);
         }
         let Some(target) = self.targets.get(&req.target) else {
             return Err(self.no_endpoint_error(&req.target));
@@ -331,6 +352,7 @@
             }
             actions.extend(self.shed_overdue(&target, now));
         }
+        self.load_view.on_decided(&actions, &self.targets, now);
         actions
     }
 
