node: a silent scheduler is told which requests have ended

The leader went on counting a generation that ended while it had not answered its daemon for one and a half polls: ends in that time were sent to nobody, and when the leader answered again the daemon sent only what still ran. The slot and the KV cache of such a request stayed taken at the leader, which is most likely under overload. The daemon now sends ends to the latest scheduler also while it is silent.

The test fails without it.

--- a/crates/core/src/node/placement_client/mod.rs
+++ b/crates/core/src/node/placement_client/mod.rs
@@ -84,6 +84,9 @@
     /// Whether this daemon has requests to place, so that the local scheduler needs the engines.
     takes_callers: bool,
     scheduler: Option<VmName>,
+    /// The latest scheduler. While it is silent, it is still told which requests end: it counts them
+    /// until then, and does not learn of them otherwise when it answers again.
+    last_scheduler: Option<VmName>,
     waiting: BTreeMap<CallId, Waiting>,
     running: BTreeMap<CallId, Running>,
     /// Running requests with token counts that the scheduler has not been sent.
@@ -101,6 +104,7 @@
             local: Scheduler::local(options.disabled, options.seed),
             takes_callers: options.takes_callers,
             scheduler: None,
+            last_scheduler: None,
             waiting: BTreeMap::new(),
             running: BTreeMap::new(),
             unreported: BTreeSet::new(),
@@ -291,7 +295,7 @@
         self.running.remove(&call);
         self.unreported.remove(&call);
         self.local.finish(ticket(call), tokens, complete, now);
-        if let Some(scheduler) = &self.scheduler {
+        if let Some(scheduler) = &self.last_scheduler {
             let tokens = Tokens { number: call.0, tokens };
             let progress = if complete {
                 Progress { finished: vec![tokens], ..Progress::default() }
@@ -388,6 +392,7 @@
     ) {
         self.scheduler = scheduler.map(|s| s.vm.clone());
         let Some(scheduler) = &self.scheduler else { return };
+        self.last_scheduler = Some(scheduler.clone());
         self.send_backoffs(scheduler, now, out);
         self.send_returns(scheduler, now, out);
         for (call, running) in &self.running {
--- a/crates/core/src/node/tests/mod.rs
+++ b/crates/core/src/node/tests/mod.rs
@@ -14,6 +14,7 @@
 mod rate_limits;
 mod recovery;
 mod returns;
+mod silent_scheduler;
 mod slot_leaks;
 
 use std::collections::BTreeSet;
