--- a/crates/core/src/placement/load_view/mod.rs
+++ b/crates/core/src/placement/load_view/mod.rs
@@ -158,7 +158,7 @@
         let context = RejectionContext::new(targets.get(&tracked.target), tracked.rank, now);
         self.rows.count(&tracked.row, Count::Rejected, now);
         let returns_at = context.next_return.or(error.retry_after().map(|wait| now.after(wait)));
-        self.rows.add_return(&tracked.row, returns_at, now);
+        self.rows.set_next_return(&tracked.row, returns_at);
         self.rows.close(&tracked.row);
         let Tracked { row, rank, digest, arrived, .. } = tracked;
         let (waited, error) = (now.since(arrived), error.clone());
--- a/crates/core/src/placement/load_view/rows.rs
+++ b/crates/core/src/placement/load_view/rows.rs
@@ -44,7 +44,7 @@
     pub(super) waiting: u64,
     /// Requests that may still be counted here; the row is kept until there are none.
     open: u64,
-    /// The earliest time, still to come at the last rejection, at which a rejected request may come back.
+    /// When the request that was rejected last may come back.
     pub(super) next_return: Option<Instant>,
 }
 
@@ -98,11 +98,9 @@
         }
     }
 
-    /// Records when a request that is rejected now may come back.
-    pub(super) fn add_return(&mut self, key: &RowKey, at: Option<Instant>, now: Instant) {
+    pub(super) fn set_next_return(&mut self, key: &RowKey, at: Option<Instant>) {
         if let Some(row) = self.rows.get_mut(key) {
-            let pending = row.next_return.filter(|next| now < *next);
-            row.next_return = pending.into_iter().chain(at).min();
+            row.next_return = at;
         }
     }
 
