Keep the software version of endpoints, and tell it where streams go on

An empty or oversized version is refused like an empty service; another version under the name of a run is dropped, what is known stays. No decision reads the version yet.

--- a/crates/core/src/config/endpoint.rs
+++ b/crates/core/src/config/endpoint.rs
@@ -6,6 +6,7 @@
     reader::{MAX_COUNT, MAX_TOKENS, SectionReader},
     service::ColdStart,
 };
+use crate::software_version::SoftwareVersion;
 
 const DEFAULT_SLOTS: u64 = 64;
 
@@ -51,6 +52,8 @@
     pub supports_relocation: bool,
     /// Request pacing while it is cold; `None` if it needs no warm-up.
     pub cold_start: Option<ColdStart>,
+    /// Version of its software, if known.
+    pub software_version: Option<SoftwareVersion>,
 }
 
 /// Endpoints by name.
@@ -85,5 +88,6 @@
         checks_fence,
         supports_relocation: false,
         cold_start: None,
+        software_version: None,
     })
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod registry;
 pub mod retry_budget;
 pub mod signals;
+pub mod software_version;
 pub mod state;
 pub mod storage;
 #[cfg(test)]
--- a/crates/core/src/node/dispatcher.rs
+++ b/crates/core/src/node/dispatcher.rs
@@ -422,6 +422,11 @@
         hall: spec.hall.clone(),
         slots: spec.slots,
         born: spec.started_at,
+        software_version: spec
+            .software_version
+            .as_ref()
+            .map(ToString::to_string)
+            .unwrap_or_default(),
         ..EndpointRecord::default()
     })
 }
--- a/crates/core/src/placement/fixture.rs
+++ b/crates/core/src/placement/fixture.rs
@@ -27,6 +27,7 @@
             checks_fence: false,
             supports_relocation: true,
             cold_start: None,
+            software_version: None,
         };
         (format!("e{i}"), spec)
     };
--- a/crates/core/src/registry/digest.rs
+++ b/crates/core/src/registry/digest.rs
@@ -62,7 +62,7 @@
 /// excluded.
 pub(super) fn hash_of(record: &EndpointRecord) -> u64 {
     let EndpointRecord { id, service, address, hall, slots, leaving, silent, born, .. } = record;
-    hash(&(id, service, address, hall, slots, leaving, silent, born))
+    hash(&(id, service, address, hall, slots, leaving, silent, born, &record.software_version))
 }
 
 fn hash(value: &impl Hash) -> u64 {
--- a/crates/core/src/registry/endpoint_table.rs
+++ b/crates/core/src/registry/endpoint_table.rs
@@ -93,6 +93,9 @@
         let is_new_cold_start = cold.is_some_and(|until| self.extend_cold(until));
         let known = &self.record;
         let mut merged = if newer { record.clone() } else { known.clone() };
+        if merged.software_version.is_empty() {
+            merged.software_version.clone_from(&known.software_version);
+        }
         // A leaving notice may come without a heartbeat number.
         merged.leaving = known.leaving || record.leaving;
         // Of two daemons with the same heartbeat, the one that misses the next is right. Each field
--- a/crates/core/src/registry/mod.rs
+++ b/crates/core/src/registry/mod.rs
@@ -29,6 +29,7 @@
 
 use crate::{
     config::{Config, EndpointSpec, EndpointTarget, Endpoints},
+    software_version::SoftwareVersion,
     state::HallsOut,
     units::Instant,
     wire::{EndpointHeartbeat, EndpointRecord},
@@ -75,6 +76,8 @@
     pub started_at: u64,
     /// Number of the heartbeat with the latest change.
     pub sequence: u64,
+    /// Version of its software, if known.
+    pub software_version: Option<SoftwareVersion>,
 }
 
 /// Registered endpoints that have changed.
@@ -170,8 +173,7 @@
         if started_at != Some(record.born) {
             return self.add_run(id, record, address, heard, now);
         }
-        if self.known.get(&id).is_some_and(|known| known.record.service != record.service) {
-            // A run never changes its service, so the record has another origin.
+        if self.known.get(&id).is_some_and(|known| contradicts(&known.record, &record)) {
             return None;
         }
         let merged = self.update(&id, |known| {
@@ -548,6 +550,7 @@
             cold_until: known.cold_until,
             started_at: known.record.born,
             sequence: known.record.sequence,
+            software_version: known.record.software_version(),
         }
     }
 
@@ -576,6 +579,14 @@
     }
 }
 
+/// Whether two records of one run have different origins: a run never changes its service or the
+/// version of its software.
+fn contradicts(known: &EndpointRecord, record: &EndpointRecord) -> bool {
+    let (known_version, version) = (&known.software_version, &record.software_version);
+    let both_tell = !known_version.is_empty() && !version.is_empty();
+    known.service != record.service || (both_tell && known_version != version)
+}
+
 /// Specification of an engine; `None` if its service is not configured or runs no model.
 fn engine_spec(known: &EndpointState, config: &Config) -> Option<EndpointSpec> {
     let service = config.services.get(&known.record.service)?;
@@ -591,5 +602,6 @@
         checks_fence: false,
         supports_relocation: engine.supports_relocation,
         cold_start: service.cold_start,
+        software_version: known.record.software_version(),
     })
 }
--- a/crates/core/src/registry/tests.rs
+++ b/crates/core/src/registry/tests.rs
@@ -20,6 +20,7 @@
         silent: false,
         cold_ms: 0,
         born: 0,
+        software_version: "v1".into(),
     }
 }
 
--- a/crates/core/src/wire/endpoints.rs
+++ b/crates/core/src/wire/endpoints.rs
@@ -1,5 +1,7 @@
 //! Messages about the endpoints: what they say of themselves, their health and their load.
 
+use crate::software_version::SoftwareVersion;
+
 /// See [`super::Body::EndpointNews`].
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct EndpointNews {
@@ -159,6 +161,16 @@
     /// endpoints do not tell. A later one takes the place of an earlier one.
     #[prost(uint64, tag = "10")]
     pub born: u64,
+    /// Version of its software; empty where it does not tell.
+    #[prost(string, tag = "11")]
+    pub software_version: String,
+}
+
+impl EndpointRecord {
+    /// Version of its software, if it tells.
+    pub fn software_version(&self) -> Option<SoftwareVersion> {
+        SoftwareVersion::parse(&self.software_version).ok()
+    }
 }
 
 /// See [`super::Body::Health`].
--- a/crates/lab/src/control_plane/endpoints.rs
+++ b/crates/lab/src/control_plane/endpoints.rs
@@ -52,6 +52,7 @@
             silent: false,
             cold_ms: 0,
             born: 1_783_949_000_000 + n as u64,
+            software_version: "v1".to_owned(),
         };
         self.endpoints.push(Endpoint { record, leaving_since: None, gone: false });
         n
--- a/crates/lab/src/fleet/engines.rs
+++ b/crates/lab/src/fleet/engines.rs
@@ -88,6 +88,7 @@
             checks_fence: false,
             supports_relocation: true,
             cold_start: None,
+            software_version: None,
         }
     }
 
--- a/crates/server/src/relay/generation.rs
+++ b/crates/server/src/relay/generation.rs
@@ -23,6 +23,7 @@
     local_placement::{NoCapacity, confirm_placement},
     no_response_error,
     quarantine_turn::QuarantineTurn,
+    software_version,
     stream::StreamForwarder,
 };
 use crate::{
@@ -217,7 +218,9 @@
         after = resume_from.last_event_id.unwrap_or(0), took_ms = started_at.elapsed().as_millis() as u64,
         limit = signals.describe_limit().as_str(),
         backoff_ms = signals.describe_backoff().as_str(), leaving = signals.is_leaving(),
-        reached_ms = relay.describe_last_connected().as_str();
+        reached_ms = relay.describe_last_connected().as_str(),
+        software = software_version::describe(relay.software_version(endpoint).as_ref()),
+        resumes = job.caller.resumes.as_deref().unwrap_or("-");
         "an attempt ended"
     );
     opened
--- a/crates/server/src/relay/mod.rs
+++ b/crates/server/src/relay/mod.rs
@@ -22,6 +22,7 @@
 mod relocation;
 mod retry_budget;
 mod signals;
+mod software_version;
 mod staleness;
 mod stream;
 #[cfg(test)]
--- a/crates/server/src/relay/protocol.rs
+++ b/crates/server/src/relay/protocol.rs
@@ -24,6 +24,8 @@
     pub prompt: Option<Prompt>,
     /// The last event received, if the caller resumes an interrupted response.
     pub last_event_id: Option<u64>,
+    /// Id of the request that brought the first event of the resumed response, if the caller names it.
+    pub resumes: Option<String>,
 }
 
 /// The prompt of a generation.
--- a/crates/server/src/relay/stream/relocation.rs
+++ b/crates/server/src/relay/stream/relocation.rs
@@ -13,6 +13,7 @@
         generation::{Opened, open_on_endpoint},
         job::ResumeFrom,
         relocation::{Relocation, RelocationResult},
+        software_version::{Continuation, describe},
     },
     runtime::MoveOrder,
     telemetry::EventId,
@@ -114,7 +115,9 @@
         log::info!(
             event = EventId::MoveEnded.number(), id = self.job.caller.id.as_str(),
             from = &**from, to = &**to, end = result, took_ms = took.as_millis() as u64,
-            pause_ms = stopped.elapsed().as_millis() as u64, last = self.last_event_id.unwrap_or(0);
+            pause_ms = stopped.elapsed().as_millis() as u64, last = self.last_event_id.unwrap_or(0),
+            began_at = describe(self.software_version.as_ref()),
+            software = describe(self.relay.software_version(self.placed.endpoint()).as_ref());
             "a generation was relocated"
         );
         self.relay.metrics.moved(result);
@@ -157,6 +160,9 @@
                     if endpoint != to {
                         self.placed.moved(endpoint, false);
                     }
+                    if endpoint != from {
+                        self.record_continuation(Continuation::Relocation, endpoint);
+                    }
                     return self.switch_to(event_stream, first).await;
                 }
                 Ok(Opened::Failed { head, .. }) => error = head.status.to_string(),
--- a/crates/server/src/relay/tests/cold_start.rs
+++ b/crates/server/src/relay/tests/cold_start.rs
@@ -27,6 +27,7 @@
         cold_until,
         started_at: 0,
         sequence: 1,
+        software_version: None,
     }
 }
 
--- a/crates/server/src/relay/tests/protocol.rs
+++ b/crates/server/src/relay/tests/protocol.rs
@@ -21,6 +21,8 @@
 pub(super) const ENDPOINT: &str = "x-endpoint";
 /// The last event received.
 pub(super) const LAST_EVENT: &str = "x-after";
+/// The request that brought the first event.
+pub(super) const RESUMES: &str = "x-resumes";
 /// A KV cache copy, as ADDRESS/HANDLE.
 pub(super) const KV_COPY: &str = "x-memory";
 /// Why a request was not executed: `full` or `other`.
@@ -75,6 +77,7 @@
                 ..Prompt::default()
             }),
             last_event_id: header(&head.headers, LAST_EVENT),
+            resumes: header(&head.headers, RESUMES),
             ..CallerRequest::default()
         })
     }
--- a/crates/server/src/telemetry/metrics.rs
+++ b/crates/server/src/telemetry/metrics.rs
@@ -20,6 +20,7 @@
     requests: IntCounterVec,
     attempts: IntCounterVec,
     moves: IntCounterVec,
+    continued: IntCounterVec,
     broke_off: IntCounterVec,
     suspects: IntGauge,
     quarantined: IntGauge,
@@ -84,6 +85,11 @@
                 "Moves of running generations, by how they ended",
                 &["end"],
             )?,
+            continued: counter(
+                "trayswitch_streams_continued_total",
+                "Streams that went on at another endpoint, or at another attempt of their caller, by service, how, and whether the software version is the one that began them",
+                &["service", "how", "version"],
+            )?,
             broke_off: counter(
                 "trayswitch_attempts_broken_off_total",
                 "Attempts that broke off, by service and what the endpoint's address said then",
@@ -208,6 +214,11 @@
         self.moves.with_label_values(&[end]).inc();
     }
 
+    /// Counts a stream that went on at another endpoint or attempt.
+    pub fn stream_continued(&self, service: &str, how: &str, version: &str) {
+        self.continued.with_label_values(&[service, how, version]).inc();
+    }
+
     /// Counts an attempt that broke off, and what its endpoint's address said then.
     pub fn broke_off(&self, service: &str, endpoint: &str) {
         self.broke_off.with_label_values(&[service, endpoint]).inc();
