--- a/crates/core/src/placement/evacuation_tests.rs
+++ b/crates/core/src/placement/evacuation_tests.rs
@@ -10,7 +10,7 @@
 
 use super::{
     Action, Relocation, Scheduler, Ticket,
-    fixture::{ms, request, scheduler},
+    fixture::{ms, request, scheduler, set_version},
 };
 use crate::testing::fixed_seed;
 
@@ -74,6 +74,21 @@
     expect_that!(first[0].ticket.number, eq(2));
 }
 
+#[gtest]
+fn evacuation_never_joins_two_software_versions() {
+    let mut scheduler = with_generations(&["a", "a", "b"], &[3_000]);
+    set_version(&mut scheduler, "e1", "v2");
+    scheduler.endpoint_leaving("e0", true);
+
+    let to_same_version = scheduler.plan_relocations(ms(2));
+    scheduler.on_relocated(to_same_version[0].ticket, "e0", false, ms(100));
+    scheduler.endpoint_leaving("e2", true);
+    let to_none = scheduler.plan_relocations(ms(300));
+
+    expect_that!(&*to_same_version[0].to, eq("e2"));
+    expect_that!(to_none, len(eq(0)));
+}
+
 /// The first report allows the next move while the generation restarts; a later failure must still
 /// be handled.
 #[gtest]
--- a/crates/core/src/placement/fixture.rs
+++ b/crates/core/src/placement/fixture.rs
@@ -5,6 +5,7 @@
 use super::{ForecastPolicy, PrefixHash, Request, Scheduler, SchedulerLimits, Ticket};
 use crate::{
     config::{EndpointSpec, EndpointTarget, Endpoints},
+    software_version::SoftwareVersion,
     units::Instant,
 };
 
@@ -13,6 +14,11 @@
     Instant(ms * 1_000)
 }
 
+/// A software version.
+pub(super) fn version(name: &str) -> SoftwareVersion {
+    SoftwareVersion::parse(name).unwrap()
+}
+
 /// Engines `e0`, `e1`, ..., one per entry of `halls`.
 pub(super) fn engines(halls: &[&str], kv_tokens: u64) -> Endpoints {
     let spec = |(i, hall): (usize, &&str)| {
@@ -27,7 +33,7 @@
             checks_fence: false,
             supports_relocation: true,
             cold_start: None,
-            software_version: None,
+            software_version: Some(version("v1")),
         };
         (format!("e{i}"), spec)
     };
@@ -58,6 +64,13 @@
     }
 }
 
+/// Changes the software version of an engine that runs nothing yet.
+pub(super) fn set_version(scheduler: &mut Scheduler, name: &str, version_name: &str) {
+    let mut spec = scheduler.endpoint(name).unwrap().spec().clone();
+    spec.software_version = Some(version(version_name));
+    scheduler.set_endpoint(&name.into(), &spec);
+}
+
 /// A scheduler with one engine per entry of `halls`, each with `kv_tokens` of KV cache.
 pub(super) fn scheduler(halls: &[&str], kv_tokens: u64) -> Scheduler {
     let policy = Box::new(ForecastPolicy::default());
--- a/crates/core/src/placement/handover_tests.rs
+++ b/crates/core/src/placement/handover_tests.rs
@@ -7,7 +7,7 @@
 
 use super::{
     Action, Relocation, Request, Scheduler, Ticket,
-    fixture::{ms, request, scheduler},
+    fixture::{ms, request, scheduler, set_version},
 };
 use crate::testing::fixed_seed;
 
@@ -45,6 +45,15 @@
 
 const CHAT: Ticket = Ticket { entry: 1, number: 1 };
 
+#[gtest]
+fn handover_never_joins_two_software_versions() {
+    let mut scheduler = prefill_heavy_first(&["h", "h"]);
+    set_version(&mut scheduler, "e1", "v2");
+    scheduler.progress(CHAT, 4, ms(1_000));
+
+    expect_that!(scheduler.plan_relocations(ms(1_001)), len(eq(0)));
+}
+
 #[gtest]
 fn chat_is_handed_over_after_first_token() {
     let mut scheduler = prefill_heavy_first(&["h", "h"]);
--- a/crates/server/src/relay/tests/mod.rs
+++ b/crates/server/src/relay/tests/mod.rs
@@ -17,6 +17,7 @@
 mod relocation;
 mod response;
 mod retry_budget;
+mod software_versions;
 mod staleness;
 mod startup;
 mod suspension;
--- /dev/null
+++ b/crates/server/src/relay/tests/software_versions.rs
@@ -0,0 +1,63 @@
+//! Streams go on only at the software version that began them.
+
+use googletest::prelude::*;
+use tokio::join;
+
+use super::{
+    fake_endpoint::{FakeEndpoint, Stream, events_to},
+    response::{ResponseReader, outcome, text},
+    test_daemon::{TestDaemon, run_test},
+    test_fleet::{TestFleet, answer_all},
+};
+
+/// Starts a resumable generation at `engine`, the only one so far, and reads its first three events.
+async fn start_stream(
+    daemon: &TestDaemon,
+    id: &str,
+    engine: &mut FakeEndpoint,
+) -> (ResponseReader, Stream) {
+    let (answer, stream) = join!(daemon.send("/recap/", id), async {
+        let stream = engine.next_arrival().await.stream();
+        stream.send_events(1..=3).await;
+        stream
+    });
+    let mut reader = ResponseReader::new(answer);
+    reader.read_to(3).await;
+    (reader, stream)
+}
+
+#[gtest]
+fn restarted_stream_never_joins_two_software_versions() {
+    run_test(async {
+        let daemon = TestDaemon::open().await;
+        let mut engine = daemon.register_version("engines", "e1", "v1").await;
+        let (reader, stream) = start_stream(&daemon, "r1", &mut engine).await;
+        let other = answer_all(daemon.register_version("engines", "e2", "v2").await, "engines");
+
+        stream.abort().await;
+
+        expect_that!(reader.read_rest().await, err(anything()));
+        expect_that!(other.all(), len(eq(0)));
+    });
+}
+
+#[gtest]
+fn stream_taken_up_at_another_entry_never_joins_two_software_versions() {
+    run_test(async {
+        let fleet = TestFleet::start(2).await;
+        let mut engine = fleet.register_version("engines", "e1", "v1").await;
+        let first = &fleet.entries[0].daemon;
+        let (reader, stream) = start_stream(first, "r1", &mut engine).await;
+        drop((reader, stream));
+        fleet.control.announce_leaving("e1").await;
+        let other = answer_all(fleet.register_version("engines", "e2", "v2").await, "engines");
+
+        let refused = fleet.entries[1].daemon.take_up("/recap/", "r2", "r1", 3).await;
+        let same = answer_all(fleet.register_version("engines", "e3", "v1").await, "engines");
+        let taken_up = fleet.entries[1].daemon.take_up("/recap/", "r3", "r1", 3).await;
+
+        expect_that!(outcome(&refused), some(eq("version_unavailable")));
+        expect_that!(text(taken_up).await, ok(ends_with(&events_to(5)[events_to(3).len()..])));
+        expect_that!((other.all(), same.all()), eq(&(vec![], vec!["r3".to_owned()])));
+    });
+}
--- a/crates/server/src/relay/tests/test_daemon.rs
+++ b/crates/server/src/relay/tests/test_daemon.rs
@@ -26,7 +26,7 @@
 
 use super::{
     fake_endpoint::FakeEndpoint,
-    protocol::{ID, TestProtocol},
+    protocol::{ID, LAST_EVENT, RESUMES, TestProtocol},
 };
 use crate::{
     edge::{self, Server},
@@ -319,10 +319,38 @@
         service: &str,
         name: &str,
         slots: u64,
+    ) -> FakeEndpoint {
+        self.register_record(name, |record| EndpointRecord {
+            service: service.to_owned(),
+            slots,
+            ..record
+        })
+        .await
+    }
+
+    /// The same, with a software version.
+    pub(super) async fn register_version(
+        &self,
+        service: &str,
+        name: &str,
+        software_version: &str,
+    ) -> FakeEndpoint {
+        self.register_record(name, |record| EndpointRecord {
+            service: service.to_owned(),
+            software_version: software_version.to_owned(),
+            ..record
+        })
+        .await
+    }
+
+    async fn register_record(
+        &self,
+        name: &str,
+        change: impl FnOnce(EndpointRecord) -> EndpointRecord,
     ) -> FakeEndpoint {
         let endpoint = FakeEndpoint::open();
-        let record = heartbeat(service, name, &endpoint);
-        self.node.input(Input::Heartbeat(EndpointRecord { slots, ..record }));
+        let record = change(heartbeat("", name, &endpoint));
+        self.node.input(Input::Heartbeat(record));
         self.wait_until(|| self.is_open(name) == Some(true)).await;
         endpoint
     }
@@ -380,7 +408,31 @@
 
     /// Sends a request and waits for the response head.
     pub(super) async fn send(&self, path: &str, id: &str) -> OpenAnswer {
-        let req = Request::post(path).header(http::header::HOST, "host").header(ID, id);
+        self.send_with(path, id, &[]).await
+    }
+
+    /// Takes up the stream that the request `resumes` began, after its event `last`.
+    pub(super) async fn take_up(
+        &self,
+        path: &str,
+        id: &str,
+        resumes: &str,
+        last: u64,
+    ) -> OpenAnswer {
+        self.send_with(path, id, &[(RESUMES, resumes), (LAST_EVENT, &last.to_string())]).await
+    }
+
+    /// Sends a request with further headers and waits for the response head.
+    pub(super) async fn send_with(
+        &self,
+        path: &str,
+        id: &str,
+        headers: &[(&str, &str)],
+    ) -> OpenAnswer {
+        let mut req = Request::post(path).header(http::header::HOST, "host").header(ID, id);
+        for (name, value) in headers {
+            req = req.header(*name, *value);
+        }
         let req = req.body(Full::default()).unwrap();
         let answer = exchange(self.server.address(), req, LIMIT);
         tokio::time::timeout(LIMIT, answer).await.unwrap().unwrap()
@@ -396,6 +448,7 @@
         hall: HALL.to_owned(),
         slots: 48,
         sequence: 1,
+        software_version: "v1".to_owned(),
         ..EndpointRecord::default()
     }
 }
--- a/crates/server/src/relay/tests/test_fleet.rs
+++ b/crates/server/src/relay/tests/test_fleet.rs
@@ -102,7 +102,17 @@
 
     /// Registers an endpoint and waits until all entries know it.
     pub(super) async fn register(&self, service: &str, name: &str) -> FakeEndpoint {
-        let endpoint = self.control.register(service, name).await;
+        self.register_version(service, name, "v1").await
+    }
+
+    /// The same, with a software version.
+    pub(super) async fn register_version(
+        &self,
+        service: &str,
+        name: &str,
+        version: &str,
+    ) -> FakeEndpoint {
+        let endpoint = self.control.register_version(service, name, version).await;
         for entry in &self.entries {
             entry.daemon.wait_until(|| entry.daemon.is_open(name) == Some(true)).await;
         }
@@ -111,26 +121,31 @@
 
     /// Registers an endpoint that answers calls, and generations with five events.
     pub(super) async fn register_answering(&self, service: &str, name: &str) -> Arrivals {
-        let mut endpoint = self.register(service, name).await;
-        let arrivals = Arrivals::default();
-        let seen = arrivals.clone();
-        let is_engine = service == "engines";
-        tokio::task::spawn_local(async move {
-            loop {
-                let arrival = endpoint.next_arrival().await;
-                seen.0.borrow_mut().push(arrival.id.clone());
-                if is_engine {
-                    let first = arrival.last_event_id.unwrap_or(0) + 1;
-                    arrival.stream_all(first..=5).await;
-                } else {
-                    arrival.answer(200, "done");
-                }
-            }
-        });
-        arrivals
+        let endpoint = self.register(service, name).await;
+        answer_all(endpoint, service)
     }
 }
 
+/// Answers the requests of an endpoint: calls, and generations with five events.
+pub(super) fn answer_all(mut endpoint: FakeEndpoint, service: &str) -> Arrivals {
+    let arrivals = Arrivals::default();
+    let seen = arrivals.clone();
+    let is_engine = service == "engines";
+    tokio::task::spawn_local(async move {
+        loop {
+            let arrival = endpoint.next_arrival().await;
+            seen.0.borrow_mut().push(arrival.id.clone());
+            if is_engine {
+                let first = arrival.last_event_id.unwrap_or(0) + 1;
+                arrival.stream_all(first..=5).await;
+            } else {
+                arrival.answer(200, "done");
+            }
+        }
+    });
+    arrivals
+}
+
 /// Ids of the requests that came to an endpoint, in order.
 #[derive(Clone, Default)]
 pub(super) struct Arrivals(Rc<RefCell<Vec<String>>>);
