A stream goes on only at the software version that began it

Cause: nothing that chooses an endpoint knew the version. The same cause let streams be restarted at another version after they broke off, and taken up there by their callers at this or another entry.

Now every choice of an endpoint needs a VersionConstraint: any version for a request whose caller has received nothing, the version that began the stream, or unknown, which no endpoint satisfies. A request carries it to the scheduler, relocations derive it from the endpoint that runs the stream, and it is checked once more just before an attempt is sent. Requests that continue a stream wait beside the queue, where they hold up nobody, start before new ones, and are rejected at once when no endpoint of their version is left.

Where a stream began is told to all control VMs beside its first event (in memory, until the caller's deadline, reported again to control VMs that are linked anew) and asked of them when a caller takes the stream up with Resumes. An origin that is not known is never guessed: the take-up is refused at once, not run.

The test of the restart now lets the endpoint of v1 leave: while it is live, going on there is allowed, and the test had no answer for it.

--- a/crates/core/src/error/mod.rs
+++ b/crates/core/src/error/mod.rs
@@ -69,6 +69,10 @@
     OutOfService,
     /// Endpoints have ended under this request, and it is sent to none any more.
     Quarantined,
+    /// No live endpoint runs the software version that began the stream.
+    VersionUnavailable,
+    /// It is not known which software version began the stream that the caller takes up.
+    OriginUnknown,
 }
 
 /// The answer that belongs to one [`ErrorKind`].
@@ -91,7 +95,7 @@
 
 impl ErrorKind {
     /// All kinds, in the order of docs/ERRORS.md.
-    pub const ALL: [ErrorKind; 18] = [
+    pub const ALL: [ErrorKind; 20] = [
         ErrorKind::BadRequest,
         ErrorKind::Unauthorized,
         ErrorKind::NotFound,
@@ -110,6 +114,8 @@
         ErrorKind::BadAnswer,
         ErrorKind::OutOfService,
         ErrorKind::Quarantined,
+        ErrorKind::VersionUnavailable,
+        ErrorKind::OriginUnknown,
     ];
 
     /// The number that stands for this kind between daemons.
@@ -145,6 +151,8 @@
             ErrorKind::BadAnswer => (502, Unknown, None, "bad_answer"),
             ErrorKind::OutOfService => (503, NotRun, LATER, "out_of_service"),
             ErrorKind::Quarantined => (503, NotRun, MUCH_LATER, "quarantined"),
+            ErrorKind::VersionUnavailable => (503, NotRun, LATER, "version_unavailable"),
+            ErrorKind::OriginUnknown => (503, NotRun, SOON, "origin_unknown"),
         };
         Answer { status, outcome, retry_after, code }
     }
--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -72,6 +72,7 @@
     RequestRejected = 323, "The leader has rejected a request, or has left lines of rejections out.";
     ReachabilityChanged = 324, "This daemon reaches other endpoints than before.";
     RequestForwarded = 325, "A request was offered to another daemon, since this one cannot connect to its endpoint.";
+    StreamTakenUp = 326, "A caller takes up a stream that an earlier attempt began.";
     RequestFailed = 304, "A request did not end in its whole answer.";
     FrameDropped = 305, "A frame of a generation was ignored.";
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod software_version;
 pub mod state;
 pub mod storage;
+pub mod stream_origin;
 #[cfg(test)]
 mod testing;
 pub mod throttle;
--- a/crates/core/src/node/admit.rs
+++ b/crates/core/src/node/admit.rs
@@ -7,6 +7,7 @@
     config::EndpointTarget,
     placement::{PrefixHash, Request, Ticket},
     quarantine::RequestDigest,
+    software_version::{SoftwareVersion, VersionConstraint},
     wire::Admit,
 };
 
@@ -35,6 +36,11 @@
         max_waiting: req.max_waiting,
         running_at: None,
         tokens: 0,
+        software_version: match &req.versions {
+            VersionConstraint::Any => None,
+            VersionConstraint::Only(version) => Some(version.to_string()),
+            VersionConstraint::Unknown => Some(String::new()),
+        },
     }
 }
 
@@ -45,8 +51,13 @@
     } else {
         EndpointTarget::Model(admit.target)
     };
+    let versions = match &admit.software_version {
+        None => VersionConstraint::Any,
+        Some(text) => VersionConstraint::begun_at(SoftwareVersion::parse(text).ok().as_ref()),
+    };
     Request {
         ticket,
+        versions,
         workspace: admit.workspace.into(),
         rank: admit.rank,
         share: admit.share.max(1),
--- a/crates/core/src/node/inputs.rs
+++ b/crates/core/src/node/inputs.rs
@@ -59,6 +59,9 @@
                 let (permits, mut cx, out) = self.permits_context(clocks.now);
                 permits.on_report(report, &mut cx, out);
             }
+            Input::StreamBegun { key, origin, ttl } => {
+                self.stream_origins.on_stream_begun(key, &origin, ttl, clocks.now, out);
+            }
             Input::Rejected(rejection) => {
                 let scheduler = self.client.scheduler(clocks.now);
                 self.placement.on_rejection(&rejection, scheduler, clocks.now, out);
@@ -133,6 +136,9 @@
                 let (permits, mut cx, out) = self.permits_context(clocks.now);
                 permits.request(PermitRequest { requester: call, ..req }, &mut cx, out);
             }
+            NodeCall::StreamOrigin { key, limit } => {
+                self.stream_origins.query(call, key, limit, clocks.now, out);
+            }
             NodeCall::ClearSuspect { request, limit } => {
                 let request = Bytes::copy_from_slice(request.as_bytes());
                 let kind = OperationKind::Clear(ClearRequest { request });
@@ -195,6 +201,13 @@
                 let (permits, mut cx, out) = self.permits_context(clocks.now);
                 permits.on_reply(reply, &mut cx, out);
             }
+            Body::StreamsBegun(report) => self.stream_origins.on_report(&report, clocks.now),
+            Body::OriginQuery(query) => {
+                self.stream_origins.on_query(from, &query, clocks.now, out);
+            }
+            Body::OriginReply(reply) => {
+                self.stream_origins.on_reply(from, &reply, clocks.now, out);
+            }
             Body::OperationReply(reply) => {
                 let recorded = match reply.result {
                     Some(OperationResult::Suspects(recorded)) => Some((reply.id, recorded)),
--- a/crates/core/src/node/messages.rs
+++ b/crates/core/src/node/messages.rs
@@ -17,6 +17,7 @@
     quarantine::{RequestDigest, Suspect},
     registry::EndpointChanges,
     state::{ChangeId, HallOrder, HallResult, HallsOut},
+    stream_origin::{StreamKey, StreamOrigin, UnknownOrigin},
     throttle::{LimitChange, Permit, PermitRequest, RateLimit, RateLimitReport},
     units::Instant,
     wire::{AcceptedVersion, Body, EndpointRecord, HealthNews, Piece, Report, Submit, Update},
@@ -68,6 +69,13 @@
     },
     /// Ask for a permit at one of several rate-limited endpoints. The node fills in the requester.
     Permit(PermitRequest<CallId>),
+    /// Ask where a stream began.
+    StreamOrigin {
+        /// The stream.
+        key: StreamKey,
+        /// Timeout.
+        limit: Duration,
+    },
     /// Clear a suspect: delete its crash record.
     ClearSuspect {
         /// The request.
@@ -136,6 +144,8 @@
     Trial(TrialAnswer),
     /// To [`NodeCall::Permit`].
     Permit(Permit),
+    /// To [`NodeCall::StreamOrigin`].
+    StreamOrigin(Result<StreamOrigin, UnknownOrigin>),
     /// To [`NodeCall::ClearSuspect`]: whether the request was a suspect; `None` when no quorum answered in
     /// time.
     SuspectCleared(Option<bool>),
@@ -192,6 +202,15 @@
     },
     /// An endpoint has reported its rate limit in an answer, or that it has none.
     RateLimitReported(RateLimitReport),
+    /// A stream that its caller may take up is about to bring its first event.
+    StreamBegun {
+        /// The stream.
+        key: StreamKey,
+        /// Where it began.
+        origin: StreamOrigin,
+        /// Time until the caller's deadline.
+        ttl: Duration,
+    },
     /// An endpoint has rejected a request of this daemon.
     Rejected(Rejection),
     /// An endpoint has announced in an answer that it is shutting down.
@@ -255,6 +274,7 @@
             Input::TrialStarted(_) => "trial_begun",
             Input::TrialEnded { .. } => "own_trial_over",
             Input::RateLimitReported(_) => "limit_read",
+            Input::StreamBegun { .. } => "stream_begun",
             Input::Rejected(_) => "rejected",
             Input::Leaving { .. } => "leaving",
             Input::Cold { .. } => "cold",
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -11,6 +11,7 @@
 //! - `placement_client` places this daemon's requests;
 //! - `permit_client` requests permits for endpoints with rate limits;
 //! - `suspect_tracker` tracks requests that may crash endpoints;
+//! - `stream_origins` tells which software version began the streams that callers take up;
 //! - `directory` lists the control VMs and `endpoints` the endpoints that register; of a large
 //!   fleet's, an entry knows a sample (`endpoint_sources`) and those that it uses (`endpoint_uses`).
 //!
@@ -62,6 +63,9 @@
 mod permit_client;
 mod placement_client;
 mod reads;
+mod stream_origins;
+#[cfg(test)]
+mod stream_origins_tests;
 mod suspect_tracker;
 #[cfg(test)]
 mod suspect_tracker_tests;
@@ -84,6 +88,7 @@
     operations::Operations,
     permit_client::PermitClient,
     placement_client::PlacementClient,
+    stream_origins::StreamOrigins,
     suspect_tracker::{Context, SuspectTracker},
 };
 use crate::{
@@ -127,6 +132,7 @@
     placement: PlacementClient,
     suspects: SuspectTracker,
     permits: PermitClient,
+    stream_origins: StreamOrigins,
     control: Option<ControlReplica>,
     directory: Directory,
     registry: Registry,
@@ -167,6 +173,7 @@
             placement: PlacementClient::new(options),
             suspects: SuspectTracker::default(),
             permits: PermitClient::default(),
+            stream_origins: StreamOrigins::default(),
             control: None,
             directory: Directory::new(&options.vm, &options.seeds, false, now),
             registry: Registry::new(options.endpoint_heartbeat),
@@ -258,6 +265,7 @@
         next = next.min(self.directory.next_tick());
         next = next.min(self.suspects.next_tick().unwrap_or(next));
         next = next.min(self.permits.next_tick().unwrap_or(next));
+        next = next.min(self.stream_origins.next_tick().unwrap_or(next));
         if let Some(control) = &self.control {
             next = next.min(control.next_tick());
         }
@@ -274,6 +282,7 @@
         self.operations.tick(leader, clocks.now, out);
         self.placement.tick(self.client.scheduler(clocks.now), clocks.now, out);
         self.directory.tick(clocks.now, out);
+        self.stream_origins.tick(clocks.now, out);
         self.tick_endpoints(clocks.now);
         if self.next_expiry_scan <= clocks.now {
             self.next_expiry_scan = clocks.now.after(EXPIRY_SCAN_INTERVAL);
@@ -331,6 +340,8 @@
         self.directory.link_up(&vm, out);
         if self.control.is_some() {
             self.send_census(&vm);
+        } else {
+            self.stream_origins.link_up(&vm, clocks.now, &mut self.outputs);
         }
     }
 
@@ -344,6 +355,7 @@
         self.endpoint_subscribers.remove(vm);
         self.endpoint_sync.remove(vm, clocks.now);
         self.directory.link_down(vm);
+        self.stream_origins.link_down(vm, &mut self.outputs);
     }
 
     fn leads(&self) -> bool {
--- a/crates/core/src/node/tests/net/fixture.rs
+++ b/crates/core/src/node/tests/net/fixture.rs
@@ -6,6 +6,7 @@
     config::{EndpointTarget, key_digest},
     node::config_changes::PIECE_BYTES,
     placement::{PrefixHash, Request, Ticket},
+    software_version::VersionConstraint,
 };
 
 /// Versions that are a multiple of this are large enough to be sent in several pieces.
@@ -51,6 +52,7 @@
         ttft_target: Duration::from_secs(2),
         avoid: Vec::new(),
         isolated: false,
+        versions: VersionConstraint::Any,
         time_left: Duration::from_secs(60),
         longest_gap: Duration::ZERO,
         digest: None,
--- a/crates/core/src/placement/accounting.rs
+++ b/crates/core/src/placement/accounting.rs
@@ -130,7 +130,7 @@
         let queued = self.queued.remove(&ticket)?;
         self.on_dequeued(&queued);
         self.forget_isolated(ticket);
-        let held = self.remove_held(ticket);
+        let held = self.remove_held(ticket).or_else(|| self.continuations.remove(ticket));
         let target = self.targets.get_mut(&queued.target);
         let waiting =
             held.or_else(|| target?.queue.remove(queued.rank, &queued.workspace, ticket))?;
--- a/crates/core/src/placement/backoff.rs
+++ b/crates/core/src/placement/backoff.rs
@@ -14,6 +14,7 @@
     error::RequestError,
     mechanism::Mechanism,
     signals::RESTART_NEWS_DELAY,
+    software_version::VersionConstraint,
     throttle::RateLimitReport,
     units::Instant,
 };
@@ -105,14 +106,16 @@
         self.backoffs.update_runs(started_at, now);
     }
 
-    /// Whether an endpoint admits requests of a daemon; `None` if it is unavailable for other reasons.
+    /// Whether an endpoint admits requests of a daemon that may run at these software versions; `None`
+    /// if it is unavailable for other reasons.
     pub(super) fn admission(
         &self,
         endpoint: &EndpointState,
         daemon: u64,
+        versions: &VersionConstraint,
         now: Instant,
     ) -> Option<Admission> {
-        if !self.may_send(endpoint, now) {
+        if !endpoint.runs_any_of(versions) || !self.may_send(endpoint, now) {
             return None;
         }
         Some(self.admission_of(&endpoint.name, daemon, now))
@@ -138,6 +141,7 @@
         let target = self.targets.get(&req.target)?;
         let usable = target.endpoints.iter().filter_map(|name| self.endpoints.get(name));
         let (mut earliest, mut any_backed_off) = (None::<Instant>, false);
+        let usable = usable.filter(|endpoint| endpoint.runs_any_of(&req.versions));
         for endpoint in usable.filter(|endpoint| endpoint.is_usable(now)) {
             let until = match self.admission_of(&endpoint.name, req.ticket.entry, now) {
                 Admission::Allowed | Admission::LastResort => return None,
--- a/crates/core/src/placement/endpoint.rs
+++ b/crates/core/src/placement/endpoint.rs
@@ -13,7 +13,7 @@
     prefill::PrefillQueue,
     token_latency::TokenLatency,
 };
-use crate::{config::EndpointSpec, units::Instant};
+use crate::{config::EndpointSpec, software_version::VersionConstraint, units::Instant};
 
 /// Time after which a prompt prefix is assumed to be evicted from the cache.
 const PREFIX_TTL: Duration = Duration::from_secs(60);
@@ -199,6 +199,16 @@
         self.running
     }
 
+    /// Whether it runs one of these software versions.
+    pub(super) fn runs_any_of(&self, versions: &VersionConstraint) -> bool {
+        versions.allows(self.spec.software_version.as_ref())
+    }
+
+    /// Whether it is neither leaving nor out of service, so that it accepts requests now or soon.
+    pub(super) fn is_staying(&self) -> bool {
+        !self.hall_out && self.health != Health::Leaving
+    }
+
     /// Whether the endpoint accepts new requests now.
     pub fn is_available(&self, now: Instant) -> bool {
         self.reserved_for.is_none() && self.is_usable(now)
--- a/crates/core/src/placement/endpoint_updates.rs
+++ b/crates/core/src/placement/endpoint_updates.rs
@@ -25,13 +25,13 @@
     /// Applies the endpoints of an accepted configuration; running requests continue.
     pub fn configure(&mut self, endpoints: &Endpoints) {
         for target in self.targets.values_mut() {
-            target.endpoints.clear();
+            target.clear_endpoints();
         }
         let mut states = HashMap::new();
         for (name, spec) in endpoints {
             let name: Arc<str> = name.as_str().into();
             let target = self.targets.entry(spec.target.clone()).or_default();
-            target.endpoints.push(name.clone());
+            target.add_endpoint(&name, spec.software_version.as_ref());
             let mut state = match self.endpoints.remove(&name) {
                 Some(mut state) if is_same_run(&state.spec, spec) => {
                     state.spec = spec.clone();
@@ -53,13 +53,18 @@
     pub(crate) fn set_endpoint(&mut self, name: &Arc<str>, spec: &EndpointSpec) {
         match self.endpoints.get_mut(name) {
             Some(state) if is_same_run(&state.spec, spec) && state.spec.target == spec.target => {
+                if let Some(target) = self.targets.get_mut(&spec.target) {
+                    target.remove_endpoint(name, state.spec.software_version.as_ref());
+                    target.add_endpoint(name, spec.software_version.as_ref());
+                }
                 state.spec = spec.clone();
             }
             _ => {
                 self.remove_endpoint(name);
                 let state = EndpointState::new(name.clone(), spec.clone());
                 self.endpoints.insert(name.clone(), state);
-                self.targets.entry(spec.target.clone()).or_default().add_endpoint(name);
+                let target = self.targets.entry(spec.target.clone()).or_default();
+                target.add_endpoint(name, spec.software_version.as_ref());
             }
         }
         if let Some(state) = self.endpoints.get_mut(name) {
@@ -71,7 +76,7 @@
     pub(crate) fn remove_endpoint(&mut self, name: &str) {
         let Some(state) = self.endpoints.remove(name) else { return };
         if let Some(target) = self.targets.get_mut(&state.spec.target) {
-            target.remove_endpoint(name);
+            target.remove_endpoint(name, state.spec.software_version.as_ref());
         }
         self.moves.leaving.remove(name);
         self.cold.remove(name);
--- a/crates/core/src/placement/evacuation.rs
+++ b/crates/core/src/placement/evacuation.rs
@@ -230,6 +230,7 @@
         let placed = self.placed.get(&ticket)?;
         let (req, demand) = (&placed.req, self.remaining_demand(placed));
         let hall = self.endpoints.get(source).map(|state| &state.spec.hall);
+        let versions = self.versions_of_running(placed);
         let failures = self.moves.failures.get(&ticket);
         let disabled = self.limits.disabled;
         let refused = |name| {
@@ -241,7 +242,8 @@
             .values()
             .filter(|state| {
                 state.spec.target == req.target
-                    && self.admission(state, ticket.entry, now) == Some(Admission::Allowed)
+                    && self.admission(state, ticket.entry, &versions, now)
+                        == Some(Admission::Allowed)
                     && !self.moves.is_busy(&state.name)
             })
             .collect();
--- a/crates/core/src/placement/fixture.rs
+++ b/crates/core/src/placement/fixture.rs
@@ -5,7 +5,7 @@
 use super::{ForecastPolicy, PrefixHash, Request, Scheduler, SchedulerLimits, Ticket};
 use crate::{
     config::{EndpointSpec, EndpointTarget, Endpoints},
-    software_version::SoftwareVersion,
+    software_version::{SoftwareVersion, VersionConstraint},
     units::Instant,
 };
 
@@ -58,6 +58,7 @@
         ttft_target: Duration::from_secs(1),
         avoid: Vec::new(),
         isolated: false,
+        versions: VersionConstraint::Any,
         time_left: Duration::from_secs(60),
         longest_gap: Duration::ZERO,
         digest: None,
--- a/crates/core/src/placement/handover.rs
+++ b/crates/core/src/placement/handover.rs
@@ -73,11 +73,12 @@
             return Decision::Stay;
         }
         let demand = self.remaining_demand(placed);
+        let versions = self.versions_of_running(placed);
         let Some(target) = self.targets.get(&placed.req.target) else { return Decision::Stay };
         let is_eligible = |state: &&EndpointState| {
             state.spec.hall == source.spec.hall
                 && state.name != source.name
-                && self.admission(state, ticket.entry, now) == Some(Admission::Allowed)
+                && self.admission(state, ticket.entry, &versions, now) == Some(Admission::Allowed)
         };
         let all = target.endpoints.iter().filter_map(|name| self.endpoints.get(name));
         let near: Vec<&EndpointState> = all.filter(is_eligible).collect();
--- a/crates/core/src/placement/isolation.rs
+++ b/crates/core/src/placement/isolation.rs
@@ -77,6 +77,7 @@
         let target = self.targets.get(&waiting.req.target)?;
         let states = target.endpoints.iter().filter_map(|name| self.endpoints.get(name));
         let usable: Vec<&EndpointState> = states
+            .filter(|state| state.runs_any_of(&waiting.req.versions))
             .filter(|state| state.is_usable(now) && self.throttle.may_send(&state.name, now))
             .filter(|state| {
                 let daemon = waiting.req.ticket.entry;
--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -13,6 +13,9 @@
 mod cold_start;
 #[cfg(test)]
 mod cold_start_tests;
+mod continuation;
+#[cfg(test)]
+mod continuation_tests;
 mod endpoint;
 mod endpoint_updates;
 mod engine_choice;
@@ -65,7 +68,10 @@
 
 use std::{sync::Arc, time::Duration};
 
-use crate::{config::EndpointTarget, error::RequestError, quarantine::RequestDigest};
+use crate::{
+    config::EndpointTarget, error::RequestError, quarantine::RequestDigest,
+    software_version::VersionConstraint,
+};
 
 pub use self::{
     cold_start::{ColdPacer, cold_interval},
@@ -162,6 +168,8 @@
     /// Whether no other request may start on its endpoint at the same time, because endpoints
     /// have crashed while running it.
     pub isolated: bool,
+    /// Software versions at which it may start.
+    pub versions: VersionConstraint,
 }
 
 /// A scheduling decision.
--- a/crates/core/src/placement/scheduler.rs
+++ b/crates/core/src/placement/scheduler.rs
@@ -9,6 +9,7 @@
 use super::{
     Action, Request, SampledEndpoint, SenderRole, Ticket,
     backoff::{AdmissionGroups, HeldRequest},
+    continuation::ContinuationQueue,
     endpoint::{EndpointState, MemoryDemand},
     evacuation::MoveTracker,
     expiry::request_work,
@@ -26,6 +27,7 @@
     config::EndpointTarget,
     error::{ErrorKind, RequestError},
     mechanism::{Disabled, Mechanism},
+    software_version::VersionConstraint,
     state::HallsOut,
     throttle::Throttle,
     units::Instant,
@@ -116,6 +118,7 @@
     pub(super) moves: MoveTracker,
     pub(super) handover: HandoverQueue,
     pub(super) isolated: IsolatedRequests,
+    pub(super) continuations: ContinuationQueue,
     pub(super) counts: HashMap<Arc<str>, WorkspaceCounts>,
     /// Data halls that are out of service.
     pub(super) halls_out: HallsOut,
@@ -156,6 +159,7 @@
             moves: MoveTracker::default(),
             handover: HandoverQueue::default(),
             isolated: IsolatedRequests::default(),
+            continuations: ContinuationQueue::default(),
             counts: HashMap::new(),
             halls_out: HallsOut::default(),
             cold: BTreeSet::new(),
@@ -218,11 +222,11 @@
         self.sample_offset = self.sample_offset.wrapping_add(1);
         let req = &placed.req;
         let others = target
-            .sample(self.sample_offset, req.prefix)
+            .sample(self.sample_offset, req.prefix, &req.versions)
             .filter(|name| **name != placed.endpoint)
             .filter_map(|name| self.endpoints.get(name));
         let open = AdmissionGroups::new(others, req, |endpoint| {
-            self.admission(endpoint, req.ticket.entry, now)
+            self.admission(endpoint, req.ticket.entry, &req.versions, now)
         });
         let demand = Demand::new(req, self.forecast.distribution(&req.workspace, &req.kind));
         open.choose(&demand, &mut *self.policy, now)
@@ -281,11 +285,18 @@
         if !live {
             return Err(self.no_endpoint_error(&req.target));
         }
+        if let Some(error) = self.version_error(&req) {
+            return Err(error);
+        }
         if let Some(until) = self.backed_off_until(&req, now)
             && now.after(req.max_wait) < until
         {
             return Err(self.backed_off_error(&req, until, now));
         }
+        if req.versions != VersionConstraint::Any {
+            self.queue_continuation(req, now);
+            return Ok(());
+        }
         // Order of return: a request that comes back when it is due is not rejected again.
         let returning = self.returns.on_return(&req, now);
         if returning == Returning::Unknown {
@@ -308,16 +319,7 @@
         if order.is_some() {
             self.returns.on_queued(&req);
         }
-        let expiry = Expiry { at: now.after(max_wait), ticket: req.ticket };
-        self.expiries.insert(expiry);
-        let queued = QueuePosition {
-            target: req.target.clone(),
-            rank: req.rank,
-            workspace: req.workspace.clone(),
-            expiry,
-        };
-        self.counts.entry(req.workspace.clone()).or_default().waiting += 1;
-        self.queued.insert(req.ticket, queued);
+        self.record_queued(&req, max_wait, now);
         if req.isolated {
             self.isolated.push(req, now);
         } else if let Some(target) = self.targets.get_mut(&req.target) {
@@ -330,12 +332,27 @@
         Ok(())
     }
 
+    /// Starts the accounting of a request that waits for at most `max_wait`.
+    pub(super) fn record_queued(&mut self, req: &Request, max_wait: Duration, now: Instant) {
+        let expiry = Expiry { at: now.after(max_wait), ticket: req.ticket };
+        self.expiries.insert(expiry);
+        let queued = QueuePosition {
+            target: req.target.clone(),
+            rank: req.rank,
+            workspace: req.workspace.clone(),
+            expiry,
+        };
+        self.counts.entry(req.workspace.clone()).or_default().waiting += 1;
+        self.queued.insert(req.ticket, queued);
+    }
+
     /// Makes all decisions that are possible now.
     pub fn decide(&mut self, now: Instant) -> Vec<Action> {
         self.last_decision = now;
         let mut actions = self.expire(now);
         actions.extend(self.give_up_out_of_service(now));
         actions.extend(self.start_isolated(now));
+        actions.extend(self.start_continuations(now));
         self.requeue_held(now);
         let targets: Vec<EndpointTarget> = self
             .targets
@@ -438,10 +455,10 @@
                 Demand::new(req, self.forecast.distribution(&req.workspace, &req.kind));
             demand.ttft_target = req.ttft_target.saturating_sub(now.since(waiting.arrived));
             self.sample_offset = self.sample_offset.wrapping_add(1);
-            let sample = state.sample(self.sample_offset, req.prefix);
+            let sample = state.sample(self.sample_offset, req.prefix, &req.versions);
             let open = sample.filter_map(|name| self.endpoints.get(name));
             let open = AdmissionGroups::new(open, req, |endpoint| {
-                self.admission(endpoint, req.ticket.entry, now)
+                self.admission(endpoint, req.ticket.entry, &req.versions, now)
             });
             let defer = defers_late && open.is_late_on_all(&demand);
             if let Some(endpoint) = open.choose(&demand, &mut *self.policy, now) {
--- a/crates/core/src/placement/target.rs
+++ b/crates/core/src/placement/target.rs
@@ -6,7 +6,10 @@
     PrefixHash, Request, admission_control::AdmissionControl, queue::Queue,
     reserved_work::ReservedWork,
 };
-use crate::units::Instant;
+use crate::{
+    software_version::{SoftwareVersion, VersionConstraint},
+    units::Instant,
+};
 
 /// Maximum number of endpoints that one decision examines.
 const MAX_SAMPLE: usize = 32;
@@ -27,6 +30,8 @@
     pub(super) admission: AdmissionControl,
     /// Names, in order.
     pub(super) endpoints: Vec<Arc<str>>,
+    /// The same by software version, without endpoints whose version is unknown.
+    by_version: HashMap<SoftwareVersion, Vec<Arc<str>>>,
     /// Endpoint that last received a request with this prefix.
     prefix_endpoints: HashMap<PrefixHash, Arc<str>>,
     /// Moving average of the time between starts, in seconds; zero if unknown.
@@ -36,16 +41,39 @@
 
 impl TargetState {
     /// Adds an endpoint.
-    pub(super) fn add_endpoint(&mut self, name: &Arc<str>) {
-        if let Err(at) = self.endpoints.binary_search(name) {
-            self.endpoints.insert(at, name.clone());
+    pub(super) fn add_endpoint(&mut self, name: &Arc<str>, version: Option<&SoftwareVersion>) {
+        insert_sorted(&mut self.endpoints, name);
+        if let Some(version) = version {
+            insert_sorted(self.by_version.entry(version.clone()).or_default(), name);
         }
     }
 
     /// Removes an endpoint.
-    pub(super) fn remove_endpoint(&mut self, name: &str) {
-        if let Ok(at) = self.endpoints.binary_search_by(|known| (**known).cmp(name)) {
-            self.endpoints.remove(at);
+    pub(super) fn remove_endpoint(&mut self, name: &str, version: Option<&SoftwareVersion>) {
+        remove_sorted(&mut self.endpoints, name);
+        let Some(version) = version else { return };
+        if let Some(same) = self.by_version.get_mut(version) {
+            remove_sorted(same, name);
+            if same.is_empty() {
+                self.by_version.remove(version);
+            }
+        }
+    }
+
+    /// Removes all endpoints.
+    pub(super) fn clear_endpoints(&mut self) {
+        self.endpoints.clear();
+        self.by_version.clear();
+    }
+
+    /// Names of the endpoints that run one of these software versions, in order.
+    pub(super) fn endpoints_of(&self, versions: &VersionConstraint) -> &[Arc<str>] {
+        match versions {
+            VersionConstraint::Any => &self.endpoints,
+            VersionConstraint::Only(version) => {
+                self.by_version.get(version).map_or(&[], Vec::as_slice)
+            }
+            VersionConstraint::Unknown => &[],
         }
     }
 
@@ -55,10 +83,12 @@
         &self,
         number: usize,
         prefix: PrefixHash,
+        versions: &VersionConstraint,
     ) -> impl Iterator<Item = &Arc<str>> {
-        let is_whole = self.endpoints.len() <= MAX_SAMPLE;
+        let endpoints = self.endpoints_of(versions);
+        let is_whole = endpoints.len() <= MAX_SAMPLE;
         let with_prefix = self.prefix_endpoints.get(&prefix).filter(|_| !is_whole);
-        even_sample(&self.endpoints, number).chain(with_prefix)
+        even_sample(endpoints, number).chain(with_prefix)
     }
 
     /// Records the endpoint that will cache this prefix.
@@ -109,3 +139,15 @@
         Duration::from_secs_f64(self.start_interval * self.queue.ahead_of(rank) as f64)
     }
 }
+
+fn insert_sorted(names: &mut Vec<Arc<str>>, name: &Arc<str>) {
+    if let Err(at) = names.binary_search(name) {
+        names.insert(at, name.clone());
+    }
+}
+
+fn remove_sorted(names: &mut Vec<Arc<str>>, name: &str) {
+    if let Ok(at) = names.binary_search_by(|known| (**known).cmp(name)) {
+        names.remove(at);
+    }
+}
--- a/crates/core/src/software_version.rs
+++ b/crates/core/src/software_version.rs
@@ -10,6 +10,41 @@
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct SoftwareVersion(Arc<str>);
 
+/// The software versions at which a request may run. Every choice of an endpoint needs one.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub enum VersionConstraint {
+    /// Any: its caller has received nothing.
+    Any,
+    /// The version that began its stream.
+    Only(SoftwareVersion),
+    /// None: it is not known which version began its stream.
+    Unknown,
+}
+
+impl VersionConstraint {
+    /// The constraint of a stream that an endpoint of this version has begun.
+    pub fn begun_at(version: Option<&SoftwareVersion>) -> VersionConstraint {
+        version.map_or(VersionConstraint::Unknown, |v| VersionConstraint::Only(v.clone()))
+    }
+
+    /// Whether an endpoint of this version satisfies it.
+    pub fn allows(&self, version: Option<&SoftwareVersion>) -> bool {
+        match self {
+            VersionConstraint::Any => true,
+            VersionConstraint::Only(only) => version == Some(only),
+            VersionConstraint::Unknown => false,
+        }
+    }
+
+    /// The version that began the stream, if there is one and it is known.
+    pub fn version(&self) -> Option<&SoftwareVersion> {
+        match self {
+            VersionConstraint::Only(version) => Some(version),
+            VersionConstraint::Any | VersionConstraint::Unknown => None,
+        }
+    }
+}
+
 /// Why a text names no software version.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum InvalidVersion {
--- a/crates/core/src/wire/mod.rs
+++ b/crates/core/src/wire/mod.rs
@@ -8,6 +8,7 @@
 mod placement;
 mod quarantine;
 mod returns;
+mod stream_origin;
 #[cfg(test)]
 mod tests;
 mod throttle;
@@ -33,6 +34,7 @@
         SuspectChange, SuspectNews, SuspectsReply, TrialAsk, TrialOver, TrialReply, TrialStatus,
     },
     returns::{Return, Returns},
+    stream_origin::{BegunStream, OriginQuery, OriginReply, StreamsBegun},
     throttle::{LimitNews, LimitWord, PermitQuery, PermitReply},
 };
 
@@ -42,7 +44,7 @@
     /// What it says.
     #[prost(
         oneof = "Body",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26, 27, 28, 29, 30, 31, 32, 33, 34, 35, 36, 37, 38, 39"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26, 27, 28, 29, 30, 31, 32, 33, 34, 35, 36, 37, 38, 39, 40, 41, 42"
     )]
     pub body: Option<Body>,
 }
@@ -167,6 +169,15 @@
     /// A daemon tells a new leader which rejected requests were told when to come back.
     #[prost(message, tag = "39")]
     Returns(Returns),
+    /// A daemon tells a control VM where streams of its callers began.
+    #[prost(message, tag = "40")]
+    StreamsBegun(StreamsBegun),
+    /// A daemon asks a control VM where a stream began that a caller takes up.
+    #[prost(message, tag = "41")]
+    OriginQuery(OriginQuery),
+    /// The control VM answers.
+    #[prost(message, tag = "42")]
+    OriginReply(OriginReply),
 }
 
 impl Body {
@@ -212,6 +223,9 @@
             Body::EndpointsUsed(_) => "endpoints_used",
             Body::EndpointHeartbeats(_) => "endpoint_heartbeats",
             Body::Returns(_) => "returns",
+            Body::StreamsBegun(_) => "streams_begun",
+            Body::OriginQuery(_) => "origin_query",
+            Body::OriginReply(_) => "origin_reply",
         }
     }
 }
--- a/crates/core/src/wire/placement.rs
+++ b/crates/core/src/wire/placement.rs
@@ -68,6 +68,9 @@
     /// Time left until the caller's deadline, in milliseconds.
     #[prost(uint64, tag = "21")]
     pub time_left_ms: u64,
+    /// Software version that began the stream, where the request continues one.
+    #[prost(string, optional, tag = "22")]
+    pub software_version: Option<String>,
 }
 
 /// See [`super::Body::Grant`].
--- a/crates/lab/src/fleet/deciders.rs
+++ b/crates/lab/src/fleet/deciders.rs
@@ -9,6 +9,7 @@
         Action, ForecastPolicy, PrefixHash, Relocation, Request, SampledEndpoint, Scheduler,
         SchedulerLimits, Ticket, prefill_time, rank,
     },
+    software_version::VersionConstraint,
     units::Instant,
 };
 
@@ -269,6 +270,7 @@
         ttft_target,
         avoid: Vec::new(),
         isolated: false,
+        versions: VersionConstraint::Any,
         time_left: Duration::from_secs(60),
         longest_gap: Duration::ZERO,
         digest: None,
--- a/crates/server/src/relay/admission.rs
+++ b/crates/server/src/relay/admission.rs
@@ -1,6 +1,10 @@
 //! Request admission: authentication, routing and the freshness of the configuration.
 
-use std::{cell::OnceCell, sync::Arc, time::Duration};
+use std::{
+    cell::{OnceCell, RefCell},
+    sync::Arc,
+    time::Duration,
+};
 
 use http::{header, request};
 use hyper::body::Incoming;
@@ -11,6 +15,7 @@
     mechanism::Mechanism,
     node::ActiveConfig,
     placement,
+    software_version::VersionConstraint,
 };
 
 use super::{
@@ -91,6 +96,7 @@
             deadline,
             in_progress: None,
             digest: OnceCell::new(),
+            versions: RefCell::new(VersionConstraint::Any),
         };
         self.check_not_stopping(&job).map_err(|e| refuse(&id, e))?;
         Ok(job)
--- a/crates/server/src/relay/generation.rs
+++ b/crates/server/src/relay/generation.rs
@@ -11,6 +11,7 @@
     quarantine::RequestDigest,
     registry::RegisteredEndpoint,
     signals::EndpointSignals,
+    software_version::SoftwareVersion,
 };
 
 use super::{
@@ -42,7 +43,13 @@
 /// A response to an attempt.
 pub(super) enum Opened {
     /// A stream and its first event; `None` if it ended without events.
-    Stream { head: response::Parts, event_stream: EventStream, first: Option<Event> },
+    Stream {
+        head: response::Parts,
+        event_stream: EventStream,
+        first: Option<Event>,
+        /// Software version of the endpoint, if known.
+        version: Option<SoftwareVersion>,
+    },
     /// The endpoint's complete error response.
     Failed { head: response::Parts, body: bytes::Bytes },
 }
@@ -66,8 +73,11 @@
         Ok(StartedGeneration {
             placed,
             turn,
-            opened: Opened::Stream { head, event_stream, first },
+            opened: Opened::Stream { head, event_stream, first, version },
         }) => {
+            if first.is_some() {
+                relay.on_stream_begun(&job, version.as_ref());
+            }
             let (tx, rx) = mpsc::channel(MAX_BUFFERED_EVENTS);
             let response = relay.build_response(&head, edge::streamed(rx));
             let forwarder = StreamForwarder::new(relay, job, placed, turn, event_stream, tx);
@@ -100,7 +110,8 @@
         };
         let turn = relay.quarantine_turn(job).await.map_err(placement_error)?;
         // A rejection tells the caller when to come back only if nothing was attempted before.
-        let is_first = attempts == 0 && relay.is_enabled(Mechanism::ReturnOrder);
+        let is_first =
+            attempts == 0 && !job.takes_up_stream() && relay.is_enabled(Mechanism::ReturnOrder);
         let digest = is_first.then(|| job.digest(relay));
         let placed = acquire_placement(relay, job, avoid.clone(), turn.is_isolated(), digest);
         let placed = until(job.deadline, placed).await;
@@ -274,8 +285,13 @@
     // new requests.
     let resumes_in_place =
         resume_from.kv_copy.as_ref().is_some_and(|copy| copy.source == known.address);
-    let may_send =
-        || if resumes_in_place { relay.may_resume(known) } else { relay.may_send(known) };
+    let may_send = || {
+        if resumes_in_place {
+            return relay.may_resume(known);
+        }
+        relay.check_version(job, &known.id)?;
+        relay.may_send(known)
+    };
     let late = relay.late_response(job, known, sent_at);
     let send = EndpointRequest {
         endpoint: known,
@@ -327,11 +343,14 @@
         }
     }
     let mut event_stream = EventStream::new(open.body);
+    let version = known.software_version.clone();
     match event_stream.next().await {
         StreamItem::Event(event) => {
-            Ok(Opened::Stream { head: open.head, event_stream, first: Some(event) })
+            Ok(Opened::Stream { head: open.head, event_stream, first: Some(event), version })
+        }
+        StreamItem::End => {
+            Ok(Opened::Stream { head: open.head, event_stream, first: None, version })
         }
-        StreamItem::End => Ok(Opened::Stream { head: open.head, event_stream, first: None }),
         StreamItem::Error(error) => {
             on_attempt_failed().await;
             report_failure();
--- a/crates/server/src/relay/job.rs
+++ b/crates/server/src/relay/job.rs
@@ -1,6 +1,11 @@
 //! An admitted request.
 
-use std::{cell::OnceCell, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    cell::{OnceCell, RefCell},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
 
 use bytes::Bytes;
 use http::{Request, request};
@@ -11,6 +16,8 @@
     node::ActiveConfig,
     placement::{self, PrefixHash, Ticket},
     quarantine::{RequestDigest, RequestIdentity},
+    software_version::{SoftwareVersion, VersionConstraint},
+    stream_origin::StreamKey,
 };
 
 use super::{Attempt, CallerRequest, InProgressGuard, KvCopy, Protocol, Relay};
@@ -43,6 +50,8 @@
     pub(super) in_progress: Option<InProgressGuard>,
     /// Computed on first use.
     pub(super) digest: OnceCell<RequestDigest>,
+    /// Software versions at which it may run.
+    pub(super) versions: RefCell<VersionConstraint>,
 }
 
 /// State from which an attempt resumes a generation.
@@ -78,6 +87,32 @@
         *self.digest.get_or_init(|| relay.node.digest(&self.identity()))
     }
 
+    /// Software versions at which it may run now.
+    pub(super) fn versions(&self) -> VersionConstraint {
+        self.versions.borrow().clone()
+    }
+
+    /// Binds the stream to the software version of the endpoint that has begun it.
+    pub(super) fn bind_version(&self, version: Option<&SoftwareVersion>) {
+        let mut versions = self.versions.borrow_mut();
+        if *versions == VersionConstraint::Any {
+            *versions = VersionConstraint::begun_at(version);
+        }
+    }
+
+    /// Whether its caller takes up a stream that an earlier request began.
+    pub(super) fn takes_up_stream(&self) -> bool {
+        self.caller.last_event_id.is_some() || self.caller.resumes.is_some()
+    }
+
+    /// Names the stream that the request `id` of the same caller on the same path began.
+    pub(super) fn stream_key(&self, relay: &Relay, id: &str) -> StreamKey {
+        /// Separates these digests from those of requests, whose method this cannot be.
+        const METHOD: &str = "(stream)";
+        let identity = self.identity();
+        relay.node.digest(&RequestIdentity { method: METHOD, body: id.as_bytes(), ..identity })
+    }
+
     /// The parts of a request that are equal in all its retries.
     fn identity(&self) -> RequestIdentity<'_> {
         RequestIdentity {
@@ -148,6 +183,7 @@
             ttft_target,
             avoid,
             isolated,
+            versions: self.versions(),
             time_left: self.time_left(),
             longest_gap: spec.longest_gap,
             digest: None,
--- a/crates/server/src/relay/mod.rs
+++ b/crates/server/src/relay/mod.rs
@@ -236,6 +236,9 @@
         self.metrics.in_progress(1);
         job.in_progress = Some(InProgressGuard(self.metrics.clone()));
         if job.route.spec.kind.is_generation() {
+            if let Err(error) = self.resolve_origin(&mut job).await {
+                return self.fail(&job, &error);
+            }
             generation::serve(self, job).await
         } else {
             call::serve(&self, job).await
--- a/crates/server/src/relay/software_version.rs
+++ b/crates/server/src/relay/software_version.rs
@@ -1,8 +1,19 @@
-//! The software versions between which a stream may not change.
+//! Keeps each stream at the software version that began it.
 
-use trayswitch_core::software_version::SoftwareVersion;
+use std::time::Duration;
 
-use super::Relay;
+use trayswitch_core::{
+    error::{ErrorKind, RequestError},
+    node::Input,
+    software_version::{SoftwareVersion, VersionConstraint},
+    stream_origin::{StreamOrigin, UnknownOrigin},
+};
+
+use super::{Job, QUEUE_TIME_DIVISOR, Relay};
+use crate::telemetry::EventId;
+
+/// How long control VMs may take to tell where a stream began; many round trips.
+const ORIGIN_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// How a stream goes on after its first attempt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -25,7 +36,7 @@
     }
 }
 
-/// Compares the software version of an endpoint with that of the endpoint that began a stream.
+/// Compares the software version of an endpoint with the one that began a stream.
 fn compare(began: Option<&SoftwareVersion>, goes_on: Option<&SoftwareVersion>) -> &'static str {
     match (began, goes_on) {
         (Some(began), Some(goes_on)) if began == goes_on => "same",
@@ -45,15 +56,78 @@
         self.node.view().endpoint(endpoint)?.software_version
     }
 
+    /// Whether a request may run at the software version that an endpoint has now.
+    pub(super) fn check_version(&self, job: &Job, endpoint: &str) -> Result<(), String> {
+        if job.versions().allows(self.software_version(endpoint).as_ref()) {
+            return Ok(());
+        }
+        Err("the endpoint runs another software version than the one that began the stream".into())
+    }
+
+    /// Binds a request whose caller takes up a stream to the service and the software version that
+    /// began it.
+    pub(super) async fn resolve_origin(&self, job: &mut Job) -> Result<(), RequestError> {
+        if !job.takes_up_stream() {
+            return Ok(());
+        }
+        let origin = self.origin_of(job).await;
+        let outcome = origin.as_ref().map_or_else(|reason| reason.name(), |_| "known");
+        self.metrics.stream_taken_up(&job.service, outcome);
+        let version = origin.as_ref().ok().map(|origin| &origin.version);
+        log::info!(
+            event = EventId::StreamTakenUp.number(), id = job.caller.id.as_str(), end = outcome,
+            resumes = job.caller.resumes.as_deref().unwrap_or("-"), began_at = describe(version),
+            after = job.caller.last_event_id.unwrap_or(0);
+            "a caller takes up a stream"
+        );
+        let origin = origin.map_err(origin_unknown)?;
+        let targets = job.route.spec.targets.iter().filter(|target| 0 < target.weight);
+        if !targets.map(|target| &*target.service).any(|service| *service == *origin.service) {
+            let message =
+                format!("the stream began at {}, which the route no longer names", origin.service);
+            return Err(RequestError::new(ErrorKind::VersionUnavailable, message));
+        }
+        job.service = origin.service.to_string();
+        job.versions = VersionConstraint::Only(origin.version).into();
+        Ok(())
+    }
+
+    async fn origin_of(&self, job: &Job) -> Result<StreamOrigin, UnknownOrigin> {
+        let began = job.caller.resumes.as_deref().filter(|id| !id.is_empty());
+        let key = job.stream_key(self, began.ok_or(UnknownOrigin::Unnamed)?);
+        let limit = ORIGIN_TIMEOUT.min(job.time_left() / QUEUE_TIME_DIVISOR);
+        self.node.stream_origin(key, limit).await
+    }
+
+    /// Binds a stream to the software version of the endpoint that is about to bring its first event,
+    /// and tells other daemons of it if its caller may take it up.
+    pub(super) fn on_stream_begun(&self, job: &Job, version: Option<&SoftwareVersion>) {
+        job.bind_version(version);
+        if job.takes_up_stream() || !job.route.spec.kind.is_repeatable() {
+            return;
+        }
+        let Some(version) = version.cloned() else { return };
+        let key = job.stream_key(self, &job.caller.id);
+        let origin = StreamOrigin { service: job.service.as_str().into(), version };
+        let ttl = job.caller.time_left.unwrap_or(job.route.spec.timeout);
+        self.node.input(Input::StreamBegun { key, origin, ttl });
+    }
+
     /// Counts a stream that goes on at an endpoint.
-    pub(super) fn record_continuation(
-        &self,
-        service: &str,
-        how: Continuation,
-        began: Option<&SoftwareVersion>,
-        endpoint: &str,
-    ) {
+    pub(super) fn record_continuation(&self, job: &Job, how: Continuation, endpoint: &str) {
         let goes_on = self.software_version(endpoint);
-        self.metrics.stream_continued(service, how.name(), compare(began, goes_on.as_ref()));
+        let version = compare(job.versions().version(), goes_on.as_ref());
+        self.metrics.stream_continued(&job.service, how.name(), version);
     }
 }
+
+fn origin_unknown(reason: UnknownOrigin) -> RequestError {
+    let why = match reason {
+        UnknownOrigin::Unnamed => "the request does not name the attempt that began it",
+        UnknownOrigin::NoRecord => "no daemon knows the attempt that the request names",
+        UnknownOrigin::Ambiguous => "several streams began under the id that the request names",
+        UnknownOrigin::NoAnswer => "no control VM has told in time",
+    };
+    let message = format!("it is not known which software version began the stream: {why}");
+    RequestError::new(ErrorKind::OriginUnknown, message)
+}
--- a/crates/server/src/relay/stream/mod.rs
+++ b/crates/server/src/relay/stream/mod.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use tokio::sync::mpsc;
 
-use trayswitch_core::{error::RequestError, software_version::SoftwareVersion};
+use trayswitch_core::error::RequestError;
 
 use self::relocation::next_relocation_result;
 use super::{
@@ -54,8 +54,6 @@
     relocation: Option<Relocation>,
     /// A copy that the generation has not resumed from yet.
     unclaimed_copy: Option<KvCopy>,
-    /// Software version that began the stream, if known.
-    software_version: Option<SoftwareVersion>,
     /// The last event sent to the caller.
     last_event_id: Option<u64>,
     /// Events forwarded so far.
@@ -78,7 +76,6 @@
     ) -> StreamForwarder {
         let orders = placed.orders();
         let last_event_id = job.caller.last_event_id;
-        let software_version = relay.software_version(placed.endpoint());
         StreamForwarder {
             relay,
             job: Rc::new(job),
@@ -89,7 +86,6 @@
             orders,
             relocation: None,
             unclaimed_copy: None,
-            software_version,
             last_event_id,
             events: 0,
             events_before_restart: 0,
@@ -100,10 +96,8 @@
     /// Forwards the stream until it ends.
     pub(super) async fn run(mut self, first: Option<Event>) {
         let route = self.job.route.name.clone();
-        if self.job.caller.last_event_id.is_some() {
-            // Which version began a stream that its caller takes up is not known here.
-            let endpoint = self.placed.endpoint();
-            self.relay.record_continuation(&self.job.service, Continuation::Caller, None, endpoint);
+        if self.job.takes_up_stream() {
+            self.record_continuation(Continuation::Caller, self.placed.endpoint());
         }
         self.relay.metrics.first_event(&route, self.job.received_at.elapsed());
         let caller = self.tx.clone();
@@ -236,8 +230,7 @@
     }
 
     fn record_continuation(&self, how: Continuation, endpoint: &str) {
-        let began = self.software_version.as_ref();
-        self.relay.record_continuation(&self.job.service, how, began, endpoint);
+        self.relay.record_continuation(&self.job, how, endpoint);
     }
 
     fn estimated_tokens(&self) -> u64 {
@@ -309,7 +302,7 @@
         log::info!(
             event = EventId::StreamResumed.number(), id = self.job.caller.id.as_str(),
             after = self.last_event_id.unwrap_or(0), endpoint = &**self.placed.endpoint(),
-            began_at = describe(self.software_version.as_ref()),
+            began_at = describe(self.job.versions().version()),
             software = describe(self.relay.software_version(self.placed.endpoint()).as_ref());
             "restarted a generation on another endpoint: {error}"
         );
--- a/crates/server/src/relay/stream/relocation.rs
+++ b/crates/server/src/relay/stream/relocation.rs
@@ -34,6 +34,7 @@
     pub(super) fn start_relocation(&mut self, order: &MoveOrder) {
         let view = self.relay.node.view();
         let (from, to) = (view.endpoint(&order.from), view.endpoint(&order.to));
+        let to = to.filter(|to| self.relay.check_version(&self.job, &to.id).is_ok());
         let to = to.filter(|to| self.relay.may_send(to).is_ok());
         let from = from.filter(|from| self.relay.may_request_copies(from));
         let (Some(from), Some(to)) = (from, to) else {
@@ -116,7 +117,7 @@
             event = EventId::MoveEnded.number(), id = self.job.caller.id.as_str(),
             from = &**from, to = &**to, end = result, took_ms = took.as_millis() as u64,
             pause_ms = stopped.elapsed().as_millis() as u64, last = self.last_event_id.unwrap_or(0),
-            began_at = describe(self.software_version.as_ref()),
+            began_at = describe(self.job.versions().version()),
             software = describe(self.relay.software_version(self.placed.endpoint()).as_ref());
             "a generation was relocated"
         );
--- a/crates/server/src/relay/tests/software_versions.rs
+++ b/crates/server/src/relay/tests/software_versions.rs
@@ -33,6 +33,7 @@
         let mut engine = daemon.register_version("engines", "e1", "v1").await;
         let (reader, stream) = start_stream(&daemon, "r1", &mut engine).await;
         let other = answer_all(daemon.register_version("engines", "e2", "v2").await, "engines");
+        daemon.announce_leaving("e1").await;
 
         stream.abort().await;
 
--- a/crates/server/src/runtime/questions.rs
+++ b/crates/server/src/runtime/questions.rs
@@ -10,6 +10,7 @@
     node::{ActiveConfig, CallId, Input, NodeCall, NodeReply, SubmitError},
     placement::Request,
     state::{HallOrder, HallResult, HallsOut},
+    stream_origin::{StreamKey, StreamOrigin, UnknownOrigin},
     throttle::{Permit, PermitRequest},
     wire::{AcceptedVersion, Submit},
 };
@@ -52,6 +53,20 @@
         }
     }
 
+    /// Asks where a stream began.
+    pub(crate) async fn stream_origin(
+        &self,
+        key: StreamKey,
+        limit: Duration,
+    ) -> Result<StreamOrigin, UnknownOrigin> {
+        let call = self.0.view.next_call();
+        // The node keeps the limit itself; a little more lets its answer come.
+        match self.ask(call, NodeCall::StreamOrigin { key, limit }, limit * 2).await {
+            Some(NodeReply::StreamOrigin(origin)) => origin,
+            _ => Err(UnknownOrigin::NoAnswer),
+        }
+    }
+
     /// Submits a document and waits for the outcome. One that comes too late is confirmed, not
     /// refused, if `or_newer` is set.
     pub async fn submit(
--- a/crates/server/src/telemetry/metrics.rs
+++ b/crates/server/src/telemetry/metrics.rs
@@ -21,6 +21,7 @@
     attempts: IntCounterVec,
     moves: IntCounterVec,
     continued: IntCounterVec,
+    taken_up: IntCounterVec,
     broke_off: IntCounterVec,
     suspects: IntGauge,
     quarantined: IntGauge,
@@ -90,6 +91,11 @@
                 "Streams that went on at another endpoint, or at another attempt of their caller, by service, how, and whether the software version is the one that began them",
                 &["service", "how", "version"],
             )?,
+            taken_up: counter(
+                "trayswitch_streams_taken_up_total",
+                "Streams that callers take up, by service and whether the software version that began them is known, or why not",
+                &["service", "origin"],
+            )?,
             broke_off: counter(
                 "trayswitch_attempts_broken_off_total",
                 "Attempts that broke off, by service and what the endpoint's address said then",
@@ -219,6 +225,11 @@
         self.continued.with_label_values(&[service, how, version]).inc();
     }
 
+    /// Counts a stream that its caller takes up.
+    pub fn stream_taken_up(&self, service: &str, origin: &str) {
+        self.taken_up.with_label_values(&[service, origin]).inc();
+    }
+
     /// Counts an attempt that broke off, and what its endpoint's address said then.
     pub fn broke_off(&self, service: &str, endpoint: &str) {
         self.broke_off.with_label_values(&[service, endpoint]).inc();
--- a/crates/trayswitchd/src/callers/chat.rs
+++ b/crates/trayswitchd/src/callers/chat.rs
@@ -10,6 +10,7 @@
     error::{ErrorKind, RequestError},
     placement::{self, PrefixHash, Ticket},
     quarantine::RequestDigest,
+    software_version::VersionConstraint,
 };
 use trayswitch_http::header;
 
@@ -129,6 +130,7 @@
         ttft_target: kind_spec.max_wait,
         avoid: Vec::new(),
         isolated: false,
+        versions: VersionConstraint::Any,
         time_left: kind_spec.max_wait,
         longest_gap: Duration::ZERO,
         digest: None,
