--- a/crates/core/src/placement/backoff.rs
+++ b/crates/core/src/placement/backoff.rs
@@ -216,8 +216,12 @@
         let target = &req.target;
         let endpoints = self.targets.get(target).map_or(0, |target| target.endpoints.len());
         let wait: Duration = until.since(now) + self.retry_spreader.next_delay(endpoints, now);
-        let message =
-            format!("all endpoints of {} have asked this daemon to back off", target.name());
+        let at_version = req.versions.version().map(|v| format!(" at software version {v}"));
+        let message = format!(
+            "all endpoints of {}{} have asked this daemon to back off",
+            target.name(),
+            at_version.unwrap_or_default()
+        );
         self.reject(&message, req, wait, false, now)
     }
 }
--- a/crates/server/src/relay/tests/software_versions.rs
+++ b/crates/server/src/relay/tests/software_versions.rs
@@ -5,6 +5,7 @@
 
 use super::{
     fake_endpoint::{FakeEndpoint, Stream, events_to},
+    protocol::{LAST_EVENT, RESUMES},
     response::{ResponseReader, outcome, text},
     test_daemon::{TestDaemon, run_test},
     test_fleet::{TestFleet, answer_all},
@@ -62,3 +63,65 @@
         expect_that!((other.all(), same.all()), eq(&(vec![], vec!["r3".to_owned()])));
     });
 }
+
+#[gtest]
+fn stream_is_taken_up_at_the_same_entry() {
+    run_test(async {
+        let daemon = TestDaemon::open().await;
+        let mut engine = daemon.register_version("engines", "e1", "v1").await;
+        let (reader, stream) = start_stream(&daemon, "r1", &mut engine).await;
+        drop((reader, stream));
+        let other = answer_all(daemon.register_version("engines", "e2", "v2").await, "engines");
+        let same = answer_all(engine, "engines");
+
+        let taken_up = daemon.take_up("/recap/", "r2", "r1", 3).await;
+
+        expect_that!(text(taken_up).await, ok(eq(&events_to(5)[events_to(3).len()..])));
+        expect_that!((other.all(), same.all()), eq(&(vec![], vec!["r2".to_owned()])));
+        let counted = "trayswitch_streams_taken_up_total{origin=\"known\",service=\"engines\"}";
+        expect_that!(daemon.metric(counted), some(eq(1)));
+    });
+}
+
+#[gtest]
+fn stream_whose_origin_is_unknown_is_refused_and_not_run() {
+    run_test(async {
+        let daemon = TestDaemon::open().await;
+        let mut engine = daemon.register_version("engines", "e1", "v1").await;
+        let (reader, stream) = start_stream(&daemon, "r1", &mut engine).await;
+        drop((reader, stream));
+        let engine = answer_all(engine, "engines");
+        let cases: [(&str, &str, &[(&str, &str)]); 6] = [
+            ("/recap/", "names no attempt", &[(LAST_EVENT, "3")]),
+            ("/recap/", "names nothing", &[(LAST_EVENT, "3"), (RESUMES, "")]),
+            ("/recap/", "names itself", &[(LAST_EVENT, "3"), (RESUMES, "names itself")]),
+            ("/recap/", "names one that never was", &[(LAST_EVENT, "3"), (RESUMES, "r0")]),
+            ("/recap/", "has no event of it", &[(RESUMES, "r0")]),
+            ("/chat/", "names one of another route", &[(LAST_EVENT, "3"), (RESUMES, "r1")]),
+        ];
+
+        for (path, id, headers) in cases {
+            let refused = daemon.send_with(path, id, headers).await;
+
+            expect_that!(outcome(&refused), some(eq("origin_unknown")), "{id}");
+        }
+
+        expect_that!(engine.all(), len(eq(0)));
+    });
+}
+
+#[gtest]
+fn restarted_stream_goes_on_at_another_endpoint_of_its_version() {
+    run_test(async {
+        let daemon = TestDaemon::open().await;
+        let mut engine = daemon.register_version("engines", "e1", "v1").await;
+        let (reader, stream) = start_stream(&daemon, "r1", &mut engine).await;
+        let other = answer_all(daemon.register_version("engines", "e2", "v2").await, "engines");
+        let same = answer_all(daemon.register_version("engines", "e3", "v1").await, "engines");
+
+        stream.abort().await;
+
+        expect_that!(reader.read_rest().await, ok(eq(&events_to(5))));
+        expect_that!((other.all(), same.all()), eq(&(vec![], vec!["r1".to_owned()])));
+    });
+}
