--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -7,6 +7,7 @@
 mod admission_control;
 #[cfg(test)]
 mod admission_control_tests;
+mod arrival;
 mod backoff;
 #[cfg(test)]
 mod backoff_tests;
