--- a/crates/lab/src/control_plane/load.rs
+++ b/crates/lab/src/control_plane/load.rs
@@ -6,6 +6,7 @@
     config::{Document, EndpointTarget, key_digest},
     node::ActiveConfig,
     placement::{PrefixHash, Request, Ticket},
+    software_version::VersionConstraint,
     state::ConfigChange,
     wire::Submit,
 };
@@ -55,6 +56,7 @@
         ttft_target: Duration::from_millis(1_800),
         avoid: Vec::new(),
         isolated: false,
+        versions: VersionConstraint::Any,
         time_left: Duration::from_secs(60),
         longest_gap: Duration::ZERO,
         digest: None,
--- a/crates/lab/src/experiment/cost.rs
+++ b/crates/lab/src/experiment/cost.rs
@@ -6,6 +6,7 @@
 use trayswitch_core::{
     config::EndpointTarget,
     placement::{Action, ForecastPolicy, PrefixHash, Request, Scheduler, SchedulerLimits, Ticket},
+    software_version::VersionConstraint,
     units::Instant,
 };
 
@@ -70,6 +71,7 @@
         ttft_target: std::time::Duration::from_secs(10),
         avoid: Vec::new(),
         isolated: false,
+        versions: VersionConstraint::Any,
         time_left: std::time::Duration::from_secs(60),
         longest_gap: std::time::Duration::ZERO,
         digest: None,
--- a/crates/lab/src/experiment/sim.rs
+++ b/crates/lab/src/experiment/sim.rs
@@ -11,6 +11,7 @@
     placement::{
         Action, LoadReport, Policy, PrefixHash, Request, Scheduler, SchedulerLimits, Ticket, rank,
     },
+    software_version::VersionConstraint,
     units::Instant,
 };
 
@@ -187,6 +188,7 @@
             ttft_target: kind.deadline,
             avoid: Vec::new(),
             isolated: false,
+            versions: VersionConstraint::Any,
             time_left: Duration::from_secs(60),
             longest_gap: Duration::ZERO,
             digest: None,
--- a/crates/server/src/relay/tests/software_versions.rs
+++ b/crates/server/src/relay/tests/software_versions.rs
@@ -91,17 +91,18 @@
         let (reader, stream) = start_stream(&daemon, "r1", &mut engine).await;
         drop((reader, stream));
         let engine = answer_all(engine, "engines");
-        let cases: [(&str, &str, &[(&str, &str)]); 6] = [
-            ("/recap/", "names no attempt", &[(LAST_EVENT, "3")]),
-            ("/recap/", "names nothing", &[(LAST_EVENT, "3"), (RESUMES, "")]),
-            ("/recap/", "names itself", &[(LAST_EVENT, "3"), (RESUMES, "names itself")]),
-            ("/recap/", "names one that never was", &[(LAST_EVENT, "3"), (RESUMES, "r0")]),
-            ("/recap/", "has no event of it", &[(RESUMES, "r0")]),
-            ("/chat/", "names one of another route", &[(LAST_EVENT, "3"), (RESUMES, "r1")]),
+        let last = (LAST_EVENT, "3");
+        let cases = [
+            ("/recap/", "names no attempt", vec![last]),
+            ("/recap/", "names nothing", vec![last, (RESUMES, "")]),
+            ("/recap/", "names itself", vec![last, (RESUMES, "names itself")]),
+            ("/recap/", "names one that never was", vec![last, (RESUMES, "r0")]),
+            ("/recap/", "has no event of it", vec![(RESUMES, "r0")]),
+            ("/chat/", "names one of another route", vec![last, (RESUMES, "r1")]),
         ];
 
         for (path, id, headers) in cases {
-            let refused = daemon.send_with(path, id, headers).await;
+            let refused = daemon.send_with(path, id, &headers).await;
 
             expect_that!(outcome(&refused), some(eq("origin_unknown")), "{id}");
         }
