relay: a stream goes on at an endpoint only if that confirms that it has not started again

Callers could get a stream of two software versions through an entry out of touch. Cause: endpoint i-6-0 ended and started again under its name at another version; an entry without a scheduler still knew the former run, and the endpoint compares names only. Where endpoints tell their start, a request that continues a stream is now sent only after the endpoint has reported the start that the entry knows; without such a report it is not sent. Endpoints that do not tell it have a new name for each start. relay::tests::software_versions::stream_is_not_taken_up_at_a_later_run_of_its_endpoint fails without the check (the later run was sent the request).

--- a/crates/server/src/relay/generation.rs
+++ b/crates/server/src/relay/generation.rs
@@ -262,6 +262,9 @@
     let Some(known) = relay.node.view().endpoint(endpoint) else {
         return Err(OpenError::Withheld("the endpoint is no longer registered".into()));
     };
+    if resume_from.kv_copy.as_ref().is_none_or(|copy| copy.source != known.address) {
+        relay.confirm_run(job, &known).await.map_err(OpenError::NotSent)?;
+    }
     let guard = AttemptGuard::new(relay, job, turn, &known);
     let opened = send_to(relay, job, turn, &known, resume_from, signals).await;
     guard.complete();
--- a/crates/server/src/relay/local_placement.rs
+++ b/crates/server/src/relay/local_placement.rs
@@ -88,7 +88,7 @@
 }
 
 /// The load of an engine; `None` if unavailable or reported by another run of the engine.
-async fn fetch_load(relay: &Rc<Relay>, endpoint: &Arc<str>) -> Option<EngineLoad> {
+pub(super) async fn fetch_load(relay: &Rc<Relay>, endpoint: &Arc<str>) -> Option<EngineLoad> {
     let (head, body) = query_engine(relay, endpoint, relay.protocol.load_request()).await?;
     let load = relay.protocol.decode_load(&head, &body)?;
     let known = relay.node.view().endpoint(endpoint)?.started_at;
--- a/crates/server/src/relay/software_version.rs
+++ b/crates/server/src/relay/software_version.rs
@@ -1,15 +1,16 @@
 //! Keeps each stream at the software version that began it.
 
-use std::time::Duration;
+use std::{rc::Rc, time::Duration};
 
 use trayswitch_core::{
     error::{ErrorKind, RequestError},
     node::Input,
+    registry::RegisteredEndpoint,
     software_version::{SoftwareVersion, VersionConstraint},
     stream_origin::{StreamOrigin, UnknownOrigin},
 };
 
-use super::{Job, QUEUE_TIME_DIVISOR, Relay};
+use super::{Job, QUEUE_TIME_DIVISOR, Relay, local_placement::fetch_load};
 use crate::telemetry::EventId;
 
 /// How long control VMs may take to tell where a stream began; many round trips.
@@ -64,6 +65,24 @@
         Err("the endpoint runs another software version than the one that began the stream".into())
     }
 
+    /// Confirms that an endpoint still is the run that this daemon knows, if the request continues a
+    /// stream. A run may have the name of an earlier one and another software version, and endpoints
+    /// compare names only.
+    pub(super) async fn confirm_run(
+        self: &Rc<Self>,
+        job: &Job,
+        known: &RegisteredEndpoint,
+    ) -> Result<(), String> {
+        // Where endpoints do not tell their start, each start has a name of its own.
+        if known.started_at == 0 || job.versions() == VersionConstraint::Any {
+            return Ok(());
+        }
+        match fetch_load(self, &known.id).await {
+            Some(load) if load.started_at == known.started_at => Ok(()),
+            _ => Err("the endpoint does not confirm that it has not started again".into()),
+        }
+    }
+
     /// Binds a request whose caller takes up a stream to the service and the software version that
     /// began it.
     pub(super) async fn resolve_origin(&self, job: &mut Job) -> Result<(), RequestError> {
--- a/crates/server/src/relay/tests/fake_endpoint.rs
+++ b/crates/server/src/relay/tests/fake_endpoint.rs
@@ -188,6 +188,8 @@
 struct Capacity {
     /// KV cache usage in tokens.
     kv_used: Cell<u64>,
+    /// Reported start time of the run; 0 if it is not reported.
+    started_at: Cell<u64>,
     /// Whether reservations are granted.
     grants_reservations: Cell<bool>,
     /// Back-off in seconds in responses to load requests.
@@ -202,7 +204,8 @@
         if let Some(retry_after) = &*self.retry_after.borrow() {
             res = res.header(RETRY_AFTER, retry_after);
         }
-        res.body(edge::full(self.kv_used.get().to_string())).unwrap()
+        let (kv_used, started_at) = (self.kv_used.get(), self.started_at.get());
+        res.body(edge::full(format!("{kv_used} {started_at}"))).unwrap()
     }
 
     fn reserve(&self, tokens: u64) -> Response<Body> {
@@ -326,6 +329,11 @@
         self.capacity.grants_reservations.set(grants_reservations);
     }
 
+    /// Sets the start time that the endpoint reports.
+    pub(super) fn set_started_at(&self, started_at: u64) {
+        self.capacity.started_at.set(started_at);
+    }
+
     /// Sets the back-off, in seconds, in responses to load requests.
     pub(super) fn set_load_retry_after(&self, retry_after: &str) {
         *self.capacity.retry_after.borrow_mut() = Some(retry_after.to_owned());
--- a/crates/server/src/relay/tests/protocol.rs
+++ b/crates/server/src/relay/tests/protocol.rs
@@ -151,10 +151,12 @@
         Request::get(LOAD_PATH).body(Full::default()).unwrap()
     }
 
-    /// The load is the KV cache usage in tokens.
+    /// The load is the KV cache usage in tokens and the start time of the run.
     fn decode_load(&self, _: &response::Parts, body: &[u8]) -> Option<EngineLoad> {
-        let kv_used = std::str::from_utf8(body).ok()?.parse().ok()?;
-        Some(EngineLoad { kv_used, kv_tokens: ENGINE_KV_TOKENS, ..EngineLoad::default() })
+        let (kv_used, started_at) = std::str::from_utf8(body).ok()?.split_once(' ')?;
+        let (kv_used, started_at) = (kv_used.parse().ok()?, started_at.parse().ok()?);
+        let kv_tokens = ENGINE_KV_TOKENS;
+        Some(EngineLoad { kv_used, kv_tokens, started_at, ..EngineLoad::default() })
     }
 
     fn reservation_request(&self, reservation: &Reservation) -> Request<Full<Bytes>> {
--- a/crates/server/src/relay/tests/software_versions.rs
+++ b/crates/server/src/relay/tests/software_versions.rs
@@ -126,3 +126,24 @@
         expect_that!((other.all(), same.all()), eq(&(vec![], vec!["r1".to_owned()])));
     });
 }
+
+#[gtest]
+fn stream_is_not_taken_up_at_a_later_run_of_its_endpoint() {
+    run_test(async {
+        let daemon = TestDaemon::open().await;
+        let mut engine = daemon.register_run("engines", "e1", 5).await;
+        let (reader, stream) = start_stream(&daemon, "r1", &mut engine).await;
+        drop((reader, stream));
+
+        let (same_run, _) = join!(daemon.take_up("/recap/", "r2", "r1", 3), async {
+            engine.next_arrival().await.stream_all(4..=5).await
+        });
+        // Its heartbeat has not come yet.
+        engine.set_started_at(6);
+        let later_run = daemon.take_up("/recap/", "r3", "r1", 3).await;
+
+        expect_that!(text(same_run).await, ok(anything()));
+        expect_that!(outcome(&later_run), some(eq("endpoint_refused")));
+        expect_true!(engine.is_idle());
+    });
+}
--- a/crates/server/src/relay/tests/test_daemon.rs
+++ b/crates/server/src/relay/tests/test_daemon.rs
@@ -343,6 +343,24 @@
         .await
     }
 
+    /// The same, for a run that tells when it was started.
+    pub(super) async fn register_run(
+        &self,
+        service: &str,
+        name: &str,
+        started_at: u64,
+    ) -> FakeEndpoint {
+        let endpoint = self
+            .register_record(name, |record| EndpointRecord {
+                service: service.to_owned(),
+                born: started_at,
+                ..record
+            })
+            .await;
+        endpoint.set_started_at(started_at);
+        endpoint
+    }
+
     async fn register_record(
         &self,
         name: &str,
