--- a/crates/lab/src/fleet/engines.rs
+++ b/crates/lab/src/fleet/engines.rs
@@ -9,6 +9,7 @@
 use trayswitch_core::{
     config::{EndpointSpec, EndpointTarget},
     placement::EngineLoad,
+    software_version::SoftwareVersion,
 };
 
 use crate::engine::{Engine, EngineSpec, Job, Step, StreamId};
@@ -88,7 +89,7 @@
             checks_fence: false,
             supports_relocation: true,
             cold_start: None,
-            software_version: None,
+            software_version: SoftwareVersion::parse("v1").ok(),
         }
     }
 
