--- a/crates/core/src/node/admit.rs
+++ b/crates/core/src/node/admit.rs
@@ -6,7 +6,7 @@
 use crate::{
     config::EndpointTarget,
     placement::{PrefixHash, Request, Ticket},
-    quarantine::RequestDigest,
+    quarantine::ContentDigest,
     software_version::{SoftwareVersion, VersionConstraint},
     wire::Admit,
 };
@@ -29,7 +29,7 @@
         apart: req.isolated,
         time_left_ms: (max_wait + req.time_left.saturating_sub(req.max_wait)).as_millis() as u64,
         longest_gap_ms: req.longest_gap.as_millis() as u64,
-        digest: req.digest.map(|digest| digest.as_bytes().to_vec()).unwrap_or_default(),
+        digest: req.digest.map(|digest| digest.to_bytes().to_vec()).unwrap_or_default(),
         rank: req.rank,
         share: req.share,
         max_running: req.max_running,
@@ -74,6 +74,6 @@
         isolated: admit.apart,
         time_left: Duration::from_millis(admit.time_left_ms),
         longest_gap: Duration::from_millis(admit.longest_gap_ms),
-        digest: RequestDigest::from_slice(&admit.digest),
+        digest: ContentDigest::from_slice(&admit.digest),
     }
 }
--- a/crates/core/src/node/control/suspects.rs
+++ b/crates/core/src/node/control/suspects.rs
@@ -4,7 +4,7 @@
 use crate::{
     agreement::Role,
     node::{Clocks, Outbox, Output, VmName, news_batch},
-    quarantine::{AttemptId, CrashCounts, RequestDigest, SuspectUpdate, TrialDecision, TrialQueue},
+    quarantine::{AttemptId, ContentDigest, CrashCounts, SuspectUpdate, TrialDecision, TrialQueue},
     state::{AgeSuspects, Command, command},
     units::Instant,
     wire::{Body, SuspectNews, SuspectsReply, TrialAsk, TrialOver, TrialReply, TrialStatus},
@@ -109,7 +109,7 @@
         if !self.leads() {
             return self.reply_not_leader(from, None, out);
         }
-        let Some(request) = RequestDigest::from_slice(&ask.request) else { return };
+        let Some(request) = ContentDigest::from_slice(&ask.request) else { return };
         let attempt = AttemptId { vm: from.clone(), number: ask.number };
         if ask.runs {
             return self.suspect_coordinator.trials.adopt(request, attempt);
--- a/crates/core/src/node/failed_attempt.rs
+++ b/crates/core/src/node/failed_attempt.rs
@@ -4,7 +4,7 @@
 
 use super::CallId;
 use crate::{
-    quarantine::RequestDigest,
+    quarantine::ContentDigest,
     registry::{Registry, RunState},
 };
 
@@ -23,7 +23,7 @@
 #[derive(Debug, Clone)]
 pub struct FailedAttempt {
     /// The request.
-    pub request: RequestDigest,
+    pub request: ContentDigest,
     /// Name of the endpoint.
     pub endpoint: Arc<str>,
     /// Start time that the endpoint's process reports, zero if none; `None` for an endpoint that
--- a/crates/core/src/node/inputs.rs
+++ b/crates/core/src/node/inputs.rs
@@ -1,7 +1,5 @@
 //! Dispatches inputs, calls and messages to the components of the node.
 
-use bytes::Bytes;
-
 use super::{
     CallId, Clocks, ControlReplica, Input, Node, NodeCall, NodeReply, Output, VmName,
     endpoints::endpoint_statuses,
@@ -140,7 +138,7 @@
                 self.stream_origins.query(call, key, limit, clocks.now, out);
             }
             NodeCall::ClearSuspect { request, limit } => {
-                let request = Bytes::copy_from_slice(request.as_bytes());
+                let request = request.to_bytes();
                 let kind = OperationKind::Clear(ClearRequest { request });
                 self.operations.start(call, kind, limit, leader, clocks.now, out);
             }
--- a/crates/core/src/node/messages.rs
+++ b/crates/core/src/node/messages.rs
@@ -14,7 +14,7 @@
     error::RequestError,
     once::{Claim, ClaimResult, Settle},
     placement::{LoadSnapshot, Refusal, Request, SampledEndpoint},
-    quarantine::{RequestDigest, Suspect},
+    quarantine::{ContentDigest, Suspect},
     registry::EndpointChanges,
     state::{ChangeId, HallOrder, HallResult, HallsOut},
     stream_origin::{StreamKey, StreamOrigin, UnknownOrigin},
@@ -63,7 +63,7 @@
     /// Ask for permission to send a suspect to an endpoint.
     Trial {
         /// The request.
-        request: RequestDigest,
+        request: ContentDigest,
         /// Timeout.
         limit: Duration,
     },
@@ -79,7 +79,7 @@
     /// Clear a suspect: delete its crash record.
     ClearSuspect {
         /// The request.
-        request: RequestDigest,
+        request: ContentDigest,
         /// Timeout.
         limit: Duration,
     },
@@ -190,7 +190,7 @@
     /// An attempt failed before its response was complete.
     FailedAttempt(FailedAttempt),
     /// A possible suspect was answered completely outside of a trial.
-    AnswerCompleted(RequestDigest),
+    AnswerCompleted(ContentDigest),
     /// A trial has started to receive a successful answer.
     TrialStarted(CallId),
     /// A trial has ended, or its caller has disconnected.
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -97,7 +97,7 @@
     config::ContentHash,
     mechanism::Disabled,
     placement::{LoadReport, Request},
-    quarantine::{CrashCounts, RequestDigest},
+    quarantine::{ContentDigest, CrashCounts},
     registry::Registry,
     throttle::RateLimit,
     units::Instant,
@@ -222,7 +222,7 @@
     }
 
     /// Crashes counted against a request.
-    pub fn crash_counts(&self, request: &RequestDigest) -> CrashCounts {
+    pub fn crash_counts(&self, request: &ContentDigest) -> CrashCounts {
         self.suspects.crash_counts(request)
     }
 
--- a/crates/core/src/node/stream_origins.rs
+++ b/crates/core/src/node/stream_origins.rs
@@ -10,7 +10,7 @@
 
 use super::{CallId, NodeReply, Outbox, VmName};
 use crate::{
-    quarantine::RequestDigest,
+    quarantine::ContentDigest,
     stream_origin::{OriginTable, StreamKey, StreamOrigin, UnknownOrigin},
     units::Instant,
     wire::{BegunStream, Body, OriginQuery, OriginReply, StreamsBegun},
@@ -94,7 +94,7 @@
         now: Instant,
         out: &mut Outbox,
     ) {
-        let key = RequestDigest::from_slice(&query.key);
+        let key = ContentDigest::from_slice(&query.key);
         let known = key.map(|key| (key, self.table.get(&key, now)));
         let stream = match &known {
             Some((key, Ok(origin))) => {
@@ -192,5 +192,5 @@
 }
 
 fn query(call: CallId, key: &StreamKey) -> Body {
-    Body::OriginQuery(OriginQuery { number: call.0, key: key.as_bytes().to_vec() })
+    Body::OriginQuery(OriginQuery { number: call.0, key: key.to_bytes().to_vec() })
 }
--- a/crates/core/src/node/suspect_tracker.rs
+++ b/crates/core/src/node/suspect_tracker.rs
@@ -16,7 +16,7 @@
     CallId, FailedAttempt, NodeReply, Outbox, Output, ProbeOutcome, VmName, operations::Operations,
 };
 use crate::{
-    quarantine::{ClearRequest, CrashCounts, CrashReport, CrashedRun, RequestDigest, SuspectCache},
+    quarantine::{ClearRequest, ContentDigest, CrashCounts, CrashReport, CrashedRun, SuspectCache},
     registry::{Registry, RunState},
     units::{Instant, UnixMillis},
     wire::{
@@ -53,14 +53,14 @@
 /// A trial that the leader has not decided on.
 #[derive(Debug)]
 struct PendingTrial {
-    request: RequestDigest,
+    request: ContentDigest,
     deadline: Instant,
 }
 
 /// A trial that runs on an endpoint.
 #[derive(Debug)]
 struct RunningTrial {
-    request: RequestDigest,
+    request: ContentDigest,
     /// Whether it has started to answer, so that other trials of the request need not wait.
     started: bool,
 }
@@ -68,7 +68,7 @@
 /// A crash that this daemon has reported and that its copy of the crash records lacks.
 #[derive(Debug)]
 struct ReportedCrash {
-    request: RequestDigest,
+    request: ContentDigest,
     in_trial: bool,
     /// Revision of the crash records that includes it, once the leader has replied.
     recorded_at: Option<u64>,
@@ -117,7 +117,7 @@
     }
 
     /// Crashes counted against a request.
-    pub(crate) fn crash_counts(&self, request: &RequestDigest) -> CrashCounts {
+    pub(crate) fn crash_counts(&self, request: &ContentDigest) -> CrashCounts {
         let local = self.reported.values().filter(|crash| crash.request == *request);
         // Reported crashes may be in the records already, so the counts are not added.
         let local =
@@ -140,7 +140,7 @@
     /// here and recorded.
     fn publish_counts(&self, out: &mut Outbox) {
         let (known, quarantined) = self.known.counts();
-        let local: BTreeSet<&RequestDigest> =
+        let local: BTreeSet<&ContentDigest> =
             self.reported.values().map(|crash| &crash.request).collect();
         let local =
             local.into_iter().filter(|request| !self.known.crash_counts(request).is_suspect());
@@ -220,7 +220,7 @@
     pub(super) fn request_trial(
         &mut self,
         call: CallId,
-        request: RequestDigest,
+        request: ContentDigest,
         timeout: Duration,
         cx: &Context<'_>,
         out: &mut Outbox,
@@ -291,7 +291,7 @@
     /// Clears a suspect whose answer was complete in an attempt that was not a trial.
     pub(super) fn on_complete_answer(
         &mut self,
-        request: &RequestDigest,
+        request: &ContentDigest,
         cx: &mut Context<'_>,
         out: &mut Outbox,
     ) {
@@ -360,7 +360,7 @@
     fn send_trial_request(
         &self,
         call: CallId,
-        request: RequestDigest,
+        request: ContentDigest,
         is_running: bool,
         leader: Option<&VmName>,
         out: &mut Outbox,
@@ -375,8 +375,8 @@
     }
 }
 
-fn bytes_of(request: &RequestDigest) -> Bytes {
-    Bytes::copy_from_slice(request.as_bytes())
+fn bytes_of(request: &ContentDigest) -> Bytes {
+    request.to_bytes()
 }
 
 /// Tells the leader that a trial neither waits nor runs any more. If the message is lost, the leader
--- a/crates/core/src/node/suspect_tracker_tests.rs
+++ b/crates/core/src/node/suspect_tracker_tests.rs
@@ -8,7 +8,7 @@
     suspect_tracker::{Context, SuspectTracker},
 };
 use crate::{
-    quarantine::RequestDigest,
+    quarantine::ContentDigest,
     registry::Registry,
     units::{Instant, UnixMillis},
     wire::{SuspectChange, SuspectNews, SuspectsReply},
@@ -37,7 +37,7 @@
             out: Outbox::default(),
         };
         let attempt = FailedAttempt {
-            request: RequestDigest::from_slice(&REQUEST).unwrap(),
+            request: ContentDigest::from_slice(&REQUEST).unwrap(),
             endpoint: "e".into(),
             started_at: Some(0),
             probe: ProbeOutcome::ConnectionRefused,
--- a/crates/core/src/node/tests/net/mod.rs
+++ b/crates/core/src/node/tests/net/mod.rs
@@ -20,7 +20,7 @@
         CallId, Clocks, ControlStatus, Input, Node, NodeCall, NodeOptions, NodeTiming, Output,
         VmName, control::ControlReplica,
     },
-    quarantine::{CrashCounts, RequestDigest},
+    quarantine::{ContentDigest, CrashCounts},
     state::{ConfigChange, HallOrder},
     testing::{Choices, Disk},
     units::{Instant, UnixMillis},
@@ -285,7 +285,7 @@
     }
 
     /// Crashes that a daemon counts against a request; `None` while it does not run.
-    pub(super) fn crash_counts(&self, vm: &VmName, request: &RequestDigest) -> Option<CrashCounts> {
+    pub(super) fn crash_counts(&self, vm: &VmName, request: &ContentDigest) -> Option<CrashCounts> {
         Some(self.hosts[vm].node.as_ref()?.crash_counts(request))
     }
 
--- a/crates/core/src/node/tests/quarantine.rs
+++ b/crates/core/src/node/tests/quarantine.rs
@@ -12,14 +12,14 @@
 };
 use crate::{
     node::{CallId, FailedAttempt, Input, NodeCall, ProbeOutcome, TrialAnswer, VmName},
-    quarantine::{CrashCounts, RequestDigest},
+    quarantine::{ContentDigest, CrashCounts},
     testing::fixed_seed,
     wire::EndpointRecord,
 };
 
 /// The request that crashes endpoints.
-pub(super) fn crashing_request() -> RequestDigest {
-    RequestDigest::from_slice(&[7; 16]).unwrap()
+pub(super) fn crashing_request() -> ContentDigest {
+    ContentDigest::from_slice(&[7; 16]).unwrap()
 }
 
 /// A net whose daemons have an active configuration.
--- a/crates/core/src/node/tests/returns.rs
+++ b/crates/core/src/node/tests/returns.rs
@@ -12,7 +12,7 @@
 use crate::{
     node::{CallId, NodeCall},
     placement::Request,
-    quarantine::RequestDigest,
+    quarantine::ContentDigest,
 };
 
 /// Slots of the only engine; each is taken by a request that does not end.
@@ -21,7 +21,7 @@
 
 /// A request whose digest is made from its number.
 fn numbered(number: u8) -> Request {
-    let digest = RequestDigest::from_slice(&[number; 16]);
+    let digest = ContentDigest::from_slice(&[number; 16]);
     Request { digest, max_wait: Duration::from_millis(200), ..request() }
 }
 
--- a/crates/core/src/placement/load_view/mod.rs
+++ b/crates/core/src/placement/load_view/mod.rs
@@ -26,7 +26,7 @@
 };
 use super::{Action, Request, Ticket, endpoint::EndpointState, target::TargetState};
 use crate::{
-    config::EndpointTarget, error::RequestError, quarantine::RequestDigest, units::Instant,
+    config::EndpointTarget, error::RequestError, quarantine::ContentDigest, units::Instant,
 };
 
 /// A request from its arrival until its first token, its rejection or its end.
@@ -35,7 +35,7 @@
     row: Arc<RowKey>,
     target: EndpointTarget,
     rank: u64,
-    digest: Option<RequestDigest>,
+    digest: Option<ContentDigest>,
     arrived: Instant,
     ttft_target: Duration,
     is_waiting: bool,
--- a/crates/core/src/placement/load_view/refusals.rs
+++ b/crates/core/src/placement/load_view/refusals.rs
@@ -6,7 +6,7 @@
 use crate::{
     error::RequestError,
     placement::{Ticket, target::TargetState},
-    quarantine::RequestDigest,
+    quarantine::ContentDigest,
     units::Instant,
 };
 
@@ -52,7 +52,7 @@
     /// Its rank in the queue.
     pub rank: u64,
     /// Identifies it in all its tries, if it was computed.
-    pub digest: Option<RequestDigest>,
+    pub digest: Option<ContentDigest>,
     /// What its caller is told.
     pub error: RequestError,
     /// Time since its arrival at the scheduler.
--- a/crates/core/src/placement/load_view_tests.rs
+++ b/crates/core/src/placement/load_view_tests.rs
@@ -8,13 +8,13 @@
     LoadSnapshot, Request, RequestLoad, Scheduler, Ticket,
     fixture::{ms, request, scheduler},
 };
-use crate::{error::ErrorKind, quarantine::RequestDigest};
+use crate::{error::ErrorKind, quarantine::ContentDigest};
 
 /// KV cache that holds one request of [`long`].
 const ONE_REQUEST: u64 = 4_000;
 
 fn long(number: u64, workspace: &str) -> Request {
-    let digest = RequestDigest::from_slice(&[number as u8; 16]);
+    let digest = ContentDigest::from_slice(&[number as u8; 16]);
     Request { workspace: workspace.into(), digest, ..request(number, 3_000, 700) }
 }
 
--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -70,7 +70,7 @@
 use std::{sync::Arc, time::Duration};
 
 use crate::{
-    config::EndpointTarget, error::RequestError, quarantine::RequestDigest,
+    config::EndpointTarget, error::RequestError, quarantine::ContentDigest,
     software_version::VersionConstraint,
 };
 
@@ -163,7 +163,7 @@
     /// Longest pause between two events that the caller accepts; zero if any is acceptable.
     pub longest_gap: Duration,
     /// Identifies the request in all its tries, on every daemon.
-    pub digest: Option<RequestDigest>,
+    pub digest: Option<ContentDigest>,
     /// Endpoints that rejected or failed this request; used only if no other endpoint is admissible.
     pub avoid: Vec<Arc<str>>,
     /// Whether no other request may start on its endpoint at the same time, because endpoints
--- a/crates/core/src/placement/return_tests.rs
+++ b/crates/core/src/placement/return_tests.rs
@@ -77,7 +77,7 @@
 
     fn arrive(&mut self, caller: u64, kind: Caller, at: Instant, change: impl Fn(&mut Request)) {
         let mut req = request(0, 10, 100);
-        req.digest = RequestDigest::from_slice(&u128::from(caller).to_be_bytes());
+        req.digest = ContentDigest::from_slice(&u128::from(caller).to_be_bytes());
         change(&mut req);
         self.callers.insert(caller, (kind, req));
         self.arrivals.insert((at, caller));
--- a/crates/core/src/placement/returns/mod.rs
+++ b/crates/core/src/placement/returns/mod.rs
@@ -17,7 +17,7 @@
     config::EndpointTarget,
     error::{ErrorKind, RequestError},
     mechanism::{Disabled, Mechanism},
-    quarantine::RequestDigest,
+    quarantine::ContentDigest,
     units::Instant,
 };
 
@@ -87,7 +87,7 @@
 /// A time of return that a caller was given.
 #[derive(Debug, Clone, PartialEq)]
 pub(crate) struct PromisedReturn {
-    pub(crate) digest: RequestDigest,
+    pub(crate) digest: ContentDigest,
     pub(crate) target: EndpointTarget,
     pub(crate) rank: u64,
     pub(crate) workspace: Arc<str>,
@@ -287,7 +287,7 @@
 
     fn insert(
         &mut self,
-        digest: RequestDigest,
+        digest: ContentDigest,
         target: &EndpointTarget,
         rank: u64,
         booking: Booking,
--- a/crates/core/src/placement/returns/table.rs
+++ b/crates/core/src/placement/returns/table.rs
@@ -6,7 +6,7 @@
 };
 
 use super::lane::{Booking, Lane};
-use crate::{config::EndpointTarget, placement::Ticket, quarantine::RequestDigest, units::Instant};
+use crate::{config::EndpointTarget, placement::Ticket, quarantine::ContentDigest, units::Instant};
 
 /// One workspace holds at most this part of a full table while others want some.
 const MAX_WORKSPACE_PART: usize = 4;
@@ -27,11 +27,11 @@
 #[derive(Debug)]
 pub(super) struct RecordTable {
     capacity: usize,
-    records: HashMap<RequestDigest, Record>,
+    records: HashMap<ContentDigest, Record>,
     /// Requests that are not queued, by time of return.
-    by_due: BTreeSet<(Instant, RequestDigest)>,
+    by_due: BTreeSet<(Instant, ContentDigest)>,
     /// Reservations of each workspace, in order.
-    by_workspace: HashMap<Arc<str>, BTreeMap<u64, RequestDigest>>,
+    by_workspace: HashMap<Arc<str>, BTreeMap<u64, ContentDigest>>,
     /// Workspaces by their number of reservations.
     by_size: BTreeSet<(usize, Arc<str>)>,
     lanes: HashMap<Arc<EndpointTarget>, BTreeMap<u64, Lane>>,
@@ -52,12 +52,12 @@
         }
     }
 
-    pub(super) fn get(&self, digest: &RequestDigest) -> Option<&Record> {
+    pub(super) fn get(&self, digest: &ContentDigest) -> Option<&Record> {
         self.records.get(digest)
     }
 
     /// The reservations of requests that are not queued, in order of their times.
-    pub(super) fn absent(&self) -> impl Iterator<Item = (&RequestDigest, &Record)> {
+    pub(super) fn absent(&self) -> impl Iterator<Item = (&ContentDigest, &Record)> {
         self.by_due.iter().filter_map(|(_, digest)| Some((digest, self.records.get(digest)?)))
     }
 
@@ -81,7 +81,7 @@
     }
 
     /// Adds a reservation whose work is done at `rate`; false if there is no room for it.
-    pub(super) fn insert(&mut self, digest: RequestDigest, record: Record, rate: f64) -> bool {
+    pub(super) fn insert(&mut self, digest: ContentDigest, record: Record, rate: f64) -> bool {
         if self.capacity <= self.records.len() && !self.make_room(&record.booking.workspace) {
             return false;
         }
@@ -110,7 +110,7 @@
     }
 
     /// Sets which try of a request is in the queue.
-    pub(super) fn set_queued(&mut self, digest: &RequestDigest, ticket: Option<Ticket>) {
+    pub(super) fn set_queued(&mut self, digest: &ContentDigest, ticket: Option<Ticket>) {
         let Some(record) = self.records.get_mut(digest) else { return };
         let was_queued = std::mem::replace(&mut record.queued_as, ticket).is_some();
         let lane = self.lanes.get_mut(&record.target).and_then(|lanes| lanes.get_mut(&record.rank));
@@ -128,7 +128,7 @@
         }
     }
 
-    pub(super) fn remove(&mut self, digest: &RequestDigest) {
+    pub(super) fn remove(&mut self, digest: &ContentDigest) {
         let Some(record) = self.records.remove(digest) else { return };
         self.by_due.remove(&(record.booking.due, *digest));
         self.change_workspace(&record.booking.workspace, |held| {
@@ -177,7 +177,7 @@
     fn change_workspace(
         &mut self,
         workspace: &Arc<str>,
-        change: impl FnOnce(&mut BTreeMap<u64, RequestDigest>),
+        change: impl FnOnce(&mut BTreeMap<u64, ContentDigest>),
     ) {
         let held = self.by_workspace.entry(workspace.clone()).or_default();
         let before = held.len();
--- a/crates/core/src/placement/returns/tests.rs
+++ b/crates/core/src/placement/returns/tests.rs
@@ -18,7 +18,7 @@
     let digest = u128::from(number).to_be_bytes();
     Request {
         workspace: workspace.into(),
-        digest: RequestDigest::from_slice(&digest),
+        digest: ContentDigest::from_slice(&digest),
         ..request(number, 10, 100)
     }
 }
--- a/crates/core/src/quarantine/digest_tests.rs
+++ b/crates/core/src/quarantine/digest_tests.rs
@@ -3,10 +3,10 @@
 use googletest::prelude::*;
 use proptest::prelude::*;
 
-use super::{DigestKey, RequestDigest, RequestIdentity};
+use super::{ContentDigest, DigestKey, RequestIdentity};
 use crate::testing::fixed_seed;
 
-fn digest(method: &str, path: &str, workspace: Option<&str>, body: &[u8]) -> RequestDigest {
+fn digest(method: &str, path: &str, workspace: Option<&str>, body: &[u8]) -> ContentDigest {
     let req = RequestIdentity { method, path, workspace, body };
     DigestKey::new(b"key").digest(&req)
 }
@@ -16,14 +16,14 @@
     let first = digest("POST", "/a/b", Some("w"), b"body");
 
     expect_that!(digest("POST", "/a/b", Some("w"), b"body"), eq(first));
-    expect_that!(RequestDigest::from_slice(first.as_bytes()), some(eq(first)));
-    expect_that!(RequestDigest::parse(&first.to_string()), some(eq(first)));
+    expect_that!(ContentDigest::from_slice(&first.to_bytes()), some(eq(first)));
+    expect_that!(ContentDigest::parse(&first.to_string()), some(eq(first)));
 }
 
 #[gtest]
 fn invalid_digests_are_rejected() {
     for text in ["", "12", &"0g".repeat(16), &"+1".repeat(16), &"é".repeat(16)] {
-        expect_that!(RequestDigest::parse(text), none(), "{text}");
+        expect_that!(ContentDigest::parse(text), none(), "{text}");
     }
 }
 
--- a/crates/core/src/quarantine/mod.rs
+++ b/crates/core/src/quarantine/mod.rs
@@ -5,7 +5,7 @@
 //! if it was retried in a *trial*: as its only attempt anywhere and, if needed, isolated from other
 //! requests.
 //!
-//! - [`RequestDigest`] identifies a request across attempts and daemons;
+//! - [`ContentDigest`] identifies a request, or a part of its prompt, across attempts and daemons;
 //! - [`SuspectTable`] is the replicated table of suspects and their crashes;
 //! - `SuspectCache` is a daemon's copy of it;
 //! - `TrialQueue` runs on the leader and serializes the attempts of each suspect.
@@ -24,7 +24,7 @@
 mod trial_queue_tests;
 
 pub use self::{
-    digest::{DigestKey, RequestDigest, RequestIdentity},
+    digest::{ContentDigest, ContentKind, DigestKey, PromptPart, RequestIdentity},
     errors::{MAX_TRIAL_WAIT, quarantined, trial_wait_expired},
     suspect_record::{CrashCounts, CrashedRun},
     suspect_table::{ClearRequest, CrashReport, Suspect, SuspectTable, SuspectUpdate},
--- a/crates/core/src/quarantine/suspect_cache.rs
+++ b/crates/core/src/quarantine/suspect_cache.rs
@@ -2,14 +2,14 @@
 
 use std::collections::BTreeMap;
 
-use super::{CrashCounts, RequestDigest, SuspectCacheState};
+use super::{ContentDigest, CrashCounts, SuspectCacheState};
 use crate::wire::{SuspectChange, SuspectNews};
 
 /// Crash counts of suspects, as received from the leader.
 #[derive(Debug)]
 pub(crate) struct SuspectCache {
     state: SuspectCacheState,
-    suspects: BTreeMap<RequestDigest, CrashCounts>,
+    suspects: BTreeMap<ContentDigest, CrashCounts>,
 }
 
 impl Default for SuspectCache {
@@ -31,7 +31,7 @@
         self.suspects.is_empty()
     }
 
-    pub(crate) fn crash_counts(&self, request: &RequestDigest) -> CrashCounts {
+    pub(crate) fn crash_counts(&self, request: &ContentDigest) -> CrashCounts {
         self.suspects.get(request).copied().unwrap_or_default()
     }
 
@@ -60,12 +60,12 @@
     }
 
     /// Removes a request that the leader has cleared.
-    pub(crate) fn remove(&mut self, request: &RequestDigest) {
+    pub(crate) fn remove(&mut self, request: &ContentDigest) {
         self.suspects.remove(request);
     }
 
     fn apply_change(&mut self, change: &SuspectChange) {
-        let Some(request) = RequestDigest::from_slice(&change.request) else { return };
+        let Some(request) = ContentDigest::from_slice(&change.request) else { return };
         let crashes = CrashCounts { total: change.ended, in_trials: change.in_trials };
         if crashes.is_suspect() {
             self.suspects.insert(request, crashes);
--- a/crates/core/src/quarantine/suspect_record.rs
+++ b/crates/core/src/quarantine/suspect_record.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::RequestDigest;
+use super::ContentDigest;
 use crate::units::UnixMillis;
 
 /// Crashes after which a request is quarantined, if enough of them were in trials. Fewer could be
@@ -147,4 +147,4 @@
 }
 
 /// A record with the request that it is about.
-pub(super) type Entry = (RequestDigest, SuspectRecord);
+pub(super) type Entry = (ContentDigest, SuspectRecord);
--- a/crates/core/src/quarantine/suspect_table.rs
+++ b/crates/core/src/quarantine/suspect_table.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 
 use super::{
-    CrashCounts, RequestDigest,
+    ContentDigest, CrashCounts,
     suspect_record::{CrashedRun, Entry, SuspectRecord},
 };
 use crate::{
@@ -51,7 +51,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Suspect {
     /// Digest of the request.
-    pub request: RequestDigest,
+    pub request: ContentDigest,
     /// Crashes that interrupted the request.
     pub crashes: CrashCounts,
     /// The most recently crashed runs, newest last.
@@ -81,11 +81,11 @@
 /// Suspects and their crashes.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct SuspectTable {
-    by_request: BTreeMap<RequestDigest, SuspectRecord>,
+    by_request: BTreeMap<ContentDigest, SuspectRecord>,
     /// The latest change of each suspect and of recently removed requests, by revision.
-    changes: BTreeMap<u64, RequestDigest>,
+    changes: BTreeMap<u64, ContentDigest>,
     /// Recently removed requests and the revisions of their removal.
-    removed: BTreeMap<RequestDigest, u64>,
+    removed: BTreeMap<ContentDigest, u64>,
     revision: u64,
     /// Removals up to this revision are no longer remembered.
     forgotten_revision: u64,
@@ -119,7 +119,7 @@
 
 impl SuspectTable {
     /// Crash counts of a request.
-    pub fn crash_counts(&self, request: &RequestDigest) -> CrashCounts {
+    pub fn crash_counts(&self, request: &ContentDigest) -> CrashCounts {
         self.by_request.get(request).map_or(CrashCounts::default(), |record| record.crashes)
     }
 
@@ -132,7 +132,7 @@
 
     /// Records a crash that interrupted a request.
     pub(crate) fn record_crash(&mut self, report: &CrashReport, now: UnixMillis) -> SuspectUpdate {
-        let Some(request) = RequestDigest::from_slice(&report.request) else {
+        let Some(request) = ContentDigest::from_slice(&report.request) else {
             return self.unchanged();
         };
         let record = self.by_request.entry(request).or_insert_with(SuspectRecord::new);
@@ -146,7 +146,7 @@
 
     /// Removes a suspect.
     pub(crate) fn clear(&mut self, clear: &ClearRequest) -> SuspectUpdate {
-        let request = RequestDigest::from_slice(&clear.request);
+        let request = ContentDigest::from_slice(&clear.request);
         match request.filter(|request| self.by_request.contains_key(request)) {
             Some(request) => {
                 self.remove(request);
@@ -164,7 +164,7 @@
     /// Removes suspects without recent crashes, and releases requests from quarantine for one more
     /// trial.
     pub(crate) fn expire(&mut self, now: UnixMillis) -> SuspectUpdate {
-        let due: Vec<RequestDigest> =
+        let due: Vec<ContentDigest> =
             self.by_request.iter().filter(|(_, r)| r.due_at() <= now).map(|(d, _)| *d).collect();
         for request in due {
             match self.by_request.get_mut(&request) {
@@ -185,24 +185,24 @@
         let reset = lacks_removals || self.revision < known;
         let known = if reset { 0 } else { known };
         let mut remaining = self.changes.range(known + 1..);
-        let sent: Vec<(u64, RequestDigest)> = remaining
+        let sent: Vec<(u64, ContentDigest)> = remaining
             .by_ref()
             .take(CHANGES_PER_MESSAGE)
             .map(|(number, request)| (*number, *request))
             .collect();
         let more = remaining.next().is_some();
         let up_to = sent.last().filter(|_| more).map_or(self.revision, |(number, _)| *number);
-        let change = |(_, request): (u64, RequestDigest)| {
+        let change = |(_, request): (u64, ContentDigest)| {
             let CrashCounts { total: ended, in_trials } = self.crash_counts(&request);
-            SuspectChange { request: Bytes::copy_from_slice(request.as_bytes()), ended, in_trials }
+            SuspectChange { request: request.to_bytes(), ended, in_trials }
         };
         let changes = sent.into_iter().map(change).collect();
         SuspectNews { after: known, up_to, reset, more, changes }
     }
 
     pub(crate) fn encode(&self) -> EncodedSuspectTable {
-        let record = |(request, record): (&RequestDigest, &SuspectRecord)| EncodedSuspect {
-            request: Bytes::copy_from_slice(request.as_bytes()),
+        let record = |(request, record): (&ContentDigest, &SuspectRecord)| EncodedSuspect {
+            request: request.to_bytes(),
             ended: record.crashes.total,
             in_trials: record.crashes.in_trials,
             runs: record.runs.clone(),
@@ -215,7 +215,7 @@
 
     pub(crate) fn decode(encoded: EncodedSuspectTable) -> SuspectTable {
         let record = |record: EncodedSuspect| -> Option<Entry> {
-            let request = RequestDigest::from_slice(&record.request)?;
+            let request = ContentDigest::from_slice(&record.request)?;
             let EncodedSuspect { ended, in_trials, runs, last_ms, revision, .. } = record;
             let crashes = CrashCounts { total: ended, in_trials };
             Some((
@@ -223,7 +223,7 @@
                 SuspectRecord { crashes, runs, updated_at: UnixMillis(last_ms), revision },
             ))
         };
-        let by_request: BTreeMap<RequestDigest, SuspectRecord> =
+        let by_request: BTreeMap<ContentDigest, SuspectRecord> =
             encoded.records.into_iter().filter_map(record).collect();
         let changes = by_request.iter().map(|(request, r)| (r.revision, *request)).collect();
         let revision = encoded.revision;
@@ -240,14 +240,14 @@
         SuspectUpdate { revision: self.revision, changed: None }
     }
 
-    fn updated(&self, request: RequestDigest) -> SuspectUpdate {
+    fn updated(&self, request: ContentDigest) -> SuspectUpdate {
         let removed = || SuspectRecord { revision: self.revision, ..SuspectRecord::new() };
         let record = self.by_request.get(&request).cloned().unwrap_or_else(removed);
         SuspectUpdate { revision: self.revision, changed: Some(suspect((&request, &record))) }
     }
 
     /// Assigns the next revision to a change of `request`.
-    fn mark_changed(&mut self, request: RequestDigest) {
+    fn mark_changed(&mut self, request: ContentDigest) {
         self.revision += 1;
         let Some(record) = self.by_request.get_mut(&request) else { return };
         let previous = std::mem::replace(&mut record.revision, self.revision);
@@ -258,7 +258,7 @@
         self.changes.insert(self.revision, request);
     }
 
-    fn remove(&mut self, request: RequestDigest) {
+    fn remove(&mut self, request: ContentDigest) {
         self.mark_changed(request);
         self.by_request.remove(&request);
         self.removed.insert(request, self.revision);
@@ -266,7 +266,7 @@
     }
 
     /// Evicts one record other than `kept` if the table is full.
-    fn evict(&mut self, kept: RequestDigest) {
+    fn evict(&mut self, kept: ContentDigest) {
         if self.by_request.len() <= MAX_RECORDS {
             return;
         }
@@ -293,7 +293,7 @@
     }
 }
 
-fn suspect((request, record): (&RequestDigest, &SuspectRecord)) -> Suspect {
+fn suspect((request, record): (&ContentDigest, &SuspectRecord)) -> Suspect {
     let SuspectRecord { crashes, runs, updated_at: last, .. } = record.clone();
     Suspect { request: *request, crashes, runs, updated_at: last }
 }
--- a/crates/core/src/quarantine/suspect_table_tests.rs
+++ b/crates/core/src/quarantine/suspect_table_tests.rs
@@ -5,18 +5,18 @@
 use proptest::prelude::*;
 
 use super::{
-    ClearRequest, CrashCounts, CrashReport, CrashedRun, RequestDigest, SuspectCache, SuspectTable,
+    ClearRequest, ContentDigest, CrashCounts, CrashReport, CrashedRun, SuspectCache, SuspectTable,
 };
 use crate::{testing::fixed_seed, units::UnixMillis};
 
 const HOUR: u64 = 3_600_000;
 
-fn request(number: u8) -> RequestDigest {
-    RequestDigest::from_slice(&[number; 16]).unwrap()
+fn request(number: u8) -> ContentDigest {
+    ContentDigest::from_slice(&[number; 16]).unwrap()
 }
 
 fn bytes(number: u8) -> Bytes {
-    Bytes::copy_from_slice(request(number).as_bytes())
+    request(number).to_bytes()
 }
 
 fn crash(number: u8, endpoint: u64, in_trial: bool) -> CrashReport {
--- a/crates/core/src/quarantine/trial_queue.rs
+++ b/crates/core/src/quarantine/trial_queue.rs
@@ -9,7 +9,7 @@
     time::Duration,
 };
 
-use super::{CrashCounts, RequestDigest, SuspectTable};
+use super::{ContentDigest, CrashCounts, SuspectTable};
 use crate::units::Instant;
 
 /// Time for which a new leader collects reports before it grants trials.
@@ -61,7 +61,7 @@
 #[derive(Debug)]
 pub(crate) struct TrialQueue {
     decides_from: Instant,
-    queues: BTreeMap<RequestDigest, AttemptQueue>,
+    queues: BTreeMap<ContentDigest, AttemptQueue>,
 }
 
 impl TrialQueue {
@@ -80,7 +80,7 @@
     /// rejected.
     pub(crate) fn request(
         &mut self,
-        request: RequestDigest,
+        request: ContentDigest,
         attempt: AttemptId,
         crashes: CrashCounts,
     ) -> Option<TrialDecision> {
@@ -97,7 +97,7 @@
     }
 
     /// Adopts an attempt that runs with the permission of a former leader.
-    pub(crate) fn adopt(&mut self, request: RequestDigest, attempt: AttemptId) {
+    pub(crate) fn adopt(&mut self, request: ContentDigest, attempt: AttemptId) {
         let queue = self.queues.entry(request).or_default();
         queue.waiting.retain(|waiting| waiting.attempt != attempt);
         queue.running.get_or_insert(attempt);
--- a/crates/core/src/quarantine/trial_queue_tests.rs
+++ b/crates/core/src/quarantine/trial_queue_tests.rs
@@ -1,10 +1,9 @@
 //! Serialized trials of suspects.
 
-use bytes::Bytes;
 use googletest::prelude::*;
 
 use super::{
-    AttemptId, ClearRequest, CrashCounts, CrashReport, CrashedRun, RequestDigest, SuspectTable,
+    AttemptId, ClearRequest, ContentDigest, CrashCounts, CrashReport, CrashedRun, SuspectTable,
     TrialDecision, TrialQueue,
 };
 use crate::units::{Instant, UnixMillis};
@@ -13,8 +12,8 @@
 const LATER: Instant = Instant(1_000_000);
 const SUSPECT: CrashCounts = CrashCounts { total: 1, in_trials: 0 };
 
-fn request() -> RequestDigest {
-    RequestDigest::from_slice(&[1; 16]).unwrap()
+fn request() -> ContentDigest {
+    ContentDigest::from_slice(&[1; 16]).unwrap()
 }
 
 fn attempt(vm: &str, number: u64) -> AttemptId {
@@ -23,12 +22,12 @@
 
 fn crash(records: &mut SuspectTable, endpoint: u64, in_trial: bool) {
     let run = CrashedRun { endpoint: format!("e{endpoint}"), started_at: 0, detected_ms: 0 };
-    let request = Bytes::copy_from_slice(request().as_bytes());
+    let request = request().to_bytes();
     records.record_crash(&CrashReport { run, request, in_trial }, UnixMillis(0));
 }
 
 fn clear(records: &mut SuspectTable) {
-    records.clear(&ClearRequest { request: Bytes::copy_from_slice(request().as_bytes()) });
+    records.clear(&ClearRequest { request: request().to_bytes() });
 }
 
 /// A queue in which these attempts wait.
--- a/crates/core/src/stream_origin/mod.rs
+++ b/crates/core/src/stream_origin/mod.rs
@@ -7,13 +7,13 @@
 
 use std::sync::Arc;
 
-use crate::{quarantine::RequestDigest, software_version::SoftwareVersion};
+use crate::{quarantine::ContentDigest, software_version::SoftwareVersion};
 
 pub(crate) use self::table::OriginTable;
 
 /// Names a stream on every daemon: a keyed digest of its workspace, its path and the id of the attempt
 /// that brought its first event.
-pub type StreamKey = RequestDigest;
+pub type StreamKey = ContentDigest;
 
 /// Where a stream began.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/crates/core/src/wire/returns.rs
+++ b/crates/core/src/wire/returns.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use crate::{
-    config::EndpointTarget, placement::PromisedReturn, quarantine::RequestDigest, units::Instant,
+    config::EndpointTarget, placement::PromisedReturn, quarantine::ContentDigest, units::Instant,
 };
 
 /// A rejected request that was told when to come back.
@@ -40,7 +40,7 @@
         let left = promised.due.since(now).as_micros() as i64;
         let overdue = now.since(promised.due).as_micros() as i64;
         Return {
-            digest: promised.digest.as_bytes().to_vec(),
+            digest: promised.digest.to_bytes().to_vec(),
             workspace: promised.workspace.to_string(),
             is_service: matches!(promised.target, EndpointTarget::Service(_)),
             target: promised.target.name().to_owned(),
@@ -57,7 +57,7 @@
         let overdue = self.due_in_us.min(0).unsigned_abs();
         let target = if self.is_service { EndpointTarget::Service } else { EndpointTarget::Model };
         Some(PromisedReturn {
-            digest: RequestDigest::from_slice(&self.digest)?,
+            digest: ContentDigest::from_slice(&self.digest)?,
             target: target(self.target),
             rank: self.rank,
             workspace: self.workspace.into(),
--- a/crates/core/src/wire/stream_origin.rs
+++ b/crates/core/src/wire/stream_origin.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use crate::{
-    quarantine::RequestDigest,
+    quarantine::ContentDigest,
     software_version::SoftwareVersion,
     stream_origin::{StreamKey, StreamOrigin},
 };
@@ -61,7 +61,7 @@
 impl BegunStream {
     pub(crate) fn encode(key: &StreamKey, origin: &StreamOrigin, ttl: Duration) -> BegunStream {
         BegunStream {
-            key: key.as_bytes().to_vec(),
+            key: key.to_bytes().to_vec(),
             service: origin.service.to_string(),
             software_version: origin.version.to_string(),
             ttl_ms: ttl.as_millis() as u64,
@@ -70,7 +70,7 @@
 
     /// `None` if it is not as the sender would have encoded it.
     pub(crate) fn decode(&self) -> Option<(StreamKey, StreamOrigin, Duration)> {
-        let key = RequestDigest::from_slice(&self.key)?;
+        let key = ContentDigest::from_slice(&self.key)?;
         let version = SoftwareVersion::parse(&self.software_version).ok()?;
         let origin = StreamOrigin { service: self.service.as_str().into(), version };
         Some((key, origin, Duration::from_millis(self.ttl_ms)))
--- a/crates/lab/src/suspects/cost.rs
+++ b/crates/lab/src/suspects/cost.rs
@@ -6,7 +6,7 @@
 use trayswitch_core::{
     mechanism::Disabled,
     node::{Clocks, Input, Node, NodeOptions, NodeTiming},
-    quarantine::{DigestKey, RequestDigest, RequestIdentity},
+    quarantine::{ContentDigest, DigestKey, RequestIdentity},
     units::{Instant, UnixMillis},
     wire::{Body, SuspectChange, SuspectNews},
 };
@@ -75,6 +75,6 @@
     let news = SuspectNews { after: 0, up_to: records, reset: false, more: false, changes };
     let clocks = Clocks { now: Instant(1), wall: UnixMillis(1) };
     node.handle(Input::Message("control".into(), Body::Suspects(news)), clocks);
-    assert_eq!(node.crash_counts(&RequestDigest::default()).total, 0);
+    assert_eq!(node.crash_counts(&ContentDigest::default()).total, 0);
     node
 }
--- a/crates/server/src/relay/admission.rs
+++ b/crates/server/src/relay/admission.rs
@@ -96,6 +96,7 @@
             deadline,
             in_progress: None,
             digest: OnceCell::new(),
+            part_digests: OnceCell::new(),
             versions: RefCell::new(VersionConstraint::Any),
         };
         self.check_not_stopping(&job).map_err(|e| refuse(&id, e))?;
--- a/crates/server/src/relay/failed_attempt.rs
+++ b/crates/server/src/relay/failed_attempt.rs
@@ -14,6 +14,7 @@
 };
 use trayswitch_core::{
     node::{FailedAttempt, Input, ProbeOutcome},
+    quarantine::ContentDigest,
     registry::RegisteredEndpoint,
 };
 
@@ -44,7 +45,8 @@
         self.metrics.broke_off(&job.service, outcome_name(outcome));
         log::info!(
             event = EventId::EndedUnder.number(), id = job.caller.id.as_str(),
-            request = job.digest(self).to_string().as_str(), endpoint = &*endpoint.id,
+            request = job.digest(self).to_string().as_str(),
+            parts = describe(job.part_digests(self)).as_str(), endpoint = &*endpoint.id,
             born = endpoint.started_at, events = events, end = outcome_name(outcome),
             trial = turn.trial.is_some();
             "an attempt failed before its response was complete"
@@ -163,6 +165,12 @@
     }
 }
 
+/// Digests for a log line.
+fn describe(digests: &[ContentDigest]) -> String {
+    let digests: Vec<String> = digests.iter().map(ContentDigest::to_string).collect();
+    digests.join(",")
+}
+
 fn outcome_name(outcome: ProbeOutcome) -> &'static str {
     match outcome {
         ProbeOutcome::ConnectionRefused => "ended",
--- a/crates/server/src/relay/generation.rs
+++ b/crates/server/src/relay/generation.rs
@@ -8,7 +8,7 @@
 use trayswitch_core::{
     error::{ErrorKind, RequestError},
     mechanism::Mechanism,
-    quarantine::RequestDigest,
+    quarantine::ContentDigest,
     registry::RegisteredEndpoint,
     signals::EndpointSignals,
     software_version::SoftwareVersion,
@@ -181,7 +181,7 @@
     job: &Job,
     avoid: Vec<Arc<str>>,
     isolated: bool,
-    digest: Option<RequestDigest>,
+    digest: Option<ContentDigest>,
 ) -> Result<(Placed, Option<String>), RequestError> {
     const POLL_INTERVAL: Duration = Duration::from_millis(20);
     loop {
--- a/crates/server/src/relay/job.rs
+++ b/crates/server/src/relay/job.rs
@@ -15,12 +15,12 @@
     config::{EndpointTarget, NamedRoute},
     node::ActiveConfig,
     placement::{self, PrefixHash, Ticket},
-    quarantine::{RequestDigest, RequestIdentity},
+    quarantine::{ContentDigest, RequestIdentity},
     software_version::{SoftwareVersion, VersionConstraint},
     stream_origin::StreamKey,
 };
 
-use super::{Attempt, CallerRequest, InProgressGuard, KvCopy, Protocol, Relay};
+use super::{Attempt, CallerRequest, InProgressGuard, KvCopy, Prompt, Protocol, Relay};
 use crate::telemetry::{EventId, Metrics};
 
 /// Rank of a request with an unknown tier: after all others.
@@ -49,7 +49,9 @@
     pub(super) deadline: Instant,
     pub(super) in_progress: Option<InProgressGuard>,
     /// Computed on first use.
-    pub(super) digest: OnceCell<RequestDigest>,
+    pub(super) digest: OnceCell<ContentDigest>,
+    /// Computed on first use.
+    pub(super) part_digests: OnceCell<Vec<ContentDigest>>,
     /// Software versions at which it may run.
     pub(super) versions: RefCell<VersionConstraint>,
 }
@@ -83,10 +85,18 @@
     }
 
     /// The digest that identifies the request on all daemons, across retries.
-    pub(super) fn digest(&self, relay: &Relay) -> RequestDigest {
+    pub(super) fn digest(&self, relay: &Relay) -> ContentDigest {
         *self.digest.get_or_init(|| relay.node.digest(&self.identity()))
     }
 
+    /// The digests that identify the parts of its prompt which other requests may share.
+    pub(super) fn part_digests(&self, relay: &Relay) -> &[ContentDigest] {
+        self.part_digests.get_or_init(|| {
+            let parts = self.caller.prompt.iter().flat_map(|prompt| &prompt.shared_parts);
+            parts.map(|part| relay.node.part_digest(*part)).collect()
+        })
+    }
+
     /// Software versions at which it may run now.
     pub(super) fn versions(&self) -> VersionConstraint {
         self.versions.borrow().clone()
@@ -158,7 +168,8 @@
         avoid: Vec<Arc<str>>,
         isolated: bool,
     ) -> placement::Request {
-        let prompt = self.caller.prompt.clone().unwrap_or_default();
+        let default = Prompt::default();
+        let prompt = self.caller.prompt.as_ref().unwrap_or(&default);
         let unlimited = u64::MAX / 2;
         let spec = &self.route.spec;
         let workspace = self.workspace.as_ref();
@@ -195,7 +206,7 @@
         let elapsed = self.received_at.elapsed();
         let workspace = self.workspace.as_deref().unwrap_or("-");
         metrics.request(workspace, &self.route.name, cause, elapsed);
-        let digest = self.digest.get().map(RequestDigest::to_string).unwrap_or_default();
+        let digest = self.digest.get().map(ContentDigest::to_string).unwrap_or_default();
         log::info!(
             event = EventId::RequestEnded.number(), id = self.caller.id.as_str(),
             cause = cause, detail = detail, route = &*self.route.name,
--- a/crates/server/src/relay/protocol.rs
+++ b/crates/server/src/relay/protocol.rs
@@ -5,7 +5,9 @@
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response, request, response};
 use http_body_util::Full;
-use trayswitch_core::{error::RequestError, placement::EngineLoad, signals::EndpointSignals};
+use trayswitch_core::{
+    error::RequestError, placement::EngineLoad, quarantine::PromptPart, signals::EndpointSignals,
+};
 
 use super::Reservation;
 
@@ -39,6 +41,13 @@
     pub expected_output_tokens: Option<u64>,
     /// Hash of the prefix shared with other prompts.
     pub shared_prefix_hash: u64,
+    /// The parts that other requests may share, in order; at most [`Prompt::MAX_SHARED_PARTS`].
+    pub shared_parts: Vec<PromptPart>,
+}
+
+impl Prompt {
+    /// Parts of one prompt that are considered; bounds what one request can cost.
+    pub const MAX_SHARED_PARTS: usize = 64;
 }
 
 /// One attempt at an endpoint.
--- a/crates/server/src/relay/tests/protocol.rs
+++ b/crates/server/src/relay/tests/protocol.rs
@@ -6,8 +6,8 @@
 use http::{HeaderMap, HeaderValue, Request, Response, header, request, response};
 use http_body_util::Full;
 use trayswitch_core::{
-    backoff::RetryAfter, error::RequestError, placement::EngineLoad, signals::EndpointSignals,
-    throttle::RateLimit,
+    backoff::RetryAfter, error::RequestError, placement::EngineLoad, quarantine::PromptPart,
+    signals::EndpointSignals, throttle::RateLimit,
 };
 
 use crate::relay::{
@@ -19,6 +19,8 @@
 pub(super) const ID: &str = "x-id";
 /// The endpoint that an attempt is for.
 pub(super) const ENDPOINT: &str = "x-endpoint";
+/// The shared parts of the prompt, as numbers separated by commas.
+pub(super) const PARTS: &str = "x-parts";
 /// The last event received.
 pub(super) const LAST_EVENT: &str = "x-after";
 /// The request that brought the first event.
@@ -62,6 +64,11 @@
     headers.get(name)?.to_str().ok()?.parse().ok()
 }
 
+fn shared_parts(headers: &HeaderMap) -> Vec<PromptPart> {
+    let parts: String = header(headers, PARTS).unwrap_or_default();
+    parts.split(',').filter_map(|part| part.parse().ok()).map(PromptPart).collect()
+}
+
 fn text(value: &HeaderValue) -> &str {
     value.to_str().unwrap_or_default()
 }
@@ -74,6 +81,7 @@
             prompt: Some(Prompt {
                 tokens: PROMPT_TOKENS,
                 max_output_tokens: MAX_OUTPUT_TOKENS,
+                shared_parts: shared_parts(&head.headers),
                 ..Prompt::default()
             }),
             last_event_id: header(&head.headers, LAST_EVENT),
--- a/crates/server/src/runtime/mod.rs
+++ b/crates/server/src/runtime/mod.rs
@@ -33,7 +33,7 @@
     backoff::{Admission, BackoffTable},
     node::{ActiveConfig, CallId, Clocks, Input, Node, NodeOptions, NodeReply, Output, VmName},
     placement::Request,
-    quarantine::{CrashCounts, DigestKey, RequestDigest, RequestIdentity},
+    quarantine::{ContentDigest, CrashCounts, DigestKey, PromptPart, RequestIdentity},
     registry::{EndpointChanges, RegisteredEndpoint},
     state::HallsOut,
     throttle::RateLimit,
@@ -175,14 +175,19 @@
         self.0.node.borrow().completion_probability(req, within, self.now())
     }
 
-    /// The name by which all daemons know a request again.
-    pub(crate) fn digest(&self, req: &RequestIdentity<'_>) -> RequestDigest {
+    /// Identifies a part of a prompt on all daemons.
+    pub(crate) fn part_digest(&self, part: PromptPart) -> ContentDigest {
+        self.0.digest_key.part_digest(part)
+    }
+
+    /// Identifies a request on all daemons.
+    pub(crate) fn digest(&self, req: &RequestIdentity<'_>) -> ContentDigest {
         self.0.digest_key.digest(req)
     }
 
     /// How a request stands under which endpoints may have ended; it is named only if there are any
     /// such requests.
-    pub(crate) fn standing(&self, digest: impl FnOnce() -> RequestDigest) -> CrashCounts {
+    pub(crate) fn standing(&self, digest: impl FnOnce() -> ContentDigest) -> CrashCounts {
         let node = self.0.node.borrow();
         if node.has_suspects() { node.crash_counts(&digest()) } else { CrashCounts::default() }
     }
--- a/crates/server/src/runtime/trial.rs
+++ b/crates/server/src/runtime/trial.rs
@@ -4,7 +4,7 @@
 
 use trayswitch_core::{
     node::{CallId, Input, NodeCall, NodeReply, TrialAnswer},
-    quarantine::RequestDigest,
+    quarantine::ContentDigest,
 };
 
 use super::NodeHandle;
@@ -66,7 +66,7 @@
 
 impl NodeHandle {
     /// Asks whether a try of a suspect may run, and waits so long for the answer.
-    pub(crate) async fn try_suspect(&self, request: RequestDigest, limit: Duration) -> Tried {
+    pub(crate) async fn try_suspect(&self, request: ContentDigest, limit: Duration) -> Tried {
         let call = self.view().next_call();
         // Dropped before it is granted, it takes the question back.
         let mut trial =
--- a/crates/trayswitch/src/cli.rs
+++ b/crates/trayswitch/src/cli.rs
@@ -2,7 +2,7 @@
 
 use clap::{Arg, ArgAction, Command, value_parser};
 use clap_complete::Shell;
-use trayswitch_core::quarantine::RequestDigest;
+use trayswitch_core::quarantine::ContentDigest;
 
 /// Builds the command.
 pub(crate) fn command() -> Command {
@@ -91,7 +91,7 @@
     let digest =
         Arg::new("request").value_name("DIGEST").required(true).help("Digest of the request");
     let digest = digest.value_parser(|text: &str| {
-        RequestDigest::parse(text).ok_or("expected 32 hexadecimal digits")
+        ContentDigest::parse(text).ok_or("expected 32 hexadecimal digits")
     });
     Command::new("suspects")
         .about("Look after requests under which endpoints have ended")
--- a/crates/trayswitch/src/command/suspects.rs
+++ b/crates/trayswitch/src/command/suspects.rs
@@ -2,7 +2,7 @@
 
 use std::io::Write;
 
-use trayswitch_core::quarantine::RequestDigest;
+use trayswitch_core::quarantine::ContentDigest;
 
 use crate::{
     client::Client,
@@ -25,7 +25,7 @@
 /// Lets a request be sent to endpoints again.
 pub(super) fn clear(
     client: &Client,
-    request: RequestDigest,
+    request: ContentDigest,
     json: bool,
     out: &mut dyn Write,
 ) -> Result<(), Error> {
--- a/crates/trayswitch/src/options.rs
+++ b/crates/trayswitch/src/options.rs
@@ -4,7 +4,7 @@
 
 use clap::ArgMatches;
 use clap_complete::Shell;
-use trayswitch_core::quarantine::RequestDigest;
+use trayswitch_core::quarantine::ContentDigest;
 
 use crate::error::Error;
 
@@ -47,7 +47,7 @@
     /// Show the requests under which endpoints have ended.
     Suspects,
     /// Let one of them be sent to endpoints again.
-    ClearSuspect(RequestDigest),
+    ClearSuspect(ContentDigest),
     /// Tell a request's story from log files.
     Explain {
         /// The caller's name for the request.
@@ -124,7 +124,7 @@
         },
         ("suspects", m) => match m.subcommand().expect("clap requires a command") {
             ("clear", m) => {
-                Action::ClearSuspect(*m.get_one::<RequestDigest>("request").expect("required"))
+                Action::ClearSuspect(*m.get_one::<ContentDigest>("request").expect("required"))
             }
             _ => Action::Suspects,
         },
--- a/crates/trayswitchd/src/callers/call.rs
+++ b/crates/trayswitchd/src/callers/call.rs
@@ -14,7 +14,7 @@
         Claim, ClaimKey, ClaimResult, Ending, NotRun, Settle, StoredAnswer, Unknown, uuid_v7_time,
     },
     placement,
-    quarantine::RequestDigest,
+    quarantine::ContentDigest,
 };
 use trayswitch_http::header;
 
@@ -42,7 +42,7 @@
     content_type: String,
     body: Vec<u8>,
     place: placement::Request,
-    digest: RequestDigest,
+    digest: ContentDigest,
 }
 
 /// The whole answer, and whether it is that of an earlier run.
--- a/crates/trayswitchd/src/callers/chat.rs
+++ b/crates/trayswitchd/src/callers/chat.rs
@@ -9,7 +9,7 @@
     config::{Config, EndpointTarget},
     error::{ErrorKind, RequestError},
     placement::{self, PrefixHash, Ticket},
-    quarantine::RequestDigest,
+    quarantine::ContentDigest,
     software_version::VersionConstraint,
 };
 use trayswitch_http::header;
@@ -34,7 +34,7 @@
     pub(super) body: Map<String, Value>,
     pub(super) stream: bool,
     pub(super) place: placement::Request,
-    pub(super) digest: RequestDigest,
+    pub(super) digest: ContentDigest,
 }
 
 /// Serves one request.
@@ -99,7 +99,7 @@
     place.prefix = prefix(&prompt);
     place.max_tokens = max_tokens;
     let workspace = admitted.workspace.clone();
-    let digest = RequestDigest::default();
+    let digest = ContentDigest::default();
     Ok(ChatRequest { workspace, kind, model, body, stream, place, digest })
 }
 
--- a/crates/trayswitchd/src/callers/context.rs
+++ b/crates/trayswitchd/src/callers/context.rs
@@ -18,7 +18,7 @@
     error::{ErrorKind, Outcome, RequestError},
     node::{ActiveConfig, CallId, Input, NodeCall, NodeReply, Placement},
     placement,
-    quarantine::{DigestKey, RequestDigest, RequestIdentity},
+    quarantine::{ContentDigest, DigestKey, RequestIdentity},
     retry_budget::RetryBudget,
     signals::EndpointSignals,
     throttle::{RateLimit, RateLimitReport},
@@ -103,7 +103,7 @@
     }
 
     /// The name by which every daemon knows a request again.
-    pub(super) fn digest(&self, req: &Request, workspace: &str, body: &[u8]) -> RequestDigest {
+    pub(super) fn digest(&self, req: &Request, workspace: &str, body: &[u8]) -> ContentDigest {
         let method = req.method().to_string();
         self.digest_key.digest(&RequestIdentity {
             method: &method,
--- a/crates/trayswitchd/src/callers/permit.rs
+++ b/crates/trayswitchd/src/callers/permit.rs
@@ -11,7 +11,7 @@
 use trayswitch_core::{
     error::RequestError,
     node::{CallId, FailedAttempt, Input, NodeCall, NodeReply, ProbeOutcome, TrialAnswer},
-    quarantine::{MAX_TRIAL_WAIT, RequestDigest, quarantined, trial_wait_expired},
+    quarantine::{ContentDigest, MAX_TRIAL_WAIT, quarantined, trial_wait_expired},
 };
 
 use super::context::Callers;
@@ -61,7 +61,7 @@
 
 impl Callers {
     /// Lets an attempt of a request go ahead; one of a suspect waits for its turn.
-    pub(super) fn permit(&self, request: &RequestDigest) -> Result<Permit, RequestError> {
+    pub(super) fn permit(&self, request: &ContentDigest) -> Result<Permit, RequestError> {
         let node = self.node();
         if !node.view().has_suspects() {
             return Ok(Permit::free(node));
@@ -83,7 +83,7 @@
     }
 
     /// Notes that an attempt has brought its whole answer.
-    pub(super) fn answered_whole(&self, request: &RequestDigest, permit: &mut Permit) {
+    pub(super) fn answered_whole(&self, request: &ContentDigest, permit: &mut Permit) {
         if permit.trial.is_some() {
             permit.whole = true;
         } else if self.node().view().has_suspects() {
@@ -94,7 +94,7 @@
     /// Tells the node of an attempt that was lost if its endpoint has ended.
     pub(super) fn broke_off(
         &self,
-        request: &RequestDigest,
+        request: &ContentDigest,
         permit: &Permit,
         endpoint: &Arc<str>,
         address: SocketAddr,
--- a/crates/trayswitchd/src/operators/suspects.rs
+++ b/crates/trayswitchd/src/operators/suspects.rs
@@ -7,7 +7,7 @@
 use tiny_http::{Method, Request};
 use trayswitch_core::{
     node::{NodeCall, NodeReply},
-    quarantine::{RequestDigest, Suspect},
+    quarantine::{ContentDigest, Suspect},
 };
 use trayswitch_http::respond_json;
 
@@ -51,7 +51,7 @@
         (Method::Get, Some("")) => list(callers, req),
         (_, Some("")) => failure(req, 405, "send GET to /v1/suspects"),
         (Method::Delete, Some(rest)) if rest.starts_with('/') => {
-            match RequestDigest::parse(&rest[1..]) {
+            match ContentDigest::parse(&rest[1..]) {
                 Some(request) => clear(callers, request, req),
                 None => {
                     failure(req, 422, "expected the digest of a request, 32 hexadecimal digits")
@@ -78,7 +78,7 @@
     }
 }
 
-fn clear(callers: &Callers, request: RequestDigest, req: Request) -> std::io::Result<()> {
+fn clear(callers: &Callers, request: ContentDigest, req: Request) -> std::io::Result<()> {
     let answer = callers.node().ask(NodeCall::ClearSuspect { request, limit: LIMIT }, LIMIT);
     log::info!("{} an operator clears request {request}: {answer:?}", EventId::SuspectChanged);
     match answer {
