--- a/crates/server/src/relay/tests/mod.rs
+++ b/crates/server/src/relay/tests/mod.rs
@@ -11,6 +11,7 @@
 mod generations;
 mod latency;
 mod local_placement;
+mod prompt_parts;
 mod protocol;
 mod quarantine;
 mod rate_limit;
--- a/crates/server/src/relay/tests/quarantine.rs
+++ b/crates/server/src/relay/tests/quarantine.rs
@@ -18,17 +18,17 @@
 const ENDPOINTS: usize = 4;
 
 /// Endpoints of one service that crash on a marked request and restart under another name.
-struct CrashingPool<'a> {
+pub(super) struct CrashingPool<'a> {
     daemon: &'a TestDaemon,
     service: &'static str,
     endpoints: Vec<FakeEndpoint>,
     started: usize,
     /// Crashes so far.
-    crashed: usize,
+    pub(super) crashed: usize,
 }
 
 impl<'a> CrashingPool<'a> {
-    async fn open(daemon: &'a TestDaemon, service: &'static str) -> CrashingPool<'a> {
+    pub(super) async fn open(daemon: &'a TestDaemon, service: &'static str) -> CrashingPool<'a> {
         let mut pool =
             CrashingPool { daemon, service, endpoints: Vec::new(), started: 0, crashed: 0 };
         for _ in 0..ENDPOINTS {
@@ -44,7 +44,7 @@
     }
 
     /// Serves attempts in sequence.
-    async fn serve(&mut self) {
+    pub(super) async fn serve(&mut self) {
         loop {
             let (at, arrival) = self.next_arrival().await;
             if arrival.path.contains(CRASH_MARKER) {
@@ -85,9 +85,18 @@
 
 /// Sends a request while the pool serves; returns its status, outcome and body.
 async fn send(pool: &mut CrashingPool<'_>, path: &str) -> (StatusCode, Option<String>, String) {
+    send_with(pool, path, &[]).await
+}
+
+/// The same, with further headers.
+pub(super) async fn send_with(
+    pool: &mut CrashingPool<'_>,
+    path: &str,
+    headers: &[(&str, &str)],
+) -> (StatusCode, Option<String>, String) {
     let daemon = pool.daemon;
     let request = async {
-        let answer = daemon.send(path, "r").await;
+        let answer = daemon.send_with(path, "r", headers).await;
         let (status, outcome) = (answer.head.status, outcome(&answer));
         (status, outcome, text(answer).await.unwrap_or_default())
     };
