A response that ends with its connection is complete only if its endpoint lives on

A stream cut between two events was completed, one without events became an empty 200, and the crash was counted against nothing. Now the end of such a connection is followed by a probe of the endpoint: if that refuses, or closes the probe at once, the response has broken off (restart, or 502); one that leaves may exit after its last response. A forwarder does the same and breaks its own response off.

Evidence: of five tests with an endpoint that writes raw responses three failed before (200 for a crashed call, an empty 200 for a crashed stream, two of four events as a whole stream); all pass now. That a stream which ends within an event is continued held before.

--- a/crates/server/src/relay/event_stream.rs
+++ b/crates/server/src/relay/event_stream.rs
@@ -1,11 +1,16 @@
 //! The event stream of one generation from one endpoint.
 
+use http::response;
+
+use super::unframed_response::is_unframed;
 use crate::upstream::{AnswerBody, Event, EventSplitter};
 
 pub(super) enum StreamItem {
     Event(Event),
     /// The stream ended cleanly.
     End,
+    /// The connection of an unframed stream ended after a whole event.
+    ConnectionEnd,
     /// The connection or the framing failed.
     Error(String),
 }
@@ -14,11 +19,13 @@
 pub(super) struct EventStream {
     body: AnswerBody,
     splitter: EventSplitter,
+    is_unframed: bool,
 }
 
 impl EventStream {
-    pub(super) fn new(body: AnswerBody) -> EventStream {
-        EventStream { body, splitter: EventSplitter::default() }
+    pub(super) fn new(head: &response::Parts, body: AnswerBody) -> EventStream {
+        let splitter = EventSplitter::default();
+        EventStream { body, splitter, is_unframed: is_unframed(head) }
     }
 
     /// The next item. Cancel safe.
@@ -37,6 +44,7 @@
                 None if self.splitter.has_rest() => {
                     return StreamItem::Error("the stream ended within an event".into());
                 }
+                None if self.is_unframed => return StreamItem::ConnectionEnd,
                 None => return StreamItem::End,
             }
         }
--- a/crates/server/src/relay/failed_attempt.rs
+++ b/crates/server/src/relay/failed_attempt.rs
@@ -131,7 +131,7 @@
 }
 
 /// Waits until the peer closes an idle connection.
-async fn wait_for_close(mut connection: TcpStream) {
+pub(super) async fn wait_for_close(mut connection: TcpStream) {
     let mut unsolicited = [0; 64];
     while connection.read(&mut unsolicited).await.is_ok_and(|bytes| 0 < bytes) {}
 }
@@ -190,7 +190,7 @@
 impl Relay {
     /// Connects to an endpoint; returns the connection if it is accepted. If it is not, another
     /// daemon is asked, since the network of this one may refuse connections.
-    async fn probe(
+    pub(super) async fn probe(
         self: &Rc<Self>,
         endpoint: &RegisteredEndpoint,
     ) -> (ProbeOutcome, Option<TcpStream>) {
--- a/crates/server/src/relay/forwarding/server.rs
+++ b/crates/server/src/relay/forwarding/server.rs
@@ -17,7 +17,10 @@
 use super::message::{Outcome, Purpose, Target, remove_hop_by_hop};
 use crate::{
     edge::{self, AnswerError, Body, Bounds, Gate, Handler, LocalFuture, Server, read_whole},
-    relay::Relay,
+    relay::{
+        Relay,
+        unframed_response::{CRASHED, is_unframed},
+    },
     upstream::{AnswerBody, LateResponse, OpenAnswer, SendError, exchange_on},
 };
 
@@ -161,11 +164,18 @@
     let in_flight = relay.load_balancer.start_request(&endpoint.id, None);
     let open = exchange(relay, &target, &endpoint, socket, req).await?;
     let OpenAnswer { mut head, body } = open;
+    let is_unframed = is_unframed(&head);
     remove_hop_by_hop(&mut head.headers);
     Outcome::Answered.write(&mut head.headers);
     let (tx, rx) = mpsc::channel(MAX_BUFFERED_PIECES);
+    let relay = relay.clone();
     tokio::task::spawn_local(async move {
-        pass_on(body, tx).await;
+        let is_whole = pass_on(body, &tx).await;
+        if is_whole && is_unframed && !relay.is_unframed_response_complete(&endpoint).await {
+            // The daemon that wants it then sees it broken off.
+            let _ = tx.send(Err(AnswerError(CRASHED.to_owned()))).await;
+        }
+        drop(tx);
         drop((in_flight, guard));
     });
     Ok(Response::from_parts(head, edge::streamed(rx)))
@@ -200,17 +210,18 @@
     Ok(open)
 }
 
-/// Passes the body of a response on until it ends or the daemon that wants it leaves.
-async fn pass_on(mut body: AnswerBody, tx: mpsc::Sender<Result<Bytes, AnswerError>>) {
+/// Passes the body of a response on until it ends or the daemon that wants it leaves; returns whether
+/// it ended without an error.
+async fn pass_on(mut body: AnswerBody, tx: &mpsc::Sender<Result<Bytes, AnswerError>>) -> bool {
     loop {
         let piece = tokio::select! {
             piece = body.next() => piece,
-            () = tx.closed() => return,
+            () = tx.closed() => return false,
         };
-        let Some(piece) = piece else { return };
+        let Some(piece) = piece else { return true };
         let is_last = piece.is_err();
         if tx.send(piece.map_err(AnswerError)).await.is_err() || is_last {
-            return;
+            return false;
         }
     }
 }
--- a/crates/server/src/relay/generation.rs
+++ b/crates/server/src/relay/generation.rs
@@ -344,13 +344,14 @@
             };
         }
     }
-    let mut event_stream = EventStream::new(open.body);
+    let mut event_stream = EventStream::new(&open.head, open.body);
     let version = known.software_version.clone();
-    match event_stream.next().await {
+    let item = event_stream.next().await;
+    match relay.resolve_connection_end(item, Some(known)).await {
         StreamItem::Event(event) => {
             Ok(Opened::Stream { head: open.head, event_stream, first: Some(event), version })
         }
-        StreamItem::End => {
+        StreamItem::End | StreamItem::ConnectionEnd => {
             Ok(Opened::Stream { head: open.head, event_stream, first: None, version })
         }
         StreamItem::Error(error) => {
--- a/crates/server/src/relay/mod.rs
+++ b/crates/server/src/relay/mod.rs
@@ -28,6 +28,7 @@
 mod stream;
 #[cfg(test)]
 mod tests;
+mod unframed_response;
 
 use std::{
     cell::{Cell, RefCell},
--- a/crates/server/src/relay/stream/mod.rs
+++ b/crates/server/src/relay/stream/mod.rs
@@ -163,12 +163,13 @@
     }
 
     async fn handle_item(&mut self, item: StreamItem) -> Result<(), EndReason> {
-        match item {
+        let endpoint = self.relay.node.view().endpoint(self.placed.endpoint());
+        match self.relay.resolve_connection_end(item, endpoint.as_ref()).await {
             StreamItem::Event(event) => self.forward_event(event).await,
-            StreamItem::End if self.is_stopping() => {
+            StreamItem::End | StreamItem::ConnectionEnd if self.is_stopping() => {
                 self.on_stream_closed_during_relocation(true).await
             }
-            StreamItem::End => Err(EndReason::Completed),
+            StreamItem::End | StreamItem::ConnectionEnd => Err(EndReason::Completed),
             StreamItem::Error(_) if self.is_stopping() => {
                 self.on_stream_closed_during_relocation(false).await
             }
--- a/crates/server/src/relay/stream/relocation.rs
+++ b/crates/server/src/relay/stream/relocation.rs
@@ -132,7 +132,9 @@
             let left = until.saturating_duration_since(Instant::now());
             match timeout(left, self.event_stream.next()).await {
                 Ok(StreamItem::Event(event)) => self.forward_event(event).await?,
-                Ok(StreamItem::End | StreamItem::Error(_)) | Err(_) => return Ok(()),
+                Ok(StreamItem::End | StreamItem::ConnectionEnd | StreamItem::Error(_)) | Err(_) => {
+                    return Ok(());
+                }
             }
         }
     }
--- a/crates/server/src/relay/tests/mod.rs
+++ b/crates/server/src/relay/tests/mod.rs
@@ -24,3 +24,4 @@
 mod suspension;
 mod test_daemon;
 mod test_fleet;
+mod unframed_responses;
--- a/crates/server/src/relay/tests/test_daemon.rs
+++ b/crates/server/src/relay/tests/test_daemon.rs
@@ -367,16 +367,26 @@
         change: impl FnOnce(EndpointRecord) -> EndpointRecord,
     ) -> FakeEndpoint {
         let endpoint = FakeEndpoint::open();
-        let record = change(heartbeat("", name, &endpoint));
-        self.node.input(Input::Heartbeat(record));
-        self.wait_until(|| self.is_open(name) == Some(true)).await;
+        let record = change(heartbeat("", name, endpoint.address()));
+        self.register_heartbeat(record).await;
         endpoint
     }
 
+    /// Registers an endpoint that listens at an address.
+    pub(super) async fn register_address(&self, service: &str, name: &str, address: SocketAddr) {
+        self.register_heartbeat(heartbeat(service, name, address)).await;
+    }
+
+    async fn register_heartbeat(&self, record: EndpointRecord) {
+        let name = record.id.clone();
+        self.node.input(Input::Heartbeat(record));
+        self.wait_until(|| self.is_open(&name) == Some(true)).await;
+    }
+
     /// Registers a new run of an endpoint under the same name.
     pub(super) async fn restart_endpoint(&self, service: &str, name: &str) -> FakeEndpoint {
         let endpoint = FakeEndpoint::open();
-        let record = heartbeat(service, name, &endpoint);
+        let record = heartbeat(service, name, endpoint.address());
         self.node.input(Input::Heartbeat(EndpointRecord { born: 1, ..record }));
         self.wait_until(|| {
             self.node.view().endpoint(name).is_some_and(|known| known.started_at == 1)
@@ -458,11 +468,11 @@
 }
 
 /// The first heartbeat of an endpoint with 48 slots.
-fn heartbeat(service: &str, name: &str, endpoint: &FakeEndpoint) -> EndpointRecord {
+fn heartbeat(service: &str, name: &str, address: SocketAddr) -> EndpointRecord {
     EndpointRecord {
         id: name.to_owned(),
         service: service.to_owned(),
-        address: endpoint.address().to_string(),
+        address: address.to_string(),
         hall: HALL.to_owned(),
         slots: 48,
         sequence: 1,
--- /dev/null
+++ b/crates/server/src/relay/tests/unframed_responses.rs
@@ -0,0 +1,161 @@
+//! Responses with neither a length nor chunks, which end with their connection.
+
+use std::net::SocketAddr;
+
+use googletest::prelude::*;
+use http::StatusCode;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    join,
+    net::{TcpListener, TcpStream},
+};
+
+use super::{
+    fake_endpoint::{FakeEndpoint, events_to},
+    protocol::ID,
+    response::{outcome, text},
+    test_daemon::{TestDaemon, run_test},
+};
+
+/// An endpoint that writes its responses byte by byte.
+struct RawEndpoint {
+    listener: TcpListener,
+}
+
+impl RawEndpoint {
+    async fn open(daemon: &TestDaemon, service: &str, name: &str) -> RawEndpoint {
+        let any: SocketAddr = "127.0.0.1:0".parse().unwrap();
+        let listener = TcpListener::bind(any).await.unwrap();
+        daemon.register_address(service, name, listener.local_addr().unwrap()).await;
+        RawEndpoint { listener }
+    }
+
+    /// The next request with a response of its own; connections without a request are passed over.
+    async fn next_request(&mut self) -> RawResponse {
+        loop {
+            let (mut socket, _) = self.listener.accept().await.unwrap();
+            let mut head = Vec::new();
+            while !head.ends_with(b"\r\n\r\n") && socket.read_buf(&mut head).await.unwrap() != 0 {}
+            let head = String::from_utf8(head).unwrap();
+            let id = head.lines().find_map(|line| line.strip_prefix(&format!("{ID}: ")));
+            if let Some(id) = id {
+                return RawResponse { socket, id: id.to_owned() };
+            }
+        }
+    }
+}
+
+/// A response to one request; dropping it closes the connection.
+struct RawResponse {
+    socket: TcpStream,
+    id: String,
+}
+
+impl RawResponse {
+    /// Sends the head of an unframed response and the beginning of its body.
+    async fn send(&mut self, body: &str) {
+        let head = format!("HTTP/1.1 200 OK\r\n{ID}: {}\r\nconnection: close\r\n\r\n", self.id);
+        self.socket.write_all(format!("{head}{body}").as_bytes()).await.unwrap();
+    }
+}
+
+/// Serves a request with an unframed body, then closes the connection.
+async fn respond(endpoint: &mut RawEndpoint, body: &str) {
+    endpoint.next_request().await.send(body).await;
+}
+
+/// The same, but the endpoint crashes.
+async fn respond_and_crash(mut endpoint: RawEndpoint, body: &str) {
+    let mut response = endpoint.next_request().await;
+    response.send(body).await;
+    drop(endpoint);
+}
+
+/// Serves a request on an endpoint with the events from `first` to 4.
+async fn serve_from(endpoint: &mut FakeEndpoint, first: u64) -> Option<u64> {
+    endpoint.next_arrival().await.stream_all(first..=4).await
+}
+
+#[gtest]
+fn response_of_a_live_endpoint_is_complete() {
+    run_test(async {
+        let daemon = TestDaemon::open().await;
+        let mut engine = RawEndpoint::open(&daemon, "engines", "e1").await;
+        let mut desk = RawEndpoint::open(&daemon, "desk", "d1").await;
+
+        let body = events_to(4);
+        let (stream, ()) = join!(daemon.send("/chat/", "r1"), respond(&mut engine, &body));
+        let (call, ()) = join!(daemon.send("/once/", "r2"), respond(&mut desk, "done"));
+
+        expect_that!(text(stream).await, ok(eq(&events_to(4))));
+        expect_that!(text(call).await, ok(eq("done")));
+    });
+}
+
+#[gtest]
+fn stream_that_ends_within_an_event_is_continued_elsewhere() {
+    run_test(async {
+        let daemon = TestDaemon::open().await;
+        let mut raw = RawEndpoint::open(&daemon, "engines", "e1").await;
+        let cut = format!("{}id: 3\ndata: to", events_to(2));
+
+        let (answer, (last, _e2)) = join!(daemon.send("/recap/", "r1"), async {
+            let mut response = raw.next_request().await;
+            let mut e2 = daemon.register("engines", "e2").await;
+            response.send(&cut).await;
+            drop(response);
+            (serve_from(&mut e2, 3).await, e2)
+        });
+
+        expect_that!(text(answer).await, ok(eq(&events_to(4))));
+        expect_that!(last, some(eq(2)));
+    });
+}
+
+#[gtest]
+fn stream_that_ends_between_events_with_its_endpoint_is_continued_elsewhere() {
+    run_test(async {
+        let daemon = TestDaemon::open().await;
+        let mut raw = RawEndpoint::open(&daemon, "engines", "e1").await;
+
+        let (answer, (last, _e2)) =
+            join!(async { text(daemon.send("/recap/", "r1").await).await }, async {
+                let mut response = raw.next_request().await;
+                let mut e2 = daemon.register("engines", "e2").await;
+                response.send(&events_to(2)).await;
+                drop(raw);
+                drop(response);
+                (serve_from(&mut e2, 3).await, e2)
+            });
+
+        expect_that!(answer, ok(eq(&events_to(4))));
+        expect_that!(last, some(eq(2)));
+    });
+}
+
+#[gtest]
+fn stream_without_events_of_a_crashed_endpoint_is_no_answer() {
+    run_test(async {
+        let daemon = TestDaemon::open().await;
+        let raw = RawEndpoint::open(&daemon, "engines", "e1").await;
+
+        let (answer, ()) = join!(daemon.send("/chat/", "r1"), respond_and_crash(raw, ""));
+
+        expect_that!(answer.head.status, eq(StatusCode::BAD_GATEWAY));
+        expect_that!(outcome(&answer), some(eq("outcome_unknown")));
+        daemon.wait_for_metric("trayswitch_suspects", 1).await;
+    });
+}
+
+#[gtest]
+fn call_of_a_crashed_endpoint_is_no_answer() {
+    run_test(async {
+        let daemon = TestDaemon::open().await;
+        let raw = RawEndpoint::open(&daemon, "desk", "d1").await;
+
+        let (answer, ()) = join!(daemon.send("/once/", "r1"), respond_and_crash(raw, "do"));
+
+        expect_that!(answer.head.status, eq(StatusCode::BAD_GATEWAY));
+        expect_that!(outcome(&answer), some(eq("outcome_unknown")));
+    });
+}
--- /dev/null
+++ b/crates/server/src/relay/unframed_response.rs
@@ -0,0 +1,64 @@
+//! Responses with neither a length nor chunks. The end of their connection looks the same whether they
+//! are complete or their endpoint has crashed.
+
+use std::{rc::Rc, time::Duration};
+
+use http::{StatusCode, header, response};
+use tokio::time::timeout;
+use trayswitch_core::{node::ProbeOutcome, registry::RegisteredEndpoint};
+
+use super::{Relay, event_stream::StreamItem, failed_attempt::wait_for_close};
+
+/// A process that is terminating may close its listening socket after its connections.
+const CLOSE_DELAY: Duration = Duration::from_millis(20);
+
+/// The error of a response that ended with its endpoint.
+pub(super) const CRASHED: &str = "the endpoint crashed, and its response may be incomplete";
+
+/// Whether only the end of the connection ends a response.
+pub(super) fn is_unframed(head: &response::Parts) -> bool {
+    let has_body = !matches!(head.status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
+    has_body
+        && !head.headers.contains_key(header::CONTENT_LENGTH)
+        && !head.headers.contains_key(header::TRANSFER_ENCODING)
+}
+
+impl Relay {
+    /// Tells whether a stream whose connection has ended is complete; other items stay as they are.
+    pub(super) async fn resolve_connection_end(
+        self: &Rc<Self>,
+        item: StreamItem,
+        endpoint: Option<&RegisteredEndpoint>,
+    ) -> StreamItem {
+        match (item, endpoint) {
+            (StreamItem::ConnectionEnd, Some(endpoint))
+                if !self.is_unframed_response_complete(endpoint).await =>
+            {
+                StreamItem::Error(CRASHED.into())
+            }
+            (StreamItem::ConnectionEnd, _) => StreamItem::End,
+            (item, _) => item,
+        }
+    }
+
+    /// Whether an unframed response is complete after its connection has ended: the endpoint has not
+    /// crashed.
+    pub(super) async fn is_unframed_response_complete(
+        self: &Rc<Self>,
+        endpoint: &RegisteredEndpoint,
+    ) -> bool {
+        let known = self.node.view().endpoint(&endpoint.id);
+        let is_leaving = known.is_none_or(|known| !known.available && !known.hall_out);
+        if is_leaving {
+            // It may exit after its last response.
+            return true;
+        }
+        match self.probe(endpoint).await {
+            (ProbeOutcome::ConnectionRefused, _) => false,
+            (_, Some(connection)) => {
+                timeout(CLOSE_DELAY, wait_for_close(connection)).await.is_err()
+            }
+            (_, None) => true,
+        }
+    }
+}
