--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -96,6 +96,9 @@
             for ends in suspects::ends(&daemons) {
                 println!("{}", serde_json::to_string(&ends)?);
             }
+            for outcome in suspects::outcomes(&daemons) {
+                println!("{}", serde_json::to_string(&outcome)?);
+            }
             Ok(())
         }
         Options::Limits(daemons) => {
--- a/crates/lab/src/suspects/cost.rs
+++ b/crates/lab/src/suspects/cost.rs
@@ -6,7 +6,7 @@
 use trayswitch_core::{
     mechanism::Disabled,
     node::{Clocks, Input, Node, NodeOptions, NodeTiming},
-    quarantine::{ContentDigest, DigestKey, RequestIdentity},
+    quarantine::{ContentDigest, DigestKey, PromptPart, RequestIdentity},
     units::{Instant, UnixMillis},
     wire::{Body, SuspectChange, SuspectNews},
 };
@@ -18,6 +18,9 @@
 /// Bytes of a body: a call, a prompt, a long prompt.
 const BODIES: [usize; 3] = [200, 10_000, 400_000];
 
+/// Parts of a prompt: none, as of a call, and as many as of a long conversation.
+const PARTS: [u128; 2] = [0, 6];
+
 /// Cost at one size.
 #[derive(Debug, Serialize)]
 pub(crate) struct Cost {
@@ -25,17 +28,19 @@
     pub(crate) records: u64,
     /// Bytes of the body.
     pub(crate) body: usize,
+    /// Parts of the prompt.
+    pub(crate) parts: u128,
     /// Nanoseconds for one request.
     pub(crate) nanos: f64,
 }
 
 /// Times the look at several sizes.
 pub(crate) fn costs() -> Vec<Cost> {
-    let at = |records| BODIES.map(|body| cost(records, body));
-    RECORDS.into_iter().flat_map(at).collect()
+    let at = |records| BODIES.map(|body| PARTS.map(|parts| cost(records, body, parts)));
+    RECORDS.into_iter().flat_map(at).flatten().collect()
 }
 
-fn cost(records: u64, body: usize) -> Cost {
+fn cost(records: u64, body: usize, parts: u128) -> Cost {
     let node = daemon(records);
     let key = DigestKey::new(b"key of the daemons");
     let bytes = vec![b'x'; body];
@@ -45,10 +50,13 @@
     for _ in 0..looks {
         let req = black_box(&req);
         if black_box(node.has_suspects()) {
-            black_box(node.crash_counts(&key.digest(req)));
+            let parts = (0..parts).map(|part| key.part_digest(PromptPart(part)));
+            let contents: Vec<ContentDigest> =
+                std::iter::once(key.digest(req)).chain(parts).collect();
+            black_box(node.verdict(&contents));
         }
     }
-    Cost { records, body, nanos: began.elapsed().as_secs_f64() * 1e9 / looks as f64 }
+    Cost { records, body, parts, nanos: began.elapsed().as_secs_f64() * 1e9 / looks as f64 }
 }
 
 /// A daemon that was told of so many suspects.
--- a/crates/server/src/relay/tests/mod.rs
+++ b/crates/server/src/relay/tests/mod.rs
@@ -4,6 +4,7 @@
 mod calls;
 mod cancellation;
 mod cold_start;
+mod connection_skew;
 mod data_halls;
 mod failed_attempt;
 mod fake_endpoint;
