--- a/crates/core/src/quarantine/suspect_table.rs
+++ b/crates/core/src/quarantine/suspect_table.rs
@@ -18,12 +18,12 @@
     wire::{SuspectChange, SuspectNews},
 };
 
-/// Maximum records, of at most 0.5 kB each: more than the requests that a whole data hall runs at
+/// Maximum records, of 0.1 kB with one crash and 1.5 kB at most: more than the requests that a whole data hall runs at
 /// once. A data hall of the two-year size runs 3,300.
 const MAX_RECORDS: usize = 4_096;
 /// Maximum removed requests that are remembered to announce their removal.
 const MAX_REMOVED: usize = MAX_RECORDS;
-/// Maximum changes per message, which makes 6 kB.
+/// Maximum changes per message, which makes 15 kB if each has one crash.
 const CHANGES_PER_MESSAGE: usize = 256;
 
 /// An endpoint crashed while this request was running on it.
@@ -359,6 +359,11 @@
         self.by_request.get(content).map(|record| record.runs.clone()).unwrap_or_default()
     }
 
+    fn was_present(&self, content: &ContentDigest, run: &CrashedRun) -> bool {
+        let record = self.by_request.get(content);
+        record.is_some_and(|record| record.runs.iter().any(|known| known.is_same(run)))
+    }
+
     fn suspects(&self) -> Vec<ContentDigest> {
         self.by_request.keys().copied().collect()
     }
--- a/crates/core/src/quarantine/verdict.rs
+++ b/crates/core/src/quarantine/verdict.rs
@@ -10,6 +10,9 @@
     /// The most recent crashes counted against a content.
     fn crashed_runs(&self, content: &ContentDigest) -> Vec<CrashedRun>;
 
+    /// Whether requests with a content were interrupted by a crash.
+    fn was_present(&self, content: &ContentDigest, run: &CrashedRun) -> bool;
+
     /// All contents with crashes.
     fn suspects(&self) -> Vec<ContentDigest>;
 
@@ -81,13 +84,11 @@
 ) -> bool {
     let mut runs = history.crashed_runs(content);
     runs.pop();
-    let is_present_at_all = |other: &ContentDigest| {
-        let others = history.crashed_runs(other);
-        runs.iter().all(|run| others.iter().any(|other| other.is_same(run)))
-    };
+    let was_present_at_all =
+        |other: &ContentDigest| runs.iter().all(|run| history.was_present(other, run));
     !runs.is_empty()
         && history
             .suspects()
             .iter()
-            .any(|other| !contents.contains(other) && is_present_at_all(other))
+            .any(|other| !contents.contains(other) && was_present_at_all(other))
 }
