Errors of endpoints and forwarded responses that end with their connection are checked, too

A 500 cut short by a crash reached the caller of a generation as a whole answer, and a forwarder reframed what a crash had cut. Both are read through the same check now.

--- a/crates/server/src/relay/call.rs
+++ b/crates/server/src/relay/call.rs
@@ -15,15 +15,9 @@
 
 use super::{
     Job, MAX_REJECTIONS, RejectionReason, Relay, ResponseClass,
-    endpoint_connection::EndpointRequest,
-    failed_attempt::AttemptGuard,
-    forwarding::Purpose,
-    job::ResumeFrom,
-    load_balancer::Outcome,
-    no_response_error,
-    quarantine_turn::QuarantineTurn,
+    endpoint_connection::EndpointRequest, failed_attempt::AttemptGuard, forwarding::Purpose,
+    job::ResumeFrom, load_balancer::Outcome, no_response_error, quarantine_turn::QuarantineTurn,
     rate_limit::AttemptKind,
-    unframed_response::{CRASHED, is_unframed},
 };
 use crate::{
     edge::{self, Body, LocalFuture},
@@ -392,17 +386,11 @@
         }
     };
     let signals = relay.on_response(&job.service, endpoint, sent_at, &open.head);
-    let body = open.body.collect(MAX_RESPONSE_BYTES).await;
-    let is_complete =
-        !is_unframed(&open.head) || relay.is_unframed_response_complete(endpoint).await;
-    match body.and_then(|body| is_complete.then_some(body).ok_or_else(|| CRASHED.to_owned())) {
+    let head = open.head.clone();
+    match relay.read_whole_body(endpoint, open, MAX_RESPONSE_BYTES).await {
         Ok(body) => {
             let outcome = if success { Outcome::Success } else { Outcome::Error };
-            AttemptReport {
-                end: AttemptEnd::Response { head: open.head, body, success },
-                outcome,
-                signals,
-            }
+            AttemptReport { end: AttemptEnd::Response { head, body, success }, outcome, signals }
         }
         Err(error) => {
             relay.on_attempt_failed(job, turn, endpoint, 0).await;
--- a/crates/server/src/relay/generation.rs
+++ b/crates/server/src/relay/generation.rs
@@ -335,8 +335,9 @@
             *signals = relay.on_response(&job.service, known, sent_at, &open.head);
             /// Largest error response body that is buffered.
             const MAX_ERROR_BODY_BYTES: usize = 1024 * 1024;
-            return match open.body.collect(MAX_ERROR_BODY_BYTES).await {
-                Ok(body) => Ok(Opened::Failed { head: open.head, body }),
+            let head = open.head.clone();
+            return match relay.read_whole_body(known, open, MAX_ERROR_BODY_BYTES).await {
+                Ok(body) => Ok(Opened::Failed { head, body }),
                 Err(error) => {
                     on_attempt_failed().await;
                     Err(OpenError::Unknown(error))
--- a/crates/server/src/relay/tests/unframed_responses.rs
+++ b/crates/server/src/relay/tests/unframed_responses.rs
@@ -15,6 +15,7 @@
     protocol::ID,
     response::{outcome, text},
     test_daemon::{TestDaemon, run_test},
+    test_fleet::{Network, TestFleet},
 };
 
 /// An endpoint that writes its responses byte by byte.
@@ -30,6 +31,15 @@
         RawEndpoint { listener }
     }
 
+    /// An endpoint of a fleet, which all entries know.
+    async fn open_in(fleet: &TestFleet, service: &str, name: &str) -> RawEndpoint {
+        let endpoint = RawEndpoint::open(&fleet.control, service, name).await;
+        for entry in &fleet.entries {
+            entry.daemon.wait_until(|| entry.daemon.is_open(name) == Some(true)).await;
+        }
+        endpoint
+    }
+
     /// The next request with a response of its own; connections without a request are passed over.
     async fn next_request(&mut self) -> RawResponse {
         loop {
@@ -54,7 +64,12 @@
 impl RawResponse {
     /// Sends the head of an unframed response and the beginning of its body.
     async fn send(&mut self, body: &str) {
-        let head = format!("HTTP/1.1 200 OK\r\n{ID}: {}\r\nconnection: close\r\n\r\n", self.id);
+        self.send_status("200 OK", body).await;
+    }
+
+    /// The same with another status.
+    async fn send_status(&mut self, status: &str, body: &str) {
+        let head = format!("HTTP/1.1 {status}\r\n{ID}: {}\r\nconnection: close\r\n\r\n", self.id);
         self.socket.write_all(format!("{head}{body}").as_bytes()).await.unwrap();
     }
 }
@@ -159,3 +174,40 @@
         expect_that!(outcome(&answer), some(eq("outcome_unknown")));
     });
 }
+
+#[gtest]
+fn error_of_a_crashed_endpoint_is_no_answer() {
+    run_test(async {
+        let daemon = TestDaemon::open().await;
+        for (service, path) in [("desk", "/once/"), ("engines", "/chat/")] {
+            let mut raw = RawEndpoint::open(&daemon, service, service).await;
+
+            let (answer, ()) = join!(daemon.send(path, "r1"), async {
+                let mut response = raw.next_request().await;
+                response.send_status("500 Internal Server Error", "half of").await;
+                drop(raw);
+            });
+
+            expect_that!(answer.head.status, eq(StatusCode::BAD_GATEWAY), "{path}");
+        }
+    });
+}
+
+#[gtest]
+fn stream_of_a_crashed_endpoint_breaks_off_through_a_forwarder() {
+    run_test(async {
+        let fleet = TestFleet::start(2).await;
+        let mut raw = RawEndpoint::open_in(&fleet, "engines", "e1").await;
+        let entry = &fleet.entries[0];
+        entry.set_network(Network::Refuses);
+
+        let (body, ()) =
+            join!(async { text(entry.daemon.send("/chat/", "r1").await).await }, async {
+                let mut response = raw.next_request().await;
+                response.send(&events_to(2)).await;
+                drop(raw);
+            });
+
+        expect_that!(body, err(anything()));
+    });
+}
--- a/crates/server/src/relay/unframed_response.rs
+++ b/crates/server/src/relay/unframed_response.rs
@@ -3,11 +3,13 @@
 
 use std::{rc::Rc, time::Duration};
 
+use bytes::Bytes;
 use http::{StatusCode, header, response};
 use tokio::time::timeout;
 use trayswitch_core::{node::ProbeOutcome, registry::RegisteredEndpoint};
 
 use super::{Relay, event_stream::StreamItem, failed_attempt::wait_for_close};
+use crate::upstream::OpenAnswer;
 
 /// A process that is terminating may close its listening socket after its connections.
 const CLOSE_DELAY: Duration = Duration::from_millis(20);
@@ -24,6 +26,20 @@
 }
 
 impl Relay {
+    /// Reads a body of at most `limit` bytes; an error if it is incomplete.
+    pub(super) async fn read_whole_body(
+        self: &Rc<Self>,
+        endpoint: &RegisteredEndpoint,
+        open: OpenAnswer,
+        limit: usize,
+    ) -> Result<Bytes, String> {
+        let body = open.body.collect(limit).await?;
+        if is_unframed(&open.head) && !self.is_unframed_response_complete(endpoint).await {
+            return Err(CRASHED.to_owned());
+        }
+        Ok(body)
+    }
+
     /// Tells whether a stream whose connection has ended is complete; other items stay as they are.
     pub(super) async fn resolve_connection_end(
         self: &Rc<Self>,
