--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -10,7 +10,8 @@
 //! - `operations` sends changes of the replicated state to the leader;
 //! - `placement_client` places this daemon's requests;
 //! - `permit_client` requests permits for endpoints with rate limits;
-//! - `suspect_tracker` tracks requests that may crash endpoints;
+//! - `suspect_tracker` tracks requests, and parts of prompts, that may crash endpoints; `local_suspects`
+//!   holds what the leader has not recorded, and `crash_spread` tells other daemons of it;
 //! - `stream_origins` tells which software version began the streams that callers take up;
 //! - `directory` lists the control VMs and `endpoints` the endpoints that register; of a large
 //!   fleet's, an entry knows a sample (`endpoint_sources`) and those that it uses (`endpoint_uses`).
@@ -33,6 +34,7 @@
 mod config_store_tests;
 mod control;
 mod control_client;
+mod crash_spread;
 mod directory;
 mod dispatcher;
 mod endpoint_news;
@@ -72,6 +74,7 @@
 mod suspect_tracker_tests;
 #[cfg(test)]
 mod tests;
+mod trials;
 mod watches;
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
@@ -114,7 +117,7 @@
     failed_attempt::{FailedAttempt, ProbeOutcome},
     messages::{CallId, Input, NodeCall, NodeReply, Output, Placement, SentChange, SubmitError},
     options::{Clocks, NodeOptions, NodeTiming},
-    suspect_tracker::TrialAnswer,
+    trials::TrialAnswer,
 };
 
 /// Name of a VM.
--- a/crates/core/src/node/suspect_tracker.rs
+++ b/crates/core/src/node/suspect_tracker.rs
@@ -6,15 +6,14 @@
 //! trial that the leader grants; pending trials are requested again when the leader changes. Without a
 //! leader the daemon grants trials of prompt parts itself, one of each at a time.
 
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    time::Duration,
-};
+use std::{collections::BTreeMap, time::Duration};
 
 use super::{
     CallId, FailedAttempt, NodeReply, Outbox, Output, ProbeOutcome, VmName,
+    crash_spread::CrashSpread,
     local_suspects::{LocalSuspects, MergedHistory},
     operations::Operations,
+    trials::{PendingTrial, RunningTrial, TrialAnswer},
 };
 use crate::{
     quarantine::{
@@ -30,9 +29,6 @@
 
 /// Time for which an unrecorded crash is reported to leaders.
 const REPORT_TIMEOUT: Duration = Duration::from_secs(120);
-/// A crash that no leader has recorded for this long is told to the control VMs; several times what a
-/// leader that answers takes.
-const SPREAD_DELAY: Duration = Duration::from_millis(150);
 /// Wait for a leader after which the daemon grants a trial of a prompt part itself. An election takes
 /// longer, and sound requests share parts with suspects.
 const LOCAL_GRANT_DELAY: Duration = Duration::from_millis(200);
@@ -43,45 +39,6 @@
 /// Maximum number of unresolved failures; the oldest is dropped beyond that.
 const MAX_AMBIGUOUS: usize = 1_024;
 
-/// Whether an attempt of a suspect may run.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum TrialAnswer {
-    /// It may run as a trial, whose end must be reported with [`super::Input::TrialEnded`].
-    Granted {
-        /// The suspect content.
-        content: ContentDigest,
-        /// Whether it must run without other requests on the endpoint.
-        isolated: bool,
-    },
-    /// The content that was most suspect is not a suspect any more.
-    Clear,
-    /// The request is in quarantine and must not be sent to any endpoint.
-    Quarantined,
-    /// Other trials are queued, or no leader answers.
-    Unavailable,
-}
-
-/// A trial that is not decided on.
-#[derive(Debug)]
-struct PendingTrial {
-    /// The most suspect content of the request.
-    content: ContentDigest,
-    /// All contents of the request.
-    contents: Vec<ContentDigest>,
-    /// When the daemon may grant it without a leader.
-    local_from: Instant,
-    deadline: Instant,
-}
-
-/// A trial that runs on an endpoint.
-#[derive(Debug)]
-struct RunningTrial {
-    content: ContentDigest,
-    contents: Vec<ContentDigest>,
-    /// Whether it has started to answer, so that other trials of the content need not wait.
-    started: bool,
-}
-
 /// A failed attempt at an endpoint that may or may not have crashed.
 #[derive(Debug)]
 struct AmbiguousFailure {
@@ -95,10 +52,7 @@
 pub(crate) struct SuspectTracker {
     known: SuspectCache,
     local: LocalSuspects,
-    /// Reports that are not known to be recorded, by their operations, and when to spread them.
-    unrecorded: BTreeMap<u64, (CrashReport, Instant)>,
-    /// Linked daemons: on an entry the control VMs, on a control VM all.
-    links: BTreeSet<VmName>,
+    spread: CrashSpread,
     ambiguous: Vec<AmbiguousFailure>,
     pending: BTreeMap<CallId, PendingTrial>,
     running: BTreeMap<CallId, RunningTrial>,
@@ -143,11 +97,11 @@
     }
 
     pub(super) fn link_up(&mut self, vm: &VmName) {
-        self.links.insert(vm.clone());
+        self.spread.link_up(vm);
     }
 
     pub(super) fn link_down(&mut self, vm: &VmName) {
-        self.links.remove(vm);
+        self.spread.link_down(vm);
     }
 
     /// Applies changes of the replicated crash records.
@@ -171,10 +125,7 @@
             self.publish_counts(out);
         }
         if cx.is_control && !seen.forwarded {
-            let seen = CrashSeen { report: seen.report.clone(), forwarded: true };
-            for vm in self.links.iter().filter(|vm| *vm != from) {
-                out.send(vm, Body::CrashSeen(seen.clone()));
-            }
+            self.spread.pass_on(from, &seen.report, out);
         }
     }
 
@@ -230,28 +181,17 @@
         self.local.record(&report, cx.now);
         let kind = OperationKind::Ended(report.clone());
         let number = cx.operations.start_detached(kind, REPORT_TIMEOUT, cx.leader, cx.now, out);
-        if cx.leader.is_some() {
-            self.unrecorded.insert(number, (report, cx.now.after(SPREAD_DELAY)));
-        } else {
-            self.spread(report, cx.is_control, out);
-        }
+        let has_leader = cx.leader.is_some();
+        self.spread.on_reported(number, report, has_leader, cx.is_control, cx.now, out);
         if let Some(call) = trial {
             self.finishing.insert(number, *call);
         }
         self.publish_counts(out);
     }
 
-    /// Tells all daemons of a crash without a leader: an entry by way of the control VMs.
-    fn spread(&self, report: CrashReport, is_control: bool, out: &mut Outbox) {
-        let seen = CrashSeen { report, forwarded: is_control };
-        for vm in &self.links {
-            out.send(vm, Body::CrashSeen(seen.clone()));
-        }
-    }
-
     /// Handles the leader's reply that a reported crash is recorded.
     pub(super) fn on_crash_recorded(&mut self, operation: u64, cx: &Context<'_>, out: &mut Outbox) {
-        self.unrecorded.remove(&operation);
+        self.spread.on_recorded(operation);
         if let Some(call) = self.finishing.remove(&operation)
             && !self.finishing.values().any(|other| *other == call)
             && !self.running.contains_key(&call)
@@ -414,8 +354,8 @@
     pub(super) fn next_tick(&self) -> Option<Instant> {
         let pending = self.pending.values().map(|pending| pending.deadline.min(pending.local_from));
         let ambiguous = self.ambiguous.iter().map(|failure| failure.deadline);
-        let unrecorded = self.unrecorded.values().map(|(_, spread_at)| *spread_at);
-        pending.chain(ambiguous).chain(unrecorded).chain(self.local.next_expiry()).min()
+        let others = [self.spread.next_tick(), self.local.next_expiry()];
+        pending.chain(ambiguous).chain(others.into_iter().flatten()).min()
     }
 
     pub(super) fn tick(&mut self, cx: &mut Context<'_>, out: &mut Outbox) {
@@ -424,7 +364,7 @@
         if self.local.expire(now) {
             self.publish_counts(out);
         }
-        self.spread_unrecorded(cx, out);
+        self.spread.tick(cx.is_control, now, out);
         // After so long without a leader, no leader has state of this daemon's trials.
         self.finishing.retain(|number, _| cx.operations.is_pending(*number));
         let overdue = self.pending.iter().filter(|(_, pending)| pending.deadline <= now);
@@ -441,16 +381,6 @@
         }
     }
 
-    /// Spreads crashes that no leader has recorded in time.
-    fn spread_unrecorded(&mut self, cx: &Context<'_>, out: &mut Outbox) {
-        let due = self.unrecorded.iter().filter(|(_, (_, spread_at))| *spread_at <= cx.now);
-        for number in due.map(|(number, _)| *number).collect::<Vec<_>>() {
-            if let Some((report, _)) = self.unrecorded.remove(&number) {
-                self.spread(report, cx.is_control, out);
-            }
-        }
-    }
-
     /// Checks whether the registry now shows endpoints of ambiguous failures as crashed.
     fn resolve_ambiguous(&mut self, cx: &mut Context<'_>, out: &mut Outbox) {
         let ambiguous = std::mem::take(&mut self.ambiguous);
--- a/crates/core/src/quarantine/suspect_table.rs
+++ b/crates/core/src/quarantine/suspect_table.rs
@@ -116,7 +116,7 @@
 /// Suspects and their crashes.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct SuspectTable {
-    by_request: BTreeMap<ContentDigest, SuspectRecord>,
+    by_content: BTreeMap<ContentDigest, SuspectRecord>,
     /// The latest change of each suspect and of recently removed requests, by revision.
     changes: BTreeMap<u64, ContentDigest>,
     /// Recently removed requests and the revisions of their removal.
@@ -155,12 +155,12 @@
 impl SuspectTable {
     /// Crash counts of a request.
     pub fn crash_counts(&self, request: &ContentDigest) -> CrashCounts {
-        self.by_request.get(request).map_or(CrashCounts::default(), |record| record.crashes)
+        self.by_content.get(request).map_or(CrashCounts::default(), |record| record.crashes)
     }
 
     /// All suspects, quarantined ones first.
     pub fn all(&self) -> Vec<Suspect> {
-        let mut all: Vec<Suspect> = self.by_request.iter().map(suspect).collect();
+        let mut all: Vec<Suspect> = self.by_content.iter().map(suspect).collect();
         all.sort_by_key(|suspect| (!suspect.crashes.is_quarantined(), suspect.request));
         all
     }
@@ -169,7 +169,7 @@
     pub(crate) fn record_crash(&mut self, report: &CrashReport, now: UnixMillis) -> SuspectUpdate {
         let mut changed = Vec::new();
         for (content, in_trial) in report.contents() {
-            let record = self.by_request.entry(content).or_insert_with(SuspectRecord::new);
+            let record = self.by_content.entry(content).or_insert_with(SuspectRecord::new);
             if record.add_crash(&report.run, in_trial, now) {
                 self.mark_changed(content);
                 self.evict(content);
@@ -182,14 +182,14 @@
     /// Removes suspects.
     pub(crate) fn clear(&mut self, clear: &ClearRequest) -> SuspectUpdate {
         let known: Vec<ContentDigest> =
-            clear.contents().filter(|content| self.by_request.contains_key(content)).collect();
+            clear.contents().filter(|content| self.by_content.contains_key(content)).collect();
         known.iter().for_each(|content| self.remove(*content));
         self.updated(&known)
     }
 
     /// Removes the suspects whose last crash was before `at`.
     pub(crate) fn remove_before(&mut self, at: UnixMillis) {
-        let old = self.by_request.iter().filter(|(_, record)| record.updated_at < at);
+        let old = self.by_content.iter().filter(|(_, record)| record.updated_at < at);
         for content in old.map(|(content, _)| *content).collect::<Vec<_>>() {
             self.remove(content);
         }
@@ -197,30 +197,30 @@
 
     /// When the least recent of the last crashes was.
     pub(crate) fn oldest(&self) -> Option<UnixMillis> {
-        self.by_request.values().map(|record| record.updated_at).min()
+        self.by_content.values().map(|record| record.updated_at).min()
     }
 
     pub(crate) fn is_empty(&self) -> bool {
-        self.by_request.is_empty()
+        self.by_content.is_empty()
     }
 
     /// All suspects.
     pub(crate) fn contents(&self) -> impl Iterator<Item = &ContentDigest> {
-        self.by_request.keys()
+        self.by_content.keys()
     }
 
     /// When [`SuspectTable::expire`] next has an effect.
     pub(crate) fn next_expiry(&self) -> Option<UnixMillis> {
-        self.by_request.values().map(SuspectRecord::due_at).min()
+        self.by_content.values().map(SuspectRecord::due_at).min()
     }
 
     /// Removes suspects without recent crashes, and releases requests from quarantine for one more
     /// trial.
     pub(crate) fn expire(&mut self, now: UnixMillis) -> SuspectUpdate {
         let due: Vec<ContentDigest> =
-            self.by_request.iter().filter(|(_, r)| r.due_at() <= now).map(|(d, _)| *d).collect();
+            self.by_content.iter().filter(|(_, r)| r.due_at() <= now).map(|(d, _)| *d).collect();
         for request in due {
-            match self.by_request.get_mut(&request) {
+            match self.by_content.get_mut(&request) {
                 Some(record) if record.crashes.is_quarantined() => {
                     record.release(now);
                     self.mark_changed(request);
@@ -263,7 +263,7 @@
             last_ms: record.updated_at.0,
             revision: record.revision,
         };
-        let records = self.by_request.iter().map(record).collect();
+        let records = self.by_content.iter().map(record).collect();
         EncodedSuspectTable { revision: self.revision, records }
     }
 
@@ -277,12 +277,12 @@
                 SuspectRecord { crashes, runs, updated_at: UnixMillis(last_ms), revision },
             ))
         };
-        let by_request: BTreeMap<ContentDigest, SuspectRecord> =
+        let by_content: BTreeMap<ContentDigest, SuspectRecord> =
             encoded.records.into_iter().filter_map(record).collect();
-        let changes = by_request.iter().map(|(request, r)| (r.revision, *request)).collect();
+        let changes = by_content.iter().map(|(request, r)| (r.revision, *request)).collect();
         let revision = encoded.revision;
         SuspectTable {
-            by_request,
+            by_content,
             changes,
             removed: BTreeMap::new(),
             revision,
@@ -297,7 +297,7 @@
     fn updated(&self, contents: &[ContentDigest]) -> SuspectUpdate {
         let removed = || SuspectRecord { revision: self.revision, ..SuspectRecord::new() };
         let current = |content: &ContentDigest| {
-            let record = self.by_request.get(content).cloned().unwrap_or_else(removed);
+            let record = self.by_content.get(content).cloned().unwrap_or_else(removed);
             suspect((content, &record))
         };
         SuspectUpdate { revision: self.revision, changed: contents.iter().map(current).collect() }
@@ -306,7 +306,7 @@
     /// Assigns the next revision to a change of `request`.
     fn mark_changed(&mut self, request: ContentDigest) {
         self.revision += 1;
-        let Some(record) = self.by_request.get_mut(&request) else { return };
+        let Some(record) = self.by_content.get_mut(&request) else { return };
         let previous = std::mem::replace(&mut record.revision, self.revision);
         self.changes.remove(&previous);
         if let Some(removed) = self.removed.remove(&request) {
@@ -317,17 +317,17 @@
 
     fn remove(&mut self, request: ContentDigest) {
         self.mark_changed(request);
-        self.by_request.remove(&request);
+        self.by_content.remove(&request);
         self.removed.insert(request, self.revision);
         self.trim_removed();
     }
 
     /// Evicts one record other than `kept` if the table is full.
     fn evict(&mut self, kept: ContentDigest) {
-        if self.by_request.len() <= MAX_RECORDS {
+        if self.by_content.len() <= MAX_RECORDS {
             return;
         }
-        let others = self.by_request.iter().filter(|(request, _)| **request != kept);
+        let others = self.by_content.iter().filter(|(request, _)| **request != kept);
         let victim =
             others.min_by_key(|(_, record)| record.eviction_rank()).map(|(request, _)| *request);
         if let Some(victim) = victim {
@@ -356,16 +356,16 @@
     }
 
     fn crashed_runs(&self, content: &ContentDigest) -> Vec<CrashedRun> {
-        self.by_request.get(content).map(|record| record.runs.clone()).unwrap_or_default()
+        self.by_content.get(content).map(|record| record.runs.clone()).unwrap_or_default()
     }
 
     fn was_present(&self, content: &ContentDigest, run: &CrashedRun) -> bool {
-        let record = self.by_request.get(content);
+        let record = self.by_content.get(content);
         record.is_some_and(|record| record.runs.iter().any(|known| known.is_same(run)))
     }
 
     fn suspects(&self) -> Vec<ContentDigest> {
-        self.by_request.keys().copied().collect()
+        self.by_content.keys().copied().collect()
     }
 }
 
