--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -63,8 +63,8 @@
     PlacedAlone = 315, "No scheduler answers; an engine drawn at random was asked for a place.";
     TakenWhileStopping = 314, "A daemon that stops has taken a generation that will likely end in time.";
     EndedUnder = 316, "An attempt broke off, and it was found out whether its endpoint has ended.";
-    SuspectChanged = 317, "The leader has put on record that an endpoint has ended under a request, or that the request is no suspect any more.";
-    TrialAsked = 318, "A try of a request under which endpoints have ended was let run, or was not.";
+    SuspectChanged = 317, "The leader has put on record that an endpoint has ended under a request or a part of prompts (`part:`), or that it is no suspect any more.";
+    TrialAsked = 318, "A try of a request under which endpoints have ended, or under a part of its prompt, was let run, or was not.";
     LimitChanged = 319, "An endpoint has named how many requests a second it takes, another number, or none any more.";
     PermitRequested = 320, "A call for which an endpoint that names a limit was chosen went there, elsewhere, or was refused.";
     SignalUnreadable = 321, "What an endpoint says of itself in an answer cannot be read.";
