A part of prompts that was cleared before does not stay in quarantine; the end of an unframed stream waits longer for a crash

Cause: the part that all requests share was quarantined after six crashes of other causes, and no request was left that could clear it. A part that was a suspect before and was cleared is tried again after 2 s, then 16, 128 and so on; requests, and parts never cleared, after an hour as before.

Streams wait 300 ms for that, 20 ms before; calls still 20 ms.

--- a/crates/core/src/quarantine/suspect_record.rs
+++ b/crates/core/src/quarantine/suspect_record.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::ContentDigest;
+use super::{ContentDigest, ContentKind};
 use crate::units::UnixMillis;
 
 /// Crashes after which a request is quarantined, if enough of them were in trials. Fewer could be
@@ -24,6 +24,11 @@
 /// Time in quarantine, after which one more trial is allowed: operators can intervene, and a
 /// request that still crashes endpoints does so once per period.
 pub(super) const QUARANTINE_DURATION: Duration = Duration::from_secs(3_600);
+/// Time in quarantine of a part of prompts that was cleared before, until its first further trial. All
+/// requests may share a part that was only beside the cause, and then nothing else can clear it.
+const PART_QUARANTINE_DURATION: Duration = Duration::from_secs(2);
+/// Factor by which that time grows with each further trial that crashes.
+const PART_QUARANTINE_GROWTH: u32 = 8;
 /// Crashes remembered per content, to recognize duplicate reports and to tell the cause from what was
 /// beside it.
 const MAX_RUNS: usize = 32;
@@ -110,6 +115,10 @@
     pub(super) updated_at: UnixMillis,
     /// Revision of the table at the last change of this record.
     pub(super) revision: u64,
+    /// Releases from quarantine so far.
+    pub(super) releases: u32,
+    /// Whether it was a suspect before, and cleared.
+    pub(super) was_cleared: bool,
 }
 
 impl SuspectRecord {
@@ -119,6 +128,8 @@
             runs: Vec::new(),
             updated_at: UnixMillis(0),
             revision: 0,
+            releases: 0,
+            was_cleared: false,
         }
     }
 
@@ -137,8 +148,15 @@
     }
 
     /// When the record expires or is released from quarantine.
-    pub(super) fn due_at(&self) -> UnixMillis {
-        let ttl = if self.crashes.is_quarantined() { QUARANTINE_DURATION } else { SUSPECT_TTL };
+    pub(super) fn due_at(&self, kind: ContentKind) -> UnixMillis {
+        let ttl = match (self.crashes.is_quarantined(), kind) {
+            (false, _) => SUSPECT_TTL,
+            (true, ContentKind::PromptPart) if self.was_cleared => {
+                let growth = PART_QUARANTINE_GROWTH.saturating_pow(self.releases);
+                PART_QUARANTINE_DURATION.saturating_mul(growth).min(QUARANTINE_DURATION)
+            }
+            (true, _) => QUARANTINE_DURATION,
+        };
         UnixMillis(self.updated_at.0.saturating_add(ttl.as_millis() as u64))
     }
 
@@ -146,6 +164,7 @@
     pub(super) fn release(&mut self, now: UnixMillis) {
         self.crashes =
             CrashCounts { total: QUARANTINE_CRASHES - 1, in_trials: QUARANTINE_TRIAL_CRASHES - 1 };
+        self.releases += 1;
         self.updated_at = now;
     }
 
--- a/crates/core/src/quarantine/suspect_table.rs
+++ b/crates/core/src/quarantine/suspect_table.rs
@@ -141,6 +141,10 @@
     last_ms: u64,
     #[prost(uint64, tag = "6")]
     revision: u64,
+    #[prost(uint32, tag = "7")]
+    releases: u32,
+    #[prost(bool, tag = "8")]
+    was_cleared: bool,
 }
 
 /// The table in a snapshot. Removals are not included: caches with an older revision are reset.
@@ -169,7 +173,9 @@
     pub(crate) fn record_crash(&mut self, report: &CrashReport, now: UnixMillis) -> SuspectUpdate {
         let mut changed = Vec::new();
         for (content, in_trial) in report.contents() {
-            let record = self.by_content.entry(content).or_insert_with(SuspectRecord::new);
+            let was_cleared = self.removed.contains_key(&content);
+            let new = || SuspectRecord { was_cleared, ..SuspectRecord::new() };
+            let record = self.by_content.entry(content).or_insert_with(new);
             if record.add_crash(&report.run, in_trial, now) {
                 self.mark_changed(content);
                 self.evict(content);
@@ -211,14 +217,18 @@
 
     /// When [`SuspectTable::expire`] next has an effect.
     pub(crate) fn next_expiry(&self) -> Option<UnixMillis> {
-        self.by_content.values().map(SuspectRecord::due_at).min()
+        self.by_content.iter().map(|(content, record)| record.due_at(content.kind())).min()
     }
 
     /// Removes suspects without recent crashes, and releases requests from quarantine for one more
     /// trial.
     pub(crate) fn expire(&mut self, now: UnixMillis) -> SuspectUpdate {
-        let due: Vec<ContentDigest> =
-            self.by_content.iter().filter(|(_, r)| r.due_at() <= now).map(|(d, _)| *d).collect();
+        let due: Vec<ContentDigest> = self
+            .by_content
+            .iter()
+            .filter(|(d, r)| r.due_at(d.kind()) <= now)
+            .map(|(d, _)| *d)
+            .collect();
         for request in due {
             match self.by_content.get_mut(&request) {
                 Some(record) if record.crashes.is_quarantined() => {
@@ -262,6 +272,8 @@
             runs: record.runs.clone(),
             last_ms: record.updated_at.0,
             revision: record.revision,
+            releases: record.releases,
+            was_cleared: record.was_cleared,
         };
         let records = self.by_content.iter().map(record).collect();
         EncodedSuspectTable { revision: self.revision, records }
@@ -270,11 +282,27 @@
     pub(crate) fn decode(encoded: EncodedSuspectTable) -> SuspectTable {
         let record = |record: EncodedSuspect| -> Option<Entry> {
             let request = ContentDigest::from_slice(&record.request)?;
-            let EncodedSuspect { ended, in_trials, runs, last_ms, revision, .. } = record;
+            let EncodedSuspect {
+                ended,
+                in_trials,
+                runs,
+                last_ms,
+                revision,
+                releases,
+                was_cleared,
+                ..
+            } = record;
             let crashes = CrashCounts { total: ended, in_trials };
             Some((
                 request,
-                SuspectRecord { crashes, runs, updated_at: UnixMillis(last_ms), revision },
+                SuspectRecord {
+                    crashes,
+                    runs,
+                    updated_at: UnixMillis(last_ms),
+                    revision,
+                    releases,
+                    was_cleared,
+                },
             ))
         };
         let by_content: BTreeMap<ContentDigest, SuspectRecord> =
--- a/crates/core/src/quarantine/verdict_tests.rs
+++ b/crates/core/src/quarantine/verdict_tests.rs
@@ -106,3 +106,26 @@
     }
     expect_that!(part(POPULAR).to_string(), starts_with("part:"));
 }
+
+#[gtest]
+fn quarantined_part_that_was_cleared_before_is_tried_again_soon_and_then_ever_more_seldom() {
+    let mut records = records_of(&[POPULAR], &[POPULAR]);
+    records.clear(&ClearRequest::new(&[part(POPULAR)]));
+    for endpoint in 11..14 {
+        crash(&mut records, endpoint, &contents(endpoint, &[POPULAR]), POPULAR);
+    }
+    let mut now = 0;
+
+    for wait in [2_000, 16_000, 128_000] {
+        records.expire(UnixMillis(now + wait - 1));
+        expect_that!(is_quarantined(&records, &[POPULAR]), eq(true), "before {wait} ms");
+        now += wait;
+        records.expire(UnixMillis(now));
+        expect_that!(is_quarantined(&records, &[POPULAR]), eq(false), "after {wait} ms");
+        let run = CrashedRun { endpoint: format!("f{wait}"), started_at: 0, detected_ms: 0 };
+        let content = part(POPULAR).to_bytes();
+        let report =
+            CrashReport { run, request: content, in_trial: true, ..CrashReport::default() };
+        records.record_crash(&report, UnixMillis(now));
+    }
+}
--- a/crates/server/src/relay/forwarding/server.rs
+++ b/crates/server/src/relay/forwarding/server.rs
@@ -19,7 +19,7 @@
     edge::{self, AnswerError, Body, Bounds, Gate, Handler, LocalFuture, Server, read_whole},
     relay::{
         Relay,
-        unframed_response::{CRASHED, is_unframed},
+        unframed_response::{CALL_CLOSE_DELAY, CRASHED, is_unframed},
     },
     upstream::{AnswerBody, LateResponse, OpenAnswer, SendError, exchange_on},
 };
@@ -171,7 +171,10 @@
     let relay = relay.clone();
     tokio::task::spawn_local(async move {
         let is_whole = pass_on(body, &tx).await;
-        if is_whole && is_unframed && !relay.is_unframed_response_complete(&endpoint).await {
+        if is_whole
+            && is_unframed
+            && !relay.is_unframed_response_complete(&endpoint, CALL_CLOSE_DELAY).await
+        {
             // The daemon that wants it then sees it broken off.
             let _ = tx.send(Err(AnswerError(CRASHED.to_owned()))).await;
         }
--- a/crates/server/src/relay/unframed_response.rs
+++ b/crates/server/src/relay/unframed_response.rs
@@ -11,8 +11,10 @@
 use super::{Relay, event_stream::StreamItem, failed_attempt::wait_for_close};
 use crate::upstream::OpenAnswer;
 
-/// A process that is terminating may close its listening socket after its connections.
-const CLOSE_DELAY: Duration = Duration::from_millis(20);
+/// A process that is terminating may close its listening socket after its connections. How long the end
+/// of a response waits for that: of a stream, whose events have all been passed on, and of a call.
+const STREAM_CLOSE_DELAY: Duration = Duration::from_millis(300);
+pub(super) const CALL_CLOSE_DELAY: Duration = Duration::from_millis(20);
 
 /// The error of a response that ended with its endpoint.
 pub(super) const CRASHED: &str = "the endpoint crashed, and its response may be incomplete";
@@ -34,7 +36,9 @@
         limit: usize,
     ) -> Result<Bytes, String> {
         let body = open.body.collect(limit).await?;
-        if is_unframed(&open.head) && !self.is_unframed_response_complete(endpoint).await {
+        if is_unframed(&open.head)
+            && !self.is_unframed_response_complete(endpoint, CALL_CLOSE_DELAY).await
+        {
             return Err(CRASHED.to_owned());
         }
         Ok(body)
@@ -48,7 +52,7 @@
     ) -> StreamItem {
         match (item, endpoint) {
             (StreamItem::ConnectionEnd, Some(endpoint))
-                if !self.is_unframed_response_complete(endpoint).await =>
+                if !self.is_unframed_response_complete(endpoint, STREAM_CLOSE_DELAY).await =>
             {
                 StreamItem::Error(CRASHED.into())
             }
@@ -62,6 +66,7 @@
     pub(super) async fn is_unframed_response_complete(
         self: &Rc<Self>,
         endpoint: &RegisteredEndpoint,
+        close_delay: Duration,
     ) -> bool {
         let known = self.node.view().endpoint(&endpoint.id);
         let is_leaving = known.is_none_or(|known| !known.available && !known.hall_out);
@@ -72,7 +77,7 @@
         match self.probe(endpoint).await {
             (ProbeOutcome::ConnectionRefused, _) => false,
             (_, Some(connection)) => {
-                timeout(CLOSE_DELAY, wait_for_close(connection)).await.is_err()
+                timeout(close_delay, wait_for_close(connection)).await.is_err()
             }
             (_, None) => true,
         }
