A response that ends with its connection is complete at an endpoint that closes new connections

What callers saw: 502, or a stream broken off, for whole responses of endpoints that reset connections beyond their limit. Cause: the probe that tells the end of a response from a crash took a closed connection for a crash. Evidence: the new test failed for a stream and a call (an error and an empty body). The probe is now repeated as the watch after a failed attempt does it, by the same function: a process that ends refuses the next connection.

--- a/crates/server/src/relay/failed_attempt.rs
+++ b/crates/server/src/relay/failed_attempt.rs
@@ -100,18 +100,9 @@
 
 impl EndpointWatch {
     /// Reports the endpoint as crashed if it refuses connections before the watch ends.
-    async fn run(self, mut connection: TcpStream) {
-        let until = Instant::now() + WATCH_DURATION;
-        for _ in 0..MAX_WATCH_PROBES {
-            if timeout_at(until, wait_for_close(connection)).await.is_err() {
-                return;
-            }
-            connection = match self.relay.probe(&self.endpoint).await {
-                // The endpoint is up and closed only the probe connection.
-                (_, Some(next)) => next,
-                (ProbeOutcome::ConnectionRefused, None) => return self.report_ended(),
-                (_, None) => return,
-            };
+    async fn run(self, connection: TcpStream) {
+        if self.relay.stops_listening(&self.endpoint, connection, WATCH_DURATION).await {
+            self.report_ended();
         }
     }
 
@@ -131,7 +122,7 @@
 }
 
 /// Waits until the peer closes an idle connection.
-pub(super) async fn wait_for_close(mut connection: TcpStream) {
+async fn wait_for_close(mut connection: TcpStream) {
     let mut unsolicited = [0; 64];
     while connection.read(&mut unsolicited).await.is_ok_and(|bytes| 0 < bytes) {}
 }
@@ -188,6 +179,27 @@
 }
 
 impl Relay {
+    /// Watches an endpoint that accepted a probe: whether it refuses connections within `duration`.
+    pub(super) async fn stops_listening(
+        self: &Rc<Self>,
+        endpoint: &RegisteredEndpoint,
+        mut connection: TcpStream,
+        duration: Duration,
+    ) -> bool {
+        let until = Instant::now() + duration;
+        for _ in 0..MAX_WATCH_PROBES {
+            if timeout_at(until, wait_for_close(connection)).await.is_err() {
+                return false;
+            }
+            connection = match self.probe(endpoint).await {
+                // The endpoint is up and closed only the probe connection.
+                (_, Some(next)) => next,
+                (outcome, None) => return outcome == ProbeOutcome::ConnectionRefused,
+            };
+        }
+        false
+    }
+
     /// Connects to an endpoint; returns the connection if it is accepted. If it is not, another
     /// daemon is asked, since the network of this one may refuse connections.
     pub(super) async fn probe(
--- a/crates/server/src/relay/tests/unframed_responses.rs
+++ b/crates/server/src/relay/tests/unframed_responses.rs
@@ -53,6 +53,11 @@
             }
         }
     }
+
+    /// Closes every new connection, as endpoints do that have too many.
+    async fn close_new_connections(&self) {
+        while self.listener.accept().await.is_ok() {}
+    }
 }
 
 /// A response to one request; dropping it closes the connection.
@@ -107,6 +112,28 @@
     });
 }
 
+#[gtest]
+fn response_of_an_endpoint_that_closes_new_connections_is_complete() {
+    run_test(async {
+        let daemon = TestDaemon::open().await;
+        for (service, path, body) in
+            [("engines", "/chat/", events_to(4)), ("desk", "/once/", "done".into())]
+        {
+            let mut raw = RawEndpoint::open(&daemon, service, service).await;
+            let answer = async { text(daemon.send(path, service).await).await };
+            let serving = async {
+                respond(&mut raw, &body).await;
+                raw.close_new_connections().await;
+            };
+
+            let answer =
+                tokio::select! { answer = answer => answer, () = serving => unreachable!() };
+
+            expect_that!(answer, ok(eq(&body)), "{path}");
+        }
+    });
+}
+
 #[gtest]
 fn stream_that_ends_within_an_event_is_continued_elsewhere() {
     run_test(async {
--- a/crates/server/src/relay/unframed_response.rs
+++ b/crates/server/src/relay/unframed_response.rs
@@ -5,10 +5,9 @@
 
 use bytes::Bytes;
 use http::{StatusCode, header, response};
-use tokio::time::timeout;
 use trayswitch_core::{node::ProbeOutcome, registry::RegisteredEndpoint};
 
-use super::{Relay, event_stream::StreamItem, failed_attempt::wait_for_close};
+use super::{Relay, event_stream::StreamItem};
 use crate::upstream::OpenAnswer;
 
 /// A process that is terminating may close its listening socket after its connections. How long the end
@@ -76,9 +75,7 @@
         }
         match self.probe(endpoint).await {
             (ProbeOutcome::ConnectionRefused, _) => false,
-            (_, Some(connection)) => {
-                timeout(close_delay, wait_for_close(connection)).await.is_err()
-            }
+            (_, Some(connection)) => !self.stops_listening(endpoint, connection, close_delay).await,
             (_, None) => true,
         }
     }
