A quarantined part of prompts is tried again after a minute

What callers would see: all requests refused for an hour, where faults of other causes quarantine a part that all of them share and that never was a suspect before: no request is left to clear it. It is tried again after 60 s, then 480 s, then every hour. Further, a released part counted as one with two crashes, so each daemon without a leader granted a trial of its own; it counts as one with many now, which only a leader tries. Evidence: both new tests failed before (still quarantined after 60 s; CrashCounts { total: 3, in_trials: 3 }).

--- a/crates/core/src/quarantine/suspect_record.rs
+++ b/crates/core/src/quarantine/suspect_record.rs
@@ -21,12 +21,14 @@
 /// Time without a crash after which a request is no longer a suspect. Callers that repeat a request
 /// do so within minutes.
 pub(super) const SUSPECT_TTL: Duration = Duration::from_secs(600);
-/// Time in quarantine, after which one more trial is allowed: operators can intervene, and a
-/// request that still crashes endpoints does so once per period.
-pub(super) const QUARANTINE_DURATION: Duration = Duration::from_secs(3_600);
-/// Time in quarantine of a part of prompts that was cleared before, until its first further trial. All
-/// requests may share a part that was only beside the cause, and then nothing else can clear it.
-const PART_QUARANTINE_DURATION: Duration = Duration::from_secs(2);
+/// Time in quarantine, after which one more trial is allowed: operators can intervene, and what still
+/// crashes endpoints does so once per period.
+const QUARANTINE_DURATION: Duration = Duration::from_secs(3_600);
+/// Time in quarantine of a part of prompts until its first further trial. All requests may share a part
+/// that was only beside the cause, and then nothing else can clear it.
+const PART_QUARANTINE_DURATION: Duration = Duration::from_secs(60);
+/// The same for a part that was cleared before.
+const CLEARED_PART_QUARANTINE_DURATION: Duration = Duration::from_secs(2);
 /// Factor by which that time grows with each further trial that crashes.
 const PART_QUARANTINE_GROWTH: u32 = 8;
 /// Crashes remembered per content, to recognize duplicate reports and to tell the cause from what was
@@ -151,19 +153,23 @@
     pub(super) fn due_at(&self, kind: ContentKind) -> UnixMillis {
         let ttl = match (self.crashes.is_quarantined(), kind) {
             (false, _) => SUSPECT_TTL,
-            (true, ContentKind::PromptPart) if self.was_cleared => {
+            (true, ContentKind::PromptPart) => {
+                let first = match self.was_cleared {
+                    true => CLEARED_PART_QUARANTINE_DURATION,
+                    false => PART_QUARANTINE_DURATION,
+                };
                 let growth = PART_QUARANTINE_GROWTH.saturating_pow(self.releases);
-                PART_QUARANTINE_DURATION.saturating_mul(growth).min(QUARANTINE_DURATION)
+                first.saturating_mul(growth).min(QUARANTINE_DURATION)
             }
-            (true, _) => QUARANTINE_DURATION,
+            (true, ContentKind::Request) => QUARANTINE_DURATION,
         };
         UnixMillis(self.updated_at.0.saturating_add(ttl.as_millis() as u64))
     }
 
-    /// Releases the request from quarantine for one more trial.
+    /// Releases the content from quarantine for one more trial, which the leader alone grants.
     pub(super) fn release(&mut self, now: UnixMillis) {
-        self.crashes =
-            CrashCounts { total: QUARANTINE_CRASHES - 1, in_trials: QUARANTINE_TRIAL_CRASHES - 1 };
+        let total = self.crashes.total.max(MANY_CRASHES);
+        self.crashes = CrashCounts { total, in_trials: 0 };
         self.releases += 1;
         self.updated_at = now;
     }
--- a/crates/core/src/quarantine/verdict_tests.rs
+++ b/crates/core/src/quarantine/verdict_tests.rs
@@ -107,25 +107,48 @@
     expect_that!(part(POPULAR).to_string(), starts_with("part:"));
 }
 
-#[gtest]
-fn quarantined_part_that_was_cleared_before_is_tried_again_soon_and_then_ever_more_seldom() {
-    let mut records = records_of(&[POPULAR], &[POPULAR]);
-    records.clear(&ClearRequest::new(&[part(POPULAR)]));
-    for endpoint in 11..14 {
-        crash(&mut records, endpoint, &contents(endpoint, &[POPULAR]), POPULAR);
-    }
+/// Checks that a part that was quarantined at 0 is released after each of these waits, in ms, and that
+/// one more crash in a trial then quarantines it again.
+fn check_releases(records: &mut SuspectTable, part_number: u128, waits: &[u64]) {
     let mut now = 0;
-
-    for wait in [2_000, 16_000, 128_000] {
+    for wait in waits {
         records.expire(UnixMillis(now + wait - 1));
-        expect_that!(is_quarantined(&records, &[POPULAR]), eq(true), "before {wait} ms");
+        expect_that!(is_quarantined(records, &[part_number]), eq(true), "before {wait} ms");
         now += wait;
         records.expire(UnixMillis(now));
-        expect_that!(is_quarantined(&records, &[POPULAR]), eq(false), "after {wait} ms");
+        expect_that!(is_quarantined(records, &[part_number]), eq(false), "after {wait} ms");
         let run = CrashedRun { endpoint: format!("f{wait}"), started_at: 0, detected_ms: 0 };
-        let content = part(POPULAR).to_bytes();
+        let content = part(part_number).to_bytes();
         let report =
             CrashReport { run, request: content, in_trial: true, ..CrashReport::default() };
         records.record_crash(&report, UnixMillis(now));
     }
 }
+
+#[gtest]
+fn quarantined_part_that_was_cleared_before_is_tried_again_soon_and_then_ever_more_seldom() {
+    let mut records = records_of(&[POPULAR], &[POPULAR]);
+    records.clear(&ClearRequest::new(&[part(POPULAR)]));
+    for endpoint in 11..14 {
+        crash(&mut records, endpoint, &contents(endpoint, &[POPULAR]), POPULAR);
+    }
+
+    check_releases(&mut records, POPULAR, &[2_000, 16_000, 128_000]);
+}
+
+#[gtest]
+fn quarantined_part_that_all_requests_share_is_tried_again_without_an_operator() {
+    let mut records = records_of(&[POPULAR], &[POPULAR; 3]);
+
+    check_releases(&mut records, POPULAR, &[60_000, 480_000, 3_600_000]);
+}
+
+#[gtest]
+fn released_part_is_not_tried_without_a_leader() {
+    let mut records = records_of(&[POPULAR], &[POPULAR; 3]);
+
+    records.expire(UnixMillis(60_000));
+
+    let crashes = records.crash_counts(&part(POPULAR));
+    expect_that!(crashes.are_many(), eq(true), "{crashes:?}");
+}
