An entry whose thread is saturated closes new connections unread

What callers would see while the platform hands them all to one daemon: requests that it has read end with 502 or at their deadline. Cause: nothing told a daemon that it was late with all that it had taken, so it took more. Now timers that are late by more than 200 ms for 500 ms, each of them, make it close new connections unread and say that it is not ready; such callers can try another entry at once, also with what may not be repeated.

Tests: a saturated thread sheds and takes connections again; a single late timer sheds nothing. There was no such check before, so neither could run on the former code.

--- a/crates/server/src/edge/mod.rs
+++ b/crates/server/src/edge/mod.rs
@@ -3,6 +3,7 @@
 mod body;
 mod connection;
 mod listener;
+mod overload;
 #[cfg(test)]
 mod tests;
 
@@ -16,6 +17,7 @@
 pub use self::{
     body::{AnswerError, Body, ReadError, empty, full, read_whole, streamed},
     listener::{Server, bind, bind_gated},
+    overload::OverloadMonitor,
 };
 
 /// A future on the daemon's one thread.
--- /dev/null
+++ b/crates/server/src/edge/overload.rs
@@ -0,0 +1,85 @@
+//! Sheds new connections while the daemon's thread is saturated.
+//!
+//! A saturated daemon is late with all that it has read. A caller whose connection is closed unread can
+//! try another daemon at once, whatever its request is.
+
+use std::{cell::Cell, rc::Rc, time::Duration};
+
+use eyre::{Result, bail};
+use tokio::net::TcpStream;
+use trayswitch_clock::Instant;
+
+use super::{Gate, LocalFuture};
+use crate::telemetry::{EventId, Metrics};
+
+/// Interval of measurements.
+const INTERVAL: Duration = Duration::from_millis(25);
+/// Delay of a timer beyond which the thread is saturated. Streams stand still as long at each event;
+/// a processor quota delays timers by up to half of it.
+pub(super) const MAX_DELAY: Duration = Duration::from_millis(200);
+/// For how long every timer must be that late: a suspension or a long task delays only one.
+pub(super) const WINDOW: Duration = Duration::from_millis(500);
+
+/// Measures by how much timers are late, and sheds new connections while all of them are.
+pub struct OverloadMonitor {
+    late_since: Cell<Option<Instant>>,
+    overloaded: Cell<bool>,
+    metrics: Rc<Metrics>,
+}
+
+impl OverloadMonitor {
+    /// Starts to measure; ends when the monitor is dropped.
+    pub fn spawn(metrics: Rc<Metrics>) -> Rc<OverloadMonitor> {
+        let monitor = Rc::new(OverloadMonitor::new(metrics));
+        let weak = Rc::downgrade(&monitor);
+        tokio::task::spawn_local(async move {
+            loop {
+                let due = Instant::now() + INTERVAL;
+                tokio::time::sleep(INTERVAL).await;
+                let Some(monitor) = weak.upgrade() else { return };
+                let now = Instant::now();
+                monitor.record(now.saturating_duration_since(due), now);
+            }
+        });
+        monitor
+    }
+
+    pub(super) fn new(metrics: Rc<Metrics>) -> OverloadMonitor {
+        OverloadMonitor { late_since: Cell::default(), overloaded: Cell::default(), metrics }
+    }
+
+    /// Whether new connections are shed, and callers should not be sent here.
+    pub fn is_overloaded(&self) -> bool {
+        self.overloaded.get()
+    }
+
+    /// Records by how much a timer was late.
+    pub(super) fn record(&self, late: Duration, now: Instant) {
+        let since = (MAX_DELAY < late).then(|| self.late_since.get().unwrap_or(now));
+        self.late_since.set(since);
+        let overloaded = since.is_some_and(|since| WINDOW <= now.saturating_duration_since(since));
+        if self.overloaded.replace(overloaded) != overloaded {
+            log::warn!(
+                event = EventId::LoadShedding.number(),
+                end = if overloaded { "begun" } else { "over" },
+                took_ms = late.as_millis() as u64;
+                "new connections are closed unread from now on, or are taken again"
+            );
+        }
+    }
+}
+
+impl Gate for OverloadMonitor {
+    fn admit(&self, socket: TcpStream) -> LocalFuture<'static, Result<TcpStream>> {
+        let is_shed = self.overloaded.get();
+        if is_shed {
+            self.metrics.connection_shed();
+        }
+        Box::pin(async move {
+            if is_shed {
+                bail!("the daemon is overloaded");
+            }
+            Ok(socket)
+        })
+    }
+}
--- a/crates/server/src/edge/tests.rs
+++ b/crates/server/src/edge/tests.rs
@@ -10,8 +10,13 @@
     net::TcpStream,
     task::LocalSet,
 };
+use trayswitch_clock::Instant;
 
-use super::{Body, Bounds, Handler, LocalFuture, Server, bind, full};
+use super::{
+    Body, Bounds, Handler, LocalFuture, OverloadMonitor, Server, bind, bind_gated, full,
+    overload::{MAX_DELAY, WINDOW},
+};
+use crate::telemetry::Metrics;
 
 /// Answers everything with one word.
 struct Word;
@@ -95,3 +100,55 @@
 
     expect_that!(answer, starts_with("HTTP/1.1 431"));
 }
+
+/// Blocks the thread again and again for longer than timers may be late.
+async fn saturate_thread() {
+    loop {
+        std::thread::sleep(2 * MAX_DELAY);
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+}
+
+async fn wait_until(monitor: &OverloadMonitor, is_overloaded: bool) {
+    while monitor.is_overloaded() != is_overloaded {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+}
+
+#[gtest]
+fn saturated_daemon_closes_new_connections_unread() {
+    let (shed, after) = on_local_tasks(async {
+        let metrics = Rc::new(Metrics::new().unwrap());
+        let monitor = OverloadMonitor::spawn(metrics.clone());
+        let any = "127.0.0.1:0".parse().unwrap();
+        let server = bind_gated(any, Rc::new(Word), monitor.clone()).unwrap();
+        let req = "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
+
+        let load = tokio::task::spawn_local(saturate_thread());
+        wait_until(&monitor, true).await;
+        let mut socket = TcpStream::connect(server.address()).await.unwrap();
+        let _ = socket.write_all(req.as_bytes()).await;
+        let shed = socket.read_to_end(&mut Vec::new()).await.unwrap_or_default();
+        load.abort();
+        wait_until(&monitor, false).await;
+        (shed, say(&server, req).await)
+    });
+
+    expect_that!(shed, eq(0));
+    expect_that!(after, ends_with("word"));
+}
+
+#[gtest]
+fn single_late_timer_sheds_nothing() {
+    let monitor = OverloadMonitor::new(Rc::new(Metrics::new().unwrap()));
+    let start = Instant::now();
+    let minute = Duration::from_secs(60);
+
+    monitor.record(minute, start);
+    let after_one = monitor.is_overloaded();
+    monitor.record(Duration::ZERO, start + WINDOW / 2);
+    monitor.record(minute, start + WINDOW);
+
+    expect_that!(after_one, eq(false));
+    expect_that!(monitor.is_overloaded(), eq(false));
+}
--- a/crates/server/src/telemetry/metrics.rs
+++ b/crates/server/src/telemetry/metrics.rs
@@ -34,6 +34,7 @@
     broken_paths: IntGauge,
     forwarded: IntCounterVec,
     forwarded_for_others: IntCounterVec,
+    shed_connections: IntCounterVec,
     leaves: IntCounterVec,
     latency: HistogramVec,
     first_event: HistogramVec,
@@ -150,6 +151,11 @@
                 "Requests that other daemons have offered to this one, by what became of them",
                 &["end"],
             )?,
+            shed_connections: counter(
+                "trayswitch_shed_connections_total",
+                "Connections of callers that were closed unread because the daemon was overloaded",
+                &[],
+            )?,
             leaves: counter(
                 "trayswitch_leaves_total",
                 "Calls for which an endpoint that names a limit was chosen, by service and what became of them",
@@ -272,6 +278,11 @@
         self.forwarded_for_others.with_label_values(&[end]).inc();
     }
 
+    /// Counts a connection that was closed unread.
+    pub(crate) fn connection_shed(&self) {
+        self.shed_connections.with_label_values::<&str>(&[]).inc();
+    }
+
     /// An endpoint has named in an answer how many requests a second it takes.
     pub fn limit_read(&self, service: &str, limit: &str) {
         self.limits_read.with_label_values(&[service, limit]).inc();
