relay: a startup test registers its endpoint before the configuration comes

Cause: the test's. The call goes on as soon as there is a configuration; if the endpoint was registered later than that, the call was refused, and the test waited for it for ever. The endpoint is registered first now; that the call waits for its configuration is checked as before.

--- a/crates/server/src/relay/tests/startup.rs
+++ b/crates/server/src/relay/tests/startup.rs
@@ -21,8 +21,8 @@
 
         let (answer, ()) = join!(daemon.send("/once/x", "r1"), async {
             daemon.wait_for_connection().await;
-            daemon.configure().await;
             let mut endpoint = daemon.register("desk", "e1").await;
+            daemon.configure().await;
             endpoint.next_arrival().await.answer(200, "done");
         });
 
