relay: an endpoint is looked up for the end of an unframed stream only, not for every event

Each event of every stream cloned the endpoint's record, though only a connection that ends without a length or chunks needs it.

--- a/crates/server/src/relay/generation.rs
+++ b/crates/server/src/relay/generation.rs
@@ -348,7 +348,7 @@
     let mut event_stream = EventStream::new(&open.head, open.body);
     let version = known.software_version.clone();
     let item = event_stream.next().await;
-    match relay.resolve_connection_end(item, Some(known)).await {
+    match relay.resolve_connection_end(item, || Some(known.clone())).await {
         StreamItem::Event(event) => {
             Ok(Opened::Stream { head: open.head, event_stream, first: Some(event), version })
         }
--- a/crates/server/src/relay/stream/mod.rs
+++ b/crates/server/src/relay/stream/mod.rs
@@ -163,8 +163,8 @@
     }
 
     async fn handle_item(&mut self, item: StreamItem) -> Result<(), EndReason> {
-        let endpoint = self.relay.node.view().endpoint(self.placed.endpoint());
-        match self.relay.resolve_connection_end(item, endpoint.as_ref()).await {
+        let endpoint = || self.relay.node.view().endpoint(self.placed.endpoint());
+        match self.relay.resolve_connection_end(item, endpoint).await {
             StreamItem::Event(event) => self.forward_event(event).await,
             StreamItem::End | StreamItem::ConnectionEnd if self.is_stopping() => {
                 self.on_stream_closed_during_relocation(true).await
--- a/crates/server/src/relay/unframed_response.rs
+++ b/crates/server/src/relay/unframed_response.rs
@@ -47,17 +47,16 @@
     pub(super) async fn resolve_connection_end(
         self: &Rc<Self>,
         item: StreamItem,
-        endpoint: Option<&RegisteredEndpoint>,
+        endpoint: impl FnOnce() -> Option<RegisteredEndpoint>,
     ) -> StreamItem {
-        match (item, endpoint) {
-            (StreamItem::ConnectionEnd, Some(endpoint))
-                if !self.is_unframed_response_complete(endpoint, STREAM_CLOSE_DELAY).await =>
-            {
-                StreamItem::Error(CRASHED.into())
+        let StreamItem::ConnectionEnd = item else { return item };
+        let is_complete = match endpoint() {
+            Some(endpoint) => {
+                self.is_unframed_response_complete(&endpoint, STREAM_CLOSE_DELAY).await
             }
-            (StreamItem::ConnectionEnd, _) => StreamItem::End,
-            (item, _) => item,
-        }
+            None => true,
+        };
+        if is_complete { StreamItem::End } else { StreamItem::Error(CRASHED.into()) }
     }
 
     /// Whether an unframed response is complete after its connection has ended: the endpoint has not
