Measure the VM's network link: bytes a second, what it carries, and by how much connections are late

Event 328 (once a second while the link is half full or late), trayswitch_connect_seconds and three gauges; limits.link-mbps of the settings is read.

No decision changes.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod delivery;
 pub mod error;
 pub mod events;
+pub mod link;
 pub mod mechanism;
 pub mod node;
 pub mod once;
--- a/crates/server/src/edge/connection.rs
+++ b/crates/server/src/edge/connection.rs
@@ -12,9 +12,9 @@
 use bytes::Bytes;
 use http_body::{Body as HttpBody, Frame, SizeHint};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
 
 use super::{AnswerError, Body, Bounds};
+use crate::overload::MeteredSocket;
 
 /// What a connection is doing.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -75,7 +75,7 @@
 
 /// A socket that notes when bytes come.
 pub(super) struct WatchedSocket {
-    pub(super) socket: TcpStream,
+    pub(super) socket: MeteredSocket,
     pub(super) activity: Activity,
 }
 
--- a/crates/server/src/edge/listener.rs
+++ b/crates/server/src/edge/listener.rs
@@ -14,7 +14,7 @@
     Gate, Handler, LocalFuture,
     connection::{Activity, Phase, TrackedBody, WatchedSocket},
 };
-use crate::{telemetry::EventId, upstream::socket};
+use crate::{overload::MeteredSocket, telemetry::EventId, upstream::socket};
 
 /// Pause after a failed accept, for example while there are no free descriptors.
 const PAUSE: Duration = Duration::from_millis(20);
@@ -86,7 +86,10 @@
                 let (handler, gate, closed) = (handler.clone(), gate.clone(), closed.clone());
                 tokio::task::spawn_local(async move {
                     match admit(socket, &*gate).await {
-                        Ok(socket) => serve(socket, handler, closed, guard).await,
+                        Ok(socket) => {
+                            let socket = MeteredSocket::new(socket, gate.link());
+                            serve(socket, handler, closed, guard).await;
+                        }
                         Err(e) => log::debug!("a connection ended before it began: {e:#}"),
                     }
                 });
@@ -130,7 +133,7 @@
 }
 
 async fn serve(
-    socket: TcpStream,
+    socket: MeteredSocket,
     handler: Rc<dyn Handler>,
     mut closing: watch::Receiver<bool>,
     _open: Counted,
--- a/crates/server/src/edge/mod.rs
+++ b/crates/server/src/edge/mod.rs
@@ -3,7 +3,6 @@
 mod body;
 mod connection;
 mod listener;
-mod overload;
 #[cfg(test)]
 mod tests;
 
@@ -14,10 +13,11 @@
 use hyper::body::Incoming;
 use tokio::net::TcpStream;
 
+use crate::overload::LinkMonitor;
+
 pub use self::{
     body::{AnswerError, Body, ReadError, empty, full, read_whole, streamed},
     listener::{Server, bind, bind_gated},
-    overload::OverloadMonitor,
 };
 
 /// A future on the daemon's one thread.
@@ -36,6 +36,11 @@
 pub trait Gate {
     /// Admits a connection; an error closes it.
     fn admit(&self, socket: TcpStream) -> LocalFuture<'static, Result<TcpStream>>;
+
+    /// The link that its connections cross, if that is measured.
+    fn link(&self) -> Option<Rc<LinkMonitor>> {
+        None
+    }
 }
 
 /// What a caller may do to a connection.
--- a/crates/server/src/edge/tests.rs
+++ b/crates/server/src/edge/tests.rs
@@ -12,11 +12,11 @@
 };
 use trayswitch_clock::Instant;
 
-use super::{
-    Body, Bounds, Handler, LocalFuture, OverloadMonitor, Server, bind, bind_gated, full,
-    overload::{MAX_DELAY, WINDOW},
+use super::{Body, Bounds, Handler, LocalFuture, Server, bind, bind_gated, full};
+use crate::{
+    overload::{LinkMonitor, MAX_DELAY, OverloadMonitor, WINDOW},
+    telemetry::Metrics,
 };
-use crate::telemetry::Metrics;
 
 /// Answers everything with one word.
 struct Word;
@@ -119,7 +119,8 @@
 fn saturated_daemon_closes_new_connections_unread() {
     let (shed, after) = on_local_tasks(async {
         let metrics = Rc::new(Metrics::new().unwrap());
-        let monitor = OverloadMonitor::spawn(metrics.clone());
+        let link = LinkMonitor::spawn(None, metrics.clone());
+        let monitor = OverloadMonitor::spawn(link, metrics.clone());
         let any = "127.0.0.1:0".parse().unwrap();
         let server = bind_gated(any, Rc::new(Word), monitor.clone()).unwrap();
         let req = "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
@@ -140,7 +141,8 @@
 
 #[gtest]
 fn single_late_timer_sheds_nothing() {
-    let monitor = OverloadMonitor::new(Rc::new(Metrics::new().unwrap()));
+    let metrics = Rc::new(Metrics::new().unwrap());
+    let monitor = OverloadMonitor::new(LinkMonitor::new(None, metrics.clone()), metrics);
     let start = Instant::now();
     let minute = Duration::from_secs(60);
 
--- a/crates/server/src/lib.rs
+++ b/crates/server/src/lib.rs
@@ -5,6 +5,7 @@
 //!
 //! - [`runtime`] drives the node: its timer, its links to other daemons, its data folder;
 //! - [`edge`] takes HTTP connections and bounds what a caller may do to them;
+//! - [`overload`] notices when the daemon itself is late;
 //! - [`upstream`] reaches endpoints;
 //! - [`relay`] carries a request from its caller to an endpoint and the answer back;
 //! - [`telemetry`] writes log lines and serves metrics.
@@ -13,6 +14,7 @@
 //! adapter can put another platform's words in its place.
 
 pub mod edge;
+pub mod overload;
 pub mod relay;
 pub mod runtime;
 pub mod telemetry;
--- a/crates/server/src/edge/overload.rs
+++ b/crates/server/src/overload/mod.rs
@@ -1,36 +1,44 @@
-//! Sheds new connections while the daemon's thread is saturated.
+//! Notices when this daemon is late itself, and sheds new connections while its thread is saturated.
 //!
 //! A saturated daemon is late with all that it has read. A caller whose connection is closed unread can
 //! try another daemon at once, whatever its request is.
 
+mod link;
+mod meter;
+
 use std::{cell::Cell, rc::Rc, time::Duration};
 
 use eyre::{Result, bail};
 use tokio::net::TcpStream;
 use trayswitch_clock::Instant;
 
-use super::{Gate, LocalFuture};
-use crate::telemetry::{EventId, Metrics};
+pub use self::link::LinkMonitor;
+pub(crate) use self::meter::MeteredSocket;
+use crate::{
+    edge::{Gate, LocalFuture},
+    telemetry::{EventId, Metrics},
+};
 
 /// Interval of measurements.
 const INTERVAL: Duration = Duration::from_millis(25);
 /// Delay of a timer beyond which the thread is saturated. Streams stand still as long at each event;
 /// a processor quota delays timers by up to half of it.
-pub(super) const MAX_DELAY: Duration = Duration::from_millis(200);
+pub(crate) const MAX_DELAY: Duration = Duration::from_millis(200);
 /// For how long every timer must be that late: a suspension or a long task delays only one.
-pub(super) const WINDOW: Duration = Duration::from_millis(500);
+pub(crate) const WINDOW: Duration = Duration::from_millis(500);
 
 /// Measures by how much timers are late, and sheds new connections while all of them are.
 pub struct OverloadMonitor {
     late_since: Cell<Option<Instant>>,
     overloaded: Cell<bool>,
+    link: Rc<LinkMonitor>,
     metrics: Rc<Metrics>,
 }
 
 impl OverloadMonitor {
     /// Starts to measure; ends when the monitor is dropped.
-    pub fn spawn(metrics: Rc<Metrics>) -> Rc<OverloadMonitor> {
-        let monitor = Rc::new(OverloadMonitor::new(metrics));
+    pub fn spawn(link: Rc<LinkMonitor>, metrics: Rc<Metrics>) -> Rc<OverloadMonitor> {
+        let monitor = Rc::new(OverloadMonitor::new(link, metrics));
         let weak = Rc::downgrade(&monitor);
         tokio::task::spawn_local(async move {
             loop {
@@ -44,8 +52,13 @@
         monitor
     }
 
-    pub(super) fn new(metrics: Rc<Metrics>) -> OverloadMonitor {
-        OverloadMonitor { late_since: Cell::default(), overloaded: Cell::default(), metrics }
+    pub(crate) fn new(link: Rc<LinkMonitor>, metrics: Rc<Metrics>) -> OverloadMonitor {
+        OverloadMonitor { late_since: Cell::default(), overloaded: Cell::default(), link, metrics }
+    }
+
+    /// The VM's network link.
+    pub(crate) fn link(&self) -> &Rc<LinkMonitor> {
+        &self.link
     }
 
     /// Whether new connections are shed, and callers should not be sent here.
@@ -54,7 +67,7 @@
     }
 
     /// Records by how much a timer was late.
-    pub(super) fn record(&self, late: Duration, now: Instant) {
+    pub(crate) fn record(&self, late: Duration, now: Instant) {
         let since = (MAX_DELAY < late).then(|| self.late_since.get().unwrap_or(now));
         self.late_since.set(since);
         let overloaded = since.is_some_and(|since| WINDOW <= now.saturating_duration_since(since));
@@ -82,4 +95,8 @@
             Ok(socket)
         })
     }
+
+    fn link(&self) -> Option<Rc<LinkMonitor>> {
+        Some(self.link.clone())
+    }
 }
--- a/crates/server/src/relay/endpoint_connection.rs
+++ b/crates/server/src/relay/endpoint_connection.rs
@@ -7,6 +7,7 @@
 use http::Request;
 use http_body_util::Full;
 use tokio::net::TcpStream;
+use trayswitch_clock::Instant;
 use trayswitch_core::{
     node::{Forwarders, Input},
     reachability::{Blame, Path, ReachabilityTracker},
@@ -16,6 +17,7 @@
 
 use super::{Relay, forwarding::Purpose};
 use crate::{
+    overload::MeteredSocket,
     telemetry::EventId,
     upstream::{LateResponse, OpenAnswer, SendError, connect_within, exchange_on},
 };
@@ -42,7 +44,9 @@
         let endpoint = send.endpoint;
         match self.path(endpoint) {
             Path::Direct => match self.connect(endpoint, send.time_left).await {
-                Ok(socket) => return exchange_on(socket, send.req, may_send, late).await,
+                Ok(socket) => {
+                    return exchange_on(self.metered(socket), send.req, may_send, late).await;
+                }
                 Err(error) if !self.should_forward(endpoint) => {
                     return Err(SendError::NotSent(error.to_string()));
                 }
@@ -75,7 +79,9 @@
         time_left: Duration,
     ) -> io::Result<TcpStream> {
         let limit = self.options.connect_timeout.min(time_left);
+        let started_at = Instant::now();
         let connected = connect_within(&*self.connector, endpoint.address, limit).await;
+        self.overload.link().on_connect(&endpoint.id, started_at.elapsed(), connected.is_ok());
         self.update_reachability(|tracker| match connected {
             Ok(_) => tracker.on_connected(&endpoint.id, self.node.now()),
             // A connection that had less time may only have been slow.
@@ -85,6 +91,11 @@
         connected
     }
 
+    /// Counts the bytes of a connection as load of the VM's link.
+    pub(super) fn metered(&self, socket: TcpStream) -> MeteredSocket {
+        MeteredSocket::new(socket, Some(self.overload.link().clone()))
+    }
+
     /// How a request should reach an endpoint now.
     pub(super) fn path(&self, endpoint: &RegisteredEndpoint) -> Path {
         let tracker = self.reachability.borrow();
--- a/crates/server/src/relay/forwarding/client.rs
+++ b/crates/server/src/relay/forwarding/client.rs
@@ -183,7 +183,7 @@
         {
             req.headers_mut().insert(http::header::HOST, host);
         }
-        let mut open = match exchange_on(socket, req, may_send, late).await {
+        let mut open = match exchange_on(self.metered(socket), req, may_send, late).await {
             Ok(open) => open,
             Err(SendError::NotSent(error)) => return not_taken(error),
             Err(SendError::Lost(error)) => {
--- a/crates/server/src/relay/forwarding/server.rs
+++ b/crates/server/src/relay/forwarding/server.rs
@@ -17,6 +17,7 @@
 use super::message::{Outcome, Purpose, Target, remove_hop_by_hop};
 use crate::{
     edge::{self, AnswerError, Body, Bounds, Gate, Handler, LocalFuture, Server, read_whole},
+    overload::LinkMonitor,
     relay::{
         Relay,
         unframed_response::{CALL_CLOSE_DELAY, CRASHED, is_unframed},
@@ -110,6 +111,10 @@
             relay.node.authenticate(socket, false).await
         })
     }
+
+    fn link(&self) -> Option<Rc<LinkMonitor>> {
+        self.relay.upgrade().map(|relay| relay.overload.link().clone())
+    }
 }
 
 /// Serves the requests of other daemons.
@@ -198,7 +203,7 @@
         Purpose::Control | Purpose::Probe => Ok(()),
     };
     let sent_at = relay.node.now();
-    let open = exchange_on(socket, req, may_send, LateResponse::ignored()).await;
+    let open = exchange_on(relay.metered(socket), req, may_send, LateResponse::ignored()).await;
     let open = open.map_err(|error| match error {
         SendError::NotSent(reason) => Failure::new(Outcome::NotSent, reason),
         SendError::Withheld(reason) => Failure::new(Outcome::Withheld, reason),
--- a/crates/server/src/relay/mod.rs
+++ b/crates/server/src/relay/mod.rs
@@ -69,6 +69,7 @@
 };
 use crate::{
     edge::{self, Body, Bounds, Handler, LocalFuture},
+    overload::OverloadMonitor,
     runtime::{NodeHandle, PeerPort},
     telemetry::{EventId, Metrics},
     upstream::Connector,
@@ -123,6 +124,7 @@
     hall: Arc<str>,
     options: RelayOptions,
     connector: Box<dyn Connector>,
+    overload: Rc<OverloadMonitor>,
     /// Which endpoints this daemon can connect to.
     reachability: RefCell<ReachabilityTracker>,
     /// Whether this daemon takes requests that others forward.
@@ -156,6 +158,7 @@
         options: RelayOptions,
         metrics: Rc<Metrics>,
         connector: Box<dyn Connector>,
+        overload: Rc<OverloadMonitor>,
     ) -> Rc<Relay> {
         let relay = Rc::new(Relay {
             node,
@@ -163,6 +166,7 @@
             hall,
             options,
             connector,
+            overload,
             reachability: RefCell::default(),
             is_forwarder: Cell::default(),
             forwarder_pool: RefCell::default(),
--- a/crates/server/src/relay/tests/test_daemon.rs
+++ b/crates/server/src/relay/tests/test_daemon.rs
@@ -30,6 +30,7 @@
 };
 use crate::{
     edge::{self, Server},
+    overload::{LinkMonitor, OverloadMonitor},
     relay::{Relay, RelayOptions},
     runtime::{NodeHandle, PeerPort, RuntimeOptions},
     telemetry::Metrics,
@@ -242,9 +243,18 @@
         let metrics = Rc::new(Metrics::new().unwrap());
         let node = NodeHandle::spawn(runtime, metrics.clone()).unwrap();
         let protocol = Box::new(TestProtocol);
+        let link = LinkMonitor::spawn(None, metrics.clone());
+        let overload = OverloadMonitor::spawn(link, metrics.clone());
         let (hall, metrics_of_relay) = (HALL.into(), metrics.clone());
-        let relay =
-            Relay::spawn(node.clone(), protocol, hall, options, metrics_of_relay, connector);
+        let relay = Relay::spawn(
+            node.clone(),
+            protocol,
+            hall,
+            options,
+            metrics_of_relay,
+            connector,
+            overload,
+        );
         let server = edge::bind("127.0.0.1:0".parse().unwrap(), relay.clone()).unwrap();
         TestDaemon { node, relay, server, metrics }
     }
--- a/crates/server/src/telemetry/metrics.rs
+++ b/crates/server/src/telemetry/metrics.rs
@@ -4,9 +4,10 @@
 
 use eyre::Result;
 use prometheus::{
-    HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+    Gauge, GaugeVec, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder,
 };
-use trayswitch_core::placement::LoadSnapshot;
+use trayswitch_core::{link::LinkReport, placement::LoadSnapshot};
 
 use super::load::LoadMetrics;
 
@@ -35,6 +36,10 @@
     forwarded: IntCounterVec,
     forwarded_for_others: IntCounterVec,
     shed_connections: IntCounterVec,
+    connects: HistogramVec,
+    link_rate: GaugeVec,
+    link_capacity: Gauge,
+    link_delay: Gauge,
     leaves: IntCounterVec,
     latency: HistogramVec,
     first_event: HistogramVec,
@@ -71,6 +76,11 @@
             registry.register(Box::new(gauge.clone()))?;
             Ok(gauge)
         };
+        let float_gauge = |name: &str, help: &str| -> Result<Gauge> {
+            let gauge = Gauge::new(name, help)?;
+            registry.register(Box::new(gauge.clone()))?;
+            Ok(gauge)
+        };
         Ok(Metrics {
             requests: counter(
                 "trayswitch_requests_total",
@@ -156,6 +166,28 @@
                 "Connections of callers that were closed unread because the daemon was overloaded",
                 &[],
             )?,
+            connects: histogram(
+                "trayswitch_connect_seconds",
+                "Time until a connection to an endpoint came up or was given up",
+                &["end"],
+            )?,
+            link_rate: {
+                let opts = Opts::new(
+                    "trayswitch_network_bytes_per_second",
+                    "Bytes on the VM's network link over the last half second, packet headers included",
+                );
+                let rate = GaugeVec::new(opts, &["direction"])?;
+                registry.register(Box::new(rate.clone()))?;
+                rate
+            },
+            link_capacity: float_gauge(
+                "trayswitch_network_capacity_bytes_per_second",
+                "Bytes that the link carries in each direction; 0 if unknown",
+            )?,
+            link_delay: float_gauge(
+                "trayswitch_network_delay_seconds",
+                "By how much recent connections to all peers took longer than they can",
+            )?,
             leaves: counter(
                 "trayswitch_leaves_total",
                 "Calls for which an endpoint that names a limit was chosen, by service and what became of them",
@@ -283,6 +315,19 @@
         self.shed_connections.with_label_values::<&str>(&[]).inc();
     }
 
+    /// Records how long a connection to an endpoint took until it came up or was given up.
+    pub(crate) fn connected(&self, end: &str, took: Duration) {
+        self.connects.with_label_values(&[end]).observe(took.as_secs_f64());
+    }
+
+    /// Notes the load of the VM's network link.
+    pub(crate) fn link(&self, report: &LinkReport) {
+        self.link_rate.with_label_values(&["sent"]).set(report.sent);
+        self.link_rate.with_label_values(&["received"]).set(report.received);
+        self.link_capacity.set(report.capacity.unwrap_or_default());
+        self.link_delay.set(report.delay.unwrap_or_default().as_secs_f64());
+    }
+
     /// An endpoint has named in an answer how many requests a second it takes.
     pub fn limit_read(&self, service: &str, limit: &str) {
         self.limits_read.with_label_values(&[service, limit]).inc();
--- a/crates/server/src/upstream/exchange.rs
+++ b/crates/server/src/upstream/exchange.rs
@@ -13,12 +13,12 @@
 use hyper::{body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
 use tokio::{
-    net::TcpStream,
     task::JoinHandle,
     time::{Instant, timeout_at},
 };
 
 use super::{TcpConnector, connect_within};
+use crate::overload::MeteredSocket;
 
 /// Why there is no answer.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -105,6 +105,7 @@
 ) -> Result<OpenAnswer, SendError> {
     let socket = connect_within(&TcpConnector, address, connect_limit).await;
     let socket = socket.map_err(|e| SendError::NotSent(e.to_string()))?;
+    let socket = MeteredSocket::new(socket, None);
     exchange_on(socket, req, || Ok(()), LateResponse::ignored()).await
 }
 
@@ -124,8 +125,8 @@
 }
 
 /// The same on a connection that is up, if the request may still be sent.
-pub async fn exchange_on(
-    socket: TcpStream,
+pub(crate) async fn exchange_on(
+    socket: MeteredSocket,
     req: Request<Full<Bytes>>,
     may_send: impl FnOnce() -> Result<(), String>,
     late: LateResponse,
--- a/crates/server/src/upstream/mod.rs
+++ b/crates/server/src/upstream/mod.rs
@@ -9,10 +9,11 @@
 #[cfg(test)]
 mod tests;
 
+pub(crate) use self::exchange::exchange_on;
 #[cfg(feature = "faults")]
 pub use self::faulty::FaultyConnector;
 pub use self::{
     connector::{Connector, TcpConnector, connect_within},
     events::{Event, EventSplitter},
-    exchange::{AnswerBody, LateResponse, OpenAnswer, SendError, exchange, exchange_on},
+    exchange::{AnswerBody, LateResponse, OpenAnswer, SendError, exchange},
 };
