--- a/crates/server/src/relay/tests/mod.rs
+++ b/crates/server/src/relay/tests/mod.rs
@@ -10,6 +10,7 @@
 mod fake_endpoint;
 mod forwarding;
 mod generations;
+mod late_link;
 mod latency;
 mod local_placement;
 mod prompt_parts;
--- a/crates/server/src/relay/tests/test_fleet.rs
+++ b/crates/server/src/relay/tests/test_fleet.rs
@@ -25,7 +25,7 @@
 
 const LINK_PORT: u16 = 7000;
 /// Connect timeout of entries: reached only where a test lets connections hang.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
+pub(super) const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
 
 /// What happens to new connections of an entry to endpoints.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -35,6 +35,8 @@
     Refuses,
     /// They never come up.
     Hangs,
+    /// They come up this late.
+    Late(Duration),
 }
 
 /// A connector whose network a test can break.
@@ -46,6 +48,10 @@
             Network::Sound => TcpConnector.connect(address),
             Network::Refuses => Box::pin(async { Err(io::ErrorKind::ConnectionRefused.into()) }),
             Network::Hangs => Box::pin(pending()),
+            Network::Late(delay) => Box::pin(async move {
+                tokio::time::sleep(delay).await;
+                TcpConnector.connect(address).await
+            }),
         }
     }
 }
