An entry that is late itself blames no endpoint

Callers saw requests refused as endpoint_refused, or forwarded over the same full link, although all endpoints served. Cause: every time-out was held against whoever was to be reached. Evidence: with one entry left, 61 of 61 endpoints unreachable at it from 13.9 s on, while connections to all of them are 24 to 111 ms late (event 328).

OverloadMonitor::is_late is the one place that knows: the latest timer is late, or several connections in a row to several peers are, of which one came up or the link carries half of what it can (a VM that is cut off sees only connections that never come up, and little traffic). Then a connection has four times the usual time, its time-out is recorded nowhere, the request is refused at once as overloaded (not run), no forwarder is asked, calls are not hedged, their latencies do not count and no endpoint is reported as failed.

--- a/crates/core/src/link/delay.rs
+++ b/crates/core/src/link/delay.rs
@@ -1,36 +1,33 @@
 //! By how much connections take longer than they can.
 
-use std::{
-    collections::{HashMap, HashSet, VecDeque},
-    sync::Arc,
-    time::Duration,
-};
+use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use crate::units::Instant;
 
-/// Age up to which connections count.
-const WINDOW: Duration = Duration::from_millis(500);
-/// Connections in the window that are kept.
-const MAX_SAMPLES: usize = 256;
+/// Excess over the least time of the peer from which a connection is late.
+const LATE: Duration = Duration::from_millis(20);
+/// Late connections in a row, to more than one peer, from which the link is late.
+const MIN_RUN: usize = 3;
+/// Age of the last connection up to which something is concluded.
+const MAX_AGE: Duration = Duration::from_millis(500);
 /// Peers whose least time is kept.
 const MAX_PEERS: usize = 1_024;
-/// Distinct peers in the window without which nothing is concluded.
-const MIN_PEERS: usize = 2;
 /// By this part of the difference the least time of a peer follows longer ones, since routes change.
 const LEAST_GAIN: f64 = 1.0 / 256.0;
 
-#[derive(Debug)]
-struct Sample {
-    at: Instant,
-    peer: Arc<str>,
-    excess: Duration,
-    came_up: bool,
+/// Late connections since the last one in time.
+#[derive(Debug, Clone)]
+struct LateRun {
+    first_peer: Arc<str>,
+    has_other_peer: bool,
+    connections: usize,
+    delay: Delay,
 }
 
-/// What the time of recent connections tells.
+/// What late connections to several peers tell.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) struct Delay {
-    /// The least excess over the least time of the peer, among all recent connections.
+    /// The least excess over the least time of the peer among them.
     pub(super) least_excess: Duration,
     /// Whether any of them came up.
     pub(super) any_came_up: bool,
@@ -40,7 +37,8 @@
 #[derive(Debug, Default)]
 pub(super) struct DelayTracker {
     least: HashMap<Arc<str>, Duration>,
-    samples: VecDeque<Sample>,
+    late_run: Option<LateRun>,
+    latest: Instant,
 }
 
 impl DelayTracker {
@@ -56,23 +54,28 @@
         if came_up {
             *least = took.min(*least + excess.mul_f64(LEAST_GAIN));
         }
-        if self.samples.len() == MAX_SAMPLES {
-            self.samples.pop_front();
+        if MAX_AGE < now.since(self.latest) || excess < LATE {
+            self.late_run = None;
         }
-        self.samples.push_back(Sample { at: now, peer: peer.clone(), excess, came_up });
+        self.latest = now;
+        if excess < LATE {
+            return;
+        }
+        let run = self.late_run.get_or_insert_with(|| LateRun {
+            first_peer: peer.clone(),
+            has_other_peer: false,
+            connections: 0,
+            delay: Delay { least_excess: excess, any_came_up: false },
+        });
+        run.connections += 1;
+        run.has_other_peer |= run.first_peer != *peer;
+        run.delay.least_excess = run.delay.least_excess.min(excess);
+        run.delay.any_came_up |= came_up;
     }
 
-    /// What the connections of the window tell; `None` if they are of too few peers.
-    pub(super) fn recent(&mut self, now: Instant) -> Option<Delay> {
-        while self.samples.front().is_some_and(|sample| WINDOW < now.since(sample.at)) {
-            self.samples.pop_front();
-        }
-        let peers: HashSet<&str> = self.samples.iter().map(|sample| &*sample.peer).collect();
-        if peers.len() < MIN_PEERS {
-            return None;
-        }
-        let least_excess = self.samples.iter().map(|sample| sample.excess).min()?;
-        let any_came_up = self.samples.iter().any(|sample| sample.came_up);
-        Some(Delay { least_excess, any_came_up })
+    /// By how much all recent connections are late; `None` if they are not.
+    pub(super) fn recent(&self, now: Instant) -> Option<Delay> {
+        let run = self.late_run.as_ref().filter(|_| now.since(self.latest) <= MAX_AGE)?;
+        (MIN_RUN <= run.connections && run.has_other_peer).then_some(run.delay)
     }
 }
--- a/crates/core/src/link/mod.rs
+++ b/crates/core/src/link/mod.rs
@@ -20,6 +20,9 @@
 /// Packets of a connection's opening and end, in each direction.
 const HANDSHAKE_SEGMENTS: usize = 3;
 
+/// Part of the capacity below which a full link cannot be why connections never come up.
+const MIN_LOAD_WHEN_LATE: f64 = 0.5;
+
 /// A direction of the link.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Direction {
@@ -38,8 +41,8 @@
     pub received: f64,
     /// Bytes a second that the link carries in each direction, if that is known.
     pub capacity: Option<f64>,
-    /// By how much connections to all peers take longer than they can; `None` while there are too few.
-    pub delay: Option<Duration>,
+    /// By how much recent connections to all peers took longer than they can; zero if one was in time.
+    pub delay: Duration,
 }
 
 impl LinkReport {
@@ -89,13 +92,25 @@
         self.delay.record(peer, took, came_up, now);
     }
 
+    /// Whether this link delays connections to all peers. Connections that never come up show that only
+    /// if the link carries much: a VM that is cut off sees the same.
+    pub fn is_late(&mut self, now: Instant) -> bool {
+        let Some(delay) = self.delay.recent(now) else { return false };
+        delay.any_came_up || self.is_busy(now)
+    }
+
+    fn is_busy(&mut self, now: Instant) -> bool {
+        let rate = self.sent.per_second(now).max(self.received.per_second(now));
+        self.capacity.is_some_and(|capacity| MIN_LOAD_WHEN_LATE * capacity <= rate)
+    }
+
     /// The link as it is now.
     pub fn report(&mut self, now: Instant) -> LinkReport {
         LinkReport {
             sent: self.sent.per_second(now),
             received: self.received.per_second(now),
             capacity: self.capacity,
-            delay: self.delay.recent(now).map(|delay| delay.least_excess),
+            delay: self.delay.recent(now).map_or(Duration::ZERO, |delay| delay.least_excess),
         }
     }
 }
--- a/crates/core/src/link/tests.rs
+++ b/crates/core/src/link/tests.rs
@@ -43,29 +43,60 @@
     expect_that!(later.sent, approx_eq(0.0));
 }
 
+/// Two connections to the first peer and one to the second, each late by this much.
+fn connect_late(link: &mut LinkLoad, late: u64, now: u64) {
+    for (peer, least) in [("p1", 3), ("p1", 3), ("p2", 5)] {
+        connect(link, peer, least + late, now);
+    }
+}
+
 #[gtest]
-fn connections_that_are_late_to_all_peers_show_a_delay() {
+fn connections_that_are_late_to_several_peers_show_a_delay() {
     let mut link = known_link();
-    connect(&mut link, "p1", 103, 1_000);
-    connect(&mut link, "p2", 85, 1_010);
+    connect_late(&mut link, 80, 1_000);
 
-    expect_that!(link.report(at(1_020)).delay, some(eq(ms(80))));
+    let (delay, later) = (link.report(at(1_020)).delay, link.report(at(2_000)).delay);
+
+    expect_that!(delay, all!(ge(ms(79)), le(ms(80))));
+    expect_that!(later, eq(ms(0)));
 }
 
 #[gtest]
 fn one_peer_in_time_rules_a_delay_out() {
     let mut link = known_link();
-    connect(&mut link, "p1", 103, 1_000);
-    connect(&mut link, "p2", 5, 1_010);
+    connect_late(&mut link, 80, 1_000);
+    connect(&mut link, "p2", 6, 1_010);
 
-    expect_that!(link.report(at(1_020)).delay, some(eq(ms(0))));
+    expect_that!(link.report(at(1_020)).delay, eq(ms(0)));
 }
 
 #[gtest]
-fn connections_to_one_peer_tell_nothing_of_the_link() {
+fn late_connections_to_one_peer_tell_nothing_of_the_link() {
     let mut link = known_link();
-    connect(&mut link, "p1", 103, 1_000);
-    connect(&mut link, "p1", 103, 1_010);
+    for _ in 0..5 {
+        connect(&mut link, "p1", 103, 1_000);
+    }
+
+    expect_that!(link.report(at(1_020)).delay, eq(ms(0)));
+    expect_that!(link.is_late(at(1_020)), eq(false));
+}
+
+#[gtest]
+fn link_is_late_if_connections_come_up_late_or_if_none_comes_up_while_it_is_busy() {
+    let give_up = |link: &mut LinkLoad| {
+        for peer in ["p1", "p2", "p1"] {
+            link.on_connect(&Arc::from(peer), ms(150), false, at(1_000));
+        }
+    };
+    let (mut late, mut cut_off, mut full) = (known_link(), known_link(), known_link());
+    connect_late(&mut late, 50, 1_000);
+    give_up(&mut cut_off);
+    for millis in 400..1_000 {
+        full.on_transfer(Direction::Received, 934, at(millis));
+    }
+    give_up(&mut full);
+
+    let is_late = [late, cut_off, full].map(|mut link| link.is_late(at(1_010)));
 
-    expect_that!(link.report(at(1_020)).delay, none());
+    expect_that!(is_late, eq([true, false, true]));
 }
--- a/crates/server/src/overload/link.rs
+++ b/crates/server/src/overload/link.rs
@@ -14,8 +14,6 @@
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
 /// Part of the capacity from which a report is logged.
 const REPORTED_LOAD: f64 = 0.5;
-/// Delay of connections from which a report is logged.
-const REPORTED_DELAY: Duration = Duration::from_millis(20);
 
 /// The load of the VM's network link.
 pub struct LinkMonitor {
@@ -56,6 +54,11 @@
         self.load.borrow_mut().on_connect(peer, took, came_up, self.now());
     }
 
+    /// Whether the link delays connections to all peers.
+    pub(crate) fn is_late(&self) -> bool {
+        self.load.borrow_mut().is_late(self.now())
+    }
+
     fn now(&self) -> units::Instant {
         units::Instant(self.start.elapsed().as_micros() as u64)
     }
@@ -64,12 +67,11 @@
         let report = self.load.borrow_mut().report(self.now());
         self.metrics.link(&report);
         if is_notable(&report) {
-            let delay = report.delay.map(|delay| delay.as_millis().to_string());
             log::info!(
                 event = EventId::LinkLoad.number(), sent = report.sent as u64,
                 received = report.received as u64,
                 capacity = report.capacity.unwrap_or_default() as u64,
-                delay_ms = delay.as_deref().unwrap_or("-");
+                delay_ms = report.delay.as_millis() as u64;
                 "the load of the VM's network link"
             );
         }
@@ -78,5 +80,5 @@
 
 fn is_notable(report: &LinkReport) -> bool {
     report.capacity.is_some_and(|capacity| REPORTED_LOAD * capacity <= report.rate())
-        || report.delay.is_some_and(|delay| REPORTED_DELAY <= delay)
+        || !report.delay.is_zero()
 }
--- a/crates/server/src/overload/mod.rs
+++ b/crates/server/src/overload/mod.rs
@@ -27,8 +27,12 @@
 /// For how long every timer must be that late: a suspension or a long task delays only one.
 pub(crate) const WINDOW: Duration = Duration::from_millis(500);
 
+/// Delay of the latest timer from which a time-out may be this daemon's own fault.
+const LATE: Duration = Duration::from_millis(50);
+
 /// Measures by how much timers are late, and sheds new connections while all of them are.
 pub struct OverloadMonitor {
+    delay: Cell<Duration>,
     late_since: Cell<Option<Instant>>,
     overloaded: Cell<bool>,
     link: Rc<LinkMonitor>,
@@ -53,7 +57,19 @@
     }
 
     pub(crate) fn new(link: Rc<LinkMonitor>, metrics: Rc<Metrics>) -> OverloadMonitor {
-        OverloadMonitor { late_since: Cell::default(), overloaded: Cell::default(), link, metrics }
+        OverloadMonitor {
+            delay: Cell::default(),
+            late_since: Cell::default(),
+            overloaded: Cell::default(),
+            link,
+            metrics,
+        }
+    }
+
+    /// Whether this daemon is late itself, so that what it waits for may be late without a fault of
+    /// whoever sends it.
+    pub(crate) fn is_late(&self) -> bool {
+        LATE <= self.delay.get() || self.link.is_late()
     }
 
     /// The VM's network link.
@@ -68,6 +84,7 @@
 
     /// Records by how much a timer was late.
     pub(crate) fn record(&self, late: Duration, now: Instant) {
+        self.delay.set(late);
         let since = (MAX_DELAY < late).then(|| self.late_since.get().unwrap_or(now));
         self.late_since.set(since);
         let overloaded = since.is_some_and(|since| WINDOW <= now.saturating_duration_since(since));
--- a/crates/server/src/relay/call.rs
+++ b/crates/server/src/relay/call.rs
@@ -14,7 +14,7 @@
 };
 
 use super::{
-    Job, MAX_REJECTIONS, RejectionReason, Relay, ResponseClass,
+    Job, MAX_REJECTIONS, RejectionReason, Relay, ResponseClass, delayed_error,
     endpoint_connection::EndpointRequest, failed_attempt::AttemptGuard, forwarding::Purpose,
     job::ResumeFrom, load_balancer::Outcome, no_response_error, quarantine_turn::QuarantineTurn,
     rate_limit::AttemptKind,
@@ -135,7 +135,8 @@
                     // behind the first. An attempt that still waits to be sent says nothing about
                     // the endpoint's latency.
                     let is_sent = !self.tried.borrow().is_empty();
-                    if is_sent && !self.relay.is_suspect(self.job) {
+                    let is_own_delay = self.relay.overload.is_late();
+                    if is_sent && !is_own_delay && !self.relay.is_suspect(self.job) {
                         self.start_retry(RetryCost::Budgeted);
                     }
                 }
@@ -298,11 +299,13 @@
     if let (Some(unanswered_guard), AttemptEnd::Response { .. }) = (unanswered_guard, &end) {
         unanswered_guard.mark_answered();
     }
-    if !matches!(end, AttemptEnd::Withheld(_)) {
+    if !matches!(end, AttemptEnd::Withheld(_) | AttemptEnd::Refused(_)) {
         relay.load_balancer.record_outcome(&endpoint.id, outcome);
     }
     if outcome == Outcome::Success {
-        relay.record_latency(&job.service, started_at.elapsed());
+        if !relay.overload.is_late() {
+            relay.record_latency(&job.service, started_at.elapsed());
+        }
         relay.on_response_complete(job, &mut turn);
     }
     let (name, detail) = end.describe();
@@ -361,6 +364,10 @@
         Err(SendError::Withheld(error)) => {
             return AttemptReport::new(AttemptEnd::Withheld(error), Outcome::Error);
         }
+        Err(SendError::Delayed(error)) => {
+            let refused = AttemptEnd::Refused(delayed_error(&error));
+            return AttemptReport::new(refused, Outcome::Error);
+        }
         Err(SendError::NotSent(error)) => {
             return AttemptReport::new(AttemptEnd::NotSent(error), Outcome::Unreachable);
         }
--- a/crates/server/src/relay/endpoint_connection.rs
+++ b/crates/server/src/relay/endpoint_connection.rs
@@ -22,6 +22,9 @@
     upstream::{LateResponse, OpenAnswer, SendError, connect_within, exchange_on},
 };
 
+/// While this daemon is late itself, connections have this many times the usual timeout.
+const LATE_TIMEOUT_FACTOR: u32 = 4;
+
 /// A request to be sent to an endpoint.
 pub(super) struct EndpointRequest<'a> {
     pub(super) endpoint: &'a RegisteredEndpoint,
@@ -32,6 +35,13 @@
     pub(super) time_left: Duration,
 }
 
+/// Why there is no connection to an endpoint.
+pub(super) enum ConnectError {
+    /// This daemon is too late itself.
+    Delayed(String),
+    Failed(io::Error),
+}
+
 impl Relay {
     /// Sends a request to its endpoint, or through another daemon if only that one connects to it,
     /// and waits for the head of the response. `may_send` is asked once the connection is up.
@@ -47,10 +57,11 @@
                 Ok(socket) => {
                     return exchange_on(self.metered(socket), send.req, may_send, late).await;
                 }
-                Err(error) if !self.should_forward(endpoint) => {
+                Err(ConnectError::Delayed(error)) => return Err(SendError::Delayed(error)),
+                Err(ConnectError::Failed(error)) if !self.should_forward(endpoint) => {
                     return Err(SendError::NotSent(error.to_string()));
                 }
-                Err(_) => {}
+                Err(ConnectError::Failed(_)) => {}
             },
             Path::Forwarded => {}
             Path::Down => {
@@ -77,18 +88,32 @@
         &self,
         endpoint: &RegisteredEndpoint,
         time_left: Duration,
-    ) -> io::Result<TcpStream> {
-        let limit = self.options.connect_timeout.min(time_left);
+    ) -> Result<TcpStream, ConnectError> {
+        let is_late = self.overload.is_late();
+        let timeout = self.options.connect_timeout * if is_late { LATE_TIMEOUT_FACTOR } else { 1 };
+        let limit = timeout.min(time_left);
         let started_at = Instant::now();
         let connected = connect_within(&*self.connector, endpoint.address, limit).await;
         self.overload.link().on_connect(&endpoint.id, started_at.elapsed(), connected.is_ok());
-        self.update_reachability(|tracker| match connected {
-            Ok(_) => tracker.on_connected(&endpoint.id, self.node.now()),
-            // A connection that had less time may only have been slow.
-            Err(_) if limit < self.options.connect_timeout => {}
-            Err(_) => tracker.on_connect_failed(&endpoint.id, endpoint.started_at),
-        });
-        connected
+        let error = match connected {
+            Ok(socket) => {
+                let now = self.node.now();
+                self.update_reachability(|tracker| tracker.on_connected(&endpoint.id, now));
+                return Ok(socket);
+            }
+            Err(error) => error,
+        };
+        let timed_out = error.kind() == io::ErrorKind::TimedOut;
+        if timed_out && (is_late || self.overload.is_late()) {
+            return Err(ConnectError::Delayed(error.to_string()));
+        }
+        // A connection that had less time may only have been slow.
+        if self.options.connect_timeout <= limit {
+            self.update_reachability(|tracker| {
+                tracker.on_connect_failed(&endpoint.id, endpoint.started_at);
+            });
+        }
+        Err(ConnectError::Failed(error))
     }
 
     /// Counts the bytes of a connection as load of the VM's link.
@@ -119,9 +144,12 @@
         should_forward
     }
 
-    /// Tells the schedulers that an endpoint has failed, unless only the path from here is broken
-    /// or that is still being found out.
+    /// Tells the schedulers that an endpoint has failed, unless this daemon is late itself, or only the
+    /// path from here is broken or that is still being found out.
     pub(super) fn report_failure(&self, endpoint: &RegisteredEndpoint) {
+        if self.overload.is_late() {
+            return;
+        }
         let is_to_blame = match self.reachability.borrow().blame(&endpoint.id) {
             Blame::Endpoint => true,
             Blame::Path => false,
--- a/crates/server/src/relay/failed_attempt.rs
+++ b/crates/server/src/relay/failed_attempt.rs
@@ -20,6 +20,7 @@
 
 use super::{
     Job, Relay,
+    endpoint_connection::ConnectError,
     quarantine_turn::{QuarantineTurn, SOUND_EVENTS},
 };
 use crate::{runtime::Trial, telemetry::EventId};
@@ -210,12 +211,15 @@
             Ok(connection) => return (ProbeOutcome::Connected, Some(connection)),
             Err(error) => error,
         };
-        if self.ask_forwarders(endpoint).await == Some(true) {
+        let is_own_delay = matches!(error, ConnectError::Delayed(_));
+        if !is_own_delay && self.ask_forwarders(endpoint).await == Some(true) {
             return (ProbeOutcome::Connected, None);
         }
-        match error.kind() {
-            ErrorKind::TimedOut => (ProbeOutcome::NoAnswer, None),
-            _ => (ProbeOutcome::ConnectionRefused, None),
+        match error {
+            ConnectError::Failed(e) if e.kind() != ErrorKind::TimedOut => {
+                (ProbeOutcome::ConnectionRefused, None)
+            }
+            _ => (ProbeOutcome::NoAnswer, None),
         }
     }
 }
--- a/crates/server/src/relay/forwarding/client.rs
+++ b/crates/server/src/relay/forwarding/client.rs
@@ -163,7 +163,9 @@
     ) -> Offer {
         let guard = self.forwarder_pool.borrow_mut().start(vm);
         let not_taken = |error: String| {
-            self.forwarder_pool.borrow_mut().on_failure(vm);
+            if !self.overload.is_late() {
+                self.forwarder_pool.borrow_mut().on_failure(vm);
+            }
             Offer::NotTaken(error)
         };
         let socket = match self.connect_forwarder(vm, send.time_left).await {
--- a/crates/server/src/relay/forwarding/server.rs
+++ b/crates/server/src/relay/forwarding/server.rs
@@ -20,6 +20,7 @@
     overload::LinkMonitor,
     relay::{
         Relay,
+        endpoint_connection::ConnectError,
         unframed_response::{CALL_CLOSE_DELAY, CRASHED, is_unframed},
     },
     upstream::{AnswerBody, LateResponse, OpenAnswer, SendError, exchange_on},
@@ -158,7 +159,10 @@
         .await
         .map_err(|_| unavailable("the body did not arrive"))?;
     let socket = relay.connect(&endpoint, relay.options.connect_timeout).await;
-    let socket = socket.map_err(|e| Failure::new(Outcome::NotSent, e.to_string()))?;
+    let socket = socket.map_err(|e| match e {
+        ConnectError::Delayed(reason) => Failure::new(Outcome::Unavailable, reason),
+        ConnectError::Failed(e) => Failure::new(Outcome::NotSent, e.to_string()),
+    })?;
     if target.purpose == Purpose::Probe {
         let mut res = Response::new(edge::empty());
         Outcome::Answered.write(res.headers_mut());
@@ -206,6 +210,7 @@
     let open = exchange_on(relay.metered(socket), req, may_send, LateResponse::ignored()).await;
     let open = open.map_err(|error| match error {
         SendError::NotSent(reason) => Failure::new(Outcome::NotSent, reason),
+        SendError::Delayed(reason) => Failure::new(Outcome::Unavailable, reason),
         SendError::Withheld(reason) => Failure::new(Outcome::Withheld, reason),
         SendError::Lost(reason) => Failure::new(Outcome::Lost, reason),
     })?;
--- a/crates/server/src/relay/generation.rs
+++ b/crates/server/src/relay/generation.rs
@@ -15,7 +15,7 @@
 };
 
 use super::{
-    Job, MAX_REJECTIONS, RejectionReason, Relay, ResponseClass,
+    Job, MAX_REJECTIONS, RejectionReason, Relay, ResponseClass, delayed_error,
     endpoint_connection::EndpointRequest,
     event_stream::{EventStream, StreamItem},
     failed_attempt::AttemptGuard,
@@ -59,6 +59,8 @@
 pub(super) enum OpenError {
     /// Not sent: the endpoint accepts no new requests.
     Withheld(String),
+    /// Not sent: this daemon is too late itself.
+    Delayed(String),
     /// Not sent: no connection came up.
     NotSent(String),
     /// Not executed by the endpoint.
@@ -143,6 +145,8 @@
                 }
                 continue;
             }
+            Err(OpenError::Delayed(error)) if attempts == 0 => return Err(delayed_error(&error)),
+            Err(OpenError::Delayed(error)) => return Err(no_response_error(attempts, &error)),
             Err(OpenError::NotSent(error) | OpenError::NotRun(error))
                 if MAX_REJECTIONS <= rejections + 1 =>
             {
@@ -246,7 +250,9 @@
         }
         Ok(Opened::Failed { head, .. }) => ("failed", head.status.to_string()),
         Err(OpenError::Withheld(error)) => ("withheld", error.clone()),
-        Err(OpenError::NotSent(error) | OpenError::NotRun(error)) => ("not_run", error.clone()),
+        Err(OpenError::Delayed(error) | OpenError::NotSent(error) | OpenError::NotRun(error)) => {
+            ("not_run", error.clone())
+        }
         Err(OpenError::Unknown(error)) => ("unknown", error.clone()),
     }
 }
@@ -300,11 +306,12 @@
         req,
         id: &job.caller.id,
         purpose: if resumes_in_place { Purpose::Resume } else { Purpose::Caller },
-        time_left: relay.options.connect_timeout,
+        time_left: job.time_left(),
     };
     let open = match relay.send(send, may_send, late).await {
         Ok(open) => open,
         Err(SendError::Withheld(error)) => return Err(OpenError::Withheld(error)),
+        Err(SendError::Delayed(error)) => return Err(OpenError::Delayed(error)),
         Err(SendError::NotSent(error)) => {
             report_failure();
             return Err(OpenError::NotSent(error));
--- a/crates/server/src/relay/mod.rs
+++ b/crates/server/src/relay/mod.rs
@@ -81,6 +81,9 @@
 /// Endpoints that may reject one request before the rejection is returned to its caller.
 const MAX_REJECTIONS: u32 = 3;
 
+/// `Retry-After` of a daemon that is late itself: a retry reaches another one.
+const DELAYED_RETRY_AFTER: Duration = Duration::from_millis(10);
+
 /// Operator settings that apply to all requests.
 #[derive(Debug, Clone, Copy)]
 pub struct RelayOptions {
@@ -285,6 +288,14 @@
     RequestError::new(kind, error)
 }
 
+/// The error of a request that this daemon is too late to send. Other daemons may be in time.
+fn delayed_error(error: &str) -> RequestError {
+    let message = format!("this daemon is overloaded: {error}");
+    let mut refusal = RequestError::new(ErrorKind::Overloaded, message);
+    refusal.retry_after = Some(DELAYED_RETRY_AFTER);
+    refusal
+}
+
 /// Counts a request as in progress until dropped.
 pub(crate) struct InProgressGuard(Rc<Metrics>);
 
--- a/crates/server/src/telemetry/metrics.rs
+++ b/crates/server/src/telemetry/metrics.rs
@@ -325,7 +325,7 @@
         self.link_rate.with_label_values(&["sent"]).set(report.sent);
         self.link_rate.with_label_values(&["received"]).set(report.received);
         self.link_capacity.set(report.capacity.unwrap_or_default());
-        self.link_delay.set(report.delay.unwrap_or_default().as_secs_f64());
+        self.link_delay.set(report.delay.as_secs_f64());
     }
 
     /// An endpoint has named in an answer how many requests a second it takes.
--- a/crates/server/src/upstream/exchange.rs
+++ b/crates/server/src/upstream/exchange.rs
@@ -25,6 +25,8 @@
 pub enum SendError {
     /// No byte of the request was sent.
     NotSent(String),
+    /// No byte was sent, since this daemon is too late itself to connect.
+    Delayed(String),
     /// No byte was sent, since it may not be any more.
     Withheld(String),
     /// The request, or a part of it, was sent; the endpoint may run it.
@@ -35,6 +37,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             SendError::NotSent(problem) => write!(f, "not sent: {problem}"),
+            SendError::Delayed(problem) => write!(f, "delayed: {problem}"),
             SendError::Withheld(problem) => write!(f, "withheld: {problem}"),
             SendError::Lost(problem) => write!(f, "lost: {problem}"),
         }
