An entry refuses connections that its network link has no room for

Callers saw requests fail that the preferred entry had read: calls after 0.3 s and more, streams with pauses, 502 and 503. Cause: an entry took every connection; a stream that it takes goes on for seconds, and each event crosses its link twice. Nothing knew the link's capacity.

The entry now forecasts its link: bytes a second, and the mean rate of a stream for each accepted one without an event. From 0.8 of the capacity on it refuses new connections for a growing part of the time, never all of it, by not listening: closing them unread after accepting was tried first, and their requests alone filled the link (400 a second; calls took 50 to 290 ms). Open connections are closed between two requests in the same measure. It stays ready, so the balancer does not hand everything to the next entry. Forwarded requests are taken by the same measure.

Tests of edge and core::link cover it; the code before had nothing that they could run on.

--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -73,7 +73,7 @@
     ReachabilityChanged = 324, "This daemon reaches other endpoints than before.";
     RequestForwarded = 325, "A request was offered to another daemon, since this one cannot connect to its endpoint.";
     StreamTakenUp = 326, "A caller takes up a stream that an earlier attempt began.";
-    LoadShedding = 327, "The daemon's thread is saturated, and new connections are closed unread, or no longer.";
+    LoadShedding = 327, "The daemon's thread or the VM's network link is full, and new connections are closed unread or refused, or no longer.";
     LinkLoad = 328, "The VM's network link carries much, or delays connections to all peers.";
     RequestFailed = 304, "A request did not end in its whole answer.";
     FrameDropped = 305, "A frame of a generation was ignored.";
--- a/crates/core/src/link/delay.rs
+++ b/crates/core/src/link/delay.rs
@@ -9,7 +9,7 @@
 /// Late connections in a row, to more than one peer, from which the link is late.
 const MIN_RUN: usize = 3;
 /// Age of the last connection up to which something is concluded.
-const MAX_AGE: Duration = Duration::from_millis(500);
+const MAX_AGE: Duration = Duration::from_secs(1);
 /// Peers whose least time is kept.
 const MAX_PEERS: usize = 1_024;
 /// By this part of the difference the least time of a peer follows longer ones, since routes change.
--- a/crates/core/src/link/mod.rs
+++ b/crates/core/src/link/mod.rs
@@ -3,6 +3,7 @@
 //! A full link delays all that crosses it, in any direction. New connections then take longer to all
 //! peers at once, and what this daemon waits for is late without a fault of whoever sends it.
 
+mod admission;
 mod delay;
 mod rate;
 #[cfg(test)]
@@ -10,7 +11,11 @@
 
 use std::{sync::Arc, time::Duration};
 
-use self::{delay::DelayTracker, rate::RateMeter};
+use self::{
+    admission::{Credit, StreamForecast, shed_part},
+    delay::DelayTracker,
+    rate::RateMeter,
+};
 use crate::units::Instant;
 
 /// Largest payload of a packet on Ethernet, in bytes.
@@ -20,7 +25,7 @@
 /// Packets of a connection's opening and end, in each direction.
 const HANDSHAKE_SEGMENTS: usize = 3;
 
-/// Part of the capacity below which a full link cannot be why connections never come up.
+/// Part of the capacity below which the link is not what delays connections.
 const MIN_LOAD_WHEN_LATE: f64 = 0.5;
 
 /// A direction of the link.
@@ -41,6 +46,8 @@
     pub received: f64,
     /// Bytes a second that the link carries in each direction, if that is known.
     pub capacity: Option<f64>,
+    /// Streams that were accepted and have not ended.
+    pub streams: usize,
     /// By how much recent connections to all peers took longer than they can; zero if one was in time.
     pub delay: Duration,
 }
@@ -59,6 +66,11 @@
     sent: RateMeter,
     received: RateMeter,
     delay: DelayTracker,
+    streams: StreamForecast,
+    connections: Credit,
+    requests: Credit,
+    /// The highest rate so far.
+    peak: f64,
 }
 
 impl LinkLoad {
@@ -69,6 +81,10 @@
             sent: RateMeter::default(),
             received: RateMeter::default(),
             delay: DelayTracker::default(),
+            streams: StreamForecast::new(),
+            connections: Credit::default(),
+            requests: Credit::default(),
+            peak: 0.0,
         }
     }
 
@@ -100,8 +116,56 @@
     }
 
     fn is_busy(&mut self, now: Instant) -> bool {
+        let rate = self.rate(now);
+        MIN_LOAD_WHEN_LATE * self.capacity.unwrap_or(self.peak) <= rate && 0.0 < rate
+    }
+
+    /// Bytes a second in the fuller direction.
+    fn rate(&mut self, now: Instant) -> f64 {
         let rate = self.sent.per_second(now).max(self.received.per_second(now));
-        self.capacity.is_some_and(|capacity| MIN_LOAD_WHEN_LATE * capacity <= rate)
+        self.peak = self.peak.max(rate);
+        rate
+    }
+
+    /// Whether new connections are taken in the next interval.
+    pub fn accept_connections(&mut self, now: Instant) -> bool {
+        let shed_part = self.shed_part(now);
+        self.connections.accept(shed_part)
+    }
+
+    /// Whether one more request is taken on a connection that is open.
+    pub fn accept_request(&mut self, now: Instant) -> bool {
+        let shed_part = self.shed_part(now);
+        self.requests.accept(shed_part)
+    }
+
+    /// The part of new work that the link has no room for. Streams go on for an unknown time, so room is
+    /// kept for those that were accepted and bring no events yet.
+    fn shed_part(&mut self, now: Instant) -> f64 {
+        let rate = self.rate(now);
+        let forecast = self.streams.forecast(rate, now);
+        let is_full = self.is_late(now) && self.is_busy(now);
+        let load = match self.capacity {
+            _ if is_full => 1.0,
+            Some(capacity) => forecast / capacity,
+            None => 0.0,
+        };
+        shed_part(load)
+    }
+
+    /// Counts a stream that was accepted.
+    pub fn on_stream_accepted(&mut self) {
+        self.streams.on_stream_accepted();
+    }
+
+    /// Counts an accepted stream as one that brings events.
+    pub fn on_stream_begun(&mut self) {
+        self.streams.on_stream_begun();
+    }
+
+    /// Counts a stream no longer; `has_begun` if it has brought events.
+    pub fn on_stream_ended(&mut self, has_begun: bool) {
+        self.streams.on_stream_ended(has_begun);
     }
 
     /// The link as it is now.
@@ -110,6 +174,7 @@
             sent: self.sent.per_second(now),
             received: self.received.per_second(now),
             capacity: self.capacity,
+            streams: self.streams.count(),
             delay: self.delay.recent(now).map_or(Duration::ZERO, |delay| delay.least_excess),
         }
     }
--- a/crates/core/src/link/tests.rs
+++ b/crates/core/src/link/tests.rs
@@ -55,7 +55,7 @@
     let mut link = known_link();
     connect_late(&mut link, 80, 1_000);
 
-    let (delay, later) = (link.report(at(1_020)).delay, link.report(at(2_000)).delay);
+    let (delay, later) = (link.report(at(1_020)).delay, link.report(at(3_000)).delay);
 
     expect_that!(delay, all!(ge(ms(79)), le(ms(80))));
     expect_that!(later, eq(ms(0)));
@@ -100,3 +100,46 @@
 
     expect_that!(is_late, eq([true, false, true]));
 }
+
+/// Requests of 100 that are accepted while the link carries this many packets of 1,000 bytes a second.
+fn accepted(link: &mut LinkLoad, packets: u64) -> usize {
+    for n in 0..packets {
+        link.on_transfer(Direction::Received, 934, Instant(n * 1_000_000 / packets));
+    }
+    (0..100).filter(|_| link.accept_request(at(1_000))).count()
+}
+
+#[gtest]
+fn requests_are_shed_before_the_link_is_full_but_never_all() {
+    let accepted = [500, 900, 1_100].map(|packets| accepted(&mut known_link(), packets));
+
+    expect_that!(accepted, elements_are![eq(100), all!(ge(40), le(60)), all!(ge(4), le(6))]);
+}
+
+#[gtest]
+fn room_is_kept_for_streams_that_have_brought_no_event() {
+    let mut link = known_link();
+    // At first a stream is taken to need 8,000 bytes a second.
+    (0..60).for_each(|_| link.on_stream_accepted());
+
+    let before = accepted(&mut link, 500);
+    (0..60).for_each(|_| link.on_stream_ended(false));
+    let after = (0..100).filter(|_| link.accept_request(at(1_000))).count();
+
+    expect_that!(before, le(10));
+    expect_that!(after, ge(99));
+}
+
+#[gtest]
+fn link_of_unknown_capacity_sheds_while_it_is_late_at_its_highest_rate() {
+    let mut link = LinkLoad::new(None);
+    connect(&mut link, "p1", 3, 0);
+    connect(&mut link, "p2", 5, 0);
+
+    let in_time = accepted(&mut link, 900);
+    connect_late(&mut link, 50, 1_000);
+    let late = accepted(&mut link, 900);
+
+    expect_that!(in_time, eq(100));
+    expect_that!(late, le(6));
+}
--- a/crates/server/src/edge/connection.rs
+++ b/crates/server/src/edge/connection.rs
@@ -5,7 +5,7 @@
     io,
     pin::Pin,
     rc::Rc,
-    task::{Context, Poll},
+    task::{Context, Poll, ready},
     time::{Duration, Instant},
 };
 
@@ -13,7 +13,7 @@
 use http_body::{Body as HttpBody, Frame, SizeHint};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
-use super::{AnswerError, Body, Bounds};
+use super::{AnswerError, Body, Bounds, Gate};
 use crate::overload::MeteredSocket;
 
 /// What a connection is doing.
@@ -73,10 +73,13 @@
     }
 }
 
-/// A socket that notes when bytes come.
+/// A socket that notes when bytes come, and ends before a request that may not be read.
 pub(super) struct WatchedSocket {
     pub(super) socket: MeteredSocket,
     pub(super) activity: Activity,
+    pub(super) gate: Rc<dyn Gate>,
+    /// Whether a first request has been read.
+    pub(super) has_been_read: bool,
 }
 
 impl AsyncRead for WatchedSocket {
@@ -85,6 +88,13 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        if let Phase::Idle(_) = self.activity.phase() {
+            ready!(self.socket.poll_read_ready(cx))?;
+            if self.has_been_read && !self.gate.may_read() {
+                return Poll::Ready(Ok(()));
+            }
+            self.has_been_read = true;
+        }
         let before = buf.filled().len();
         let polled = Pin::new(&mut self.socket).poll_read(cx, buf);
         if before < buf.filled().len() {
--- a/crates/server/src/edge/listener.rs
+++ b/crates/server/src/edge/listener.rs
@@ -74,9 +74,23 @@
     open: Rc<Cell<usize>>,
 ) {
     let mut closes = closed.clone();
+    let mut takes = gate.takes_connections();
+    let Ok(address) = listener.local_addr() else { return };
+    let mut listener = Some(listener);
     loop {
+        let Some(current) = &listener else {
+            tokio::select! {
+                () = wait_for(&mut takes, true) => listener = listen_again(address).await,
+                _ = closes.wait_for(|closing| *closing) => return,
+            }
+            continue;
+        };
         let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
+            accepted = current.accept() => accepted,
+            () = wait_for(&mut takes, false) => {
+                listener = None;
+                continue;
+            }
             // New connections are refused from here on, so that callers go elsewhere.
             _ = closes.wait_for(|closing| *closing) => return,
         };
@@ -88,7 +102,7 @@
                     match admit(socket, &*gate).await {
                         Ok(socket) => {
                             let socket = MeteredSocket::new(socket, gate.link());
-                            serve(socket, handler, closed, guard).await;
+                            serve(socket, handler, gate, closed, guard).await;
                         }
                         Err(e) => log::debug!("a connection ended before it began: {e:#}"),
                     }
@@ -102,6 +116,26 @@
     }
 }
 
+/// Listens at an address that was left for a while; pauses if it cannot.
+async fn listen_again(address: SocketAddr) -> Option<TcpListener> {
+    match socket::listen(address) {
+        Ok(listener) => Some(listener),
+        Err(e) => {
+            log::warn!(event = EventId::CallerRefused.number(); "cannot listen on {address} again: {e}");
+            tokio::time::sleep(PAUSE).await;
+            None
+        }
+    }
+}
+
+/// Waits until the gate takes connections, or takes none.
+async fn wait_for(takes: &mut watch::Receiver<bool>, value: bool) {
+    if takes.wait_for(|takes| *takes == value).await.is_err() {
+        // A gate without a sender never changes.
+        std::future::pending::<()>().await;
+    }
+}
+
 /// Counts a connection as open while it lives.
 struct Counted(Rc<Cell<usize>>);
 
@@ -135,11 +169,17 @@
 async fn serve(
     socket: MeteredSocket,
     handler: Rc<dyn Handler>,
+    gate: Rc<dyn Gate>,
     mut closing: watch::Receiver<bool>,
     _open: Counted,
 ) {
     let activity = Activity::new();
-    let io = TokioIo::new(WatchedSocket { socket, activity: activity.clone() });
+    let io = TokioIo::new(WatchedSocket {
+        socket,
+        activity: activity.clone(),
+        gate,
+        has_been_read: false,
+    });
     let answer = service_fn(|req| {
         activity.begin();
         let (handler, activity) = (handler.clone(), activity.clone());
--- a/crates/server/src/edge/mod.rs
+++ b/crates/server/src/edge/mod.rs
@@ -11,7 +11,7 @@
 use eyre::Result;
 use http::{Request, Response};
 use hyper::body::Incoming;
-use tokio::net::TcpStream;
+use tokio::{net::TcpStream, sync::watch};
 
 use crate::overload::LinkMonitor;
 
@@ -37,6 +37,16 @@
     /// Admits a connection; an error closes it.
     fn admit(&self, socket: TcpStream) -> LocalFuture<'static, Result<TcpStream>>;
 
+    /// Whether new connections are taken at all now; else they are refused.
+    fn takes_connections(&self) -> watch::Receiver<bool> {
+        watch::Sender::new(true).subscribe()
+    }
+
+    /// Whether a further request may be read from a connection; else the connection is closed.
+    fn may_read(&self) -> bool {
+        true
+    }
+
     /// The link that its connections cross, if that is measured.
     fn link(&self) -> Option<Rc<LinkMonitor>> {
         None
--- a/crates/server/src/edge/tests.rs
+++ b/crates/server/src/edge/tests.rs
@@ -11,6 +11,7 @@
     task::LocalSet,
 };
 use trayswitch_clock::Instant;
+use trayswitch_core::link::Direction;
 
 use super::{Body, Bounds, Handler, LocalFuture, Server, bind, bind_gated, full};
 use crate::{
@@ -154,3 +155,67 @@
     expect_that!(after_one, eq(false));
     expect_that!(monitor.is_overloaded(), eq(false));
 }
+
+/// Fills a link of 1,000,000 bytes a second, in both directions, until dropped.
+async fn fill_link(link: &LinkMonitor) {
+    loop {
+        link.on_transfer(Direction::Received, 10_000);
+        tokio::time::sleep(Duration::from_millis(2)).await;
+    }
+}
+
+/// A server behind a link of 1,000,000 bytes a second.
+fn server_behind_link() -> (Server, Rc<LinkMonitor>) {
+    let metrics = Rc::new(Metrics::new().unwrap());
+    let link = LinkMonitor::spawn(Some(1_000_000.0), metrics.clone());
+    let monitor = OverloadMonitor::spawn(link.clone(), metrics);
+    let server = bind_gated("127.0.0.1:0".parse().unwrap(), Rc::new(Word), monitor).unwrap();
+    (server, link)
+}
+
+async fn wait_until_connections_are_taken(server: &Server, are_taken: bool) {
+    while TcpStream::connect(server.address()).await.is_ok() != are_taken {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+}
+
+#[gtest]
+fn full_link_refuses_new_connections_until_it_has_room() {
+    let answer = on_local_tasks(async {
+        let (server, link) = server_behind_link();
+        tokio::select! {
+            () = fill_link(&link) => {}
+            () = wait_until_connections_are_taken(&server, false) => {}
+        }
+        while 0.0 < link.rate() {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+        wait_until_connections_are_taken(&server, true).await;
+        say(&server, "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n").await
+    });
+
+    expect_that!(answer, ends_with("word"));
+}
+
+#[gtest]
+fn full_link_closes_open_connections_before_their_next_request() {
+    let (first, second) = on_local_tasks(async {
+        let (server, link) = server_behind_link();
+        let req = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+        let mut socket = TcpStream::connect(server.address()).await.unwrap();
+        socket.write_all(req).await.unwrap();
+        let mut first = [0; 12];
+        socket.read_exact(&mut first).await.unwrap();
+        while !socket.try_read(&mut [0; 1_024]).is_err() {}
+        tokio::select! {
+            () = fill_link(&link) => {}
+            () = wait_until_connections_are_taken(&server, false) => {}
+        }
+        // The end is the same whether the request has crossed it or not.
+        let _ = socket.write_all(req).await;
+        (first, socket.read_to_end(&mut Vec::new()).await.unwrap_or_default())
+    });
+
+    expect_that!(&first[..], eq(b"HTTP/1.1 200"));
+    expect_that!(second, eq(0));
+}
--- a/crates/server/src/overload/meter.rs
+++ b/crates/server/src/overload/meter.rs
@@ -27,6 +27,11 @@
         MeteredSocket { socket, link }
     }
 
+    /// Waits until there are bytes to be read, or the end.
+    pub(crate) fn poll_read_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.socket.poll_read_ready(cx)
+    }
+
     fn count(&self, direction: Direction, bytes: usize) {
         if let Some(link) = self.link.as_ref().filter(|_| 0 < bytes) {
             link.on_transfer(direction, bytes);
--- a/crates/server/src/overload/mod.rs
+++ b/crates/server/src/overload/mod.rs
@@ -1,4 +1,5 @@
-//! Notices when this daemon is late itself, and sheds new connections while its thread is saturated.
+//! Notices when this daemon is late itself, and sheds requests unread while its thread is saturated or
+//! the VM's network link has no room for them.
 //!
 //! A saturated daemon is late with all that it has read. A caller whose connection is closed unread can
 //! try another daemon at once, whatever its request is.
@@ -9,10 +10,11 @@
 use std::{cell::Cell, rc::Rc, time::Duration};
 
 use eyre::{Result, bail};
-use tokio::net::TcpStream;
+use tokio::{net::TcpStream, sync::watch};
 use trayswitch_clock::Instant;
 
 pub use self::link::LinkMonitor;
+
 pub(crate) use self::meter::MeteredSocket;
 use crate::{
     edge::{Gate, LocalFuture},
@@ -35,6 +37,7 @@
     delay: Cell<Duration>,
     late_since: Cell<Option<Instant>>,
     overloaded: Cell<bool>,
+    takes_connections: watch::Sender<bool>,
     link: Rc<LinkMonitor>,
     metrics: Rc<Metrics>,
 }
@@ -51,6 +54,7 @@
                 let Some(monitor) = weak.upgrade() else { return };
                 let now = Instant::now();
                 monitor.record(now.saturating_duration_since(due), now);
+                monitor.gate_connections();
             }
         });
         monitor
@@ -61,11 +65,19 @@
             delay: Cell::default(),
             late_since: Cell::default(),
             overloaded: Cell::default(),
+            takes_connections: watch::Sender::new(true),
             link,
             metrics,
         }
     }
 
+    /// Decides whether new connections are taken in the next interval. A connection that is refused costs
+    /// the link least: its caller has sent nothing yet.
+    fn gate_connections(&self) {
+        let takes = self.link.accept_connections(INTERVAL);
+        self.takes_connections.send_if_modified(|before| std::mem::replace(before, takes) != takes);
+    }
+
     /// Whether this daemon is late itself, so that what it waits for may be late without a fault of
     /// whoever sends it.
     pub(crate) fn is_late(&self) -> bool {
@@ -77,7 +89,8 @@
         &self.link
     }
 
-    /// Whether new connections are shed, and callers should not be sent here.
+    /// Whether the thread is saturated, and callers should not be sent here. A full link is no reason: as
+    /// much as it carries is still taken, and the next daemon would get the rest.
     pub fn is_overloaded(&self) -> bool {
         self.overloaded.get()
     }
@@ -90,7 +103,7 @@
         let overloaded = since.is_some_and(|since| WINDOW <= now.saturating_duration_since(since));
         if self.overloaded.replace(overloaded) != overloaded {
             log::warn!(
-                event = EventId::LoadShedding.number(),
+                event = EventId::LoadShedding.number(), cause = "thread",
                 end = if overloaded { "begun" } else { "over" },
                 took_ms = late.as_millis() as u64;
                 "new connections are closed unread from now on, or are taken again"
@@ -103,7 +116,7 @@
     fn admit(&self, socket: TcpStream) -> LocalFuture<'static, Result<TcpStream>> {
         let is_shed = self.overloaded.get();
         if is_shed {
-            self.metrics.connection_shed();
+            self.metrics.connection_shed("thread");
         }
         Box::pin(async move {
             if is_shed {
@@ -113,6 +126,20 @@
         })
     }
 
+    fn takes_connections(&self) -> watch::Receiver<bool> {
+        self.takes_connections.subscribe()
+    }
+
+    fn may_read(&self) -> bool {
+        let cause = match self.overloaded.get() {
+            true => "thread",
+            false if self.link.accept_request() => return true,
+            false => "link",
+        };
+        self.metrics.connection_shed(cause);
+        false
+    }
+
     fn link(&self) -> Option<Rc<LinkMonitor>> {
         Some(self.link.clone())
     }
--- a/crates/server/src/relay/forwarding/server.rs
+++ b/crates/server/src/relay/forwarding/server.rs
@@ -152,6 +152,9 @@
     if relay.path(&endpoint) == Path::Forwarded {
         return Err(unavailable("this daemon cannot connect to the endpoint either"));
     }
+    if relay.overload.is_late() || !relay.overload.link().accept_request() {
+        return Err(unavailable("this daemon is overloaded"));
+    }
     let guard = LoadGuard::acquire(relay, content_length(&head.headers));
     let guard = guard.ok_or_else(|| unavailable("too many forwarded requests"))?;
     let silence = relay.bounds().idle_timeout;
--- a/crates/server/src/relay/generation.rs
+++ b/crates/server/src/relay/generation.rs
@@ -71,6 +71,7 @@
 
 /// Serves one generation.
 pub(super) async fn serve(relay: Rc<Relay>, job: Job) -> Response<Body> {
+    let mut link_load = relay.overload.link().accept_stream();
     match start(&relay, &job).await {
         Ok(StartedGeneration {
             placed,
@@ -80,10 +81,14 @@
             if first.is_some() {
                 relay.on_stream_begun(&job, version.as_ref());
             }
+            link_load.begin();
             let (tx, rx) = mpsc::channel(MAX_BUFFERED_EVENTS);
             let response = relay.build_response(&head, edge::streamed(rx));
             let forwarder = StreamForwarder::new(relay, job, placed, turn, event_stream, tx);
-            tokio::task::spawn_local(forwarder.run(first));
+            tokio::task::spawn_local(async move {
+                forwarder.run(first).await;
+                drop(link_load);
+            });
             response
         }
         Ok(StartedGeneration { opened: Opened::Failed { head, body }, .. }) => {
--- a/crates/server/src/telemetry/metrics.rs
+++ b/crates/server/src/telemetry/metrics.rs
@@ -36,6 +36,7 @@
     forwarded: IntCounterVec,
     forwarded_for_others: IntCounterVec,
     shed_connections: IntCounterVec,
+    listener_closed: IntCounterVec,
     connects: HistogramVec,
     link_rate: GaugeVec,
     link_capacity: Gauge,
@@ -163,7 +164,12 @@
             )?,
             shed_connections: counter(
                 "trayswitch_shed_connections_total",
-                "Connections of callers that were closed unread because the daemon was overloaded",
+                "Connections of callers that were closed unread because the daemon was overloaded, by cause",
+                &["cause"],
+            )?,
+            listener_closed: counter(
+                "trayswitch_listener_closed_ms_total",
+                "Time for which new connections were refused because the VM's network link is full, in ms",
                 &[],
             )?,
             connects: histogram(
@@ -311,8 +317,13 @@
     }
 
     /// Counts a connection that was closed unread.
-    pub(crate) fn connection_shed(&self) {
-        self.shed_connections.with_label_values::<&str>(&[]).inc();
+    pub(crate) fn connection_shed(&self, cause: &str) {
+        self.shed_connections.with_label_values(&[cause]).inc();
+    }
+
+    /// Counts time for which new connections were refused.
+    pub(crate) fn listener_closed(&self, time: Duration) {
+        self.listener_closed.with_label_values::<&str>(&[]).inc_by(time.as_millis() as u64);
     }
 
     /// Records how long a connection to an endpoint took until it came up or was given up.
