Bytes without end: heads, interim responses, bodies and streams are bounded, memory in sum

An endpoint in trouble may send bytes without end, in a head or a body. What held: one head (417 KB), one body (16 MiB), an event (1 MiB), all deadlines. What did not: interim responses were taken until the deadline; the bounds of single bodies together exceed a VM's memory (88 MB) many times; a stream was passed on for as long as events or comments came; a probe of a flooding endpoint read it for 2 s.

Up to the end of a response's head, interim ones included, 64 KB are read; an event has 256 KB; a stream ends after as many events as tokens were asked for, and 256. All bodies, events on their way and request bodies share a memory budget of half of the process's memory (limits.memory-mb): a buffer of more than 64 KB may only take from its first half, so that large ones leave room for others. A request's body has its caller's deadline. Connections are closed, not drained.

relay::tests::endless_responses: 4 of 5 failed on the code before (three at the test's limit of 60 s, with interim responses; one for want of the gauge).

--- a/crates/server/src/edge/body.rs
+++ b/crates/server/src/edge/body.rs
@@ -8,6 +8,8 @@
 use hyper::body::Incoming;
 use tokio::{sync::mpsc, time::timeout};
 
+use crate::overload::{BudgetExhausted, Reservation};
+
 /// The body of an answer to a caller.
 pub type Body = UnsyncBoxBody<Bytes, AnswerError>;
 
@@ -28,8 +30,10 @@
 pub enum ReadError {
     /// It is larger than allowed.
     TooLarge,
-    /// No byte came for too long.
+    /// No byte came for too long, or it took too long as a whole.
     TooSlow,
+    /// There is no memory for it now.
+    NoRoom,
     /// It broke off or was not framed as it should be.
     Broken(String),
 }
@@ -58,10 +62,28 @@
 }
 
 /// Reads a whole body within bounds of size and of silence.
-pub async fn read_whole(
+pub async fn read_whole(body: Incoming, max: usize, silence: Duration) -> Result<Bytes, ReadError> {
+    read_into(body, max, silence, |_| Ok(())).await
+}
+
+/// The same within a memory budget, where it counts until the bytes are dropped, and within a time limit.
+pub(crate) async fn read_within(
+    body: Incoming,
+    max: usize,
+    silence: Duration,
+    limit: Duration,
+    mut reservation: Reservation,
+) -> Result<Bytes, ReadError> {
+    let resize = |len| reservation.resize(len).map_err(|_: BudgetExhausted| ReadError::NoRoom);
+    let whole = timeout(limit, read_into(body, max, silence, resize)).await;
+    Ok(reservation.hold(whole.map_err(|_| ReadError::TooSlow)??))
+}
+
+async fn read_into(
     mut body: Incoming,
     max: usize,
     silence: Duration,
+    mut resize: impl FnMut(usize) -> Result<(), ReadError>,
 ) -> Result<Bytes, ReadError> {
     let mut whole = Vec::new();
     loop {
@@ -72,6 +94,7 @@
         if max < whole.len() + data.len() {
             return Err(ReadError::TooLarge);
         }
+        resize(whole.len() + data.len())?;
         whole.extend_from_slice(&data);
     }
 }
--- a/crates/server/src/edge/mod.rs
+++ b/crates/server/src/edge/mod.rs
@@ -15,6 +15,7 @@
 
 use crate::overload::LinkMonitor;
 
+pub(crate) use self::body::read_within;
 pub use self::{
     body::{AnswerError, Body, ReadError, empty, full, read_whole, streamed},
     listener::{Server, bind, bind_gated},
--- a/crates/server/src/overload/mod.rs
+++ b/crates/server/src/overload/mod.rs
@@ -5,6 +5,7 @@
 //! try another daemon at once, whatever its request is.
 
 mod link;
+mod memory;
 mod meter;
 
 use std::{cell::Cell, rc::Rc, time::Duration};
@@ -15,7 +16,10 @@
 
 pub use self::link::LinkMonitor;
 
-pub(crate) use self::meter::MeteredSocket;
+pub(crate) use self::{
+    memory::{BudgetExhausted, MemoryBudget, Reservation},
+    meter::MeteredSocket,
+};
 use crate::{
     edge::{Gate, LocalFuture},
     telemetry::{EventId, Metrics},
--- a/crates/server/src/relay/admission.rs
+++ b/crates/server/src/relay/admission.rs
@@ -23,7 +23,7 @@
     job::{Job, tier_rank},
 };
 use crate::{
-    edge::{ReadError, read_whole},
+    edge::{ReadError, read_within},
     telemetry::EventId,
 };
 
@@ -31,6 +31,8 @@
 /// `Retry-After` of a daemon without a current configuration: the usual time to get one after a
 /// start. Measured after a loss of power everywhere: 0.4 s.
 const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(400);
+/// Longest time for the body of a request without a deadline.
+const MAX_BODY_TIME: Duration = Duration::from_secs(60);
 /// `Retry-After` of a stopping daemon: a retry reaches another daemon at once.
 const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(10);
 
@@ -55,7 +57,9 @@
         let limits = self.node.view().active_config().map(|f| f.config.limits.clone());
         let limits = limits.unwrap_or_default();
         // The body is read first, so that an early refusal leaves the connection usable.
-        let body = read_whole(body, limits.max_body as usize, limits.idle_timeout)
+        let time_left = caller.time_left.unwrap_or(MAX_BODY_TIME);
+        let (max, silence) = (limits.max_body as usize, limits.idle_timeout);
+        let body = read_within(body, max, silence, time_left, self.buffers.reservation())
             .await
             .map_err(|e| refuse(&id, read_error(&e)))?;
         let max_wait =
@@ -228,6 +232,10 @@
         ReadError::TooSlow => {
             RequestError::new(ErrorKind::BadRequest, "timed out reading the request body")
         }
+        ReadError::NoRoom => {
+            let message = "this daemon's memory for request bodies is used up";
+            RequestError::new(ErrorKind::Overloaded, message)
+        }
         ReadError::Broken(error) => RequestError::new(
             ErrorKind::BadRequest,
             format!("failed to read the request body: {error}"),
--- a/crates/server/src/relay/event_stream.rs
+++ b/crates/server/src/relay/event_stream.rs
@@ -3,7 +3,10 @@
 use http::response;
 
 use super::unframed_response::is_unframed;
-use crate::upstream::{AnswerBody, Event, EventSplitter};
+use crate::{
+    overload::Reservation,
+    upstream::{AnswerBody, Event, EventSplitter},
+};
 
 pub(super) enum StreamItem {
     Event(Event),
@@ -19,13 +22,24 @@
 pub(super) struct EventStream {
     body: AnswerBody,
     splitter: EventSplitter,
+    /// Room for the bytes that are gathered.
+    reservation: Reservation,
     is_unframed: bool,
 }
 
 impl EventStream {
-    pub(super) fn new(head: &response::Parts, body: AnswerBody) -> EventStream {
+    pub(super) fn new(
+        head: &response::Parts,
+        body: AnswerBody,
+        reservation: Reservation,
+    ) -> EventStream {
         let splitter = EventSplitter::default();
-        EventStream { body, splitter, is_unframed: is_unframed(head) }
+        EventStream { body, splitter, reservation, is_unframed: is_unframed(head) }
+    }
+
+    fn push(&mut self, bytes: &[u8]) -> Result<(), String> {
+        self.splitter.push(bytes)?;
+        self.reservation.resize(self.splitter.len()).map_err(|e| e.to_string())
     }
 
     /// The next item. Cancel safe.
@@ -36,7 +50,7 @@
             }
             match self.body.next().await {
                 Some(Ok(bytes)) => {
-                    if let Err(error) = self.splitter.push(&bytes) {
+                    if let Err(error) = self.push(&bytes) {
                         return StreamItem::Error(error);
                     }
                 }
--- a/crates/server/src/relay/failed_attempt.rs
+++ b/crates/server/src/relay/failed_attempt.rs
@@ -122,10 +122,11 @@
     }
 }
 
-/// Waits until the peer closes an idle connection.
-async fn wait_for_close(mut connection: TcpStream) {
-    let mut unsolicited = [0; 64];
-    while connection.read(&mut unsolicited).await.is_ok_and(|bytes| 0 < bytes) {}
+/// Waits until the peer closes an idle connection. Returns whether it does: one that sends without being
+/// asked is up.
+async fn wait_for_close(mut connection: TcpStream) -> bool {
+    let mut unsolicited = [0; 1_024];
+    !connection.read(&mut unsolicited).await.is_ok_and(|bytes| 0 < bytes)
 }
 
 /// Reports an attempt that is dropped before it completes, by deadline or disconnect. Nothing
@@ -189,7 +190,7 @@
     ) -> bool {
         let until = Instant::now() + duration;
         for _ in 0..MAX_WATCH_PROBES {
-            if timeout_at(until, wait_for_close(connection)).await.is_err() {
+            if !timeout_at(until, wait_for_close(connection)).await.unwrap_or(false) {
                 return false;
             }
             connection = match self.probe(endpoint).await {
--- a/crates/server/src/relay/forwarding/server.rs
+++ b/crates/server/src/relay/forwarding/server.rs
@@ -4,6 +4,7 @@
     cell::Cell,
     net::SocketAddr,
     rc::{Rc, Weak},
+    sync::Arc,
 };
 
 use bytes::Bytes;
@@ -17,7 +18,7 @@
 use super::message::{Outcome, Purpose, Target, remove_hop_by_hop};
 use crate::{
     edge::{self, AnswerError, Body, Bounds, Gate, Handler, LocalFuture, Server, read_whole},
-    overload::LinkMonitor,
+    overload::{LinkMonitor, MemoryBudget},
     relay::{
         Relay,
         endpoint_connection::ConnectError,
@@ -182,7 +183,7 @@
     let (tx, rx) = mpsc::channel(MAX_BUFFERED_PIECES);
     let relay = relay.clone();
     tokio::task::spawn_local(async move {
-        let is_whole = pass_on(body, &tx).await;
+        let is_whole = pass_on(body, &tx, &relay.buffers).await;
         if is_whole
             && is_unframed
             && !relay.is_unframed_response_complete(&endpoint, CALL_CLOSE_DELAY).await
@@ -228,13 +229,18 @@
 
 /// Passes the body of a response on until it ends or the daemon that wants it leaves; returns whether
 /// it ended without an error.
-async fn pass_on(mut body: AnswerBody, tx: &mpsc::Sender<Result<Bytes, AnswerError>>) -> bool {
+async fn pass_on(
+    mut body: AnswerBody,
+    tx: &mpsc::Sender<Result<Bytes, AnswerError>>,
+    buffers: &Arc<MemoryBudget>,
+) -> bool {
     loop {
         let piece = tokio::select! {
             piece = body.next() => piece,
             () = tx.closed() => return false,
         };
         let Some(piece) = piece else { return true };
+        let piece = piece.and_then(|bytes| buffers.hold(bytes).map_err(|e| e.to_string()));
         let is_last = piece.is_err();
         if tx.send(piece.map_err(AnswerError)).await.is_err() || is_last {
             return false;
--- a/crates/server/src/relay/generation.rs
+++ b/crates/server/src/relay/generation.rs
@@ -357,7 +357,7 @@
             };
         }
     }
-    let mut event_stream = EventStream::new(&open.head, open.body);
+    let mut event_stream = EventStream::new(&open.head, open.body, relay.buffers.reservation());
     let version = known.software_version.clone();
     let item = event_stream.next().await;
     match relay.resolve_connection_end(item, || Some(known.clone())).await {
--- a/crates/server/src/relay/mod.rs
+++ b/crates/server/src/relay/mod.rs
@@ -69,7 +69,7 @@
 };
 use crate::{
     edge::{self, Body, Bounds, Handler, LocalFuture},
-    overload::OverloadMonitor,
+    overload::{MemoryBudget, OverloadMonitor},
     runtime::{NodeHandle, PeerPort},
     telemetry::{EventId, Metrics},
     upstream::Connector,
@@ -107,6 +107,8 @@
     /// How long requests wait for a configuration after a start or a suspension before they are
     /// refused at once.
     pub config_recovery_timeout: Duration,
+    /// Bytes of bodies and events that may be buffered at a time.
+    pub max_buffered: usize,
     /// Mechanisms that are disabled.
     pub disabled: Disabled,
 }
@@ -128,6 +130,8 @@
     options: RelayOptions,
     connector: Box<dyn Connector>,
     overload: Rc<OverloadMonitor>,
+    /// Memory for bodies and events on their way.
+    buffers: Arc<MemoryBudget>,
     /// Which endpoints this daemon can connect to.
     reachability: RefCell<ReachabilityTracker>,
     /// Whether this daemon takes requests that others forward.
@@ -170,6 +174,7 @@
             options,
             connector,
             overload,
+            buffers: MemoryBudget::new(options.max_buffered, metrics.buffers()),
             reachability: RefCell::default(),
             is_forwarder: Cell::default(),
             forwarder_pool: RefCell::default(),
--- a/crates/server/src/relay/stream/mod.rs
+++ b/crates/server/src/relay/stream/mod.rs
@@ -32,6 +32,9 @@
 /// Estimate for engines that do not report token counts.
 const TOKENS_PER_EVENT: u64 = 4;
 
+/// Events without tokens of the output, such as comments, that a stream may have.
+const MAX_EXTRA_EVENTS: u64 = 256;
+
 /// Why a stream ended.
 enum EndReason {
     Completed,
@@ -217,7 +220,13 @@
             self.last_event_id = Some(id);
         }
         self.events += 1;
-        if self.tx.send(Ok(event.bytes)).await.is_err() {
+        if self.max_events() < self.events {
+            let error = format!("more than {} events", self.max_events());
+            return Err(EndReason::GenerationLost(error));
+        }
+        let bytes = self.relay.buffers.hold(event.bytes);
+        let bytes = bytes.map_err(|e| EndReason::GenerationLost(e.to_string()))?;
+        if self.tx.send(Ok(bytes)).await.is_err() {
             return Err(EndReason::CallerDisconnected);
         }
         if self.events == 1 || self.events.is_multiple_of(PROGRESS_INTERVAL_EVENTS) {
@@ -229,6 +238,13 @@
         Ok(())
     }
 
+    /// Events beyond which an endpoint is taken to send what nobody asked for.
+    fn max_events(&self) -> u64 {
+        let prompt = self.job.caller.prompt.as_ref();
+        let tokens = prompt.map(|prompt| prompt.max_output_tokens).filter(|tokens| 0 < *tokens);
+        tokens.map_or(u64::MAX, |tokens| tokens.saturating_add(MAX_EXTRA_EVENTS))
+    }
+
     fn record_continuation(&self, how: Continuation, endpoint: &str) {
         self.relay.record_continuation(&self.job, how, endpoint);
     }
--- a/crates/server/src/relay/tests/retry_budget.rs
+++ b/crates/server/src/relay/tests/retry_budget.rs
@@ -23,6 +23,7 @@
         copy_timeout: Duration::from_secs(1),
         late_response_timeout: Duration::ZERO,
         config_recovery_timeout: Duration::from_secs(1),
+        max_buffered: 0,
         disabled: Disabled::default(),
     }
 }
--- a/crates/server/src/relay/tests/test_daemon.rs
+++ b/crates/server/src/relay/tests/test_daemon.rs
@@ -115,6 +115,8 @@
 /// Timeout of all waits and freshness bound of the configuration; reached only on a failure.
 pub(super) const LIMIT: Duration = Duration::from_secs(60);
 /// Port at which daemons take forwarded requests.
+/// Memory budget of every daemon, in bytes.
+pub(super) const MAX_BUFFERED: usize = 4 * 1024 * 1024;
 pub(super) const FORWARD_PORT: u16 = 7001;
 const HALL: &str = "hall-1";
 /// The VMs of the daemon and of a control VM that is not running.
@@ -502,6 +504,7 @@
         late_response_timeout: Duration::ZERO,
         copy_timeout: LIMIT,
         config_recovery_timeout,
+        max_buffered: MAX_BUFFERED,
         disabled: Disabled::default(),
     }
 }
--- a/crates/server/src/relay/unframed_response.rs
+++ b/crates/server/src/relay/unframed_response.rs
@@ -34,7 +34,7 @@
         open: OpenAnswer,
         limit: usize,
     ) -> Result<Bytes, String> {
-        let body = open.body.collect(limit).await?;
+        let body = open.body.collect_within(limit, self.buffers.reservation()).await?;
         if is_unframed(&open.head)
             && !self.is_unframed_response_complete(endpoint, CALL_CLOSE_DELAY).await
         {
--- a/crates/server/src/telemetry/metrics.rs
+++ b/crates/server/src/telemetry/metrics.rs
@@ -37,6 +37,7 @@
     forwarded_for_others: IntCounterVec,
     shed_connections: IntCounterVec,
     listener_closed: IntCounterVec,
+    buffers: BufferMetrics,
     connects: HistogramVec,
     link_rate: GaugeVec,
     link_capacity: Gauge,
@@ -57,6 +58,28 @@
     load: LoadMetrics,
 }
 
+/// What the memory budget counts.
+#[derive(Clone)]
+pub(crate) struct BufferMetrics {
+    used: IntGauge,
+    peak: IntGauge,
+    refused: IntCounterVec,
+}
+
+impl BufferMetrics {
+    /// Notes how many bytes are buffered.
+    pub(crate) fn set(&self, bytes: usize) {
+        let bytes = i64::try_from(bytes).unwrap_or(i64::MAX);
+        self.used.set(bytes);
+        self.peak.set(bytes.max(self.peak.get()));
+    }
+
+    /// Counts a buffer that was refused.
+    pub(crate) fn on_refused(&self) {
+        self.refused.with_label_values::<&str>(&[]).inc();
+    }
+}
+
 impl Metrics {
     /// Metrics that stand at zero.
     pub fn new() -> Result<Metrics> {
@@ -172,6 +195,21 @@
                 "Time for which new connections were refused because the VM's network link is full, in ms",
                 &[],
             )?,
+            buffers: BufferMetrics {
+                used: gauge(
+                    "trayswitch_buffered_bytes",
+                    "Bytes of bodies and events that are buffered for callers and endpoints",
+                )?,
+                peak: gauge(
+                    "trayswitch_buffered_bytes_peak",
+                    "The most of them at a time since the start",
+                )?,
+                refused: counter(
+                    "trayswitch_buffers_refused_total",
+                    "Buffers that were refused because the memory budget was used up",
+                    &[],
+                )?,
+            },
             connects: histogram(
                 "trayswitch_connect_seconds",
                 "Time until a connection to an endpoint came up or was given up",
@@ -326,6 +364,11 @@
         self.listener_closed.with_label_values::<&str>(&[]).inc_by(time.as_millis() as u64);
     }
 
+    /// The metrics of the memory budget.
+    pub(crate) fn buffers(&self) -> BufferMetrics {
+        self.buffers.clone()
+    }
+
     /// Records how long a connection to an endpoint took until it came up or was given up.
     pub(crate) fn connected(&self, end: &str, took: Duration) {
         self.connects.with_label_values(&[end]).observe(took.as_secs_f64());
--- a/crates/server/src/telemetry/mod.rs
+++ b/crates/server/src/telemetry/mod.rs
@@ -8,4 +8,5 @@
 
 pub use trayswitch_core::events::EventId;
 
+pub(crate) use self::metrics::BufferMetrics;
 pub use self::{lines::init, metrics::Metrics};
--- a/crates/server/src/upstream/events.rs
+++ b/crates/server/src/upstream/events.rs
@@ -5,7 +5,7 @@
 use bytes::{Bytes, BytesMut};
 
 /// Largest event that is believed; a longer one is an endpoint's fault.
-const MAX_EVENT: usize = 1024 * 1024;
+const MAX_EVENT: usize = 256 * 1024;
 
 /// One event as the endpoint wrote it.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -42,6 +42,11 @@
         Some(Event { id: id_of(&bytes), bytes })
     }
 
+    /// Bytes that are gathered.
+    pub(crate) fn len(&self) -> usize {
+        self.buf.len()
+    }
+
     /// Whether bytes of an unfinished event are left.
     pub fn has_rest(&self) -> bool {
         !self.buf.is_empty()
--- a/crates/server/src/upstream/exchange.rs
+++ b/crates/server/src/upstream/exchange.rs
@@ -7,9 +7,9 @@
 
 use std::{any::Any, fmt, future::Future, net::SocketAddr, pin::Pin, time::Duration};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::{Request, Response, response};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::{body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
 use tokio::{
@@ -17,8 +17,15 @@
     time::{Instant, timeout_at},
 };
 
-use super::{TcpConnector, connect_within};
-use crate::overload::MeteredSocket;
+use super::{
+    TcpConnector, connect_within,
+    head_limit::{HeadLimit, HeadLimited},
+};
+use crate::overload::{MeteredSocket, Reservation};
+
+/// Bytes up to the end of a response's head, interim responses included. What comes of the body in the
+/// same read does not count.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
 
 /// Why there is no answer.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -91,11 +98,35 @@
 
     /// The whole body, if it is no larger than `limit`.
     pub async fn collect(self, limit: usize) -> Result<Bytes, String> {
-        let AnswerBody { incoming, _connection, held: _held } = self;
-        match Limited::new(incoming, limit).collect().await {
-            Ok(body) => Ok(body.to_bytes()),
-            Err(e) => Err(e.to_string()),
+        self.collect_into(limit, |_| Ok(())).await
+    }
+
+    /// The same, if there is room in the memory budget; counted until the bytes are dropped.
+    pub(crate) async fn collect_within(
+        self,
+        limit: usize,
+        mut reservation: Reservation,
+    ) -> Result<Bytes, String> {
+        let resize = |len| reservation.resize(len).map_err(|e| e.to_string());
+        let body = self.collect_into(limit, resize).await?;
+        Ok(reservation.hold(body))
+    }
+
+    async fn collect_into(
+        mut self,
+        limit: usize,
+        mut resize: impl FnMut(usize) -> Result<(), String>,
+    ) -> Result<Bytes, String> {
+        let mut whole = BytesMut::new();
+        while let Some(bytes) = self.next().await {
+            let bytes = bytes?;
+            if limit < whole.len() + bytes.len() {
+                return Err(format!("the body is longer than {limit} bytes"));
+            }
+            resize(whole.len() + bytes.len())?;
+            whole.extend_from_slice(&bytes);
         }
+        Ok(whole.freeze())
     }
 }
 
@@ -135,7 +166,9 @@
     late: LateResponse,
 ) -> Result<OpenAnswer, SendError> {
     let not_sent = |problem: String| SendError::NotSent(problem);
-    let handshake = http1::Builder::new().handshake(TokioIo::new(socket)).await;
+    let (socket, head_limit) = HeadLimited::new(socket, MAX_HEAD_BYTES);
+    let handshake =
+        http1::Builder::new().max_buf_size(MAX_HEAD_BYTES).handshake(TokioIo::new(socket)).await;
     let (mut sender, connection) = handshake.map_err(|e| not_sent(describe(&e)))?;
     let run = async move {
         if let Err(e) = connection.await {
@@ -147,6 +180,7 @@
     may_send().map_err(SendError::Withheld)?;
     let pending = PendingResponse {
         response: Box::pin(sender.send_request(req)),
+        head_limit,
         connection,
         read_until: Instant::now() + late.timeout,
         late,
@@ -159,6 +193,7 @@
 /// A request that was sent and whose response has not begun.
 struct PendingResponse {
     response: ResponseFuture,
+    head_limit: HeadLimit,
     connection: Connection,
     read_until: Instant,
     late: LateResponse,
@@ -174,16 +209,17 @@
             Some(pending) => pending.response.as_mut().await,
             None => unreachable!("the guard is full until it is dropped"),
         };
-        let Some(PendingResponse { connection, .. }) = guard.0.take() else {
+        let Some(PendingResponse { connection, head_limit, .. }) = guard.0.take() else {
             unreachable!("the guard is full until it is dropped")
         };
         let answer = response.map_err(|e| SendError::Lost(describe(&e)))?;
+        head_limit.lift();
         let (head, incoming) = answer.into_parts();
         Ok(OpenAnswer { head, body: AnswerBody { incoming, _connection: connection, held: None } })
     }
 
     async fn read_late(self) {
-        let PendingResponse { response, connection: _connection, read_until, late } = self;
+        let PendingResponse { response, connection: _connection, read_until, late, .. } = self;
         if let Ok(Ok(answer)) = timeout_at(read_until, response).await {
             (late.read)(&answer.into_parts().0);
         }
--- a/crates/server/src/upstream/mod.rs
+++ b/crates/server/src/upstream/mod.rs
@@ -5,6 +5,7 @@
 mod exchange;
 #[cfg(feature = "faults")]
 mod faulty;
+mod head_limit;
 pub(crate) mod socket;
 #[cfg(test)]
 mod tests;
