A link of unknown capacity counts as full only near its highest rate

If all endpoints are slow to take connections, an entry without a configured capacity would have shed nearly all new work at half of its highest rate, at all entries alike.

--- a/crates/core/src/link/mod.rs
+++ b/crates/core/src/link/mod.rs
@@ -27,6 +27,8 @@
 
 /// Part of the capacity below which the link is not what delays connections.
 const MIN_LOAD_WHEN_LATE: f64 = 0.5;
+/// The same as a part of the highest rate so far, where the capacity is not known.
+const MIN_PEAK_WHEN_LATE: f64 = 0.9;
 
 /// A direction of the link.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -117,7 +119,11 @@
 
     fn is_busy(&mut self, now: Instant) -> bool {
         let rate = self.rate(now);
-        MIN_LOAD_WHEN_LATE * self.capacity.unwrap_or(self.peak) <= rate && 0.0 < rate
+        let full = match self.capacity {
+            Some(capacity) => MIN_LOAD_WHEN_LATE * capacity,
+            None => MIN_PEAK_WHEN_LATE * self.peak,
+        };
+        full <= rate && 0.0 < rate
     }
 
     /// Bytes a second in the fuller direction.
