A thread that is late by less than 0.2 s excuses no time-out

With 50 ms an entry whose processor quota or slow VM delays timers by 50 to 100 ms all the time would have taken no dead endpoint for dead: a call there was refused after 0.6 s where it is tried at another endpoint after 0.15 s. A link that is late, or a timer by more than 0.2 s, still excuses.

--- a/crates/server/src/overload/mod.rs
+++ b/crates/server/src/overload/mod.rs
@@ -33,9 +33,6 @@
 /// For how long every timer must be that late: a suspension or a long task delays only one.
 pub(crate) const WINDOW: Duration = Duration::from_millis(500);
 
-/// Delay of the latest timer from which a time-out may be this daemon's own fault.
-const LATE: Duration = Duration::from_millis(50);
-
 /// Measures by how much timers are late, and sheds new connections while all of them are.
 pub struct OverloadMonitor {
     delay: Cell<Duration>,
@@ -85,7 +82,7 @@
     /// Whether this daemon is late itself, so that what it waits for may be late without a fault of
     /// whoever sends it.
     pub(crate) fn is_late(&self) -> bool {
-        LATE <= self.delay.get() || self.link.is_late()
+        MAX_DELAY < self.delay.get() || self.link.is_late()
     }
 
     /// The VM's network link.
