Reports of an entry that is late itself do not make engines look slow

An entry with a full link reports late, and all entries would have been kept off the engines that it uses. Reports now say that the daemon is late; then their token counts are used and their times are not.

placement::token_latency_tests::engines_are_not_slow_because_an_entry_is_late: without the check in record_tokens the same reports send all requests to the other engine (as requests_avoid_slow_engines shows).

--- a/crates/core/src/node/dispatcher.rs
+++ b/crates/core/src/node/dispatcher.rs
@@ -185,6 +185,7 @@
     ) {
         let entry = self.daemon_number(from);
         let ticket = |number| Ticket { entry, number };
+        self.scheduler.set_late(entry, progress.late);
         for tokens in progress.running {
             self.scheduler.progress(ticket(tokens.number), tokens.tokens, now);
         }
--- a/crates/core/src/node/inputs.rs
+++ b/crates/core/src/node/inputs.rs
@@ -30,6 +30,7 @@
             Input::Progress(call, tokens) => {
                 self.placement.on_progress(call, tokens, clocks.now, out)
             }
+            Input::OwnDelay(is_late) => self.placement.set_late(is_late),
             Input::Finished { call, tokens, complete } => {
                 self.placement.on_finished(call, tokens, complete, clocks.now, out);
             }
--- a/crates/core/src/node/messages.rs
+++ b/crates/core/src/node/messages.rs
@@ -176,6 +176,8 @@
     Call(CallId, NodeCall),
     /// A placed request has generated this many tokens.
     Progress(CallId, u64),
+    /// Whether this daemon is late itself, so that its times tell nothing of endpoints.
+    OwnDelay(bool),
     /// A placed request ended.
     Finished {
         /// The request.
@@ -267,6 +269,7 @@
             Input::Persisted(_) => "persisted",
             Input::Call(..) => "ask",
             Input::Progress(..) => "own_progress",
+            Input::OwnDelay(_) => "own_delay",
             Input::Finished { .. } => "finished",
             Input::Cancelled(_) => "cancelled",
             Input::FailedAttempt(_) => "broke_off",
--- a/crates/core/src/node/placement_client/mod.rs
+++ b/crates/core/src/node/placement_client/mod.rs
@@ -83,6 +83,8 @@
     local: Scheduler,
     /// Whether this daemon has requests to place, so that the local scheduler needs the engines.
     takes_callers: bool,
+    /// Whether this daemon is late itself.
+    is_late: bool,
     scheduler: Option<VmName>,
     /// The latest scheduler. While it is silent, it is still told which requests end: it counts them
     /// until then, and does not learn of them otherwise when it answers again.
@@ -103,6 +105,7 @@
         PlacementClient {
             local: Scheduler::local(options.disabled, options.seed),
             takes_callers: options.takes_callers,
+            is_late: false,
             scheduler: None,
             last_scheduler: None,
             waiting: BTreeMap::new(),
@@ -234,7 +237,7 @@
         let Some(waiting) = self.waiting.remove(&call) else {
             // The caller has disconnected, or the local scheduler has placed it meanwhile.
             if !self.running.contains_key(&call) {
-                out.send(from, Body::Progress(end_message(call, 0)));
+                out.send(from, Body::Progress(self.end_message(call)));
             }
             return;
         };
@@ -275,7 +278,7 @@
         match &self.scheduler {
             Some(scheduler) if first => {
                 let running = vec![Tokens { number: call.0, tokens }];
-                let progress = Progress { running, ..Progress::default() };
+                let progress = Progress { running, late: self.is_late, ..Progress::default() };
                 out.send(scheduler, Body::Progress(progress));
             }
             _ => {
@@ -284,6 +287,12 @@
         }
     }
 
+    /// Records whether this daemon is late itself.
+    pub(crate) fn set_late(&mut self, is_late: bool) {
+        self.is_late = is_late;
+        self.local.set_late(ticket(CallId(0)).entry, is_late);
+    }
+
     pub(crate) fn on_finished(
         &mut self,
         call: CallId,
@@ -298,9 +307,9 @@
         if let Some(scheduler) = &self.last_scheduler {
             let tokens = Tokens { number: call.0, tokens };
             let progress = if complete {
-                Progress { finished: vec![tokens], ..Progress::default() }
+                Progress { finished: vec![tokens], late: self.is_late, ..Progress::default() }
             } else {
-                Progress { ended: vec![tokens], ..Progress::default() }
+                Progress { ended: vec![tokens], late: self.is_late, ..Progress::default() }
             };
             out.send(scheduler, Body::Progress(progress));
         }
@@ -311,7 +320,7 @@
         if let Some(waiting) = self.waiting.remove(&call) {
             self.local.cancel(ticket(call), now);
             if let (true, Some(scheduler)) = (waiting.remote, &self.scheduler) {
-                out.send(scheduler, Body::Progress(end_message(call, 0)));
+                out.send(scheduler, Body::Progress(self.end_message(call)));
             }
             return;
         }
@@ -418,6 +427,12 @@
         }
     }
 
+    /// Tells that a request is no longer wanted.
+    fn end_message(&self, call: CallId) -> Progress {
+        let ended = vec![Tokens { number: call.0, tokens: 0 }];
+        Progress { ended, late: self.is_late, ..Progress::default() }
+    }
+
     fn report_progress(&mut self, out: &mut Outbox) {
         let unreported = std::mem::take(&mut self.unreported);
         let Some(scheduler) = &self.scheduler else { return };
@@ -427,7 +442,7 @@
         };
         let running: Vec<Tokens> = unreported.iter().filter_map(tokens).collect();
         if !running.is_empty() {
-            let progress = Progress { running, ..Progress::default() };
+            let progress = Progress { running, late: self.is_late, ..Progress::default() };
             out.send(scheduler, Body::Progress(progress));
         }
     }
@@ -442,7 +457,3 @@
 fn ticket(call: CallId) -> Ticket {
     Ticket { entry: 0, number: call.0 }
 }
-
-fn end_message(call: CallId, tokens: u64) -> Progress {
-    Progress { ended: vec![Tokens { number: call.0, tokens }], ..Progress::default() }
-}
--- a/crates/core/src/placement/accounting.rs
+++ b/crates/core/src/placement/accounting.rs
@@ -55,6 +55,15 @@
         1.0 - self.forecast.distribution(&req.workspace, &req.kind).probability_beyond(0, tokens)
     }
 
+    /// Records whether an entry is late itself, so that its reports tell nothing of the pace of engines.
+    pub fn set_late(&mut self, entry: u64, is_late: bool) {
+        if is_late {
+            self.late_entries.insert(entry);
+        } else {
+            self.late_entries.remove(&entry);
+        }
+    }
+
     /// Records the number of tokens that a running stream has produced.
     pub fn progress(&mut self, ticket: Ticket, tokens: u64, now: Instant) {
         let Some(placed) = self.placed.get(&ticket) else { return };
@@ -66,6 +75,8 @@
     }
 
     fn record_tokens(&mut self, ticket: Ticket, tokens: u64, now: Instant) {
+        // An entry that is late itself makes its engines look slow.
+        let is_timed = !self.late_entries.contains(&ticket.entry);
         let Some(placed) = self.placed.get_mut(&ticket) else { return };
         if tokens <= placed.tokens {
             return;
@@ -78,11 +89,19 @@
         if let Some(endpoint) = self.endpoints.get_mut(&placed.endpoint) {
             if placed.tokens == 0 {
                 self.load_view.on_first_token(ticket, now);
-                endpoint.prefill.on_first_token(ticket, now);
+                if is_timed {
+                    endpoint.prefill.on_first_token(ticket, now);
+                } else {
+                    endpoint.prefill.remove(ticket, now);
+                }
                 self.backoffs.on_end(&placed.endpoint, placed.at, true, now);
             }
             endpoint.update(&placed.memory, &memory);
-            placed.meter.observe(tokens, now, &mut endpoint.token_latency);
+            if is_timed {
+                placed.meter.observe(tokens, now, &mut endpoint.token_latency);
+            } else {
+                placed.meter = TokenLatencyMeter::default();
+            }
         }
         if let Some(target) = self.targets.get_mut(&req.target) {
             target.queue.charge(req.rank, &req.workspace, req.share, tokens - placed.tokens);
@@ -144,6 +163,7 @@
     /// Removes all requests of a disconnected entry daemon.
     pub fn forget_entry(&mut self, entry: u64, now: Instant) {
         self.backoffs.remove_daemon(entry);
+        self.late_entries.remove(&entry);
         let queued = self.queued.keys().filter(|t| t.entry == entry);
         let placed = self.placed.keys().filter(|t| t.entry == entry);
         let tickets: Vec<Ticket> = queued.chain(placed).copied().collect();
--- a/crates/core/src/placement/scheduler.rs
+++ b/crates/core/src/placement/scheduler.rs
@@ -1,7 +1,7 @@
 //! The scheduler: admission, queueing and endpoint selection.
 
 use std::{
-    collections::{BTreeMap, BTreeSet, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap, HashSet},
     sync::Arc,
     time::Duration,
 };
@@ -115,6 +115,8 @@
     pub(super) placed: HashMap<Ticket, PlacedRequest>,
     pub(super) moves: MoveTracker,
     pub(super) handover: HandoverQueue,
+    /// Entries that are late themselves.
+    pub(super) late_entries: HashSet<u64>,
     pub(super) isolated: IsolatedRequests,
     pub(super) continuations: ContinuationQueue,
     pub(super) counts: HashMap<Arc<str>, WorkspaceCounts>,
@@ -156,6 +158,7 @@
             placed: HashMap::new(),
             moves: MoveTracker::default(),
             handover: HandoverQueue::default(),
+            late_entries: HashSet::new(),
             isolated: IsolatedRequests::default(),
             continuations: ContinuationQueue::default(),
             counts: HashMap::new(),
--- a/crates/core/src/placement/token_latency_tests.rs
+++ b/crates/core/src/placement/token_latency_tests.rs
@@ -25,6 +25,11 @@
 /// Two engines with one stream each: `e0` takes 40 ms per token, `e1` 10 ms.
 fn slow_and_fast() -> Scheduler {
     let mut scheduler = scheduler(&["h", "h"], 34_000);
+    report_slow_and_fast(&mut scheduler);
+    scheduler
+}
+
+fn report_slow_and_fast(scheduler: &mut Scheduler) {
     scheduler.adopt(request(1), "e0", 1, ms(1_000));
     scheduler.adopt(request(2), "e1", 1, ms(1_000));
     for step in 1..=4 {
@@ -32,7 +37,6 @@
         scheduler.progress(request(1).ticket, 1 + 25 * step, at);
         scheduler.progress(request(2).ticket, 1 + 100 * step, at);
     }
-    scheduler
 }
 
 /// Enqueues a request and returns the endpoint on which it starts.
@@ -53,6 +57,17 @@
     expect_that!(at, each(eq("e1")));
 }
 
+#[gtest]
+fn engines_are_not_slow_because_an_entry_is_late() {
+    let mut scheduler = scheduler(&["h", "h"], 34_000);
+    scheduler.set_late(request(1).ticket.entry, true);
+    report_slow_and_fast(&mut scheduler);
+
+    let at: Vec<String> = (10..15).map(|n| placed(&mut scheduler, n, ms(5_100 + n))).collect();
+
+    expect_that!(at, contains(eq("e0")));
+}
+
 #[gtest]
 fn avoided_engine_is_retried_after_expiry() {
     let mut scheduler = slow_and_fast();
--- a/crates/core/src/wire/placement.rs
+++ b/crates/core/src/wire/placement.rs
@@ -133,6 +133,9 @@
     /// Requests that ended otherwise, or are no longer wanted.
     #[prost(message, repeated, tag = "3")]
     pub ended: Vec<Tokens>,
+    /// The daemon is late itself, so the time of this report tells nothing of endpoints.
+    #[prost(bool, tag = "4")]
+    pub late: bool,
 }
 
 /// See [`super::Body::Move`].
--- a/crates/server/src/overload/mod.rs
+++ b/crates/server/src/overload/mod.rs
@@ -7,6 +7,8 @@
 mod link;
 mod memory;
 mod meter;
+#[cfg(test)]
+mod tests;
 
 use std::{cell::Cell, rc::Rc, time::Duration};
 
@@ -39,6 +41,7 @@
     late_since: Cell<Option<Instant>>,
     overloaded: Cell<bool>,
     takes_connections: watch::Sender<bool>,
+    late: watch::Sender<bool>,
     link: Rc<LinkMonitor>,
     metrics: Rc<Metrics>,
 }
@@ -56,6 +59,7 @@
                 let now = Instant::now();
                 monitor.record(now.saturating_duration_since(due), now);
                 monitor.gate_connections();
+                publish(&monitor.late, monitor.is_late());
             }
         });
         monitor
@@ -67,6 +71,7 @@
             late_since: Cell::default(),
             overloaded: Cell::default(),
             takes_connections: watch::Sender::new(true),
+            late: watch::Sender::new(false),
             link,
             metrics,
         }
@@ -75,8 +80,7 @@
     /// Decides whether new connections are taken in the next interval. A connection that is refused costs
     /// the link least: its caller has sent nothing yet.
     fn gate_connections(&self) {
-        let takes = self.link.accept_connections(INTERVAL);
-        self.takes_connections.send_if_modified(|before| std::mem::replace(before, takes) != takes);
+        publish(&self.takes_connections, self.link.accept_connections(INTERVAL));
     }
 
     /// Whether this daemon is late itself, so that what it waits for may be late without a fault of
@@ -85,6 +89,11 @@
         MAX_DELAY < self.delay.get() || self.link.is_late()
     }
 
+    /// Changes of [`OverloadMonitor::is_late`].
+    pub(crate) fn watch_late(&self) -> watch::Receiver<bool> {
+        self.late.subscribe()
+    }
+
     /// The VM's network link.
     pub(crate) fn link(&self) -> &Rc<LinkMonitor> {
         &self.link
@@ -113,6 +122,11 @@
     }
 }
 
+/// Sends a value if it has changed.
+fn publish(tx: &watch::Sender<bool>, value: bool) {
+    tx.send_if_modified(|before| std::mem::replace(before, value) != value);
+}
+
 impl Gate for OverloadMonitor {
     fn admit(&self, socket: TcpStream) -> LocalFuture<'static, Result<TcpStream>> {
         let is_shed = self.overloaded.get();
--- a/crates/server/src/relay/mod.rs
+++ b/crates/server/src/relay/mod.rs
@@ -46,6 +46,7 @@
     backoff::RetrySpreader,
     error::{ErrorKind, RequestError},
     mechanism::{Disabled, Mechanism},
+    node::Input,
     placement::SenderRole,
     reachability::ReachabilityTracker,
 };
@@ -190,6 +191,13 @@
             metrics,
         });
         forwarding::spawn_probes(Rc::downgrade(&relay));
+        let (node, mut late) = (relay.node.clone(), relay.overload.watch_late());
+        tokio::task::spawn_local(async move {
+            while late.changed().await.is_ok() {
+                let is_late = *late.borrow_and_update();
+                node.input(Input::OwnDelay(is_late));
+            }
+        });
         relay
     }
 
