--- a/crates/server/src/edge/tests.rs
+++ b/crates/server/src/edge/tests.rs
@@ -206,7 +206,7 @@
         socket.write_all(req).await.unwrap();
         let mut first = [0; 12];
         socket.read_exact(&mut first).await.unwrap();
-        while !socket.try_read(&mut [0; 1_024]).is_err() {}
+        while socket.try_read(&mut [0; 1_024]).is_ok() {}
         tokio::select! {
             () = fill_link(&link) => {}
             () = wait_until_connections_are_taken(&server, false) => {}
--- a/crates/server/src/relay/tests/endless_messages.rs
+++ b/crates/server/src/relay/tests/endless_messages.rs
@@ -1,4 +1,4 @@
-//! Endpoints whose heads or bodies never end.
+//! Endpoints and callers whose heads or bodies never end.
 
 use std::{cell::Cell, net::SocketAddr, rc::Rc};
 
@@ -11,7 +11,7 @@
 use super::{
     protocol::ID,
     response::{outcome, text},
-    test_daemon::{TestDaemon, run_test},
+    test_daemon::{MAX_BUFFERED, TestDaemon, run_test},
     test_fleet::answer_all,
 };
 
@@ -150,5 +150,40 @@
     });
 
     expect_that!(ends, each(some(eq("outcome_unknown"))));
-    expect_that!(buffered, some(all!(gt(0), le(super::test_daemon::MAX_BUFFERED as u64))));
+    expect_that!(buffered, some(all!(gt(0), le(MAX_BUFFERED as u64))));
+}
+
+/// Sends the head of a request with a body of `length` bytes and this much of the body.
+async fn begin_body(daemon: &TestDaemon, id: &str, length: usize, sent: usize) -> TcpStream {
+    let mut socket = TcpStream::connect(daemon.address()).await.unwrap();
+    let head = format!(
+        "POST /once/x HTTP/1.1\r\nhost: host\r\n{ID}: {id}\r\ncontent-length: {length}\r\n\r\n"
+    );
+    socket.write_all(head.as_bytes()).await.unwrap();
+    socket.write_all(&vec![b'x'; sent]).await.unwrap();
+    socket
+}
+
+// Bodies that callers do not end take up the budget, and the next request is told so.
+#[gtest]
+fn endless_request_bodies_together_stay_within_the_memory_budget() {
+    /// A body under the limit for each, of which two fit into the half for large ones.
+    const LENGTH: usize = 900 * 1_024;
+    let (answer, buffered) = run_test(async {
+        let daemon = TestDaemon::open().await;
+        let mut unfinished = Vec::new();
+        for n in 0..2 {
+            unfinished.push(begin_body(&daemon, &format!("r{n}"), LENGTH, LENGTH - 1).await);
+        }
+        let both = 2 * (LENGTH as u64 - 1);
+        daemon.wait_until(|| daemon.metric("trayswitch_buffered_bytes") == Some(both)).await;
+
+        let mut refused = begin_body(&daemon, "r3", LENGTH, LENGTH / 2).await;
+        let mut answer = Vec::new();
+        refused.read_buf(&mut answer).await.unwrap();
+        (String::from_utf8(answer).unwrap(), daemon.metric("trayswitch_buffered_bytes_peak"))
+    });
+
+    expect_that!(answer, contains_substring("overloaded"));
+    expect_that!(buffered, some(le(MAX_BUFFERED as u64)));
 }
--- a/crates/server/src/relay/tests/mod.rs
+++ b/crates/server/src/relay/tests/mod.rs
@@ -6,7 +6,7 @@
 mod cold_start;
 mod connection_skew;
 mod data_halls;
-mod endless_responses;
+mod endless_messages;
 mod failed_attempt;
 mod fake_endpoint;
 mod forwarding;
--- a/crates/server/src/relay/tests/test_daemon.rs
+++ b/crates/server/src/relay/tests/test_daemon.rs
@@ -446,6 +446,11 @@
         }
     }
 
+    /// Where callers connect.
+    pub(super) fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
     /// Sends a request and waits for the response head.
     pub(super) async fn send(&self, path: &str, id: &str) -> OpenAnswer {
         self.send_with(path, id, &[]).await
