Contents that were answered well do not become suspect again by older news

Cause: a daemon drops the suspicion of contents when an endpoint has answered them well, and asks the leader to clear them. News of an earlier crash that was still being recorded came after that and made the cleared part suspect again. As it had been present at all crashes, it explained them, and the crashing part was tried once more.

Fix: a daemon applies the leader's news as if its own clearings were recorded already, until the news include their revision. Whatever the leader records before the clearing is cleared with it, so nothing is lost.

--- a/crates/core/src/node/inputs.rs
+++ b/crates/core/src/node/inputs.rs
@@ -212,13 +212,13 @@
             }
             Body::OperationReply(reply) => {
                 let recorded = match reply.result {
-                    Some(OperationResult::Suspects(_)) => Some(reply.id),
+                    Some(OperationResult::Suspects(suspects)) => Some((reply.id, suspects.number)),
                     _ => None,
                 };
                 self.operations.on_reply(reply, out);
-                if let Some(operation) = recorded {
+                if let Some((operation, revision)) = recorded {
                     let (suspects, cx, out) = self.suspects_context(clocks);
-                    suspects.on_crash_recorded(operation, &cx, out);
+                    suspects.on_recorded(operation, revision, &cx, out);
                 }
             }
             Body::Grant(mut grant) => {
--- a/crates/core/src/node/suspect_tracker.rs
+++ b/crates/core/src/node/suspect_tracker.rs
@@ -2,11 +2,15 @@
 //!
 //! The daemon reports each crash that it observes to the leader until the crash is recorded. A reported
 //! crash counts locally at once, so that the request is not retried before the leader has replied. If
-//! no leader records it soon, control VMs tell all daemons. An attempt of a suspect runs only as a
+//! no leader records it soon, control VMs tell all daemons. Likewise, contents that an endpoint has
+//! answered well are no suspects here from then on, whatever the leader's older news say. An attempt of a suspect runs only as a
 //! trial that the leader grants; pending trials are requested again when the leader changes. Without a
 //! leader the daemon grants trials of prompt parts itself, one of each at a time.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use super::{
     CallId, FailedAttempt, NodeReply, Outbox, Output, ProbeOutcome, VmName,
@@ -47,11 +51,21 @@
     deadline: Instant,
 }
 
+/// Contents that this daemon has asked the leader to clear.
+#[derive(Debug)]
+struct Clearing {
+    contents: Vec<ContentDigest>,
+    /// Revision of the leader's records without them, once it has replied.
+    cleared_at: Option<u64>,
+}
+
 /// Crash records and trials of one daemon.
 #[derive(Debug, Default)]
 pub(crate) struct SuspectTracker {
     known: SuspectCache,
     local: LocalSuspects,
+    /// By operation, until the leader's news include it.
+    clearing: BTreeMap<u64, Clearing>,
     spread: CrashSpread,
     ambiguous: Vec<AmbiguousFailure>,
     pending: BTreeMap<CallId, PendingTrial>,
@@ -109,10 +123,29 @@
         if !self.known.apply(news) {
             return;
         }
-        news.changes.iter().for_each(|change| self.local.on_change(change));
+        if news.reset {
+            // Revisions of other records say nothing about these.
+            self.clearing.retain(|_, clearing| clearing.cleared_at.is_none());
+        }
+        self.drop_cleared();
+        let clearing: BTreeSet<ContentDigest> =
+            self.clearing.values().flat_map(|clearing| &clearing.contents).copied().collect();
+        for change in &news.changes {
+            let content = ContentDigest::from_slice(&change.request);
+            if !content.is_some_and(|content| clearing.contains(&content)) {
+                self.local.on_change(change);
+            }
+        }
+        clearing.iter().for_each(|content| self.known.remove(content));
         self.publish_counts(out);
     }
 
+    /// Drops the clearings that the news include.
+    fn drop_cleared(&mut self) {
+        let revision = self.known.state().revision;
+        self.clearing.retain(|_, clearing| clearing.cleared_at.is_none_or(|at| revision < at));
+    }
+
     /// Counts a crash that another daemon has observed; a control VM passes it on.
     pub(super) fn on_crash_seen(
         &mut self,
@@ -189,9 +222,20 @@
         self.publish_counts(out);
     }
 
-    /// Handles the leader's reply that a reported crash is recorded.
-    pub(super) fn on_crash_recorded(&mut self, operation: u64, cx: &Context<'_>, out: &mut Outbox) {
+    /// Handles the leader's reply that a reported crash is recorded, or contents are cleared, in this
+    /// revision of its records.
+    pub(super) fn on_recorded(
+        &mut self,
+        operation: u64,
+        revision: u64,
+        cx: &Context<'_>,
+        out: &mut Outbox,
+    ) {
         self.spread.on_recorded(operation);
+        if let Some(clearing) = self.clearing.get_mut(&operation) {
+            clearing.cleared_at = Some(revision);
+            self.drop_cleared();
+        }
         if let Some(call) = self.finishing.remove(&operation)
             && !self.finishing.values().any(|other| *other == call)
             && !self.running.contains_key(&call)
@@ -299,9 +343,7 @@
             return;
         };
         if complete {
-            self.forget(&[content], out);
-            let kind = OperationKind::Clear(ClearRequest::new(&[content]));
-            let number = cx.operations.start_detached(kind, REPORT_TIMEOUT, cx.leader, cx.now, out);
+            let number = self.clear(vec![content], cx, out);
             self.finishing.insert(number, call);
         } else if !self.finishing.values().any(|other| *other == call) {
             send_trial_over(call, cx.leader, out);
@@ -318,12 +360,24 @@
         let is_suspect = |content: &&ContentDigest| self.crash_counts(content).is_suspect();
         let suspects: Vec<ContentDigest> = contents.iter().filter(is_suspect).copied().collect();
         if !suspects.is_empty() {
-            self.forget(&suspects, out);
-            let kind = OperationKind::Clear(ClearRequest::new(&suspects));
-            cx.operations.start_detached(kind, REPORT_TIMEOUT, cx.leader, cx.now, out);
+            self.clear(suspects, cx, out);
         }
     }
 
+    /// Clears contents here, and asks the leader to; returns the number of the operation.
+    fn clear(
+        &mut self,
+        contents: Vec<ContentDigest>,
+        cx: &mut Context<'_>,
+        out: &mut Outbox,
+    ) -> u64 {
+        self.forget(&contents, out);
+        let kind = OperationKind::Clear(ClearRequest::new(&contents));
+        let number = cx.operations.start_detached(kind, REPORT_TIMEOUT, cx.leader, cx.now, out);
+        self.clearing.insert(number, Clearing { contents, cleared_at: None });
+        number
+    }
+
     /// Drops what this daemon knows of cleared contents; the leader's records follow.
     fn forget(&mut self, contents: &[ContentDigest], out: &mut Outbox) {
         contents.iter().for_each(|content| self.known.remove(content));
@@ -367,6 +421,9 @@
         self.spread.tick(cx.is_control, now, out);
         // After so long without a leader, no leader has state of this daemon's trials.
         self.finishing.retain(|number, _| cx.operations.is_pending(*number));
+        self.clearing.retain(|number, clearing| {
+            clearing.cleared_at.is_some() || cx.operations.is_pending(*number)
+        });
         let overdue = self.pending.iter().filter(|(_, pending)| pending.deadline <= now);
         for call in overdue.map(|(call, _)| *call).collect::<Vec<_>>() {
             self.pending.remove(&call);
--- a/crates/core/src/node/suspect_tracker_tests.rs
+++ b/crates/core/src/node/suspect_tracker_tests.rs
@@ -1,4 +1,4 @@
-//! Tests of the published number of suspects.
+//! Tests of the published number of suspects and of the order of news.
 
 use googletest::prelude::*;
 
@@ -63,17 +63,34 @@
 
     /// Receives the leader's reply that the crash is recorded.
     fn receive_reply(&mut self) {
-        self.with(|suspects, cx, out| suspects.on_crash_recorded(OPERATION, cx, out));
+        self.receive_reply_to(OPERATION, CHANGE);
     }
 
-    /// Receives the news that the leader broadcasts.
+    /// Receives the leader's reply that an operation made this revision of the records.
+    fn receive_reply_to(&mut self, operation: u64, revision: u64) {
+        self.with(|suspects, cx, out| suspects.on_recorded(operation, revision, cx, out));
+    }
+
+    /// Receives the news of the crash that the leader broadcasts.
     fn receive_news(&mut self) {
+        self.receive_news_of(CHANGE, 1);
+    }
+
+    /// Receives the news that the request had so many crashes as of this revision.
+    fn receive_news_of(&mut self, revision: u64, ended: u32) {
         let request = REQUEST.to_vec().into();
-        let changes = vec![SuspectChange { request, ended: 1, ..SuspectChange::default() }];
-        let news = SuspectNews { after: 0, up_to: CHANGE, reset: false, more: false, changes };
+        let changes = vec![SuspectChange { request, ended, ..SuspectChange::default() }];
+        let (after, up_to) = (revision - 1, revision);
+        let news = SuspectNews { after, up_to, reset: false, more: false, changes };
         self.with(|suspects, _, out| suspects.on_news(&news, out));
     }
 
+    /// An endpoint answers the request well.
+    fn answer_well(&mut self) {
+        let request = ContentDigest::from_slice(&REQUEST).unwrap();
+        self.with(|suspects, cx, out| suspects.on_sound_contents(&[request], cx, out));
+    }
+
     /// The last published number of suspects.
     fn last_published(&self) -> Option<usize> {
         let suspects = |output: &Output| match output {
@@ -98,3 +115,26 @@
     expect_that!(between, some(eq(1)));
     expect_that!(news_first.last_published(), some(eq(1)));
 }
+
+#[gtest]
+fn news_from_before_a_sound_answer_does_not_make_its_content_suspect_again() {
+    let mut daemon = Daemon::with_reported_crash();
+
+    daemon.answer_well();
+    daemon.receive_news();
+
+    expect_that!(daemon.last_published(), some(eq(0)));
+}
+
+#[gtest]
+fn crash_after_a_sound_answer_counts() {
+    let mut daemon = Daemon::with_reported_crash();
+    daemon.answer_well();
+    daemon.receive_news();
+
+    daemon.receive_reply_to(OPERATION + 1, CHANGE + 1);
+    daemon.receive_news_of(CHANGE + 1, 0);
+    daemon.receive_news_of(CHANGE + 2, 1);
+
+    expect_that!(daemon.last_published(), some(eq(1)));
+}
