--- a/crates/core/src/quarantine/suspect_table.rs
+++ b/crates/core/src/quarantine/suspect_table.rs
@@ -147,13 +147,27 @@
     was_cleared: bool,
 }
 
-/// The table in a snapshot. Removals are not included: caches with an older revision are reset.
+/// A recently removed content in a snapshot.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+struct EncodedRemoval {
+    #[prost(bytes = "bytes", tag = "1")]
+    content: Bytes,
+    #[prost(uint64, tag = "2")]
+    revision: u64,
+}
+
+/// The table in a snapshot.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 pub(crate) struct EncodedSuspectTable {
     #[prost(uint64, tag = "1")]
     revision: u64,
     #[prost(message, repeated, tag = "2")]
     records: Vec<EncodedSuspect>,
+    #[prost(message, repeated, tag = "3")]
+    removed: Vec<EncodedRemoval>,
+    /// Unknown in snapshots without removals.
+    #[prost(uint64, optional, tag = "4")]
+    forgotten_revision: Option<u64>,
 }
 
 impl SuspectTable {
@@ -275,8 +289,16 @@
             releases: record.releases,
             was_cleared: record.was_cleared,
         };
-        let records = self.by_content.iter().map(record).collect();
-        EncodedSuspectTable { revision: self.revision, records }
+        let removal = |(content, revision): (&ContentDigest, &u64)| EncodedRemoval {
+            content: content.to_bytes(),
+            revision: *revision,
+        };
+        EncodedSuspectTable {
+            revision: self.revision,
+            records: self.by_content.iter().map(record).collect(),
+            removed: self.removed.iter().map(removal).collect(),
+            forgotten_revision: Some(self.forgotten_revision),
+        }
     }
 
     pub(crate) fn decode(encoded: EncodedSuspectTable) -> SuspectTable {
@@ -307,14 +329,20 @@
         };
         let by_content: BTreeMap<ContentDigest, SuspectRecord> =
             encoded.records.into_iter().filter_map(record).collect();
-        let changes = by_content.iter().map(|(request, r)| (r.revision, *request)).collect();
-        let revision = encoded.revision;
+        let removal = |removal: EncodedRemoval| {
+            Some((ContentDigest::from_slice(&removal.content)?, removal.revision))
+        };
+        let removed: BTreeMap<ContentDigest, u64> =
+            encoded.removed.into_iter().filter_map(removal).collect();
+        let changed = by_content.iter().map(|(content, record)| (record.revision, *content));
+        let gone = removed.iter().map(|(content, revision)| (*revision, *content));
+        let changes = changed.chain(gone).collect();
         SuspectTable {
             by_content,
             changes,
-            removed: BTreeMap::new(),
-            revision,
-            forgotten_revision: revision,
+            removed,
+            revision: encoded.revision,
+            forgotten_revision: encoded.forgotten_revision.unwrap_or(encoded.revision),
         }
     }
 
--- a/crates/core/src/quarantine/suspect_table_tests.rs
+++ b/crates/core/src/quarantine/suspect_table_tests.rs
@@ -204,6 +204,40 @@
     }
 }
 
+proptest! {
+    #![proptest_config(fixed_seed(200))]
+
+    /// Replicas that restart from a snapshot at different times hold the same table.
+    #[test]
+    fn table_restored_from_a_snapshot_equals_the_original(steps in steps()) {
+        let (mut original, mut restored) = (SuspectTable::default(), SuspectTable::default());
+        let mut now = 0;
+        for step in steps {
+            for table in [&mut original, &mut restored] {
+                match step {
+                    Step::Ended(number, endpoint, in_trial) => {
+                        let report = crash(number, endpoint, in_trial);
+                        table.record_crash(&report, UnixMillis(now));
+                    }
+                    Step::Clear(number) => {
+                        table.clear(&ClearRequest::new(&[request(number)]));
+                    }
+                    Step::Age(by) => {
+                        table.expire(UnixMillis(now + by));
+                    }
+                    Step::Update { .. } => {}
+                }
+            }
+            match step {
+                Step::Age(by) => now += by,
+                Step::Update { .. } => restored = SuspectTable::decode(restored.encode()),
+                Step::Ended(..) | Step::Clear(_) => {}
+            }
+            prop_assert_eq!(&restored, &original);
+        }
+    }
+}
+
 #[gtest]
 fn changes_are_split_into_messages() {
     let mut records = SuspectTable::default();
