A response that ends with its connection is not whole if its endpoint cannot be asked

Cause: the end of such a response is followed by a probe of the endpoint. A probe without an answer counted as a sign of life: a late entry has no other, and nor has one whose forwarders also fail to connect.

Evidence: two tests with an endpoint that cannot be connected to any more failed before (an answer of 200 with half of a body, two events as a whole stream).

Fix: only an accepted connection, here or at a forwarder, makes the response whole. Otherwise a stream goes on elsewhere and a call is answered 502, which is true: it may have run.

--- a/crates/server/src/relay/failed_attempt.rs
+++ b/crates/server/src/relay/failed_attempt.rs
@@ -102,7 +102,8 @@
 impl EndpointWatch {
     /// Reports the endpoint as crashed if it refuses connections before the watch ends.
     async fn run(self, connection: TcpStream) {
-        if self.relay.stops_listening(&self.endpoint, connection, WATCH_DURATION).await {
+        let outcome = self.relay.watch(&self.endpoint, connection, WATCH_DURATION).await;
+        if outcome == ProbeOutcome::ConnectionRefused {
             self.report_ended();
         }
     }
@@ -181,25 +182,26 @@
 }
 
 impl Relay {
-    /// Watches an endpoint that accepted a probe: whether it refuses connections within `duration`.
-    pub(super) async fn stops_listening(
+    /// Watches an endpoint that accepted a probe; returns whether it refuses connections within
+    /// `duration`, or does not accept any more.
+    pub(super) async fn watch(
         self: &Rc<Self>,
         endpoint: &RegisteredEndpoint,
         mut connection: TcpStream,
         duration: Duration,
-    ) -> bool {
+    ) -> ProbeOutcome {
         let until = Instant::now() + duration;
         for _ in 0..MAX_WATCH_PROBES {
             if !timeout_at(until, wait_for_close(connection)).await.unwrap_or(false) {
-                return false;
+                return ProbeOutcome::Connected;
             }
             connection = match self.probe(endpoint).await {
                 // The endpoint is up and closed only the probe connection.
                 (_, Some(next)) => next,
-                (outcome, None) => return outcome == ProbeOutcome::ConnectionRefused,
+                (outcome, None) => return outcome,
             };
         }
-        false
+        ProbeOutcome::Connected
     }
 
     /// Connects to an endpoint; returns the connection if it is accepted. If it is not, another
--- a/crates/server/src/relay/tests/unframed_responses.rs
+++ b/crates/server/src/relay/tests/unframed_responses.rs
@@ -238,3 +238,40 @@
         expect_that!(body, err(anything()));
     });
 }
+
+#[gtest]
+fn stream_of_an_endpoint_that_cannot_be_asked_is_not_whole() {
+    run_test(async {
+        let fleet = TestFleet::start(1).await;
+        let mut raw = RawEndpoint::open_in(&fleet, "engines", "e1").await;
+        let entry = &fleet.entries[0];
+
+        let (body, ()) =
+            join!(async { text(entry.daemon.send("/chat/", "r1").await).await }, async {
+                let mut response = raw.next_request().await;
+                response.send(&events_to(2)).await;
+                entry.set_network(Network::Hangs);
+                drop(raw);
+            });
+
+        expect_that!(body, err(anything()));
+    });
+}
+
+#[gtest]
+fn call_of_an_endpoint_that_cannot_be_asked_is_no_answer() {
+    run_test(async {
+        let fleet = TestFleet::start(1).await;
+        let mut raw = RawEndpoint::open_in(&fleet, "desk", "e1").await;
+        let entry = &fleet.entries[0];
+
+        let (answer, ()) = join!(entry.daemon.send("/once/", "r1"), async {
+            let mut response = raw.next_request().await;
+            response.send("half of it").await;
+            entry.set_network(Network::Hangs);
+            drop(raw);
+        });
+
+        expect_that!(answer.head.status, eq(StatusCode::BAD_GATEWAY));
+    });
+}
--- a/crates/server/src/relay/unframed_response.rs
+++ b/crates/server/src/relay/unframed_response.rs
@@ -59,8 +59,8 @@
         if is_complete { StreamItem::End } else { StreamItem::Error(CRASHED.into()) }
     }
 
-    /// Whether an unframed response is complete after its connection has ended: the endpoint has not
-    /// crashed.
+    /// Whether an unframed response is complete after its connection has ended: the endpoint is known not
+    /// to have crashed.
     pub(super) async fn is_unframed_response_complete(
         self: &Rc<Self>,
         endpoint: &RegisteredEndpoint,
@@ -72,10 +72,10 @@
             // It may exit after its last response.
             return true;
         }
-        match self.probe(endpoint).await {
-            (ProbeOutcome::ConnectionRefused, _) => false,
-            (_, Some(connection)) => !self.stops_listening(endpoint, connection, close_delay).await,
-            (_, None) => true,
-        }
+        let outcome = match self.probe(endpoint).await {
+            (_, Some(connection)) => self.watch(endpoint, connection, close_delay).await,
+            (outcome, None) => outcome,
+        };
+        outcome == ProbeOutcome::Connected
     }
 }
