A connection that was accepted is read, also if the link fills before its first byte

Cause: a connection may be closed unread before its next request, not before its first. The flag for that was set when the socket first counted as ready, which a new one does before any byte has come.

Evidence: a test that fills the link between the connection and its first request failed before (an end without a byte).

--- a/crates/server/src/edge/connection.rs
+++ b/crates/server/src/edge/connection.rs
@@ -78,7 +78,7 @@
     pub(super) socket: MeteredSocket,
     pub(super) activity: Activity,
     pub(super) gate: Rc<dyn Gate>,
-    /// Whether a first request has been read.
+    /// Whether any byte has been read.
     pub(super) has_been_read: bool,
 }
 
@@ -93,11 +93,12 @@
             if self.has_been_read && !self.gate.may_read() {
                 return Poll::Ready(Ok(()));
             }
-            self.has_been_read = true;
         }
         let before = buf.filled().len();
         let polled = Pin::new(&mut self.socket).poll_read(cx, buf);
         if before < buf.filled().len() {
+            // A socket may count as ready before its first byte.
+            self.has_been_read = true;
             self.activity.bytes_came();
         }
         polled
--- a/crates/server/src/edge/tests.rs
+++ b/crates/server/src/edge/tests.rs
@@ -219,3 +219,22 @@
     expect_that!(&first[..], eq(b"HTTP/1.1 200"));
     expect_that!(second, eq(0));
 }
+
+#[gtest]
+fn full_link_reads_the_first_request_of_an_accepted_connection() {
+    let answer = on_local_tasks(async {
+        let (server, link) = server_behind_link();
+        let mut socket = TcpStream::connect(server.address()).await.unwrap();
+        tokio::select! {
+            () = fill_link(&link) => {}
+            () = wait_until_connections_are_taken(&server, false) => {}
+        }
+        let req = b"GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
+        let _ = socket.write_all(req).await;
+        let mut answer = String::new();
+        let _ = socket.read_to_string(&mut answer).await;
+        answer
+    });
+
+    expect_that!(answer, ends_with("word"));
+}
