An entry without a scheduler begins streams only at runs that confirm themselves

An endpoint had started again under its name at another version; an entry without a leader did not know it yet, sent it a first attempt, put the former version on record, and the stream was taken up at that.

Cause: a placement without a scheduler asks the endpoints that it draws for their load, which names the start of the run. An answer of another run counted as no answer, and without one the attempt was sent all the same where services need no reservation.

Evidence: the test with an endpoint that has started again failed before (it got the request).

Fix: an endpoint that tells its start and does not confirm it is passed over.

--- a/crates/server/src/relay/local_placement.rs
+++ b/crates/server/src/relay/local_placement.rs
@@ -52,6 +52,8 @@
     sort_by_cost(&mut candidates, prompt_tokens);
     for (SampledEndpoint { endpoint, .. }, load) in &candidates {
         let reply = match load {
+            // It may have started again under its name, at another software version.
+            None if relay.tells_start(endpoint) => ReservationReply::Denied,
             Some(load) if !load.needs_reservation(prompt_tokens) => ReservationReply::NotRequired,
             _ => {
                 reserve(relay, job, endpoint, prompt_tokens.saturating_add(INITIAL_OUTPUT_TOKENS))
@@ -87,6 +89,13 @@
     );
 }
 
+impl Relay {
+    /// Whether an endpoint tells when it was started. Otherwise each start has a name of its own.
+    fn tells_start(&self, endpoint: &str) -> bool {
+        self.node.view().endpoint(endpoint).is_none_or(|known| 0 < known.started_at)
+    }
+}
+
 /// The load of an engine; `None` if unavailable or reported by another run of the engine.
 pub(super) async fn fetch_load(relay: &Rc<Relay>, endpoint: &Arc<str>) -> Option<EngineLoad> {
     let (head, body) = query_engine(relay, endpoint, relay.protocol.load_request()).await?;
--- a/crates/server/src/relay/tests/software_versions.rs
+++ b/crates/server/src/relay/tests/software_versions.rs
@@ -1,5 +1,7 @@
 //! Streams go on only at the software version that began them.
 
+use std::time::Duration;
+
 use googletest::prelude::*;
 use tokio::join;
 
@@ -147,3 +149,22 @@
         expect_true!(engine.is_idle());
     });
 }
+
+#[gtest]
+fn stream_placed_without_a_scheduler_does_not_begin_at_an_unknown_run() {
+    run_test(async {
+        let daemon = TestDaemon::without_scheduler().await;
+        let later_run = daemon.register_run("engines", "e1", 5).await;
+        later_run.set_started_at(6);
+        later_run.set_capacity(0, true);
+        let later_run = answer_all(later_run, "engines");
+
+        let (answer, known_run) = join!(daemon.send("/recap/", "r1"), async {
+            tokio::time::sleep(Duration::from_millis(200)).await;
+            answer_all(daemon.register_run("engines", "e2", 5).await, "engines")
+        });
+
+        expect_that!(text(answer).await, ok(eq(&events_to(5))));
+        expect_that!((later_run.all(), known_run.all()), eq(&(vec![], vec!["r1".to_owned()])));
+    });
+}
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -14,16 +14,13 @@
     --folder "$target/soak-runs" --seed "$1" --seeds "$2" --seconds "$3" "${@:4}"
 }
 
-# CI's large site. Passes over the findings that KNOWN-RED.txt lists as "configuration late" and "stream
-# of two versions", prints them, and fails for anything else and for a version that is later than listed there.
+# CI's large site. Passes over the finding that KNOWN-RED.txt lists as "configuration late", prints it, and
+# fails for anything else and for a version that is later than listed there.
 soak_large() {
   local log="$target/soak-large.log" listed='^$'
   if grep -q '^soak, configuration late' KNOWN-RED.txt; then
     listed+='|^BROKEN: [0-9.]+ has not [0-9]+ 2\.[0-2][0-9]*s after its acceptance'
   fi
-  if grep -q '^soak, stream of two versions' KNOWN-RED.txt; then
-    listed+='|^BROKEN: [a-z0-9-]+ joins software versions '
-  fi
   if soak 2 1 20 --entries 12 --routes 1400 --slow 50 | tee "$log"; then
     return 0
   fi
