--- a/crates/core/src/node/suspect_tracker.rs
+++ b/crates/core/src/node/suspect_tracker.rs
@@ -3,9 +3,10 @@
 //! The daemon reports each crash that it observes to the leader until the crash is recorded. A reported
 //! crash counts locally at once, so that the request is not retried before the leader has replied. If
 //! no leader records it soon, control VMs tell all daemons. Likewise, contents that an endpoint has
-//! answered well are no suspects here from then on, whatever the leader's older news say. An attempt of a suspect runs only as a
-//! trial that the leader grants; pending trials are requested again when the leader changes. Without a
-//! leader the daemon grants trials of prompt parts itself, one of each at a time.
+//! answered well are no suspects here from then on, whatever the leader's older news say. An attempt
+//! of a suspect runs only as a trial that the leader grants; pending trials are requested again when
+//! the leader changes. Without a leader the daemon grants trials of prompt parts itself, one of each
+//! at a time.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
--- a/crates/server/src/relay/failed_attempt.rs
+++ b/crates/server/src/relay/failed_attempt.rs
@@ -182,8 +182,7 @@
 }
 
 impl Relay {
-    /// Watches an endpoint that accepted a probe; returns whether it refuses connections within
-    /// `duration`, or does not accept any more.
+    /// Watches an endpoint that accepted a probe for `duration`; returns what its last probe showed.
     pub(super) async fn watch(
         self: &Rc<Self>,
         endpoint: &RegisteredEndpoint,
--- a/crates/server/src/relay/tests/test_daemon.rs
+++ b/crates/server/src/relay/tests/test_daemon.rs
@@ -114,9 +114,9 @@
 ";
 /// Timeout of all waits and freshness bound of the configuration; reached only on a failure.
 pub(super) const LIMIT: Duration = Duration::from_secs(60);
-/// Port at which daemons take forwarded requests.
 /// Memory budget of every daemon, in bytes.
 pub(super) const MAX_BUFFERED: usize = 4 * 1024 * 1024;
+/// Port at which daemons take forwarded requests.
 pub(super) const FORWARD_PORT: u16 = 7001;
 const HALL: &str = "hall-1";
 /// The VMs of the daemon and of a control VM that is not running.
