--- a/review/stand-ins/src/caller.rs
+++ b/review/stand-ins/src/caller.rs
@@ -7,13 +7,25 @@
     site::Record,
 };
 
-const DEADLINE: Duration = Duration::from_secs(20);
+const DEADLINE: Duration = Duration::from_secs(39);
 
 /// Sends request number `n` and reads its whole answer.
 pub fn send(record: &Record, front: SocketAddr, key: &str, n: usize) -> (String, Option<Answer>) {
-    let attempt = format!("{:016x}", 0x5eed_0000_0000_0000_u64 + n as u64);
+    send_again(record, front, key, n, 0, DEADLINE)
+}
+
+/// Sends request number `n` as its try number `retry`.
+pub fn send_again(
+    record: &Record,
+    front: SocketAddr,
+    key: &str,
+    n: usize,
+    retry: u64,
+    left: Duration,
+) -> (String, Option<Answer>) {
+    let attempt = format!("{:016x}", 0x5eed_0000_0000_0000_u64 + (retry << 32) + n as u64);
     let parts = format!("5c1e07a2:79,{:08x}:300", 0x1000 + n);
-    let deadline = DEADLINE.as_millis().to_string();
+    let deadline = left.as_millis().to_string();
     let headers = [
         ("Host", "desk.example"),
         ("X-Attempt-Id", attempt.as_str()),
@@ -24,7 +36,14 @@
         ("X-Credential", key),
     ];
     record.write(&format!("caller: sends {attempt} to {front}"));
-    let answer = http::call(front, "POST", "/draft/1", &headers, b"{}", DEADLINE);
+    let answer = http::call(
+        front,
+        "POST",
+        "/draft/1",
+        &headers,
+        format!("{{\"draft\":{n}}}").as_bytes(),
+        left,
+    );
     match answer {
         Ok(answer) => {
             let seal = answer.header("x-response-seal").unwrap_or("none");
--- a/review/stand-ins/src/main.rs
+++ b/review/stand-ins/src/main.rs
@@ -9,6 +9,7 @@
 mod runner;
 mod site;
 mod spot;
+mod stopped;
 
 use std::{env, io, path::Path, process::ExitCode};
 
@@ -48,6 +49,7 @@
     let result = match case {
         "spot" => spot::play(&record, has_trouble),
         "moved-key" => moved_key::play(&record, has_trouble),
+        "stopped" => stopped::play(&record, has_trouble),
         _ => Err(io::Error::other("unknown case")),
     };
     match &result {
--- a/review/stand-ins/src/site.rs
+++ b/review/stand-ins/src/site.rs
@@ -24,6 +24,8 @@
 const ZONES: [&str; 4] = ["hall-atl", "hall-bhm", "hall-msy", "hall-bna"];
 /// Time after the last start in which all machines come in touch, and some more.
 const CONTACT: Duration = Duration::from_millis(4_500);
+/// Time from SIGTERM to SIGKILL.
+const GRACE: Duration = Duration::from_secs(8);
 /// The only service.
 pub const SERVICE: &str = "tutor-llm";
 
@@ -165,6 +167,24 @@
         ips.iter().map(|ip| SocketAddr::from((*ip, self.port + 16))).collect()
     }
 
+    /// Stops a front process as the platform does: SIGTERM, and SIGKILL after the time of grace.
+    pub fn stop_front(&mut self, number: usize) -> io::Result<()> {
+        let process = &mut self.processes[CONTROL + number].0;
+        let order = format!("kill -TERM {}", process.id());
+        Command::new("sh").args(["-c", &order]).status()?;
+        self.record.write(&format!("SIGTERM to {}", self.ips[CONTROL + number]));
+        let until = Instant::now() + GRACE;
+        while process.try_wait()?.is_none() {
+            if until < Instant::now() {
+                process.kill()?;
+                self.record.write("SIGKILL");
+            }
+            thread::sleep(Duration::from_millis(10));
+        }
+        self.record.write(&format!("{} has ended", self.ips[CONTROL + number]));
+        Ok(())
+    }
+
     /// Addresses at which callers connect.
     pub fn fronts(&self) -> Vec<SocketAddr> {
         let ips = &self.ips[CONTROL..self.ips.len() - 1];
