--- a/review/stand-ins/src/http.rs
+++ b/review/stand-ins/src/http.rs
@@ -66,11 +66,54 @@
     read_answer(&mut BufReader::new(socket))
 }
 
-fn read_answer(reader: &mut BufReader<TcpStream>) -> io::Result<Answer> {
+/// Sends a request for a stream and reads its chunks until `wants_more` says no or it ends.
+pub fn stream(
+    address: SocketAddr,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &[u8],
+    limit: Duration,
+    mut wants_more: impl FnMut(&[u8]) -> bool,
+) -> io::Result<Answer> {
+    let mut socket = TcpStream::connect_timeout(&address, Duration::from_secs(1).min(limit))?;
+    socket.set_nodelay(true)?;
+    socket.set_read_timeout(Some(limit))?;
+    let mut head = format!("POST {path} HTTP/1.1\r\nContent-Length: {}\r\n", body.len());
+    for (name, value) in headers {
+        head += &format!("{name}: {value}\r\n");
+    }
+    head += "\r\n";
+    let mut bytes = head.into_bytes();
+    bytes.extend_from_slice(body);
+    socket.write_all(&bytes)?;
+    let reader = &mut BufReader::new(socket);
+    let (status, headers) = read_head(reader)?;
+    let mut answer = Answer { status, headers, body: Vec::new(), is_complete: false };
+    if status != 200 {
+        return Ok(answer);
+    }
+    while wants_more(&answer.body) {
+        match read_chunk(reader, &mut answer.body) {
+            Ok(true) => {}
+            Ok(false) => {
+                answer.is_complete = true;
+                break;
+            }
+            Err(_) => break,
+        }
+    }
+    Ok(answer)
+}
+
+fn read_head(reader: &mut BufReader<TcpStream>) -> io::Result<(u16, Vec<(String, String)>)> {
     let status_line = read_line(reader)?;
     let status = status_line.split(' ').nth(1).and_then(|status| status.parse().ok());
     let status = status.ok_or_else(|| io::Error::other(format!("no status: {status_line:?}")))?;
-    let headers = read_headers(reader)?;
+    Ok((status, read_headers(reader)?))
+}
+
+fn read_answer(reader: &mut BufReader<TcpStream>) -> io::Result<Answer> {
+    let (status, headers) = read_head(reader)?;
     let mut body = Vec::new();
     let is_chunked = find(&headers, "transfer-encoding").is_some();
     let length = find(&headers, "content-length").and_then(|length| length.parse::<usize>().ok());
@@ -85,17 +128,19 @@
 }
 
 fn read_chunks(reader: &mut BufReader<TcpStream>, body: &mut Vec<u8>) -> io::Result<()> {
-    loop {
-        let line = read_line(reader)?;
-        let size = usize::from_str_radix(line.trim(), 16).map_err(io::Error::other)?;
-        let mut chunk = vec![0; size];
-        reader.read_exact(&mut chunk)?;
-        body.extend_from_slice(&chunk);
-        read_line(reader)?;
-        if size == 0 {
-            return Ok(());
-        }
-    }
+    while read_chunk(reader, body)? {}
+    Ok(())
+}
+
+/// Reads a chunk; returns whether it wasn't the last one.
+fn read_chunk(reader: &mut BufReader<TcpStream>, body: &mut Vec<u8>) -> io::Result<bool> {
+    let line = read_line(reader)?;
+    let size = usize::from_str_radix(line.trim(), 16).map_err(io::Error::other)?;
+    let mut chunk = vec![0; size];
+    reader.read_exact(&mut chunk)?;
+    body.extend_from_slice(&chunk);
+    read_line(reader)?;
+    Ok(size != 0)
 }
 
 /// Reads a request; `None` if the connection ended before one.
--- a/review/stand-ins/src/main.rs
+++ b/review/stand-ins/src/main.rs
@@ -6,6 +6,7 @@
 mod config;
 mod http;
 mod moved_key;
+mod reborn;
 mod runner;
 mod site;
 mod spot;
@@ -49,6 +50,7 @@
     let result = match case {
         "spot" => spot::play(&record, has_trouble),
         "moved-key" => moved_key::play(&record, has_trouble),
+        "reborn" => reborn::play(&record, has_trouble),
         "stopped" => stopped::play(&record, has_trouble),
         _ => Err(io::Error::other("unknown case")),
     };
--- a/review/stand-ins/src/runner.rs
+++ b/review/stand-ins/src/runner.rs
@@ -12,7 +12,7 @@
         atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
     },
     thread,
-    time::Duration,
+    time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
 use crate::http::{self, Request};
@@ -55,6 +55,36 @@
     pub events: u64,
     /// Time between two events.
     pub pace: Duration,
+    pub run: Run,
+}
+
+/// What tells one start of a runner from another.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Run {
+    /// Version of its software.
+    pub version: String,
+    /// When it was started, in milliseconds since the Unix epoch; 0 if it doesn't tell.
+    pub born: u64,
+    /// Time after the start in which no heartbeat gets through.
+    pub cut_for: Duration,
+}
+
+impl Run {
+    /// The first start, of a runner that doesn't tell when it was started.
+    pub fn first() -> Run {
+        Run { version: "v1".to_owned(), born: 0, cut_for: Duration::ZERO }
+    }
+
+    /// A start now.
+    pub fn now(version: &str, cut_for: Duration) -> Run {
+        let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Run { version: version.to_owned(), born: now.as_millis() as u64, cut_for }
+    }
+
+    /// The field for heartbeats and reports.
+    fn born_field(&self) -> String {
+        if self.born == 0 { String::new() } else { format!(",\"born\":{}", self.born) }
+    }
 }
 
 impl Options {
@@ -71,13 +101,19 @@
             self.framing.name().to_owned(),
             self.events.to_string(),
             self.pace.as_millis().to_string(),
+            self.run.version.clone(),
+            self.run.born.to_string(),
+            self.run.cut_for.as_millis().to_string(),
         ]
     }
 
     pub fn parse(arguments: &[String]) -> Option<Options> {
-        let [id, service, address, zone, control, slots, framing, events, pace] = arguments else {
+        let [id, service, address, zone, control, slots, framing, events, pace, rest @ ..] =
+            arguments
+        else {
             return None;
         };
+        let [version, born, cut_for] = rest else { return None };
         Some(Options {
             id: id.clone(),
             service: service.clone(),
@@ -88,26 +124,26 @@
             framing: Framing::parse(framing)?,
             events: events.parse().ok()?,
             pace: Duration::from_millis(pace.parse().ok()?),
+            run: Run {
+                version: version.clone(),
+                born: born.parse().ok()?,
+                cut_for: Duration::from_millis(cut_for.parse().ok()?),
+            },
         })
     }
 }
 
-/// The events of a stream from the one after `last`, as a runner sends them.
-pub fn events(attempt: &str, last: u64, count: u64) -> impl Iterator<Item = String> {
-    (last + 1..=count).map(move |number| {
-        format!(
-            "id: {number}
-data: {attempt} {number}
-
-"
-        )
-    })
+/// The events of a stream from the one after `last`, as a runner of this version sends them.
+pub fn events(attempt: &str, last: u64, count: u64, version: &str) -> impl Iterator<Item = String> {
+    (last + 1..=count).map(move |n| format!("id: {n}\ndata: {attempt} {n} {version}\n\n"))
 }
 
 struct Runner {
     options: Options,
     running: AtomicUsize,
     is_draining: AtomicBool,
+    /// Whether heartbeats get through.
+    is_cut: AtomicBool,
     sequence: AtomicU64,
     next_control: AtomicUsize,
     output: Mutex<io::Stdout>,
@@ -120,20 +156,28 @@
         options,
         running: AtomicUsize::new(0),
         is_draining: AtomicBool::new(false),
+        is_cut: AtomicBool::new(false),
         sequence: AtomicU64::new(0),
         next_control: AtomicUsize::new(0),
         output: Mutex::new(io::stdout()),
     });
     let beating = runner.clone();
     thread::spawn(move || {
+        thread::sleep(beating.options.run.cut_for);
         loop {
-            beating.send_heartbeat();
+            if !beating.is_cut.load(Ordering::SeqCst) {
+                beating.send_heartbeat();
+            }
             thread::sleep(HEARTBEAT);
         }
     });
     let ordered = runner.clone();
     thread::spawn(move || {
         for order in io::stdin().lines().map_while(Result::ok) {
+            if order == "cut" {
+                ordered.is_cut.store(true, Ordering::SeqCst);
+                ordered.tell("is cut off from control");
+            }
             if order == "drain" {
                 ordered.is_draining.store(true, Ordering::SeqCst);
                 while !ordered.send_heartbeat() {}
@@ -160,13 +204,15 @@
 
     /// Sends a heartbeat to the next control machine; returns whether it was acknowledged.
     fn send_heartbeat(&self) -> bool {
-        let Options { id, service, address, zone, control, slots, .. } = &self.options;
+        let Options { id, service, address, zone, control, slots, run, .. } = &self.options;
         let state = if self.is_draining.load(Ordering::SeqCst) { "draining" } else { "ready" };
         let sequence = self.sequence.fetch_add(1, Ordering::SeqCst) + 1;
         let body = format!(
             "{{\"service\":\"{service}\",\"address\":\"{address}\",\"zone\":\"{zone}\",\
-             \"config-version\":\"v1\",\"slots\":{slots},\"state\":\"{state}\",\
-             \"cold-remaining-ms\":0,\"sequence\":{sequence}}}"
+             \"config-version\":\"{}\",\"slots\":{slots},\"state\":\"{state}\",\
+             \"cold-remaining-ms\":0,\"sequence\":{sequence}{}}}",
+            run.version,
+            run.born_field(),
         );
         let to = control[self.next_control.load(Ordering::SeqCst) % control.len()];
         let headers = [("Content-Type", "application/json")];
@@ -206,8 +252,9 @@
         format!(
             "{{\"stage\":\"dual\",\"models\":[{{\"name\":\"m\",\"config-version\":1,\"adapters\":[]}}],\
              \"busy\":false,\"sequence\":1,\"queued\":0,\"running\":{running},\"kv-used\":{},\
-             \"kv-total\":34423,\"handles\":0}}",
-            running * 400
+             \"kv-total\":34423,\"handles\":0{}}}",
+            running * 400,
+            self.options.run.born_field(),
         )
     }
 
@@ -223,7 +270,10 @@
             return write_short(writer, 503, &header, "");
         }
         let tenant = req.header("x-tenant-id").unwrap_or("-");
-        self.tell(&format!("runs {attempt} for tenant {tenant} on {}", req.path));
+        self.tell(&format!(
+            "runs {attempt} for tenant {tenant} on {} at {}",
+            req.path, self.options.run.version
+        ));
         let last = req.header("last-event-id").and_then(|id| id.parse().ok()).unwrap_or(0);
         let result = self.stream(&attempt, last, writer);
         self.running.fetch_sub(1, Ordering::SeqCst);
@@ -240,7 +290,7 @@
              Content-Type: text/event-stream\r\nConnection: close\r\n{framing}\r\n"
         );
         writer.write_all(head.as_bytes())?;
-        for event in events(attempt, last, self.options.events) {
+        for event in events(attempt, last, self.options.events, &self.options.run.version) {
             let text = if is_chunked { format!("{:x}\r\n{event}\r\n", event.len()) } else { event };
             writer.write_all(text.as_bytes())?;
             thread::sleep(self.options.pace);
--- a/review/stand-ins/src/site.rs
+++ b/review/stand-ins/src/site.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     http::{self, Answer},
-    runner::{Framing, Options},
+    runner::{Framing, Options, Run},
 };
 
 const PROGRAM: &str = "target/release/trayswitch-platform";
@@ -78,6 +78,14 @@
         self.acknowledged.recv_timeout(Duration::from_secs(5)).map_err(io::Error::other)
     }
 
+    /// Cuts the runner off from control: no heartbeat gets through from now on.
+    pub fn cut(&mut self) -> io::Result<()> {
+        match &mut self.orders {
+            Some(orders) => writeln!(orders, "cut"),
+            None => Ok(()),
+        }
+    }
+
     /// SIGKILL.
     pub fn kill(&mut self) {
         let _ = self.process.0.kill();
@@ -191,7 +199,7 @@
         ips.iter().map(|ip| SocketAddr::from((*ip, self.port + 17))).collect()
     }
 
-    /// Starts a runner.
+    /// Starts a runner that doesn't tell when it was started.
     pub fn start_runner(
         &self,
         number: u16,
@@ -199,6 +207,19 @@
         framing: Framing,
         events: u64,
         pace: Duration,
+    ) -> io::Result<Runner> {
+        self.start_run(number, slots, framing, events, pace, Run::first())
+    }
+
+    /// Starts a run of a runner.
+    pub fn start_run(
+        &self,
+        number: u16,
+        slots: usize,
+        framing: Framing,
+        events: u64,
+        pace: Duration,
+        run: Run,
     ) -> io::Result<Runner> {
         let ip = self.ips[self.ips.len() - 1];
         let options = Options {
@@ -211,6 +232,7 @@
             framing,
             events,
             pace,
+            run,
         };
         let mut child = Command::new(std::env::current_exe()?)
             .arg("runner")
--- a/review/stand-ins/src/spot.rs
+++ b/review/stand-ins/src/spot.rs
@@ -57,7 +57,7 @@
 fn keeps_rule(record: &Record, front: std::net::SocketAddr, n: usize) -> bool {
     let (attempt, answer) = send(record, front, KEY, n);
     let Some(answer) = answer else { return true };
-    let whole: String = events(&attempt, 0, EVENTS).collect();
+    let whole: String = events(&attempt, 0, EVENTS, "v1").collect();
     let looks_whole = answer.status == 200 && answer.is_complete;
     let is_whole = answer.body == whole.as_bytes();
     if looks_whole && !is_whole {
