--- a/review/stand-ins/src/main.rs
+++ b/review/stand-ins/src/main.rs
@@ -11,6 +11,7 @@
 mod site;
 mod spot;
 mod stopped;
+mod thawed;
 
 use std::{env, io, path::Path, process::ExitCode};
 
@@ -52,6 +53,7 @@
         "moved-key" => moved_key::play(&record, has_trouble),
         "reborn" => reborn::play(&record, has_trouble),
         "stopped" => stopped::play(&record, has_trouble),
+        "thawed" => thawed::play(&record, has_trouble),
         _ => Err(io::Error::other("unknown case")),
     };
     match &result {
--- a/review/stand-ins/src/site.rs
+++ b/review/stand-ins/src/site.rs
@@ -175,12 +175,18 @@
         ips.iter().map(|ip| SocketAddr::from((*ip, self.port + 16))).collect()
     }
 
+    /// Sends a signal to a front process.
+    pub fn signal_front(&self, number: usize, signal: &str) -> io::Result<()> {
+        let order = format!("kill -{signal} {}", self.processes[CONTROL + number].0.id());
+        Command::new("sh").args(["-c", &order]).status()?;
+        self.record.write(&format!("SIG{signal} to {}", self.ips[CONTROL + number]));
+        Ok(())
+    }
+
     /// Stops a front process as the platform does: SIGTERM, and SIGKILL after the time of grace.
     pub fn stop_front(&mut self, number: usize) -> io::Result<()> {
+        self.signal_front(number, "TERM")?;
         let process = &mut self.processes[CONTROL + number].0;
-        let order = format!("kill -TERM {}", process.id());
-        Command::new("sh").args(["-c", &order]).status()?;
-        self.record.write(&format!("SIGTERM to {}", self.ips[CONTROL + number]));
         let until = Instant::now() + GRACE;
         while process.try_wait()?.is_none() {
             if until < Instant::now() {
