--- a/review/stand-ins/src/thawed.rs
+++ b/review/stand-ins/src/thawed.rs
@@ -31,9 +31,8 @@
 pub fn play(record: &Record, has_trouble: bool) -> io::Result<Verdict> {
     let site = Site::start(record.clone(), FRONTS)?;
     site.configure(&config(1, &[("studio-a", &[KEY])]))?;
-    let start = |n| {
-        site.start_run(n, SLOTS, Framing::None, EVENTS, PACE, Run::now("v1", Duration::ZERO))
-    };
+    let start =
+        |n| site.start_run(n, SLOTS, Framing::None, EVENTS, PACE, Run::now("v1", Duration::ZERO));
     let mut runners = (1..=RUNNERS).map(start).collect::<io::Result<Vec<_>>>()?;
     site.wait_until_in_touch()?;
     let front = site.fronts()[0];
