Events and metrics tell elections, and writes that the disk holds up

In the incident's logs a daemon said only whether it knows a leader: elections that do not end, replicas that do not take part and entries that learn nothing looked alike. Event 221 tells each role and term of a control replica with its log and links, event 222 each write of the data folder that waited or took over 100 ms; `trayswitch_term`, `trayswitch_data_write_seconds` and `trayswitch_data_write_wait_seconds` count them.

--- a/crates/core/src/node/control/mod.rs
+++ b/crates/core/src/node/control/mod.rs
@@ -81,6 +81,7 @@
     dispatcher_options: DispatcherOptions,
     /// Whether the dispatcher was created without the engines.
     needs_engines: bool,
+    reported_role: Option<(Role, u64, bool)>,
     election_timeout: Duration,
     log_bytes: usize,
     snapshot_bytes: usize,
@@ -119,6 +120,7 @@
                 disabled: options.disabled,
             },
             needs_engines: false,
+            reported_role: None,
             election_timeout: timing.election,
             log_bytes: 0,
             snapshot_bytes: 0,
--- a/crates/core/src/node/control/ready.rs
+++ b/crates/core/src/node/control/ready.rs
@@ -7,7 +7,7 @@
 };
 use crate::{
     agreement::{Entry, Outgoing, Persist, Ready, Snapshot, Synced},
-    node::{Clocks, Outbox, Output, SentChange, dispatcher::Dispatcher},
+    node::{Clocks, Outbox, Output, ReplicaRole, SentChange, dispatcher::Dispatcher},
     placement::LoadSnapshot,
     state::{AcceptedChange, Applied, ConfigResult, HallResult, State},
     units::Instant,
@@ -30,6 +30,7 @@
                 && ready.reads.is_empty()
                 && ready.failed_reads.is_empty();
             self.update_leadership(clocks.now, out);
+            self.report_role(out);
             if idle && (self.write_in_progress.is_some() || self.queued_write.is_none()) {
                 return;
             }
@@ -175,6 +176,25 @@
         }
     }
 
+    /// Reports the role for logs when it or the term has changed.
+    fn report_role(&mut self, out: &mut Outbox) {
+        let replica = &self.replica;
+        let current = (replica.role(), replica.term(), replica.is_established());
+        if self.reported_role.replace(current) == Some(current) {
+            return;
+        }
+        let (role, term, established) = current;
+        out.push(Output::Role(ReplicaRole {
+            role,
+            term,
+            established,
+            last_index: replica.log().last_index(),
+            commit: replica.commit(),
+            voters: replica.membership().voters().count(),
+            linked: self.peers.len(),
+        }));
+    }
+
     /// Starts the scheduler when this replica becomes leader; stops it and rejects pending operations
     /// when it steps down.
     fn update_leadership(&mut self, now: Instant, out: &mut Outbox) {
--- a/crates/core/src/node/messages.rs
+++ b/crates/core/src/node/messages.rs
@@ -9,7 +9,7 @@
     TrialAnswer, VmName,
 };
 use crate::{
-    agreement::Persist,
+    agreement::{Persist, Role},
     backoff::Rejection,
     error::RequestError,
     once::{Claim, ClaimResult, Settle},
@@ -324,6 +324,25 @@
     }
 }
 
+/// What a control replica is in its current term.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ReplicaRole {
+    /// Its role.
+    pub role: Role,
+    /// The term.
+    pub term: u64,
+    /// Whether it leads and has committed an entry of its term.
+    pub established: bool,
+    /// Last index of its log.
+    pub last_index: u64,
+    /// Last index that it knows to be committed.
+    pub commit: u64,
+    /// Replicas that vote.
+    pub voters: usize,
+    /// Control VMs that it is linked to.
+    pub linked: usize,
+}
+
 /// An action that the node requests.
 #[derive(Debug, Clone)]
 pub enum Output {
@@ -368,6 +387,8 @@
         /// Its term; zero while no leader is known.
         term: u64,
     },
+    /// The control replica on this VM has another role, or the same in another term.
+    Role(ReplicaRole),
     /// A suspect's record has changed; only on the leader.
     Suspect(Suspect),
     /// The number of known suspects has changed.
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -115,7 +115,9 @@
     control_client::{EntryDaemons, Forwarders},
     endpoints::EndpointStatus,
     failed_attempt::{FailedAttempt, ProbeOutcome},
-    messages::{CallId, Input, NodeCall, NodeReply, Output, Placement, SentChange, SubmitError},
+    messages::{
+        CallId, Input, NodeCall, NodeReply, Output, Placement, ReplicaRole, SentChange, SubmitError,
+    },
     options::{Clocks, NodeOptions, NodeTiming},
     trials::TrialAnswer,
 };
--- a/crates/core/src/node/tests/net/mod.rs
+++ b/crates/core/src/node/tests/net/mod.rs
@@ -271,6 +271,7 @@
             | Output::RefusalsOmitted(_)
             | Output::Watch(_)
             | Output::Leader { .. }
+            | Output::Role(_)
             | Output::Dial(_)
             | Output::Forwarders(_)
             | Output::Registered(_)
--- a/crates/server/src/runtime/mod.rs
+++ b/crates/server/src/runtime/mod.rs
@@ -231,13 +231,13 @@
             Output::Persist(number, persist) => {
                 if let Some(writes) = &self.0.writes {
                     // The writer ends only with the process.
-                    let _ = writes.send(writer::Write::Log(number, persist));
+                    let _ = writes.send(writer::Write::log(number, persist));
                 }
             }
             Output::SaveEndpoints(endpoints) => {
                 if let Some(writes) = &self.0.writes {
                     // The writer ends only with the process.
-                    let _ = writes.send(writer::Write::Endpoints(endpoints));
+                    let _ = writes.send(writer::Write::endpoints(endpoints));
                 }
             }
             Output::Reply(call, answer) => {
@@ -277,6 +277,7 @@
                 term = term;
                 "the leader, as this daemon knows it"
             ),
+            Output::Role(role) => sight::role_changed(&self.0.metrics, &role),
             Output::Forwarders(forwarders) => self.0.view.set_forwarders(forwarders),
             Output::Dial(vms) => links::dial(self, &vms),
             Output::Registered(changes) => self.registered(changes),
@@ -346,9 +347,12 @@
         }
     }
 
-    async fn take_written(self, mut written: mpsc::UnboundedReceiver<u64>) {
-        while let Some(number) = written.recv().await {
-            self.input(Input::Persisted(number));
+    async fn take_written(self, mut written: writer::Written) {
+        while let Some(done) = written.recv().await {
+            sight::data_written(&self.0.metrics, &done);
+            if let Some(number) = done.number {
+                self.input(Input::Persisted(number));
+            }
         }
     }
 
--- a/crates/server/src/runtime/sight.rs
+++ b/crates/server/src/runtime/sight.rs
@@ -3,12 +3,14 @@
 use std::time::Duration;
 
 use trayswitch_core::{
-    node::{SentChange, VmName},
+    agreement::Role,
+    node::{ReplicaRole, SentChange, VmName},
     placement::{Refusal, RejectionContext},
     quarantine::{CrashCounts, Suspect},
     throttle::{LimitChange, RateLimit, describe_limit},
 };
 
+use super::writer::Done;
 use crate::telemetry::{EventId, Metrics};
 
 /// A thread that stands still for this long is told of: half of the time between two heartbeats
@@ -16,6 +18,8 @@
 const LONG_HOLD: Duration = Duration::from_millis(50);
 /// A write of this many bytes is told of: it keeps a link of 10 Mbit/s busy for 50 ms.
 const LARGE_WRITE: usize = 64 * 1024;
+/// A write of the data folder that waits and takes this long together is told of.
+const SLOW_WRITE: Duration = Duration::from_millis(100);
 
 /// Notes that the node has decided on an input.
 pub(super) fn input_decided(metrics: &Metrics, kind: &str, took: Duration, outputs: usize) {
@@ -41,6 +45,36 @@
     }
 }
 
+/// Tells what the control replica on this VM is from now on.
+pub(super) fn role_changed(metrics: &Metrics, role: &ReplicaRole) {
+    metrics.term(role.term);
+    let name = match role.role {
+        Role::Leader if role.established => "leader",
+        Role::Leader => "elected",
+        Role::Candidate => "candidate",
+        Role::PreCandidate => "pre-candidate",
+        Role::Follower => "follower",
+    };
+    log::info!(
+        event = EventId::RoleChanged.number(), role = name, term = role.term,
+        index = role.last_index, commit = role.commit, voters = role.voters, linked = role.linked;
+        "the control replica has another role or term"
+    );
+}
+
+/// Notes a write of the data folder.
+pub(super) fn data_written(metrics: &Metrics, done: &Done) {
+    let file = if done.number.is_some() { "log" } else { "endpoints" };
+    metrics.data_written(file, done.waited, done.took);
+    if SLOW_WRITE <= done.waited + done.took {
+        log::warn!(
+            event = EventId::SlowWrite.number(), file = file,
+            waited_ms = done.waited.as_millis() as u64, took_ms = done.took.as_millis() as u64;
+            "a write of the data folder waited or took long"
+        );
+    }
+}
+
 /// Tells of what is on record about a request under which endpoints have ended.
 pub(super) fn suspect_changed(suspect: &Suspect) {
     let endpoints: Vec<&str> = suspect.runs.iter().map(|run| run.endpoint.as_str()).collect();
--- a/crates/server/src/runtime/writer.rs
+++ b/crates/server/src/runtime/writer.rs
@@ -1,6 +1,12 @@
 //! The thread that writes and syncs the data folder.
 
-use std::{path::Path, process, sync::mpsc, thread, time::Duration};
+use std::{
+    path::Path,
+    process,
+    sync::mpsc,
+    thread,
+    time::{Duration, Instant},
+};
 
 use eyre::{Result, WrapErr};
 use trayswitch_core::{
@@ -15,17 +21,44 @@
 const FULL_PAUSE: Duration = Duration::from_millis(200);
 
 /// A write for the thread.
-pub(super) enum Write {
+pub(super) struct Write {
+    content: Content,
+    since: Instant,
+}
+
+enum Content {
     /// What the log must hold before anything is answered for.
     Log(u64, Persist),
     /// The endpoints that are known, a hint for the next start.
     Endpoints(Vec<EndpointRecord>),
 }
 
+impl Write {
+    /// A write of the log with this number.
+    pub(super) fn log(number: u64, persist: Persist) -> Write {
+        Write { content: Content::Log(number, persist), since: Instant::now() }
+    }
+
+    /// A write of the endpoints that are known.
+    pub(super) fn endpoints(endpoints: Vec<EndpointRecord>) -> Write {
+        Write { content: Content::Endpoints(endpoints), since: Instant::now() }
+    }
+}
+
+/// A write that has been carried out.
+pub(super) struct Done {
+    /// Number of the write if it was one of the log, which is synced now.
+    pub(super) number: Option<u64>,
+    /// How long it waited for other writes.
+    pub(super) waited: Duration,
+    /// How long writing and syncing took.
+    pub(super) took: Duration,
+}
+
 /// Writes for the thread.
 pub(super) type Writes = mpsc::Sender<Write>;
-/// Numbers of the writes that are synced.
-pub(super) type Written = tokio::sync::mpsc::UnboundedReceiver<u64>;
+/// Writes that have been carried out.
+pub(super) type Written = tokio::sync::mpsc::UnboundedReceiver<Done>;
 
 /// An opened data folder.
 pub(super) struct Opened {
@@ -71,6 +104,18 @@
     }
 }
 
+/// Writes and syncs; ends the process if that fails.
+fn write_or_end(storage: &mut Storage, persist: &Persist) {
+    if let Err(e) = write_patiently(storage, persist) {
+        // What is on disk is not known any more; going on could break a promise.
+        log::error!(
+            event = EventId::StorageFailed.number(), error = e.to_string().as_str();
+            "the data folder cannot be written; the daemon ends"
+        );
+        process::exit(1);
+    }
+}
+
 /// Keeps the endpoints; without them the next start only takes a heartbeat longer.
 fn remember(storage: &mut Storage, endpoints: Vec<EndpointRecord>) {
     if let Err(e) = storage.remember(endpoints) {
@@ -84,29 +129,25 @@
 /// Starts the thread.
 pub(super) fn spawn(mut storage: Storage) -> Result<(Writes, Written)> {
     let (tx, rx) = mpsc::channel::<Write>();
-    let (synced_tx, synced_rx) = tokio::sync::mpsc::unbounded_channel();
+    let (done_tx, done_rx) = tokio::sync::mpsc::unbounded_channel();
     let write = move || {
-        for write in rx {
-            let (number, persist) = match write {
-                Write::Log(number, persist) => (number, persist),
-                Write::Endpoints(endpoints) => {
+        for Write { content, since } in rx {
+            let (began, waited) = (Instant::now(), since.elapsed());
+            let number = match content {
+                Content::Log(number, persist) => {
+                    write_or_end(&mut storage, &persist);
+                    Some(number)
+                }
+                Content::Endpoints(endpoints) => {
                     remember(&mut storage, endpoints);
-                    continue;
+                    None
                 }
             };
-            if let Err(e) = write_patiently(&mut storage, &persist) {
-                // What is on disk is not known any more; going on could break a promise.
-                log::error!(
-                    event = EventId::StorageFailed.number(), error = e.to_string().as_str();
-                    "the data folder cannot be written; the daemon ends"
-                );
-                process::exit(1);
-            }
-            if synced_tx.send(number).is_err() {
+            if done_tx.send(Done { number, waited, took: began.elapsed() }).is_err() {
                 return;
             }
         }
     };
     thread::Builder::new().name("storage".into()).spawn(write)?;
-    Ok((tx, synced_rx))
+    Ok((tx, done_rx))
 }
--- a/crates/server/src/telemetry/metrics.rs
+++ b/crates/server/src/telemetry/metrics.rs
@@ -51,6 +51,9 @@
     hall_orders: IntCounterVec,
     node_input: HistogramVec,
     timer_late: HistogramVec,
+    term: IntGauge,
+    data_write: HistogramVec,
+    data_write_wait: HistogramVec,
     suspended: HistogramVec,
     changes_sent: IntCounterVec,
     change_bytes: IntCounterVec,
@@ -265,6 +268,17 @@
                 "How late the node's timer came: for so long the daemon's thread was held up",
                 &[],
             )?,
+            term: gauge("trayswitch_term", "Term of the control replica on this VM")?,
+            data_write: histogram(
+                "trayswitch_data_write_seconds",
+                "Time for writing and syncing a file of the data folder",
+                &["file"],
+            )?,
+            data_write_wait: histogram(
+                "trayswitch_data_write_wait_seconds",
+                "Time for which a write of the data folder waited for others",
+                &["file"],
+            )?,
             suspended: histogram(
                 "trayswitch_suspended_seconds",
                 "For how long the VM was suspended, each time",
@@ -432,6 +446,17 @@
         self.timer_late.with_label_values::<&str>(&[]).observe(late.as_secs_f64());
     }
 
+    /// Notes the term of the control replica.
+    pub fn term(&self, term: u64) {
+        self.term.set(term as i64);
+    }
+
+    /// Notes a write of the data folder.
+    pub fn data_written(&self, file: &str, waited: Duration, took: Duration) {
+        self.data_write_wait.with_label_values(&[file]).observe(waited.as_secs_f64());
+        self.data_write.with_label_values(&[file]).observe(took.as_secs_f64());
+    }
+
     /// Notes for how long the VM was suspended.
     pub fn suspended(&self, time: Duration) {
         self.suspended.with_label_values::<&str>(&[]).observe(time.as_secs_f64());
--- a/crates/trayswitchd/src/node/actor.rs
+++ b/crates/trayswitchd/src/node/actor.rs
@@ -174,6 +174,7 @@
             // configuration; it has no edge at which endpoints register themselves. Operators ask for
             // the load, and its metrics have no gauges.
             Output::Leader { .. }
+            | Output::Role(_)
             | Output::Dial(_)
             | Output::Forwarders(_)
             | Output::Registered(_)
