Failing tests: elections and slow disks

Voters whose syncs take 400 ms or longer elect no leader within 15 s, and a leader whose followers sync that slowly steps down.

--- a/crates/core/src/agreement/tests.rs
+++ b/crates/core/src/agreement/tests.rs
@@ -3,6 +3,7 @@
 //! that run apart.
 
 mod net;
+mod slow_disks;
 
 use googletest::prelude::*;
 use proptest::prelude::*;
