Elections end, and leaders stay, however long a sync takes

After a final fault on slow disks every entry answered 503 for as long as it was watched: no leader was elected, or it was lost a second after it was found.

Cause: bounds of time for the silence of others also ran while a replica waited for a disk. A candidate asked for votes when its own was synced, voters answered when theirs were, and after 400 to 800 ms from its start the candidate asked for the next term, which made the votes on their way void. A follower answered heartbeats only behind its writes, so a sync of 400 ms cost the leader its lead.

Now a follower that waits for its disk answers for the leader at once, and for its log when that is synced (a round proves only that no later leader had been voted for, which is in memory; reads need no more). A replica that waits for its disk neither starts an election nor grants a pre-vote, its wait starts anew when the disk has answered, and votes count until their term ends.

--- a/crates/core/src/agreement/mod.rs
+++ b/crates/core/src/agreement/mod.rs
@@ -97,6 +97,8 @@
     pub last_term: u64,
     /// Index of the last entry.
     pub last_index: u64,
+    /// Number of the last write.
+    pub write: u64,
 }
 
 /// Work that a replica hands out.
--- a/crates/core/src/agreement/progress.rs
+++ b/crates/core/src/agreement/progress.rs
@@ -11,15 +11,24 @@
     pub(crate) matched: u64,
     /// Latest confirmation round that it answered.
     pub(crate) round: u64,
-    /// When it last answered.
+    /// When it last answered at all.
     pub(crate) heard: Instant,
+    /// When it last answered for its log, which waits for its disk.
+    pub(crate) log_heard: Instant,
     /// No second snapshot is sent before this time.
     pub(crate) snapshot_until: Instant,
 }
 
 impl Progress {
     pub(crate) fn new(next: u64, now: Instant) -> Progress {
-        Progress { next, matched: 0, round: 0, heard: now, snapshot_until: Instant::default() }
+        Progress {
+            next,
+            matched: 0,
+            round: 0,
+            heard: now,
+            log_heard: now,
+            snapshot_until: Instant::default(),
+        }
     }
 }
 
--- a/crates/core/src/agreement/replica/election.rs
+++ b/crates/core/src/agreement/replica/election.rs
@@ -34,7 +34,8 @@
         let term = self.hard_state.term + 1;
         self.leader = None;
         self.set_hard_state(HardState { term, voted_for: Some(self.id) });
-        self.state = State::Candidate(BTreeSet::new());
+        self.state = State::Candidate;
+        self.votes = Some(BTreeSet::new());
         self.reset_election(now);
         let vote =
             Vote { last_index: self.log.last_index(), last_term: self.log.last_term(), hand_over };
@@ -46,6 +47,7 @@
     pub(super) fn on_pre_vote(&mut self, from: ReplicaId, term: u64, vote: PreVote, now: Instant) {
         let granted = self.hard_state.term < term
             && !self.hears_leader(now)
+            && !self.awaits_disk()
             && self.log.is_covered_by(vote.last_term, vote.last_index);
         let reply = PreVoteReply { asked_term: term, granted };
         self.send(from, Body::PreVoteReply(reply));
@@ -75,7 +77,7 @@
     }
 
     pub(super) fn on_vote_reply(&mut self, from: ReplicaId, reply: VoteReply, now: Instant) {
-        if let State::Candidate(votes) = &mut self.state
+        if let Some(votes) = &mut self.votes
             && reply.granted
         {
             votes.insert(from);
@@ -84,21 +86,20 @@
     }
 
     pub(super) fn count_votes(&mut self, now: Instant) {
-        let (votes, pre) = match &self.state {
-            State::PreCandidate(votes) => (votes, true),
-            State::Candidate(votes) => (votes, false),
-            State::Follower | State::Leader(_) => return,
-        };
         let membership = self.log.membership();
-        let count = membership.voters().filter(|id| votes.contains(id)).count();
-        if count < membership.quorum() {
-            return;
+        let is_quorum = |votes: &BTreeSet<ReplicaId>| {
+            membership.quorum() <= membership.voters().filter(|id| votes.contains(id)).count()
+        };
+        if self.votes.as_ref().is_some_and(is_quorum) {
+            self.lead(now);
+        } else if matches!(&self.state, State::PreCandidate(votes) if is_quorum(votes)) {
+            self.campaign(false, now);
         }
-        if pre { self.campaign(false, now) } else { self.lead(now) }
     }
 
     pub(super) fn lead(&mut self, now: Instant) {
         self.leader = Some(self.id);
+        self.votes = None;
         let index = self.log.last_index() + 1;
         self.state = State::Leader(Leadership {
             opened_at: index,
@@ -126,6 +127,7 @@
             self.leader = leader;
         }
         self.state = State::Follower;
+        self.votes = None;
         self.reset_election(now);
     }
 
--- a/crates/core/src/agreement/replica/follower.rs
+++ b/crates/core/src/agreement/replica/follower.rs
@@ -22,6 +22,10 @@
         self.follow(from, now);
         let round = append.round;
         let outcome = self.take_entries(append);
+        if self.awaits_disk() {
+            // It follows this leader whether or not its disk is in time.
+            self.send(from, Body::AppendReply(AppendReply { round, outcome: None }));
+        }
         let reply = AppendReply { round, outcome: Some(outcome) };
         self.send_after_persist(from, Body::AppendReply(reply));
     }
--- a/crates/core/src/agreement/replica/leader.rs
+++ b/crates/core/src/agreement/replica/leader.rs
@@ -157,6 +157,9 @@
         let State::Leader(leadership) = &mut self.state else { return };
         let Some(progress) = leadership.peers.get_mut(&from) else { return };
         progress.heard = now;
+        if reply.outcome.is_some() {
+            progress.log_heard = now;
+        }
         progress.round = progress.round.max(reply.round);
         match reply.outcome {
             Some(Outcome::Matched(index)) => {
--- a/crates/core/src/agreement/replica/mod.rs
+++ b/crates/core/src/agreement/replica/mod.rs
@@ -74,7 +74,7 @@
 enum State {
     Follower,
     PreCandidate(BTreeSet<ReplicaId>),
-    Candidate(BTreeSet<ReplicaId>),
+    Candidate,
     Leader(Leadership),
 }
 
@@ -94,6 +94,12 @@
     heard_leader: Option<Instant>,
     election_due: Instant,
     state: State,
+    /// Votes of the current term, if this replica has asked for them. They count until the term ends,
+    /// also while it asks whether it could win the next one.
+    votes: Option<BTreeSet<ReplicaId>>,
+    /// Number of the last write that was handed out, and of the last one that is synced.
+    last_write: u64,
+    synced_write: u64,
     rng: u64,
     ready: Ready,
 }
@@ -121,6 +127,9 @@
             heard_leader: None,
             election_due: now,
             state: State::Follower,
+            votes: None,
+            last_write: 0,
+            synced_write: 0,
             rng: seed ^ id,
             ready: Ready::default(),
             snapshot: None,
@@ -158,7 +167,7 @@
         match self.state {
             State::Follower => Role::Follower,
             State::PreCandidate(_) => Role::PreCandidate,
-            State::Candidate(_) => Role::Candidate,
+            State::Candidate => Role::Candidate,
             State::Leader(_) => Role::Leader,
         }
     }
@@ -200,10 +209,10 @@
         self.log.last_index() <= matched + slack
     }
 
-    /// For a leader: whether a replica answered within this time.
+    /// For a leader: whether a replica answered for its log within this time.
     pub fn heard_within(&self, id: ReplicaId, time: Duration, now: Instant) -> bool {
         let State::Leader(leadership) = &self.state else { return false };
-        id == self.id || leadership.peers.get(&id).is_some_and(|p| now.since(p.heard) < time)
+        id == self.id || leadership.peers.get(&id).is_some_and(|p| now.since(p.log_heard) < time)
     }
 
     /// Whether it leads and has committed an entry of its own term.
@@ -225,12 +234,17 @@
             self.tick_leader(now);
         } else if self.election_due <= now {
             self.reset_election(now);
-            if self.membership().is_voter(self.id) {
+            if self.membership().is_voter(self.id) && !self.awaits_disk() {
                 self.pre_campaign(now);
             }
         }
     }
 
+    /// Whether a write is not synced yet. Its votes would wait for it as well.
+    fn awaits_disk(&self) -> bool {
+        self.synced_write < self.last_write || !self.ready.persist.is_empty()
+    }
+
     /// Appends a payload to the log; it counts once it is in [`Ready::committed`].
     pub fn propose(
         &mut self,
@@ -261,9 +275,14 @@
 
     /// Notes that the writes of a [`Ready`] and of all before it are synced.
     pub fn persisted(&mut self, synced: Synced, now: Instant) {
-        let term = self.hard_state.term;
-        if let State::Candidate(votes) = &mut self.state
-            && synced.term == term
+        let is_later = self.synced_write < synced.write;
+        self.synced_write = self.synced_write.max(synced.write);
+        if is_later && !self.awaits_disk() && !matches!(self.state, State::Leader(_)) {
+            // The time that the disk took was no silence of others.
+            self.reset_election(now);
+        }
+        if let Some(votes) = &mut self.votes
+            && synced.term == self.hard_state.term
         {
             // Its own vote counts only now: a crash must not give it away twice.
             votes.insert(self.id);
@@ -346,7 +365,11 @@
             self.ready.committed.push(entry.clone());
             self.handed_out += 1;
         }
+        if !self.ready.persist.is_empty() {
+            self.last_write += 1;
+        }
         self.ready.synced = Synced {
+            write: self.last_write,
             term: self.hard_state.term,
             last_term: self.log.last_term(),
             last_index: self.log.last_index(),
