A part that all requests share is not quarantined when two causes come together

Cause: a content's crashes counted as explained only if one other content was present at all of them. Two others now explain them together, each present at two or more; a request that crashed one endpoint explains nothing.

`quarantine::verdict_tests::shared_part_of_two_causes_at_once_is_not_quarantined` failed before. The other way, a further trial of every part after 2 s, failed two tests of `node::tests::prompt_parts` (crashing requests start after the fifth crash).

--- a/crates/core/src/quarantine/verdict.rs
+++ b/crates/core/src/quarantine/verdict.rs
@@ -2,6 +2,10 @@
 
 use super::{ContentDigest, CrashCounts, suspect_record::CrashedRun};
 
+/// Crashes of a content at which each of two others that explain them together was present. A request
+/// that crashed one endpoint is present at that crash, whatever the cause was.
+const MIN_CRASHES_OF_CAUSE: u32 = 2;
+
 /// Crash histories of suspects.
 pub(crate) trait CrashHistory {
     /// Crashes counted against a content.
@@ -74,9 +78,10 @@
     }
 }
 
-/// Whether another content, which the request lacks, was present at all crashes of this one. Sound
-/// contents that all requests with a crashing one have in common must not be quarantined with it. The
-/// reports on the newest crash may not be complete.
+/// Whether other contents, which the request lacks, were present at all crashes of this one: one at
+/// all, or two of which each was present at several. Sound contents that all requests with a crashing
+/// one have in common must not be quarantined with it, also where two causes come together. The reports
+/// on the newest crash may not be complete.
 fn is_explained(
     content: &ContentDigest,
     contents: &[ContentDigest],
@@ -84,11 +89,24 @@
 ) -> bool {
     let mut runs = history.crashed_runs(content);
     runs.pop();
-    let was_present_at_all =
-        |other: &ContentDigest| runs.iter().all(|run| history.was_present(other, run));
-    !runs.is_empty()
-        && history
-            .suspects()
-            .iter()
-            .any(|other| !contents.contains(other) && was_present_at_all(other))
+    if runs.is_empty() {
+        return false;
+    }
+    let suspects = history.suspects();
+    let others = suspects.iter().filter(|other| !contents.contains(other));
+    // A bit for each of the crashes that another content was present at.
+    let present_at = |other: &ContentDigest| -> u32 {
+        let bits = runs.iter().enumerate();
+        bits.map(|(n, run)| u32::from(history.was_present(other, run)) << n).sum()
+    };
+    let all = u32::MAX >> (u32::BITS as usize - runs.len());
+    let mut causes: Vec<u32> = others.map(present_at).collect();
+    if causes.contains(&all) {
+        return true;
+    }
+    causes.retain(|crashes| MIN_CRASHES_OF_CAUSE <= crashes.count_ones());
+    causes.sort_unstable();
+    causes.dedup();
+    let is_rest = |cause: &u32| causes.iter().any(|other| cause | other == all);
+    causes.iter().any(is_rest)
 }
--- a/crates/core/src/quarantine/verdict_tests.rs
+++ b/crates/core/src/quarantine/verdict_tests.rs
@@ -136,6 +136,20 @@
     check_releases(&mut records, POPULAR, &[2_000, 16_000, 128_000]);
 }
 
+#[gtest]
+fn shared_part_of_two_causes_at_once_is_not_quarantined() {
+    let (other_cause, other_part) = (4, 5);
+    let mut records = SuspectTable::default();
+    for endpoint in 1..4 {
+        crash(&mut records, endpoint, &contents(1, &[POPULAR, other_part]), POPULAR);
+        let number = 10 + endpoint;
+        crash(&mut records, endpoint + 3, &contents(number, &[POPULAR, other_cause]), POPULAR);
+    }
+
+    expect_that!(is_quarantined(&records, &[POPULAR, RARE]), eq(false));
+    expect_that!(is_quarantined(&records, &[POPULAR, other_cause]), eq(true));
+}
+
 #[gtest]
 fn quarantined_part_that_all_requests_share_is_tried_again_without_an_operator() {
     let mut records = records_of(&[POPULAR], &[POPULAR; 3]);
