A response without framing is whole only if the run that sent it still listens

Calls of a leaving endpoint that was killed were answered 200 with half of their body.

Cause: the end of the connection was checked by whether some process listens at the address, and not at all for an endpoint that leaves or is unknown. Now every such end is checked by a connection, and where endpoints tell their start, by whether the registry and the process itself still name the run that answered. An endpoint that says that it leaves serves on and ends later, so one that refuses connections has not ended in order.

Three new tests of `relay::tests::unframed_responses` failed before and pass.

--- a/crates/server/src/relay/local_placement.rs
+++ b/crates/server/src/relay/local_placement.rs
@@ -11,7 +11,10 @@
 use http::{Request, response};
 use http_body_util::Full;
 use tokio::time::timeout;
-use trayswitch_core::placement::{Candidate, EngineLoad, SampledEndpoint, sort_by_cost};
+use trayswitch_core::{
+    placement::{Candidate, EngineLoad, SampledEndpoint, sort_by_cost},
+    registry::RegisteredEndpoint,
+};
 
 use super::{Job, Relay, ReservationReply};
 use crate::{runtime::Placed, telemetry::EventId};
@@ -105,6 +108,16 @@
     (!is_other_run).then_some(load)
 }
 
+/// When the process at an endpoint's address was started; `None` if it does not tell.
+pub(super) async fn reported_start(
+    relay: &Rc<Relay>,
+    endpoint: &RegisteredEndpoint,
+) -> Option<u64> {
+    let (head, body) = query_engine(relay, &endpoint.id, relay.protocol.load_request()).await?;
+    let start = relay.protocol.decode_load(&head, &body)?.started_at;
+    (0 < start).then_some(start)
+}
+
 async fn reserve(
     relay: &Rc<Relay>,
     job: &Job,
--- a/crates/server/src/relay/tests/test_daemon.rs
+++ b/crates/server/src/relay/tests/test_daemon.rs
@@ -389,6 +389,18 @@
         self.register_heartbeat(heartbeat(service, name, address)).await;
     }
 
+    /// The same, for a run that tells when it was started.
+    pub(super) async fn register_run_at(
+        &self,
+        service: &str,
+        name: &str,
+        started_at: u64,
+        address: SocketAddr,
+    ) {
+        let record = heartbeat(service, name, address);
+        self.register_heartbeat(EndpointRecord { born: started_at, ..record }).await;
+    }
+
     async fn register_heartbeat(&self, record: EndpointRecord) {
         let name = record.id.clone();
         self.node.input(Input::Heartbeat(record));
--- a/crates/server/src/relay/tests/unframed_responses.rs
+++ b/crates/server/src/relay/tests/unframed_responses.rs
@@ -31,6 +31,27 @@
         RawEndpoint { listener }
     }
 
+    /// A run of an endpoint that tells when it was started.
+    async fn open_run(daemon: &TestDaemon, name: &str, started_at: u64) -> RawEndpoint {
+        let any: SocketAddr = "127.0.0.1:0".parse().unwrap();
+        let listener = TcpListener::bind(any).await.unwrap();
+        daemon.register_run_at("engines", name, started_at, listener.local_addr().unwrap()).await;
+        RawEndpoint { listener }
+    }
+
+    /// Tells everybody who asks that this process was started then.
+    async fn report_start(self, started_at: u64) {
+        let body = format!("0 {started_at}");
+        let length = body.len();
+        let response = format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n{body}");
+        loop {
+            let (mut socket, _) = self.listener.accept().await.unwrap();
+            let mut head = Vec::new();
+            while !head.ends_with(b"\r\n\r\n") && socket.read_buf(&mut head).await.unwrap() != 0 {}
+            socket.write_all(response.as_bytes()).await.unwrap();
+        }
+    }
+
     /// An endpoint of a fleet, which all entries know.
     async fn open_in(fleet: &TestFleet, service: &str, name: &str) -> RawEndpoint {
         let endpoint = RawEndpoint::open(&fleet.control, service, name).await;
@@ -175,6 +196,64 @@
     });
 }
 
+#[gtest]
+fn stream_of_a_leaving_endpoint_that_is_gone_is_continued_elsewhere() {
+    run_test(async {
+        let daemon = TestDaemon::open().await;
+        let mut raw = RawEndpoint::open(&daemon, "engines", "e1").await;
+
+        let (answer, (last, _e2)) =
+            join!(async { text(daemon.send("/recap/", "r1").await).await }, async {
+                let mut response = raw.next_request().await;
+                let mut e2 = daemon.register("engines", "e2").await;
+                response.send(&events_to(2)).await;
+                daemon.announce_leaving("e1").await;
+                drop(raw);
+                drop(response);
+                (serve_from(&mut e2, 3).await, e2)
+            });
+
+        expect_that!(answer, ok(eq(&events_to(4))));
+        expect_that!(last, some(eq(2)));
+    });
+}
+
+#[gtest]
+fn call_of_a_leaving_endpoint_that_is_gone_is_no_answer() {
+    run_test(async {
+        let daemon = TestDaemon::open().await;
+        let mut raw = RawEndpoint::open(&daemon, "desk", "d1").await;
+
+        let (answer, ()) = join!(daemon.send("/once/", "r1"), async {
+            let mut response = raw.next_request().await;
+            response.send("half of it").await;
+            daemon.announce_leaving("d1").await;
+            drop(raw);
+        });
+
+        expect_that!(answer.head.status, eq(StatusCode::BAD_GATEWAY));
+    });
+}
+
+#[gtest]
+fn stream_of_a_run_that_another_one_has_replaced_at_its_address_is_not_whole() {
+    run_test(async {
+        let daemon = TestDaemon::open().await;
+        let mut raw = RawEndpoint::open_run(&daemon, "e1", 5).await;
+
+        let body = async { text(daemon.send("/chat/", "r1").await).await };
+        let serving = async {
+            let mut response = raw.next_request().await;
+            response.send(&events_to(2)).await;
+            drop(response);
+            raw.report_start(6).await;
+        };
+        let body = tokio::select! { body = body => body, () = serving => unreachable!() };
+
+        expect_that!(body, err(anything()));
+    });
+}
+
 #[gtest]
 fn stream_without_events_of_a_crashed_endpoint_is_no_answer() {
     run_test(async {
--- a/crates/server/src/relay/unframed_response.rs
+++ b/crates/server/src/relay/unframed_response.rs
@@ -7,7 +7,7 @@
 use http::{StatusCode, header, response};
 use trayswitch_core::{node::ProbeOutcome, registry::RegisteredEndpoint};
 
-use super::{Relay, event_stream::StreamItem};
+use super::{Relay, event_stream::StreamItem, local_placement::reported_start};
 use crate::upstream::OpenAnswer;
 
 /// A process that is terminating may close its listening socket after its connections. How long the end
@@ -59,23 +59,28 @@
         if is_complete { StreamItem::End } else { StreamItem::Error(CRASHED.into()) }
     }
 
-    /// Whether an unframed response is complete after its connection has ended: the endpoint is known not
-    /// to have crashed.
+    /// Whether an unframed response is complete after its connection has ended: the run that sent it still
+    /// listens. One that has said that it leaves may crash as well, or be taken away.
     pub(super) async fn is_unframed_response_complete(
         self: &Rc<Self>,
         endpoint: &RegisteredEndpoint,
         close_delay: Duration,
     ) -> bool {
-        let known = self.node.view().endpoint(&endpoint.id);
-        let is_leaving = known.is_none_or(|known| !known.available && !known.hall_out);
-        if is_leaving {
-            // It may exit after its last response.
-            return true;
-        }
         let outcome = match self.probe(endpoint).await {
             (_, Some(connection)) => self.watch(endpoint, connection, close_delay).await,
             (outcome, None) => outcome,
         };
-        outcome == ProbeOutcome::Connected
+        outcome == ProbeOutcome::Connected && self.is_same_run(endpoint).await
+    }
+
+    /// Whether the process at an endpoint's address is the run that is known by it. Where endpoints do
+    /// not tell their start, each start has a name of its own.
+    async fn is_same_run(self: &Rc<Self>, endpoint: &RegisteredEndpoint) -> bool {
+        let known = self.node.view().endpoint(&endpoint.id);
+        if known.is_some_and(|known| known.started_at != endpoint.started_at) {
+            return false;
+        }
+        endpoint.started_at == 0
+            || reported_start(self, endpoint).await.is_none_or(|start| start == endpoint.started_at)
     }
 }
