--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -1,8 +1,8 @@
 #!/usr/bin/env bash
 # The soak: real programs as separate processes on loopback, under random faults from outside.
-# Usage: soak.sh [FIRST_SEED [SEEDS [SECONDS [OPTION...]]]]; without arguments CI's three runs of one
-# seed each: a small site, one where an entry with a bounded link gets most connections, and one with
-# large configurations and slow VMs.
+# Usage: soak.sh [FIRST_SEED [SEEDS [SECONDS [OPTION...]]]]; without arguments CI's four runs of one
+# seed each: a small site, one where an entry with a bounded link gets most connections, one that ends
+# with the loss of two disks and of all power, and one with large configurations and slow VMs.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 target="${CARGO_TARGET_DIR:-target}"
@@ -35,6 +35,7 @@
 if (($# == 0)); then
   soak 1 1 20
   soak 11 1 20 --link 400
+  soak 1 1 5 --control 5 --entries 6 --final wipe --sync 600
   soak_large
 else
   soak "$1" "${2:-1}" "${3:-20}" "${@:4}"
