--- a/crates/core/src/agreement/replica/mod.rs
+++ b/crates/core/src/agreement/replica/mod.rs
@@ -233,8 +233,10 @@
         if matches!(self.state, State::Leader(_)) {
             self.tick_leader(now);
         } else if self.election_due <= now {
+            // A founder asks at once: nobody else of its group can be elected meanwhile.
+            let is_founding = self.election_due == Instant::default();
             self.reset_election(now);
-            if self.membership().is_voter(self.id) && !self.awaits_disk() {
+            if self.membership().is_voter(self.id) && (is_founding || !self.awaits_disk()) {
                 self.pre_campaign(now);
             }
         }
