--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -51,8 +51,8 @@
     ConfigUnusable = 218, "An accepted configuration cannot come into force on this daemon.";
     HallsOut = 219, "Other data halls are out of service from now on.";
     HallOrdered = 220, "An operator's order about a data hall was answered.";
-    RoleChanged = 221, "A control replica leads, looks for votes or follows, in another term than before.";
-    SlowWrite = 222, "A write of the data folder waited or took long.";
+    RoleChanged = 221, "The control replica on this VM leads, looks for votes or follows, in another term than before.";
+    SlowWrite = 222, "A write of the data folder waited for others or took long.";
     EndpointFailed = 301, "An endpoint failed to serve a request.";
     EndpointLeaving = 302, "An endpoint said that it is leaving.";
     StreamResumed = 303, "A stream was resumed at its endpoint.";
