Crashes in two histories are judged whatever their number

A daemon judges a part of prompts by what control VMs told it and by what it saw itself, up to 32 crashes in each.

They are sets now, made from each record's list of runs once, which also ends a look-up for each pair of a suspect and a crash; `was_present`, which that list tells, is gone. `quarantine::verdict_tests:: crashes_in_two_histories_are_judged_whatever_their_number` failed before (attempt to subtract with overflow).

--- a/crates/core/src/node/local_suspects.rs
+++ b/crates/core/src/node/local_suspects.rs
@@ -84,10 +84,6 @@
         runs
     }
 
-    fn was_present(&self, content: &ContentDigest, run: &CrashedRun) -> bool {
-        self.known.was_present(content, run) || self.local.table.was_present(content, run)
-    }
-
     fn suspects(&self) -> Vec<ContentDigest> {
         let mut all = self.known.suspects();
         all.extend(self.local.table.suspects());
--- a/crates/core/src/quarantine/suspect_cache.rs
+++ b/crates/core/src/quarantine/suspect_cache.rs
@@ -88,11 +88,6 @@
         self.suspects.get(content).map(|suspect| suspect.runs.clone()).unwrap_or_default()
     }
 
-    fn was_present(&self, content: &ContentDigest, run: &CrashedRun) -> bool {
-        let suspect = self.suspects.get(content);
-        suspect.is_some_and(|suspect| suspect.runs.iter().any(|known| known.is_same(run)))
-    }
-
     fn suspects(&self) -> Vec<ContentDigest> {
         self.suspects.keys().copied().collect()
     }
--- a/crates/core/src/quarantine/suspect_table.rs
+++ b/crates/core/src/quarantine/suspect_table.rs
@@ -415,11 +415,6 @@
         self.by_content.get(content).map(|record| record.runs.clone()).unwrap_or_default()
     }
 
-    fn was_present(&self, content: &ContentDigest, run: &CrashedRun) -> bool {
-        let record = self.by_content.get(content);
-        record.is_some_and(|record| record.runs.iter().any(|known| known.is_same(run)))
-    }
-
     fn suspects(&self) -> Vec<ContentDigest> {
         self.by_content.keys().copied().collect()
     }
--- a/crates/core/src/quarantine/verdict.rs
+++ b/crates/core/src/quarantine/verdict.rs
@@ -1,10 +1,12 @@
 //! Decides from crash histories how a request may be sent.
 
+use std::collections::BTreeSet;
+
 use super::{ContentDigest, CrashCounts, suspect_record::CrashedRun};
 
 /// Crashes of a content at which each of two others that explain them together was present. A request
 /// that crashed one endpoint is present at that crash, whatever the cause was.
-const MIN_CRASHES_OF_CAUSE: u32 = 2;
+const MIN_CRASHES_OF_CAUSE: usize = 2;
 
 /// Crash histories of suspects.
 pub(crate) trait CrashHistory {
@@ -14,9 +16,6 @@
     /// The most recent crashes counted against a content.
     fn crashed_runs(&self, content: &ContentDigest) -> Vec<CrashedRun>;
 
-    /// Whether requests with a content were interrupted by a crash.
-    fn was_present(&self, content: &ContentDigest, run: &CrashedRun) -> bool;
-
     /// All contents with crashes.
     fn suspects(&self) -> Vec<ContentDigest>;
 
@@ -92,21 +91,21 @@
     if runs.is_empty() {
         return false;
     }
+    // The crashes that another content was present at.
+    let present_at = |other: &ContentDigest| -> BTreeSet<usize> {
+        let present = history.crashed_runs(other);
+        let is_present = |n: &usize| present.iter().any(|run| run.is_same(&runs[*n]));
+        (0..runs.len()).filter(is_present).collect()
+    };
     let suspects = history.suspects();
     let others = suspects.iter().filter(|other| !contents.contains(other));
-    // A bit for each of the crashes that another content was present at.
-    let present_at = |other: &ContentDigest| -> u32 {
-        let bits = runs.iter().enumerate();
-        bits.map(|(n, run)| u32::from(history.was_present(other, run)) << n).sum()
-    };
-    let all = u32::MAX >> (u32::BITS as usize - runs.len());
-    let mut causes: Vec<u32> = others.map(present_at).collect();
-    if causes.contains(&all) {
+    let mut causes: BTreeSet<BTreeSet<usize>> = others.map(present_at).collect();
+    if causes.iter().any(|crashes| crashes.len() == runs.len()) {
         return true;
     }
-    causes.retain(|crashes| MIN_CRASHES_OF_CAUSE <= crashes.count_ones());
-    causes.sort_unstable();
-    causes.dedup();
-    let is_rest = |cause: &u32| causes.iter().any(|other| cause | other == all);
+    causes.retain(|crashes| MIN_CRASHES_OF_CAUSE <= crashes.len());
+    let is_rest = |cause: &BTreeSet<usize>| {
+        causes.iter().any(|other| cause.union(other).count() == runs.len())
+    };
     causes.iter().any(is_rest)
 }
--- a/crates/core/src/quarantine/verdict_tests.rs
+++ b/crates/core/src/quarantine/verdict_tests.rs
@@ -3,8 +3,8 @@
 use googletest::prelude::*;
 
 use super::{
-    ClearRequest, ContentDigest, CrashReport, CrashedRun, DigestKey, PromptPart, SuspectTable,
-    Verdict,
+    ClearRequest, ContentDigest, CrashCounts, CrashReport, CrashedRun, DigestKey, PromptPart,
+    SuspectTable, Verdict, verdict::CrashHistory,
 };
 use crate::units::UnixMillis;
 
@@ -150,6 +150,39 @@
     expect_that!(is_quarantined(&records, &[POPULAR, other_cause]), eq(true));
 }
 
+/// What a daemon has seen itself, beside what it was told.
+struct MergedHistory(SuspectTable, SuspectTable);
+
+impl CrashHistory for MergedHistory {
+    fn crash_counts(&self, content: &ContentDigest) -> CrashCounts {
+        self.0.crash_counts(content).max(self.1.crash_counts(content))
+    }
+
+    fn crashed_runs(&self, content: &ContentDigest) -> Vec<CrashedRun> {
+        [self.0.crashed_runs(content), self.1.crashed_runs(content)].concat()
+    }
+
+    fn suspects(&self) -> Vec<ContentDigest> {
+        [self.0.suspects(), self.1.suspects()].concat()
+    }
+}
+
+#[gtest]
+fn crashes_in_two_histories_are_judged_whatever_their_number() {
+    let history = |endpoints: std::ops::Range<u8>| {
+        let mut records = SuspectTable::default();
+        for endpoint in endpoints {
+            crash(&mut records, endpoint, &contents(endpoint, &[CRASHING]), CRASHING);
+        }
+        records
+    };
+    let merged = MergedHistory(history(1..33), history(33..65));
+
+    let verdict = Verdict::of(&contents(99, &[CRASHING]), &merged);
+
+    expect_that!(matches!(verdict, Verdict::Quarantined { .. }), eq(true), "{verdict:?}");
+}
+
 #[gtest]
 fn quarantined_part_that_all_requests_share_is_tried_again_without_an_operator() {
     let mut records = records_of(&[POPULAR], &[POPULAR; 3]);
