--- a/crates/server/src/relay/local_placement.rs
+++ b/crates/server/src/relay/local_placement.rs
@@ -11,10 +11,7 @@
 use http::{Request, response};
 use http_body_util::Full;
 use tokio::time::timeout;
-use trayswitch_core::{
-    placement::{Candidate, EngineLoad, SampledEndpoint, sort_by_cost},
-    registry::RegisteredEndpoint,
-};
+use trayswitch_core::placement::{Candidate, EngineLoad, SampledEndpoint, sort_by_cost};
 
 use super::{Job, Relay, ReservationReply};
 use crate::{runtime::Placed, telemetry::EventId};
@@ -101,23 +98,24 @@
 
 /// The load of an engine; `None` if unavailable or reported by another run of the engine.
 pub(super) async fn fetch_load(relay: &Rc<Relay>, endpoint: &Arc<str>) -> Option<EngineLoad> {
-    let (head, body) = query_engine(relay, endpoint, relay.protocol.load_request()).await?;
-    let load = relay.protocol.decode_load(&head, &body)?;
+    let load = query_load(relay, endpoint).await?;
     let known = relay.node.view().endpoint(endpoint)?.started_at;
     let is_other_run = 0 < known && 0 < load.started_at && known != load.started_at;
     (!is_other_run).then_some(load)
 }
 
 /// When the process at an endpoint's address was started; `None` if it does not tell.
-pub(super) async fn reported_start(
-    relay: &Rc<Relay>,
-    endpoint: &RegisteredEndpoint,
-) -> Option<u64> {
-    let (head, body) = query_engine(relay, &endpoint.id, relay.protocol.load_request()).await?;
-    let start = relay.protocol.decode_load(&head, &body)?.started_at;
+pub(super) async fn reported_start(relay: &Rc<Relay>, endpoint: &Arc<str>) -> Option<u64> {
+    let start = query_load(relay, endpoint).await?.started_at;
     (0 < start).then_some(start)
 }
 
+/// The load that the process at an endpoint's address reports, whichever run it is.
+async fn query_load(relay: &Rc<Relay>, endpoint: &Arc<str>) -> Option<EngineLoad> {
+    let (head, body) = query_engine(relay, endpoint, relay.protocol.load_request()).await?;
+    relay.protocol.decode_load(&head, &body)
+}
+
 async fn reserve(
     relay: &Rc<Relay>,
     job: &Job,
--- a/crates/server/src/relay/tests/unframed_responses.rs
+++ b/crates/server/src/relay/tests/unframed_responses.rs
@@ -18,6 +18,18 @@
     test_fleet::{Network, TestFleet},
 };
 
+async fn listen() -> TcpListener {
+    let any: SocketAddr = "127.0.0.1:0".parse().unwrap();
+    TcpListener::bind(any).await.unwrap()
+}
+
+/// The head of the next request; empty if there is none.
+async fn read_head(socket: &mut TcpStream) -> String {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") && socket.read_buf(&mut head).await.unwrap() != 0 {}
+    String::from_utf8(head).unwrap()
+}
+
 /// An endpoint that writes its responses byte by byte.
 struct RawEndpoint {
     listener: TcpListener,
@@ -25,16 +37,14 @@
 
 impl RawEndpoint {
     async fn open(daemon: &TestDaemon, service: &str, name: &str) -> RawEndpoint {
-        let any: SocketAddr = "127.0.0.1:0".parse().unwrap();
-        let listener = TcpListener::bind(any).await.unwrap();
+        let listener = listen().await;
         daemon.register_address(service, name, listener.local_addr().unwrap()).await;
         RawEndpoint { listener }
     }
 
     /// A run of an endpoint that tells when it was started.
     async fn open_run(daemon: &TestDaemon, name: &str, started_at: u64) -> RawEndpoint {
-        let any: SocketAddr = "127.0.0.1:0".parse().unwrap();
-        let listener = TcpListener::bind(any).await.unwrap();
+        let listener = listen().await;
         daemon.register_run_at("engines", name, started_at, listener.local_addr().unwrap()).await;
         RawEndpoint { listener }
     }
@@ -46,8 +56,7 @@
         let response = format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n{body}");
         loop {
             let (mut socket, _) = self.listener.accept().await.unwrap();
-            let mut head = Vec::new();
-            while !head.ends_with(b"\r\n\r\n") && socket.read_buf(&mut head).await.unwrap() != 0 {}
+            read_head(&mut socket).await;
             socket.write_all(response.as_bytes()).await.unwrap();
         }
     }
@@ -65,9 +74,7 @@
     async fn next_request(&mut self) -> RawResponse {
         loop {
             let (mut socket, _) = self.listener.accept().await.unwrap();
-            let mut head = Vec::new();
-            while !head.ends_with(b"\r\n\r\n") && socket.read_buf(&mut head).await.unwrap() != 0 {}
-            let head = String::from_utf8(head).unwrap();
+            let head = read_head(&mut socket).await;
             let id = head.lines().find_map(|line| line.strip_prefix(&format!("{ID}: ")));
             if let Some(id) = id {
                 return RawResponse { socket, id: id.to_owned() };
@@ -175,21 +182,30 @@
     });
 }
 
+/// Lets an endpoint end between two events of a stream, and another one serve the rest; returns the whole
+/// answer and the event after which the other one was asked to go on.
+async fn end_between_events(leaves_before: bool) -> (Result<String, String>, Option<u64>) {
+    let daemon = TestDaemon::open().await;
+    let mut raw = RawEndpoint::open(&daemon, "engines", "e1").await;
+    let (answer, (last, _e2)) =
+        join!(async { text(daemon.send("/recap/", "r1").await).await }, async {
+            let mut response = raw.next_request().await;
+            let mut e2 = daemon.register("engines", "e2").await;
+            response.send(&events_to(2)).await;
+            if leaves_before {
+                daemon.announce_leaving("e1").await;
+            }
+            drop(raw);
+            drop(response);
+            (serve_from(&mut e2, 3).await, e2)
+        });
+    (answer, last)
+}
+
 #[gtest]
 fn stream_that_ends_between_events_with_its_endpoint_is_continued_elsewhere() {
     run_test(async {
-        let daemon = TestDaemon::open().await;
-        let mut raw = RawEndpoint::open(&daemon, "engines", "e1").await;
-
-        let (answer, (last, _e2)) =
-            join!(async { text(daemon.send("/recap/", "r1").await).await }, async {
-                let mut response = raw.next_request().await;
-                let mut e2 = daemon.register("engines", "e2").await;
-                response.send(&events_to(2)).await;
-                drop(raw);
-                drop(response);
-                (serve_from(&mut e2, 3).await, e2)
-            });
+        let (answer, last) = end_between_events(false).await;
 
         expect_that!(answer, ok(eq(&events_to(4))));
         expect_that!(last, some(eq(2)));
@@ -199,19 +215,7 @@
 #[gtest]
 fn stream_of_a_leaving_endpoint_that_is_gone_is_continued_elsewhere() {
     run_test(async {
-        let daemon = TestDaemon::open().await;
-        let mut raw = RawEndpoint::open(&daemon, "engines", "e1").await;
-
-        let (answer, (last, _e2)) =
-            join!(async { text(daemon.send("/recap/", "r1").await).await }, async {
-                let mut response = raw.next_request().await;
-                let mut e2 = daemon.register("engines", "e2").await;
-                response.send(&events_to(2)).await;
-                daemon.announce_leaving("e1").await;
-                drop(raw);
-                drop(response);
-                (serve_from(&mut e2, 3).await, e2)
-            });
+        let (answer, last) = end_between_events(true).await;
 
         expect_that!(answer, ok(eq(&events_to(4))));
         expect_that!(last, some(eq(2)));
--- a/crates/server/src/relay/unframed_response.rs
+++ b/crates/server/src/relay/unframed_response.rs
@@ -81,6 +81,8 @@
             return false;
         }
         endpoint.started_at == 0
-            || reported_start(self, endpoint).await.is_none_or(|start| start == endpoint.started_at)
+            || reported_start(self, &endpoint.id)
+                .await
+                .is_none_or(|start| start == endpoint.started_at)
     }
 }
