A planned stop answers all requests that the daemon has read

Cause: the waits of a request were bounded by its own deadline and target alone. Only requests that came after the signal were compared with the time that the daemon had left; what had begun to wait before was dropped with the process. The same held for calls that waited for a permit or a trial, for bodies that were still being read, for the wait for a configuration, and for requests whose endpoint had not answered yet.

Change: relay/stopping.rs decides for all of them. Waits of requests that have not been sent end with a refusal 0.5 s before the daemon does, or as soon as a generation is more likely to complete on another daemon, by the estimate that new requests are judged by. Sent requests without a response fail 0.2 s before the end, as of unknown outcome. A forwarder that stops says that it has not sent a request, as long as that is so.

Tests: relay::tests::stopping, 5 of 6 failed on (time out, or a closed connection); the sixth shows that a place within the grace is used.

--- a/crates/server/src/relay/admission.rs
+++ b/crates/server/src/relay/admission.rs
@@ -10,7 +10,7 @@
 use hyper::body::Incoming;
 use trayswitch_clock::Instant;
 use trayswitch_core::{
-    config::{Config, NamedRoute, RouteKind},
+    config::{Config, NamedRoute},
     error::{ErrorKind, RequestError},
     mechanism::Mechanism,
     node::ActiveConfig,
@@ -22,10 +22,7 @@
     QUEUE_TIME_DIVISOR, Relay,
     job::{Job, tier_rank},
 };
-use crate::{
-    edge::{ReadError, read_within},
-    telemetry::EventId,
-};
+use crate::edge::{ReadError, read_within};
 
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 /// `Retry-After` of a daemon without a current configuration: the usual time to get one after a
@@ -33,8 +30,6 @@
 const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(400);
 /// Longest time for the body of a request without a deadline.
 const MAX_BODY_TIME: Duration = Duration::from_secs(60);
-/// `Retry-After` of a stopping daemon: a retry reaches another daemon at once.
-const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(10);
 
 /// A request that was refused before routing.
 pub(super) struct RefusedRequest {
@@ -59,14 +54,15 @@
         // The body is read first, so that an early refusal leaves the connection usable.
         let time_left = caller.time_left.unwrap_or(MAX_BODY_TIME);
         let (max, silence) = (limits.max_body as usize, limits.idle_timeout);
-        let body = read_within(body, max, silence, time_left, self.buffers.reservation())
-            .await
-            .map_err(|e| refuse(&id, read_error(&e)))?;
+        let body = read_within(body, max, silence, time_left, self.buffers.reservation());
+        let body = self.before_last_refusal(body).await.map_err(|e| refuse(&id, e))?;
+        let body = body.map_err(|e| refuse(&id, read_error(&e)))?;
         let max_wait =
             caller.time_left.unwrap_or(self.options.config_recovery_timeout) / QUEUE_TIME_DIVISOR;
         let max_wait =
             if self.is_enabled(Mechanism::StartPatience) { max_wait } else { Duration::ZERO };
-        let Some(config) = self.current_config(received_at + max_wait).await else {
+        let config = self.before_last_refusal(self.current_config(received_at + max_wait)).await;
+        let Some(config) = config.map_err(|e| refuse(&id, e))? else {
             let message = "this daemon has no current configuration";
             return Err(refuse(&id, not_ready(message, NOT_READY_RETRY_AFTER)));
         };
@@ -103,32 +99,10 @@
             part_digests: OnceCell::new(),
             versions: RefCell::new(VersionConstraint::Any),
         };
-        self.check_not_stopping(&job).map_err(|e| refuse(&id, e))?;
+        self.admit_while_stopping(&job).map_err(|e| refuse(&id, e))?;
         Ok(job)
     }
 
-    /// Refuses a generation on a stopping daemon if it is more likely to complete on another one.
-    fn check_not_stopping(&self, job: &Job) -> Result<(), RequestError> {
-        let view = self.node.view();
-        let Some(time_left) = view.time_to_end() else { return Ok(()) };
-        if job.route.spec.kind != RouteKind::Generation {
-            return Ok(());
-        }
-        let completes_here =
-            self.node.chance_to_end(&job.placement_request(Vec::new(), false), time_left);
-        let completes_elsewhere = view.chance_elsewhere();
-        if self.is_enabled(Mechanism::StopEstimate) && completes_elsewhere <= completes_here {
-            log::info!(
-                event = EventId::TakenWhileStopping.number(), id = job.caller.id.as_str(),
-                left_ms = time_left.as_millis() as u64, chance_whole = completes_here,
-                chance_elsewhere = completes_elsewhere;
-                "a stopping daemon accepted a generation"
-            );
-            return Ok(());
-        }
-        Err(not_ready("this daemon is stopping", STOPPING_RETRY_AFTER))
-    }
-
     /// Finds the route of a request.
     fn route(&self, config: &Config, host: &str, path: &str) -> Result<NamedRoute, RequestError> {
         let Some(route) = config.routes.find(host, path) else {
@@ -197,7 +171,7 @@
     Ok(workspace.map(Into::into))
 }
 
-fn not_ready(message: &str, retry_after: Duration) -> RequestError {
+pub(super) fn not_ready(message: &str, retry_after: Duration) -> RequestError {
     let mut error = RequestError::new(ErrorKind::NotReady, message);
     error.retry_after = Some(retry_after);
     error
--- a/crates/server/src/relay/call.rs
+++ b/crates/server/src/relay/call.rs
@@ -22,7 +22,6 @@
 use crate::{
     edge::{self, Body, LocalFuture},
     telemetry::EventId,
-    timer::sleep_until,
     upstream::SendError,
 };
 
@@ -73,7 +72,9 @@
 /// Serves one call.
 pub(super) async fn serve(relay: &Rc<Relay>, job: Job) -> Response<Body> {
     let mut call = Call::new(relay, &job);
-    match call.run().await {
+    let result = relay.until_given_up(&job, call.run()).await;
+    let result = result.map_err(|e| no_response_error(call.attempts, e)).flatten();
+    match result {
         Ok((head, body)) => {
             let cause = if head.status.is_success() { "answered" } else { "endpoint_failed" };
             job.log_end(&relay.metrics, cause, head.status.as_str());
@@ -114,8 +115,6 @@
 
     async fn run(&mut self) -> Result<(response::Parts, Bytes), RequestError> {
         self.start_attempt(AttemptKind::First);
-        let deadline = sleep_until(self.job.deadline);
-        let mut deadline = std::pin::pin!(deadline);
         // A repeatable call that takes unusually long is hedged with a second attempt.
         let hedge_delay = self.relay.hedge_delay(&self.job.service);
         let hedge_timer = tokio::time::sleep(hedge_delay.unwrap_or_default());
@@ -140,9 +139,6 @@
                         self.start_retry(RetryCost::Budgeted);
                     }
                 }
-                () = deadline.as_mut() => {
-                    return Err(no_response_error(self.attempts, "the deadline has passed"))
-                }
             }
         }
     }
@@ -272,12 +268,14 @@
     kind: AttemptKind,
     tried: &RefCell<Vec<Arc<str>>>,
 ) -> AttemptEnd {
-    let mut turn = match relay.quarantine_turn(job).await {
+    let turn = relay.wait_unless_stopping(job, relay.quarantine_turn(job)).await;
+    let mut turn = match turn {
         Ok(turn) => turn,
         Err(error) => return AttemptEnd::Refused(error),
     };
     let already_tried = tried.borrow().clone();
-    let endpoint = match relay.select_endpoint(job, kind, &already_tried).await {
+    let selected = relay.select_endpoint(job, kind, &already_tried);
+    let endpoint = match relay.wait_unless_stopping(job, selected).await {
         Ok(endpoint) => endpoint,
         Err(error) => return AttemptEnd::Refused(error),
     };
--- a/crates/server/src/relay/forwarding/server.rs
+++ b/crates/server/src/relay/forwarding/server.rs
@@ -159,11 +159,12 @@
     let guard = LoadGuard::acquire(relay, content_length(&head.headers));
     let guard = guard.ok_or_else(|| unavailable("too many forwarded requests"))?;
     let silence = relay.bounds().idle_timeout;
-    let body = read_whole(body, guard.bytes, silence)
-        .await
-        .map_err(|_| unavailable("the body did not arrive"))?;
-    let socket = relay.connect(&endpoint, relay.options.connect_timeout).await;
-    let socket = socket.map_err(|e| match e {
+    let body = relay.before_last_refusal(read_whole(body, guard.bytes, silence)).await;
+    let body = body.map_err(|e| unavailable(&e.message))?;
+    let body = body.map_err(|_| unavailable("the body did not arrive"))?;
+    let socket = relay.connect(&endpoint, relay.options.connect_timeout);
+    let socket = relay.before_last_refusal(socket).await;
+    let socket = socket.map_err(|e| unavailable(&e.message))?.map_err(|e| match e {
         ConnectError::Delayed(reason) => Failure::new(Outcome::Unavailable, reason),
         ConnectError::Failed(e) => Failure::new(Outcome::NotSent, e.to_string()),
     })?;
--- a/crates/server/src/relay/generation.rs
+++ b/crates/server/src/relay/generation.rs
@@ -115,13 +115,14 @@
         let placement_error = |e: RequestError| {
             if attempts == 0 { e } else { no_response_error(attempts, &e.message) }
         };
-        let turn = relay.quarantine_turn(job).await.map_err(placement_error)?;
+        let turn = relay.wait_unless_stopping(job, relay.quarantine_turn(job)).await;
+        let turn = turn.map_err(placement_error)?;
         // A rejection tells the caller when to come back only if nothing was attempted before.
         let is_first =
             attempts == 0 && !job.takes_up_stream() && relay.is_enabled(Mechanism::ReturnOrder);
         let digest = is_first.then(|| job.digest(relay));
         let placed = acquire_placement(relay, job, avoid.clone(), turn.is_isolated(), digest);
-        let placed = until(job.deadline, placed).await;
+        let placed = until(job.deadline, relay.wait_unless_stopping(job, placed)).await;
         let placed = placed.map_err(|_| no_response_error(attempts, "the deadline has passed"))?;
         let (placed, reservation) = placed.map_err(placement_error)?;
         relay.recheck_admission(job)?;
@@ -131,9 +132,8 @@
         let resume_from =
             ResumeFrom { last_event_id: job.caller.last_event_id, kv_copy: None, reservation };
         let opened = open_on_endpoint(relay, job, &turn, placed.endpoint(), &resume_from);
-        let opened = until(job.deadline, opened).await;
-        let opened =
-            opened.map_err(|_| no_response_error(attempts + 1, "the deadline has passed"))?;
+        let opened = relay.until_given_up(job, opened).await;
+        let opened = opened.map_err(|e| no_response_error(attempts + 1, e))?;
         let endpoint = placed.endpoint().clone();
         let error = match opened {
             Ok(Opened::Failed { .. })
--- a/crates/server/src/relay/mod.rs
+++ b/crates/server/src/relay/mod.rs
@@ -25,6 +25,7 @@
 mod software_version;
 mod sound_parts;
 mod staleness;
+mod stopping;
 mod stream;
 #[cfg(test)]
 mod tests;
@@ -262,7 +263,8 @@
         self.metrics.in_progress(1);
         job.in_progress = Some(InProgressGuard(self.metrics.clone()));
         if job.route.spec.kind.is_generation() {
-            if let Err(error) = self.resolve_origin(&mut job).await {
+            let resolved = self.before_last_refusal(self.resolve_origin(&mut job)).await;
+            if let Err(error) = resolved.flatten() {
                 return self.fail(&job, &error);
             }
             generation::serve(self, job).await
--- a/crates/server/src/relay/stream/mod.rs
+++ b/crates/server/src/relay/stream/mod.rs
@@ -277,9 +277,9 @@
             let turn = self.relay.quarantine_turn(&self.job).await.map_err(lost)?;
             let placing =
                 acquire_placement(&self.relay, &self.job, avoid.to_vec(), turn.is_isolated(), None);
-            let placed = until(self.job.deadline, placing).await;
-            let (placed, reservation) =
-                placed.map_err(|_| EndReason::DeadlineExceeded)?.map_err(lost)?;
+            let placed = until(self.job.deadline, self.relay.before_last_refusal(placing)).await;
+            let placed = placed.map_err(|_| EndReason::DeadlineExceeded)?;
+            let (placed, reservation) = placed.flatten().map_err(lost)?;
             if !self.relay.is_turn_stale(&self.job, &turn) {
                 break (placed, turn, reservation);
             }
--- a/crates/server/src/relay/tests/mod.rs
+++ b/crates/server/src/relay/tests/mod.rs
@@ -24,6 +24,7 @@
 mod software_versions;
 mod staleness;
 mod startup;
+mod stopping;
 mod suspension;
 mod test_daemon;
 mod test_fleet;
--- a/crates/server/src/relay/tests/test_daemon.rs
+++ b/crates/server/src/relay/tests/test_daemon.rs
@@ -15,6 +15,7 @@
 use http::Request;
 use http_body_util::Full;
 use tokio::task::LocalSet;
+use trayswitch_clock::Instant;
 use trayswitch_core::{
     agreement::Timing,
     config::{CheckedDocument, Document},
@@ -274,6 +275,12 @@
         trayswitch_clock::simulate_suspend(LIMIT);
     }
 
+    /// Begins a planned stop; the daemon is to end after `time_left`.
+    pub(super) fn begin_stop(&self, time_left: Duration) {
+        self.node.view().begin_stop(Instant::now() + time_left);
+        self.node.stop();
+    }
+
     /// Whether the readiness check passes.
     pub(super) fn is_ready(&self) -> bool {
         self.node.look_whether_suspended();
--- a/crates/server/src/runtime/view.rs
+++ b/crates/server/src/runtime/view.rs
@@ -8,6 +8,7 @@
     time::Duration,
 };
 
+use tokio::sync::watch;
 use trayswitch_clock as clock;
 use trayswitch_core::{
     node::{ActiveConfig, CallId, EntryDaemons, Forwarders},
@@ -24,7 +25,7 @@
     confirmed: Cell<Option<Instant>>,
     fresh: Cell<bool>,
     /// When the daemon will have ended, once a planned stop has begun.
-    ends: Cell<Option<clock::Instant>>,
+    ends: watch::Sender<Option<clock::Instant>>,
     daemons: Cell<u64>,
     entries: Cell<EntryDaemons>,
     forwarders: RefCell<Forwarders>,
@@ -82,12 +83,19 @@
 
     /// Begins a planned stop: unready, but still serving until the daemon ends.
     pub fn begin_stop(&self, ends: clock::Instant) {
-        self.ends.set(Some(ends));
+        self.ends.send_replace(Some(ends));
+    }
+
+    /// Waits until a planned stop has begun; returns when the daemon will have ended.
+    pub(crate) async fn wait_for_stop(&self) -> clock::Instant {
+        let mut ends = self.ends.subscribe();
+        let begun = ends.wait_for(Option::is_some).await;
+        begun.ok().and_then(|ends| *ends).expect("the view holds the sender")
     }
 
     /// Time until the daemon ends, once a planned stop has begun.
     pub fn time_to_end(&self) -> Option<Duration> {
-        self.ends.get().map(|ends| ends.saturating_duration_since(clock::Instant::now()))
+        self.ends.borrow().map(|ends| ends.saturating_duration_since(clock::Instant::now()))
     }
 
     /// The chance that a caller who is sent away from this stopping daemon comes to one that goes
@@ -101,7 +109,7 @@
 
     /// Whether a planned stop has begun.
     pub fn stopping(&self) -> bool {
-        self.ends.get().is_some()
+        self.ends.borrow().is_some()
     }
 
     /// Number of daemons that the leader hears; zero while not known.
