Requests go on when their key is passed on to another workspace

Callers don't repeat after 401.

Cause: before each attempt, retry and restart the name of the workspace that holds the key was compared with the name at admission, so that a new holder was taken for a revocation. On public routes, which need no key, a revoked key refused what would be admitted without it.

Change: the check before an attempt is the check at admission: some workspace holds the key, or the route needs none. A request keeps the workspace that it was admitted for, so that its accounts and its digest stay the same over its life. A key that nobody holds any more is refused as before, by every caller of the check (attempts of calls and generations, retries, restarts).

Tests: relay::tests::workspace_keys, 4 of 5 failed before (401, or no retry and no restart); the fifth shows that a revoked key is still refused.

--- a/crates/server/src/relay/admission.rs
+++ b/crates/server/src/relay/admission.rs
@@ -135,7 +135,8 @@
         confirmed.is_some_and(|at| self.node.now().since(at) < self.options.max_config_age)
     }
 
-    /// Checks again, before sending, that the configuration is current and the key still valid.
+    /// Checks again, before sending, that the configuration is current and that a workspace still holds
+    /// the key, where the route needs one.
     pub(super) fn recheck_admission(&self, job: &Job) -> Result<(), RequestError> {
         let config = self.node.view().active_config().filter(|_| self.is_config_current());
         let Some(config) = config else {
@@ -143,14 +144,15 @@
                 "the configuration is not current: no control VM has confirmed it recently";
             return Err(RequestError::new(ErrorKind::NotReady, message));
         };
-        let Some(key) = job.caller.key.as_deref().filter(|_| job.workspace.is_some()) else {
+        // A request keeps the workspace that it was admitted for, whichever holds the key later.
+        if job.workspace.is_none() {
             return Ok(());
-        };
-        if config.config.workspace_of_key(key) != job.workspace.as_deref() {
-            let message = "the workspace key was revoked while the request was queued";
-            return Err(RequestError::new(ErrorKind::Unauthorized, message));
         }
-        Ok(())
+        let holder = workspace(&config.config, &job.route, job.caller.key.as_deref());
+        holder.map(drop).map_err(|_| {
+            let message = "the workspace key was revoked while the request was queued";
+            RequestError::new(ErrorKind::Unauthorized, message)
+        })
     }
 }
 
--- a/crates/server/src/relay/tests/mod.rs
+++ b/crates/server/src/relay/tests/mod.rs
@@ -29,3 +29,4 @@
 mod test_daemon;
 mod test_fleet;
 mod unframed_responses;
+mod workspace_keys;
--- a/crates/server/src/relay/tests/protocol.rs
+++ b/crates/server/src/relay/tests/protocol.rs
@@ -19,6 +19,8 @@
 pub(super) const ID: &str = "x-id";
 /// The endpoint that an attempt is for.
 pub(super) const ENDPOINT: &str = "x-endpoint";
+/// The workspace key.
+pub(super) const KEY: &str = "x-key";
 /// The shared parts of the prompt, as numbers separated by commas.
 pub(super) const PARTS: &str = "x-parts";
 /// The last event received.
@@ -84,6 +86,7 @@
                 shared_parts: shared_parts(&head.headers),
                 ..Prompt::default()
             }),
+            key: header(&head.headers, KEY),
             last_event_id: header(&head.headers, LAST_EVENT),
             resumes: header(&head.headers, RESUMES),
             ..CallerRequest::default()
--- a/crates/server/src/relay/tests/test_daemon.rs
+++ b/crates/server/src/relay/tests/test_daemon.rs
@@ -264,10 +264,21 @@
 
     /// Commits the configuration.
     pub(super) async fn configure(&self) {
-        let document = Document::parse("test.ini", CONFIG).unwrap();
+        self.commit(1, CONFIG).await;
+    }
+
+    /// Commits a version of the configuration that has further sections.
+    pub(super) async fn reconfigure(&self, version: u64, sections: &str) {
+        let text = CONFIG.replace("version = 1", &format!("version = {version}"));
+        self.commit(version, &(text + sections)).await;
+    }
+
+    async fn commit(&self, version: u64, text: &str) {
+        let document = Document::parse("test.ini", text).unwrap();
         let checked = CheckedDocument::new("test.ini", document).unwrap();
         self.node.submit("test.ini", &checked, false, LIMIT).await.unwrap();
-        self.wait_until(|| self.node.view().active_config().is_some()).await;
+        let active = || self.node.view().active_config().map(|active| active.version);
+        self.wait_until(|| active() == Some(version)).await;
     }
 
     /// Suspends the VM for longer than the configuration stays current.
