Streams can be taken up after their key is passed on

Callers saw (by test only): a stream that broke off could not be taken up once a configuration had passed its key on to another workspace: 503, "no daemon knows the attempt that the request names".

Cause: the same as for waiting requests: the name of a stream contained the workspace, which is not what stays the same for a caller over its life.

Change: an origin is recorded under the caller's key and under its workspace, in one message, and looked up by the key first. A workspace that rotates its keys still finds its streams by the second name.

Test: relay::tests::workspace_keys::stream_is_taken_up_after_its_key_is_passed_on failed before (refused, never sent to the engine).

--- a/crates/core/src/node/inputs.rs
+++ b/crates/core/src/node/inputs.rs
@@ -58,8 +58,8 @@
                 let (permits, mut cx, out) = self.permits_context(clocks.now);
                 permits.on_report(report, &mut cx, out);
             }
-            Input::StreamBegun { key, origin, ttl } => {
-                self.stream_origins.on_stream_begun(key, &origin, ttl, clocks.now, out);
+            Input::StreamBegun { keys, origin, ttl } => {
+                self.stream_origins.on_stream_begun(&keys, &origin, ttl, clocks.now, out);
             }
             Input::Rejected(rejection) => {
                 let scheduler = self.client.scheduler(clocks.now);
--- a/crates/core/src/node/messages.rs
+++ b/crates/core/src/node/messages.rs
@@ -206,8 +206,8 @@
     RateLimitReported(RateLimitReport),
     /// A stream that its caller may take up is about to bring its first event.
     StreamBegun {
-        /// The stream.
-        key: StreamKey,
+        /// The names by which it may be taken up.
+        keys: Vec<StreamKey>,
         /// Where it began.
         origin: StreamOrigin,
         /// Time until the caller's deadline.
--- a/crates/core/src/node/stream_origins.rs
+++ b/crates/core/src/node/stream_origins.rs
@@ -43,14 +43,17 @@
     /// Records a stream that has begun on this daemon and reports it.
     pub(super) fn on_stream_begun(
         &mut self,
-        key: StreamKey,
+        keys: &[StreamKey],
         origin: &StreamOrigin,
         ttl: Duration,
         now: Instant,
         out: &mut Outbox,
     ) {
-        self.table.insert(key, origin.clone(), ttl, now);
-        let streams = vec![BegunStream::encode(&key, origin, ttl)];
+        for key in keys {
+            self.table.insert(*key, origin.clone(), ttl, now);
+        }
+        let streams: Vec<BegunStream> =
+            keys.iter().map(|key| BegunStream::encode(key, origin, ttl)).collect();
         for vm in &self.control_vms {
             out.send(vm, Body::StreamsBegun(StreamsBegun { streams: streams.clone() }));
         }
--- a/crates/core/src/node/stream_origins_tests.rs
+++ b/crates/core/src/node/stream_origins_tests.rs
@@ -75,7 +75,7 @@
     let (mut control, mut out) = (StreamOrigins::default(), Outbox::default());
     link(&mut first, "c1", &mut control);
     link(&mut second, "c1", &mut control);
-    first.on_stream_begun(key(), &origin(), LIMIT, NOW, &mut out);
+    first.on_stream_begun(&[key()], &origin(), LIMIT, NOW, &mut out);
     deliver(&mut out, "c1", &mut control);
     drop(first);
 
@@ -90,7 +90,7 @@
 fn origin_outlives_a_restart_of_all_control_vms() {
     let (mut first, mut second) = (StreamOrigins::default(), StreamOrigins::default());
     let (mut restarted, mut out) = (StreamOrigins::default(), Outbox::default());
-    first.on_stream_begun(key(), &origin(), LIMIT, NOW, &mut out);
+    first.on_stream_begun(&[key()], &origin(), LIMIT, NOW, &mut out);
     link(&mut first, "c1", &mut restarted);
     link(&mut second, "c1", &mut restarted);
 
--- a/crates/server/src/relay/job.rs
+++ b/crates/server/src/relay/job.rs
@@ -125,12 +125,19 @@
         self.caller.last_event_id.is_some() || self.caller.resumes.is_some()
     }
 
-    /// Names the stream that the request `id` of the same caller on the same path began.
-    pub(super) fn stream_key(&self, relay: &Relay, id: &str) -> StreamKey {
-        /// Separates these digests from those of requests, whose method this cannot be.
+    /// Names the stream that the request `id` of the same caller on the same path began: by its key,
+    /// which may be passed on to another workspace, and by its workspace, which may get other keys.
+    pub(super) fn stream_keys(&self, relay: &Relay, id: &str) -> Vec<StreamKey> {
+        /// Separate these digests from those of requests, whose method these cannot be.
         const METHOD: &str = "(stream)";
-        let identity = self.identity();
-        relay.node.digest(&RequestIdentity { method: METHOD, body: id.as_bytes(), ..identity })
+        const METHOD_OF_KEY: &str = "(stream of a key)";
+        let name = |method, owner| {
+            let (identity, body) = (self.identity(), id.as_bytes());
+            relay.node.digest(&RequestIdentity { method, workspace: owner, body, ..identity })
+        };
+        let key = self.caller.key.as_deref().filter(|_| self.workspace.is_some());
+        let by_key = key.map(|key| name(METHOD_OF_KEY, Some(key)));
+        by_key.into_iter().chain([name(METHOD, self.workspace.as_deref())]).collect()
     }
 
     /// The parts of a request that are equal in all its retries.
--- a/crates/server/src/relay/software_version.rs
+++ b/crates/server/src/relay/software_version.rs
@@ -113,9 +113,16 @@
 
     async fn origin_of(&self, job: &Job) -> Result<StreamOrigin, UnknownOrigin> {
         let began = job.caller.resumes.as_deref().filter(|id| !id.is_empty());
-        let key = job.stream_key(self, began.ok_or(UnknownOrigin::Unnamed)?);
+        let keys = job.stream_keys(self, began.ok_or(UnknownOrigin::Unnamed)?);
         let limit = ORIGIN_TIMEOUT.min(job.time_left() / QUEUE_TIME_DIVISOR);
-        self.node.stream_origin(key, limit).await
+        let mut origin = Err(UnknownOrigin::NoRecord);
+        for key in keys {
+            origin = self.node.stream_origin(key, limit).await;
+            if !matches!(origin, Err(UnknownOrigin::NoRecord)) {
+                break;
+            }
+        }
+        origin
     }
 
     /// Binds a stream to the software version of the endpoint that is about to bring its first event,
@@ -126,10 +133,10 @@
             return;
         }
         let Some(version) = version.cloned() else { return };
-        let key = job.stream_key(self, &job.caller.id);
+        let keys = job.stream_keys(self, &job.caller.id);
         let origin = StreamOrigin { service: job.service.as_str().into(), version };
         let ttl = job.caller.time_left.unwrap_or(job.route.spec.timeout);
-        self.node.input(Input::StreamBegun { key, origin, ttl });
+        self.node.input(Input::StreamBegun { keys, origin, ttl });
     }
 
     /// Counts a stream that goes on at an endpoint.
--- a/crates/server/src/relay/tests/workspace_keys.rs
+++ b/crates/server/src/relay/tests/workspace_keys.rs
@@ -6,7 +6,7 @@
 
 use super::{
     fake_endpoint::{FakeEndpoint, Stream, events_to},
-    protocol::KEY,
+    protocol::{KEY, LAST_EVENT, RESUMES},
     response::{ResponseReader, outcome, text},
     test_daemon::{TestDaemon, run_test},
 };
@@ -172,3 +172,22 @@
         expect_that!(after, some(eq(1)));
     });
 }
+
+// Guards against streams whose origin is forgotten once their key is passed on.
+#[gtest]
+fn stream_is_taken_up_after_its_key_is_passed_on() {
+    run_test(async {
+        let daemon = open().await;
+        let mut engine = daemon.register("engines", "e1").await;
+        drop(start_stream(&daemon, "/private-recap/", &mut engine).await);
+        configure(&daemon, 3, Holder::Second).await;
+
+        let headers = [(KEY, CALLERS_KEY), (RESUMES, "r1"), (LAST_EVENT, "1")];
+        let (answer, after) = join!(daemon.send_with("/private-recap/", "r2", &headers), async {
+            engine.next_arrival().await.stream_all(2..=5).await
+        });
+
+        expect_that!(text(answer).await, ok(ends_with(&events_to(5)[events_to(1).len()..])));
+        expect_that!(after, some(eq(1)));
+    });
+}
