--- a/crates/server/src/relay/stopping.rs
+++ b/crates/server/src/relay/stopping.rs
@@ -22,18 +22,20 @@
     /// Refuses a new request on a stopping daemon if it is more likely to complete on another one.
     pub(super) fn admit_while_stopping(&self, job: &Job) -> Result<(), RequestError> {
         let Some(time_left) = self.node.view().time_to_end() else { return Ok(()) };
+        // A generation that can be resumed loses nothing by being begun here.
+        if job.route.spec.kind != RouteKind::Generation {
+            return Ok(());
+        }
         if !self.should_stay(job, time_left) {
             return Err(stopping_error());
         }
-        if is_long(job) {
-            log::info!(
-                event = EventId::TakenWhileStopping.number(), id = job.caller.id.as_str(),
-                left_ms = time_left.as_millis() as u64,
-                chance_whole = self.chance_here(job, time_left),
-                chance_elsewhere = self.node.view().chance_elsewhere();
-                "a stopping daemon accepted a generation"
-            );
-        }
+        log::info!(
+            event = EventId::TakenWhileStopping.number(), id = job.caller.id.as_str(),
+            left_ms = time_left.as_millis() as u64,
+            chance_whole = self.chance_here(job, time_left),
+            chance_elsewhere = self.node.view().chance_elsewhere();
+            "a stopping daemon accepted a generation"
+        );
         Ok(())
     }
 
@@ -94,7 +96,7 @@
     /// daemon as on another one. Unary calls are short.
     fn should_stay(&self, job: &Job, time_left: Duration) -> bool {
         let chance_elsewhere = self.node.view().chance_elsewhere();
-        !is_long(job)
+        !job.route.spec.kind.is_generation()
             || self.is_enabled(Mechanism::StopEstimate)
                 && chance_elsewhere <= self.chance_here(job, time_left)
     }
@@ -111,10 +113,6 @@
     }
 }
 
-fn is_long(job: &Job) -> bool {
-    job.route.spec.kind == RouteKind::Generation
-}
-
 fn stopping_error() -> RequestError {
     not_ready("this daemon is stopping", RETRY_AFTER)
 }
