A stream's origin is recorded only once its endpoint confirms its run

Callers saw: streams joined from two software versions, with nothing in the answer to show it. An endpoint that is cut off from control starts again under its name at another version; entries send it streams as the run that they know, and record that run's version.

Cause: the version that went on record, and that restarts and moves were held to, was the one that the daemon believed at the first attempt. Only continuations asked the endpoint which run it is; an answer tells its name alone.

Change: until the run that has begun a stream is confirmed, no endpoint may continue it (VersionConstraint::Unknown). The question goes out beside the first event, which waits for nothing; the endpoint's report names the start of its run. If that is the start that the daemon knew when it sent the request, no other run can have answered. Streams that begin at an endpoint before a question is sent share it. Generations that cannot be resumed ask before a move only. The metric trayswitch_stream_origins_total counts the outcomes. Endpoints that tell no start have a name for each start; their answers are enough.

--- a/crates/server/src/relay/admission.rs
+++ b/crates/server/src/relay/admission.rs
@@ -98,6 +98,7 @@
             digest: OnceCell::new(),
             part_digests: OnceCell::new(),
             versions: RefCell::new(VersionConstraint::Any),
+            unconfirmed: RefCell::default(),
         };
         self.admit_while_stopping(&job).map_err(|e| refuse(&id, e))?;
         Ok(job)
--- a/crates/server/src/relay/generation.rs
+++ b/crates/server/src/relay/generation.rs
@@ -11,7 +11,6 @@
     quarantine::ContentDigest,
     registry::RegisteredEndpoint,
     signals::EndpointSignals,
-    software_version::SoftwareVersion,
 };
 
 use super::{
@@ -47,8 +46,8 @@
         head: response::Parts,
         event_stream: EventStream,
         first: Option<Event>,
-        /// Software version of the endpoint, if known.
-        version: Option<SoftwareVersion>,
+        /// The run that the request was sent to, as this daemon knew it.
+        run: Box<RegisteredEndpoint>,
     },
     /// The endpoint's complete error response.
     Failed { head: response::Parts, body: bytes::Bytes },
@@ -76,10 +75,11 @@
         Ok(StartedGeneration {
             placed,
             turn,
-            opened: Opened::Stream { head, event_stream, first, version },
+            opened: Opened::Stream { head, event_stream, first, run },
         }) => {
+            let job = Rc::new(job);
             if first.is_some() {
-                relay.on_stream_begun(&job, version.as_ref());
+                relay.on_stream_begun(&job, *run);
             }
             link_load.begin();
             let (tx, rx) = mpsc::channel(MAX_BUFFERED_EVENTS);
@@ -358,14 +358,14 @@
         }
     }
     let mut event_stream = EventStream::new(&open.head, open.body, relay.buffers.reservation());
-    let version = known.software_version.clone();
+    let run = Box::new(known.clone());
     let item = event_stream.next().await;
     match relay.resolve_connection_end(item, || Some(known.clone())).await {
         StreamItem::Event(event) => {
-            Ok(Opened::Stream { head: open.head, event_stream, first: Some(event), version })
+            Ok(Opened::Stream { head: open.head, event_stream, first: Some(event), run })
         }
         StreamItem::End | StreamItem::ConnectionEnd => {
-            Ok(Opened::Stream { head: open.head, event_stream, first: None, version })
+            Ok(Opened::Stream { head: open.head, event_stream, first: None, run })
         }
         StreamItem::Error(error) => {
             on_attempt_failed().await;
--- a/crates/server/src/relay/job.rs
+++ b/crates/server/src/relay/job.rs
@@ -16,6 +16,7 @@
     node::ActiveConfig,
     placement::{self, PrefixHash, Ticket},
     quarantine::{ContentDigest, PromptPart, RequestIdentity},
+    registry::RegisteredEndpoint,
     software_version::{SoftwareVersion, VersionConstraint},
     stream_origin::StreamKey,
 };
@@ -54,6 +55,15 @@
     pub(super) part_digests: OnceCell<Vec<ContentDigest>>,
     /// Software versions at which it may run.
     pub(super) versions: RefCell<VersionConstraint>,
+    /// The run that has begun its stream, until that is confirmed.
+    pub(super) unconfirmed: RefCell<Option<BegunAt>>,
+}
+
+/// The run that a stream's first event is held to come from, and when the event came.
+#[derive(Debug, Clone)]
+pub(super) struct BegunAt {
+    pub(super) run: RegisteredEndpoint,
+    pub(super) at: Instant,
 }
 
 /// State from which an attempt resumes a generation.
@@ -112,12 +122,14 @@
         self.versions.borrow().clone()
     }
 
-    /// Binds the stream to the software version of the endpoint that has begun it.
+    /// Binds the stream to a software version; to none if it is not known which began it.
     pub(super) fn bind_version(&self, version: Option<&SoftwareVersion>) {
-        let mut versions = self.versions.borrow_mut();
-        if *versions == VersionConstraint::Any {
-            *versions = VersionConstraint::begun_at(version);
-        }
+        *self.versions.borrow_mut() = VersionConstraint::begun_at(version);
+    }
+
+    /// Whether the caller has received nothing, so that any software version may run it.
+    pub(super) fn has_no_version(&self) -> bool {
+        *self.versions.borrow() == VersionConstraint::Any
     }
 
     /// Whether its caller takes up a stream that an earlier request began.
--- a/crates/server/src/relay/local_placement.rs
+++ b/crates/server/src/relay/local_placement.rs
@@ -11,7 +11,10 @@
 use http::{Request, response};
 use http_body_util::Full;
 use tokio::time::timeout;
-use trayswitch_core::placement::{Candidate, EngineLoad, SampledEndpoint, sort_by_cost};
+use trayswitch_core::{
+    placement::{Candidate, EngineLoad, SampledEndpoint, sort_by_cost},
+    registry::RegisteredEndpoint,
+};
 
 use super::{Job, Relay, ReservationReply};
 use crate::{runtime::Placed, telemetry::EventId};
@@ -104,6 +107,16 @@
     (!is_other_run).then_some(load)
 }
 
+/// When the process at the address of a run was started; `None` if it does not tell. A failure does not
+/// count against the engine's health.
+pub(super) async fn ask_start(relay: &Rc<Relay>, run: &RegisteredEndpoint) -> Option<u64> {
+    let reply = try_query(relay, run, relay.protocol.load_request()).await;
+    let (head, body) = reply
+        .inspect_err(|error| log::debug!(endpoint = &*run.id; "no start was told: {error}"))
+        .ok()?;
+    relay.protocol.decode_load(&head, &body).map(|load| load.started_at)
+}
+
 /// When the process at an endpoint's address was started; `None` if it does not tell.
 pub(super) async fn reported_start(relay: &Rc<Relay>, endpoint: &Arc<str>) -> Option<u64> {
     let start = query_load(relay, endpoint).await?.started_at;
@@ -141,19 +154,25 @@
     req: Request<Full<Bytes>>,
 ) -> Option<(response::Parts, Bytes)> {
     let known = relay.node.view().endpoint(endpoint)?;
-    let connect_timeout = relay.options.connect_timeout;
+    let reply = try_query(relay, &known, req).await;
+    reply
+        .inspect_err(|error| {
+            log::debug!(endpoint = &**endpoint; "failed to query an engine: {error}");
+            relay.report_failure(&known);
+        })
+        .ok()
+}
+
+async fn try_query(
+    relay: &Rc<Relay>,
+    engine: &RegisteredEndpoint,
+    req: Request<Full<Bytes>>,
+) -> Result<(response::Parts, Bytes), String> {
     let sent_at = relay.node.now();
     let whole = async {
-        let open = relay.exchange(&known, req).await.map_err(|e| e.to_string())?;
-        relay.on_control_response(&known.service, &known, sent_at, &open.head);
+        let open = relay.exchange(engine, req).await.map_err(|e| e.to_string())?;
+        relay.on_control_response(&engine.service, engine, sent_at, &open.head);
         Ok((open.head, open.body.collect(MAX_REPLY_BYTES).await?))
     };
-    let error = match timeout(connect_timeout, whole).await {
-        Ok(Ok(answer)) => return Some(answer),
-        Ok(Err(error)) => error,
-        Err(_) => "timed out".to_owned(),
-    };
-    log::debug!(endpoint = &**endpoint; "failed to query an engine: {error}");
-    relay.report_failure(&known);
-    None
+    timeout(relay.options.connect_timeout, whole).await.unwrap_or_else(|_| Err("timed out".into()))
 }
--- a/crates/server/src/relay/mod.rs
+++ b/crates/server/src/relay/mod.rs
@@ -21,6 +21,7 @@
 mod rate_limit;
 mod relocation;
 mod retry_budget;
+mod run_confirmation;
 mod signals;
 mod software_version;
 mod sound_parts;
@@ -59,6 +60,7 @@
     latency::LatencyEstimate,
     load_balancer::{ColdStartPolicy, LoadBalancer},
     retry_budget::RetryBudget,
+    run_confirmation::RunConfirmations,
     sound_parts::SoundParts,
     staleness::Staleness,
 };
@@ -153,6 +155,7 @@
     sound_parts: RefCell<SoundParts>,
     /// One permit for each endpoint that is watched after a failed attempt.
     watch_permits: Arc<Semaphore>,
+    run_confirmations: RunConfirmations,
     /// Spreads the retries of callers refused together, by service.
     retry_spreaders: RefCell<HashMap<String, RetrySpreader>>,
     metrics: Rc<Metrics>,
@@ -188,6 +191,7 @@
             staleness: Staleness::starting_at(Instant::now()),
             sound_parts: RefCell::new(SoundParts::starting_at(Instant::now())),
             watch_permits: Arc::new(Semaphore::new(MAX_WATCHED_ENDPOINTS)),
+            run_confirmations: RunConfirmations::default(),
             retry_spreaders: RefCell::default(),
             metrics,
         });
--- a/crates/server/src/relay/relocation.rs
+++ b/crates/server/src/relay/relocation.rs
@@ -103,6 +103,10 @@
     to: RegisteredEndpoint,
     progress: Rc<Progress>,
 ) -> RelocationResult {
+    relay.confirm_origin(&job).await;
+    if let Err(error) = relay.check_version(&job, &to.id) {
+        return RelocationResult::Failed(error);
+    }
     let source = from.address;
     let command = |last| CopyCommand { id: &job.caller.id, to: to.address, is_final: last };
     let first_copy = match send_copy_command(&relay, &job.service, &from, &command(false)).await {
--- a/crates/server/src/relay/software_version.rs
+++ b/crates/server/src/relay/software_version.rs
@@ -2,6 +2,7 @@
 
 use std::{rc::Rc, time::Duration};
 
+use trayswitch_clock::Instant;
 use trayswitch_core::{
     error::{ErrorKind, RequestError},
     node::Input,
@@ -10,12 +11,19 @@
     stream_origin::{StreamOrigin, UnknownOrigin},
 };
 
-use super::{Job, QUEUE_TIME_DIVISOR, Relay, local_placement::fetch_load};
+use super::{
+    Job, QUEUE_TIME_DIVISOR, Relay, job::BegunAt, local_placement::fetch_load,
+    run_confirmation::RunStatus,
+};
 use crate::telemetry::EventId;
 
 /// How long control VMs may take to tell where a stream began; many round trips.
 const ORIGIN_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Questions to an endpoint that does not tell whether it is the run that has begun a stream.
+const MAX_QUESTIONS: u32 = 3;
+const QUESTION_INTERVAL: Duration = Duration::from_millis(100);
+
 /// How a stream goes on after its first attempt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Continuation {
@@ -125,14 +133,44 @@
         origin
     }
 
-    /// Binds a stream to the software version of the endpoint that is about to bring its first event,
-    /// and tells other daemons of it if its caller may take it up.
-    pub(super) fn on_stream_begun(&self, job: &Job, version: Option<&SoftwareVersion>) {
-        job.bind_version(version);
-        if job.takes_up_stream() || !job.route.spec.kind.is_repeatable() {
+    /// Binds a stream to the software version of the run that brings its first event, once that run is
+    /// confirmed. Until then no endpoint may continue it.
+    pub(super) fn on_stream_begun(self: &Rc<Self>, job: &Rc<Job>, run: RegisteredEndpoint) {
+        if !job.has_no_version() {
+            return;
+        }
+        job.bind_version(None);
+        *job.unconfirmed.borrow_mut() = Some(BegunAt { run, at: Instant::now() });
+        // Others can only be relocated, which confirms the run.
+        if job.route.spec.kind.is_repeatable() {
+            let (relay, job) = (self.clone(), job.clone());
+            tokio::task::spawn_local(async move { relay.confirm_origin(&job).await });
+        }
+    }
+
+    /// Confirms the run that has begun a stream, if that is open. Binds the stream to its software
+    /// version, and tells other daemons of it if its caller may take it up.
+    pub(super) async fn confirm_origin(self: &Rc<Self>, job: &Job) {
+        let Some(BegunAt { run, at }) = job.unconfirmed.borrow().clone() else { return };
+        let mut status = self.confirm_run_since(&run, at).await;
+        for _ in 1..MAX_QUESTIONS {
+            if status == RunStatus::Unknown {
+                tokio::time::sleep(QUESTION_INTERVAL).await;
+                status = self.confirm_run_since(&run, at).await;
+            }
+        }
+        if job.unconfirmed.take().is_none() {
             return;
         }
-        let Some(version) = version.cloned() else { return };
+        self.metrics.stream_origin(&job.service, status.name());
+        if status == RunStatus::Confirmed {
+            job.bind_version(run.software_version.as_ref());
+            self.report_origin(job, run.software_version);
+        }
+    }
+
+    fn report_origin(&self, job: &Job, version: Option<SoftwareVersion>) {
+        let Some(version) = version.filter(|_| job.route.spec.kind.is_repeatable()) else { return };
         let keys = job.stream_keys(self, &job.caller.id);
         let origin = StreamOrigin { service: job.service.as_str().into(), version };
         let ttl = job.caller.time_left.unwrap_or(job.route.spec.timeout);
--- a/crates/server/src/relay/stream/mod.rs
+++ b/crates/server/src/relay/stream/mod.rs
@@ -70,7 +70,7 @@
     /// Creates a forwarder for a generation that has begun to respond.
     pub(super) fn new(
         relay: Rc<Relay>,
-        job: Job,
+        job: Rc<Job>,
         placed: Placed,
         turn: QuarantineTurn,
         event_stream: EventStream,
@@ -80,7 +80,7 @@
         let last_event_id = job.caller.last_event_id;
         StreamForwarder {
             relay,
-            job: Rc::new(job),
+            job,
             placed,
             turn,
             event_stream,
--- a/crates/server/src/relay/stream/relocation.rs
+++ b/crates/server/src/relay/stream/relocation.rs
@@ -34,7 +34,6 @@
     pub(super) fn start_relocation(&mut self, order: &MoveOrder) {
         let view = self.relay.node.view();
         let (from, to) = (view.endpoint(&order.from), view.endpoint(&order.to));
-        let to = to.filter(|to| self.relay.check_version(&self.job, &to.id).is_ok());
         let to = to.filter(|to| self.relay.may_send(to).is_ok());
         let from = from.filter(|from| self.relay.may_request_copies(from));
         let (Some(from), Some(to)) = (from, to) else {
--- a/crates/server/src/relay/tests/software_versions.rs
+++ b/crates/server/src/relay/tests/software_versions.rs
@@ -168,3 +168,76 @@
         expect_that!((later_run.all(), known_run.all()), eq(&(vec![], vec!["r1".to_owned()])));
     });
 }
+
+/// A daemon that does not know yet that its only engine has started again under its name.
+async fn with_unnoticed_start() -> (TestDaemon, FakeEndpoint) {
+    let daemon = TestDaemon::open().await;
+    let engine = daemon.register_run("engines", "e1", 1).await;
+    engine.set_started_at(2);
+    (daemon, engine)
+}
+
+// Guards against recording the version of a run that has ended as the origin of its successor's streams.
+#[gtest]
+fn stream_of_a_run_that_is_not_known_yet_is_not_taken_up() {
+    run_test(async {
+        let (daemon, mut engine) = with_unnoticed_start().await;
+        let (_reader, _stream) = start_stream(&daemon, "r1", &mut engine).await;
+        daemon.wait_for_metric(&origins_metric("replaced"), 1).await;
+        let former = answer_all(daemon.register_run("engines", "e2", 1).await, "engines");
+
+        let taken_up = daemon.take_up("/recap/", "r2", "r1", 3).await;
+
+        expect_that!(outcome(&taken_up), some(eq("origin_unknown")));
+        expect_that!(former.all(), len(eq(0)));
+    });
+}
+
+#[gtest]
+fn stream_of_a_run_that_is_not_known_yet_is_not_restarted_elsewhere() {
+    run_test(async {
+        let (daemon, mut engine) = with_unnoticed_start().await;
+        let (reader, stream) = start_stream(&daemon, "r1", &mut engine).await;
+        let former = answer_all(daemon.register_run("engines", "e2", 1).await, "engines");
+
+        stream.abort().await;
+
+        expect_that!(reader.read_rest().await, err(anything()));
+        expect_that!(former.all(), len(eq(0)));
+    });
+}
+
+#[gtest]
+fn stream_of_a_run_that_is_not_known_yet_is_not_relocated() {
+    run_test(async {
+        let (daemon, mut engine) = with_unnoticed_start().await;
+        let (_reader, _stream) = start_stream(&daemon, "r1", &mut engine).await;
+        let _former = daemon.register_run("engines", "e2", 1).await;
+
+        daemon.announce_leaving("e1").await;
+        daemon.wait_for_metric("trayswitch_moves_total{end=\"failed\"}", 1).await;
+
+        expect_true!(engine.has_no_pending_copy());
+    });
+}
+
+#[gtest]
+fn stream_is_taken_up_once_its_run_is_confirmed() {
+    run_test(async {
+        let daemon = TestDaemon::open().await;
+        let mut engine = daemon.register_run("engines", "e1", 1).await;
+        drop(start_stream(&daemon, "r1", &mut engine).await);
+        daemon.wait_for_metric(&origins_metric("confirmed"), 1).await;
+
+        let (taken_up, last) = join!(daemon.take_up("/recap/", "r2", "r1", 3), async {
+            engine.next_arrival().await.stream_all(4..=5).await
+        });
+
+        expect_that!(text(taken_up).await, ok(ends_with(&events_to(5)[events_to(3).len()..])));
+        expect_that!(last, some(eq(3)));
+    });
+}
+
+fn origins_metric(end: &str) -> String {
+    format!("trayswitch_stream_origins_total{{end=\"{end}\",service=\"engines\"}}")
+}
--- a/crates/server/src/telemetry/metrics.rs
+++ b/crates/server/src/telemetry/metrics.rs
@@ -23,6 +23,7 @@
     moves: IntCounterVec,
     continued: IntCounterVec,
     taken_up: IntCounterVec,
+    origins: IntCounterVec,
     broke_off: IntCounterVec,
     suspects: IntGauge,
     quarantined: IntGauge,
@@ -134,6 +135,11 @@
                 "Streams that callers take up, by service and whether the software version that began them is known, or why not",
                 &["service", "origin"],
             )?,
+            origins: counter(
+                "trayswitch_stream_origins_total",
+                "Streams that have begun, by service and whether the endpoint confirmed the run that is known of it",
+                &["service", "end"],
+            )?,
             broke_off: counter(
                 "trayswitch_attempts_broken_off_total",
                 "Attempts that broke off, by service and what the endpoint's address said then",
@@ -326,6 +332,11 @@
         self.taken_up.with_label_values(&[service, origin]).inc();
     }
 
+    /// Counts a stream that has begun, by what the endpoint told of its run.
+    pub fn stream_origin(&self, service: &str, end: &str) {
+        self.origins.with_label_values(&[service, end]).inc();
+    }
+
     /// Counts an attempt that broke off, and what its endpoint's address said then.
     pub fn broke_off(&self, service: &str, endpoint: &str) {
         self.broke_off.with_label_values(&[service, endpoint]).inc();
