Forwarders watch the end of a stream for as long as other daemons

Callers could see a stream that ended as whole after a part of its events: where an endpoint's process closes its listener 20 to 300 ms after its connections, a forwarder took the end of an unframed stream for its regular end. It cannot tell streams from calls by itself, and used the time for calls.

The daemon that sends the request tells it in a header; forwarders of earlier versions ignore that one and go on as before.

Test: relay::tests::unframed_responses::stream_of_an_endpoint_that_stops _listening_late_breaks_off_through_a_forwarder failed before.

--- a/crates/server/src/relay/call.rs
+++ b/crates/server/src/relay/call.rs
@@ -355,6 +355,7 @@
         req,
         id: &job.caller.id,
         purpose: Purpose::Caller,
+        is_stream: false,
         time_left: job.time_left(),
     };
     let open = match relay.send(send, may_send, late).await {
--- a/crates/server/src/relay/endpoint_connection.rs
+++ b/crates/server/src/relay/endpoint_connection.rs
@@ -32,6 +32,8 @@
     /// The caller's id; empty if the request is the daemon's own.
     pub(super) id: &'a str,
     pub(super) purpose: Purpose,
+    /// Whether the response is a stream of events.
+    pub(super) is_stream: bool,
     pub(super) time_left: Duration,
 }
 
@@ -79,7 +81,14 @@
         req: Request<Full<Bytes>>,
     ) -> Result<OpenAnswer, SendError> {
         let time_left = self.options.connect_timeout;
-        let send = EndpointRequest { endpoint, req, id: "", purpose: Purpose::Control, time_left };
+        let send = EndpointRequest {
+            endpoint,
+            req,
+            id: "",
+            purpose: Purpose::Control,
+            is_stream: false,
+            time_left,
+        };
         self.send(send, || Ok(()), LateResponse::ignored()).await
     }
 
--- a/crates/server/src/relay/forwarding/client.rs
+++ b/crates/server/src/relay/forwarding/client.rs
@@ -126,6 +126,7 @@
             req: Request::new(Full::default()),
             id: "",
             purpose: Purpose::Probe,
+            is_stream: false,
             time_left: self.options.connect_timeout,
         };
         let answer = self.forward(&probe, || Ok(()), LateResponse::ignored()).await;
@@ -178,6 +179,7 @@
             started_at: send.endpoint.started_at,
             request_id: send.id.to_owned(),
             purpose: send.purpose,
+            is_stream: send.is_stream,
         };
         target.write(req.headers_mut());
         if !req.headers().contains_key(http::header::HOST)
--- a/crates/server/src/relay/forwarding/message.rs
+++ b/crates/server/src/relay/forwarding/message.rs
@@ -11,6 +11,8 @@
 /// The caller's id of the request.
 const REQUEST_ID: HeaderName = HeaderName::from_static("trayswitch-request");
 const PURPOSE: HeaderName = HeaderName::from_static("trayswitch-purpose");
+/// Present if the response is a stream of events.
+const STREAM: HeaderName = HeaderName::from_static("trayswitch-stream");
 const OUTCOME: HeaderName = HeaderName::from_static("trayswitch-outcome");
 
 /// Headers that concern one connection only; bodies are framed anew.
@@ -93,6 +95,8 @@
     pub(super) started_at: u64,
     pub(super) request_id: String,
     pub(super) purpose: Purpose,
+    /// Whether the response is a stream of events.
+    pub(super) is_stream: bool,
 }
 
 /// A header of a forwarded request that is missing or malformed.
@@ -120,6 +124,9 @@
                 map.insert(name, value);
             }
         }
+        if self.is_stream {
+            map.insert(STREAM, HeaderValue::from_static("1"));
+        }
     }
 
     /// Takes the target out of the headers of a request.
@@ -129,6 +136,7 @@
             started_at: take(map, STARTED_AT)?,
             request_id: take(map, REQUEST_ID)?,
             purpose: take(map, PURPOSE)?,
+            is_stream: map.remove(STREAM).is_some(),
         })
     }
 }
--- a/crates/server/src/relay/forwarding/server.rs
+++ b/crates/server/src/relay/forwarding/server.rs
@@ -22,7 +22,7 @@
     relay::{
         Relay,
         endpoint_connection::ConnectError,
-        unframed_response::{CALL_CLOSE_DELAY, CRASHED, is_unframed},
+        unframed_response::{CALL_CLOSE_DELAY, CRASHED, STREAM_CLOSE_DELAY, is_unframed},
     },
     upstream::{AnswerBody, LateResponse, OpenAnswer, SendError, exchange_on},
 };
@@ -179,6 +179,7 @@
     let open = exchange(relay, &target, &endpoint, socket, req).await?;
     let OpenAnswer { mut head, body } = open;
     let is_unframed = is_unframed(&head);
+    let close_delay = if target.is_stream { STREAM_CLOSE_DELAY } else { CALL_CLOSE_DELAY };
     remove_hop_by_hop(&mut head.headers);
     Outcome::Answered.write(&mut head.headers);
     let (tx, rx) = mpsc::channel(MAX_BUFFERED_PIECES);
@@ -187,7 +188,7 @@
         let is_whole = pass_on(body, &tx, &relay.buffers).await;
         if is_whole
             && is_unframed
-            && !relay.is_unframed_response_complete(&endpoint, CALL_CLOSE_DELAY).await
+            && !relay.is_unframed_response_complete(&endpoint, close_delay).await
         {
             // The daemon that wants it then sees it broken off.
             let _ = tx.send(Err(AnswerError(CRASHED.to_owned()))).await;
--- a/crates/server/src/relay/generation.rs
+++ b/crates/server/src/relay/generation.rs
@@ -311,6 +311,7 @@
         req,
         id: &job.caller.id,
         purpose: if resumes_in_place { Purpose::Resume } else { Purpose::Caller },
+        is_stream: true,
         time_left: job.time_left(),
     };
     let open = match relay.send(send, may_send, late).await {
--- a/crates/server/src/relay/tests/unframed_responses.rs
+++ b/crates/server/src/relay/tests/unframed_responses.rs
@@ -1,6 +1,6 @@
 //! Responses with neither a length nor chunks, which end with their connection.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
 use googletest::prelude::*;
 use http::StatusCode;
@@ -322,6 +322,31 @@
     });
 }
 
+// Guards against forwarders that watch the end of a stream for less time than other daemons.
+#[gtest]
+fn stream_of_an_endpoint_that_stops_listening_late_breaks_off_through_a_forwarder() {
+    /// Between the end of an endpoint's connections and that of its listener.
+    const LISTENS_ON: Duration = Duration::from_millis(100);
+    run_test(async {
+        let fleet = TestFleet::start(2).await;
+        let mut raw = RawEndpoint::open_in(&fleet, "engines", "e1").await;
+        let entry = &fleet.entries[0];
+        entry.set_network(Network::Refuses);
+
+        let (body, ()) =
+            join!(async { text(entry.daemon.send("/chat/", "r1").await).await }, async {
+                let mut response = raw.next_request().await;
+                response.send(&events_to(2)).await;
+                drop(response);
+                let (probe, _) = raw.listener.accept().await.unwrap();
+                tokio::time::sleep(LISTENS_ON).await;
+                drop((raw, probe));
+            });
+
+        expect_that!(body, err(anything()));
+    });
+}
+
 #[gtest]
 fn stream_of_an_endpoint_that_cannot_be_asked_is_not_whole() {
     run_test(async {
--- a/crates/server/src/relay/unframed_response.rs
+++ b/crates/server/src/relay/unframed_response.rs
@@ -12,7 +12,7 @@
 
 /// A process that is terminating may close its listening socket after its connections. How long the end
 /// of a response waits for that: of a stream, whose events have all been passed on, and of a call.
-const STREAM_CLOSE_DELAY: Duration = Duration::from_millis(300);
+pub(super) const STREAM_CLOSE_DELAY: Duration = Duration::from_millis(300);
 pub(super) const CALL_CLOSE_DELAY: Duration = Duration::from_millis(20);
 
 /// The error of a response that ended with its endpoint.
