A slow call is hedged once its daemon is in time again

A call that was not hedged because its own daemon was late at that moment, or because its first attempt still waited to be sent, was never looked at again, however long the endpoint took. It is now looked at after another hedging delay.

The test itself was wrong besides: its first calls count for an estimate only if the daemon was in time, and may be hedged themselves.

--- a/crates/server/src/relay/call.rs
+++ b/crates/server/src/relay/call.rs
@@ -1,6 +1,6 @@
 //! Unary calls: load balancing, retries and hedging.
 
-use std::{cell::RefCell, rc::Rc, sync::Arc};
+use std::{cell::RefCell, rc::Rc, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use futures_util::{StreamExt, stream::FuturesUnordered};
@@ -30,6 +30,9 @@
 /// Largest response body that is buffered.
 const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
 
+/// Shortest time until a call that could not be hedged is looked at again.
+const MIN_HEDGE_RECHECK: Duration = Duration::from_millis(10);
+
 /// Whether a retry takes from the retry budget.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum RetryCost {
@@ -129,13 +132,18 @@
                     }
                 }
                 () = hedge_timer.as_mut(), if !hedged => {
+                    // An attempt that still waits to be sent, or a daemon that is late itself, says
+                    // nothing about the endpoint's latency: the call is looked at again.
+                    let is_sent = !self.tried.borrow().is_empty();
+                    if !is_sent || self.relay.overload.is_late() {
+                        let delay = hedge_delay.unwrap_or_default().max(MIN_HEDGE_RECHECK);
+                        hedge_timer.as_mut().reset(tokio::time::Instant::now() + delay);
+                        continue;
+                    }
                     hedged = true;
                     // Attempts of a suspect request run one at a time, so a hedge would queue
-                    // behind the first. An attempt that still waits to be sent says nothing about
-                    // the endpoint's latency.
-                    let is_sent = !self.tried.borrow().is_empty();
-                    let is_own_delay = self.relay.overload.is_late();
-                    if is_sent && !is_own_delay && !self.relay.is_suspect(self.job) {
+                    // behind the first.
+                    if !self.relay.is_suspect(self.job) {
                         self.start_retry(RetryCost::Budgeted);
                     }
                 }
--- a/crates/server/src/relay/tests/backoff.rs
+++ b/crates/server/src/relay/tests/backoff.rs
@@ -328,14 +328,14 @@
     run_test(async {
         let daemon = TestDaemon::with_late_responses().await;
         let mut e1 = daemon.register("desk", "e1").await;
-        let mut e2 = daemon.register("desk", "e2").await;
-        // Enough calls for a hedging delay.
-        for _ in 0..20 {
+        // No call is hedged while there is one endpoint.
+        while !daemon.has_hedge_delay("desk") {
             let (answered, ()) = join!(daemon.send("/again/x", "r1"), async {
-                next_arrival_at(&mut e1, &mut e2).await.answer(200, "fine");
+                e1.next_arrival().await.answer(200, "fine");
             });
             assert_that!(text(answered).await, ok(eq("fine")));
         }
+        let mut e2 = daemon.register("desk", "e2").await;
 
         let (answered, rejecting) = join!(daemon.send("/again/x", "r2"), async {
             let first = next_arrival_at(&mut e1, &mut e2).await;
--- a/crates/server/src/relay/tests/test_daemon.rs
+++ b/crates/server/src/relay/tests/test_daemon.rs
@@ -298,6 +298,11 @@
         self.node.view().ready()
     }
 
+    /// Whether calls to this service are hedged.
+    pub(super) fn has_hedge_delay(&self, service: &str) -> bool {
+        self.relay.hedge_delay(service).is_some()
+    }
+
     /// Waits until a caller has connected.
     pub(super) async fn wait_for_connection(&self) {
         self.wait_until(|| 0 < self.server.open()).await;
