A queued request that its daemon gives back keeps its place in the order of return

Callers of a stopping daemon are told to come back at once. A request that had waited for over three seconds after its time came to the other daemon as a newcomer, behind all that had been refused after it: a reservation was dropped three seconds after its due time as soon as the request left the queue.

It is now recognised for three seconds from when it leaves the queue, as well.

Test: placement::returns::tests::request_withdrawn_long_after_its_time_is _recognised_when_it_returns (before, the reservation was gone at 9.1 s).

--- a/crates/core/src/placement/accounting.rs
+++ b/crates/core/src/placement/accounting.rs
@@ -153,7 +153,7 @@
         let target = self.targets.get_mut(&queued.target);
         let waiting =
             held.or_else(|| target?.queue.remove(queued.rank, &queued.workspace, ticket))?;
-        self.returns.on_withdrawn(&waiting.req);
+        self.returns.on_withdrawn(&waiting.req, now);
         if let Some(target) = self.targets.get_mut(&waiting.req.target) {
             target.admission.on_left_queue(&waiting, false, now);
         }
--- a/crates/core/src/placement/backoff.rs
+++ b/crates/core/src/placement/backoff.rs
@@ -173,7 +173,7 @@
             return None;
         }
         self.cancel(ticket, now);
-        self.returns.on_withdrawn(&waiting.req);
+        self.returns.on_withdrawn(&waiting.req, now);
         let error = self.backed_off_error(&waiting.req, until, now);
         Some(Action::GiveUp { ticket, error })
     }
--- a/crates/core/src/placement/returns/mod.rs
+++ b/crates/core/src/placement/returns/mod.rs
@@ -32,7 +32,7 @@
 /// How long after its time an absent request counts as reserved work: the `Retry-After` header has
 /// whole seconds, so callers that read only the header come up to a second late.
 const AWAITED_AFTER_DUE: Duration = Duration::from_secs(1);
-/// How long after its time a request is recognised.
+/// How long after its time, or after it has left the queue, a request is recognised.
 const RECOGNISED_AFTER_DUE: Duration = Duration::from_secs(3);
 /// Callers come back only if the time is at most this part of the time that they have left.
 const MAX_PART_OF_TIME_LEFT: u32 = 3;
@@ -239,16 +239,16 @@
     pub(crate) fn on_queued(&mut self, req: &Request) {
         let Some(digest) = req.digest else { return };
         if self.table.get(&digest).is_some_and(|record| record.queued_as.is_none()) {
-            self.table.set_queued(&digest, Some(req.ticket));
+            self.table.set_queued(&digest, req.ticket);
         }
     }
 
     /// Records that a request has left the queue without being served; it keeps its reservation.
-    pub(crate) fn on_withdrawn(&mut self, req: &Request) {
+    pub(crate) fn on_withdrawn(&mut self, req: &Request, now: Instant) {
         let Some(digest) = req.digest else { return };
         let queued_as = self.table.get(&digest).and_then(|record| record.queued_as);
         if queued_as == Some(req.ticket) {
-            self.table.set_queued(&digest, None);
+            self.table.set_absent(&digest, now.after(RECOGNISED_AFTER_DUE));
         }
     }
 
@@ -296,15 +296,17 @@
         self.next_sequence += 1;
         let target = self.table.shared_target(target);
         let sequence = self.next_sequence;
-        let record = Record { target, rank, booking, sequence, queued_as: None };
+        let recognised_until = booking.due.after(RECOGNISED_AFTER_DUE);
+        let queued_as = None;
+        let record = Record { target, rank, booking, sequence, recognised_until, queued_as };
         self.table.insert(digest, record, rate)
     }
 
     /// Drops what was due long ago. Queued requests keep their reservation.
     fn expire(&mut self, now: Instant) {
-        let start = |after: Duration| Instant(now.0.saturating_sub(after.as_micros() as u64));
-        self.table.count_from(start(AWAITED_AFTER_DUE));
-        self.table.remove_due_before(start(RECOGNISED_AFTER_DUE));
+        let awaited_from = now.0.saturating_sub(AWAITED_AFTER_DUE.as_micros() as u64);
+        self.table.count_from(Instant(awaited_from));
+        self.table.remove_expired(now);
     }
 }
 
--- a/crates/core/src/placement/returns/table.rs
+++ b/crates/core/src/placement/returns/table.rs
@@ -19,6 +19,8 @@
     pub(super) booking: Booking,
     /// Number of the reservation, in order.
     pub(super) sequence: u64,
+    /// Until when it is recognised while it is absent.
+    pub(super) recognised_until: Instant,
     /// The try that is in the queue, if any.
     pub(super) queued_as: Option<Ticket>,
 }
@@ -28,8 +30,8 @@
 pub(super) struct RecordTable {
     capacity: usize,
     records: HashMap<ContentDigest, Record>,
-    /// Requests that are not queued, by time of return.
-    by_due: BTreeSet<(Instant, ContentDigest)>,
+    /// Requests that are not queued, by the time until which they are recognised.
+    absent: BTreeSet<(Instant, ContentDigest)>,
     /// Reservations of each workspace, in order.
     by_workspace: HashMap<Arc<str>, BTreeMap<u64, ContentDigest>>,
     /// Workspaces by their number of reservations.
@@ -44,7 +46,7 @@
         RecordTable {
             capacity,
             records: HashMap::new(),
-            by_due: BTreeSet::new(),
+            absent: BTreeSet::new(),
             by_workspace: HashMap::new(),
             by_size: BTreeSet::new(),
             lanes: HashMap::new(),
@@ -58,7 +60,7 @@
 
     /// The reservations of requests that are not queued, in order of their times.
     pub(super) fn absent(&self) -> impl Iterator<Item = (&ContentDigest, &Record)> {
-        self.by_due.iter().filter_map(|(_, digest)| Some((digest, self.records.get(digest)?)))
+        self.absent.iter().filter_map(|(_, digest)| Some((digest, self.records.get(digest)?)))
     }
 
     /// The target, shared between all records.
@@ -85,7 +87,7 @@
         if self.capacity <= self.records.len() && !self.make_room(&record.booking.workspace) {
             return false;
         }
-        self.by_due.insert((record.booking.due, digest));
+        self.absent.insert((record.recognised_until, digest));
         self.lane(&record).add(&record.booking, rate);
         self.change_workspace(&record.booking.workspace, |held| {
             held.insert(record.sequence, digest);
@@ -109,28 +111,32 @@
         true
     }
 
-    /// Sets which try of a request is in the queue.
-    pub(super) fn set_queued(&mut self, digest: &ContentDigest, ticket: Option<Ticket>) {
+    /// Notes that a try of an absent request is in the queue.
+    pub(super) fn set_queued(&mut self, digest: &ContentDigest, ticket: Ticket) {
         let Some(record) = self.records.get_mut(digest) else { return };
-        let was_queued = std::mem::replace(&mut record.queued_as, ticket).is_some();
         let lane = self.lanes.get_mut(&record.target).and_then(|lanes| lanes.get_mut(&record.rank));
-        let key = (record.booking.due, *digest);
-        match (lane, was_queued, ticket.is_some()) {
-            (Some(lane), false, true) => {
-                lane.stop_expecting(&record.booking);
-                self.by_due.remove(&key);
-            }
-            (Some(lane), true, false) => {
-                lane.expect(&record.booking);
-                self.by_due.insert(key);
-            }
-            _ => {}
+        if let Some(lane) = lane {
+            lane.stop_expecting(&record.booking);
+            self.absent.remove(&(record.recognised_until, *digest));
+            record.queued_as = Some(ticket);
+        }
+    }
+
+    /// Notes that a queued request is absent again, and is recognised at least until `until`.
+    pub(super) fn set_absent(&mut self, digest: &ContentDigest, until: Instant) {
+        let Some(record) = self.records.get_mut(digest) else { return };
+        let lane = self.lanes.get_mut(&record.target).and_then(|lanes| lanes.get_mut(&record.rank));
+        if let Some(lane) = lane {
+            lane.expect(&record.booking);
+            record.queued_as = None;
+            record.recognised_until = record.recognised_until.max(until);
+            self.absent.insert((record.recognised_until, *digest));
         }
     }
 
     pub(super) fn remove(&mut self, digest: &ContentDigest) {
         let Some(record) = self.records.remove(digest) else { return };
-        self.by_due.remove(&(record.booking.due, *digest));
+        self.absent.remove(&(record.recognised_until, *digest));
         self.change_workspace(&record.booking.workspace, |held| {
             held.remove(&record.sequence);
         });
@@ -149,10 +155,10 @@
         }
     }
 
-    /// Removes what was due before `start` and is not queued.
-    pub(super) fn remove_due_before(&mut self, start: Instant) {
-        while let Some((due, digest)) = self.by_due.first().copied()
-            && due < start
+    /// Removes what is not recognised any more and is not queued.
+    pub(super) fn remove_expired(&mut self, now: Instant) {
+        while let Some((until, digest)) = self.absent.first().copied()
+            && until < now
         {
             self.remove(&digest);
         }
--- a/crates/core/src/placement/returns/tests.rs
+++ b/crates/core/src/placement/returns/tests.rs
@@ -65,13 +65,28 @@
     expect_that!(schedule.on_return(&again, ms(4_900)).place(false), some(anything()));
     schedule.on_queued(&again);
     expect_that!(schedule.on_return(&first, ms(5_000)), eq(Returning::Unknown));
-    schedule.on_withdrawn(&first);
+    schedule.on_withdrawn(&first, ms(5_000));
     expect_that!(schedule.on_return(&first, ms(5_000)), eq(Returning::Unknown));
-    schedule.on_withdrawn(&again);
+    schedule.on_withdrawn(&again, ms(5_000));
     expect_that!(schedule.on_return(&first, ms(8_000)).place(false), some(anything()));
     expect_that!(schedule.on_return(&first, ms(8_001)), eq(Returning::Unknown));
 }
 
+// Guards against a queued request that loses its place because its daemon stops long after its time.
+#[gtest]
+fn request_withdrawn_long_after_its_time_is_recognised_when_it_returns() {
+    let mut schedule = schedule();
+    let first = request_of("w", 1);
+    schedule.reserve(&first, capacity(1_000), ms(0)).unwrap();
+    schedule.on_queued(&first);
+
+    schedule.on_withdrawn(&first, ms(9_000));
+    let again = Request { ticket: Ticket { entry: 2, number: 9 }, ..first.clone() };
+
+    expect_that!(schedule.on_return(&again, ms(9_100)).place(false), some(anything()));
+    expect_that!(schedule.on_return(&again, ms(12_001)), eq(Returning::Unknown));
+}
+
 /// Guards against newcomers that are refused for callers who never come back, and against work that
 /// is counted both as reserved and as queued.
 #[gtest]
@@ -86,7 +101,7 @@
     expect_that!(reserved(&schedule, RANK - 1), eq(0.0));
     schedule.on_queued(&request_of("w", 1));
     expect_that!(reserved(&schedule, RANK), eq(2.0 * WORK));
-    schedule.on_withdrawn(&request_of("w", 1));
+    schedule.on_withdrawn(&request_of("w", 1), ms(0));
     expect_that!(reserved(&schedule, RANK), eq(3.0 * WORK));
     schedule.on_served(&request_of("w", 1));
     expect_that!(reserved(&schedule, RANK), eq(2.0 * WORK));
