--- a/crates/core/src/stream_origin/mod.rs
+++ b/crates/core/src/stream_origin/mod.rs
@@ -11,8 +11,8 @@
 
 pub(crate) use self::table::OriginTable;
 
-/// Names a stream on every daemon: a keyed digest of its workspace, its path and the id of the attempt
-/// that brought its first event.
+/// Names a stream on every daemon: a keyed digest of its workspace or its caller's key, its path and the id
+/// of the attempt that brought its first event.
 pub type StreamKey = ContentDigest;
 
 /// Where a stream began.
