An endpoint that does not tell its start is not taken for another run

Found by reading the change again: RunStatus::Unknown is documented for an endpoint that does not tell when it was started, but a report without a start was read as the start 0 and counted as another run. Nothing was continued wrongly: both leave the stream's origin unknown. The metric named the wrong reason, and the endpoint was not asked again.

Both questions for a start now read the report with one function. The repeated question is a loop that ends with the answer.

Test: relay::tests::software_versions::run_that_does_not_tell_its_start_is _unknown failed before (timed out: no such outcome was counted).

--- a/crates/server/src/relay/local_placement.rs
+++ b/crates/server/src/relay/local_placement.rs
@@ -114,13 +114,16 @@
     let (head, body) = reply
         .inspect_err(|error| log::debug!(endpoint = &*run.id; "no start was told: {error}"))
         .ok()?;
-    relay.protocol.decode_load(&head, &body).map(|load| load.started_at)
+    told_start(relay.protocol.decode_load(&head, &body)?)
 }
 
 /// When the process at an endpoint's address was started; `None` if it does not tell.
 pub(super) async fn reported_start(relay: &Rc<Relay>, endpoint: &Arc<str>) -> Option<u64> {
-    let start = query_load(relay, endpoint).await?.started_at;
-    (0 < start).then_some(start)
+    told_start(query_load(relay, endpoint).await?)
+}
+
+fn told_start(load: EngineLoad) -> Option<u64> {
+    Some(load.started_at).filter(|start| 0 < *start)
 }
 
 /// The load that the process at an endpoint's address reports, whichever run it is.
--- a/crates/server/src/relay/software_version.rs
+++ b/crates/server/src/relay/software_version.rs
@@ -152,12 +152,11 @@
     /// version, and tells other daemons of it if its caller may take it up.
     pub(super) async fn confirm_origin(self: &Rc<Self>, job: &Job) {
         let Some(BegunAt { run, at }) = job.unconfirmed.borrow().clone() else { return };
-        let mut status = self.confirm_run_since(&run, at).await;
-        for _ in 1..MAX_QUESTIONS {
-            if status == RunStatus::Unknown {
-                tokio::time::sleep(QUESTION_INTERVAL).await;
-                status = self.confirm_run_since(&run, at).await;
-            }
+        let (mut status, mut questions) = (self.confirm_run_since(&run, at).await, 1);
+        while status == RunStatus::Unknown && questions < MAX_QUESTIONS {
+            tokio::time::sleep(QUESTION_INTERVAL).await;
+            status = self.confirm_run_since(&run, at).await;
+            questions += 1;
         }
         if job.unconfirmed.take().is_none() {
             return;
--- a/crates/server/src/relay/tests/software_versions.rs
+++ b/crates/server/src/relay/tests/software_versions.rs
@@ -221,6 +221,21 @@
     });
 }
 
+// Guards against taking an endpoint that does not tell its start for another run.
+#[gtest]
+fn run_that_does_not_tell_its_start_is_unknown() {
+    run_test(async {
+        let daemon = TestDaemon::open().await;
+        let mut engine = daemon.register_run("engines", "e1", 1).await;
+        engine.set_started_at(0);
+
+        let (_reader, _stream) = start_stream(&daemon, "r1", &mut engine).await;
+        daemon.wait_for_metric(&origins_metric("unknown"), 1).await;
+
+        expect_that!(daemon.metric(&origins_metric("replaced")), none());
+    });
+}
+
 #[gtest]
 fn stream_is_taken_up_once_its_run_is_confirmed() {
     run_test(async {
