--- a/crates/server/src/relay/tests/unframed_responses.rs
+++ b/crates/server/src/relay/tests/unframed_responses.rs
@@ -303,23 +303,28 @@
     });
 }
 
+/// Lets an endpoint end after two events of a stream that its caller gets through a forwarder; returns what
+/// the caller gets.
+async fn end_behind_a_forwarder(
+    end: impl AsyncFnOnce(RawEndpoint, RawResponse),
+) -> Result<String, String> {
+    let fleet = TestFleet::start(2).await;
+    let mut raw = RawEndpoint::open_in(&fleet, "engines", "e1").await;
+    let entry = &fleet.entries[0];
+    entry.set_network(Network::Refuses);
+    let (body, ()) = join!(async { text(entry.daemon.send("/chat/", "r1").await).await }, async {
+        let mut response = raw.next_request().await;
+        response.send(&events_to(2)).await;
+        end(raw, response).await;
+    });
+    body
+}
+
 #[gtest]
 fn stream_of_a_crashed_endpoint_breaks_off_through_a_forwarder() {
-    run_test(async {
-        let fleet = TestFleet::start(2).await;
-        let mut raw = RawEndpoint::open_in(&fleet, "engines", "e1").await;
-        let entry = &fleet.entries[0];
-        entry.set_network(Network::Refuses);
-
-        let (body, ()) =
-            join!(async { text(entry.daemon.send("/chat/", "r1").await).await }, async {
-                let mut response = raw.next_request().await;
-                response.send(&events_to(2)).await;
-                drop(raw);
-            });
+    let body = run_test(end_behind_a_forwarder(async |raw, _response| drop(raw)));
 
-        expect_that!(body, err(anything()));
-    });
+    expect_that!(body, err(anything()));
 }
 
 // Guards against forwarders that watch the end of a stream for less time than other daemons.
@@ -327,24 +332,15 @@
 fn stream_of_an_endpoint_that_stops_listening_late_breaks_off_through_a_forwarder() {
     /// Between the end of an endpoint's connections and that of its listener.
     const LISTENS_ON: Duration = Duration::from_millis(100);
-    run_test(async {
-        let fleet = TestFleet::start(2).await;
-        let mut raw = RawEndpoint::open_in(&fleet, "engines", "e1").await;
-        let entry = &fleet.entries[0];
-        entry.set_network(Network::Refuses);
 
-        let (body, ()) =
-            join!(async { text(entry.daemon.send("/chat/", "r1").await).await }, async {
-                let mut response = raw.next_request().await;
-                response.send(&events_to(2)).await;
-                drop(response);
-                let (probe, _) = raw.listener.accept().await.unwrap();
-                tokio::time::sleep(LISTENS_ON).await;
-                drop((raw, probe));
-            });
+    let body = run_test(end_behind_a_forwarder(async |raw, response| {
+        drop(response);
+        let (probe, _) = raw.listener.accept().await.unwrap();
+        tokio::time::sleep(LISTENS_ON).await;
+        drop((raw, probe));
+    }));
 
-        expect_that!(body, err(anything()));
-    });
+    expect_that!(body, err(anything()));
 }
 
 #[gtest]
