One rule for generations on a stopping daemon, new and waiting

New generations that can be resumed were exempt at admission, with the comment that nothing is lost by beginning them there, and then judged by the rule for those that wait as soon as they asked for a place: where another daemon was more likely to end them they were refused all the same, one step later. Event 314's line is now written for resumable generations too.

--- a/crates/server/src/relay/stopping.rs
+++ b/crates/server/src/relay/stopping.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use trayswitch_clock::Instant;
-use trayswitch_core::{config::RouteKind, error::RequestError, mechanism::Mechanism};
+use trayswitch_core::{error::RequestError, mechanism::Mechanism};
 
 use super::{Job, Relay, admission::not_ready};
 use crate::{telemetry::EventId, timer::sleep_until};
@@ -22,20 +22,18 @@
     /// Refuses a new request on a stopping daemon if it is more likely to complete on another one.
     pub(super) fn admit_while_stopping(&self, job: &Job) -> Result<(), RequestError> {
         let Some(time_left) = self.node.view().time_to_end() else { return Ok(()) };
-        // A generation that can be resumed loses nothing by being begun here.
-        if job.route.spec.kind != RouteKind::Generation {
-            return Ok(());
-        }
         if !self.should_stay(job, time_left) {
             return Err(stopping_error());
         }
-        log::info!(
-            event = EventId::TakenWhileStopping.number(), id = job.caller.id.as_str(),
-            left_ms = time_left.as_millis() as u64,
-            chance_whole = self.chance_here(job, time_left),
-            chance_elsewhere = self.node.view().chance_elsewhere();
-            "a stopping daemon accepted a generation"
-        );
+        if job.route.spec.kind.is_generation() {
+            log::info!(
+                event = EventId::TakenWhileStopping.number(), id = job.caller.id.as_str(),
+                left_ms = time_left.as_millis() as u64,
+                chance_whole = self.chance_here(job, time_left),
+                chance_elsewhere = self.node.view().chance_elsewhere();
+                "a stopping daemon accepted a generation"
+            );
+        }
         Ok(())
     }
 
