What a replica has read at its start outlasts a loss of power

What callers saw: nothing yet. After a kill between a write and its sync, a start, and then a loss of power, an acknowledged change could be gone, or one replica could vote twice in a term.

Cause: Storage::open took the sound records of the log, and the generation that the file "current" names, as what is on disk. After a kill they may be in the page cache only; the replica then answered for them, and a loss of power took them away.

Evidence: storage::tests::what_was_read_at_a_start_outlasts_a_loss_of_power ends a write at each of its steps, starts, loses power and starts again; before, what was read differed for the log (after 1 step) and for a renamed "current" (after 10 steps of a compaction).

Why it works: the log and the folder are synced before anything that was read is handed out, unless the mark of the last sync covers all of it. The data folder's own name is synced in its parent as well.

--- a/crates/core/src/storage/folder.rs
+++ b/crates/core/src/storage/folder.rs
@@ -19,6 +19,8 @@
     fn append(&mut self, name: &str, bytes: &[u8]) -> io::Result<()>;
     /// Syncs a file.
     fn sync(&mut self, name: &str) -> io::Result<()>;
+    /// Syncs which files there are, and their names.
+    fn sync_names(&mut self) -> io::Result<()>;
     /// Replaces a small file in place, unsynced.
     fn overwrite(&mut self, name: &str, bytes: &[u8]) -> io::Result<()>;
     /// Shortens a file and syncs it.
@@ -38,6 +40,9 @@
     /// Opens the folder, and creates it if needed.
     pub fn open(path: &Path) -> io::Result<DiskFolder> {
         fs::create_dir_all(path)?;
+        if let Some(parent) = path.parent().filter(|parent| !parent.as_os_str().is_empty()) {
+            File::open(parent)?.sync_all()?;
+        }
         let lock = File::create(path.join("lock"))?;
         lock.try_lock().map_err(|_| io::Error::other("another daemon uses this data folder"))?;
         Ok(DiskFolder { path: path.to_owned(), open: HashMap::new(), _lock: lock })
@@ -50,10 +55,6 @@
         }
         Ok(self.open.get_mut(name).expect("just inserted"))
     }
-
-    fn sync_folder(&self) -> io::Result<()> {
-        File::open(&self.path)?.sync_all()
-    }
 }
 
 impl Folder for DiskFolder {
@@ -70,12 +71,12 @@
         let mut file = File::create(self.path.join(name))?;
         file.write_all(bytes)?;
         file.sync_all()?;
-        self.sync_folder()
+        self.sync_names()
     }
 
     fn rename_synced(&mut self, from: &str, to: &str) -> io::Result<()> {
         fs::rename(self.path.join(from), self.path.join(to))?;
-        self.sync_folder()
+        self.sync_names()
     }
 
     fn append(&mut self, name: &str, bytes: &[u8]) -> io::Result<()> {
@@ -86,6 +87,10 @@
         self.appending(name)?.sync_data()
     }
 
+    fn sync_names(&mut self) -> io::Result<()> {
+        File::open(&self.path)?.sync_all()
+    }
+
     fn overwrite(&mut self, name: &str, bytes: &[u8]) -> io::Result<()> {
         fs::write(self.path.join(name), bytes)
     }
--- a/crates/core/src/storage/mod.rs
+++ b/crates/core/src/storage/mod.rs
@@ -114,6 +114,11 @@
             // A write that was cut short and never answered for.
             folder.truncate(&log, scanned.length).map_err(io_error("truncate the log"))?;
         }
+        if mark.generation != current.generation || mark.length != scanned.length {
+            // A process that was killed before its sync has left what a loss of power takes away.
+            folder.sync(&log).map_err(io_error("sync the log"))?;
+            folder.sync_names().map_err(io_error("sync the names"))?;
+        }
         let storage = Storage { folder, current, log_length: scanned.length };
         Ok((storage, restore(snapshot, scanned)))
     }
--- a/crates/core/src/storage/tests.rs
+++ b/crates/core/src/storage/tests.rs
@@ -12,12 +12,16 @@
 use super::*;
 use crate::agreement::{Entry, HardState, Membership, Payload};
 
+/// Content as seen by a running process, with the length that is synced.
+type FileContent = (Vec<u8>, usize);
+
 #[derive(Default)]
 struct Files {
-    /// Content as seen by a running process, with the length that is synced.
-    files: BTreeMap<String, (Vec<u8>, usize)>,
+    files: BTreeMap<String, FileContent>,
     /// Writes that still succeed.
     budget: Option<usize>,
+    /// A name that is not synced, and the file that had it before.
+    unsynced_name: Option<(String, Option<FileContent>)>,
 }
 
 /// A folder in memory that can lose what is not synced and fail after some writes.
@@ -40,6 +44,12 @@
     fn crash(&self, keep: usize) {
         let mut files = self.0.lock().unwrap();
         files.budget = None;
+        if let Some((name, before)) = files.unsynced_name.take() {
+            match before {
+                Some(file) => drop(files.files.insert(name, file)),
+                None => drop(files.files.remove(&name)),
+            }
+        }
         for (bytes, synced) in files.files.values_mut() {
             bytes.truncate(*synced + (bytes.len() - *synced) * keep / 100);
             *synced = bytes.len();
@@ -56,6 +66,11 @@
         *synced = bytes.len();
     }
 
+    /// The process ends; what it has written stays, also what is not synced.
+    fn kill(&self) {
+        self.0.lock().unwrap().budget = None;
+    }
+
     fn flip(&self, name: &str, at: usize) {
         let mut files = self.0.lock().unwrap();
         files.files.get_mut(name).unwrap().0[at] ^= 0x10;
@@ -72,14 +87,17 @@
         let half = bytes[..bytes.len() / 2].to_vec();
         self.step()?.files.insert(name.into(), (half, 0));
         self.step()?.files.insert(name.into(), (bytes.to_vec(), bytes.len()));
-        Ok(())
+        self.sync_names()
     }
 
     fn rename_synced(&mut self, from: &str, to: &str) -> io::Result<()> {
-        let mut files = self.step()?;
-        let file = files.files.remove(from).unwrap();
-        files.files.insert(to.into(), file);
-        Ok(())
+        {
+            let mut files = self.step()?;
+            let file = files.files.remove(from).unwrap();
+            let before = files.files.insert(to.into(), file);
+            files.unsynced_name = Some((to.into(), before));
+        }
+        self.sync_names()
     }
 
     fn append(&mut self, name: &str, bytes: &[u8]) -> io::Result<()> {
@@ -94,6 +112,11 @@
         Ok(())
     }
 
+    fn sync_names(&mut self) -> io::Result<()> {
+        self.step()?.unsynced_name = None;
+        Ok(())
+    }
+
     fn overwrite(&mut self, name: &str, bytes: &[u8]) -> io::Result<()> {
         self.step()?.files.insert(name.into(), (bytes.to_vec(), 0));
         Ok(())
@@ -313,6 +336,30 @@
 }
 
 /// A record of an endpoint of this name.
+// Guards against votes and entries that rest on what a killed process has not synced.
+#[gtest]
+fn what_was_read_at_a_start_outlasts_a_loss_of_power() {
+    let snapshot = Snapshot { index: 2, term: 1, ..Snapshot::default() };
+    let compaction = Persist { snapshot: Some(snapshot), ..entries(3..=4, 2) };
+    for write in [entries(3..=4, 2), compaction] {
+        for budget in 0..12 {
+            let folder = MemoryFolder::default();
+            open(&folder).unwrap().0.write(&entries(1..=2, 1)).unwrap();
+            let (mut storage, _) = open(&folder).unwrap();
+            folder.0.lock().unwrap().budget = Some(budget);
+            // It may fail at any step.
+            let _ = storage.write(&write);
+            folder.kill();
+
+            let (_, read) = open(&folder).unwrap();
+            folder.crash(0);
+            let (_, kept) = open(&folder).unwrap();
+
+            expect_true!(same(&read, &kept), "{budget} writes succeeded");
+        }
+    }
+}
+
 fn endpoint(id: &str) -> EndpointRecord {
     EndpointRecord { id: id.into(), address: "10.0.0.1:80".into(), ..Default::default() }
 }
--- a/crates/server/src/runtime/writer.rs
+++ b/crates/server/src/runtime/writer.rs
@@ -105,7 +105,7 @@
     let context = || format!("cannot open the data folder {}", path.display());
     let folder = DiskFolder::open(path).wrap_err_with(context)?;
     #[cfg(feature = "faults")]
-    let folder = super::faulty::FaultyFolder::new(folder, path);
+    let folder = super::faulty::FaultyFolder::open(folder, path).wrap_err_with(context)?;
     let (storage, restored) = Storage::open(Box::new(folder), new_id).wrap_err_with(context)?;
     let endpoints = storage.remembered().wrap_err_with(context)?;
     Ok(Opened { replica: storage.replica(), storage, restored, endpoints })
--- a/crates/server/src/runtime/writer_tests.rs
+++ b/crates/server/src/runtime/writer_tests.rs
@@ -43,6 +43,10 @@
         Ok(())
     }
 
+    fn sync_names(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+
     fn overwrite(&mut self, _: &str, _: &[u8]) -> io::Result<()> {
         Ok(())
     }
