Candidates ask for votes while their own is being synced

Cause: three syncs followed each other, the candidate's own vote, the voters' and the first entry; and a second election needed them anew. A wait for an own resource in series, where it can be in parallel.

Why it works: a candidate's log is synced when it asks, so that what it says of it holds after a crash; otherwise it still waits. It leads only by a quorum that holds its own synced vote, which the votes of all others could replace before; without it, it could vote for another candidate of the term after a crash.

--- a/crates/core/src/agreement/replica/election.rs
+++ b/crates/core/src/agreement/replica/election.rs
@@ -32,6 +32,8 @@
 
     pub(super) fn campaign(&mut self, hand_over: bool, now: Instant) {
         let term = self.hard_state.term + 1;
+        // What it says of its log must hold after a crash; its own vote is counted once it is synced.
+        let is_log_synced = !self.awaits_disk();
         self.leader = None;
         self.set_hard_state(HardState { term, voted_for: Some(self.id) });
         self.state = State::Candidate;
@@ -40,7 +42,11 @@
         let vote =
             Vote { last_index: self.log.last_index(), last_term: self.log.last_term(), hand_over };
         for voter in self.other_voters() {
-            self.send_after_persist(voter, Body::Vote(vote));
+            if is_log_synced {
+                self.send(voter, Body::Vote(vote));
+            } else {
+                self.send_after_persist(voter, Body::Vote(vote));
+            }
         }
     }
 
@@ -90,7 +96,9 @@
         let is_quorum = |votes: &BTreeSet<ReplicaId>| {
             membership.quorum() <= membership.voters().filter(|id| votes.contains(id)).count()
         };
-        if self.votes.as_ref().is_some_and(is_quorum) {
+        // Without its own vote a candidate could vote for another one of this term after a crash.
+        let has_own_vote = |votes: &BTreeSet<ReplicaId>| votes.contains(&self.id);
+        if self.votes.as_ref().is_some_and(|votes| has_own_vote(votes) && is_quorum(votes)) {
             self.lead(now);
         } else if matches!(&self.state, State::PreCandidate(votes) if is_quorum(votes)) {
             self.campaign(false, now);
--- a/crates/core/src/agreement/tests.rs
+++ b/crates/core/src/agreement/tests.rs
@@ -184,6 +184,45 @@
     expect_that!(replica.role(), eq(Role::Candidate));
 }
 
+// Guards against two leaders of one term after a candidate has crashed.
+#[gtest]
+fn candidate_does_not_lead_by_the_votes_of_all_others_before_its_own_is_synced() {
+    let mut replica = with_log(2, &[1]);
+    replica.take_ready();
+    replica.tick(LATER);
+    let granted = PreVoteReply { asked_term: 2, granted: true };
+    receive(&mut replica, 3, 1, message_body::Body::PreVoteReply(granted));
+
+    for voter in [1, 3] {
+        let vote = VoteReply { granted: true };
+        receive(&mut replica, voter, 2, message_body::Body::VoteReply(vote));
+    }
+
+    expect_that!(replica.role(), eq(Role::Candidate));
+}
+
+// Guards against a candidate that is elected by what it loses in a crash.
+#[gtest]
+fn candidate_whose_log_is_not_synced_asks_for_votes_only_after_it_is() {
+    let mut replica = with_log(2, &[1]);
+    replica.take_ready();
+    let append = Append {
+        prev_index: 1,
+        prev_term: 1,
+        entries: vec![Entry { term: 1, index: 2, at_ms: 0, payload: None }],
+        ..Append::default()
+    };
+    receive(&mut replica, 1, 1, message_body::Body::Append(append));
+
+    let ready = receive(&mut replica, 1, 1, message_body::Body::TimeoutNow(TimeoutNow {}));
+
+    let asks = |outgoing: &[Outgoing]| {
+        outgoing.iter().any(|one| matches!(one.message.body, Some(message_body::Body::Vote(_))))
+    };
+    expect_false!(asks(&ready.messages));
+    expect_true!(asks(&ready.messages_after_persist));
+}
+
 #[gtest]
 fn an_entry_of_an_older_term_is_not_committed_by_counting() {
     let mut replica = with_log(2, &[1, 2]);
--- a/crates/core/src/agreement/tests/slow_disks.rs
+++ b/crates/core/src/agreement/tests/slow_disks.rs
@@ -165,6 +165,12 @@
     expect_that!(slowest_election(&[1, 2, 3], 150), some(lt(3_000)));
 }
 
+// Guards against elections in which the syncs of candidates and voters follow each other.
+#[gtest]
+fn three_of_five_voters_elect_a_leader_in_recovery_time_at_syncs_of_4_s() {
+    expect_that!(slowest_election(&[1, 2, 3], 4_000), some(lt(RECOVERY)));
+}
+
 #[gtest]
 fn slow_syncs_do_not_keep_three_of_five_voters_from_electing_a_leader() {
     for sync in [300, 400, 600, 1_000] {
