Votes do not wait for a write of the known endpoints

Cause: hints of the known endpoints were written whether or not there was a leader; a write in progress cannot be overtaken.

Why it works: without a leader the disk is left to votes.

--- a/crates/core/src/node/control/mod.rs
+++ b/crates/core/src/node/control/mod.rs
@@ -133,6 +133,11 @@
         self.dispatcher.is_some()
     }
 
+    /// Whether this replica follows a leader or leads.
+    pub(crate) fn has_leader(&self) -> bool {
+        self.replica.leader().is_some()
+    }
+
     /// The replicated state as applied by this replica.
     pub(crate) fn state(&self) -> &State {
         &self.state
--- a/crates/core/src/node/endpoints.rs
+++ b/crates/core/src/node/endpoints.rs
@@ -2,7 +2,7 @@
 //! them and reports their state.
 
 use super::{
-    Engines, Node, Output,
+    ControlReplica, Engines, Node, Output,
     news_batch::{SAVE_INTERVAL, SAVE_INTERVAL_PER_ENDPOINT, scaled},
 };
 use crate::{
@@ -97,9 +97,11 @@
         self.outputs.push(Output::SaveEndpoints(records));
     }
 
-    /// Whether the registry has changed since it was last saved; entries have no disk.
+    /// Whether the registry has changed since it was last saved; entries have no disk. Without a leader
+    /// the disk is left to votes.
     fn has_unsaved_endpoints(&self) -> bool {
-        self.control.is_some() && self.saved_revision != self.registry.revision()
+        let has_leader = self.control.as_ref().is_some_and(ControlReplica::has_leader);
+        has_leader && self.saved_revision != self.registry.revision()
     }
 
     /// When the next save is due.
