trayswitchd reads the answers of services as the other daemons do

What callers saw: a 200 with a short body, framed as whole, when an endpoint closed its connection within a chunk, and an error for a whole answer with a trailer.

Cause: ureq's decoder of chunks gives an end of the connection within a chunk as the end of the body, and knows no trailers. The second stack had a reader of its own. Answers in a transfer coding other than chunks end with their connection as well, and counted as framed in both stacks.

Evidence: endpoint::tests::answer_that_is_cut_at_any_byte_is_not_whole cuts an answer with a length and one with chunks and a trailer at each byte, with a close and a reset. Streams and loads that are cut were never whole (stream_and_load_that_are_cut_at_any_byte_are_not_whole).

Why it works: calls of services go through upstream::exchange, whose HTTP library tells an early end from a last chunk; upstream::is_framed decides for both stacks whether an end can be told at all.

--- a/crates/server/src/relay/unframed_response.rs
+++ b/crates/server/src/relay/unframed_response.rs
@@ -4,11 +4,11 @@
 use std::{rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use http::{StatusCode, header, response};
+use http::{StatusCode, response};
 use trayswitch_core::{node::ProbeOutcome, registry::RegisteredEndpoint};
 
 use super::{Relay, event_stream::StreamItem, local_placement::reported_start};
-use crate::upstream::OpenAnswer;
+use crate::upstream::{OpenAnswer, is_framed};
 
 /// A process that is terminating may close its listening socket after its connections. How long the end
 /// of a response waits for that: of a stream, whose events have all been passed on, and of a call.
@@ -21,9 +21,7 @@
 /// Whether only the end of the connection ends a response.
 pub(super) fn is_unframed(head: &response::Parts) -> bool {
     let has_body = !matches!(head.status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
-    has_body
-        && !head.headers.contains_key(header::CONTENT_LENGTH)
-        && !head.headers.contains_key(header::TRANSFER_ENCODING)
+    has_body && !is_framed(&head.headers)
 }
 
 impl Relay {
--- a/crates/server/src/upstream/exchange.rs
+++ b/crates/server/src/upstream/exchange.rs
@@ -8,7 +8,7 @@
 use std::{any::Any, fmt, future::Future, net::SocketAddr, pin::Pin, time::Duration};
 
 use bytes::Bytes;
-use http::{Request, Response, response};
+use http::{HeaderMap, Request, Response, header, response};
 use http_body_util::{BodyExt, Full};
 use hyper::{body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
@@ -133,6 +133,19 @@
     }
 }
 
+/// Whether a body has a length or chunks, so that its end can be told from that of its connection.
+pub fn is_framed(headers: &HeaderMap) -> bool {
+    let last_coding = headers.get_all(header::TRANSFER_ENCODING).iter().next_back();
+    match last_coding.map(|value| value.to_str().unwrap_or_default()) {
+        // Any other coding ends with the connection, whatever length is declared.
+        Some(codings) => {
+            let last = codings.rsplit(',').next().unwrap_or_default();
+            last.trim().eq_ignore_ascii_case("chunked")
+        }
+        None => headers.contains_key(header::CONTENT_LENGTH),
+    }
+}
+
 /// Sends a request and waits for the head of the answer. The caller bounds the time; dropping
 /// the future closes the connection.
 pub async fn exchange(
--- a/crates/server/src/upstream/mod.rs
+++ b/crates/server/src/upstream/mod.rs
@@ -16,5 +16,5 @@
 pub use self::{
     connector::{Connector, TcpConnector, connect_within},
     events::{Event, EventSplitter},
-    exchange::{AnswerBody, LateResponse, OpenAnswer, SendError, exchange},
+    exchange::{AnswerBody, LateResponse, OpenAnswer, SendError, exchange, is_framed},
 };
--- a/crates/trayswitchd/src/callers/context.rs
+++ b/crates/trayswitchd/src/callers/context.rs
@@ -66,7 +66,7 @@
         let metrics = Metrics::open(settings.statsd)?;
         Ok(Callers {
             engine: Box::new(HttpEngine::new(settings.timing.idle)),
-            service: Box::new(HttpService::new()),
+            service: Box::new(HttpService),
             digest_key: DigestKey::new(&settings.keys.peer),
             settings,
             node,
--- a/crates/trayswitchd/src/endpoint/mod.rs
+++ b/crates/trayswitchd/src/endpoint/mod.rs
@@ -63,6 +63,11 @@
 }
 
 impl<T> Reply<T> {
+    /// There was no answer.
+    fn failed(error: EndpointError) -> Reply<T> {
+        Reply { result: Err(error), signals: None }
+    }
+
     /// Reads what came of a request; `read` takes the answer.
     fn new(
         came: Result<Response, ureq::Error>,
--- a/crates/trayswitchd/src/endpoint/service.rs
+++ b/crates/trayswitchd/src/endpoint/service.rs
@@ -2,53 +2,76 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use ureq::{Agent, AgentBuilder, ErrorKind, Response, Transport};
+use bytes::Bytes;
+use http::{Request, StatusCode, header};
+use http_body_util::Full;
+use tokio::{task::LocalSet, time::timeout};
+use trayswitch_server::upstream::{OpenAnswer, SendError, exchange};
+use ureq::{ErrorKind, Response, Transport};
 
-use super::{EndpointError, Reply, Service, ServiceCall, WholeAnswer, whole::read_whole};
+use super::{EndpointError, Reply, Service, ServiceCall, WholeAnswer, signals, whole::read_whole};
 
 const CONNECT: Duration = Duration::from_secs(2);
+/// The endpoint's statement that it has not run a request.
+const NOT_RUN: &str = "X-Not-Run";
 
 /// Calls plain services over HTTP.
 ///
 /// Every call has a connection of its own: on a kept one, a failure could not
 /// be told from a request that was sent.
-pub(crate) struct HttpService {
-    agent: Agent,
-}
-
-impl HttpService {
-    /// An adapter without state.
-    pub(crate) fn new() -> HttpService {
-        let agent = AgentBuilder::new()
-            .timeout_connect(CONNECT)
-            .max_idle_connections(0)
-            .redirects(0)
-            .build();
-        HttpService { agent }
-    }
-}
+pub(crate) struct HttpService;
 
 impl Service for HttpService {
     fn call(&self, address: SocketAddr, call: &ServiceCall<'_>) -> Reply<WholeAnswer> {
-        let result = self
-            .agent
-            .post(&format!("http://{address}/calls/{}", call.call))
-            .timeout(call.timeout)
-            .set("Content-Type", call.content_type)
-            .set("X-Request-Id", call.request_id)
-            .send_bytes(call.body);
-        Reply::new(result, read)
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+        match runtime {
+            Ok(runtime) => LocalSet::new().block_on(&runtime, exchange_whole(address, call)),
+            Err(e) => Reply::failed(EndpointError::NotSent(e.to_string())),
+        }
     }
 }
 
-fn read(result: Result<Response, ureq::Error>) -> Result<WholeAnswer, EndpointError> {
-    match result {
-        Ok(response) => read_whole(response),
-        Err(ureq::Error::Status(503, response)) if response.header("X-Not-Run").is_some() => {
-            Err(refusal(&response))
+async fn exchange_whole(address: SocketAddr, call: &ServiceCall<'_>) -> Reply<WholeAnswer> {
+    let mut signals = None;
+    let whole = async {
+        let open = exchange(address, request(address, call)?, CONNECT.min(call.timeout)).await;
+        let open = open.map_err(send_error)?;
+        signals = Some(signals::read_head(open.head.status, &open.head.headers));
+        if is_refusal(&open) {
+            let leaving = signals.is_some_and(|signals| signals.is_leaving());
+            return Err(EndpointError::RefusedNotRun { leaving });
+        }
+        read_whole(open).await
+    };
+    let result = timeout(call.timeout, whole).await.unwrap_or_else(|_| {
+        Err(EndpointError::Lost(format!("no whole answer within {:?}", call.timeout)))
+    });
+    Reply { result, signals }
+}
+
+fn request(
+    address: SocketAddr,
+    call: &ServiceCall<'_>,
+) -> Result<Request<Full<Bytes>>, EndpointError> {
+    Request::post(format!("/calls/{}", call.call))
+        .header(header::HOST, address.to_string())
+        .header(header::CONTENT_TYPE, call.content_type)
+        .header("X-Request-Id", call.request_id)
+        .body(Full::new(Bytes::copy_from_slice(call.body)))
+        .map_err(|e| EndpointError::NotSent(e.to_string()))
+}
+
+fn is_refusal(open: &OpenAnswer) -> bool {
+    let head = &open.head;
+    head.status == StatusCode::SERVICE_UNAVAILABLE && head.headers.contains_key(NOT_RUN)
+}
+
+fn send_error(error: SendError) -> EndpointError {
+    match error {
+        SendError::NotSent(e) | SendError::Delayed(e) | SendError::Withheld(e) => {
+            EndpointError::NotSent(e)
         }
-        Err(ureq::Error::Status(_, response)) => read_whole(response),
-        Err(ureq::Error::Transport(e)) => Err(transport(&e)),
+        SendError::Lost(e) => EndpointError::Lost(e),
     }
 }
 
--- a/crates/trayswitchd/src/endpoint/signals.rs
+++ b/crates/trayswitchd/src/endpoint/signals.rs
@@ -2,6 +2,7 @@
 
 use std::time::SystemTime;
 
+use http::{HeaderMap, HeaderValue, StatusCode, header};
 use trayswitch_core::{backoff::RetryAfter, signals::EndpointSignals, throttle::RateLimit};
 use ureq::Response;
 
@@ -16,16 +17,35 @@
 
 /// Reads the signals in an answer's head.
 pub(super) fn read(response: &Response) -> EndpointSignals {
-    let retry_after = if OVERLOADED.contains(&response.status()) {
-        let values = response.all("Retry-After").into_iter();
-        RetryAfter::from_values(values, response.header("Date"), SystemTime::now())
+    let (status, date) = (response.status(), response.header("Date"));
+    decode(status, date, response.header(STATE), |name| response.all(name))
+}
+
+/// The same, of a head that the asynchronous stack has read.
+pub(super) fn read_head(status: StatusCode, headers: &HeaderMap) -> EndpointSignals {
+    let text = |value: &'_ HeaderValue| value.to_str().unwrap_or_default().to_owned();
+    let first = |name: &str| headers.get(name).map(text);
+    let all = |name: &str| headers.get_all(name).iter().map(text).collect::<Vec<String>>();
+    let (date, state) = (first(header::DATE.as_str()), first(STATE));
+    decode(status.as_u16(), date.as_deref(), state.as_deref(), all)
+}
+
+fn decode<T: AsRef<str>>(
+    status: u16,
+    date: Option<&str>,
+    state: Option<&str>,
+    all: impl Fn(&str) -> Vec<T>,
+) -> EndpointSignals {
+    let retry_after = if OVERLOADED.contains(&status) {
+        let values = all("Retry-After");
+        RetryAfter::from_values(values.iter().map(AsRef::as_ref), date, SystemTime::now())
     } else {
         Ok(None)
     };
     EndpointSignals {
-        limit: RateLimit::from_values(response.all(LIMIT).into_iter()),
+        limit: RateLimit::from_values(all(LIMIT).iter().map(AsRef::as_ref)),
         retry_after,
-        leaving: Ok(response.header(STATE) == Some(LEAVING)),
+        leaving: Ok(state == Some(LEAVING)),
         cold_for: Ok(None),
     }
 }
--- a/crates/trayswitchd/src/endpoint/tests.rs
+++ b/crates/trayswitchd/src/endpoint/tests.rs
@@ -8,6 +8,7 @@
 };
 
 use googletest::prelude::*;
+use socket2::SockRef;
 use trayswitch_core::{
     delivery::Frame,
     throttle::{InvalidRateLimit, RateLimit},
@@ -17,7 +18,20 @@
 use super::*;
 
 /// An endpoint that answers its one connection with fixed bytes and closes it.
-fn answering(bytes: &'static [u8]) -> SocketAddr {
+fn answering(bytes: &[u8]) -> SocketAddr {
+    answering_until(bytes, End::Close, b"\r\n\r\n{}")
+}
+
+/// How a connection ends.
+#[derive(Debug, Clone, Copy)]
+enum End {
+    Close,
+    Reset,
+}
+
+/// The same, once it has read a request that ends so, with an end of the connection.
+fn answering_until(bytes: &[u8], end: End, request_end: &'static [u8]) -> SocketAddr {
+    let bytes = bytes.to_vec();
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap();
     thread::spawn(move || {
@@ -26,10 +40,14 @@
         // connection and could take the answer with it.
         let mut request = Vec::new();
         let mut byte = [0];
-        while !request.ends_with(b"\r\n\r\n{}") && socket.read(&mut byte).is_ok_and(|n| n == 1) {
+        while !request.ends_with(request_end) && socket.read(&mut byte).is_ok_and(|n| n == 1) {
             request.push(byte[0]);
         }
-        let _ = socket.write_all(bytes);
+        let _ = socket.write_all(&bytes);
+        if let End::Reset = end {
+            let _ = SockRef::from(&socket).set_linger(Some(Duration::ZERO));
+            return;
+        }
         let _ = socket.shutdown(Shutdown::Write);
         let _ = socket.read(&mut byte);
     });
@@ -48,7 +66,7 @@
         body: b"{}",
         timeout: Duration::from_secs(5),
     };
-    HttpService::new().call(address, &call)
+    HttpService.call(address, &call)
 }
 
 #[gtest]
@@ -117,6 +135,85 @@
     }
 }
 
+/// A whole answer with a length, and one in chunks with a trailer.
+fn whole_answers(headers: &str, body: &str) -> [String; 2] {
+    let (first, second) = body.split_at(body.len() / 2);
+    let chunk = |text: &str| format!("{:x}\r\n{text}\r\n", text.len());
+    [
+        format!("HTTP/1.1 200 OK\r\n{headers}Content-Length: {}\r\n\r\n{body}", body.len()),
+        format!(
+            "HTTP/1.1 200 OK\r\n{headers}Transfer-Encoding: chunked\r\n\r\n{}{}0\r\nX-Sum: 7\r\n\r\n",
+            chunk(first),
+            chunk(second)
+        ),
+    ]
+}
+
+/// Cuts these answers at each byte, with each end of the connection.
+fn cuts(answers: &[String]) -> impl Iterator<Item = (&[u8], End)> {
+    let cuts =
+        answers.iter().flat_map(|whole| (0..whole.len()).map(|cut| &whole.as_bytes()[..cut]));
+    cuts.flat_map(|bytes| [(bytes, End::Close), (bytes, End::Reset)])
+}
+
+// Guards against answers that are cut in their head or in a chunk and passed on as whole.
+#[gtest]
+fn answer_that_is_cut_at_any_byte_is_not_whole() {
+    let answers = whole_answers("", "answer");
+    for (bytes, end) in cuts(&answers) {
+        let answer = call(answering_until(bytes, end, b"\r\n\r\n{}"));
+
+        let text = String::from_utf8_lossy(bytes);
+        expect_that!(answer, err(matches_pattern!(EndpointError::Lost(_))), "{text:?}, {end:?}");
+    }
+    for whole in &answers {
+        let body = call(answering(whole.as_bytes())).map(|answer| answer.body);
+        expect_that!(body, ok(eq(b"answer")));
+    }
+}
+
+// Guards against answers that end with their connection although a transfer coding is named.
+#[gtest]
+fn answer_in_another_coding_than_chunks_is_not_known_to_be_whole() {
+    let address = answering(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nhalf");
+
+    expect_that!(call(address), err(anything()));
+}
+
+// Guards against streams and loads that are cut and taken for whole.
+#[gtest]
+fn stream_and_load_that_are_cut_at_any_byte_are_not_whole() {
+    const REQUEST_END: &[u8] = b"\r\n\r\n";
+    let done = r#"{"id":"g","choices":[{"finish_reason":"stop"}],"usage":{"completion_tokens":1}}"#;
+    let token = r#"{"id":"g","choices":[{"delta":{"content":"a"},"finish_reason":null}]}"#;
+    let events = format!("id: 1\ndata: {token}\n\ndata: {done}\n\n");
+    let engine = HttpEngine::new(Duration::from_secs(5));
+    let last_event = events.find("data: {\"id\":\"g\",\"choices\":[{\"finish").unwrap();
+
+    for (bytes, end) in cuts(&whole_answers("X-Generation-Id: g\r\n", &events)) {
+        let address = answering_until(bytes, end, REQUEST_END);
+        let resumed = engine.resume(address, &GenerationId("g".into()), 0).result;
+        let mut frames = Vec::new();
+        if let Ok(mut stream) = resumed {
+            while let Ok(frame) = stream.next() {
+                frames.push(frame);
+            }
+        }
+
+        let is_finished = frames.iter().any(|frame| matches!(frame, Frame::Finished { .. }));
+        let has_end = String::from_utf8_lossy(bytes).contains(&events[last_event..])
+            || String::from_utf8_lossy(bytes).contains("completion_tokens\":1}}\n\n");
+        expect_true!(!is_finished || has_end, "{:?}, {end:?}", String::from_utf8_lossy(bytes));
+    }
+    for (bytes, end) in cuts(&whole_answers("", r#"{"running":12,"waiting":3}"#)) {
+        let load = engine.load(answering_until(bytes, end, REQUEST_END)).result;
+
+        let text = String::from_utf8_lossy(bytes);
+        let has_body = text.contains("3}");
+        expect_true!(load.is_err() || has_body, "{text:?}, {end:?}");
+    }
+}
+
 fn signals(bytes: &'static [u8]) -> Option<EndpointSignals> {
     reply(answering(bytes)).signals
 }
