A stream is whole only if its endpoint's report was whole

What callers saw: a 200 whose stream ended after a part of its events, as whole, where only the end of the connection frames it and the endpoint stopped in the middle of its report's head.

Cause: at such an end the relay asks the endpoint when it was started. A report that was cut or did not come counted like that of an endpoint which does not tell its start, and that confirms the run.

Why it works: only a whole answer without a start stands for an endpoint that does not tell it; no answer confirms nothing.

--- a/crates/server/src/relay/local_placement.rs
+++ b/crates/server/src/relay/local_placement.rs
@@ -110,16 +110,19 @@
 /// When the process at the address of a run was started; `None` if it does not tell. A failure does not
 /// count against the engine's health.
 pub(super) async fn ask_start(relay: &Rc<Relay>, run: &RegisteredEndpoint) -> Option<u64> {
-    let reply = try_query(relay, run, relay.protocol.load_request()).await;
-    let (head, body) = reply
+    let start = reported_start(relay, run).await;
+    start
         .inspect_err(|error| log::debug!(endpoint = &*run.id; "no start was told: {error}"))
-        .ok()?;
-    told_start(relay.protocol.decode_load(&head, &body)?)
+        .ok()?
 }
 
-/// When the process at an endpoint's address was started; `None` if it does not tell.
-pub(super) async fn reported_start(relay: &Rc<Relay>, endpoint: &Arc<str>) -> Option<u64> {
-    told_start(query_load(relay, endpoint).await?)
+/// The same; an error if there is no whole answer.
+pub(super) async fn reported_start(
+    relay: &Rc<Relay>,
+    run: &RegisteredEndpoint,
+) -> Result<Option<u64>, String> {
+    let (head, body) = try_query(relay, run, relay.protocol.load_request()).await?;
+    Ok(relay.protocol.decode_load(&head, &body).and_then(told_start))
 }
 
 fn told_start(load: EngineLoad) -> Option<u64> {
--- a/crates/server/src/relay/tests/unframed_responses.rs
+++ b/crates/server/src/relay/tests/unframed_responses.rs
@@ -1,112 +1,19 @@
 //! Responses with neither a length nor chunks, which end with their connection.
 
-use std::{net::SocketAddr, time::Duration};
+use std::time::Duration;
 
 use googletest::prelude::*;
 use http::StatusCode;
-use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
-    join,
-    net::{TcpListener, TcpStream},
-};
+use tokio::join;
 
 use super::{
     fake_endpoint::{FakeEndpoint, events_to},
-    protocol::ID,
+    raw_endpoint::{RawEndpoint, RawResponse},
     response::{outcome, text},
     test_daemon::{TestDaemon, run_test},
     test_fleet::{Network, TestFleet},
 };
 
-async fn listen() -> TcpListener {
-    let any: SocketAddr = "127.0.0.1:0".parse().unwrap();
-    TcpListener::bind(any).await.unwrap()
-}
-
-/// The head of the next request; empty if there is none.
-async fn read_head(socket: &mut TcpStream) -> String {
-    let mut head = Vec::new();
-    while !head.ends_with(b"\r\n\r\n") && socket.read_buf(&mut head).await.unwrap() != 0 {}
-    String::from_utf8(head).unwrap()
-}
-
-/// An endpoint that writes its responses byte by byte.
-struct RawEndpoint {
-    listener: TcpListener,
-}
-
-impl RawEndpoint {
-    async fn open(daemon: &TestDaemon, service: &str, name: &str) -> RawEndpoint {
-        let listener = listen().await;
-        daemon.register_address(service, name, listener.local_addr().unwrap()).await;
-        RawEndpoint { listener }
-    }
-
-    /// A run of an endpoint that tells when it was started.
-    async fn open_run(daemon: &TestDaemon, name: &str, started_at: u64) -> RawEndpoint {
-        let listener = listen().await;
-        daemon.register_run_at("engines", name, started_at, listener.local_addr().unwrap()).await;
-        RawEndpoint { listener }
-    }
-
-    /// Tells everybody who asks that this process was started then.
-    async fn report_start(self, started_at: u64) {
-        let body = format!("0 {started_at}");
-        let length = body.len();
-        let response = format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n{body}");
-        loop {
-            let (mut socket, _) = self.listener.accept().await.unwrap();
-            read_head(&mut socket).await;
-            socket.write_all(response.as_bytes()).await.unwrap();
-        }
-    }
-
-    /// An endpoint of a fleet, which all entries know.
-    async fn open_in(fleet: &TestFleet, service: &str, name: &str) -> RawEndpoint {
-        let endpoint = RawEndpoint::open(&fleet.control, service, name).await;
-        for entry in &fleet.entries {
-            entry.daemon.wait_until(|| entry.daemon.is_open(name) == Some(true)).await;
-        }
-        endpoint
-    }
-
-    /// The next request with a response of its own; connections without a request are passed over.
-    async fn next_request(&mut self) -> RawResponse {
-        loop {
-            let (mut socket, _) = self.listener.accept().await.unwrap();
-            let head = read_head(&mut socket).await;
-            let id = head.lines().find_map(|line| line.strip_prefix(&format!("{ID}: ")));
-            if let Some(id) = id {
-                return RawResponse { socket, id: id.to_owned() };
-            }
-        }
-    }
-
-    /// Closes every new connection, as endpoints do that have too many.
-    async fn close_new_connections(&self) {
-        while self.listener.accept().await.is_ok() {}
-    }
-}
-
-/// A response to one request; dropping it closes the connection.
-struct RawResponse {
-    socket: TcpStream,
-    id: String,
-}
-
-impl RawResponse {
-    /// Sends the head of an unframed response and the beginning of its body.
-    async fn send(&mut self, body: &str) {
-        self.send_status("200 OK", body).await;
-    }
-
-    /// The same with another status.
-    async fn send_status(&mut self, status: &str, body: &str) {
-        let head = format!("HTTP/1.1 {status}\r\n{ID}: {}\r\nconnection: close\r\n\r\n", self.id);
-        self.socket.write_all(format!("{head}{body}").as_bytes()).await.unwrap();
-    }
-}
-
 /// Serves a request with an unframed body, then closes the connection.
 async fn respond(endpoint: &mut RawEndpoint, body: &str) {
     endpoint.next_request().await.send(body).await;
--- a/crates/server/src/relay/unframed_response.rs
+++ b/crates/server/src/relay/unframed_response.rs
@@ -78,9 +78,15 @@
         if known.is_some_and(|known| known.started_at != endpoint.started_at) {
             return false;
         }
-        endpoint.started_at == 0
-            || reported_start(self, &endpoint.id)
-                .await
-                .is_none_or(|start| start == endpoint.started_at)
+        if endpoint.started_at == 0 {
+            return true;
+        }
+        match reported_start(self, endpoint).await {
+            Ok(start) => start.is_none_or(|start| start == endpoint.started_at),
+            Err(error) => {
+                log::debug!(endpoint = &*endpoint.id; "the run is not confirmed: {error}");
+                false
+            }
+        }
     }
 }
--- a/crates/server/src/upstream/tests.rs
+++ b/crates/server/src/upstream/tests.rs
@@ -3,11 +3,12 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
+use http::{HeaderMap, HeaderName, HeaderValue, header};
 use proptest::prelude::*;
 use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream};
 
-use super::{EventSplitter, socket};
+use super::{EventSplitter, is_framed, socket};
 use crate::testing::fixed_seed;
 
 /// A sound endpoint may be silent for so long.
@@ -82,3 +83,20 @@
     expect_that!(events.len(), eq(1));
     expect_that!(rest, eq(true));
 }
+
+// Guards against bodies that end with their connection and count as framed.
+#[gtest]
+fn only_a_length_or_chunks_frame_a_body() {
+    let framed = |headers: &[(HeaderName, &'static str)]| {
+        let header = |(name, text): &(HeaderName, &'static str)| {
+            (name.clone(), HeaderValue::from_static(text))
+        };
+        is_framed(&headers.iter().map(header).collect::<HeaderMap>())
+    };
+
+    expect_true!(framed(&[(header::CONTENT_LENGTH, "3")]));
+    expect_true!(framed(&[(header::TRANSFER_ENCODING, "gzip, Chunked")]));
+    expect_false!(framed(&[(header::TRANSFER_ENCODING, "gzip")]));
+    expect_false!(framed(&[(header::TRANSFER_ENCODING, "gzip"), (header::CONTENT_LENGTH, "3")]));
+    expect_false!(framed(&[]));
+}
