Time in which a replica does not run is no silence of others

What callers saw: no request was served after a final fault while control VMs waited for a processor for up to 400 ms and more at a time: refused with 503 to the end of the run, at syncs of 5 ms.

Cause: a replica measured the silence of others on the clock, whether or not it ran itself. A leader that was held up for 400 ms stepped down before it read the answers that were waiting for it, a follower called an election before it read the leader's heartbeats.

Why it works: a replica is ticked with every heartbeat interval at the latest, so it knows by how much a tick came late, and moves on by that what it has heard and what is due. Nothing relies on the time being short: reads are confirmed by a round of a quorum, and a thawed leader learns of a newer term from the first answer. A leader that is gone is replaced as fast as before.

Five tests let time pass in one step of 10 s, which is now a process that was held up; they tick the replica whenever it is due instead (pass_time), and check what they did.

--- a/crates/core/src/agreement/replica/mod.rs
+++ b/crates/core/src/agreement/replica/mod.rs
@@ -93,6 +93,8 @@
     /// When a leader was last heard; votes are refused for some time after.
     heard_leader: Option<Instant>,
     election_due: Instant,
+    /// When it is to be ticked at the latest; it was held up if that came later.
+    look_due: Instant,
     state: State,
     /// Votes of the current term, if this replica has asked for them. They count until the term ends,
     /// also while it asks whether it could win the next one.
@@ -126,6 +128,7 @@
             // leader that lives is heard by others, which refuse the pre-vote.
             heard_leader: None,
             election_due: now,
+            look_due: now.after(timing.heartbeat),
             state: State::Follower,
             votes: None,
             last_write: 0,
@@ -222,14 +225,16 @@
 
     /// The next time at which [`Replica::tick`] has something to do.
     pub fn next_tick(&self) -> Instant {
-        match &self.state {
+        let due = match &self.state {
             State::Leader(leadership) => leadership.next_heartbeat,
             _ => self.election_due,
-        }
+        };
+        due.min(self.look_due)
     }
 
     /// Lets time pass.
     pub fn tick(&mut self, now: Instant) {
+        self.discount_hold_up(now);
         if matches!(self.state, State::Leader(_)) {
             self.tick_leader(now);
         } else if self.election_due <= now {
@@ -242,6 +247,25 @@
         }
     }
 
+    /// Time in which this replica did not run is no silence of others: what they sent waits to be read.
+    fn discount_hold_up(&mut self, now: Instant) {
+        let held_up = now.since(self.look_due);
+        self.look_due = now.after(self.timing.heartbeat);
+        if held_up.is_zero() {
+            return;
+        }
+        self.heard_leader = self.heard_leader.map(|at| at.after(held_up));
+        if self.election_due != Instant::default() {
+            self.election_due = self.election_due.after(held_up);
+        }
+        if let State::Leader(leadership) = &mut self.state {
+            for progress in leadership.peers.values_mut() {
+                progress.heard = progress.heard.after(held_up);
+                progress.log_heard = progress.log_heard.after(held_up);
+            }
+        }
+    }
+
     /// Whether a write is not synced yet. Its votes would wait for it as well.
     fn awaits_disk(&self) -> bool {
         self.synced_write < self.last_write || !self.ready.persist.is_empty()
@@ -277,6 +301,7 @@
 
     /// Notes that the writes of a [`Ready`] and of all before it are synced.
     pub fn persisted(&mut self, synced: Synced, now: Instant) {
+        self.discount_hold_up(now);
         let is_later = self.synced_write < synced.write;
         self.synced_write = self.synced_write.max(synced.write);
         if is_later && !self.awaits_disk() && !matches!(self.state, State::Leader(_)) {
@@ -319,6 +344,7 @@
 
     /// Takes a message. One that is meant for another incarnation is ignored.
     pub fn receive(&mut self, message: Message, now: Instant) {
+        self.discount_hold_up(now);
         let Message { from, to, term, body: Some(body) } = message else { return };
         if to != self.id {
             return;
--- a/crates/core/src/agreement/tests.rs
+++ b/crates/core/src/agreement/tests.rs
@@ -2,6 +2,8 @@
 //! reordered messages, crashes before and after each sync, cuts, freezes and clocks
 //! that run apart.
 
+mod busy_processors;
+mod group;
 mod net;
 mod slow_disks;
 
@@ -114,6 +116,14 @@
 
 const LATER: Instant = Instant(10_000_000);
 
+/// Lets time pass until [`LATER`], as a process sees it that is never held up.
+fn pass_time(replica: &mut Replica) {
+    while replica.next_tick() <= LATER {
+        replica.tick(replica.next_tick());
+    }
+    replica.tick(LATER);
+}
+
 fn receive(replica: &mut Replica, from: ReplicaId, term: u64, body: message_body::Body) -> Ready {
     let message = Message { from, to: replica.id(), term, body: Some(body) };
     replica.receive(message, LATER);
@@ -161,7 +171,7 @@
 
 /// Makes a replica the leader of the next term by the votes of another.
 fn elect(replica: &mut Replica) -> Ready {
-    replica.tick(LATER);
+    pass_time(replica);
     let term = replica.term();
     let granted = PreVoteReply { asked_term: term + 1, granted: true };
     let ready = receive(replica, 3, term, message_body::Body::PreVoteReply(granted));
@@ -174,7 +184,7 @@
 fn a_candidates_own_vote_counts_only_once_it_is_synced() {
     let mut replica = with_log(2, &[1]);
     replica.take_ready();
-    replica.tick(LATER);
+    pass_time(&mut replica);
     let granted = PreVoteReply { asked_term: 2, granted: true };
     receive(&mut replica, 3, 1, message_body::Body::PreVoteReply(granted));
 
@@ -189,7 +199,7 @@
 fn candidate_does_not_lead_by_the_votes_of_all_others_before_its_own_is_synced() {
     let mut replica = with_log(2, &[1]);
     replica.take_ready();
-    replica.tick(LATER);
+    pass_time(&mut replica);
     let granted = PreVoteReply { asked_term: 2, granted: true };
     receive(&mut replica, 3, 1, message_body::Body::PreVoteReply(granted));
 
--- /dev/null
+++ b/crates/core/src/agreement/tests/busy_processors.rs
@@ -0,0 +1,46 @@
+//! Three of five voters start at once, on processors that they share with many others.
+
+use googletest::prelude::*;
+
+use super::group::{Group, RECOVERY, Slices};
+
+const SYNC: u64 = 5;
+const SEEDS: u64 = 40;
+/// Longest times, in ms, for which a process waits for the processor; an election begins after 400 to 800.
+const WAITS: [u64; 4] = [100, 200, 400, 600];
+
+fn group(waits: u64, seed: u64) -> Group {
+    let mut group = Group::start(&[1, 2, 3], SYNC, seed);
+    group.slices = Some(Slices { runs: 20, waits });
+    group
+}
+
+// Guards against service that does not come back on a busy machine.
+#[gtest]
+fn replicas_that_wait_for_the_processor_elect_a_leader_in_recovery_time() {
+    for waits in WAITS {
+        for seed in 0..SEEDS {
+            let elected = group(waits, seed).run_until_led(RECOVERY);
+
+            expect_that!(elected, some(anything()), "waits of {waits} ms, seed {seed}");
+        }
+    }
+}
+
+// Guards against leaders that take time in which they did not run for the silence of their followers.
+#[gtest]
+fn leader_that_waits_for_the_processor_keeps_its_term() {
+    for waits in WAITS {
+        let mut led = 0;
+        for seed in 0..SEEDS {
+            let mut group = group(waits, seed);
+            group.run_until_led(RECOVERY);
+            for _ in 0..RECOVERY {
+                group.step();
+                led += u64::from(group.leader().is_some());
+            }
+        }
+
+        expect_that!(led, ge(SEEDS * RECOVERY * 9 / 10), "waits of {waits} ms");
+    }
+}
