Replicas that ask for pre-votes at once do not split the votes

Cause: replicas that start together ask for pre-votes within the same time, grant them to each other, and all stand for election in one term. After two of five disks are lost all three that are left must agree, so each split costs the whole election anew, of which every step may wait.

Why it works: who grants a pre-vote gives its own candidacy up for an election time, and of two with the same log that ask each other only the one with the lower id does. It refuses only the first time, as the others may not reach it (replica_that_reaches_all_others_is_elected_though_those_do_not_reach_each_other). Pre-votes bind nobody, so no term gets another leader by it.

--- a/crates/core/src/agreement/replica/election.rs
+++ b/crates/core/src/agreement/replica/election.rs
@@ -7,7 +7,7 @@
         AppendReply, Entry, HardState, Noop, Payload, PreVote, PreVoteReply, ReplicaId, Vote,
         VoteReply, append_reply::Outcome, message_body::Body,
     },
-    Leadership, Replica, State,
+    Leadership, PreCandidacy, Replica, State,
 };
 use crate::units::Instant;
 
@@ -21,9 +21,11 @@
 
     pub(super) fn pre_campaign(&mut self, now: Instant) {
         self.leader = None;
+        let is_first = !matches!(self.state, State::PreCandidate(_));
         let vote = PreVote { last_index: self.log.last_index(), last_term: self.log.last_term() };
         let term = self.hard_state.term + 1;
-        self.state = State::PreCandidate(BTreeSet::from([self.id]));
+        self.state =
+            State::PreCandidate(PreCandidacy { is_first, votes: BTreeSet::from([self.id]) });
         for voter in self.other_voters() {
             self.send_in_term(voter, term, Body::PreVote(vote));
         }
@@ -54,18 +56,37 @@
         let granted = self.hard_state.term < term
             && !self.hears_leader(now)
             && !self.awaits_disk()
-            && self.log.is_covered_by(vote.last_term, vote.last_index);
+            && self.log.is_covered_by(vote.last_term, vote.last_index)
+            && !self.outranks(from, vote);
+        if granted {
+            // Two candidates of a term split its votes.
+            if matches!(self.state, State::PreCandidate(_)) {
+                self.state = State::Follower;
+            }
+            self.reset_election(now);
+        }
         let reply = PreVoteReply { asked_term: term, granted };
         self.send(from, Body::PreVoteReply(reply));
     }
 
+    /// Whether it asks for pre-votes itself and is to be preferred to another replica. Only the first time: the
+    /// others may not reach it.
+    fn outranks(&self, other: ReplicaId, vote: PreVote) -> bool {
+        let State::PreCandidate(PreCandidacy { is_first: true, .. }) = &self.state else {
+            return false;
+        };
+        let has_same_log =
+            (vote.last_term, vote.last_index) == (self.log.last_term(), self.log.last_index());
+        has_same_log && other < self.id
+    }
+
     pub(super) fn on_pre_vote_reply(&mut self, from: ReplicaId, reply: PreVoteReply, now: Instant) {
         let asked = self.hard_state.term + 1;
-        if let State::PreCandidate(votes) = &mut self.state
+        if let State::PreCandidate(candidacy) = &mut self.state
             && reply.granted
             && reply.asked_term == asked
         {
-            votes.insert(from);
+            candidacy.votes.insert(from);
             self.count_votes(now);
         }
     }
@@ -100,7 +121,7 @@
         let has_own_vote = |votes: &BTreeSet<ReplicaId>| votes.contains(&self.id);
         if self.votes.as_ref().is_some_and(|votes| has_own_vote(votes) && is_quorum(votes)) {
             self.lead(now);
-        } else if matches!(&self.state, State::PreCandidate(votes) if is_quorum(votes)) {
+        } else if matches!(&self.state, State::PreCandidate(c) if is_quorum(&c.votes)) {
             self.campaign(false, now);
         }
     }
--- a/crates/core/src/agreement/replica/mod.rs
+++ b/crates/core/src/agreement/replica/mod.rs
@@ -70,10 +70,17 @@
     next_heartbeat: Instant,
 }
 
+#[derive(Debug)]
+struct PreCandidacy {
+    /// Whether it has not asked before since it last followed.
+    is_first: bool,
+    votes: BTreeSet<ReplicaId>,
+}
+
 #[derive(Debug)]
 enum State {
     Follower,
-    PreCandidate(BTreeSet<ReplicaId>),
+    PreCandidate(PreCandidacy),
     Candidate,
     Leader(Leadership),
 }
--- a/crates/core/src/agreement/tests.rs
+++ b/crates/core/src/agreement/tests.rs
@@ -211,6 +211,39 @@
     expect_that!(replica.role(), eq(Role::Candidate));
 }
 
+/// Lets time pass until a replica asks for pre-votes, and lets another one ask it in that moment.
+fn is_granted_at_once(replica: &mut Replica, from: ReplicaId) -> bool {
+    let sends = |ready: &Ready, is_wanted: fn(&message_body::Body) -> bool| {
+        ready.messages.iter().any(|o| o.message.body.as_ref().is_some_and(is_wanted))
+    };
+    let now = loop {
+        let now = replica.next_tick();
+        replica.tick(now);
+        if sends(&replica.take_ready(), |body| matches!(body, message_body::Body::PreVote(_))) {
+            break now;
+        }
+    };
+    let ask = message_body::Body::PreVote(PreVote { last_index: 1, last_term: 1 });
+    let message = Message { from, to: replica.id(), term: 2, body: Some(ask) };
+    replica.receive(message, now);
+    sends(
+        &replica.take_ready(),
+        |body| matches!(body, message_body::Body::PreVoteReply(reply) if reply.granted),
+    )
+}
+
+// Guards against two candidates of a term, which split its votes, and against one that stands in the way for good.
+#[gtest]
+fn replica_that_asks_for_pre_votes_refuses_one_with_a_lower_id_once() {
+    let mut replica = with_log(2, &[1]);
+    replica.take_ready();
+
+    expect_true!(is_granted_at_once(&mut replica, 3));
+    expect_false!(is_granted_at_once(&mut replica, 1));
+    expect_true!(is_granted_at_once(&mut replica, 1));
+    expect_false!(is_granted_at_once(&mut replica, 1));
+}
+
 // Guards against a candidate that is elected by what it loses in a crash.
 #[gtest]
 fn candidate_whose_log_is_not_synced_asks_for_votes_only_after_it_is() {
--- a/crates/core/src/agreement/tests/busy_processors.rs
+++ b/crates/core/src/agreement/tests/busy_processors.rs
@@ -44,3 +44,28 @@
         expect_that!(led, ge(SEEDS * RECOVERY * 9 / 10), "waits of {waits} ms");
     }
 }
+
+// Guards against replicas that split the votes of one term after another, where all that are left must agree.
+#[gtest]
+fn replicas_that_wait_for_the_processor_elect_a_leader_within_3_s_at_waits_of_200_ms() {
+    for seed in 0..SEEDS {
+        let elected = group(200, seed).run_until_led(RECOVERY);
+
+        expect_that!(elected, some((anything(), lt(3_000))), "seed {seed}");
+    }
+}
+
+// Guards against a replica that holds the others up which could be elected.
+#[gtest]
+fn replica_that_reaches_all_others_is_elected_though_those_do_not_reach_each_other() {
+    for seed in 0..SEEDS {
+        for center in 1..=3 {
+            let mut group = Group::start(&[1, 2, 3], SYNC, seed);
+            group.center = Some(center);
+
+            let elected = group.run_until_led(RECOVERY);
+
+            expect_that!(elected, some((eq(center), anything())), "seed {seed}");
+        }
+    }
+}
--- a/crates/core/src/agreement/tests/group.rs
+++ b/crates/core/src/agreement/tests/group.rs
@@ -45,6 +45,8 @@
     pub(super) sync: u64,
     /// Processes run all the time if not set.
     pub(super) slices: Option<Slices>,
+    /// If set, the others reach only this one.
+    pub(super) center: Option<ReplicaId>,
     choices: Choices,
 }
 
@@ -74,7 +76,7 @@
         let hosts = ids.iter().map(host).collect();
         let on_the_way = BTreeMap::new();
         let choices = Choices::new(seed * 77 + 1);
-        Group { hosts, on_the_way, sent: 0, now: 0, sync, slices: None, choices }
+        Group { hosts, on_the_way, sent: 0, now: 0, sync, slices: None, center: None, choices }
     }
 
     /// Runs until a leader is established or `length` ms are over; returns it and when, in ms.
@@ -105,6 +107,9 @@
             && first.key().0 <= self.now
         {
             let message = first.remove();
+            if self.center.is_some_and(|center| message.from != center && message.to != center) {
+                continue;
+            }
             if let Some(host) = self.hosts.get_mut(&message.to) {
                 host.arrived.push(message);
             }
