Time in which a daemon does not run is no silence of its leader

Why it works: time by which a tick came late, at most 200 ms after the last one, does not count. A leader that is gone is found out as soon as the daemon has run for as long as before (daemon_that_was_held_up_finds_out_that_its_leader_is_gone).

--- a/crates/core/src/node/control_client/mod.rs
+++ b/crates/core/src/node/control_client/mod.rs
@@ -32,6 +32,9 @@
 /// intervals kept requests waiting for up to 0.7 s for a leader that had lost power.
 const SCHEDULER_TIMEOUT_HALF_INTERVALS: u32 = 3;
 
+/// Longest time between two ticks of a daemon that runs. By as much as one comes later it was held up.
+const LONGEST_TICK: Duration = Duration::from_millis(200);
+
 /// The leader's scheduler, which places this daemon's requests.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct RemoteScheduler {
@@ -206,7 +209,8 @@
     pub(crate) fn next_tick(&self) -> Instant {
         let silent = self.scheduler(self.last_tick).map(|_| self.scheduler_timeout_at());
         let next = self.config_store.next_tick().into_iter().chain(silent).min();
-        next.map_or(self.next_poll, |at| at.min(self.next_poll))
+        let due = self.next_poll.min(self.last_tick.after(LONGEST_TICK));
+        next.map_or(due, |at| at.min(due))
     }
 
     /// From now on, accepted configurations come from the control replica on this VM.
@@ -262,6 +266,9 @@
     }
 
     pub(crate) fn tick(&mut self, now: Instant, out: &mut Outbox) {
+        // Time in which this daemon did not run is no silence of the leader.
+        let held_up = now.since(self.next_poll.min(self.last_tick.after(LONGEST_TICK)));
+        self.last_reply = self.last_reply.after(held_up).min(now);
         self.last_tick = now;
         self.update_freshness(now, out);
         self.answer_reads(now, out);
--- a/crates/core/src/node/tests/mod.rs
+++ b/crates/core/src/node/tests/mod.rs
@@ -6,6 +6,7 @@
 mod fleet;
 mod growth;
 mod halls;
+mod hold_ups;
 mod large_change;
 mod leaving_response;
 mod load;
