Tests of replies to copy commands, and of responses without framing, that are cut at each byte

Readers of endpoints' responses without such a test: replies to a daemon's own requests that move a stream, and responses that only their connection ends, within their head and by a reset. All are read soundly; no code changes.

--- a/crates/server/src/relay/tests/cut_responses.rs
+++ b/crates/server/src/relay/tests/cut_responses.rs
@@ -30,6 +30,8 @@
     Length,
     /// Two chunks and a trailer.
     Chunks,
+    /// Only the end of the connection ends it.
+    Connection,
 }
 
 /// Where a response is cut, and how.
@@ -50,6 +52,7 @@
             let chunks = chunk(first) + &chunk(second);
             format!("{head}transfer-encoding: chunked\r\n\r\n{chunks}0\r\nx-sum: 7\r\n\r\n")
         }
+        Framing::Connection => format!("{head}\r\n{body}"),
     }
 }
 
@@ -60,8 +63,11 @@
         let at = move |at| [End::Closed, End::Reset].map(|end| Cut { framing, at, end });
         (0..length).flat_map(at)
     };
-    let (length, chunks) = (cuts_of(Framing::Length), cuts_of(Framing::Chunks));
-    length.chain(chunks)
+    let head = respond_with(&"x".repeat(id_length), Framing::Connection, "").len();
+    // Behind its head such a response is whole wherever its connection is closed.
+    let is_cut = move |cut: &Cut| cut.at < head || matches!(cut.end, End::Reset);
+    let framed = cuts_of(Framing::Length).chain(cuts_of(Framing::Chunks));
+    framed.chain(cuts_of(Framing::Connection).filter(is_cut))
 }
 
 fn id_of(number: usize) -> String {
@@ -203,6 +209,61 @@
     tokio::select! { got = got => got, () = serving => unreachable!() }
 }
 
+/// All cuts of a reply with a length that an endpoint gives to a daemon's own request.
+fn reply_cuts(reply: &str) -> impl Iterator<Item = (usize, End)> {
+    (0..reply.len()).flat_map(|at| [(at, End::Closed), (at, End::Reset)])
+}
+
+async fn send_reply(mut response: RawResponse, reply: &str, (at, end): (usize, End)) {
+    let bytes = &reply.as_bytes()[..at];
+    match end {
+        End::Closed => response.send_bytes(bytes).await,
+        End::Reset => response.send_and_reset(bytes).await,
+    }
+}
+
+/// Moves a stream of which three events have come off its engine, which answers the final copy command with a
+/// part of a reply. Returns what the caller takes for a whole body, and whether the other engine was asked.
+async fn move_with_cut_reply(reply: &str, cut: (usize, End)) -> (Option<String>, bool) {
+    let daemon = TestDaemon::open().await;
+    let mut from = RawEndpoint::open(&daemon, "engines", "from").await;
+    let (answer, mut stream) = join!(daemon.send("/chat/", "r1"), async {
+        let mut stream = from.next_request().await;
+        let events = events_to(3);
+        let head = format!("HTTP/1.1 200 OK\r\n{ID}: r1\r\ntransfer-encoding: chunked\r\n\r\n");
+        stream.send_bytes(format!("{head}{:x}\r\n{events}\r\n", events.len()).as_bytes()).await;
+        stream
+    });
+    let mut to = daemon.register("engines", "to").await;
+    daemon.announce_leaving("from").await;
+    let serving = async {
+        send_reply(from.next_request().await, reply, (reply.len(), End::Closed)).await;
+        let last_copy = from.next_request().await;
+        stream.send_bytes(b"0\r\n\r\n").await;
+        send_reply(last_copy, reply, cut).await;
+        // Whatever is asked for again is lost.
+        loop {
+            from.next_request().await;
+        }
+    };
+    let got = tokio::select! { got = whole_body(answer) => got, () = serving => unreachable!() };
+    (got, !to.is_idle())
+}
+
+// Guards against a stream that its engine has stopped to move it, and that ends as whole as the reply was cut.
+#[gtest]
+fn stream_whose_copy_is_not_confirmed_by_a_whole_reply_is_neither_whole_nor_moved() {
+    run_test(async {
+        let reply = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nh1";
+        for cut in reply_cuts(reply) {
+            let (got, is_moved) = move_with_cut_reply(reply, cut).await;
+
+            expect_that!(got, none(), "{cut:?}");
+            expect_that!(is_moved, eq(false), "{cut:?}");
+        }
+    });
+}
+
 // Guards against an end that is taken for whole as the report of its endpoint was cut.
 #[gtest]
 fn stream_whose_endpoint_is_not_confirmed_by_a_whole_report_is_not_whole() {
