The end of a stream is judged by the run that sent it

What callers saw: a 200 whose stream ended after a part of its events, as whole, where only the end of the connection frames it.

Cause: at such an end the relay asks whether the run lives on. It looked the run up by name in what the daemon knew by then. An engine that leaves is forgotten once another run registers at its address, and a name that is not known counted as a whole end; where another run had taken the name, that one was asked, and it lived.

Evidence: unframed_responses::stream_of_a_run_whose_address_another_one_has_taken_is_not_whole and stream_of_a_run_whose_name_another_one_has_taken_is_not_whole failed before, both with the two events of four that had been sent.

Why it works: the stream keeps the run that it was opened at, across restarts and moves, and the end is whole only if that run is confirmed. One that tells no start and is not known any more is not. Failed attempts are reported for that run as well, not for the next one of its name.

--- a/crates/server/src/relay/generation.rs
+++ b/crates/server/src/relay/generation.rs
@@ -79,12 +79,12 @@
         }) => {
             let job = Rc::new(job);
             if first.is_some() {
-                relay.on_stream_begun(&job, *run);
+                relay.on_stream_begun(&job, (*run).clone());
             }
             link_load.begin();
             let (tx, rx) = mpsc::channel(MAX_BUFFERED_EVENTS);
             let response = relay.build_response(&head, edge::streamed(rx));
-            let forwarder = StreamForwarder::new(relay, job, placed, turn, event_stream, tx);
+            let forwarder = StreamForwarder::new(relay, job, placed, turn, event_stream, *run, tx);
             tokio::task::spawn_local(async move {
                 forwarder.run(first).await;
                 drop(link_load);
@@ -361,7 +361,7 @@
     let mut event_stream = EventStream::new(&open.head, open.body, relay.buffers.reservation());
     let run = Box::new(known.clone());
     let item = event_stream.next().await;
-    match relay.resolve_connection_end(item, || Some(known.clone())).await {
+    match relay.resolve_connection_end(item, known).await {
         StreamItem::Event(event) => {
             Ok(Opened::Stream { head: open.head, event_stream, first: Some(event), run })
         }
--- a/crates/server/src/relay/stream/mod.rs
+++ b/crates/server/src/relay/stream/mod.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use tokio::sync::mpsc;
 
-use trayswitch_core::error::RequestError;
+use trayswitch_core::{error::RequestError, registry::RegisteredEndpoint};
 
 use self::relocation::next_relocation_result;
 use super::{
@@ -50,6 +50,8 @@
     placed: Placed,
     turn: QuarantineTurn,
     event_stream: EventStream,
+    /// The run that sends the stream: its name and its address may be another one's when it ends.
+    run: RegisteredEndpoint,
     tx: mpsc::Sender<Result<Bytes, AnswerError>>,
     orders: mpsc::UnboundedReceiver<MoveOrder>,
     /// The relocation in progress.
@@ -74,6 +76,7 @@
         placed: Placed,
         turn: QuarantineTurn,
         event_stream: EventStream,
+        run: RegisteredEndpoint,
         tx: mpsc::Sender<Result<Bytes, AnswerError>>,
     ) -> StreamForwarder {
         let orders = placed.orders();
@@ -84,6 +87,7 @@
             placed,
             turn,
             event_stream,
+            run,
             tx,
             orders,
             relocation: None,
@@ -166,8 +170,7 @@
     }
 
     async fn handle_item(&mut self, item: StreamItem) -> Result<(), EndReason> {
-        let endpoint = || self.relay.node.view().endpoint(self.placed.endpoint());
-        match self.relay.resolve_connection_end(item, endpoint).await {
+        match self.relay.resolve_connection_end(item, &self.run).await {
             StreamItem::Event(event) => self.forward_event(event).await,
             StreamItem::End | StreamItem::ConnectionEnd if self.is_stopping() => {
                 self.on_stream_closed_during_relocation(true).await
@@ -183,21 +186,20 @@
         }
     }
 
-    /// Reports a failed attempt, if the endpoint is still known.
     async fn on_attempt_failed(&self) {
-        if let Some(endpoint) = self.relay.node.view().endpoint(self.placed.endpoint()) {
-            let events = self.events - self.events_before_restart;
-            self.relay.on_attempt_failed(&self.job, &self.turn, &endpoint, events).await;
-        }
+        let events = self.events - self.events_before_restart;
+        self.relay.on_attempt_failed(&self.job, &self.turn, &self.run, events).await;
     }
 
     /// Continues with the stream of another connection.
     async fn switch_to(
         &mut self,
         event_stream: EventStream,
+        run: RegisteredEndpoint,
         first: Option<Event>,
     ) -> Result<(), EndReason> {
         self.event_stream = event_stream;
+        self.run = run;
         match first {
             Some(event) => self.forward_event(event).await,
             None => Err(EndReason::Completed),
@@ -323,9 +325,9 @@
             "restarted a generation on another endpoint: {error}"
         );
         match opened {
-            Ok(Opened::Stream { event_stream, first, .. }) => {
+            Ok(Opened::Stream { event_stream, first, run, .. }) => {
                 self.record_continuation(Continuation::Restart, self.placed.endpoint());
-                self.switch_to(event_stream, first).await
+                self.switch_to(event_stream, *run, first).await
             }
             Ok(Opened::Failed { head, .. }) => {
                 Err(EndReason::GenerationLost(head.status.to_string()))
--- a/crates/server/src/relay/stream/relocation.rs
+++ b/crates/server/src/relay/stream/relocation.rs
@@ -157,7 +157,7 @@
                 open_on_endpoint(&self.relay, &self.job, &self.turn, endpoint, &resume_from);
             let opened = until(self.job.deadline, opened).await;
             match opened.map_err(|_| EndReason::DeadlineExceeded)? {
-                Ok(Opened::Stream { event_stream, first, .. }) => {
+                Ok(Opened::Stream { event_stream, first, run, .. }) => {
                     self.unclaimed_copy = None;
                     if endpoint != to {
                         self.placed.moved(endpoint, false);
@@ -165,7 +165,7 @@
                     if endpoint != from {
                         self.record_continuation(Continuation::Relocation, endpoint);
                     }
-                    return self.switch_to(event_stream, first).await;
+                    return self.switch_to(event_stream, *run, first).await;
                 }
                 Ok(Opened::Failed { head, .. }) => error = head.status.to_string(),
                 Err(lost) => error = format!("{lost:?}"),
--- a/crates/server/src/relay/tests/unframed_responses.rs
+++ b/crates/server/src/relay/tests/unframed_responses.rs
@@ -165,6 +165,41 @@
     });
 }
 
+/// What a caller gets of a stream of run 5 of an endpoint, which ends after another run has registered with the
+/// address, or at another address with the name, of the first one.
+async fn end_after_another_run_has_registered(takes_address: bool) -> Result<String, String> {
+    let daemon = TestDaemon::open().await;
+    let mut raw = RawEndpoint::open_run(&daemon, "e1", 5).await;
+    let body = async { text(daemon.send("/chat/", "r1").await).await };
+    let serving = async {
+        let mut response = raw.next_request().await;
+        response.send(&events_to(2)).await;
+        if takes_address {
+            let address = raw.listener.local_addr().unwrap();
+            daemon.register_run_at("engines", "e2", 6, address).await;
+            drop(response);
+            raw.report_start(6).await;
+        } else {
+            let other = RawEndpoint::open_run(&daemon, "e1", 6).await;
+            drop((response, raw));
+            other.report_start(6).await;
+        }
+    };
+    tokio::select! { body = body => body, () = serving => unreachable!() }
+}
+
+// Guards against a part of a stream that counts as whole as nothing is known of its run any more.
+#[gtest]
+fn stream_of_a_run_whose_address_another_one_has_taken_is_not_whole() {
+    expect_that!(run_test(end_after_another_run_has_registered(true)), err(anything()));
+}
+
+// Guards against a part of a stream that counts as whole as the next run of its endpoint lives.
+#[gtest]
+fn stream_of_a_run_whose_name_another_one_has_taken_is_not_whole() {
+    expect_that!(run_test(end_after_another_run_has_registered(false)), err(anything()));
+}
+
 #[gtest]
 fn stream_without_events_of_a_crashed_endpoint_is_no_answer() {
     run_test(async {
--- a/crates/server/src/relay/unframed_response.rs
+++ b/crates/server/src/relay/unframed_response.rs
@@ -45,15 +45,10 @@
     pub(super) async fn resolve_connection_end(
         self: &Rc<Self>,
         item: StreamItem,
-        endpoint: impl FnOnce() -> Option<RegisteredEndpoint>,
+        run: &RegisteredEndpoint,
     ) -> StreamItem {
         let StreamItem::ConnectionEnd = item else { return item };
-        let is_complete = match endpoint() {
-            Some(endpoint) => {
-                self.is_unframed_response_complete(&endpoint, STREAM_CLOSE_DELAY).await
-            }
-            None => true,
-        };
+        let is_complete = self.is_unframed_response_complete(run, STREAM_CLOSE_DELAY).await;
         if is_complete { StreamItem::End } else { StreamItem::Error(CRASHED.into()) }
     }
 
@@ -74,12 +69,12 @@
     /// Whether the process at an endpoint's address is the run that is known by it. Where endpoints do
     /// not tell their start, each start has a name of its own.
     async fn is_same_run(self: &Rc<Self>, endpoint: &RegisteredEndpoint) -> bool {
-        let known = self.node.view().endpoint(&endpoint.id);
-        if known.is_some_and(|known| known.started_at != endpoint.started_at) {
+        let known = self.node.view().endpoint(&endpoint.id).map(|known| known.started_at);
+        if known.is_some_and(|start| start != endpoint.started_at) {
             return false;
         }
         if endpoint.started_at == 0 {
-            return true;
+            return known.is_some();
         }
         match reported_start(self, endpoint).await {
             Ok(start) => start.is_none_or(|start| start == endpoint.started_at),
