Entries fetch no configuration that they may not activate

Cause: a daemon without a configuration asks a control VM for the whole document, and one that has not applied the last versions yet, as it was just started and has not heard what is committed, sends what it has. The daemon may not activate a version older than the first that was confirmed, and fetches all of it again: vm-20 had version 14 whole after 7.1 s, and 18 after 10.9 s.

Evidence: the log above; config_changes_tests::version_that_is_of_no_use_is_not_sent and config_store_tests::first_fetch_asks_for_no_version_older_than_the_first_confirmation (new behaviour, so neither compiled before).

Why it works: a fetch names the oldest version that is of use. A control VM that has not applied it keeps the fetch until it has, as it does for one that asks for changes that it lacks, and the daemon tries another one meanwhile. Daemons of before name none and are answered as before.

--- a/crates/core/src/node/config_changes.rs
+++ b/crates/core/src/node/config_changes.rs
@@ -179,7 +179,7 @@
         if let Some(at) = self.recent.iter().position(|recent| is_begun(&recent.encoded.id)) {
             return Some(&mut self.recent[at].encoded);
         }
-        if state.version() <= fetch.after {
+        if state.version() <= fetch.after || state.version() < fetch.at_least {
             return None;
         }
         let is_wanted = |id: &ChangeId| (id.base, id.version) == (fetch.after, state.version());
--- a/crates/core/src/node/config_changes_tests.rs
+++ b/crates/core/src/node/config_changes_tests.rs
@@ -77,7 +77,7 @@
     let mut choices = Choices::new(seed);
     let names: Vec<VmName> = (0..sources.len()).map(|n| format!("{n}").into()).collect();
     let mut out = Outbox::default();
-    let mut config_fetch = ConfigFetch::start(names[0].clone(), active_version, NOW, &mut out);
+    let mut config_fetch = ConfigFetch::start(names[0].clone(), active_version, 0, NOW, &mut out);
     for _ in 0..10_000 {
         let mut fetches = take_fetches(&mut out);
         if fetches.is_empty() || choices.below(8) == 0 {
@@ -185,7 +185,7 @@
     let first = source.answer(&Fetch { count: 1, ..Fetch::default() }).unwrap().remove(0);
     source.accept(2, 200, 1_000);
 
-    let rest = Fetch { begun: Some(first.change), first: 1, count: 1, after: 0 };
+    let rest = Fetch { begun: Some(first.change), first: 1, count: 1, ..Fetch::default() };
     let second = source.answer(&rest).unwrap().remove(0);
 
     expect_that!((second.change.version, second.number), eq((1, 1)));
@@ -197,17 +197,32 @@
     source.accept(1, 200, 1_000);
     let unknown = ChangeId { version: 7, ..ChangeId::default() };
 
-    let next_piece = Fetch { begun: Some(unknown), first: 9, count: 1, after: 0 };
+    let next_piece = Fetch { begun: Some(unknown), first: 9, count: 1, ..Fetch::default() };
     let pieces = source.answer(&next_piece).unwrap();
 
     let numbers: Vec<u64> = pieces.iter().map(|piece| piece.number).collect();
     expect_that!(numbers, eq(&vec![0, 1, 2]));
 }
 
+// Guards against a whole document that a daemon may not activate, sent by a control VM that is behind.
+#[gtest]
+fn version_that_is_of_no_use_is_not_sent() {
+    let mut source = Source::default();
+    source.accept(1, 1, 10);
+    let fetch = Fetch { count: 3, at_least: 2, ..Fetch::default() };
+
+    let behind = source.answer(&fetch);
+    source.accept(2, 1, 10);
+    let caught_up = source.answer(&fetch);
+
+    expect_that!(behind, none());
+    expect_that!(caught_up, some(not(is_empty())));
+}
+
 #[gtest]
 fn change_of_other_source_restarts_fetch() {
     let mut out = Outbox::default();
-    let mut config_fetch = ConfigFetch::start("a".into(), 1, NOW, &mut out);
+    let mut config_fetch = ConfigFetch::start("a".into(), 1, 0, NOW, &mut out);
     let piece = |version, number, last| {
         let change = ChangeId { version, ..ChangeId::default() };
         Piece { change, number, last, delta: Bytes::new() }
@@ -229,7 +244,7 @@
     let mut source = Source::default();
     source.accept(1, 1, 10);
     source.accept(2, 100, 1_000);
-    let mut config_fetch = ConfigFetch::start("a".into(), 1, NOW, &mut out);
+    let mut config_fetch = ConfigFetch::start("a".into(), 1, 0, NOW, &mut out);
 
     let first = config_fetch.timeout_at().since(NOW);
     config_fetch.switch_source("b".into(), NOW, &mut out);
--- a/crates/core/src/node/config_fetch.rs
+++ b/crates/core/src/node/config_fetch.rs
@@ -29,6 +29,8 @@
     from: VmName,
     /// Version that the change applies to; zero for a whole document.
     base: u64,
+    /// The oldest version that may be activated.
+    at_least: u64,
     /// The change being received, once a piece has arrived.
     change_id: Option<ChangeId>,
     /// Contents of the pieces received so far.
@@ -52,12 +54,20 @@
 }
 
 impl ConfigFetch {
-    /// Starts to fetch the changes since version `base`, or the whole document if that is zero.
-    pub(super) fn start(from: VmName, base: u64, now: Instant, out: &mut Outbox) -> ConfigFetch {
+    /// Starts to fetch the changes since version `base`, or the whole document if that is zero, to a version
+    /// that is no older than `at_least`.
+    pub(super) fn start(
+        from: VmName,
+        base: u64,
+        at_least: u64,
+        now: Instant,
+        out: &mut Outbox,
+    ) -> ConfigFetch {
         let (change_id, delta) = (None, Delta::default());
         let fetch = ConfigFetch {
             from,
             base,
+            at_least,
             change_id,
             delta,
             next_piece: 0,
@@ -126,7 +136,8 @@
     }
 
     fn request(&self, first: u64, count: u64, out: &mut Outbox) {
-        let fetch = Fetch { after: self.base, begun: self.change_id.clone(), first, count };
+        let begun = self.change_id.clone();
+        let fetch = Fetch { after: self.base, begun, first, count, at_least: self.at_least };
         out.send(&self.from, Body::Fetch(fetch));
     }
 }
--- a/crates/core/src/node/config_store.rs
+++ b/crates/core/src/node/config_store.rs
@@ -224,7 +224,8 @@
             return;
         }
         if let Some(source) = sources.nth_preferred(self.sources_skipped) {
-            self.fetch = Some(ConfigFetch::start(source, base, now, out));
+            let at_least = (known + 1).max(self.min_version.unwrap_or_default());
+            self.fetch = Some(ConfigFetch::start(source, base, at_least, now, out));
         }
     }
 
--- a/crates/core/src/node/config_store_tests.rs
+++ b/crates/core/src/node/config_store_tests.rs
@@ -101,6 +101,20 @@
     expect_that!(daemon.version(), eq(3));
 }
 
+#[gtest]
+fn first_fetch_asks_for_no_version_older_than_the_first_confirmation() {
+    let mut daemon = Daemon::without_configuration();
+
+    daemon.config_store.on_version_confirmed(5);
+    daemon.fetch();
+
+    let fetches = daemon.take_fetches();
+    expect_that!(
+        fetches.iter().map(|f| (f.after, f.at_least)).collect::<Vec<_>>(),
+        eq(&vec![(0, 5)])
+    );
+}
+
 #[gtest]
 fn first_config_is_not_older_than_first_confirmation() {
     let mut daemon = Daemon::without_configuration();
--- a/crates/core/src/wire/control.rs
+++ b/crates/core/src/wire/control.rs
@@ -143,6 +143,9 @@
     /// How many pieces are wanted.
     #[prost(uint64, tag = "4")]
     pub count: u64,
+    /// The oldest version that is of use. A control VM that has not applied it yet answers once it has.
+    #[prost(uint64, tag = "5")]
+    pub at_least: u64,
 }
 
 /// See [`super::Body::Piece`].
