--- a/crates/core/src/agreement/replica/election.rs
+++ b/crates/core/src/agreement/replica/election.rs
@@ -69,8 +69,8 @@
         self.send(from, Body::PreVoteReply(reply));
     }
 
-    /// Whether it asks for pre-votes itself and is to be preferred to another replica. Only the first time: the
-    /// others may not reach it.
+    /// Whether it asks for pre-votes itself and goes on rather than let another replica stand. It refuses only
+    /// the first time, since the others may not reach it.
     fn outranks(&self, other: ReplicaId, vote: PreVote) -> bool {
         let State::PreCandidate(PreCandidacy { is_first: true, .. }) = &self.state else {
             return false;
