Tests of cut responses share their ends; reports are cut with a reset too

send_cut and send_reply ended a connection alike, two iterators went through the same ends, and three tests of unframed streams built the same site.

--- a/crates/server/src/relay/tests/cut_responses.rs
+++ b/crates/server/src/relay/tests/cut_responses.rs
@@ -7,7 +7,7 @@
 use super::{
     fake_endpoint::{event, events_to},
     protocol::ID,
-    raw_endpoint::{RawEndpoint, RawResponse, report_of},
+    raw_endpoint::{End, RawEndpoint, RawResponse, report_of},
     response::text,
     test_daemon::{TestDaemon, run_test},
     test_fleet::{Network, TestFleet},
@@ -17,13 +17,6 @@
 const ANSWER: &str = "answer";
 const EVENTS: u64 = 2;
 
-/// How the connection of a cut response ends.
-#[derive(Debug, Clone, Copy)]
-enum End {
-    Closed,
-    Reset,
-}
-
 /// How a body is framed.
 #[derive(Debug, Clone, Copy)]
 enum Framing {
@@ -56,12 +49,16 @@
     }
 }
 
+/// Both ends at each byte of so many.
+fn ends_within(length: usize) -> impl Iterator<Item = (usize, End)> {
+    (0..length).flat_map(|at| [(at, End::Closed), (at, End::Reset)])
+}
+
 /// All cuts of a response with this body to a request with an id of `id_length` bytes.
 fn cuts(id_length: usize, body: &str) -> impl Iterator<Item = Cut> {
     let cuts_of = |framing| {
         let length = respond_with(&"x".repeat(id_length), framing, body).len();
-        let at = move |at| [End::Closed, End::Reset].map(|end| Cut { framing, at, end });
-        (0..length).flat_map(at)
+        ends_within(length).map(move |(at, end)| Cut { framing, at, end })
     };
     let head = respond_with(&"x".repeat(id_length), Framing::Connection, "").len();
     // Behind its head such a response is whole wherever its connection is closed.
@@ -74,13 +71,9 @@
     format!("r{number:04}")
 }
 
-async fn send_cut(mut response: RawResponse, cut: Cut, body: &str) {
+async fn send_cut(response: RawResponse, cut: Cut, body: &str) {
     let whole = respond_with(&response.id, cut.framing, body);
-    let bytes = &whole.as_bytes()[..cut.at];
-    match cut.end {
-        End::Closed => response.send_bytes(bytes).await,
-        End::Reset => response.send_and_reset(bytes).await,
-    }
+    response.send_and_end(&whole.as_bytes()[..cut.at], cut.end).await;
 }
 
 /// The body if a caller has to take the response for a whole one.
@@ -163,7 +156,7 @@
             join!(async { whole_body(daemon.send("/recap/", "first").await).await }, async {
                 let response = endpoint.next_request().await;
                 let whole = respond_with(&response.id, Framing::Chunks, &events_to(1));
-                response.send_and_reset(whole.as_bytes()).await;
+                response.send_and_end(whole.as_bytes(), End::Reset).await;
             });
         daemon.announce_leaving("e1").await;
         let mut endpoints = vec![endpoint];
@@ -199,32 +192,20 @@
 }
 
 /// Ends a stream that only its connection frames; its endpoint then answers everybody with these bytes.
-async fn end_stream_and_report(name: &str, daemon: &TestDaemon, report: &[u8]) -> Option<String> {
-    let mut endpoint = RawEndpoint::open_run(daemon, name, 67).await;
-    let got = async { whole_body(daemon.send("/chat/", name).await).await };
+async fn end_stream_and_report(report: &[u8], end: End) -> Option<String> {
+    let daemon = TestDaemon::open().await;
+    let mut endpoint = RawEndpoint::open_run(&daemon, "e1", 67).await;
+    let got = async { whole_body(daemon.send("/chat/", "r1").await).await };
     let serving = async {
         endpoint.next_request().await.send(&events_to(EVENTS)).await;
-        endpoint.answer_everybody(report).await;
+        endpoint.answer_everybody(report, end).await;
     };
     tokio::select! { got = got => got, () = serving => unreachable!() }
 }
 
-/// All cuts of a reply with a length that an endpoint gives to a daemon's own request.
-fn reply_cuts(reply: &str) -> impl Iterator<Item = (usize, End)> {
-    (0..reply.len()).flat_map(|at| [(at, End::Closed), (at, End::Reset)])
-}
-
-async fn send_reply(mut response: RawResponse, reply: &str, (at, end): (usize, End)) {
-    let bytes = &reply.as_bytes()[..at];
-    match end {
-        End::Closed => response.send_bytes(bytes).await,
-        End::Reset => response.send_and_reset(bytes).await,
-    }
-}
-
 /// Moves a stream of which three events have come off its engine, which answers the final copy command with a
 /// part of a reply. Returns what the caller takes for a whole body, and whether the other engine was asked.
-async fn move_with_cut_reply(reply: &str, cut: (usize, End)) -> (Option<String>, bool) {
+async fn move_with_cut_reply(whole: &[u8], cut: &[u8], end: End) -> (Option<String>, bool) {
     let daemon = TestDaemon::open().await;
     let mut from = RawEndpoint::open(&daemon, "engines", "from").await;
     let (answer, mut stream) = join!(daemon.send("/chat/", "r1"), async {
@@ -237,10 +218,10 @@
     let mut to = daemon.register("engines", "to").await;
     daemon.announce_leaving("from").await;
     let serving = async {
-        send_reply(from.next_request().await, reply, (reply.len(), End::Closed)).await;
+        from.next_request().await.send_and_end(whole, End::Closed).await;
         let last_copy = from.next_request().await;
         stream.send_bytes(b"0\r\n\r\n").await;
-        send_reply(last_copy, reply, cut).await;
+        last_copy.send_and_end(cut, end).await;
         // Whatever is asked for again is lost.
         loop {
             from.next_request().await;
@@ -254,12 +235,12 @@
 #[gtest]
 fn stream_whose_copy_is_not_confirmed_by_a_whole_reply_is_neither_whole_nor_moved() {
     run_test(async {
-        let reply = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nh1";
-        for cut in reply_cuts(reply) {
-            let (got, is_moved) = move_with_cut_reply(reply, cut).await;
+        let reply = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nh1";
+        for (at, end) in ends_within(reply.len()) {
+            let (got, is_moved) = move_with_cut_reply(reply, &reply[..at], end).await;
 
-            expect_that!(got, none(), "{cut:?}");
-            expect_that!(is_moved, eq(false), "{cut:?}");
+            expect_that!(got, none(), "cut at {at}, {end:?}");
+            expect_that!(is_moved, eq(false), "cut at {at}, {end:?}");
         }
     });
 }
@@ -269,14 +250,16 @@
 fn stream_whose_endpoint_is_not_confirmed_by_a_whole_report_is_not_whole() {
     run_test(async {
         let report = report_of(67);
-        for cut in 0..report.len() {
-            let daemon = TestDaemon::open().await;
-            let got = end_stream_and_report("e1", &daemon, &report.as_bytes()[..cut]).await;
+        for at in 0..report.len() {
+            let cut = &report.as_bytes()[..at];
+            let got = join!(
+                end_stream_and_report(cut, End::Closed),
+                end_stream_and_report(cut, End::Reset)
+            );
 
-            expect_that!(got, none(), "cut at {cut}");
+            expect_that!(got, eq(&(None, None)), "cut at {at}");
         }
-        let daemon = TestDaemon::open().await;
-        let got = end_stream_and_report("e1", &daemon, report.as_bytes()).await;
+        let got = end_stream_and_report(report.as_bytes(), End::Closed).await;
 
         expect_that!(got, some(eq(&events_to(EVENTS))));
     });
--- a/crates/server/src/relay/tests/raw_endpoint.rs
+++ b/crates/server/src/relay/tests/raw_endpoint.rs
@@ -1,6 +1,6 @@
 //! An endpoint whose responses are written byte by byte.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{io, net::SocketAddr, time::Duration};
 
 use socket2::SockRef;
 use tokio::{
@@ -26,6 +26,22 @@
     String::from_utf8(head).unwrap()
 }
 
+/// How a connection ends.
+#[derive(Debug, Clone, Copy)]
+pub(super) enum End {
+    Closed,
+    Reset,
+}
+
+/// Writes bytes and ends the connection.
+async fn write_and_end(mut socket: TcpStream, bytes: &[u8], end: End) -> io::Result<()> {
+    socket.write_all(bytes).await?;
+    match end {
+        End::Closed => Ok(()),
+        End::Reset => SockRef::from(&socket).set_linger(Some(Duration::ZERO)),
+    }
+}
+
 /// An endpoint that writes its responses byte by byte.
 pub(super) struct RawEndpoint {
     pub(super) listener: TcpListener,
@@ -48,16 +64,16 @@
     /// Tells everybody who asks that this process was started then.
     pub(super) async fn report_start(self, started_at: u64) {
         let report = report_of(started_at);
-        self.answer_everybody(report.as_bytes()).await;
+        self.answer_everybody(report.as_bytes(), End::Closed).await;
     }
 
-    /// Sends these bytes to everybody who asks something, and closes the connection.
-    pub(super) async fn answer_everybody(self, response: &[u8]) {
+    /// Sends these bytes to everybody who asks something, and ends the connection.
+    pub(super) async fn answer_everybody(self, response: &[u8], end: End) {
         loop {
             let (mut socket, _) = self.listener.accept().await.unwrap();
             read_head(&mut socket).await;
             // A probe may have closed its connection.
-            let _ = socket.write_all(response).await;
+            let _ = write_and_end(socket, response, end).await;
         }
     }
 
@@ -101,10 +117,9 @@
 }
 
 impl RawResponse {
-    /// Sends bytes as they are and resets the connection.
-    pub(super) async fn send_and_reset(mut self, bytes: &[u8]) {
-        self.send_bytes(bytes).await;
-        SockRef::from(&self.socket).set_linger(Some(Duration::ZERO)).unwrap();
+    /// Sends bytes as they are and ends the connection.
+    pub(super) async fn send_and_end(self, bytes: &[u8], end: End) {
+        write_and_end(self.socket, bytes, end).await.unwrap();
     }
 
     /// Sends bytes as they are.
--- a/crates/server/src/relay/tests/unframed_responses.rs
+++ b/crates/server/src/relay/tests/unframed_responses.rs
@@ -146,58 +146,54 @@
     });
 }
 
-#[gtest]
-fn stream_of_a_run_that_another_one_has_replaced_at_its_address_is_not_whole() {
-    run_test(async {
-        let daemon = TestDaemon::open().await;
-        let mut raw = RawEndpoint::open_run(&daemon, "e1", 5).await;
-
-        let body = async { text(daemon.send("/chat/", "r1").await).await };
-        let serving = async {
-            let mut response = raw.next_request().await;
-            response.send(&events_to(2)).await;
-            drop(response);
-            raw.report_start(6).await;
-        };
-        let body = tokio::select! { body = body => body, () = serving => unreachable!() };
-
-        expect_that!(body, err(anything()));
-    });
-}
-
-/// What a caller gets of a stream of run 5 of an endpoint, which ends after another run has registered with the
-/// address, or at another address with the name, of the first one.
-async fn end_after_another_run_has_registered(takes_address: bool) -> Result<String, String> {
+/// What a caller gets of a stream of run 5 of an endpoint, of which two events have come when `end` is called.
+async fn end_of_run_5(
+    end: impl AsyncFnOnce(&TestDaemon, RawEndpoint, RawResponse),
+) -> Result<String, String> {
     let daemon = TestDaemon::open().await;
     let mut raw = RawEndpoint::open_run(&daemon, "e1", 5).await;
     let body = async { text(daemon.send("/chat/", "r1").await).await };
     let serving = async {
         let mut response = raw.next_request().await;
         response.send(&events_to(2)).await;
-        if takes_address {
-            let address = raw.listener.local_addr().unwrap();
-            daemon.register_run_at("engines", "e2", 6, address).await;
-            drop(response);
-            raw.report_start(6).await;
-        } else {
-            let other = RawEndpoint::open_run(&daemon, "e1", 6).await;
-            drop((response, raw));
-            other.report_start(6).await;
-        }
+        end(&daemon, raw, response).await;
     };
     tokio::select! { body = body => body, () = serving => unreachable!() }
 }
 
+#[gtest]
+fn stream_of_a_run_that_another_one_has_replaced_at_its_address_is_not_whole() {
+    let body = run_test(end_of_run_5(async |_, raw, response| {
+        drop(response);
+        raw.report_start(6).await;
+    }));
+
+    expect_that!(body, err(anything()));
+}
+
 // Guards against a part of a stream that counts as whole as nothing is known of its run any more.
 #[gtest]
 fn stream_of_a_run_whose_address_another_one_has_taken_is_not_whole() {
-    expect_that!(run_test(end_after_another_run_has_registered(true)), err(anything()));
+    let body = run_test(end_of_run_5(async |daemon, raw, response| {
+        let address = raw.listener.local_addr().unwrap();
+        daemon.register_run_at("engines", "e2", 6, address).await;
+        drop(response);
+        raw.report_start(6).await;
+    }));
+
+    expect_that!(body, err(anything()));
 }
 
 // Guards against a part of a stream that counts as whole as the next run of its endpoint lives.
 #[gtest]
 fn stream_of_a_run_whose_name_another_one_has_taken_is_not_whole() {
-    expect_that!(run_test(end_after_another_run_has_registered(false)), err(anything()));
+    let body = run_test(end_of_run_5(async |daemon, raw, response| {
+        let other = RawEndpoint::open_run(daemon, "e1", 6).await;
+        drop((response, raw));
+        other.report_start(6).await;
+    }));
+
+    expect_that!(body, err(anything()));
 }
 
 #[gtest]
