trayswitchd: refusals and errors of ureq belong to the engine's adapter

Calls of services no longer go through ureq, so refusal and transport were used by the engine alone. One reader of the state and one name of the header serve both adapters; behaviour is the same.

--- a/crates/trayswitchd/src/endpoint/engine.rs
+++ b/crates/trayswitchd/src/endpoint/engine.rs
@@ -6,11 +6,11 @@
 use serde_json::Value;
 use trayswitch_core::delivery::{Frame, GenerationId};
 use trayswitch_http::{Event, EventError, EventReader};
-use ureq::{Agent, AgentBuilder, Response};
+use ureq::{Agent, AgentBuilder, ErrorKind, Response, Transport};
 
 use super::{
     EndpointError, Engine, Frames, Load, Reply, StartGeneration,
-    service::{refusal, transport},
+    signals::{self, NOT_RUN},
 };
 
 const CONNECT: Duration = Duration::from_secs(2);
@@ -118,7 +118,7 @@
             let events = EventReader::new(response.into_reader());
             Ok(Box::new(HttpFrames { generation, events }))
         }
-        Err(ureq::Error::Status(503, response)) if response.header("X-Not-Run").is_some() => {
+        Err(ureq::Error::Status(503, response)) if response.header(NOT_RUN).is_some() => {
             Err(refusal(&response))
         }
         Err(ureq::Error::Status(404, _)) => Err(EndpointError::Gone),
@@ -129,6 +129,21 @@
     }
 }
 
+/// The endpoint's own statement that it has not run the request.
+fn refusal(response: &Response) -> EndpointError {
+    EndpointError::RefusedNotRun { leaving: signals::read(response).is_leaving() }
+}
+
+/// Only a failure to connect proves that nothing was sent.
+fn transport(e: &Transport) -> EndpointError {
+    match e.kind() {
+        ErrorKind::ConnectionFailed | ErrorKind::Dns | ErrorKind::InvalidUrl => {
+            EndpointError::NotSent(e.to_string())
+        }
+        _ => EndpointError::Lost(e.to_string()),
+    }
+}
+
 struct HttpFrames {
     generation: GenerationId,
     events: EventReader,
--- a/crates/trayswitchd/src/endpoint/service.rs
+++ b/crates/trayswitchd/src/endpoint/service.rs
@@ -7,13 +7,14 @@
 use http_body_util::Full;
 use tokio::{task::LocalSet, time::timeout};
 use trayswitch_server::upstream::{OpenAnswer, SendError, exchange};
-use ureq::{ErrorKind, Response, Transport};
 
-use super::{EndpointError, Reply, Service, ServiceCall, WholeAnswer, signals, whole::read_whole};
+use super::{
+    EndpointError, Reply, Service, ServiceCall, WholeAnswer,
+    signals::{self, NOT_RUN},
+    whole::read_whole,
+};
 
 const CONNECT: Duration = Duration::from_secs(2);
-/// The endpoint's statement that it has not run a request.
-const NOT_RUN: &str = "X-Not-Run";
 
 /// Calls plain services over HTTP.
 ///
@@ -74,19 +75,3 @@
         SendError::Lost(e) => EndpointError::Lost(e),
     }
 }
-
-/// The endpoint's own statement that it has not run the request.
-pub(super) fn refusal(response: &Response) -> EndpointError {
-    let leaving = response.header("X-Endpoint-State") == Some("leaving");
-    EndpointError::RefusedNotRun { leaving }
-}
-
-/// Only a failure to connect proves that nothing was sent.
-pub(super) fn transport(e: &Transport) -> EndpointError {
-    match e.kind() {
-        ErrorKind::ConnectionFailed | ErrorKind::Dns | ErrorKind::InvalidUrl => {
-            EndpointError::NotSent(e.to_string())
-        }
-        _ => EndpointError::Lost(e.to_string()),
-    }
-}
--- a/crates/trayswitchd/src/endpoint/signals.rs
+++ b/crates/trayswitchd/src/endpoint/signals.rs
@@ -6,6 +6,8 @@
 use trayswitch_core::{backoff::RetryAfter, signals::EndpointSignals, throttle::RateLimit};
 use ureq::Response;
 
+/// Its statement that it has not run a request.
+pub(super) const NOT_RUN: &str = "X-Not-Run";
 /// How many requests a second it takes.
 const LIMIT: &str = "X-Request-Limit";
 /// Its state, where that is not the usual one.
