--- a/crates/core/src/node/control_client/mod.rs
+++ b/crates/core/src/node/control_client/mod.rs
@@ -209,8 +209,12 @@
     pub(crate) fn next_tick(&self) -> Instant {
         let silent = self.scheduler(self.last_tick).map(|_| self.scheduler_timeout_at());
         let next = self.config_store.next_tick().into_iter().chain(silent).min();
-        let due = self.next_poll.min(self.last_tick.after(LONGEST_TICK));
-        next.map_or(due, |at| at.min(due))
+        next.map_or(self.tick_due(), |at| at.min(self.tick_due()))
+    }
+
+    /// When this daemon ticks at the latest unless it is held up.
+    fn tick_due(&self) -> Instant {
+        self.next_poll.min(self.last_tick.after(LONGEST_TICK))
     }
 
     /// From now on, accepted configurations come from the control replica on this VM.
@@ -267,8 +271,7 @@
 
     pub(crate) fn tick(&mut self, now: Instant, out: &mut Outbox) {
         // Time in which this daemon did not run is no silence of the leader.
-        let held_up = now.since(self.next_poll.min(self.last_tick.after(LONGEST_TICK)));
-        self.last_reply = self.last_reply.after(held_up).min(now);
+        self.last_reply = self.last_reply.after(now.since(self.tick_due())).min(now);
         self.last_tick = now;
         self.update_freshness(now, out);
         self.answer_reads(now, out);
--- a/crates/server/src/relay/generation.rs
+++ b/crates/server/src/relay/generation.rs
@@ -79,7 +79,7 @@
         }) => {
             let job = Rc::new(job);
             if first.is_some() {
-                relay.on_stream_begun(&job, (*run).clone());
+                relay.on_stream_begun(&job, &run);
             }
             link_load.begin();
             let (tx, rx) = mpsc::channel(MAX_BUFFERED_EVENTS);
--- a/crates/server/src/relay/software_version.rs
+++ b/crates/server/src/relay/software_version.rs
@@ -135,12 +135,12 @@
 
     /// Binds a stream to the software version of the run that brings its first event, once that run is
     /// confirmed. Until then no endpoint may continue it.
-    pub(super) fn on_stream_begun(self: &Rc<Self>, job: &Rc<Job>, run: RegisteredEndpoint) {
+    pub(super) fn on_stream_begun(self: &Rc<Self>, job: &Rc<Job>, run: &RegisteredEndpoint) {
         if !job.has_no_version() {
             return;
         }
         job.bind_version(None);
-        *job.unconfirmed.borrow_mut() = Some(BegunAt { run, at: Instant::now() });
+        *job.unconfirmed.borrow_mut() = Some(BegunAt { run: run.clone(), at: Instant::now() });
         // Others can only be relocated, which confirms the run.
         if job.route.spec.kind.is_repeatable() {
             let (relay, job) = (self.clone(), job.clone());
