--- a/crates/core/src/agreement/tests.rs
+++ b/crates/core/src/agreement/tests.rs
@@ -169,12 +169,17 @@
     expect_that!(votes_granted(&ready.messages_after_persist), eq(1));
 }
 
-/// Makes a replica the leader of the next term by the votes of another.
-fn elect(replica: &mut Replica) -> Ready {
+/// Makes a replica a candidate of the next term by the pre-vote of another.
+fn stand(replica: &mut Replica) -> Ready {
     pass_time(replica);
     let term = replica.term();
     let granted = PreVoteReply { asked_term: term + 1, granted: true };
-    let ready = receive(replica, 3, term, message_body::Body::PreVoteReply(granted));
+    receive(replica, 3, term, message_body::Body::PreVoteReply(granted))
+}
+
+/// Makes a replica the leader of the next term by the votes of another.
+fn elect(replica: &mut Replica) -> Ready {
+    let ready = stand(replica);
     replica.persisted(ready.synced, LATER);
     let term = replica.term();
     receive(replica, 3, term, message_body::Body::VoteReply(VoteReply { granted: true }))
@@ -184,9 +189,7 @@
 fn a_candidates_own_vote_counts_only_once_it_is_synced() {
     let mut replica = with_log(2, &[1]);
     replica.take_ready();
-    pass_time(&mut replica);
-    let granted = PreVoteReply { asked_term: 2, granted: true };
-    receive(&mut replica, 3, 1, message_body::Body::PreVoteReply(granted));
+    stand(&mut replica);
 
     let vote = VoteReply { granted: true };
     receive(&mut replica, 3, 2, message_body::Body::VoteReply(vote));
@@ -199,9 +202,7 @@
 fn candidate_does_not_lead_by_the_votes_of_all_others_before_its_own_is_synced() {
     let mut replica = with_log(2, &[1]);
     replica.take_ready();
-    pass_time(&mut replica);
-    let granted = PreVoteReply { asked_term: 2, granted: true };
-    receive(&mut replica, 3, 1, message_body::Body::PreVoteReply(granted));
+    stand(&mut replica);
 
     for voter in [1, 3] {
         let vote = VoteReply { granted: true };
--- a/crates/core/src/storage/tests.rs
+++ b/crates/core/src/storage/tests.rs
@@ -335,7 +335,6 @@
     }
 }
 
-/// A record of an endpoint of this name.
 // Guards against votes and entries that rest on what a killed process has not synced.
 #[gtest]
 fn what_was_read_at_a_start_outlasts_a_loss_of_power() {
@@ -360,6 +359,7 @@
     }
 }
 
+/// A record of an endpoint of this name.
 fn endpoint(id: &str) -> EndpointRecord {
     EndpointRecord { id: id.into(), address: "10.0.0.1:80".into(), ..Default::default() }
 }
