--- a/crates/server/src/runtime/links.rs
+++ b/crates/server/src/runtime/links.rs
@@ -292,7 +292,8 @@
     let frames = FrameReader::new(read, first_bytes);
     let (tx, rx) = mpsc::channel(MAX_QUEUE);
     let (id, first) = node.links().add(vm, tx);
-    let guard = LinkGuard { vm: vm.clone(), id, node: node.clone() };
+    let reason = "no longer wanted".to_owned();
+    let guard = LinkGuard { vm: vm.clone(), id, node: node.clone(), reason };
     if first {
         log::info!(event = EventId::LinkUp.number(), peer = &**vm; "a link is up");
     } else {
@@ -304,7 +305,7 @@
         ended = read_all(frames, vm, node) => ended,
         ended = write_all(write, rx, vm, node) => ended,
     };
-    drop(guard);
+    guard.end(&ended);
     ended
 }
 
@@ -313,12 +314,27 @@
     vm: VmName,
     id: u64,
     node: NodeHandle,
+    reason: String,
+}
+
+impl LinkGuard {
+    /// Ends the link with what its log line gives as the reason.
+    fn end(mut self, ended: &Result<()>) {
+        self.reason = match ended {
+            Ok(()) => "closed by the peer".to_owned(),
+            Err(e) => format!("{e:#}"),
+        };
+    }
 }
 
 impl Drop for LinkGuard {
     fn drop(&mut self) {
         if self.node.links().remove(&self.vm, self.id) {
-            log::warn!(event = EventId::LinkDown.number(), peer = &*self.vm; "a link is down");
+            let reason = self.reason.as_str();
+            log::warn!(
+                event = EventId::LinkDown.number(), peer = &*self.vm, reason;
+                "a link is down"
+            );
             self.node.input(Input::LinkDown(self.vm.clone()));
         }
     }
