Replicas that are held up do not undo each other's elections and leads

Cause: waits that begin anew before they can end. A pre-candidate forgot the pre-votes that it had each time it asked again, before the last voter had run; a leader that had not heard a quorum for 400 ms gave its term up, though the followers only waited for their processors, and all three steps of an election had to be made again.

Pre-votes hold now for a term and a log until a leader is heard. A leader that hears no quorum is suspended: it confirms, proposes and decides nothing, and its heartbeats put no election off, so that one who is really not heard is replaced as soon as before; but it resumes in its term as soon as a quorum answers. A replica that was held up in the last 10 s expects as much of others, 2 s at most.

--- a/crates/core/src/agreement/message.rs
+++ b/crates/core/src/agreement/message.rs
@@ -195,6 +195,9 @@
     /// Round of confirmation that this message belongs to.
     #[prost(uint64, tag = "5")]
     pub round: u64,
+    /// The leader hears no quorum.
+    #[prost(bool, tag = "6")]
+    pub suspended: bool,
 }
 
 /// Answers an [`Append`] or a [`Snapshot`].
--- a/crates/core/src/agreement/replica/election.rs
+++ b/crates/core/src/agreement/replica/election.rs
@@ -7,15 +7,15 @@
         AppendReply, Entry, HardState, Noop, Payload, PreVote, PreVoteReply, ReplicaId, Vote,
         VoteReply, append_reply::Outcome, message_body::Body,
     },
-    Leadership, PreCandidacy, Replica, State,
+    Leadership, PreCandidacy, PreVotes, Replica, State,
 };
 use crate::units::Instant;
 
 impl Replica {
     pub(super) fn hears_leader(&self, now: Instant) -> bool {
         match self.state {
-            State::Leader(_) => true,
-            _ => self.heard_leader.is_some_and(|at| now.since(at) < self.timing.election),
+            State::Leader(Leadership { is_suspended, .. }) => !is_suspended,
+            _ => self.heard_leader.is_some_and(|at| now.since(at) < self.patience(now)),
         }
     }
 
@@ -24,8 +24,9 @@
         let is_first = !matches!(self.state, State::PreCandidate(_));
         let vote = PreVote { last_index: self.log.last_index(), last_term: self.log.last_term() };
         let term = self.hard_state.term + 1;
-        self.state =
-            State::PreCandidate(PreCandidacy { is_first, votes: BTreeSet::from([self.id]) });
+        self.state = State::PreCandidate(PreCandidacy { is_first });
+        let own = self.id;
+        self.current_pre_votes().from.insert(own);
         for voter in self.other_voters() {
             self.send_in_term(voter, term, Body::PreVote(vote));
         }
@@ -82,15 +83,23 @@
 
     pub(super) fn on_pre_vote_reply(&mut self, from: ReplicaId, reply: PreVoteReply, now: Instant) {
         let asked = self.hard_state.term + 1;
-        if let State::PreCandidate(candidacy) = &mut self.state
-            && reply.granted
-            && reply.asked_term == asked
-        {
-            candidacy.votes.insert(from);
+        if reply.granted && reply.asked_term == asked {
+            self.current_pre_votes().from.insert(from);
             self.count_votes(now);
         }
     }
 
+    /// The pre-votes for the next term with the present log.
+    fn current_pre_votes(&mut self) -> &mut PreVotes {
+        let term = self.hard_state.term + 1;
+        let (last_index, last_term) = (self.log.last_index(), self.log.last_term());
+        let votes = &mut self.pre_votes;
+        if (votes.term, votes.last_index, votes.last_term) != (term, last_index, last_term) {
+            *votes = PreVotes { term, last_index, last_term, from: BTreeSet::new() };
+        }
+        votes
+    }
+
     pub(super) fn on_vote(&mut self, from: ReplicaId, vote: Vote, now: Instant) {
         let free = self.hard_state.voted_for.is_none_or(|voted| voted == from);
         let follows = matches!(self.state, State::Follower);
@@ -121,7 +130,7 @@
         let has_own_vote = |votes: &BTreeSet<ReplicaId>| votes.contains(&self.id);
         if self.votes.as_ref().is_some_and(|votes| has_own_vote(votes) && is_quorum(votes)) {
             self.lead(now);
-        } else if matches!(&self.state, State::PreCandidate(c) if is_quorum(&c.votes)) {
+        } else if matches!(self.state, State::PreCandidate(_)) && is_quorum(&self.pre_votes.from) {
             self.campaign(false, now);
         }
     }
--- a/crates/core/src/agreement/replica/follower.rs
+++ b/crates/core/src/agreement/replica/follower.rs
@@ -4,22 +4,36 @@
     super::message::{
         Append, AppendReply, ReplicaId, Snapshot, append_reply::Outcome, message_body::Body,
     },
-    Replica, State,
+    PreVotes, Replica, State,
 };
 use crate::units::Instant;
 
 impl Replica {
     pub(super) fn follow(&mut self, leader: ReplicaId, now: Instant) {
+        self.pre_votes = PreVotes::default();
         if !matches!(self.state, State::Follower) {
             self.become_follower(self.hard_state.term, Some(leader), now);
         }
         self.leader = Some(leader);
         self.heard_leader = Some(now);
         self.reset_election(now);
+        let patience = self.patience(now) - self.timing.election;
+        self.election_due = self.election_due.after(patience);
+    }
+
+    /// Takes entries of a leader that hears no quorum: that is no reason to put an election off.
+    fn obey(&mut self, leader: ReplicaId, now: Instant) {
+        if matches!(self.state, State::Candidate) {
+            self.become_follower(self.hard_state.term, Some(leader), now);
+        }
     }
 
     pub(super) fn on_append(&mut self, from: ReplicaId, append: Append, now: Instant) {
-        self.follow(from, now);
+        if append.suspended {
+            self.obey(from, now);
+        } else {
+            self.follow(from, now);
+        }
         let round = append.round;
         let outcome = self.take_entries(append);
         if self.awaits_disk() {
--- a/crates/core/src/agreement/replica/leader.rs
+++ b/crates/core/src/agreement/replica/leader.rs
@@ -58,7 +58,7 @@
 
     pub(super) fn tick_leader(&mut self, now: Instant) {
         if !self.quorum_heard(now) {
-            return self.become_follower(self.hard_state.term, None, now);
+            self.suspend(now);
         }
         let State::Leader(leadership) = &mut self.state else { return };
         if leadership.hand_over.as_ref().is_some_and(|h| h.until <= now) {
@@ -69,15 +69,38 @@
         }
     }
 
+    /// Stops to act as the leader, as another replica may have been elected, but goes on asking its followers:
+    /// one that was held up answers once it runs, and no election is needed then.
+    fn suspend(&mut self, now: Instant) {
+        let State::Leader(leadership) = &mut self.state else { return };
+        if std::mem::replace(&mut leadership.is_suspended, true) {
+            return;
+        }
+        let reads = std::mem::take(&mut leadership.reads);
+        leadership.hand_over = None;
+        self.ready.failed_reads.extend(reads.iter().map(|read| read.token));
+        self.leader = None;
+        self.election_due = now;
+    }
+
+    fn resume_if_heard(&mut self, now: Instant) {
+        if self.election_due <= now && self.quorum_heard(now) && self.resume() {
+            self.start_round(now);
+        }
+    }
+
+    fn resume(&mut self) -> bool {
+        let State::Leader(leadership) = &mut self.state else { return false };
+        self.leader = Some(self.id);
+        std::mem::replace(&mut leadership.is_suspended, false)
+    }
+
     pub(super) fn quorum_heard(&self, now: Instant) -> bool {
         let State::Leader(leadership) = &self.state else { return false };
         let membership = self.log.membership();
         let heard = |id: &ReplicaId| {
             *id == self.id
-                || leadership
-                    .peers
-                    .get(id)
-                    .is_some_and(|p| now.since(p.heard) < self.timing.election)
+                || leadership.peers.get(id).is_some_and(|p| now.since(p.heard) < self.patience(now))
         };
         membership.quorum() <= membership.voters().filter(heard).count()
     }
@@ -124,7 +147,7 @@
     /// Sends what the peer lacks; a heartbeat is sent even when it lacks nothing.
     pub(super) fn send_entries(&mut self, peer: ReplicaId, heartbeat: bool, now: Instant) {
         let State::Leader(leadership) = &mut self.state else { return };
-        let round = leadership.round;
+        let (round, suspended) = (leadership.round, leadership.is_suspended);
         let Some(progress) = leadership.peers.get_mut(&peer) else { return };
         let mut prev_index = progress.next - 1;
         let mut prev_term = self.log.term_at(prev_index);
@@ -148,7 +171,7 @@
         progress.next = prev_index + 1 + entries.len() as u64;
         let prev_term = prev_term.unwrap_or(0);
         let commit = self.commit;
-        let append = Append { prev_index, prev_term, entries, commit, round };
+        let append = Append { prev_index, prev_term, entries, commit, round, suspended };
         self.send(peer, Body::Append(append));
     }
 
@@ -180,6 +203,7 @@
             }
             None => {}
         }
+        self.resume_if_heard(now);
         self.advance_commit(now);
         self.confirm_reads(now);
         self.advance_hand_over();
--- a/crates/core/src/agreement/replica/mod.rs
+++ b/crates/core/src/agreement/replica/mod.rs
@@ -20,6 +20,11 @@
 };
 use crate::units::{Instant, UnixMillis};
 
+/// Longest hold-up that others are expected to have as well; one that is longer is no matter of shared processors.
+const LONGEST_HOLD_UP: Duration = Duration::from_secs(2);
+/// How long a hold-up counts.
+const HOLD_UP_MEMORY: Duration = Duration::from_secs(10);
+
 /// What a replica is at the moment.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Role {
@@ -31,6 +36,8 @@
     Candidate,
     /// It leads.
     Leader,
+    /// It leads its term, but does not hear a quorum; until it does it acts as if it did not lead.
+    Suspended,
 }
 
 /// Why a proposal was not taken.
@@ -68,13 +75,24 @@
     reads: Vec<PendingRead>,
     hand_over: Option<HandOver>,
     next_heartbeat: Instant,
+    /// Set while no quorum is heard.
+    is_suspended: bool,
 }
 
 #[derive(Debug)]
 struct PreCandidacy {
     /// Whether it has not asked before since it last followed.
     is_first: bool,
-    votes: BTreeSet<ReplicaId>,
+}
+
+/// The pre-votes that were granted for a term and a log. They hold until one of these changes or a leader is
+/// heard, however often they are asked for.
+#[derive(Debug, Default)]
+struct PreVotes {
+    term: u64,
+    last_index: u64,
+    last_term: u64,
+    from: BTreeSet<ReplicaId>,
 }
 
 #[derive(Debug)]
@@ -102,10 +120,13 @@
     election_due: Instant,
     /// When it is to be ticked at the latest; it was held up if that came later.
     look_due: Instant,
+    /// The longest of its latest hold-ups, and when that ended.
+    hold_up: Option<(Duration, Instant)>,
     state: State,
     /// Votes of the current term, if this replica has asked for them. They count until the term ends,
     /// also while it asks whether it could win the next one.
     votes: Option<BTreeSet<ReplicaId>>,
+    pre_votes: PreVotes,
     /// Number of the last write that was handed out, and of the last one that is synced.
     last_write: u64,
     synced_write: u64,
@@ -136,8 +157,10 @@
             heard_leader: None,
             election_due: now,
             look_due: now.after(timing.heartbeat),
+            hold_up: None,
             state: State::Follower,
             votes: None,
+            pre_votes: PreVotes::default(),
             last_write: 0,
             synced_write: 0,
             rng: seed ^ id,
@@ -174,10 +197,11 @@
 
     /// Its role.
     pub fn role(&self) -> Role {
-        match self.state {
+        match &self.state {
             State::Follower => Role::Follower,
             State::PreCandidate(_) => Role::PreCandidate,
             State::Candidate => Role::Candidate,
+            State::Leader(leadership) if leadership.is_suspended => Role::Suspended,
             State::Leader(_) => Role::Leader,
         }
     }
@@ -227,7 +251,7 @@
 
     /// Whether it leads and has committed an entry of its own term.
     pub fn is_established(&self) -> bool {
-        matches!(&self.state, State::Leader(l) if l.opened_at <= self.commit)
+        matches!(&self.state, State::Leader(l) if !l.is_suspended && l.opened_at <= self.commit)
     }
 
     /// The next time at which [`Replica::tick`] has something to do.
@@ -261,6 +285,12 @@
         if held_up.is_zero() {
             return;
         }
+        if self
+            .hold_up
+            .is_none_or(|(longest, at)| longest <= held_up || HOLD_UP_MEMORY < now.since(at))
+        {
+            self.hold_up = Some((held_up, now));
+        }
         self.heard_leader = self.heard_leader.map(|at| at.after(held_up));
         if self.election_due != Instant::default() {
             self.election_due = self.election_due.after(held_up);
@@ -273,6 +303,14 @@
         }
     }
 
+    /// How long others may be silent. A replica that was held up a moment ago shares its processor, and those
+    /// that it waits for may be held up for as long.
+    fn patience(&self, now: Instant) -> Duration {
+        let held_up = self.hold_up.filter(|(_, at)| now.since(*at) <= HOLD_UP_MEMORY);
+        self.timing.election
+            + held_up.map_or(Duration::ZERO, |(longest, _)| longest.min(LONGEST_HOLD_UP))
+    }
+
     /// Whether a write is not synced yet. Its votes would wait for it as well.
     fn awaits_disk(&self) -> bool {
         self.synced_write < self.last_write || !self.ready.persist.is_empty()
@@ -288,6 +326,9 @@
         let State::Leader(leadership) = &self.state else {
             return Err(ProposeError::NotLeader(self.leader));
         };
+        if leadership.is_suspended {
+            return Err(ProposeError::NotLeader(None));
+        }
         if leadership.hand_over.is_some() {
             return Err(ProposeError::HandingOver);
         }
--- a/crates/core/src/agreement/tests.rs
+++ b/crates/core/src/agreement/tests.rs
@@ -291,7 +291,14 @@
 fn a_follower_commits_no_further_than_it_agrees_with_the_leader() {
     let mut replica = with_log(2, &[1, 2, 2]);
     replica.take_ready();
-    let append = Append { prev_index: 1, prev_term: 1, entries: vec![], commit: 3, round: 1 };
+    let append = Append {
+        prev_index: 1,
+        prev_term: 1,
+        entries: vec![],
+        commit: 3,
+        round: 1,
+        ..Append::default()
+    };
 
     receive(&mut replica, 1, 4, message_body::Body::Append(append));
 
--- a/crates/core/src/agreement/tests/busy_processors.rs
+++ b/crates/core/src/agreement/tests/busy_processors.rs
@@ -3,6 +3,7 @@
 use googletest::prelude::*;
 
 use super::group::{Group, RECOVERY, Slices};
+use crate::agreement::ReplicaId;
 
 const SYNC: u64 = 5;
 const SEEDS: u64 = 40;
@@ -69,3 +70,58 @@
         }
     }
 }
+
+/// Processes that wait for up to `waits` ms and run for up to a quarter of that: a fifth of a processor each.
+fn crowded(ids: &[ReplicaId], waits: u64, seed: u64) -> Group {
+    let mut group = Group::start(ids, SYNC, seed);
+    group.slices = Some(Slices { runs: waits / 4, waits });
+    group
+}
+
+// Guards against elections that begin anew before the last voter has had its processor.
+#[gtest]
+fn voters_on_a_fifth_of_a_processor_elect_a_leader_in_time() {
+    for (waits, bound) in [(1_000, 8_000), (2_000, RECOVERY)] {
+        for ids in [&[1, 2, 3][..], &[1, 2, 3, 4, 5]] {
+            let late =
+                (0..100).filter(|seed| crowded(ids, waits, *seed).run_until_led(bound).is_none());
+
+            expect_that!(late.count(), le(1), "waits of {waits} ms, {} voters", ids.len());
+        }
+    }
+}
+
+// Guards against leaders that give their term up as their followers wait for a processor.
+#[gtest]
+fn leader_on_a_fifth_of_a_processor_confirms_reads() {
+    /// Time without a confirmed read after which daemons refuse requests, and that of an answer on its way.
+    const FRESH: u64 = 5_000;
+    for (waits, share) in [(1_000, 95), (2_000, 80)] {
+        for ids in [&[1, 2, 3][..], &[1, 2, 3, 4, 5]] {
+            let mut fresh = 0;
+            for seed in 0..SEEDS {
+                let mut group = crowded(ids, waits, seed);
+                group.run_until_led(2 * RECOVERY);
+                fresh += group.run_with_reads(RECOVERY, FRESH);
+            }
+
+            let least = SEEDS * RECOVERY * share / 100;
+            expect_that!(fresh, ge(least), "waits of {waits} ms, {} voters", ids.len());
+        }
+    }
+}
+
+// Guards against a leader that keeps its term although it hears nobody.
+#[gtest]
+fn leader_that_hears_nobody_is_replaced_at_once_and_confirms_nothing() {
+    for seed in 0..SEEDS {
+        let mut group = Group::start(&[1, 2, 3, 4, 5], SYNC, seed);
+        let (deaf, _) = group.run_until_led(RECOVERY).unwrap();
+        group.deaf = Some(deaf);
+        let cut_at = group.run_until(2_000, |group| group.leader().is_none()).unwrap();
+
+        let elected = group.run_until_led(RECOVERY);
+
+        expect_that!(elected, some((not(eq(deaf)), lt(cut_at + 1_500))), "seed {seed}");
+    }
+}
--- a/crates/core/src/agreement/tests/group.rs
+++ b/crates/core/src/agreement/tests/group.rs
@@ -47,7 +47,11 @@
     pub(super) slices: Option<Slices>,
     /// If set, the others reach only this one.
     pub(super) center: Option<ReplicaId>,
+    /// If set, this one hears nobody.
+    pub(super) deaf: Option<ReplicaId>,
     choices: Choices,
+    /// When the latest read that was confirmed was asked for.
+    confirmed: u64,
 }
 
 impl Group {
@@ -76,16 +80,33 @@
         let hosts = ids.iter().map(host).collect();
         let on_the_way = BTreeMap::new();
         let choices = Choices::new(seed * 77 + 1);
-        Group { hosts, on_the_way, sent: 0, now: 0, sync, slices: None, center: None, choices }
+        Group {
+            hosts,
+            on_the_way,
+            sent: 0,
+            now: 0,
+            sync,
+            slices: None,
+            center: None,
+            deaf: None,
+            choices,
+            confirmed: 0,
+        }
     }
 
     /// Runs until a leader is established or `length` ms are over; returns it and when, in ms.
     pub(super) fn run_until_led(&mut self, length: u64) -> Option<(ReplicaId, u64)> {
+        let at = self.run_until(length, |group| group.leader().is_some())?;
+        Some((self.leader()?, at))
+    }
+
+    /// Runs until this holds or `length` ms are over; returns when, in ms.
+    pub(super) fn run_until(&mut self, length: u64, holds: impl Fn(&Group) -> bool) -> Option<u64> {
         let until = self.now + length;
         while self.now < until {
             self.step();
-            if let Some(leader) = self.leader() {
-                return Some((leader, self.now));
+            if holds(self) {
+                return Some(self.now);
             }
         }
         None
@@ -107,7 +128,8 @@
             && first.key().0 <= self.now
         {
             let message = first.remove();
-            if self.center.is_some_and(|center| message.from != center && message.to != center) {
+            let is_apart = |center| message.from != center && message.to != center;
+            if self.center.is_some_and(is_apart) || self.deaf == Some(message.to) {
                 continue;
             }
             if let Some(host) = self.hosts.get_mut(&message.to) {
@@ -149,6 +171,25 @@
         self.with(id, |replica, now| replica.tick(now));
     }
 
+    /// Runs for `length` ms, and asks the leader for a read every 100 ms while it has the processor. Returns for
+    /// how many of them the latest confirmed read was not older than `fresh` ms.
+    pub(super) fn run_with_reads(&mut self, length: u64, fresh: u64) -> u64 {
+        self.confirmed = self.now;
+        let mut count = 0;
+        for n in 0..length {
+            self.step();
+            let token = self.now;
+            if n % 100 == 0
+                && let Some(id) = self.leader()
+                && self.runs(id)
+            {
+                self.with(id, |replica, now| replica.read(token, now));
+            }
+            count += u64::from(self.now - self.confirmed < fresh);
+        }
+        count
+    }
+
     pub(super) fn propose(&mut self, id: ReplicaId) {
         let payload = Payload::Command(bytes::Bytes::from_static(b"x"));
         self.with(id, |replica, now| {
@@ -162,6 +203,9 @@
         run(&mut host.replica, now);
         let mut ready = host.replica.take_ready();
         let messages = std::mem::take(&mut ready.messages);
+        for read in &ready.reads {
+            self.confirmed = self.confirmed.max(read.token);
+        }
         host.queued.push(ready);
         self.send(messages);
         self.write_next(id);
--- a/crates/server/src/runtime/sight.rs
+++ b/crates/server/src/runtime/sight.rs
@@ -54,6 +54,7 @@
         Role::Candidate => "candidate",
         Role::PreCandidate => "pre-candidate",
         Role::Follower => "follower",
+        Role::Suspended => "suspended",
     };
     log::info!(
         event = EventId::RoleChanged.number(), role = name, term = role.term,
