A silent link stays open while another one is dialed

A process that waits for its processor keeps its connections, and reads on when it runs.

After 2 s of silence the node is told that the link is down, and it is dialed anew, as before; but it stays open for 6 s, sends what is to be sent, and is up again with the first message. A handshake has 6 s; after one second another connection is tried beside it. The former link ends once the new one is up.

--- a/crates/server/src/runtime/frames.rs
+++ b/crates/server/src/runtime/frames.rs
@@ -12,6 +12,16 @@
 use tokio_util::codec::Decoder;
 use trayswitch_core::wire::{Envelope, FrameCodec};
 
+/// What comes next on a link.
+#[derive(Debug, PartialEq)]
+pub(super) enum Next {
+    Frame(Envelope),
+    /// The peer has closed the link.
+    Closed,
+    /// No byte came for as long as the silence. What came before is kept, so that reading may go on.
+    Silent,
+}
+
 /// Reads frames.
 pub(super) struct FrameReader<R> {
     read: R,
@@ -25,16 +35,16 @@
         FrameReader { read, buf: first, codec: FrameCodec::default() }
     }
 
-    /// The next frame; `None` when the peer has closed the link. Fails when no byte came for
-    /// as long as `silence`.
-    pub(super) async fn next(&mut self, silence: Duration) -> Result<Option<Envelope>> {
+    /// The next frame, unless the peer closes the link or is silent before it is whole.
+    pub(super) async fn next(&mut self, silence: Duration) -> Result<Next> {
         loop {
             if let Some(envelope) = self.codec.decode(&mut self.buf)? {
-                return Ok(Some(envelope));
+                return Ok(Next::Frame(envelope));
             }
-            let read = timeout(silence, self.read.read_buf(&mut self.buf)).await;
-            if read.wrap_err("the peer is silent")?? == 0 {
-                return Ok(None);
+            match timeout(silence, self.read.read_buf(&mut self.buf)).await {
+                Ok(Ok(0)) => return Ok(Next::Closed),
+                Ok(read) => drop(read?),
+                Err(_) => return Ok(Next::Silent),
             }
         }
     }
--- a/crates/server/src/runtime/links.rs
+++ b/crates/server/src/runtime/links.rs
@@ -10,49 +10,53 @@
     time::{Duration, Instant},
 };
 
-use bytes::{Bytes, BytesMut};
+use bytes::BytesMut;
 use eyre::{Result, WrapErr, bail, eyre};
-use futures_util::StreamExt;
-use prost::Message;
+use futures_util::{StreamExt, stream::FuturesUnordered};
 use tokio::{
     io::AsyncWriteExt,
     net::{
         TcpStream,
         tcp::{OwnedReadHalf, OwnedWriteHalf},
     },
-    sync::mpsc,
+    sync::{mpsc, oneshot},
+    task::JoinSet,
     time::timeout,
 };
-use tokio_util::codec::{Encoder, Framed, LengthDelimitedCodec};
+use tokio_util::codec::Encoder;
 use trayswitch_core::{
     node::{Input, VmName},
-    wire::{Body, Envelope, FrameCodec, Handshake, Hello, Proof},
+    wire::{Body, Envelope, FrameCodec},
 };
 
 use super::{
     NodeHandle,
-    frames::{self, FrameReader},
+    frames::{self, FrameReader, Next},
+    handshake::{Peer, shake_hands},
     sight,
 };
 use crate::{telemetry::EventId, upstream::socket};
 
-/// A link is dropped after this silence: four empty messages.
+/// After this silence, four empty messages, a link counts as down and is dialed anew. It stays open meanwhile:
+/// a peer that waits for its processor goes on where it was.
 const SILENCE: Duration = Duration::from_millis(2_000);
+/// A link is closed after so many silences in a row.
+const MAX_SILENCES: u32 = 3;
 /// An idle link carries an empty message this often.
 const KEEP_ALIVE: Duration = Duration::from_millis(500);
 /// Time for connecting: many round trips inside a region. A VM without power answers nothing,
 /// and one that has just come back is found by the next attempt.
 const CONNECT: Duration = Duration::from_millis(200);
-/// Time for proving the key.
-const HANDSHAKE: Duration = Duration::from_millis(1_000);
+/// A connection on which the key is not proved by then is dialed once more beside it.
+const REDIAL_BESIDE: Duration = Duration::from_millis(1_000);
+/// Time for proving the key: both sides may wait for their processors more than once.
+const HANDSHAKE: Duration = Duration::from_millis(6_000);
 /// Pause before a link is dialed again, spread evenly up to twice this.
 const REDIAL: Duration = Duration::from_millis(100);
 /// Messages that may wait for a slow peer; more are lost, as on a broken link.
 const MAX_QUEUE: usize = 4_096;
 /// Bytes that one write may gather.
 const MAX_WRITE: usize = 64 * 1024;
-/// Largest frame before the peer has proved its key.
-const MAX_HANDSHAKE_FRAME: usize = 1024;
 
 /// How the address of a control VM follows from its name.
 #[derive(Debug, Clone, Copy)]
@@ -74,6 +78,14 @@
 struct Link {
     id: u64,
     tx: mpsc::Sender<Waiting>,
+    is_silent: bool,
+}
+
+/// Whether anything is heard of a VM, before and after a change of its links.
+#[derive(Debug, Clone, Copy)]
+struct Heard {
+    before: bool,
+    after: bool,
 }
 
 /// The links that are up, by VM, and the VMs that are dialed.
@@ -98,10 +110,12 @@
         }
     }
 
-    /// Sends on the newest link; what cannot be queued is lost.
+    /// Sends on the newest link that is not silent, or else on the newest; what cannot be queued is lost.
     pub(super) fn send(&self, vm: &VmName, body: Body) {
         let up = self.up.borrow();
-        let Some(link) = up.get(vm).and_then(|links| links.last()) else { return };
+        let Some(links) = up.get(vm) else { return };
+        let heard = links.iter().rfind(|link| !link.is_silent);
+        let Some(link) = heard.or(links.last()) else { return };
         let waiting = Waiting { body, since: Instant::now() };
         if link.tx.try_send(waiting).is_err() {
             log::warn!(
@@ -111,25 +125,45 @@
         }
     }
 
-    fn add(&self, vm: &VmName, tx: mpsc::Sender<Waiting>) -> (u64, bool) {
+    /// This VM's name.
+    pub(super) fn vm(&self) -> &VmName {
+        &self.vm
+    }
+
+    /// The daemons' key.
+    pub(super) fn key(&self) -> &[u8] {
+        &self.key
+    }
+
+    fn add(&self, vm: &VmName, tx: mpsc::Sender<Waiting>) -> (u64, Heard) {
         self.next.set(self.next.get() + 1);
         let id = self.next.get();
-        let mut up = self.up.borrow_mut();
-        let links = up.entry(vm.clone()).or_default();
-        links.push(Link { id, tx });
-        (id, links.len() == 1)
+        (id, self.change(vm, |links| links.push(Link { id, tx, is_silent: false })))
+    }
+
+    fn remove(&self, vm: &VmName, id: u64) -> Heard {
+        self.change(vm, |links| links.retain(|link| link.id != id))
     }
 
-    /// Removes a link; returns whether it was the last one.
-    fn remove(&self, vm: &VmName, id: u64) -> bool {
+    fn set_silent(&self, vm: &VmName, id: u64, is_silent: bool) -> Heard {
+        self.change(vm, |links| {
+            if let Some(link) = links.iter_mut().find(|link| link.id == id) {
+                link.is_silent = is_silent;
+            }
+        })
+    }
+
+    fn change(&self, vm: &VmName, change: impl FnOnce(&mut Vec<Link>)) -> Heard {
         let mut up = self.up.borrow_mut();
-        let Some(links) = up.get_mut(vm) else { return false };
-        links.retain(|link| link.id != id);
-        let last = links.is_empty();
-        if last {
+        let links = up.entry(vm.clone()).or_default();
+        let is_heard = |links: &[Link]| links.iter().any(|link| !link.is_silent);
+        let before = is_heard(links);
+        change(links);
+        let heard = Heard { before, after: is_heard(links) };
+        if links.is_empty() {
             up.remove(vm);
         }
-        last
+        heard
     }
 }
 
@@ -177,180 +211,186 @@
     }
 }
 
+/// Dials a VM whenever its newest link has ended or gone silent.
 async fn keep(vm: VmName, node: NodeHandle) {
+    let mut running = JoinSet::new();
+    let mut former = None;
     loop {
-        if let Err(e) = connect(&vm, &node).await {
-            log::debug!(peer = &*vm; "link ended: {e:#}");
+        let peer = dial_until_up(&vm, &node).await;
+        let (link, lost) = RunningLink::open(&vm, &node);
+        let id = link.id;
+        running.spawn_local(run(peer, link));
+        if let Some(former) = former.replace(id) {
+            // It sends nothing more, and ends once the peer has read what was sent.
+            node.links().remove(&vm, former);
         }
-        let spread = fastrand::u64(0..=REDIAL.as_millis() as u64);
-        tokio::time::sleep(REDIAL + Duration::from_millis(spread)).await;
+        // The sender is dropped.
+        let _ = lost.await;
+        while running.try_join_next().is_some() {}
+        pause_before_redial().await;
     }
 }
 
-async fn connect(vm: &VmName, node: &NodeHandle) -> Result<()> {
-    let links = node.links();
-    let address = links.peers.address(vm).ok_or_else(|| eyre!("\"{vm}\" is not an IP number"))?;
-    let socket = timeout(CONNECT, socket::connect(address)).await.wrap_err("connecting")??;
-    let peer = timeout(HANDSHAKE, shake_hands(socket, node, true)).await??;
-    if peer.vm != *vm {
-        bail!("{address} is {}, not {vm}", peer.vm);
-    }
-    run(peer, node).await
+async fn pause_before_redial() {
+    let spread = fastrand::u64(0..=REDIAL.as_millis() as u64);
+    tokio::time::sleep(REDIAL + Duration::from_millis(spread)).await;
 }
 
-async fn take(socket: TcpStream, node: &NodeHandle) -> Result<()> {
-    socket::tune(&socket)?;
-    let peer = timeout(HANDSHAKE, shake_hands(socket, node, false)).await??;
-    run(peer, node).await
-}
-
-/// A peer that has proved the key.
-struct Peer {
-    vm: VmName,
-    socket: TcpStream,
-    /// What it sent right behind its proof.
-    read: BytesMut,
-}
-
-/// Proves the key in both directions on a connection that then carries another protocol. The side
-/// that was dialed proves it last, so that the other one sends nothing before it is known.
-pub(super) async fn authenticate(
-    socket: TcpStream,
-    node: &NodeHandle,
-    dialed: bool,
-) -> Result<TcpStream> {
-    let authenticated = async {
-        let links = node.links();
-        let (handshake, mut frames) = begin_handshake(socket, links, dialed)?;
-        send(&mut frames, handshake.hello()).await?;
-        let hello: Hello = receive(&mut frames).await?;
-        let proof = handshake.proof(&hello)?;
-        if dialed {
-            send(&mut frames, &proof).await?;
-        }
-        handshake.check(&hello, &receive(&mut frames).await?)?;
-        if !dialed {
-            send(&mut frames, &proof).await?;
+/// Connects to a VM and proves the key, again and again until it has worked. An attempt that takes long goes on
+/// beside the next one.
+async fn dial_until_up(vm: &VmName, node: &NodeHandle) -> Peer {
+    let mut attempts = FuturesUnordered::new();
+    loop {
+        attempts.push(connect(vm, node));
+        let next_attempt = tokio::time::sleep(REDIAL_BESIDE);
+        tokio::pin!(next_attempt);
+        while !attempts.is_empty() {
+            tokio::select! {
+                biased;
+                Some(connected) = attempts.next() => match connected {
+                    Ok(peer) => return peer,
+                    Err(e) => log::debug!(peer = &**vm; "no link: {e:#}"),
+                },
+                () = &mut next_attempt => break,
+            }
         }
-        let parts = frames.into_parts();
-        if !parts.read_buf.is_empty() {
-            bail!("{} has sent data before the handshake was complete", hello.vm);
+        if attempts.is_empty() {
+            pause_before_redial().await;
         }
-        Ok(parts.io)
-    };
-    timeout(HANDSHAKE, authenticated).await.wrap_err("no handshake in time")?
-}
-
-fn begin_handshake(
-    socket: TcpStream,
-    links: &Links,
-    dialed: bool,
-) -> Result<(Handshake<'_>, HandshakeFrames)> {
-    let mut nonce = [0; 16];
-    getrandom::fill(&mut nonce).map_err(|e| eyre!("no random numbers: {e}"))?;
-    let handshake = Handshake::new(&links.key, &links.vm, nonce, dialed);
-    let codec = LengthDelimitedCodec::builder().max_frame_length(MAX_HANDSHAKE_FRAME).new_codec();
-    Ok((handshake, Framed::new(socket, codec)))
+    }
 }
 
-/// Proves the key in both directions and returns the peer's name.
-async fn shake_hands(socket: TcpStream, node: &NodeHandle, dialed: bool) -> Result<Peer> {
-    let links = node.links();
-    let (handshake, mut frames) = begin_handshake(socket, links, dialed)?;
-    send(&mut frames, handshake.hello()).await?;
-    let hello: Hello = receive(&mut frames).await?;
-    let proof = handshake.proof(&hello)?;
-    send(&mut frames, &proof).await?;
-    let proof: Proof = receive(&mut frames).await?;
-    handshake.check(&hello, &proof)?;
-    if *hello.vm == *links.vm {
-        bail!("the peer has the same name as this VM, {}", hello.vm);
+async fn connect(vm: &VmName, node: &NodeHandle) -> Result<Peer> {
+    let address =
+        node.links().peers.address(vm).ok_or_else(|| eyre!("\"{vm}\" is not an IP number"))?;
+    let socket = timeout(CONNECT, socket::connect(address)).await.wrap_err("connecting")??;
+    let peer = timeout(HANDSHAKE, shake_hands(socket, node, true)).await.wrap_err("no proof")??;
+    if peer.vm != *vm {
+        bail!("{address} is {}, not {vm}", peer.vm);
     }
-    let parts = frames.into_parts();
-    Ok(Peer { vm: hello.vm.into(), socket: parts.io, read: parts.read_buf })
+    Ok(peer)
 }
 
-type HandshakeFrames = Framed<TcpStream, LengthDelimitedCodec>;
-
-async fn send(frames: &mut HandshakeFrames, message: &impl Message) -> Result<()> {
-    let mut buf = BytesMut::new();
-    frames.codec_mut().encode(Bytes::from(message.encode_to_vec()), &mut buf)?;
-    frames.get_mut().write_all(&buf).await?;
+async fn take(socket: TcpStream, node: &NodeHandle) -> Result<()> {
+    socket::tune(&socket)?;
+    let peer =
+        timeout(HANDSHAKE, shake_hands(socket, node, false)).await.wrap_err("no proof")??;
+    let (link, _lost) = RunningLink::open(&peer.vm, node);
+    run(peer, link).await;
     Ok(())
 }
 
-async fn receive<T: Message + Default>(frames: &mut HandshakeFrames) -> Result<T> {
-    let frame = frames.next().await.ok_or_else(|| eyre!("the peer ended the handshake"))??;
-    T::decode(frame.freeze()).wrap_err("malformed handshake")
-}
-
-/// Runs an authenticated connection until it ends.
-async fn run(peer: Peer, node: &NodeHandle) -> Result<()> {
-    let Peer { vm, socket, read: first_bytes } = peer;
-    let vm = &vm;
-    let (read, write) = socket.into_split();
-    let frames = FrameReader::new(read, first_bytes);
-    let (tx, rx) = mpsc::channel(MAX_QUEUE);
-    let (id, first) = node.links().add(vm, tx);
-    let reason = "no longer wanted".to_owned();
-    let guard = LinkGuard { vm: vm.clone(), id, node: node.clone(), reason };
-    if first {
-        log::info!(event = EventId::LinkUp.number(), peer = &**vm; "a link is up");
-    } else {
-        // The peer may have been started anew: what was known of it may no longer hold.
-        node.input(Input::LinkDown(vm.clone()));
-    }
-    node.input(Input::LinkUp(vm.clone()));
-    let ended = tokio::select! {
-        ended = read_all(frames, vm, node) => ended,
-        ended = write_all(write, rx, vm, node) => ended,
-    };
-    guard.end(&ended);
-    ended
-}
-
-/// Tells the node when a link has ended, also when its task is aborted.
-struct LinkGuard {
+/// A link that the node knows, until it is dropped.
+struct RunningLink {
     vm: VmName,
     id: u64,
     node: NodeHandle,
+    rx: mpsc::Receiver<Waiting>,
+    /// Dropped once the link is silent.
+    not_lost: Option<oneshot::Sender<()>>,
+    /// Why it has ended, for its log line.
     reason: String,
 }
 
-impl LinkGuard {
-    /// Ends the link with what its log line gives as the reason.
-    fn end(mut self, ended: &Result<()>) {
-        self.reason = match ended {
-            Ok(()) => "closed by the peer".to_owned(),
-            Err(e) => format!("{e:#}"),
+impl RunningLink {
+    /// Tells the node that a link is up; the receiver fails once the link is silent or has ended.
+    fn open(vm: &VmName, node: &NodeHandle) -> (RunningLink, oneshot::Receiver<()>) {
+        let (tx, rx) = mpsc::channel(MAX_QUEUE);
+        let (not_lost, lost) = oneshot::channel();
+        let (id, heard) = node.links().add(vm, tx);
+        let reason = "no longer wanted".to_owned();
+        let link = RunningLink {
+            vm: vm.clone(),
+            id,
+            node: node.clone(),
+            rx,
+            not_lost: Some(not_lost),
+            reason,
         };
+        if heard.before {
+            // The peer may have been started anew: what was known of it may no longer hold.
+            node.input(Input::LinkDown(vm.clone()));
+            node.input(Input::LinkUp(vm.clone()));
+        } else {
+            link.tell(heard);
+        }
+        (link, lost)
+    }
+
+    fn set_silent(&mut self, is_silent: bool) {
+        if is_silent {
+            self.not_lost = None;
+            self.reason = "the peer is silent".to_owned();
+        }
+        self.tell(self.node.links().set_silent(&self.vm, self.id, is_silent));
+    }
+
+    /// Tells the node if the VM is heard again or no longer.
+    fn tell(&self, heard: Heard) {
+        let vm = &self.vm;
+        match (heard.before, heard.after) {
+            (false, true) => {
+                log::info!(event = EventId::LinkUp.number(), peer = &**vm; "a link is up");
+                self.node.input(Input::LinkUp(vm.clone()));
+            }
+            (true, false) => {
+                let reason = self.reason.as_str();
+                log::warn!(
+                    event = EventId::LinkDown.number(), peer = &**vm, reason;
+                    "a link is down"
+                );
+                self.node.input(Input::LinkDown(vm.clone()));
+            }
+            _ => {}
+        }
     }
 }
 
-impl Drop for LinkGuard {
+impl Drop for RunningLink {
     fn drop(&mut self) {
-        if self.node.links().remove(&self.vm, self.id) {
-            let reason = self.reason.as_str();
-            log::warn!(
-                event = EventId::LinkDown.number(), peer = &*self.vm, reason;
-                "a link is down"
-            );
-            self.node.input(Input::LinkDown(self.vm.clone()));
-        }
+        self.tell(self.node.links().remove(&self.vm, self.id));
     }
 }
 
-async fn read_all(
-    mut frames: FrameReader<OwnedReadHalf>,
-    vm: &VmName,
-    node: &NodeHandle,
-) -> Result<()> {
-    while let Some(envelope) = frames.next(SILENCE).await? {
-        if let Some(body) = envelope.body {
-            node.message(vm, body);
+/// Runs a link until it ends.
+async fn run(peer: Peer, mut link: RunningLink) {
+    let (read, write) = peer.socket.into_split();
+    let frames = FrameReader::new(read, peer.read);
+    let (_, never) = mpsc::channel(1);
+    let rx = std::mem::replace(&mut link.rx, never);
+    let (vm, node) = (link.vm.clone(), link.node.clone());
+    let ended = tokio::select! {
+        ended = read_all(frames, &mut link) => ended,
+        Err(e) = write_all(write, rx, &vm, &node) => Err(e),
+    };
+    link.reason = match ended {
+        Ok(()) => "closed by the peer".to_owned(),
+        Err(e) => format!("{e:#}"),
+    };
+}
+
+async fn read_all(mut frames: FrameReader<OwnedReadHalf>, link: &mut RunningLink) -> Result<()> {
+    let mut silences = 0;
+    loop {
+        match frames.next(SILENCE).await? {
+            Next::Frame(envelope) => {
+                if 0 < std::mem::take(&mut silences) {
+                    link.set_silent(false);
+                }
+                if let Some(body) = envelope.body {
+                    link.node.message(&link.vm, body);
+                }
+            }
+            Next::Closed => return Ok(()),
+            Next::Silent => {
+                silences += 1;
+                if silences == MAX_SILENCES {
+                    bail!("the peer is silent");
+                }
+                link.set_silent(true);
+            }
         }
     }
-    Ok(())
 }
 
 async fn write_all(
@@ -364,7 +404,7 @@
     loop {
         let first = match timeout(KEEP_ALIVE, rx.recv()).await {
             Ok(Some(waiting)) => Some(waiting),
-            Ok(None) => return Ok(()),
+            Ok(None) => return Ok(write.shutdown().await?),
             Err(_) => None,
         };
         let began = Instant::now();
@@ -375,7 +415,7 @@
             let Ok(waiting) = rx.try_recv() else { break };
             codec.encode(&Envelope { body: Some(waiting.body) }, &mut buf)?;
         }
-        frames::write_all(&mut write, &buf, SILENCE).await?;
+        frames::write_all(&mut write, &buf, SILENCE * MAX_SILENCES).await?;
         sight::written(node.metrics(), vm, buf.len(), waited, began.elapsed());
         buf.clear();
     }
--- a/crates/server/src/runtime/mod.rs
+++ b/crates/server/src/runtime/mod.rs
@@ -5,6 +5,7 @@
 mod frames;
 #[cfg(test)]
 mod frames_tests;
+mod handshake;
 mod links;
 mod placed;
 mod questions;
@@ -219,7 +220,7 @@
 
     /// Proves the peer key in both directions on a connection to another daemon.
     pub(crate) async fn authenticate(&self, socket: TcpStream, dialed: bool) -> Result<TcpStream> {
-        links::authenticate(socket, self, dialed).await
+        handshake::authenticate(socket, self, dialed).await
     }
 
     /// Begins a planned stop of the node.
