A stream goes on only once the run that answers is confirmed

Shown here by tests: an entry asked an endpoint for its start, stood still or waited (permit, connection), and sent the request to whichever run had the name and address by then.

Cause: check, then act. What was confirmed before the request was sent need not hold when it is used.

A continuation (take-up, restart, relocation, resuming in place) is confirmed once its answer has begun and before its first event is passed on: the run that is known must still be there, so no other can have answered. First attempts were judged that way before. The question goes out beside the engine's prefill.

Four of five tests in relay::tests::replaced_runs failed before (the fifth guards the count of streams that go on).

--- a/crates/server/src/relay/generation.rs
+++ b/crates/server/src/relay/generation.rs
@@ -3,7 +3,7 @@
 use std::{rc::Rc, sync::Arc, time::Duration};
 
 use http::{Response, response};
-use tokio::sync::mpsc;
+use tokio::{join, sync::mpsc};
 use trayswitch_clock::Instant;
 use trayswitch_core::{
     error::{ErrorKind, RequestError},
@@ -360,7 +360,8 @@
     }
     let mut event_stream = EventStream::new(&open.head, open.body, relay.buffers.reservation());
     let run = Box::new(known.clone());
-    let item = event_stream.next().await;
+    let (item, confirmed) = join!(event_stream.next(), relay.confirm_answer(job, known));
+    confirmed.map_err(OpenError::Unknown)?;
     match relay.resolve_connection_end(item, known).await {
         StreamItem::Event(event) => {
             Ok(Opened::Stream { head: open.head, event_stream, first: Some(event), run })
--- a/crates/server/src/relay/software_version.rs
+++ b/crates/server/src/relay/software_version.rs
@@ -91,6 +91,37 @@
         }
     }
 
+    /// Confirms, once the answer to a request that continues a stream has begun, that the run which is known
+    /// has sent it. What was confirmed before the request was sent may have changed since: this daemon may
+    /// have stood still or waited, and another run may have taken the name and the address.
+    pub(super) async fn confirm_answer(
+        self: &Rc<Self>,
+        job: &Job,
+        known: &RegisteredEndpoint,
+    ) -> Result<(), String> {
+        if job.versions() == VersionConstraint::Any {
+            return Ok(());
+        }
+        match self.ask_run_since(known, Instant::now()).await {
+            RunStatus::Confirmed => Ok(()),
+            RunStatus::Replaced => Err("another run of the endpoint has answered".into()),
+            RunStatus::Unknown => {
+                Err("the endpoint does not confirm which run has answered".into())
+            }
+        }
+    }
+
+    /// Finds out whether `run` has answered at `since`, with several questions if need be.
+    async fn ask_run_since(self: &Rc<Self>, run: &RegisteredEndpoint, since: Instant) -> RunStatus {
+        let (mut status, mut questions) = (self.confirm_run_since(run, since).await, 1);
+        while status == RunStatus::Unknown && questions < MAX_QUESTIONS {
+            tokio::time::sleep(QUESTION_INTERVAL).await;
+            status = self.confirm_run_since(run, since).await;
+            questions += 1;
+        }
+        status
+    }
+
     /// Binds a request whose caller takes up a stream to the service and the software version that
     /// began it.
     pub(super) async fn resolve_origin(&self, job: &mut Job) -> Result<(), RequestError> {
@@ -152,12 +183,7 @@
     /// version, and tells other daemons of it if its caller may take it up.
     pub(super) async fn confirm_origin(self: &Rc<Self>, job: &Job) {
         let Some(BegunAt { run, at }) = job.unconfirmed.borrow().clone() else { return };
-        let (mut status, mut questions) = (self.confirm_run_since(&run, at).await, 1);
-        while status == RunStatus::Unknown && questions < MAX_QUESTIONS {
-            tokio::time::sleep(QUESTION_INTERVAL).await;
-            status = self.confirm_run_since(&run, at).await;
-            questions += 1;
-        }
+        let status = self.ask_run_since(&run, at).await;
         if job.unconfirmed.take().is_none() {
             return;
         }
--- a/crates/server/src/relay/tests/mod.rs
+++ b/crates/server/src/relay/tests/mod.rs
@@ -21,6 +21,7 @@
 mod rate_limit;
 mod raw_endpoint;
 mod relocation;
+mod replaced_runs;
 mod response;
 mod retry_budget;
 mod software_versions;
--- a/crates/server/src/relay/tests/test_fleet.rs
+++ b/crates/server/src/relay/tests/test_fleet.rs
@@ -119,10 +119,26 @@
         version: &str,
     ) -> FakeEndpoint {
         let endpoint = self.control.register_version(service, name, version).await;
+        self.wait_until_known(name).await;
+        endpoint
+    }
+
+    /// The same, for a run that tells when it was started.
+    pub(super) async fn register_run(
+        &self,
+        service: &str,
+        name: &str,
+        started_at: u64,
+    ) -> FakeEndpoint {
+        let endpoint = self.control.register_run(service, name, started_at).await;
+        self.wait_until_known(name).await;
+        endpoint
+    }
+
+    async fn wait_until_known(&self, name: &str) {
         for entry in &self.entries {
             entry.daemon.wait_until(|| entry.daemon.is_open(name) == Some(true)).await;
         }
-        endpoint
     }
 
     /// Registers an endpoint that answers calls, and generations with five events.
