A candidate grants no pre-vote while its votes are on their way

Cause: what was granted is used later than what it rested on. A candidate refuses pre-votes until its election time is over; a refusal takes an earlier pre-vote back; a leader that asks for pre-votes is no longer heard. Followers and voters do not wait longer after hold-ups: their own time is a part of real time, so 2 s of it took 12 s; only a leader does, before it is suspended.

--- a/crates/core/src/agreement/replica/election.rs
+++ b/crates/core/src/agreement/replica/election.rs
@@ -15,7 +15,7 @@
     pub(super) fn hears_leader(&self, now: Instant) -> bool {
         match self.state {
             State::Leader(Leadership { is_suspended, .. }) => !is_suspended,
-            _ => self.heard_leader.is_some_and(|at| now.since(at) < self.patience(now)),
+            _ => self.heard_leader.is_some_and(|at| now.since(at) < self.timing.election),
         }
     }
 
@@ -54,7 +54,14 @@
     }
 
     pub(super) fn on_pre_vote(&mut self, from: ReplicaId, term: u64, vote: PreVote, now: Instant) {
+        if self.leader == Some(from) {
+            // It would not ask if it still led.
+            self.heard_leader = None;
+        }
+        // The votes of a candidate are on their way.
+        let stands = matches!(self.state, State::Candidate);
         let granted = self.hard_state.term < term
+            && !stands
             && !self.hears_leader(now)
             && !self.awaits_disk()
             && self.log.is_covered_by(vote.last_term, vote.last_index)
@@ -83,9 +90,15 @@
 
     pub(super) fn on_pre_vote_reply(&mut self, from: ReplicaId, reply: PreVoteReply, now: Instant) {
         let asked = self.hard_state.term + 1;
-        if reply.granted && reply.asked_term == asked {
+        if reply.asked_term != asked {
+            return;
+        }
+        if reply.granted {
             self.current_pre_votes().from.insert(from);
             self.count_votes(now);
+        } else {
+            // What it granted before no longer holds: it hears a leader, or its log has grown.
+            self.current_pre_votes().from.remove(&from);
         }
     }
 
--- a/crates/core/src/agreement/replica/follower.rs
+++ b/crates/core/src/agreement/replica/follower.rs
@@ -17,8 +17,6 @@
         self.leader = Some(leader);
         self.heard_leader = Some(now);
         self.reset_election(now);
-        let patience = self.patience(now) - self.timing.election;
-        self.election_due = self.election_due.after(patience);
     }
 
     /// Takes entries of a leader that hears no quorum: that is no reason to put an election off.
--- a/crates/core/src/agreement/tests.rs
+++ b/crates/core/src/agreement/tests.rs
@@ -327,3 +327,69 @@
     expect_that!(replica.propose(change(&[2, 3]), UnixMillis(0), LATER), ok(anything()));
     expect_that!(replica.propose(change(&[2]), UnixMillis(0), LATER), eq(busy));
 }
+
+/// Lets a replica be asked for its pre-vote for the next term; returns whether it grants it.
+fn grants_pre_vote(replica: &mut Replica, from: ReplicaId) -> bool {
+    let term = replica.term() + 1;
+    let ask = PreVote { last_index: 1, last_term: 1 };
+    let ready = receive(replica, from, term, message_body::Body::PreVote(ask));
+    ready.messages.iter().any(|outgoing| {
+        matches!(outgoing.message.body, Some(message_body::Body::PreVoteReply(r)) if r.granted)
+    })
+}
+
+/// Lets time pass until a replica has another role.
+fn pass_time_to_next_role(replica: &mut Replica) {
+    let role = replica.role();
+    while replica.role() == role {
+        replica.tick(replica.next_tick());
+    }
+}
+
+// Guards against a leader that is deposed by the pre-vote that it gave as a candidate.
+#[gtest]
+fn candidate_grants_no_pre_vote_until_its_election_is_over() {
+    let mut replica = with_log(2, &[1]);
+    replica.take_ready();
+    let ready = stand(&mut replica);
+    replica.persisted(ready.synced, LATER);
+
+    expect_false!(grants_pre_vote(&mut replica, 3));
+    pass_time_to_next_role(&mut replica);
+    expect_that!(replica.role(), eq(Role::PreCandidate));
+    expect_true!(grants_pre_vote(&mut replica, 3));
+}
+
+#[gtest]
+fn pre_votes_hold_until_they_are_taken_back() {
+    for is_taken_back in [false, true] {
+        let mut replica = with_log(2, &[1]);
+        replica.take_ready();
+        pass_time_to_next_role(&mut replica);
+        // Its own candidacy is put off as another one asks.
+        expect_true!(grants_pre_vote(&mut replica, 3));
+        let reply =
+            |granted| message_body::Body::PreVoteReply(PreVoteReply { asked_term: 2, granted });
+        receive(&mut replica, 1, 1, reply(true));
+        if is_taken_back {
+            receive(&mut replica, 1, 1, reply(false));
+        }
+
+        pass_time_to_next_role(&mut replica);
+
+        let role = if is_taken_back { Role::PreCandidate } else { Role::Candidate };
+        expect_that!(replica.role(), eq(role), "{is_taken_back}");
+    }
+}
+
+#[gtest]
+fn leader_that_asks_for_pre_votes_is_no_longer_heard() {
+    for (asks, is_granted) in [(1, true), (3, false)] {
+        let mut replica = with_log(2, &[1]);
+        replica.take_ready();
+        let append = Append { prev_index: 1, prev_term: 1, ..Append::default() };
+        receive(&mut replica, 1, 1, message_body::Body::Append(append));
+
+        expect_that!(grants_pre_vote(&mut replica, asks), eq(is_granted), "{asks}");
+    }
+}
