--- a/crates/server/src/runtime/frames.rs
+++ b/crates/server/src/runtime/frames.rs
@@ -4,7 +4,7 @@
 use std::{io, time::Duration};
 
 use bytes::BytesMut;
-use eyre::{Result, WrapErr};
+use eyre::{Report, Result, WrapErr};
 use tokio::{
     io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt},
     time::timeout,
@@ -12,14 +12,14 @@
 use tokio_util::codec::Decoder;
 use trayswitch_core::wire::{Envelope, FrameCodec};
 
-/// What comes next on a link.
-#[derive(Debug, PartialEq)]
-pub(super) enum Next {
-    Frame(Envelope),
+/// Why there is no further frame on a link.
+#[derive(Debug)]
+pub(super) enum Stop {
     /// The peer has closed the link.
     Closed,
     /// No byte came for as long as the silence. What came before is kept, so that reading may go on.
     Silent,
+    Failed(Report),
 }
 
 /// Reads frames.
@@ -36,15 +36,17 @@
     }
 
     /// The next frame, unless the peer closes the link or is silent before it is whole.
-    pub(super) async fn next(&mut self, silence: Duration) -> Result<Next> {
+    pub(super) async fn next(&mut self, silence: Duration) -> Result<Envelope, Stop> {
         loop {
-            if let Some(envelope) = self.codec.decode(&mut self.buf)? {
-                return Ok(Next::Frame(envelope));
+            let decoded = self.codec.decode(&mut self.buf);
+            if let Some(envelope) = decoded.map_err(|e| Stop::Failed(e.into()))? {
+                return Ok(envelope);
             }
             match timeout(silence, self.read.read_buf(&mut self.buf)).await {
-                Ok(Ok(0)) => return Ok(Next::Closed),
-                Ok(read) => drop(read?),
-                Err(_) => return Ok(Next::Silent),
+                Ok(Ok(0)) => return Err(Stop::Closed),
+                Ok(Ok(_)) => {}
+                Ok(Err(e)) => return Err(Stop::Failed(e.into())),
+                Err(_) => return Err(Stop::Silent),
             }
         }
     }
--- a/crates/server/src/runtime/frames_tests.rs
+++ b/crates/server/src/runtime/frames_tests.rs
@@ -12,7 +12,7 @@
 use tokio_util::codec::Encoder;
 use trayswitch_core::wire::{Body, EndpointNews, EndpointRecord, Envelope, FrameCodec};
 
-use super::frames::{FrameReader, Next, write_all};
+use super::frames::{FrameReader, Stop, write_all};
 
 const SILENCE: Duration = Duration::from_secs(2);
 /// Shorter than the silence that ends a link.
@@ -53,7 +53,7 @@
         join!(reader.next(SILENCE), send).0
     });
 
-    expect_that!(read.unwrap(), eq(&Next::Frame(envelope)));
+    expect_that!(read, ok(eq(&envelope)));
 }
 
 #[gtest]
@@ -63,7 +63,7 @@
         FrameReader::new(rx, BytesMut::new()).next(SILENCE).await
     });
 
-    expect_that!(read.unwrap(), eq(&Next::Silent));
+    expect_that!(read, err(matches_pattern!(Stop::Silent)));
 }
 
 #[gtest]
@@ -76,12 +76,12 @@
         let (mut tx, rx) = duplex(bytes.len());
         let mut reader = FrameReader::new(rx, BytesMut::new());
         tx.write_all(first).await.unwrap();
-        let silent = reader.next(SILENCE).await.unwrap();
+        let silent = reader.next(SILENCE).await;
         tx.write_all(rest).await.unwrap();
-        [silent, reader.next(SILENCE).await.unwrap()]
+        [silent, reader.next(SILENCE).await]
     });
 
-    expect_that!(read, eq(&[Next::Silent, Next::Frame(envelope)]));
+    expect_that!(read, elements_are![err(matches_pattern!(Stop::Silent)), ok(eq(&envelope))]);
 }
 
 #[gtest]
@@ -92,10 +92,10 @@
         let (tx, rx) = duplex(1_024);
         drop(tx);
         let mut reader = FrameReader::new(rx, encoded(&envelope));
-        [reader.next(SILENCE).await.unwrap(), reader.next(SILENCE).await.unwrap()]
+        [reader.next(SILENCE).await, reader.next(SILENCE).await]
     });
 
-    expect_that!(read, eq(&[Next::Frame(envelope), Next::Closed]));
+    expect_that!(read, elements_are![ok(eq(&envelope)), err(matches_pattern!(Stop::Closed))]);
 }
 
 #[gtest]
--- a/crates/server/src/runtime/links.rs
+++ b/crates/server/src/runtime/links.rs
@@ -31,7 +31,7 @@
 
 use super::{
     NodeHandle,
-    frames::{self, FrameReader, Next},
+    frames::{self, FrameReader, Stop},
     handshake::{Peer, shake_hands},
     sight,
 };
@@ -372,8 +372,8 @@
 async fn read_all(mut frames: FrameReader<OwnedReadHalf>, link: &mut RunningLink) -> Result<()> {
     let mut silences = 0;
     loop {
-        match frames.next(SILENCE).await? {
-            Next::Frame(envelope) => {
+        match frames.next(SILENCE).await {
+            Ok(envelope) => {
                 if 0 < std::mem::take(&mut silences) {
                     link.set_silent(false);
                 }
@@ -381,8 +381,9 @@
                     link.node.message(&link.vm, body);
                 }
             }
-            Next::Closed => return Ok(()),
-            Next::Silent => {
+            Err(Stop::Closed) => return Ok(()),
+            Err(Stop::Failed(e)) => return Err(e),
+            Err(Stop::Silent) => {
                 silences += 1;
                 if silences == MAX_SILENCES {
                     bail!("the peer is silent");
