Origins of streams are asked for although the entry has a record

Its record is now what it falls back to if no control VM knows more, cannot be asked or does not answer in time; a take-up at its own entry costs a round trip more.

node::stream_origins_tests::own_record_yields_to_a_stream_of_another_origin_under_the_same_id failed before (v1 was answered, not that it is ambiguous).

--- a/crates/core/src/node/stream_origins.rs
+++ b/crates/core/src/node/stream_origins.rs
@@ -26,8 +26,16 @@
     /// Control VMs that have not replied.
     asked: BTreeSet<VmName>,
     deadline: Instant,
-    /// What is answered if no control VM knows more.
-    reason: UnknownOrigin,
+    /// What is answered if no control VM knows more: the daemon's own record, or why there is none.
+    fallback: Result<StreamOrigin, UnknownOrigin>,
+}
+
+impl PendingQuery {
+    fn note_no_answer(&mut self) {
+        if self.fallback.is_err() {
+            self.fallback = Err(UnknownOrigin::NoAnswer);
+        }
+    }
 }
 
 /// The origins that one daemon knows, and its queries.
@@ -66,7 +74,8 @@
         }
     }
 
-    /// Answers where a stream began, once a control VM has told it or none knows.
+    /// Answers where a stream began, once a control VM has told it or none knows. They are asked although this
+    /// daemon has a record: a stream may have begun elsewhere under the same id.
     pub(super) fn query(
         &mut self,
         call: CallId,
@@ -76,17 +85,22 @@
         out: &mut Outbox,
     ) {
         let known = self.table.get(&key, now).cloned();
-        let is_known = !matches!(known, Err(UnknownOrigin::NoRecord));
-        if is_known || self.control_vms.is_empty() {
-            let answer = if is_known { known } else { Err(UnknownOrigin::NoAnswer) };
+        let answer = match &known {
+            Err(UnknownOrigin::NoRecord) if self.control_vms.is_empty() => {
+                Some(Err(UnknownOrigin::NoAnswer))
+            }
+            Err(UnknownOrigin::Ambiguous) => Some(known.clone()),
+            _ => self.control_vms.is_empty().then(|| known.clone()),
+        };
+        if let Some(answer) = answer {
             return out.reply(call, NodeReply::StreamOrigin(answer));
         }
         for vm in &self.control_vms {
             out.send(vm, query(call, &key));
         }
         let asked = self.control_vms.clone();
-        let (deadline, reason) = (now.after(limit), UnknownOrigin::NoRecord);
-        self.pending.insert(call, PendingQuery { key, asked, deadline, reason });
+        let deadline = now.after(limit);
+        self.pending.insert(call, PendingQuery { key, asked, deadline, fallback: known });
     }
 
     /// Answers the query of another daemon.
@@ -127,8 +141,9 @@
         if let Some((key, origin, ttl)) = told
             && key == pending.key
         {
-            self.table.insert(key, origin.clone(), ttl, now);
-            return self.answer(call, Ok(origin), out);
+            self.table.insert(key, origin, ttl, now);
+            let answer = self.table.get(&key, now).cloned();
+            return self.answer(call, answer, out);
         }
         pending.asked.remove(from);
         self.answer_if_all_replied(call, out);
@@ -158,7 +173,7 @@
             if let Some(pending) = self.pending.get_mut(&call)
                 && pending.asked.remove(vm)
             {
-                pending.reason = UnknownOrigin::NoAnswer;
+                pending.note_no_answer();
                 self.answer_if_all_replied(call, out);
             }
         }
@@ -171,14 +186,17 @@
     pub(super) fn tick(&mut self, now: Instant, out: &mut Outbox) {
         let overdue = self.pending.iter().filter(|(_, pending)| pending.deadline <= now);
         for call in overdue.map(|(call, _)| *call).collect::<Vec<CallId>>() {
-            self.answer(call, Err(UnknownOrigin::NoAnswer), out);
+            let Some(pending) = self.pending.get_mut(&call) else { continue };
+            pending.note_no_answer();
+            let answer = pending.fallback.clone();
+            self.answer(call, answer, out);
         }
     }
 
     fn answer_if_all_replied(&mut self, call: CallId, out: &mut Outbox) {
         let pending = self.pending.get(&call).filter(|pending| pending.asked.is_empty());
-        if let Some(reason) = pending.map(|pending| pending.reason) {
-            self.answer(call, Err(reason), out);
+        if let Some(answer) = pending.map(|pending| pending.fallback.clone()) {
+            self.answer(call, answer, out);
         }
     }
 
--- a/crates/core/src/node/stream_origins_tests.rs
+++ b/crates/core/src/node/stream_origins_tests.rs
@@ -21,7 +21,11 @@
 }
 
 fn origin() -> StreamOrigin {
-    StreamOrigin { service: "s".into(), version: SoftwareVersion::parse("v1").unwrap() }
+    origin_at("v1")
+}
+
+fn origin_at(version: &str) -> StreamOrigin {
+    StreamOrigin { service: "s".into(), version: SoftwareVersion::parse(version).unwrap() }
 }
 
 /// Links a daemon to a control VM and delivers what the daemon sends.
@@ -139,3 +143,44 @@
         expect_that!(answers, elements_are![err(eq(&UnknownOrigin::NoAnswer))]);
     }
 }
+
+// Guards against an entry that takes its own record for the whole truth while it is out of step with others.
+#[gtest]
+fn own_record_yields_to_a_stream_of_another_origin_under_the_same_id() {
+    let (mut first, mut second) = (StreamOrigins::default(), StreamOrigins::default());
+    let (mut control, mut out) = (StreamOrigins::default(), Outbox::default());
+    link(&mut first, "c1", &mut control);
+    link(&mut second, "c1", &mut control);
+    // Its report is on its way while the entry stands still.
+    first.on_stream_begun(&[key()], &origin(), LIMIT, NOW, &mut Outbox::default());
+    second.on_stream_begun(&[key()], &origin_at("v2"), LIMIT, NOW, &mut out);
+    deliver(&mut out, "c1", &mut control);
+
+    first.query(CALL, key(), LIMIT, NOW, &mut out);
+    let replies = deliver(&mut out, "c1", &mut control);
+    apply(&mut first, "c1", &replies, &mut out);
+
+    expect_that!(answers(&mut out), elements_are![err(eq(&UnknownOrigin::Ambiguous))]);
+}
+
+#[gtest]
+fn own_record_is_answered_if_no_control_vm_knows_more() {
+    let mut entry = StreamOrigins::default();
+    let (mut control, mut out) = (StreamOrigins::default(), Outbox::default());
+    entry.on_stream_begun(&[key()], &origin(), LIMIT, NOW, &mut out);
+    entry.query(CALL, key(), LIMIT, NOW, &mut out);
+    let without_links = answers(&mut out);
+
+    entry.link_up(&"c1".into(), NOW, &mut Outbox::default());
+    entry.query(CALL, key(), LIMIT, NOW, &mut out);
+    let replies = deliver(&mut out, "c1", &mut control);
+    apply(&mut entry, "c1", &replies, &mut out);
+    let unknown_to_control = answers(&mut out);
+    entry.query(CALL, key(), LIMIT, NOW, &mut out);
+    entry.tick(entry.next_tick().unwrap(), &mut out);
+    let overdue = answers(&mut out);
+
+    for answers in [without_links, unknown_to_control, overdue] {
+        expect_that!(answers, elements_are![ok(eq(&origin()))]);
+    }
+}
