--- a/crates/server/src/runtime/links.rs
+++ b/crates/server/src/runtime/links.rs
@@ -70,7 +70,7 @@
 }
 
 /// A message that waits to be written.
-struct Waiting {
+pub(super) struct Waiting {
     body: Body,
     since: Instant,
 }
@@ -82,10 +82,10 @@
 }
 
 /// Whether anything is heard of a VM, before and after a change of its links.
-#[derive(Debug, Clone, Copy)]
-struct Heard {
-    before: bool,
-    after: bool,
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct Heard {
+    pub(super) before: bool,
+    pub(super) after: bool,
 }
 
 /// The links that are up, by VM, and the VMs that are dialed.
@@ -135,17 +135,17 @@
         &self.key
     }
 
-    fn add(&self, vm: &VmName, tx: mpsc::Sender<Waiting>) -> (u64, Heard) {
+    pub(super) fn add(&self, vm: &VmName, tx: mpsc::Sender<Waiting>) -> (u64, Heard) {
         self.next.set(self.next.get() + 1);
         let id = self.next.get();
         (id, self.change(vm, |links| links.push(Link { id, tx, is_silent: false })))
     }
 
-    fn remove(&self, vm: &VmName, id: u64) -> Heard {
+    pub(super) fn remove(&self, vm: &VmName, id: u64) -> Heard {
         self.change(vm, |links| links.retain(|link| link.id != id))
     }
 
-    fn set_silent(&self, vm: &VmName, id: u64, is_silent: bool) -> Heard {
+    pub(super) fn set_silent(&self, vm: &VmName, id: u64, is_silent: bool) -> Heard {
         self.change(vm, |links| {
             if let Some(link) = links.iter_mut().find(|link| link.id == id) {
                 link.is_silent = is_silent;
--- a/crates/server/src/runtime/mod.rs
+++ b/crates/server/src/runtime/mod.rs
@@ -7,6 +7,8 @@
 mod frames_tests;
 mod handshake;
 mod links;
+#[cfg(test)]
+mod links_tests;
 mod placed;
 mod questions;
 mod sight;
