--- a/crates/server/src/runtime/links.rs
+++ b/crates/server/src/runtime/links.rs
@@ -1,7 +1,7 @@
 //! Links to other daemons: authenticated TCP connections that carry frames.
 //!
 //! Every daemon dials every control VM that it knows. Between two control VMs there may be two
-//! links; each daemon sends on the one that came up last.
+//! links; each daemon sends on the one that came up last, unless that is silent and another one is not.
 
 use std::{
     collections::BTreeSet,
