--- a/crates/core/src/node/config_fetch.rs
+++ b/crates/core/src/node/config_fetch.rs
@@ -23,6 +23,23 @@
 /// Timeout for each further piece, and the upper bound for the first.
 const PIECE_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// A completed fetch, for logs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct FetchSummary {
+    /// The version that was fetched.
+    pub version: u64,
+    /// The version that it goes on from; zero for a whole document.
+    pub base: u64,
+    /// Number of pieces that it had.
+    pub pieces: u64,
+    /// Number of messages that asked for pieces.
+    pub requests: u32,
+    /// Number of control VMs tried, one after the other.
+    pub sources: u32,
+    /// Time from the first request to the last piece.
+    pub took: Duration,
+}
+
 /// A fetch in progress.
 #[derive(Debug)]
 pub(super) struct ConfigFetch {
@@ -40,6 +57,8 @@
     last_activity: Instant,
     /// Number of control VMs tried.
     sources_tried: u32,
+    started_at: Instant,
+    requests: u32,
 }
 
 /// Result of receiving a piece.
@@ -64,7 +83,7 @@
         out: &mut Outbox,
     ) -> ConfigFetch {
         let (change_id, delta) = (None, Delta::default());
-        let fetch = ConfigFetch {
+        let mut fetch = ConfigFetch {
             from,
             base,
             at_least,
@@ -73,6 +92,8 @@
             next_piece: 0,
             last_activity: now,
             sources_tried: 1,
+            started_at: now,
+            requests: 0,
         };
         fetch.request(0, PREFETCH_PIECES, out);
         fetch
@@ -135,7 +156,20 @@
         PieceOutcome::Partial
     }
 
-    fn request(&self, first: u64, count: u64, out: &mut Outbox) {
+    /// What it took to get the change.
+    pub(super) fn summary(&self, now: Instant) -> FetchSummary {
+        FetchSummary {
+            version: self.change_id.as_ref().map_or(0, |id| id.version),
+            base: self.base,
+            pieces: self.next_piece,
+            requests: self.requests,
+            sources: self.sources_tried,
+            took: now.since(self.started_at),
+        }
+    }
+
+    fn request(&mut self, first: u64, count: u64, out: &mut Outbox) {
+        self.requests += 1;
         let begun = self.change_id.clone();
         let fetch = Fetch { after: self.base, begun, first, count, at_least: self.at_least };
         out.send(&self.from, Body::Fetch(fetch));
--- a/crates/core/src/node/config_store.rs
+++ b/crates/core/src/node/config_store.rs
@@ -180,7 +180,10 @@
                 });
                 None
             }
-            PieceOutcome::Complete(change) => Some(change),
+            PieceOutcome::Complete(change) => {
+                out.push(Output::ConfigFetched(fetch.summary(now)));
+                Some(change)
+            }
         };
         self.fetch = None;
         let activated = change.is_some_and(|change| self.apply(change, out));
--- a/crates/core/src/node/messages.rs
+++ b/crates/core/src/node/messages.rs
@@ -5,8 +5,8 @@
 use bytes::Bytes;
 
 use super::{
-    ActiveConfig, ControlStatus, EndpointStatus, EntryDaemons, FailedAttempt, Forwarders,
-    TrialAnswer, VmName,
+    ActiveConfig, ControlStatus, EndpointStatus, EntryDaemons, FailedAttempt, FetchSummary,
+    Forwarders, TrialAnswer, VmName,
 };
 use crate::{
     agreement::{Persist, Role},
@@ -358,6 +358,8 @@
     HallsOut(HallsOut),
     /// A configuration change was sent.
     SentChange(SentChange),
+    /// A configuration change was fetched from control VMs.
+    ConfigFetched(FetchSummary),
     /// An accepted configuration cannot be activated on this daemon.
     ConfigRejected {
         /// Its version.
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -110,6 +110,7 @@
 
 pub(crate) use self::messages::Outbox;
 pub use self::{
+    config_fetch::FetchSummary,
     config_store::ActiveConfig,
     control::{ControlStatus, DaemonStatus, ReplicaStatus},
     control_client::{EntryDaemons, Forwarders},
--- a/crates/core/src/node/tests/net/mod.rs
+++ b/crates/core/src/node/tests/net/mod.rs
@@ -264,6 +264,7 @@
             }
             Output::ConfigFreshness { .. }
             | Output::SentChange(_)
+            | Output::ConfigFetched(_)
             | Output::Suspect(_)
             | Output::Suspects { .. }
             | Output::Limit { .. }
--- a/crates/server/src/runtime/mod.rs
+++ b/crates/server/src/runtime/mod.rs
@@ -259,6 +259,7 @@
             }
             Output::HallsOut(halls) => self.take_halls_out(&halls),
             Output::SentChange(change) => sight::change_sent(&self.0.metrics, &change),
+            Output::ConfigFetched(fetch) => sight::config_fetched(&fetch),
             Output::Suspect(suspect) => sight::suspect_changed(&suspect),
             Output::Suspects { suspects, quarantined } => {
                 self.0.metrics.suspects(suspects, quarantined);
--- a/crates/server/src/runtime/sight.rs
+++ b/crates/server/src/runtime/sight.rs
@@ -4,7 +4,7 @@
 
 use trayswitch_core::{
     agreement::Role,
-    node::{ReplicaRole, SentChange, VmName},
+    node::{FetchSummary, ReplicaRole, SentChange, VmName},
     placement::{Refusal, RejectionContext},
     quarantine::{CrashCounts, Suspect},
     throttle::{LimitChange, RateLimit, describe_limit},
@@ -175,6 +175,16 @@
     }
 }
 
+/// Tells what it took to fetch a change of the configuration.
+pub(super) fn config_fetched(fetch: &FetchSummary) {
+    let FetchSummary { version, base, pieces, requests, sources, took } = *fetch;
+    log::info!(
+        event = EventId::ConfigFetched.number(), config = version, base = base, pieces = pieces,
+        requests = requests, sources = sources, took_ms = took.as_millis() as u64;
+        "a change of the configuration was fetched"
+    );
+}
+
 /// Notes a write to a link; `waited` is how long its oldest message had waited.
 pub(super) fn written(
     metrics: &Metrics,
--- a/crates/trayswitchd/src/node/actor.rs
+++ b/crates/trayswitchd/src/node/actor.rs
@@ -180,6 +180,7 @@
             | Output::Registered(_)
             | Output::SaveEndpoints(_)
             | Output::SentChange(_)
+            | Output::ConfigFetched(_)
             | Output::Load(_)
             | Output::Move { .. } => {}
         }
