--- a/crates/core/src/node/tests/fleet/mod.rs
+++ b/crates/core/src/node/tests/fleet/mod.rs
@@ -10,7 +10,7 @@
 };
 
 use self::{
-    host::Host,
+    host::{HoldUps, Host},
     network::{Network, message_bytes},
 };
 use super::net::Site;
@@ -157,6 +157,14 @@
         }
     }
 
+    /// Lets all daemons wait for their processors again and again, for up to `longest` each time.
+    pub(super) fn hold_up_all(&mut self, longest: Duration, seed: u64) {
+        let now = self.now;
+        for (n, host) in self.hosts.values_mut().enumerate() {
+            host.hold_ups = Some(HoldUps::new(longest, now, seed * 1_000 + n as u64));
+        }
+    }
+
     /// Restores these endpoints on the control VMs, as after a restart.
     pub(super) fn restore_endpoints(&mut self, site: &Site, records: &[EndpointRecord]) {
         for vm in &site.replicas {
@@ -209,6 +217,9 @@
         if self.now < host.busy_until {
             return;
         }
+        if let Some(end) = host.wait_for_processor(self.now) {
+            return self.schedule(end, Event::Runs(vm.clone()));
+        }
         let due = host.node.next_tick().0 <= self.now;
         let input = host.waiting.pop_front().or(due.then_some(Input::Tick));
         if let Some(input) = input {
--- a/crates/core/src/node/tests/large_change.rs
+++ b/crates/core/src/node/tests/large_change.rs
@@ -22,6 +22,11 @@
     Site::new(5, 58)
 }
 
+/// Longest wait for a processor, and the time in which service must be back nevertheless.
+const LONGEST_WAIT: Duration = Duration::from_secs(2);
+const RECOVERY: Duration = Duration::from_secs(15);
+const SEEDS: u64 = 20;
+
 /// Entries of a large deployment.
 const MANY_ENTRIES: usize = 295;
 
@@ -179,3 +184,23 @@
     }
     expect_that!(fleet.terms, eq(&terms));
 }
+
+// Guards against fetches of a large configuration in many exchanges, each of which waits for two processors.
+#[gtest]
+fn entries_that_wait_for_processors_have_a_large_configuration_in_recovery_time() {
+    let site = Site::new(5, 6);
+    for seed in 0..SEEDS {
+        let mut fleet = configured_fleet_of(&site);
+        let leader = fleet.leader();
+        fleet.submit(&leader, 2, &file(2, ROUTES));
+        fleet.run(STARTUP);
+        let restarted = fleet.now();
+        fleet.restart_entries(&site);
+        fleet.hold_up_all(LONGEST_WAIT, seed);
+
+        fleet.run(RECOVERY);
+
+        let took = fleet.all_confirmed_at(&site.entries).map(|at| at.since(restarted));
+        expect_that!(took, some(lt(RECOVERY)), "seed {seed}");
+    }
+}
