A configuration is fetched in one exchange, however large it is

Cause: a daemon asked for three pieces of 16 kB, and for one more with each that came. 1,400 routes are some 40 pieces, so an entry that starts needed 14 exchanges in a row, and each waits until both daemons have run. Change: a daemon asks for all pieces at once. The control VM sends them as fast as the link takes them (Input::PieceWritten), two at a time, so that grants do not queue behind a whole change, and bounds what the system buffers for an entry. A control VM that is late stays asked, and another one is tried with a few pieces; whoever sends first goes on, and the others are told that nobody waits. Time in which the daemon itself did not run is no silence of a control VM. Daemons of earlier releases are served as before.

--- a/crates/core/src/node/config_changes.rs
+++ b/crates/core/src/node/config_changes.rs
@@ -1,6 +1,6 @@
 //! Accepted configuration changes, encoded in pieces that daemons fetch.
 //!
-//! A piece is encoded on first request and shared by all daemons. Encoding and sending piece by piece
+//! A piece is encoded when it is first sent and shared by all daemons. Encoding and sending piece by piece
 //! keeps large changes from blocking the control VM's thread, or heartbeats and grants on a link.
 
 use std::{
@@ -13,7 +13,6 @@
 use bytes::Bytes;
 use prost::Message;
 
-use super::config_fetch::PREFETCH_PIECES;
 use crate::{
     config::{Delta, Document, HashedSection, SectionName},
     state::{AcceptedChange, ChangeId, EncodedDelta, EncodedSection, State},
@@ -21,6 +20,9 @@
     wire::{Fetch, Piece},
 };
 
+/// A daemon gets so many pieces at least of a change that it has not begun: one of an earlier release asks for
+/// one piece at a time, and for this many at the start.
+const FEWEST_FIRST_PIECES: u64 = 3;
 /// Encoded size at which a piece is closed. Encoding and sending one takes less than the time
 /// between two tokens on the smallest VMs and links. A piece keeps a link of 10 Mbit/s busy for 13
 /// ms, and the thread of a VM of 0.12 cores for 3 ms.
@@ -114,6 +116,30 @@
     last_used: Instant,
 }
 
+/// Pieces of a change that a daemon waits for.
+#[derive(Debug)]
+pub(super) struct PieceRange {
+    change: ChangeId,
+    next: u64,
+    left: u64,
+}
+
+impl PieceRange {
+    pub(super) fn is_empty(&self) -> bool {
+        self.left == 0
+    }
+
+    /// Adds the pieces of a fetch if they follow these; returns whether they do.
+    pub(super) fn extend(&mut self, fetch: &Fetch) -> bool {
+        let follows = fetch.begun.as_ref() == Some(&self.change)
+            && self.next.checked_add(self.left) == Some(fetch.first);
+        if follows {
+            self.left = self.left.saturating_add(fetch.count);
+        }
+        follows
+    }
+}
+
 /// The changes that daemons can fetch.
 #[derive(Debug, Default)]
 pub(super) struct ConfigChanges {
@@ -150,34 +176,51 @@
         latest.piece(0).filter(|piece| piece.last).map(|piece| piece.delta)
     }
 
-    /// The requested pieces of one change to the accepted version, or of the whole document if the
-    /// changes since the daemon's version are no longer kept. `None` if the daemon is up to date.
-    pub(super) fn answer(
+    /// The pieces of one change to the accepted version that a daemon asks for, or those of the whole
+    /// document if the changes since its version are no longer kept. `None` if it is up to date.
+    pub(super) fn find_pieces(
         &mut self,
         fetch: &Fetch,
         state: &State,
         now: Instant,
-    ) -> Option<Vec<Piece>> {
-        let encoded = self.find(fetch, state, now)?;
-        let is_continuation = fetch.begun.as_ref() == Some(&encoded.id);
+    ) -> Option<PieceRange> {
+        let change = self.find(fetch, state, now)?.id.clone();
+        let is_continuation = fetch.begun.as_ref() == Some(&change);
         // A daemon that has begun another change needs this one from its first piece.
-        let (first, count) = if is_continuation {
+        let (next, left) = if is_continuation {
             (fetch.first, fetch.count)
         } else {
-            (0, fetch.count.max(PREFETCH_PIECES))
+            (0, fetch.count.max(FEWEST_FIRST_PIECES))
         };
-        let numbers = first..first.saturating_add(count);
-        Some(numbers.map_while(|number| encoded.piece(number)).collect())
+        Some(PieceRange { change, next, left })
     }
 
-    /// The change to serve a fetch from: the one already begun, or one from the daemon's version.
-    fn find(&mut self, fetch: &Fetch, state: &State, now: Instant) -> Option<&mut EncodedChange> {
-        let is_begun = |id: &ChangeId| fetch.begun.as_ref() == Some(id);
-        if let Some(at) = self.merged.iter().position(|merged| is_begun(&merged.encoded.id)) {
+    /// The next of these pieces; `None` if the change is no longer kept.
+    pub(super) fn next_piece(&mut self, pieces: &mut PieceRange, now: Instant) -> Option<Piece> {
+        let piece = self.find_begun(&pieces.change, now)?.piece(pieces.next)?;
+        pieces.next += 1;
+        pieces.left = if piece.last { 0 } else { pieces.left - 1 };
+        Some(piece)
+    }
+
+    fn keeps(&self, change: &ChangeId) -> bool {
+        let is_kept = |encoded: &EncodedChange| encoded.id == *change;
+        self.merged.iter().any(|merged| is_kept(&merged.encoded))
+            || self.recent.iter().any(|recent| is_kept(&recent.encoded))
+    }
+
+    fn find_begun(&mut self, change: &ChangeId, now: Instant) -> Option<&mut EncodedChange> {
+        if let Some(at) = self.merged.iter().position(|merged| merged.encoded.id == *change) {
             return Some(self.touch_merged(at, now));
         }
-        if let Some(at) = self.recent.iter().position(|recent| is_begun(&recent.encoded.id)) {
-            return Some(&mut self.recent[at].encoded);
+        let recent = self.recent.iter_mut().find(|recent| recent.encoded.id == *change);
+        recent.map(|recent| &mut recent.encoded)
+    }
+
+    /// The change to serve a fetch from: the one already begun, or one from the daemon's version.
+    fn find(&mut self, fetch: &Fetch, state: &State, now: Instant) -> Option<&mut EncodedChange> {
+        if let Some(begun) = fetch.begun.as_ref().filter(|id| self.keeps(id)) {
+            return self.find_begun(begun, now);
         }
         if state.version() <= fetch.after || state.version() < fetch.at_least {
             return None;
--- a/crates/core/src/node/config_changes_tests.rs
+++ b/crates/core/src/node/config_changes_tests.rs
@@ -53,7 +53,15 @@
     }
 
     fn answer(&mut self, fetch: &Fetch) -> Option<Vec<Piece>> {
-        self.changes.answer(fetch, &self.state, NOW)
+        if fetch.count == 0 {
+            return None;
+        }
+        let mut range = self.changes.find_pieces(fetch, &self.state, NOW)?;
+        let mut pieces = Vec::new();
+        while !range.is_empty() {
+            pieces.push(self.changes.next_piece(&mut range, NOW)?);
+        }
+        Some(pieces)
     }
 
     /// All pieces for a daemon at this version.
@@ -82,7 +90,7 @@
         let mut fetches = take_fetches(&mut out);
         if fetches.is_empty() || choices.below(8) == 0 {
             let other = choices.below(names.len() as u64) as usize;
-            config_fetch.switch_source(names[other].clone(), NOW, &mut out);
+            config_fetch.try_source(names[other].clone(), NOW, &mut out);
             // Earlier requests are lost or answered late.
             if choices.below(2) == 0 {
                 fetches.clear();
@@ -91,7 +99,8 @@
         for (to, fetch) in fetches {
             let source = &mut sources[to.parse::<usize>().unwrap()];
             for piece in source.answer(&fetch).unwrap_or_default() {
-                if let PieceOutcome::Complete(change) = config_fetch.on_piece(piece, NOW, &mut out)
+                if let PieceOutcome::Complete(change) =
+                    config_fetch.on_piece(&to, piece, NOW, &mut out)
                 {
                     return change;
                 }
@@ -227,11 +236,11 @@
         let change = ChangeId { version, ..ChangeId::default() };
         Piece { change, number, last, delta: Bytes::new() }
     };
-    config_fetch.on_piece(piece(2, 0, false), NOW, &mut out);
+    config_fetch.on_piece(&"a".into(), piece(2, 0, false), NOW, &mut out);
 
-    let stray = config_fetch.on_piece(piece(3, 1, true), NOW, &mut out);
-    let restarted = config_fetch.on_piece(piece(3, 0, false), NOW, &mut out);
-    let last = config_fetch.on_piece(piece(3, 1, true), NOW, &mut out);
+    let stray = config_fetch.on_piece(&"a".into(), piece(3, 1, true), NOW, &mut out);
+    let restarted = config_fetch.on_piece(&"a".into(), piece(3, 0, false), NOW, &mut out);
+    let last = config_fetch.on_piece(&"a".into(), piece(3, 1, true), NOW, &mut out);
 
     expect_that!((stray, restarted), eq(&(PieceOutcome::Partial, PieceOutcome::Partial)));
     let PieceOutcome::Complete(change) = last else { panic!("{last:?}") };
@@ -247,9 +256,9 @@
     let mut config_fetch = ConfigFetch::start("a".into(), 1, 0, NOW, &mut out);
 
     let first = config_fetch.timeout_at().since(NOW);
-    config_fetch.switch_source("b".into(), NOW, &mut out);
+    config_fetch.try_source("b".into(), NOW, &mut out);
     let second = config_fetch.timeout_at().since(NOW);
-    config_fetch.on_piece(source.all_pieces(1).remove(0), NOW, &mut out);
+    config_fetch.on_piece(&"b".into(), source.all_pieces(1).remove(0), NOW, &mut out);
     let later = config_fetch.timeout_at().since(NOW);
 
     expect_that!(first, lt(Duration::from_millis(200)));
--- a/crates/core/src/node/config_fetch.rs
+++ b/crates/core/src/node/config_fetch.rs
@@ -1,9 +1,9 @@
 //! Fetches a configuration change from a control VM, piece by piece.
 //!
-//! The daemon requests a window of pieces and one more for each piece received. Control VMs keep no
-//! state per daemon, and each daemon receives a change at its own pace.
+//! The daemon asks for all pieces at once: each further question would wait until both daemons have run. The
+//! control VM sends them as fast as the link takes them.
 
-use std::time::Duration;
+use std::{collections::BTreeSet, time::Duration};
 
 use super::{Outbox, VmName};
 use crate::{
@@ -13,9 +13,9 @@
     wire::{Body, Fetch, Piece},
 };
 
-/// Window of requested pieces: two cover a round trip on the slowest links, the third a busy
-/// thread. Two keep a link of 10 Mbit/s busy over a round trip of 3 ms.
-pub(super) const PREFETCH_PIECES: u64 = 3;
+/// Pieces that a control VM is asked for in place of one that is late, until one of them has come. The late one
+/// may still send all of them.
+const TRIAL_PIECES: u64 = 3;
 /// Timeout for the first piece, after which another control VM is tried: one that is partitioned
 /// from the leader has nothing to send. Grows with each source tried, in case all are slow. Five
 /// round trips and pieces on a link of 10 Mbit/s.
@@ -43,7 +43,12 @@
 /// A fetch in progress.
 #[derive(Debug)]
 pub(super) struct ConfigFetch {
+    /// The control VM that was asked for all pieces.
     from: VmName,
+    /// The control VM asked last; another one than `from` while that is late.
+    tried_last: VmName,
+    /// Control VMs that may still send pieces.
+    asked: BTreeSet<VmName>,
     /// Version that the change applies to; zero for a whole document.
     base: u64,
     /// The oldest version that may be activated.
@@ -82,26 +87,27 @@
         now: Instant,
         out: &mut Outbox,
     ) -> ConfigFetch {
-        let (change_id, delta) = (None, Delta::default());
         let mut fetch = ConfigFetch {
-            from,
+            tried_last: from.clone(),
+            asked: BTreeSet::new(),
             base,
             at_least,
-            change_id,
-            delta,
+            change_id: None,
+            delta: Delta::default(),
             next_piece: 0,
             last_activity: now,
             sources_tried: 1,
             started_at: now,
             requests: 0,
+            from,
         };
-        fetch.request(0, PREFETCH_PIECES, out);
+        fetch.request(&fetch.from.clone(), u64::MAX, out);
         fetch
     }
 
-    /// The control VM currently fetched from.
-    pub(super) fn from(&self) -> &VmName {
-        &self.from
+    /// The control VM asked last.
+    pub(super) fn tried_last(&self) -> &VmName {
+        &self.tried_last
     }
 
     /// Version that the change applies to; zero for a whole document.
@@ -109,7 +115,7 @@
         self.base
     }
 
-    /// When the current source times out.
+    /// When the control VM asked last is late.
     pub(super) fn timeout_at(&self) -> Instant {
         let timeout = if self.next_piece == 0 {
             FIRST_PIECE_TIMEOUT * self.sources_tried
@@ -119,17 +125,32 @@
         self.last_activity.after(timeout.min(PIECE_TIMEOUT))
     }
 
-    /// Continues at another control VM from the next piece.
-    pub(super) fn switch_source(&mut self, from: VmName, now: Instant, out: &mut Outbox) {
-        self.from = from;
+    /// Time in which this daemon did not run is no silence of a control VM.
+    pub(super) fn on_held_up(&mut self, time: Duration, now: Instant) {
+        self.last_activity = self.last_activity.after(time).min(now);
+    }
+
+    /// Tries another control VM, which goes on from the next piece if it sends one first.
+    pub(super) fn try_source(&mut self, vm: VmName, now: Instant, out: &mut Outbox) {
         self.last_activity = now;
         self.sources_tried += 1;
-        self.request(self.next_piece, PREFETCH_PIECES, out);
+        if !self.asked.contains(&self.from) {
+            self.from = vm.clone();
+        }
+        let count = if vm == self.from { u64::MAX } else { TRIAL_PIECES };
+        self.request(&vm, count, out);
+        self.tried_last = vm;
+    }
+
+    /// A control VM can send nothing more.
+    pub(super) fn on_source_lost(&mut self, vm: &VmName) {
+        self.asked.remove(vm);
     }
 
-    /// Adds a piece and requests another one.
+    /// Adds a piece.
     pub(super) fn on_piece(
         &mut self,
+        from: &VmName,
         piece: Piece,
         now: Instant,
         out: &mut Outbox,
@@ -140,22 +161,43 @@
             self.delta = Delta::default();
             self.next_piece = 0;
         } else if !is_current || piece.number != self.next_piece {
-            // A duplicate, or a late piece from an earlier source.
+            // A duplicate, or a late piece of another change.
             return PieceOutcome::Partial;
         }
         self.last_activity = now;
-        let Ok(delta) = EncodedDelta::read(piece.delta) else { return PieceOutcome::Invalid };
+        let Ok(delta) = EncodedDelta::read(piece.delta) else {
+            self.cancel(out);
+            return PieceOutcome::Invalid;
+        };
         self.delta.changed.extend(delta.changed);
         self.delta.removed.extend(delta.removed);
         self.next_piece += 1;
         if piece.last {
+            self.asked.remove(from);
+            self.cancel(out);
             let delta = std::mem::take(&mut self.delta);
             return PieceOutcome::Complete(AcceptedChange { id: piece.change, delta });
         }
-        self.request(self.next_piece + PREFETCH_PIECES - 1, 1, out);
+        let is_late = self.tried_last != self.from;
+        if *from != self.from && is_late {
+            self.asked.remove(from);
+            self.cancel(out);
+            self.from = from.clone();
+            self.request(from, u64::MAX, out);
+        }
+        if *from == self.from {
+            self.tried_last = from.clone();
+        }
         PieceOutcome::Partial
     }
 
+    /// Tells control VMs that may still send pieces that nobody waits for them.
+    pub(super) fn cancel(&mut self, out: &mut Outbox) {
+        for vm in std::mem::take(&mut self.asked) {
+            out.send(&vm, Body::Fetch(self.fetch(0)));
+        }
+    }
+
     /// What it took to get the change.
     pub(super) fn summary(&self, now: Instant) -> FetchSummary {
         FetchSummary {
@@ -168,10 +210,20 @@
         }
     }
 
-    fn request(&mut self, first: u64, count: u64, out: &mut Outbox) {
+    fn request(&mut self, vm: &VmName, count: u64, out: &mut Outbox) {
         self.requests += 1;
-        let begun = self.change_id.clone();
-        let fetch = Fetch { after: self.base, begun, first, count, at_least: self.at_least };
-        out.send(&self.from, Body::Fetch(fetch));
+        self.asked.insert(vm.clone());
+        out.send(vm, Body::Fetch(self.fetch(count)));
+    }
+
+    /// A fetch of so many pieces from the next one on.
+    fn fetch(&self, count: u64) -> Fetch {
+        Fetch {
+            after: self.base,
+            begun: self.change_id.clone(),
+            first: self.next_piece,
+            count,
+            at_least: self.at_least,
+        }
     }
 }
--- a/crates/core/src/node/config_store.rs
+++ b/crates/core/src/node/config_store.rs
@@ -164,6 +164,7 @@
     /// configuration was activated.
     pub(super) fn on_piece(
         &mut self,
+        from: &VmName,
         piece: Piece,
         sources: &ConfigSources,
         now: Instant,
@@ -171,7 +172,7 @@
     ) -> bool {
         let Some(fetch) = &mut self.fetch else { return false };
         let version = piece.change.version;
-        let change = match fetch.on_piece(piece, now, out) {
+        let change = match fetch.on_piece(from, piece, now, out) {
             PieceOutcome::Partial => return false,
             PieceOutcome::Invalid => {
                 out.push(Output::ConfigRejected {
@@ -219,7 +220,9 @@
         let known = self.version_hash().version.max(self.rejected_version.unwrap_or_default());
         // Deltas do not apply on top of a rejected version, so the whole document is fetched.
         let base = if self.rejected_version.is_some() { 0 } else { known };
-        self.fetch.take_if(|fetch| fetch.base() != base);
+        if let Some(mut outdated) = self.fetch.take_if(|fetch| fetch.base() != base) {
+            outdated.cancel(out);
+        }
         // Nothing may be activated before the first confirmation.
         let is_known = self.active_config.is_some() || self.min_version.is_some();
         let is_missing = is_known && known < self.newest_known && !self.has_local_replica;
@@ -240,11 +243,20 @@
         now: Instant,
         out: &mut Outbox,
     ) {
-        if self.fetch.as_ref().is_some_and(|fetch| fetch.from() == vm) {
+        let Some(fetch) = &mut self.fetch else { return };
+        fetch.on_source_lost(vm);
+        if fetch.tried_last() == vm {
             self.fetch_from_next_source(sources, now, out);
         }
     }
 
+    /// Time in which this daemon did not run is no silence of a control VM.
+    pub(super) fn on_held_up(&mut self, time: Duration, now: Instant) {
+        if let Some(fetch) = &mut self.fetch {
+            fetch.on_held_up(time, now);
+        }
+    }
+
     /// When [`ConfigStore::tick`] must be called next.
     pub(super) fn next_tick(&self) -> Option<Instant> {
         self.fetch.as_ref().map(ConfigFetch::timeout_at)
@@ -259,7 +271,7 @@
     fn fetch_from_next_source(&mut self, sources: &ConfigSources, now: Instant, out: &mut Outbox) {
         self.sources_skipped += 1;
         match (&mut self.fetch, sources.nth_preferred(self.sources_skipped)) {
-            (Some(fetch), Some(source)) => fetch.switch_source(source, now, out),
+            (Some(fetch), Some(source)) => fetch.try_source(source, now, out),
             _ => self.fetch = None,
         }
     }
--- a/crates/core/src/node/config_store_tests.rs
+++ b/crates/core/src/node/config_store_tests.rs
@@ -61,7 +61,7 @@
         let hash = document.content_hash().0.to_vec().into();
         let change = ChangeId { version, base: 0, hash };
         let piece = Piece { change, number: 0, last: true, delta };
-        self.config_store.on_piece(piece, &self.sources, NOW, &mut self.out)
+        self.config_store.on_piece(&"control".into(), piece, &self.sources, NOW, &mut self.out)
     }
 
     /// Fetches what is missing.
--- a/crates/core/src/node/control/answers.rs
+++ b/crates/core/src/node/control/answers.rs
@@ -6,7 +6,7 @@
 use crate::{
     agreement::ConfirmedRead,
     config::ContentHash,
-    node::{Clocks, Outbox, Output, SentChange, VmName},
+    node::{Clocks, Outbox, VmName},
     once::ClaimResult,
     quarantine::SuspectCacheState,
     state::{Command, ConfigChange, ConfigResult, HallResult, command},
@@ -65,26 +65,30 @@
         out.send(&vm, Body::PollReply(reply));
     }
 
-    /// Sends the requested pieces. A fetch of a version that this replica has not applied yet waits for
-    /// it: followers apply entries slightly later than the leader.
+    /// Starts to send a change. A fetch of a version that this replica has not applied yet waits for it:
+    /// followers apply entries slightly later than the leader.
     pub(super) fn on_fetch(&mut self, from: &VmName, fetch: Fetch, now: Instant, out: &mut Outbox) {
-        let Some(pieces) = self.config_changes.answer(&fetch, &self.state, now) else {
-            self.waiting_fetches.insert(from.clone(), fetch);
-            return;
-        };
-        for piece in pieces {
-            out.push(Output::SentChange(SentChange::fetched(&piece, from)));
-            out.send(from, Body::Piece(piece));
-        }
+        self.config_streams.start(from, fetch);
+        self.send_pieces(from, now, out);
+    }
+
+    /// Goes on with a change once the link has taken a piece of it.
+    pub(crate) fn on_piece_written(&mut self, vm: &VmName, now: Instant, out: &mut Outbox) {
+        self.config_streams.on_written(vm);
+        self.send_pieces(vm, now, out);
     }
 
     /// Answers the fetches that waited for the version applied last.
     pub(super) fn answer_waiting_fetches(&mut self, now: Instant, out: &mut Outbox) {
-        for (vm, fetch) in std::mem::take(&mut self.waiting_fetches) {
-            self.on_fetch(&vm, fetch, now, out);
+        for vm in self.config_streams.waiting() {
+            self.send_pieces(&vm, now, out);
         }
     }
 
+    fn send_pieces(&mut self, vm: &VmName, now: Instant, out: &mut Outbox) {
+        self.config_streams.send(vm, &mut self.config_changes, &self.state, now, out);
+    }
+
     /// Proposes the command for an operation.
     pub(super) fn on_operation(
         &mut self,
--- a/crates/core/src/node/control/mod.rs
+++ b/crates/core/src/node/control/mod.rs
@@ -1,6 +1,9 @@
 //! A control replica: runs consensus, applies the replicated state and, on the leader, serves daemons.
 
 mod answers;
+mod config_streams;
+#[cfg(test)]
+mod config_streams_tests;
 mod daemons;
 mod ready;
 mod status;
@@ -23,11 +26,11 @@
     placement::Scheduler,
     state::{HallsOut, State},
     units::Instant,
-    wire::{Body, Fetch, Poll, ReplicaInfo, Submit},
+    wire::{Body, Poll, ReplicaInfo, Submit},
 };
 
 pub use self::status::{ControlStatus, DaemonStatus, ReplicaStatus};
-use self::{daemons::DaemonTable, suspects::SuspectCoordinator};
+use self::{config_streams::ConfigStreams, daemons::DaemonTable, suspects::SuspectCoordinator};
 
 const HOUSEKEEPING_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -74,8 +77,7 @@
     last_read_token: u64,
     daemons: DaemonTable,
     config_changes: ConfigChanges,
-    /// Fetches of versions that this replica has not applied yet; the latest of each daemon.
-    waiting_fetches: ByVm<Fetch>,
+    config_streams: ConfigStreams,
     dispatcher: Option<Dispatcher>,
     suspect_coordinator: SuspectCoordinator,
     dispatcher_options: DispatcherOptions,
@@ -112,7 +114,7 @@
             last_read_token: 0,
             daemons: DaemonTable::default(),
             config_changes: ConfigChanges::default(),
-            waiting_fetches: ByVm::new(),
+            config_streams: ConfigStreams::default(),
             dispatcher: None,
             suspect_coordinator: SuspectCoordinator::new(now),
             dispatcher_options: DispatcherOptions {
@@ -162,7 +164,7 @@
 
     pub(crate) fn link_down(&mut self, vm: &VmName, clocks: Clocks, out: &mut Outbox) {
         self.peers.remove(vm);
-        self.waiting_fetches.remove(vm);
+        self.config_streams.remove(vm);
         if let Some(dispatcher) = &mut self.dispatcher {
             dispatcher.remove_daemon(vm, clocks.now, out);
         }
--- a/crates/core/src/node/control_client/mod.rs
+++ b/crates/core/src/node/control_client/mod.rs
@@ -271,7 +271,9 @@
 
     pub(crate) fn tick(&mut self, now: Instant, out: &mut Outbox) {
         // Time in which this daemon did not run is no silence of the leader.
-        self.last_reply = self.last_reply.after(now.since(self.tick_due())).min(now);
+        let held_up = now.since(self.tick_due());
+        self.last_reply = self.last_reply.after(held_up).min(now);
+        self.config_store.on_held_up(held_up, now);
         self.last_tick = now;
         self.update_freshness(now, out);
         self.answer_reads(now, out);
@@ -352,8 +354,8 @@
     }
 
     /// Handles a piece of the change being fetched.
-    pub(crate) fn on_piece(&mut self, piece: Piece, now: Instant, out: &mut Outbox) {
-        if self.config_store.on_piece(piece, &self.sources, now, out) {
+    pub(crate) fn on_piece(&mut self, from: &VmName, piece: Piece, now: Instant, out: &mut Outbox) {
+        if self.config_store.on_piece(from, piece, &self.sources, now, out) {
             self.on_config_activated(None, now, out);
         }
     }
--- a/crates/core/src/node/inputs.rs
+++ b/crates/core/src/node/inputs.rs
@@ -26,6 +26,11 @@
                     control.on_persisted(number, clocks, out);
                 }
             }
+            Input::PieceWritten(vm) => {
+                if let Some(control) = &mut self.control {
+                    control.on_piece_written(&vm, clocks.now, out);
+                }
+            }
             Input::Call(call, request) => self.on_call(call, request, clocks),
             Input::Progress(call, tokens) => {
                 self.placement.on_progress(call, tokens, clocks.now, out)
@@ -181,7 +186,7 @@
             }
             Body::Update(update) => self.client.on_update(from, update, clocks.now, out),
             Body::HallsOut(halls) => self.client.update_halls_out(&halls, out),
-            Body::Piece(piece) => self.client.on_piece(piece, clocks.now, out),
+            Body::Piece(piece) => self.client.on_piece(from, piece, clocks.now, out),
             Body::NotLeader(reply) => {
                 self.client.on_not_leader(from, reply.leader.as_deref(), clocks.now);
                 if let Some(operation) = reply.operation {
--- a/crates/core/src/node/messages.rs
+++ b/crates/core/src/node/messages.rs
@@ -172,6 +172,8 @@
     Message(VmName, Body),
     /// The writes of [`Output::Persist`] with this number are synced.
     Persisted(u64),
+    /// The link to a daemon has taken a [`Body::Piece`] that was sent on it.
+    PieceWritten(VmName),
     /// A call from another thread of the daemon.
     Call(CallId, NodeCall),
     /// A placed request has generated this many tokens.
@@ -267,6 +269,7 @@
             Input::LinkDown(_) => "link_down",
             Input::Message(_, body) => body.kind(),
             Input::Persisted(_) => "persisted",
+            Input::PieceWritten(_) => "piece_written",
             Input::Call(..) => "ask",
             Input::Progress(..) => "own_progress",
             Input::OwnDelay(_) => "own_delay",
--- a/crates/core/src/node/tests/fleet/mod.rs
+++ b/crates/core/src/node/tests/fleet/mod.rs
@@ -285,6 +285,10 @@
             self.records_to_entries += news.records.len();
         }
         let arrives = self.network.send(from, to, message_bytes(&body), at);
+        if let Body::Piece(_) = body {
+            // The sender's system buffers nothing.
+            self.arrive(from, Input::PieceWritten(to.clone()), arrives);
+        }
         self.arrive(to, Input::Message(from.clone(), body), arrives);
     }
 
--- a/crates/core/src/node/tests/net/mod.rs
+++ b/crates/core/src/node/tests/net/mod.rs
@@ -226,9 +226,18 @@
         let clocks = Clocks { now: Instant(self.now), wall: UnixMillis(self.now / 1_000) };
         let host = self.hosts.get_mut(vm).unwrap();
         let Some(node) = &mut host.node else { return };
-        for output in node.handle(input, clocks) {
+        let outputs = node.handle(input, clocks);
+        let piece_to = |output: &Output| match output {
+            Output::Send(to, Body::Piece(_)) => Some(to.clone()),
+            _ => None,
+        };
+        let written: Vec<VmName> = outputs.iter().filter_map(piece_to).collect();
+        for output in outputs {
             self.execute(vm, output);
         }
+        for to in written {
+            self.handle(vm, Input::PieceWritten(to));
+        }
     }
 
     fn execute(&mut self, vm: &VmName, output: Output) {
--- a/crates/server/src/runtime/link_table.rs
+++ b/crates/server/src/runtime/link_table.rs
@@ -29,6 +29,13 @@
     pub(super) since: Instant,
 }
 
+impl Waiting {
+    /// Whether the node is told when the link has taken it.
+    pub(super) fn is_piece(&self) -> bool {
+        matches!(self.body, Body::Piece(_))
+    }
+}
+
 struct Link {
     id: u64,
     tx: mpsc::Sender<Waiting>,
--- a/crates/server/src/runtime/links.rs
+++ b/crates/server/src/runtime/links.rs
@@ -55,6 +55,9 @@
 const REDIAL: Duration = Duration::from_millis(100);
 /// Messages that may wait for a slow peer; more are lost, as on a broken link.
 const MAX_QUEUE: usize = 4_096;
+/// Bytes to an entry that the system may buffer. Pieces of a configuration fill it, and grants queue behind them:
+/// 35 ms on a link of 7.5 Mbit/s.
+const ENTRY_SEND_BUFFER: usize = 32 * 1024;
 /// Bytes that one write may gather.
 const MAX_WRITE: usize = 64 * 1024;
 
@@ -166,6 +169,9 @@
     socket::tune(&socket)?;
     let peer =
         timeout(HANDSHAKE, shake_hands(socket, node, false)).await.wrap_err("no proof")??;
+    if !node.links().dialed.borrow().contains_key(&peer.vm) {
+        socket::bound_send_buffer(&peer.socket, ENTRY_SEND_BUFFER)?;
+    }
     let (link, _lost) = RunningLink::open(&peer.vm, node);
     run(peer, link).await;
     Ok(())
@@ -299,16 +305,21 @@
             Ok(None) => return Ok(write.shutdown().await?),
             Err(_) => None,
         };
+        let mut pieces = usize::from(first.as_ref().is_some_and(Waiting::is_piece));
         let began = Instant::now();
         let waited = first.as_ref().map_or(Duration::ZERO, |first| began - first.since);
         codec.encode(&Envelope { body: first.map(|first| first.body) }, &mut buf)?;
         // What has queued up meanwhile shares one write.
         while buf.len() < MAX_WRITE {
             let Ok(waiting) = rx.try_recv() else { break };
+            pieces += usize::from(waiting.is_piece());
             codec.encode(&Envelope { body: Some(waiting.body) }, &mut buf)?;
         }
         frames::write_all(&mut write, &buf, SILENCE * MAX_SILENCES).await?;
         sight::written(node.metrics(), vm, buf.len(), waited, began.elapsed());
         buf.clear();
+        for _ in 0..pieces {
+            node.input(Input::PieceWritten(vm.clone()));
+        }
     }
 }
--- a/crates/server/src/upstream/socket.rs
+++ b/crates/server/src/upstream/socket.rs
@@ -24,6 +24,11 @@
     socket.set_tcp_keepalive(&keepalive)
 }
 
+/// Bounds what the system buffers of what was written, so that it does not delay what is written next.
+pub(crate) fn bound_send_buffer(socket: &TcpStream, bytes: usize) -> io::Result<()> {
+    SockRef::from(socket).set_send_buffer_size(bytes)
+}
+
 /// Connects and tunes.
 pub(crate) async fn connect(address: SocketAddr) -> io::Result<TcpStream> {
     let socket = TcpStream::connect(address).await?;
--- a/crates/trayswitchd/src/link/stream.rs
+++ b/crates/trayswitchd/src/link/stream.rs
@@ -17,8 +17,8 @@
 use prost::Message;
 use tokio_util::codec::{Decoder, Encoder, LengthDelimitedCodec};
 use trayswitch_core::{
-    node::VmName,
-    wire::{Envelope, FrameCodec, Handshake, Hello, Proof},
+    node::{Input, VmName},
+    wire::{Body, Envelope, FrameCodec, Handshake, Hello, Proof},
 };
 
 use super::{KEEP_ALIVE, LinkHandle, LinkId, RECEIVED, SENT, SILENCE};
@@ -76,9 +76,11 @@
     let queued = Arc::new(AtomicUsize::new(0));
     let taken = queued.clone();
     let mut sending = socket.try_clone()?;
+    let (peer, writer) = (vm.clone(), node.clone());
     let write = move || {
+        let on_piece = || writer.input(Input::PieceWritten(peer.clone()));
         // The reading thread reports the end.
-        let _ = write_all(&mut sending, &rx, &taken);
+        let _ = write_all(&mut sending, &rx, &taken, on_piece);
         let _ = sending.shutdown(Shutdown::Both);
     };
     thread::Builder::new().name("link-out".into()).stack_size(STACK).spawn(write)?;
@@ -112,6 +114,7 @@
     socket: &mut TcpStream,
     rx: &mpsc::Receiver<Envelope>,
     queued: &AtomicUsize,
+    on_piece_written: impl Fn(),
 ) -> Result<()> {
     let mut codec = FrameCodec::default();
     let mut buf = BytesMut::new();
@@ -124,10 +127,12 @@
             Err(RecvTimeoutError::Timeout) => Envelope::default(),
             Err(RecvTimeoutError::Disconnected) => return Ok(()),
         };
+        let mut pieces = usize::from(is_piece(&first));
         codec.encode(&first, &mut buf)?;
         // What has queued up meanwhile shares one write.
         while let Ok(envelope) = rx.try_recv() {
             queued.fetch_sub(1, Ordering::Relaxed);
+            pieces += usize::from(is_piece(&envelope));
             codec.encode(&envelope, &mut buf)?;
             if READ <= buf.len() {
                 break;
@@ -136,9 +141,15 @@
         socket.write_all(&buf)?;
         SENT.fetch_add(buf.len() as u64, Ordering::Relaxed);
         buf.clear();
+        (0..pieces).for_each(|_| on_piece_written());
     }
 }
 
+/// Whether the node is told when the link has taken it.
+fn is_piece(envelope: &Envelope) -> bool {
+    matches!(envelope.body, Some(Body::Piece(_)))
+}
+
 /// Frames of the handshake, small and read one by one.
 struct HandshakeFrames<'a> {
     socket: &'a mut TcpStream,
