What is read of responses and not handed out is bounded and counted in sum

Operators of other systems saw: an endpoint that sends bytes without end takes all of a VM's memory, and other callers' requests end with it (LOST). Cause: a head of up to 64 kB, what the HTTP library reads ahead, and what the system keeps for a reader that stands still (some MB a connection, by its own bounds) were counted nowhere; chunk sizes without end went on until the deadline. Replies to copies and reports, and reasons of forwarders, were bounded each and not counted. Change: Intake counts what was read of a response in the memory budget until it is handed out; heads over 8 kB take from the first half of it only. Sockets to endpoints and forwarders have a receive buffer of 64 kB, which counts while nobody reads. Replies and reasons count.

--- a/crates/server/src/overload/memory.rs
+++ b/crates/server/src/overload/memory.rs
@@ -18,6 +18,9 @@
 /// large ones leave room for the small ones of all others.
 const MAX_SMALL: usize = 64 * 1024;
 
+/// The same for the head of a response.
+const MAX_SMALL_HEAD: usize = 8 * 1024;
+
 /// Memory for bodies and events on their way.
 pub(crate) struct MemoryBudget {
     limit: usize,
@@ -30,6 +33,8 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct BudgetExhausted;
 
+impl std::error::Error for BudgetExhausted {}
+
 impl fmt::Display for BudgetExhausted {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str("this daemon's memory for bodies is used up")
@@ -44,7 +49,17 @@
 
     /// A buffer that is empty so far.
     pub(crate) fn reservation(self: &Arc<Self>) -> Reservation {
-        Reservation { budget: self.clone(), bytes: 0 }
+        self.reservation_of(MAX_SMALL)
+    }
+
+    /// The same for the head of a response. A long one takes from the first half of the budget only, so that many
+    /// endpoints that send heads without end leave the other half.
+    pub(crate) fn intake(self: &Arc<Self>) -> Reservation {
+        self.reservation_of(MAX_SMALL_HEAD)
+    }
+
+    fn reservation_of(self: &Arc<Self>, max_small: usize) -> Reservation {
+        Reservation { budget: self.clone(), bytes: 0, max_small }
     }
 
     /// Counts bytes for as long as they are kept.
@@ -59,6 +74,7 @@
 pub(crate) struct Reservation {
     budget: Arc<MemoryBudget>,
     bytes: usize,
+    max_small: usize,
 }
 
 impl Reservation {
@@ -66,17 +82,24 @@
     pub(crate) fn resize(&mut self, bytes: usize) -> Result<(), BudgetExhausted> {
         let MemoryBudget { limit, used, metrics } = &*self.budget;
         let others = used.load(Relaxed) - self.bytes;
-        let limit = if bytes <= MAX_SMALL { *limit } else { *limit / 2 };
+        let limit = if bytes <= self.max_small { *limit } else { *limit / 2 };
         if self.bytes < bytes && limit < others + bytes {
             metrics.on_refused();
             return Err(BudgetExhausted);
         }
-        used.store(others + bytes, Relaxed);
-        metrics.set(others + bytes);
-        self.bytes = bytes;
+        self.resize_unchecked(bytes);
         Ok(())
     }
 
+    /// Counts `bytes` in all, whether or not there is room: they are there already.
+    pub(crate) fn resize_unchecked(&mut self, bytes: usize) {
+        let MemoryBudget { used, metrics, .. } = &*self.budget;
+        let sum = used.load(Relaxed) - self.bytes + bytes;
+        used.store(sum, Relaxed);
+        metrics.set(sum);
+        self.bytes = bytes;
+    }
+
     /// Bytes for which there is room, counted for as long as they are kept.
     pub(crate) fn hold(self, bytes: Bytes) -> Bytes {
         Bytes::from_owner(Held { bytes, _reservation: self })
--- a/crates/server/src/relay/endpoint_connection.rs
+++ b/crates/server/src/relay/endpoint_connection.rs
@@ -57,7 +57,9 @@
         match self.path(endpoint) {
             Path::Direct => match self.connect(endpoint, send.time_left).await {
                 Ok(socket) => {
-                    return exchange_on(self.metered(socket), send.req, may_send, late).await;
+                    let socket = self.metered(socket);
+                    let intake = self.buffers.intake();
+                    return exchange_on(socket, send.req, may_send, late, Some(intake)).await;
                 }
                 Err(ConnectError::Delayed(error)) => return Err(SendError::Delayed(error)),
                 Err(ConnectError::Failed(error)) if !self.should_forward(endpoint) => {
--- a/crates/server/src/relay/forwarding/client.rs
+++ b/crates/server/src/relay/forwarding/client.rs
@@ -187,21 +187,24 @@
         {
             req.headers_mut().insert(http::header::HOST, host);
         }
-        let mut open = match exchange_on(self.metered(socket), req, may_send, late).await {
-            Ok(open) => open,
-            Err(SendError::NotSent(error)) => return not_taken(error),
-            Err(SendError::Lost(error)) => {
-                self.forwarder_pool.borrow_mut().on_failure(vm);
-                return Offer::Final(SendError::Lost(error));
-            }
-            Err(error) => return Offer::Final(error),
-        };
+        let socket = self.metered(socket);
+        let mut open =
+            match exchange_on(socket, req, may_send, late, Some(self.buffers.intake())).await {
+                Ok(open) => open,
+                Err(SendError::NotSent(error)) => return not_taken(error),
+                Err(SendError::Lost(error)) => {
+                    self.forwarder_pool.borrow_mut().on_failure(vm);
+                    return Offer::Final(SendError::Lost(error));
+                }
+                Err(error) => return Offer::Final(error),
+            };
         let outcome = Outcome::take(&mut open.head.headers);
         if outcome == Some(Outcome::Answered) {
             open.body.hold(guard);
             return Offer::Answered(open);
         }
-        let reason = open.body.collect(MAX_REASON_BYTES).await.unwrap_or_default();
+        let reason = open.body.collect_within(MAX_REASON_BYTES, self.buffers.reservation()).await;
+        let reason = reason.unwrap_or_default();
         let reason = String::from_utf8_lossy(&reason).into_owned();
         match outcome {
             Some(Outcome::NotSent) => Offer::NotSent(reason),
--- a/crates/server/src/relay/forwarding/server.rs
+++ b/crates/server/src/relay/forwarding/server.rs
@@ -213,7 +213,8 @@
         Purpose::Control | Purpose::Probe => Ok(()),
     };
     let sent_at = relay.node.now();
-    let open = exchange_on(relay.metered(socket), req, may_send, LateResponse::ignored()).await;
+    let (socket, intake) = (relay.metered(socket), relay.buffers.intake());
+    let open = exchange_on(socket, req, may_send, LateResponse::ignored(), Some(intake)).await;
     let open = open.map_err(|error| match error {
         SendError::NotSent(reason) => Failure::new(Outcome::NotSent, reason),
         SendError::Delayed(reason) => Failure::new(Outcome::Unavailable, reason),
--- a/crates/server/src/relay/local_placement.rs
+++ b/crates/server/src/relay/local_placement.rs
@@ -178,7 +178,8 @@
     let whole = async {
         let open = relay.exchange(engine, req).await.map_err(|e| e.to_string())?;
         relay.on_control_response(&engine.service, engine, sent_at, &open.head);
-        Ok((open.head, open.body.collect(MAX_REPLY_BYTES).await?))
+        let reservation = relay.buffers.reservation();
+        Ok((open.head, open.body.collect_within(MAX_REPLY_BYTES, reservation).await?))
     };
     timeout(relay.options.connect_timeout, whole).await.unwrap_or_else(|_| Err("timed out".into()))
 }
--- a/crates/server/src/relay/relocation.rs
+++ b/crates/server/src/relay/relocation.rs
@@ -162,7 +162,7 @@
         let open = relay.exchange(from, req).await.map_err(|e| e.to_string())?;
         let head = open.head;
         relay.on_control_response(service, from, sent_at, &head);
-        let body = open.body.collect(MAX_REPLY_BYTES).await?;
+        let body = open.body.collect_within(MAX_REPLY_BYTES, relay.buffers.reservation()).await?;
         Ok(relay.protocol.decode_copy_reply(&head, &body))
     };
     timeout(relay.options.copy_timeout, reply).await.map_err(|_| "the copy timed out".to_owned())?
--- a/crates/server/src/relay/tests/endless_messages.rs
+++ b/crates/server/src/relay/tests/endless_messages.rs
@@ -10,6 +10,7 @@
 
 use super::{
     protocol::ID,
+    raw_endpoint::RawEndpoint,
     response::{outcome, text},
     test_daemon::{MAX_BUFFERED, TestDaemon, run_test},
     test_fleet::answer_all,
@@ -30,6 +31,16 @@
     start: "HTTP/1.1 500 Internal Server Error\r\n{id}\r\n\r\n",
     rest: "xxxxxxxxxxxxxxxxxxxxxxxxxxxxxx",
 };
+const CHUNKED: &str = "HTTP/1.1 200 OK\r\n{id}\r\ntransfer-encoding: chunked\r\n\r\n";
+const CHUNK_SIZE: Endless = Endless { start: CHUNKED, rest: "0000000000000000" };
+const CHUNK_EXTENSION: Endless = Endless {
+    start: "HTTP/1.1 200 OK\r\n{id}\r\ntransfer-encoding: chunked\r\n\r\n1;",
+    rest: "xxxxxxxxxxxxxxxx",
+};
+const TRAILERS: Endless = Endless {
+    start: "HTTP/1.1 200 OK\r\n{id}\r\ntransfer-encoding: chunked\r\n\r\n0\r\n",
+    rest: "x: xxxxxxxxxxxx\r\n",
+};
 const EVENTS: Endless = Endless { start: "HTTP/1.1 200 OK\r\n{id}\r\n\r\n", rest: "data: x\n\n" };
 const COMMENTS: Endless = Endless { start: "HTTP/1.1 200 OK\r\n{id}\r\n\r\n", rest: ":\n\n" };
 
@@ -92,7 +103,7 @@
 
 #[gtest]
 fn calls_with_endless_heads_and_bodies_end() {
-    for endless in [HEAD, INTERIM, BODY, ERROR_BODY] {
+    for endless in [HEAD, INTERIM, BODY, ERROR_BODY, CHUNK_SIZE, CHUNK_EXTENSION, TRAILERS] {
         let end = run_test(end_of("desk", "/once/x", endless));
 
         expect_that!(end, some(eq("outcome_unknown")), "{}", endless.start);
@@ -111,7 +122,7 @@
 // Prompts of tests ask for at most 2,000 tokens.
 #[gtest]
 fn streams_that_go_on_beyond_what_was_asked_for_are_broken_off() {
-    for endless in [EVENTS, COMMENTS, BODY] {
+    for endless in [EVENTS, COMMENTS, BODY, CHUNK_SIZE, CHUNK_EXTENSION, TRAILERS] {
         let end = run_test(end_of("engines", "/chat/x", endless));
 
         expect_that!(end, some(not(contains_substring("the body is longer"))), "{}", endless.rest);
@@ -153,6 +164,41 @@
     expect_that!(buffered, some(all!(gt(0), le(MAX_BUFFERED as u64))));
 }
 
+// Guards against heads that are bounded each, and together take all of the VM's memory.
+#[gtest]
+fn heads_that_do_not_end_together_leave_room_for_other_callers() {
+    const HEAD_BYTES: usize = 48 * 1_024;
+    const HEADS: usize = 2 * MAX_BUFFERED / HEAD_BYTES;
+    let (held, served) = run_test(async {
+        let daemon = TestDaemon::open().await;
+        answer_all(daemon.register("engines", "e1").await, "engines");
+        let mut stalled = RawEndpoint::open(&daemon, "desk", "e2").await;
+        let mut connections = Vec::new();
+        let refused = futures_util::future::join_all((0..HEADS).map(|n| {
+            let (daemon, id) = (&daemon, format!("r{n}"));
+            async move { outcome(&daemon.send("/once/x", &id).await) }
+        }));
+        tokio::pin!(refused);
+        let head = format!("HTTP/1.1 200 OK\r\nx: {}", "x".repeat(HEAD_BYTES));
+        while connections.len() < HEADS {
+            tokio::select! {
+                _ = &mut refused => break,
+                mut response = stalled.next_request() => {
+                    // The daemon closes those that it has no room for.
+                    response.try_send_bytes(head.as_bytes()).await;
+                    connections.push(response);
+                }
+            }
+        }
+        let held = || daemon.metric("trayswitch_buffered_bytes").unwrap_or(0) as usize;
+        daemon.wait_until(|| MAX_BUFFERED / 3 < held()).await;
+        (held(), text(daemon.send("/chat/x", "other").await).await)
+    });
+
+    expect_that!(held, le(MAX_BUFFERED / 2 + HEAD_BYTES));
+    expect_that!(served, ok(anything()));
+}
+
 /// Sends the head of a request with a body of `length` bytes and this much of the body.
 async fn begin_body(daemon: &TestDaemon, id: &str, length: usize, sent: usize) -> TcpStream {
     let mut socket = TcpStream::connect(daemon.address()).await.unwrap();
--- a/crates/server/src/relay/tests/raw_endpoint.rs
+++ b/crates/server/src/relay/tests/raw_endpoint.rs
@@ -122,6 +122,11 @@
         write_and_end(self.socket, bytes, end).await.unwrap();
     }
 
+    /// Sends bytes as they are, unless the connection is closed before.
+    pub(super) async fn try_send_bytes(&mut self, bytes: &[u8]) {
+        let _ = self.socket.write_all(bytes).await;
+    }
+
     /// Sends bytes as they are.
     pub(super) async fn send_bytes(&mut self, bytes: &[u8]) {
         self.socket.write_all(bytes).await.unwrap();
--- a/crates/server/src/upstream/connector.rs
+++ b/crates/server/src/upstream/connector.rs
@@ -18,7 +18,7 @@
 
 impl Connector for TcpConnector {
     fn connect(&self, address: SocketAddr) -> LocalFuture<'static, io::Result<TcpStream>> {
-        Box::pin(socket::connect(address))
+        Box::pin(socket::connect_bounded(address))
     }
 }
 
--- a/crates/server/src/upstream/exchange.rs
+++ b/crates/server/src/upstream/exchange.rs
@@ -5,11 +5,20 @@
 //! that must not be repeated has run; a new one costs a round trip (docs/PLATFORM.md has the
 //! figures).
 
-use std::{any::Any, fmt, future::Future, net::SocketAddr, pin::Pin, time::Duration};
+use std::{
+    any::Any,
+    fmt,
+    future::{Future, poll_fn},
+    net::SocketAddr,
+    pin::Pin,
+    rc::Rc,
+    time::Duration,
+};
 
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response, header, response};
-use http_body_util::{BodyExt, Full};
+use http_body::Body as _;
+use http_body_util::Full;
 use hyper::{body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
 use tokio::{
@@ -19,17 +28,13 @@
 
 use super::{
     TcpConnector, connect_within,
-    head_limit::{HeadLimit, HeadLimited},
+    intake::{Intake, IntakeSocket, MAX_HEAD_BYTES},
 };
 use crate::{
     body_buffer::BodyBuffer,
     overload::{MeteredSocket, Reservation},
 };
 
-/// Bytes up to the end of a response's head, interim responses included. What comes of the body in the
-/// same read does not count.
-const MAX_HEAD_BYTES: usize = 64 * 1024;
-
 /// Why there is no answer.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum SendError {
@@ -65,6 +70,7 @@
 /// The body of an answer. Dropping it closes the connection.
 pub struct AnswerBody {
     incoming: Incoming,
+    intake: Rc<Intake>,
     _connection: Connection,
     /// Dropped with the body.
     held: Option<Box<dyn Any>>,
@@ -88,9 +94,18 @@
     /// The next bytes; `None` after the whole body. An error means that it was cut short.
     pub async fn next(&mut self) -> Option<Result<Bytes, String>> {
         loop {
-            match self.incoming.frame().await? {
+            let (incoming, intake) = (&mut self.incoming, &self.intake);
+            let frame = poll_fn(|cx| {
+                let frame = Pin::new(&mut *incoming).poll_frame(cx);
+                if frame.is_pending() {
+                    intake.on_idle();
+                }
+                frame
+            });
+            match frame.await? {
                 Ok(frame) => {
                     if let Ok(data) = frame.into_data() {
+                        self.intake.on_data(data.len());
                         return Some(Ok(data));
                     }
                 }
@@ -156,7 +171,7 @@
     let socket = connect_within(&TcpConnector, address, connect_limit).await;
     let socket = socket.map_err(|e| SendError::NotSent(e.to_string()))?;
     let socket = MeteredSocket::new(socket, None);
-    exchange_on(socket, req, || Ok(()), LateResponse::ignored()).await
+    exchange_on(socket, req, || Ok(()), LateResponse::ignored(), None).await
 }
 
 /// Reads the head of a response that comes after the future of its exchange was dropped.
@@ -174,15 +189,18 @@
     }
 }
 
-/// The same on a connection that is up, if the request may still be sent.
+/// The same on a connection that is up, if the request may still be sent. What is read of the response and not
+/// handed out counts in `reservation`.
 pub(crate) async fn exchange_on(
     socket: MeteredSocket,
     req: Request<Full<Bytes>>,
     may_send: impl FnOnce() -> Result<(), String>,
     late: LateResponse,
+    reservation: Option<Reservation>,
 ) -> Result<OpenAnswer, SendError> {
     let not_sent = |problem: String| SendError::NotSent(problem);
-    let (socket, head_limit) = HeadLimited::new(socket, MAX_HEAD_BYTES);
+    let intake = Intake::new(reservation);
+    let socket = IntakeSocket::new(socket, intake.clone());
     let handshake =
         http1::Builder::new().max_buf_size(MAX_HEAD_BYTES).handshake(TokioIo::new(socket)).await;
     let (mut sender, connection) = handshake.map_err(|e| not_sent(describe(&e)))?;
@@ -196,7 +214,7 @@
     may_send().map_err(SendError::Withheld)?;
     let pending = PendingResponse {
         response: Box::pin(sender.send_request(req)),
-        head_limit,
+        intake,
         connection,
         read_until: Instant::now() + late.timeout,
         late,
@@ -209,7 +227,7 @@
 /// A request that was sent and whose response has not begun.
 struct PendingResponse {
     response: ResponseFuture,
-    head_limit: HeadLimit,
+    intake: Rc<Intake>,
     connection: Connection,
     read_until: Instant,
     late: LateResponse,
@@ -225,13 +243,14 @@
             Some(pending) => pending.response.as_mut().await,
             None => unreachable!("the guard is full until it is dropped"),
         };
-        let Some(PendingResponse { connection, head_limit, .. }) = guard.0.take() else {
+        let Some(PendingResponse { connection, intake, .. }) = guard.0.take() else {
             unreachable!("the guard is full until it is dropped")
         };
         let answer = response.map_err(|e| SendError::Lost(describe(&e)))?;
-        head_limit.lift();
+        intake.on_head();
         let (head, incoming) = answer.into_parts();
-        Ok(OpenAnswer { head, body: AnswerBody { incoming, _connection: connection, held: None } })
+        let body = AnswerBody { incoming, intake, _connection: connection, held: None };
+        Ok(OpenAnswer { head, body })
     }
 
     async fn read_late(self) {
--- a/crates/server/src/upstream/mod.rs
+++ b/crates/server/src/upstream/mod.rs
@@ -1,11 +1,12 @@
 //! Reaches endpoints: sockets, one exchange of request and answer, and streams of events.
 
+mod blocking;
 mod connector;
 mod events;
 mod exchange;
 #[cfg(feature = "faults")]
 mod faulty;
-mod head_limit;
+mod intake;
 pub(crate) mod socket;
 #[cfg(test)]
 mod tests;
@@ -14,6 +15,7 @@
 #[cfg(feature = "faults")]
 pub use self::faulty::FaultyConnector;
 pub use self::{
+    blocking::{BlockingBody, StreamLimits, fetch_blocking, open_blocking},
     connector::{Connector, TcpConnector, connect_within},
     events::{Event, EventSplitter},
     exchange::{AnswerBody, LateResponse, OpenAnswer, SendError, exchange, is_framed},
--- a/crates/server/src/upstream/socket.rs
+++ b/crates/server/src/upstream/socket.rs
@@ -12,6 +12,9 @@
 /// Bytes that were not acknowledged for this long end a connection. Linux ends keep-alive after this
 /// time as well, whatever the number of probes, so both times are the same.
 const UNACKNOWLEDGED: Duration = PROBE.saturating_mul(1 + PROBES);
+/// Bytes of a response that the system keeps until they are read. By itself it keeps some MB for a reader that
+/// was fast and stands still.
+pub(crate) const RECEIVE_BUFFER: usize = 64 * 1024;
 /// New connections that may wait to be taken; a full queue delays callers by seconds.
 const BACKLOG: u32 = 1_024;
 
@@ -36,6 +39,19 @@
     Ok(socket)
 }
 
+/// The same; the system keeps at most [`RECEIVE_BUFFER`] bytes that are not read.
+pub(crate) async fn connect_bounded(address: SocketAddr) -> io::Result<TcpStream> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    // The system doubles it, for records of its own.
+    socket.set_recv_buffer_size(RECEIVE_BUFFER as u32 / 2)?;
+    let socket = socket.connect(address).await?;
+    tune(&socket)?;
+    Ok(socket)
+}
+
 /// Listens with a long queue.
 pub(crate) fn listen(address: SocketAddr) -> io::Result<TcpListener> {
     let socket = match address {
