--- a/crates/trayswitchd/src/endpoint/engine.rs
+++ b/crates/trayswitchd/src/endpoint/engine.rs
@@ -2,11 +2,16 @@
 
 use std::{net::SocketAddr, time::Duration};
 
+use bytes::Bytes;
+use http::{Method, Request, StatusCode, header, request, response};
+use http_body_util::Full;
 use serde::Deserialize;
 use serde_json::Value;
 use trayswitch_core::delivery::{Frame, GenerationId};
 use trayswitch_http::{Event, EventError, EventReader};
-use ureq::{Agent, AgentBuilder, ErrorKind, Response, Transport};
+use trayswitch_server::upstream::{
+    BlockingBody, SendError, StreamLimits, fetch_blocking, open_blocking,
+};
 
 use super::{
     EndpointError, Engine, Frames, Load, Reply, StartGeneration,
@@ -15,6 +20,8 @@
 
 const CONNECT: Duration = Duration::from_secs(2);
 const ASK: Duration = Duration::from_secs(2);
+/// Largest answer to a question of the daemon's own, in bytes.
+const MAX_ASKED: usize = 64 * 1024;
 const END: &str = "[DONE]";
 
 #[derive(Debug, Deserialize)]
@@ -46,18 +53,23 @@
 
 /// Speaks to engines over HTTP.
 pub(crate) struct HttpEngine {
-    streams: Agent,
-    asks: Agent,
+    streams: StreamLimits,
 }
 
 impl HttpEngine {
     /// An adapter whose streams end in an error after `idle` without a byte.
     pub(crate) fn new(idle: Duration) -> HttpEngine {
-        let builder =
-            || AgentBuilder::new().timeout_connect(CONNECT).redirects(0).max_idle_connections(0);
-        HttpEngine {
-            streams: builder().timeout_read(idle).timeout_write(idle).build(),
-            asks: builder().timeout(ASK).build(),
+        HttpEngine { streams: StreamLimits { connect: CONNECT, idle } }
+    }
+
+    fn stream(
+        &self,
+        address: SocketAddr,
+        req: Result<Request<Full<Bytes>>, EndpointError>,
+    ) -> Reply<Box<dyn Frames>> {
+        match req {
+            Ok(req) => Reply::new(open_blocking(address, req, self.streams), open),
+            Err(e) => Reply::failed(e),
         }
     }
 }
@@ -67,12 +79,10 @@
         let mut body = req.body.clone();
         body.insert("stream".into(), Value::Bool(true));
         body.insert("priority".into(), Value::from(req.priority));
-        let result = self
-            .streams
-            .post(&format!("http://{address}/v1/chat/completions"))
-            .set("X-Request-Id", req.request_id)
-            .send_json(Value::Object(body));
-        Reply::new(result, open)
+        let builder = request(Method::POST, address, "/v1/chat/completions")
+            .header(header::CONTENT_TYPE, "application/json")
+            .header("X-Request-Id", req.request_id);
+        self.stream(address, finish(builder, Value::Object(body).to_string()))
     }
 
     fn resume(
@@ -81,66 +91,69 @@
         generation: &GenerationId,
         after: u64,
     ) -> Reply<Box<dyn Frames>> {
-        let result = self
-            .streams
-            .get(&format!("http://{address}/v1/generations/{}", generation.0))
-            .set("Last-Event-ID", &after.to_string())
-            .call();
-        Reply::new(result, open)
+        let path = format!("/v1/generations/{}", generation.0);
+        let builder = request(Method::GET, address, &path).header("Last-Event-ID", after);
+        self.stream(address, finish(builder, ""))
     }
 
     fn cancel(&self, address: SocketAddr, generation: &GenerationId) {
-        let url = format!("http://{address}/v1/generations/{}", generation.0);
-        if let Err(e) = self.asks.delete(&url).call() {
+        let path = format!("/v1/generations/{}", generation.0);
+        if let Err(e) = ask(Method::DELETE, address, &path) {
             log::debug!("cancel of {}: {e}", generation.0);
         }
     }
 
     fn load(&self, address: SocketAddr) -> Reply<Load> {
-        let result = self.asks.get(&format!("http://{address}/v1/load")).call();
-        Reply::new(result, |result| match result {
-            Ok(response) => {
-                response.into_json().map_err(|e| EndpointError::Malformed(e.to_string()))
+        Reply::new(ask(Method::GET, address, "/v1/load"), |head, body| match head.status {
+            status if status.is_success() => {
+                serde_json::from_slice(&body).map_err(|e| EndpointError::Malformed(e.to_string()))
             }
-            Err(ureq::Error::Transport(e)) => Err(transport(&e)),
-            Err(e) => Err(EndpointError::Malformed(e.to_string())),
+            status => Err(EndpointError::Malformed(format!("status {status}"))),
         })
     }
 }
 
-fn open(result: Result<Response, ureq::Error>) -> Result<Box<dyn Frames>, EndpointError> {
-    match result {
-        Ok(response) => {
-            let Some(generation) = response.header("X-Generation-Id") else {
-                return Err(EndpointError::Malformed("no X-Generation-Id in the answer".into()));
-            };
-            let generation = GenerationId(generation.to_owned());
-            let events = EventReader::new(response.into_reader());
-            Ok(Box::new(HttpFrames { generation, events }))
-        }
-        Err(ureq::Error::Status(503, response)) if response.header(NOT_RUN).is_some() => {
-            Err(refusal(&response))
-        }
-        Err(ureq::Error::Status(404, _)) => Err(EndpointError::Gone),
-        Err(ureq::Error::Status(status, _)) => {
-            Err(EndpointError::Malformed(format!("status {status}")))
-        }
-        Err(ureq::Error::Transport(e)) => Err(transport(&e)),
-    }
+fn request(method: Method, address: SocketAddr, path: &str) -> request::Builder {
+    Request::builder().method(method).uri(path).header(header::HOST, address.to_string())
 }
 
-/// The endpoint's own statement that it has not run the request.
-fn refusal(response: &Response) -> EndpointError {
-    EndpointError::RefusedNotRun { leaving: signals::read(response).is_leaving() }
+fn finish(
+    builder: request::Builder,
+    body: impl Into<Bytes>,
+) -> Result<Request<Full<Bytes>>, EndpointError> {
+    let req = builder.body(Full::new(body.into()));
+    req.map_err(|e| EndpointError::NotSent(e.to_string()))
 }
 
-/// Only a failure to connect proves that nothing was sent.
-fn transport(e: &Transport) -> EndpointError {
-    match e.kind() {
-        ErrorKind::ConnectionFailed | ErrorKind::Dns | ErrorKind::InvalidUrl => {
-            EndpointError::NotSent(e.to_string())
+/// Sends a request without a body and reads the whole answer.
+fn ask(
+    method: Method,
+    address: SocketAddr,
+    path: &str,
+) -> Result<(response::Parts, Bytes), SendError> {
+    let req = request(method, address, path).body(Full::default());
+    let req = req.map_err(|e| SendError::NotSent(e.to_string()))?;
+    fetch_blocking(address, req, CONNECT, ASK, MAX_ASKED)
+}
+
+fn open(head: &response::Parts, body: BlockingBody) -> Result<Box<dyn Frames>, EndpointError> {
+    match head.status {
+        StatusCode::SERVICE_UNAVAILABLE if head.headers.contains_key(NOT_RUN) => {
+            let leaving = signals::read_head(head.status, &head.headers).is_leaving();
+            Err(EndpointError::RefusedNotRun { leaving })
+        }
+        StatusCode::NOT_FOUND => Err(EndpointError::Gone),
+        status if status.is_client_error() || status.is_server_error() => {
+            Err(EndpointError::Malformed(format!("status {status}")))
+        }
+        _ => {
+            let generation = head.headers.get("X-Generation-Id");
+            let Some(generation) = generation.and_then(|id| id.to_str().ok()) else {
+                return Err(EndpointError::Malformed("no X-Generation-Id in the answer".into()));
+            };
+            let generation = GenerationId(generation.to_owned());
+            Ok(Box::new(HttpFrames { generation, events: EventReader::new(Box::new(body)) }))
         }
-        _ => EndpointError::Lost(e.to_string()),
     }
 }
 
--- a/crates/trayswitchd/src/endpoint/mod.rs
+++ b/crates/trayswitchd/src/endpoint/mod.rs
@@ -10,11 +10,12 @@
 
 use std::{fmt, net::SocketAddr, time::Duration};
 
+use http::response;
 use trayswitch_core::{
     delivery::{Frame, GenerationId},
     signals::EndpointSignals,
 };
-use ureq::Response;
+use trayswitch_server::upstream::SendError;
 
 pub(crate) use self::{engine::HttpEngine, service::HttpService, whole::WholeAnswer};
 
@@ -69,15 +70,29 @@
     }
 
     /// Reads what came of a request; `read` takes the answer.
-    fn new(
-        came: Result<Response, ureq::Error>,
-        read: impl FnOnce(Result<Response, ureq::Error>) -> Result<T, EndpointError>,
+    fn new<B>(
+        came: Result<(response::Parts, B), SendError>,
+        read: impl FnOnce(&response::Parts, B) -> Result<T, EndpointError>,
     ) -> Reply<T> {
-        let signals = match &came {
-            Ok(response) | Err(ureq::Error::Status(_, response)) => Some(signals::read(response)),
-            Err(ureq::Error::Transport(_)) => None,
-        };
-        Reply { result: read(came), signals }
+        match came {
+            Ok((head, body)) => {
+                let signals = Some(signals::read_head(head.status, &head.headers));
+                Reply { result: read(&head, body), signals }
+            }
+            Err(e) => Reply::failed(e.into()),
+        }
+    }
+}
+
+/// Only a failure to connect proves that nothing was sent.
+impl From<SendError> for EndpointError {
+    fn from(error: SendError) -> EndpointError {
+        match error {
+            SendError::NotSent(e) | SendError::Delayed(e) | SendError::Withheld(e) => {
+                EndpointError::NotSent(e)
+            }
+            SendError::Lost(e) => EndpointError::Lost(e),
+        }
     }
 }
 
--- a/crates/trayswitchd/src/endpoint/service.rs
+++ b/crates/trayswitchd/src/endpoint/service.rs
@@ -6,7 +6,7 @@
 use http::{Request, StatusCode, header};
 use http_body_util::Full;
 use tokio::{task::LocalSet, time::timeout};
-use trayswitch_server::upstream::{OpenAnswer, SendError, exchange};
+use trayswitch_server::upstream::{OpenAnswer, exchange};
 
 use super::{
     EndpointError, Reply, Service, ServiceCall, WholeAnswer,
@@ -36,7 +36,7 @@
     let mut signals = None;
     let whole = async {
         let open = exchange(address, request(address, call)?, CONNECT.min(call.timeout)).await;
-        let open = open.map_err(send_error)?;
+        let open = open.map_err(EndpointError::from)?;
         signals = Some(signals::read_head(open.head.status, &open.head.headers));
         if is_refusal(&open) {
             let leaving = signals.is_some_and(|signals| signals.is_leaving());
@@ -66,12 +66,3 @@
     let head = &open.head;
     head.status == StatusCode::SERVICE_UNAVAILABLE && head.headers.contains_key(NOT_RUN)
 }
-
-fn send_error(error: SendError) -> EndpointError {
-    match error {
-        SendError::NotSent(e) | SendError::Delayed(e) | SendError::Withheld(e) => {
-            EndpointError::NotSent(e)
-        }
-        SendError::Lost(e) => EndpointError::Lost(e),
-    }
-}
--- a/crates/trayswitchd/src/endpoint/signals.rs
+++ b/crates/trayswitchd/src/endpoint/signals.rs
@@ -4,7 +4,6 @@
 
 use http::{HeaderMap, HeaderValue, StatusCode, header};
 use trayswitch_core::{backoff::RetryAfter, signals::EndpointSignals, throttle::RateLimit};
-use ureq::Response;
 
 /// Its statement that it has not run a request.
 pub(super) const NOT_RUN: &str = "X-Not-Run";
@@ -18,12 +17,6 @@
 const OVERLOADED: [u16; 2] = [429, 503];
 
 /// Reads the signals in an answer's head.
-pub(super) fn read(response: &Response) -> EndpointSignals {
-    let (status, date) = (response.status(), response.header("Date"));
-    decode(status, date, response.header(STATE), |name| response.all(name))
-}
-
-/// The same, of a head that the asynchronous stack has read.
 pub(super) fn read_head(status: StatusCode, headers: &HeaderMap) -> EndpointSignals {
     let text = |value: &'_ HeaderValue| value.to_str().unwrap_or_default().to_owned();
     let first = |name: &str| headers.get(name).map(text);
--- a/crates/trayswitchd/src/endpoint/tests.rs
+++ b/crates/trayswitchd/src/endpoint/tests.rs
@@ -3,6 +3,7 @@
 use std::{
     io::{Read, Write},
     net::{Shutdown, SocketAddr, TcpListener},
+    sync::mpsc,
     thread,
     time::Duration,
 };
@@ -253,3 +254,75 @@
     expect_false!(rejected.unwrap().is_leaving());
     expect_true!(answered.unwrap().is_leaving());
 }
+
+/// What an endpoint sends first, and then again and again.
+type Endless = (&'static str, &'static str);
+
+const CHUNKS: &str = "HTTP/1.1 200 OK\r\nX-Generation-Id: g\r\nTransfer-Encoding: chunked\r\n\r\n";
+const ENDLESS: [Endless; 11] = [
+    ("HTTP/1.1 200 OK\r\nx: ", "xxxxxxxx"),
+    ("HTTP/1.1 200 OK\r\n", "x: y\r\n"),
+    ("", "HTTP/1.1 102 Processing\r\n\r\n"),
+    ("", "xxxxxxxx"),
+    (CHUNKS, "00000000"),
+    ("HTTP/1.1 200 OK\r\nX-Generation-Id: g\r\nTransfer-Encoding: chunked\r\n\r\n1;", "xxxxxxxx"),
+    (
+        "HTTP/1.1 200 OK\r\nX-Generation-Id: g\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+        "x: y\r\n",
+    ),
+    ("HTTP/1.1 200 OK\r\nX-Generation-Id: g\r\n\r\n{\"", "xxxxxxxx"),
+    ("HTTP/1.1 200 OK\r\nX-Generation-Id: g\r\n\r\ndata: ", "xxxxxxxx"),
+    ("HTTP/1.1 200 OK\r\nX-Generation-Id: g\r\n\r\n", ": xxxx\n\n"),
+    ("HTTP/1.1 500 No\r\n\r\n", "xxxxxxxx"),
+];
+
+/// An endpoint that sends bytes without end, up to `most`, and tells how many were taken.
+fn sending_endlessly((start, rest): Endless, most: usize) -> (SocketAddr, mpsc::Receiver<usize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let (tx, rx) = mpsc::channel();
+    thread::spawn(move || {
+        let (mut socket, _) = listener.accept().unwrap();
+        let mut head = Vec::new();
+        let mut byte = [0];
+        while !head.ends_with(b"\r\n\r\n") && socket.read(&mut byte).is_ok_and(|n| n == 1) {
+            head.push(byte[0]);
+        }
+        let piece = rest.repeat(4_096);
+        let mut sent = start.len();
+        let mut is_taken = socket.write_all(start.as_bytes()).is_ok();
+        while is_taken && sent < most {
+            is_taken = socket.write_all(piece.as_bytes()).is_ok();
+            sent += piece.len();
+        }
+        let _ = tx.send(sent);
+    });
+    (address, rx)
+}
+
+// Guards against answers without end that are kept until the daemon has no memory left.
+#[gtest]
+fn answer_without_end_is_given_up() {
+    /// More than the largest answer of a service, and what sockets hold.
+    const MOST: usize = 48 * 1024 * 1024;
+    let engine = HttpEngine::new(Duration::from_secs(5));
+    for endless in ENDLESS {
+        let asks: [fn(&HttpEngine, SocketAddr); 3] = [
+            |engine, address| drop(engine.load(address)),
+            |engine, address| {
+                let stream = engine.resume(address, &GenerationId("g".into()), 0).result;
+                if let Ok(mut stream) = stream {
+                    while stream.next().is_ok() {}
+                }
+            },
+            |_, address| drop(call(address)),
+        ];
+        for (n, ask) in asks.into_iter().enumerate() {
+            let (address, sent) = sending_endlessly(endless, MOST);
+
+            ask(&engine, address);
+
+            expect_that!(sent.recv().unwrap(), lt(MOST), "{endless:?}, {n}");
+        }
+    }
+}
