--- a/crates/server/src/runtime/links.rs
+++ b/crates/server/src/runtime/links.rs
@@ -55,8 +55,8 @@
 const REDIAL: Duration = Duration::from_millis(100);
 /// Messages that may wait for a slow peer; more are lost, as on a broken link.
 const MAX_QUEUE: usize = 4_096;
-/// Bytes to an entry that the system may buffer. Pieces of a configuration fill it, and grants queue behind them:
-/// 35 ms on a link of 7.5 Mbit/s.
+/// Bytes to an entry that the system may buffer; Linux doubles it. Pieces of a configuration fill it, and grants
+/// queue behind them for up to 70 ms on a link of 7.5 Mbit/s.
 const ENTRY_SEND_BUFFER: usize = 32 * 1024;
 /// Bytes that one write may gather.
 const MAX_WRITE: usize = 64 * 1024;
