--- a/crates/core/src/agreement/replica/leader.rs
+++ b/crates/core/src/agreement/replica/leader.rs
@@ -84,15 +84,14 @@
     }
 
     fn resume_if_heard(&mut self, now: Instant) {
-        if self.election_due <= now && self.quorum_heard(now) && self.resume() {
-            self.start_round(now);
+        if now < self.election_due || !self.quorum_heard(now) {
+            return;
         }
-    }
-
-    fn resume(&mut self) -> bool {
-        let State::Leader(leadership) = &mut self.state else { return false };
+        let State::Leader(leadership) = &mut self.state else { return };
         self.leader = Some(self.id);
-        std::mem::replace(&mut leadership.is_suspended, false)
+        if std::mem::replace(&mut leadership.is_suspended, false) {
+            self.start_round(now);
+        }
     }
 
     pub(super) fn quorum_heard(&self, now: Instant) -> bool {
--- a/crates/core/src/node/stream_origins.rs
+++ b/crates/core/src/node/stream_origins.rs
@@ -85,14 +85,11 @@
         out: &mut Outbox,
     ) {
         let known = self.table.get(&key, now).cloned();
-        let answer = match &known {
-            Err(UnknownOrigin::NoRecord) if self.control_vms.is_empty() => {
-                Some(Err(UnknownOrigin::NoAnswer))
-            }
-            Err(UnknownOrigin::Ambiguous) => Some(known.clone()),
-            _ => self.control_vms.is_empty().then(|| known.clone()),
-        };
-        if let Some(answer) = answer {
+        if self.control_vms.is_empty() || matches!(known, Err(UnknownOrigin::Ambiguous)) {
+            let answer = known.map_err(|error| match error {
+                UnknownOrigin::NoRecord => UnknownOrigin::NoAnswer,
+                error => error,
+            });
             return out.reply(call, NodeReply::StreamOrigin(answer));
         }
         for vm in &self.control_vms {
--- a/crates/server/src/runtime/links.rs
+++ b/crates/server/src/runtime/links.rs
@@ -111,9 +111,9 @@
     let mut former = None;
     loop {
         let peer = dial_until_up(&vm, &node).await;
-        let (link, lost) = RunningLink::open(&vm, &node);
+        let (link, rx, lost) = RunningLink::open(&vm, &node);
         let id = link.id;
-        running.spawn_local(run(peer, link));
+        running.spawn_local(run(peer, link, rx));
         if let Some(former) = former.replace(id) {
             // It sends nothing more, and ends once the peer has read what was sent.
             node.links().remove(&vm, former);
@@ -172,8 +172,8 @@
     if !node.links().dialed.borrow().contains_key(&peer.vm) {
         socket::bound_send_buffer(&peer.socket, ENTRY_SEND_BUFFER)?;
     }
-    let (link, _lost) = RunningLink::open(&peer.vm, node);
-    run(peer, link).await;
+    let (link, rx, _lost) = RunningLink::open(&peer.vm, node);
+    run(peer, link, rx).await;
     Ok(())
 }
 
@@ -182,7 +182,6 @@
     vm: VmName,
     id: u64,
     node: NodeHandle,
-    rx: mpsc::Receiver<Waiting>,
     /// Dropped once the link is silent.
     not_lost: Option<oneshot::Sender<()>>,
     /// Why it has ended, for its log line.
@@ -190,8 +189,12 @@
 }
 
 impl RunningLink {
-    /// Tells the node that a link is up; the receiver fails once the link is silent or has ended.
-    fn open(vm: &VmName, node: &NodeHandle) -> (RunningLink, oneshot::Receiver<()>) {
+    /// Tells the node that a link is up. Returns it with the messages that it is to carry, and a receiver that fails
+    /// once the link is silent or has ended.
+    fn open(
+        vm: &VmName,
+        node: &NodeHandle,
+    ) -> (RunningLink, mpsc::Receiver<Waiting>, oneshot::Receiver<()>) {
         let (tx, rx) = mpsc::channel(MAX_QUEUE);
         let (not_lost, lost) = oneshot::channel();
         let (id, heard) = node.links().add(vm, tx);
@@ -200,7 +203,6 @@
             vm: vm.clone(),
             id,
             node: node.clone(),
-            rx,
             not_lost: Some(not_lost),
             reason,
         };
@@ -211,7 +213,7 @@
         } else {
             link.tell(heard);
         }
-        (link, lost)
+        (link, rx, lost)
     }
 
     fn set_silent(&mut self, is_silent: bool) {
@@ -250,11 +252,9 @@
 }
 
 /// Runs a link until it ends.
-async fn run(peer: Peer, mut link: RunningLink) {
+async fn run(peer: Peer, mut link: RunningLink, rx: mpsc::Receiver<Waiting>) {
     let (read, write) = peer.socket.into_split();
     let frames = FrameReader::new(read, peer.read);
-    let (_, never) = mpsc::channel(1);
-    let rx = std::mem::replace(&mut link.rx, never);
     let (vm, node) = (link.vm.clone(), link.node.clone());
     let ended = tokio::select! {
         ended = read_all(frames, &mut link) => ended,
