--- a/crates/core/src/node/config_changes_tests.rs
+++ b/crates/core/src/node/config_changes_tests.rs
@@ -10,6 +10,7 @@
     Outbox, Output, VmName,
     config_changes::{ConfigChanges, PIECE_BYTES},
     config_fetch::{ConfigFetch, PieceOutcome},
+    config_streams::ConfigStreams,
 };
 use crate::{
     agreement::Entry,
@@ -155,6 +156,59 @@
     expect_that!(after.unwrap()[0].change.version, eq(2));
 }
 
+/// Numbers of the pieces that are sent to the daemon `d` now, and their change.
+fn sent(source: &mut Source, streams: &mut ConfigStreams) -> (Vec<u64>, Option<ChangeId>) {
+    let mut out = Outbox::default();
+    streams.send(&"d".into(), &mut source.changes, &source.state, NOW, &mut out);
+    let piece = |output| match output {
+        Output::Send(_, Body::Piece(piece)) => Some((piece.number, piece.change)),
+        _ => None,
+    };
+    let (numbers, changes): (Vec<u64>, Vec<ChangeId>) =
+        out.outputs.into_iter().filter_map(piece).unzip();
+    (numbers, changes.into_iter().next())
+}
+
+// Daemons of earlier releases ask for one more piece with each that comes.
+#[gtest]
+fn pieces_wait_for_the_link_and_are_sent_once() {
+    const PIECES: u64 = 6;
+    let daemon: VmName = "d".into();
+    let (mut source, all) = (Source::default(), u64::MAX);
+    source.accept(1, PIECES as usize, PIECE_BYTES);
+    for (first_count, more) in [(all, 0), (3, 1)] {
+        let mut streams = ConfigStreams::default();
+        streams.start(&daemon, Fetch { count: first_count, ..Fetch::default() });
+        let (mut numbers, begun) = sent(&mut source, &mut streams);
+        expect_that!(numbers, eq(&vec![0, 1]));
+        for first in 3..=PIECES + 1 {
+            streams.on_written(&daemon);
+            numbers.extend(sent(&mut source, &mut streams).0);
+            if 0 < more && first < PIECES {
+                let begun = begun.clone();
+                streams.start(&daemon, Fetch { begun, first, count: more, ..Fetch::default() });
+                numbers.extend(sent(&mut source, &mut streams).0);
+            }
+        }
+
+        expect_that!(numbers, eq(&(0..PIECES).collect::<Vec<_>>()));
+    }
+}
+
+#[gtest]
+fn fetch_of_no_pieces_ends_what_is_sent() {
+    let (daemon, mut source, mut streams) =
+        ("d".into(), Source::default(), ConfigStreams::default());
+    source.accept(1, 6, PIECE_BYTES);
+    streams.start(&daemon, Fetch { count: u64::MAX, ..Fetch::default() });
+    sent(&mut source, &mut streams);
+
+    streams.start(&daemon, Fetch::default());
+    streams.on_written(&daemon);
+
+    expect_that!(sent(&mut source, &mut streams).0, is_empty());
+}
+
 #[gtest]
 fn missed_changes_are_merged() {
     let mut source = Source::default();
--- a/crates/core/src/node/control/config_streams.rs
+++ b/crates/core/src/node/config_streams.rs
@@ -3,11 +3,11 @@
 //! A change goes out as fast as the link takes it, without a question for each piece. Few pieces wait at a time,
 //! so that other messages do not queue behind a whole change.
 
+use super::{
+    ByVm, Outbox, Output, SentChange, VmName,
+    config_changes::{ConfigChanges, PieceRange},
+};
 use crate::{
-    node::{
-        ByVm, Outbox, Output, SentChange, VmName,
-        config_changes::{ConfigChanges, PieceRange},
-    },
     state::State,
     units::Instant,
     wire::{Body, Fetch},
--- a/crates/core/src/node/control/mod.rs
+++ b/crates/core/src/node/control/mod.rs
@@ -1,9 +1,6 @@
 //! A control replica: runs consensus, applies the replicated state and, on the leader, serves daemons.
 
 mod answers;
-mod config_streams;
-#[cfg(test)]
-mod config_streams_tests;
 mod daemons;
 mod ready;
 mod status;
@@ -17,6 +14,7 @@
 use super::{
     ByVm, Clocks, NodeOptions, Outbox, VmName,
     config_changes::ConfigChanges,
+    config_streams::ConfigStreams,
     dispatcher::{Dispatcher, DispatcherOptions},
     engines::{EngineChange, Engines},
     members::{self, Peer},
@@ -30,7 +28,7 @@
 };
 
 pub use self::status::{ControlStatus, DaemonStatus, ReplicaStatus};
-use self::{config_streams::ConfigStreams, daemons::DaemonTable, suspects::SuspectCoordinator};
+use self::{daemons::DaemonTable, suspects::SuspectCoordinator};
 
 const HOUSEKEEPING_INTERVAL: Duration = Duration::from_millis(250);
 
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -32,6 +32,7 @@
 mod config_store;
 #[cfg(test)]
 mod config_store_tests;
+mod config_streams;
 mod control;
 mod control_client;
 mod crash_spread;
