A response whose thread has ended may have been asked for

open_blocking told that nothing was sent if its thread ended without a head, which it may also do after the request was sent.

--- a/crates/server/src/upstream/blocking.rs
+++ b/crates/server/src/upstream/blocking.rs
@@ -73,8 +73,9 @@
     };
     let thread = thread::Builder::new().name("response".into()).stack_size(STACK).spawn(run);
     thread.map_err(|e| SendError::NotSent(e.to_string()))?;
-    let ended = || SendError::NotSent("the thread of the response has ended".to_owned());
-    let head = head_rx.blocking_recv().map_err(|_| ended())??;
+    // The request may have been sent before.
+    let ended = |_| SendError::Lost("the thread of the response has ended".to_owned());
+    let head = head_rx.blocking_recv().map_err(ended)??;
     Ok((head, BlockingBody { rx, piece: Bytes::new() }))
 }
 
