--- a/review/stand-ins-2/src/cases.rs
+++ b/review/stand-ins-2/src/cases.rs
@@ -3,6 +3,7 @@
 mod first_start;
 mod fractions;
 mod last_tenant;
+mod one_way;
 mod slow_reader;
 mod take_up;
 
@@ -17,6 +18,7 @@
 /// Plays a case; returns whether the rule was broken.
 pub fn play(case: &str, root: &Path, trouble: bool, record: &Record) -> io::Result<bool> {
     match case {
+        "one-way" => one_way::play(root, trouble, record),
         "last-tenant" => last_tenant::play(root, trouble, record),
         "first-start" => first_start::play(root, trouble, record),
         "slow-reader" => slow_reader::play(root, trouble, record),
@@ -91,6 +93,12 @@
 /// Starts a deployment and gives it a configuration.
 fn serving(root: &Path, fronts: usize, config: &Config, record: &Record) -> io::Result<Fleet> {
     let mut fleet = Fleet::new(root, 5, fronts, record.clone())?;
+    begin(&mut fleet, fronts, config)?;
+    Ok(fleet)
+}
+
+/// The same for machines that have been set up already.
+fn begin(fleet: &mut Fleet, fronts: usize, config: &Config) -> io::Result<()> {
     fleet.start_all()?;
     sleep_ms(500);
     fleet
@@ -101,20 +109,21 @@
             return Err(io::Error::other("an entry is not ready"));
         }
     }
-    Ok(fleet)
+    Ok(())
 }
 
 /// Starts runners of a service and waits until they are known.
 fn runners(
     fleet: &Fleet,
     service: &str,
+    first: u8,
     count: u8,
     record: &Record,
     answer: Arc<Answer>,
 ) -> io::Result<Vec<Arc<Runner>>> {
     let controls: Vec<_> = (1..=5).map(|n| fleet.control(n)).collect();
     let mut started = Vec::new();
-    for i in 0..count {
+    for i in first..first + count {
         let id = format!("i-{service}-{}", i + 1);
         let address = fleet.address(60 + i, fleet.ports.front);
         let runner = Runner::start(&id, service, address, "hall-atl", record, answer.clone())?;
--- a/review/stand-ins-2/src/cases/last_tenant.rs
+++ b/review/stand-ins-2/src/cases/last_tenant.rs
@@ -42,7 +42,7 @@
     let first = config(1).tenant("t-1", "key-of-t-1");
     let fleet = serving(root, 2, &first, record)?;
     let answer: Arc<Answer> = Arc::new(|req, writer| runner::success(req, writer, &[b'x'; 800]));
-    let started = runners(&fleet, "desk", 2, record, answer)?;
+    let started = runners(&fleet, "desk", 0, 2, record, answer)?;
     if ask(&fleet, "key-of-t-1", "before", record) != 10
         || ask(&fleet, "key-of-nobody", "before-nobody", record) != 0
     {
--- a/review/stand-ins-2/src/cases/slow_reader.rs
+++ b/review/stand-ins-2/src/cases/slow_reader.rs
@@ -34,7 +34,7 @@
         let size = if req.path().ends_with("large") { LARGE } else { 800 };
         runner::success(req, writer, &vec![b'x'; size])
     });
-    let _runners = runners(&fleet, "desk", 2, record, answer)?;
+    let _runners = runners(&fleet, "desk", 0, 2, record, answer)?;
     let front = fleet.front(1);
     let clients: Vec<_> = (0..CLIENTS)
         .map(|i| {
--- a/review/stand-ins-2/src/cases/take_up.rs
+++ b/review/stand-ins-2/src/cases/take_up.rs
@@ -139,7 +139,7 @@
         true => stream(req, writer),
         false => runner::success(req, writer, &[b'x'; 800]),
     });
-    let _engines = runners(&fleet, "llm", 2, record, answer.clone())?;
+    let _engines = runners(&fleet, "llm", 0, 2, record, answer.clone())?;
     let controls: Vec<_> = (1..=5).map(|n| fleet.control(n)).collect();
     let address = fleet.address(80, fleet.ports.front);
     let desk = runner::Runner::start("i-desk-1", "desk", address, "hall-atl", record, answer)?;
--- a/review/stand-ins-2/src/fleet.rs
+++ b/review/stand-ins-2/src/fleet.rs
@@ -1,16 +1,17 @@
 //! A small deployment: the project's own programs as processes on loopback addresses.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     fs,
     io::{self, Write},
     net::{SocketAddr, TcpListener},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
+    sync::{Arc, atomic::AtomicBool},
     time::{Duration, Instant},
 };
 
-use crate::{http, record::Record};
+use crate::{http, proxy, record::Record};
 
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
@@ -18,6 +19,9 @@
 
 const SIGKILL: i32 = 9;
 
+/// The internal ports of a machine whose links go through proxies are so much higher.
+const PROXY_PORTS: u16 = 20;
+
 const ZONES: [&str; 4] = ["hall-atl", "hall-bhm", "hall-msy", "hall-bna"];
 
 /// The ports that every machine has.
@@ -46,6 +50,8 @@
     pub record: Record,
     machines: BTreeMap<String, Machine>,
     seeds: Vec<String>,
+    /// Machines whose links go through proxies.
+    proxied: BTreeSet<String>,
 }
 
 impl Fleet {
@@ -65,6 +71,7 @@
             record,
             machines: BTreeMap::new(),
             seeds: Vec::new(),
+            proxied: BTreeSet::new(),
         };
         for i in 0..core {
             let ip = format!("{net}.{}", 10 + i);
@@ -132,6 +139,7 @@
             text += "in-tolerance=false\nlimits.cpu-share=0.25\nlimits.memory-mb=110\n";
             text += "limits.max-fds=4100\nlimits.disk-mb=0\n";
         }
+        let internal = internal + if self.proxied.contains(name) { PROXY_PORTS } else { 0 };
         text += &format!("internal-ports={internal},{}\n", internal + 15);
         text += &format!("seeds={}\nbootstrap={first_start}\n", self.seeds.join(","));
         text += "limits.cpu-cores=1\nlimits.link-mbps=1000.0\ndiscovery=registration\nentry=vip\n\
@@ -176,6 +184,26 @@
         Ok(())
     }
 
+    /// Lets the links of an entry machine go through proxies; to be called before it starts. While the flag is set,
+    /// what it sends to other daemons is held up; what they send to it passes.
+    pub fn proxy_links(&mut self, name: &str) -> io::Result<Arc<AtomicBool>> {
+        let holds = Arc::new(AtomicBool::new(false));
+        let at = |ip: &str, port: u16| -> SocketAddr { format!("{ip}:{port}").parse().unwrap() };
+        let internal = self.ports.internal;
+        let own = &self.machines[name].ip;
+        for (other, m) in &self.machines {
+            // Links lead to the first internal port, forwarded requests to the second.
+            let port = internal + u16::from(m.role != "control");
+            if other != name {
+                proxy::spawn(at(&m.ip, port + PROXY_PORTS), at(&m.ip, port), holds.clone())?;
+            }
+        }
+        let never = Arc::new(AtomicBool::new(false));
+        proxy::spawn(at(own, internal + 1), at(own, internal + 1 + PROXY_PORTS), never)?;
+        self.proxied.insert(name.to_owned());
+        Ok(holds)
+    }
+
     /// Starts every machine for the first time.
     pub fn start_all(&mut self) -> io::Result<()> {
         for name in self.names() {
--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -6,6 +6,7 @@
 mod cases;
 mod fleet;
 mod http;
+mod proxy;
 mod record;
 mod runner;
 
--- a/review/stand-ins-2/src/runner.rs
+++ b/review/stand-ins-2/src/runner.rs
@@ -28,6 +28,7 @@
     pub ran: Mutex<Vec<String>>,
     sequence: AtomicU64,
     ended: AtomicBool,
+    draining: AtomicBool,
 }
 
 impl Runner {
@@ -48,6 +49,7 @@
             ran: Mutex::default(),
             sequence: AtomicU64::new(0),
             ended: AtomicBool::new(false),
+            draining: AtomicBool::new(false),
         });
         listener.set_nonblocking(true)?;
         let (own, record) = (runner.clone(), record.clone());
@@ -115,9 +117,10 @@
     /// One heartbeat to a control machine; whether it is acknowledged.
     pub fn beat(&self, control: SocketAddr) -> bool {
         let number = self.sequence.fetch_add(1, Ordering::Relaxed) + 1;
+        let state = if self.draining.load(Ordering::Relaxed) { "draining" } else { "ready" };
         let slots = if self.service == "llm" { 48 } else { 6 };
         let body = format!(
-            "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"config-version\":\"v1\",\"slots\":{slots},\"state\":\"ready\",\"cold-remaining-ms\":0,\"sequence\":{number}}}",
+            "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"config-version\":\"v1\",\"slots\":{slots},\"state\":\"{state}\",\"cold-remaining-ms\":0,\"sequence\":{number}}}",
             self.service, self.address, self.zone
         );
         let path = format!("/-/instances/{}", self.id);
@@ -126,6 +129,12 @@
         answer.is_ok_and(|answer| answer.status() / 100 == 2)
     }
 
+    /// Says that it leaves, and goes on serving; whether it is acknowledged.
+    pub fn drain(&self, control: SocketAddr) -> bool {
+        self.draining.store(true, Ordering::Relaxed);
+        self.beat(control)
+    }
+
     /// Sends heartbeats until it ends, to the first of these that answers.
     pub fn keep_beating(self: &Arc<Self>, controls: Vec<SocketAddr>) {
         let own = self.clone();
