--- a/review/stand-ins-2/src/cases.rs
+++ b/review/stand-ins-2/src/cases.rs
@@ -45,7 +45,14 @@
     }
 
     /// Adds a route; `more` holds further fields.
-    fn route(mut self, prefix: &str, kind: &str, service: &str, timeout: &str, more: &str) -> Config {
+    fn route(
+        mut self,
+        prefix: &str,
+        kind: &str,
+        service: &str,
+        timeout: &str,
+        more: &str,
+    ) -> Config {
         let name = format!("r-{}", self.routes.len() + 1);
         self.routes.push(format!(
             "{{\"name\":\"{name}\",\"hostname\":\"{HOST}\",\"path-prefix\":\"{prefix}\",\"kind\":\"{kind}\",\"timeout-ms\":{timeout},\"target-latency-ms\":1000,\"priority\":0,\"service\":\"{service}\",\"max-attempts\":1,\"public\":false{more}}}"
--- a/review/stand-ins-2/src/cases/fractions.rs
+++ b/review/stand-ins-2/src/cases/fractions.rs
@@ -39,7 +39,8 @@
     let mut differ = 0;
     for n in 1..=5 {
         let limit = Duration::from_secs(2);
-        let read = http::ask(fleet.control(n), "GET", "/-/config", &[("Host", "control")], b"", limit)?;
+        let read =
+            http::ask(fleet.control(n), "GET", "/-/config", &[("Host", "control")], b"", limit)?;
         let read = String::from_utf8_lossy(&read.body).into_owned();
         record.line(&format!("core-{n} answers {read}"));
         for field in ["config-version", "timeout-ms", "gap_aim_ms"] {
--- a/review/stand-ins-2/src/cases/last_tenant.rs
+++ b/review/stand-ins-2/src/cases/last_tenant.rs
@@ -29,8 +29,14 @@
             ("X-Credential", key),
         ];
         let front = i % 2 + 1;
-        let answer =
-            http::ask(fleet.front(front), "POST", "/hold/1", &headers, b"x", Duration::from_secs(3));
+        let answer = http::ask(
+            fleet.front(front),
+            "POST",
+            "/hold/1",
+            &headers,
+            b"x",
+            Duration::from_secs(3),
+        );
         let status = answer.as_ref().map_or(0, http::Message::status);
         record.line(&format!("request {id} with {key} at front-{front}: {status}"));
         served += usize::from(status == 200);
--- a/review/stand-ins-2/src/cases/slow_reader.rs
+++ b/review/stand-ins-2/src/cases/slow_reader.rs
@@ -46,7 +46,9 @@
     for client in clients {
         closed += usize::from(!client.join().map_err(|_| io::Error::other("a client failed"))??);
     }
-    record.line(&format!("{closed} of {CLIENTS} kept connections were closed without a whole answer"));
+    record.line(&format!(
+        "{closed} of {CLIENTS} kept connections were closed without a whole answer"
+    ));
     Ok(ALLOWED < closed)
 }
 
--- a/review/stand-ins-2/src/fleet.rs
+++ b/review/stand-ins-2/src/fleet.rs
@@ -97,7 +97,9 @@
     }
 
     pub fn control(&self, n: usize) -> SocketAddr {
-        format!("{}:{}", self.machines[&format!("core-{n}")].ip, self.ports.control).parse().unwrap()
+        format!("{}:{}", self.machines[&format!("core-{n}")].ip, self.ports.control)
+            .parse()
+            .unwrap()
     }
 
     pub fn front(&self, n: usize) -> SocketAddr {
@@ -312,7 +314,12 @@
         let base = 15_000 + (pid % 500) * 20 + i * 40;
         let ports = [base, base + 1, base + 2, base + 3, base + 13];
         if ports.iter().all(|port| TcpListener::bind((ip, *port)).is_ok()) {
-            return Ok(Ports { front: base, ready: base + 1, control: base + 2, internal: base + 3 });
+            return Ok(Ports {
+                front: base,
+                ready: base + 1,
+                control: base + 2,
+                internal: base + 3,
+            });
         }
     }
     Err(io::Error::other("no free ports"))
--- a/review/stand-ins-2/src/runner.rs
+++ b/review/stand-ins-2/src/runner.rs
@@ -125,7 +125,8 @@
         );
         let path = format!("/-/instances/{}", self.id);
         let headers = [("Host", "control"), ("Content-Type", "application/json")];
-        let answer = http::ask(control, "PUT", &path, &headers, body.as_bytes(), Duration::from_secs(1));
+        let answer =
+            http::ask(control, "PUT", &path, &headers, body.as_bytes(), Duration::from_secs(1));
         answer.is_ok_and(|answer| answer.status() / 100 == 2)
     }
 
@@ -150,7 +151,6 @@
             }
         });
     }
-
 }
 
 /// A whole success with a body of a known length.
