--- a/review/stand-ins-2/src/fleet.rs
+++ b/review/stand-ins-2/src/fleet.rs
@@ -5,6 +5,7 @@
     fs,
     io::{self, Write},
     net::{SocketAddr, TcpListener},
+    os::unix::process::CommandExt,
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     sync::{Arc, atomic::AtomicBool},
@@ -15,8 +16,12 @@
 
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, ...) -> i32;
 }
 
+/// Option of `prctl`: the signal that a process gets when the one that started it ends.
+const PR_SET_PDEATHSIG: i32 = 1;
+
 const SIGKILL: i32 = 9;
 
 /// The internal ports of a machine whose links go through proxies are so much higher.
@@ -178,6 +183,13 @@
             .stdin(Stdio::null())
             .stdout(log.try_clone()?)
             .stderr(log);
+        // Nothing outlives this program, however that ends.
+        unsafe {
+            command.pre_exec(|| match prctl(PR_SET_PDEATHSIG, SIGKILL as std::ffi::c_ulong) {
+                0 => Ok(()),
+                _ => Err(io::Error::last_os_error()),
+            });
+        }
         let child = command.spawn()?;
         self.record.line(&format!("{name} starts, bootstrap={first_start}"));
         let machine = self.machines.get_mut(name).unwrap();
