Numbers are passed on digit by digit

Cause: text that is only passed on was parsed and written again. serde_json reads 16 and 17 digits inexactly unless told otherwise, and a parsed number has no text of its own in any case.

--- a/crates/trayswitchd/src/callers/chat.rs
+++ b/crates/trayswitchd/src/callers/chat.rs
@@ -1,8 +1,9 @@
 //! `POST /v1/chat/completions`: one generation for one caller.
 
-use std::time::Duration;
+use std::{num::NonZeroU64, time::Duration};
 
-use serde_json::{Map, Value};
+use serde::de::DeserializeOwned;
+use serde_json::Value;
 use sha2::{Digest, Sha256};
 use tiny_http::Request;
 use trayswitch_core::{
@@ -20,6 +21,7 @@
     run::GenerationRun,
     sink::{Labels, Sink, StreamSink, WholeSink},
 };
+use crate::endpoint::JsonFields;
 
 const CHARS_PER_TOKEN: usize = 4;
 /// Characters at the start of a prompt whose hash names its prefix.
@@ -31,7 +33,7 @@
     pub(super) workspace: String,
     pub(super) kind: String,
     pub(super) model: String,
-    pub(super) body: Map<String, Value>,
+    pub(super) body: JsonFields,
     pub(super) stream: bool,
     pub(super) place: placement::Request,
     pub(super) digest: ContentDigest,
@@ -69,29 +71,19 @@
     kind: Option<String>,
 ) -> Result<ChatRequest, RequestError> {
     let config = &admitted.active_config.config;
-    let body: Map<String, Value> = serde_json::from_slice(body)
+    let body: JsonFields = serde_json::from_slice(body)
         .map_err(|e| bad(format!("the body is not a JSON object: {e}")))?;
-    let model = match body.get("model") {
-        Some(Value::String(model)) => model.clone(),
-        _ => return Err(bad("\"model\" must be a text")),
+    let Some(model) = field::<String>(&body, "model", "a text")? else {
+        return Err(bad("\"model\" must be a text"));
     };
     let Some(default_kind) = config.models.get(&model) else {
         let message = format!("there is no model \"{model}\"");
         return Err(RequestError::new(ErrorKind::NotFound, message));
     };
     let prompt = prompt(&body)?;
-    let stream = match body.get("stream") {
-        None | Some(Value::Null) => false,
-        Some(Value::Bool(stream)) => *stream,
-        Some(_) => return Err(bad("\"stream\" must be true or false")),
-    };
-    let max_tokens = match body.get("max_tokens") {
-        None | Some(Value::Null) => DEFAULT_MAX_TOKENS,
-        Some(n) => match n.as_u64() {
-            Some(n) if 0 < n => n,
-            _ => return Err(bad("\"max_tokens\" must be a whole number above zero")),
-        },
-    };
+    let stream = field(&body, "stream", "true or false")?.unwrap_or(false);
+    let max_tokens = field::<NonZeroU64>(&body, "max_tokens", "a whole number above zero")?;
+    let max_tokens = max_tokens.map_or(DEFAULT_MAX_TOKENS, NonZeroU64::get);
     let kind = kind.unwrap_or_else(|| default_kind.clone());
     let mut place =
         place(config, &admitted.workspace, &kind, EndpointTarget::Model(model.clone()))?;
@@ -137,15 +129,25 @@
     })
 }
 
-fn prompt(body: &Map<String, Value>) -> Result<String, RequestError> {
-    let Some(Value::Array(messages)) = body.get("messages") else {
+/// Reads a field of the body; `None` if it is missing or null.
+fn field<T: DeserializeOwned>(
+    body: &JsonFields,
+    name: &str,
+    expected: &str,
+) -> Result<Option<T>, RequestError> {
+    let Some(text) = body.get(name) else { return Ok(None) };
+    serde_json::from_str(text.get()).map_err(|_| bad(format!("\"{name}\" must be {expected}")))
+}
+
+fn prompt(body: &JsonFields) -> Result<String, RequestError> {
+    let Some(messages) = field::<Vec<Value>>(body, "messages", "a list")? else {
         return Err(bad("\"messages\" must be a list"));
     };
     if messages.is_empty() {
         return Err(bad("\"messages\" must not be empty"));
     }
     let mut prompt = String::new();
-    for message in messages {
+    for message in &messages {
         match message.get("content") {
             Some(Value::String(text)) => prompt.push_str(text),
             _ => return Err(bad("each message must have a text \"content\"")),
--- a/crates/trayswitchd/src/endpoint/engine.rs
+++ b/crates/trayswitchd/src/endpoint/engine.rs
@@ -6,7 +6,7 @@
 use http::{Method, Request, StatusCode, header, request, response};
 use http_body_util::Full;
 use serde::Deserialize;
-use serde_json::Value;
+use serde_json::value::to_raw_value;
 use trayswitch_core::delivery::{Frame, GenerationId};
 use trayswitch_http::{Event, EventError, EventReader};
 use trayswitch_server::upstream::{
@@ -76,13 +76,11 @@
 
 impl Engine for HttpEngine {
     fn start(&self, address: SocketAddr, req: &StartGeneration<'_>) -> Reply<Box<dyn Frames>> {
-        let mut body = req.body.clone();
-        body.insert("stream".into(), Value::Bool(true));
-        body.insert("priority".into(), Value::from(req.priority));
         let builder = request(Method::POST, address, "/v1/chat/completions")
             .header(header::CONTENT_TYPE, "application/json")
             .header("X-Request-Id", req.request_id);
-        self.stream(address, finish(builder, Value::Object(body).to_string()))
+        let body = start_body(req).map_err(|e| EndpointError::NotSent(e.to_string()));
+        self.stream(address, body.and_then(|body| finish(builder, body)))
     }
 
     fn resume(
@@ -113,6 +111,14 @@
     }
 }
 
+/// The caller's body with the engine's own fields set.
+fn start_body(req: &StartGeneration<'_>) -> serde_json::Result<String> {
+    let mut body = req.body.clone();
+    body.insert("stream".into(), to_raw_value(&true)?);
+    body.insert("priority".into(), to_raw_value(&req.priority)?);
+    serde_json::to_string(&body)
+}
+
 fn request(method: Method, address: SocketAddr, path: &str) -> request::Builder {
     Request::builder().method(method).uri(path).header(header::HOST, address.to_string())
 }
--- a/crates/trayswitchd/src/endpoint/mod.rs
+++ b/crates/trayswitchd/src/endpoint/mod.rs
@@ -8,9 +8,10 @@
 pub(crate) mod watcher;
 mod whole;
 
-use std::{fmt, net::SocketAddr, time::Duration};
+use std::{collections::BTreeMap, fmt, net::SocketAddr, time::Duration};
 
 use http::response;
+use serde_json::value::RawValue;
 use trayswitch_core::{
     delivery::{Frame, GenerationId},
     signals::EndpointSignals,
@@ -127,12 +128,16 @@
     pub(crate) leaving: bool,
 }
 
+/// Fields of a JSON object, each with its text as it was sent: a number that is parsed and written
+/// again may change.
+pub(crate) type JsonFields = BTreeMap<String, Box<RawValue>>;
+
 /// A generation to start.
 pub(crate) struct StartGeneration<'a> {
     /// Names the request in the endpoint's own records.
     pub(crate) request_id: &'a str,
     /// The caller's body, an object; it is passed on with the engine's own fields set.
-    pub(crate) body: &'a serde_json::Map<String, serde_json::Value>,
+    pub(crate) body: &'a JsonFields,
     /// A lower number yields last.
     pub(crate) priority: u64,
 }
--- a/crates/trayswitchd/src/endpoint/tests.rs
+++ b/crates/trayswitchd/src/endpoint/tests.rs
@@ -2,7 +2,7 @@
 
 use std::{
     io::{Read, Write},
-    net::{Shutdown, SocketAddr, TcpListener},
+    net::{Shutdown, SocketAddr, TcpListener, TcpStream},
     sync::mpsc,
     thread,
     time::Duration,
@@ -23,6 +23,24 @@
     answering_until(bytes, End::Close, b"\r\n\r\n{}")
 }
 
+// Sampling settings reached the engine with other last digits.
+#[gtest]
+fn numbers_of_a_generation_reach_the_engine_digit_by_digit() {
+    const FIELDS: &str =
+        r#""repetition_penalty":106.66666666666667,"seed":123456789012345678901234567890"#;
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let engine = thread::spawn(move || read_until(&mut listener.accept().unwrap().0, b"}"));
+    let body = serde_json::from_str(&format!("{{{FIELDS},\"priority\":9}}")).unwrap();
+
+    let start = StartGeneration { request_id: "r1", body: &body, priority: 2 };
+    drop(HttpEngine::new(Duration::from_secs(5)).start(address, &start));
+
+    let received = String::from_utf8(engine.join().unwrap()).unwrap();
+    let expected = format!("{{\"priority\":2,{FIELDS},\"stream\":true}}");
+    expect_that!(received, ends_with(expected.as_str()));
+}
+
 /// How a connection ends.
 #[derive(Debug, Clone, Copy)]
 enum End {
@@ -39,22 +57,28 @@
         let (mut socket, _) = listener.accept().unwrap();
         // The whole request is read first: closing with bytes unread would reset the
         // connection and could take the answer with it.
-        let mut request = Vec::new();
-        let mut byte = [0];
-        while !request.ends_with(request_end) && socket.read(&mut byte).is_ok_and(|n| n == 1) {
-            request.push(byte[0]);
-        }
+        read_until(&mut socket, request_end);
         let _ = socket.write_all(&bytes);
         if let End::Reset = end {
             let _ = SockRef::from(&socket).set_linger(Some(Duration::ZERO));
             return;
         }
         let _ = socket.shutdown(Shutdown::Write);
-        let _ = socket.read(&mut byte);
+        let _ = socket.read(&mut [0]);
     });
     address
 }
 
+/// Reads a request that ends so.
+fn read_until(socket: &mut TcpStream, end: &[u8]) -> Vec<u8> {
+    let mut request = Vec::new();
+    let mut byte = [0];
+    while !request.ends_with(end) && socket.read(&mut byte).is_ok_and(|n| n == 1) {
+        request.push(byte[0]);
+    }
+    request
+}
+
 fn call(address: SocketAddr) -> std::result::Result<WholeAnswer, EndpointError> {
     reply(address).result
 }
