No key is valid once the last workspace is removed

Cause: nothing in a configuration said whether callers need keys. Admission inferred it from whether there is any workspace, and the translation made the same document of an empty list and a missing one.

A key that was sent must be valid also where none is required. Requests that wait, retries, restarts and take-ups use the same check.

--- a/crates/core/src/config/schema.rs
+++ b/crates/core/src/config/schema.rs
@@ -38,6 +38,8 @@
     pub stall_weight: u64,
     /// Weight of tail inter-token latency in scheduling decisions.
     pub gap_weight: u64,
+    /// Whether requests need the key of a workspace, except on public routes.
+    pub keys_required: bool,
 }
 
 /// Settings of a priority tier.
--- a/crates/core/src/config/validator.rs
+++ b/crates/core/src/config/validator.rs
@@ -94,7 +94,13 @@
     pub(super) fn read_deployment(&mut self) -> Deployment {
         let Some(keys) = self.document.section(DEPLOYMENT_SECTION) else {
             self.add_error(DEPLOYMENT_SECTION, "", "this section is required");
-            return Deployment { name: String::new(), version: 0, stall_weight: 1, gap_weight: 1 };
+            return Deployment {
+                name: String::new(),
+                version: 0,
+                stall_weight: 1,
+                gap_weight: 1,
+                keys_required: true,
+            };
         };
         let mut r = SectionReader::new(self.file, DEPLOYMENT_SECTION, keys, &mut self.errors);
         let deployment = Deployment {
@@ -102,6 +108,7 @@
             version: r.number("version", None, 1, u64::MAX),
             stall_weight: r.number("stall_weight", Some(1), 1, MAX_WEIGHT),
             gap_weight: r.number("gap_weight", Some(1), 1, MAX_WEIGHT),
+            keys_required: r.flag("keys_required", Some(true)),
         };
         r.finish();
         deployment
--- a/crates/server/src/relay/admission.rs
+++ b/crates/server/src/relay/admission.rs
@@ -157,15 +157,17 @@
     }
 }
 
-/// The caller's workspace; `None` if the key is invalid or missing and the route needs none.
+/// The workspace that holds the key. `None` if no workspace holds it on a public route, or if no key
+/// was sent and the deployment requires none.
 fn workspace(
     config: &Config,
     route: &NamedRoute,
     key: Option<&str>,
 ) -> Result<Option<Arc<str>>, RequestError> {
     let workspace = key.and_then(|key| config.workspace_of_key(key));
-    let needs_key = !route.spec.public && !config.workspaces.is_empty();
-    if needs_key && workspace.is_none() {
+    // A key that was sent must be valid even where none is required: it may have been revoked.
+    let needs_key = config.deployment.keys_required || key.is_some();
+    if needs_key && !route.spec.public && workspace.is_none() {
         return Err(RequestError::new(
             ErrorKind::Unauthorized,
             "the key is missing or belongs to no workspace",
--- a/crates/server/src/relay/tests/test_daemon.rs
+++ b/crates/server/src/relay/tests/test_daemon.rs
@@ -273,6 +273,12 @@
         self.commit(version, &(text + sections)).await;
     }
 
+    /// The same, for callers without keys.
+    pub(super) async fn reconfigure_without_keys(&self, version: u64, sections: &str) {
+        let keys = format!("version = {version}\nkeys_required = no");
+        self.commit(version, &(CONFIG.replace("version = 1", &keys) + sections)).await;
+    }
+
     async fn commit(&self, version: u64, text: &str) {
         let document = Document::parse("test.ini", text).unwrap();
         let checked = CheckedDocument::new("test.ini", document).unwrap();
--- a/crates/server/src/relay/tests/workspace_keys.rs
+++ b/crates/server/src/relay/tests/workspace_keys.rs
@@ -50,6 +50,8 @@
     First,
     Second,
     Nobody,
+    /// Neither does anybody hold another key: there are no workspaces.
+    NoWorkspace,
 }
 
 async fn configure(daemon: &TestDaemon, version: u64, holder: Holder) {
@@ -58,11 +60,11 @@
         let keys = keys.map(key_digest).collect::<Vec<String>>().join(", ");
         format!("[workspace {name}]\ntier = all\nkey_sha256 = {keys}\n")
     };
-    let sections = [
-        ROUTES.to_owned(),
-        workspace("w1", "key-2", matches!(holder, Holder::First)),
-        workspace("w2", "key-3", matches!(holder, Holder::Second)),
-    ];
+    let mut sections = vec![ROUTES.to_owned()];
+    if !matches!(holder, Holder::NoWorkspace) {
+        sections.push(workspace("w1", "key-2", matches!(holder, Holder::First)));
+        sections.push(workspace("w2", "key-3", matches!(holder, Holder::Second)));
+    }
     daemon.reconfigure(version, &sections.concat()).await;
 }
 
@@ -119,11 +121,57 @@
     expect_that!(text, ok(eq(&events_to(5))));
 }
 
+// Guards against running requests whose key went with the last workspace.
 #[gtest]
 fn queued_generation_is_refused_after_its_key_is_revoked() {
-    let answer = run_test(answer_after_change("/private-chat/", Holder::Nobody));
+    for holder in [Holder::Nobody, Holder::NoWorkspace] {
+        let answer = run_test(answer_after_change("/private-chat/", holder));
+
+        expect_that!(outcome(&answer), some(eq("unauthorized")), "{holder:?}");
+    }
+}
+
+/// Sends a call with the key that a workspace held, with another key and without one; returns what
+/// was served.
+async fn served_keys(daemon: &TestDaemon, path: &str) -> [bool; 3] {
+    let mut desk = daemon.register("desk", "e1").await;
+    let serve = async {
+        loop {
+            desk.next_arrival().await.answer(200, "done");
+        }
+    };
+    let keys: [&[(&str, &str)]; 3] = [&[(KEY, CALLERS_KEY)], &[(KEY, "key-of-nobody")], &[]];
+    let send_all = async {
+        let mut served = [false; 3];
+        for (i, key) in keys.iter().enumerate() {
+            let answer = daemon.send_with(path, &format!("r{i}"), key).await;
+            served[i] = outcome(&answer).is_none();
+        }
+        served
+    };
+    tokio::select! {
+        served = send_all => served,
+        () = serve => unreachable!(),
+    }
+}
+
+// Guards against a deployment that is open to everybody once its last workspace is removed.
+#[gtest]
+fn no_key_is_valid_once_the_last_workspace_is_removed() {
+    let served = |path, keys_required| {
+        run_test(async {
+            let daemon = open().await;
+            match keys_required {
+                true => configure(&daemon, 3, Holder::NoWorkspace).await,
+                false => daemon.reconfigure_without_keys(3, ROUTES).await,
+            }
+            served_keys(&daemon, path).await
+        })
+    };
 
-    expect_that!(outcome(&answer), some(eq("unauthorized")));
+    expect_that!(served("/private-call/", true), eq([false, false, false]));
+    expect_that!(served("/private-call/", false), eq([false, false, true]));
+    expect_that!(served("/again/", true), eq([true, true, true]));
 }
 
 // Guards against refusing a queued request that would be admitted if it came now.
