Both sides of a link forget what they know of each other, or none

Cause: each side of a link decides by itself that the other one is silent. A control VM that heard nothing for 2 s forgot what the entry had subscribed to; the entry had heard it all the time, or does not count time in which it did not run, so it did not subscribe again. The same held for all that is told once when a link comes up: digests, the directory, crash records, origins of streams, replicas.

Change: each side numbers its sessions and tells the other one when one begins. Whoever learns of another session than the one that its own belongs to begins anew, as after a link that broke. A side that begins anew names the session that it answers, so that it ends there. Event 224 tells of it.

--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -54,6 +54,7 @@
     RoleChanged = 221, "The control replica on this VM leads, looks for votes or follows, in another term than before.";
     SlowWrite = 222, "A write of the data folder waited for others or took long.";
     ConfigFetched = 223, "A daemon has fetched a change of the configuration, or the whole of it, from control VMs.";
+    SessionRenewed = 224, "Another daemon had forgotten what it knew of this one, and both have begun anew.";
     EndpointFailed = 301, "An endpoint failed to serve a request.";
     EndpointLeaving = 302, "An endpoint said that it is leaving.";
     StreamResumed = 303, "A stream was resumed at its endpoint.";
--- a/crates/core/src/node/messages.rs
+++ b/crates/core/src/node/messages.rs
@@ -392,6 +392,8 @@
         /// Its term; zero while no leader is known.
         term: u64,
     },
+    /// Another daemon had forgotten what it knew of this one, so both have begun anew.
+    SessionRenewed(VmName),
     /// The control replica on this VM has another role, or the same in another term.
     Role(ReplicaRole),
     /// A suspect's record has changed; only on the leader.
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -13,6 +13,7 @@
 //! - `suspect_tracker` tracks requests, and parts of prompts, that may crash endpoints; `local_suspects`
 //!   holds what the leader has not recorded, and `crash_spread` tells other daemons of it;
 //! - `stream_origins` tells which software version began the streams that callers take up;
+//! - `sessions` lets both sides of a link forget what they know of each other, or none;
 //! - `directory` lists the control VMs and `endpoints` the endpoints that register; of a large
 //!   fleet's, an entry knows a sample (`endpoint_sources`) and those that it uses (`endpoint_uses`).
 //!
@@ -67,6 +68,7 @@
 mod permit_client;
 mod placement_client;
 mod reads;
+mod sessions;
 mod stream_origins;
 #[cfg(test)]
 mod stream_origins_tests;
@@ -93,6 +95,7 @@
     operations::Operations,
     permit_client::PermitClient,
     placement_client::PlacementClient,
+    sessions::Sessions,
     stream_origins::StreamOrigins,
     suspect_tracker::{Context, SuspectTracker},
 };
@@ -106,7 +109,7 @@
     registry::Registry,
     throttle::RateLimit,
     units::Instant,
-    wire::{Report, SuspectNews},
+    wire::{Report, SessionOpened, SuspectNews},
 };
 
 pub(crate) use self::messages::Outbox;
@@ -142,6 +145,7 @@
     permits: PermitClient,
     stream_origins: StreamOrigins,
     control: Option<ControlReplica>,
+    sessions: Sessions,
     directory: Directory,
     registry: Registry,
     /// Data hall of this VM.
@@ -183,6 +187,7 @@
             permits: PermitClient::default(),
             stream_origins: StreamOrigins::default(),
             control: None,
+            sessions: Sessions::numbered_from(options.seed),
             directory: Directory::new(&options.vm, &options.seeds, false, now),
             registry: Registry::new(options.endpoint_heartbeat),
             hall: options.hall.clone(),
@@ -347,7 +352,14 @@
     }
 
     fn link_up(&mut self, vm: VmName, clocks: Clocks) {
+        self.begin_session(vm, None, clocks);
+    }
+
+    /// Begins a session with a daemon, which belongs to one that has begun there if `answers` names one.
+    fn begin_session(&mut self, vm: VmName, answers: Option<u64>, clocks: Clocks) {
         let out = &mut self.outputs;
+        // It goes first, since the other daemon forgets what it was told before.
+        self.sessions.open(&vm, answers, out);
         if let Some(control) = &mut self.control {
             control.link_up(&vm, out);
         }
@@ -362,6 +374,7 @@
     }
 
     fn link_down(&mut self, vm: &VmName, clocks: Clocks) {
+        self.sessions.close(vm);
         if let Some(control) = &mut self.control {
             control.link_down(vm, clocks, &mut self.outputs);
         }
@@ -375,6 +388,15 @@
         self.stream_origins.link_down(vm, &mut self.outputs);
     }
 
+    /// Forgets what a daemon has told if it has forgotten what it was told.
+    fn on_session_opened(&mut self, from: &VmName, opened: &SessionOpened, clocks: Clocks) {
+        if self.sessions.on_opened(from, opened) {
+            self.outputs.push(Output::SessionRenewed(from.clone()));
+            self.link_down(from, clocks);
+            self.begin_session(from.clone(), Some(opened.session), clocks);
+        }
+    }
+
     fn leads(&self) -> bool {
         self.control.as_ref().is_some_and(ControlReplica::leads)
     }
--- a/crates/core/src/node/tests/mod.rs
+++ b/crates/core/src/node/tests/mod.rs
@@ -11,6 +11,7 @@
 mod leaving_response;
 mod load;
 mod net;
+mod one_sided_silence;
 mod prompt_parts;
 mod quarantine;
 mod rate_limits;
--- a/crates/core/src/node/tests/net/mod.rs
+++ b/crates/core/src/node/tests/net/mod.rs
@@ -282,6 +282,7 @@
             | Output::Watch(_)
             | Output::Leader { .. }
             | Output::Role(_)
+            | Output::SessionRenewed(_)
             | Output::Dial(_)
             | Output::Forwarders(_)
             | Output::Registered(_)
--- a/crates/core/src/wire/control.rs
+++ b/crates/core/src/wire/control.rs
@@ -21,6 +21,17 @@
     pub empty: bool,
 }
 
+/// See [`super::Body::SessionOpened`].
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct SessionOpened {
+    /// Number of the session that begins with this message, another one in each run of the daemon.
+    #[prost(uint64, tag = "1")]
+    pub session: u64,
+    /// The receiver's session that made the daemon begin anew; missing if its link was down.
+    #[prost(uint64, optional, tag = "2")]
+    pub answers: Option<u64>,
+}
+
 /// See [`super::Body::Directory`].
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct Directory {
--- a/crates/core/src/wire/mod.rs
+++ b/crates/core/src/wire/mod.rs
@@ -21,7 +21,7 @@
     control::{
         AcceptedVersion, ClaimReply, ClaimStatus, Directory, Done, Fetch, HallReply, HallStatus,
         NotLeader, Operation, OperationKind, OperationReply, OperationResult, Piece, Poll,
-        PollReply, ReplicaInfo, SlowEndpoint, Submit, Update,
+        PollReply, ReplicaInfo, SessionOpened, SlowEndpoint, Submit, Update,
     },
     endpoints::{
         EndpointCensus, EndpointDigest, EndpointHeartbeat, EndpointHeartbeats, EndpointInterest,
@@ -45,7 +45,7 @@
     /// What it says.
     #[prost(
         oneof = "Body",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26, 27, 28, 29, 30, 31, 32, 33, 34, 35, 36, 37, 38, 39, 40, 41, 42, 43"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26, 27, 28, 29, 30, 31, 32, 33, 34, 35, 36, 37, 38, 39, 40, 41, 42, 43, 44"
     )]
     pub body: Option<Body>,
 }
@@ -182,6 +182,9 @@
     /// A daemon tells control VMs of a crash that no leader has put on record, and they tell all daemons.
     #[prost(message, tag = "43")]
     CrashSeen(CrashSeen),
+    /// A daemon tells that it has forgotten what it knew of the receiver.
+    #[prost(message, tag = "44")]
+    SessionOpened(SessionOpened),
 }
 
 impl Body {
@@ -227,6 +230,7 @@
             Body::EndpointsUsed(_) => "endpoints_used",
             Body::EndpointHeartbeats(_) => "endpoint_heartbeats",
             Body::Returns(_) => "returns",
+            Body::SessionOpened(_) => "session_opened",
             Body::StreamsBegun(_) => "streams_begun",
             Body::OriginQuery(_) => "origin_query",
             Body::OriginReply(_) => "origin_reply",
--- a/crates/server/src/runtime/mod.rs
+++ b/crates/server/src/runtime/mod.rs
@@ -284,6 +284,10 @@
                 term = term;
                 "the leader, as this daemon knows it"
             ),
+            Output::SessionRenewed(vm) => log::info!(
+                event = EventId::SessionRenewed.number(), peer = &*vm;
+                "the peer had forgotten what it knew of this daemon: both begin anew"
+            ),
             Output::Role(role) => sight::role_changed(&self.0.metrics, &role),
             Output::Forwarders(forwarders) => self.0.view.set_forwarders(forwarders),
             Output::Dial(vms) => links::dial(self, &vms),
--- a/crates/trayswitchd/src/node/actor.rs
+++ b/crates/trayswitchd/src/node/actor.rs
@@ -181,6 +181,7 @@
             | Output::SaveEndpoints(_)
             | Output::SentChange(_)
             | Output::ConfigFetched(_)
+            | Output::SessionRenewed(_)
             | Output::Load(_)
             | Output::Move { .. } => {}
         }
