Sessions of links settle: the higher number wins

Change: both sides number their sessions alike, and whoever learns of a later one begins anew under its number. A side that is behind is told.

--- a/crates/core/src/node/inputs.rs
+++ b/crates/core/src/node/inputs.rs
@@ -231,7 +231,7 @@
                 self.placement.on_grant(from, grant, clocks.now, &mut self.outputs);
             }
             Body::GiveUp(give_up) => self.placement.on_give_up(give_up, clocks.now, out),
-            Body::SessionOpened(opened) => self.on_session_opened(from, &opened, clocks),
+            Body::SessionOpened(opened) => self.on_session_opened(from, opened.session, clocks),
             Body::Directory(message) => self.directory.on_directory(from, message, clocks.now, out),
             Body::EndpointNews(news) => self.on_endpoint_news(from, news, clocks.now),
             Body::EndpointHeartbeats(heartbeats) => {
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -109,7 +109,7 @@
     registry::Registry,
     throttle::RateLimit,
     units::Instant,
-    wire::{Report, SessionOpened, SuspectNews},
+    wire::{Report, SuspectNews},
 };
 
 pub(crate) use self::messages::Outbox;
@@ -187,7 +187,7 @@
             permits: PermitClient::default(),
             stream_origins: StreamOrigins::default(),
             control: None,
-            sessions: Sessions::numbered_from(options.seed),
+            sessions: Sessions::default(),
             directory: Directory::new(&options.vm, &options.seeds, false, now),
             registry: Registry::new(options.endpoint_heartbeat),
             hall: options.hall.clone(),
@@ -355,11 +355,11 @@
         self.begin_session(vm, None, clocks);
     }
 
-    /// Begins a session with a daemon, which belongs to one that has begun there if `answers` names one.
-    fn begin_session(&mut self, vm: VmName, answers: Option<u64>, clocks: Clocks) {
+    /// Begins a session with a daemon: the next one, or one that has begun there.
+    fn begin_session(&mut self, vm: VmName, begun_there: Option<u64>, clocks: Clocks) {
         let out = &mut self.outputs;
         // It goes first, since the other daemon forgets what it was told before.
-        self.sessions.open(&vm, answers, out);
+        self.sessions.open(&vm, begun_there, out);
         if let Some(control) = &mut self.control {
             control.link_up(&vm, out);
         }
@@ -374,7 +374,6 @@
     }
 
     fn link_down(&mut self, vm: &VmName, clocks: Clocks) {
-        self.sessions.close(vm);
         if let Some(control) = &mut self.control {
             control.link_down(vm, clocks, &mut self.outputs);
         }
@@ -389,11 +388,11 @@
     }
 
     /// Forgets what a daemon has told if it has forgotten what it was told.
-    fn on_session_opened(&mut self, from: &VmName, opened: &SessionOpened, clocks: Clocks) {
-        if self.sessions.on_opened(from, opened) {
+    fn on_session_opened(&mut self, from: &VmName, session: u64, clocks: Clocks) {
+        if self.sessions.is_later(from, session, &mut self.outputs) {
             self.outputs.push(Output::SessionRenewed(from.clone()));
             self.link_down(from, clocks);
-            self.begin_session(from.clone(), Some(opened.session), clocks);
+            self.begin_session(from.clone(), Some(session), clocks);
         }
     }
 
--- a/crates/core/src/node/tests/net/observations.rs
+++ b/crates/core/src/node/tests/net/observations.rs
@@ -63,6 +63,8 @@
     pub(crate) loads: BTreeMap<VmName, LoadSnapshot>,
     /// Rejections for the log, with the VM that logs them and the entry.
     pub(crate) refused: Vec<(VmName, VmName, Refusal)>,
+    /// How often a daemon has begun anew because another one had forgotten what it knew.
+    pub(crate) sessions_renewed: u64,
     /// Calls that were answered.
     pub(crate) answered: BTreeSet<CallId>,
 }
--- a/crates/core/src/wire/control.rs
+++ b/crates/core/src/wire/control.rs
@@ -24,12 +24,9 @@
 /// See [`super::Body::SessionOpened`].
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct SessionOpened {
-    /// Number of the session that begins with this message, another one in each run of the daemon.
+    /// Number of the session; a later one has a higher number.
     #[prost(uint64, tag = "1")]
     pub session: u64,
-    /// The receiver's session that made the daemon begin anew; missing if its link was down.
-    #[prost(uint64, optional, tag = "2")]
-    pub answers: Option<u64>,
 }
 
 /// See [`super::Body::Directory`].
