Callers may read slowly

Cause: TCP_USER_TIMEOUT, 3 s, was set on callers' connections. Linux counts it also while the other side answers its probes and has no room.

Change: connections that are accepted have none. What is written to a caller who takes nothing is given up after the idle timeout, but not before the deadline of its request.

--- a/crates/server/src/edge/connection.rs
+++ b/crates/server/src/edge/connection.rs
@@ -13,7 +13,7 @@
 use http_body::{Body as HttpBody, Frame, SizeHint};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
-use super::{AnswerError, Body, Bounds, Gate};
+use super::{AnswerError, Body, Bounds, Gate, TimeLeft};
 use crate::overload::MeteredSocket;
 
 /// What a connection is doing.
@@ -29,35 +29,60 @@
 
 /// Shared by the parts of one connection.
 #[derive(Debug, Clone)]
-pub(super) struct Activity(Rc<Cell<Phase>>);
+pub(super) struct Activity(Rc<State>);
+
+#[derive(Debug)]
+struct State {
+    phase: Cell<Phase>,
+    /// Since when the other side has had no room for what is to be written.
+    blocked_since: Cell<Option<Instant>>,
+    /// Until when the caller waits for the response.
+    deadline: Cell<Instant>,
+}
+
+/// How often a busy connection is looked at.
+const LOOK: Duration = Duration::from_secs(1);
 
 impl Activity {
     pub(super) fn new() -> Activity {
-        Activity(Rc::new(Cell::new(Phase::Idle(Instant::now()))))
+        let now = Instant::now();
+        Activity(Rc::new(State {
+            phase: Cell::new(Phase::Idle(now)),
+            blocked_since: Cell::default(),
+            deadline: Cell::new(now),
+        }))
     }
 
     pub(super) fn begin(&self) {
-        self.0.set(Phase::Busy);
+        self.0.phase.set(Phase::Busy);
     }
 
     fn end(&self) {
-        self.0.set(Phase::Idle(Instant::now()));
+        self.0.phase.set(Phase::Idle(Instant::now()));
+    }
+
+    /// Sets how long the caller waits for the response that is to be written.
+    pub(super) fn set_time_left(&self, left: Option<TimeLeft>) {
+        self.0.deadline.set(Instant::now() + left.map_or(Duration::ZERO, |left| left.0));
+    }
+
+    fn written(&self, is_blocked: bool) {
+        let since = self.0.blocked_since.get().filter(|_| is_blocked);
+        self.0.blocked_since.set(since.or(is_blocked.then(Instant::now)));
     }
 
     fn bytes_came(&self) {
-        if let Phase::Idle(_) = self.0.get() {
-            self.0.set(Phase::Head(Instant::now()));
+        if let Phase::Idle(_) = self.phase() {
+            self.0.phase.set(Phase::Head(Instant::now()));
         }
     }
 
     pub(super) fn phase(&self) -> Phase {
-        self.0.get()
+        self.0.phase.get()
     }
 
     /// Returns once the connection has rested for too long.
     pub(super) async fn overdue(&self, bounds: impl Fn() -> Bounds) -> Phase {
-        /// How often a busy connection is looked at.
-        const LOOK: Duration = Duration::from_secs(1);
         loop {
             let phase = self.phase();
             let until = match phase {
@@ -71,6 +96,21 @@
             }
         }
     }
+
+    /// Returns once the other side has taken nothing for too long, and nobody waits for the response any more.
+    pub(super) async fn stalled(&self, bounds: impl Fn() -> Bounds) {
+        loop {
+            let now = Instant::now();
+            let until = match self.0.blocked_since.get() {
+                Some(since) => (since + bounds().idle_timeout).max(self.0.deadline.get()),
+                None => now + LOOK,
+            };
+            if until <= now {
+                return;
+            }
+            tokio::time::sleep_until(until.into()).await;
+        }
+    }
 }
 
 /// A socket that notes when bytes come, and ends before a request that may not be read.
@@ -111,7 +151,9 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.socket).poll_write(cx, buf)
+        let written = Pin::new(&mut self.socket).poll_write(cx, buf);
+        self.activity.written(written.is_pending());
+        written
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -127,7 +169,9 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.socket).poll_write_vectored(cx, bufs)
+        let written = Pin::new(&mut self.socket).poll_write_vectored(cx, bufs);
+        self.activity.written(written.is_pending());
+        written
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/server/src/edge/listener.rs
+++ b/crates/server/src/edge/listener.rs
@@ -11,7 +11,7 @@
 };
 
 use super::{
-    Gate, Handler, LocalFuture,
+    Gate, Handler, LocalFuture, TimeLeft,
     connection::{Activity, Phase, TrackedBody, WatchedSocket},
 };
 use crate::{overload::MeteredSocket, telemetry::EventId, upstream::socket};
@@ -162,7 +162,7 @@
 }
 
 async fn admit(socket: TcpStream, gate: &dyn Gate) -> Result<TcpStream> {
-    socket::tune(&socket)?;
+    socket::tune_for_slow_reader(&socket)?;
     gate.admit(socket).await
 }
 
@@ -185,6 +185,7 @@
         let (handler, activity) = (handler.clone(), activity.clone());
         async move {
             let answer = handler.handle(req).await;
+            activity.set_time_left(answer.extensions().get::<TimeLeft>().copied());
             Ok::<_, Infallible>(answer.map(|body| TrackedBody { body, activity }))
         }
     });
@@ -212,6 +213,10 @@
                 told = true;
                 connection.as_mut().graceful_shutdown();
             }
+            () = activity.stalled(|| handler.bounds()) => {
+                log::info!(event = EventId::CallerRefused.number(); "a response was not read");
+                return;
+            }
             _ = closing.wait_for(|closing| *closing), if !told => {
                 told = true;
                 connection.as_mut().graceful_shutdown();
--- a/crates/server/src/edge/mod.rs
+++ b/crates/server/src/edge/mod.rs
@@ -54,6 +54,10 @@
     }
 }
 
+/// How long a caller waits for the rest of a response, which carries it as an extension.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct TimeLeft(pub(crate) Duration);
+
 /// What a caller may do to a connection.
 #[derive(Debug, Clone, Copy)]
 pub struct Bounds {
@@ -61,6 +65,7 @@
     pub max_header: usize,
     /// Longest time from the first byte of a head to its last.
     pub header_timeout: Duration,
-    /// Longest rest between two requests.
+    /// Longest rest between two requests. A response of which nothing is read for as long is given up once
+    /// nobody waits for it.
     pub idle_timeout: Duration,
 }
--- a/crates/server/src/edge/tests.rs
+++ b/crates/server/src/edge/tests.rs
@@ -1,10 +1,11 @@
 //! Tests of the listener with real sockets.
 
-use std::{rc::Rc, time::Duration};
+use std::{cell::Cell, rc::Rc, time::Duration};
 
 use googletest::prelude::*;
 use http::{Request, Response};
 use hyper::body::Incoming;
+use socket2::SockRef;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
@@ -13,12 +14,15 @@
 use trayswitch_clock::Instant;
 use trayswitch_core::link::Direction;
 
-use super::{Body, Bounds, Handler, LocalFuture, Server, bind, bind_gated, full};
+use super::{Body, Bounds, Gate, Handler, LocalFuture, Server, bind, bind_gated, full};
 use crate::{
     overload::{LinkMonitor, MAX_DELAY, OverloadMonitor, WINDOW},
     telemetry::Metrics,
 };
 
+/// Reached only on a failure.
+const LIMIT: Duration = Duration::from_secs(60);
+
 /// Answers everything with one word.
 struct Word;
 
@@ -238,3 +242,60 @@
 
     expect_that!(answer, ends_with("word"));
 }
+
+/// Notes after which time without acknowledged bytes the system ends a connection.
+#[derive(Default)]
+struct UserTimeout(Cell<Option<Duration>>);
+
+impl Gate for UserTimeout {
+    fn admit(&self, socket: TcpStream) -> LocalFuture<'static, eyre::Result<TcpStream>> {
+        self.0.set(SockRef::from(&socket).tcp_user_timeout().unwrap());
+        Box::pin(async { Ok(socket) })
+    }
+}
+
+// Guards against callers who lose their responses because they read slowly: the system counts the time in which they
+// have no room as time in which they are silent.
+#[gtest]
+fn system_ends_no_connection_whose_caller_reads_slowly() {
+    let timeout = on_local_tasks(async {
+        let gate = Rc::new(UserTimeout::default());
+        let any = "127.0.0.1:0".parse().unwrap();
+        let server = bind_gated(any, Rc::new(Word), gate.clone()).unwrap();
+        say(&server, "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n").await;
+        gate.0.get()
+    });
+
+    expect_that!(timeout, none());
+}
+
+/// Answers with more than a connection holds, for which nobody waits.
+struct Large;
+
+impl Handler for Large {
+    fn handle(self: Rc<Self>, _: Request<Incoming>) -> LocalFuture<'static, Response<Body>> {
+        Box::pin(async { Response::new(full(vec![b'x'; 64 << 20])) })
+    }
+
+    fn bounds(&self) -> Bounds {
+        Bounds { idle_timeout: Duration::from_millis(100), ..Word.bounds() }
+    }
+}
+
+#[gtest]
+fn response_that_is_never_read_is_given_up() {
+    on_local_tasks(async {
+        let server = bind("127.0.0.1:0".parse().unwrap(), Rc::new(Large)).unwrap();
+        let mut socket = TcpStream::connect(server.address()).await.unwrap();
+        socket.write_all(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n").await.unwrap();
+        socket.readable().await.unwrap();
+
+        let closed = async {
+            while 0 < server.open() {
+                tokio::task::yield_now().await;
+            }
+        };
+
+        tokio::time::timeout(LIMIT, closed).await.unwrap();
+    });
+}
--- a/crates/server/src/upstream/socket.rs
+++ b/crates/server/src/upstream/socket.rs
@@ -20,11 +20,16 @@
 
 /// Sets what every connection between VMs needs.
 pub(crate) fn tune(socket: &TcpStream) -> io::Result<()> {
+    tune_for_slow_reader(socket)?;
+    SockRef::from(socket).set_tcp_user_timeout(Some(UNACKNOWLEDGED))
+}
+
+/// Sets what a connection needs whose other side may read slowly: Linux counts the time without
+/// acknowledged bytes also while the other side answers, but has no room for them.
+pub(crate) fn tune_for_slow_reader(socket: &TcpStream) -> io::Result<()> {
     socket.set_nodelay(true)?;
-    let socket = SockRef::from(socket);
-    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED))?;
     let keepalive = TcpKeepalive::new().with_time(PROBE).with_interval(PROBE).with_retries(PROBES);
-    socket.set_tcp_keepalive(&keepalive)
+    SockRef::from(socket).set_tcp_keepalive(&keepalive)
 }
 
 /// Bounds what the system buffers of what was written, so that it does not delay what is written next.
