A founder that is started anew does not keep the system from being founded

Cause: only the VM that the settings list first wrote the first entry of the group, and only while its own settings say that the system starts for the first time.

Change: control VMs tell each other whether they may found the group; the first that still may does.

--- a/crates/core/src/agreement/replica/mod.rs
+++ b/crates/core/src/agreement/replica/mod.rs
@@ -156,12 +156,15 @@
         replica
     }
 
-    /// Writes the first entry of a new group, on one replica only.
-    pub fn bootstrap(&mut self, membership: Membership, wall: UnixMillis) {
+    /// Writes the first entry of a new group, on one replica only for each term.
+    pub fn bootstrap(&mut self, membership: Membership, term: u64, wall: UnixMillis) {
         assert!(self.is_empty(), "only an empty replica can found a group");
-        self.set_hard_state(HardState { term: 1, voted_for: None });
+        // The entry keeps its term, whatever terms there were since: it says whose group is the later one.
+        if self.hard_state.term < term {
+            self.set_hard_state(HardState { term, voted_for: None });
+        }
         let payload = Some(Payload::Members(membership));
-        self.append(Entry { term: 1, index: 1, at_ms: wall.0, payload });
+        self.append(Entry { term, index: 1, at_ms: wall.0, payload });
         self.election_due = Instant::default();
     }
 
--- a/crates/core/src/agreement/tests/net.rs
+++ b/crates/core/src/agreement/tests/net.rs
@@ -81,7 +81,7 @@
             net.start(*id);
         }
         let first = net.hosts.get_mut(&ids[0]).unwrap();
-        first.replica.as_mut().unwrap().bootstrap(Membership { members }, UnixMillis(1));
+        first.replica.as_mut().unwrap().bootstrap(Membership { members }, 1, UnixMillis(1));
         net.collect(ids[0]);
         // Founding counts once it is synced; a crash before that founds again.
         net.sync(ids[0]);
--- a/crates/core/src/node/control/mod.rs
+++ b/crates/core/src/node/control/mod.rs
@@ -59,8 +59,8 @@
 /// A control replica.
 pub(crate) struct ControlReplica {
     vm: VmName,
-    /// The VMs that bootstrap the replication group; the first one writes the first entry. Empty on a VM
-    /// that joins an existing group.
+    /// The VMs that bootstrap the replication group; the first one that is not started anew meanwhile writes the
+    /// first entry. Empty on a VM that joins an existing group.
     founders: Vec<VmName>,
     max_voters: usize,
     replica: Replica,
@@ -156,7 +156,11 @@
     }
 
     pub(crate) fn link_up(&mut self, vm: &VmName, out: &mut Outbox) {
-        let info = ReplicaInfo { replica: self.replica.id(), empty: self.replica.is_empty() };
+        let info = ReplicaInfo {
+            replica: self.replica.id(),
+            empty: self.replica.is_empty(),
+            founds: self.may_found(),
+        };
         out.send(vm, Body::ReplicaInfo(info));
     }
 
@@ -213,7 +217,8 @@
                 self.process_ready(clocks, out);
             }
             Body::ReplicaInfo(info) => {
-                self.peers.insert(from.clone(), Peer { id: info.replica, empty: info.empty });
+                let ReplicaInfo { replica: id, empty, founds } = info;
+                self.peers.insert(from.clone(), Peer { id, empty, founds });
                 self.maintain_membership(clocks);
                 self.process_ready(clocks, out);
             }
@@ -271,12 +276,18 @@
         }
     }
 
+    /// Whether this VM is one of those that bootstrap the group.
+    fn may_found(&self) -> bool {
+        self.founders.contains(&self.vm)
+    }
+
     /// Bootstraps the group, or proposes the next membership change if this replica leads.
     fn maintain_membership(&mut self, clocks: Clocks) {
-        if let Some(founders) =
-            members::bootstrap_membership(&self.vm, &self.founders, &self.replica, &self.peers)
+        if self.may_found()
+            && let Some(founding) =
+                members::bootstrap_membership(&self.vm, &self.founders, &self.replica, &self.peers)
         {
-            self.replica.bootstrap(founders, clocks.wall);
+            self.replica.bootstrap(founding.membership, founding.term, clocks.wall);
             return;
         }
         if self.replica.role() != Role::Leader || !self.replica.membership_settled() {
--- a/crates/core/src/node/members.rs
+++ b/crates/core/src/node/members.rs
@@ -21,26 +21,59 @@
 pub(crate) struct Peer {
     pub(crate) id: ReplicaId,
     pub(crate) empty: bool,
+    /// Whether it may bootstrap the group.
+    pub(crate) founds: bool,
 }
 
-/// The initial membership if this replica may bootstrap the group: it is the first founder, and all
-/// founders are linked and empty. If it merely lost its disk, some founder is not empty or not linked.
+/// How a group begins.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Founding {
+    pub(crate) membership: Membership,
+    /// Term of the first entry.
+    pub(crate) term: u64,
+}
+
+/// The beginning of the group if this replica is to write its first entry: it is the first founder that still may,
+/// and all founders are linked and empty. If it merely lost its disk, some founder is not empty or not linked.
+///
+/// A founder that was started anew may not write the first entry any more. It may have done so before, and others may
+/// have accepted entries of it that are not known here. So it has no vote in the group of the next founder, whose first
+/// entry has a lower term: whoever has an entry of the earlier group refuses its vote, and is elected in its place.
 pub(crate) fn bootstrap_membership(
     vm: &VmName,
     founders: &[VmName],
     replica: &Replica,
     peers: &ByVm<Peer>,
-) -> Option<Membership> {
-    if !replica.is_empty() || founders.first() != Some(vm) {
+) -> Option<Founding> {
+    if !replica.is_empty() {
         return None;
     }
-    let member = |name: &VmName| {
-        let id =
-            if name == vm { replica.id() } else { peers.get(name).filter(|peer| peer.empty)?.id };
-        Some(Member { id, vm: name.to_string(), voter: true })
-    };
-    let members = founders.iter().map(member).collect::<Option<Vec<Member>>>()?;
-    Some(Membership { members })
+    let own = Peer { id: replica.id(), empty: true, founds: true };
+    let mut introduced = Vec::with_capacity(founders.len());
+    for name in founders {
+        let peer = if name == vm { Some(own) } else { peers.get(name).copied() };
+        introduced.push((name, peer.filter(|peer| peer.empty)?));
+    }
+    let first = introduced.iter().position(|(_, peer)| peer.founds)?;
+    if introduced[first].0 != vm {
+        return None;
+    }
+    let members: Vec<Member> = introduced
+        .iter()
+        .filter(|(_, peer)| peer.founds)
+        .map(|(name, peer)| Member { id: peer.id, vm: name.to_string(), voter: true })
+        .collect();
+    let (all, voters) = (founders.len(), members.len());
+    // Any quorum of an earlier group has so many voters of this one: fewer disks than a quorum are lost at a time.
+    let shared = quorum(all).saturating_sub(all - voters).max(1);
+    if voters < all && shared + quorum(voters) <= voters {
+        return None;
+    }
+    Some(Founding { membership: Membership { members }, term: (all - first) as u64 })
+}
+
+fn quorum(voters: usize) -> usize {
+    voters / 2 + 1
 }
 
 /// The next single membership change toward one voter on each linked control VM, up to `max_voters`.
@@ -56,7 +89,7 @@
 ) -> Option<Membership> {
     let membership = replica.membership();
     let mut changed = membership.clone();
-    let own_peer = Peer { id: replica.id(), empty: false };
+    let own_peer = Peer { id: replica.id(), empty: false, founds: false };
     let linked = || peers.iter().map(|(vm, peer)| (vm, *peer)).chain([(own_vm, own_peer)]);
     if let Some((vm, peer)) = linked().find(|(_, peer)| membership.member(peer.id).is_none()) {
         changed.members.push(Member { id: peer.id, vm: vm.to_string(), voter: false });
--- a/crates/core/src/node/members_tests.rs
+++ b/crates/core/src/node/members_tests.rs
@@ -25,7 +25,10 @@
 }
 
 fn peers(entries: &[(u64, ReplicaId, bool)]) -> ByVm<Peer> {
-    entries.iter().map(|(n, id, empty)| (vm(*n), Peer { id: *id, empty: *empty })).collect()
+    let peer = |(n, id, empty): &(u64, ReplicaId, bool)| {
+        (vm(*n), Peer { id: *id, empty: *empty, founds: true })
+    };
+    entries.iter().map(peer).collect()
 }
 
 /// A leader that is the only voter, with these other members.
@@ -37,7 +40,7 @@
     };
     let mut replica = empty_replica(1);
     let first = Membership { members: vec![member(&(1, 1, true))] };
-    replica.bootstrap(first, UnixMillis(0));
+    replica.bootstrap(first, 1, UnixMillis(0));
     let now = Instant(1_000_000);
     replica.tick(now);
     sync(&mut replica, now);
@@ -67,7 +70,8 @@
     let founders = [vm(1), vm(2), vm(3)];
     let linked = peers(&[(2, 2, true), (3, 3, true)]);
 
-    let initial = bootstrap_membership(&vm(1), &founders, &empty_replica(1), &linked).unwrap();
+    let initial =
+        bootstrap_membership(&vm(1), &founders, &empty_replica(1), &linked).unwrap().membership;
 
     expect_that!(initial.voters().count(), eq(3));
 }
@@ -84,6 +88,27 @@
     expect_that!(bootstrap_membership(&vm(2), &founders, &empty_replica(2), &linked), none());
 }
 
+// Guards against a group that is never founded since its first founder was started anew.
+#[gtest]
+fn next_founder_bootstraps_without_those_that_were_started_anew() {
+    let founders = [vm(1), vm(2), vm(3)];
+    let mut linked = peers(&[(1, 1, true), (2, 2, true), (3, 3, true)]);
+    let founding = |n, linked: &ByVm<Peer>| {
+        let founding = bootstrap_membership(&vm(n), &founders, &empty_replica(n), linked)?;
+        Some((founding.membership.voters().collect::<Vec<ReplicaId>>(), founding.term))
+    };
+
+    let by_first = founding(1, &linked);
+    linked.get_mut(&vm(1)).unwrap().founds = false;
+    let by_second = [founding(2, &linked), founding(3, &linked)];
+    linked.get_mut(&vm(2)).unwrap().founds = false;
+    let by_third = founding(3, &linked);
+
+    expect_that!(by_first, some(eq(&(vec![1, 2, 3], 3))));
+    expect_that!(by_second, eq(&[Some((vec![2, 3], 2)), None]));
+    expect_that!(by_third, some(eq(&(vec![3], 1))));
+}
+
 #[gtest]
 fn bootstrap_needs_configured_founders() {
     let linked = peers(&[(2, 2, true), (3, 3, true)]);
--- a/crates/core/src/node/tests/bootstrap.rs
+++ b/crates/core/src/node/tests/bootstrap.rs
@@ -67,6 +67,47 @@
     expect_true!(survives_next_loss(&net));
 }
 
+// Guards against a system that never has a leader since a seed was killed once during the first start.
+#[gtest]
+fn seeds_bootstrap_although_some_are_started_anew() {
+    for killed in [&["vm-1"][..], &["vm-2"], &["vm-3"], &["vm-1", "vm-2"], &["vm-1", "vm-3"]] {
+        let mut net = Net::new(&large_site(), 1);
+        for vm in killed {
+            net.wipe_disk(&(*vm).into());
+        }
+
+        net.recover(REPAIR_STEPS);
+
+        expect_that!(net.leader(), some(anything()), "{killed:?}");
+        expect_that!(voters(&net), eq(5), "{killed:?}");
+    }
+}
+
+// Guards against a second group that takes the place of the first founder's, which another seed has accepted a
+// configuration in while the next founder was held up.
+#[gtest]
+fn founder_that_knows_nothing_of_the_group_does_not_replace_it() {
+    for seed in 0..40 {
+        let mut net = Net::new(&Site::new(3, 1), seed);
+        net.recover(2);
+        net.hosts.get_mut("vm-2").unwrap().suspended = true;
+        net.run(60);
+        net.submit(&"vm-1".into(), 1, "a");
+        net.run(40);
+        let accepted = net.version_at("vm-3");
+        net.wipe_disk(&"vm-1".into());
+        net.start(&"vm-1".into());
+        let meanwhile = net.random(20) as usize;
+        net.run(meanwhile);
+
+        net.recover(REPAIR_STEPS);
+
+        expect_that!(accepted, eq(1), "seed {seed}");
+        expect_that!(net.version_at("vm-2"), eq(accepted), "seed {seed}");
+        expect_that!(net.leader(), some(anything()), "seed {seed}");
+    }
+}
+
 #[gtest]
 fn replacement_vm_does_not_bootstrap() {
     let mut net = Net::new(&large_site(), 2);
--- a/crates/core/src/wire/control.rs
+++ b/crates/core/src/wire/control.rs
@@ -19,6 +19,9 @@
     /// Whether it has neither log nor snapshot.
     #[prost(bool, tag = "2")]
     pub empty: bool,
+    /// Whether it may bootstrap the group.
+    #[prost(bool, tag = "3")]
+    pub founds: bool,
 }
 
 /// See [`super::Body::SessionOpened`].
