--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -351,51 +351,6 @@
         self.client.set_suspects_state(state, news.more, now, &mut self.outputs);
     }
 
-    fn link_up(&mut self, vm: VmName, clocks: Clocks) {
-        self.begin_session(vm, None, clocks);
-    }
-
-    /// Begins a session with a daemon: the next one, or one that has begun there.
-    fn begin_session(&mut self, vm: VmName, begun_there: Option<u64>, clocks: Clocks) {
-        let out = &mut self.outputs;
-        // It goes first, since the other daemon forgets what it was told before.
-        self.sessions.open(&vm, begun_there, out);
-        if let Some(control) = &mut self.control {
-            control.link_up(&vm, out);
-        }
-        self.client.link_up(&vm, clocks.now, out);
-        self.directory.link_up(&vm, out);
-        self.suspects.link_up(&vm);
-        if self.control.is_some() {
-            self.send_census(&vm);
-        } else {
-            self.stream_origins.link_up(&vm, clocks.now, &mut self.outputs);
-        }
-    }
-
-    fn link_down(&mut self, vm: &VmName, clocks: Clocks) {
-        if let Some(control) = &mut self.control {
-            control.link_down(vm, clocks, &mut self.outputs);
-        }
-        self.client.link_down(vm, clocks.now, &mut self.outputs);
-        self.operations.link_down(vm);
-        self.suspects.link_down(vm);
-        self.endpoint_sources.link_down(vm, clocks.now);
-        self.endpoint_subscribers.remove(vm);
-        self.endpoint_sync.remove(vm, clocks.now);
-        self.directory.link_down(vm);
-        self.stream_origins.link_down(vm, &mut self.outputs);
-    }
-
-    /// Forgets what a daemon has told if it has forgotten what it was told.
-    fn on_session_opened(&mut self, from: &VmName, session: u64, clocks: Clocks) {
-        if self.sessions.is_later(from, session, &mut self.outputs) {
-            self.outputs.push(Output::SessionRenewed(from.clone()));
-            self.link_down(from, clocks);
-            self.begin_session(from.clone(), Some(session), clocks);
-        }
-    }
-
     fn leads(&self) -> bool {
         self.control.as_ref().is_some_and(ControlReplica::leads)
     }
