A link whose queue is full ends, and the next one begins a session

What callers saw: nothing that was reported. An entry would not hear of an endpoint that came or left, for as long as its link lasted, after more than 4,096 messages had waited for it.

What is told once was dropped from a full queue, while both sides held the link for sound.

Change: a message that cannot be queued ends the link. It is dialed anew, and the new one begins a session, in which both sides tell each other everything.

--- a/crates/server/src/relay/tests/mod.rs
+++ b/crates/server/src/relay/tests/mod.rs
@@ -11,6 +11,7 @@
 mod failed_attempt;
 mod fake_endpoint;
 mod forwarding;
+mod full_queues;
 mod generations;
 mod late_link;
 mod latency;
--- a/crates/server/src/relay/tests/test_daemon.rs
+++ b/crates/server/src/relay/tests/test_daemon.rs
@@ -22,7 +22,7 @@
     mechanism::Disabled,
     node::{Input, NodeCall, NodeOptions, NodeReply, NodeTiming, VmName},
     state::{ChangeId, EncodedDelta},
-    wire::{Body, EndpointRecord, Piece, PollReply},
+    wire::{Body, EndpointRecord, EndpointsWanted, Piece, PollReply},
 };
 
 use super::{
@@ -461,6 +461,18 @@
         self.wait_until(|| self.is_open(name) == Some(!out)).await;
     }
 
+    /// Registers an endpoint while more answers to another daemon wait than its link takes.
+    pub(super) fn register_beside_full_queue(&self, name: &str, to: &VmName) -> FakeEndpoint {
+        let endpoint = FakeEndpoint::open();
+        for _ in 0..5_000 {
+            let wanted = Body::EndpointsWanted(EndpointsWanted { parts: vec![0] });
+            self.node.input(Input::Message(to.clone(), wanted));
+        }
+        self.node.input(Input::Heartbeat(heartbeat("desk", name, endpoint.address())));
+        self.node.input(Input::Tick);
+        endpoint
+    }
+
     pub(super) fn is_open(&self, name: &str) -> Option<bool> {
         self.node.view().endpoint(name).map(|endpoint| endpoint.available)
     }
--- a/crates/server/src/relay/tests/test_fleet.rs
+++ b/crates/server/src/relay/tests/test_fleet.rs
@@ -11,6 +11,7 @@
 };
 
 use tokio::net::TcpStream;
+use trayswitch_core::node::VmName;
 
 use super::{
     fake_endpoint::FakeEndpoint,
@@ -59,6 +60,7 @@
 /// An entry whose network towards endpoints a test can break.
 pub(super) struct TestEntry {
     pub(super) daemon: TestDaemon,
+    pub(super) vm: VmName,
     _forwarded: Server,
     network: Rc<Cell<Network>>,
 }
@@ -96,9 +98,10 @@
                 Box::new(TestConnector(network.clone())),
             );
             daemon.wait_until_ready().await;
-            let address = SocketAddr::new(site.vm(number + 2).parse().unwrap(), FORWARD_PORT);
-            let forwarded = daemon.accept_forwarded(address);
-            fleet.entries.push(TestEntry { daemon, _forwarded: forwarded, network });
+            let vm = site.vm(number + 2);
+            let address = SocketAddr::new(vm.parse().unwrap(), FORWARD_PORT);
+            let _forwarded = daemon.accept_forwarded(address);
+            fleet.entries.push(TestEntry { daemon, vm: vm.into(), _forwarded, network });
         }
         for entry in &fleet.entries {
             entry.daemon.wait_for_forwarders(usize::from(entries - 1).min(2)).await;
--- a/crates/server/src/runtime/link_table.rs
+++ b/crates/server/src/runtime/link_table.rs
@@ -4,10 +4,11 @@
     cell::{Cell, RefCell},
     collections::{BTreeMap, HashMap},
     net::{IpAddr, SocketAddr},
+    rc::Rc,
     time::Instant,
 };
 
-use tokio::sync::mpsc;
+use tokio::sync::{Notify, mpsc};
 use trayswitch_core::{node::VmName, wire::Body};
 
 use crate::telemetry::EventId;
@@ -39,6 +40,8 @@
 struct Link {
     id: u64,
     tx: mpsc::Sender<Waiting>,
+    /// Notified once a message could not be queued.
+    overflow: Rc<Notify>,
     is_silent: bool,
 }
 
@@ -71,7 +74,8 @@
         }
     }
 
-    /// Sends on the newest link that is not silent, or else on the newest; what cannot be queued is lost.
+    /// Sends on the newest link that is not silent, or else on the newest. A link on which a message cannot be
+    /// queued is to end, since the peer would never be told what was dropped.
     pub(super) fn send(&self, vm: &VmName, body: Body) {
         let up = self.up.borrow();
         let Some(links) = up.get(vm) else { return };
@@ -79,6 +83,7 @@
         let Some(link) = heard.or(links.last()) else { return };
         let waiting = Waiting { body, since: Instant::now() };
         if link.tx.try_send(waiting).is_err() {
+            link.overflow.notify_one();
             log::warn!(
                 event = EventId::LinkFull.number(), peer = &**vm;
                 "a message was dropped: the peer does not take what is sent"
@@ -96,10 +101,15 @@
         &self.key
     }
 
-    pub(super) fn add(&self, vm: &VmName, tx: mpsc::Sender<Waiting>) -> (u64, Heard) {
+    pub(super) fn add(
+        &self,
+        vm: &VmName,
+        tx: mpsc::Sender<Waiting>,
+        overflow: Rc<Notify>,
+    ) -> (u64, Heard) {
         self.next.set(self.next.get() + 1);
         let id = self.next.get();
-        (id, self.change(vm, |links| links.push(Link { id, tx, is_silent: false })))
+        (id, self.change(vm, |links| links.push(Link { id, tx, overflow, is_silent: false })))
     }
 
     pub(super) fn remove(&self, vm: &VmName, id: u64) -> Heard {
--- a/crates/server/src/runtime/link_table_tests.rs
+++ b/crates/server/src/runtime/link_table_tests.rs
@@ -1,5 +1,7 @@
 //! Tests of the links to one VM, of which some are silent.
 
+use std::rc::Rc;
+
 use googletest::prelude::*;
 use tokio::sync::mpsc;
 use trayswitch_core::wire::{Body, NotLeader};
@@ -14,7 +16,7 @@
 /// Adds a link to the VM `b`.
 fn add(links: &Links) -> (u64, Heard, mpsc::Receiver<Waiting>) {
     let (tx, rx) = mpsc::channel(4);
-    let (id, heard) = links.add(&"b".into(), tx);
+    let (id, heard) = links.add(&"b".into(), tx, Rc::default());
     (id, heard, rx)
 }
 
--- a/crates/server/src/runtime/links.rs
+++ b/crates/server/src/runtime/links.rs
@@ -6,6 +6,7 @@
 use std::{
     collections::BTreeSet,
     net::SocketAddr,
+    rc::Rc,
     time::{Duration, Instant},
 };
 
@@ -18,7 +19,7 @@
         TcpStream,
         tcp::{OwnedReadHalf, OwnedWriteHalf},
     },
-    sync::{mpsc, oneshot},
+    sync::{Notify, mpsc, oneshot},
     task::JoinSet,
     time::timeout,
 };
@@ -53,7 +54,7 @@
 const HANDSHAKE: Duration = Duration::from_millis(6_000);
 /// Pause before a link is dialed again, spread evenly up to twice this.
 const REDIAL: Duration = Duration::from_millis(100);
-/// Messages that may wait for a slow peer; more are lost, as on a broken link.
+/// Messages that may wait for a slow peer; with more, the link ends.
 const MAX_QUEUE: usize = 4_096;
 /// Bytes to an entry that the system may buffer; Linux doubles it. Pieces of a configuration fill it, and grants
 /// queue behind them for up to 70 ms on a link of 7.5 Mbit/s.
@@ -182,6 +183,8 @@
     vm: VmName,
     id: u64,
     node: NodeHandle,
+    /// Notified once a message could not be queued.
+    overflow: Rc<Notify>,
     /// Dropped once the link is silent.
     not_lost: Option<oneshot::Sender<()>>,
     /// Why it has ended, for its log line.
@@ -197,12 +200,14 @@
     ) -> (RunningLink, mpsc::Receiver<Waiting>, oneshot::Receiver<()>) {
         let (tx, rx) = mpsc::channel(MAX_QUEUE);
         let (not_lost, lost) = oneshot::channel();
-        let (id, heard) = node.links().add(vm, tx);
+        let overflow = Rc::new(Notify::new());
+        let (id, heard) = node.links().add(vm, tx, overflow.clone());
         let reason = "no longer wanted".to_owned();
         let link = RunningLink {
             vm: vm.clone(),
             id,
             node: node.clone(),
+            overflow,
             not_lost: Some(not_lost),
             reason,
         };
@@ -255,10 +260,11 @@
 async fn run(peer: Peer, mut link: RunningLink, rx: mpsc::Receiver<Waiting>) {
     let (read, write) = peer.socket.into_split();
     let frames = FrameReader::new(read, peer.read);
-    let (vm, node) = (link.vm.clone(), link.node.clone());
+    let (vm, node, overflow) = (link.vm.clone(), link.node.clone(), link.overflow.clone());
     let ended = tokio::select! {
         ended = read_all(frames, &mut link) => ended,
         Err(e) = write_all(write, rx, &vm, &node) => Err(e),
+        () = overflow.notified() => Err(eyre!("the peer does not take what is sent")),
     };
     link.reason = match ended {
         Ok(()) => "closed by the peer".to_owned(),
