A response that a forwarder passes on never ends with the forwarder's connection

Cause: a forwarder passed on the endpoint's head with its HTTP version. HTTP/1.0 has no chunks, so a body without a length had no end of its own between two daemons, and the end of the forwarder's connection was taken for the endpoint's: the entry asked whether the endpoint is up, and it is.

Change: the hop is HTTP/1.1 whatever the endpoint speaks, so a body without a length has chunks there, and one that breaks off is an error.

unframed_response_whose_forwarder_ends_is_not_whole failed before for streams and calls of HTTP/1.0, and passes.

--- a/crates/server/src/relay/forwarding/server.rs
+++ b/crates/server/src/relay/forwarding/server.rs
@@ -9,7 +9,7 @@
 
 use bytes::Bytes;
 use eyre::Result;
-use http::{HeaderMap, Request, Response, StatusCode, header};
+use http::{HeaderMap, Request, Response, StatusCode, Version, header};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use tokio::{net::TcpStream, sync::mpsc};
@@ -181,6 +181,8 @@
     let is_unframed = is_unframed(&head);
     let close_delay = if target.is_stream { STREAM_CLOSE_DELAY } else { CALL_CLOSE_DELAY };
     remove_hop_by_hop(&mut head.headers);
+    // Earlier versions have no chunks: the body would end with this daemon's connection.
+    head.version = Version::HTTP_11;
     Outcome::Answered.write(&mut head.headers);
     let (tx, rx) = mpsc::channel(MAX_BUFFERED_PIECES);
     let relay = relay.clone();
--- a/crates/server/src/relay/tests/raw_endpoint.rs
+++ b/crates/server/src/relay/tests/raw_endpoint.rs
@@ -139,7 +139,12 @@
 
     /// The same with another status.
     pub(super) async fn send_status(&mut self, status: &str, body: &str) {
-        let head = format!("HTTP/1.1 {status}\r\n{ID}: {}\r\nconnection: close\r\n\r\n", self.id);
+        self.send_version("HTTP/1.1", status, body).await;
+    }
+
+    /// The same in a version of HTTP.
+    pub(super) async fn send_version(&mut self, version: &str, status: &str, body: &str) {
+        let head = format!("{version} {status}\r\n{ID}: {}\r\nconnection: close\r\n\r\n", self.id);
         self.socket.write_all(format!("{head}{body}").as_bytes()).await.unwrap();
     }
 }
--- a/crates/server/src/relay/tests/test_fleet.rs
+++ b/crates/server/src/relay/tests/test_fleet.rs
@@ -10,7 +10,11 @@
     time::Duration,
 };
 
-use tokio::net::TcpStream;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    task::AbortHandle,
+};
 use trayswitch_core::node::VmName;
 
 use super::{
@@ -25,6 +29,8 @@
 };
 
 const LINK_PORT: u16 = 7000;
+/// Where an entry takes forwarded requests, behind its [`Hop`].
+const HOP_PORT: u16 = FORWARD_PORT + 1;
 /// Connect timeout of entries: reached only where a test lets connections hang.
 pub(super) const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
 
@@ -63,15 +69,71 @@
     pub(super) vm: VmName,
     _forwarded: Server,
     network: Rc<Cell<Network>>,
+    hop: Hop,
 }
 
 impl TestEntry {
+    /// Waits until a response with this text has been passed to another entry.
+    pub(super) async fn wait_until_passed_on(&self, text: &str) {
+        let has_passed = || String::from_utf8_lossy(&self.hop.passed.borrow()).contains(text);
+        self.daemon.wait_until(has_passed).await;
+    }
+
+    /// Closes the connections of other entries that forward requests to this one, as if it was killed.
+    pub(super) fn end_forwarding(&self) {
+        self.hop.connections.take().iter().for_each(AbortHandle::abort);
+    }
+
     /// Breaks or mends the network between this entry and all endpoints.
     pub(super) fn set_network(&self, network: Network) {
         self.network.set(network);
     }
 }
 
+/// The connections at which an entry takes forwarded requests.
+#[derive(Clone, Default)]
+struct Hop {
+    connections: Rc<RefCell<Vec<AbortHandle>>>,
+    /// What was passed to the other entries.
+    passed: Rc<RefCell<Vec<u8>>>,
+}
+
+impl Hop {
+    fn open(vm: Ipv4Addr) -> Hop {
+        let hop = Hop::default();
+        let listener = std::net::TcpListener::bind((vm, FORWARD_PORT)).unwrap();
+        listener.set_nonblocking(true).unwrap();
+        let listener = TcpListener::from_std(listener).unwrap();
+        let opened = hop.clone();
+        tokio::task::spawn_local(async move {
+            while let Ok((socket, _)) = listener.accept().await {
+                let carrying = tokio::task::spawn_local(carry(socket, vm, opened.passed.clone()));
+                opened.connections.borrow_mut().push(carrying.abort_handle());
+            }
+        });
+        hop
+    }
+}
+
+/// Carries a connection until either side ends it.
+async fn carry(mut from: TcpStream, vm: Ipv4Addr, passed: Rc<RefCell<Vec<u8>>>) {
+    let mut to = TcpStream::connect((vm, HOP_PORT)).await.unwrap();
+    let ((mut from, mut from_write), (mut to, mut to_write)) = (from.split(), to.split());
+    let back = async {
+        let mut buf = Vec::new();
+        while to.read_buf(&mut buf).await.is_ok_and(|n| 0 < n) {
+            if from_write.write_all(&buf).await.is_err() {
+                return;
+            }
+            passed.borrow_mut().append(&mut buf);
+        }
+    };
+    tokio::select! {
+        _ = tokio::io::copy(&mut from, &mut to_write) => {}
+        () = back => {}
+    }
+}
+
 /// The daemons of one site.
 pub(super) struct TestFleet {
     pub(super) control: TestDaemon,
@@ -99,9 +161,10 @@
             );
             daemon.wait_until_ready().await;
             let vm = site.vm(number + 2);
-            let address = SocketAddr::new(vm.parse().unwrap(), FORWARD_PORT);
-            let _forwarded = daemon.accept_forwarded(address);
-            fleet.entries.push(TestEntry { daemon, vm: vm.into(), _forwarded, network });
+            let address: Ipv4Addr = vm.parse().unwrap();
+            let _forwarded = daemon.accept_forwarded(SocketAddr::new(address.into(), HOP_PORT));
+            let hop = Hop::open(address);
+            fleet.entries.push(TestEntry { daemon, vm: vm.into(), _forwarded, network, hop });
         }
         for entry in &fleet.entries {
             entry.daemon.wait_for_forwarders(usize::from(entries - 1).min(2)).await;
--- a/crates/server/src/relay/tests/unframed_responses.rs
+++ b/crates/server/src/relay/tests/unframed_responses.rs
@@ -281,6 +281,34 @@
     expect_that!(body, err(anything()));
 }
 
+// Guards against a forwarder's end that is taken for that of the response.
+#[gtest]
+fn unframed_response_whose_forwarder_ends_is_not_whole() {
+    for version in ["HTTP/1.0", "HTTP/1.1"] {
+        for (service, path, part) in
+            [("engines", "/chat/", events_to(2)), ("desk", "/once/", "half of it".into())]
+        {
+            let body = run_test(async {
+                let fleet = TestFleet::start(2).await;
+                let mut raw = RawEndpoint::open_in(&fleet, service, "e1").await;
+                let [entry, forwarder] = &fleet.entries[..] else { unreachable!("there are two") };
+                entry.set_network(Network::Refuses);
+                let answer = async { text(entry.daemon.send(path, "r1").await).await };
+                let serving = async {
+                    let mut response = raw.next_request().await;
+                    response.send_version(version, "200 OK", &part).await;
+                    forwarder.wait_until_passed_on(&part).await;
+                    forwarder.end_forwarding();
+                    raw.close_new_connections().await;
+                };
+                tokio::select! { body = answer => body, () = serving => unreachable!() }
+            });
+
+            expect_that!(body, not(ok(eq(&part))), "{version} {path}");
+        }
+    }
+}
+
 #[gtest]
 fn stream_of_an_endpoint_that_cannot_be_asked_is_not_whole() {
     run_test(async {
