--- a/crates/server/src/relay/tests/forwarding.rs
+++ b/crates/server/src/relay/tests/forwarding.rs
@@ -19,13 +19,23 @@
     network: Network,
     path: &str,
 ) -> (Vec<Result<String, String>>, Vec<String>) {
-    let fleet = TestFleet::start(2).await;
+    send_to_cut_off_hall(network, path, &["a"], &["a"]).await
+}
+
+/// The same, where all entries in the first of these data halls are cut off, and none of those in the others.
+async fn send_to_cut_off_hall(
+    network: Network,
+    path: &str,
+    cut_off: &[&str],
+    others: &[&str],
+) -> (Vec<Result<String, String>>, Vec<String>) {
+    let fleet = TestFleet::start_in_halls(&[cut_off, others].concat()).await;
     let mut arrivals = Vec::new();
     for (service, name) in [("desk", "e1"), ("desk", "e2"), ("engines", "e3"), ("engines", "e4")] {
         arrivals.push(fleet.register_answering(service, name).await);
     }
+    fleet.entries[..cut_off.len()].iter().for_each(|entry| entry.set_network(network));
     let entry = &fleet.entries[0];
-    entry.set_network(network);
     let mut responses = Vec::new();
     for n in 0..REQUESTS {
         responses.push(text(entry.daemon.send(path, &format!("r{n}")).await).await);
@@ -56,6 +66,20 @@
     expect_that!(arrivals, eq(&request_ids()));
 }
 
+// The incident of entries cut off at a deployment's size: the forwarders nearby were cut off as well.
+#[gtest]
+fn callers_of_a_hall_that_is_cut_off_are_served_through_another_hall() {
+    for network in [Network::Refuses, Network::Hangs] {
+        for (path, text) in [("/again/x", "done".to_owned()), ("/recap/x", events_to(5))] {
+            let sent = send_to_cut_off_hall(network, path, &["a", "a", "a"], &["b", "b"]);
+            let (responses, arrivals) = run_test(sent);
+
+            expect_that!(responses, each(ok(eq(&text))), "{network:?} {path}");
+            expect_that!(arrivals, eq(&request_ids()), "{network:?} {path}");
+        }
+    }
+}
+
 #[gtest]
 fn generations_through_entry_that_endpoints_refuse_are_served() {
     let (responses, arrivals) = run_test(send_to_cut_off_entry(Network::Refuses, "/chat/x"));
--- a/crates/server/src/relay/tests/test_fleet.rs
+++ b/crates/server/src/relay/tests/test_fleet.rs
@@ -143,6 +143,11 @@
 impl TestFleet {
     /// Starts a control VM and entries, and waits until all are ready.
     pub(super) async fn start(entries: u8) -> TestFleet {
+        TestFleet::start_in_halls(&vec![""; entries.into()]).await
+    }
+
+    /// The same, with an entry in each of these data halls.
+    pub(super) async fn start_in_halls(halls: &[&str]) -> TestFleet {
         let site = Site::new();
         let control = TestDaemon::spawn_with(
             site.runtime_options(1, true),
@@ -151,11 +156,13 @@
         );
         let control = control.configured().await;
         let mut fleet = TestFleet { control, entries: Vec::new() };
-        for number in 0..entries {
+        for (number, hall) in (0..).zip(halls) {
             let network = Rc::new(Cell::new(Network::Sound));
             let options = RelayOptions { connect_timeout: CONNECT_TIMEOUT, ..relay_options(LIMIT) };
+            let mut runtime = site.runtime_options(number + 2, false);
+            runtime.node.hall = (*hall).to_owned();
             let daemon = TestDaemon::spawn_with(
-                site.runtime_options(number + 2, false),
+                runtime,
                 options,
                 Box::new(TestConnector(network.clone())),
             );
@@ -166,8 +173,9 @@
             let hop = Hop::open(address);
             fleet.entries.push(TestEntry { daemon, vm: vm.into(), _forwarded, network, hop });
         }
-        for entry in &fleet.entries {
-            entry.daemon.wait_for_forwarders(usize::from(entries - 1).min(2)).await;
+        for (entry, hall) in fleet.entries.iter().zip(halls) {
+            let neighbors = halls.iter().filter(|other| *other == hall).count() - 1;
+            entry.daemon.wait_for_forwarders(neighbors.min(2)).await;
         }
         fleet
     }
