A forwarder that reaches no endpoint does not condemn one

What callers saw: while a whole data hall was cut off from endpoints, its entries refused most requests ('neither this daemon nor another one can connect to the endpoint'), for as long as the cut lasted.

Cause: two forwarders that cannot connect either made an endpoint count as down. Those nearby are asked first, and were cut off themselves: of the offers at the hall's entries from 8 to 15 s after the return 3,535 ended as not sent at entries of the same hall, none at entries of others. Nobody in the hall learned that it was cut off, so all went on offering to be forwarders. Where connections hang, requests wait at the ones nearby, others are chosen, and it came right.

Change: a forwarder that cannot connect compares the endpoint with another one. If it connects to none it says that it is unavailable, takes no forwarded requests until a connection comes up, and tells the leader. After a forwarder nearby has not sent a request those of other halls are asked first.

--- a/crates/core/src/reachability/mod.rs
+++ b/crates/core/src/reachability/mod.rs
@@ -69,12 +69,16 @@
     /// The endpoint that was probed last.
     last_probed: Option<Arc<str>>,
     last_connected: Option<Instant>,
+    /// Whether a connection that was tried for comparison with a failed one has failed as well, and
+    /// none has come up since.
+    reaches_none: bool,
 }
 
 impl ReachabilityTracker {
     /// Records a successful connection to an endpoint.
     pub fn on_connected(&mut self, endpoint: &str, now: Instant) {
         self.last_connected = Some(now);
+        self.reaches_none = false;
         if self.unreachable.is_empty() {
             return;
         }
@@ -98,6 +102,17 @@
         }
     }
 
+    /// Records that neither an endpoint nor another one that was tried for comparison could be
+    /// connected to.
+    pub fn on_comparison_failed(&mut self) {
+        self.reaches_none = true;
+    }
+
+    /// Whether a failure of this daemon to connect to an endpoint may be the daemon's own fault.
+    pub fn is_in_doubt(&self) -> bool {
+        self.reaches_none || self.is_cut_off()
+    }
+
     /// Records whether another daemon could connect to an endpoint that this one could not reach.
     pub fn on_verdict(&mut self, endpoint: &str, is_up: bool, now: Instant) {
         if let Some(unreachable) = self.unreachable.get_mut(endpoint) {
--- a/crates/core/src/reachability/tests.rs
+++ b/crates/core/src/reachability/tests.rs
@@ -105,3 +105,16 @@
     expect_that!(tracker.is_isolated_failure("e1"), eq(false));
     expect_that!(tracker.last_connected(), none());
 }
+
+#[gtest]
+fn daemon_that_reaches_none_is_in_doubt_until_it_connects() {
+    let mut tracker = failed_at(&["e1"]);
+    expect_that!(tracker.is_in_doubt(), eq(false));
+
+    tracker.on_comparison_failed();
+    expect_that!(tracker.is_in_doubt(), eq(true));
+    expect_that!(tracker.is_cut_off(), eq(false));
+
+    tracker.on_connected("e3", at(2));
+    expect_that!(tracker.is_in_doubt(), eq(false));
+}
--- a/crates/server/src/relay/endpoint_connection.rs
+++ b/crates/server/src/relay/endpoint_connection.rs
@@ -183,7 +183,8 @@
     pub(super) fn update_reachability(&self, update: impl FnOnce(&mut ReachabilityTracker)) {
         let mut tracker = self.reachability.borrow_mut();
         let state = |tracker: &ReachabilityTracker| {
-            (tracker.unreachable(), tracker.broken_paths(), tracker.is_cut_off())
+            let (unreachable, broken_paths) = (tracker.unreachable(), tracker.broken_paths());
+            (unreachable, broken_paths, tracker.is_cut_off(), tracker.is_in_doubt())
         };
         let before = state(&tracker);
         update(&mut tracker);
@@ -192,15 +193,15 @@
         if before == after {
             return;
         }
-        let (unreachable, broken_paths, cut_off) = after;
+        let (unreachable, broken_paths, cut_off, in_doubt) = after;
         self.metrics.unreachable_endpoints(unreachable, broken_paths);
         log::info!(
             event = EventId::ReachabilityChanged.number(), unreachable = unreachable,
-            broken_paths = broken_paths, cut_off = cut_off;
+            broken_paths = broken_paths, cut_off = cut_off, in_doubt = in_doubt;
             "other endpoints than before can be reached"
         );
-        if before.2 != cut_off && self.is_forwarder.get() {
-            self.node.input(Input::AcceptsForwarded(!cut_off));
+        if before.3 != in_doubt && self.is_forwarder.get() {
+            self.node.input(Input::AcceptsForwarded(!in_doubt));
         }
     }
 }
--- a/crates/server/src/relay/forwarding/pool.rs
+++ b/crates/server/src/relay/forwarding/pool.rs
@@ -9,6 +9,9 @@
 const FAILURE_PAUSE: Duration = Duration::from_secs(1);
 /// Extra cost of a forwarder in another data hall, in requests in flight.
 const REMOTE_HALL_COST: f64 = 0.4;
+/// Extra cost of a forwarder in this data hall once another one there could not send the request: a whole
+/// hall may be cut off.
+const SAME_HALL_COST: f64 = 10.0;
 /// Cost of a forwarder that is avoided, in requests in flight.
 const FAILURE_COST: f64 = 1_000.0;
 
@@ -37,7 +40,9 @@
 impl ForwarderPool {
     /// The forwarder with the fewest requests of this daemon in flight that is not in `tried`.
     pub(super) fn select(&self, forwarders: &Forwarders, tried: &[VmName]) -> Option<VmName> {
-        let near = forwarders.near.iter().map(|vm| (vm, 0.0));
+        let is_near_tried = forwarders.near.iter().any(|vm| tried.contains(vm));
+        let near_cost = if is_near_tried { SAME_HALL_COST } else { 0.0 };
+        let near = forwarders.near.iter().map(|vm| (vm, near_cost));
         let far = forwarders.far.iter().map(|vm| (vm, REMOTE_HALL_COST));
         let untried = near.chain(far).filter(|(vm, _)| !tried.contains(vm));
         let costs = untried.map(|(vm, distance)| (self.cost(vm) + distance, vm));
--- a/crates/server/src/relay/forwarding/server.rs
+++ b/crates/server/src/relay/forwarding/server.rs
@@ -5,6 +5,7 @@
     net::SocketAddr,
     rc::{Rc, Weak},
     sync::Arc,
+    time::Duration,
 };
 
 use bytes::Bytes;
@@ -13,7 +14,11 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use tokio::{net::TcpStream, sync::mpsc};
-use trayswitch_core::{node::Input, reachability::Path, registry::RegisteredEndpoint};
+use trayswitch_core::{
+    node::Input,
+    reachability::{Path, ReachabilityTracker},
+    registry::RegisteredEndpoint,
+};
 
 use super::message::{Outcome, Purpose, Target, remove_hop_by_hop};
 use crate::{
@@ -36,6 +41,10 @@
 /// Room for the headers that a forwarded request has beside the caller's.
 const EXTRA_HEADER_BYTES: usize = 1_024;
 
+/// A connection that came up so lately shows that this daemon is not cut off.
+const RECENT_CONNECTION: Duration = Duration::from_millis(100);
+const REACHES_NONE: &str = "this daemon connects to no endpoint";
+
 /// What is being served for other daemons.
 #[derive(Debug, Default)]
 pub(in crate::relay) struct ForwardedLoad {
@@ -100,6 +109,34 @@
     }
 }
 
+impl Relay {
+    /// Whether this daemon, which could not connect to an endpoint, connects to another one. If not, the
+    /// failure tells nothing about the endpoint.
+    async fn connects_elsewhere(&self, endpoint: &RegisteredEndpoint) -> bool {
+        let last = self.reachability.borrow().last_connected();
+        if last.is_some_and(|at| self.node.now().since(at) < RECENT_CONNECTION) {
+            return true;
+        }
+        let Some(other) = self.comparison(endpoint) else { return true };
+        let connected = self.connect(&other, self.options.connect_timeout).await;
+        if let Err(ConnectError::Failed(_)) = connected {
+            self.update_reachability(ReachabilityTracker::on_comparison_failed);
+        }
+        connected.is_ok()
+    }
+
+    /// An endpoint to compare another one with: of another service, or else any, not known to be unreachable.
+    fn comparison(&self, endpoint: &RegisteredEndpoint) -> Option<RegisteredEndpoint> {
+        let (view, tracker) = (self.node.view(), self.reachability.borrow());
+        let is_other = |other: &RegisteredEndpoint| other.id != endpoint.id;
+        let is_unknown = |other: &RegisteredEndpoint| !tracker.is_unreachable(&other.id);
+        let is_of_other_service = |other: &RegisteredEndpoint| other.service != endpoint.service;
+        view.sample_endpoint(|other| is_of_other_service(other) && is_unknown(other))
+            .or_else(|| view.sample_endpoint(|other| is_other(other) && is_unknown(other)))
+            .or_else(|| view.sample_endpoint(is_other))
+    }
+}
+
 /// Lets only daemons in that know the key.
 struct DaemonGate {
     relay: Weak<Relay>,
@@ -153,6 +190,9 @@
     if relay.path(&endpoint) == Path::Forwarded {
         return Err(unavailable("this daemon cannot connect to the endpoint either"));
     }
+    if relay.reachability.borrow().is_in_doubt() {
+        return Err(unavailable(REACHES_NONE));
+    }
     if relay.overload.is_late() || !relay.overload.link().accept_request() {
         return Err(unavailable("this daemon is overloaded"));
     }
@@ -162,12 +202,8 @@
     let body = relay.before_last_refusal(read_whole(body, guard.bytes, silence)).await;
     let body = body.map_err(|e| unavailable(&e.message))?;
     let body = body.map_err(|_| unavailable("the body did not arrive"))?;
-    let socket = relay.connect(&endpoint, relay.options.connect_timeout);
-    let socket = relay.before_last_refusal(socket).await;
-    let socket = socket.map_err(|e| unavailable(&e.message))?.map_err(|e| match e {
-        ConnectError::Delayed(reason) => Failure::new(Outcome::Unavailable, reason),
-        ConnectError::Failed(e) => Failure::new(Outcome::NotSent, e.to_string()),
-    })?;
+    let socket = relay.before_last_refusal(connect(relay, &endpoint)).await;
+    let socket = socket.map_err(|e| unavailable(&e.message))??;
     if target.purpose == Purpose::Probe {
         let mut res = Response::new(edge::empty());
         Outcome::Answered.write(res.headers_mut());
@@ -201,6 +237,22 @@
     Ok(Response::from_parts(head, edge::streamed(rx)))
 }
 
+/// Connects to an endpoint. Says that it cannot be reached only if another one can.
+async fn connect(relay: &Relay, endpoint: &RegisteredEndpoint) -> Result<TcpStream, Failure> {
+    let error = match relay.connect(endpoint, relay.options.connect_timeout).await {
+        Ok(socket) => return Ok(socket),
+        Err(ConnectError::Delayed(reason)) => {
+            return Err(Failure::new(Outcome::Unavailable, reason));
+        }
+        Err(ConnectError::Failed(error)) => error,
+    };
+    if relay.connects_elsewhere(endpoint).await {
+        Err(Failure::new(Outcome::NotSent, error.to_string()))
+    } else {
+        Err(Failure::new(Outcome::Unavailable, REACHES_NONE))
+    }
+}
+
 /// Sends the request to the endpoint and reads the signals in its response.
 async fn exchange(
     relay: &Rc<Relay>,
--- a/crates/server/src/relay/tests/test_fleet.rs
+++ b/crates/server/src/relay/tests/test_fleet.rs
@@ -161,11 +161,8 @@
             let options = RelayOptions { connect_timeout: CONNECT_TIMEOUT, ..relay_options(LIMIT) };
             let mut runtime = site.runtime_options(number + 2, false);
             runtime.node.hall = (*hall).to_owned();
-            let daemon = TestDaemon::spawn_with(
-                runtime,
-                options,
-                Box::new(TestConnector(network.clone())),
-            );
+            let daemon =
+                TestDaemon::spawn_with(runtime, options, Box::new(TestConnector(network.clone())));
             daemon.wait_until_ready().await;
             let vm = site.vm(number + 2);
             let address: Ipv4Addr = vm.parse().unwrap();
--- a/crates/server/src/runtime/view.rs
+++ b/crates/server/src/runtime/view.rs
@@ -67,6 +67,16 @@
         ids.filter_map(|id| endpoints.get(id)).filter(|e| e.available).cloned().collect()
     }
 
+    /// Any endpoint that may get new work and `is_wanted`.
+    pub(crate) fn sample_endpoint(
+        &self,
+        is_wanted: impl Fn(&RegisteredEndpoint) -> bool,
+    ) -> Option<RegisteredEndpoint> {
+        let endpoints = self.endpoints.borrow();
+        let wanted = endpoints.values().filter(|e| e.available && is_wanted(e));
+        fastrand::choice(wanted.collect::<Vec<_>>()).cloned()
+    }
+
     /// Whether all endpoints of a service are in data halls that are out of service.
     pub fn is_out_of_service(&self, service: &str) -> bool {
         let endpoints = self.endpoints.borrow();
