An entry takes over the back-off of its forwarders

Change: a forwarder that withholds a request says for how long it backs off, and the entry asks it no more for that endpoint until then. If all forwarders that it knows back off, so does the entry, for a second at most, as it may reach the endpoint by itself sooner: another endpoint is chosen, or the caller is refused at once with that time.

requests_that_the_forwarder_may_not_send_are_refused_after_one_offer takes the place of the test of one request: the code before makes an offer for each of the three.

--- a/crates/server/src/relay/backoff.rs
+++ b/crates/server/src/relay/backoff.rs
@@ -27,7 +27,7 @@
 impl Relay {
     /// Whether a new request may be sent to an endpoint now.
     pub(super) fn may_send(&self, endpoint: &RegisteredEndpoint) -> Result<(), String> {
-        if let Admission::BackedOff(_) = self.node.admission(&endpoint.id) {
+        if self.backoff_left(endpoint).is_some() {
             return Err("the endpoint has asked this daemon to back off".into());
         }
         match self.current_run(endpoint) {
@@ -38,6 +38,14 @@
         }
     }
 
+    /// For how long this daemon backs off from an endpoint.
+    pub(super) fn backoff_left(&self, endpoint: &RegisteredEndpoint) -> Option<Duration> {
+        match self.node.admission(&endpoint.id) {
+            Admission::BackedOff(until) => Some(until.since(self.node.now())),
+            Admission::Allowed | Admission::LastResort | Admission::Busy => None,
+        }
+    }
+
     /// Whether a generation may resume on the endpoint that holds its KV cache.
     pub(super) fn may_resume(&self, endpoint: &RegisteredEndpoint) -> Result<(), String> {
         match self.current_run(endpoint) {
@@ -52,8 +60,7 @@
     /// Whether an endpoint may be asked to copy KV caches. A leaving endpoint is asked even while
     /// it backs off, since its generations are lost otherwise.
     pub(super) fn may_request_copies(&self, endpoint: &RegisteredEndpoint) -> bool {
-        let is_backed_off = matches!(self.node.admission(&endpoint.id), Admission::BackedOff(_));
-        !is_backed_off || !endpoint.available
+        self.backoff_left(endpoint).is_none() || !endpoint.available
     }
 
     fn current_run(&self, endpoint: &RegisteredEndpoint) -> Option<RegisteredEndpoint> {
--- a/crates/server/src/relay/forwarding/client.rs
+++ b/crates/server/src/relay/forwarding/client.rs
@@ -6,6 +6,7 @@
 use http_body_util::Full;
 use tokio::{net::TcpStream, time::timeout};
 use trayswitch_core::{
+    backoff::Rejection,
     mechanism::Mechanism,
     node::{Forwarders, Input, VmName},
     reachability::Blame,
@@ -15,7 +16,7 @@
 
 use super::{
     Purpose,
-    message::{Outcome, Target},
+    message::{Outcome, Target, take_backoff},
 };
 use crate::{
     relay::{Relay, endpoint_connection::EndpointRequest},
@@ -25,6 +26,9 @@
 
 /// Forwarders that one request is offered to.
 const MAX_OFFERS: usize = 3;
+/// Longest back-off that this daemon takes over from its forwarders: it may reach the endpoint by itself
+/// again sooner.
+const MAX_ADOPTED_BACKOFF: Duration = Duration::from_secs(1);
 /// Forwarders that must fail to connect to an endpoint before it is taken to be down.
 const MAX_CONNECT_FAILURES: usize = 2;
 /// Largest reason of a forwarder that is read.
@@ -37,8 +41,8 @@
     NotSent(String),
     /// The forwarder did not take the request.
     NotTaken(String),
-    /// The endpoint accepts no new requests of the forwarder.
-    Withheld(String),
+    /// The endpoint accepts no new requests of the forwarder, which may back off for this time.
+    Withheld(String, Option<Duration>),
     /// The request must not be offered to another forwarder.
     Final(SendError),
 }
@@ -49,7 +53,7 @@
             Offer::Answered(_) => Outcome::Answered.name(),
             Offer::NotSent(_) => Outcome::NotSent.name(),
             Offer::NotTaken(_) => Outcome::Unavailable.name(),
-            Offer::Withheld(_) => Outcome::Withheld.name(),
+            Offer::Withheld(..) => Outcome::Withheld.name(),
             Offer::Final(SendError::Lost(_)) => Outcome::Lost.name(),
             Offer::Final(_) => Outcome::Withheld.name(),
         }
@@ -58,7 +62,7 @@
     fn detail(&self) -> String {
         match self {
             Offer::Answered(_) => String::new(),
-            Offer::NotSent(error) | Offer::NotTaken(error) | Offer::Withheld(error) => {
+            Offer::NotSent(error) | Offer::NotTaken(error) | Offer::Withheld(error, _) => {
                 error.clone()
             }
             Offer::Final(error) => error.to_string(),
@@ -87,9 +91,9 @@
         let (mut late, mut tried, mut failures) = (Some(late), Vec::new(), 0);
         let mut error = "no other daemon takes requests for this endpoint".to_owned();
         while tried.len() < MAX_OFFERS {
-            let Some(vm) = self.forwarder_pool.borrow().select(&self.forwarders(), &tried) else {
-                break;
-            };
+            let selected =
+                self.forwarder_pool.borrow().select(&self.forwarders(), &tried, &endpoint.id);
+            let Some(vm) = selected else { break };
             tried.push(vm.clone());
             let late = late.take().unwrap_or_else(LateResponse::ignored);
             let offer = self.offer(&vm, send, &may_send, late).await;
@@ -106,13 +110,27 @@
                         break;
                     }
                 }
-                Offer::NotTaken(e) | Offer::Withheld(e) => error = e,
+                Offer::NotTaken(e) | Offer::Withheld(e, None) => error = e,
+                Offer::Withheld(e, Some(left)) => {
+                    error = e;
+                    self.forwarder_pool.borrow_mut().on_backoff(&vm, &endpoint.id, left);
+                }
                 Offer::Final(error) => return Err(error),
             }
         }
         if 0 < failures {
             self.record_verdict(endpoint, false);
         }
+        let backoff = self.forwarder_pool.borrow().common_backoff(&self.forwarders(), &endpoint.id);
+        if let Some(left) = backoff {
+            // As good as asked of this daemon: until then it has no way to the endpoint.
+            self.node.input(Input::Rejected(Rejection {
+                endpoint: endpoint.id.clone(),
+                started_at: endpoint.started_at,
+                retry_after: Some(left.min(MAX_ADOPTED_BACKOFF)),
+            }));
+            return Err(SendError::Withheld(error));
+        }
         Err(SendError::NotSent(error))
     }
 
@@ -199,6 +217,7 @@
                 Err(error) => return Offer::Final(error),
             };
         let outcome = Outcome::take(&mut open.head.headers);
+        let backoff = take_backoff(&mut open.head.headers);
         if outcome == Some(Outcome::Answered) {
             open.body.hold(guard);
             return Offer::Answered(open);
@@ -209,7 +228,7 @@
         match outcome {
             Some(Outcome::NotSent) => Offer::NotSent(reason),
             Some(Outcome::Unavailable) => not_taken(reason),
-            Some(Outcome::Withheld) => Offer::Withheld(reason),
+            Some(Outcome::Withheld) => Offer::Withheld(reason, backoff),
             Some(Outcome::Lost) => Offer::Final(SendError::Lost(reason)),
             Some(Outcome::Answered) | None => {
                 Offer::Final(SendError::Lost("the forwarder's response is malformed".into()))
--- a/crates/server/src/relay/forwarding/message.rs
+++ b/crates/server/src/relay/forwarding/message.rs
@@ -1,6 +1,6 @@
 //! What a daemon and a forwarder tell each other in headers.
 
-use std::{fmt, str::FromStr};
+use std::{fmt, str::FromStr, time::Duration};
 
 use http::{HeaderMap, HeaderName, HeaderValue, header};
 
@@ -14,6 +14,8 @@
 /// Present if the response is a stream of events.
 const STREAM: HeaderName = HeaderName::from_static("trayswitch-stream");
 const OUTCOME: HeaderName = HeaderName::from_static("trayswitch-outcome");
+/// For how many more milliseconds the forwarder backs off from the endpoint.
+const BACKOFF: HeaderName = HeaderName::from_static("trayswitch-backoff-ms");
 
 /// Headers that concern one connection only; bodies are framed anew.
 const HOP_BY_HOP: [HeaderName; 6] = [
@@ -152,6 +154,16 @@
     }
 }
 
+/// Adds for how long the forwarder backs off.
+pub(super) fn write_backoff(map: &mut HeaderMap, left: Duration) {
+    map.insert(BACKOFF, HeaderValue::from(left.as_millis() as u64));
+}
+
+/// Takes for how long the forwarder backs off, if it says so.
+pub(super) fn take_backoff(map: &mut HeaderMap) -> Option<Duration> {
+    take(map, BACKOFF).ok().map(Duration::from_millis)
+}
+
 fn take<T: FromStr>(map: &mut HeaderMap, name: HeaderName) -> Result<T, InvalidTarget> {
     let value = map.remove(&name);
     let text = value.as_ref().and_then(|value| value.to_str().ok());
--- a/crates/server/src/relay/forwarding/pool.rs
+++ b/crates/server/src/relay/forwarding/pool.rs
@@ -1,6 +1,6 @@
 //! Chooses the forwarder of a request.
 
-use std::{cell::Cell, collections::HashMap, rc::Rc, time::Duration};
+use std::{cell::Cell, collections::HashMap, rc::Rc, sync::Arc, time::Duration};
 
 use trayswitch_clock::Instant;
 use trayswitch_core::node::{Forwarders, VmName};
@@ -25,6 +25,8 @@
 #[derive(Debug, Default)]
 pub(in crate::relay) struct ForwarderPool {
     stats_by_vm: HashMap<VmName, ForwarderStats>,
+    /// Until when forwarders back off from endpoints.
+    backoffs: HashMap<(VmName, Arc<str>), Instant>,
 }
 
 /// Counts a request as in flight at a forwarder until dropped.
@@ -38,13 +40,20 @@
 }
 
 impl ForwarderPool {
-    /// The forwarder with the fewest requests of this daemon in flight that is not in `tried`.
-    pub(super) fn select(&self, forwarders: &Forwarders, tried: &[VmName]) -> Option<VmName> {
+    /// The forwarder with the fewest requests of this daemon in flight that is not in `tried` and does not
+    /// back off from the endpoint.
+    pub(super) fn select(
+        &self,
+        forwarders: &Forwarders,
+        tried: &[VmName],
+        endpoint: &Arc<str>,
+    ) -> Option<VmName> {
         let is_near_tried = forwarders.near.iter().any(|vm| tried.contains(vm));
         let near_cost = if is_near_tried { SAME_HALL_COST } else { 0.0 };
         let near = forwarders.near.iter().map(|vm| (vm, near_cost));
         let far = forwarders.far.iter().map(|vm| (vm, REMOTE_HALL_COST));
-        let untried = near.chain(far).filter(|(vm, _)| !tried.contains(vm));
+        let is_open = |vm: &VmName| self.backoff_end(vm, endpoint).is_none();
+        let untried = near.chain(far).filter(|(vm, _)| !tried.contains(vm) && is_open(vm));
         let costs = untried.map(|(vm, distance)| (self.cost(vm) + distance, vm));
         let (_, cheapest) = costs.min_by(|a, b| a.0.total_cmp(&b.0))?;
         Some(cheapest.clone())
@@ -69,6 +78,36 @@
         InFlightGuard(in_flight.clone())
     }
 
+    /// Remembers that a forwarder backs off from an endpoint.
+    pub(super) fn on_backoff(&mut self, vm: &VmName, endpoint: &Arc<str>, left: Duration) {
+        /// Those that have ended are evicted at this number.
+        const MAX_TRACKED_BACKOFFS: usize = 4_096;
+        let now = Instant::now();
+        if MAX_TRACKED_BACKOFFS <= self.backoffs.len() {
+            self.backoffs.retain(|_, until| now < *until);
+        }
+        if self.backoffs.len() < MAX_TRACKED_BACKOFFS {
+            self.backoffs.insert((vm.clone(), endpoint.clone()), now + left);
+        }
+    }
+
+    /// For how long all of these forwarders back off from an endpoint, if they do.
+    pub(super) fn common_backoff(
+        &self,
+        forwarders: &Forwarders,
+        endpoint: &Arc<str>,
+    ) -> Option<Duration> {
+        let vms = forwarders.near.iter().chain(&forwarders.far);
+        let ends: Option<Vec<Instant>> = vms.map(|vm| self.backoff_end(vm, endpoint)).collect();
+        let first = ends?.into_iter().min()?;
+        Some(first.saturating_duration_since(Instant::now()))
+    }
+
+    fn backoff_end(&self, vm: &VmName, endpoint: &Arc<str>) -> Option<Instant> {
+        let end = *self.backoffs.get(&(vm.clone(), endpoint.clone()))?;
+        (Instant::now() < end).then_some(end)
+    }
+
     /// Avoids a forwarder that did not take a request.
     pub(super) fn on_failure(&mut self, vm: &VmName) {
         if let Some(stats) = self.stats_by_vm.get_mut(vm) {
--- a/crates/server/src/relay/forwarding/server.rs
+++ b/crates/server/src/relay/forwarding/server.rs
@@ -20,7 +20,7 @@
     registry::RegisteredEndpoint,
 };
 
-use super::message::{Outcome, Purpose, Target, remove_hop_by_hop};
+use super::message::{Outcome, Purpose, Target, remove_hop_by_hop, write_backoff};
 use crate::{
     edge::{self, AnswerError, Body, Bounds, Gate, Handler, LocalFuture, Server, read_whole},
     overload::{LinkMonitor, MemoryBudget},
@@ -83,17 +83,22 @@
 struct Failure {
     outcome: Outcome,
     reason: String,
+    /// For how long this daemon backs off from the endpoint.
+    backoff: Option<Duration>,
 }
 
 impl Failure {
     fn new(outcome: Outcome, reason: impl Into<String>) -> Failure {
-        Failure { outcome, reason: reason.into() }
+        Failure { outcome, reason: reason.into(), backoff: None }
     }
 
     fn into_response(self) -> Response<Body> {
         let mut res = Response::new(edge::full(self.reason));
         *res.status_mut() = StatusCode::BAD_GATEWAY;
         self.outcome.write(res.headers_mut());
+        if let Some(left) = self.backoff {
+            write_backoff(res.headers_mut(), left);
+        }
         res
     }
 }
@@ -272,7 +277,10 @@
     let open = open.map_err(|error| match error {
         SendError::NotSent(reason) => Failure::new(Outcome::NotSent, reason),
         SendError::Delayed(reason) => Failure::new(Outcome::Unavailable, reason),
-        SendError::Withheld(reason) => Failure::new(Outcome::Withheld, reason),
+        SendError::Withheld(reason) => Failure {
+            backoff: relay.backoff_left(endpoint),
+            ..Failure::new(Outcome::Withheld, reason)
+        },
         SendError::Lost(reason) => Failure::new(Outcome::Lost, reason),
     })?;
     if target.purpose == Purpose::Control {
--- a/crates/server/src/relay/tests/forwarding.rs
+++ b/crates/server/src/relay/tests/forwarding.rs
@@ -205,9 +205,9 @@
     });
 }
 
-// The entry does not know that the endpoint has asked the forwarder to back off.
+// Guards against offers to a forwarder that has said for how long the endpoint wants nothing of it.
 #[gtest]
-fn request_that_the_forwarder_may_not_send_is_refused_after_one_offer() {
+fn requests_that_the_forwarder_may_not_send_are_refused_after_one_offer() {
     run_test(async {
         let (fleet, mut endpoint) = cut_off_fleet("desk").await;
         let [entry, forwarder] = &fleet.entries[..] else { unreachable!("there are two") };
@@ -215,9 +215,11 @@
             endpoint.next_arrival().await.reject("100");
         });
 
-        let answer = entry.daemon.send("/once/x", "r2").await;
+        for id in ["r2", "r3", "r4"] {
+            let answer = entry.daemon.send("/soon/x", id).await;
 
-        expect_that!(outcome(&answer), some(eq("endpoint_refused")));
+            expect_that!(outcome(&answer), some(eq("overloaded")), "{id}");
+        }
         expect_that!(entry.daemon.metric(&forwarded_metric("desk", "withheld")), some(eq(1)));
     });
 }
