Relay tests: hops between entries send at once

The hop that the tests of forwarding put between entries left Nagle's algorithm on, so each exchange took 88 ms in place of 1 ms, and responses_that_are_cut_before_a_forwarder_are_not_whole (825 exchanges) reached its limit of 60 s. All 213 tests of the server pass.

--- a/crates/server/src/relay/tests/test_fleet.rs
+++ b/crates/server/src/relay/tests/test_fleet.rs
@@ -118,6 +118,9 @@
 /// Carries a connection until either side ends it.
 async fn carry(mut from: TcpStream, vm: Ipv4Addr, passed: Rc<RefCell<Vec<u8>>>) {
     let mut to = TcpStream::connect((vm, HOP_PORT)).await.unwrap();
+    for socket in [&from, &to] {
+        socket.set_nodelay(true).unwrap();
+    }
     let ((mut from, mut from_write), (mut to, mut to_write)) = (from.split(), to.split());
     let back = async {
         let mut buf = Vec::new();
