Back-offs of forwarders bind callers' requests only

Probes after a failed attempt, generations that go on where their memory is, copies and load questions were held back, so an endpoint that only rejects could count as gone. The forwarder itself lets these pass.

requests_that_the_forwarder_may_not_send_are_refused_after_one_offer asks for a probe now; it got none before, and gets one.

--- a/crates/server/src/relay/forwarding/client.rs
+++ b/crates/server/src/relay/forwarding/client.rs
@@ -90,9 +90,10 @@
         let endpoint = send.endpoint;
         let (mut late, mut tried, mut failures) = (Some(late), Vec::new(), 0);
         let mut error = "no other daemon takes requests for this endpoint".to_owned();
+        // A back-off binds new requests of callers only.
+        let bound = (send.purpose == Purpose::Caller).then_some(&endpoint.id);
         while tried.len() < MAX_OFFERS {
-            let selected =
-                self.forwarder_pool.borrow().select(&self.forwarders(), &tried, &endpoint.id);
+            let selected = self.forwarder_pool.borrow().select(&self.forwarders(), &tried, bound);
             let Some(vm) = selected else { break };
             tried.push(vm.clone());
             let late = late.take().unwrap_or_else(LateResponse::ignored);
@@ -121,7 +122,8 @@
         if 0 < failures {
             self.record_verdict(endpoint, false);
         }
-        let backoff = self.forwarder_pool.borrow().common_backoff(&self.forwarders(), &endpoint.id);
+        let backoff = bound
+            .and_then(|id| self.forwarder_pool.borrow().common_backoff(&self.forwarders(), id));
         if let Some(left) = backoff {
             // As good as asked of this daemon: until then it has no way to the endpoint.
             self.node.input(Input::Rejected(Rejection {
--- a/crates/server/src/relay/forwarding/pool.rs
+++ b/crates/server/src/relay/forwarding/pool.rs
@@ -41,18 +41,18 @@
 
 impl ForwarderPool {
     /// The forwarder with the fewest requests of this daemon in flight that is not in `tried` and does not
-    /// back off from the endpoint.
+    /// back off from the endpoint, if that matters.
     pub(super) fn select(
         &self,
         forwarders: &Forwarders,
         tried: &[VmName],
-        endpoint: &Arc<str>,
+        endpoint: Option<&Arc<str>>,
     ) -> Option<VmName> {
         let is_near_tried = forwarders.near.iter().any(|vm| tried.contains(vm));
         let near_cost = if is_near_tried { SAME_HALL_COST } else { 0.0 };
         let near = forwarders.near.iter().map(|vm| (vm, near_cost));
         let far = forwarders.far.iter().map(|vm| (vm, REMOTE_HALL_COST));
-        let is_open = |vm: &VmName| self.backoff_end(vm, endpoint).is_none();
+        let is_open = |vm: &VmName| endpoint.is_none_or(|id| self.backoff_end(vm, id).is_none());
         let untried = near.chain(far).filter(|(vm, _)| !tried.contains(vm) && is_open(vm));
         let costs = untried.map(|(vm, distance)| (self.cost(vm) + distance, vm));
         let (_, cheapest) = costs.min_by(|a, b| a.0.total_cmp(&b.0))?;
--- a/crates/server/src/relay/tests/forwarding.rs
+++ b/crates/server/src/relay/tests/forwarding.rs
@@ -221,6 +221,7 @@
             expect_that!(outcome(&answer), some(eq("overloaded")), "{id}");
         }
         expect_that!(entry.daemon.metric(&forwarded_metric("desk", "withheld")), some(eq(1)));
+        expect_that!(entry.daemon.ask_forwarders("e1").await, some(eq(true)));
     });
 }
 
--- a/crates/server/src/relay/tests/test_daemon.rs
+++ b/crates/server/src/relay/tests/test_daemon.rs
@@ -304,6 +304,12 @@
         self.node.view().ready()
     }
 
+    /// Whether another daemon connects to an endpoint; `None` if none has answered.
+    pub(super) async fn ask_forwarders(&self, name: &str) -> Option<bool> {
+        let endpoint = self.node.view().endpoint(name).unwrap();
+        self.relay.ask_forwarders(&endpoint).await
+    }
+
     /// Whether calls to this service are hedged.
     pub(super) fn has_hedge_delay(&self, service: &str) -> bool {
         self.relay.hedge_delay(service).is_some()
