Forwarding reports rejections and reads back-offs as the relay does

The change of the back-off of forwarders wrote two things again that were there: the report of a rejection to the node (relay::signals) and the match that tells the end of a back-off from an admission (BackoffTable::backoff_until). Both have one form now, and what an entry takes over from its forwarders is a function of its own.

--- a/crates/core/src/backoff/table.rs
+++ b/crates/core/src/backoff/table.rs
@@ -32,6 +32,16 @@
     BackedOff(Instant),
 }
 
+impl Admission {
+    /// End of the back-off that the endpoint asked this daemon for.
+    pub fn backoff_until(self) -> Option<Instant> {
+        match self {
+            Admission::BackedOff(until) => Some(until),
+            Admission::Allowed | Admission::LastResort | Admission::Busy => None,
+        }
+    }
+}
+
 /// State of one endpoint.
 #[derive(Debug)]
 struct Endpoint {
@@ -177,10 +187,7 @@
 
     /// End of this daemon's back-off from an endpoint, unless it has passed.
     pub fn backoff_until(&self, endpoint: &str, daemon: u64, now: Instant) -> Option<Instant> {
-        match self.admission(endpoint, daemon, now) {
-            Admission::BackedOff(until) => Some(until),
-            Admission::Allowed | Admission::LastResort | Admission::Busy => None,
-        }
+        self.admission(endpoint, daemon, now).backoff_until()
     }
 
     /// End of the time for which an endpoint is a last resort for all daemons, unless it has
--- a/crates/server/src/relay/backoff.rs
+++ b/crates/server/src/relay/backoff.rs
@@ -40,10 +40,8 @@
 
     /// For how long this daemon backs off from an endpoint.
     pub(super) fn backoff_left(&self, endpoint: &RegisteredEndpoint) -> Option<Duration> {
-        match self.node.admission(&endpoint.id) {
-            Admission::BackedOff(until) => Some(until.since(self.node.now())),
-            Admission::Allowed | Admission::LastResort | Admission::Busy => None,
-        }
+        let until = self.node.admission(&endpoint.id).backoff_until()?;
+        Some(until.since(self.node.now()))
     }
 
     /// Whether a generation may resume on the endpoint that holds its KV cache.
--- a/crates/server/src/relay/endpoint_connection.rs
+++ b/crates/server/src/relay/endpoint_connection.rs
@@ -200,7 +200,8 @@
             broken_paths = broken_paths, cut_off = cut_off, in_doubt = in_doubt;
             "other endpoints than before can be reached"
         );
-        if before.3 != in_doubt && self.is_forwarder.get() {
+        let (.., was_in_doubt) = before;
+        if was_in_doubt != in_doubt && self.is_forwarder.get() {
             self.node.input(Input::AcceptsForwarded(!in_doubt));
         }
     }
--- a/crates/server/src/relay/forwarding/client.rs
+++ b/crates/server/src/relay/forwarding/client.rs
@@ -6,7 +6,6 @@
 use http_body_util::Full;
 use tokio::{net::TcpStream, time::timeout};
 use trayswitch_core::{
-    backoff::Rejection,
     mechanism::Mechanism,
     node::{Forwarders, Input, VmName},
     reachability::Blame,
@@ -122,20 +121,22 @@
         if 0 < failures {
             self.record_verdict(endpoint, false);
         }
-        let backoff = bound
-            .and_then(|id| self.forwarder_pool.borrow().common_backoff(&self.forwarders(), id));
-        if let Some(left) = backoff {
-            // As good as asked of this daemon: until then it has no way to the endpoint.
-            self.node.input(Input::Rejected(Rejection {
-                endpoint: endpoint.id.clone(),
-                started_at: endpoint.started_at,
-                retry_after: Some(left.min(MAX_ADOPTED_BACKOFF)),
-            }));
+        if bound.is_some() && self.adopt_backoff(endpoint) {
             return Err(SendError::Withheld(error));
         }
         Err(SendError::NotSent(error))
     }
 
+    /// Backs off from an endpoint if all forwarders do, as there is no way to it until then; returns whether
+    /// they do.
+    fn adopt_backoff(&self, endpoint: &RegisteredEndpoint) -> bool {
+        let backoff = self.forwarder_pool.borrow().common_backoff(&self.forwarders(), &endpoint.id);
+        if let Some(left) = backoff {
+            self.report_rejection(endpoint, Some(left.min(MAX_ADOPTED_BACKOFF)));
+        }
+        backoff.is_some()
+    }
+
     /// Whether another daemon connects to an endpoint; `None` if none has answered.
     pub(in crate::relay) async fn ask_forwarders(
         &self,
--- a/crates/server/src/relay/signals.rs
+++ b/crates/server/src/relay/signals.rs
@@ -3,7 +3,7 @@
 //!
 //! Every response passes through here, including those to the daemon's own requests.
 
-use std::{fmt, rc::Rc};
+use std::{fmt, rc::Rc, time::Duration};
 
 use http::response;
 use trayswitch_core::{
@@ -92,7 +92,7 @@
             self.node.input(Input::Cold { endpoint, started_at, left });
         }
         if signals.backoff().is_some() {
-            self.report_rejection(endpoint, signals);
+            self.report_rejection(endpoint, signals.backoff());
         }
     }
 
@@ -106,7 +106,7 @@
     ) -> EndpointSignals {
         let signals = self.on_response(service, endpoint, sent_at, head);
         if signals.backoff().is_none() {
-            self.report_rejection(endpoint, &signals);
+            self.report_rejection(endpoint, None);
         }
         signals
     }
@@ -119,11 +119,16 @@
         }
     }
 
-    fn report_rejection(&self, endpoint: &RegisteredEndpoint, signals: &EndpointSignals) {
+    /// Tells the node that an endpoint has rejected a request, and for how long this daemon is to back off.
+    pub(super) fn report_rejection(
+        &self,
+        endpoint: &RegisteredEndpoint,
+        retry_after: Option<Duration>,
+    ) {
         self.node.input(Input::Rejected(Rejection {
             endpoint: endpoint.id.clone(),
             started_at: endpoint.started_at,
-            retry_after: signals.backoff(),
+            retry_after,
         }));
     }
 
