--- a/crates/core/src/node/config_store_tests.rs
+++ b/crates/core/src/node/config_store_tests.rs
@@ -15,7 +15,7 @@
 
 const NOW: Instant = Instant(1_000_000);
 
-fn document(version: u64) -> Document {
+pub(super) fn document(version: u64) -> Document {
     Document::parse("f", &format!("[deployment]\nname = d\nversion = {version}\n")).unwrap()
 }
 
--- a/crates/core/src/node/control_client/confirmations.rs
+++ b/crates/core/src/node/control_client/confirmations.rs
@@ -56,9 +56,10 @@
         if active.version == 0 || !is_accepted {
             return self.as_of;
         }
-        while let Some(confirmed) =
-            self.versions.pop_front_if(|confirmed| confirmed.current.version <= active.version)
+        while let Some(confirmed) = self.versions.front().copied()
+            && confirmed.current.version <= active.version
         {
+            self.versions.pop_front();
             let is_newest = self.versions.is_empty();
             let penalty = if is_newest { Duration::ZERO } else { self.superseded_penalty };
             let as_of = confirmed.poll_sent_at.before(penalty);
--- a/crates/core/src/node/control_client/tests.rs
+++ b/crates/core/src/node/control_client/tests.rs
@@ -8,8 +8,10 @@
 use super::{ControlClient, confirmations::Confirmations};
 use crate::{
     config::Document,
-    mechanism::Disabled,
-    node::{NodeOptions, NodeTiming, Outbox, Output, VersionHash, VmName},
+    node::{
+        Outbox, Output, VersionHash, VmName, config_store_tests::document,
+        endpoint_sync_tests::options,
+    },
     state::{ChangeId, EncodedDelta},
     units::Instant,
     wire::{Body, Piece, PollReply},
@@ -25,20 +27,7 @@
 
 impl Daemon {
     fn linked() -> Daemon {
-        let leader: VmName = "10.0.0.1".into();
-        let options = NodeOptions {
-            vm: "10.0.0.9".into(),
-            hall: String::new(),
-            seeds: vec![leader.clone()],
-            founders: Vec::new(),
-            max_voters: 3,
-            takes_callers: true,
-            polls_loads: true,
-            endpoint_heartbeat: Duration::from_secs(1),
-            timing: NodeTiming::default(),
-            seed: 1,
-            disabled: Disabled::default(),
-        };
+        let (leader, options) = ("10.0.0.1".into(), options("10.0.0.9"));
         let now = Instant(0);
         let (client, out) = (ControlClient::new(&options, now), Outbox::default());
         let mut daemon = Daemon { client, leader, now, out };
@@ -78,11 +67,6 @@
     }
 }
 
-fn document(version: u64) -> Document {
-    let text = format!("[deployment]\nname = d\nversion = {version}\n");
-    Document::parse("f", &text).expect("a valid document")
-}
-
 /// Whether a daemon is fresh that has been behind by so many versions, of which one is accepted each 0.5 s.
 fn is_fresh_behind_by(versions: u64) -> bool {
     let mut daemon = Daemon::linked();
--- a/crates/core/src/node/endpoint_sync_tests.rs
+++ b/crates/core/src/node/endpoint_sync_tests.rs
@@ -20,7 +20,7 @@
     format!("10.0.0.{n}").into()
 }
 
-fn options(vm: &str) -> NodeOptions {
+pub(super) fn options(vm: &str) -> NodeOptions {
     NodeOptions {
         vm: vm.into(),
         hall: String::new(),
