Confirmations hold the time as of which the configuration is current

The client kept a copy of it, and a method named like a getter changed state. One method takes what is confirmed, another one reads it. In the forwarder's server two blocks of methods in a row are one.

--- a/crates/core/src/node/control_client/confirmations.rs
+++ b/crates/core/src/node/control_client/confirmations.rs
@@ -45,8 +45,13 @@
         }
     }
 
-    /// The last time as of which the active configuration is current.
-    pub(super) fn as_of(&mut self, active: VersionHash) -> Option<Instant> {
+    /// The last time as of which the active configuration is confirmed to be current.
+    pub(super) fn as_of(&self) -> Option<Instant> {
+        self.as_of
+    }
+
+    /// Takes the confirmations of the active configuration.
+    pub(super) fn update(&mut self, active: VersionHash) {
         let has_same_content = |confirmed: &ConfirmedVersion| {
             confirmed.current.version != active.version || confirmed.current == active
         };
@@ -54,7 +59,7 @@
         // What is newer than the newest version, or has other content, was not accepted.
         let is_accepted = active.version <= newest && self.versions.iter().all(has_same_content);
         if active.version == 0 || !is_accepted {
-            return self.as_of;
+            return;
         }
         while let Some(confirmed) = self.versions.front().copied()
             && confirmed.current.version <= active.version
@@ -65,6 +70,5 @@
             let as_of = confirmed.poll_sent_at.before(penalty);
             self.as_of = self.as_of.max(Some(as_of));
         }
-        self.as_of
     }
 }
--- a/crates/core/src/node/control_client/mod.rs
+++ b/crates/core/src/node/control_client/mod.rs
@@ -96,8 +96,6 @@
     next_poll: Instant,
     last_tick: Instant,
     last_reply: Instant,
-    /// The last time as of which the active configuration is confirmed to be current.
-    confirmed_at: Option<Instant>,
     fresh: bool,
     /// The confirmation time in the last [`Output::ConfigFreshness`].
     reported_confirmed: Option<Instant>,
@@ -133,7 +131,6 @@
             next_poll: now,
             last_tick: now,
             last_reply: now,
-            confirmed_at: None,
             fresh: false,
             hall: options.hall.clone(),
             takes_callers: options.takes_callers,
@@ -244,8 +241,8 @@
     }
 
     fn answer_reads(&mut self, now: Instant, out: &mut Outbox) {
-        let config =
-            Confirmed { value: self.config_store.active_config(), as_of: self.confirmed_at };
+        let as_of = self.confirmations.as_of();
+        let config = Confirmed { value: self.config_store.active_config(), as_of };
         let halls = Confirmed { value: &self.halls_out, as_of: self.answered_poll_sent_at };
         self.reads.answer(config, halls, now, out);
     }
@@ -382,27 +379,23 @@
 
     /// Marks the active configuration as confirmed as far as the leader's replies tell.
     fn update_confirmation(&mut self, now: Instant, out: &mut Outbox) {
-        self.confirmed_at = self.confirmations.as_of(self.config_store.version_hash());
+        self.confirmations.update(self.config_store.version_hash());
         self.answer_reads(now, out);
         self.update_freshness(now, out);
     }
 
     /// Reports a change of freshness or of the last confirmation.
     fn update_freshness(&mut self, now: Instant, out: &mut Outbox) {
-        let age = self.confirmed_at.map(|at| now.since(at));
+        let confirmed = self.confirmations.as_of();
+        let age = confirmed.map(|at| now.since(at));
         let fresh = age.is_some_and(|age| age < self.timing.stale_after);
-        if self.confirmed_at != self.reported_confirmed || fresh != self.fresh {
+        if confirmed != self.reported_confirmed || fresh != self.fresh {
             self.fresh = fresh;
-            self.reported_confirmed = self.confirmed_at;
+            self.reported_confirmed = confirmed;
             let daemons = self.leader.as_ref().map_or(0, |leader| leader.daemons);
             let entries =
                 self.leader.as_ref().map_or(EntryDaemons::default(), |leader| leader.entries);
-            out.push(Output::ConfigFreshness {
-                fresh,
-                confirmed: self.confirmed_at,
-                daemons,
-                entries,
-            });
+            out.push(Output::ConfigFreshness { fresh, confirmed, daemons, entries });
         }
     }
 
--- a/crates/core/src/node/control_client/tests.rs
+++ b/crates/core/src/node/control_client/tests.rs
@@ -110,8 +110,9 @@
         for (n, current) in (1..).zip(replies) {
             confirmations.on_reply(current, second(10 * n));
         }
+        confirmations.update(active);
 
-        expect_that!(confirmations.as_of(active), eq(expected.map(second)), "{name}");
+        expect_that!(confirmations.as_of(), eq(expected.map(second)), "{name}");
     }
 }
 
@@ -121,9 +122,10 @@
     let version = |version| VersionHash { version, hash: document(version).content_hash() };
 
     confirmations.on_reply(version(1), Instant(1));
-    confirmations.as_of(version(1));
+    confirmations.update(version(1));
     // A group that has lost its versions.
     confirmations.on_reply(VersionHash::default(), Instant(2));
+    confirmations.update(version(1));
 
-    expect_that!(confirmations.as_of(version(1)), eq(Some(Instant(1))));
+    expect_that!(confirmations.as_of(), eq(Some(Instant(1))));
 }
--- a/crates/server/src/relay/forwarding/server.rs
+++ b/crates/server/src/relay/forwarding/server.rs
@@ -112,9 +112,7 @@
         self.node.input(Input::AcceptsForwarded(true));
         Ok(server)
     }
-}
 
-impl Relay {
     /// Whether this daemon, which could not connect to an endpoint, connects to another one. If not, the
     /// failure tells nothing about the endpoint.
     async fn connects_elsewhere(&self, endpoint: &RegisteredEndpoint) -> bool {
